--- /dev/null
+++ b/src/routing/service_router.hpp
@@ -0,0 +1,85 @@
+#pragma once
+/// @file Calls to application services, repeatable or not.
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+#include "common/counters.hpp"
+#include "routing/claims.hpp"
+#include "routing/limits.hpp"
+#include "routing/outcome.hpp"
+#include "routing/registry.hpp"
+
+namespace madderdeck::routing {
+
+struct ServiceRequest {
+  std::string service;
+  ClaimKey key;  ///< Used when the request may not be repeated.
+  bool repeatable = true;
+  std::string body;
+  Duration timeout{};
+};
+
+using ServiceOutcome = std::variant<ServiceAnswer, Refusal>;
+using ServiceDone = std::function<void(ServiceOutcome)>;
+
+/// Rules of service calls; always on in the daemon.
+struct ServiceGuards {
+  bool claim_before_sending = true;
+  bool never_resend_after_break = true;  ///< A non-repeatable call that may have run is not sent again.
+  bool unknown_after_sending = true;     ///< A call that may have run is never called not run.
+};
+
+/// All service calls of one node. Single threaded.
+class ServiceRouter {
+ public:
+  ServiceRouter(Environment& environment, Counters& counters, Registry& registry, BackendClient& client,
+                ClaimBook& claims, ServiceGuards guards = {});
+
+  void set_policy(const config::FleetPolicy& policy) { budget_.set_percent(policy.retry_percent); }
+  /// Runs one request; @p done gets exactly one outcome.
+  void call(ServiceRequest request, ServiceDone done);
+  std::size_t active() const { return requests_.size(); }
+
+ private:
+  using RequestId = std::uint64_t;
+  struct Active {
+    ServiceRequest request;
+    ServiceDone done;           ///< Empty once the caller has its outcome.
+    std::uint64_t attempt = 0;  ///< Names the claim too.
+    BackendId backend;
+    std::set<BackendId> tried;
+    bool claimed = false;
+    bool maybe_ran = false;
+    Timestamp deadline{};
+  };
+
+  void claim(RequestId id);
+  void on_claim(RequestId id, Result<ClaimResult> result);
+  void on_existing_claim(RequestId id, const wire::ClaimRecordT& record);
+  void poll_claim(RequestId id);
+  void send(RequestId id);
+  void on_answer(RequestId id, const ServiceAnswer& answer);
+  void on_failure(RequestId id, CallFailure failure);
+  void on_deadline(RequestId id);
+  void give_back(RequestId id, ErrorKind kind, const std::string& detail);
+  void refuse(RequestId id, ErrorKind kind, const std::string& detail, Ran ran, Duration retry_after);
+  void answer_caller(RequestId id, ServiceOutcome outcome);
+  void forget(RequestId id);
+  void leave_backend(Active& active);
+
+  Environment& environment_;
+  Counters& counters_;
+  Registry& registry_;
+  BackendClient& client_;
+  ClaimBook& claims_;
+  const ServiceGuards guards_;
+  RetryBudget budget_;
+  std::map<RequestId, Active> requests_;
+  RequestId next_id_ = 0;
+  Lifetime lifetime_;
+};
+
+}  // namespace madderdeck::routing
--- /dev/null
+++ b/src/wire/codec.cpp
@@ -0,0 +1,51 @@
+#include "wire/codec.hpp"
+
+namespace madderdeck::wire {
+namespace {
+/// FlatBuffers wants aligned input; received bytes come at any address.
+std::vector<std::uint64_t> aligned_copy(std::string_view bytes) {
+  std::vector<std::uint64_t> words((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
+  std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(words.data()));
+  return words;
+}
+}  // namespace
+
+Bytes encode_frame(const PeerAddress& sender, const std::vector<MessageUnion>& messages) {
+  flatbuffers::FlatBufferBuilder builder(1024);
+  std::vector<flatbuffers::Offset<Envelope>> envelopes;
+  envelopes.reserve(messages.size());
+  for (const MessageUnion& message : messages) {
+    const auto sender_name = builder.CreateString(sender.str());
+    const auto body = message.Pack(builder);
+    envelopes.push_back(CreateEnvelope(builder, sender_name, message.type, body));
+  }
+  builder.Finish(CreateFrame(builder, builder.CreateVector(envelopes)));
+  return Bytes(builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize());
+}
+
+Result<std::vector<Incoming>> decode_frame(std::string_view bytes) {
+  const std::vector<std::uint64_t> copy = aligned_copy(bytes);
+  const auto* data = reinterpret_cast<const std::uint8_t*>(copy.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  if (bytes.size() < sizeof(flatbuffers::uoffset_t) || !VerifyFrameBuffer(verifier)) {
+    return Error{ErrorKind::corrupted, "not a valid frame"};
+  }
+  std::vector<Incoming> messages;
+  const auto* envelopes = GetFrame(data)->envelopes();
+  if (envelopes == nullptr) {
+    return messages;
+  }
+  for (const Envelope* envelope : *envelopes) {
+    if (envelope->sender() == nullptr || envelope->body() == nullptr) {
+      return Error{ErrorKind::corrupted, "envelope without sender or body"};
+    }
+    Incoming incoming;
+    incoming.sender = PeerAddress(envelope->sender()->str());
+    incoming.body.type = envelope->body_type();
+    incoming.body.value = MessageUnion::UnPack(envelope->body(), envelope->body_type(), nullptr);
+    messages.push_back(std::move(incoming));
+  }
+  return messages;
+}
+
+}  // namespace madderdeck::wire
--- /dev/null
+++ b/src/wire/codec.hpp
@@ -0,0 +1,53 @@
+#pragma once
+/// @file Encoding of messages and durable records with FlatBuffers, with verification.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/error.hpp"
+#include "common/strong_id.hpp"
+#include "wire/messages_generated.h"
+
+namespace madderdeck::wire {
+
+using Bytes = std::vector<std::uint8_t>;
+
+/// One message together with the peer address of its sender.
+struct Incoming {
+  PeerAddress sender;
+  MessageUnion body;
+};
+
+/// @return the encoded frame holding @p messages, all from @p sender.
+Bytes encode_frame(const PeerAddress& sender, const std::vector<MessageUnion>& messages);
+
+/// Verifies and decodes a frame.
+/// @return the messages, or ErrorKind::corrupted when the bytes are no valid frame.
+Result<std::vector<Incoming>> decode_frame(std::string_view bytes);
+
+/// Encodes one table, for durable records.
+template <class NativeTable>
+Bytes encode_record(const NativeTable& record) {
+  flatbuffers::FlatBufferBuilder builder;
+  builder.Finish(NativeTable::TableType::Pack(builder, &record));
+  return Bytes(builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize());
+}
+
+/// Verifies and decodes one table.
+/// @return nothing when the bytes are no valid table of that type.
+template <class NativeTable, class Container>
+std::optional<NativeTable> decode_record(const Container& bytes) {
+  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
+  flatbuffers::Verifier verifier(data, bytes.size());
+  if (!verifier.VerifyBuffer<typename NativeTable::TableType>(nullptr)) {
+    return std::nullopt;
+  }
+  NativeTable record;
+  flatbuffers::GetRoot<typename NativeTable::TableType>(data)->UnPackTo(&record);
+  return record;
+}
+
+}  // namespace madderdeck::wire
