--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -162,7 +162,9 @@
   routing::EngineCall call;
   call.attempt = environment_.random();
   call.model = kind->pool;
-  call.prompt = value_of(parsed).prompt;
+  const auto tenant = catalog_.find_tenant(work.item.tenant);
+  call.prompt = tenant ? config::fill_parameters(kind->system_prompt, *tenant) : kind->system_prompt;
+  call.prompt += value_of(parsed).prompt;
   call.max_tokens = value_of(parsed).max_tokens.value_or(kind->max_tokens);
   call.max_tokens = std::min(call.max_tokens, kind->max_tokens);
   call.resume_from = work.item.partial_tokens;
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -212,6 +212,7 @@
     }
     item->job = job.record.id;
     item->index = index;
+    item->tenant = job.record.tenant;
     item->template_name = job.record.template_name;
     // How long the dispatcher may start it: what is left of the job's lease.
     const Duration left = job.confirmed_at + kJobLease - environment_.now();
--- /dev/null
+++ b/src/bench/commands.hpp
@@ -0,0 +1,26 @@
+#pragma once
+/// @file The bench's commands.
+
+#include <string>
+
+#include "bench/fleet.hpp"
+
+namespace madderdeck::bench {
+
+/// Flags that all commands share.
+struct CommandOptions {
+  std::string binaries;  ///< Folder of the programs.
+  std::string scenario;  ///< Scenario file.
+  std::string work_folder;
+  std::string subnet = "127.77";
+  std::uint64_t seed = 1;
+  unsigned seconds = 30;
+  bool json = false;
+  std::string report;  ///< HTML report file; empty for none.
+};
+
+/// Each returns the process exit code; 0 only when nothing was lost, doubled or wrong.
+int run_demo(const CommandOptions& options);
+int run_faults(const CommandOptions& options);
+
+}  // namespace madderdeck::bench
--- /dev/null
+++ b/src/bench/process.cpp
@@ -0,0 +1,100 @@
+#include "bench/process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+namespace madderdeck::bench {
+
+Process::Process(Process&& other) noexcept : pid_(std::exchange(other.pid_, 0)), exit_code_(other.exit_code_) {}
+
+Process& Process::operator=(Process&& other) noexcept {
+  std::swap(pid_, other.pid_);
+  std::swap(exit_code_, other.exit_code_);
+  return *this;
+}
+
+Process::~Process() { kill(); }
+
+Status Process::start(const std::string& program, const std::vector<std::string>& arguments,
+                      const std::string& log_file) {
+  std::vector<char*> pointers{const_cast<char*>(program.c_str())};
+  for (const std::string& argument : arguments) {
+    pointers.push_back(const_cast<char*>(argument.c_str()));
+  }
+  pointers.push_back(nullptr);
+  const pid_t child = ::fork();
+  if (child < 0) {
+    return Error{ErrorKind::unavailable, "fork failed"};
+  }
+  if (child == 0) {
+    // The child ends with the bench, however the bench ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int log = ::open(log_file.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
+    ::dup2(log, STDOUT_FILENO);
+    ::dup2(log, STDERR_FILENO);
+    ::execv(program.c_str(), pointers.data());
+    ::_exit(127);
+  }
+  pid_ = child;
+  return Ok{};
+}
+
+void Process::signal(int number) const {
+  if (pid_ > 0) {
+    ::kill(pid_, number);
+  }
+}
+
+void Process::kill() {
+  if (pid_ <= 0) {
+    return;
+  }
+  ::kill(pid_, SIGKILL);
+  ::waitpid(pid_, nullptr, 0);
+  pid_ = 0;
+}
+
+bool Process::poll_ended() {
+  int status = 0;
+  if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) {
+    return false;
+  }
+  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  pid_ = 0;
+  return true;
+}
+
+ProcessUsage Process::usage() const {
+  ProcessUsage usage;
+  std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+  std::string text;
+  std::getline(stat, text);
+  const std::size_t name_end = text.rfind(')');
+  if (name_end == std::string::npos) {
+    return usage;
+  }
+  // Fields after the name: state is the first, utime and stime the 12th and 13th, rss the 22nd.
+  std::istringstream fields(text.substr(name_end + 1));
+  std::vector<std::string> values;
+  for (std::string value; fields >> value;) {
+    values.push_back(value);
+  }
+  constexpr std::size_t kUserTime = 11;
+  constexpr std::size_t kSystemTime = 12;
+  constexpr std::size_t kResidentPages = 21;
+  if (values.size() > kResidentPages) {
+    const double ticks = std::stod(values[kUserTime]) + std::stod(values[kSystemTime]);
+    usage.cpu_seconds = ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+    usage.resident_mb = std::stod(values[kResidentPages]) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+  }
+  return usage;
+}
+
+}  // namespace madderdeck::bench
--- /dev/null
+++ b/src/bench/process.hpp
@@ -0,0 +1,46 @@
+#pragma once
+/// @file Child processes of the bench: start, signal, end.
+
+#include <sys/types.h>
+
+#include <string>
+#include <vector>
+
+#include "common/error.hpp"
+
+namespace madderdeck::bench {
+
+/// What the kernel says a process has used.
+struct ProcessUsage {
+  double cpu_seconds = 0;
+  double resident_mb = 0;
+};
+
+/// One child. It is killed when this object goes.
+class Process {
+ public:
+  Process() = default;
+  Process(const Process&) = delete;
+  Process& operator=(const Process&) = delete;
+  Process(Process&& other) noexcept;
+  Process& operator=(Process&& other) noexcept;
+  ~Process();
+
+  /// Starts @p program with its output in @p log_file.
+  Status start(const std::string& program, const std::vector<std::string>& arguments, const std::string& log_file);
+  bool running() const { return pid_ > 0; }
+  void signal(int number) const;
+  /// Sends SIGKILL and waits for the end.
+  void kill();
+  /// @return whether the process has ended by itself; then it is no longer running().
+  bool poll_ended();
+  /// @return exit code of the ended process, -1 when a signal ended it.
+  int exit_code() const { return exit_code_; }
+  ProcessUsage usage() const;
+
+ private:
+  pid_t pid_ = 0;
+  int exit_code_ = 0;
+};
+
+}  // namespace madderdeck::bench
--- a/src/config/objects.cpp
+++ b/src/config/objects.cpp
@@ -271,6 +271,23 @@
                "kind: found '" + kind + "', allowed is template, tenant, model or fleet_policy"};
 }
 
+std::string fill_parameters(const std::string& text, const Tenant& tenant) {
+  std::string filled;
+  std::size_t position = 0;
+  while (position < text.size()) {
+    const std::size_t open = text.find('{', position);
+    const std::size_t close = open == std::string::npos ? open : text.find('}', open);
+    if (close == std::string::npos) {
+      break;
+    }
+    const auto parameter = tenant.parameters.find(text.substr(open + 1, close - open - 1));
+    filled.append(text, position, open - position);
+    filled.append(parameter == tenant.parameters.end() ? text.substr(open, close - open + 1) : parameter->second);
+    position = close + 1;
+  }
+  return filled.append(text, position);
+}
+
 // --- catalog --------------------------------------------------------------------------------
 
 namespace {
--- a/src/config/objects.hpp
+++ b/src/config/objects.hpp
@@ -73,6 +73,9 @@
 /// @return ErrorKind::invalid_argument with the field, what was found and what is allowed.
 Status check_object(const std::string& kind, const std::string& name, std::string_view json);
 
+/// Fills the {parameter} marks of @p text from the tenant's parameters; unknown marks stay.
+std::string fill_parameters(const std::string& text, const Tenant& tenant);
+
 inline constexpr char kTemplateKind[] = "template";
 inline constexpr char kTenantKind[] = "tenant";
 inline constexpr char kModelKind[] = "model";
--- a/src/gateway/api.cpp
+++ b/src/gateway/api.cpp
@@ -126,21 +126,4 @@
   exchange->respond({200, "text/plain; version=0.0.4", {}, prometheus::TextSerializer().Serialize(families)});
 }
 
-std::string fill_parameters(const std::string& text, const config::Tenant& tenant) {
-  std::string filled;
-  std::size_t position = 0;
-  while (position < text.size()) {
-    const std::size_t open = text.find('{', position);
-    const std::size_t close = open == std::string::npos ? open : text.find('}', open);
-    if (close == std::string::npos) {
-      break;
-    }
-    const auto parameter = tenant.parameters.find(text.substr(open + 1, close - open - 1));
-    filled.append(text, position, open - position);
-    filled.append(parameter == tenant.parameters.end() ? text.substr(open, close - open + 1) : parameter->second);
-    position = close + 1;
-  }
-  return filled.append(text, position);
-}
-
 }  // namespace madderdeck::gateway
--- a/src/gateway/api.hpp
+++ b/src/gateway/api.hpp
@@ -48,7 +48,4 @@
 void handle_status(ApiContext& context, const ExchangePointer& exchange);
 void handle_metrics(ApiContext& context, const ExchangePointer& exchange);
 
-/// Fills {parameter} marks of @p text from the tenant's parameters.
-std::string fill_parameters(const std::string& text, const config::Tenant& tenant);
-
 }  // namespace madderdeck::gateway
--- a/src/gateway/completions.cpp
+++ b/src/gateway/completions.cpp
@@ -214,7 +214,7 @@
   }
   routing::LiveRequest live;
   live.model = kind->pool;
-  live.prompt = fill_parameters(kind->system_prompt, *tenant) + request.prompt;
+  live.prompt = config::fill_parameters(kind->system_prompt, *tenant) + request.prompt;
   live.max_tokens = std::min(request.max_tokens.value_or(kind->max_tokens), kind->max_tokens);
   live.timeout = std::chrono::milliseconds(kind->timeout_ms);
   std::make_shared<CompletionAnswer>(context, exchange, request, chat)->begin(std::move(live));
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -2850,6 +2850,7 @@
   typedef WorkItem TableType;
   std::string job{};
   uint32_t index = 0;
+  std::string tenant{};
   std::string template_name{};
   std::string body{};
   uint32_t lease_ms = 0;
@@ -2864,11 +2865,12 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_JOB = 4,
     VT_INDEX = 6,
-    VT_TEMPLATE_NAME = 8,
-    VT_BODY = 10,
-    VT_LEASE_MS = 12,
-    VT_PARTIAL = 14,
-    VT_PARTIAL_TOKENS = 16
+    VT_TENANT = 8,
+    VT_TEMPLATE_NAME = 10,
+    VT_BODY = 12,
+    VT_LEASE_MS = 14,
+    VT_PARTIAL = 16,
+    VT_PARTIAL_TOKENS = 18
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -2876,6 +2878,9 @@
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
   }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
   const flatbuffers::String *template_name() const {
     return GetPointer<const flatbuffers::String *>(VT_TEMPLATE_NAME);
   }
@@ -2896,6 +2901,8 @@
            VerifyOffset(verifier, VT_JOB) &&
            verifier.VerifyString(job()) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
            VerifyOffset(verifier, VT_TEMPLATE_NAME) &&
            verifier.VerifyString(template_name()) &&
            VerifyOffset(verifier, VT_BODY) &&
@@ -2921,6 +2928,9 @@
   void add_index(uint32_t index) {
     fbb_.AddElement<uint32_t>(WorkItem::VT_INDEX, index, 0);
   }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(WorkItem::VT_TENANT, tenant);
+  }
   void add_template_name(flatbuffers::Offset<flatbuffers::String> template_name) {
     fbb_.AddOffset(WorkItem::VT_TEMPLATE_NAME, template_name);
   }
@@ -2951,6 +2961,7 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> job = 0,
     uint32_t index = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
     flatbuffers::Offset<flatbuffers::String> template_name = 0,
     flatbuffers::Offset<flatbuffers::String> body = 0,
     uint32_t lease_ms = 0,
@@ -2962,6 +2973,7 @@
   builder_.add_lease_ms(lease_ms);
   builder_.add_body(body);
   builder_.add_template_name(template_name);
+  builder_.add_tenant(tenant);
   builder_.add_index(index);
   builder_.add_job(job);
   return builder_.Finish();
@@ -2976,12 +2988,14 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *job = nullptr,
     uint32_t index = 0,
+    const char *tenant = nullptr,
     const char *template_name = nullptr,
     const char *body = nullptr,
     uint32_t lease_ms = 0,
     const char *partial = nullptr,
     uint32_t partial_tokens = 0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto template_name__ = template_name ? _fbb.CreateString(template_name) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto partial__ = partial ? _fbb.CreateString(partial) : 0;
@@ -2989,6 +3003,7 @@
       _fbb,
       job__,
       index,
+      tenant__,
       template_name__,
       body__,
       lease_ms,
@@ -5295,6 +5310,7 @@
   (void)_resolver;
   { auto _e = job(); if (_e) _o->job = _e->str(); }
   { auto _e = index(); _o->index = _e; }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
   { auto _e = template_name(); if (_e) _o->template_name = _e->str(); }
   { auto _e = body(); if (_e) _o->body = _e->str(); }
   { auto _e = lease_ms(); _o->lease_ms = _e; }
@@ -5312,6 +5328,7 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const WorkItemT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
   auto _index = _o->index;
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
   auto _template_name = _o->template_name.empty() ? 0 : _fbb.CreateString(_o->template_name);
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
   auto _lease_ms = _o->lease_ms;
@@ -5321,6 +5338,7 @@
       _fbb,
       _job,
       _index,
+      _tenant,
       _template_name,
       _body,
       _lease_ms,
