--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -13,6 +13,7 @@
 constexpr std::size_t kManagersAsked = 3;
 constexpr unsigned kMaxFailures = 20;
 constexpr Duration kReportUseful = 1s;
+constexpr Duration kAnswerUseful = 5s;
 }  // namespace
 
 Dispatcher::Dispatcher(Environment& environment, Counters& counters, ledger::Client& ledger,
@@ -125,21 +126,26 @@
   while (managers.size() > kManagersAsked) {
     managers.erase(managers.begin() + static_cast<std::ptrdiff_t>(environment_.random() % managers.size()));
   }
+  std::erase_if(requested_at_,
+                [this](const auto& entry) { return environment_.now() - entry.second > kAnswerUseful; });
+  requested_at_[++next_request_] = environment_.now();
   for (const wire::MemberT* manager : managers) {
     wire::TakeItemsT request;
-    request.dispatcher = members_.self().id;
+    request.request = next_request_;
     request.capacity = static_cast<std::uint32_t>(free_slots);
     send_message(environment_, PeerAddress(manager->peer_address), std::move(request));
   }
 }
 
 void Dispatcher::handle(const PeerAddress& sender, const wire::GiveItemsT& message) {
+  const auto requested = requested_at_.find(message.request);
+  const bool known = requested != requested_at_.end();
   for (const auto& item : message.items) {
     Queued work;
     work.item = *item;
     work.manager = sender;
-    work.start_before = environment_.now() + std::chrono::milliseconds(item->lease_ms);
-    if (draining_) {
+    work.start_before = (known ? requested->second : Timestamp{}) + std::chrono::milliseconds(item->lease_ms);
+    if (draining_ || (!known && guards_.respect_leases)) {
       report(work, false);
     } else {
       queue_.push_back(std::move(work));
@@ -180,14 +186,9 @@
   running_.emplace(id, std::move(running));
   counters_["batch_items_started_total"]++;
   routing::EngineEvents events;
-  events.token = lifetime_.guard([this, id](std::uint32_t offset, std::string_view text) {
-    const auto entry = running_.find(id);
-    if (entry != running_.end() && offset == entry->second.work.item.partial_tokens) {
-      entry->second.work.item.partial.append(text);
-      ++entry->second.work.item.partial_tokens;
-    }
-  });
-  events.finished = lifetime_.guard([this, id] { on_finished(id); });
+  events.token =
+      lifetime_.guard([this, id](std::uint32_t offset, std::string_view text) { on_token(id, offset, text); });
+  events.finished = lifetime_.guard([this, id](std::uint32_t total) { on_finished(id, total); });
   events.failed = lifetime_.guard([this, id](routing::CallFailure failure) { on_failed(id, failure); });
   running_.at(id).call = client_.start(backend.machine.id, call, std::move(events));
 }
@@ -199,8 +200,31 @@
   return std::move(node.mapped());
 }
 
-void Dispatcher::on_finished(RunId id) {
-  if (!running_.contains(id)) {
+void Dispatcher::on_token(RunId id, std::uint32_t offset, std::string_view text) {
+  const auto entry = running_.find(id);
+  if (entry == running_.end()) {
+    return;
+  }
+  wire::WorkItemT& item = entry->second.work.item;
+  if (offset == item.partial_tokens) {
+    item.partial.append(text);
+    ++item.partial_tokens;
+  } else if (offset > item.partial_tokens) {
+    // A token is missing; what came before it is kept and the rest asked for again.
+    counters_["batch_token_gaps_total"]++;
+    client_.cancel(entry->second.call);
+    on_failed(id, routing::CallFailure::broken);
+  }
+}
+
+void Dispatcher::on_finished(RunId id, std::uint32_t total) {
+  const auto entry = running_.find(id);
+  if (entry == running_.end()) {
+    return;
+  }
+  if (entry->second.work.item.partial_tokens < total) {
+    counters_["batch_token_gaps_total"]++;
+    on_failed(id, routing::CallFailure::broken);
     return;
   }
   Running running = take_running(id);
@@ -236,6 +260,7 @@
   record.index = work.item.index;
   record.failed = failed;
   record.body = work.item.partial;
+  record.attempt = environment_.random();  // tells apart results of two dispatchers
   const wire::Bytes encoded = wire::encode_record(record);
   const bool once = guards_.write_results_once;
   const auto first_stands = [encoded, once](const ledger::OptionalValue& current) -> ledger::OptionalValue {
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -80,7 +80,8 @@
   std::vector<routing::Backend*> owned_engines();
   void yield_on(const BackendId& id);
   void start_item(Queued work, routing::Backend& backend);
-  void on_finished(RunId id);
+  void on_token(RunId id, std::uint32_t offset, std::string_view text);
+  void on_finished(RunId id, std::uint32_t total);
   void on_failed(RunId id, routing::CallFailure failure);
   Running take_running(RunId id);
   void write_result(Queued work, bool failed);
@@ -98,6 +99,10 @@
   std::map<RunId, Running> running_;
   std::map<BackendId, Engine> engines_;
   std::size_t unsettled_ = 0;
+  /// When recent requests for items were sent. A lease counts from there, not from the
+  /// arrival of the answer, which may have been under way for long.
+  std::map<std::uint64_t, Timestamp> requested_at_;
+  std::uint64_t next_request_ = 0;
   RunId next_run_ = 0;
   bool draining_ = false;
   Lifetime lifetime_;
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -42,7 +42,9 @@
   std::erase_if(jobs_, [this](const auto& entry) { return !owns(entry.first.str()); });
   for (auto& [id, job] : jobs_) {
     expire_leases(job);
-    if (job.loaded && environment_.now() - job.confirmed_at > kConfirmInterval) {
+    // A job whose first reading failed has no items yet and is asked for again, too.
+    const bool readable = job.loaded || job.items.empty();
+    if (readable && environment_.now() - job.confirmed_at > kConfirmInterval) {
       confirm(id);
     }
     complete_if_done(id);
@@ -181,6 +183,7 @@
     return deadline(left) < deadline(right);
   });
   wire::GiveItemsT reply;
+  reply.request = message.request;
   for (Job* job : order) {
     if (reply.items.size() >= message.capacity) {
       break;
--- a/src/emulator/engine_model.cpp
+++ b/src/emulator/engine_model.cpp
@@ -54,6 +54,7 @@
   sequence.kv_tokens = token_count(generation.prompt) + generation.max_tokens;
   sequence.generation = std::move(generation);
   sequence.events = std::move(events);
+  sequence.queued_at = environment_.now();
   const GenerationId id = sequence.id;
   queue.push_back(std::move(sequence));
   record_snapshot();
@@ -95,6 +96,8 @@
   const bool batch_holds_slot = running(routing::Priority::batch) > 0;
   if (!waiting_online_.empty() && batch_holds_slot) {
     ++totals_.online_steps_behind_batch;
+    const Duration wait = environment_.now() - waiting_online_.front().queued_at;
+    totals_.longest_wait_behind_batch = std::max(totals_.longest_wait_behind_batch, wait);
   }
   const double prefill_us = 1000.0 * prefill_tokens / profile_.prefill_tokens_per_ms;
   const double decode_us =
@@ -130,7 +133,6 @@
     running_.push_back(std::move(waiting_online_.front()));
     waiting_online_.pop_front();
     running_.back().admitted = ++admissions_;
-    totals_.started_while_leaving += leaving_ ? 1 : 0;
   }
   while (!waiting_batch_.empty() && running_.size() < profile_.slots &&
          kv_in_use() + waiting_batch_.front().kv_tokens <= profile_.kv_tokens) {
@@ -141,6 +143,9 @@
 }
 
 bool EngineModel::make_room_for_online() {
+  if (!profile_.preempts) {
+    return false;
+  }
   auto youngest = running_.end();
   for (auto sequence = running_.begin(); sequence != running_.end(); ++sequence) {
     const bool batch = sequence->generation.priority == routing::Priority::batch;
@@ -191,7 +196,7 @@
     token.event(token.offset, token.text);
   }
   for (const Sequence& sequence : finished) {
-    sequence.events.finished();
+    sequence.events.finished(sequence.produced);
   }
 }
 
--- a/src/emulator/engine_model.hpp
+++ b/src/emulator/engine_model.hpp
@@ -29,6 +29,7 @@
   Duration report_lag = 300ms;
   Duration cache_event_lag = 500ms;
   double cache_event_loss = 0.02;  ///< Share of cache events that never appear.
+  bool preempts = true;            ///< Whether a live request takes a batch sequence's slot.
   double slow_factor = 1.0;        ///< A sick engine's steps take this many times as long.
 };
 
@@ -42,7 +43,7 @@
 };
 struct GenerationEvents {
   std::function<void(std::uint32_t offset, const std::string& text)> token;
-  std::function<void()> finished;
+  std::function<void(std::uint32_t total)> finished;
 };
 using GenerationId = std::uint64_t;
 
@@ -71,7 +72,7 @@
   std::uint64_t decoded_tokens = 0;
   std::uint64_t preemptions = 0;
   std::uint64_t online_steps_behind_batch = 0;  ///< Steps with a live request waiting while batch held a slot.
-  std::uint64_t started_while_leaving = 0;
+  Duration longest_wait_behind_batch{};         ///< Of a live request while batch held a slot.
 };
 
 /// @return token number @p offset of the answer to @p prompt; the same on every engine.
@@ -94,6 +95,7 @@
   bool leaving() const { return leaving_; }
   EngineProfile& profile() { return profile_; }
   const EngineTotals& totals() const { return totals_; }
+  void reset_longest_wait() { totals_.longest_wait_behind_batch = Duration::zero(); }
   const std::map<std::string, std::string>& models() const { return models_; }
   /// @return published cache events after @p since.
   std::vector<CacheEvent> cache_events(std::uint64_t since) const;
@@ -112,6 +114,7 @@
     std::uint32_t produced = 0;  ///< Offset of the next token.
     std::uint32_t kv_tokens = 0;
     std::uint64_t admitted = 0;
+    Timestamp queued_at{};
     bool prefilled = false;
   };
   struct Snapshot {
--- a/src/emulator/engine_server.cpp
+++ b/src/emulator/engine_server.cpp
@@ -112,8 +112,8 @@
         exchange->write(event);
       }
     };
-    events.finished = [exchange] {
-      exchange->write("data: [DONE]\n\n");
+    events.finished = [exchange](std::uint32_t total) {
+      exchange->write("data: {\"total\":" + std::to_string(total) + "}\n\ndata: [DONE]\n\n");
       exchange->finish();
     };
     const auto taken = model_.submit(std::move(generation), std::move(events));
--- a/src/net/http_backend_client.cpp
+++ b/src/net/http_backend_client.cpp
@@ -59,6 +59,11 @@
     boost::system::error_code failure;
     const json::value event = json::parse(json::string_view(data.data(), data.size()), failure);
     const json::object* fields = failure ? nullptr : event.if_object();
+    if (const json::value* sum = fields == nullptr ? nullptr : fields->if_contains("total");
+        sum != nullptr && sum->is_int64()) {
+      total = static_cast<std::uint32_t>(sum->as_int64());
+      return;
+    }
     const json::value* offset = fields == nullptr ? nullptr : fields->if_contains("offset");
     const json::value* text = fields == nullptr ? nullptr : fields->if_contains("text");
     if (offset == nullptr || text == nullptr || !offset->is_int64() || !text->is_string()) {
@@ -73,6 +78,7 @@
   SseReader reader;
   unsigned status = 0;
   std::string refusal;
+  std::uint32_t total = 0;
   bool done = false;
   bool malformed = false;
 };
@@ -108,7 +114,7 @@
     if (stream->status != kOk) {
       stream->events.failed(failure_of(stream->status, stream->refusal));
     } else if (stream->done && !stream->malformed) {
-      stream->events.finished();
+      stream->events.finished(stream->total);
     } else {
       stream->events.failed(CallFailure::broken);
     }
@@ -152,14 +158,14 @@
       options);
 }
 
-void HttpBackendClient::fetch_load(const BackendId& engine, ReportDone done) {
+void HttpBackendClient::fetch_load(const BackendId& backend, routing::ReportDone done) {
   HttpRequest request;
   request.method = "GET";
   request.target = "/load";
   ClientCallOptions options;
   options.idle_timeout = kReportTimeout;
   client_.fetch(
-      engine.str(), std::move(request),
+      backend.str(), std::move(request),
       [done](std::variant<SimpleResponse, CallBreak> result) {
         const auto* response = std::get_if<SimpleResponse>(&result);
         boost::system::error_code failure;
--- a/src/net/http_backend_client.hpp
+++ b/src/net/http_backend_client.hpp
@@ -24,9 +24,7 @@
   void pause(routing::CallId call) override { client_.pause(call); }
   void resume(routing::CallId call) override { client_.resume(call); }
 
-  using ReportDone = std::function<void(std::optional<routing::LoadReport>)>;
-  /// Reads an engine's load report.
-  void fetch_load(const BackendId& engine, ReportDone done);
+  void fetch_load(const BackendId& backend, routing::ReportDone done) override;
 
  private:
   HttpClient& client_;
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -39,7 +39,6 @@
       return prepared;
     }
     core_->start();
-    poll_loads();
     watch_readiness();
     log_event(LogLevel::info, "node started",
               {{"node", settings_.id}, {"zone", settings_.zone}, {"api", settings_.api_address}});
@@ -94,6 +93,7 @@
     options.self.roles = settings_.role_bits();
     // A restarted process must outrank what is still said about its predecessor.
     options.self.incarnation = environment_.unix_milliseconds();
+    options.load_poll = std::chrono::milliseconds(settings_.load_poll_ms);
     for (const std::string& seed : settings_.seeds) {
       options.seeds.emplace_back(seed);
     }
@@ -118,25 +118,6 @@
     return api_server_->listen(settings_.api_address);
   }
 
-  /// Engines whose load matters to this node: those it sends live requests to, and those
-  /// whose batch work it owns.
-  void poll_loads() {
-    environment_.after(std::chrono::milliseconds(settings_.load_poll_ms), [this] { poll_loads(); });
-    for (routing::Backend* backend : core_->registry.all_open()) {
-      const BackendId id = backend->machine.id;
-      const wire::MemberT* owner = batch::Dispatcher::owner_of(core_->members, id);
-      const bool owned = owner != nullptr && owner->id == settings_.id;
-      if (backend->machine.target != config::Target::model || (!owned && !core_->registry.in_subset(id))) {
-        continue;
-      }
-      backends_.fetch_load(id, [this, id](const std::optional<routing::LoadReport>& report) {
-        if (report) {
-          core_->registry.on_report(id, *report);
-        }
-      });
-    }
-  }
-
   void watch_readiness() {
     environment_.after(kDrainCheck, [this] { watch_readiness(); });
     if (core_->ready() != was_ready_) {
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -14,6 +14,8 @@
     : environment(dependencies.environment),
       counters(dependencies.counters),
       guards_(options.guards),
+      backends_(dependencies.backends),
+      load_poll_(options.load_poll),
       objects(
           environment, counters, wire::TableId::Objects,
           [this](std::size_t count) { return members.random_peers(count); },
@@ -82,6 +84,7 @@
     controller->start();
   }
   refresh_activity();
+  poll_loads();
 }
 
 void NodeCore::on_objects_changed(const std::vector<config::EntryKey>& keys) {
@@ -202,8 +205,9 @@
 }
 
 bool NodeCore::drained() const {
-  const bool idle = live.active() == 0 && services.active() == 0 && (!dispatcher || dispatcher->active() == 0);
-  return idle || !guards_.drain_waits;
+  const bool live_done = live.active() == 0 || !guards_.drain_waits;
+  const bool services_done = services.active() == 0 || !guards_.drain_waits_for_services;
+  return live_done && services_done && (!dispatcher || dispatcher->active() == 0);
 }
 
 bool NodeCore::ready() const {
@@ -252,12 +256,37 @@
       }));
 }
 
+// --- load of back ends ----------------------------------------------------------------------
+
+bool NodeCore::polls(const routing::Backend& backend) const {
+  const BackendId& id = backend.machine.id;
+  if (registry.in_subset(id)) {
+    return true;
+  }
+  const wire::MemberT* owner = batch::Dispatcher::owner_of(members, id);
+  return owner != nullptr && owner->id == members.self().id;
+}
+
+void NodeCore::poll_loads() {
+  environment.after(load_poll_, lifetime_.guard([this] { poll_loads(); }));
+  for (const auto& [id, backend] : registry.backends()) {
+    if (!polls(backend)) {
+      continue;
+    }
+    backends_.fetch_load(id, lifetime_.guard([this, id = id](const std::optional<routing::LoadReport>& report) {
+      if (report) {
+        registry.on_report(id, *report);
+      }
+    }));
+  }
+}
+
 // --- live activity, for the schedulers that fill the same engines ---------------------------
 
 void NodeCore::on_online_activity(const BackendId& engine, std::uint32_t in_flight) {
   ToldActivity& entry = activity_[engine];
   entry.in_flight = in_flight;
-  if (entry.scheduled) {
+  if (entry.scheduled || !guards_.tell_activity) {
     return;
   }
   entry.scheduled = true;
@@ -288,7 +317,7 @@
       entry = activity_.erase(entry);
       continue;
     }
-    if (!entry->second.scheduled) {
+    if (!entry->second.scheduled && guards_.tell_activity) {
       tell_activity(entry->first);
     }
     ++entry;
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -32,7 +32,9 @@
   batch::DispatchGuards dispatch;
   platform::DeclarationGuards declarations;
   bool reject_older_config = true;
-  bool drain_waits = true;
+  bool tell_activity = true;             ///< Schedulers hear of live calls on their engines.
+  bool drain_waits = true;               ///< A leaving node ends only after its live calls.
+  bool drain_waits_for_services = true;  ///< ... and after its service calls.
 };
 
 /// Surroundings of a node. All outlive it.
@@ -51,6 +53,7 @@
   membership::Options membership;
   ledger::ClientOptions ledger;
   platform::ControllerOptions controller;
+  Duration load_poll = 500ms;  ///< How often back ends are asked for their load.
   Guards guards;
 };
 
@@ -84,6 +87,8 @@
 
  private:
   Guards guards_;
+  routing::BackendClient& backends_;
+  const Duration load_poll_;
   bool draining_ = false;
 
  public:
@@ -115,6 +120,8 @@
   void on_online_activity(const BackendId& engine, std::uint32_t in_flight);
   void tell_activity(const BackendId& engine);
   void refresh_activity();
+  void poll_loads();
+  bool polls(const routing::Backend& backend) const;
 
   std::map<BackendId, ToldActivity> activity_;
   Lifetime lifetime_;
--- a/src/routing/backend.hpp
+++ b/src/routing/backend.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -60,7 +61,8 @@
 /// call is cancelled, after which nothing comes.
 struct EngineEvents {
   std::function<void(std::uint32_t offset, std::string_view text)> token;
-  std::function<void()> finished;
+  /// @param total offset after the last token; whoever holds fewer has not the whole answer.
+  std::function<void(std::uint32_t total)> finished;
   std::function<void(CallFailure)> failed;
 };
 
@@ -69,6 +71,16 @@
   std::function<void(CallFailure)> failed;
 };
 
+/// Load of an engine as it last reported it; old by the time it is read.
+struct LoadReport {
+  std::uint32_t running_online = 0;
+  std::uint32_t running_batch = 0;
+  std::uint32_t waiting = 0;
+  bool leaving = false;
+};
+
+using ReportDone = std::function<void(std::optional<LoadReport>)>;
+
 /// Connection to engines and services. Events never run inside the starting call.
 class BackendClient {
  public:
@@ -80,14 +92,8 @@
   /// Stops and resumes reading, to hold back a fast engine before a slow caller.
   virtual void pause(CallId call) = 0;
   virtual void resume(CallId call) = 0;
-};
-
-/// Load of an engine as it last reported it; old by the time it is read.
-struct LoadReport {
-  std::uint32_t running_online = 0;
-  std::uint32_t running_batch = 0;
-  std::uint32_t waiting = 0;
-  bool leaving = false;
+  /// Reads the load report of a back end; nothing when it does not answer.
+  virtual void fetch_load(const BackendId& backend, ReportDone done) = 0;
 };
 
 }  // namespace madderdeck::routing
--- a/src/routing/live_router.cpp
+++ b/src/routing/live_router.cpp
@@ -83,14 +83,14 @@
   EngineEvents events;
   events.token = lifetime_.guard(
       [this, id, attempt](std::uint32_t offset, std::string_view text) { on_token(id, attempt, offset, text); });
-  events.finished = lifetime_.guard([this, id, attempt] { on_finished(id, attempt); });
+  events.finished = lifetime_.guard([this, id, attempt](std::uint32_t total) { on_finished(id, attempt, total); });
   events.failed = lifetime_.guard([this, id, attempt](CallFailure failure) { on_failed(id, attempt, failure); });
   active.call = client_.start(active.engine, call, std::move(events));
 }
 
 bool LiveRouter::is_current(LiveId id, std::uint64_t attempt) const {
   const auto entry = requests_.find(id);
-  return entry != requests_.end() && (!guards_.drop_stale_attempts || entry->second.attempt == attempt);
+  return entry != requests_.end() && entry->second.attempt == attempt;
 }
 
 void LiveRouter::on_token(LiveId id, std::uint64_t attempt, std::uint32_t offset, std::string_view text) {
@@ -99,17 +99,15 @@
     return;
   }
   Active& active = requests_.at(id);
-  if (guards_.check_token_offsets) {
-    if (offset < active.delivered) {
-      counters_["live_repeated_tokens_total"]++;
-      return;
-    }
-    if (offset > active.delivered) {
-      counters_["live_token_gaps_total"]++;
-      client_.cancel(active.call);
-      on_failed(id, attempt, CallFailure::broken);
-      return;
-    }
+  if (offset < active.delivered && guards_.drop_repeated_tokens) {
+    counters_["live_repeated_tokens_total"]++;
+    return;
+  }
+  if (offset > active.delivered && guards_.resume_after_gaps) {
+    counters_["live_token_gaps_total"]++;
+    client_.cancel(active.call);
+    on_failed(id, attempt, CallFailure::broken);
+    return;
   }
   if (active.delivered == 0) {
     const auto elapsed = std::chrono::duration<double, std::milli>(environment_.now() - active.attempt_started);
@@ -119,11 +117,16 @@
   active.events.token(text);
 }
 
-void LiveRouter::on_finished(LiveId id, std::uint64_t attempt) {
+void LiveRouter::on_finished(LiveId id, std::uint64_t attempt, std::uint32_t total) {
   if (!is_current(id, attempt)) {
     counters_["live_stale_events_total"]++;
     return;
   }
+  if (requests_.at(id).delivered < total && guards_.resume_after_gaps) {
+    counters_["live_token_gaps_total"]++;
+    on_failed(id, attempt, CallFailure::broken);
+    return;
+  }
   auto node = requests_.extract(id);
   release_engine(node.mapped());
   counters_["live_answered_total"]++;
--- a/src/routing/live_router.hpp
+++ b/src/routing/live_router.hpp
@@ -19,8 +19,8 @@
 
 /// Rules of live routing; always on in the daemon.
 struct LiveGuards {
-  bool check_token_offsets = true;    ///< Each token reaches the caller once and in order.
-  bool drop_stale_attempts = true;    ///< Events of an attempt that was given up are ignored.
+  bool drop_repeated_tokens = true;   ///< A token that the caller has is not passed again.
+  bool resume_after_gaps = true;      ///< A stream that misses a token is taken up elsewhere.
   bool unknown_after_sending = true;  ///< A broken call is never reported as not run.
 };
 
@@ -75,7 +75,7 @@
 
   void attempt(LiveId id);
   void on_token(LiveId id, std::uint64_t attempt, std::uint32_t offset, std::string_view text);
-  void on_finished(LiveId id, std::uint64_t attempt);
+  void on_finished(LiveId id, std::uint64_t attempt, std::uint32_t total);
   void on_failed(LiveId id, std::uint64_t attempt, CallFailure failure);
   void on_timeout(LiveId id);
   void refuse(LiveId id, ErrorKind kind, const std::string& detail, Duration retry_after);
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -8,7 +8,7 @@
 namespace {
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr Duration kEjection = 2s;
-constexpr Duration kOwnWordHolds = 30s;  ///< A "leaving" from the back end itself.
+constexpr Duration kReportFresh = 3s;
 constexpr double kLatencySmoothing = 0.2;
 constexpr std::size_t kEjectableShare = 2;  ///< At most one in this many of a pool.
 }  // namespace
@@ -87,8 +87,12 @@
   if (guards_.honour_machine_list && backend.machine.leaving) {
     return false;
   }
-  const bool said_so = backend.said_leaving_at.count() != 0;
-  return !guards_.honour_refusals || !said_so || environment_.now() - backend.said_leaving_at > kOwnWordHolds;
+  // Not heard of lately: it may have begun to leave meanwhile, or this node was frozen.
+  if (guards_.need_fresh_reports && environment_.now() - backend.reported_at > kReportFresh) {
+    return false;
+  }
+  // The back end's own word holds until its own report takes it back.
+  return !guards_.honour_refusals || !backend.said_leaving;
 }
 
 bool Registry::in_subset(const BackendId& id) const {
@@ -138,7 +142,7 @@
     return;
   }
   if (failure == CallFailure::leaving) {
-    backend->said_leaving_at = environment_.now();
+    backend->said_leaving = true;
     counters_["backend_said_leaving_total"]++;
     return;
   }
@@ -181,11 +185,7 @@
   }
   backend->report = report;
   backend->reported_at = environment_.now();
-  if (report.leaving) {
-    backend->said_leaving_at = environment_.now();
-  } else if (backend->said_leaving_at.count() != 0) {
-    backend->said_leaving_at = Timestamp{};
-  }
+  backend->said_leaving = report.leaving;
 }
 
 }  // namespace madderdeck::routing
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -17,6 +17,7 @@
 struct RegistryGuards {
   bool honour_machine_list = true;  ///< No new work for machines listed as leaving.
   bool honour_refusals = true;      ///< A back end that says it is leaving gets no new work.
+  bool need_fresh_reports = true;   ///< Nor does one that has not been heard of for a while.
 };
 
 /// State of one back end.
@@ -28,8 +29,8 @@
   std::uint32_t consecutive_failures = 0;
   Timestamp ejected_until{};
   Timestamp added_at{};
-  Timestamp said_leaving_at{};  ///< When the back end itself said so; 0 when it did not.
-  double latency_ms = 0;        ///< Moving average of time to first token.
+  bool said_leaving = false;  ///< By its own refusal or report.
+  double latency_ms = 0;      ///< Moving average of time to first token.
 };
 
 /// All back ends by pool. Single threaded.
--- /dev/null
+++ b/src/simulation/driver.hpp
@@ -0,0 +1,82 @@
+#pragma once
+/// @file Schedules of actions, their execution against a simulated fleet, and their shortening.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "simulation/fleet.hpp"
+
+namespace madderdeck::simulation {
+
+/// One thing that callers, operators or fate do.
+enum class ActionKind : std::uint8_t {
+  live_request,
+  booking,
+  resend_booking,
+  submit_job,
+  resend_job,
+  cancel_job,
+  read_results,
+  declare,
+  race_declarations,
+  crash_node,
+  restart_nodes,
+  freeze_node,
+  thaw_nodes,
+  lose_disk,
+  cut_link,
+  isolate_node,
+  mend_links,
+  crash_engine,
+  restart_engines,
+  engine_leaves,
+  service_leaves,
+  back_ends_return,
+  platform_down,
+  platform_loses_answers,
+  platform_slow,
+  platform_well,
+  connections_break,
+  connections_well,
+  services_slow,
+  drain_node,
+  drain_busy_node,       ///< A planned stop while long streams and calls run.
+  cancel_during_freeze,  ///< A scheduler is frozen while a job is cancelled, then wakes.
+  leave_during_freeze,   ///< A gateway is frozen while an engine leaves, then wakes to requests.
+  wait,
+};
+inline constexpr unsigned kActionKinds = 34;
+const char* action_name(ActionKind kind);
+
+struct Action {
+  ActionKind kind = ActionKind::wait;
+  std::uint32_t choice = 0;    ///< Picks the node, key, engine and so on.
+  std::uint32_t pause_ms = 0;  ///< Virtual time that passes afterwards.
+};
+
+/// Outcome of one schedule.
+struct RunResult {
+  std::uint64_t seed = 0;
+  std::uint64_t trace_hash = 0;
+  std::vector<Violation> violations;
+  std::uint64_t accepted_items = 0;
+  std::uint64_t completed_items = 0;
+  std::uint64_t non_repeatable_sent = 0;
+  std::uint64_t cancelled_jobs = 0;
+  std::uint64_t config_changes = 0;
+  std::uint64_t live_answered = 0;
+  std::uint64_t planned_stops = 0;
+  std::uint64_t steps = 0;
+  std::map<std::string, std::uint64_t> faults;
+};
+
+/// @return the schedule that goes with @p seed.
+std::vector<Action> make_schedule(std::uint64_t seed, std::size_t steps);
+RunResult run_schedule(std::uint64_t seed, const std::vector<Action>& actions, const Profile& profile,
+                       const node::Guards& guards);
+/// @return a part of @p actions that still violates the promise that @p actions violate first.
+std::vector<Action> shorten(std::uint64_t seed, std::vector<Action> actions, const Profile& profile,
+                            const node::Guards& guards);
+
+}  // namespace madderdeck::simulation
--- /dev/null
+++ b/src/simulation/fleet.hpp
@@ -0,0 +1,230 @@
+#pragma once
+/// @file A simulated fleet: real NodeCore objects over a simulated network, disks, engines,
+/// services and platform.
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "emulator/engine_model.hpp"
+#include "emulator/platform_model.hpp"
+#include "node/node_core.hpp"
+#include "simulation/oracle.hpp"
+#include "simulation/world.hpp"
+
+namespace madderdeck::simulation {
+
+/// Size and shape of a simulated site.
+struct Profile {
+  std::string name = "qasr";
+  unsigned nodes = 5;  ///< The first three hold ledger records.
+  unsigned engines = 4;
+  unsigned services = 2;
+  unsigned engine_slots = 4;
+  Duration engine_step = 10ms;
+  std::uint32_t live_tokens = 10;
+  std::uint32_t batch_tokens = 60;
+  std::uint32_t job_items = 20;
+};
+/// @return the profile of that name, if there is one.
+std::optional<Profile> find_profile(const std::string& name);
+
+/// A disk: what was put is visible at once and lasts after the flush.
+class SimStorage : public ledger::Storage {
+ public:
+  SimStorage(World& world, SimProcess& process) : world_(world), process_(process) {}
+
+  Result<std::optional<wire::Bytes>> get(const std::string& key) const override;
+  void put(const std::string& key, const wire::Bytes& value) override;
+  void scan(const std::string& prefix, const std::string& after,
+            const std::function<bool(std::string_view, std::string_view)>& visit) const override;
+  void flush(std::function<void(Status)> done) override;
+  /// Forgets what was not flushed.
+  void crash();
+  void wipe();
+
+ private:
+  World& world_;
+  SimProcess& process_;
+  std::map<std::string, wire::Bytes> visible_;
+  std::map<std::string, wire::Bytes> durable_;
+  std::map<std::string, wire::Bytes> unflushed_;
+};
+
+class SimFleet;
+
+/// Environment of one life of one node.
+class SimEnvironment : public Environment {
+ public:
+  SimEnvironment(SimFleet& fleet, unsigned node) : fleet_(fleet), node_(node) {}
+  Timestamp now() const override;
+  std::uint64_t unix_milliseconds() const override;
+  std::uint64_t random() override;
+  void send(const PeerAddress& to, wire::MessageUnion message) override;
+  void after(Duration delay, std::function<void()> task) override;
+
+ private:
+  SimFleet& fleet_;
+  const unsigned node_;
+};
+
+/// Environment of an engine.
+class EngineEnvironment : public Environment {
+ public:
+  EngineEnvironment(World& world, SimProcess& process) : world_(world), process_(process) {}
+  Timestamp now() const override { return world_.now(); }
+  std::uint64_t unix_milliseconds() const override { return static_cast<std::uint64_t>(world_.now() / 1ms); }
+  std::uint64_t random() override { return world_.random.next(); }
+  void send(const PeerAddress&, wire::MessageUnion) override {}
+  void after(Duration delay, std::function<void()> task) override { process_.schedule(delay, std::move(task)); }
+
+ private:
+  World& world_;
+  SimProcess& process_;
+};
+
+/// Calls of one node to back ends, with every way in which they can fail.
+class SimBackends : public routing::BackendClient {
+ public:
+  SimBackends(SimFleet& fleet, unsigned node);
+  routing::CallId start(const BackendId& engine, const routing::EngineCall& call,
+                        routing::EngineEvents events) override;
+  routing::CallId start(const BackendId& service, const routing::ServiceCall& call,
+                        routing::ServiceEvents events) override;
+  void cancel(routing::CallId call) override;
+  void pause(routing::CallId) override {}
+  void resume(routing::CallId) override {}
+  void fetch_load(const BackendId& backend, routing::ReportDone done) override;
+
+ private:
+  struct EngineStream;
+  void begin_stream(const std::shared_ptr<EngineStream>& stream);
+  void break_stream(const std::shared_ptr<EngineStream>& stream);
+  void watch_stream(const std::shared_ptr<EngineStream>& stream);
+  bool node_gone() const;
+  /// Runs @p event at this node, a network delay from now.
+  void at_node(std::function<void()> event);
+
+  SimFleet& fleet_;
+  const unsigned node_;
+  const std::uint64_t life_;
+  routing::CallId next_ = 0;
+  std::map<routing::CallId, std::shared_ptr<EngineStream>> streams_;
+};
+
+/// One node's connection to the platform.
+class SimPlatformClient : public platform::PlatformClient {
+ public:
+  SimPlatformClient(SimFleet& fleet, unsigned node) : fleet_(fleet), node_(node) {}
+  void watch_objects(std::uint64_t since, Duration wait, platform::ChangesDone done) override;
+  void watch_machines(std::uint64_t since, Duration wait, platform::ChangesDone done) override;
+  void get(const config::EntryKey& key, platform::GetDone done) override;
+  void put(const platform::PutRequest& request, platform::PutDone done) override;
+
+ private:
+  void watch(emulator::WatchedTable& table, std::uint64_t since, Duration wait, platform::ChangesDone done);
+
+  SimFleet& fleet_;
+  const unsigned node_;
+};
+
+/// Everything of one node that dies with its process.
+struct NodeLife {
+  std::unique_ptr<SimEnvironment> environment;
+  std::unique_ptr<SimBackends> backends;
+  std::unique_ptr<SimPlatformClient> platform;
+  std::unique_ptr<node::NodeCore> core;
+};
+
+struct SimNode {
+  explicit SimNode(World& world) : process(world), storage(world, process) {}
+  SimProcess process;
+  SimStorage storage;
+  std::string disk_id;
+  bool has_disk = false;
+  std::string zone;
+  Counters counters;
+  NodeLife life;
+  bool draining = false;
+  std::uint64_t quiet_checks = 0;
+  std::set<std::uint64_t> open_requests;  ///< Callers waiting at this node.
+};
+
+struct SimEngine {
+  SimEngine(World& world, emulator::EngineProfile profile)
+      : process(world), environment(world, process), model(environment, profile, {"model"}) {}
+  SimProcess process;
+  EngineEnvironment environment;
+  emulator::EngineModel model;
+  Timestamp leaving_since{};
+};
+
+struct SimService {
+  explicit SimService(World& world) : process(world) {}
+  SimProcess process;
+  bool leaving = false;
+  Timestamp leaving_since{};
+};
+
+/// Conditions that faults set and healing clears.
+struct Conditions {
+  std::set<std::pair<unsigned, unsigned>> cuts;  ///< Pairs of nodes that cannot reach each other.
+  unsigned loss_percent = 1;
+  unsigned duplicate_percent = 2;
+  unsigned late_percent = 1;  ///< Messages that take up to seconds.
+  bool platform_down = false;
+  Duration platform_delay = 1ms;
+  unsigned platform_lost_answers = 0;  ///< Percent of puts whose answer is lost after the effect.
+  unsigned break_percent = 0;          ///< Percent of calls whose connection breaks.
+  unsigned late_answer_percent = 0;    ///< Percent of broken calls whose answer comes all the same.
+  bool services_slow = false;
+};
+
+/// Owns all parts; the driver acts on them.
+class SimFleet {
+ public:
+  SimFleet(World& world, Oracle& oracle, Profile profile, node::Guards guards);
+  ~SimFleet();
+
+  void start_node(unsigned number);
+  void crash_node(unsigned number);
+  void lose_disk(unsigned number);
+  void drain_node(unsigned number);
+  void crash_engine(unsigned number);
+  void set_engine_leaving(unsigned number, bool leaving);
+  void set_service_leaving(unsigned number, bool leaving);
+  void heal();
+  bool cut_between(unsigned one, unsigned other) const;
+  /// Checks draining nodes and ends those that are done; called regularly.
+  void check_drains();
+  /// Compares configuration of all nodes with the store.
+  void observe_configuration();
+
+  static PeerAddress address_of(unsigned node) { return PeerAddress("10.0.0." + std::to_string(node) + ":7000"); }
+  void deliver_message(unsigned from, const PeerAddress& to, const wire::Bytes& frame);
+  bool usable(unsigned node) const { return nodes[node]->process.up() && !nodes[node]->draining; }
+  std::vector<unsigned> running_nodes() const;
+
+  World& world;
+  Oracle& oracle;
+  const Profile profile;
+  const node::Guards guards;
+  Conditions conditions;
+  std::vector<std::unique_ptr<SimNode>> nodes;
+  std::vector<std::unique_ptr<SimEngine>> engines;
+  std::vector<std::unique_ptr<SimService>> services;
+  std::unique_ptr<SimProcess> platform_process;
+  std::unique_ptr<EngineEnvironment> platform_environment;
+  std::unique_ptr<emulator::WatchedTable> objects;
+  std::unique_ptr<emulator::WatchedTable> machines;
+
+ private:
+  /// Lives that have ended; events still queued for them refer to their objects.
+  std::vector<NodeLife> ended_lives_;
+  void publish_engine(unsigned number);
+  void publish_service(unsigned number);
+};
+
+}  // namespace madderdeck::simulation
--- /dev/null
+++ b/src/simulation/main.cpp
@@ -0,0 +1,209 @@
+/// @file madderdeck-sim: seeded schedules of work and faults against the real decision logic.
+
+#include <gflags/gflags.h>
+
+#include <boost/json.hpp>
+#include <iostream>
+
+#include "simulation/driver.hpp"
+#include "simulation/mutants.hpp"
+
+DEFINE_string(seeds, "1-20", "Seeds to run, FROM-TO.");
+DEFINE_uint64(steps, 120, "Actions in each schedule.");
+DEFINE_string(profile, "qasr", "Site: qasr, ravelin or large.");
+DEFINE_bool(json, false, "Print only the JSON result.");
+DEFINE_bool(list_mutants, false, "List the versions without a guard.");
+DEFINE_string(mutant, "", "Leave this guard out; the run then has to fail.");
+DEFINE_bool(all_mutants, false, "Run every mutant until the oracle notices it, within its number of seeds.");
+DEFINE_bool(shorten, true, "Shorten the first schedule that fails.");
+
+namespace {
+
+using namespace madderdeck;
+using namespace madderdeck::simulation;
+namespace json = boost::json;
+
+struct SeedRange {
+  std::uint64_t from = 0;
+  std::uint64_t to = 0;
+};
+
+std::optional<SeedRange> parse_seeds(const std::string& text) {
+  const std::size_t dash = text.find('-');
+  try {
+    const std::uint64_t from = std::stoull(text.substr(0, dash));
+    const std::uint64_t to = dash == std::string::npos ? from : std::stoull(text.substr(dash + 1));
+    return SeedRange{from, to};
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+/// Sums over all seeds.
+struct Totals {
+  std::uint64_t seeds = 0;
+  std::uint64_t steps = 0;
+  std::uint64_t accepted_items = 0;
+  std::uint64_t completed_items = 0;
+  std::uint64_t non_repeatable_sent = 0;
+  std::uint64_t cancelled_jobs = 0;
+  std::uint64_t config_changes = 0;
+  std::uint64_t live_answered = 0;
+  std::uint64_t planned_stops = 0;
+  std::uint64_t trace_hash = 0;
+  std::map<std::string, std::uint64_t> faults;
+  std::map<std::string, std::uint64_t> violations;
+
+  void add(const RunResult& result) {
+    ++seeds;
+    steps += result.steps;
+    accepted_items += result.accepted_items;
+    completed_items += result.completed_items;
+    non_repeatable_sent += result.non_repeatable_sent;
+    cancelled_jobs += result.cancelled_jobs;
+    config_changes += result.config_changes;
+    live_answered += result.live_answered;
+    planned_stops += result.planned_stops;
+    trace_hash = stable_hash(hex64(result.trace_hash), trace_hash);
+    for (const auto& [kind, count] : result.faults) {
+      faults[kind] += count;
+    }
+    for (const Violation& violation : result.violations) {
+      ++violations[promise_name(violation.promise)];
+    }
+  }
+  bool every_load_ran() const {
+    return accepted_items > 0 && completed_items > 0 && non_repeatable_sent > 0 && cancelled_jobs > 0 &&
+           config_changes > 0 && live_answered > 0 && planned_stops > 0;
+  }
+  json::object describe() const {
+    json::object fault_counts;
+    for (const auto& [kind, count] : faults) {
+      fault_counts[kind] = count;
+    }
+    json::object violation_counts;
+    for (const auto& [promise, count] : violations) {
+      violation_counts[promise] = count;
+    }
+    return json::object{{"seeds", seeds},
+                        {"steps", steps},
+                        {"faults", std::move(fault_counts)},
+                        {"accepted_items", accepted_items},
+                        {"completed_items", completed_items},
+                        {"non_repeatable_sent", non_repeatable_sent},
+                        {"cancelled_jobs", cancelled_jobs},
+                        {"config_changes", config_changes},
+                        {"live_answered", live_answered},
+                        {"planned_stops", planned_stops},
+                        {"trace_hash", hex64(trace_hash)},
+                        {"violations", std::move(violation_counts)}};
+  }
+};
+
+void print_violation(const RunResult& result, const Profile& profile, const node::Guards& guards) {
+  std::cout << "seed " << result.seed << " violates:\n";
+  for (const Violation& violation : result.violations) {
+    std::cout << "  " << promise_name(violation.promise) << " at " << violation.at / 1ms << " ms: " << violation.detail
+              << "\n";
+  }
+  if (!FLAGS_shorten) {
+    return;
+  }
+  const auto actions = shorten(result.seed, make_schedule(result.seed, FLAGS_steps), profile, guards);
+  std::cout << "shortened schedule, replayed with the same seed:\n";
+  for (const Action& action : actions) {
+    std::cout << "  " << action_name(action.kind) << " choice=" << action.choice << " pause_ms=" << action.pause_ms
+              << "\n";
+  }
+}
+
+int run_seeds(const SeedRange& range, const Profile& profile, const node::Guards& guards) {
+  Totals totals;
+  bool printed = false;
+  for (std::uint64_t seed = range.from; seed <= range.to; ++seed) {
+    const RunResult result = run_schedule(seed, make_schedule(seed, FLAGS_steps), profile, guards);
+    totals.add(result);
+    if (!FLAGS_json) {
+      std::cout << "seed " << seed << " trace " << hex64(result.trace_hash) << " violations "
+                << result.violations.size() << std::endl;
+    }
+    if (!result.violations.empty() && !printed && !FLAGS_json) {
+      printed = true;
+      print_violation(result, profile, guards);
+    }
+  }
+  std::cout << json::serialize(totals.describe()) << std::endl;
+  if (!totals.violations.empty()) {
+    return 1;
+  }
+  if (!totals.every_load_ran()) {
+    std::cerr << "madderdeck-sim: a kind of load never ran, so nothing is shown; use more seeds or steps" << std::endl;
+    return 2;
+  }
+  return 0;
+}
+
+/// @return the first seed that shows the mutant; nothing when none does in time.
+std::optional<std::uint64_t> seed_that_shows(const Mutant& mutant, const Profile& profile) {
+  node::Guards guards;
+  mutant.apply(guards);
+  for (std::uint64_t seed = 1; seed <= mutant.within_seeds; ++seed) {
+    const RunResult result = run_schedule(seed, make_schedule(seed, FLAGS_steps), profile, guards);
+    for (const Violation& violation : result.violations) {
+      if (violation.promise == mutant.promise) {
+        return seed;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+int run_mutants(const Profile& profile) {
+  unsigned missed = 0;
+  for (const Mutant& mutant : mutants()) {
+    const auto seed = seed_that_shows(mutant, profile);
+    missed += seed ? 0 : 1;
+    std::cout << mutant.name << " (" << promise_name(mutant.promise) << "): "
+              << (seed ? "noticed at seed " + std::to_string(*seed)
+                       : "NOT NOTICED within " + std::to_string(mutant.within_seeds) + " seeds")
+              << std::endl;
+  }
+  std::cout << json::serialize(json::object{{"mutants", mutants().size()}, {"missed", missed}}) << std::endl;
+  return missed == 0 ? 0 : 1;
+}
+
+int usage(const std::string& problem) {
+  std::cerr << "madderdeck-sim: invalid_argument: " << problem << std::endl;
+  return exit_code_for(ErrorKind::invalid_argument);
+}
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  gflags::SetUsageMessage("madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] [--json]");
+  gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
+  if (FLAGS_list_mutants) {
+    for (const Mutant& mutant : mutants()) {
+      std::cout << mutant.name << " " << promise_name(mutant.promise) << " within " << mutant.within_seeds
+                << " seeds\n";
+    }
+    return 0;
+  }
+  const auto profile = find_profile(FLAGS_profile);
+  const auto range = parse_seeds(FLAGS_seeds);
+  if (!profile || !range) {
+    return usage(!profile ? "profile: found " + FLAGS_profile : "seeds: found " + FLAGS_seeds);
+  }
+  if (FLAGS_all_mutants) {
+    return run_mutants(*profile);
+  }
+  node::Guards guards;
+  if (!FLAGS_mutant.empty()) {
+    const Mutant* mutant = find_mutant(FLAGS_mutant);
+    if (mutant == nullptr) {
+      return usage("mutant: found " + FLAGS_mutant + ", see --list_mutants");
+    }
+    mutant->apply(guards);
+  }
+  return run_seeds(*range, *profile, guards);
+}
--- /dev/null
+++ b/src/simulation/mutants.cpp
@@ -0,0 +1,61 @@
+#include "simulation/mutants.hpp"
+
+namespace madderdeck::simulation {
+
+using node::Guards;
+
+const std::vector<Mutant>& mutants() {
+  static const std::vector<Mutant> all = {
+      {"results_overwritten", Promise::item_exactly_once, 60,
+       [](Guards& guards) { guards.dispatch.write_results_once = false; }},
+      {"new_disk_votes_at_once", Promise::item_exactly_once, 60,
+       [](Guards& guards) { guards.replica.admission_before_voting = false; }},
+      {"reply_before_flush", Promise::item_exactly_once, 60,
+       [](Guards& guards) { guards.replica.flush_before_reply = false; }},
+      {"jobs_without_lease", Promise::cancelled_job_stops, 60,
+       [](Guards& guards) { guards.manager.lease_jobs = false; }},
+      {"item_leases_ignored", Promise::cancelled_job_stops, 150,
+       [](Guards& guards) { guards.dispatch.respect_leases = false; }},
+      {"batch_never_yields", Promise::live_never_behind_batch, 5,
+       [](Guards& guards) { guards.dispatch.yield_to_online = false; }},
+      {"live_activity_untold", Promise::live_never_behind_batch, 5,
+       [](Guards& guards) { guards.tell_activity = false; }},
+      {"repeated_tokens_passed", Promise::whole_own_answer, 20,
+       [](Guards& guards) { guards.live.drop_repeated_tokens = false; }},
+      {"token_gaps_passed", Promise::whole_own_answer, 30,
+       [](Guards& guards) { guards.live.resume_after_gaps = false; }},
+      {"broken_live_called_not_run", Promise::not_run_is_true, 60,
+       [](Guards& guards) { guards.live.unknown_after_sending = false; }},
+      {"broken_call_called_not_run", Promise::not_run_is_true, 60,
+       [](Guards& guards) { guards.service.unknown_after_sending = false; }},
+      {"sent_without_claim", Promise::at_most_once, 20,
+       [](Guards& guards) { guards.service.claim_before_sending = false; }},
+      {"claims_taken_over", Promise::at_most_once, 20, [](Guards& guards) { guards.claims.respect_existing = false; }},
+      {"resent_after_break", Promise::at_most_once, 30,
+       [](Guards& guards) { guards.service.never_resend_after_break = false; }},
+      {"leaving_word_ignored", Promise::leaving_gets_no_work, 60,
+       [](Guards& guards) { guards.registry.honour_refusals = false; }},
+      {"old_reports_trusted", Promise::leaving_gets_no_work, 60,
+       [](Guards& guards) { guards.registry.need_fresh_reports = false; }},
+      {"stops_with_open_streams", Promise::planned_stop_cuts_nothing, 30,
+       [](Guards& guards) { guards.drain_waits = false; }},
+      {"stops_with_open_calls", Promise::planned_stop_cuts_nothing, 60,
+       [](Guards& guards) { guards.drain_waits_for_services = false; }},
+      {"older_entries_taken", Promise::configuration_never_reverts, 150,
+       [](Guards& guards) { guards.reject_older_config = false; }},
+      {"lost_answer_taken_for_success", Promise::configuration_never_reverts, 60,
+       [](Guards& guards) { guards.declarations.settle_ambiguous = false; }},
+  };
+  return all;
+}
+
+const Mutant* find_mutant(const std::string& name) {
+  for (const Mutant& mutant : mutants()) {
+    if (mutant.name == name) {
+      return &mutant;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace madderdeck::simulation
--- /dev/null
+++ b/src/simulation/oracle.cpp
@@ -0,0 +1,84 @@
+#include "simulation/oracle.hpp"
+
+#include <array>
+
+namespace madderdeck::simulation {
+namespace {
+/// A cancelled job's items may still start for this long: the job lease of 2 s and a margin.
+constexpr Duration kCancelGrace = 3s;
+}  // namespace
+
+const char* promise_name(Promise promise) {
+  static constexpr std::array<const char*, kPromises> kNames = {
+      "item_exactly_once",    "cancelled_job_stops",       "live_never_behind_batch",
+      "whole_own_answer",     "not_run_is_true",           "at_most_once",
+      "leaving_gets_no_work", "planned_stop_cuts_nothing", "configuration_never_reverts"};
+  return kNames.at(static_cast<std::size_t>(promise));
+}
+
+void Oracle::violated(Promise promise, std::string detail, Timestamp at) {
+  violations_.push_back({promise, std::move(detail), at});
+}
+
+void Oracle::service_ran(const std::string& key, Timestamp at) {
+  if (++runs_[key] > 1) {
+    violated(Promise::at_most_once, "key " + key + " ran again", at);
+  }
+}
+
+std::uint64_t Oracle::runs_of(const std::string& key) const {
+  const auto found = runs_.find(key);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+void Oracle::job_accepted(const std::string& job, std::uint32_t items, std::uint64_t number) {
+  const auto [entry, inserted] = jobs_.try_emplace(job);
+  if (inserted) {
+    entry->second.items = items;
+    entry->second.number = number;
+    accepted_items += items;
+  }
+}
+
+void Oracle::job_cancelled(const std::string& job, Timestamp at) {
+  Job& entry = jobs_[job];
+  if (!entry.cancelled) {
+    entry.cancelled = true;
+    entry.cancelled_at = at;
+    ++cancelled_jobs;
+  }
+}
+
+void Oracle::item_started(const std::string& job, std::uint32_t index, Timestamp at) {
+  const auto entry = jobs_.find(job);
+  if (entry != jobs_.end() && entry->second.cancelled && at > entry->second.cancelled_at + kCancelGrace) {
+    violated(Promise::cancelled_job_stops, job + " item " + std::to_string(index) + " started after the cancel", at);
+  }
+}
+
+void Oracle::result_read(const std::string& job, std::uint32_t index, const std::string& body, Timestamp at) {
+  const auto [entry, inserted] = jobs_[job].results.try_emplace(index, body);
+  if (inserted) {
+    ++completed_items;
+  } else if (entry->second != body) {
+    violated(Promise::item_exactly_once, job + " item " + std::to_string(index) + " changed its result", at);
+  }
+}
+
+void Oracle::declaration_accepted(const std::string& name, std::uint64_t revision, const std::string& body) {
+  Declaration& known = declarations_[name];
+  ++config_changes;
+  if (revision > known.revision) {
+    known = {revision, body};
+  }
+}
+
+void Oracle::node_holds(const std::string& node_life, const std::string& name, std::uint64_t revision, Timestamp at) {
+  std::uint64_t& held = held_[node_life][name];
+  if (revision < held) {
+    violated(Promise::configuration_never_reverts, node_life + " went back on " + name, at);
+  }
+  held = revision;
+}
+
+}  // namespace madderdeck::simulation
--- /dev/null
+++ b/src/simulation/oracle.hpp
@@ -0,0 +1,96 @@
+#pragma once
+/// @file What must hold, kept as simply as possible and apart from the code under test.
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "common/environment.hpp"
+
+namespace madderdeck::simulation {
+
+/// The promises, as they are named in results and in docs/INVARIANTS.md.
+enum class Promise {
+  item_exactly_once,
+  cancelled_job_stops,
+  live_never_behind_batch,
+  whole_own_answer,
+  not_run_is_true,
+  at_most_once,
+  leaving_gets_no_work,
+  planned_stop_cuts_nothing,
+  configuration_never_reverts,
+};
+inline constexpr std::size_t kPromises = 9;
+const char* promise_name(Promise promise);
+
+struct Violation {
+  Promise promise;
+  std::string detail;
+  Timestamp at{};
+};
+
+/// Knows only what callers were told and what back ends did.
+class Oracle {
+ public:
+  void violated(Promise promise, std::string detail, Timestamp at);
+  const std::vector<Violation>& violations() const { return violations_; }
+
+  // Requests that may not be repeated.
+  void service_ran(const std::string& key, Timestamp at);
+  std::uint64_t runs_of(const std::string& key) const;
+
+  // Live requests: prompts are unique.
+  void engine_took(const std::string& prompt) { taken_prompts_.insert(prompt); }
+  bool engine_has_taken(const std::string& prompt) const { return taken_prompts_.contains(prompt); }
+
+  // Jobs.
+  void job_accepted(const std::string& job, std::uint32_t items, std::uint64_t number);
+  /// A cancel was sent; until its outcome is known the job need not complete.
+  void job_cancel_sent(const std::string& job) { jobs_[job].cancel_sent = true; }
+  void job_cancelled(const std::string& job, Timestamp at);
+  void item_started(const std::string& job, std::uint32_t index, Timestamp at);
+  /// A result was read; it has to be the same at every reading.
+  void result_read(const std::string& job, std::uint32_t index, const std::string& body, Timestamp at);
+
+  // Configuration.
+  void declaration_accepted(const std::string& name, std::uint64_t revision, const std::string& body);
+  /// A node holds @p revision of an object; it may never hold an older one in the same life.
+  void node_holds(const std::string& node_life, const std::string& name, std::uint64_t revision, Timestamp at);
+
+  struct Job {
+    std::uint32_t items = 0;
+    std::uint64_t number = 0;
+    bool cancel_sent = false;
+    bool cancelled = false;
+    Timestamp cancelled_at{};
+    std::map<std::uint32_t, std::string> results;
+  };
+  struct Declaration {
+    std::uint64_t revision = 0;
+    std::string body;
+  };
+  const std::map<std::string, Job>& jobs() const { return jobs_; }
+  const std::map<std::string, Declaration>& declarations() const { return declarations_; }
+
+  std::uint64_t accepted_items = 0;
+  std::uint64_t completed_items = 0;
+  std::uint64_t non_repeatable_sent = 0;
+  std::uint64_t cancelled_jobs = 0;
+  std::uint64_t config_changes = 0;
+  std::uint64_t live_answered = 0;
+  std::uint64_t planned_stops = 0;
+  std::map<std::string, std::uint64_t> faults;
+
+ private:
+  std::vector<Violation> violations_;
+  std::map<std::string, std::uint64_t> runs_;
+  std::set<std::string> taken_prompts_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, Declaration> declarations_;
+  std::map<std::string, std::map<std::string, std::uint64_t>> held_;
+};
+
+}  // namespace madderdeck::simulation
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -3096,7 +3096,7 @@
 
 struct TakeItemsT : public flatbuffers::NativeTable {
   typedef TakeItems TableType;
-  std::string dispatcher{};
+  uint64_t request = 0;
   uint32_t capacity = 0;
 };
 
@@ -3105,19 +3105,18 @@
   typedef TakeItemsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_DISPATCHER = 4,
+    VT_REQUEST = 4,
     VT_CAPACITY = 6
   };
-  const flatbuffers::String *dispatcher() const {
-    return GetPointer<const flatbuffers::String *>(VT_DISPATCHER);
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
   }
   uint32_t capacity() const {
     return GetField<uint32_t>(VT_CAPACITY, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_DISPATCHER) &&
-           verifier.VerifyString(dispatcher()) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_CAPACITY, 4) &&
            verifier.EndTable();
   }
@@ -3130,8 +3129,8 @@
   typedef TakeItems Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_dispatcher(flatbuffers::Offset<flatbuffers::String> dispatcher) {
-    fbb_.AddOffset(TakeItems::VT_DISPATCHER, dispatcher);
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(TakeItems::VT_REQUEST, request, 0);
   }
   void add_capacity(uint32_t capacity) {
     fbb_.AddElement<uint32_t>(TakeItems::VT_CAPACITY, capacity, 0);
@@ -3149,11 +3148,11 @@
 
 inline flatbuffers::Offset<TakeItems> CreateTakeItems(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> dispatcher = 0,
+    uint64_t request = 0,
     uint32_t capacity = 0) {
   TakeItemsBuilder builder_(_fbb);
+  builder_.add_request(request);
   builder_.add_capacity(capacity);
-  builder_.add_dispatcher(dispatcher);
   return builder_.Finish();
 }
 
@@ -3162,21 +3161,11 @@
   static auto constexpr Create = CreateTakeItems;
 };
 
-inline flatbuffers::Offset<TakeItems> CreateTakeItemsDirect(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    const char *dispatcher = nullptr,
-    uint32_t capacity = 0) {
-  auto dispatcher__ = dispatcher ? _fbb.CreateString(dispatcher) : 0;
-  return madderdeck::wire::CreateTakeItems(
-      _fbb,
-      dispatcher__,
-      capacity);
-}
-
 flatbuffers::Offset<TakeItems> CreateTakeItems(flatbuffers::FlatBufferBuilder &_fbb, const TakeItemsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct GiveItemsT : public flatbuffers::NativeTable {
   typedef GiveItems TableType;
+  uint64_t request = 0;
   std::vector<std::unique_ptr<madderdeck::wire::WorkItemT>> items{};
   GiveItemsT() = default;
   GiveItemsT(const GiveItemsT &o);
@@ -3189,13 +3178,18 @@
   typedef GiveItemsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ITEMS = 4
+    VT_REQUEST = 4,
+    VT_ITEMS = 6
   };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
   const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::WorkItem>> *items() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::WorkItem>> *>(VT_ITEMS);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
            VerifyOffset(verifier, VT_ITEMS) &&
            verifier.VerifyVector(items()) &&
            verifier.VerifyVectorOfTables(items()) &&
@@ -3210,6 +3204,9 @@
   typedef GiveItems Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(GiveItems::VT_REQUEST, request, 0);
+  }
   void add_items(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::WorkItem>>> items) {
     fbb_.AddOffset(GiveItems::VT_ITEMS, items);
   }
@@ -3226,8 +3223,10 @@
 
 inline flatbuffers::Offset<GiveItems> CreateGiveItems(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::WorkItem>>> items = 0) {
   GiveItemsBuilder builder_(_fbb);
+  builder_.add_request(request);
   builder_.add_items(items);
   return builder_.Finish();
 }
@@ -3239,10 +3238,12 @@
 
 inline flatbuffers::Offset<GiveItems> CreateGiveItemsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
     const std::vector<flatbuffers::Offset<madderdeck::wire::WorkItem>> *items = nullptr) {
   auto items__ = items ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::WorkItem>>(*items) : 0;
   return madderdeck::wire::CreateGiveItems(
       _fbb,
+      request,
       items__);
 }
 
@@ -4150,6 +4151,7 @@
   uint32_t index = 0;
   bool failed = false;
   std::string body{};
+  uint64_t attempt = 0;
 };
 
 struct ResultRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4159,7 +4161,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_INDEX = 4,
     VT_FAILED = 6,
-    VT_BODY = 8
+    VT_BODY = 8,
+    VT_ATTEMPT = 10
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -4170,12 +4173,16 @@
   const flatbuffers::String *body() const {
     return GetPointer<const flatbuffers::String *>(VT_BODY);
   }
+  uint64_t attempt() const {
+    return GetField<uint64_t>(VT_ATTEMPT, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
            VerifyField<uint8_t>(verifier, VT_FAILED, 1) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
+           VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            verifier.EndTable();
   }
   ResultRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4196,6 +4203,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::String> body) {
     fbb_.AddOffset(ResultRecord::VT_BODY, body);
   }
+  void add_attempt(uint64_t attempt) {
+    fbb_.AddElement<uint64_t>(ResultRecord::VT_ATTEMPT, attempt, 0);
+  }
   explicit ResultRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4211,8 +4221,10 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t index = 0,
     bool failed = false,
-    flatbuffers::Offset<flatbuffers::String> body = 0) {
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    uint64_t attempt = 0) {
   ResultRecordBuilder builder_(_fbb);
+  builder_.add_attempt(attempt);
   builder_.add_body(body);
   builder_.add_index(index);
   builder_.add_failed(failed);
@@ -4228,13 +4240,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t index = 0,
     bool failed = false,
-    const char *body = nullptr) {
+    const char *body = nullptr,
+    uint64_t attempt = 0) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   return madderdeck::wire::CreateResultRecord(
       _fbb,
       index,
       failed,
-      body__);
+      body__,
+      attempt);
 }
 
 flatbuffers::Offset<ResultRecord> CreateResultRecord(flatbuffers::FlatBufferBuilder &_fbb, const ResultRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5384,7 +5398,7 @@
 inline void TakeItems::UnPackTo(TakeItemsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = dispatcher(); if (_e) _o->dispatcher = _e->str(); }
+  { auto _e = request(); _o->request = _e; }
   { auto _e = capacity(); _o->capacity = _e; }
 }
 
@@ -5396,20 +5410,22 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TakeItemsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _dispatcher = _o->dispatcher.empty() ? 0 : _fbb.CreateString(_o->dispatcher);
+  auto _request = _o->request;
   auto _capacity = _o->capacity;
   return madderdeck::wire::CreateTakeItems(
       _fbb,
-      _dispatcher,
+      _request,
       _capacity);
 }
 
-inline GiveItemsT::GiveItemsT(const GiveItemsT &o) {
+inline GiveItemsT::GiveItemsT(const GiveItemsT &o)
+      : request(o.request) {
   items.reserve(o.items.size());
   for (const auto &items_ : o.items) { items.emplace_back((items_) ? new madderdeck::wire::WorkItemT(*items_) : nullptr); }
 }
 
 inline GiveItemsT &GiveItemsT::operator=(GiveItemsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(request, o.request);
   std::swap(items, o.items);
   return *this;
 }
@@ -5423,6 +5439,7 @@
 inline void GiveItems::UnPackTo(GiveItemsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
   { auto _e = items(); if (_e) { _o->items.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->items[_i] = std::unique_ptr<madderdeck::wire::WorkItemT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
@@ -5434,9 +5451,11 @@
   (void)_rehasher;
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GiveItemsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
   auto _items = _o->items.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::WorkItem>> (_o->items.size(), [](size_t i, _VectorArgs *__va) { return CreateWorkItem(*__va->__fbb, __va->__o->items[i].get(), __va->__rehasher); }, &_va ) : 0;
   return madderdeck::wire::CreateGiveItems(
       _fbb,
+      _request,
       _items);
 }
 
@@ -5707,6 +5726,7 @@
   { auto _e = index(); _o->index = _e; }
   { auto _e = failed(); _o->failed = _e; }
   { auto _e = body(); if (_e) _o->body = _e->str(); }
+  { auto _e = attempt(); _o->attempt = _e; }
 }
 
 inline flatbuffers::Offset<ResultRecord> ResultRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResultRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5720,11 +5740,13 @@
   auto _index = _o->index;
   auto _failed = _o->failed;
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
+  auto _attempt = _o->attempt;
   return madderdeck::wire::CreateResultRecord(
       _fbb,
       _index,
       _failed,
-      _body);
+      _body,
+      _attempt);
 }
 
 inline GroupStateT *GroupState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
