--- a/src/config/versioned_table.cpp
+++ b/src/config/versioned_table.cpp
@@ -92,7 +92,10 @@
   if (revision <= table_.revision()) {
     return;
   }
-  wanted_ = std::max(wanted_, revision);
+  if (revision > wanted_) {
+    wanted_ = revision;
+    claimant_ = peer;
+  }
   if (!pulling_from_) {
     pull(peer);
   }
@@ -109,12 +112,10 @@
     if (number != pull_number_) {
       return;
     }
+    // Not answered. The next claim, with a peer's next probe, starts another pull.
+    counters_["table_pull_timeouts_total"]++;
     pulling_from_.reset();
-    const auto others = peers_(1);
-    if (wanted_ > table_.revision() && !others.empty()) {
-      counters_["table_pull_retries_total"]++;
-      pull(others.front());
-    }
+    wanted_ = 0;
   }));
 }
 
@@ -147,13 +148,20 @@
   for (const auto& entry : message.entries) {
     changes.push_back(Entry{{entry->kind, entry->name}, entry->body, entry->revision, entry->deleted});
   }
+  const std::uint64_t before = table_.revision();
   take(message.since, message.up_to, changes);
-  if (pulling_from_ && *pulling_from_ == sender) {
-    ++pull_number_;
-    pulling_from_.reset();
-    if (wanted_ > table_.revision()) {
-      pull(sender);
-    }
+  if (!pulling_from_ || *pulling_from_ != sender) {
+    return;
+  }
+  ++pull_number_;
+  pulling_from_.reset();
+  if (wanted_ <= table_.revision()) {
+    return;
+  }
+  if (table_.revision() > before || sender != claimant_) {
+    pull(claimant_);
+  } else {
+    wanted_ = 0;  // the claimant does not hold what it claimed; asking again at once would not end
   }
 }
 
--- a/src/config/versioned_table.hpp
+++ b/src/config/versioned_table.hpp
@@ -84,7 +84,8 @@
   const OnChange on_change_;
   VersionedTable table_;
   std::optional<PeerAddress> pulling_from_;
-  std::uint64_t wanted_ = 0;
+  std::uint64_t wanted_ = 0;  ///< Latest revision that a peer claims to hold,
+  PeerAddress claimant_;      ///< and that peer.
   std::uint64_t pull_number_ = 0;
   Lifetime lifetime_;
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -229,9 +229,10 @@
 }
 
 void NodeCore::cancel_job(const JobId& job, std::function<void(Result<wire::JobRecordT>)> done) {
-  const auto mark_cancelled = [](const ledger::OptionalValue& current) -> ledger::OptionalValue {
+  const bool durable = guards_.cancel_is_durable;
+  const auto mark_cancelled = [durable](const ledger::OptionalValue& current) -> ledger::OptionalValue {
     auto record = current ? wire::decode_record<wire::JobRecordT>(*current) : std::nullopt;
-    if (!record || record->state != wire::JobState::Accepted) {
+    if (!record || record->state != wire::JobState::Accepted || !durable) {
       return std::nullopt;
     }
     record->state = wire::JobState::Cancelled;
@@ -243,11 +244,14 @@
           done(error_of(result));
           return;
         }
-        const auto record = value_of(result) ? wire::decode_record<wire::JobRecordT>(*value_of(result)) : std::nullopt;
+        auto record = value_of(result) ? wire::decode_record<wire::JobRecordT>(*value_of(result)) : std::nullopt;
         if (!record) {
           done(Error{ErrorKind::not_found, "no job " + job.str()});
           return;
         }
+        if (!guards_.cancel_is_durable) {
+          record->state = wire::JobState::Cancelled;
+        }
         if (record->state == wire::JobState::Cancelled) {
           counters["jobs_cancelled_total"]++;
           announce_job(job, true);
@@ -273,11 +277,13 @@
     if (!polls(backend)) {
       continue;
     }
-    backends_.fetch_load(id, lifetime_.guard([this, id = id](const std::optional<routing::LoadReport>& report) {
-      if (report) {
-        registry.on_report(id, *report);
-      }
-    }));
+    const Timestamp asked_at = environment.now();
+    backends_.fetch_load(id,
+                         lifetime_.guard([this, id = id, asked_at](const std::optional<routing::LoadReport>& report) {
+                           if (report) {
+                             registry.on_report(id, *report, asked_at);
+                           }
+                         }));
   }
 }
 
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -178,13 +178,13 @@
   counters_["backend_ejections_total"]++;
 }
 
-void Registry::on_report(const BackendId& id, const LoadReport& report) {
+void Registry::on_report(const BackendId& id, const LoadReport& report, Timestamp asked_at) {
   Backend* backend = find(id);
-  if (backend == nullptr) {
+  if (backend == nullptr || asked_at < backend->reported_at) {
     return;
   }
   backend->report = report;
-  backend->reported_at = environment_.now();
+  backend->reported_at = asked_at;
   backend->said_leaving = report.leaving;
 }
 
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -54,7 +54,9 @@
 
   void on_success(const BackendId& id, double first_token_ms);
   void on_failure(const BackendId& id, CallFailure failure);
-  void on_report(const BackendId& id, const LoadReport& report);
+  /// @param asked_at when the report was asked for. Its age counts from there: the answer may
+  ///        have waited while this node was frozen.
+  void on_report(const BackendId& id, const LoadReport& report, Timestamp asked_at);
   const std::map<BackendId, Backend>& backends() const { return backends_; }
 
  private:
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -484,10 +484,24 @@
   SimNode& node = *nodes[number];
   crash_node(number);
   node.storage.wipe();
+  node.disk_whole = false;
   node.disk_id = "disk-" + hex64(world.random.next());
   start_node(number);
 }
 
+void SimFleet::observe_disk(unsigned number) {
+  SimNode& node = *nodes[number];
+  if (!node.process.up() || node.disk_whole) {
+    return;
+  }
+  const auto& groups = node.life.core->catalog.groups().groups;
+  const ledger::ReplicaIdentity self{NodeId("node-" + std::to_string(number)), DiskId(node.disk_id)};
+  const bool member = !groups.empty() &&
+                      std::all_of(groups.begin(), groups.end(),
+                                  [&](const ledger::ReplicaGroup& group) { return group.index_of(self).has_value(); });
+  node.disk_whole = member && node.life.core->replica->synchronized();
+}
+
 void SimFleet::drain_node(unsigned number) {
   SimNode& node = *nodes[number];
   node.draining = true;
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -144,6 +144,7 @@
   SimStorage storage;
   std::string disk_id;
   bool has_disk = false;
+  bool disk_whole = false;  ///< Seen as admitted and copied since the disk was new.
   std::string zone;
   Counters counters;
   NodeLife life;
@@ -191,6 +192,8 @@
   void start_node(unsigned number);
   void crash_node(unsigned number);
   void lose_disk(unsigned number);
+  /// Notes whether the node says that its disk holds all it should.
+  void observe_disk(unsigned number);
   void drain_node(unsigned number);
   void crash_engine(unsigned number);
   void set_engine_leaving(unsigned number, bool leaving);
