Planned stop closes connections before it ends; engines that break in mid-stream are ejected

Engines whose streams began well were never ejected, since the first token counted as success. Ruled out: batch hand-over (no item lost), claims (no booking unknown).

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -227,7 +227,7 @@
     return;
   }
   Running running = take_running(id);
-  registry_.on_success(running.engine, 0);
+  registry_.on_success(running.engine);
   write_result(std::move(running.work), false);
   if (!draining_) {
     fill();
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,6 +12,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <set>
 
 namespace madderdeck::net {
 namespace {
@@ -135,6 +136,8 @@
   ServerOptions options;
   tcp::acceptor acceptor;
   std::size_t connections = 0;
+  bool closing = false;                 ///< Responses carry Connection: close.
+  std::set<tcp::socket*> idle_sockets;  ///< Of connections between two requests.
 };
 
 namespace {
@@ -167,7 +170,9 @@
     parser.body_limit(boost::none);
     if (buffer_.size() == 0) {
       stream_.expires_after(options.idle_timeout);
+      server_->idle_sockets.insert(&stream_.socket());
       auto [wait_failure] = co_await stream_.socket().async_wait(tcp::socket::wait_read, kAwait);
+      server_->idle_sockets.erase(&stream_.socket());
       if (wait_failure) {
         co_return false;
       }
@@ -195,7 +200,7 @@
       watch_caller(exchange);
       co_await write_response(*exchange, keep_alive && body_read);
     }
-    const bool reusable = keep_alive && body_read && !exchange->gone && !exchange->aborted;
+    const bool reusable = keep_alive && body_read && !exchange->gone && !exchange->aborted && !server_->closing;
     exchange->drop_hooks();
     current_.reset();
     co_return reusable;
@@ -327,6 +332,7 @@
   }
 
   asio::awaitable<void> write_whole(HttpExchange& exchange, bool keep_alive) {
+    keep_alive = keep_alive && !server_->closing;
     http::response<http::string_body> message;
     fill_header(message, *exchange.whole, keep_alive);
     message.body() = std::move(exchange.whole->body);
@@ -339,6 +345,7 @@
   }
 
   asio::awaitable<void> write_stream(HttpExchange& exchange, bool keep_alive) {
+    keep_alive = keep_alive && !server_->closing;
     http::response<http::empty_body> message;
     fill_header(message, *exchange.stream_header, keep_alive);
     message.chunked(true);
@@ -437,9 +444,15 @@
   return Ok{};
 }
 
+void HttpServer::announce_closing() { implementation_->closing = true; }
+
 void HttpServer::stop_accepting() {
   beast::error_code ignored;
+  implementation_->closing = true;
   implementation_->acceptor.close(ignored);
+  for (tcp::socket* socket : implementation_->idle_sockets) {
+    socket->cancel(ignored);
+  }
 }
 
 std::size_t HttpServer::connections() const { return implementation_->connections; }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -63,7 +63,9 @@
   /// @return ErrorKind::address_in_use when the address is taken, ErrorKind::invalid_argument
   ///         when it is none of this machine's.
   Status listen(const std::string& address);
-  /// Stops accepting; open connections end with their present request.
+  /// From now on every response asks its caller to close the connection.
+  void announce_closing();
+  /// Stops accepting and closes idle connections; others end with their present request.
   void stop_accepting();
   std::size_t connections() const;
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -134,6 +134,7 @@
     api_context_->drain_started = true;
     log_event(LogLevel::info, "drain started", {{"node", settings_.id}});
     core_->drain();
+    api_server_->announce_closing();
     environment_.after(std::chrono::milliseconds(settings_.drain_grace_ms), [this] {
       api_server_->stop_accepting();
       drain_deadline_ = environment_.now() + std::chrono::milliseconds(settings_.drain_timeout_ms);
@@ -142,9 +143,10 @@
   }
 
   void finish_drain(unsigned quiet_checks) {
-    constexpr unsigned kQuietChecksNeeded = 10;
+    constexpr unsigned kQuietChecksNeeded = 4;
     const bool late = environment_.now() > drain_deadline_;
-    const unsigned quiet = core_->drained() ? quiet_checks + 1 : 0;
+    const bool done = core_->drained() && api_server_->connections() == 0;
+    const unsigned quiet = done ? quiet_checks + 1 : 0;
     if (late || quiet >= kQuietChecksNeeded) {
       log_event(late ? LogLevel::warning : LogLevel::info, "drain finished",
                 {{"node", settings_.id}, {"cut_off", std::to_string(core_->live.active() + core_->services.active())}});
--- a/src/routing/live_router.cpp
+++ b/src/routing/live_router.cpp
@@ -111,7 +111,7 @@
   }
   if (active.delivered == 0) {
     const auto elapsed = std::chrono::duration<double, std::milli>(environment_.now() - active.attempt_started);
-    registry_.on_success(active.engine, elapsed.count());
+    registry_.on_first_token(active.engine, elapsed.count());
   }
   ++active.delivered;
   active.events.token(text);
@@ -129,6 +129,7 @@
   }
   auto node = requests_.extract(id);
   release_engine(node.mapped());
+  registry_.on_success(node.mapped().engine);
   counters_["live_answered_total"]++;
   node.mapped().events.finished(node.mapped().delivered);
 }
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -8,6 +8,7 @@
 namespace {
 constexpr std::uint32_t kFailuresToEject = 3;
 constexpr Duration kEjection = 2s;
+constexpr std::uint32_t kMaxEjectionDoublings = 4;
 constexpr Duration kReportFresh = 3s;
 constexpr double kLatencySmoothing = 0.2;
 constexpr std::size_t kEjectableShare = 2;  ///< At most one in this many of a pool.
@@ -128,11 +129,17 @@
   return found;
 }
 
-void Registry::on_success(const BackendId& id, double first_token_ms) {
+void Registry::on_first_token(const BackendId& id, double milliseconds) {
+  if (Backend* backend = find(id)) {
+    const double before = backend->latency_ms == 0 ? milliseconds : backend->latency_ms;
+    backend->latency_ms = before + kLatencySmoothing * (milliseconds - before);
+  }
+}
+
+void Registry::on_success(const BackendId& id) {
   if (Backend* backend = find(id)) {
     backend->consecutive_failures = 0;
-    const double before = backend->latency_ms == 0 ? first_token_ms : backend->latency_ms;
-    backend->latency_ms = before + kLatencySmoothing * (first_token_ms - before);
+    backend->ejections = 0;
   }
 }
 
@@ -174,7 +181,8 @@
       return;
     }
   }
-  backend.ejected_until = environment_.now() + kEjection;
+  const std::uint32_t doublings = std::min(backend.ejections++, kMaxEjectionDoublings);
+  backend.ejected_until = environment_.now() + kEjection * (1U << doublings);
   counters_["backend_ejections_total"]++;
 }
 
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -27,6 +27,7 @@
   LoadReport report;
   Timestamp reported_at{};
   std::uint32_t consecutive_failures = 0;
+  std::uint32_t ejections = 0;  ///< Since the last success; each lasts longer.
   Timestamp ejected_until{};
   Timestamp added_at{};
   bool said_leaving = false;  ///< By its own refusal or report.
@@ -52,7 +53,10 @@
   /// @return whether this node sends live requests to @p id.
   bool in_subset(const BackendId& id) const;
 
-  void on_success(const BackendId& id, double first_token_ms);
+  /// The first token of a call arrived after @p milliseconds.
+  void on_first_token(const BackendId& id, double milliseconds);
+  /// A call ended with its whole answer.
+  void on_success(const BackendId& id);
   void on_failure(const BackendId& id, CallFailure failure);
   /// @param asked_at when the report was asked for. Its age counts from there: the answer may
   ///        have waited while this node was frozen.
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -163,7 +163,7 @@
   }
   Active& active = entry->second;
   leave_backend(active);
-  registry_.on_success(active.backend, 0);
+  registry_.on_success(active.backend);
   counters_["service_answered_total"]++;
   if (!active.claimed) {
     answer_caller(id, answer);
--- a/tests/routing/registry_test.cpp
+++ b/tests/routing/registry_test.cpp
@@ -90,3 +90,24 @@
   first.online_in_flight = first.machine.slots;
   CHECK(&pick() != &first);
 }
+
+TEST_CASE("an engine whose streams begin well and then break is ejected, each time for longer") {
+  // Fault run with break_engine: the first token counted as a success, so that the engine was never ejected.
+  RegistryFixture fixture(4);
+  const BackendId id(RegistryFixture::name(1));
+  const auto break_three = [&] {
+    for (int call = 0; call < 3; ++call) {
+      fixture.registry.on_first_token(id, 5);
+      fixture.registry.on_failure(id, CallFailure::broken);
+    }
+  };
+  break_three();
+  CHECK(fixture.registry.candidates("m").size() == 3);
+  fixture.environment.world.run_for(2100ms);
+  fixture.report_all(4);
+  CHECK(fixture.registry.candidates("m").size() == 4);
+  break_three();
+  fixture.environment.world.run_for(2100ms);
+  fixture.report_all(4);
+  CHECK(fixture.registry.candidates("m").size() == 3);
+}
