--- a/src/bench/commands.hpp
+++ b/src/bench/commands.hpp
@@ -22,5 +22,6 @@
 /// Each returns the process exit code; 0 only when nothing was lost, doubled or wrong.
 int run_demo(const CommandOptions& options);
 int run_faults(const CommandOptions& options);
+int run_scale(const CommandOptions& options, unsigned nodes, unsigned engines);
 
 }  // namespace madderdeck::bench
--- a/src/bench/http_session.hpp
+++ b/src/bench/http_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// @file The bench's own event loop and HTTP client, with calls that wait.
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <functional>
@@ -34,6 +35,10 @@
 
   boost::asio::io_context context{1};
   net::HttpClient client;
+
+ private:
+  /// So that run_for lasts its time although nothing is under way.
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{context.get_executor()};
 };
 
 }  // namespace madderdeck::bench
--- a/src/net/http_backend_client.cpp
+++ b/src/net/http_backend_client.cpp
@@ -46,6 +46,18 @@
   return CallFailure::broken;
 }
 
+/// @return bytes of a report and its request on the wire, but for TCP's own.
+CounterValue report_bytes(const SimpleResponse& response) {
+  constexpr std::size_t kRequestBytes = 55;
+  constexpr std::size_t kStatusLineBytes = 19;
+  constexpr std::size_t kPerHeader = 4;
+  std::size_t total = kRequestBytes + kStatusLineBytes + response.body.size();
+  for (const Header& header : response.headers) {
+    total += header.name.size() + header.value.size() + kPerHeader;
+  }
+  return static_cast<CounterValue>(total);
+}
+
 /// State of one engine call while its response arrives.
 struct EngineStream {
   explicit EngineStream(routing::EngineEvents engine_events)
@@ -166,8 +178,9 @@
   options.idle_timeout = kReportTimeout;
   client_.fetch(
       backend.str(), std::move(request),
-      [done](std::variant<SimpleResponse, CallBreak> result) {
+      [this, done](std::variant<SimpleResponse, CallBreak> result) {
         const auto* response = std::get_if<SimpleResponse>(&result);
+        counters_["backend_report_bytes_total"] += response == nullptr ? 0 : report_bytes(*response);
         boost::system::error_code failure;
         const json::value value = response == nullptr ? json::value() : json::parse(response->body, failure);
         const json::object* fields = value.if_object();
--- a/src/net/http_backend_client.hpp
+++ b/src/net/http_backend_client.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 
+#include "common/counters.hpp"
 #include "net/http_client.hpp"
 #include "routing/backend.hpp"
 
@@ -14,7 +15,7 @@
 /// Single threaded, on the client's io_context.
 class HttpBackendClient : public routing::BackendClient {
  public:
-  explicit HttpBackendClient(HttpClient& client) : client_(client) {}
+  HttpBackendClient(HttpClient& client, Counters& counters) : client_(client), counters_(counters) {}
 
   routing::CallId start(const BackendId& engine, const routing::EngineCall& call,
                         routing::EngineEvents events) override;
@@ -28,6 +29,7 @@
 
  private:
   HttpClient& client_;
+  Counters& counters_;
 };
 
 }  // namespace madderdeck::net
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -28,7 +28,7 @@
       : settings_(settings),
         client_(context_, local_ip(settings.peer_address)),
         environment_(context_, counters_, client_, PeerAddress(settings.peer_address)),
-        backends_(client_),
+        backends_(client_, counters_),
         platform_(client_, settings.platform_endpoint),
         background_(1),
         signals_(context_, SIGTERM, SIGINT) {}
