Batch work is announced, not polled for; ownership is ranked once per membership change

Cause: the scale run at 40 nodes showed 16 KB/s a node of peer streams at rest and 5% of a core on real nodes: each dispatcher asked three managers for items every 20 ms, and ranked every engine against every scheduler at each tick. Ruled out: membership (2.2 KB/s) and load polling (3.6 KB/s). Change: managers with items say so, dispatchers ask those, with growing intervals; ownership is kept per membership version.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kActivityHolds = 2s;
 constexpr Duration kQuietAfterYield = 100ms;
 constexpr std::size_t kManagersAsked = 3;
+constexpr Duration kAskSoon = 20ms;
+constexpr Duration kAskBusy = 200ms;  ///< While some manager is known to have items.
+constexpr Duration kAskSeldom = 4s;   ///< While none is.
 constexpr unsigned kMaxFailures = 20;
 constexpr Duration kReportUseful = 1s;
 constexpr Duration kAnswerUseful = 5s;
@@ -52,16 +55,37 @@
   counters_["batch_items_queued"] = static_cast<CounterValue>(queue_.size());
 }
 
-std::vector<routing::Backend*> Dispatcher::owned_engines() {
-  std::vector<routing::Backend*> owned = registry_.all_open();
-  std::erase_if(owned, [this](const routing::Backend* backend) {
-    if (backend->machine.target != config::Target::model) {
-      return true;
+void Dispatcher::refresh_ownership() {
+  // Ranking every engine against every scheduler is too much for each tick.
+  if (owned_at_members_version_ == members_.version() && owned_at_registry_version_ == registry_.version()) {
+    return;
+  }
+  owned_at_members_version_ = members_.version();
+  owned_at_registry_version_ = registry_.version();
+  owned_.clear();
+  for (const auto& [id, backend] : registry_.backends()) {
+    const wire::MemberT* owner = backend.machine.target == config::Target::model ? owner_of(members_, id) : nullptr;
+    if (owner != nullptr && owner->id == members_.self().id) {
+      owned_.insert(id);
     }
-    const wire::MemberT* owner = owner_of(members_, backend->machine.id);
-    return owner == nullptr || owner->id != members_.self().id;
-  });
-  return owned;
+  }
+}
+
+bool Dispatcher::owns(const BackendId& engine) {
+  refresh_ownership();
+  return owned_.contains(engine);
+}
+
+std::vector<routing::Backend*> Dispatcher::open_owned_engines() {
+  refresh_ownership();
+  std::vector<routing::Backend*> open;
+  for (const BackendId& id : owned_) {
+    routing::Backend* backend = registry_.find(id);
+    if (backend != nullptr && registry_.open(*backend)) {
+      open.push_back(backend);
+    }
+  }
+  return open;
 }
 
 std::uint32_t Dispatcher::online_on(const routing::Backend& backend, Engine& engine) const {
@@ -83,7 +107,7 @@
 
 void Dispatcher::fill() {
   std::size_t free_slots = 0;
-  for (routing::Backend* backend : owned_engines()) {
+  for (routing::Backend* backend : open_owned_engines()) {
     Engine& engine = engines_[backend->machine.id];
     if (environment_.now() < engine.resume_after || environment_.now() < backend->ejected_until) {
       continue;
@@ -121,22 +145,44 @@
   }
 }
 
+std::vector<PeerAddress> Dispatcher::managers_to_ask() {
+  std::vector<PeerAddress> candidates(busy_managers_.begin(), busy_managers_.end());
+  if (candidates.empty()) {
+    // Nobody is known to have items; a notice may have been lost.
+    for (const wire::MemberT* manager : members_.available(membership::Role::scheduler)) {
+      candidates.emplace_back(manager->peer_address);
+    }
+  }
+  while (candidates.size() > kManagersAsked) {
+    candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(environment_.random() % candidates.size()));
+  }
+  return candidates;
+}
+
 void Dispatcher::request_items(std::size_t free_slots) {
-  auto managers = members_.available(membership::Role::scheduler);
-  while (managers.size() > kManagersAsked) {
-    managers.erase(managers.begin() + static_cast<std::ptrdiff_t>(environment_.random() % managers.size()));
+  if (environment_.now() < ask_after_) {
+    return;
   }
+  ask_interval_ = std::clamp(ask_interval_ * 2, kAskSoon, busy_managers_.empty() ? kAskSeldom : kAskBusy);
+  ask_after_ = environment_.now() + ask_interval_;
   std::erase_if(requested_at_, [this](const auto& entry) { return environment_.now() - entry.second > kAnswerUseful; });
   requested_at_[++next_request_] = environment_.now();
-  for (const wire::MemberT* manager : managers) {
+  for (const PeerAddress& manager : managers_to_ask()) {
     wire::TakeItemsT request;
     request.request = next_request_;
     request.capacity = static_cast<std::uint32_t>(free_slots);
-    send_message(environment_, PeerAddress(manager->peer_address), std::move(request));
+    send_message(environment_, manager, std::move(request));
   }
 }
 
 void Dispatcher::handle(const PeerAddress& sender, const wire::GiveItemsT& message) {
+  if (message.items.empty()) {
+    busy_managers_.erase(sender);
+  } else {
+    busy_managers_.insert(sender);
+    ask_interval_ = Duration::zero();
+    ask_after_ = Timestamp{};
+  }
   const auto requested = requested_at_.find(message.request);
   const bool known = requested != requested_at_.end();
   for (const auto& item : message.items) {
@@ -318,7 +364,15 @@
 }
 
 void Dispatcher::handle(const wire::JobNoticeT& message) {
-  if (!message.cancelled || !guards_.stop_cancelled) {
+  if (!message.cancelled) {
+    if (!message.manager.empty()) {
+      busy_managers_.insert(PeerAddress(message.manager));
+    }
+    ask_interval_ = Duration::zero();
+    ask_after_ = Timestamp{};
+    return;
+  }
+  if (!guards_.stop_cancelled) {
     return;
   }
   std::erase_if(queue_, [&](const Queued& work) { return work.item.job == message.job; });
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -40,6 +40,8 @@
   void handle(const PeerAddress& sender, const wire::GiveItemsT& message);
   void handle(const wire::OnlineActivityT& message);
   void handle(const wire::JobNoticeT& message);
+  /// @return whether batch work on @p engine is this node's.
+  bool owns(const BackendId& engine);
   /// This node is leaving: no new items; running ones are given back.
   void drain();
   std::size_t active() const { return running_.size() + unsettled_; }
@@ -77,7 +79,9 @@
   void request_items(std::size_t free_slots);
   std::uint32_t online_on(const routing::Backend& backend, Engine& engine) const;
   std::size_t room_on(const routing::Backend& backend, Engine& engine) const;
-  std::vector<routing::Backend*> owned_engines();
+  std::vector<routing::Backend*> open_owned_engines();
+  void refresh_ownership();
+  std::vector<PeerAddress> managers_to_ask();
   void yield_on(const BackendId& id);
   void start_item(Queued work, routing::Backend& backend);
   void on_token(RunId id, std::uint32_t offset, std::string_view text);
@@ -103,6 +107,13 @@
   /// arrival of the answer, which may have been under way for long.
   std::map<std::uint64_t, Timestamp> requested_at_;
   std::uint64_t next_request_ = 0;
+  /// Managers that said they have items. Asked first; forgotten when they have none.
+  std::set<PeerAddress> busy_managers_;
+  Timestamp ask_after_{};
+  Duration ask_interval_{};  ///< Doubles while nobody has items.
+  std::set<BackendId> owned_;
+  std::uint64_t owned_at_members_version_ = 0;
+  std::uint64_t owned_at_registry_version_ = 0;
   RunId next_run_ = 0;
   bool draining_ = false;
   Lifetime lifetime_;
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -13,6 +13,9 @@
 constexpr Duration kConfirmInterval = 700ms;
 /// A dispatcher that has not settled an item by then has lost it.
 constexpr Duration kItemLease = 30s;
+/// A manager with items that nobody has taken says so to a few schedulers this often.
+constexpr Duration kAnnounceInterval = 1s;
+constexpr std::size_t kAnnounceFanout = 8;
 constexpr std::uint32_t kScanPage = 2000;
 constexpr std::size_t kChunksHeld = 64;
 }  // namespace
@@ -24,10 +27,22 @@
 void JobManager::start() { tick(); }
 
 bool JobManager::owns(const std::string& job) const {
-  const auto schedulers = members_.available(membership::Role::scheduler);
+  // Ranking the schedulers again for each job at each tick would cost too much.
+  if (members_version_ != members_.version()) {
+    members_version_ = members_.version();
+    owned_.clear();
+  }
+  const auto [entry, unknown] = owned_.try_emplace(job, false);
+  if (unknown) {
+    entry->second = is_best_ranked(job);
+  }
+  return entry->second;
+}
+
+bool JobManager::is_best_ranked(const std::string& job) const {
   const wire::MemberT* owner = nullptr;
   std::uint64_t owner_weight = 0;
-  for (const wire::MemberT* scheduler : schedulers) {
+  for (const wire::MemberT* scheduler : members_.available(membership::Role::scheduler)) {
     const std::uint64_t weight = rendezvous_weight(job, scheduler->id);
     if (owner == nullptr || weight > owner_weight) {
       owner = scheduler;
@@ -49,6 +64,7 @@
     }
     complete_if_done(id);
   }
+  announce_pending();
   if (!discovering_ && ledger_.has_group_map() && environment_.now() - last_discovery_ > kDiscoveryInterval) {
     discovering_ = true;
     last_discovery_ = environment_.now();
@@ -57,6 +73,24 @@
   counters_["jobs_managed"] = static_cast<CounterValue>(jobs_.size());
 }
 
+void JobManager::announce_pending() {
+  if (environment_.now() - last_announcement_ < kAnnounceInterval) {
+    return;
+  }
+  last_announcement_ = environment_.now();
+  const bool pending = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
+    return entry.second.loaded && entry.second.settled + entry.second.leases.size() < entry.second.items.size();
+  });
+  auto schedulers = members_.available(membership::Role::scheduler);
+  for (std::size_t told = 0; pending && told < kAnnounceFanout && !schedulers.empty(); ++told) {
+    const std::size_t position = environment_.random() % schedulers.size();
+    wire::JobNoticeT notice;
+    notice.manager = members_.self().peer_address;
+    send_message(environment_, PeerAddress(schedulers[position]->peer_address), std::move(notice));
+    schedulers.erase(schedulers.begin() + static_cast<std::ptrdiff_t>(position));
+  }
+}
+
 void JobManager::discover(std::uint32_t group, const std::string& after) {
   if (group >= ledger_.group_map().groups.size()) {
     discovering_ = false;
@@ -160,7 +194,7 @@
   if (message.cancelled) {
     finished_.insert(message.job);
     jobs_.erase(id);
-  } else if (owns(message.job) && !finished_.contains(message.job)) {
+  } else if (!message.job.empty() && owns(message.job) && !finished_.contains(message.job)) {
     open_job(id);
   }
 }
@@ -190,8 +224,9 @@
     }
     hand_out(*job, message.capacity - static_cast<std::uint32_t>(reply.items.size()), reply);
   }
-  if (!reply.items.empty()) {
-    counters_["batch_items_handed_out_total"] += static_cast<CounterValue>(reply.items.size());
+  counters_["batch_items_handed_out_total"] += static_cast<CounterValue>(reply.items.size());
+  // An empty answer tells the dispatcher to look elsewhere, unless items are about to be read.
+  if (!reply.items.empty() || order.empty()) {
     send_message(environment_, sender, std::move(reply));
   }
 }
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -56,7 +56,9 @@
   };
 
   bool owns(const std::string& job) const;
+  bool is_best_ranked(const std::string& job) const;
   void tick();
+  void announce_pending();
   void discover(std::uint32_t group, const std::string& after);
   void open_job(const JobId& job);
   void on_job_record(const JobId& job, Timestamp read_started, Result<ledger::OptionalValue> result);
@@ -78,6 +80,10 @@
   std::set<std::string> finished_;  ///< Jobs known to need nothing more.
   bool discovering_ = false;
   Timestamp last_discovery_{};
+  Timestamp last_announcement_{};
+  /// Ownership of jobs as of members_version_.
+  mutable std::map<std::string, bool> owned_;
+  mutable std::uint64_t members_version_ = 0;
   Lifetime lifetime_;
 };
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -56,6 +56,7 @@
 void Membership::leave() {
   self_.state = MemberState::Leaving;
   ++self_.incarnation;
+  ++version_;
   enqueue(NodeId(self_.id), true);
 }
 
@@ -409,6 +410,7 @@
   if (update.state == MemberState::Suspect) {
     schedule_death(node, update.incarnation);
   }
+  version_ += changed ? 1 : 0;
   if (changed && hooks_.on_change) {
     hooks_.on_change(entry.member);
   }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -76,6 +76,8 @@
   /// @return up to @p count random live peers.
   std::vector<PeerAddress> random_peers(std::size_t count);
   std::size_t live_count() const;
+  /// @return a number that changes whenever a member appears or changes its state.
+  std::uint64_t version() const { return version_; }
 
  private:
   struct Entry {
@@ -130,6 +132,7 @@
   std::map<std::uint64_t, Relay> relays_;
   std::uint64_t sequence_;
   bool eager_scheduled_ = false;
+  std::uint64_t version_ = 1;
   Timestamp last_dead_probe_{};
   Lifetime lifetime_;
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -220,10 +220,12 @@
 // --- jobs -----------------------------------------------------------------------------------
 
 void NodeCore::announce_job(const JobId& job, bool cancelled) {
+  const wire::MemberT* manager = batch::Dispatcher::owner_of(members, BackendId(job.str()));
   for (const wire::MemberT* scheduler : members.available(Role::scheduler)) {
     wire::JobNoticeT notice;
     notice.job = job.str();
     notice.cancelled = cancelled;
+    notice.manager = manager == nullptr ? "" : manager->peer_address;
     send_message(environment, PeerAddress(scheduler->peer_address), std::move(notice));
   }
 }
@@ -262,13 +264,12 @@
 
 // --- load of back ends ----------------------------------------------------------------------
 
-bool NodeCore::polls(const routing::Backend& backend) const {
+bool NodeCore::polls(const routing::Backend& backend) {
   const BackendId& id = backend.machine.id;
   if (registry.in_subset(id)) {
     return true;
   }
-  const wire::MemberT* owner = batch::Dispatcher::owner_of(members, id);
-  return owner != nullptr && owner->id == members.self().id;
+  return dispatcher && dispatcher->owns(id);
 }
 
 void NodeCore::poll_loads() {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -122,7 +122,7 @@
   void tell_activity(const BackendId& engine);
   void refresh_activity();
   void poll_loads();
-  bool polls(const routing::Backend& backend) const;
+  bool polls(const routing::Backend& backend);
 
   std::map<BackendId, ToldActivity> activity_;
   Lifetime lifetime_;
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -50,6 +50,7 @@
       touched.push_back(pool);
     }
   }
+  version_ += touched.empty() ? 0 : 1;
   for (const std::string& pool : touched) {
     rebuild_subset(pool);
   }
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -62,6 +62,8 @@
   ///        have waited while this node was frozen.
   void on_report(const BackendId& id, const LoadReport& report, Timestamp asked_at);
   const std::map<BackendId, Backend>& backends() const { return backends_; }
+  /// @return a number that changes with the set of known back ends.
+  std::uint64_t version() const { return version_; }
 
  private:
   void rebuild_subset(const std::string& pool);
@@ -73,6 +75,7 @@
   const std::string node_;
   const RegistryGuards guards_;
   std::uint32_t subset_size_ = 16;
+  std::uint64_t version_ = 1;
   std::map<BackendId, Backend> backends_;
   std::map<std::string, std::vector<BackendId>> pools_;
   std::map<std::string, std::vector<BackendId>> subsets_;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -3017,6 +3017,7 @@
   typedef JobNotice TableType;
   std::string job{};
   bool cancelled = false;
+  std::string manager{};
 };
 
 struct JobNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3025,7 +3026,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_JOB = 4,
-    VT_CANCELLED = 6
+    VT_CANCELLED = 6,
+    VT_MANAGER = 8
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -3033,11 +3035,16 @@
   bool cancelled() const {
     return GetField<uint8_t>(VT_CANCELLED, 0) != 0;
   }
+  const flatbuffers::String *manager() const {
+    return GetPointer<const flatbuffers::String *>(VT_MANAGER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
            verifier.VerifyString(job()) &&
            VerifyField<uint8_t>(verifier, VT_CANCELLED, 1) &&
+           VerifyOffset(verifier, VT_MANAGER) &&
+           verifier.VerifyString(manager()) &&
            verifier.EndTable();
   }
   JobNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3055,6 +3062,9 @@
   void add_cancelled(bool cancelled) {
     fbb_.AddElement<uint8_t>(JobNotice::VT_CANCELLED, static_cast<uint8_t>(cancelled), 0);
   }
+  void add_manager(flatbuffers::Offset<flatbuffers::String> manager) {
+    fbb_.AddOffset(JobNotice::VT_MANAGER, manager);
+  }
   explicit JobNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3069,8 +3079,10 @@
 inline flatbuffers::Offset<JobNotice> CreateJobNotice(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> job = 0,
-    bool cancelled = false) {
+    bool cancelled = false,
+    flatbuffers::Offset<flatbuffers::String> manager = 0) {
   JobNoticeBuilder builder_(_fbb);
+  builder_.add_manager(manager);
   builder_.add_job(job);
   builder_.add_cancelled(cancelled);
   return builder_.Finish();
@@ -3084,12 +3096,15 @@
 inline flatbuffers::Offset<JobNotice> CreateJobNoticeDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *job = nullptr,
-    bool cancelled = false) {
+    bool cancelled = false,
+    const char *manager = nullptr) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto manager__ = manager ? _fbb.CreateString(manager) : 0;
   return madderdeck::wire::CreateJobNotice(
       _fbb,
       job__,
-      cancelled);
+      cancelled,
+      manager__);
 }
 
 flatbuffers::Offset<JobNotice> CreateJobNotice(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5371,6 +5386,7 @@
   (void)_resolver;
   { auto _e = job(); if (_e) _o->job = _e->str(); }
   { auto _e = cancelled(); _o->cancelled = _e; }
+  { auto _e = manager(); if (_e) _o->manager = _e->str(); }
 }
 
 inline flatbuffers::Offset<JobNotice> JobNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5383,10 +5399,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const JobNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
   auto _cancelled = _o->cancelled;
+  auto _manager = _o->manager.empty() ? 0 : _fbb.CreateString(_o->manager);
   return madderdeck::wire::CreateJobNotice(
       _fbb,
       _job,
-      _cancelled);
+      _cancelled,
+      _manager);
 }
 
 inline TakeItemsT *TakeItems::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
