--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -34,12 +34,13 @@
   }
   const auto [entry, unknown] = owned_.try_emplace(job, false);
   if (unknown) {
-    entry->second = is_best_ranked(job);
+    const wire::MemberT* owner = best_ranked(job);
+    entry->second = owner != nullptr && owner->id == members_.self().id;
   }
   return entry->second;
 }
 
-bool JobManager::is_best_ranked(const std::string& job) const {
+const wire::MemberT* JobManager::best_ranked(const std::string& job) const {
   const wire::MemberT* owner = nullptr;
   std::uint64_t owner_weight = 0;
   for (const wire::MemberT* scheduler : members_.available(membership::Role::scheduler)) {
@@ -49,7 +50,7 @@
       owner_weight = weight;
     }
   }
-  return owner != nullptr && owner->id == members_.self().id;
+  return owner;
 }
 
 void JobManager::tick() {
@@ -68,7 +69,7 @@
   if (!discovering_ && ledger_.has_group_map() && environment_.now() - last_discovery_ > kDiscoveryInterval) {
     discovering_ = true;
     last_discovery_ = environment_.now();
-    discover(0, "");
+    discover(next_watched_group(0), "");
   }
   counters_["jobs_managed"] = static_cast<CounterValue>(jobs_.size());
 }
@@ -91,31 +92,46 @@
   }
 }
 
+std::uint32_t JobManager::next_watched_group(std::uint32_t from) const {
+  // One scheduler looks through a group for all: everybody looking would cost the ledger
+  // nodes a scan for each node and group.
+  const auto groups = static_cast<std::uint32_t>(ledger_.group_map().groups.size());
+  while (from < groups && !owns("group-" + std::to_string(from))) {
+    ++from;
+  }
+  return from;
+}
+
 void JobManager::discover(std::uint32_t group, const std::string& after) {
   if (group >= ledger_.group_map().groups.size()) {
     discovering_ = false;
     return;
   }
-  ledger_.scan_group(group, kJobPrefix, after, kScanPage,
-                     lifetime_.guard([this, group](Result<ledger::ScanPage> result) {
-                       if (!succeeded(result)) {
-                         discovering_ = false;
-                         return;
-                       }
-                       const ledger::ScanPage& page = value_of(result);
-                       for (const ledger::ScanRecord& record : page.records) {
-                         const auto job = wire::decode_record<wire::JobRecordT>(record.value);
-                         if (!job || finished_.contains(job->id)) {
-                           continue;
-                         }
-                         if (job->state != wire::JobState::Accepted) {
-                           finished_.insert(job->id);
-                         } else if (owns(job->id)) {
-                           open_job(JobId(job->id));
-                         }
-                       }
-                       discover(page.next_after.empty() ? group + 1 : group, page.next_after);
-                     }));
+  const auto take_page = [this, group](Result<ledger::ScanPage> result) {
+    if (!succeeded(result)) {
+      discovering_ = false;
+      return;
+    }
+    const ledger::ScanPage& page = value_of(result);
+    for (const ledger::ScanRecord& record : page.records) {
+      const auto job = wire::decode_record<wire::JobRecordT>(record.value);
+      if (job && job->state == wire::JobState::Accepted) {
+        tell_owner(job->id);
+      }
+    }
+    discover(page.next_after.empty() ? next_watched_group(group + 1) : group, page.next_after);
+  };
+  ledger_.scan_group(group, kJobPrefix, after, kScanPage, lifetime_.guard(take_page));
+}
+
+void JobManager::tell_owner(const std::string& job) {
+  const wire::MemberT* owner = best_ranked(job);
+  if (owner == nullptr) {
+    return;
+  }
+  wire::JobNoticeT notice;
+  notice.job = job;
+  send_message(environment_, PeerAddress(owner->peer_address), std::move(notice));
 }
 
 void JobManager::open_job(const JobId& job) {
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -56,7 +56,11 @@
   };
 
   bool owns(const std::string& job) const;
-  bool is_best_ranked(const std::string& job) const;
+  /// @return the scheduler that ranks first for @p name.
+  const wire::MemberT* best_ranked(const std::string& name) const;
+  /// @return the first group from @p from on that this node looks through; past the last if none.
+  std::uint32_t next_watched_group(std::uint32_t from) const;
+  void tell_owner(const std::string& job);
   void tick();
   void announce_pending();
   void discover(std::uint32_t group, const std::string& after);
--- a/src/bench/hollow.cpp
+++ b/src/bench/hollow.cpp
@@ -50,7 +50,7 @@
                               static_cast<std::uint32_t>(membership::Role::scheduler) |
                               static_cast<std::uint32_t>(membership::Role::controller);
     node_options.self.incarnation = environment_.unix_milliseconds();
-    node_options.load_poll = std::chrono::milliseconds(1000);
+    node_options.load_poll = std::chrono::milliseconds(1500);
     for (const char* seed : {".1.1:7000", ".1.2:7000", ".1.3:7000"}) {
       node_options.seeds.emplace_back(options.subnet + seed);
     }
--- a/src/bench/http_session.hpp
+++ b/src/bench/http_session.hpp
@@ -25,6 +25,13 @@
   /// Runs the loop until @p condition holds or @p limit has passed.
   /// @return whether the condition holds.
   bool run_until(const std::function<bool()>& condition, std::chrono::milliseconds limit);
+  /// As run_until, looking after every event; for timing single calls.
+  void run_until_quick(const std::function<bool()>& condition) {
+    context.restart();
+    while (!condition()) {
+      context.run_one();
+    }
+  }
   /// @return the response; nothing when there was none.
   std::optional<net::SimpleResponse> call(const std::string& endpoint, const std::string& method,
                                           const std::string& target, const std::string& body = "",
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -25,7 +25,7 @@
 
 int main(int argument_count, char** arguments) {
   using namespace madderdeck;
-  gflags::SetUsageMessage("madderdeck-bench demo|faults|scale [flags]");
+  gflags::SetUsageMessage("madderdeck-bench demo|faults|run|compare|overhead|scale [flags] [scenarios]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
   ::signal(SIGPIPE, SIG_IGN);
   bench::CommandOptions options;
@@ -41,6 +41,12 @@
   options.json = FLAGS_json;
   options.report = FLAGS_report;
   const std::string command = argument_count > 1 ? arguments[1] : "";
+  if (command == "overhead") {
+    return bench::run_overhead(options);
+  }
+  if (command == "run" || command == "compare") {
+    return bench::run_experiments(options, {arguments + 2, arguments + argument_count});
+  }
   if (command == "scale") {
     return bench::run_scale(options, static_cast<unsigned>(FLAGS_nodes), static_cast<unsigned>(FLAGS_engines));
   }
@@ -57,7 +63,7 @@
   if (command == "demo") {
     return bench::run_demo(options);
   }
-  std::cerr << "madderdeck-bench: invalid_argument: found '" << command << "', allowed is demo, faults or scale"
-            << std::endl;
+  std::cerr << "madderdeck-bench: invalid_argument: found '" << command
+            << "', allowed is demo, faults, run, compare, overhead or scale" << std::endl;
   return exit_code_for(ErrorKind::invalid_argument);
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -64,7 +64,7 @@
       {"drain.grace_ms", number_field(&Settings::drain_grace_ms, 0, kMillion)},
       {"drain.timeout_ms", number_field(&Settings::drain_timeout_ms, 0, 3600 * 1000)},
       {"operators.key", text_field(&Settings::operator_key)},
-      {"engines.load_poll_ms", number_field(&Settings::load_poll_ms, 20, kMillion)},
+      {"engines.load_poll_ms", number_field(&Settings::load_poll_ms, 20, 2'000)},
       {"log.level", text_field(&Settings::log_level)},
       {"log.file", text_field(&Settings::log_file)},
   };
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -35,7 +35,7 @@
   // [operators]
   std::string operator_key;
   // [engines]
-  std::int64_t load_poll_ms = 1000;
+  std::int64_t load_poll_ms = 1500;
   // [log]
   std::string log_level = "info";
   std::string log_file;
