--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -15,7 +15,10 @@
 constexpr Duration kAskBusy = 200ms;  ///< While some manager is known to have items.
 constexpr Duration kAskSeldom = 4s;   ///< While none is.
 constexpr unsigned kMaxFailures = 20;
-constexpr Duration kReportUseful = 1s;
+constexpr Duration kReportUseful = 400ms;
+/// Items kept ready beyond the free slots, as a part of the running ones, so that a slot that
+/// falls free need not wait for a question and its answer.
+constexpr std::size_t kReadyPart = 4;
 constexpr Duration kAnswerUseful = 5s;
 }  // namespace
 
@@ -140,8 +143,9 @@
     }
     return lapsed;
   });
-  if (free_slots > queue_.size()) {
-    request_items(free_slots - queue_.size());
+  const std::size_t wanted = free_slots + (free_slots + running_.size()) / kReadyPart;
+  if (wanted > queue_.size()) {
+    request_items(wanted - queue_.size());
   }
 }
 
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -318,6 +318,7 @@
 
 void NodeCore::refresh_activity() {
   environment.after(kActivityRefresh, lifetime_.guard([this] { refresh_activity(); }));
+  registry.set_gateways(gateway_count());
   for (auto entry = activity_.begin(); entry != activity_.end();) {
     const bool idle = entry->second.in_flight == 0 && entry->second.told == 0 && !entry->second.scheduled;
     if (idle) {
--- a/src/routing/live_router.cpp
+++ b/src/routing/live_router.cpp
@@ -59,15 +59,16 @@
     refuse(id, ErrorKind::unavailable, "no engine takes requests for " + active.request.model, kRetryAfterOutage);
     return;
   }
-  std::erase_if(open, [this](const Backend* backend) {
-    return backend->online_in_flight * 100 >= backend->machine.slots * policy_.online_queue_percent;
+  const double sharing = registry_.sharing(active.request.model);
+  std::erase_if(open, [this, sharing](const Backend* backend) {
+    return backend->online_in_flight * sharing * 100 >= backend->machine.slots * policy_.online_queue_percent;
   });
   if (open.empty()) {
     counters_["live_refused_saturated_total"]++;
     refuse(id, ErrorKind::limit_exceeded, "all engines for " + active.request.model + " are full", kRetryAfterBusy);
     return;
   }
-  Backend& backend = picker_->pick({open, active.request.prompt, environment_.now(), environment_.random()});
+  Backend& backend = picker_->pick({open, active.request.prompt, environment_.now(), environment_.random(), sharing});
   active.engine = backend.machine.id;
   active.tried.insert(active.engine);
   active.attempt = environment_.random();
--- a/src/routing/picker.cpp
+++ b/src/routing/picker.cpp
@@ -13,8 +13,8 @@
 constexpr double kSlowFactor = 2.0;          ///< Latency against the median that counts as slow.
 }  // namespace
 
-double load_of(const Backend& backend, Timestamp now) {
-  const double own = backend.online_in_flight;
+double load_of(const Backend& backend, Timestamp now, double sharing) {
+  const double own = backend.online_in_flight * sharing;
   const bool fresh = backend.reported_at.count() != 0 && now - backend.reported_at < kReportUseful;
   const double reported = fresh ? backend.report.running_online + backend.report.waiting : 0;
   double load = std::max(own, reported) / backend.machine.slots;
@@ -31,7 +31,7 @@
   const std::size_t count = input.candidates.size();
   Backend& first = *input.candidates[input.random % count];
   Backend& second = *input.candidates[(input.random >> 32) % count];
-  return load_of(first, input.now) <= load_of(second, input.now) ? first : second;
+  return load_of(first, input.now, input.sharing) <= load_of(second, input.now, input.sharing) ? first : second;
 }
 
 Backend& PrefixAffinityPicker::pick(const PickInput& input) {
@@ -39,7 +39,7 @@
   double total = 0;
   std::vector<double> latencies;
   for (const Backend* candidate : input.candidates) {
-    total += load_of(*candidate, input.now);
+    total += load_of(*candidate, input.now, input.sharing);
     latencies.push_back(candidate->latency_ms);
   }
   std::nth_element(latencies.begin(), latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2),
@@ -52,7 +52,7 @@
     const bool slow = median > 0 && candidate->latency_ms > kSlowFactor * median + 1.0;
     // A slow engine is still tried now and then, so that its recovery is seen.
     const bool skip_slow = slow && input.random % 64 != 0;
-    if (skip_slow || load_of(*candidate, input.now) > bound) {
+    if (skip_slow || load_of(*candidate, input.now, input.sharing) > bound) {
       continue;
     }
     const std::uint64_t weight = rendezvous_weight(prefix, candidate->machine.id.str());
@@ -64,10 +64,10 @@
   if (best != nullptr) {
     return *best;
   }
-  return **std::min_element(input.candidates.begin(), input.candidates.end(),
-                            [&](const Backend* left, const Backend* right) {
-                              return load_of(*left, input.now) < load_of(*right, input.now);
-                            });
+  return **std::min_element(
+      input.candidates.begin(), input.candidates.end(), [&](const Backend* left, const Backend* right) {
+        return load_of(*left, input.now, input.sharing) < load_of(*right, input.now, input.sharing);
+      });
 }
 
 std::unique_ptr<Picker> make_picker(config::RoutingPolicyName name) {
--- a/src/routing/picker.hpp
+++ b/src/routing/picker.hpp
@@ -17,6 +17,7 @@
   std::string_view prompt;
   Timestamp now{};
   std::uint64_t random = 0;
+  double sharing = 1;  ///< Gateways that use the same engine, on average.
 };
 
 /// Chooses one of the candidates. Policies may keep state of their own; single threaded.
@@ -50,8 +51,9 @@
 
 std::unique_ptr<Picker> make_picker(config::RoutingPolicyName name);
 
-/// @return load of @p backend per slot: own calls now, others' calls as last reported, more
-///         for a new or slow one.
-double load_of(const Backend& backend, Timestamp now);
+/// @return estimated load of @p backend per slot, more for a new one. Own calls are known
+///         exactly and stand for those of the gateways that share it; reports are late, and
+///         count where they say more.
+double load_of(const Backend& backend, Timestamp now, double sharing);
 
 }  // namespace madderdeck::routing
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -97,6 +97,16 @@
   return !guards_.honour_refusals || !backend.said_leaving;
 }
 
+double Registry::sharing(const std::string& pool) const {
+  const auto all = pools_.find(pool);
+  const auto used = subsets_.find(pool);
+  if (all == pools_.end() || used == subsets_.end() || all->second.empty()) {
+    return 1;
+  }
+  const double share = static_cast<double>(used->second.size()) / static_cast<double>(all->second.size());
+  return std::max(1.0, share * static_cast<double>(gateways_));
+}
+
 bool Registry::in_subset(const BackendId& id) const {
   return std::any_of(subsets_.begin(), subsets_.end(), [&id](const auto& subset) {
     return std::find(subset.second.begin(), subset.second.end(), id) != subset.second.end();
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -42,6 +42,10 @@
   /// Takes the present state of the machine list entries @p keys.
   void update(const config::VersionedTable& table, const std::vector<config::EntryKey>& keys);
   void set_subset_size(std::uint32_t size);
+  /// @param count gateways of the fleet, this one among them.
+  void set_gateways(std::size_t count) { gateways_ = count; }
+  /// @return how many gateways use one back end of @p pool, on average.
+  double sharing(const std::string& pool) const;
 
   Backend* find(const BackendId& id);
   /// @return back ends of @p pool in this node's subset that may get new work now. When
@@ -76,6 +80,7 @@
   const RegistryGuards guards_;
   std::uint32_t subset_size_ = 16;
   std::uint64_t version_ = 1;
+  std::size_t gateways_ = 1;
   std::map<BackendId, Backend> backends_;
   std::map<std::string, std::vector<BackendId>> pools_;
   std::map<std::string, std::vector<BackendId>> subsets_;
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -130,7 +130,7 @@
   }
   Backend* chosen = open.front();
   for (Backend* candidate : open) {
-    if (load_of(*candidate, environment_.now()) < load_of(*chosen, environment_.now())) {
+    if (load_of(*candidate, environment_.now(), 1) < load_of(*chosen, environment_.now(), 1)) {
       chosen = candidate;
     }
   }
--- a/tests/routing/registry_test.cpp
+++ b/tests/routing/registry_test.cpp
@@ -76,6 +76,20 @@
   CHECK(kept >= 7);
 }
 
+TEST_CASE("a gateway counts its own calls for those that share the engine") {
+  // Experiment qasr-no-batch: three gateways each filled an engine's slots, and the tail was ten times round robin's.
+  RegistryFixture fixture(6);
+  fixture.registry.set_gateways(3);
+  CHECK(fixture.registry.sharing("m") == Approx(3));
+  fixture.registry.set_subset_size(2);
+  CHECK(fixture.registry.sharing("m") == Approx(1));
+  Backend& backend = *fixture.registry.candidates("m").front();
+  backend.added_at = Timestamp{};
+  backend.online_in_flight = 1;
+  fixture.environment.world.run_for(10s);
+  CHECK(load_of(backend, fixture.environment.now(), 3) == Approx(0.75));
+}
+
 TEST_CASE("prefix affinity keeps a prefix on one engine until that engine is loaded") {
   RegistryFixture fixture(6);
   fixture.environment.world.run_for(10s);  // past slow start
