Membership: nodes that differ exchange whole lists

Cause: a scale run of 380 nodes that all start at once did not come together: after a minute each knew about 185 of 380, and hollow nodes used 90% of a core for 48, since every node passed on hundreds of updates, six a message, and told three peers of news every 30 ms. Ruled out: the platform, load polling (engines used 7% of a core), the seeds (they answered). Change: probes carry a digest of the live members; nodes that differ exchange lists, at growing intervals while these bring nothing; with much news waiting nothing is sent eagerly. Test: 120 members in 15 s of virtual time, then under four messages a node and second.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "common/hash.hpp"
+
 namespace madderdeck::membership {
 namespace {
 
@@ -44,7 +46,9 @@
       hooks_(std::move(hooks)),
       self_(std::move(self)),
       seeds_(std::move(seeds)),
-      sequence_(environment.random()) {}
+      sequence_(environment.random()) {
+  digest_ = digest_of(self_);
+}
 
 void Membership::start() {
   ping_seeds();
@@ -54,8 +58,10 @@
 }
 
 void Membership::leave() {
+  digest_ ^= digest_of(self_);
   self_.state = MemberState::Leaving;
   ++self_.incarnation;
+  digest_ ^= digest_of(self_);
   ++version_;
   enqueue(NodeId(self_.id), true);
 }
@@ -279,6 +285,7 @@
   const TableRevisions revisions = hooks_.local_revisions();
   ping.object_revision = revisions.objects;
   ping.machine_revision = revisions.machines;
+  ping.members_digest = digest_;
   return ping;
 }
 
@@ -290,18 +297,20 @@
   const TableRevisions revisions = hooks_.local_revisions();
   ack.object_revision = revisions.objects;
   ack.machine_revision = revisions.machines;
+  ack.members_digest = digest_;
   return ack;
 }
 
 template <class Message>
 void Membership::absorb(const PeerAddress& sender, const Message& message) {
   if (message.sender) {
-    merge(*message.sender, true);
+    merge(*message.sender, true, true);
   }
   for (const auto& update : message.updates) {
-    merge(*update, false);
+    merge(*update, false, true);
   }
   hooks_.on_peer_revisions(sender, TableRevisions{message.object_revision, message.machine_revision});
+  compare_lists(sender, message.members_digest);
 }
 
 void Membership::handle(const PeerAddress& sender, const wire::PingT& message) {
@@ -362,23 +371,71 @@
 
 // --- merging --------------------------------------------------------------------------------
 
-void Membership::merge(const MemberT& update, bool first_hand) {
+bool Membership::merge(const MemberT& update, bool first_hand, bool spread) {
   if (update.id.empty()) {
-    return;
+    return false;
   }
   if (update.id == self_.id) {
     refute(update);
-    return;
+    return false;
   }
   const NodeId node(update.id);
   auto [position, inserted] = members_.try_emplace(node);
   Entry& entry = position->second;
-  if (inserted || overrides(update, entry.member)) {
-    if (inserted && update.state == MemberState::Dead && first_hand) {
-      members_.erase(position);
-      return;
-    }
-    accept_update(entry, update);
+  if (!inserted && !overrides(update, entry.member)) {
+    return false;
+  }
+  if (inserted && update.state == MemberState::Dead && first_hand) {
+    members_.erase(position);
+    return false;
+  }
+  accept_update(entry, update, spread);
+  return true;
+}
+
+// --- whole lists ----------------------------------------------------------------------------
+// Single updates cannot carry a storm: when a whole fleet starts at once, each node would have
+// to pass on hundreds of them, six a message. Probes carry a digest of the live members, and
+// nodes that differ exchange their lists.
+
+std::uint64_t Membership::digest_of(const MemberT& member) {
+  if (member.state == MemberState::Dead) {
+    return 0;
+  }
+  const bool leaving = member.state == MemberState::Leaving;
+  return stable_hash(member.id, member.incarnation * 2 + (leaving ? 1 : 0));
+}
+
+void Membership::compare_lists(const PeerAddress& sender, std::uint64_t digest) {
+  if (digest == 0 || digest == digest_ || environment_.now() - last_sync_ < sync_interval_) {
+    return;
+  }
+  last_sync_ = environment_.now();
+  sync_interval_ = std::clamp(sync_interval_ * 2, options_.least_sync_interval, options_.most_sync_interval);
+  counters_["membership_lists_sent_total"]++;
+  send_whole_list(sender, true);
+}
+
+void Membership::send_whole_list(const PeerAddress& to, bool reply) {
+  wire::MemberSyncT sync;
+  sync.reply = reply;
+  sync.members.push_back(std::make_unique<MemberT>(self_));
+  for (const auto& [node, entry] : members_) {
+    sync.members.push_back(std::make_unique<MemberT>(entry.member));
+  }
+  send_message(environment_, to, std::move(sync));
+}
+
+void Membership::handle(const PeerAddress& sender, const wire::MemberSyncT& message) {
+  bool changed = false;
+  for (const auto& member : message.members) {
+    changed = merge(*member, false, false) || changed;
+  }
+  if (changed) {
+    sync_interval_ = options_.least_sync_interval;
+  }
+  if (message.reply) {
+    send_whole_list(sender, false);
   }
 }
 
@@ -389,7 +446,9 @@
   if (other_process || rumour.incarnation < self_.incarnation || (!accused && !outdated)) {
     return;
   }
+  digest_ ^= digest_of(self_);
   self_.incarnation = rumour.incarnation + 1;
+  digest_ ^= digest_of(self_);
   counters_["membership_refutations_total"]++;
   enqueue(NodeId(self_.id), true);
   if (rumour.state == MemberState::Dead && hooks_.on_self_refuted) {
@@ -397,16 +456,20 @@
   }
 }
 
-void Membership::accept_update(Entry& entry, const MemberT& update) {
+void Membership::accept_update(Entry& entry, const MemberT& update, bool spread) {
   const MemberState before = entry.member.state;
   const bool is_new = entry.member.id.empty();
   const bool changed = is_new || before != update.state || entry.member.disk_id != update.disk_id;
+  digest_ ^= is_new ? 0 : digest_of(entry.member);
   entry.member = update;
+  digest_ ^= digest_of(update);
   entry.state_since = environment_.now();
   const NodeId node(update.id);
   const bool urgent = is_new || update.state == MemberState::Leaving || update.state == MemberState::Dead ||
                       (before == MemberState::Dead && update.state == MemberState::Alive);
-  enqueue(node, urgent);
+  if (spread) {
+    enqueue(node, urgent);
+  }
   if (update.state == MemberState::Suspect) {
     schedule_death(node, update.incarnation);
   }
@@ -419,7 +482,7 @@
 void Membership::enqueue(const NodeId& node, bool eager) {
   std::erase_if(updates_, [&](const Update& update) { return update.node == node; });
   updates_.push_back(Update{node, 0});
-  if (eager && !eager_scheduled_) {
+  if (eager && !eager_scheduled_ && updates_.size() <= options_.eager_limit) {
     eager_scheduled_ = true;
     environment_.after(options_.eager_delay, lifetime_.guard([this] { flush_eagerly(); }));
   }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -31,6 +31,9 @@
   Duration eager_delay = 30ms;     ///< Changes within this time share one message.
   std::size_t updates_per_message = 6;
   double retransmit_factor = 3.0;     ///< Times log2(members + 1).
+  std::size_t eager_limit = 24;       ///< With more news than this waiting, lists do the work.
+  Duration least_sync_interval = 1s;  ///< Between whole lists sent to peers that differ.
+  Duration most_sync_interval = 32s;
   Duration dead_probe_interval = 5s;  ///< How often a dead member is tried, to heal a cut.
   Duration forget_dead_after = 24h;
 };
@@ -64,6 +67,7 @@
   void handle(const PeerAddress& sender, const wire::PingT& message);
   void handle(const PeerAddress& sender, const wire::PingRequestT& message);
   void handle(const PeerAddress& sender, const wire::AckT& message);
+  void handle(const PeerAddress& sender, const wire::MemberSyncT& message);
 
   const wire::MemberT& self() const { return self_; }
   std::optional<PeerAddress> address_of(const NodeId& node) const;
@@ -104,9 +108,14 @@
   void ping_seeds();
   void probe_dead_member();
   std::optional<NodeId> next_probe_target();
-  void merge(const wire::MemberT& update, bool first_hand);
+  /// @param spread whether peers are told; what a whole list brings they get by lists, too.
+  /// @return whether anything changed.
+  bool merge(const wire::MemberT& update, bool first_hand, bool spread);
   void refute(const wire::MemberT& rumour);
-  void accept_update(Entry& entry, const wire::MemberT& update);
+  void accept_update(Entry& entry, const wire::MemberT& update, bool spread = true);
+  void compare_lists(const PeerAddress& sender, std::uint64_t digest);
+  void send_whole_list(const PeerAddress& to, bool reply);
+  static std::uint64_t digest_of(const wire::MemberT& member);
   void suspect(const NodeId& node);
   void schedule_death(const NodeId& node, std::uint64_t incarnation);
   void enqueue(const NodeId& node, bool eager);
@@ -133,6 +142,9 @@
   std::uint64_t sequence_;
   bool eager_scheduled_ = false;
   std::uint64_t version_ = 1;
+  std::uint64_t digest_ = 0;  ///< Over all live members, this node among them.
+  Timestamp last_sync_{};
+  Duration sync_interval_{};  ///< Doubles while whole lists bring nothing new.
   Timestamp last_dead_probe_{};
   Lifetime lifetime_;
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -121,6 +121,9 @@
     case wire::Message::Ack:
       members.handle(sender, *body.AsAck());
       break;
+    case wire::Message::MemberSync:
+      members.handle(sender, *body.AsMemberSync());
+      break;
     case wire::Message::RevisionNotice:
       table_of(body.AsRevisionNotice()->table).on_peer_revision(sender, body.AsRevisionNotice()->revision);
       break;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -32,6 +32,10 @@
 struct AckBuilder;
 struct AckT;
 
+struct MemberSync;
+struct MemberSyncBuilder;
+struct MemberSyncT;
+
 struct TableEntry;
 struct TableEntryBuilder;
 struct TableEntryT;
@@ -275,11 +279,12 @@
   GiveItems = 17,
   ItemSettled = 18,
   OnlineActivity = 19,
+  MemberSync = 20,
   MIN = NONE,
-  MAX = OnlineActivity
+  MAX = MemberSync
 };
 
-inline const Message (&EnumValuesMessage())[20] {
+inline const Message (&EnumValuesMessage())[21] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -300,13 +305,14 @@
     Message::TakeItems,
     Message::GiveItems,
     Message::ItemSettled,
-    Message::OnlineActivity
+    Message::OnlineActivity,
+    Message::MemberSync
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -327,13 +333,14 @@
     "GiveItems",
     "ItemSettled",
     "OnlineActivity",
+    "MemberSync",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::OnlineActivity)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::MemberSync)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -418,6 +425,10 @@
   static const Message enum_value = Message::OnlineActivity;
 };
 
+template<> struct MessageTraits<madderdeck::wire::MemberSync> {
+  static const Message enum_value = Message::MemberSync;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -498,6 +509,10 @@
   static const Message enum_value = Message::OnlineActivity;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::MemberSyncT> {
+  static const Message enum_value = Message::MemberSync;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -680,6 +695,14 @@
     return type == Message::OnlineActivity ?
       reinterpret_cast<const madderdeck::wire::OnlineActivityT *>(value) : nullptr;
   }
+  madderdeck::wire::MemberSyncT *AsMemberSync() {
+    return type == Message::MemberSync ?
+      reinterpret_cast<madderdeck::wire::MemberSyncT *>(value) : nullptr;
+  }
+  const madderdeck::wire::MemberSyncT *AsMemberSync() const {
+    return type == Message::MemberSync ?
+      reinterpret_cast<const madderdeck::wire::MemberSyncT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -969,6 +992,7 @@
   uint64_t object_revision = 0;
   uint64_t machine_revision = 0;
   bool join = false;
+  uint64_t members_digest = 0;
   PingT() = default;
   PingT(const PingT &o);
   PingT(PingT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -985,7 +1009,8 @@
     VT_UPDATES = 8,
     VT_OBJECT_REVISION = 10,
     VT_MACHINE_REVISION = 12,
-    VT_JOIN = 14
+    VT_JOIN = 14,
+    VT_MEMBERS_DIGEST = 16
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1005,6 +1030,9 @@
   bool join() const {
     return GetField<uint8_t>(VT_JOIN, 0) != 0;
   }
+  uint64_t members_digest() const {
+    return GetField<uint64_t>(VT_MEMBERS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1016,6 +1044,7 @@
            VerifyField<uint64_t>(verifier, VT_OBJECT_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_MACHINE_REVISION, 8) &&
            VerifyField<uint8_t>(verifier, VT_JOIN, 1) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            verifier.EndTable();
   }
   PingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1045,6 +1074,9 @@
   void add_join(bool join) {
     fbb_.AddElement<uint8_t>(Ping::VT_JOIN, static_cast<uint8_t>(join), 0);
   }
+  void add_members_digest(uint64_t members_digest) {
+    fbb_.AddElement<uint64_t>(Ping::VT_MEMBERS_DIGEST, members_digest, 0);
+  }
   explicit PingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1063,8 +1095,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::Member>>> updates = 0,
     uint64_t object_revision = 0,
     uint64_t machine_revision = 0,
-    bool join = false) {
+    bool join = false,
+    uint64_t members_digest = 0) {
   PingBuilder builder_(_fbb);
+  builder_.add_members_digest(members_digest);
   builder_.add_machine_revision(machine_revision);
   builder_.add_object_revision(object_revision);
   builder_.add_sequence(sequence);
@@ -1086,7 +1120,8 @@
     const std::vector<flatbuffers::Offset<madderdeck::wire::Member>> *updates = nullptr,
     uint64_t object_revision = 0,
     uint64_t machine_revision = 0,
-    bool join = false) {
+    bool join = false,
+    uint64_t members_digest = 0) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>>(*updates) : 0;
   return madderdeck::wire::CreatePing(
       _fbb,
@@ -1095,7 +1130,8 @@
       updates__,
       object_revision,
       machine_revision,
-      join);
+      join,
+      members_digest);
 }
 
 flatbuffers::Offset<Ping> CreatePing(flatbuffers::FlatBufferBuilder &_fbb, const PingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1188,6 +1224,7 @@
   std::vector<std::unique_ptr<madderdeck::wire::MemberT>> updates{};
   uint64_t object_revision = 0;
   uint64_t machine_revision = 0;
+  uint64_t members_digest = 0;
   AckT() = default;
   AckT(const AckT &o);
   AckT(AckT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1203,7 +1240,8 @@
     VT_SENDER = 6,
     VT_UPDATES = 8,
     VT_OBJECT_REVISION = 10,
-    VT_MACHINE_REVISION = 12
+    VT_MACHINE_REVISION = 12,
+    VT_MEMBERS_DIGEST = 14
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1220,6 +1258,9 @@
   uint64_t machine_revision() const {
     return GetField<uint64_t>(VT_MACHINE_REVISION, 0);
   }
+  uint64_t members_digest() const {
+    return GetField<uint64_t>(VT_MEMBERS_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1230,6 +1271,7 @@
            verifier.VerifyVectorOfTables(updates()) &&
            VerifyField<uint64_t>(verifier, VT_OBJECT_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_MACHINE_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            verifier.EndTable();
   }
   AckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1256,6 +1298,9 @@
   void add_machine_revision(uint64_t machine_revision) {
     fbb_.AddElement<uint64_t>(Ack::VT_MACHINE_REVISION, machine_revision, 0);
   }
+  void add_members_digest(uint64_t members_digest) {
+    fbb_.AddElement<uint64_t>(Ack::VT_MEMBERS_DIGEST, members_digest, 0);
+  }
   explicit AckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1273,8 +1318,10 @@
     flatbuffers::Offset<madderdeck::wire::Member> sender = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::Member>>> updates = 0,
     uint64_t object_revision = 0,
-    uint64_t machine_revision = 0) {
+    uint64_t machine_revision = 0,
+    uint64_t members_digest = 0) {
   AckBuilder builder_(_fbb);
+  builder_.add_members_digest(members_digest);
   builder_.add_machine_revision(machine_revision);
   builder_.add_object_revision(object_revision);
   builder_.add_sequence(sequence);
@@ -1294,7 +1341,8 @@
     flatbuffers::Offset<madderdeck::wire::Member> sender = 0,
     const std::vector<flatbuffers::Offset<madderdeck::wire::Member>> *updates = nullptr,
     uint64_t object_revision = 0,
-    uint64_t machine_revision = 0) {
+    uint64_t machine_revision = 0,
+    uint64_t members_digest = 0) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>>(*updates) : 0;
   return madderdeck::wire::CreateAck(
       _fbb,
@@ -1302,11 +1350,98 @@
       sender,
       updates__,
       object_revision,
-      machine_revision);
+      machine_revision,
+      members_digest);
 }
 
 flatbuffers::Offset<Ack> CreateAck(flatbuffers::FlatBufferBuilder &_fbb, const AckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct MemberSyncT : public flatbuffers::NativeTable {
+  typedef MemberSync TableType;
+  std::vector<std::unique_ptr<madderdeck::wire::MemberT>> members{};
+  bool reply = false;
+  MemberSyncT() = default;
+  MemberSyncT(const MemberSyncT &o);
+  MemberSyncT(MemberSyncT&&) FLATBUFFERS_NOEXCEPT = default;
+  MemberSyncT &operator=(MemberSyncT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct MemberSync FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MemberSyncT NativeTableType;
+  typedef MemberSyncBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_MEMBERS = 4,
+    VT_REPLY = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::Member>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::Member>> *>(VT_MEMBERS);
+  }
+  bool reply() const {
+    return GetField<uint8_t>(VT_REPLY, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfTables(members()) &&
+           VerifyField<uint8_t>(verifier, VT_REPLY, 1) &&
+           verifier.EndTable();
+  }
+  MemberSyncT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MemberSyncT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MemberSync> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberSyncT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MemberSyncBuilder {
+  typedef MemberSync Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::Member>>> members) {
+    fbb_.AddOffset(MemberSync::VT_MEMBERS, members);
+  }
+  void add_reply(bool reply) {
+    fbb_.AddElement<uint8_t>(MemberSync::VT_REPLY, static_cast<uint8_t>(reply), 0);
+  }
+  explicit MemberSyncBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MemberSync> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MemberSync>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MemberSync> CreateMemberSync(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::Member>>> members = 0,
+    bool reply = false) {
+  MemberSyncBuilder builder_(_fbb);
+  builder_.add_members(members);
+  builder_.add_reply(reply);
+  return builder_.Finish();
+}
+
+struct MemberSync::Traits {
+  using type = MemberSync;
+  static auto constexpr Create = CreateMemberSync;
+};
+
+inline flatbuffers::Offset<MemberSync> CreateMemberSyncDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::Member>> *members = nullptr,
+    bool reply = false) {
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>>(*members) : 0;
+  return madderdeck::wire::CreateMemberSync(
+      _fbb,
+      members__,
+      reply);
+}
+
+flatbuffers::Offset<MemberSync> CreateMemberSync(flatbuffers::FlatBufferBuilder &_fbb, const MemberSyncT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct TableEntryT : public flatbuffers::NativeTable {
   typedef TableEntry TableType;
   std::string kind{};
@@ -3536,6 +3671,9 @@
   const madderdeck::wire::OnlineActivity *body_as_OnlineActivity() const {
     return body_type() == madderdeck::wire::Message::OnlineActivity ? static_cast<const madderdeck::wire::OnlineActivity *>(body()) : nullptr;
   }
+  const madderdeck::wire::MemberSync *body_as_MemberSync() const {
+    return body_type() == madderdeck::wire::Message::MemberSync ? static_cast<const madderdeck::wire::MemberSync *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -3626,6 +3764,10 @@
   return body_as_OnlineActivity();
 }
 
+template<> inline const madderdeck::wire::MemberSync *Envelope::body_as<madderdeck::wire::MemberSync>() const {
+  return body_as_MemberSync();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4552,7 +4694,8 @@
         sender((o.sender) ? new madderdeck::wire::MemberT(*o.sender) : nullptr),
         object_revision(o.object_revision),
         machine_revision(o.machine_revision),
-        join(o.join) {
+        join(o.join),
+        members_digest(o.members_digest) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new madderdeck::wire::MemberT(*updates_) : nullptr); }
 }
@@ -4564,6 +4707,7 @@
   std::swap(object_revision, o.object_revision);
   std::swap(machine_revision, o.machine_revision);
   std::swap(join, o.join);
+  std::swap(members_digest, o.members_digest);
   return *this;
 }
 
@@ -4582,6 +4726,7 @@
   { auto _e = object_revision(); _o->object_revision = _e; }
   { auto _e = machine_revision(); _o->machine_revision = _e; }
   { auto _e = join(); _o->join = _e; }
+  { auto _e = members_digest(); _o->members_digest = _e; }
 }
 
 inline flatbuffers::Offset<Ping> Ping::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4598,6 +4743,7 @@
   auto _object_revision = _o->object_revision;
   auto _machine_revision = _o->machine_revision;
   auto _join = _o->join;
+  auto _members_digest = _o->members_digest;
   return madderdeck::wire::CreatePing(
       _fbb,
       _sequence,
@@ -4605,7 +4751,8 @@
       _updates,
       _object_revision,
       _machine_revision,
-      _join);
+      _join,
+      _members_digest);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4641,7 +4788,8 @@
       : sequence(o.sequence),
         sender((o.sender) ? new madderdeck::wire::MemberT(*o.sender) : nullptr),
         object_revision(o.object_revision),
-        machine_revision(o.machine_revision) {
+        machine_revision(o.machine_revision),
+        members_digest(o.members_digest) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new madderdeck::wire::MemberT(*updates_) : nullptr); }
 }
@@ -4652,6 +4800,7 @@
   std::swap(updates, o.updates);
   std::swap(object_revision, o.object_revision);
   std::swap(machine_revision, o.machine_revision);
+  std::swap(members_digest, o.members_digest);
   return *this;
 }
 
@@ -4669,6 +4818,7 @@
   { auto _e = updates(); if (_e) { _o->updates.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->updates[_i] = std::unique_ptr<madderdeck::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = object_revision(); _o->object_revision = _e; }
   { auto _e = machine_revision(); _o->machine_revision = _e; }
+  { auto _e = members_digest(); _o->members_digest = _e; }
 }
 
 inline flatbuffers::Offset<Ack> Ack::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4684,13 +4834,56 @@
   auto _updates = _o->updates.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>> (_o->updates.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->updates[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _object_revision = _o->object_revision;
   auto _machine_revision = _o->machine_revision;
+  auto _members_digest = _o->members_digest;
   return madderdeck::wire::CreateAck(
       _fbb,
       _sequence,
       _sender,
       _updates,
       _object_revision,
-      _machine_revision);
+      _machine_revision,
+      _members_digest);
+}
+
+inline MemberSyncT::MemberSyncT(const MemberSyncT &o)
+      : reply(o.reply) {
+  members.reserve(o.members.size());
+  for (const auto &members_ : o.members) { members.emplace_back((members_) ? new madderdeck::wire::MemberT(*members_) : nullptr); }
+}
+
+inline MemberSyncT &MemberSyncT::operator=(MemberSyncT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(members, o.members);
+  std::swap(reply, o.reply);
+  return *this;
+}
+
+inline MemberSyncT *MemberSync::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MemberSyncT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void MemberSync::UnPackTo(MemberSyncT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<madderdeck::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = reply(); _o->reply = _e; }
+}
+
+inline flatbuffers::Offset<MemberSync> MemberSync::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberSyncT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMemberSync(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<MemberSync> CreateMemberSync(flatbuffers::FlatBufferBuilder &_fbb, const MemberSyncT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MemberSyncT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _reply = _o->reply;
+  return madderdeck::wire::CreateMemberSync(
+      _fbb,
+      _members,
+      _reply);
 }
 
 inline TableEntryT *TableEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5957,6 +6150,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::OnlineActivity *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::MemberSync: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::MemberSync *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6052,6 +6249,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::OnlineActivity *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::MemberSync: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::MemberSync *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6135,6 +6336,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::OnlineActivityT *>(value);
       return CreateOnlineActivity(_fbb, ptr, _rehasher).Union();
     }
+    case Message::MemberSync: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::MemberSyncT *>(value);
+      return CreateMemberSync(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6217,6 +6422,10 @@
       value = new madderdeck::wire::OnlineActivityT(*reinterpret_cast<madderdeck::wire::OnlineActivityT *>(u.value));
       break;
     }
+    case Message::MemberSync: {
+      value = new madderdeck::wire::MemberSyncT(*reinterpret_cast<madderdeck::wire::MemberSyncT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6319,6 +6528,11 @@
       delete ptr;
       break;
     }
+    case Message::MemberSync: {
+      auto ptr = reinterpret_cast<madderdeck::wire::MemberSyncT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -34,6 +34,7 @@
     }
     return wire::MemberState::Dead;
   }
+  std::uint64_t messages() const { return messages_; }
   CounterValue deaths() const {
     CounterValue total = 0;
     for (const auto& node : nodes_) {
@@ -74,6 +75,7 @@
     void after(Duration delay, std::function<void()> task) override { process.schedule(delay, std::move(task)); }
     void send(const PeerAddress& to, wire::MessageUnion message) override {
       const auto target = static_cast<unsigned>(std::stoul(to.str().substr(7)));
+      ++owner.messages_;
       owner.world_.schedule(1ms, [this, target, body = std::make_shared<wire::MessageUnion>(std::move(message))] {
         Node& receiver = *owner.nodes_[target];
         receiver.process.deliver(receiver.process.life(),
@@ -87,6 +89,8 @@
         membership.handle(sender, *body.AsPingRequest());
       } else if (body.type == wire::Message::Ack) {
         membership.handle(sender, *body.AsAck());
+      } else if (body.type == wire::Message::MemberSync) {
+        membership.handle(sender, *body.AsMemberSync());
       }
     }
     Cluster& owner;
@@ -97,6 +101,7 @@
   };
 
   World world_;
+  std::uint64_t messages_ = 0;
   std::vector<std::unique_ptr<Node>> nodes_;
 };
 
@@ -135,3 +140,17 @@
     CHECK(cluster.seen(node, 5) == wire::MemberState::Alive);
   }
 }
+
+TEST_CASE("a fleet that starts all at once knows itself within seconds, at bounded cost") {
+  // Scale run at 380 nodes: after a minute each node knew half of the others, and all were busy passing on updates.
+  constexpr unsigned kNodes = 120;
+  Cluster cluster(kNodes);
+  cluster.run(15s);
+  for (unsigned node = 0; node < kNodes; ++node) {
+    CHECK(cluster.at(node).live_count() == kNodes);
+  }
+  const std::uint64_t before = cluster.messages();
+  cluster.run(10s);
+  // A probe and its answer a second, and little else.
+  CHECK(cluster.messages() - before < kNodes * 10 * 4);
+}
