--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -11,6 +11,7 @@
 constexpr Duration kActivityHolds = 2s;
 constexpr Duration kQuietAfterYield = 100ms;
 constexpr std::size_t kManagersAsked = 3;
+constexpr Duration kOwnershipInterval = 250ms;
 constexpr Duration kAskSoon = 20ms;
 constexpr Duration kAskBusy = 200ms;  ///< While some manager is known to have items.
 constexpr Duration kAskSeldom = 4s;   ///< While none is.
@@ -59,16 +60,31 @@
 }
 
 void Dispatcher::refresh_ownership() {
-  // Ranking every engine against every scheduler is too much for each tick.
-  if (owned_at_members_version_ == members_.version() && owned_at_registry_version_ == registry_.version()) {
+  const bool unchanged =
+      owned_at_members_version_ == members_.version() && owned_at_registry_version_ == registry_.version();
+  // In a storm of membership changes the ranking would be made over and over.
+  const bool too_soon = owned_at_.count() != 0 && environment_.now() - owned_at_ < kOwnershipInterval;
+  if (unchanged || too_soon) {
     return;
   }
+  owned_at_ = environment_.now();
   owned_at_members_version_ = members_.version();
   owned_at_registry_version_ = registry_.version();
   owned_.clear();
+  std::vector<std::uint64_t> others;
+  for (const wire::MemberT* scheduler : members_.available(membership::Role::scheduler)) {
+    if (scheduler->id != members_.self().id) {
+      others.push_back(stable_hash(scheduler->id));
+    }
+  }
+  const std::uint64_t self = stable_hash(members_.self().id);
   for (const auto& [id, backend] : registry_.backends()) {
-    const wire::MemberT* owner = backend.machine.target == config::Target::model ? owner_of(members_, id) : nullptr;
-    if (owner != nullptr && owner->id == members_.self().id) {
+    const std::uint64_t engine = stable_hash(id.str());
+    const std::uint64_t own_weight = rendezvous_weight(engine, self);
+    const bool first = std::none_of(others.begin(), others.end(), [engine, own_weight](std::uint64_t other) {
+      return rendezvous_weight(engine, other) > own_weight;
+    });
+    if (backend.machine.target == config::Target::model && first) {
       owned_.insert(id);
     }
   }
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -112,6 +112,7 @@
   Timestamp ask_after_{};
   Duration ask_interval_{};  ///< Doubles while nobody has items.
   std::set<BackendId> owned_;
+  Timestamp owned_at_{};
   std::uint64_t owned_at_members_version_ = 0;
   std::uint64_t owned_at_registry_version_ = 0;
   RunId next_run_ = 0;
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -108,8 +108,15 @@
 }
 
 bool Registry::in_subset(const BackendId& id) const {
-  return std::any_of(subsets_.begin(), subsets_.end(), [&id](const auto& subset) {
-    return std::find(subset.second.begin(), subset.second.end(), id) != subset.second.end();
+  const auto backend = backends_.find(id);
+  if (backend == backends_.end()) {
+    return false;
+  }
+  const auto& pools = backend->second.machine.pools;
+  return std::any_of(pools.begin(), pools.end(), [this, &id](const std::string& pool) {
+    const auto subset = subsets_.find(pool);
+    return subset != subsets_.end() &&
+           std::find(subset->second.begin(), subset->second.end(), id) != subset->second.end();
   });
 }
 
