--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -255,6 +255,17 @@
     world_.run_for(5s);
   }
 
+  std::optional<unsigned> manager_of(const std::string& job) const {
+    for (const unsigned node : fleet_.running_nodes()) {
+      for (const batch::JobProgress& progress : fleet_.nodes[node]->life.core->jobs->progress()) {
+        if (progress.job.str() == job) {
+          return node;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
   void cancel_during_freeze(std::uint32_t choice) {
     const auto running = fleet_.running_nodes();
     if (running.size() < 2) {
@@ -263,17 +274,22 @@
     jobs_.push_back({jobs_.size(), "", profile_.job_items * 3});
     submit(choice, jobs_.size() - 1);
     world_.run_for(std::chrono::milliseconds(200 + choice % 400));
-    const unsigned victim = running[choice % running.size()];
+    // Mostly the job's own manager, which does not hear of the cancel.
+    const unsigned manager = manager_of(jobs_.back().id).value_or(running[choice % running.size()]);
+    const unsigned victim = choice / 8 % 4 == 0 ? running[choice % running.size()] : manager;
+    const unsigned canceller = running[0] == victim ? running[1] : running[0];
     // Live requests make batch yield, so that the victim holds queued items.
     for (unsigned request = 0; request < profile_.engines * profile_.engine_slots; ++request) {
       send_live(running[(choice + request) % running.size()], profile_.live_tokens);
     }
     world_.run_for(15ms);
     fleet_.nodes[victim]->process.freeze();
-    cancel_job(choice + 1, jobs_.size() - 1);
+    cut(victim, canceller);
+    cancel_job_at(canceller, jobs_.size() - 1);
     world_.run_for(5s);
     fleet_.nodes[victim]->process.thaw();
     world_.run_for(200ms);
+    fleet_.conditions.cuts.erase({std::min(victim, canceller), std::max(victim, canceller)});
   }
 
   void leave_during_freeze(std::uint32_t choice) {
@@ -489,13 +505,18 @@
   }
 
   void cancel_job(std::uint32_t choice, std::size_t index) {
-    const auto node = pick_node(choice);
+    if (const auto node = pick_node(choice)) {
+      cancel_job_at(*node, index);
+    }
+  }
+
+  void cancel_job_at(unsigned node, std::size_t index) {
     const std::string id = jobs_[index].id;
-    if (!node || id.empty()) {
+    if (id.empty()) {
       return;
     }
     oracle_.job_cancel_sent(id);
-    core(*node).cancel_job(JobId(id), [this, id](const Result<wire::JobRecordT>& result) {
+    core(node).cancel_job(JobId(id), [this, id](const Result<wire::JobRecordT>& result) {
       if (succeeded(result) && value_of(result).state == wire::JobState::Cancelled) {
         oracle_.job_cancelled(id, world_.now());
       }
