--- /dev/null
+++ b/src/simulation/callers.cpp
@@ -0,0 +1,219 @@
+#include "simulation/callers.hpp"
+
+#include <algorithm>
+
+namespace madderdeck::simulation {
+namespace {
+constexpr unsigned kObjectNames = 3;
+}
+
+std::size_t Callers::new_booking() {
+  bookings_.push_back({"key-" + std::to_string(bookings_.size())});
+  return bookings_.size() - 1;
+}
+
+void Callers::resend_booking(std::uint32_t choice) {
+  constexpr std::size_t kRecent = 4;
+  if (!bookings_.empty()) {
+    send_booking(choice, bookings_.size() - 1 - choice / 8 % std::min(bookings_.size(), kRecent));
+  }
+}
+
+std::size_t Callers::new_job(std::uint32_t items) {
+  jobs_.push_back({jobs_.size(), "", items});
+  return jobs_.size() - 1;
+}
+
+void Callers::resubmit(std::uint32_t choice) {
+  constexpr std::size_t kRecent = 2;
+  if (!jobs_.empty()) {
+    submit(choice, jobs_.size() - 1 - choice / 8 % std::min(jobs_.size(), kRecent));
+  }
+}
+
+void Callers::read_all_results(unsigned node) {
+  for (const JobPlan& job : jobs_) {
+    read_results(node, job);
+  }
+}
+
+std::uint64_t Callers::open_request(unsigned node) {
+  fleet_.nodes[node]->open_requests.insert(++request_number_);
+  return request_number_;
+}
+void Callers::close_request(unsigned node, std::uint64_t request) { fleet_.nodes[node]->open_requests.erase(request); }
+
+void Callers::send_live(unsigned node, std::uint32_t tokens) {
+  const std::string prompt = "live prompt " + std::to_string(++live_number_);
+  const std::uint64_t request = open_request(node);
+  routing::LiveRequest live{"model", prompt, tokens, 20s};
+  auto text = std::make_shared<std::string>();
+  routing::LiveEvents events;
+  events.token = [text](std::string_view piece) { text->append(piece); };
+  events.finished = [this, node, request, prompt, text, tokens](std::uint32_t) {
+    close_request(node, request);
+    ++oracle_.live_answered;
+    world_.trace(*text);
+    if (*text != emulator::full_answer(prompt, tokens)) {
+      oracle_.violated(Promise::whole_own_answer, "answer to " + prompt + " was " + *text, world_.now());
+    }
+  };
+  events.refused = [this, node, request, prompt](const routing::Refusal& refusal) {
+    close_request(node, request);
+    if (refusal.ran == routing::Ran::no) {
+      not_run_prompts_.push_back(prompt);
+    }
+  };
+  fleet_.core(node).live.start(std::move(live), std::move(events));
+}
+
+void Callers::send_booking(std::uint32_t choice, std::size_t index) {
+  if (const auto node = fleet_.pick_running(choice)) {
+    send_booking_at(*node, index);
+  }
+}
+
+void Callers::send_booking_at(unsigned node, std::size_t index) {
+  ++oracle_.non_repeatable_sent;
+  ++bookings_[index].sent;
+  const std::uint64_t request = open_request(node);
+  routing::ServiceRequest call;
+  call.service = "service";
+  call.key = {"tenant", bookings_[index].key};
+  call.repeatable = false;
+  call.body = "body of " + bookings_[index].key;
+  call.timeout = 1500ms;
+  fleet_.core(node).services.call(
+      std::move(call), [this, node, request, index](const routing::ServiceOutcome& outcome) {
+        close_request(node, request);
+        Booking& booking = bookings_[index];
+        if (const auto* answer = std::get_if<routing::ServiceAnswer>(&outcome)) {
+          ++booking.answered;
+          if (answer->body != "answer to " + booking.key) {
+            oracle_.violated(Promise::whole_own_answer, booking.key + " got: " + answer->body, world_.now());
+          }
+          if (oracle_.runs_of(booking.key) == 0) {
+            oracle_.violated(Promise::whole_own_answer, booking.key + " was answered and never ran", world_.now());
+          }
+        } else if (std::get<routing::Refusal>(outcome).ran == routing::Ran::no) {
+          ++booking.not_run;
+        } else {
+          ++booking.unknown;
+        }
+      });
+}
+
+std::string Callers::item_prompt(std::uint64_t job, std::uint32_t index) {
+  return "job " + std::to_string(job) + " item " + std::to_string(index);
+}
+
+void Callers::submit(std::uint32_t choice, std::size_t index) {
+  const auto node = fleet_.pick_running(choice);
+  if (!node) {
+    return;
+  }
+  node::NodeCore& at = fleet_.core(*node);
+  batch::JobRequest request;
+  request.tenant = "tenant";
+  request.idempotency_key = "job-key-" + std::to_string(index);
+  request.template_name = "bulk";
+  auto submission = std::make_shared<batch::Submission>(at.environment, at.counters, at.ledger, std::move(request));
+  for (std::uint32_t item = 0; item < jobs_[index].items; ++item) {
+    submission->add("{\"prompt\":\"" + item_prompt(index, item) +
+                    "\",\"max_tokens\":" + std::to_string(profile_.batch_tokens) + "}");
+  }
+  submissions_.push_back(submission);
+  submission->finish([this, index, &at](const Result<batch::SubmittedJob>& result) {
+    if (succeeded(result)) {
+      const wire::JobRecordT& record = value_of(result).record;
+      jobs_[index].id = record.id;
+      oracle_.job_accepted(record.id, record.items, index);
+      at.announce_job(JobId(record.id), false);
+    }
+  });
+}
+
+void Callers::cancel(std::uint32_t choice) {
+  if (!jobs_.empty()) {
+    if (const auto node = fleet_.pick_running(choice)) {
+      cancel_job_at(*node, choice / 8 % jobs_.size());
+    }
+  }
+}
+
+void Callers::cancel_job_at(unsigned node, std::size_t index) {
+  const std::string id = jobs_[index].id;
+  if (id.empty()) {
+    return;
+  }
+  oracle_.job_cancel_sent(id);
+  fleet_.core(node).cancel_job(JobId(id), [this, id](const Result<wire::JobRecordT>& result) {
+    if (succeeded(result) && value_of(result).state == wire::JobState::Cancelled) {
+      oracle_.job_cancelled(id, world_.now());
+    }
+  });
+}
+
+void Callers::read_some_results(std::uint32_t choice) {
+  const auto node = fleet_.pick_running(choice);
+  if (node && !jobs_.empty()) {
+    read_results(*node, jobs_[choice / 8 % jobs_.size()]);
+  }
+}
+
+void Callers::read_results(unsigned node, const JobPlan& job) {
+  if (job.id.empty()) {
+    return;
+  }
+  constexpr std::uint32_t kAll = 10'000;
+  fleet_.core(node).ledger.scan(
+      batch::result_prefix(JobId(job.id)), "", kAll, [this, job](const Result<ledger::ScanPage>& result) {
+        if (!succeeded(result)) {
+          return;
+        }
+        for (const ledger::ScanRecord& record : value_of(result).records) {
+          const auto item = wire::decode_record<wire::ResultRecordT>(record.value);
+          if (!item || item->failed ||
+              item->body != emulator::full_answer(item_prompt(job.number, item->index), profile_.batch_tokens)) {
+            oracle_.violated(Promise::item_exactly_once, record.key + " has a wrong result", world_.now());
+            continue;
+          }
+          oracle_.result_read(job.id, item->index, std::to_string(item->attempt) + item->body, world_.now());
+        }
+      });
+}
+
+void Callers::declare(std::uint32_t choice, std::uint32_t object) {
+  const auto node = fleet_.pick_running(choice);
+  if (!node) {
+    return;
+  }
+  const std::string name = "object-" + std::to_string(object % kObjectNames);
+  platform::PutRequest request;
+  request.key = {config::kTemplateKind, name};
+  request.body = "{\"pool\":\"model\",\"max_tokens\":" + std::to_string(1 + ++declaration_number_) + "}";
+  const config::Entry* present = fleet_.core(*node).objects.table().find(request.key);
+  request.expected_revision = present == nullptr ? 0 : present->revision;
+  const std::string body = request.body;
+  fleet_.core(*node).declarations.declare(std::move(request), [this, name, body](const Result<std::uint64_t>& result) {
+    if (succeeded(result)) {
+      oracle_.declaration_accepted(name, value_of(result), body);
+    }
+  });
+}
+
+void Callers::check() {
+  for (const std::string& prompt : not_run_prompts_) {
+    if (oracle_.engine_has_taken(prompt)) {
+      oracle_.violated(Promise::not_run_is_true, prompt + " was called not run", world_.now());
+    }
+  }
+  for (const Booking& booking : bookings_) {
+    const bool only_not_run = booking.sent > 0 && booking.not_run == booking.sent;
+    if (only_not_run && oracle_.runs_of(booking.key) > 0) {
+      oracle_.violated(Promise::not_run_is_true, booking.key + " was called not run", world_.now());
+    }
+  }
+}
+
+}  // namespace madderdeck::simulation
--- /dev/null
+++ b/src/simulation/callers.hpp
@@ -0,0 +1,79 @@
+#pragma once
+/// @file Callers and operators of a simulated fleet. They tell the oracle what they were told.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "batch/submission.hpp"
+#include "simulation/fleet.hpp"
+
+namespace madderdeck::simulation {
+
+/// Single threaded; everything happens in virtual time.
+class Callers {
+ public:
+  Callers(World& world, SimFleet& fleet, Oracle& oracle, const Profile& profile)
+      : world_(world), fleet_(fleet), oracle_(oracle), profile_(profile) {}
+
+  /// Sends a live request with a prompt of its own to @p node.
+  void send_live(unsigned node, std::uint32_t tokens);
+
+  /// @return the number of a new booking, not sent yet.
+  std::size_t new_booking();
+  void send_booking(std::uint32_t choice, std::size_t index);
+  void send_booking_at(unsigned node, std::size_t index);
+  /// Sends one of the last bookings once more.
+  void resend_booking(std::uint32_t choice);
+
+  /// @return the number of a new job, not submitted yet.
+  std::size_t new_job(std::uint32_t items);
+  void submit(std::uint32_t choice, std::size_t index);
+  /// Submits one of the last jobs once more, under its key.
+  void resubmit(std::uint32_t choice);
+  void cancel(std::uint32_t choice);
+  void cancel_job_at(unsigned node, std::size_t index);
+  void read_some_results(std::uint32_t choice);
+  void read_all_results(unsigned node);
+  /// @return the accepted name of a job; empty before.
+  const std::string& job_name(std::size_t index) const { return jobs_[index].id; }
+
+  /// Declares a new value of one of a few objects.
+  void declare(std::uint32_t choice, std::uint32_t object);
+
+  /// Compares what callers were told with what ran.
+  void check();
+
+ private:
+  struct Booking {
+    std::string key;
+    unsigned answered = 0;
+    unsigned not_run = 0;
+    unsigned unknown = 0;
+    unsigned sent = 0;
+  };
+  struct JobPlan {
+    std::uint64_t number = 0;
+    std::string id;  ///< Empty until accepted.
+    std::uint32_t items = 0;
+  };
+
+  std::uint64_t open_request(unsigned node);
+  void close_request(unsigned node, std::uint64_t request);
+  static std::string item_prompt(std::uint64_t job, std::uint32_t index);
+  void read_results(unsigned node, const JobPlan& job);
+
+  World& world_;
+  SimFleet& fleet_;
+  Oracle& oracle_;
+  const Profile profile_;
+  std::vector<Booking> bookings_;
+  std::vector<JobPlan> jobs_;
+  std::vector<std::shared_ptr<batch::Submission>> submissions_;
+  std::vector<std::string> not_run_prompts_;
+  std::uint64_t live_number_ = 0;
+  std::uint64_t request_number_ = 0;
+  std::uint64_t declaration_number_ = 0;
+};
+
+}  // namespace madderdeck::simulation
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -209,6 +209,9 @@
   void deliver_message(unsigned from, const PeerAddress& to, const wire::Bytes& frame);
   bool usable(unsigned node) const { return nodes[node]->process.up() && !nodes[node]->draining; }
   std::vector<unsigned> running_nodes() const;
+  /// @return one of the nodes that take requests, if there are any.
+  std::optional<unsigned> pick_running(std::uint32_t choice) const;
+  node::NodeCore& core(unsigned node) { return *nodes[node]->life.core; }
 
   World& world;
   Oracle& oracle;
--- /dev/null
+++ b/src/simulation/schedule.cpp
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <array>
+
+#include "simulation/driver.hpp"
+
+namespace madderdeck::simulation {
+namespace {
+/// How often each kind comes up, against the others.
+constexpr std::array<unsigned, kActionKinds> kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2,
+                                                         2,  1,  1,  2, 2, 2, 1, 3, 3, 3, 2, 2, 2, 1, 1, 1, 6};
+}  // namespace
+
+const char* action_name(ActionKind kind) {
+  static constexpr std::array<const char*, kActionKinds> kNames = {"live_request",
+                                                                   "booking",
+                                                                   "resend_booking",
+                                                                   "submit_job",
+                                                                   "resend_job",
+                                                                   "cancel_job",
+                                                                   "read_results",
+                                                                   "declare",
+                                                                   "race_declarations",
+                                                                   "crash_node",
+                                                                   "restart_nodes",
+                                                                   "freeze_node",
+                                                                   "thaw_nodes",
+                                                                   "lose_disk",
+                                                                   "cut_link",
+                                                                   "isolate_node",
+                                                                   "mend_links",
+                                                                   "crash_engine",
+                                                                   "restart_engines",
+                                                                   "engine_leaves",
+                                                                   "service_leaves",
+                                                                   "back_ends_return",
+                                                                   "platform_down",
+                                                                   "platform_loses_answers",
+                                                                   "platform_slow",
+                                                                   "platform_well",
+                                                                   "connections_break",
+                                                                   "connections_well",
+                                                                   "services_slow",
+                                                                   "drain_node",
+                                                                   "drain_busy_node",
+                                                                   "cancel_during_freeze",
+                                                                   "leave_during_freeze",
+                                                                   "lose_disk_beside_stale_replica",
+                                                                   "wait"};
+  return kNames.at(static_cast<std::size_t>(kind));
+}
+
+std::vector<Action> make_schedule(std::uint64_t seed, std::size_t steps) {
+  Random random(seed ^ 0x5CEDULL);
+  unsigned total = 0;
+  for (const unsigned weight : kWeights) {
+    total += weight;
+  }
+  std::vector<Action> actions;
+  while (actions.size() < steps) {
+    std::uint64_t draw = random.below(total);
+    unsigned kind = 0;
+    while (draw >= kWeights[kind]) {
+      draw -= kWeights[kind++];
+    }
+    Action action{static_cast<ActionKind>(kind), static_cast<std::uint32_t>(random.below(1 << 16)), 0};
+    // Mostly quick, now and then long enough for suspicion, leases and time-outs to run out.
+    action.pause_ms = static_cast<std::uint32_t>(random.chance(8) ? random.below(6000) : random.below(120));
+    actions.push_back(action);
+  }
+  return actions;
+}
+
+std::vector<Action> shorten(std::uint64_t seed, std::vector<Action> actions, const Profile& profile,
+                            const node::Guards& guards) {
+  const RunResult first = run_schedule(seed, actions, profile, guards);
+  if (first.violations.empty()) {
+    return actions;
+  }
+  const Promise promise = first.violations.front().promise;
+  const auto still_fails = [&](const std::vector<Action>& fewer) {
+    const RunResult result = run_schedule(seed, fewer, profile, guards);
+    return std::any_of(result.violations.begin(), result.violations.end(),
+                       [&](const Violation& one) { return one.promise == promise; });
+  };
+  unsigned tries_left = 60;
+  for (std::size_t chunk = std::max<std::size_t>(1, actions.size() / 2); chunk > 0 && tries_left > 0; chunk /= 2) {
+    for (std::size_t start = 0; start < actions.size() && tries_left > 0;) {
+      std::vector<Action> fewer = actions;
+      const auto from = fewer.begin() + static_cast<std::ptrdiff_t>(start);
+      const auto to = fewer.begin() + static_cast<std::ptrdiff_t>(std::min(start + chunk, fewer.size()));
+      fewer.erase(from, to);
+      --tries_left;
+      if (still_fails(fewer)) {
+        actions = std::move(fewer);
+      } else {
+        start += chunk;
+      }
+    }
+  }
+  return actions;
+}
+
+}  // namespace madderdeck::simulation
--- /dev/null
+++ b/src/simulation/sim_platform.cpp
@@ -0,0 +1,71 @@
+#include "simulation/fleet.hpp"
+
+#include <algorithm>
+
+#include "simulation/support.hpp"
+
+namespace madderdeck::simulation {
+
+void SimPlatformClient::watch_objects(std::uint64_t since, Duration wait, platform::ChangesDone done) {
+  watch(*fleet_.objects, since, wait, std::move(done));
+}
+void SimPlatformClient::watch_machines(std::uint64_t since, Duration wait, platform::ChangesDone done) {
+  watch(*fleet_.machines, since, wait, std::move(done));
+}
+
+void SimPlatformClient::watch(emulator::WatchedTable& table, std::uint64_t since, Duration wait,
+                              platform::ChangesDone done) {
+  SimProcess& process = fleet_.nodes[node_]->process;
+  const std::uint64_t life = process.life();
+  const auto answer = [&process, life, done](Result<platform::ChangeList> result) {
+    process.deliver(life, [done, result = std::move(result)] { done(result); });
+  };
+  fleet_.world.schedule(fleet_.conditions.platform_delay, [this, &table, since, wait, answer] {
+    if (fleet_.conditions.platform_down) {
+      answer(Error{ErrorKind::unavailable, "down"});
+      return;
+    }
+    table.watch(since, wait, [this, answer](const platform::ChangeList& changes) {
+      fleet_.world.schedule(fleet_.conditions.platform_delay, [this, answer, changes] {
+        if (fleet_.conditions.platform_down) {
+          answer(Error{ErrorKind::unavailable, "down"});
+        } else {
+          answer(changes);
+        }
+      });
+    });
+  });
+}
+
+void SimPlatformClient::get(const config::EntryKey& key, platform::GetDone done) {
+  SimProcess& process = fleet_.nodes[node_]->process;
+  const std::uint64_t life = process.life();
+  fleet_.world.schedule(fleet_.conditions.platform_delay, [this, key, done, &process, life] {
+    Result<std::optional<platform::StoredObject>> result = std::optional<platform::StoredObject>();
+    if (fleet_.conditions.platform_down) {
+      result = Error{ErrorKind::unavailable, "down"};
+    } else if (const auto* found = fleet_.objects->find(key)) {
+      result = std::optional(*found);
+    }
+    process.deliver(life, [done, result] { done(result); });
+  });
+}
+
+void SimPlatformClient::put(const platform::PutRequest& request, platform::PutDone done) {
+  SimProcess& process = fleet_.nodes[node_]->process;
+  const std::uint64_t life = process.life();
+  fleet_.world.schedule(fleet_.conditions.platform_delay, [this, request, done, &process, life] {
+    Result<std::uint64_t> result = Error{ErrorKind::unavailable, "down"};
+    if (!fleet_.conditions.platform_down) {
+      result = emulator::compare_and_set(*fleet_.objects, request);
+      if (fleet_.world.random.chance(fleet_.conditions.platform_lost_answers)) {
+        result = Error{ErrorKind::ambiguous, "answer lost"};
+      }
+    } else if (fleet_.world.random.chance(50)) {
+      result = Error{ErrorKind::ambiguous, "no answer"};
+    }
+    process.deliver(life, [done, result] { done(result); });
+  });
+}
+
+}  // namespace madderdeck::simulation
--- /dev/null
+++ b/src/simulation/sim_storage.cpp
@@ -0,0 +1,55 @@
+#include "simulation/fleet.hpp"
+
+#include <algorithm>
+
+#include "simulation/support.hpp"
+
+namespace madderdeck::simulation {
+
+Result<std::optional<wire::Bytes>> SimStorage::get(const std::string& key) const {
+  const auto found = visible_.find(key);
+  return found == visible_.end() ? std::optional<wire::Bytes>() : std::optional(found->second);
+}
+
+void SimStorage::put(const std::string& key, const wire::Bytes& value) {
+  visible_[key] = value;
+  unflushed_[key] = value;
+}
+
+void SimStorage::scan(const std::string& prefix, const std::string& after,
+                      const std::function<bool(std::string_view, std::string_view)>& visit) const {
+  auto entry = after > prefix ? visible_.upper_bound(after) : visible_.lower_bound(prefix);
+  for (; entry != visible_.end() && entry->first.starts_with(prefix); ++entry) {
+    const auto& bytes = entry->second;
+    if (!visit(entry->first, std::string_view(reinterpret_cast<const char*>(bytes.data()), bytes.size()))) {
+      return;
+    }
+  }
+}
+
+void SimStorage::flush(std::function<void(Status)> done) {
+  auto writes = std::make_shared<std::map<std::string, wire::Bytes>>(unflushed_);
+  process_.schedule(jitter(world_, 500us, 2ms), [this, writes, done = std::move(done)] {
+    for (const auto& [key, value] : *writes) {
+      durable_[key] = value;
+      const auto pending = unflushed_.find(key);
+      if (pending != unflushed_.end() && pending->second == value) {
+        unflushed_.erase(pending);
+      }
+    }
+    done(Ok{});
+  });
+}
+
+void SimStorage::crash() {
+  visible_ = durable_;
+  unflushed_.clear();
+}
+
+void SimStorage::wipe() {
+  visible_.clear();
+  durable_.clear();
+  unflushed_.clear();
+}
+
+}  // namespace madderdeck::simulation
