--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -191,61 +191,62 @@
   }));
 }
 
-void Replica::handle(const PeerAddress& sender, const wire::PrepareT& message) {
-  wire::PromiseT reply;
+template <class Request, class Reply>
+std::optional<Replica::StoredRecord> Replica::open_request(const PeerAddress& sender, const Request& message,
+                                                           Reply& reply) {
   reply.request = message.request;
   reply.epoch = message.epoch;
   reply.status = admit(message.group, message.epoch);
   if (reply.status != wire::ReplicaStatus::Granted) {
-    send_message(environment_, sender, std::move(reply));
-    return;
+    send_message(environment_, sender, reply);
+    return std::nullopt;
   }
   reply.replica = progress_.at(message.group).index;
-  const auto loaded = load(message.group, message.key);
+  auto loaded = load(message.group, message.key);
   if (!succeeded(loaded)) {
     counters_["ledger_corrupted_reads_total"]++;
     reply.status = wire::ReplicaStatus::Corrupted;
-    send_message(environment_, sender, std::move(reply));
+    send_message(environment_, sender, reply);
+    return std::nullopt;
+  }
+  return std::move(value_of(loaded));
+}
+
+template <class Reply>
+void Replica::refuse_ballot(const PeerAddress& sender, Reply reply) {
+  reply.status = wire::ReplicaStatus::BallotTooLow;
+  send_message(environment_, sender, std::move(reply));
+}
+
+void Replica::handle(const PeerAddress& sender, const wire::PrepareT& message) {
+  wire::PromiseT reply;
+  const auto record = open_request(sender, message, reply);
+  if (!record) {
     return;
   }
-  const StoredRecord& record = value_of(loaded);
   const Ballot ballot = from_wire(message.ballot);
-  reply.promised = to_wire(record.promised);
-  if (guards_.reject_lower_ballots && ballot <= record.promised) {
-    reply.status = wire::ReplicaStatus::BallotTooLow;
-    send_message(environment_, sender, std::move(reply));
+  reply.promised = to_wire(record->promised);
+  if (guards_.reject_lower_ballots && ballot <= record->promised) {
+    refuse_ballot(sender, std::move(reply));
     return;
   }
   store_promise(message.group, message.key, ballot);
-  reply.accepted = to_wire(record.accepted);
-  reply.value = record.value;
+  reply.accepted = to_wire(record->accepted);
+  reply.value = record->value;
   reply_when_durable(sender, std::move(reply));
 }
 
 void Replica::handle(const PeerAddress& sender, const wire::AcceptT& message) {
   wire::AcceptedT reply;
-  reply.request = message.request;
-  reply.epoch = message.epoch;
-  reply.status = admit(message.group, message.epoch);
-  if (reply.status != wire::ReplicaStatus::Granted) {
-    send_message(environment_, sender, std::move(reply));
-    return;
-  }
-  reply.replica = progress_.at(message.group).index;
-  const auto loaded = load(message.group, message.key);
-  if (!succeeded(loaded)) {
-    counters_["ledger_corrupted_reads_total"]++;
-    reply.status = wire::ReplicaStatus::Corrupted;
-    send_message(environment_, sender, std::move(reply));
+  const auto record = open_request(sender, message, reply);
+  if (!record) {
     return;
   }
-  const StoredRecord& record = value_of(loaded);
   const Ballot ballot = from_wire(message.ballot);
-  const Ballot floor = std::max(record.promised, record.accepted);
+  const Ballot floor = std::max(record->promised, record->accepted);
   reply.promised = to_wire(floor);
   if (guards_.reject_lower_ballots && ballot < floor) {
-    reply.status = wire::ReplicaStatus::BallotTooLow;
-    send_message(environment_, sender, std::move(reply));
+    refuse_ballot(sender, std::move(reply));
     return;
   }
   store_accept(message.group, message.key, ballot, message.value);
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -3,6 +3,7 @@
 /// See docs/design/ledger.md for the protocol.
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -75,6 +76,12 @@
   std::vector<std::unique_ptr<wire::LedgerRecordT>> page(std::uint32_t group, const std::string& prefix,
                                                          const std::string& after, std::uint32_t limit,
                                                          bool with_promises, bool& truncated) const;
+  /// Fills the common part of @p reply and reads the record. When either is refused, the reply
+  /// is sent and nothing returned.
+  template <class Request, class Reply>
+  std::optional<StoredRecord> open_request(const PeerAddress& sender, const Request& message, Reply& reply);
+  template <class Reply>
+  void refuse_ballot(const PeerAddress& sender, Reply reply);
   template <class Reply>
   void reply_when_durable(const PeerAddress& to, Reply reply);
 
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -148,7 +148,7 @@
     if (seed.str() == self_.peer_address) {
       continue;
     }
-    wire::PingT ping = make_ping(++sequence_);
+    wire::PingT ping = make_probe_message<wire::PingT>(++sequence_);
     ping.join = true;
     send_message(environment_, seed, std::move(ping));
   }
@@ -169,7 +169,7 @@
   }
   if (!dead.empty()) {
     const NodeId& chosen = dead[environment_.random() % dead.size()];
-    wire::PingT ping = make_ping(++sequence_);
+    wire::PingT ping = make_probe_message<wire::PingT>(++sequence_);
     // Tell the member what is said about it, so that it can refute.
     ping.updates.push_back(std::make_unique<MemberT>(members_.at(chosen).member));
     send_message(environment_, PeerAddress(members_.at(chosen).member.peer_address), std::move(ping));
@@ -202,7 +202,8 @@
 void Membership::probe(const NodeId& target) {
   const std::uint64_t sequence = ++sequence_;
   probes_[sequence] = Probe{target, false};
-  send_message(environment_, PeerAddress(members_.at(target).member.peer_address), make_ping(sequence));
+  send_message(environment_, PeerAddress(members_.at(target).member.peer_address),
+               make_probe_message<wire::PingT>(sequence));
   environment_.after(options_.ack_timeout, lifetime_.guard([this, sequence] { probe_indirectly(sequence); }));
   environment_.after(options_.period, lifetime_.guard([this, sequence] { finish_probe(sequence); }));
 }
@@ -277,28 +278,17 @@
 
 // --- messages -------------------------------------------------------------------------------
 
-wire::PingT Membership::make_ping(std::uint64_t sequence) {
-  wire::PingT ping;
-  ping.sequence = sequence;
-  ping.sender = std::make_unique<MemberT>(self_);
-  ping.updates = take_updates();
-  const TableRevisions revisions = hooks_.local_revisions();
-  ping.object_revision = revisions.objects;
-  ping.machine_revision = revisions.machines;
-  ping.members_digest = digest_;
-  return ping;
-}
-
-wire::AckT Membership::make_ack(std::uint64_t sequence) {
-  wire::AckT ack;
-  ack.sequence = sequence;
-  ack.sender = std::make_unique<MemberT>(self_);
-  ack.updates = take_updates();
+template <class Message>
+Message Membership::make_probe_message(std::uint64_t sequence) {
+  Message message;
+  message.sequence = sequence;
+  message.sender = std::make_unique<MemberT>(self_);
+  message.updates = take_updates();
   const TableRevisions revisions = hooks_.local_revisions();
-  ack.object_revision = revisions.objects;
-  ack.machine_revision = revisions.machines;
-  ack.members_digest = digest_;
-  return ack;
+  message.object_revision = revisions.objects;
+  message.machine_revision = revisions.machines;
+  message.members_digest = digest_;
+  return message;
 }
 
 template <class Message>
@@ -319,7 +309,7 @@
     send_full_list(sender);
   }
   if (message.sequence != 0) {
-    wire::AckT ack = make_ack(message.sequence);
+    wire::AckT ack = make_probe_message<wire::AckT>(message.sequence);
     const MemberT* known = message.sender ? find(NodeId(message.sender->id)) : nullptr;
     if (known != nullptr && known->state != MemberState::Alive && known->state != message.sender->state) {
       ack.updates.push_back(std::make_unique<MemberT>(*known));
@@ -352,7 +342,7 @@
   }
   const std::uint64_t sequence = ++sequence_;
   relays_[sequence] = Relay{sender, message.sequence};
-  send_message(environment_, PeerAddress(message.target), make_ping(sequence));
+  send_message(environment_, PeerAddress(message.target), make_probe_message<wire::PingT>(sequence));
   environment_.after(options_.period, lifetime_.guard([this, sequence] { relays_.erase(sequence); }));
 }
 
@@ -491,7 +481,7 @@
 void Membership::flush_eagerly() {
   eager_scheduled_ = false;
   for (const PeerAddress& peer : random_peers(options_.eager_fanout)) {
-    send_message(environment_, peer, make_ping(0));
+    send_message(environment_, peer, make_probe_message<wire::PingT>(0));
   }
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -121,8 +121,9 @@
   void enqueue(const NodeId& node, bool eager);
   void flush_eagerly();
   std::vector<std::unique_ptr<wire::MemberT>> take_updates();
-  wire::PingT make_ping(std::uint64_t sequence);
-  wire::AckT make_ack(std::uint64_t sequence);
+  /// @return a ping or an ack with news, revisions and the digest.
+  template <class Message>
+  Message make_probe_message(std::uint64_t sequence);
   void send_full_list(const PeerAddress& to);
   template <class Message>
   void absorb(const PeerAddress& sender, const Message& message);
