--- a/src/bench/faults.cpp
+++ b/src/bench/faults.cpp
@@ -44,7 +44,7 @@
                                           "lose_disk",     "engine_leaves"};
   std::vector<FaultEvent> plan;
   for (double at = 3; at < length_s - 3; at += 2 + static_cast<double>(generator() % 2000) / 1000) {
-    const std::string kind = kinds[generator() % kinds.size()];
+    const std::string& kind = kinds[generator() % kinds.size()];
     const std::uint64_t number = generator();
     const bool on_node = kind.ends_with("_node") || kind == "lose_disk";
     const bool on_engine = kind.find("engine") != std::string::npos;
--- a/src/bench/scale.cpp
+++ b/src/bench/scale.cpp
@@ -118,9 +118,9 @@
     say("declaring " + std::to_string(tenants) + " tenants");
     for (unsigned tenant = 0; tenant < tenants; ++tenant) {
       const std::string name = "tenant-" + std::to_string(tenant);
-      const std::string body =
-          "{\"api_key\":\"" + name + "-key\",\"parameters\":{\"hospital\":\"" + name + "\",\"city\":\"Amman\"}}";
-      if (!succeeded(fleet_.declare("tenant", name, body))) {
+      const json::object body{{"api_key", name + "-key"},
+                              {"parameters", json::object{{"hospital", name}, {"city", "Amman"}}}};
+      if (!succeeded(fleet_.declare("tenant", name, json::serialize(body)))) {
         return false;
       }
     }
--- a/src/cli/object_commands.cpp
+++ b/src/cli/object_commands.cpp
@@ -95,6 +95,8 @@
   for (const json::value& object : value_of(objects)) {
     const std::string kind = plain(object.at("kind"));
     const std::string name = plain(object.at("name"));
+    std::string label = kind;
+    label.append(" ").append(name);
     auto standing = standing_object(context.fleet, kind, name);
     if (!succeeded(standing)) {
       return error_of(standing);
@@ -106,7 +108,8 @@
       const auto response = context.fleet.call("PUT", path_of(kind, name) + "?expected=" + std::to_string(expected),
                                                json::serialize(object));
       if (!succeeded(response)) {
-        return Error{error_of(response).kind, kind + " " + name + ": " + error_of(response).detail};
+        label.append(": ").append(error_of(response).detail);
+        return Error{error_of(response).kind, label};
       }
       revision = json::parse(value_of(response).body).at("revision").to_number<std::uint64_t>();
     }
