--- a/src/simulation/callers.cpp
+++ b/src/simulation/callers.cpp
@@ -52,7 +52,7 @@
   events.token = [text](std::string_view piece) { text->append(piece); };
   events.finished = [this, node, request, prompt, text, tokens](std::uint32_t) {
     close_request(node, request);
-    ++oracle_.live_answered;
+    ++oracle_.counts.live_answered;
     world_.trace(*text);
     if (*text != emulator::full_answer(prompt, tokens)) {
       oracle_.violated(Promise::whole_own_answer, "answer to " + prompt + " was " + *text, world_.now());
@@ -74,7 +74,7 @@
 }
 
 void Callers::send_booking_at(unsigned node, std::size_t index) {
-  ++oracle_.non_repeatable_sent;
+  ++oracle_.counts.non_repeatable_sent;
   ++bookings_[index].sent;
   const std::uint64_t request = open_request(node);
   routing::ServiceRequest call;
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -43,21 +43,14 @@
     result.seed = seed;
     result.trace_hash = world_.trace_hash();
     result.violations = oracle_.violations();
-    result.accepted_items = oracle_.accepted_items;
-    result.completed_items = oracle_.completed_items;
-    result.non_repeatable_sent = oracle_.non_repeatable_sent;
-    result.cancelled_jobs = oracle_.cancelled_jobs;
-    result.config_changes = oracle_.config_changes;
-    result.live_answered = oracle_.live_answered;
-    result.planned_stops = oracle_.planned_stops;
     result.steps = actions.size();
-    result.faults = oracle_.faults;
+    result.counts = oracle_.counts;
     return result;
   }
 
  private:
   // --- helpers ---
-  void fault(ActionKind kind) { ++oracle_.faults[action_name(kind)]; }
+  void fault(ActionKind kind) { ++oracle_.counts.faults[action_name(kind)]; }
 
   void check_regularly() {
     world_.schedule(kDrainCheck, [this] {
@@ -213,7 +206,7 @@
     callers_.send_booking_at(holder, booking);
     callers_.submit(holder, callers_.new_job(profile_.job_items));
     world_.run_for(1s);
-    ++oracle_.faults["disk_lost"];
+    ++oracle_.counts.faults["disk_lost"];
     fleet_.lose_disk(lost);
     world_.run_for(9s);
     fleet_.crash_node(holder);
@@ -356,7 +349,7 @@
         return false;
       }
     }
-    ++oracle_.faults["disk_lost"];
+    ++oracle_.counts.faults["disk_lost"];
     fleet_.lose_disk(number);
     return true;
   }
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -61,15 +61,8 @@
   std::uint64_t seed = 0;
   std::uint64_t trace_hash = 0;
   std::vector<Violation> violations;
-  std::uint64_t accepted_items = 0;
-  std::uint64_t completed_items = 0;
-  std::uint64_t non_repeatable_sent = 0;
-  std::uint64_t cancelled_jobs = 0;
-  std::uint64_t config_changes = 0;
-  std::uint64_t live_answered = 0;
-  std::uint64_t planned_stops = 0;
   std::uint64_t steps = 0;
-  std::map<std::string, std::uint64_t> faults;
+  LoadCounts counts;
 };
 
 /// @return the schedule that goes with @p seed.
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -165,7 +165,7 @@
   SimNode& node = *nodes[number];
   node.draining = true;
   node.life.core->drain();
-  ++oracle.planned_stops;
+  ++oracle.counts.planned_stops;
 }
 
 void SimFleet::check_drains() {
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -43,42 +43,22 @@
 struct Totals {
   std::uint64_t seeds = 0;
   std::uint64_t steps = 0;
-  std::uint64_t accepted_items = 0;
-  std::uint64_t completed_items = 0;
-  std::uint64_t non_repeatable_sent = 0;
-  std::uint64_t cancelled_jobs = 0;
-  std::uint64_t config_changes = 0;
-  std::uint64_t live_answered = 0;
-  std::uint64_t planned_stops = 0;
   std::uint64_t trace_hash = 0;
-  std::map<std::string, std::uint64_t> faults;
+  LoadCounts counts;
   std::map<std::string, std::uint64_t> violations;
 
   void add(const RunResult& result) {
     ++seeds;
     steps += result.steps;
-    accepted_items += result.accepted_items;
-    completed_items += result.completed_items;
-    non_repeatable_sent += result.non_repeatable_sent;
-    cancelled_jobs += result.cancelled_jobs;
-    config_changes += result.config_changes;
-    live_answered += result.live_answered;
-    planned_stops += result.planned_stops;
+    counts.add(result.counts);
     trace_hash = stable_hash(hex64(result.trace_hash), trace_hash);
-    for (const auto& [kind, count] : result.faults) {
-      faults[kind] += count;
-    }
     for (const Violation& violation : result.violations) {
       ++violations[promise_name(violation.promise)];
     }
   }
-  bool every_load_ran() const {
-    return accepted_items > 0 && completed_items > 0 && non_repeatable_sent > 0 && cancelled_jobs > 0 &&
-           config_changes > 0 && live_answered > 0 && planned_stops > 0;
-  }
   json::object describe() const {
     json::object fault_counts;
-    for (const auto& [kind, count] : faults) {
+    for (const auto& [kind, count] : counts.faults) {
       fault_counts[kind] = count;
     }
     json::object violation_counts;
@@ -88,13 +68,13 @@
     return json::object{{"seeds", seeds},
                         {"steps", steps},
                         {"faults", std::move(fault_counts)},
-                        {"accepted_items", accepted_items},
-                        {"completed_items", completed_items},
-                        {"non_repeatable_sent", non_repeatable_sent},
-                        {"cancelled_jobs", cancelled_jobs},
-                        {"config_changes", config_changes},
-                        {"live_answered", live_answered},
-                        {"planned_stops", planned_stops},
+                        {"accepted_items", counts.accepted_items},
+                        {"completed_items", counts.completed_items},
+                        {"non_repeatable_sent", counts.non_repeatable_sent},
+                        {"cancelled_jobs", counts.cancelled_jobs},
+                        {"config_changes", counts.config_changes},
+                        {"live_answered", counts.live_answered},
+                        {"planned_stops", counts.planned_stops},
                         {"trace_hash", hex64(trace_hash)},
                         {"violations", std::move(violation_counts)}};
   }
@@ -136,7 +116,7 @@
   if (!totals.violations.empty()) {
     return 1;
   }
-  if (!totals.every_load_ran()) {
+  if (!totals.counts.every_load_ran()) {
     std::cerr << "madderdeck-sim: a kind of load never ran, so nothing is shown; use more seeds or steps" << std::endl;
     return 2;
   }
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -16,6 +16,24 @@
   return kNames.at(static_cast<std::size_t>(promise));
 }
 
+void LoadCounts::add(const LoadCounts& other) {
+  accepted_items += other.accepted_items;
+  completed_items += other.completed_items;
+  non_repeatable_sent += other.non_repeatable_sent;
+  cancelled_jobs += other.cancelled_jobs;
+  config_changes += other.config_changes;
+  live_answered += other.live_answered;
+  planned_stops += other.planned_stops;
+  for (const auto& [kind, count] : other.faults) {
+    faults[kind] += count;
+  }
+}
+
+bool LoadCounts::every_load_ran() const {
+  return accepted_items > 0 && completed_items > 0 && non_repeatable_sent > 0 && cancelled_jobs > 0 &&
+         config_changes > 0 && live_answered > 0 && planned_stops > 0;
+}
+
 void Oracle::violated(Promise promise, std::string detail, Timestamp at) {
   violations_.push_back({promise, std::move(detail), at});
 }
@@ -36,7 +54,7 @@
   if (inserted) {
     entry->second.items = items;
     entry->second.number = number;
-    accepted_items += items;
+    counts.accepted_items += items;
   }
 }
 
@@ -45,7 +63,7 @@
   if (!entry.cancelled) {
     entry.cancelled = true;
     entry.cancelled_at = at;
-    ++cancelled_jobs;
+    ++counts.cancelled_jobs;
   }
 }
 
@@ -59,7 +77,7 @@
 void Oracle::result_read(const std::string& job, std::uint32_t index, const std::string& body, Timestamp at) {
   const auto [entry, inserted] = jobs_[job].results.try_emplace(index, body);
   if (inserted) {
-    ++completed_items;
+    ++counts.completed_items;
   } else if (entry->second != body) {
     violated(Promise::item_exactly_once, job + " item " + std::to_string(index) + " changed its result", at);
   }
@@ -67,7 +85,7 @@
 
 void Oracle::declaration_accepted(const std::string& name, std::uint64_t revision, const std::string& body) {
   Declaration& known = declarations_[name];
-  ++config_changes;
+  ++counts.config_changes;
   if (revision > known.revision) {
     known = {revision, body};
   }
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -26,6 +26,22 @@
 inline constexpr std::size_t kPromises = 9;
 const char* promise_name(Promise promise);
 
+/// How much of each kind of load and fault there was; a kind that never ran shows nothing.
+struct LoadCounts {
+  std::uint64_t accepted_items = 0;
+  std::uint64_t completed_items = 0;
+  std::uint64_t non_repeatable_sent = 0;
+  std::uint64_t cancelled_jobs = 0;
+  std::uint64_t config_changes = 0;
+  std::uint64_t live_answered = 0;
+  std::uint64_t planned_stops = 0;
+  std::map<std::string, std::uint64_t> faults;
+
+  void add(const LoadCounts& other);
+  /// @return whether every kind of load ran at least once.
+  bool every_load_ran() const;
+};
+
 struct Violation {
   Promise promise;
   std::string detail;
@@ -75,14 +91,7 @@
   const std::map<std::string, Job>& jobs() const { return jobs_; }
   const std::map<std::string, Declaration>& declarations() const { return declarations_; }
 
-  std::uint64_t accepted_items = 0;
-  std::uint64_t completed_items = 0;
-  std::uint64_t non_repeatable_sent = 0;
-  std::uint64_t cancelled_jobs = 0;
-  std::uint64_t config_changes = 0;
-  std::uint64_t live_answered = 0;
-  std::uint64_t planned_stops = 0;
-  std::map<std::string, std::uint64_t> faults;
+  LoadCounts counts;
 
  private:
   std::vector<Violation> violations_;
