--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -3,71 +3,233 @@
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
-#include <log4cxx/jsonlayout.h>
 #include <log4cxx/logger.h>
-#include <log4cxx/mdc.h>
+#include <log4cxx/patternlayout.h>
+
+#include <charconv>
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+#include <thread>
 
 namespace madderdeck {
 namespace {
 
+using namespace std::chrono_literals;
+
+constexpr auto kBatchTime = 100ms;  ///< Lines within it are written together: a wake-up costs more than a line.
+
 log4cxx::LoggerPtr logger() {
   static const log4cxx::LoggerPtr instance = log4cxx::Logger::getLogger("madderdeck");
   return instance;
 }
 
-log4cxx::LevelPtr to_log4cxx(LogLevel level) {
+std::string_view level_name(LogLevel level) {
   switch (level) {
     case LogLevel::debug:
-      return log4cxx::Level::getDebug();
+      return "debug";
     case LogLevel::info:
-      return log4cxx::Level::getInfo();
+      return "info";
     case LogLevel::warning:
-      return log4cxx::Level::getWarn();
+      return "warning";
     case LogLevel::error:
-      return log4cxx::Level::getError();
+      return "error";
   }
-  return log4cxx::Level::getInfo();
+  return "info";
 }
 
+void append_text(std::string& line, std::string_view text) {
+  line.push_back('"');
+  for (const char sign : text) {
+    if (sign == '"' || sign == '\\') {
+      line.push_back('\\');
+      line.push_back(sign);
+    } else if (static_cast<unsigned char>(sign) < 0x20) {
+      line.push_back(' ');
+    } else {
+      line.push_back(sign);
+    }
+  }
+  line.push_back('"');
+}
+
+template <class Number>
+void append_number(std::string& line, Number number) {
+  char text[32];
+  const auto written = std::to_chars(text, text + sizeof text, number);
+  line.append(text, written.ptr);
+}
+
+void append_value(std::string& line, const DecisionValue& value) {
+  if (const auto* text = std::get_if<std::string_view>(&value)) {
+    append_text(line, *text);
+  } else if (const auto* whole = std::get_if<std::int64_t>(&value)) {
+    append_number(line, *whole);
+  } else if (const auto* number = std::get_if<double>(&value)) {
+    append_number(line, *number);
+  } else {
+    line.append(std::get<bool>(value) ? "true" : "false");
+  }
+}
+
+std::string format_line(LogLevel level, std::string_view event, std::initializer_list<DecisionField> fields) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  std::string line;
+  line.reserve(256);
+  line.append("{\"time_ms\":");
+  append_number(line, std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  line.append(",\"level\":");
+  append_text(line, level_name(level));
+  line.append(",\"event\":");
+  append_text(line, event);
+  for (const DecisionField& field : fields) {
+    line.push_back(',');
+    append_text(line, field.name);
+    line.push_back(':');
+    append_value(line, field.value);
+  }
+  line.push_back('}');
+  return line;
+}
+
+/// The queue and its thread. Thread safe.
+class LogQueue {
+ public:
+  LogQueue(LogLevel least, LogLimits limits) : least_(least), limits_(limits), writer_([this] { write_lines(); }) {}
+
+  bool wanted(LogLevel level) const { return level >= least_; }
+
+  /// @param bounded whether the line counts against the limits of a second.
+  void push(std::string line, bool bounded) {
+    const std::lock_guard lock(mutex_);
+    const auto now = std::chrono::steady_clock::now();
+    if (now - second_began_ > 1s) {
+      second_began_ = now;
+      lines_ = 0;
+      bytes_ = 0;
+    }
+    const bool over = lines_ >= limits_.lines_per_second || bytes_ + line.size() > limits_.bytes_per_second;
+    if ((bounded && over) || queued_.size() + line.size() > limits_.queued_bytes) {
+      ++dropped_;
+      return;
+    }
+    ++lines_;
+    bytes_ += line.size();
+    const bool was_empty = queued_.empty();
+    queued_.append(queued_.empty() ? "" : "\n").append(line);
+    if (was_empty) {
+      ready_.notify_one();
+    }
+  }
+
+  std::int64_t dropped() {
+    const std::lock_guard lock(mutex_);
+    return dropped_;
+  }
+
+  void stop(std::chrono::milliseconds patience) {
+    std::unique_lock lock(mutex_);
+    stopping_ = true;
+    ready_.notify_one();
+    const bool done = ended_.wait_for(lock, patience, [this] { return finished_; });
+    lock.unlock();
+    if (done) {
+      writer_.join();
+    } else {
+      writer_.detach();  // its reader does not read; the process ends all the same
+    }
+  }
+
+ private:
+  void write_lines() {
+    std::unique_lock lock(mutex_);
+    std::int64_t told_dropped = 0;
+    while (!stopping_ || !queued_.empty()) {
+      ready_.wait(lock, [this] { return stopping_ || !queued_.empty(); });
+      if (!stopping_) {
+        ready_.wait_for(lock, kBatchTime, [this] { return stopping_; });
+      }
+      std::string lines;
+      std::swap(lines, queued_);
+      if (dropped_ != told_dropped) {
+        lines.append(lines.empty() ? "" : "\n")
+            .append(format_line(LogLevel::warning, "log_lines_dropped", {{"lines", dropped_ - told_dropped}}));
+        told_dropped = dropped_;
+      }
+      lock.unlock();
+      if (!lines.empty()) {
+        logger()->log(log4cxx::Level::getInfo(), lines, log4cxx::spi::LocationInfo::getLocationUnavailable());
+      }
+      lock.lock();
+    }
+    finished_ = true;
+    ended_.notify_all();
+  }
+
+  const LogLevel least_;
+  const LogLimits limits_;
+  std::mutex mutex_;
+  std::condition_variable ready_;
+  std::condition_variable ended_;
+  std::string queued_;
+  std::chrono::steady_clock::time_point second_began_{};
+  std::size_t lines_ = 0;
+  std::size_t bytes_ = 0;
+  std::int64_t dropped_ = 0;
+  bool stopping_ = false;
+  bool finished_ = false;
+  std::thread writer_;
+};
+
+/// Null before the log is configured and after it is stopped: lines are dropped then.
+LogQueue* process_queue = nullptr;
+
 }  // namespace
 
-void configure_logging(LogLevel level, const std::string& file) {
-  const auto layout = std::make_shared<log4cxx::JSONLayout>();
+void configure_logging(LogLevel level, const std::string& file, const LogLimits& limits) {
+  const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
   log4cxx::AppenderPtr appender;
   if (file.empty()) {
-    const auto console = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemErr());
-    appender = console;
+    appender = std::make_shared<log4cxx::ConsoleAppender>(layout, log4cxx::ConsoleAppender::getSystemOut());
   } else {
     appender = std::make_shared<log4cxx::FileAppender>(layout, file, true);
   }
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::Logger::getRootLogger()->addAppender(appender);
-  log4cxx::Logger::getRootLogger()->setLevel(to_log4cxx(level));
+  log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
+  stop_logging();
+  process_queue = new LogQueue(level, limits);  // outlives all callers
+}
+
+void log_event(LogLevel level, std::string_view event, std::initializer_list<DecisionField> fields) {
+  if (process_queue != nullptr && process_queue->wanted(level)) {
+    process_queue->push(format_line(level, event, fields), false);
+  }
 }
 
-void log_event(LogLevel level, std::string_view event, std::initializer_list<LogField> fields) {
-  for (const LogField& field : fields) {
-    log4cxx::MDC::put(std::string(field.name), field.value);
+void stop_logging(unsigned patience_ms) {
+  if (process_queue != nullptr) {
+    process_queue->stop(std::chrono::milliseconds(patience_ms));
+    process_queue = nullptr;
   }
-  logger()->log(to_log4cxx(level), std::string(event), log4cxx::spi::LocationInfo::getLocationUnavailable());
-  for (const LogField& field : fields) {
-    log4cxx::MDC::remove(std::string(field.name));
+}
+
+std::int64_t log_lines_dropped() { return process_queue == nullptr ? 0 : process_queue->dropped(); }
+
+void ProcessDecisionLog::record(std::string_view event, std::initializer_list<DecisionField> fields) {
+  if (process_queue != nullptr && process_queue->wanted(LogLevel::info)) {
+    process_queue->push(format_line(LogLevel::info, event, fields), true);
   }
 }
 
 bool parse_log_level(std::string_view text, LogLevel& level) {
-  if (text == "debug") {
-    level = LogLevel::debug;
-  } else if (text == "info") {
-    level = LogLevel::info;
-  } else if (text == "warning") {
-    level = LogLevel::warning;
-  } else if (text == "error") {
-    level = LogLevel::error;
-  } else {
-    return false;
+  for (const LogLevel known : {LogLevel::debug, LogLevel::info, LogLevel::warning, LogLevel::error}) {
+    if (level_name(known) == text) {
+      level = known;
+      return true;
+    }
   }
-  return true;
+  return false;
 }
 
 }  // namespace madderdeck
--- a/src/config/objects.cpp
+++ b/src/config/objects.cpp
@@ -199,6 +199,12 @@
         group.replicas.push_back(
             {NodeId(std::string(replica.at("node").as_string())), DiskId(std::string(replica.at("disk").as_string()))});
       }
+      if (const json::value* leaving = group_value.as_object().if_contains("leaving")) {
+        for (const json::value& replica : leaving->as_array()) {
+          group.leaving.push_back({NodeId(std::string(replica.at("node").as_string())),
+                                   DiskId(std::string(replica.at("disk").as_string()))});
+        }
+      }
       map.groups.push_back(std::move(group));
     }
   } catch (const std::exception& failure) {
@@ -210,11 +216,18 @@
 std::string format_group_map(const ledger::GroupMap& map) {
   json::array groups;
   for (const ledger::ReplicaGroup& group : map.groups) {
-    json::array replicas;
-    for (const ledger::ReplicaIdentity& replica : group.replicas) {
-      replicas.push_back(json::object{{"node", replica.node.str()}, {"disk", replica.disk.str()}});
+    const auto format = [](const std::vector<ledger::ReplicaIdentity>& list) {
+      json::array replicas;
+      for (const ledger::ReplicaIdentity& replica : list) {
+        replicas.push_back(json::object{{"node", replica.node.str()}, {"disk", replica.disk.str()}});
+      }
+      return replicas;
+    };
+    json::object description{{"epoch", group.epoch}, {"replicas", format(group.replicas)}};
+    if (!group.leaving.empty()) {
+      description["leaving"] = format(group.leaving);
     }
-    groups.push_back(json::object{{"epoch", group.epoch}, {"replicas", std::move(replicas)}});
+    groups.push_back(std::move(description));
   }
   return json::serialize(json::object{{"groups", std::move(groups)}});
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -43,6 +43,10 @@
   std::int64_t load_poll_ms = 1500;
   std::int64_t loads_pushed = 0;  ///< 1: engines tell their load with each answer.
   std::int64_t subset_size = 0;   ///< Engines of a pool that this node uses; 0: as the fleet's policy says.
+  // [ledger]
+  std::int64_t ledger_groups = 16;           ///< Replica groups of a fleet that is founded.
+  std::int64_t ledger_replace_after_ms = 0;  ///< Silence after which a replica is replaced; 0: as the policy says.
+  std::int64_t ledger_check_ms = 1'000;      ///< How often the replica groups are looked at.
   // [membership]
   std::int64_t membership_period_ms = 1'000;
   // [log]
--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -15,6 +15,88 @@
       proposer_(environment.random() | 1U),
       next_request_(environment.random()) {}
 
+void Client::on_group_map(const GroupMap& map) {
+  if (map_.groups.size() != map.groups.size()) {
+    map_ = map;
+    return;
+  }
+  for (std::uint32_t group = 0; group < map.groups.size(); ++group) {
+    learn(group, map.groups[group]);
+  }
+}
+
+bool Client::learn(std::uint32_t group, const ReplicaGroup& description) {
+  if (group >= map_.groups.size() || description.epoch <= map_.groups[group].epoch) {
+    return false;
+  }
+  map_.groups[group] = description;
+  counters_["ledger_group_epochs_learnt_total"]++;
+  return true;
+}
+
+void Client::decide_next(std::uint32_t group, const ReplicaGroup& next, std::size_t quorum,
+                         std::function<void(Result<ReplicaGroup>)> done) {
+  if (group >= map_.groups.size() || next.epoch != map_.groups[group].epoch + 1) {
+    done(Error{ErrorKind::conflict, "the group has another epoch by now"});
+    return;
+  }
+  const wire::Bytes proposal = wire::encode_record(to_wire(next));
+  Operation operation;
+  operation.key = group_config_key(group, next.epoch);
+  operation.quorum = quorum;
+  operation.function = [proposal](const OptionalValue& current) {
+    return current ? OptionalValue{} : OptionalValue{proposal};
+  };
+  operation.done = lifetime_.guard([this, group, done](Result<OptionalValue> result) {
+    if (!succeeded(result) || !value_of(result)) {
+      done(succeeded(result) ? Error{ErrorKind::unavailable, "nothing decided"} : error_of(result));
+      return;
+    }
+    const auto decided = wire::decode_record<wire::GroupDescriptionT>(*value_of(result));
+    if (!decided) {
+      done(Error{ErrorKind::corrupted, "description of a group"});
+      return;
+    }
+    const ReplicaGroup before = map_.groups[group];
+    learn(group, from_wire(*decided));
+    announce_group(group);
+    // Those that are no members any more learn that they are not.
+    wire::AdoptGroupT notice;
+    notice.group = group;
+    notice.description = std::make_unique<wire::GroupDescriptionT>(*decided);
+    broadcast(before, notice);
+    done(map_.groups[group]);
+  });
+  start_attempt(submit(std::move(operation)));
+}
+
+void Client::announce_group(std::uint32_t group) {
+  const ReplicaGroup& description = map_.groups.at(group);
+  wire::AdoptGroupT notice;
+  notice.group = group;
+  notice.description = std::make_unique<wire::GroupDescriptionT>(to_wire(description));
+  broadcast(description, notice);
+  for (const ReplicaIdentity& leaver : description.leaving) {
+    if (const auto address = addresses_(leaver.node)) {
+      send_message(environment_, *address, notice);
+    }
+  }
+}
+
+template <class Reply>
+bool Client::reconcile_epochs(const PeerAddress& sender, std::uint32_t group, const Reply& reply) {
+  if (reply.status == wire::ReplicaStatus::StaleEpoch && reply.description) {
+    return learn(group, from_wire(*reply.description));
+  }
+  if (reply.status == wire::ReplicaStatus::UnknownEpoch && group < map_.groups.size()) {
+    wire::AdoptGroupT notice;
+    notice.group = group;
+    notice.description = std::make_unique<wire::GroupDescriptionT>(to_wire(map_.groups[group]));
+    send_message(environment_, sender, std::move(notice));
+  }
+  return false;
+}
+
 void Client::change(const std::string& key, ChangeFunction function, ChangeDone done) {
   Operation operation;
   operation.key = key;
@@ -159,13 +241,13 @@
 void Client::refuse(OperationId id, Operation& operation, const Ballot& promised) {
   highest_counter_ = std::max(highest_counter_, promised.counter);
   ++operation.refused;
-  const std::size_t tolerated = operation.group.replicas.size() - operation.group.majority();
+  const std::size_t tolerated = operation.group.replicas.size() - operation.needed();
   if (operation.refused > tolerated) {
     retry_later(id);
   }
 }
 
-void Client::handle(const wire::PromiseT& message) {
+void Client::handle(const PeerAddress& sender, const wire::PromiseT& message) {
   const auto id = by_request_.find(message.request);
   if (id == by_request_.end()) {
     return;
@@ -175,7 +257,12 @@
     return;
   }
   if (message.status != wire::ReplicaStatus::Granted) {
-    refuse(id->second, operation, from_wire(message.promised));
+    const OperationId refused = id->second;
+    if (reconcile_epochs(sender, operation.group_number, message)) {
+      start_attempt(refused);
+    } else {
+      refuse(refused, operation, from_wire(message.promised));
+    }
     return;
   }
   if (!operation.granted.insert(message.replica).second) {
@@ -188,7 +275,7 @@
     operation.value = message.value;
   }
   operation.best_count += accepted == operation.best_accepted ? 1 : 0;
-  if (operation.granted.size() >= operation.group.majority()) {
+  if (operation.granted.size() >= operation.needed()) {
     promises_complete(id->second, operation);
   }
 }
@@ -197,7 +284,7 @@
   OptionalValue next = operation.function(operation.value);
   if (!next) {
     // Unchanged. If a majority holds the value already, it is chosen and may be returned.
-    const bool chosen = operation.best_count >= operation.group.majority();
+    const bool chosen = operation.best_count >= operation.needed();
     if (chosen || !operation.value) {
       finish(id, operation.value);
       return;
@@ -208,7 +295,7 @@
   begin_accept(id, operation);
 }
 
-void Client::handle(const wire::AcceptedT& message) {
+void Client::handle(const PeerAddress& sender, const wire::AcceptedT& message) {
   const auto id = by_request_.find(message.request);
   if (id == by_request_.end()) {
     return;
@@ -218,8 +305,12 @@
     return;
   }
   if (message.status != wire::ReplicaStatus::Granted) {
-    if (operation.phase == Phase::accepting) {
-      refuse(id->second, operation, from_wire(message.promised));
+    const OperationId refused = id->second;
+    const bool learnt = reconcile_epochs(sender, operation.group_number, message);
+    if (operation.phase == Phase::accepting && learnt) {
+      start_attempt(refused);
+    } else if (operation.phase == Phase::accepting) {
+      refuse(refused, operation, from_wire(message.promised));
     }
     return;
   }
@@ -233,7 +324,7 @@
     finish(id, operation.value);
     return;
   }
-  if (operation.phase == Phase::copying || operation.granted.size() < operation.group.majority()) {
+  if (operation.phase == Phase::copying || operation.granted.size() < operation.needed()) {
     return;
   }
   operation.phase = Phase::copying;
@@ -317,15 +408,16 @@
   environment_.after(options_.backoff_unit * 4, lifetime_.guard([this, id] { start_scan(id); }));
 }
 
-void Client::handle(const wire::ScanReplyT& message) {
+void Client::handle(const PeerAddress& sender, const wire::ScanReplyT& message) {
   const auto id = by_request_.find(message.request);
   if (id == by_request_.end()) {
     return;
   }
   Scan& scan = scans_.at(id->second);
   if (message.status != wire::ReplicaStatus::Granted) {
+    const bool learnt = reconcile_epochs(sender, scan.group_number, message);
     ++scan.refused;
-    if (scan.refused > scan.group.replicas.size() - scan.group.majority()) {
+    if (learnt || scan.refused > scan.group.replicas.size() - scan.group.majority()) {
       const OperationId scan_id = id->second;
       by_request_.erase(id);
       retry_scan(scan_id);
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -51,7 +51,11 @@
  public:
   Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options = {});
 
-  void on_group_map(const GroupMap& map) { map_ = map; }
+  /// Takes a published map. Of each group the latest epoch known stands.
+  void on_group_map(const GroupMap& map);
+  /// Takes a decided description of one group.
+  /// @return whether it is later than what was known.
+  bool learn(std::uint32_t group, const ReplicaGroup& description);
   bool has_group_map() const { return !map_.groups.empty(); }
   const GroupMap& group_map() const { return map_; }
 
@@ -62,15 +66,23 @@
   /// Writes a record that no one else ever writes (its key holds an identifier made for this
   /// write). Saves the prepare round.
   void write_exclusive(const std::string& key, wire::Bytes value, ChangeDone done);
+  /// Lets the members of the present epoch decide the next one: the first proposal that a quorum
+  /// takes stands, and is told to all concerned.
+  /// @param quorum members that must agree; the majority, unless disks of an even group are proven lost.
+  /// @p done gets the description that stands, or why none was decided.
+  void decide_next(std::uint32_t group, const ReplicaGroup& next, std::size_t quorum,
+                   std::function<void(Result<ReplicaGroup>)> done);
+  /// Tells everybody named in the present description of @p group about it.
+  void announce_group(std::uint32_t group);
   /// Lists records of one partition that start with @p prefix, after @p after.
   void scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done);
   /// As scan(), in the group of that number.
   void scan_group(std::uint32_t group, const std::string& prefix, const std::string& after, std::uint32_t limit,
                   ScanDone done);
 
-  void handle(const wire::PromiseT& message);
-  void handle(const wire::AcceptedT& message);
-  void handle(const wire::ScanReplyT& message);
+  void handle(const PeerAddress& sender, const wire::PromiseT& message);
+  void handle(const PeerAddress& sender, const wire::AcceptedT& message);
+  void handle(const PeerAddress& sender, const wire::ScanReplyT& message);
 
  private:
   enum class Phase { waiting, preparing, accepting, copying };
@@ -91,7 +103,10 @@
     OptionalValue value;
     bool accept_sent = false;
     bool exclusive = false;
+    std::size_t quorum = 0;  ///< 0: the majority.
     unsigned attempts = 0;
+
+    std::size_t needed() const { return quorum > 0 ? quorum : group.majority(); }
   };
   struct Scan {
     std::uint32_t group_number = 0;
@@ -119,6 +134,10 @@
   void promises_complete(OperationId id, Operation& operation);
   void on_accept_progress(OperationId id, Operation& operation);
   void refuse(OperationId id, Operation& operation, const Ballot& promised);
+  /// Brings @p sender and this node to the same epoch after a refusal for its sake.
+  /// @return whether this node has learnt a later one.
+  template <class Reply>
+  bool reconcile_epochs(const PeerAddress& sender, std::uint32_t group, const Reply& reply);
   template <class Request>
   void broadcast(const ReplicaGroup& group, const Request& request);
 
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "common/strong_id.hpp"
+#include "wire/messages_generated.h"
 
 namespace madderdeck::ledger {
 
@@ -23,10 +24,19 @@
 struct ReplicaGroup {
   std::uint64_t epoch = 0;
   std::vector<ReplicaIdentity> replicas;
+  /// Former members that still hold what the others may lack; copied from before they go.
+  std::vector<ReplicaIdentity> leaving;
 
   std::size_t majority() const { return replicas.size() / 2 + 1; }
   /// @return the position of @p identity, if it is a member.
   std::optional<std::uint32_t> index_of(const ReplicaIdentity& identity) const;
+  /// @return the source of copies with that number: replicas first, then those that leave.
+  const ReplicaIdentity& source(std::uint32_t number) const {
+    return number < replicas.size() ? replicas[number] : leaving.at(number - replicas.size());
+  }
+  /// @return the number of @p identity among all sources of copies.
+  std::optional<std::uint32_t> source_number_of(const ReplicaIdentity& identity) const;
+  bool operator==(const ReplicaGroup&) const = default;
 };
 
 /// All groups. The number of groups is fixed when the fleet is founded.
@@ -38,6 +48,12 @@
   std::uint32_t group_of(std::string_view key) const;
 };
 
+/// @return the key under which the members of epoch - 1 decide who holds @p group at @p epoch.
+std::string group_config_key(std::uint32_t group, std::uint64_t epoch);
+
+wire::GroupDescriptionT to_wire(const ReplicaGroup& group);
+ReplicaGroup from_wire(const wire::GroupDescriptionT& description);
+
 /// Finds where a node hears its peers, from the current membership.
 using AddressLookup = std::function<std::optional<PeerAddress>(const NodeId&)>;
 
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -49,37 +49,63 @@
       guards_(guards) {}
 
 void Replica::on_group_map(const GroupMap& map) {
-  map_ = map;
   for (std::uint32_t group = 0; group < map.groups.size(); ++group) {
     adopt_group(group, map.groups[group]);
   }
 }
 
+void Replica::restore() {
+  std::vector<std::uint32_t> groups;
+  storage_.scan("g/", "", [&groups](std::string_view key, std::string_view) {
+    groups.push_back(static_cast<std::uint32_t>(std::strtoul(std::string(key.substr(2)).c_str(), nullptr, 10)));
+    return true;
+  });
+  for (const std::uint32_t group : groups) {
+    GroupProgress progress = restore_group_state(group);
+    const auto number = progress.description.source_number_of({self_, disk_});
+    if (!number) {
+      continue;
+    }
+    progress.index = *number;
+    progress.former = *number >= progress.description.replicas.size();
+    progress_[group] = std::move(progress);
+    start_copy(group);
+  }
+}
+
 void Replica::adopt_group(std::uint32_t group, const ReplicaGroup& description) {
-  const auto index = description.index_of({self_, disk_});
-  if (!index) {
-    progress_.erase(group);
+  auto known = progress_.find(group);
+  const bool first_sight = known == progress_.end();
+  GroupProgress progress = first_sight ? restore_group_state(group) : known->second;
+  if (!first_sight && description.epoch <= progress.epoch) {
     return;
   }
-  auto [entry, first_sight] = progress_.try_emplace(group);
-  GroupProgress& progress = entry->second;
-  if (first_sight) {
-    progress = restore_group_state(group);
+  const bool later = description.epoch > progress.epoch;
+  const bool undescribed = progress.description.replicas.empty();  // kept by an earlier version
+  if (later || (undescribed && description.epoch == progress.epoch)) {
+    progress.description = description;
   }
-  progress.index = *index;
-  if (description.epoch <= progress.epoch) {
-    if (first_sight) {
-      start_copy(group);
-    }
+  const auto number = progress.description.source_number_of({self_, disk_});
+  if (!number) {
+    progress_.erase(group);
     return;
   }
-  // A founding member starts with an empty, complete copy. Whoever joins later has to copy.
-  constexpr std::uint64_t kFoundingEpoch = 1;
-  const bool founding = progress.epoch == 0 && description.epoch == kFoundingEpoch;
-  progress.epoch = description.epoch;
-  progress.synchronized = progress.synchronized || founding || !guards_.admission_before_voting;
-  store_group_state(group, progress);
-  if (!progress.synchronized || first_sight) {
+  progress.index = *number;
+  progress.former = *number >= progress.description.replicas.size();
+  progress.copied_by.clear();
+  if (later) {
+    // A founding member starts with an empty, complete copy. Whoever joins later has to copy.
+    constexpr std::uint64_t kFoundingEpoch = 1;
+    const bool founding = progress.epoch == 0 && description.epoch == kFoundingEpoch;
+    progress.epoch = description.epoch;
+    progress.synchronized = progress.synchronized || founding || !guards_.admission_before_voting;
+    store_group_state(group, progress);
+    counters_["ledger_epochs_adopted_total"]++;
+  }
+  const bool lacks_something = first_sight || !progress.synchronized || !progress.description.leaving.empty();
+  const bool copies = lacks_something && guards_.admission_before_voting;
+  progress_[group] = std::move(progress);
+  if (copies) {
     start_copy(group);
   }
 }
@@ -99,7 +125,15 @@
   }
 }
 
-wire::ReplicaStatus Replica::admit(std::uint32_t group, std::uint64_t epoch) const {
+template <class Reply>
+void Replica::describe_group(std::uint32_t group, Reply& reply) const {
+  const auto entry = progress_.find(group);
+  if (reply.status == wire::ReplicaStatus::StaleEpoch && entry != progress_.end()) {
+    reply.description = std::make_unique<wire::GroupDescriptionT>(to_wire(entry->second.description));
+  }
+}
+
+wire::ReplicaStatus Replica::admit(std::uint32_t group, std::uint64_t epoch, bool for_copy) const {
   const auto entry = progress_.find(group);
   if (entry == progress_.end()) {
     return wire::ReplicaStatus::UnknownEpoch;
@@ -111,7 +145,8 @@
   if (epoch > progress.epoch) {
     return wire::ReplicaStatus::UnknownEpoch;
   }
-  return progress.synchronized ? wire::ReplicaStatus::Granted : wire::ReplicaStatus::NotReady;
+  const bool allowed = progress.synchronized && (for_copy || !progress.former);
+  return allowed ? wire::ReplicaStatus::Granted : wire::ReplicaStatus::NotReady;
 }
 
 Result<Replica::StoredRecord> Replica::load(std::uint32_t group, const std::string& key) const {
@@ -159,6 +194,7 @@
   wire::GroupStateT state;
   state.epoch = progress.epoch;
   state.complete = progress.synchronized;
+  state.description = std::make_unique<wire::GroupDescriptionT>(to_wire(progress.description));
   storage_.put(state_key(group), wire::encode_record(state));
   storage_.flush([](const Status&) {});
 }
@@ -172,6 +208,9 @@
   if (const auto state = wire::decode_record<wire::GroupStateT>(*value_of(stored))) {
     progress.epoch = state->epoch;
     progress.synchronized = state->complete;
+    if (state->description) {
+      progress.description = from_wire(*state->description);
+    }
   }
   return progress;
 }
@@ -198,7 +237,8 @@
   reply.epoch = message.epoch;
   reply.status = admit(message.group, message.epoch);
   if (reply.status != wire::ReplicaStatus::Granted) {
-    send_message(environment_, sender, reply);
+    describe_group(message.group, reply);
+    send_message(environment_, sender, std::move(reply));
     return std::nullopt;
   }
   reply.replica = progress_.at(message.group).index;
@@ -206,7 +246,7 @@
   if (!succeeded(loaded)) {
     counters_["ledger_corrupted_reads_total"]++;
     reply.status = wire::ReplicaStatus::Corrupted;
-    send_message(environment_, sender, reply);
+    send_message(environment_, sender, std::move(reply));
     return std::nullopt;
   }
   return std::move(value_of(loaded));
@@ -298,6 +338,7 @@
     reply.replica = progress_.at(message.group).index;
     reply.records = page(message.group, message.prefix, message.after, message.limit, false, reply.truncated);
   }
+  describe_group(message.group, reply);
   send_message(environment_, sender, std::move(reply));
 }
 
@@ -308,9 +349,11 @@
 void Replica::start_copy(std::uint32_t group) {
   GroupProgress& progress = progress_.at(group);
   progress.copying.clear();
-  for (std::uint32_t index = 0; index < map_.groups[group].replicas.size(); ++index) {
-    if (index != progress.index) {
-      progress.copying[index] = CopySource{"p:", false};
+  const ReplicaGroup& description = progress.description;
+  const auto sources = static_cast<std::uint32_t>(description.replicas.size() + description.leaving.size());
+  for (std::uint32_t number = 0; number < sources && !progress.former; ++number) {
+    if (number != progress.index) {
+      progress.copying[number] = CopySource{"p:", false};
     }
   }
   finish_copy_if_complete(group);
@@ -320,21 +363,27 @@
 
 void Replica::request_copies() {
   for (auto& [group, progress] : progress_) {
-    for (const auto& [index, source] : progress.copying) {
-      const auto address = addresses_(map_.groups[group].replicas[index].node);
-      if (source.complete || !address) {
-        continue;
+    for (const auto& [number, source] : progress.copying) {
+      const auto address = addresses_(progress.description.source(number).node);
+      if (!source.complete && address) {
+        request_page(*address, group, progress, source);
       }
-      wire::CopyRequestT request;
-      request.group = group;
-      request.epoch = progress.epoch;
-      request.after = source.after;
-      request.limit = kCopyPageRecords;
-      send_message(environment_, *address, std::move(request));
     }
   }
 }
 
+void Replica::request_page(const PeerAddress& from, std::uint32_t group, const GroupProgress& progress,
+                           const CopySource& source) {
+  wire::CopyRequestT request;
+  request.group = group;
+  request.epoch = progress.epoch;
+  request.after = source.after;
+  request.limit = kCopyPageRecords;
+  // A source that does not know this epoch yet learns it here, and fences the one before.
+  request.description = std::make_unique<wire::GroupDescriptionT>(to_wire(progress.description));
+  send_message(environment_, from, std::move(request));
+}
+
 void Replica::schedule_copy_retry() {
   if (copy_retry_scheduled_) {
     return;
@@ -354,11 +403,15 @@
 }
 
 void Replica::handle(const PeerAddress& sender, const wire::CopyRequestT& message) {
+  if (message.description) {
+    adopt_group(message.group, from_wire(*message.description));
+  }
   wire::CopyReplyT reply;
   reply.group = message.group;
   reply.epoch = message.epoch;
   reply.after = message.after;
-  reply.status = admit(message.group, message.epoch);
+  reply.status = admit(message.group, message.epoch, true);
+  describe_group(message.group, reply);
   if (reply.status == wire::ReplicaStatus::Granted) {
     reply.replica = progress_.at(message.group).index;
     const bool promises = message.after.starts_with("p:");
@@ -385,6 +438,10 @@
 }
 
 void Replica::handle(const PeerAddress& sender, const wire::CopyReplyT& message) {
+  if (message.status == wire::ReplicaStatus::StaleEpoch && message.description) {
+    adopt_group(message.group, from_wire(*message.description));
+    return;
+  }
   const auto entry = progress_.find(message.group);
   if (entry == progress_.end() || entry->second.epoch != message.epoch ||
       message.status != wire::ReplicaStatus::Granted) {
@@ -411,27 +468,72 @@
     finish_copy_if_complete(message.group);
     return;
   }
-  wire::CopyRequestT request;
-  request.group = message.group;
-  request.epoch = progress.epoch;
-  request.after = source.after;
-  request.limit = kCopyPageRecords;
-  send_message(environment_, sender, std::move(request));
+  request_page(sender, message.group, progress, source);
 }
 
 void Replica::finish_copy_if_complete(std::uint32_t group) {
   GroupProgress& progress = progress_.at(group);
-  for (const auto& [index, source] : progress.copying) {
-    if (!source.complete) {
-      return;
-    }
+  bool members_complete = true;
+  bool all_complete = true;
+  for (const auto& [number, source] : progress.copying) {
+    all_complete = all_complete && source.complete;
+    members_complete = members_complete && (source.complete || number >= progress.description.replicas.size());
   }
-  progress.copying.clear();
-  if (!progress.synchronized) {
+  if (all_complete) {
+    progress.copying.clear();
+  }
+  // What only a leaving member holds is held by another one, too; it need not be waited for.
+  if (members_complete && !progress.synchronized && !progress.former) {
     progress.synchronized = true;
     store_group_state(group, progress);
     counters_["ledger_replicas_admitted_total"]++;
   }
 }
 
+// --- leaving --------------------------------------------------------------------------------
+
+void Replica::ask_copy_status() {
+  for (const auto& [group, progress] : progress_) {
+    for (std::uint32_t index = 0; progress.former && index < progress.description.replicas.size(); ++index) {
+      const auto address = addresses_(progress.description.replicas[index].node);
+      if (progress.copied_by.contains(index) || !address) {
+        continue;
+      }
+      wire::CopyStatusRequestT request;
+      request.group = group;
+      request.epoch = progress.epoch;
+      send_message(environment_, *address, std::move(request));
+    }
+  }
+}
+
+void Replica::handle(const PeerAddress& sender, const wire::CopyStatusRequestT& message) {
+  const auto entry = progress_.find(message.group);
+  if (entry == progress_.end() || entry->second.epoch != message.epoch) {
+    return;
+  }
+  wire::CopyStatusT reply;
+  reply.group = message.group;
+  reply.epoch = message.epoch;
+  reply.replica = entry->second.index;
+  reply.complete = entry->second.synchronized && entry->second.copying.empty();
+  reply_when_durable(sender, std::move(reply));
+}
+
+void Replica::handle(const wire::CopyStatusT& message) {
+  const auto entry = progress_.find(message.group);
+  if (entry != progress_.end() && entry->second.epoch == message.epoch && message.complete) {
+    entry->second.copied_by.insert(message.replica);
+  }
+}
+
+bool Replica::left_all_groups() const {
+  for (const auto& [group, progress] : progress_) {
+    if (!progress.former || progress.copied_by.size() < progress.description.replicas.size()) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace madderdeck::ledger
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -32,6 +32,10 @@
 
   /// Adopts @p map: moves groups to their new epoch and starts copying where this disk is new.
   void on_group_map(const GroupMap& map);
+  /// Takes up what this disk knows of its groups from before a restart.
+  void restore();
+  /// Adopts a decided description of one group, unless a later one is known.
+  void adopt_group(std::uint32_t group, const ReplicaGroup& description);
   /// Copies again from the other members what this replica missed while it was away.
   void catch_up();
 
@@ -40,6 +44,13 @@
   void handle(const PeerAddress& sender, const wire::ScanRequestT& message);
   void handle(const PeerAddress& sender, const wire::CopyRequestT& message);
   void handle(const PeerAddress& sender, const wire::CopyReplyT& message);
+  void handle(const PeerAddress& sender, const wire::CopyStatusRequestT& message);
+  void handle(const wire::CopyStatusT& message);
+
+  /// Asks the members of groups that this disk has left whether they have copied everything.
+  void ask_copy_status();
+  /// @return whether this disk is in no group any more, and all that it held stands elsewhere.
+  bool left_all_groups() const;
 
   /// @return whether every group that names this disk has been copied to it.
   bool synchronized() const;
@@ -53,7 +64,10 @@
     std::uint64_t epoch = 0;
     std::uint32_t index = 0;
     bool synchronized = false;
-    std::map<std::uint32_t, CopySource> copying;  ///< by replica index
+    bool former = false;  ///< No member any more; only copied from.
+    ReplicaGroup description;
+    std::map<std::uint32_t, CopySource> copying;  ///< by number of the source
+    std::set<std::uint32_t> copied_by;            ///< Members that hold all that this former one held.
   };
   struct StoredRecord {
     Ballot promised;
@@ -61,15 +75,19 @@
     wire::Bytes value;
   };
 
-  wire::ReplicaStatus admit(std::uint32_t group, std::uint64_t epoch) const;
+  wire::ReplicaStatus admit(std::uint32_t group, std::uint64_t epoch, bool for_copy = false) const;
+  /// Tells a peer of another epoch which one this replica knows.
+  template <class Reply>
+  void describe_group(std::uint32_t group, Reply& reply) const;
   Result<StoredRecord> load(std::uint32_t group, const std::string& key) const;
   void store_promise(std::uint32_t group, const std::string& key, const Ballot& ballot);
   void store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot, const wire::Bytes& value);
   void store_group_state(std::uint32_t group, const GroupProgress& progress);
   GroupProgress restore_group_state(std::uint32_t group) const;
-  void adopt_group(std::uint32_t group, const ReplicaGroup& description);
   void start_copy(std::uint32_t group);
   void request_copies();
+  void request_page(const PeerAddress& from, std::uint32_t group, const GroupProgress& progress,
+                    const CopySource& source);
   void schedule_copy_retry();
   void merge(std::uint32_t group, const wire::LedgerRecordT& record);
   void finish_copy_if_complete(std::uint32_t group);
@@ -92,7 +110,6 @@
   const DiskId disk_;
   const AddressLookup addresses_;
   const ReplicaGuards guards_;
-  GroupMap map_;
   std::map<std::uint32_t, GroupProgress> progress_;
   bool copy_retry_scheduled_ = false;
   Lifetime lifetime_;
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -1,9 +1,11 @@
 #include "ledger/rocksdb_storage.hpp"
 
+#include <fcntl.h>
 #include <rocksdb/cache.h>
 #include <rocksdb/db.h>
 #include <rocksdb/filter_policy.h>
 #include <rocksdb/table.h>
+#include <unistd.h>
 
 #include <filesystem>
 #include <fstream>
@@ -115,19 +117,53 @@
   });
 }
 
+namespace {
+
+/// A file descriptor that is closed with its scope.
+class Descriptor {
+ public:
+  Descriptor(const std::string& path, int flags) : number_(::open(path.c_str(), flags | O_CLOEXEC, 0644)) {}
+  ~Descriptor() {
+    if (number_ >= 0) {
+      ::close(number_);
+    }
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  bool sync() const { return number_ >= 0 && ::fsync(number_) == 0; }
+  bool write(const std::string& text) const {
+    return number_ >= 0 && ::write(number_, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+  }
+
+ private:
+  const int number_;
+};
+
+/// Writes a small file so that it survives a loss of power, whole or not at all.
+bool write_durably(const std::string& folder, const std::string& name, const std::string& text) {
+  const std::string path = folder + "/" + name;
+  const std::string unfinished = path + ".new";
+  const Descriptor file(unfinished, O_WRONLY | O_CREAT | O_TRUNC);
+  if (!file.write(text) || !file.sync() || ::rename(unfinished.c_str(), path.c_str()) != 0) {
+    return false;
+  }
+  return Descriptor(folder, O_RDONLY | O_DIRECTORY).sync();
+}
+
+}  // namespace
+
 Result<std::string> load_disk_id(const std::string& folder, std::uint64_t random) {
   std::error_code failure;
   std::filesystem::create_directories(folder, failure);
-  const std::string path = folder + "/disk_id";
+  constexpr char kName[] = "disk_id";
   std::string identity;
-  if (std::ifstream file(path); file >> identity) {
+  if (std::ifstream file(folder + "/" + kName); file >> identity) {
     return identity;
   }
   identity = "disk-" + hex64(random);
-  std::ofstream file(path);
-  file << identity << std::endl;
-  if (!file) {
-    return Error{ErrorKind::storage_unwritable, "cannot write " + path};
+  // Without its identity a disk's records count for nothing, so it must last as long as they do.
+  if (!write_durably(folder, kName, identity + "\n")) {
+    return Error{ErrorKind::storage_unwritable, "cannot write " + folder + "/" + kName};
   }
   return identity;
 }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -64,6 +64,18 @@
   enqueue(NodeId(self_.id), true);
 }
 
+void Membership::retire() {
+  if (self_.retiring) {
+    return;
+  }
+  digest_ ^= digest_of(self_);
+  self_.retiring = true;
+  ++self_.incarnation;
+  digest_ ^= digest_of(self_);
+  ++version_;
+  enqueue(NodeId(self_.id), true);
+}
+
 // --- queries --------------------------------------------------------------------------------
 
 const MemberT* Membership::find(const NodeId& node) const {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -64,6 +64,8 @@
   void start();
   /// Announces that this node takes no new work. It goes on answering probes.
   void leave();
+  /// Announces that this node's disk is to be emptied. It goes on working meanwhile.
+  void retire();
 
   void handle(const PeerAddress& sender, const wire::PingT& message);
   void handle(const PeerAddress& sender, const wire::PingRequestT& message);
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -42,7 +42,7 @@
     }
     core_->start();
     watch_readiness();
-    log_event(LogLevel::info, "node started",
+    log_event(LogLevel::info, "node_started",
               {{"node", settings_.id}, {"zone", settings_.zone}, {"api", settings_.api_address}});
     signals_.async_wait([this](boost::system::error_code failure, int) {
       if (!failure) {
@@ -51,7 +51,8 @@
     });
     context_.run();
     background_.join();
-    log_event(LogLevel::info, "node stopped", {{"node", settings_.id}});
+    log_event(LogLevel::info, "node_stopped", {{"node", settings_.id}});
+    stop_logging();
     return Ok{};
   }
 
@@ -85,8 +86,11 @@
                               std::chrono::milliseconds(routes.limits.idle_timeout_ms) + kIdleMargin);
     };
     core_->on_member_change = [](const wire::MemberT& member) {
-      log_event(LogLevel::info, "member changed",
-                {{"member", member.id}, {"state", wire::EnumNameMemberState(member.state)}});
+      log_event(LogLevel::info, "member_changed",
+                {{"member", member.id},
+                 {"state", wire::EnumNameMemberState(member.state)},
+                 {"incarnation", member.incarnation},
+                 {"address", member.peer_address}});
     };
     const Status peers = environment_.listen([this](const wire::Incoming& incoming) { core_->handle(incoming); });
     return succeeded(peers) ? listen_api() : peers;
@@ -108,6 +112,9 @@
     options.subset_size = static_cast<std::uint32_t>(settings_.subset_size);
     options.membership.period = std::chrono::milliseconds(settings_.membership_period_ms);
     options.membership.ack_timeout = std::min<Duration>(options.membership.ack_timeout, options.membership.period / 2);
+    options.controller.group_count = static_cast<std::size_t>(settings_.ledger_groups);
+    options.controller.replace_after = std::chrono::milliseconds(settings_.ledger_replace_after_ms);
+    options.controller.group_check = std::chrono::milliseconds(settings_.ledger_check_ms);
     options.controller.readers = static_cast<std::size_t>(settings_.platform_readers);
     options.controller.store_retry = std::chrono::milliseconds(settings_.platform_retry_ms);
     for (const std::string& seed : settings_.seeds) {
@@ -160,7 +167,7 @@
     environment_.after(kDrainCheck, [this] { watch_readiness(); });
     if (core_->ready() != was_ready_) {
       was_ready_ = !was_ready_;
-      log_event(LogLevel::info, was_ready_ ? "node ready" : "node not ready", {{"node", settings_.id}});
+      log_event(LogLevel::info, was_ready_ ? "node_ready" : "node_not_ready", {{"node", settings_.id}});
     }
   }
 
@@ -170,7 +177,7 @@
       return;
     }
     api_context_->drain_started = true;
-    log_event(LogLevel::info, "drain started", {{"node", settings_.id}});
+    log_event(LogLevel::info, "drain_started", {{"node", settings_.id}});
     core_->drain();
     api_server_->announce_closing();
     environment_.after(std::chrono::milliseconds(settings_.drain_grace_ms), [this] {
@@ -186,8 +193,8 @@
     const bool done = core_->drained() && api_server_->connections() == 0;
     const unsigned quiet = done ? quiet_checks + 1 : 0;
     if (late || quiet >= kQuietChecksNeeded) {
-      log_event(late ? LogLevel::warning : LogLevel::info, "drain finished",
-                {{"node", settings_.id}, {"cut_off", std::to_string(core_->live.active() + core_->services.active())}});
+      log_event(late ? LogLevel::warning : LogLevel::info, "drain_finished",
+                {{"node", settings_.id}, {"cut_off", core_->live.active() + core_->services.active()}});
       context_.stop();
       return;
     }
@@ -200,7 +207,7 @@
   Counters counters_;
   net::HttpClient client_;
   AsioEnvironment environment_;
-  NoDecisionLog log_;
+  ProcessDecisionLog log_;
   std::unique_ptr<BackendConnections> backends_;
   std::unique_ptr<object_store::PlatformClient> platform_;
   asio::thread_pool background_;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -63,10 +63,14 @@
     dispatcher = std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
                                                      dependencies.backends, options.guards.dispatch);
   }
+  if (replica && dependencies.platform.has_retirements()) {
+    retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica,
+                                                            dependencies.platform);
+  }
   if (has_role(options.self, Role::controller)) {
-    controller =
-        std::make_unique<object_store::Controller>(environment, counters, members, objects, machines, groups, catalog,
-                                                   dependencies.platform, declarations, options.controller);
+    controller = std::make_unique<object_store::Controller>(environment, counters, members, objects, machines, groups,
+                                                            catalog, ledger, dependencies.platform, declarations, log,
+                                                            options.controller);
   }
 }
 
@@ -96,6 +100,12 @@
 
 void NodeCore::start() {
   members.start();
+  if (replica) {
+    replica->restore();
+  }
+  if (retirement) {
+    retirement->start();
+  }
   if (jobs) {
     jobs->start();
     dispatcher->start();
@@ -128,7 +138,7 @@
     if (key.kind == config::kReplicaGroupsKind) {
       ledger.on_group_map(catalog.groups());
       if (replica) {
-        replica->on_group_map(catalog.groups());
+        replica->on_group_map(ledger.group_map());
       }
     }
   }
@@ -200,13 +210,32 @@
       }
       break;
     case wire::Message::Promise:
-      ledger.handle(*body.AsPromise());
+      ledger.handle(sender, *body.AsPromise());
       break;
     case wire::Message::Accepted:
-      ledger.handle(*body.AsAccepted());
+      ledger.handle(sender, *body.AsAccepted());
       break;
     case wire::Message::ScanReply:
-      ledger.handle(*body.AsScanReply());
+      ledger.handle(sender, *body.AsScanReply());
+      break;
+    case wire::Message::AdoptGroup:
+      if (body.AsAdoptGroup()->description) {
+        const ledger::ReplicaGroup description = ledger::from_wire(*body.AsAdoptGroup()->description);
+        ledger.learn(body.AsAdoptGroup()->group, description);
+        if (replica) {
+          replica->adopt_group(body.AsAdoptGroup()->group, description);
+        }
+      }
+      break;
+    case wire::Message::CopyStatusRequest:
+      if (replica) {
+        replica->handle(sender, *body.AsCopyStatusRequest());
+      }
+      break;
+    case wire::Message::CopyStatus:
+      if (replica) {
+        replica->handle(*body.AsCopyStatus());
+      }
       break;
     case wire::Message::JobNotice:
       if (jobs) {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -18,6 +18,7 @@
 #include "ledger/replica.hpp"
 #include "membership/membership.hpp"
 #include "object_store/controller.hpp"
+#include "object_store/retirement.hpp"
 #include "routing/live_router.hpp"
 #include "routing/service_router.hpp"
 #include "wire/codec.hpp"
@@ -128,6 +129,7 @@
   std::unique_ptr<batch::JobManager> jobs;        ///< Only on schedulers.
   std::unique_ptr<batch::Dispatcher> dispatcher;  ///< Only on schedulers.
   object_store::Declarations declarations;
+  std::unique_ptr<object_store::Retirement> retirement;  ///< Only on ledger nodes.
   std::unique_ptr<object_store::Controller> controller;  ///< Only on controllers.
 
  private:
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -7,14 +7,16 @@
 namespace madderdeck::object_store {
 namespace {
 constexpr Duration kIdle = 500ms;
-constexpr Duration kGroupCheck = 1s;
+constexpr Duration kDeclareRest = 1s;
+constexpr Duration kAnnounceTime = 5s;
 constexpr char kReaderRank[] = "store-reader";
 }  // namespace
 
 Controller::Controller(Environment& environment, Counters& counters, membership::Membership& members,
                        config::TableReplicator& objects, config::TableReplicator& machines,
-                       config::TableReplicator& groups, const config::Catalog& catalog, PlatformClient& platform,
-                       Declarations& declarations, ControllerOptions options)
+                       config::TableReplicator& groups, const config::Catalog& catalog, ledger::Client& ledger,
+                       PlatformClient& platform, Declarations& declarations, DecisionLog& log,
+                       ControllerOptions options)
     : environment_(environment),
       counters_(counters),
       members_(members),
@@ -22,8 +24,10 @@
       machines_(machines),
       groups_(groups),
       catalog_(catalog),
+      ledger_(ledger),
       platform_(platform),
       declarations_(declarations),
+      log_(log),
       options_(options) {}
 
 void Controller::start() {
@@ -33,7 +37,7 @@
   if (platform_.has_group_source()) {
     watch(groups_, &PlatformClient::watch_groups);
   }
-  environment_.after(kGroupCheck, lifetime_.guard([this] { maintain_groups(); }));
+  environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
 }
 
 bool Controller::ranks_among(std::size_t count) const {
@@ -74,23 +78,27 @@
 
 std::vector<const wire::MemberT*> Controller::ledger_nodes() const {
   auto nodes = members_.available(membership::Role::ledger);
-  std::erase_if(nodes, [](const wire::MemberT* member) { return member->disk_id.empty(); });
+  std::erase_if(nodes, [](const wire::MemberT* member) { return member->disk_id.empty() || member->retiring; });
   return nodes;
 }
 
 void Controller::maintain_groups() {
-  environment_.after(kGroupCheck, lifetime_.guard([this] { maintain_groups(); }));
-  if (!ranks_among(options_.maintainers) || declaring_ || environment_.now() - started_ < options_.founding_wait) {
+  environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
+  if (!ranks_among(options_.maintainers) || environment_.now() - started_ < options_.founding_wait) {
     return;
   }
-  if (catalog_.groups().groups.empty()) {
+  if (!ledger_.has_group_map()) {
     found_groups();
   } else {
-    replace_members();
+    change_groups();
+    publish_groups();
   }
 }
 
 void Controller::found_groups() {
+  if (declaring_) {
+    return;
+  }
   const auto nodes = ledger_nodes();
   std::set<std::string> zones;
   for (const wire::MemberT* node : nodes) {
@@ -121,16 +129,29 @@
   declare_groups(map);
 }
 
-bool Controller::replica_lost(const ledger::ReplicaIdentity& replica) {
-  const Duration patience = std::chrono::seconds(catalog_.policy().replace_ledger_node_after_s);
-  for (const wire::MemberT* member : members_.members()) {
-    if (member->id == replica.node.str() && member->state != wire::MemberState::Dead) {
-      missing_since_.erase(replica.node);
-      return !member->disk_id.empty() && member->disk_id != replica.disk.str();
+const wire::MemberT* Controller::member(const NodeId& node) const {
+  for (const wire::MemberT* known : members_.members()) {
+    if (known->id == node.str()) {
+      return known;
+    }
+  }
+  return nullptr;
+}
+
+Controller::ReplicaState Controller::state_of(const ledger::ReplicaIdentity& replica) {
+  const wire::MemberT* node = member(replica.node);
+  if (node != nullptr && node->state != wire::MemberState::Dead) {
+    missing_since_.erase(replica.node);
+    if (!node->disk_id.empty() && node->disk_id != replica.disk.str()) {
+      return ReplicaState::disk_replaced;
     }
+    return node->retiring ? ReplicaState::retiring : ReplicaState::present;
   }
+  const Duration patience = options_.replace_after.count() > 0
+                                ? options_.replace_after
+                                : std::chrono::seconds(catalog_.policy().replace_ledger_node_after_s);
   const auto [since, inserted] = missing_since_.try_emplace(replica.node, environment_.now());
-  return environment_.now() - since->second > patience;
+  return environment_.now() - since->second > patience ? ReplicaState::missing : ReplicaState::present;
 }
 
 const wire::MemberT* Controller::substitute(const ledger::ReplicaGroup& group,
@@ -163,27 +184,91 @@
   return best;
 }
 
-void Controller::replace_members() {
-  ledger::GroupMap map = catalog_.groups();
-  bool changed = false;
-  for (ledger::ReplicaGroup& group : map.groups) {
-    for (ledger::ReplicaIdentity& replica : group.replicas) {
-      if (!replica_lost(replica)) {
-        continue;
-      }
-      const wire::MemberT* node = substitute(group, replica);
-      if (node == nullptr) {
-        continue;
-      }
-      replica = {NodeId(node->id), DiskId(node->disk_id)};
-      ++group.epoch;
-      changed = true;
-      break;  // one replacement a step: the next waits for a new look at the group
+std::optional<Controller::Change> Controller::wanted_change(const ledger::ReplicaGroup& group) {
+  Change change;
+  change.next = group;
+  ++change.next.epoch;
+  // A member that leaves is copied from until it is gone.
+  std::erase_if(change.next.leaving, [this](const ledger::ReplicaIdentity& leaver) {
+    const wire::MemberT* node = member(leaver.node);
+    return node == nullptr || node->state == wire::MemberState::Dead || node->disk_id != leaver.disk.str();
+  });
+  for (std::size_t index = 0; index < group.replicas.size(); ++index) {
+    const ledger::ReplicaIdentity& replica = group.replicas[index];
+    const ReplicaState state = state_of(replica);
+    if (state == ReplicaState::present) {
+      continue;
+    }
+    const wire::MemberT* node = substitute(group, replica);
+    const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
+    if (node != nullptr) {
+      *position = {NodeId(node->id), DiskId(node->disk_id)};
+    } else if (state == ReplicaState::retiring && group.replicas.size() >= options_.replicas) {
+      change.next.replicas.erase(position);
+    } else {
+      continue;
+    }
+    if (state == ReplicaState::retiring) {
+      change.next.leaving.push_back(replica);
+    }
+    // Of two members one decides alone when the other's disk is proven lost: all that the group
+    // confirmed was confirmed by both.
+    constexpr std::size_t kPair = 2;
+    if (state == ReplicaState::disk_replaced && group.replicas.size() == kPair) {
+      change.quorum = 1;
+    }
+    return change;  // one replacement a step: the next waits for a new look at the group
+  }
+  if (group.replicas.size() < options_.replicas) {
+    if (const wire::MemberT* node = substitute(group, ledger::ReplicaIdentity{})) {
+      change.next.replicas.push_back({NodeId(node->id), DiskId(node->disk_id)});
+      return change;
     }
   }
-  if (changed) {
-    counters_["replica_replacements_total"]++;
-    declare_groups(map);
+  return std::nullopt;
+}
+
+void Controller::change_groups() {
+  const auto& groups = ledger_.group_map().groups;
+  for (std::uint32_t group = 0; group < groups.size(); ++group) {
+    if (deciding_.contains(group)) {
+      continue;
+    }
+    if (const auto change = wanted_change(groups[group])) {
+      decide(group, *change);
+      continue;
+    }
+    const auto announced = announce_until_.find(group);
+    if (announced != announce_until_.end() && environment_.now() < announced->second) {
+      ledger_.announce_group(group);
+    }
+  }
+}
+
+void Controller::decide(std::uint32_t group, const Change& change) {
+  deciding_.insert(group);
+  counters_["replica_replacements_total"]++;
+  const auto decided = [this, group, before = change.next.epoch - 1](const Result<ledger::ReplicaGroup>& result) {
+    deciding_.erase(group);
+    announce_until_[group] = environment_.now() + kAnnounceTime;
+    log_.record("group_changed", {{"group", group},
+                                  {"from_epoch", before},
+                                  {"epoch", succeeded(result) ? value_of(result).epoch : before},
+                                  {"outcome", succeeded(result) ? "decided" : error_kind_name(error_of(result).kind)}});
+  };
+  ledger_.decide_next(group, change.next, change.quorum, lifetime_.guard(decided));
+}
+
+/// The published map lets nodes that start find the groups; the members' own decisions stand.
+void Controller::publish_groups() {
+  const auto& known = ledger_.group_map().groups;
+  const auto& published = catalog_.groups().groups;
+  bool later = false;
+  for (std::size_t group = 0; group < known.size(); ++group) {
+    later = later || group >= published.size() || known[group].epoch > published[group].epoch;
+  }
+  if (later && !declaring_) {
+    declare_groups(ledger_.group_map());
   }
 }
 
@@ -197,7 +282,7 @@
   declaring_ = true;
   declarations_.declare(std::move(request), lifetime_.guard([this](const Result<std::uint64_t>&) {
     // Whoever won, the watch brings what stands.
-    environment_.after(kGroupCheck, lifetime_.guard([this] { declaring_ = false; }));
+    environment_.after(kDeclareRest, lifetime_.guard([this] { declaring_ = false; }));
   }));
 }
 
--- a/src/object_store/platform_client.hpp
+++ b/src/object_store/platform_client.hpp
@@ -41,6 +41,10 @@
 /// no answer came back; ErrorKind::unavailable when nothing was sent.
 using PutDone = std::function<void(Result<std::uint64_t>)>;
 
+/// How far the emptying of a node is.
+enum class RetirementState { running, completed };
+using ReportDone = std::function<void(Status)>;
+
 /// Connection to the platform. Callbacks never run inside the starting call.
 class PlatformClient {
  public:
@@ -52,6 +56,12 @@
   ///         among the objects.
   virtual bool has_group_source() const { return false; }
   virtual void watch_groups(std::uint64_t /*since*/, Duration /*wait*/, ChangesDone /*done*/) {}
+  /// @return whether operators ask through the platform for ledger nodes to be emptied.
+  virtual bool has_retirements() const { return false; }
+  /// Waits up to @p wait for requests after @p since; the entries' names are nodes.
+  virtual void watch_retirements(std::uint64_t /*since*/, Duration /*wait*/, ChangesDone /*done*/) {}
+  /// Tells how far the emptying of @p node is.
+  virtual void report_retirement(const NodeId& /*node*/, RetirementState /*state*/, ReportDone /*done*/) {}
   virtual void get(const config::EntryKey& key, GetDone done) = 0;
   virtual void put(const PutRequest& request, PutDone done) = 0;
 };
--- /dev/null
+++ b/src/object_store/retirement.cpp
@@ -0,0 +1,75 @@
+#include "object_store/retirement.hpp"
+
+namespace madderdeck::object_store {
+namespace {
+constexpr Duration kWatchWait = 10s;
+constexpr Duration kStoreRetry = 300ms;
+constexpr Duration kCheckInterval = 200ms;
+}  // namespace
+
+Retirement::Retirement(Environment& environment, Counters& counters, DecisionLog& log, membership::Membership& members,
+                       ledger::Replica& replica, PlatformClient& platform)
+    : environment_(environment),
+      counters_(counters),
+      log_(log),
+      members_(members),
+      replica_(replica),
+      platform_(platform) {}
+
+void Retirement::start() { watch(); }
+
+void Retirement::watch() {
+  const auto take = [this](Result<ChangeList> result) {
+    if (!succeeded(result)) {
+      environment_.after(kStoreRetry, lifetime_.guard([this] { watch(); }));
+      return;
+    }
+    const ChangeList& changes = value_of(result);
+    revision_ = changes.up_to;
+    for (const config::Entry& entry : changes.entries) {
+      if (entry.key.name == members_.self().id && !entry.deleted) {
+        begin();
+      }
+    }
+    watch();
+  };
+  platform_.watch_retirements(revision_, kWatchWait, lifetime_.guard(take));
+}
+
+void Retirement::begin() {
+  if (begun_) {
+    return;
+  }
+  begun_ = true;
+  counters_["retirements_total"]++;
+  log_.record("retirement_begun", {{"node", members_.self().id}, {"revision", revision_}});
+  members_.retire();
+  report(RetirementState::running);
+  check();
+}
+
+void Retirement::check() {
+  if (completed_) {
+    return;
+  }
+  // Until the groups have let this node go, it is a member of some.
+  if (replica_.left_all_groups()) {
+    completed_ = true;
+    log_.record("retirement_completed", {{"node", members_.self().id}});
+    report(RetirementState::completed);
+    return;
+  }
+  replica_.ask_copy_status();
+  environment_.after(kCheckInterval, lifetime_.guard([this] { check(); }));
+}
+
+void Retirement::report(RetirementState state) {
+  platform_.report_retirement(NodeId(members_.self().id), state, lifetime_.guard([this, state](const Status& status) {
+    const bool superseded = state == RetirementState::running && completed_;
+    if (!succeeded(status) && !superseded) {
+      environment_.after(kStoreRetry, lifetime_.guard([this, state] { report(state); }));
+    }
+  }));
+}
+
+}  // namespace madderdeck::object_store
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -118,7 +118,7 @@
   life.platform = std::make_unique<SimPlatformClient>(*this, number);
   life.core = std::make_unique<node::NodeCore>(
       node::NodeDependencies{*life.environment, node.counters, node.has_disk ? &node.storage : nullptr, *life.backends,
-                             *life.platform, life.log},
+                             *life.platform, *life.log},
       options);
   if (life.core->dispatcher) {
     life.core->dispatcher->on_start = [this](const JobId& job, std::uint32_t index) {
@@ -153,7 +153,7 @@
   if (!node.process.up() || node.disk_whole) {
     return;
   }
-  const auto& groups = node.life.core->catalog.groups().groups;
+  const auto& groups = node.life.core->ledger.group_map().groups;
   const ledger::ReplicaIdentity self{NodeId("node-" + std::to_string(number)), DiskId(node.disk_id)};
   const bool member = !groups.empty() &&
                       std::all_of(groups.begin(), groups.end(),
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -135,7 +135,7 @@
   std::unique_ptr<SimEnvironment> environment;
   std::unique_ptr<SimBackends> backends;
   std::unique_ptr<SimPlatformClient> platform;
-  NoDecisionLog log;
+  std::unique_ptr<NoDecisionLog> log = std::make_unique<NoDecisionLog>();
   std::unique_ptr<node::NodeCore> core;
 };
 
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -54,6 +54,26 @@
 
 struct Ballot;
 
+struct ReplicaId;
+struct ReplicaIdBuilder;
+struct ReplicaIdT;
+
+struct GroupDescription;
+struct GroupDescriptionBuilder;
+struct GroupDescriptionT;
+
+struct AdoptGroup;
+struct AdoptGroupBuilder;
+struct AdoptGroupT;
+
+struct CopyStatusRequest;
+struct CopyStatusRequestBuilder;
+struct CopyStatusRequestT;
+
+struct CopyStatus;
+struct CopyStatusBuilder;
+struct CopyStatusT;
+
 struct Prepare;
 struct PrepareBuilder;
 struct PrepareT;
@@ -295,11 +315,14 @@
   ItemSettled = 18,
   OnlineActivity = 19,
   MemberSync = 20,
+  AdoptGroup = 21,
+  CopyStatusRequest = 22,
+  CopyStatus = 23,
   MIN = NONE,
-  MAX = MemberSync
+  MAX = CopyStatus
 };
 
-inline const Message (&EnumValuesMessage())[21] {
+inline const Message (&EnumValuesMessage())[24] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -321,13 +344,16 @@
     Message::GiveItems,
     Message::ItemSettled,
     Message::OnlineActivity,
-    Message::MemberSync
+    Message::MemberSync,
+    Message::AdoptGroup,
+    Message::CopyStatusRequest,
+    Message::CopyStatus
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[22] = {
+  static const char * const names[25] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -349,13 +375,16 @@
     "ItemSettled",
     "OnlineActivity",
     "MemberSync",
+    "AdoptGroup",
+    "CopyStatusRequest",
+    "CopyStatus",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::MemberSync)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::CopyStatus)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -444,6 +473,18 @@
   static const Message enum_value = Message::MemberSync;
 };
 
+template<> struct MessageTraits<madderdeck::wire::AdoptGroup> {
+  static const Message enum_value = Message::AdoptGroup;
+};
+
+template<> struct MessageTraits<madderdeck::wire::CopyStatusRequest> {
+  static const Message enum_value = Message::CopyStatusRequest;
+};
+
+template<> struct MessageTraits<madderdeck::wire::CopyStatus> {
+  static const Message enum_value = Message::CopyStatus;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -528,6 +569,18 @@
   static const Message enum_value = Message::MemberSync;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::AdoptGroupT> {
+  static const Message enum_value = Message::AdoptGroup;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::CopyStatusRequestT> {
+  static const Message enum_value = Message::CopyStatusRequest;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::CopyStatusT> {
+  static const Message enum_value = Message::CopyStatus;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -718,6 +771,30 @@
     return type == Message::MemberSync ?
       reinterpret_cast<const madderdeck::wire::MemberSyncT *>(value) : nullptr;
   }
+  madderdeck::wire::AdoptGroupT *AsAdoptGroup() {
+    return type == Message::AdoptGroup ?
+      reinterpret_cast<madderdeck::wire::AdoptGroupT *>(value) : nullptr;
+  }
+  const madderdeck::wire::AdoptGroupT *AsAdoptGroup() const {
+    return type == Message::AdoptGroup ?
+      reinterpret_cast<const madderdeck::wire::AdoptGroupT *>(value) : nullptr;
+  }
+  madderdeck::wire::CopyStatusRequestT *AsCopyStatusRequest() {
+    return type == Message::CopyStatusRequest ?
+      reinterpret_cast<madderdeck::wire::CopyStatusRequestT *>(value) : nullptr;
+  }
+  const madderdeck::wire::CopyStatusRequestT *AsCopyStatusRequest() const {
+    return type == Message::CopyStatusRequest ?
+      reinterpret_cast<const madderdeck::wire::CopyStatusRequestT *>(value) : nullptr;
+  }
+  madderdeck::wire::CopyStatusT *AsCopyStatus() {
+    return type == Message::CopyStatus ?
+      reinterpret_cast<madderdeck::wire::CopyStatusT *>(value) : nullptr;
+  }
+  const madderdeck::wire::CopyStatusT *AsCopyStatus() const {
+    return type == Message::CopyStatus ?
+      reinterpret_cast<const madderdeck::wire::CopyStatusT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -828,6 +905,7 @@
   uint32_t roles = 0;
   uint64_t incarnation = 0;
   madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive;
+  bool retiring = false;
 };
 
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -843,7 +921,8 @@
     VT_DISK_ID = 14,
     VT_ROLES = 16,
     VT_INCARNATION = 18,
-    VT_STATE = 20
+    VT_STATE = 20,
+    VT_RETIRING = 22
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -872,6 +951,9 @@
   madderdeck::wire::MemberState state() const {
     return static_cast<madderdeck::wire::MemberState>(GetField<uint8_t>(VT_STATE, 0));
   }
+  bool retiring() const {
+    return GetField<uint8_t>(VT_RETIRING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -889,6 +971,7 @@
            VerifyField<uint32_t>(verifier, VT_ROLES, 4) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_RETIRING, 1) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -927,6 +1010,9 @@
   void add_state(madderdeck::wire::MemberState state) {
     fbb_.AddElement<uint8_t>(Member::VT_STATE, static_cast<uint8_t>(state), 0);
   }
+  void add_retiring(bool retiring) {
+    fbb_.AddElement<uint8_t>(Member::VT_RETIRING, static_cast<uint8_t>(retiring), 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -948,7 +1034,8 @@
     flatbuffers::Offset<flatbuffers::String> disk_id = 0,
     uint32_t roles = 0,
     uint64_t incarnation = 0,
-    madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive) {
+    madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive,
+    bool retiring = false) {
   MemberBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_roles(roles);
@@ -958,6 +1045,7 @@
   builder_.add_api_address(api_address);
   builder_.add_peer_address(peer_address);
   builder_.add_id(id);
+  builder_.add_retiring(retiring);
   builder_.add_state(state);
   return builder_.Finish();
 }
@@ -977,7 +1065,8 @@
     const char *disk_id = nullptr,
     uint32_t roles = 0,
     uint64_t incarnation = 0,
-    madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive) {
+    madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive,
+    bool retiring = false) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
   auto api_address__ = api_address ? _fbb.CreateString(api_address) : 0;
@@ -994,7 +1083,8 @@
       disk_id__,
       roles,
       incarnation,
-      state);
+      state,
+      retiring);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1857,6 +1947,425 @@
 
 flatbuffers::Offset<TableDelta> CreateTableDelta(flatbuffers::FlatBufferBuilder &_fbb, const TableDeltaT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ReplicaIdT : public flatbuffers::NativeTable {
+  typedef ReplicaId TableType;
+  std::string node{};
+  std::string disk{};
+};
+
+struct ReplicaId FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ReplicaIdT NativeTableType;
+  typedef ReplicaIdBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_DISK = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::String *disk() const {
+    return GetPointer<const flatbuffers::String *>(VT_DISK);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_DISK) &&
+           verifier.VerifyString(disk()) &&
+           verifier.EndTable();
+  }
+  ReplicaIdT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ReplicaIdT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ReplicaId> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaIdT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ReplicaIdBuilder {
+  typedef ReplicaId Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(ReplicaId::VT_NODE, node);
+  }
+  void add_disk(flatbuffers::Offset<flatbuffers::String> disk) {
+    fbb_.AddOffset(ReplicaId::VT_DISK, disk);
+  }
+  explicit ReplicaIdBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ReplicaId> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ReplicaId>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ReplicaId> CreateReplicaId(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::String> disk = 0) {
+  ReplicaIdBuilder builder_(_fbb);
+  builder_.add_disk(disk);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct ReplicaId::Traits {
+  using type = ReplicaId;
+  static auto constexpr Create = CreateReplicaId;
+};
+
+inline flatbuffers::Offset<ReplicaId> CreateReplicaIdDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const char *disk = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto disk__ = disk ? _fbb.CreateString(disk) : 0;
+  return madderdeck::wire::CreateReplicaId(
+      _fbb,
+      node__,
+      disk__);
+}
+
+flatbuffers::Offset<ReplicaId> CreateReplicaId(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaIdT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct GroupDescriptionT : public flatbuffers::NativeTable {
+  typedef GroupDescription TableType;
+  uint64_t epoch = 0;
+  std::vector<std::unique_ptr<madderdeck::wire::ReplicaIdT>> replicas{};
+  std::vector<std::unique_ptr<madderdeck::wire::ReplicaIdT>> leaving{};
+  GroupDescriptionT() = default;
+  GroupDescriptionT(const GroupDescriptionT &o);
+  GroupDescriptionT(GroupDescriptionT&&) FLATBUFFERS_NOEXCEPT = default;
+  GroupDescriptionT &operator=(GroupDescriptionT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct GroupDescription FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GroupDescriptionT NativeTableType;
+  typedef GroupDescriptionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_EPOCH = 4,
+    VT_REPLICAS = 6,
+    VT_LEAVING = 8
+  };
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> *replicas() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> *>(VT_REPLICAS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> *leaving() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> *>(VT_LEAVING);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_REPLICAS) &&
+           verifier.VerifyVector(replicas()) &&
+           verifier.VerifyVectorOfTables(replicas()) &&
+           VerifyOffset(verifier, VT_LEAVING) &&
+           verifier.VerifyVector(leaving()) &&
+           verifier.VerifyVectorOfTables(leaving()) &&
+           verifier.EndTable();
+  }
+  GroupDescriptionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GroupDescriptionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GroupDescription> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupDescriptionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GroupDescriptionBuilder {
+  typedef GroupDescription Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(GroupDescription::VT_EPOCH, epoch, 0);
+  }
+  void add_replicas(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>>> replicas) {
+    fbb_.AddOffset(GroupDescription::VT_REPLICAS, replicas);
+  }
+  void add_leaving(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>>> leaving) {
+    fbb_.AddOffset(GroupDescription::VT_LEAVING, leaving);
+  }
+  explicit GroupDescriptionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GroupDescription> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GroupDescription>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GroupDescription> CreateGroupDescription(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t epoch = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>>> replicas = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>>> leaving = 0) {
+  GroupDescriptionBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_leaving(leaving);
+  builder_.add_replicas(replicas);
+  return builder_.Finish();
+}
+
+struct GroupDescription::Traits {
+  using type = GroupDescription;
+  static auto constexpr Create = CreateGroupDescription;
+};
+
+inline flatbuffers::Offset<GroupDescription> CreateGroupDescriptionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t epoch = 0,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> *replicas = nullptr,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> *leaving = nullptr) {
+  auto replicas__ = replicas ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::ReplicaId>>(*replicas) : 0;
+  auto leaving__ = leaving ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::ReplicaId>>(*leaving) : 0;
+  return madderdeck::wire::CreateGroupDescription(
+      _fbb,
+      epoch,
+      replicas__,
+      leaving__);
+}
+
+flatbuffers::Offset<GroupDescription> CreateGroupDescription(flatbuffers::FlatBufferBuilder &_fbb, const GroupDescriptionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct AdoptGroupT : public flatbuffers::NativeTable {
+  typedef AdoptGroup TableType;
+  uint32_t group = 0;
+  std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
+  AdoptGroupT() = default;
+  AdoptGroupT(const AdoptGroupT &o);
+  AdoptGroupT(AdoptGroupT&&) FLATBUFFERS_NOEXCEPT = default;
+  AdoptGroupT &operator=(AdoptGroupT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct AdoptGroup FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef AdoptGroupT NativeTableType;
+  typedef AdoptGroupBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_DESCRIPTION = 6
+  };
+  uint32_t group() const {
+    return GetField<uint32_t>(VT_GROUP, 0);
+  }
+  const madderdeck::wire::GroupDescription *description() const {
+    return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
+           VerifyOffset(verifier, VT_DESCRIPTION) &&
+           verifier.VerifyTable(description()) &&
+           verifier.EndTable();
+  }
+  AdoptGroupT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(AdoptGroupT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<AdoptGroup> Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdoptGroupT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct AdoptGroupBuilder {
+  typedef AdoptGroup Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(uint32_t group) {
+    fbb_.AddElement<uint32_t>(AdoptGroup::VT_GROUP, group, 0);
+  }
+  void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
+    fbb_.AddOffset(AdoptGroup::VT_DESCRIPTION, description);
+  }
+  explicit AdoptGroupBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<AdoptGroup> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<AdoptGroup>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<AdoptGroup> CreateAdoptGroup(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t group = 0,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+  AdoptGroupBuilder builder_(_fbb);
+  builder_.add_description(description);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct AdoptGroup::Traits {
+  using type = AdoptGroup;
+  static auto constexpr Create = CreateAdoptGroup;
+};
+
+flatbuffers::Offset<AdoptGroup> CreateAdoptGroup(flatbuffers::FlatBufferBuilder &_fbb, const AdoptGroupT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CopyStatusRequestT : public flatbuffers::NativeTable {
+  typedef CopyStatusRequest TableType;
+  uint32_t group = 0;
+  uint64_t epoch = 0;
+};
+
+struct CopyStatusRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CopyStatusRequestT NativeTableType;
+  typedef CopyStatusRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_EPOCH = 6
+  };
+  uint32_t group() const {
+    return GetField<uint32_t>(VT_GROUP, 0);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           verifier.EndTable();
+  }
+  CopyStatusRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CopyStatusRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CopyStatusRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CopyStatusRequestBuilder {
+  typedef CopyStatusRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(uint32_t group) {
+    fbb_.AddElement<uint32_t>(CopyStatusRequest::VT_GROUP, group, 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(CopyStatusRequest::VT_EPOCH, epoch, 0);
+  }
+  explicit CopyStatusRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CopyStatusRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CopyStatusRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CopyStatusRequest> CreateCopyStatusRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t group = 0,
+    uint64_t epoch = 0) {
+  CopyStatusRequestBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct CopyStatusRequest::Traits {
+  using type = CopyStatusRequest;
+  static auto constexpr Create = CreateCopyStatusRequest;
+};
+
+flatbuffers::Offset<CopyStatusRequest> CreateCopyStatusRequest(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct CopyStatusT : public flatbuffers::NativeTable {
+  typedef CopyStatus TableType;
+  uint32_t group = 0;
+  uint64_t epoch = 0;
+  uint32_t replica = 0;
+  bool complete = false;
+};
+
+struct CopyStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef CopyStatusT NativeTableType;
+  typedef CopyStatusBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_EPOCH = 6,
+    VT_REPLICA = 8,
+    VT_COMPLETE = 10
+  };
+  uint32_t group() const {
+    return GetField<uint32_t>(VT_GROUP, 0);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint32_t replica() const {
+    return GetField<uint32_t>(VT_REPLICA, 0);
+  }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REPLICA, 4) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           verifier.EndTable();
+  }
+  CopyStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(CopyStatusT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<CopyStatus> Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct CopyStatusBuilder {
+  typedef CopyStatus Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(uint32_t group) {
+    fbb_.AddElement<uint32_t>(CopyStatus::VT_GROUP, group, 0);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(CopyStatus::VT_EPOCH, epoch, 0);
+  }
+  void add_replica(uint32_t replica) {
+    fbb_.AddElement<uint32_t>(CopyStatus::VT_REPLICA, replica, 0);
+  }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(CopyStatus::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
+  explicit CopyStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<CopyStatus> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<CopyStatus>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<CopyStatus> CreateCopyStatus(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t group = 0,
+    uint64_t epoch = 0,
+    uint32_t replica = 0,
+    bool complete = false) {
+  CopyStatusBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_replica(replica);
+  builder_.add_group(group);
+  builder_.add_complete(complete);
+  return builder_.Finish();
+}
+
+struct CopyStatus::Traits {
+  using type = CopyStatus;
+  static auto constexpr Create = CreateCopyStatus;
+};
+
+flatbuffers::Offset<CopyStatus> CreateCopyStatus(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PrepareT : public flatbuffers::NativeTable {
   typedef Prepare TableType;
   uint64_t request = 0;
@@ -1990,6 +2499,7 @@
   std::unique_ptr<madderdeck::wire::Ballot> promised{};
   std::unique_ptr<madderdeck::wire::Ballot> accepted{};
   std::vector<uint8_t> value{};
+  std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
   PromiseT() = default;
   PromiseT(const PromiseT &o);
   PromiseT(PromiseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2007,7 +2517,8 @@
     VT_STATUS = 10,
     VT_PROMISED = 12,
     VT_ACCEPTED = 14,
-    VT_VALUE = 16
+    VT_VALUE = 16,
+    VT_DESCRIPTION = 18
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -2030,6 +2541,9 @@
   const flatbuffers::Vector<uint8_t> *value() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_VALUE);
   }
+  const madderdeck::wire::GroupDescription *description() const {
+    return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -2040,6 +2554,8 @@
            VerifyField<madderdeck::wire::Ballot>(verifier, VT_ACCEPTED, 8) &&
            VerifyOffset(verifier, VT_VALUE) &&
            verifier.VerifyVector(value()) &&
+           VerifyOffset(verifier, VT_DESCRIPTION) &&
+           verifier.VerifyTable(description()) &&
            verifier.EndTable();
   }
   PromiseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2072,6 +2588,9 @@
   void add_value(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value) {
     fbb_.AddOffset(Promise::VT_VALUE, value);
   }
+  void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
+    fbb_.AddOffset(Promise::VT_DESCRIPTION, description);
+  }
   explicit PromiseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2091,10 +2610,12 @@
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     const madderdeck::wire::Ballot *promised = nullptr,
     const madderdeck::wire::Ballot *accepted = nullptr,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   PromiseBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
+  builder_.add_description(description);
   builder_.add_value(value);
   builder_.add_accepted(accepted);
   builder_.add_promised(promised);
@@ -2116,7 +2637,8 @@
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     const madderdeck::wire::Ballot *promised = nullptr,
     const madderdeck::wire::Ballot *accepted = nullptr,
-    const std::vector<uint8_t> *value = nullptr) {
+    const std::vector<uint8_t> *value = nullptr,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return madderdeck::wire::CreatePromise(
       _fbb,
@@ -2126,7 +2648,8 @@
       status,
       promised,
       accepted,
-      value__);
+      value__,
+      description);
 }
 
 flatbuffers::Offset<Promise> CreatePromise(flatbuffers::FlatBufferBuilder &_fbb, const PromiseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2277,6 +2800,7 @@
   uint64_t epoch = 0;
   madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted;
   std::unique_ptr<madderdeck::wire::Ballot> promised{};
+  std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
   AcceptedT() = default;
   AcceptedT(const AcceptedT &o);
   AcceptedT(AcceptedT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2292,7 +2816,8 @@
     VT_REPLICA = 6,
     VT_EPOCH = 8,
     VT_STATUS = 10,
-    VT_PROMISED = 12
+    VT_PROMISED = 12,
+    VT_DESCRIPTION = 14
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -2309,6 +2834,9 @@
   const madderdeck::wire::Ballot *promised() const {
     return GetStruct<const madderdeck::wire::Ballot *>(VT_PROMISED);
   }
+  const madderdeck::wire::GroupDescription *description() const {
+    return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -2316,6 +2844,8 @@
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATUS, 1) &&
            VerifyField<madderdeck::wire::Ballot>(verifier, VT_PROMISED, 8) &&
+           VerifyOffset(verifier, VT_DESCRIPTION) &&
+           verifier.VerifyTable(description()) &&
            verifier.EndTable();
   }
   AcceptedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2342,6 +2872,9 @@
   void add_promised(const madderdeck::wire::Ballot *promised) {
     fbb_.AddStruct(Accepted::VT_PROMISED, promised);
   }
+  void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
+    fbb_.AddOffset(Accepted::VT_DESCRIPTION, description);
+  }
   explicit AcceptedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2359,10 +2892,12 @@
     uint32_t replica = 0,
     uint64_t epoch = 0,
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
-    const madderdeck::wire::Ballot *promised = nullptr) {
+    const madderdeck::wire::Ballot *promised = nullptr,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   AcceptedBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
+  builder_.add_description(description);
   builder_.add_promised(promised);
   builder_.add_replica(replica);
   builder_.add_status(status);
@@ -2632,6 +3167,7 @@
   madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted;
   std::vector<std::unique_ptr<madderdeck::wire::LedgerRecordT>> records{};
   bool truncated = false;
+  std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
   ScanReplyT() = default;
   ScanReplyT(const ScanReplyT &o);
   ScanReplyT(ScanReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2648,7 +3184,8 @@
     VT_EPOCH = 8,
     VT_STATUS = 10,
     VT_RECORDS = 12,
-    VT_TRUNCATED = 14
+    VT_TRUNCATED = 14,
+    VT_DESCRIPTION = 16
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -2668,6 +3205,9 @@
   bool truncated() const {
     return GetField<uint8_t>(VT_TRUNCATED, 0) != 0;
   }
+  const madderdeck::wire::GroupDescription *description() const {
+    return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -2678,6 +3218,8 @@
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
            VerifyField<uint8_t>(verifier, VT_TRUNCATED, 1) &&
+           VerifyOffset(verifier, VT_DESCRIPTION) &&
+           verifier.VerifyTable(description()) &&
            verifier.EndTable();
   }
   ScanReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2707,6 +3249,9 @@
   void add_truncated(bool truncated) {
     fbb_.AddElement<uint8_t>(ScanReply::VT_TRUNCATED, static_cast<uint8_t>(truncated), 0);
   }
+  void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
+    fbb_.AddOffset(ScanReply::VT_DESCRIPTION, description);
+  }
   explicit ScanReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2725,10 +3270,12 @@
     uint64_t epoch = 0,
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>> records = 0,
-    bool truncated = false) {
+    bool truncated = false,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   ScanReplyBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
+  builder_.add_description(description);
   builder_.add_records(records);
   builder_.add_replica(replica);
   builder_.add_truncated(truncated);
@@ -2748,7 +3295,8 @@
     uint64_t epoch = 0,
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     const std::vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> *records = nullptr,
-    bool truncated = false) {
+    bool truncated = false,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>(*records) : 0;
   return madderdeck::wire::CreateScanReply(
       _fbb,
@@ -2757,7 +3305,8 @@
       epoch,
       status,
       records__,
-      truncated);
+      truncated,
+      description);
 }
 
 flatbuffers::Offset<ScanReply> CreateScanReply(flatbuffers::FlatBufferBuilder &_fbb, const ScanReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2768,6 +3317,11 @@
   uint64_t epoch = 0;
   std::string after{};
   uint32_t limit = 0;
+  std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
+  CopyRequestT() = default;
+  CopyRequestT(const CopyRequestT &o);
+  CopyRequestT(CopyRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  CopyRequestT &operator=(CopyRequestT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct CopyRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2778,7 +3332,8 @@
     VT_GROUP = 4,
     VT_EPOCH = 6,
     VT_AFTER = 8,
-    VT_LIMIT = 10
+    VT_LIMIT = 10,
+    VT_DESCRIPTION = 12
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -2792,6 +3347,9 @@
   uint32_t limit() const {
     return GetField<uint32_t>(VT_LIMIT, 0);
   }
+  const madderdeck::wire::GroupDescription *description() const {
+    return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -2799,6 +3357,8 @@
            VerifyOffset(verifier, VT_AFTER) &&
            verifier.VerifyString(after()) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
+           VerifyOffset(verifier, VT_DESCRIPTION) &&
+           verifier.VerifyTable(description()) &&
            verifier.EndTable();
   }
   CopyRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2822,6 +3382,9 @@
   void add_limit(uint32_t limit) {
     fbb_.AddElement<uint32_t>(CopyRequest::VT_LIMIT, limit, 0);
   }
+  void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
+    fbb_.AddOffset(CopyRequest::VT_DESCRIPTION, description);
+  }
   explicit CopyRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2838,9 +3401,11 @@
     uint32_t group = 0,
     uint64_t epoch = 0,
     flatbuffers::Offset<flatbuffers::String> after = 0,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   CopyRequestBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
+  builder_.add_description(description);
   builder_.add_limit(limit);
   builder_.add_after(after);
   builder_.add_group(group);
@@ -2857,14 +3422,16 @@
     uint32_t group = 0,
     uint64_t epoch = 0,
     const char *after = nullptr,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   auto after__ = after ? _fbb.CreateString(after) : 0;
   return madderdeck::wire::CreateCopyRequest(
       _fbb,
       group,
       epoch,
       after__,
-      limit);
+      limit,
+      description);
 }
 
 flatbuffers::Offset<CopyRequest> CreateCopyRequest(flatbuffers::FlatBufferBuilder &_fbb, const CopyRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2878,6 +3445,7 @@
   std::string after{};
   std::vector<std::unique_ptr<madderdeck::wire::LedgerRecordT>> records{};
   bool truncated = false;
+  std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
   CopyReplyT() = default;
   CopyReplyT(const CopyReplyT &o);
   CopyReplyT(CopyReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2895,7 +3463,8 @@
     VT_STATUS = 10,
     VT_AFTER = 12,
     VT_RECORDS = 14,
-    VT_TRUNCATED = 16
+    VT_TRUNCATED = 16,
+    VT_DESCRIPTION = 18
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -2918,6 +3487,9 @@
   bool truncated() const {
     return GetField<uint8_t>(VT_TRUNCATED, 0) != 0;
   }
+  const madderdeck::wire::GroupDescription *description() const {
+    return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -2930,6 +3502,8 @@
            verifier.VerifyVector(records()) &&
            verifier.VerifyVectorOfTables(records()) &&
            VerifyField<uint8_t>(verifier, VT_TRUNCATED, 1) &&
+           VerifyOffset(verifier, VT_DESCRIPTION) &&
+           verifier.VerifyTable(description()) &&
            verifier.EndTable();
   }
   CopyReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2962,6 +3536,9 @@
   void add_truncated(bool truncated) {
     fbb_.AddElement<uint8_t>(CopyReply::VT_TRUNCATED, static_cast<uint8_t>(truncated), 0);
   }
+  void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
+    fbb_.AddOffset(CopyReply::VT_DESCRIPTION, description);
+  }
   explicit CopyReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2981,9 +3558,11 @@
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     flatbuffers::Offset<flatbuffers::String> after = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>> records = 0,
-    bool truncated = false) {
+    bool truncated = false,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   CopyReplyBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
+  builder_.add_description(description);
   builder_.add_records(records);
   builder_.add_after(after);
   builder_.add_replica(replica);
@@ -3006,7 +3585,8 @@
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     const char *after = nullptr,
     const std::vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> *records = nullptr,
-    bool truncated = false) {
+    bool truncated = false,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   auto after__ = after ? _fbb.CreateString(after) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>(*records) : 0;
   return madderdeck::wire::CreateCopyReply(
@@ -3017,7 +3597,8 @@
       status,
       after__,
       records__,
-      truncated);
+      truncated,
+      description);
 }
 
 flatbuffers::Offset<CopyReply> CreateCopyReply(flatbuffers::FlatBufferBuilder &_fbb, const CopyReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3784,6 +4365,15 @@
   const madderdeck::wire::MemberSync *body_as_MemberSync() const {
     return body_type() == madderdeck::wire::Message::MemberSync ? static_cast<const madderdeck::wire::MemberSync *>(body()) : nullptr;
   }
+  const madderdeck::wire::AdoptGroup *body_as_AdoptGroup() const {
+    return body_type() == madderdeck::wire::Message::AdoptGroup ? static_cast<const madderdeck::wire::AdoptGroup *>(body()) : nullptr;
+  }
+  const madderdeck::wire::CopyStatusRequest *body_as_CopyStatusRequest() const {
+    return body_type() == madderdeck::wire::Message::CopyStatusRequest ? static_cast<const madderdeck::wire::CopyStatusRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::CopyStatus *body_as_CopyStatus() const {
+    return body_type() == madderdeck::wire::Message::CopyStatus ? static_cast<const madderdeck::wire::CopyStatus *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -3878,6 +4468,18 @@
   return body_as_MemberSync();
 }
 
+template<> inline const madderdeck::wire::AdoptGroup *Envelope::body_as<madderdeck::wire::AdoptGroup>() const {
+  return body_as_AdoptGroup();
+}
+
+template<> inline const madderdeck::wire::CopyStatusRequest *Envelope::body_as<madderdeck::wire::CopyStatusRequest>() const {
+  return body_as_CopyStatusRequest();
+}
+
+template<> inline const madderdeck::wire::CopyStatus *Envelope::body_as<madderdeck::wire::CopyStatus>() const {
+  return body_as_CopyStatus();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4864,6 +5466,11 @@
   typedef GroupState TableType;
   uint64_t epoch = 0;
   bool complete = false;
+  std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
+  GroupStateT() = default;
+  GroupStateT(const GroupStateT &o);
+  GroupStateT(GroupStateT&&) FLATBUFFERS_NOEXCEPT = default;
+  GroupStateT &operator=(GroupStateT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct GroupState FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4872,7 +5479,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_EPOCH = 4,
-    VT_COMPLETE = 6
+    VT_COMPLETE = 6,
+    VT_DESCRIPTION = 8
   };
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
@@ -4880,10 +5488,15 @@
   bool complete() const {
     return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
   }
+  const madderdeck::wire::GroupDescription *description() const {
+    return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyOffset(verifier, VT_DESCRIPTION) &&
+           verifier.VerifyTable(description()) &&
            verifier.EndTable();
   }
   GroupStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4901,6 +5514,9 @@
   void add_complete(bool complete) {
     fbb_.AddElement<uint8_t>(GroupState::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
   }
+  void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
+    fbb_.AddOffset(GroupState::VT_DESCRIPTION, description);
+  }
   explicit GroupStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4915,9 +5531,11 @@
 inline flatbuffers::Offset<GroupState> CreateGroupState(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t epoch = 0,
-    bool complete = false) {
+    bool complete = false,
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
   GroupStateBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
+  builder_.add_description(description);
   builder_.add_complete(complete);
   return builder_.Finish();
 }
@@ -5107,6 +5725,7 @@
   { auto _e = roles(); _o->roles = _e; }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = state(); _o->state = _e; }
+  { auto _e = retiring(); _o->retiring = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5126,6 +5745,7 @@
   auto _roles = _o->roles;
   auto _incarnation = _o->incarnation;
   auto _state = _o->state;
+  auto _retiring = _o->retiring;
   return madderdeck::wire::CreateMember(
       _fbb,
       _id,
@@ -5136,7 +5756,8 @@
       _disk_id,
       _roles,
       _incarnation,
-      _state);
+      _state,
+      _retiring);
 }
 
 inline PingT::PingT(const PingT &o)
@@ -5493,6 +6114,186 @@
       _entries);
 }
 
+inline ReplicaIdT *ReplicaId::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ReplicaIdT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ReplicaId::UnPackTo(ReplicaIdT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = disk(); if (_e) _o->disk = _e->str(); }
+}
+
+inline flatbuffers::Offset<ReplicaId> ReplicaId::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaIdT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateReplicaId(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ReplicaId> CreateReplicaId(flatbuffers::FlatBufferBuilder &_fbb, const ReplicaIdT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ReplicaIdT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _disk = _o->disk.empty() ? 0 : _fbb.CreateString(_o->disk);
+  return madderdeck::wire::CreateReplicaId(
+      _fbb,
+      _node,
+      _disk);
+}
+
+inline GroupDescriptionT::GroupDescriptionT(const GroupDescriptionT &o)
+      : epoch(o.epoch) {
+  replicas.reserve(o.replicas.size());
+  for (const auto &replicas_ : o.replicas) { replicas.emplace_back((replicas_) ? new madderdeck::wire::ReplicaIdT(*replicas_) : nullptr); }
+  leaving.reserve(o.leaving.size());
+  for (const auto &leaving_ : o.leaving) { leaving.emplace_back((leaving_) ? new madderdeck::wire::ReplicaIdT(*leaving_) : nullptr); }
+}
+
+inline GroupDescriptionT &GroupDescriptionT::operator=(GroupDescriptionT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(epoch, o.epoch);
+  std::swap(replicas, o.replicas);
+  std::swap(leaving, o.leaving);
+  return *this;
+}
+
+inline GroupDescriptionT *GroupDescription::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GroupDescriptionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GroupDescription::UnPackTo(GroupDescriptionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = replicas(); if (_e) { _o->replicas.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->replicas[_i] = std::unique_ptr<madderdeck::wire::ReplicaIdT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = leaving(); if (_e) { _o->leaving.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->leaving[_i] = std::unique_ptr<madderdeck::wire::ReplicaIdT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<GroupDescription> GroupDescription::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupDescriptionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGroupDescription(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GroupDescription> CreateGroupDescription(flatbuffers::FlatBufferBuilder &_fbb, const GroupDescriptionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupDescriptionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _epoch = _o->epoch;
+  auto _replicas = _o->replicas.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> (_o->replicas.size(), [](size_t i, _VectorArgs *__va) { return CreateReplicaId(*__va->__fbb, __va->__o->replicas[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _leaving = _o->leaving.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::ReplicaId>> (_o->leaving.size(), [](size_t i, _VectorArgs *__va) { return CreateReplicaId(*__va->__fbb, __va->__o->leaving[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return madderdeck::wire::CreateGroupDescription(
+      _fbb,
+      _epoch,
+      _replicas,
+      _leaving);
+}
+
+inline AdoptGroupT::AdoptGroupT(const AdoptGroupT &o)
+      : group(o.group),
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
+}
+
+inline AdoptGroupT &AdoptGroupT::operator=(AdoptGroupT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(group, o.group);
+  std::swap(description, o.description);
+  return *this;
+}
+
+inline AdoptGroupT *AdoptGroup::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<AdoptGroupT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void AdoptGroup::UnPackTo(AdoptGroupT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); _o->group = _e; }
+  { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<AdoptGroup> AdoptGroup::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AdoptGroupT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateAdoptGroup(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<AdoptGroup> CreateAdoptGroup(flatbuffers::FlatBufferBuilder &_fbb, const AdoptGroupT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AdoptGroupT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group;
+  auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
+  return madderdeck::wire::CreateAdoptGroup(
+      _fbb,
+      _group,
+      _description);
+}
+
+inline CopyStatusRequestT *CopyStatusRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CopyStatusRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CopyStatusRequest::UnPackTo(CopyStatusRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); _o->group = _e; }
+  { auto _e = epoch(); _o->epoch = _e; }
+}
+
+inline flatbuffers::Offset<CopyStatusRequest> CopyStatusRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCopyStatusRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CopyStatusRequest> CreateCopyStatusRequest(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CopyStatusRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group;
+  auto _epoch = _o->epoch;
+  return madderdeck::wire::CreateCopyStatusRequest(
+      _fbb,
+      _group,
+      _epoch);
+}
+
+inline CopyStatusT *CopyStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<CopyStatusT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void CopyStatus::UnPackTo(CopyStatusT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); _o->group = _e; }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = replica(); _o->replica = _e; }
+  { auto _e = complete(); _o->complete = _e; }
+}
+
+inline flatbuffers::Offset<CopyStatus> CopyStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateCopyStatus(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<CopyStatus> CreateCopyStatus(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CopyStatusT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group;
+  auto _epoch = _o->epoch;
+  auto _replica = _o->replica;
+  auto _complete = _o->complete;
+  return madderdeck::wire::CreateCopyStatus(
+      _fbb,
+      _group,
+      _epoch,
+      _replica,
+      _complete);
+}
+
 inline PrepareT::PrepareT(const PrepareT &o)
       : request(o.request),
         group(o.group),
@@ -5555,7 +6356,8 @@
         status(o.status),
         promised((o.promised) ? new madderdeck::wire::Ballot(*o.promised) : nullptr),
         accepted((o.accepted) ? new madderdeck::wire::Ballot(*o.accepted) : nullptr),
-        value(o.value) {
+        value(o.value),
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
 }
 
 inline PromiseT &PromiseT::operator=(PromiseT o) FLATBUFFERS_NOEXCEPT {
@@ -5566,6 +6368,7 @@
   std::swap(promised, o.promised);
   std::swap(accepted, o.accepted);
   std::swap(value, o.value);
+  std::swap(description, o.description);
   return *this;
 }
 
@@ -5585,6 +6388,7 @@
   { auto _e = promised(); if (_e) _o->promised = std::unique_ptr<madderdeck::wire::Ballot>(new madderdeck::wire::Ballot(*_e)); }
   { auto _e = accepted(); if (_e) _o->accepted = std::unique_ptr<madderdeck::wire::Ballot>(new madderdeck::wire::Ballot(*_e)); }
   { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
+  { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Promise> Promise::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromiseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5602,6 +6406,7 @@
   auto _promised = _o->promised ? _o->promised.get() : nullptr;
   auto _accepted = _o->accepted ? _o->accepted.get() : nullptr;
   auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
+  auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
   return madderdeck::wire::CreatePromise(
       _fbb,
       _request,
@@ -5610,7 +6415,8 @@
       _status,
       _promised,
       _accepted,
-      _value);
+      _value,
+      _description);
 }
 
 inline AcceptT::AcceptT(const AcceptT &o)
@@ -5678,7 +6484,8 @@
         replica(o.replica),
         epoch(o.epoch),
         status(o.status),
-        promised((o.promised) ? new madderdeck::wire::Ballot(*o.promised) : nullptr) {
+        promised((o.promised) ? new madderdeck::wire::Ballot(*o.promised) : nullptr),
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
 }
 
 inline AcceptedT &AcceptedT::operator=(AcceptedT o) FLATBUFFERS_NOEXCEPT {
@@ -5687,6 +6494,7 @@
   std::swap(epoch, o.epoch);
   std::swap(status, o.status);
   std::swap(promised, o.promised);
+  std::swap(description, o.description);
   return *this;
 }
 
@@ -5704,6 +6512,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = status(); _o->status = _e; }
   { auto _e = promised(); if (_e) _o->promised = std::unique_ptr<madderdeck::wire::Ballot>(new madderdeck::wire::Ballot(*_e)); }
+  { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Accepted> Accepted::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AcceptedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5719,13 +6528,15 @@
   auto _epoch = _o->epoch;
   auto _status = _o->status;
   auto _promised = _o->promised ? _o->promised.get() : nullptr;
+  auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
   return madderdeck::wire::CreateAccepted(
       _fbb,
       _request,
       _replica,
       _epoch,
       _status,
-      _promised);
+      _promised,
+      _description);
 }
 
 inline LedgerRecordT::LedgerRecordT(const LedgerRecordT &o)
@@ -5824,7 +6635,8 @@
         replica(o.replica),
         epoch(o.epoch),
         status(o.status),
-        truncated(o.truncated) {
+        truncated(o.truncated),
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new madderdeck::wire::LedgerRecordT(*records_) : nullptr); }
 }
@@ -5836,6 +6648,7 @@
   std::swap(status, o.status);
   std::swap(records, o.records);
   std::swap(truncated, o.truncated);
+  std::swap(description, o.description);
   return *this;
 }
 
@@ -5854,6 +6667,7 @@
   { auto _e = status(); _o->status = _e; }
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<madderdeck::wire::LedgerRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = truncated(); _o->truncated = _e; }
+  { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<ScanReply> ScanReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ScanReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5870,6 +6684,7 @@
   auto _status = _o->status;
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateLedgerRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _truncated = _o->truncated;
+  auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
   return madderdeck::wire::CreateScanReply(
       _fbb,
       _request,
@@ -5877,7 +6692,25 @@
       _epoch,
       _status,
       _records,
-      _truncated);
+      _truncated,
+      _description);
+}
+
+inline CopyRequestT::CopyRequestT(const CopyRequestT &o)
+      : group(o.group),
+        epoch(o.epoch),
+        after(o.after),
+        limit(o.limit),
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
+}
+
+inline CopyRequestT &CopyRequestT::operator=(CopyRequestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(group, o.group);
+  std::swap(epoch, o.epoch);
+  std::swap(after, o.after);
+  std::swap(limit, o.limit);
+  std::swap(description, o.description);
+  return *this;
 }
 
 inline CopyRequestT *CopyRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5893,6 +6726,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = after(); if (_e) _o->after = _e->str(); }
   { auto _e = limit(); _o->limit = _e; }
+  { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<CopyRequest> CopyRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5907,12 +6741,14 @@
   auto _epoch = _o->epoch;
   auto _after = _o->after.empty() ? 0 : _fbb.CreateString(_o->after);
   auto _limit = _o->limit;
+  auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
   return madderdeck::wire::CreateCopyRequest(
       _fbb,
       _group,
       _epoch,
       _after,
-      _limit);
+      _limit,
+      _description);
 }
 
 inline CopyReplyT::CopyReplyT(const CopyReplyT &o)
@@ -5921,7 +6757,8 @@
         replica(o.replica),
         status(o.status),
         after(o.after),
-        truncated(o.truncated) {
+        truncated(o.truncated),
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new madderdeck::wire::LedgerRecordT(*records_) : nullptr); }
 }
@@ -5934,6 +6771,7 @@
   std::swap(after, o.after);
   std::swap(records, o.records);
   std::swap(truncated, o.truncated);
+  std::swap(description, o.description);
   return *this;
 }
 
@@ -5953,6 +6791,7 @@
   { auto _e = after(); if (_e) _o->after = _e->str(); }
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<madderdeck::wire::LedgerRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = truncated(); _o->truncated = _e; }
+  { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<CopyReply> CopyReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5970,6 +6809,7 @@
   auto _after = _o->after.empty() ? 0 : _fbb.CreateString(_o->after);
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateLedgerRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _truncated = _o->truncated;
+  auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
   return madderdeck::wire::CreateCopyReply(
       _fbb,
       _group,
@@ -5978,7 +6818,8 @@
       _status,
       _after,
       _records,
-      _truncated);
+      _truncated,
+      _description);
 }
 
 inline WorkItemT *WorkItem::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6560,6 +7401,19 @@
       _tokens);
 }
 
+inline GroupStateT::GroupStateT(const GroupStateT &o)
+      : epoch(o.epoch),
+        complete(o.complete),
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
+}
+
+inline GroupStateT &GroupStateT::operator=(GroupStateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(epoch, o.epoch);
+  std::swap(complete, o.complete);
+  std::swap(description, o.description);
+  return *this;
+}
+
 inline GroupStateT *GroupState::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<GroupStateT>();
   UnPackTo(_o.get(), _resolver);
@@ -6571,6 +7425,7 @@
   (void)_resolver;
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = complete(); _o->complete = _e; }
+  { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<GroupState> GroupState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6583,10 +7438,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupStateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _epoch = _o->epoch;
   auto _complete = _o->complete;
+  auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
   return madderdeck::wire::CreateGroupState(
       _fbb,
       _epoch,
-      _complete);
+      _complete,
+      _description);
 }
 
 inline PromiseStateT::PromiseStateT(const PromiseStateT &o)
@@ -6754,6 +7611,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::MemberSync *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::AdoptGroup: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::AdoptGroup *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::CopyStatusRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatusRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::CopyStatus: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatus *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -6853,6 +7722,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::MemberSync *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::AdoptGroup: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::AdoptGroup *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::CopyStatusRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatusRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::CopyStatus: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatus *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -6940,6 +7821,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::MemberSyncT *>(value);
       return CreateMemberSync(_fbb, ptr, _rehasher).Union();
     }
+    case Message::AdoptGroup: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::AdoptGroupT *>(value);
+      return CreateAdoptGroup(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::CopyStatusRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatusRequestT *>(value);
+      return CreateCopyStatusRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::CopyStatus: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatusT *>(value);
+      return CreateCopyStatus(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -7026,6 +7919,18 @@
       value = new madderdeck::wire::MemberSyncT(*reinterpret_cast<madderdeck::wire::MemberSyncT *>(u.value));
       break;
     }
+    case Message::AdoptGroup: {
+      value = new madderdeck::wire::AdoptGroupT(*reinterpret_cast<madderdeck::wire::AdoptGroupT *>(u.value));
+      break;
+    }
+    case Message::CopyStatusRequest: {
+      value = new madderdeck::wire::CopyStatusRequestT(*reinterpret_cast<madderdeck::wire::CopyStatusRequestT *>(u.value));
+      break;
+    }
+    case Message::CopyStatus: {
+      value = new madderdeck::wire::CopyStatusT(*reinterpret_cast<madderdeck::wire::CopyStatusT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -7133,6 +8038,21 @@
       delete ptr;
       break;
     }
+    case Message::AdoptGroup: {
+      auto ptr = reinterpret_cast<madderdeck::wire::AdoptGroupT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::CopyStatusRequest: {
+      auto ptr = reinterpret_cast<madderdeck::wire::CopyStatusRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::CopyStatus: {
+      auto ptr = reinterpret_cast<madderdeck::wire::CopyStatusT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
