Batch: items that come too late to be started are not asked for again at once

Change: no items are given with under 100 ms of lease left, and late items don't reset the interval of asking.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -258,15 +258,9 @@
 }
 
 void Dispatcher::handle(const PeerAddress& sender, const wire::GiveItemsT& message) {
-  if (message.items.empty()) {
-    busy_managers_.erase(sender);
-  } else {
-    busy_managers_.insert(sender);
-    ask_interval_ = Duration::zero();
-    ask_after_ = Timestamp{};
-  }
   const auto requested = requested_at_.find(message.request);
   const bool known = requested != requested_at_.end();
+  bool usable = false;
   for (const auto& item : message.items) {
     Queued work;
     work.item = *item;
@@ -278,9 +272,18 @@
     if (draining_ || (!known && guards_.respect_leases)) {
       report(work, false);
     } else {
+      usable = usable || environment_.now() < work.start_before;
       queue_.push_back(std::move(work));
     }
   }
+  // Items that come too late to be started are given back; asking for them again at once would not end.
+  if (usable) {
+    busy_managers_.insert(sender);
+    ask_interval_ = Duration::zero();
+    ask_after_ = Timestamp{};
+  } else {
+    busy_managers_.erase(sender);
+  }
   if (!draining_) {
     fill();
   }
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kDiscoveryInterval = 3s;
 /// A reading of the job's record allows handing out work for this long after it began.
 constexpr Duration kJobLease = 2s;
+/// An item given with less time to start than this would only come back.
+constexpr Duration kLeastLeaseGiven = 100ms;
 constexpr Duration kConfirmInterval = 700ms;
 /// A dispatcher that has not settled an item by then has lost it.
 constexpr Duration kItemLease = 30s;
@@ -229,7 +231,7 @@
 void JobManager::handle(const PeerAddress& sender, const wire::TakeItemsT& message) {
   std::vector<Job*> order;
   for (auto& [id, job] : jobs_) {
-    const bool leased = environment_.now() - job.confirmed_at < kJobLease;
+    const bool leased = environment_.now() - job.confirmed_at < kJobLease - kLeastLeaseGiven;
     if (job.loaded && (leased || !guards_.lease_jobs)) {
       order.push_back(&job);
     }
--- a/tests/simulation/simulation_test.cpp
+++ b/tests/simulation/simulation_test.cpp
@@ -21,7 +21,7 @@
 
 TEST_CASE("schedules that once failed pass") {
   // Each found a fault: see the commits that name them.
-  for (const std::uint64_t seed : {17U, 42U, 73U, 131U, 160U, 235U, 298U, 328U, 354U, 468U, 489U, 496U, 568U}) {
+  for (const std::uint64_t seed : {17U, 42U, 73U, 92U, 131U, 160U, 235U, 298U, 328U, 354U, 468U, 489U, 496U, 568U}) {
     INFO("seed " << seed);
     CHECK(run(seed).violations.empty());
   }
