--- a/tests/config/versioned_table_test.cpp
+++ b/tests/config/versioned_table_test.cpp
@@ -103,3 +103,18 @@
   REQUIRE(node.environment.sent.size() == 2);
   CHECK(node.environment.sent.back().to == kSecond);
 }
+
+TEST_CASE("a complete list deletes what is not on it, and peers learn of all of it") {
+  config::VersionedTable table;
+  const config::EntryKey kept{"machine", "kept"};
+  const config::EntryKey gone{"machine", "gone"};
+  const config::EntryKey lost{"machine", "lost"};
+  table.apply(0, 3, {{kept, "1", 1, false}, {gone, "1", 2, false}, {lost, "1", 3, false}});
+  const auto changed = table.apply(0, 9, {{kept, "1", 1, false}}, true);
+  CHECK(changed.size() == 2);
+  CHECK(table.find(kept) != nullptr);
+  CHECK(table.find(gone) == nullptr);
+  CHECK(table.find(lost) == nullptr);
+  // Entries that share a revision are never parted.
+  CHECK(table.changes_after(3, 1).size() == 2);
+}
--- /dev/null
+++ b/tests/forwarding/forwarder_test.cpp
@@ -0,0 +1,265 @@
+#include "forwarding/forwarder.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::forwarding;
+using madderdeck::routing::CallFailure;
+
+namespace {
+
+/// Back ends whose every event the test gives.
+class FakeUpstream : public Upstream {
+ public:
+  struct Call {
+    UpstreamCall call;
+    UpstreamEvents events;
+    bool cancelled = false;
+  };
+  routing::CallId start(UpstreamCall call, UpstreamEvents events) override {
+    calls.push_back({std::move(call), std::move(events)});
+    return calls.size();
+  }
+  void cancel(routing::CallId call) override {
+    if (call > 0) {
+      calls.at(call - 1).cancelled = true;
+    }
+  }
+  void pause(routing::CallId) override {}
+  void resume(routing::CallId) override {}
+
+  std::vector<Call> calls;
+};
+
+/// What the caller has got.
+struct Caller {
+  std::optional<AnswerHead> head;
+  std::string body;
+  bool finished = false;
+  bool broken = false;
+  std::optional<routing::Refusal> refusal;
+
+  ForwardEvents events() {
+    ForwardEvents result;
+    result.head = [this](const AnswerHead& answer, std::optional<std::string> whole) {
+      head = answer;
+      body.append(whole.value_or(""));
+      finished = whole.has_value();
+    };
+    result.piece = [this](std::string_view piece) { body.append(piece); };
+    result.finished = [this] { finished = true; };
+    result.broken = [this] { broken = true; };
+    result.refused = [this](routing::Refusal given) { refusal = std::move(given); };
+    return result;
+  }
+};
+
+struct Fixture {
+  explicit Fixture(std::size_t backends = 3) {
+    std::vector<config::Entry> entries;
+    for (std::size_t number = 0; number < backends; ++number) {
+      config::Machine machine;
+      machine.address = "10.0.0." + std::to_string(number) + ":80";
+      machine.pools = {"pool"};
+      machine.slots = 8;
+      const config::EntryKey key{config::kMachineKind, "engine-" + std::to_string(number)};
+      entries.push_back({key, config::format_machine(machine), number + 1, false});
+      keys.push_back(key);
+    }
+    table.apply(0, backends + 1, entries);
+    registry.update(table, keys);
+    route->name = "route";
+    route->kind = RouteKind::repeatable;
+    route->pools = {{"pool", 1}};
+    route->timeout_ms = 1000;
+    route->target_ms = 300;
+    route->max_attempts = 2;
+  }
+  ForwardId start(std::optional<Duration> patience = std::nullopt) {
+    auto request = std::make_shared<ForwardedRequest>();
+    request->id = "r1";
+    request->patience = patience;
+    return forwarder.start(request, route, caller.events());
+  }
+  FakeUpstream::Call& call(std::size_t number) { return upstream.calls.at(number); }
+  void answer(std::size_t number, unsigned status, const std::string& body, bool event_stream = false) {
+    call(number).events.head(AnswerHead{status, {}, event_stream});
+    call(number).events.piece(body);
+  }
+
+  tests::TestEnvironment environment;
+  Counters counters;
+  NoDecisionLog log;
+  routing::Registry registry{environment, counters, "node", routing::RegistryGuards{true, true, false}};
+  config::VersionedTable table;
+  std::vector<config::EntryKey> keys;
+  FakeUpstream upstream;
+  Forwarder forwarder{environment, counters, log, registry, upstream, [](const BackendId&, std::uint32_t) {}};
+  std::shared_ptr<Route> route = std::make_shared<Route>();
+  Caller caller;
+};
+
+}  // namespace
+
+TEST_CASE("an answer is passed on whole, with its status") {
+  Fixture fixture;
+  fixture.start();
+  fixture.answer(0, 404, "no such slot");
+  CHECK_FALSE(fixture.caller.head);  // not before it is whole
+  fixture.call(0).events.finished();
+  REQUIRE(fixture.caller.head);
+  CHECK(fixture.caller.head->status == 404);
+  CHECK(fixture.caller.body == "no such slot");
+  CHECK(fixture.forwarder.active() == 0);
+}
+
+TEST_CASE("a repeatable request whose answer breaks off goes to another back end") {
+  Fixture fixture;
+  fixture.start();
+  fixture.answer(0, 200, "hal");
+  fixture.call(0).events.failed(CallFailure::broken);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  CHECK(fixture.call(1).call.backend != fixture.call(0).call.backend);
+  fixture.answer(1, 200, "whole");
+  fixture.call(1).events.finished();
+  CHECK(fixture.caller.body == "whole");
+}
+
+TEST_CASE("what may have run is not sent again unless it may be repeated") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::unrepeatable;
+  fixture.start();
+  fixture.call(0).events.failed(CallFailure::broken);
+  CHECK(fixture.upstream.calls.size() == 1);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::unknown);
+}
+
+TEST_CASE("what was certainly not run moves on, and says so when nobody takes it") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::unrepeatable;
+  fixture.start();
+  fixture.call(0).events.failed(CallFailure::refused);
+  fixture.call(1).events.failed(CallFailure::not_sent);
+  fixture.call(2).events.failed(CallFailure::leaving);
+  CHECK(fixture.upstream.calls.size() == 3);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::no);
+  CHECK(fixture.caller.refusal->retry_after > Duration::zero());
+}
+
+TEST_CASE("no more back ends run a request than its route allows") {
+  Fixture fixture;
+  fixture.start();
+  fixture.call(0).events.failed(CallFailure::broken);
+  fixture.call(1).events.failed(CallFailure::broken);
+  CHECK(fixture.upstream.calls.size() == 2);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::unknown);
+}
+
+TEST_CASE("the final answer comes at the earlier of time-out and the caller's patience") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::unrepeatable;
+  fixture.start(400ms);
+  fixture.environment.world.run_for(399ms);
+  CHECK_FALSE(fixture.caller.refusal);
+  fixture.environment.world.run_for(2ms);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->error.kind == ErrorKind::deadline_exceeded);
+  CHECK(fixture.call(0).cancelled);
+}
+
+TEST_CASE("each send states the time that is left") {
+  Fixture fixture;
+  fixture.start();
+  CHECK(fixture.call(0).call.time_left == 1s);
+  fixture.environment.world.run_for(250ms);
+  fixture.call(0).events.failed(CallFailure::broken);
+  CHECK(fixture.call(1).call.time_left == 750ms);
+}
+
+TEST_CASE("a caller that goes away stops the work") {
+  Fixture fixture;
+  const ForwardId id = fixture.start();
+  fixture.forwarder.cancel(id);
+  CHECK(fixture.call(0).cancelled);
+  CHECK(fixture.forwarder.active() == 0);
+}
+
+TEST_CASE("a resumable stream goes on after the last whole event, under its first head") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.route->resumable = true;
+  fixture.start();
+  fixture.answer(0, 200, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda", true);
+  fixture.call(0).events.failed(CallFailure::broken);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  CHECK(fixture.call(1).call.resume_after == 2);
+  fixture.answer(1, 200, "id: 3\ndata: c\n\n", true);
+  fixture.call(1).events.finished();
+  CHECK(fixture.caller.finished);
+  CHECK(fixture.caller.body == "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
+TEST_CASE("repeated events are dropped and a gap is taken up elsewhere") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.route->resumable = true;
+  fixture.start();
+  fixture.answer(0, 200, "id: 1\ndata: a\n\nid: 1\ndata: a\n\nid: 3\ndata: c\n\n", true);
+  CHECK(fixture.caller.body == "id: 1\ndata: a\n\n");
+  CHECK(fixture.call(0).cancelled);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  CHECK(fixture.call(1).call.resume_after == 1);
+}
+
+TEST_CASE("a stream that may not be resumed is broken off when its back end fails") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.start();
+  fixture.answer(0, 200, "id: 1\ndata: a\n\n", true);
+  fixture.call(0).events.failed(CallFailure::broken);
+  CHECK(fixture.caller.broken);
+  CHECK_FALSE(fixture.caller.finished);
+  CHECK(fixture.upstream.calls.size() == 1);
+}
+
+TEST_CASE("a silent back end is left in time, one that answers others is not") {
+  Fixture fixture(2);
+  fixture.start();
+  fixture.environment.world.run_for(390ms);
+  fixture.registry.on_heard(fixture.call(0).call.backend);
+  fixture.environment.world.run_for(100ms);
+  CHECK(fixture.upstream.calls.size() == 1);
+  Fixture dark(2);
+  dark.route->target_ms = 600;
+  dark.start();
+  dark.environment.world.run_for(610ms);
+  CHECK(dark.call(0).cancelled);
+  CHECK(dark.upstream.calls.size() == 2);
+}
+
+TEST_CASE("pools get their weights' shares") {
+  Fixture fixture;
+  fixture.route->pools = {{"pool", 3}, {"other", 1}};
+  unsigned sent = 0;
+  for (int request = 0; request < 40; ++request) {
+    const std::size_t before = fixture.upstream.calls.size();
+    fixture.start();
+    sent += fixture.upstream.calls.size() > before ? 1 : 0;
+  }
+  CHECK(sent == 30);  // the other pool has no back end
+}
+
+TEST_CASE("events of an earlier send change nothing") {
+  Fixture fixture;
+  fixture.start();
+  fixture.call(0).events.failed(CallFailure::broken);
+  fixture.answer(0, 200, "late");
+  fixture.call(0).events.finished();
+  CHECK_FALSE(fixture.caller.head);
+  CHECK(fixture.forwarder.active() == 1);
+}
--- /dev/null
+++ b/tests/ledger/group_epochs_test.cpp
@@ -0,0 +1,120 @@
+#include <catch2/catch.hpp>
+
+#include "ledger/replica.hpp"
+#include "simulation/fleet.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::ledger;
+using madderdeck::tests::TestEnvironment;
+
+namespace {
+
+const PeerAddress kCaller("10.0.0.9:1");
+const ReplicaIdentity kA{NodeId("a"), DiskId("disk-a")};
+const ReplicaIdentity kB{NodeId("b"), DiskId("disk-b")};
+const ReplicaIdentity kC{NodeId("c"), DiskId("disk-c")};
+
+struct Fixture {
+  Fixture() {
+    process.start();
+    replica = make();
+  }
+  std::unique_ptr<Replica> make() {
+    return std::make_unique<Replica>(environment, storage, counters, kA.node, kA.disk,
+                                     [](const NodeId& node) { return std::optional(PeerAddress(node.str())); });
+  }
+  wire::PromiseT prepare(std::uint64_t epoch) {
+    wire::PrepareT request;
+    request.epoch = epoch;
+    request.ballot = ledger::to_wire(Ballot{++counter, 1});
+    request.key = "k/1";
+    environment.sent.clear();
+    replica->handle(kCaller, request);
+    environment.world.run_for(20ms);
+    for (const auto& message : environment.sent) {
+      if (message.body.type == wire::Message::Promise) {
+        return *message.body.AsPromise();
+      }
+    }
+    FAIL("no promise");
+    return {};
+  }
+  std::size_t copy_requests() const {
+    return static_cast<std::size_t>(
+        std::count_if(environment.sent.begin(), environment.sent.end(),
+                      [](const auto& message) { return message.body.type == wire::Message::CopyRequest; }));
+  }
+  void copied(std::uint32_t member, std::uint64_t epoch) {
+    wire::CopyStatusT status;
+    status.epoch = epoch;
+    status.replica = member;
+    status.complete = true;
+    replica->handle(status);
+  }
+
+  TestEnvironment environment;
+  Counters counters;
+  simulation::SimProcess process{environment.world};
+  simulation::SimStorage storage{environment.world, process};
+  std::unique_ptr<Replica> replica;
+  std::uint64_t counter = 0;
+};
+
+}  // namespace
+
+TEST_CASE("an adopted epoch fences the one before, and tells the stale asker who holds the group") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  CHECK(fixture.prepare(1).status == wire::ReplicaStatus::Granted);
+  const ReplicaIdentity fresh{NodeId("c"), DiskId("disk-c2")};
+  fixture.replica->adopt_group(0, {2, {kA, kB, fresh}, {}});
+  const wire::PromiseT refusal = fixture.prepare(1);
+  CHECK(refusal.status == wire::ReplicaStatus::StaleEpoch);
+  REQUIRE(refusal.description);
+  CHECK(from_wire(*refusal.description).replicas.at(2) == fresh);
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);  // never back
+}
+
+TEST_CASE("an epoch survives a restart without anybody's help") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.replica->adopt_group(0, {2, {kA, kB}, {kC}});
+  fixture.environment.world.run_for(20ms);
+  fixture.replica = fixture.make();
+  fixture.replica->restore();
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
+  CHECK(fixture.prepare(1).status == wire::ReplicaStatus::StaleEpoch);
+}
+
+TEST_CASE("a new member votes only after copying from the other members") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {2, {kB, kC, kA}, {}});
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::NotReady);
+  CHECK_FALSE(fixture.replica->synchronized());
+}
+
+TEST_CASE("those that stay copy from the one that leaves") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.environment.sent.clear();
+  fixture.replica->adopt_group(0, {2, {kA, kB}, {kC}});
+  CHECK(fixture.copy_requests() == 2);  // the other member and the leaving one
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
+}
+
+TEST_CASE("a leaving member does not vote, and is done when all others hold what it held") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  CHECK_FALSE(fixture.replica->left_all_groups());
+  fixture.replica->adopt_group(0, {2, {kB, kC}, {kA}});
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::NotReady);
+  CHECK_FALSE(fixture.replica->left_all_groups());
+  fixture.copied(0, 2);
+  fixture.copied(1, 1);  // of an earlier epoch: does not count
+  CHECK_FALSE(fixture.replica->left_all_groups());
+  fixture.copied(1, 2);
+  CHECK(fixture.replica->left_all_groups());
+}
--- /dev/null
+++ b/tests/platform/store_client_test.cpp
@@ -0,0 +1,165 @@
+/// A stand-in of the platform's store: lists in pages, watches, compare-and-set, lost history and answers.
+#include "store_client.hpp"
+
+#include "config/objects.hpp"
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include "bench/http_session.hpp"
+#include "net/http_server.hpp"
+#include "object_store/declarations.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::users_platform;
+
+namespace {
+
+constexpr char kAddress[] = "127.91.0.3:9320";
+namespace json = boost::json;
+
+json::object server_object(const std::string& name, std::uint64_t revision, const std::string& state = "ready") {
+  return {{"metadata", {{"name", name}, {"revision", revision}}},
+          {"spec",
+           {{"service", "s"},
+            {"address", "10.0.0.1:80"},
+            {"zone", "z"},
+            {"slots", 4},
+            {"state", state},
+            {"stage", "dual"}}}};
+}
+
+struct Fixture {
+  Fixture() : server(http.context, counters, [this](const auto& exchange) { answer(exchange); }, {}) {
+    REQUIRE(succeeded(server.listen(kAddress)));
+  }
+  void answer(const std::shared_ptr<net::Exchange>& exchange) {
+    requests.push_back(exchange->request().method + " " + exchange->request().target);
+    bodies.push_back(exchange->request().body);
+    const net::HttpResponse response = respond(exchange->request());
+    if (response.status == 0) {
+      exchange->abort();
+    } else {
+      exchange->respond(response);
+    }
+  }
+  Result<object_store::ChangeList> watch(std::uint64_t since) {
+    std::optional<Result<object_store::ChangeList>> result;
+    client.watch_machines(since, 100ms, [&result](auto changes) { result = std::move(changes); });
+    http.run_until([&result] { return result.has_value(); }, std::chrono::seconds(5));
+    REQUIRE(result);
+    return *result;
+  }
+  Result<std::uint64_t> put(std::uint64_t expected) {
+    std::optional<Result<std::uint64_t>> result;
+    object_store::PutRequest request;
+    request.key = {config::kReplicaGroupsKind, "default"};
+    request.body = "{}";
+    request.expected_revision = expected;
+    request.change_id = "c1";
+    client.put(request, [&result](auto revision) { result = std::move(revision); });
+    http.run_until([&result] { return result.has_value(); }, std::chrono::seconds(5));
+    REQUIRE(result);
+    return *result;
+  }
+
+  bench::HttpSession http;
+  Counters counters;
+  std::function<net::HttpResponse(const net::HttpRequest&)> respond;
+  std::vector<std::string> requests;
+  std::vector<std::string> bodies;
+  net::HttpServer server;
+  StoreClient client{http.client, kAddress};
+};
+
+net::HttpResponse ok(const json::object& body) { return {200, "application/json", {}, json::serialize(body)}; }
+
+}  // namespace
+
+TEST_CASE("a list is read page by page and is complete") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest& request) {
+    const bool first = request.query("since_rev").empty();
+    return ok({{"items", json::array{server_object(first ? "i-1" : "i-2", first ? 3 : 4)}},
+               {"more", first},
+               {"at", first ? 10 : 12}});
+  };
+  const auto result = fixture.watch(0);
+  REQUIRE(succeeded(result));
+  CHECK(value_of(result).complete);
+  CHECK(value_of(result).up_to == 10);  // what changed between the pages comes again
+  CHECK(value_of(result).entries.size() == 2);
+  CHECK(fixture.requests.back() == "GET /objects/servers?since_rev=i-1");
+}
+
+TEST_CASE("a watch brings changes, and what is gone is later than what was known") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest&) {
+    return ok({{"events", json::array{json::object{{"gone", false}, {"object", server_object("i-1", 11, "draining")}},
+                                      json::object{{"gone", true}, {"object", server_object("i-2", 4)}}}},
+               {"at", 13}});
+  };
+  const auto result = fixture.watch(10);
+  REQUIRE(succeeded(result));
+  CHECK_FALSE(value_of(result).complete);
+  CHECK(value_of(result).entries.at(0).revision == 11);
+  CHECK(value_of(result).entries.at(1).deleted);
+  CHECK(value_of(result).entries.at(1).revision == 13);
+}
+
+TEST_CASE("when the store has forgotten its history, the whole is listed") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest& request) {
+    return request.query("watch").empty()
+               ? ok({{"items", json::array{server_object("i-1", 3)}}, {"more", false}, {"at", 20}})
+               : net::HttpResponse{410, "application/json", {}, "{}"};
+  };
+  const auto result = fixture.watch(10);
+  REQUIRE(succeeded(result));
+  CHECK(value_of(result).complete);
+  CHECK(value_of(result).up_to == 20);
+}
+
+TEST_CASE("an entry that cannot be read is left out; an answer that is none is a typed error") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest&) {
+    json::object bad{{"metadata", {{"name", "i-9"}, {"revision", 5}}}, {"spec", {{"service", 7}}}};
+    return ok({{"items", json::array{server_object("i-1", 3), bad}}, {"more", false}, {"at", 20}});
+  };
+  CHECK(value_of(fixture.watch(0)).entries.size() == 1);
+  fixture.respond = [](const net::HttpRequest&) { return ok({{"items", 7}}); };
+  CHECK(error_of(fixture.watch(0)).kind == ErrorKind::corrupted);
+  for (const unsigned status : {429U, 503U, 0U}) {
+    fixture.respond = [status](const net::HttpRequest&) { return net::HttpResponse{status, "", {}, "{}"}; };
+    CHECK(error_of(fixture.watch(0)).kind == ErrorKind::unavailable);
+  }
+}
+
+TEST_CASE("a write states what it replaces, and each outcome is told apart") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest&) { return ok({{"metadata", {{"revision", 8}}}}); };
+  CHECK(value_of(fixture.put(0)) == 8);
+  CHECK(fixture.requests.back() == "POST /objects/replica-groups");
+  CHECK(value_of(fixture.put(7)) == 8);
+  CHECK(fixture.requests.back() == "PUT /objects/replica-groups/default");
+  CHECK(json::parse(fixture.bodies.back()).at("metadata").at("revision").as_int64() == 7);
+  const auto outcome = [&fixture](unsigned status) {
+    fixture.respond = [status](const net::HttpRequest&) { return net::HttpResponse{status, "", {}, "{}"}; };
+    return error_of(fixture.put(7)).kind;
+  };
+  CHECK(outcome(409) == ErrorKind::conflict);
+  CHECK(outcome(503) == ErrorKind::unavailable);
+  CHECK(outcome(429) == ErrorKind::unavailable);
+  CHECK(outcome(0) == ErrorKind::ambiguous);  // the answer is lost: it may have been done
+}
+
+TEST_CASE("the emptying of a node is reported in its status") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest&) { return ok({}); };
+  std::optional<Status> told;
+  fixture.client.report_retirement(NodeId("storage-1"), object_store::RetirementState::completed,
+                                   [&told](const Status& status) { told = status; });
+  fixture.http.run_until([&told] { return told.has_value(); }, std::chrono::seconds(5));
+  CHECK(fixture.requests.back() == "PUT /objects/retirements/storage-1/status");
+  CHECK(json::parse(fixture.bodies.back()).at("status").at("state").as_string() == "completed");
+}
--- /dev/null
+++ b/tests/platform/translation_test.cpp
@@ -0,0 +1,111 @@
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include "configuration.hpp"
+#include "headers.hpp"
+#include "ingress.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::users_platform;
+
+namespace {
+boost::json::object object(const char* text) { return boost::json::parse(text).as_object(); }
+}  // namespace
+
+TEST_CASE("a configuration becomes a route table") {
+  const auto result = translate_configuration(object(R"({
+    "version": 7, "unknown": 1,
+    "routes": [
+      {"name":"r1","host":"h","path_prefix":"/a/","type":"streaming","timeout_ms":6000,"target_ms":500,"priority":0,
+       "service":"s1","max_attempts":2,"sticky":true,"resumable":true,"gap_target_ms":500},
+      {"name":"r2","host":"h","path_prefix":"/b/","type":"bulk","split":[{"service":"s1","weight":90},{"service":"s2",
+       "weight":10}],"run_target_ms":20000,"keep_s":60.5,"max_attempts":3}],
+    "services": [{"name":"s1","max_conns":300}],
+    "limits": {"max_header_bytes":16384,"max_body_bytes":100,"header_timeout_ms":3000,"idle_timeout_ms":15000}})"));
+  REQUIRE(succeeded(result));
+  const auto& table = value_of(result);
+  CHECK(table.version == 7);
+  CHECK(table.routes.at(0).may_repeat());
+  CHECK(table.routes.at(0).prefix_affinity);
+  CHECK(table.routes.at(1).kind == forwarding::RouteKind::batch);
+  CHECK(table.routes.at(1).keep_ms == 60'500);
+  CHECK(table.routes.at(1).pools.at(1).weight == 10);
+  CHECK(table.limits.max_body_bytes == 100);
+}
+
+TEST_CASE("a kind of route that is not known is not run twice") {
+  const auto result = translate_configuration(object(
+      R"({"version":1,"routes":[{"name":"r","host":"h","path_prefix":"/","type":"odd","service":"s"}],"services":[]})"));
+  REQUIRE(succeeded(result));
+  CHECK_FALSE(value_of(result).routes.at(0).may_repeat());
+}
+
+TEST_CASE("what is no configuration or server is a typed error") {
+  CHECK(error_of(translate_configuration(object("{}"))).kind == ErrorKind::invalid_argument);
+  CHECK(error_of(translate_configuration(object(R"({"version":1,"routes":[{}],"services":[]})"))).kind ==
+        ErrorKind::invalid_argument);
+  CHECK(error_of(translate_server("i-1", object(R"({"service":7})"))).kind == ErrorKind::invalid_argument);
+}
+
+TEST_CASE("a server's entry becomes a back end with an address of its own") {
+  const auto result = translate_server(
+      "i-1",
+      object(R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":19,"state":"draining","stage":"dual"})"));
+  REQUIRE(succeeded(result));
+  CHECK(value_of(result).id.str() == "i-1");
+  CHECK(value_of(result).address == "10.0.0.1:80");
+  CHECK(value_of(result).leaving);
+  CHECK(value_of(result).target == config::Target::model);
+}
+
+TEST_CASE("headers of one connection stay there, all others are passed on") {
+  const net::Headers passed = end_to_end({{"Connection", "keep-alive, X-Hop"},
+                                          {"X-Hop", "1"},
+                                          {"Transfer-Encoding", "chunked"},
+                                          {"Content-Length", "3"},
+                                          {"X-Own", "2"},
+                                          {"X-Own", "3"}});
+  REQUIRE(passed.size() == 2);
+  CHECK(passed[0].value == "2");
+  CHECK(passed[1].value == "3");
+}
+
+TEST_CASE("a request is read with its prompt, and its send states what is left") {
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/a/1?q=2";
+  request.headers = {{"Host", "h"},
+                     {"x-madderdeck-request-id", "r1"},
+                     {"X-Madderdeck-Deadline-Ms", "8000"},
+                     {"X-Madderdeck-Prompt-Prefix", "5c1e:800,91bd:410,e4:250"}};
+  const auto parsed = forwarded_request(request);
+  REQUIRE(succeeded(parsed));
+  CHECK(value_of(parsed)->patience == Duration(8s));
+  CHECK(forwarding::affinity_key(value_of(parsed)->prompt) == "91bd");
+  forwarding::UpstreamCall call;
+  call.backend = BackendId("i-7");
+  call.request = value_of(parsed);
+  call.time_left = 750ms;
+  call.resume_after = 4;
+  const net::Headers headers = headers_for_engine(call);
+  CHECK(net::find_header(headers, "X-Madderdeck-Deadline-Ms") == "750");
+  CHECK(net::find_header(headers, "X-Madderdeck-Expect-Instance") == "i-7");
+  CHECK(net::find_header(headers, "Last-Event-Id") == "4");
+  CHECK(net::find_header(headers, "Host") == "h");
+}
+
+TEST_CASE("a request without id or with a deadline that is no number is refused by type") {
+  net::HttpRequest request;
+  CHECK(error_of(forwarded_request(request)).kind == ErrorKind::invalid_argument);
+  request.headers = {{"X-Madderdeck-Request-Id", "r"}, {"X-Madderdeck-Deadline-Ms", "soon"}};
+  CHECK(error_of(forwarded_request(request)).kind == ErrorKind::invalid_argument);
+}
+
+TEST_CASE("only what has not run is promised not to, with a time to come back") {
+  const Error error{ErrorKind::unavailable, ""};
+  const auto promise = refusal_response({error, routing::Ran::no, 300ms});
+  CHECK(promise.status == 503);
+  CHECK(net::find_header(promise.headers, "Retry-After") == "0.300");
+  CHECK(refusal_response({error, routing::Ran::unknown, Duration::zero()}).status == 502);
+  CHECK(refusal_response({{ErrorKind::deadline_exceeded, ""}, routing::Ran::unknown, {}}).status == 504);
+}
