SIGHUP reloads the settings; results are fetched one by one, not job by job

Cause 2: GB between zones: each poll for results brought all of the job's results from three replicas again.

--- a/src/batch/result_reader.cpp
+++ b/src/batch/result_reader.cpp
@@ -6,6 +6,7 @@
 namespace {
 constexpr Duration kPollInterval = 200ms;
 constexpr std::uint32_t kScanPage = 1000;
+constexpr std::size_t kMaxFetches = 64;  ///< Results that one reading fetches at the same time.
 constexpr std::size_t kMaxRememberedBytes = 6 << 20;
 constexpr std::size_t kMaxRememberedJobs = 256;
 
@@ -108,7 +109,8 @@
   }
 }
 
-/// Results are written before they are listed, so what is listed can be read.
+/// Results are written before they are listed, so what is listed can be read. They are fetched one
+/// by one: a scan of all would bring those again that are known.
 void ResultReader::read_results(const ReadingPointer& reading) {
   const auto entry = known_.find(reading->job);
   if (entry == known_.end()) {
@@ -116,27 +118,40 @@
     return;
   }
   const Known& known = entry->second;
-  const bool missing = std::any_of(
-      known.order.begin() + static_cast<std::ptrdiff_t>(std::min<std::size_t>(reading->from, known.order.size())),
-      known.order.end(), [&known](std::uint32_t index) { return !known.results.contains(index); });
-  if (!missing) {
+  std::vector<std::uint32_t> missing;
+  for (std::size_t position = reading->from; position < known.order.size(); ++position) {
+    if (missing.size() == kMaxFetches) {
+      break;
+    }
+    if (!known.results.contains(known.order[position])) {
+      missing.push_back(known.order[position]);
+    }
+  }
+  if (missing.empty()) {
     answer(reading);
     return;
   }
+  reading->fetching = missing.size();
+  for (const std::uint32_t index : missing) {
+    fetch_result(reading, index);
+  }
+}
+
+void ResultReader::fetch_result(const ReadingPointer& reading, std::uint32_t index) {
   const auto take = [this, reading](Result<ledger::ScanPage> result) {
     const auto found = known_.find(reading->job);
-    if (!succeeded(result) || found == known_.end()) {
-      reading->done(Error{ErrorKind::unavailable, "the job's results cannot be read now"});
-      return;
-    }
-    for (const ledger::ScanRecord& record : value_of(result).records) {
-      if (auto decoded = wire::decode_record<wire::ResultRecordT>(record.value)) {
-        remember(found->second, std::move(*decoded));
+    if (succeeded(result) && found != known_.end()) {
+      for (const ledger::ScanRecord& record : value_of(result).records) {
+        if (auto decoded = wire::decode_record<wire::ResultRecordT>(record.value)) {
+          remember(found->second, std::move(*decoded));
+        }
       }
     }
-    answer(reading);
+    if (--reading->fetching == 0) {
+      answer(reading);
+    }
   };
-  ledger_.scan(result_prefix(reading->job), "", kScanPage, lifetime_.guard(take));
+  ledger_.scan(result_key(reading->job, index), "", 1, lifetime_.guard(take));
 }
 
 void ResultReader::answer(const ReadingPointer& reading) {
@@ -154,7 +169,7 @@
     const auto result = known.results.find(known.order[position]);
     if (result == known.results.end()) {
       if (page.results.empty()) {
-        read_missing(reading, known.order[position]);
+        reading->done(Error{ErrorKind::unavailable, "a result cannot be read now"});
         return;
       }
       break;
@@ -168,21 +183,6 @@
   reading->done(std::move(page));
 }
 
-void ResultReader::read_missing(const ReadingPointer& reading, std::uint32_t index) {
-  const auto take = [this, reading](Result<ledger::OptionalValue> result) {
-    const auto found = known_.find(reading->job);
-    const bool there = succeeded(result) && value_of(result) && found != known_.end();
-    auto record = there ? wire::decode_record<wire::ResultRecordT>(*value_of(result)) : std::nullopt;
-    if (!record) {
-      reading->done(Error{ErrorKind::unavailable, "a result cannot be read now"});
-      return;
-    }
-    remember(found->second, std::move(*record));
-    answer(reading);
-  };
-  ledger_.read(result_key(reading->job, index), lifetime_.guard(take));
-}
-
 void ResultReader::read_item(const JobId& job, const std::string& item_id, ItemBodyDone done) {
   with_job(job, [this, job, item_id, done](Result<Known*> result) {
     if (!succeeded(result)) {
--- a/src/batch/result_reader.hpp
+++ b/src/batch/result_reader.hpp
@@ -52,13 +52,14 @@
     std::size_t max_bytes = 0;
     Timestamp deadline{};
     ResultPageDone done;
+    std::size_t fetching = 0;  ///< Results under way.
   };
   using ReadingPointer = std::shared_ptr<Reading>;
 
   void with_job(const JobId& job, std::function<void(Result<Known*>)> next);
   void read_order(const ReadingPointer& reading);
   void read_results(const ReadingPointer& reading);
-  void read_missing(const ReadingPointer& reading, std::uint32_t index);
+  void fetch_result(const ReadingPointer& reading, std::uint32_t index);
   void remember(Known& known, wire::ResultRecordT record);
   void answer(const ReadingPointer& reading);
   void forget_old();
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -252,6 +252,8 @@
   return bits;
 }
 
+Result<Settings> Settings::reread() const { return load_settings(source_path, source_overrides); }
+
 Result<Settings> load_settings(const std::string& path, const std::vector<SettingOverride>& overrides) {
   Settings settings;
   if (!path.empty()) {
@@ -270,6 +272,8 @@
       return *problem;
     }
   }
+  settings.source_path = path;
+  settings.source_overrides = overrides;
   use_seed_port(settings);
   if (const auto problem = check(settings, path)) {
     return *problem;
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -10,6 +10,12 @@
 
 namespace madderdeck::config {
 
+/// One value that overrides the file, as given on the command line.
+struct SettingOverride {
+  std::string key;    ///< "table.key"
+  std::string value;  ///< As it would stand in the file, strings without quotes.
+};
+
 /// Everything a node must know before it can join a fleet.
 struct Settings {
   // [node]
@@ -53,17 +59,16 @@
   std::string log_level = "info";
   std::string log_file;
 
+  std::string source_path;                        ///< The file; empty for none.
+  std::vector<SettingOverride> source_overrides;  ///< What the command line changed.
+
+  /// Reads the same file with the same overrides again.
+  Result<Settings> reread() const;
   /// @return the roles as bits of wire::MemberT::roles.
   std::uint32_t role_bits() const;
   bool has_role(const std::string& role) const;
 };
 
-/// One value that overrides the file, as given on the command line.
-struct SettingOverride {
-  std::string key;    ///< "table.key"
-  std::string value;  ///< As it would stand in the file, strings without quotes.
-};
-
 /// Reads @p path (empty: no file), applies @p overrides and checks the whole.
 /// @return ErrorKind::invalid_argument with file, line, key, what was found and what is allowed.
 Result<Settings> load_settings(const std::string& path, const std::vector<SettingOverride>& overrides);
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -64,6 +64,8 @@
   void start();
   /// Announces that this node takes no new work. It goes on answering probes.
   void leave();
+  /// Replaces the addresses at which the fleet is looked for.
+  void set_seeds(std::vector<PeerAddress> seeds) { seeds_ = std::move(seeds); }
   /// Announces that this node's disk is to be emptied. It goes on working meanwhile.
   void retire();
 
@@ -138,7 +140,7 @@
   const Options options_;
   const Hooks hooks_;
   wire::MemberT self_;
-  const std::vector<PeerAddress> seeds_;
+  std::vector<PeerAddress> seeds_;
   std::map<NodeId, Entry> members_;
   std::vector<NodeId> probe_order_;
   std::vector<Update> updates_;
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -33,7 +33,8 @@
         backends_(integration.make_backends(client_, counters_)),
         platform_(integration.make_platform(client_, settings)),
         background_(1),
-        signals_(context_, SIGTERM, SIGINT) {}
+        signals_(context_, SIGTERM, SIGINT),
+        reload_signal_(context_, SIGHUP) {}
 
   Status run() {
     const Status prepared = prepare();
@@ -49,6 +50,7 @@
         begin_drain();
       }
     });
+    await_reload();
     context_.run();
     background_.join();
     log_event(LogLevel::info, "node_stopped", {{"node", settings_.id}});
@@ -163,6 +165,26 @@
     return Ok{};
   }
 
+  /// Settings that may change while the node runs are taken up; others wait for the next start.
+  void await_reload() {
+    reload_signal_.async_wait([this](boost::system::error_code failure, int) {
+      if (failure) {
+        return;
+      }
+      const auto fresh = settings_.reread();
+      if (succeeded(fresh)) {
+        std::vector<PeerAddress> seeds;
+        for (const std::string& seed : value_of(fresh).seeds) {
+          seeds.emplace_back(seed);
+        }
+        core_->members.set_seeds(std::move(seeds));
+      }
+      log_event(LogLevel::info, "settings_reloaded",
+                {{"node", settings_.id}, {"outcome", succeeded(fresh) ? "taken" : error_of(fresh).detail}});
+      await_reload();
+    });
+  }
+
   void watch_readiness() {
     environment_.after(kDrainCheck, [this] { watch_readiness(); });
     if (core_->ready() != was_ready_) {
@@ -218,6 +240,7 @@
   std::unique_ptr<net::HttpServer> api_server_;
   std::vector<std::unique_ptr<net::HttpServer>> probe_servers_;
   asio::signal_set signals_;
+  asio::signal_set reload_signal_;
   Timestamp drain_deadline_{};
   bool was_ready_ = false;
 };
