Choice of back end: load reports count for 4 s, four samples

Cause: 40 in 100 sends went by reports older than 1 s and fell back to this node's own calls times the gateways.

--- a/src/forwarding/engine_choice.cpp
+++ b/src/forwarding/engine_choice.cpp
@@ -9,9 +9,9 @@
 
 using routing::Backend;
 
-constexpr Duration kReportFresh = 1s;
+constexpr Duration kReportFresh = 4s;
 constexpr Duration kSilence = 500ms;
-constexpr std::size_t kSamples = 3;
+constexpr std::size_t kSamples = 4;
 constexpr double kAffinitySlack = 0.25;  ///< Of the slots above the average load.
 constexpr double kMaxSlowness = 8.0;
 
