--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -23,6 +23,10 @@
 constexpr Duration kAnswerUseful = 5s;
 constexpr Duration kRouteMissing = 5s;  ///< Longer than a configuration takes to be in force everywhere.
 
+std::string_view error_name(const Result<ledger::OptionalValue>& result) {
+  return error_kind_name(error_of(result).kind);
+}
+
 /// Decodes an item that is an HTTP request; null when it is none.
 std::shared_ptr<const routing::HttpItemCall> decode_http_item(const wire::WorkItemT& work) {
   auto item = wire::decode_record<wire::HttpItemT>(work.body);
@@ -45,7 +49,7 @@
 
 Dispatcher::Dispatcher(Environment& environment, Counters& counters, ledger::Client& ledger,
                        membership::Membership& members, const config::Catalog& catalog, routing::Registry& registry,
-                       routing::BackendClient& client, DispatchGuards guards)
+                       routing::BackendClient& client, DecisionLog& log, DispatchGuards guards)
     : environment_(environment),
       counters_(counters),
       ledger_(ledger),
@@ -53,6 +57,7 @@
       catalog_(catalog),
       registry_(registry),
       client_(client),
+      log_(log),
       guards_(guards) {}
 
 void Dispatcher::start() { tick(); }
@@ -318,7 +323,16 @@
   running.work = std::move(work);
   running.engine = backend.machine.id;
   running.started = id;
-  ++engines_[running.engine].running;
+  Engine& engine = engines_[running.engine];
+  ++engine.running;
+  log_.record("item_started", {{"job", running.work.item.job},
+                               {"index", running.work.item.index},
+                               {"item", name_of(running.work)},
+                               {"backend", running.engine.str()},
+                               {"batch_running", engine.running},
+                               {"live", online_on(backend, engine)},
+                               {"report_age_ms", (environment_.now() - backend.reported_at) / 1ms},
+                               {"resume_after", running.work.item.partial_tokens}});
   running_.emplace(id, std::move(running));
   counters_["batch_items_started_total"]++;
   routing::EngineEvents events;
@@ -381,6 +395,13 @@
   counters_["batch_item_failures_total"]++;
   Queued work = std::move(running.work);
   ++work.failures;
+  log_.record("item_run_failed", {{"job", work.item.job},
+                                  {"index", work.item.index},
+                                  {"item", name_of(work)},
+                                  {"backend", running.engine.str()},
+                                  {"failure", routing::failure_name(failure)},
+                                  {"failed_runs", work.item.failed_runs},
+                                  {"events", work.item.partial_tokens}});
   work.item.failed_runs += failure == routing::CallFailure::failed_run ? 1 : 0;
   if (failed_for_good(work, failure)) {
     work.item.partial = "the engine rejects the item";
@@ -421,11 +442,20 @@
   ledger_.change(result_key(JobId(work.item.job), work.item.index), first_stands,
                  lifetime_.guard([this, work](const Result<ledger::OptionalValue>& result) {
                    --unsettled_;
+                   log_.record("item_result", {{"job", work.item.job},
+                                               {"index", work.item.index},
+                                               {"item", name_of(work)},
+                                               {"outcome", succeeded(result) ? "written" : error_name(result)}});
                    counters_[succeeded(result) ? "batch_results_written_total" : "batch_results_not_written_total"]++;
                    report(work, succeeded(result));
                  }));
 }
 
+const std::string& Dispatcher::name_of(const Queued& work) {
+  static const std::string none;
+  return work.http ? work.http->id : none;
+}
+
 void Dispatcher::report(const Queued& work, bool completed) {
   wire::ItemSettledT message;
   message.job = work.item.job;
@@ -469,6 +499,13 @@
     client_.cancel(youngest->second.call);
     Running running = take_running(youngest->first);
     counters_["batch_items_yielded_total"]++;
+    log_.record("item_yielded", {{"job", running.work.item.job},
+                                 {"index", running.work.item.index},
+                                 {"item", name_of(running.work)},
+                                 {"backend", id.str()},
+                                 {"live", online},
+                                 {"batch_running", engine.running},
+                                 {"events", running.work.item.partial_tokens}});
     engine.resume_after = environment_.now() + kQuietAfterYield;
     queue_.push_front(std::move(running.work));
   }
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -9,6 +9,7 @@
 
 #include "batch/records.hpp"
 #include "common/counters.hpp"
+#include "common/decision_log.hpp"
 #include "config/objects.hpp"
 #include "ledger/client.hpp"
 #include "membership/membership.hpp"
@@ -34,7 +35,7 @@
  public:
   Dispatcher(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
              const config::Catalog& catalog, routing::Registry& registry, routing::BackendClient& client,
-             DispatchGuards guards = {});
+             DecisionLog& log, DispatchGuards guards = {});
 
   void start();
   void handle(const PeerAddress& sender, const wire::GiveItemsT& message);
@@ -98,6 +99,7 @@
   Running take_running(RunId id);
   void write_result(Queued work, bool failed);
   void report(const Queued& work, bool completed);
+  static const std::string& name_of(const Queued& work);
 
   Environment& environment_;
   Counters& counters_;
@@ -106,6 +108,7 @@
   const config::Catalog& catalog_;
   routing::Registry& registry_;
   routing::BackendClient& client_;
+  DecisionLog& log_;
   const DispatchGuards guards_;
   std::deque<Queued> queue_;
   std::map<RunId, Running> running_;
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -23,8 +23,8 @@
 }  // namespace
 
 JobManager::JobManager(Environment& environment, Counters& counters, ledger::Client& ledger,
-                       membership::Membership& members, ManagerGuards guards)
-    : environment_(environment), counters_(counters), ledger_(ledger), members_(members), guards_(guards) {}
+                       membership::Membership& members, DecisionLog& log, ManagerGuards guards)
+    : environment_(environment), counters_(counters), ledger_(ledger), members_(members), log_(log), guards_(guards) {}
 
 void JobManager::start() { tick(); }
 
@@ -148,6 +148,7 @@
   const auto [entry, inserted] = jobs_.try_emplace(job);
   if (inserted) {
     counters_["jobs_opened_total"]++;
+    log_.record("job_opened", {{"job", job.str()}, {"members_version", members_.version()}});
     confirm(job);
   }
 }
@@ -295,6 +296,11 @@
     const Duration left = job.confirmed_at + kJobLease - environment_.now();
     item->lease_ms = guards_.lease_jobs ? static_cast<std::uint32_t>(left / 1ms) : UINT32_MAX;
     job.items[index] = ItemState::leased;
+    log_.record("item_handed_out", {{"job", job.record.id},
+                                    {"index", index},
+                                    {"to", to.str()},
+                                    {"lease_ms", item->lease_ms},
+                                    {"record_age_ms", (environment_.now() - job.confirmed_at) / 1ms}});
     job.leases[index] = Lease{environment_.now() + kItemLease, to, holder == nullptr ? 0 : holder->incarnation};
     item->host = job.record.host;
     if (const auto progress = job.unfinished.find(index); progress != job.unfinished.end()) {
@@ -370,6 +376,10 @@
       job.items[lease->first] = ItemState::pending;
       job.cursor = std::min(job.cursor, lease->first);
       counters_["batch_item_leases_expired_total"]++;
+      log_.record("item_lease_expired", {{"job", job.record.id},
+                                         {"index", lease->first},
+                                         {"holder", lease->second.holder.str()},
+                                         {"holder_lives", holder_lives(lease->second)}});
     }
     lease = job.leases.erase(lease);
   }
@@ -489,6 +499,7 @@
     return;
   }
   job.listed.insert(record->indexes.begin(), record->indexes.end());
+  log_.record("results_listed", {{"job", id.str()}, {"listed", job.listed.size()}, {"items", job.items.size()}});
   job.order_segment += record->indexes.size() >= kOrderSegment ? 1 : 0;
   std::erase_if(job.order_pending, [&job](std::uint32_t index) { return job.listed.contains(index); });
   append_order(id);
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -9,6 +9,7 @@
 
 #include "batch/records.hpp"
 #include "common/counters.hpp"
+#include "common/decision_log.hpp"
 #include "ledger/client.hpp"
 #include "membership/membership.hpp"
 
@@ -31,7 +32,7 @@
 class JobManager {
  public:
   JobManager(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
-             ManagerGuards guards = {});
+             DecisionLog& log, ManagerGuards guards = {});
 
   void start();
   void handle(const wire::JobNoticeT& message);
@@ -106,6 +107,7 @@
   Counters& counters_;
   ledger::Client& ledger_;
   membership::Membership& members_;
+  DecisionLog& log_;
   const ManagerGuards guards_;
   std::map<JobId, Job> jobs_;
   std::set<std::string> finished_;  ///< Jobs known to need nothing more.
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -19,26 +19,6 @@
 constexpr unsigned kRetryPercent = 20;
 constexpr Duration kLeastFirstByteWait = 400ms;
 
-std::string_view failure_name(CallFailure failure) {
-  switch (failure) {
-    case CallFailure::not_sent:
-      return "not_sent";
-    case CallFailure::refused:
-      return "refused";
-    case CallFailure::leaving:
-      return "leaving";
-    case CallFailure::invalid:
-      return "invalid";
-    case CallFailure::broken:
-      return "broken";
-    case CallFailure::timed_out:
-      return "timed_out";
-    case CallFailure::failed_run:
-      return "failed_run";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 Forwarder::Forwarder(Environment& environment, Counters& counters, DecisionLog& log, routing::Registry& registry,
@@ -331,7 +311,7 @@
   active.attempt = 0;
   log_.record("send_failed", {{"request", active.request->id},
                               {"backend", active.backend.str()},
-                              {"failure", failure_name(failure)},
+                              {"failure", routing::failure_name(failure)},
                               {"sends", active.sends},
                               {"events", active.last_event},
                               {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -59,9 +59,9 @@
         [this](const NodeId& node) { return members.address_of(node); }, options.guards.replica);
   }
   if (has_role(options.self, Role::scheduler)) {
-    jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, options.guards.manager);
+    jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, log, options.guards.manager);
     dispatcher = std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
-                                                     dependencies.backends, options.guards.dispatch);
+                                                     dependencies.backends, log, options.guards.dispatch);
   }
   if (replica && dependencies.platform.has_retirements()) {
     retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica,
@@ -146,6 +146,13 @@
 
 void NodeCore::on_machines_changed(const std::vector<config::EntryKey>& keys) {
   registry.update(machines.table(), keys);
+  for (const config::EntryKey& key : keys) {
+    const routing::Backend* backend = registry.find(BackendId(key.name));
+    log.record("backend_listed",
+               {{"backend", key.name},
+                {"state", backend == nullptr ? "gone" : (backend->machine.leaving ? "leaving" : "live")},
+                {"revision", machines.table().revision()}});
+  }
 }
 
 void NodeCore::handle(const wire::Incoming& incoming) {
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -62,6 +62,7 @@
     return;
   }
   const auto take = [this, &table, source, again_after](Result<ChangeList> result) {
+    note_store(succeeded(result));
     if (!succeeded(result)) {
       counters_["platform_watch_failures_total"]++;
       again_after(options_.store_retry);
@@ -74,6 +75,18 @@
   (platform_.*source)(table.table().revision(), options_.watch_wait, lifetime_.guard(take));
 }
 
+void Controller::note_store(bool answers) {
+  const bool answered = store_silent_since_.count() == 0;
+  if (answers == answered) {
+    return;
+  }
+  log_.record(answers ? "store_regained" : "store_lost",
+              {{"silent_ms", answered ? 0 : (environment_.now() - store_silent_since_) / 1ms},
+               {"objects_revision", objects_.table().revision()},
+               {"machines_revision", machines_.table().revision()}});
+  store_silent_since_ = answers ? Timestamp{} : environment_.now();
+}
+
 // --- replica groups -------------------------------------------------------------------------
 
 std::vector<const wire::MemberT*> Controller::ledger_nodes() const {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -43,6 +43,7 @@
   /// Watches one source for as long as this node is a reader.
   void watch(config::TableReplicator& table, Watch source);
   bool ranks_among(std::size_t count) const;
+  void note_store(bool answers);
   void maintain_groups();
   void found_groups();
   /// How a replica of a group stands.
--- a/src/routing/backend.hpp
+++ b/src/routing/backend.hpp
@@ -28,6 +28,27 @@
   failed_run,  ///< The back end ran the call and says that it failed.
 };
 
+/// @return the name of @p failure, for logs.
+inline std::string_view failure_name(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::not_sent:
+      return "not_sent";
+    case CallFailure::refused:
+      return "refused";
+    case CallFailure::leaving:
+      return "leaving";
+    case CallFailure::invalid:
+      return "invalid";
+    case CallFailure::broken:
+      return "broken";
+    case CallFailure::timed_out:
+      return "timed_out";
+    case CallFailure::failed_run:
+      return "failed_run";
+  }
+  return "unknown";
+}
+
 /// @return whether the call certainly did not run.
 inline bool certainly_not_run(CallFailure failure) {
   return failure == CallFailure::not_sent || failure == CallFailure::refused || failure == CallFailure::leaving;
--- /dev/null
+++ b/tests/platform/deploy_settings_test.cpp
@@ -0,0 +1,69 @@
+/// The deploy files' settings, filled as the platform fills them, pass the program's own check.
+#include <catch2/catch.hpp>
+#include <fstream>
+#include <map>
+#include <sstream>
+
+#include "config/settings.hpp"
+
+using namespace madderdeck;
+
+namespace {
+
+std::string read_file(const std::string& path) {
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+/// Fills single gaps; the list of seeds is written out by the caller.
+std::string fill(std::string text, const std::map<std::string, std::string>& values) {
+  for (const auto& [name, value] : values) {
+    for (std::size_t at = text.find(name); at != std::string::npos; at = text.find(name, at + value.size())) {
+      text.replace(at, name.size(), value);
+    }
+  }
+  return text;
+}
+
+Result<config::Settings> load(const std::string& path, const std::string& platform_address) {
+  const std::string filled =
+      fill(read_file(path), {{"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.1.0.35:8146\",\"10.2.0.28:8146\""},
+                             {"{{node_name}}", "frontend-1"},
+                             {"{{zone}}", "abdali-hall"},
+                             {"{{region}}", "amman"},
+                             {"{{ip}}", "10.1.0.35"},
+                             {"{{port_range.0}}", "7660"},
+                             {"{{port_range.1}}", "7661"},
+                             {"{{listen.front}}", "10.1.0.35:8144"},
+                             {"{{listen.ready}}", "10.1.0.35:8140"},
+                             {"{{data_dir}}", "/data/ledger"},
+                             {"{{platform.address}}", platform_address}});
+  CHECK(filled.find("{{") == std::string::npos);
+  const std::string file = "deploy-settings-test.toml";
+  std::ofstream(file) << filled;
+  auto settings = config::load_settings(file, {});
+  std::remove(file.c_str());
+  return settings;
+}
+
+}  // namespace
+
+TEST_CASE("the deploy files' settings are in order") {
+  const auto gateway = load("deploy/gateway.toml", "10.200.1.7:8142");
+  REQUIRE(succeeded(gateway));
+  CHECK(value_of(gateway).has_role("gateway"));
+  CHECK_FALSE(value_of(gateway).has_role("ledger"));
+  CHECK(value_of(gateway).seeds.at(0) == "10.1.0.35:7660");  // peers hear at the same port everywhere
+  const auto ledger = load("deploy/ledger.toml", "10.200.1.7:8142");
+  REQUIRE(succeeded(ledger));
+  CHECK(value_of(ledger).has_role("ledger"));
+  CHECK(value_of(ledger).data_folder == "/data/ledger");
+}
+
+TEST_CASE("a malformed value in the deploy files' settings is a typed error") {
+  const auto settings = load("deploy/gateway.toml", "nowhere");
+  REQUIRE_FALSE(succeeded(settings));
+  CHECK(error_of(settings).kind == ErrorKind::invalid_argument);
+}
