--- a/src/config/objects.hpp
+++ b/src/config/objects.hpp
@@ -96,6 +96,8 @@
   std::shared_ptr<const Tenant> tenant_by_key(const std::string& api_key) const;
   std::vector<std::shared_ptr<const Template>> templates() const;
   std::vector<std::shared_ptr<const Model>> models() const;
+  /// Sets what stands until operators declare a policy.
+  void set_default_policy(const FleetPolicy& policy) { policy_ = policy; }
   const FleetPolicy& policy() const { return policy_; }
   const ledger::GroupMap& groups() const { return groups_; }
   /// @return the routes in force; null before any are known.
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -47,8 +47,9 @@
   std::string operator_key;
   // [engines]
   std::int64_t load_poll_ms = 1500;
-  std::int64_t loads_pushed = 0;  ///< 1: engines tell their load with each answer.
-  std::int64_t subset_size = 0;   ///< Engines of a pool that this node uses; 0: as the fleet's policy says.
+  std::int64_t loads_pushed = 0;          ///< 1: engines tell their load with each answer.
+  std::int64_t subset_size = 16;          ///< Engines of a pool that this node uses, until a fleet policy is declared.
+  std::int64_t batch_headroom_slots = 2;  ///< Engine slots batch never takes, until a fleet policy is declared.
   // [ledger]
   std::int64_t ledger_groups = 16;           ///< Replica groups of a fleet that is founded.
   std::int64_t ledger_replace_after_ms = 0;  ///< Silence after which a replica is replaced; 0: as the policy says.
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -111,7 +111,8 @@
     options.load_poll = std::chrono::milliseconds(settings_.load_poll_ms);
     options.loads_pushed = settings_.loads_pushed != 0;
     options.guards.registry.need_fresh_reports = !options.loads_pushed;
-    options.subset_size = static_cast<std::uint32_t>(settings_.subset_size);
+    options.default_policy.subset_size = static_cast<std::uint32_t>(settings_.subset_size);
+    options.default_policy.batch_headroom_slots = static_cast<std::uint32_t>(settings_.batch_headroom_slots);
     options.membership.period = std::chrono::milliseconds(settings_.membership_period_ms);
     options.membership.ack_timeout = std::min<Duration>(options.membership.ack_timeout, options.membership.period / 2);
     options.controller.group_count = static_cast<std::size_t>(settings_.ledger_groups);
@@ -216,7 +217,9 @@
     const unsigned quiet = done ? quiet_checks + 1 : 0;
     if (late || quiet >= kQuietChecksNeeded) {
       log_event(late ? LogLevel::warning : LogLevel::info, "drain_finished",
-                {{"node", settings_.id}, {"cut_off", core_->live.active() + core_->services.active()}});
+                {{"node", settings_.id},
+                 {"cut_off", core_->live.active() + core_->services.active() +
+                                 (core_->forwarder ? core_->forwarder->active() : 0)}});
       context_.stop();
       return;
     }
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -18,7 +18,6 @@
       backends_(dependencies.backends),
       load_poll_(options.load_poll),
       loads_pushed_(options.loads_pushed),
-      subset_size_(options.subset_size),
       objects(
           environment, counters, wire::TableId::Objects,
           [this](std::size_t count) { return members.random_peers(count); },
@@ -50,9 +49,8 @@
         [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
         options.guards.forward);
   }
-  if (subset_size_ > 0) {
-    registry.set_subset_size(subset_size_);
-  }
+  catalog.set_default_policy(options.default_policy);
+  registry.set_subset_size(options.default_policy.subset_size);
   if (has_role(options.self, Role::ledger) && dependencies.storage != nullptr) {
     replica = std::make_unique<ledger::Replica>(
         environment, *dependencies.storage, counters, NodeId(options.self.id), DiskId(options.self.disk_id),
@@ -121,10 +119,8 @@
   const bool of_groups = !keys.empty() && keys.front().kind == config::kReplicaGroupsKind;
   const bool apart = of_groups && groups.table().find(keys.front()) != nullptr;
   catalog.update(apart ? groups.table() : objects.table(), keys);
-  config::FleetPolicy policy = catalog.policy();
-  policy.subset_size = subset_size_ > 0 ? subset_size_ : policy.subset_size;
-  live.set_policy(policy);
-  services.set_policy(policy);
+  live.set_policy(catalog.policy());
+  services.set_policy(catalog.policy());
   if (catalog.routes() != told_routes_) {
     told_routes_ = catalog.routes();
     log.record("routes_taken", {{"version", told_routes_->version},
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -64,7 +64,7 @@
   Duration load_poll = 500ms;  ///< How often back ends are asked for their load.
   /// Back ends tell their load with their answers: only schedulers ask, for the engines they fill.
   bool loads_pushed = false;
-  std::uint32_t subset_size = 0;  ///< Back ends of a pool that this node uses; 0: as the fleet's policy says.
+  config::FleetPolicy default_policy;  ///< Stands until operators declare one.
   Guards guards;
 };
 
@@ -108,7 +108,6 @@
   routing::BackendClient& backends_;
   const Duration load_poll_;
   const bool loads_pushed_;
-  const std::uint32_t subset_size_;
   bool draining_ = false;
 
  public:
