--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -395,6 +395,7 @@
   counters_["batch_item_failures_total"]++;
   Queued work = std::move(running.work);
   ++work.failures;
+  work.item.failed_runs += failure == routing::CallFailure::failed_run ? 1 : 0;
   log_.record("item_run_failed", {{"job", work.item.job},
                                   {"index", work.item.index},
                                   {"item", name_of(work)},
@@ -402,7 +403,6 @@
                                   {"failure", routing::failure_name(failure)},
                                   {"failed_runs", work.item.failed_runs},
                                   {"events", work.item.partial_tokens}});
-  work.item.failed_runs += failure == routing::CallFailure::failed_run ? 1 : 0;
   if (failed_for_good(work, failure)) {
     work.item.partial = "the engine rejects the item";
     write_result(std::move(work), true);
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -32,10 +32,10 @@
 
 void Controller::start() {
   started_ = environment_.now();
-  watch(objects_, &PlatformClient::watch_objects);
-  watch(machines_, &PlatformClient::watch_machines);
+  watch(objects_, &PlatformClient::watch_objects, false);
+  watch(machines_, &PlatformClient::watch_machines, false);
   if (platform_.has_group_source()) {
-    watch(groups_, &PlatformClient::watch_groups);
+    watch(groups_, &PlatformClient::watch_groups, false);
   }
   environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
 }
@@ -53,26 +53,27 @@
   return false;
 }
 
-void Controller::watch(config::TableReplicator& table, Watch source) {
-  const auto again_after = [this, &table, source](Duration pause) {
-    environment_.after(pause, lifetime_.guard([this, &table, source] { watch(table, source); }));
+void Controller::watch(config::TableReplicator& table, Watch source, bool at_once) {
+  const auto again_after = [this, &table, source](Duration pause, bool probe) {
+    environment_.after(pause, lifetime_.guard([this, &table, source, probe] { watch(table, source, probe); }));
   };
   if (!is_reader()) {
-    again_after(kIdle);
+    again_after(kIdle, false);
     return;
   }
   const auto take = [this, &table, source, again_after](Result<ChangeList> result) {
     note_store(succeeded(result));
     if (!succeeded(result)) {
       counters_["platform_watch_failures_total"]++;
-      again_after(options_.store_retry);
+      again_after(options_.store_retry, true);
       return;
     }
     const ChangeList& changes = value_of(result);
     table.apply_from_source(changes.since, changes.up_to, changes.entries, changes.complete);
-    watch(table, source);
+    watch(table, source, false);
   };
-  (platform_.*source)(table.table().revision(), options_.watch_wait, lifetime_.guard(take));
+  const Duration wait = at_once ? Duration::zero() : options_.watch_wait;
+  (platform_.*source)(table.table().revision(), wait, lifetime_.guard(take));
 }
 
 void Controller::note_store(bool answers) {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -41,7 +41,9 @@
  private:
   using Watch = void (PlatformClient::*)(std::uint64_t, Duration, ChangesDone);
   /// Watches one source for as long as this node is a reader.
-  void watch(config::TableReplicator& table, Watch source);
+  /// @param at_once whether the store is to answer without waiting for a change: after a failure it
+  ///        shows soon that the store is back.
+  void watch(config::TableReplicator& table, Watch source, bool at_once);
   bool ranks_among(std::size_t count) const;
   void note_store(bool answers);
   void maintain_groups();
