Ledger: scans ask one replica for values, copies ask only for what is newer

Ruled out: the size of the answer to the caller (0.9 MB at most), jobs lost on the disks (other nodes read them). Change: one replica, the nearest, is asked for values, the others for ballots; a value stands when a majority tells its ballot, and is settled by a read otherwise. A copy compares ballots first and fetches later values only, from one source. Chunks are read by scan (no prepare, no write), results are listed by key when a manager takes over a job.

--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -190,7 +190,7 @@
 }
 
 void JobManager::load_results(const JobId& id, const std::string& after) {
-  ledger_.scan(result_prefix(id), after, kScanPage, lifetime_.guard([this, id, after](Result<ledger::ScanPage> result) {
+  const auto take = [this, id, after](Result<ledger::ScanPage> result) {
     const auto entry = jobs_.find(id);
     if (entry == jobs_.end()) {
       return;
@@ -216,7 +216,8 @@
     } else {
       load_results(id, page.next_after);
     }
-  }));
+  };
+  ledger_.scan(result_prefix(id), after, kScanPage, lifetime_.guard(take), ledger::ScanContent::keys);
 }
 
 void JobManager::handle(const wire::JobNoticeT& message) {
@@ -336,24 +337,24 @@
     return;
   }
   const JobId id(job.record.id);
-  ledger_.read(chunk_key(id, job.record.submission, number),
-               lifetime_.guard([this, id, number](Result<ledger::OptionalValue> result) {
-                 const auto entry = jobs_.find(id);
-                 if (entry == jobs_.end()) {
-                   return;
-                 }
-                 Job& owner = entry->second;
-                 owner.loading_chunks.erase(number);
-                 if (!succeeded(result) || !value_of(result)) {
-                   return;
-                 }
-                 if (auto chunk = wire::decode_record<wire::ChunkRecordT>(*value_of(result))) {
-                   if (owner.chunks.size() >= kChunksHeld) {
-                     owner.chunks.erase(owner.chunks.begin());
-                   }
-                   owner.chunks[number] = std::move(*chunk);
-                 }
-               }));
+  const auto take = [this, id, number](Result<ledger::ScanPage> result) {
+    const auto entry = jobs_.find(id);
+    if (entry == jobs_.end()) {
+      return;
+    }
+    Job& owner = entry->second;
+    owner.loading_chunks.erase(number);
+    if (!succeeded(result) || value_of(result).records.empty()) {
+      return;
+    }
+    if (auto chunk = wire::decode_record<wire::ChunkRecordT>(value_of(result).records.front().value)) {
+      if (owner.chunks.size() >= kChunksHeld) {
+        owner.chunks.erase(owner.chunks.begin());
+      }
+      owner.chunks[number] = std::move(*chunk);
+    }
+  };
+  ledger_.scan(chunk_key(id, job.record.submission, number), "", 1, lifetime_.guard(take));
 }
 
 /// A dispatcher that died, or whose process is another one by now, has lost its items. One that
--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -1,17 +1,20 @@
 #include "ledger/client.hpp"
 
 #include <algorithm>
+#include <climits>
 
 namespace madderdeck::ledger {
 namespace {
 constexpr unsigned kMaxBackoffExponent = 6;
 }
 
-Client::Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options)
+Client::Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options,
+               NodeDistance distance)
     : environment_(environment),
       counters_(counters),
       addresses_(std::move(addresses)),
       options_(options),
+      distance_(std::move(distance)),
       proposer_(environment.random() | 1U),
       next_request_(environment.random()) {}
 
@@ -347,24 +350,43 @@
   std::optional<Error> failure;
 };
 
-void Client::scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done) {
-  scan_group(map_.groups.empty() ? 0 : map_.group_of(prefix), prefix, after, limit, std::move(done));
+void Client::scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done,
+                  ScanContent content) {
+  const std::uint32_t group = map_.groups.empty() ? 0 : map_.group_of(prefix);
+  scan_group(group, prefix, after, limit, std::move(done), content);
 }
 
 void Client::scan_group(std::uint32_t group, const std::string& prefix, const std::string& after, std::uint32_t limit,
-                        ScanDone done) {
+                        ScanDone done, ScanContent content) {
   const OperationId id = ++next_id_;
   Scan scan;
   scan.group_number = group;
   scan.prefix = prefix;
   scan.after = after;
   scan.limit = limit;
+  scan.content = content;
   scan.done = std::move(done);
   scan.deadline = environment_.now() + options_.operation_timeout;
   scans_.emplace(id, std::move(scan));
   start_scan(id);
 }
 
+std::uint32_t Client::value_source(const ReplicaGroup& group) const {
+  std::uint32_t best = 0;
+  std::pair<bool, unsigned> best_rank{true, UINT_MAX};
+  for (std::uint32_t index = 0; index < group.replicas.size(); ++index) {
+    const NodeId& node = group.replicas[index].node;
+    const auto silent = silent_until_.find(node);
+    const bool avoided = silent != silent_until_.end() && environment_.now() < silent->second;
+    const std::pair<bool, unsigned> rank{avoided || !addresses_(node), distance_ ? distance_(node) : 0};
+    if (rank < best_rank) {
+      best_rank = rank;
+      best = index;
+    }
+  }
+  return best;
+}
+
 void Client::start_scan(OperationId id) {
   const auto entry = scans_.find(id);
   if (entry == scans_.end()) {
@@ -386,6 +408,19 @@
   scan.group = map_.groups[scan.group_number];
   scan.replies.clear();
   scan.refused = 0;
+  scan.value_timer = false;
+  scan.source = value_source(scan.group);
+  ask_for_scan(scan);
+  const std::uint64_t number = scan.request;
+  environment_.after(options_.attempt_timeout, lifetime_.guard([this, id, number] {
+    const auto found = scans_.find(id);
+    if (found != scans_.end() && found->second.request == number) {
+      start_scan(id);
+    }
+  }));
+}
+
+void Client::ask_for_scan(const Scan& scan) {
   wire::ScanRequestT request;
   request.request = scan.request;
   request.group = scan.group_number;
@@ -393,13 +428,40 @@
   request.prefix = scan.prefix;
   request.after = scan.after;
   request.limit = scan.limit;
-  broadcast(scan.group, request);
+  for (std::uint32_t index = 0; index < scan.group.replicas.size(); ++index) {
+    const auto address = addresses_(scan.group.replicas[index].node);
+    if (!address) {
+      continue;
+    }
+    request.ballots_only = scan.content == ScanContent::keys || (scan.source && index != *scan.source);
+    counters_["ledger_requests_sent_total"]++;
+    send_message(environment_, *address, request);
+  }
+}
+
+bool Client::scan_complete(const Scan& scan) {
+  const bool has_values =
+      scan.content == ScanContent::keys || std::any_of(scan.replies.begin(), scan.replies.end(),
+                                                       [](const auto& reply) { return !reply.second.ballots_only; });
+  return has_values && scan.replies.size() >= scan.group.majority();
+}
+
+/// The others have answered. Where the nearest one stays silent, the next is asked for the values.
+void Client::await_value(OperationId id, Scan& scan) {
+  if (scan.replies.size() < scan.group.majority() || scan.value_timer) {
+    return;
+  }
+  scan.value_timer = true;
   const std::uint64_t number = scan.request;
-  environment_.after(options_.attempt_timeout, lifetime_.guard([this, id, number] {
+  environment_.after(options_.value_wait, lifetime_.guard([this, id, number] {
     const auto found = scans_.find(id);
-    if (found != scans_.end() && found->second.request == number) {
-      start_scan(id);
+    if (found == scans_.end() || found->second.request != number || !found->second.source) {
+      return;
     }
+    counters_["ledger_scan_values_late_total"]++;
+    const NodeId silent = found->second.group.replicas[*found->second.source].node;
+    silent_until_[silent] = environment_.now() + options_.avoid_silent;
+    start_scan(id);
   }));
 }
 
@@ -425,10 +487,12 @@
     return;
   }
   scan.replies.insert_or_assign(message.replica, message);
-  if (scan.replies.size() >= scan.group.majority()) {
-    const OperationId scan_id = id->second;
+  const OperationId scan_id = id->second;
+  if (scan_complete(scan)) {
     by_request_.erase(id);
     finish_scan(scan_id);
+  } else {
+    await_value(scan_id, scan);
   }
 }
 
@@ -442,10 +506,12 @@
       horizon = reply.records.back()->key;
     }
   }
+  const bool keys_only = scan.content == ScanContent::keys;
+  const wire::Bytes no_value;
   struct Candidate {
     Ballot ballot;
     std::size_t count = 0;
-    const wire::Bytes* value = nullptr;
+    const wire::Bytes* value = nullptr;  ///< Null where only its ballot is known.
   };
   std::map<std::string, Candidate> candidates;
   for (const auto& [replica, reply] : scan.replies) {
@@ -453,22 +519,27 @@
       if (!horizon.empty() && record->key > horizon) {
         break;
       }
-      Candidate& candidate = candidates[record->key];
       const Ballot ballot = from_wire(record->accepted);
-      if (candidate.value == nullptr || ballot > candidate.ballot) {
-        candidate = Candidate{ballot, 0, &record->value};
+      const auto [position, first] = candidates.try_emplace(record->key, Candidate{ballot});
+      Candidate& candidate = position->second;
+      if (ballot > candidate.ballot) {
+        candidate = Candidate{ballot};
+      }
+      if (ballot == candidate.ballot) {
+        ++candidate.count;
+        candidate.value = reply.ballots_only ? candidate.value : &record->value;
       }
-      candidate.count += ballot == candidate.ballot ? 1 : 0;
     }
   }
   auto merged = std::make_shared<MergedPage>();
   merged->page.next_after = horizon;
   std::vector<std::size_t> unsettled;
   for (const auto& [key, candidate] : candidates) {
-    if (candidate.count < scan.group.majority() || candidate.ballot.is_zero()) {
+    const bool has_value = keys_only || candidate.value != nullptr;
+    if (candidate.count < scan.group.majority() || candidate.ballot.is_zero() || !has_value) {
       unsettled.push_back(merged->page.records.size());
     }
-    merged->page.records.push_back({key, *candidate.value});
+    merged->page.records.push_back({key, candidate.value == nullptr ? no_value : *candidate.value});
   }
   merged->unsettled = unsettled.size();
   if (unsettled.empty()) {
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -38,18 +38,32 @@
 };
 using ScanDone = std::function<void(Result<ScanPage>)>;
 
+/// What a scan brings.
+enum class ScanContent {
+  values,  ///< Keys and values.
+  keys,    ///< Keys only; values are empty.
+};
+
 struct ClientOptions {
   Duration attempt_timeout = 400ms;
   Duration operation_timeout = 4s;
   /// How long a change that a majority holds waits for the remaining replicas.
   Duration full_copy_wait = 20ms;
   Duration backoff_unit = 5ms;
+  /// How long the value of a scan is waited for when the other replicas have told their ballots.
+  Duration value_wait = 100ms;
+  /// A replica that kept a scan waiting so is not the first to be asked for values for this long.
+  Duration avoid_silent = 2s;
 };
 
+/// @return how far a node is from here; the least is asked for values.
+using NodeDistance = std::function<unsigned(const NodeId&)>;
+
 /// Proposer for all records. Owned by one node, single threaded.
 class Client {
  public:
-  Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options = {});
+  Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options = {},
+         NodeDistance distance = nullptr);
 
   /// Takes a published map. Of each group the latest epoch known stands.
   void on_group_map(const GroupMap& map);
@@ -74,11 +88,13 @@
                    std::function<void(Result<ReplicaGroup>)> done);
   /// Tells everybody named in the present description of @p group about it.
   void announce_group(std::uint32_t group);
-  /// Lists records of one partition that start with @p prefix, after @p after.
-  void scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done);
+  /// Lists records of one partition that start with @p prefix, after @p after. Values come from the
+  /// nearest replica; the others tell their ballots, which show whether its values stand.
+  void scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done,
+            ScanContent content = ScanContent::values);
   /// As scan(), in the group of that number.
   void scan_group(std::uint32_t group, const std::string& prefix, const std::string& after, std::uint32_t limit,
-                  ScanDone done);
+                  ScanDone done, ScanContent content = ScanContent::values);
 
   void handle(const PeerAddress& sender, const wire::PromiseT& message);
   void handle(const PeerAddress& sender, const wire::AcceptedT& message);
@@ -119,6 +135,9 @@
     ReplicaGroup group;
     std::map<std::uint32_t, wire::ScanReplyT> replies;
     std::size_t refused = 0;
+    ScanContent content = ScanContent::values;
+    std::optional<std::uint32_t> source;  ///< Replica asked for values; nothing: all of them.
+    bool value_timer = false;
   };
   struct MergedPage;
   using OperationId = std::uint64_t;
@@ -143,6 +162,12 @@
 
   void start_scan(OperationId id);
   void retry_scan(OperationId id);
+  /// @return the replica of @p group to ask for values.
+  std::uint32_t value_source(const ReplicaGroup& group) const;
+  void ask_for_scan(const Scan& scan);
+  /// @return whether the replies tell what stands.
+  static bool scan_complete(const Scan& scan);
+  void await_value(OperationId id, Scan& scan);
   void finish_scan(OperationId id);
   void settle(std::shared_ptr<MergedPage> page, ScanDone done);
   template <class Items>
@@ -152,6 +177,8 @@
   Counters& counters_;
   const AddressLookup addresses_;
   const ClientOptions options_;
+  const NodeDistance distance_;
+  std::map<NodeId, Timestamp> silent_until_;  ///< Replicas that kept scans waiting.
   const std::uint64_t proposer_;
   GroupMap map_;
   std::uint64_t highest_counter_ = 0;
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -1,5 +1,6 @@
 #include "ledger/replica.hpp"
 
+#include <algorithm>
 #include <cstdio>
 
 #include "common/hash.hpp"
@@ -294,22 +295,19 @@
   reply_when_durable(sender, std::move(reply));
 }
 
-std::vector<std::unique_ptr<wire::LedgerRecordT>> Replica::page(std::uint32_t group, const std::string& prefix,
-                                                                const std::string& after, std::uint32_t limit,
-                                                                bool with_promises, bool& truncated) const {
-  std::vector<std::unique_ptr<wire::LedgerRecordT>> records;
+Replica::Records Replica::page(const PageQuery& query, bool& truncated) const {
+  Records records;
   std::size_t bytes = 0;
   truncated = false;
-  const char area = with_promises ? 'p' : 'a';
-  const std::string area_prefix = group_prefix(area, group);
+  const std::string area_prefix = group_prefix(query.promises ? 'p' : 'a', query.group);
   const auto visit = [&](std::string_view stored_key, std::string_view stored_value) {
-    if (records.size() >= limit || bytes >= kPageBytes) {
+    if (records.size() >= query.limit || bytes >= kPageBytes) {
       truncated = true;
       return false;
     }
     auto record = std::make_unique<wire::LedgerRecordT>();
     record->key = std::string(stored_key.substr(area_prefix.size()));
-    if (with_promises) {
+    if (query.promises) {
       if (const auto state = wire::decode_record<wire::PromiseStateT>(stored_value)) {
         record->promised = to_wire(from_wire(state->ballot));
       }
@@ -320,12 +318,35 @@
         accepted = Ballot{};
       }
       record->accepted = to_wire(accepted);
+      if (!query.values) {
+        record->value.clear();
+      }
     }
     bytes += record->key.size() + record->value.size();
     records.push_back(std::move(record));
     return true;
   };
-  storage_.scan(area_prefix + prefix, after.empty() ? "" : area_prefix + after, visit);
+  storage_.scan(area_prefix + query.prefix, query.after.empty() ? "" : area_prefix + query.after, visit);
+  return records;
+}
+
+Replica::Records Replica::values_of(std::uint32_t group, const std::vector<std::string>& keys) const {
+  Records records;
+  std::size_t bytes = 0;
+  for (const std::string& key : keys) {
+    if (bytes >= kPageBytes) {
+      break;
+    }
+    auto record = std::make_unique<wire::LedgerRecordT>();
+    record->key = key;
+    record->accepted = to_wire(Ballot{});
+    if (auto loaded = load(group, key); succeeded(loaded)) {
+      record->accepted = to_wire(value_of(loaded).accepted);
+      record->value = std::move(value_of(loaded).value);
+    }
+    bytes += record->key.size() + record->value.size();
+    records.push_back(std::move(record));
+  }
   return records;
 }
 
@@ -336,7 +357,9 @@
   reply.status = admit(message.group, message.epoch);
   if (reply.status == wire::ReplicaStatus::Granted) {
     reply.replica = progress_.at(message.group).index;
-    reply.records = page(message.group, message.prefix, message.after, message.limit, false, reply.truncated);
+    reply.ballots_only = message.ballots_only;
+    const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
+    reply.records = page(query, reply.truncated);
   }
   describe_group(message.group, reply);
   send_message(environment_, sender, std::move(reply));
@@ -344,7 +367,9 @@
 
 // --- copying to a new or returning replica -------------------------------------------------
 // The cursor of a copy runs first over the promises ("p:" + key), then over the accepted
-// values ("a:" + key); both are merged by taking the greater ballot.
+// values ("a:" + key); both are merged by taking the greater ballot. Pages hold ballots only:
+// values are asked for where the source has a later one, so that a replica that comes back with
+// its disk, or has copied from another source already, is sent no value twice.
 
 void Replica::start_copy(std::uint32_t group) {
   GroupProgress& progress = progress_.at(group);
@@ -379,6 +404,9 @@
   request.epoch = progress.epoch;
   request.after = source.after;
   request.limit = kCopyPageRecords;
+  for (const auto& [key, ballot] : source.wanted) {
+    request.keys.push_back(key);
+  }
   // A source that does not know this epoch yet learns it here, and fences the one before.
   request.description = std::make_unique<wire::GroupDescriptionT>(to_wire(progress.description));
   send_message(environment_, from, std::move(request));
@@ -414,9 +442,14 @@
   describe_group(message.group, reply);
   if (reply.status == wire::ReplicaStatus::Granted) {
     reply.replica = progress_.at(message.group).index;
-    const bool promises = message.after.starts_with("p:");
-    const std::string after = message.after.size() > 2 ? message.after.substr(2) : "";
-    reply.records = page(message.group, "", after, message.limit, promises, reply.truncated);
+    reply.ballots_only = message.keys.empty();
+    if (reply.ballots_only) {
+      const bool promises = message.after.starts_with("p:");
+      const std::string after = message.after.size() > 2 ? message.after.substr(2) : "";
+      reply.records = page({message.group, "", after, message.limit, promises, false}, reply.truncated);
+    } else {
+      reply.records = values_of(message.group, message.keys);
+    }
   }
   // What is copied must not be less durable here than it will be there.
   reply_when_durable(sender, std::move(reply));
@@ -453,16 +486,20 @@
     return;  // late or repeated page
   }
   CopySource& source = source_entry->second;
-  for (const auto& record : message.records) {
-    merge(message.group, *record);
-  }
-  const std::string area = message.after.substr(0, 2);
-  if (message.truncated && !message.records.empty()) {
-    source.after = area + message.records.back()->key;
-  } else if (area == "p:") {
-    source.after = "a:";
-  } else {
-    source.complete = true;
+  if (message.ballots_only != source.wanted.empty()) {
+    return;  // late or repeated
+  }
+  if (message.ballots_only) {
+    take_ballots(message.group, source, message);
+  } else if (!take_values(message.group, source, message)) {
+    // Damaged there since. Others may have left it to this source, so all are asked again.
+    counters_["ledger_copies_restarted_total"]++;
+    start_copy(message.group);
+    return;
+  }
+  if (source.wanted.empty()) {
+    source.complete = source.next_after.empty();
+    source.after = source.next_after;
   }
   if (source.complete) {
     finish_copy_if_complete(message.group);
@@ -471,6 +508,48 @@
   request_page(sender, message.group, progress, source);
 }
 
+void Replica::take_ballots(std::uint32_t group, CopySource& source, const wire::CopyReplyT& page) {
+  const std::string area = page.after.substr(0, 2);
+  const bool promises = area == "p:";
+  for (const auto& record : page.records) {
+    if (promises) {
+      merge(group, *record);
+      continue;
+    }
+    const auto held = load(group, record->key);
+    const Ballot here = succeeded(held) ? value_of(held).accepted : Ballot{};
+    const Ballot there = from_wire(record->accepted);
+    if (there > here && !awaited_from_member(progress_.at(group), record->key, there)) {
+      source.wanted.emplace(record->key, there);
+    }
+  }
+  if (page.truncated && !page.records.empty()) {
+    source.next_after = area + page.records.back()->key;
+  } else {
+    source.next_after = promises ? "a:" : "";
+  }
+}
+
+bool Replica::awaited_from_member(const GroupProgress& progress, const std::string& key, const Ballot& ballot) {
+  return std::any_of(progress.copying.begin(), progress.copying.end(), [&](const auto& entry) {
+    const auto wanted = entry.second.wanted.find(key);
+    const bool member = entry.first < progress.description.replicas.size();
+    return member && wanted != entry.second.wanted.end() && wanted->second >= ballot;
+  });
+}
+
+bool Replica::take_values(std::uint32_t group, CopySource& source, const wire::CopyReplyT& values) {
+  for (const auto& record : values.records) {
+    const auto wanted = source.wanted.find(record->key);
+    if (wanted != source.wanted.end() && from_wire(record->accepted) < wanted->second) {
+      return false;
+    }
+    merge(group, *record);
+    source.wanted.erase(record->key);
+  }
+  return true;
+}
+
 void Replica::finish_copy_if_complete(std::uint32_t group) {
   GroupProgress& progress = progress_.at(group);
   bool members_complete = true;
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -59,7 +59,19 @@
   struct CopySource {
     std::string after;
     bool complete = false;
+    std::map<std::string, Ballot> wanted;  ///< Records of the present page that are later there.
+    std::string next_after;                ///< Where the copy goes on once these are here; empty: it is complete.
   };
+  /// A stretch of the records that this replica holds.
+  struct PageQuery {
+    std::uint32_t group = 0;
+    std::string prefix;
+    std::string after;
+    std::uint32_t limit = 0;
+    bool promises = false;  ///< Promised ballots in place of accepted values.
+    bool values = true;     ///< Otherwise only the ballots of accepted values.
+  };
+  using Records = std::vector<std::unique_ptr<wire::LedgerRecordT>>;
   struct GroupProgress {
     std::uint64_t epoch = 0;
     std::uint32_t index = 0;
@@ -90,10 +102,16 @@
                     const CopySource& source);
   void schedule_copy_retry();
   void merge(std::uint32_t group, const wire::LedgerRecordT& record);
+  /// Takes a page of ballots: promises are merged, newer values noted as wanted.
+  void take_ballots(std::uint32_t group, CopySource& source, const wire::CopyReplyT& page);
+  /// @return whether the source still had what it had offered.
+  bool take_values(std::uint32_t group, CopySource& source, const wire::CopyReplyT& values);
+  /// @return whether a member that has to be copied from anyway is being asked for this value.
+  static bool awaited_from_member(const GroupProgress& progress, const std::string& key, const Ballot& ballot);
   void finish_copy_if_complete(std::uint32_t group);
-  std::vector<std::unique_ptr<wire::LedgerRecordT>> page(std::uint32_t group, const std::string& prefix,
-                                                         const std::string& after, std::uint32_t limit,
-                                                         bool with_promises, bool& truncated) const;
+  Records page(const PageQuery& query, bool& truncated) const;
+  /// @return the accepted values of @p keys, as many of the first as a message may hold.
+  Records values_of(std::uint32_t group, const std::vector<std::string>& keys) const;
   /// Fills the common part of @p reply and reads the record. When either is refused, the reply
   /// is sent and nothing returned.
   template <class Request, class Reply>
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -91,6 +91,14 @@
   return member == nullptr ? std::nullopt : std::optional(PeerAddress(member->peer_address));
 }
 
+unsigned Membership::distance_to(const NodeId& node) const {
+  const MemberT* member = find(node);
+  if (member == nullptr || member->region != self_.region) {
+    return 2;
+  }
+  return member->zone == self_.zone ? 0 : 1;
+}
+
 std::vector<const MemberT*> Membership::members() const {
   std::vector<const MemberT*> all{&self_};
   for (const auto& [node, entry] : members_) {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -76,6 +76,8 @@
 
   const wire::MemberT& self() const { return self_; }
   std::optional<PeerAddress> address_of(const NodeId& node) const;
+  /// @return 0 for a node of this zone, 1 for one of this region, 2 for others and unknown ones.
+  unsigned distance_to(const NodeId& node) const;
   /// @return all known members with this node among them, whatever their state.
   std::vector<const wire::MemberT*> members() const;
   /// @return members with @p role that take new work, this node among them when it does.
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -32,7 +32,8 @@
           [this](const std::vector<config::EntryKey>& keys) { on_objects_changed(keys); }),
       members(environment, counters, options.self, options.seeds, make_hooks(), options.membership),
       ledger(
-          environment, counters, [this](const NodeId& node) { return members.address_of(node); }, options.ledger),
+          environment, counters, [this](const NodeId& node) { return members.address_of(node); }, options.ledger,
+          [this](const NodeId& node) { return members.distance_to(node); }),
       results(environment, counters, ledger),
       registry(environment, counters, options.self.id, options.guards.registry),
       claims(environment, ledger, options.guards.claims),
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -3032,6 +3032,7 @@
   std::string prefix{};
   std::string after{};
   uint32_t limit = 0;
+  bool ballots_only = false;
 };
 
 struct ScanRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3044,7 +3045,8 @@
     VT_EPOCH = 8,
     VT_PREFIX = 10,
     VT_AFTER = 12,
-    VT_LIMIT = 14
+    VT_LIMIT = 14,
+    VT_BALLOTS_ONLY = 16
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -3064,6 +3066,9 @@
   uint32_t limit() const {
     return GetField<uint32_t>(VT_LIMIT, 0);
   }
+  bool ballots_only() const {
+    return GetField<uint8_t>(VT_BALLOTS_ONLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -3074,6 +3079,7 @@
            VerifyOffset(verifier, VT_AFTER) &&
            verifier.VerifyString(after()) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
+           VerifyField<uint8_t>(verifier, VT_BALLOTS_ONLY, 1) &&
            verifier.EndTable();
   }
   ScanRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3103,6 +3109,9 @@
   void add_limit(uint32_t limit) {
     fbb_.AddElement<uint32_t>(ScanRequest::VT_LIMIT, limit, 0);
   }
+  void add_ballots_only(bool ballots_only) {
+    fbb_.AddElement<uint8_t>(ScanRequest::VT_BALLOTS_ONLY, static_cast<uint8_t>(ballots_only), 0);
+  }
   explicit ScanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3121,7 +3130,8 @@
     uint64_t epoch = 0,
     flatbuffers::Offset<flatbuffers::String> prefix = 0,
     flatbuffers::Offset<flatbuffers::String> after = 0,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    bool ballots_only = false) {
   ScanRequestBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
@@ -3129,6 +3139,7 @@
   builder_.add_after(after);
   builder_.add_prefix(prefix);
   builder_.add_group(group);
+  builder_.add_ballots_only(ballots_only);
   return builder_.Finish();
 }
 
@@ -3144,7 +3155,8 @@
     uint64_t epoch = 0,
     const char *prefix = nullptr,
     const char *after = nullptr,
-    uint32_t limit = 0) {
+    uint32_t limit = 0,
+    bool ballots_only = false) {
   auto prefix__ = prefix ? _fbb.CreateString(prefix) : 0;
   auto after__ = after ? _fbb.CreateString(after) : 0;
   return madderdeck::wire::CreateScanRequest(
@@ -3154,7 +3166,8 @@
       epoch,
       prefix__,
       after__,
-      limit);
+      limit,
+      ballots_only);
 }
 
 flatbuffers::Offset<ScanRequest> CreateScanRequest(flatbuffers::FlatBufferBuilder &_fbb, const ScanRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3168,6 +3181,7 @@
   std::vector<std::unique_ptr<madderdeck::wire::LedgerRecordT>> records{};
   bool truncated = false;
   std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
+  bool ballots_only = false;
   ScanReplyT() = default;
   ScanReplyT(const ScanReplyT &o);
   ScanReplyT(ScanReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3185,7 +3199,8 @@
     VT_STATUS = 10,
     VT_RECORDS = 12,
     VT_TRUNCATED = 14,
-    VT_DESCRIPTION = 16
+    VT_DESCRIPTION = 16,
+    VT_BALLOTS_ONLY = 18
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -3208,6 +3223,9 @@
   const madderdeck::wire::GroupDescription *description() const {
     return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
   }
+  bool ballots_only() const {
+    return GetField<uint8_t>(VT_BALLOTS_ONLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -3220,6 +3238,7 @@
            VerifyField<uint8_t>(verifier, VT_TRUNCATED, 1) &&
            VerifyOffset(verifier, VT_DESCRIPTION) &&
            verifier.VerifyTable(description()) &&
+           VerifyField<uint8_t>(verifier, VT_BALLOTS_ONLY, 1) &&
            verifier.EndTable();
   }
   ScanReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3252,6 +3271,9 @@
   void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
     fbb_.AddOffset(ScanReply::VT_DESCRIPTION, description);
   }
+  void add_ballots_only(bool ballots_only) {
+    fbb_.AddElement<uint8_t>(ScanReply::VT_BALLOTS_ONLY, static_cast<uint8_t>(ballots_only), 0);
+  }
   explicit ScanReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3271,13 +3293,15 @@
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>> records = 0,
     bool truncated = false,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    bool ballots_only = false) {
   ScanReplyBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
   builder_.add_description(description);
   builder_.add_records(records);
   builder_.add_replica(replica);
+  builder_.add_ballots_only(ballots_only);
   builder_.add_truncated(truncated);
   builder_.add_status(status);
   return builder_.Finish();
@@ -3296,7 +3320,8 @@
     madderdeck::wire::ReplicaStatus status = madderdeck::wire::ReplicaStatus::Granted,
     const std::vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> *records = nullptr,
     bool truncated = false,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    bool ballots_only = false) {
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>(*records) : 0;
   return madderdeck::wire::CreateScanReply(
       _fbb,
@@ -3306,7 +3331,8 @@
       status,
       records__,
       truncated,
-      description);
+      description,
+      ballots_only);
 }
 
 flatbuffers::Offset<ScanReply> CreateScanReply(flatbuffers::FlatBufferBuilder &_fbb, const ScanReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3318,6 +3344,7 @@
   std::string after{};
   uint32_t limit = 0;
   std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
+  std::vector<std::string> keys{};
   CopyRequestT() = default;
   CopyRequestT(const CopyRequestT &o);
   CopyRequestT(CopyRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3333,7 +3360,8 @@
     VT_EPOCH = 6,
     VT_AFTER = 8,
     VT_LIMIT = 10,
-    VT_DESCRIPTION = 12
+    VT_DESCRIPTION = 12,
+    VT_KEYS = 14
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -3350,6 +3378,9 @@
   const madderdeck::wire::GroupDescription *description() const {
     return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *keys() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KEYS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -3359,6 +3390,9 @@
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
            VerifyOffset(verifier, VT_DESCRIPTION) &&
            verifier.VerifyTable(description()) &&
+           VerifyOffset(verifier, VT_KEYS) &&
+           verifier.VerifyVector(keys()) &&
+           verifier.VerifyVectorOfStrings(keys()) &&
            verifier.EndTable();
   }
   CopyRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3385,6 +3419,9 @@
   void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
     fbb_.AddOffset(CopyRequest::VT_DESCRIPTION, description);
   }
+  void add_keys(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys) {
+    fbb_.AddOffset(CopyRequest::VT_KEYS, keys);
+  }
   explicit CopyRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3402,9 +3439,11 @@
     uint64_t epoch = 0,
     flatbuffers::Offset<flatbuffers::String> after = 0,
     uint32_t limit = 0,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys = 0) {
   CopyRequestBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
+  builder_.add_keys(keys);
   builder_.add_description(description);
   builder_.add_limit(limit);
   builder_.add_after(after);
@@ -3423,15 +3462,18 @@
     uint64_t epoch = 0,
     const char *after = nullptr,
     uint32_t limit = 0,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *keys = nullptr) {
   auto after__ = after ? _fbb.CreateString(after) : 0;
+  auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*keys) : 0;
   return madderdeck::wire::CreateCopyRequest(
       _fbb,
       group,
       epoch,
       after__,
       limit,
-      description);
+      description,
+      keys__);
 }
 
 flatbuffers::Offset<CopyRequest> CreateCopyRequest(flatbuffers::FlatBufferBuilder &_fbb, const CopyRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3446,6 +3488,7 @@
   std::vector<std::unique_ptr<madderdeck::wire::LedgerRecordT>> records{};
   bool truncated = false;
   std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
+  bool ballots_only = false;
   CopyReplyT() = default;
   CopyReplyT(const CopyReplyT &o);
   CopyReplyT(CopyReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3464,7 +3507,8 @@
     VT_AFTER = 12,
     VT_RECORDS = 14,
     VT_TRUNCATED = 16,
-    VT_DESCRIPTION = 18
+    VT_DESCRIPTION = 18,
+    VT_BALLOTS_ONLY = 20
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -3490,6 +3534,9 @@
   const madderdeck::wire::GroupDescription *description() const {
     return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
   }
+  bool ballots_only() const {
+    return GetField<uint8_t>(VT_BALLOTS_ONLY, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -3504,6 +3551,7 @@
            VerifyField<uint8_t>(verifier, VT_TRUNCATED, 1) &&
            VerifyOffset(verifier, VT_DESCRIPTION) &&
            verifier.VerifyTable(description()) &&
+           VerifyField<uint8_t>(verifier, VT_BALLOTS_ONLY, 1) &&
            verifier.EndTable();
   }
   CopyReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3539,6 +3587,9 @@
   void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
     fbb_.AddOffset(CopyReply::VT_DESCRIPTION, description);
   }
+  void add_ballots_only(bool ballots_only) {
+    fbb_.AddElement<uint8_t>(CopyReply::VT_BALLOTS_ONLY, static_cast<uint8_t>(ballots_only), 0);
+  }
   explicit CopyReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3559,7 +3610,8 @@
     flatbuffers::Offset<flatbuffers::String> after = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>> records = 0,
     bool truncated = false,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    bool ballots_only = false) {
   CopyReplyBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_description(description);
@@ -3567,6 +3619,7 @@
   builder_.add_after(after);
   builder_.add_replica(replica);
   builder_.add_group(group);
+  builder_.add_ballots_only(ballots_only);
   builder_.add_truncated(truncated);
   builder_.add_status(status);
   return builder_.Finish();
@@ -3586,7 +3639,8 @@
     const char *after = nullptr,
     const std::vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> *records = nullptr,
     bool truncated = false,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    bool ballots_only = false) {
   auto after__ = after ? _fbb.CreateString(after) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>(*records) : 0;
   return madderdeck::wire::CreateCopyReply(
@@ -3598,7 +3652,8 @@
       after__,
       records__,
       truncated,
-      description);
+      description,
+      ballots_only);
 }
 
 flatbuffers::Offset<CopyReply> CreateCopyReply(flatbuffers::FlatBufferBuilder &_fbb, const CopyReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6604,6 +6659,7 @@
   { auto _e = prefix(); if (_e) _o->prefix = _e->str(); }
   { auto _e = after(); if (_e) _o->after = _e->str(); }
   { auto _e = limit(); _o->limit = _e; }
+  { auto _e = ballots_only(); _o->ballots_only = _e; }
 }
 
 inline flatbuffers::Offset<ScanRequest> ScanRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ScanRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6620,6 +6676,7 @@
   auto _prefix = _o->prefix.empty() ? 0 : _fbb.CreateString(_o->prefix);
   auto _after = _o->after.empty() ? 0 : _fbb.CreateString(_o->after);
   auto _limit = _o->limit;
+  auto _ballots_only = _o->ballots_only;
   return madderdeck::wire::CreateScanRequest(
       _fbb,
       _request,
@@ -6627,7 +6684,8 @@
       _epoch,
       _prefix,
       _after,
-      _limit);
+      _limit,
+      _ballots_only);
 }
 
 inline ScanReplyT::ScanReplyT(const ScanReplyT &o)
@@ -6636,7 +6694,8 @@
         epoch(o.epoch),
         status(o.status),
         truncated(o.truncated),
-        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr),
+        ballots_only(o.ballots_only) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new madderdeck::wire::LedgerRecordT(*records_) : nullptr); }
 }
@@ -6649,6 +6708,7 @@
   std::swap(records, o.records);
   std::swap(truncated, o.truncated);
   std::swap(description, o.description);
+  std::swap(ballots_only, o.ballots_only);
   return *this;
 }
 
@@ -6668,6 +6728,7 @@
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<madderdeck::wire::LedgerRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = truncated(); _o->truncated = _e; }
   { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
+  { auto _e = ballots_only(); _o->ballots_only = _e; }
 }
 
 inline flatbuffers::Offset<ScanReply> ScanReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ScanReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6685,6 +6746,7 @@
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateLedgerRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _truncated = _o->truncated;
   auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
+  auto _ballots_only = _o->ballots_only;
   return madderdeck::wire::CreateScanReply(
       _fbb,
       _request,
@@ -6693,7 +6755,8 @@
       _status,
       _records,
       _truncated,
-      _description);
+      _description,
+      _ballots_only);
 }
 
 inline CopyRequestT::CopyRequestT(const CopyRequestT &o)
@@ -6701,7 +6764,8 @@
         epoch(o.epoch),
         after(o.after),
         limit(o.limit),
-        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr),
+        keys(o.keys) {
 }
 
 inline CopyRequestT &CopyRequestT::operator=(CopyRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -6710,6 +6774,7 @@
   std::swap(after, o.after);
   std::swap(limit, o.limit);
   std::swap(description, o.description);
+  std::swap(keys, o.keys);
   return *this;
 }
 
@@ -6727,6 +6792,7 @@
   { auto _e = after(); if (_e) _o->after = _e->str(); }
   { auto _e = limit(); _o->limit = _e; }
   { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
+  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<CopyRequest> CopyRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6742,13 +6808,15 @@
   auto _after = _o->after.empty() ? 0 : _fbb.CreateString(_o->after);
   auto _limit = _o->limit;
   auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
+  auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
   return madderdeck::wire::CreateCopyRequest(
       _fbb,
       _group,
       _epoch,
       _after,
       _limit,
-      _description);
+      _description,
+      _keys);
 }
 
 inline CopyReplyT::CopyReplyT(const CopyReplyT &o)
@@ -6758,7 +6826,8 @@
         status(o.status),
         after(o.after),
         truncated(o.truncated),
-        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr),
+        ballots_only(o.ballots_only) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new madderdeck::wire::LedgerRecordT(*records_) : nullptr); }
 }
@@ -6772,6 +6841,7 @@
   std::swap(records, o.records);
   std::swap(truncated, o.truncated);
   std::swap(description, o.description);
+  std::swap(ballots_only, o.ballots_only);
   return *this;
 }
 
@@ -6792,6 +6862,7 @@
   { auto _e = records(); if (_e) { _o->records.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->records[_i] = std::unique_ptr<madderdeck::wire::LedgerRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = truncated(); _o->truncated = _e; }
   { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
+  { auto _e = ballots_only(); _o->ballots_only = _e; }
 }
 
 inline flatbuffers::Offset<CopyReply> CopyReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6810,6 +6881,7 @@
   auto _records = _o->records.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> (_o->records.size(), [](size_t i, _VectorArgs *__va) { return CreateLedgerRecord(*__va->__fbb, __va->__o->records[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _truncated = _o->truncated;
   auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
+  auto _ballots_only = _o->ballots_only;
   return madderdeck::wire::CreateCopyReply(
       _fbb,
       _group,
@@ -6819,7 +6891,8 @@
       _after,
       _records,
       _truncated,
-      _description);
+      _description,
+      _ballots_only);
 }
 
 inline WorkItemT *WorkItem::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -55,6 +55,9 @@
     return {};
   }
 
+  /// @return the keys whose values the last copy request asks for.
+  std::vector<std::string> wanted_keys() { return last(wire::Message::CopyRequest).AsCopyRequest()->keys; }
+
   TestEnvironment environment;
   Counters counters;
   simulation::SimProcess process{environment.world};
@@ -62,6 +65,38 @@
   std::unique_ptr<Replica> replica;
 };
 
+/// Another member that this replica copies from. It holds one record, with a ballot of its own.
+class CopySourceScript {
+ public:
+  CopySourceScript(ReplicaFixture& fixture, std::uint32_t index, std::string peer)
+      : fixture_(fixture), index_(index), peer_(std::move(peer)), ballot_{index + 5, 1} {}
+
+  void set_ballot(Ballot ballot) { ballot_ = ballot; }
+  /// Answers the request for the page after @p after, or for its values.
+  void answer(const std::string& after, bool ballots_only) {
+    wire::CopyReplyT reply;
+    reply.epoch = 2;
+    reply.replica = index_;
+    reply.after = after;
+    reply.ballots_only = ballots_only;
+    auto record = std::make_unique<wire::LedgerRecordT>();
+    record->key = "k/1";
+    record->promised = to_wire(after == "p:" ? ballot_ : Ballot{});
+    record->accepted = to_wire(after == "a:" ? ballot_ : Ballot{});
+    if (!ballots_only) {
+      record->value = {static_cast<std::uint8_t>(index_)};
+    }
+    reply.records.push_back(std::move(record));
+    fixture_.replica->handle(PeerAddress(peer_), reply);
+  }
+
+ private:
+  ReplicaFixture& fixture_;
+  const std::uint32_t index_;
+  const std::string peer_;
+  Ballot ballot_;
+};
+
 }  // namespace
 
 TEST_CASE("a replica promises upwards only and keeps what it accepted") {
@@ -105,30 +140,77 @@
   ReplicaFixture fixture("disk-new");
   fixture.replica->on_group_map(fixture.map(2, "disk-new"));
   CHECK(fixture.prepare(2, {1, 1}).status == wire::ReplicaStatus::NotReady);
-  const auto answer = [&](std::uint32_t index, const std::string& peer, const std::string& after) {
-    wire::CopyReplyT reply;
-    reply.epoch = 2;
-    reply.replica = index;
-    reply.after = after;
-    auto record = std::make_unique<wire::LedgerRecordT>();
-    record->key = "k/1";
-    record->promised = to_wire({index + 5, 1});
-    record->accepted = to_wire({index + 5, 1});
-    record->value = {static_cast<std::uint8_t>(index)};
-    reply.records.push_back(std::move(record));
-    fixture.replica->handle(PeerAddress(peer), reply);
-  };
-  answer(1, "b", "p:");
-  answer(1, "b", "a:");
+  CopySourceScript b(fixture, 1, "b");
+  CopySourceScript c(fixture, 2, "c");
+  b.answer("p:", true);
+  b.answer("a:", true);
+  CHECK(fixture.wanted_keys() == std::vector<std::string>{"k/1"});
+  b.answer("a:", false);
+  CHECK_FALSE(fixture.replica->synchronized());
+  c.answer("p:", true);
+  c.answer("a:", true);
   CHECK_FALSE(fixture.replica->synchronized());
-  answer(2, "c", "p:");
-  answer(2, "c", "a:");
+  c.answer("a:", false);
   CHECK(fixture.replica->synchronized());
   const wire::PromiseT promise = fixture.prepare(2, {9, 1});
   CHECK(promise.status == wire::ReplicaStatus::Granted);
   CHECK(promise.value == std::vector<std::uint8_t>{2});
 }
 
+TEST_CASE("a value that two sources hold alike is copied once") {
+  ReplicaFixture fixture("disk-new");
+  fixture.replica->on_group_map(fixture.map(2, "disk-new"));
+  CopySourceScript b(fixture, 1, "b");
+  CopySourceScript c(fixture, 2, "c");
+  c.set_ballot({6, 1});
+  b.answer("p:", true);
+  c.answer("p:", true);
+  b.answer("a:", true);
+  CHECK(fixture.wanted_keys() == std::vector<std::string>{"k/1"});
+  fixture.environment.sent.clear();
+  c.answer("a:", true);  // being asked of b
+  CHECK(fixture.environment.sent.empty());
+  CHECK_FALSE(fixture.replica->synchronized());
+  b.answer("a:", false);
+  CHECK(fixture.replica->synchronized());
+  CHECK(fixture.counters["ledger_copied_records_total"] == 1);
+}
+
+TEST_CASE("a copy starts again when a source has lost what it offered") {
+  ReplicaFixture fixture("disk-new");
+  fixture.replica->on_group_map(fixture.map(2, "disk-new"));
+  CopySourceScript b(fixture, 1, "b");
+  CopySourceScript c(fixture, 2, "c");
+  b.answer("p:", true);
+  b.answer("a:", true);
+  c.answer("p:", true);
+  b.set_ballot({0, 0});
+  b.answer("a:", false);
+  CHECK(fixture.counters["ledger_copies_restarted_total"] == 1);
+  CHECK_FALSE(fixture.replica->synchronized());
+  b.answer("p:", true);
+  b.answer("a:", true);
+  CHECK_FALSE(fixture.replica->synchronized());
+}
+
+TEST_CASE("a replica that comes back with its disk is sent no value again") {
+  ReplicaFixture fixture;
+  fixture.replica->on_group_map(fixture.map(1));
+  CHECK(fixture.accept(1, {7, 1}, {2}).status == wire::ReplicaStatus::Granted);
+  fixture.replica->on_group_map(fixture.map(2));
+  fixture.replica->catch_up();
+  fixture.environment.sent.clear();
+  CopySourceScript b(fixture, 1, "b");
+  CopySourceScript c(fixture, 2, "c");
+  c.set_ballot({7, 1});
+  for (CopySourceScript* source : {&b, &c}) {
+    source->answer("p:", true);
+    source->answer("a:", true);
+    CHECK(fixture.wanted_keys().empty());
+  }
+  CHECK(fixture.counters["ledger_copied_records_total"] == 0);
+}
+
 TEST_CASE("a damaged value is reported, not returned") {
   ReplicaFixture fixture;
   fixture.replica->on_group_map(fixture.map(1));
