Routing: entries that lapse together are doubted before they are believed

Ruled out: the watch itself (back in time), engines (all served). Change: when more entries of a pool vanish within 2 s than stay, back ends that had not announced to leave stay in use for 1.8 s (less than an engine serves on after a silent leave), a pool with none left for 4 s. Single leaves as before. Test: registry_test.cpp, four cases.

--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -12,6 +12,13 @@
 constexpr Duration kReportFresh = 3s;
 constexpr double kLatencySmoothing = 0.2;
 constexpr std::size_t kEjectableShare = 2;  ///< At most one in this many of a pool.
+/// Entries that go within it go together.
+constexpr Duration kLapseWindow = 2s;
+/// How long a back end stays in use whose entry may only have lapsed. One that has left without a word goes on
+/// serving for longer than that.
+constexpr Duration kDoubt = 1800ms;
+/// The same where no back end of the pool is listed any more.
+constexpr Duration kDoubtOfWholePool = 4s;
 }  // namespace
 
 Registry::Registry(Environment& environment, Counters& counters, std::string node, RegistryGuards guards)
@@ -24,17 +31,19 @@
       continue;
     }
     const BackendId id(key.name);
+    const config::Entry* entry = table.find(key);
     if (const auto known = backends_.find(id); known != backends_.end()) {
-      for (const std::string& pool : known->second.machine.pools) {
-        std::erase(pools_[pool], id);
-        touched.push_back(pool);
+      const std::vector<std::string> left = known->second.machine.pools;
+      touched.insert(touched.end(), left.begin(), left.end());
+      if (entry == nullptr && !known->second.machine.leaving) {
+        vanished_[id] = Vanished{known->second, environment_.now()};
       }
+      remove(id, entry == nullptr);
     }
-    const config::Entry* entry = table.find(key);
     if (entry == nullptr) {
-      backends_.erase(id);
       continue;
     }
+    vanished_.erase(id);
     const auto parsed = config::parse_machine(key.name, entry->body);
     if (!succeeded(parsed)) {
       counters_["machine_entries_invalid_total"]++;
@@ -42,6 +51,7 @@
     }
     auto [position, inserted] = backends_.try_emplace(id);
     position->second.machine = value_of(parsed);
+    position->second.unlisted_since.reset();
     if (inserted) {
       position->second.added_at = environment_.now();
     }
@@ -52,6 +62,76 @@
   }
   version_ += touched.empty() ? 0 : 1;
   for (const std::string& pool : touched) {
+    reinstate_lapsed(pool);
+    rebuild_subset(pool);
+  }
+}
+
+void Registry::remove(const BackendId& id, bool forget) {
+  for (const std::string& pool : backends_.at(id).machine.pools) {
+    std::erase(pools_[pool], id);
+  }
+  if (forget) {
+    backends_.erase(id);
+  }
+}
+
+std::size_t Registry::listed_count(const std::string& pool) const {
+  const auto ids = pools_.find(pool);
+  if (ids == pools_.end()) {
+    return 0;
+  }
+  return static_cast<std::size_t>(std::count_if(ids->second.begin(), ids->second.end(), [this](const BackendId& id) {
+    return !backends_.at(id).unlisted_since;
+  }));
+}
+
+void Registry::reinstate_lapsed(const std::string& pool) {
+  if (!guards_.doubt_mass_lapse) {
+    return;
+  }
+  std::erase_if(vanished_, [this](const auto& entry) { return environment_.now() - entry.second.at > kLapseWindow; });
+  std::vector<BackendId> gone;
+  for (const auto& [id, vanished] : vanished_) {
+    const auto& pools = vanished.backend.machine.pools;
+    if (std::find(pools.begin(), pools.end(), pool) != pools.end()) {
+      gone.push_back(id);
+    }
+  }
+  const std::size_t listed = listed_count(pool);
+  const std::size_t unlisted = pools_[pool].size() - listed;
+  if (gone.size() + unlisted <= listed) {
+    return;
+  }
+  for (const BackendId& id : gone) {
+    auto node = vanished_.extract(id);
+    Backend& backend = backends_[id];
+    backend = std::move(node.mapped().backend);
+    backend.unlisted_since = node.mapped().at;
+    for (const std::string& offered : backend.machine.pools) {
+      pools_[offered].push_back(id);
+    }
+    counters_["backend_lapses_doubted_total"]++;
+    const Duration left = node.mapped().at + kDoubt - environment_.now();
+    environment_.after(std::max(left, Duration(1ms)), lifetime_.guard([this, id] { end_doubt(id); }));
+  }
+}
+
+void Registry::end_doubt(const BackendId& id) {
+  const Backend* backend = find(id);
+  if (backend == nullptr || !backend->unlisted_since) {
+    return;
+  }
+  const std::vector<std::string> pools = backend->machine.pools;
+  const bool last_hope =
+      std::any_of(pools.begin(), pools.end(), [this](const std::string& pool) { return listed_count(pool) == 0; });
+  if (last_hope && environment_.now() - *backend->unlisted_since < kDoubtOfWholePool) {
+    environment_.after(kDoubt / 4, lifetime_.guard([this, id] { end_doubt(id); }));
+    return;
+  }
+  remove(id, true);
+  ++version_;
+  for (const std::string& pool : pools) {
     rebuild_subset(pool);
   }
 }
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -2,6 +2,7 @@
 /// @file The back ends this node knows, with what it learnt about each.
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -18,6 +19,7 @@
   bool honour_machine_list = true;  ///< No new work for machines listed as leaving.
   bool honour_refusals = true;      ///< A back end that says it is leaving gets no new work.
   bool need_fresh_reports = true;   ///< Nor does one that has not been heard of for a while.
+  bool doubt_mass_lapse = true;     ///< When most entries of a pool vanish at once, they are not believed gone yet.
 };
 
 /// State of one back end.
@@ -30,11 +32,12 @@
   std::uint32_t ejections = 0;  ///< Since the last success; each lasts longer.
   Timestamp ejected_until{};
   Timestamp added_at{};
-  bool said_leaving = false;        ///< By its own refusal or report.
-  double latency_ms = 0;            ///< Moving average of time to first token.
-  std::uint32_t own_at_report = 0;  ///< online_in_flight when the report came.
-  std::uint32_t open_calls = 0;     ///< Passed-on requests that are under way.
-  Timestamp quiet_since{};          ///< When one of them was last heard of, or the first was sent.
+  bool said_leaving = false;                ///< By its own refusal or report.
+  double latency_ms = 0;                    ///< Moving average of time to first token.
+  std::uint32_t own_at_report = 0;          ///< online_in_flight when the report came.
+  std::uint32_t open_calls = 0;             ///< Passed-on requests that are under way.
+  Timestamp quiet_since{};                  ///< When one of them was last heard of, or the first was sent.
+  std::optional<Timestamp> unlisted_since;  ///< Its entry is gone, but most others went with it: it may still be there.
 };
 
 /// All back ends by pool. Single threaded.
@@ -77,7 +80,19 @@
   std::uint64_t version() const { return version_; }
 
  private:
+  /// A back end whose entry has just gone without having told that it leaves.
+  struct Vanished {
+    Backend backend;
+    Timestamp at{};
+  };
+
   void rebuild_subset(const std::string& pool);
+  /// Takes @p id out of its pools; @p forget: out of the registry, too.
+  void remove(const BackendId& id, bool forget);
+  /// Entries lapse together when the list's keeper was away: then back ends stay in use for a while.
+  void reinstate_lapsed(const std::string& pool);
+  void end_doubt(const BackendId& id);
+  std::size_t listed_count(const std::string& pool) const;
   std::size_t ejected_count(const std::string& pool) const;
   void eject(Backend& backend);
 
@@ -91,6 +106,8 @@
   std::map<BackendId, Backend> backends_;
   std::map<std::string, std::vector<BackendId>> pools_;
   std::map<std::string, std::vector<BackendId>> subsets_;
+  std::map<BackendId, Vanished> vanished_;  ///< Of the last kLapseWindow.
+  Lifetime lifetime_;
 };
 
 }  // namespace madderdeck::routing
--- a/tests/routing/registry_test.cpp
+++ b/tests/routing/registry_test.cpp
@@ -25,6 +25,23 @@
       registry.on_report(BackendId(name(number)), {}, environment.now());
     }
   }
+  void add(unsigned number, bool leaving = false) {
+    const std::string body = leaving ? R"({"pool":"m","slots":4,"state":"leaving"})" : R"({"pool":"m","slots":4})";
+    change({{{"machine", name(number)}, body, table.revision() + 1, false}});
+    registry.on_report(BackendId(name(number)), {}, environment.now());
+  }
+  void remove(const std::vector<unsigned>& numbers) {
+    std::vector<config::Entry> entries;
+    for (const unsigned number : numbers) {
+      entries.push_back({{"machine", name(number)}, "", table.revision() + 1, true});
+    }
+    change(entries);
+  }
+  void change(const std::vector<config::Entry>& entries) {
+    registry.update(table, table.apply(table.revision(), table.revision() + 1, entries));
+  }
+  std::size_t candidates() { return registry.candidates("m").size(); }
+
   TestEnvironment environment;
   Counters counters;
   config::VersionedTable table;
@@ -54,6 +71,59 @@
   CHECK(fixture.registry.candidates("m").size() == 1);
 }
 
+TEST_CASE("when most entries of a pool vanish together, their back ends stay in use until they are listed again") {
+  // Day platform-down-silent-lapse: entries lapsed while the store was away; every live request was refused.
+  RegistryFixture fixture(4);
+  const auto names = [](unsigned first, unsigned last) {
+    std::vector<unsigned> numbers;
+    for (unsigned number = first; number <= last; ++number) {
+      numbers.push_back(number);
+    }
+    return numbers;
+  };
+  fixture.remove(names(1, 4));
+  CHECK(fixture.candidates() == 4);
+  fixture.environment.world.run_for(1500ms);
+  fixture.add(1);
+  fixture.add(2);
+  CHECK(fixture.candidates() == 4);
+  fixture.environment.world.run_for(500ms);
+  CHECK(fixture.candidates() == 2);
+  fixture.add(3);
+  CHECK(fixture.candidates() == 3);
+}
+
+TEST_CASE("back ends that vanish one by one within the window are taken back once most are gone") {
+  RegistryFixture fixture(4);
+  fixture.remove({1});
+  fixture.environment.world.run_for(200ms);
+  CHECK(fixture.candidates() == 3);
+  fixture.remove({2});
+  CHECK(fixture.candidates() == 2);
+  fixture.remove({3});
+  CHECK(fixture.candidates() == 4);
+}
+
+TEST_CASE("a pool that is not listed again is not used for long") {
+  RegistryFixture fixture(3);
+  fixture.remove({1, 2, 3});
+  fixture.environment.world.run_for(3s);
+  fixture.report_all(3);
+  CHECK(fixture.candidates() == 3);
+  fixture.environment.world.run_for(2s);
+  CHECK(fixture.candidates() == 0);
+}
+
+TEST_CASE("back ends that had told they leave, or leave singly, are gone at once") {
+  RegistryFixture fixture(4);
+  fixture.add(1, true);
+  fixture.add(2, true);
+  fixture.add(3, true);
+  fixture.remove({1, 2, 3});
+  CHECK(fixture.candidates() == 1);
+  CHECK(fixture.counters["backend_lapses_doubted_total"] == 0);
+}
+
 TEST_CASE("ejection is capped at half of a pool") {
   RegistryFixture fixture(4);
   for (unsigned number = 1; number <= 4; ++number) {
