Store: in large fleets few nodes watch it, the others are fed and look themselves when the feed is silent

Ruled out: fewer watchers alone: a node cut off from them, or whose watchers are refused or frozen, could not tell silence from quiet and would miss config_apply_ms. Change: a reader for each 32 nodes of a zone asks each second and tells its nodes what stands and how old that word is; probes carry the age, too. A node whose word is older than 1.5 to 2 s looks once, and its news spreads. Test: tests/object_store/store_feed_test.cpp; the simulation runs with it (feed_silence 2 s).

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -61,6 +61,8 @@
       {"node.metrics_address", text_field(&Settings::metrics_address)},
       {"node.seed_port", number_field(&Settings::seed_port, 0, 65'535)},
       {"platform.readers", number_field(&Settings::platform_readers, 1, kMillion)},
+      {"platform.all_read_up_to", number_field(&Settings::platform_all_read_up_to, 0, kMillion)},
+      {"platform.feed_silence_ms", number_field(&Settings::platform_feed_silence_ms, 0, 600'000)},
       {"platform.retry_ms", number_field(&Settings::platform_retry_ms, 10, 60'000)},
       {"engines.loads_pushed", number_field(&Settings::loads_pushed, 0, 1)},
       {"engines.subset_size", number_field(&Settings::subset_size, 1, 100'000)},
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -33,8 +33,10 @@
   std::string data_folder;         ///< Only for the ledger role.
   // [platform]
   std::string platform_endpoint;
-  std::int64_t platform_readers = 2;       ///< Controllers that watch the platform's store.
-  std::int64_t platform_retry_ms = 1'000;  ///< Pause after a watch that failed.
+  std::int64_t platform_readers = 2;          ///< Controllers that watch the platform's store.
+  std::int64_t platform_all_read_up_to = 0;   ///< In fleets of so many controllers or fewer all watch it.
+  std::int64_t platform_feed_silence_ms = 0;  ///< Others look themselves after it; 0: never.
+  std::int64_t platform_retry_ms = 1'000;     ///< Pause after a watch that failed.
   // [limits]
   std::int64_t max_body_bytes = 4 << 20;
   std::int64_t max_header_bytes = 16 << 10;
--- a/src/config/versioned_table.cpp
+++ b/src/config/versioned_table.cpp
@@ -92,8 +92,19 @@
       on_change_(std::move(on_change)) {}
 
 void TableReplicator::apply_from_source(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes,
-                                        bool complete) {
+                                        bool complete, Timestamp as_of) {
   take(since, up_to, changes, complete);
+  // An answer that was overtaken says nothing of what is held now, unless it reaches as far.
+  if (up_to >= table_.revision()) {
+    as_of_ = std::max(as_of_, as_of);
+  }
+}
+
+std::uint32_t TableReplicator::age_ms() const {
+  if (as_of_.count() == 0) {
+    return kUnknownAge;
+  }
+  return static_cast<std::uint32_t>(std::min<std::int64_t>((environment_.now() - as_of_) / 1ms, kUnknownAge - 1));
 }
 
 void TableReplicator::take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete) {
@@ -103,24 +114,38 @@
     counters_["table_updates_total"]++;
     announce();
   }
+  if (table_.revision() >= claimed_revision_) {
+    as_of_ = std::max(as_of_, claimed_as_of_);
+  }
   if (!changed.empty()) {
     on_change_(changed);
   }
 }
 
-void TableReplicator::announce() {
-  for (const PeerAddress& peer : peers_(kAnnounceFanout)) {
+void TableReplicator::announce() { feed(peers_(kAnnounceFanout)); }
+
+void TableReplicator::feed(const std::vector<PeerAddress>& peers) {
+  for (const PeerAddress& peer : peers) {
     wire::RevisionNoticeT notice;
     notice.table = id_;
     notice.revision = table_.revision();
+    notice.age_ms = age_ms();
     send_message(environment_, peer, std::move(notice));
   }
 }
 
-void TableReplicator::on_peer_revision(const PeerAddress& peer, std::uint64_t revision) {
+void TableReplicator::on_peer_revision(const PeerAddress& peer, std::uint64_t revision, std::uint32_t age_ms) {
+  const bool known = age_ms != kUnknownAge;
+  const Timestamp as_of = known ? environment_.now() - std::chrono::milliseconds(age_ms) : Timestamp{};
   if (revision <= table_.revision()) {
+    // What was all at the peer's time is held here, too.
+    as_of_ = std::max(as_of_, as_of);
     return;
   }
+  if (as_of > claimed_as_of_) {
+    claimed_as_of_ = as_of;
+    claimed_revision_ = revision;
+  }
   if (revision > wanted_) {
     wanted_ = revision;
     claimant_ = peer;
--- a/src/config/versioned_table.hpp
+++ b/src/config/versioned_table.hpp
@@ -64,19 +64,30 @@
 /// a few others. Single threaded.
 class TableReplicator {
  public:
+  static constexpr std::uint32_t kUnknownAge = UINT32_MAX;
   using PeerChoice = std::function<std::vector<PeerAddress>(std::size_t count)>;
   using OnChange = std::function<void(const std::vector<EntryKey>&)>;
 
   TableReplicator(Environment& environment, Counters& counters, wire::TableId id, PeerChoice peers, OnChange on_change);
 
+  /// @return what the table holds, for logs.
+  std::string_view name() const { return wire::EnumNameTableId(id_); }
   VersionedTable& table() { return table_; }
   const VersionedTable& table() const { return table_; }
 
   /// Takes changes read from the source and tells peers.
+  /// @param as_of when the source surely had no later change than these.
   void apply_from_source(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes,
-                         bool complete = false);
+                         bool complete = false, Timestamp as_of = {});
   /// A peer claims to hold @p revision.
-  void on_peer_revision(const PeerAddress& peer, std::uint64_t revision);
+  /// @param age_ms how long ago the source had nothing later, as the peer knows.
+  void on_peer_revision(const PeerAddress& peer, std::uint64_t revision, std::uint32_t age_ms = kUnknownAge);
+  /// Tells @p peers what is held and how old that knowledge is.
+  void feed(const std::vector<PeerAddress>& peers);
+  /// @return the latest time at which the source is known to have had nothing later than what is held; zero: never.
+  Timestamp as_of() const { return as_of_; }
+  /// @return how long ago that was, in milliseconds; kUnknownAge when never.
+  std::uint32_t age_ms() const;
 
   void handle(const PeerAddress& sender, const wire::TablePullT& message);
   void handle(const PeerAddress& sender, const wire::TableDeltaT& message);
@@ -92,6 +103,10 @@
   const PeerChoice peers_;
   const OnChange on_change_;
   VersionedTable table_;
+  Timestamp as_of_{};
+  /// What the latest peer told of a revision that is not held yet.
+  std::uint64_t claimed_revision_ = 0;
+  Timestamp claimed_as_of_{};
   std::optional<PeerAddress> pulling_from_;
   std::uint64_t wanted_ = 0;  ///< Latest revision that a peer claims to hold,
   PeerAddress claimant_;      ///< and that peer.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -116,6 +116,12 @@
   return found;
 }
 
+std::vector<const MemberT*> Membership::responsive(Role role) const {
+  std::vector<const MemberT*> found = available(role);
+  std::erase_if(found, [](const MemberT* member) { return member->state != MemberState::Alive; });
+  return found;
+}
+
 bool Membership::is_live(const NodeId& node) const {
   const MemberT* member = find(node);
   return member != nullptr && member->state != MemberState::Dead;
@@ -306,6 +312,8 @@
   message.object_revision = revisions.objects;
   message.machine_revision = revisions.machines;
   message.group_revision = revisions.groups;
+  message.objects_age_ms = revisions.objects_age_ms;
+  message.machines_age_ms = revisions.machines_age_ms;
   message.members_digest = digest_;
   return message;
 }
@@ -318,8 +326,10 @@
   for (const auto& update : message.updates) {
     merge(*update, false, true);
   }
-  hooks_.on_peer_revisions(sender,
-                           TableRevisions{message.object_revision, message.machine_revision, message.group_revision});
+  TableRevisions revisions{message.object_revision, message.machine_revision, message.group_revision};
+  revisions.objects_age_ms = message.objects_age_ms;
+  revisions.machines_age_ms = message.machines_age_ms;
+  hooks_.on_peer_revisions(sender, revisions);
   compare_lists(sender, message.members_digest);
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -38,11 +38,15 @@
   Duration forget_dead_after = 24h;
 };
 
-/// Revisions of the versioned tables, carried by every probe.
+/// Revisions of the versioned tables, carried by every probe, and how long ago the store showed that nothing later
+/// stood there, in milliseconds.
 struct TableRevisions {
+  static constexpr std::uint32_t kUnknownAge = UINT32_MAX;
   std::uint64_t objects = 0;
   std::uint64_t machines = 0;
   std::uint64_t groups = 0;
+  std::uint32_t objects_age_ms = kUnknownAge;
+  std::uint32_t machines_age_ms = kUnknownAge;
 };
 
 /// What Membership asks of and tells to its owner.
@@ -82,6 +86,8 @@
   std::vector<const wire::MemberT*> members() const;
   /// @return members with @p role that take new work, this node among them when it does.
   std::vector<const wire::MemberT*> available(Role role) const;
+  /// @return members with @p role that answer probes and take new work, this node among them when it does.
+  std::vector<const wire::MemberT*> responsive(Role role) const;
   /// @return whether @p node is neither dead nor unknown.
   bool is_live(const NodeId& node) const;
   /// @return up to @p count random live peers.
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -119,6 +119,8 @@
     options.controller.replace_after = std::chrono::milliseconds(settings_.ledger_replace_after_ms);
     options.controller.group_check = std::chrono::milliseconds(settings_.ledger_check_ms);
     options.controller.readers = static_cast<std::size_t>(settings_.platform_readers);
+    options.controller.all_read_up_to = static_cast<std::size_t>(settings_.platform_all_read_up_to);
+    options.controller.feed_silence = std::chrono::milliseconds(settings_.platform_feed_silence_ms);
     options.controller.store_retry = std::chrono::milliseconds(settings_.platform_retry_ms);
     for (const std::string& seed : settings_.seeds) {
       options.seeds.emplace_back(seed);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -77,11 +77,11 @@
   membership::Hooks hooks;
   hooks.local_revisions = [this] {
     return membership::TableRevisions{objects.table().revision(), machines.table().revision(),
-                                      groups.table().revision()};
+                                      groups.table().revision(), objects.age_ms(), machines.age_ms()};
   };
   hooks.on_peer_revisions = [this](const PeerAddress& peer, const membership::TableRevisions& revisions) {
-    objects.on_peer_revision(peer, revisions.objects);
-    machines.on_peer_revision(peer, revisions.machines);
+    objects.on_peer_revision(peer, revisions.objects, revisions.objects_age_ms);
+    machines.on_peer_revision(peer, revisions.machines, revisions.machines_age_ms);
     groups.on_peer_revision(peer, revisions.groups);
   };
   hooks.on_change = [this](const wire::MemberT& member) {
@@ -180,7 +180,8 @@
       members.handle(sender, *body.AsMemberSync());
       break;
     case wire::Message::RevisionNotice:
-      table_of(body.AsRevisionNotice()->table).on_peer_revision(sender, body.AsRevisionNotice()->revision);
+      table_of(body.AsRevisionNotice()->table)
+          .on_peer_revision(sender, body.AsRevisionNotice()->revision, body.AsRevisionNotice()->age_ms);
       break;
     case wire::Message::TablePull:
       table_of(body.AsTablePull()->table).handle(sender, *body.AsTablePull());
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -7,6 +7,8 @@
 namespace madderdeck::object_store {
 namespace {
 constexpr Duration kIdle = 500ms;
+constexpr Duration kFeedCheck = 100ms;
+constexpr std::uint64_t kFeedSpreadMs = 500;  ///< So that nodes do not look all at once: the first one's news spreads.
 constexpr Duration kDeclareRest = 1s;
 constexpr Duration kAnnounceTime = 5s;
 constexpr char kReaderRank[] = "store-reader";
@@ -38,6 +40,51 @@
     watch(groups_, &PlatformClient::watch_groups, false);
   }
   environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
+  if (options_.feed_silence.count() > 0) {
+    check_feed();
+  }
+}
+
+bool Controller::all_read() const {
+  return members_.responsive(membership::Role::controller).size() <= options_.all_read_up_to;
+}
+
+std::set<std::string> Controller::zone_readers() const {
+  std::set<std::string> zones;
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
+    zones.insert(member->zone);
+    if (member->zone == members_.self().zone) {
+      ranked.emplace_back(rendezvous_weight(kReaderRank, member->id), member->id);
+    }
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  const std::size_t zone_count = std::max<std::size_t>(1, zones.size());
+  const std::size_t for_fleet = (options_.readers + zone_count - 1) / zone_count;
+  const std::size_t for_zone = (ranked.size() + options_.fed_by_one - 1) / options_.fed_by_one;
+  ranked.resize(std::min(ranked.size(), std::max(for_fleet, for_zone)));
+  std::set<std::string> readers;
+  for (auto& [rank, id] : ranked) {
+    readers.insert(std::move(id));
+  }
+  return readers;
+}
+
+std::vector<PeerAddress> Controller::fed_from_here() const {
+  const std::set<std::string> readers = zone_readers();
+  std::vector<PeerAddress> fed;
+  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
+    if (member->zone != members_.self().zone || readers.contains(member->id)) {
+      continue;
+    }
+    const auto feeder = std::max_element(readers.begin(), readers.end(), [&](const auto& left, const auto& right) {
+      return rendezvous_weight(member->id, left) < rendezvous_weight(member->id, right);
+    });
+    if (feeder != readers.end() && *feeder == members_.self().id) {
+      fed.emplace_back(member->peer_address);
+    }
+  }
+  return fed;
 }
 
 bool Controller::ranks_among(std::size_t count) const {
@@ -61,21 +108,67 @@
     again_after(kIdle, false);
     return;
   }
-  const auto take = [this, &table, source, again_after](Result<ChangeList> result) {
+  const auto next = [this, &table, source, again_after](bool answered) {
+    if (answered) {
+      watch(table, source, false);
+    } else {
+      again_after(options_.store_retry, true);
+    }
+  };
+  const bool prompt = !all_read() && options_.feed_silence.count() > 0 && &table != &groups_;
+  const Duration wait = prompt ? std::min(options_.watch_wait, options_.watch_wait_of_readers) : options_.watch_wait;
+  ask(table, source, at_once ? Duration::zero() : wait, next);
+}
+
+void Controller::ask(config::TableReplicator& table, Watch source, Duration wait, std::function<void(bool)> next) {
+  const Timestamp asked_at = environment_.now();
+  const auto take = [this, &table, asked_at, wait, next](Result<ChangeList> result) {
     note_store(succeeded(result));
     if (!succeeded(result)) {
       counters_["platform_watch_failures_total"]++;
-      again_after(options_.store_retry, true);
+      next(false);
       return;
     }
     const ChangeList& changes = value_of(result);
-    table.apply_from_source(changes.since, changes.up_to, changes.entries, changes.complete);
-    watch(table, source, false);
+    // The store answered before the wait was over, however late this node comes to read it.
+    const Timestamp as_of = std::min(environment_.now(), asked_at + wait);
+    table.apply_from_source(changes.since, changes.up_to, changes.entries, changes.complete, as_of);
+    if (options_.feed_silence.count() > 0 && !all_read() && is_reader()) {
+      table.feed(fed_from_here());
+    }
+    next(true);
   };
-  const Duration wait = at_once ? Duration::zero() : options_.watch_wait;
+  counters_["platform_reads_total"]++;
   (platform_.*source)(table.table().revision(), wait, lifetime_.guard(take));
 }
 
+void Controller::check_feed() {
+  environment_.after(kFeedCheck, lifetime_.guard([this] { check_feed(); }));
+  if (is_reader()) {
+    return;
+  }
+  look_when_silent(objects_, &PlatformClient::watch_objects, looking_at_objects_);
+  look_when_silent(machines_, &PlatformClient::watch_machines, looking_at_machines_);
+  if (platform_.has_group_source() && groups_.table().revision() == 0) {
+    look_when_silent(groups_, &PlatformClient::watch_groups, looking_at_groups_);
+  }
+}
+
+void Controller::look_when_silent(config::TableReplicator& table, Watch source, bool& looking) {
+  const Duration spread = std::chrono::milliseconds(environment_.random() % kFeedSpreadMs);
+  if (looking || environment_.now() - table.as_of() < options_.feed_silence + spread) {
+    return;
+  }
+  looking = true;
+  counters_["platform_feed_silences_total"]++;
+  log_.record("store_feed_silent",
+              {{"table", table.name()}, {"revision", table.table().revision()}, {"age_ms", table.age_ms()}});
+  ask(table, source, Duration::zero(), [this, &looking](bool answered) {
+    const auto done = lifetime_.guard([&looking] { looking = false; });
+    environment_.after(answered ? Duration::zero() : options_.store_retry, done);
+  });
+}
+
 void Controller::note_store(bool answers) {
   const bool answered = store_silent_since_.count() == 0;
   if (answers == answered) {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -14,13 +14,18 @@
 namespace madderdeck::object_store {
 
 struct ControllerOptions {
-  std::size_t readers = 2;      ///< Controllers that watch the store at the same time.
+  std::size_t readers = 2;         ///< Controllers that watch the store at the same time, spread over the zones.
+  std::size_t fed_by_one = 32;     ///< A zone has a reader more for each so many nodes.
+  std::size_t all_read_up_to = 0;  ///< In fleets of so many controllers or fewer every one watches the store.
+  /// A node that is no reader looks into the store itself when no peer has brought word of it for so long; zero: never.
+  Duration feed_silence{};
   std::size_t maintainers = 2;  ///< Controllers that look after the replica groups.
   Duration store_retry = 1s;    ///< Pause after a watch that failed.
   Duration founding_wait = 3s;  ///< So that all disks of a new fleet are seen.
   Duration group_check = 1s;    ///< How often the replica groups are looked at.
   Duration replace_after{};     ///< Silence after which a replica is replaced; zero: as the fleet's policy says.
   Duration watch_wait = 10s;
+  Duration watch_wait_of_readers = 1s;  ///< The same where others rely on this node's word of the store.
   Duration machine_poll = 500ms;
   std::size_t group_count = 16;  ///< Replica groups of a newly founded fleet, per three disks or more.
   std::size_t replicas = 3;
@@ -36,7 +41,7 @@
 
   void start();
   /// @return whether this node is one of the few that read the store.
-  bool is_reader() const { return ranks_among(options_.readers); }
+  bool is_reader() const { return all_read() || zone_readers().contains(members_.self().id); }
 
  private:
   using Watch = void (PlatformClient::*)(std::uint64_t, Duration, ChangesDone);
@@ -44,6 +49,17 @@
   /// @param at_once whether the store is to answer without waiting for a change: after a failure it
   ///        shows soon that the store is back.
   void watch(config::TableReplicator& table, Watch source, bool at_once);
+  /// @return whether the fleet is so small that every controller watches the store.
+  bool all_read() const;
+  /// @return the nodes of this zone that read the store.
+  std::set<std::string> zone_readers() const;
+  /// @return the nodes of this zone that rely on this reader.
+  std::vector<PeerAddress> fed_from_here() const;
+  /// Asks the source once; @p next gets whether it answered.
+  void ask(config::TableReplicator& table, Watch source, Duration wait, std::function<void(bool)> next);
+  /// Looks into the store where the readers' word of it has grown old: they may all be away, or cut off from here.
+  void check_feed();
+  void look_when_silent(config::TableReplicator& table, Watch source, bool& looking);
   bool ranks_among(std::size_t count) const;
   void note_store(bool answers);
   void maintain_groups();
@@ -88,6 +104,9 @@
   bool declaring_ = false;
   Timestamp store_silent_since_{};
   Timestamp started_{};
+  bool looking_at_objects_ = false;
+  bool looking_at_machines_ = false;
+  bool looking_at_groups_ = false;
   Lifetime lifetime_;
 };
 
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -111,6 +111,7 @@
     options.seeds.push_back(address_of(seed));
   }
   options.controller.group_count = 4;
+  options.controller.feed_silence = 2s;
   options.guards = guards;
   NodeLife life;
   life.environment = std::make_unique<SimEnvironment>(*this, number);
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -1099,6 +1099,8 @@
   bool join = false;
   uint64_t members_digest = 0;
   uint64_t group_revision = 0;
+  uint32_t objects_age_ms = 4294967295;
+  uint32_t machines_age_ms = 4294967295;
   PingT() = default;
   PingT(const PingT &o);
   PingT(PingT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1117,7 +1119,9 @@
     VT_MACHINE_REVISION = 12,
     VT_JOIN = 14,
     VT_MEMBERS_DIGEST = 16,
-    VT_GROUP_REVISION = 18
+    VT_GROUP_REVISION = 18,
+    VT_OBJECTS_AGE_MS = 20,
+    VT_MACHINES_AGE_MS = 22
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1143,6 +1147,12 @@
   uint64_t group_revision() const {
     return GetField<uint64_t>(VT_GROUP_REVISION, 0);
   }
+  uint32_t objects_age_ms() const {
+    return GetField<uint32_t>(VT_OBJECTS_AGE_MS, 4294967295);
+  }
+  uint32_t machines_age_ms() const {
+    return GetField<uint32_t>(VT_MACHINES_AGE_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1156,6 +1166,8 @@
            VerifyField<uint8_t>(verifier, VT_JOIN, 1) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_GROUP_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTS_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MACHINES_AGE_MS, 4) &&
            verifier.EndTable();
   }
   PingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1191,6 +1203,12 @@
   void add_group_revision(uint64_t group_revision) {
     fbb_.AddElement<uint64_t>(Ping::VT_GROUP_REVISION, group_revision, 0);
   }
+  void add_objects_age_ms(uint32_t objects_age_ms) {
+    fbb_.AddElement<uint32_t>(Ping::VT_OBJECTS_AGE_MS, objects_age_ms, 4294967295);
+  }
+  void add_machines_age_ms(uint32_t machines_age_ms) {
+    fbb_.AddElement<uint32_t>(Ping::VT_MACHINES_AGE_MS, machines_age_ms, 4294967295);
+  }
   explicit PingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1211,13 +1229,17 @@
     uint64_t machine_revision = 0,
     bool join = false,
     uint64_t members_digest = 0,
-    uint64_t group_revision = 0) {
+    uint64_t group_revision = 0,
+    uint32_t objects_age_ms = 4294967295,
+    uint32_t machines_age_ms = 4294967295) {
   PingBuilder builder_(_fbb);
   builder_.add_group_revision(group_revision);
   builder_.add_members_digest(members_digest);
   builder_.add_machine_revision(machine_revision);
   builder_.add_object_revision(object_revision);
   builder_.add_sequence(sequence);
+  builder_.add_machines_age_ms(machines_age_ms);
+  builder_.add_objects_age_ms(objects_age_ms);
   builder_.add_updates(updates);
   builder_.add_sender(sender);
   builder_.add_join(join);
@@ -1238,7 +1260,9 @@
     uint64_t machine_revision = 0,
     bool join = false,
     uint64_t members_digest = 0,
-    uint64_t group_revision = 0) {
+    uint64_t group_revision = 0,
+    uint32_t objects_age_ms = 4294967295,
+    uint32_t machines_age_ms = 4294967295) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>>(*updates) : 0;
   return madderdeck::wire::CreatePing(
       _fbb,
@@ -1249,7 +1273,9 @@
       machine_revision,
       join,
       members_digest,
-      group_revision);
+      group_revision,
+      objects_age_ms,
+      machines_age_ms);
 }
 
 flatbuffers::Offset<Ping> CreatePing(flatbuffers::FlatBufferBuilder &_fbb, const PingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1344,6 +1370,8 @@
   uint64_t machine_revision = 0;
   uint64_t members_digest = 0;
   uint64_t group_revision = 0;
+  uint32_t objects_age_ms = 4294967295;
+  uint32_t machines_age_ms = 4294967295;
   AckT() = default;
   AckT(const AckT &o);
   AckT(AckT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1361,7 +1389,9 @@
     VT_OBJECT_REVISION = 10,
     VT_MACHINE_REVISION = 12,
     VT_MEMBERS_DIGEST = 14,
-    VT_GROUP_REVISION = 16
+    VT_GROUP_REVISION = 16,
+    VT_OBJECTS_AGE_MS = 18,
+    VT_MACHINES_AGE_MS = 20
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1384,6 +1414,12 @@
   uint64_t group_revision() const {
     return GetField<uint64_t>(VT_GROUP_REVISION, 0);
   }
+  uint32_t objects_age_ms() const {
+    return GetField<uint32_t>(VT_OBJECTS_AGE_MS, 4294967295);
+  }
+  uint32_t machines_age_ms() const {
+    return GetField<uint32_t>(VT_MACHINES_AGE_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1396,6 +1432,8 @@
            VerifyField<uint64_t>(verifier, VT_MACHINE_REVISION, 8) &&
            VerifyField<uint64_t>(verifier, VT_MEMBERS_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_GROUP_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OBJECTS_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_MACHINES_AGE_MS, 4) &&
            verifier.EndTable();
   }
   AckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1428,6 +1466,12 @@
   void add_group_revision(uint64_t group_revision) {
     fbb_.AddElement<uint64_t>(Ack::VT_GROUP_REVISION, group_revision, 0);
   }
+  void add_objects_age_ms(uint32_t objects_age_ms) {
+    fbb_.AddElement<uint32_t>(Ack::VT_OBJECTS_AGE_MS, objects_age_ms, 4294967295);
+  }
+  void add_machines_age_ms(uint32_t machines_age_ms) {
+    fbb_.AddElement<uint32_t>(Ack::VT_MACHINES_AGE_MS, machines_age_ms, 4294967295);
+  }
   explicit AckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1447,13 +1491,17 @@
     uint64_t object_revision = 0,
     uint64_t machine_revision = 0,
     uint64_t members_digest = 0,
-    uint64_t group_revision = 0) {
+    uint64_t group_revision = 0,
+    uint32_t objects_age_ms = 4294967295,
+    uint32_t machines_age_ms = 4294967295) {
   AckBuilder builder_(_fbb);
   builder_.add_group_revision(group_revision);
   builder_.add_members_digest(members_digest);
   builder_.add_machine_revision(machine_revision);
   builder_.add_object_revision(object_revision);
   builder_.add_sequence(sequence);
+  builder_.add_machines_age_ms(machines_age_ms);
+  builder_.add_objects_age_ms(objects_age_ms);
   builder_.add_updates(updates);
   builder_.add_sender(sender);
   return builder_.Finish();
@@ -1472,7 +1520,9 @@
     uint64_t object_revision = 0,
     uint64_t machine_revision = 0,
     uint64_t members_digest = 0,
-    uint64_t group_revision = 0) {
+    uint64_t group_revision = 0,
+    uint32_t objects_age_ms = 4294967295,
+    uint32_t machines_age_ms = 4294967295) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>>(*updates) : 0;
   return madderdeck::wire::CreateAck(
       _fbb,
@@ -1482,7 +1532,9 @@
       object_revision,
       machine_revision,
       members_digest,
-      group_revision);
+      group_revision,
+      objects_age_ms,
+      machines_age_ms);
 }
 
 flatbuffers::Offset<Ack> CreateAck(flatbuffers::FlatBufferBuilder &_fbb, const AckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1701,6 +1753,7 @@
   typedef RevisionNotice TableType;
   madderdeck::wire::TableId table = madderdeck::wire::TableId::Objects;
   uint64_t revision = 0;
+  uint32_t age_ms = 4294967295;
 };
 
 struct RevisionNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1709,7 +1762,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TABLE = 4,
-    VT_REVISION = 6
+    VT_REVISION = 6,
+    VT_AGE_MS = 8
   };
   madderdeck::wire::TableId table() const {
     return static_cast<madderdeck::wire::TableId>(GetField<uint8_t>(VT_TABLE, 0));
@@ -1717,10 +1771,14 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_TABLE, 1) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
   RevisionNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1738,6 +1796,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(RevisionNotice::VT_REVISION, revision, 0);
   }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(RevisionNotice::VT_AGE_MS, age_ms, 4294967295);
+  }
   explicit RevisionNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1752,9 +1813,11 @@
 inline flatbuffers::Offset<RevisionNotice> CreateRevisionNotice(
     flatbuffers::FlatBufferBuilder &_fbb,
     madderdeck::wire::TableId table = madderdeck::wire::TableId::Objects,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    uint32_t age_ms = 4294967295) {
   RevisionNoticeBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_age_ms(age_ms);
   builder_.add_table(table);
   return builder_.Finish();
 }
@@ -5822,7 +5885,9 @@
         machine_revision(o.machine_revision),
         join(o.join),
         members_digest(o.members_digest),
-        group_revision(o.group_revision) {
+        group_revision(o.group_revision),
+        objects_age_ms(o.objects_age_ms),
+        machines_age_ms(o.machines_age_ms) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new madderdeck::wire::MemberT(*updates_) : nullptr); }
 }
@@ -5836,6 +5901,8 @@
   std::swap(join, o.join);
   std::swap(members_digest, o.members_digest);
   std::swap(group_revision, o.group_revision);
+  std::swap(objects_age_ms, o.objects_age_ms);
+  std::swap(machines_age_ms, o.machines_age_ms);
   return *this;
 }
 
@@ -5856,6 +5923,8 @@
   { auto _e = join(); _o->join = _e; }
   { auto _e = members_digest(); _o->members_digest = _e; }
   { auto _e = group_revision(); _o->group_revision = _e; }
+  { auto _e = objects_age_ms(); _o->objects_age_ms = _e; }
+  { auto _e = machines_age_ms(); _o->machines_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Ping> Ping::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5874,6 +5943,8 @@
   auto _join = _o->join;
   auto _members_digest = _o->members_digest;
   auto _group_revision = _o->group_revision;
+  auto _objects_age_ms = _o->objects_age_ms;
+  auto _machines_age_ms = _o->machines_age_ms;
   return madderdeck::wire::CreatePing(
       _fbb,
       _sequence,
@@ -5883,7 +5954,9 @@
       _machine_revision,
       _join,
       _members_digest,
-      _group_revision);
+      _group_revision,
+      _objects_age_ms,
+      _machines_age_ms);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -5921,7 +5994,9 @@
         object_revision(o.object_revision),
         machine_revision(o.machine_revision),
         members_digest(o.members_digest),
-        group_revision(o.group_revision) {
+        group_revision(o.group_revision),
+        objects_age_ms(o.objects_age_ms),
+        machines_age_ms(o.machines_age_ms) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new madderdeck::wire::MemberT(*updates_) : nullptr); }
 }
@@ -5934,6 +6009,8 @@
   std::swap(machine_revision, o.machine_revision);
   std::swap(members_digest, o.members_digest);
   std::swap(group_revision, o.group_revision);
+  std::swap(objects_age_ms, o.objects_age_ms);
+  std::swap(machines_age_ms, o.machines_age_ms);
   return *this;
 }
 
@@ -5953,6 +6030,8 @@
   { auto _e = machine_revision(); _o->machine_revision = _e; }
   { auto _e = members_digest(); _o->members_digest = _e; }
   { auto _e = group_revision(); _o->group_revision = _e; }
+  { auto _e = objects_age_ms(); _o->objects_age_ms = _e; }
+  { auto _e = machines_age_ms(); _o->machines_age_ms = _e; }
 }
 
 inline flatbuffers::Offset<Ack> Ack::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5970,6 +6049,8 @@
   auto _machine_revision = _o->machine_revision;
   auto _members_digest = _o->members_digest;
   auto _group_revision = _o->group_revision;
+  auto _objects_age_ms = _o->objects_age_ms;
+  auto _machines_age_ms = _o->machines_age_ms;
   return madderdeck::wire::CreateAck(
       _fbb,
       _sequence,
@@ -5978,7 +6059,9 @@
       _object_revision,
       _machine_revision,
       _members_digest,
-      _group_revision);
+      _group_revision,
+      _objects_age_ms,
+      _machines_age_ms);
 }
 
 inline MemberSyncT::MemberSyncT(const MemberSyncT &o)
@@ -6071,6 +6154,7 @@
   (void)_resolver;
   { auto _e = table(); _o->table = _e; }
   { auto _e = revision(); _o->revision = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
 }
 
 inline flatbuffers::Offset<RevisionNotice> RevisionNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RevisionNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6083,10 +6167,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RevisionNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _table = _o->table;
   auto _revision = _o->revision;
+  auto _age_ms = _o->age_ms;
   return madderdeck::wire::CreateRevisionNotice(
       _fbb,
       _table,
-      _revision);
+      _revision,
+      _age_ms);
 }
 
 inline TablePullT *TablePull::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- /dev/null
+++ b/tests/object_store/store_feed_test.cpp
@@ -0,0 +1,180 @@
+/// Word of the store in a large fleet: few nodes watch it, the others are fed, and look themselves when the feed is
+/// silent.
+#include <catch2/catch.hpp>
+
+#include "node/node_core.hpp"
+#include "support/fake_backends.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::tests;
+
+namespace {
+
+constexpr Duration kFeedSilence = 1500ms;
+constexpr Duration kLongestSilence = kFeedSilence + 700ms;  ///< With the spread between nodes and the check's interval.
+
+/// A store with nothing new: answers at the end of each wait, unless it is away.
+class quiet_store : public object_store::PlatformClient {
+ public:
+  explicit quiet_store(TestEnvironment& environment) : environment_(environment) {}
+
+  void watch_objects(std::uint64_t since, Duration wait, object_store::ChangesDone done) override {
+    ++object_reads;
+    answer(since, wait, std::move(done));
+  }
+  void watch_machines(std::uint64_t since, Duration wait, object_store::ChangesDone done) override {
+    answer(since, wait, std::move(done));
+  }
+  void get(const config::EntryKey&, object_store::GetDone done) override {
+    done(std::optional<object_store::StoredObject>());
+  }
+  void put(const object_store::PutRequest&, object_store::PutDone done) override {
+    done(Error{ErrorKind::unavailable, "read only"});
+  }
+
+  std::size_t object_reads = 0;
+  std::uint64_t revision = 5;
+
+ private:
+  void answer(std::uint64_t since, Duration wait, object_store::ChangesDone done) {
+    object_store::ChangeList changes;
+    changes.since = since;
+    changes.up_to = revision;
+    environment_.after(since < revision ? 4ms : wait + 4ms, [changes, done] { done(changes); });
+  }
+
+  TestEnvironment& environment_;
+};
+
+wire::MemberT member_named(const std::string& id, const std::string& zone) {
+  wire::MemberT member;
+  member.id = id;
+  member.peer_address = id + ":1";
+  member.zone = zone;
+  member.roles = static_cast<std::uint32_t>(membership::Role::controller);
+  member.incarnation = 1;
+  return member;
+}
+
+/// One node of a fleet whose other members the test speaks for.
+struct FeedFixture {
+  explicit FeedFixture(unsigned peers, const std::string& prefix = "peer-")
+      : core({environment, counters, nullptr, backends, store, log}, options()) {
+    core.start();
+    auto sync = std::make_unique<wire::MemberSyncT>();
+    for (unsigned number = 0; number < peers; ++number) {
+      sync->members.push_back(
+          std::make_unique<wire::MemberT>(member_named(prefix + std::to_string(number), number % 2 == 0 ? "z" : "y")));
+    }
+    wire::Incoming incoming{PeerAddress("peer-0:1"), {}};
+    incoming.body.Set(std::move(*sync));
+    core.handle(incoming);
+  }
+  static node::NodeOptions options() {
+    node::NodeOptions options;
+    options.self = member_named("self", "z");
+    options.controller.readers = 2;
+    options.controller.all_read_up_to = 4;
+    options.controller.feed_silence = kFeedSilence;
+    // The test answers no probes; nobody is to be suspected for that.
+    options.membership.period = 1h;
+    return options;
+  }
+  void feed(std::uint64_t revision, std::uint32_t age_ms) {
+    for (const wire::TableId table : {wire::TableId::Objects, wire::TableId::Machines}) {
+      wire::RevisionNoticeT notice;
+      notice.table = table;
+      notice.revision = revision;
+      notice.age_ms = age_ms;
+      wire::Incoming incoming{PeerAddress("peer-0:1"), {}};
+      incoming.body.Set(std::move(notice));
+      core.handle(incoming);
+    }
+  }
+  /// Runs for @p duration with a word of the feed each half second.
+  void run_fed(Duration duration, std::uint32_t age_ms) {
+    for (Duration passed{}; passed < duration; passed += 500ms) {
+      feed(store.revision, age_ms);
+      environment.world.run_for(500ms);
+    }
+  }
+  std::size_t notices_sent() const {
+    return static_cast<std::size_t>(
+        std::count_if(environment.sent.begin(), environment.sent.end(),
+                      [](const SentMessage& message) { return message.body.type == wire::Message::RevisionNotice; }));
+  }
+
+  TestEnvironment environment;
+  Counters counters;
+  FakeBackends backends;
+  quiet_store store{environment};
+  NoDecisionLog log;
+  node::NodeCore core;
+};
+
+/// A fleet size in which "self" does not rank among the readers of its zone.
+constexpr unsigned kFedFleet = 40;
+
+}  // namespace
+
+TEST_CASE("in a small fleet every node watches the store and nobody is fed") {
+  FeedFixture fixture(3);
+  CHECK(fixture.core.controller->is_reader());
+  fixture.environment.world.run_for(20s);
+  CHECK(fixture.store.object_reads >= 2);
+  CHECK(fixture.counters["platform_feed_silences_total"] == 0);
+}
+
+TEST_CASE("a node that is fed leaves the store alone") {
+  FeedFixture fixture(kFedFleet);
+  REQUIRE_FALSE(fixture.core.controller->is_reader());
+  fixture.environment.world.run_for(kLongestSilence);
+  const std::size_t at_start = fixture.store.object_reads;
+  fixture.run_fed(20s, 200);
+  CHECK(fixture.store.object_reads == at_start);
+}
+
+TEST_CASE("a node whose feed is silent, or brings only old word, looks into the store itself") {
+  FeedFixture fixture(kFedFleet);
+  REQUIRE_FALSE(fixture.core.controller->is_reader());
+  fixture.environment.world.run_for(kLongestSilence);
+  const std::size_t at_start = fixture.store.object_reads;
+  SECTION("silent") { fixture.environment.world.run_for(kLongestSilence); }
+  SECTION("old word") { fixture.run_fed(kLongestSilence + 500ms, 5000); }
+  CHECK(fixture.store.object_reads > at_start);
+}
+
+TEST_CASE("word of a later revision counts once that revision is held") {
+  FeedFixture fixture(kFedFleet);
+  fixture.environment.world.run_for(kLongestSilence);
+  fixture.run_fed(2s, 200);
+  const Timestamp before = fixture.core.objects.as_of();
+  fixture.environment.world.run_for(300ms);
+  fixture.feed(9, 10);
+  CHECK(fixture.core.objects.as_of() == before);
+  wire::TableDeltaT delta;
+  delta.table = wire::TableId::Objects;
+  delta.since = 5;
+  delta.up_to = 9;
+  fixture.core.objects.handle(PeerAddress("peer-0:1"), delta);
+  CHECK(fixture.core.objects.as_of() == fixture.environment.now() - 10ms);
+}
+
+TEST_CASE("a reader of a large fleet tells those that rely on it what the store showed, each second") {
+  std::unique_ptr<FeedFixture> fixture;
+  for (char letter = 'a'; letter <= 'z'; ++letter) {
+    fixture = std::make_unique<FeedFixture>(8, std::string(1, letter));
+    if (fixture->core.controller->is_reader()) {
+      break;
+    }
+  }
+  REQUIRE(fixture->core.controller->is_reader());
+  fixture->environment.world.run_for(2s);
+  const std::size_t before = fixture->notices_sent();
+  fixture->environment.world.run_for(5s);
+  constexpr std::size_t kFed = 4;  // the others of its zone
+  constexpr std::size_t kTables = 2;
+  CHECK(fixture->notices_sent() - before >= 4 * kFed * kTables);
+  CHECK(fixture->notices_sent() - before <= 6 * kFed * kTables);
+}
