Routing: gateways tell each other which engine reads a long prompt

Change: a gateway that sends a long prompt tells the others for how long it will likely be read (moving average of its own first tokens, 30 ms to 1 s); meanwhile the engine counts as half full, and other long prompts take the next engine.

--- a/src/forwarding/engine_choice.cpp
+++ b/src/forwarding/engine_choice.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kSamples = 4;
 constexpr double kAffinitySlack = 0.25;  ///< Of the slots above the average load.
 constexpr double kMaxSlowness = 8.0;
+/// What a back end that reads a long prompt seems fuller by, as a part of its slots.
+constexpr double kReadingPenalty = 0.5;
 
 double median_latency(const std::vector<Backend*>& candidates) {
   std::vector<double> latencies;
@@ -52,7 +54,8 @@
   Backend* best = nullptr;
   std::uint64_t best_weight = 0;
   for (Backend* candidate : candidates) {
-    if (load(*candidate, input) > bound || slowness(*candidate, median) > 1) {
+    const bool reading = input.now < candidate->reading_until;
+    if (reading || load(*candidate, input) > bound || slowness(*candidate, median) > 1) {
       continue;
     }
     const std::uint64_t weight = rendezvous_weight(input.affinity_key, candidate->machine.id.str());
@@ -102,7 +105,8 @@
   constexpr unsigned kBitsPerSample = 16;
   for (std::size_t sample = 0; sample < kSamples; ++sample) {
     Backend* candidate = candidates[(input.random >> (sample * kBitsPerSample)) % candidates.size()];
-    const double cost = load(*candidate, input) * slowness(*candidate, median);
+    const double penalty = input.now < candidate->reading_until ? kReadingPenalty : 0;
+    const double cost = (load(*candidate, input) + penalty) * slowness(*candidate, median);
     if (best == nullptr || cost < best_cost) {
       best = candidate;
       best_cost = cost;
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -18,6 +18,9 @@
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kRetryPercent = 20;
 constexpr Duration kLeastFirstByteWait = 400ms;
+constexpr Duration kLeastReading = 30ms;
+constexpr Duration kMostReading = 1s;
+constexpr int kReadingSmoothing = 8;
 
 }  // namespace
 
@@ -99,6 +102,9 @@
   const std::string key = active.route->prefix_affinity ? affinity_key(active.request->prompt) : std::string();
   Backend& backend =
       choose_backend({open, key, environment_.now(), environment_.random(), registry_.sharing(active.pool)});
+  if (!key.empty()) {
+    announce_reading(backend);
+  }
   log_.record("request_sent", {{"request", active.request->id},
                                {"route", active.route->name},
                                {"pool", active.pool},
@@ -144,6 +150,16 @@
 }
 
 /// A back end that went dark says nothing. What may be repeated is taken elsewhere in time.
+/// Other gateways keep away from @p backend until it has likely read the prompt.
+void Forwarder::announce_reading(Backend& backend) {
+  const Duration expected = std::clamp(long_prompt_time_, kLeastReading, kMostReading);
+  const Timestamp until = environment_.now() + expected;
+  backend.reading_until = std::max(backend.reading_until, until);
+  if (on_reading_) {
+    on_reading_(backend.machine.id, expected);
+  }
+}
+
 void Forwarder::watch_first_byte(ForwardId id) {
   const Active& active = requests_.at(id);
   if (!active.route->may_repeat() || active.runs + 1 >= active.route->max_attempts) {
@@ -178,9 +194,11 @@
     return;
   }
   active.heard = true;
+  const Duration elapsed = environment_.now() - active.sent_at;
   if (active.request->prompt.empty() || affinity_key(active.request->prompt).empty()) {
-    const auto elapsed = std::chrono::duration<double, std::milli>(environment_.now() - active.sent_at);
-    registry_.on_first_token(active.backend, elapsed.count());
+    registry_.on_first_token(active.backend, std::chrono::duration<double, std::milli>(elapsed).count());
+  } else {
+    long_prompt_time_ += (elapsed - long_prompt_time_) / kReadingSmoothing;
   }
 }
 
@@ -204,6 +222,7 @@
 void Forwarder::pass_head(Active& active) {
   if (!active.head_passed) {
     active.head_passed = true;
+    active.first_at = environment_.now();
     active.events.head(active.head, std::nullopt);
   }
 }
@@ -280,11 +299,13 @@
   leave_backend(active);
   registry_.on_success(active.backend);
   counters_["forward_answered_total"]++;
+  const Timestamp first_at = active.head_passed ? active.first_at : environment_.now();
   log_.record("request_answered", {{"request", active.request->id},
                                    {"backend", active.backend.str()},
                                    {"status", active.head.status},
                                    {"sends", active.sends},
                                    {"events", active.last_event},
+                                   {"first_ms", (first_at - active.started) / 1ms},
                                    {"took_ms", (environment_.now() - active.started) / 1ms}});
   if (!active.head_passed && !active.head.event_stream) {
     active.events.head(active.head, std::move(active.body));
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -31,6 +31,8 @@
 };
 
 using ForwardId = std::uint64_t;
+/// A back end has been sent a long prompt and is expected to read it for that long.
+using ReadingHook = std::function<void(const BackendId&, Duration expected)>;
 using BackendActivityHook = std::function<void(const BackendId&, std::uint32_t in_flight)>;
 
 /// Rules of forwarding; always on in the daemon.
@@ -53,6 +55,7 @@
   void pause(ForwardId id);
   void resume(ForwardId id);
   std::size_t active() const { return requests_.size(); }
+  void on_reading(ReadingHook hook) { on_reading_ = std::move(hook); }
 
  private:
   struct Active {
@@ -71,7 +74,8 @@
     std::set<BackendId> tried;
     bool head_seen = false;  ///< Of the current send.
     bool head_passed = false;
-    bool heard = false;  ///< Of the current send: any byte.
+    Timestamp first_at{};  ///< When the caller was sent the first of the answer.
+    bool heard = false;    ///< Of the current send: any byte.
     AnswerHead head;
     std::string body;  ///< Of an answer that is passed on as a whole.
     EventSplitter splitter;
@@ -80,6 +84,7 @@
 
   void attempt(ForwardId id);
   void send(ForwardId id, routing::Backend& backend);
+  void announce_reading(routing::Backend& backend);
   void watch_first_byte(ForwardId id);
   void on_head(ForwardId id, std::uint64_t attempt, AnswerHead head);
   void on_piece(ForwardId id, std::uint64_t attempt, std::string_view piece);
@@ -110,6 +115,8 @@
   std::map<ForwardId, Active> requests_;
   /// Smooth weighted round robin over a route's pools, by route name and pool.
   std::map<std::string, std::map<std::string, std::int64_t>> pool_credit_;
+  Duration long_prompt_time_ = 100ms;  ///< Moving average from sending a long prompt to its first token.
+  ReadingHook on_reading_;
   ForwardId next_id_ = 0;
   std::uint64_t next_attempt_ = 0;
   Lifetime lifetime_;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -49,6 +49,7 @@
         environment, counters, log, registry, *dependencies.upstream,
         [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
         options.guards.forward);
+    forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
   catalog.set_default_policy(options.default_policy);
   registry.set_subset_size(options.default_policy.subset_size);
@@ -268,6 +269,10 @@
         dispatcher->handle(*body.AsOnlineActivity());
       }
       break;
+    case wire::Message::PromptReading:
+      registry.on_reading(BackendId(body.AsPromptReading()->engine),
+                          std::chrono::milliseconds(body.AsPromptReading()->expected_ms));
+      break;
     case wire::Message::NONE:
       counters["peer_messages_invalid_total"]++;
       break;
@@ -426,6 +431,20 @@
   send_message(environment, PeerAddress(owner->peer_address), std::move(message));
 }
 
+/// Lost messages do no harm: a request may then wait behind the prompt.
+void NodeCore::tell_reading(const BackendId& engine, Duration expected) {
+  for (const wire::MemberT* gateway : members.available(Role::gateway)) {
+    if (gateway->id == members.self().id) {
+      continue;
+    }
+    wire::PromptReadingT message;
+    message.engine = engine.str();
+    message.expected_ms = static_cast<std::uint32_t>(expected / 1ms);
+    send_message(environment, PeerAddress(gateway->peer_address), std::move(message));
+    counters["prompt_readings_told_total"]++;
+  }
+}
+
 void NodeCore::refresh_activity() {
   environment.after(kActivityRefresh, lifetime_.guard([this] { refresh_activity(); }));
   registry.set_gateways(gateway_count());
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -143,6 +143,7 @@
   void on_machines_changed(const std::vector<config::EntryKey>& keys);
   void on_online_activity(const BackendId& engine, std::uint32_t in_flight);
   void tell_activity(const BackendId& engine);
+  void tell_reading(const BackendId& engine, Duration expected);
   void refresh_activity();
   void poll_loads();
   bool polls(const routing::Backend& backend);
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -248,6 +248,13 @@
   }
 }
 
+void Registry::on_reading(const BackendId& id, Duration expected) {
+  constexpr Duration kMost = 1s;  // whatever a peer says
+  if (Backend* backend = find(id)) {
+    backend->reading_until = std::max(backend->reading_until, environment_.now() + std::min(expected, kMost));
+  }
+}
+
 void Registry::on_first_token(const BackendId& id, double milliseconds) {
   if (Backend* backend = find(id)) {
     const double before = backend->latency_ms == 0 ? milliseconds : backend->latency_ms;
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -36,6 +36,7 @@
   double latency_ms = 0;                    ///< Moving average of time to first token.
   std::uint32_t own_at_report = 0;          ///< online_in_flight when the report came.
   std::uint32_t open_calls = 0;             ///< Passed-on requests that are under way.
+  Timestamp reading_until{};                ///< Until then it likely reads a long prompt, for this gateway or another.
   Timestamp quiet_since{};                  ///< When one of them was last heard of, or the first was sent.
   std::optional<Timestamp> unlisted_since;  ///< Its entry is gone, but most others went with it: it may still be there.
 };
@@ -67,6 +68,8 @@
   void on_sent(const BackendId& id);
   void on_heard(const BackendId& id);
   void on_ended(const BackendId& id);
+  /// Another gateway has sent a long prompt to @p id, which likely reads it for @p expected.
+  void on_reading(const BackendId& id, Duration expected);
   /// The first token of a call arrived after @p milliseconds.
   void on_first_token(const BackendId& id, double milliseconds);
   /// A call ended with its whole answer.
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -130,6 +130,10 @@
 struct ItemSettledBuilder;
 struct ItemSettledT;
 
+struct PromptReading;
+struct PromptReadingBuilder;
+struct PromptReadingT;
+
 struct OnlineActivity;
 struct OnlineActivityBuilder;
 struct OnlineActivityT;
@@ -318,11 +322,12 @@
   AdoptGroup = 21,
   CopyStatusRequest = 22,
   CopyStatus = 23,
+  PromptReading = 24,
   MIN = NONE,
-  MAX = CopyStatus
+  MAX = PromptReading
 };
 
-inline const Message (&EnumValuesMessage())[24] {
+inline const Message (&EnumValuesMessage())[25] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -347,13 +352,14 @@
     Message::MemberSync,
     Message::AdoptGroup,
     Message::CopyStatusRequest,
-    Message::CopyStatus
+    Message::CopyStatus,
+    Message::PromptReading
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[25] = {
+  static const char * const names[26] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -378,13 +384,14 @@
     "AdoptGroup",
     "CopyStatusRequest",
     "CopyStatus",
+    "PromptReading",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::CopyStatus)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::PromptReading)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -485,6 +492,10 @@
   static const Message enum_value = Message::CopyStatus;
 };
 
+template<> struct MessageTraits<madderdeck::wire::PromptReading> {
+  static const Message enum_value = Message::PromptReading;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -581,6 +592,10 @@
   static const Message enum_value = Message::CopyStatus;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::PromptReadingT> {
+  static const Message enum_value = Message::PromptReading;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -795,6 +810,14 @@
     return type == Message::CopyStatus ?
       reinterpret_cast<const madderdeck::wire::CopyStatusT *>(value) : nullptr;
   }
+  madderdeck::wire::PromptReadingT *AsPromptReading() {
+    return type == Message::PromptReading ?
+      reinterpret_cast<madderdeck::wire::PromptReadingT *>(value) : nullptr;
+  }
+  const madderdeck::wire::PromptReadingT *AsPromptReading() const {
+    return type == Message::PromptReading ?
+      reinterpret_cast<const madderdeck::wire::PromptReadingT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -4302,6 +4325,87 @@
 
 flatbuffers::Offset<ItemSettled> CreateItemSettled(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PromptReadingT : public flatbuffers::NativeTable {
+  typedef PromptReading TableType;
+  std::string engine{};
+  uint32_t expected_ms = 0;
+};
+
+struct PromptReading FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PromptReadingT NativeTableType;
+  typedef PromptReadingBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_EXPECTED_MS = 6
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  uint32_t expected_ms() const {
+    return GetField<uint32_t>(VT_EXPECTED_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<uint32_t>(verifier, VT_EXPECTED_MS, 4) &&
+           verifier.EndTable();
+  }
+  PromptReadingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PromptReadingT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PromptReading> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptReadingT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PromptReadingBuilder {
+  typedef PromptReading Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(PromptReading::VT_ENGINE, engine);
+  }
+  void add_expected_ms(uint32_t expected_ms) {
+    fbb_.AddElement<uint32_t>(PromptReading::VT_EXPECTED_MS, expected_ms, 0);
+  }
+  explicit PromptReadingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PromptReading> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PromptReading>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PromptReading> CreatePromptReading(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    uint32_t expected_ms = 0) {
+  PromptReadingBuilder builder_(_fbb);
+  builder_.add_expected_ms(expected_ms);
+  builder_.add_engine(engine);
+  return builder_.Finish();
+}
+
+struct PromptReading::Traits {
+  using type = PromptReading;
+  static auto constexpr Create = CreatePromptReading;
+};
+
+inline flatbuffers::Offset<PromptReading> CreatePromptReadingDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    uint32_t expected_ms = 0) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  return madderdeck::wire::CreatePromptReading(
+      _fbb,
+      engine__,
+      expected_ms);
+}
+
+flatbuffers::Offset<PromptReading> CreatePromptReading(flatbuffers::FlatBufferBuilder &_fbb, const PromptReadingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct OnlineActivityT : public flatbuffers::NativeTable {
   typedef OnlineActivity TableType;
   std::string engine{};
@@ -4492,6 +4596,9 @@
   const madderdeck::wire::CopyStatus *body_as_CopyStatus() const {
     return body_type() == madderdeck::wire::Message::CopyStatus ? static_cast<const madderdeck::wire::CopyStatus *>(body()) : nullptr;
   }
+  const madderdeck::wire::PromptReading *body_as_PromptReading() const {
+    return body_type() == madderdeck::wire::Message::PromptReading ? static_cast<const madderdeck::wire::PromptReading *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -4598,6 +4705,10 @@
   return body_as_CopyStatus();
 }
 
+template<> inline const madderdeck::wire::PromptReading *Envelope::body_as<madderdeck::wire::PromptReading>() const {
+  return body_as_PromptReading();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7177,6 +7288,35 @@
       _partial_tokens);
 }
 
+inline PromptReadingT *PromptReading::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PromptReadingT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PromptReading::UnPackTo(PromptReadingT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = expected_ms(); _o->expected_ms = _e; }
+}
+
+inline flatbuffers::Offset<PromptReading> PromptReading::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromptReadingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePromptReading(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PromptReading> CreatePromptReading(flatbuffers::FlatBufferBuilder &_fbb, const PromptReadingT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PromptReadingT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
+  auto _expected_ms = _o->expected_ms;
+  return madderdeck::wire::CreatePromptReading(
+      _fbb,
+      _engine,
+      _expected_ms);
+}
+
 inline OnlineActivityT *OnlineActivity::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<OnlineActivityT>();
   UnPackTo(_o.get(), _resolver);
@@ -7782,6 +7922,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatus *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::PromptReading: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PromptReading *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -7893,6 +8037,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatus *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::PromptReading: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PromptReading *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -7992,6 +8140,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::CopyStatusT *>(value);
       return CreateCopyStatus(_fbb, ptr, _rehasher).Union();
     }
+    case Message::PromptReading: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PromptReadingT *>(value);
+      return CreatePromptReading(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8090,6 +8242,10 @@
       value = new madderdeck::wire::CopyStatusT(*reinterpret_cast<madderdeck::wire::CopyStatusT *>(u.value));
       break;
     }
+    case Message::PromptReading: {
+      value = new madderdeck::wire::PromptReadingT(*reinterpret_cast<madderdeck::wire::PromptReadingT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8212,6 +8368,11 @@
       delete ptr;
       break;
     }
+    case Message::PromptReading: {
+      auto ptr = reinterpret_cast<madderdeck::wire::PromptReadingT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
