Ledger: groups bear the loss of as many disks at once as the site says

Ruled out: the reads (other groups answered), slow copies. Change: 2 n + 1 replicas for n tolerated losses (ledger.tolerated_losses, from the settings), spread evenly over zones; a new disk does not wait for another new disk of its group: neither has confirmed anything, what is needed stands with the others. Founded on fewer disks after 8 s where there are no more. Test: replica_test.cpp, two disks replaced at the same time.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -69,6 +69,7 @@
       {"engines.batch_headroom_slots", number_field(&Settings::batch_headroom_slots, 0, 100'000)},
       {"membership.period_ms", number_field(&Settings::membership_period_ms, 50, 60'000)},
       {"ledger.groups", number_field(&Settings::ledger_groups, 1, 4'096)},
+      {"ledger.tolerated_losses", number_field(&Settings::ledger_tolerated_losses, 0, 100)},
       {"ledger.replace_after_ms", number_field(&Settings::ledger_replace_after_ms, 0, kMillion)},
       {"ledger.check_ms", number_field(&Settings::ledger_check_ms, 50, 60'000)},
       {"limits.max_body_bytes", number_field(&Settings::max_body_bytes, 1024, 1024 * kMillion)},
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -440,8 +440,10 @@
   reply.after = message.after;
   reply.status = admit(message.group, message.epoch, true);
   describe_group(message.group, reply);
+  if (const auto entry = progress_.find(message.group); entry != progress_.end()) {
+    reply.replica = entry->second.index;
+  }
   if (reply.status == wire::ReplicaStatus::Granted) {
-    reply.replica = progress_.at(message.group).index;
     reply.ballots_only = message.keys.empty();
     if (reply.ballots_only) {
       const bool promises = message.after.starts_with("p:");
@@ -476,8 +478,7 @@
     return;
   }
   const auto entry = progress_.find(message.group);
-  if (entry == progress_.end() || entry->second.epoch != message.epoch ||
-      message.status != wire::ReplicaStatus::Granted) {
+  if (entry == progress_.end() || entry->second.epoch != message.epoch) {
     return;
   }
   GroupProgress& progress = entry->second;
@@ -485,6 +486,18 @@
   if (source_entry == progress.copying.end() || source_entry->second.after != message.after) {
     return;  // late or repeated page
   }
+  if (message.status == wire::ReplicaStatus::NotReady) {
+    // Its disk is new, too, and has confirmed nothing yet: what is needed stands with the others. Waiting for each
+    // other would not end.
+    source_entry->second.complete = true;
+    source_entry->second.wanted.clear();
+    counters_["ledger_copy_sources_new_total"]++;
+    finish_copy_if_complete(message.group);
+    return;
+  }
+  if (message.status != wire::ReplicaStatus::Granted) {
+    return;
+  }
   CopySource& source = source_entry->second;
   if (message.ballots_only != source.wanted.empty()) {
     return;  // late or repeated
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -21,6 +21,9 @@
 /// Callers measure a connection's rest from a little later than this node does.
 constexpr std::chrono::milliseconds kIdleMargin{500};
 constexpr std::size_t kProbeBodyBytes = 4096;
+/// What is confirmed stands on two disks or more, whatever may be lost; more than seven cost more than they save.
+constexpr std::size_t kLeastReplicas = 3;
+constexpr std::size_t kMostReplicas = 7;
 
 /// Owns everything a node needs, in the order in which it must be destroyed.
 class Daemon {
@@ -117,6 +120,8 @@
     options.membership.ack_timeout = std::min<Duration>(options.membership.ack_timeout, options.membership.period / 2);
     options.controller.group_count = static_cast<std::size_t>(settings_.ledger_groups);
     options.controller.replace_after = std::chrono::milliseconds(settings_.ledger_replace_after_ms);
+    const auto losses = static_cast<std::size_t>(settings_.ledger_tolerated_losses);
+    options.controller.replicas = std::clamp(2 * losses + 1, kLeastReplicas, kMostReplicas);
     options.controller.group_check = std::chrono::milliseconds(settings_.ledger_check_ms);
     options.controller.readers = static_cast<std::size_t>(settings_.platform_readers);
     options.controller.all_read_up_to = static_cast<std::size_t>(settings_.platform_all_read_up_to);
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -1,6 +1,7 @@
 #include "object_store/controller.hpp"
 
 #include <algorithm>
+#include <climits>
 
 #include "common/hash.hpp"
 
@@ -207,13 +208,11 @@
     return;
   }
   const auto nodes = ledger_nodes();
-  std::set<std::string> zones;
-  for (const wire::MemberT* node : nodes) {
-    zones.insert(node->zone);
-  }
-  if (nodes.size() < options_.replicas) {
+  const bool patient = environment_.now() - started_ < options_.founding_patience;
+  if (nodes.empty() || (nodes.size() < options_.replicas && patient)) {
     return;
   }
+  const std::size_t replicas = std::min(options_.replicas, nodes.size());
   ledger::GroupMap map;
   for (std::size_t number = 0; number < options_.group_count; ++number) {
     auto order = nodes;
@@ -223,13 +222,18 @@
     });
     ledger::ReplicaGroup group;
     group.epoch = 1;
-    std::set<std::string> used;
-    const bool spread = zones.size() >= options_.replicas;
-    for (const wire::MemberT* node : order) {
-      const bool new_zone = used.insert(node->zone).second;
-      if (group.replicas.size() < options_.replicas && (new_zone || !spread)) {
-        group.replicas.push_back({NodeId(node->id), DiskId(node->disk_id)});
+    // Each round takes one node of a zone, so that no zone holds more than its share.
+    while (group.replicas.size() < replicas) {
+      std::set<std::string> used;
+      std::vector<const wire::MemberT*> left;
+      for (const wire::MemberT* node : order) {
+        if (group.replicas.size() < replicas && used.insert(node->zone).second) {
+          group.replicas.push_back({NodeId(node->id), DiskId(node->disk_id)});
+        } else {
+          left.push_back(node);
+        }
       }
+      order = std::move(left);
     }
     map.groups.push_back(std::move(group));
   }
@@ -263,14 +267,14 @@
 
 const wire::MemberT* Controller::substitute(const ledger::ReplicaGroup& group,
                                             const ledger::ReplicaIdentity& lost) const {
-  std::set<std::string> other_zones;
+  std::map<std::string, int> members_in_zone;
   const wire::MemberT* best = nullptr;
-  int best_rank = -1;
+  int best_rank = INT_MIN;
   const auto nodes = ledger_nodes();
   for (const wire::MemberT* node : nodes) {
     for (const ledger::ReplicaIdentity& replica : group.replicas) {
       if (replica.node.str() == node->id && replica != lost) {
-        other_zones.insert(node->zone);
+        ++members_in_zone[node->zone];
       }
     }
   }
@@ -281,8 +285,8 @@
     if (member_already) {
       continue;
     }
-    // The same node with its new disk first, then a zone that the others do not use.
-    const int rank = node->id == lost.node.str() ? 2 : (other_zones.contains(node->zone) ? 0 : 1);
+    // The same node with its new disk first, then the zone that the others use least.
+    const int rank = node->id == lost.node.str() ? 1 : -members_in_zone[node->zone];
     if (rank > best_rank) {
       best = node;
       best_rank = rank;
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -19,16 +19,17 @@
   std::size_t all_read_up_to = 0;  ///< In fleets of so many controllers or fewer every one watches the store.
   /// A node that is no reader looks into the store itself when no peer has brought word of it for so long; zero: never.
   Duration feed_silence{};
-  std::size_t maintainers = 2;  ///< Controllers that look after the replica groups.
-  Duration store_retry = 1s;    ///< Pause after a watch that failed.
-  Duration founding_wait = 3s;  ///< So that all disks of a new fleet are seen.
-  Duration group_check = 1s;    ///< How often the replica groups are looked at.
-  Duration replace_after{};     ///< Silence after which a replica is replaced; zero: as the fleet's policy says.
+  std::size_t maintainers = 2;      ///< Controllers that look after the replica groups.
+  Duration store_retry = 1s;        ///< Pause after a watch that failed.
+  Duration founding_wait = 3s;      ///< So that all disks of a new fleet are seen.
+  Duration founding_patience = 8s;  ///< Then the groups are founded on fewer disks than they ought to have.
+  Duration group_check = 1s;        ///< How often the replica groups are looked at.
+  Duration replace_after{};         ///< Silence after which a replica is replaced; zero: as the fleet's policy says.
   Duration watch_wait = 10s;
   Duration watch_wait_of_readers = 1s;  ///< The same where others rely on this node's word of the store.
   Duration machine_poll = 500ms;
   std::size_t group_count = 16;  ///< Replica groups of a newly founded fleet, per three disks or more.
-  std::size_t replicas = 3;
+  std::size_t replicas = 3;      ///< Of each group: 2 n + 1 bear the loss of n disks at once.
 };
 
 /// Single threaded.
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -176,6 +176,45 @@
   CHECK(fixture.counters["ledger_copied_records_total"] == 1);
 }
 
+TEST_CASE("two disks replaced at the same time do not wait for each other") {
+  // Day trouble-2 of qhs-amman-grown: two disks of a group lost at once; each new one waited for the other to be full.
+  ReplicaFixture fixture("disk-new");
+  fixture.replica->on_group_map(fixture.map(2, "disk-new"));
+  CopySourceScript b(fixture, 1, "b");
+  b.answer("p:", true);
+  b.answer("a:", true);
+  b.answer("a:", false);
+  CHECK_FALSE(fixture.replica->synchronized());
+  wire::CopyReplyT unready;
+  unready.epoch = 2;
+  unready.replica = 2;
+  unready.after = "p:";
+  unready.status = wire::ReplicaStatus::NotReady;
+  SECTION("the other new disk counts as copied") {
+    fixture.replica->handle(PeerAddress("c"), unready);
+    CHECK(fixture.replica->synchronized());
+    CHECK(fixture.prepare(2, {9, 1}).value == std::vector<std::uint8_t>{1});
+  }
+  SECTION("of another epoch it does not") {
+    unready.epoch = 1;
+    fixture.replica->handle(PeerAddress("c"), unready);
+    CHECK_FALSE(fixture.replica->synchronized());
+  }
+}
+
+TEST_CASE("a replica that is not full itself says which one it is") {
+  ReplicaFixture fixture("disk-new");
+  fixture.replica->on_group_map(fixture.map(2, "disk-new"));
+  wire::CopyRequestT request;
+  request.epoch = 2;
+  request.after = "p:";
+  fixture.replica->handle(PeerAddress("c"), request);
+  fixture.environment.world.run_for(20ms);
+  const auto reply = fixture.last(wire::Message::CopyReply);
+  CHECK(reply.AsCopyReply()->status == wire::ReplicaStatus::NotReady);
+  CHECK(reply.AsCopyReply()->replica == 0);
+}
+
 TEST_CASE("a copy starts again when a source has lost what it offered") {
   ReplicaFixture fixture("disk-new");
   fixture.replica->on_group_map(fixture.map(2, "disk-new"));
--- a/tests/platform/deploy_settings_test.cpp
+++ b/tests/platform/deploy_settings_test.cpp
@@ -38,6 +38,7 @@
                              {"{{port_range.1}}", "7661"},
                              {"{{listen.front}}", "10.1.0.35:8144"},
                              {"{{listen.ready}}", "10.1.0.35:8140"},
+                             {"{{fault_tolerance.machines}}", "2"},
                              {"{{data_dir}}", "/data/ledger"},
                              {"{{platform.address}}", platform_address}});
   CHECK(filled.find("{{") == std::string::npos);
@@ -60,6 +61,7 @@
   REQUIRE(succeeded(ledger));
   CHECK(value_of(ledger).has_role("ledger"));
   CHECK(value_of(ledger).data_folder == "/data/ledger");
+  CHECK(value_of(ledger).ledger_tolerated_losses == 2);
 }
 
 TEST_CASE("a malformed value in the deploy files' settings is a typed error") {
