Ledger: an attempt is given the time that its value's bytes take

Ruled out: the replicas (smaller jobs of the same groups were taken), the group map of nodes just started. Change: 400 ms and the time for the bytes at 1 MB/s; scans double their time with each attempt and wait 200 ms for values.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -207,8 +207,16 @@
   arm_attempt_timer(id, operation.request);
 }
 
+Duration Client::attempt_time(const Operation& operation) const {
+  if (operation.phase != Phase::accepting || !operation.value) {
+    return options_.attempt_timeout;
+  }
+  const std::size_t bytes = operation.value->size() * operation.group.replicas.size();
+  return options_.attempt_timeout + std::chrono::milliseconds(bytes * 1000 / options_.least_bytes_per_second);
+}
+
 void Client::arm_attempt_timer(OperationId id, std::uint64_t request) {
-  environment_.after(options_.attempt_timeout, lifetime_.guard([this, id, request] {
+  environment_.after(attempt_time(operations_.at(id)), lifetime_.guard([this, id, request] {
     const auto entry = operations_.find(id);
     if (entry != operations_.end() && entry->second.request == request && entry->second.phase != Phase::copying) {
       counters_["ledger_attempt_timeouts_total"]++;
@@ -412,7 +420,9 @@
   scan.source = value_source(scan.group);
   ask_for_scan(scan);
   const std::uint64_t number = scan.request;
-  environment_.after(options_.attempt_timeout, lifetime_.guard([this, id, number] {
+  constexpr unsigned kMostDoublings = 2;
+  const Duration patience = options_.attempt_timeout * (1U << std::min(scan.attempts++, kMostDoublings));
+  environment_.after(patience, lifetime_.guard([this, id, number] {
     const auto found = scans_.find(id);
     if (found != scans_.end() && found->second.request == number) {
       start_scan(id);
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -45,13 +45,15 @@
 };
 
 struct ClientOptions {
-  Duration attempt_timeout = 400ms;
+  Duration attempt_timeout = 400ms;  ///< Of the first attempt at a scan; each further one has twice as long.
+  /// Slowest link over which a value is sent; an attempt is given the time that its bytes take there.
+  std::size_t least_bytes_per_second = 1 << 20;
   Duration operation_timeout = 4s;
   /// How long a change that a majority holds waits for the remaining replicas.
   Duration full_copy_wait = 20ms;
   Duration backoff_unit = 5ms;
   /// How long the value of a scan is waited for when the other replicas have told their ballots.
-  Duration value_wait = 100ms;
+  Duration value_wait = 200ms;
   /// A replica that kept a scan waiting so is not the first to be asked for values for this long.
   Duration avoid_silent = 2s;
 };
@@ -138,6 +140,7 @@
     ScanContent content = ScanContent::values;
     std::optional<std::uint32_t> source;  ///< Replica asked for values; nothing: all of them.
     bool value_timer = false;
+    unsigned attempts = 0;
   };
   struct MergedPage;
   using OperationId = std::uint64_t;
@@ -150,6 +153,8 @@
   void finish(OperationId id, Result<OptionalValue> result);
   void give_up(OperationId id);
   void arm_attempt_timer(OperationId id, std::uint64_t request);
+  /// @return how long an attempt at @p operation may take: a value has to reach every replica.
+  Duration attempt_time(const Operation& operation) const;
   void promises_complete(OperationId id, Operation& operation);
   void on_accept_progress(OperationId id, Operation& operation);
   void refuse(OperationId id, Operation& operation, const Ballot& promised);
