--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -33,7 +33,7 @@
   std::string data_folder;         ///< Only for the ledger role.
   // [platform]
   std::string platform_endpoint;
-  std::int64_t ledger_tolerated_losses = 1;  ///< Disks that may be lost at once; groups have 2 n + 1 replicas.
+  std::int64_t ledger_tolerated_losses = 1;   ///< Disks that may be lost at once; groups have 2 n + 1 replicas.
   std::int64_t platform_readers = 2;          ///< Controllers that watch the platform's store.
   std::int64_t platform_all_read_up_to = 0;   ///< In fleets of so many controllers or fewer all watch it.
   std::int64_t platform_feed_silence_ms = 0;  ///< Others look themselves after it; 0: never.
