Replica groups: a disk that was replaced never comes back

A scheduler that had been frozen learnt epoch 3 of a group from a refusal, still believed node 2 to run with its lost disk, took the new one for replaced and had epoch 4 name the lost one; with the next disk lost the group stood still. Ruled out: copies from new disks (the trace is the same without them), the schedule's own condition for losing a disk (made stricter all the same: a replica must hold each group at the epoch its client knows). Change: who learns an epoch in which a node stands with another disk remembers the old one as obsolete; it is neither evidence against the new one nor a substitute. Not covered: a maintainer that starts with no history and hears of a node only from before its loss.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -32,6 +32,14 @@
   if (group >= map_.groups.size() || description.epoch <= map_.groups[group].epoch) {
     return false;
   }
+  for (const ReplicaIdentity& before : map_.groups[group].replicas) {
+    const bool disk_replaced =
+        std::any_of(description.replicas.begin(), description.replicas.end(),
+                    [&](const ReplicaIdentity& now) { return now.node == before.node && now.disk != before.disk; });
+    if (disk_replaced) {
+      obsolete_.insert(before);
+    }
+  }
   map_.groups[group] = description;
   counters_["ledger_group_epochs_learnt_total"]++;
   return true;
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -73,6 +73,9 @@
   /// @return whether it is later than what was known.
   bool learn(std::uint32_t group, const ReplicaGroup& description);
   bool has_group_map() const { return !map_.groups.empty(); }
+  /// @return whether a later epoch has named the node of @p replica with another disk: this one is lost, whatever a
+  ///         belief about the node from before still says.
+  bool is_obsolete(const ReplicaIdentity& replica) const { return obsolete_.contains(replica); }
   const GroupMap& group_map() const { return map_; }
 
   /// Changes one record atomically.
@@ -183,6 +186,7 @@
   const AddressLookup addresses_;
   const ClientOptions options_;
   const NodeDistance distance_;
+  std::set<ReplicaIdentity> obsolete_;
   std::map<NodeId, Timestamp> silent_until_;  ///< Replicas that kept scans waiting.
   const std::uint64_t proposer_;
   GroupMap map_;
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -17,7 +17,7 @@
 struct ReplicaIdentity {
   NodeId node;
   DiskId disk;
-  bool operator==(const ReplicaIdentity&) const = default;
+  auto operator<=>(const ReplicaIdentity&) const = default;
 };
 
 /// The replicas of one group; every change of them raises the epoch by one.
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -120,6 +120,11 @@
   return true;
 }
 
+bool Replica::holds(std::uint32_t group, std::uint64_t epoch) const {
+  const auto entry = progress_.find(group);
+  return entry != progress_.end() && entry->second.epoch >= epoch && entry->second.synchronized;
+}
+
 void Replica::catch_up() {
   for (const auto& [group, progress] : progress_) {
     start_copy(group);
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -52,8 +52,10 @@
   /// @return whether this disk is in no group any more, and all that it held stands elsewhere.
   bool left_all_groups() const;
 
-  /// @return whether every group that names this disk has been copied to it.
+  /// @return whether every group that this replica knows to name its disk has been copied to it.
   bool synchronized() const;
+  /// @return whether @p group, at @p epoch or later, has been copied to this disk.
+  bool holds(std::uint32_t group, std::uint64_t epoch) const;
 
  private:
   struct CopySource {
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -186,7 +186,10 @@
 
 std::vector<const wire::MemberT*> Controller::ledger_nodes() const {
   auto nodes = members_.available(membership::Role::ledger);
-  std::erase_if(nodes, [](const wire::MemberT* member) { return member->disk_id.empty() || member->retiring; });
+  std::erase_if(nodes, [this](const wire::MemberT* member) {
+    const bool obsolete = ledger_.is_obsolete({NodeId(member->id), DiskId(member->disk_id)});
+    return member->disk_id.empty() || member->retiring || obsolete;
+  });
   return nodes;
 }
 
@@ -253,7 +256,9 @@
   const wire::MemberT* node = member(replica.node);
   if (node != nullptr && node->state != wire::MemberState::Dead) {
     missing_since_.erase(replica.node);
-    if (!node->disk_id.empty() && node->disk_id != replica.disk.str()) {
+    // A node that was frozen knows its peers as they were, but may have just learnt of later epochs.
+    const bool known_as_it_was = ledger_.is_obsolete({replica.node, DiskId(node->disk_id)});
+    if (!node->disk_id.empty() && node->disk_id != replica.disk.str() && !known_as_it_was) {
       return ReplicaState::disk_replaced;
     }
     return node->retiring ? ReplicaState::retiring : ReplicaState::present;
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -156,10 +156,14 @@
   }
   const auto& groups = node.life.core->ledger.group_map().groups;
   const ledger::ReplicaIdentity self{NodeId("node-" + std::to_string(number)), DiskId(node.disk_id)};
-  const bool member = !groups.empty() &&
-                      std::all_of(groups.begin(), groups.end(),
-                                  [&](const ledger::ReplicaGroup& group) { return group.index_of(self).has_value(); });
-  node.disk_whole = member && node.life.core->replica->synchronized();
+  bool whole = !groups.empty();
+  for (std::uint32_t number_of_group = 0; number_of_group < groups.size(); ++number_of_group) {
+    const ledger::ReplicaGroup& group = groups[number_of_group];
+    // The node's client may know of an epoch that its replica has not heard of, and copied nothing for.
+    const bool held = node.life.core->replica->holds(number_of_group, group.epoch);
+    whole = whole && group.index_of(self).has_value() && held;
+  }
+  node.disk_whole = whole;
 }
 
 void SimFleet::drain_node(unsigned number) {
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "ledger/client.hpp"
 #include "ledger/replica.hpp"
 #include "simulation/fleet.hpp"
 #include "support/test_environment.hpp"
@@ -118,3 +119,19 @@
   fixture.copied(1, 2);
   CHECK(fixture.replica->left_all_groups());
 }
+
+TEST_CASE("a disk that a later epoch has replaced is obsolete, a node that merely left is not") {
+  // Seeds 4 and 12 of the simulation's large site: a scheduler thawed with an old view of its peers took a group's new
+  // disk for the wrong one and named the lost disk again; the group then stood still.
+  TestEnvironment environment;
+  Counters counters;
+  Client client(environment, counters, [](const NodeId& node) { return std::optional(PeerAddress(node.str())); });
+  client.on_group_map({{{1, {kA, kB, kC}}}});
+  const ReplicaIdentity new_b{kB.node, DiskId("disk-b2")};
+  const ReplicaIdentity d{NodeId("d"), DiskId("disk-d")};
+  CHECK(client.learn(0, {2, {kA, new_b, kC}}));
+  CHECK(client.is_obsolete(kB));
+  CHECK_FALSE(client.is_obsolete(new_b));
+  CHECK(client.learn(0, {3, {kA, new_b, d}}));
+  CHECK_FALSE(client.is_obsolete(kC));
+}
