--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -41,11 +41,7 @@
     FAIL("no promise");
     return {};
   }
-  std::size_t copy_requests() const {
-    return static_cast<std::size_t>(
-        std::count_if(environment.sent.begin(), environment.sent.end(),
-                      [](const auto& message) { return message.body.type == wire::Message::CopyRequest; }));
-  }
+  std::size_t copy_requests() const { return environment.sent_of(wire::Message::CopyRequest); }
   void copied(std::uint32_t member, std::uint64_t epoch) {
     wire::CopyStatusT status;
     status.epoch = epoch;
--- a/tests/ledger/scan_test.cpp
+++ b/tests/ledger/scan_test.cpp
@@ -55,11 +55,7 @@
     }
     return asked;
   }
-  std::size_t prepares() const {
-    return static_cast<std::size_t>(
-        std::count_if(environment.sent.begin(), environment.sent.end(),
-                      [](const auto& message) { return message.body.type == wire::Message::Prepare; }));
-  }
+  std::size_t prepares() const { return environment.sent_of(wire::Message::Prepare); }
 
   TestEnvironment environment;
   Counters counters;
--- a/tests/ledger/write_test.cpp
+++ b/tests/ledger/write_test.cpp
@@ -15,16 +15,8 @@
     client.on_group_map(
         {{{1, {{NodeId("a"), DiskId("da")}, {NodeId("b"), DiskId("db")}, {NodeId("c"), DiskId("dc")}}}}});
   }
-  std::size_t accepts() const {
-    return static_cast<std::size_t>(
-        std::count_if(environment.sent.begin(), environment.sent.end(),
-                      [](const auto& message) { return message.body.type == wire::Message::Accept; }));
-  }
-  std::size_t prepares() const {
-    return static_cast<std::size_t>(
-        std::count_if(environment.sent.begin(), environment.sent.end(),
-                      [](const auto& message) { return message.body.type == wire::Message::Prepare; }));
-  }
+  std::size_t accepts() const { return environment.sent_of(wire::Message::Accept); }
+  std::size_t prepares() const { return environment.sent_of(wire::Message::Prepare); }
 
   TestEnvironment environment;
   Counters counters;
--- a/tests/object_store/store_feed_test.cpp
+++ b/tests/object_store/store_feed_test.cpp
@@ -99,11 +99,7 @@
       environment.world.run_for(500ms);
     }
   }
-  std::size_t notices_sent() const {
-    return static_cast<std::size_t>(
-        std::count_if(environment.sent.begin(), environment.sent.end(),
-                      [](const SentMessage& message) { return message.body.type == wire::Message::RevisionNotice; }));
-  }
+  std::size_t notices_sent() const { return environment.sent_of(wire::Message::RevisionNotice); }
 
   TestEnvironment environment;
   Counters counters;
--- a/tests/support/test_environment.hpp
+++ b/tests/support/test_environment.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// @file Environment for tests: virtual time, recorded messages.
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <vector>
@@ -25,6 +26,12 @@
   void send(const PeerAddress& to, wire::MessageUnion message) override { sent.push_back({to, std::move(message)}); }
   void after(Duration delay, std::function<void()> task) override { world.schedule(delay, std::move(task)); }
 
+  /// @return how many of the recorded messages are of @p type.
+  std::size_t sent_of(wire::Message type) const {
+    const auto is_of_type = [type](const SentMessage& message) { return message.body.type == type; };
+    return static_cast<std::size_t>(std::count_if(sent.begin(), sent.end(), is_of_type));
+  }
+
   simulation::World world;
   std::vector<SentMessage> sent;
 };
