--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include "batch/item.hpp"
 #include "common/hash.hpp"
+#include "membership/ranking.hpp"
 
 namespace madderdeck::batch {
 namespace {
@@ -17,6 +18,7 @@
 constexpr Duration kAskSeldom = 4s;   ///< While none is.
 constexpr unsigned kMaxFailures = 20;
 constexpr Duration kReportUseful = 400ms;
+constexpr Duration kLeastTimeToYield = 10ms;  ///< Messages and the engine's step, before any was observed.
 /// Items kept ready beyond the free slots, as a part of the running ones, so that a slot that
 /// falls free need not wait for a question and its answer.
 constexpr std::size_t kReadyPart = 4;
@@ -49,7 +51,8 @@
 
 Dispatcher::Dispatcher(Environment& environment, Counters& counters, ledger::Client& ledger,
                        membership::Membership& members, const config::Catalog& catalog, routing::Registry& registry,
-                       routing::BackendClient& client, DecisionLog& log, DispatchGuards guards)
+                       routing::BackendClient& client, DecisionLog& log, DispatchPolicies policies,
+                       DispatchGuards guards)
     : environment_(environment),
       counters_(counters),
       ledger_(ledger),
@@ -58,26 +61,15 @@
       registry_(registry),
       client_(client),
       log_(log),
+      policies_(std::move(policies)),
       guards_(guards) {}
 
 void Dispatcher::start() { tick(); }
 
-const wire::MemberT* Dispatcher::owner_of(const membership::Membership& members, const BackendId& engine) {
-  const wire::MemberT* owner = nullptr;
-  std::uint64_t owner_weight = 0;
-  for (const wire::MemberT* scheduler : members.available(membership::Role::scheduler)) {
-    const std::uint64_t weight = rendezvous_weight(engine.str(), scheduler->id);
-    if (owner == nullptr || weight > owner_weight) {
-      owner = scheduler;
-      owner_weight = weight;
-    }
-  }
-  return owner;
-}
-
 void Dispatcher::tick() {
   environment_.after(kTick, lifetime_.guard([this] { tick(); }));
   if (!draining_) {
+    follow_managers();
     fill();
   }
   counters_["batch_items_running"] = static_cast<CounterValue>(running_.size());
@@ -138,6 +130,9 @@
     const bool heard = environment_.now() - activity.heard_at < kActivityHolds;
     total += heard ? activity.in_flight : 0;
   }
+  if (registry_.knows_calls()) {
+    return total + registry_.unexplained(backend);
+  }
   const bool fresh = backend.reported_at.count() != 0 && environment_.now() - backend.reported_at < kReportUseful;
   if (!fresh) {
     return total;
@@ -150,21 +145,84 @@
   return std::max(total, reported);
 }
 
+std::size_t Dispatcher::headroom_of(const routing::Backend& backend, const Engine& engine) const {
+  if (!guards_.keep_headroom) {
+    return 0;
+  }
+  if (policies_.set.headroom == nullptr) {
+    return catalog_.policy().batch_headroom_slots;
+  }
+  const Duration observed = policies_.time_to_yield ? policies_.time_to_yield() : Duration::zero();
+  return policies_.set.headroom->free_slots(
+      {engine.live.per_second(environment_.now()), std::max(observed, kLeastTimeToYield), backend.machine.slots});
+}
+
 std::size_t Dispatcher::room_on(const routing::Backend& backend, Engine& engine) const {
-  const std::size_t headroom = guards_.keep_headroom ? catalog_.policy().batch_headroom_slots : 0;
+  const std::size_t headroom = headroom_of(backend, engine);
   const std::size_t online = guards_.keep_headroom ? online_on(backend, engine) : 0;
   const std::size_t taken = headroom + online + engine.running;
   return taken >= backend.machine.slots ? 0 : backend.machine.slots - taken;
 }
 
+policy::item_outlook Dispatcher::outlook_of(const Queued& work) const {
+  const std::uint64_t now_ms = environment_.unix_milliseconds();
+  const auto left_ms = static_cast<std::int64_t>(work.item.deadline_ms) - static_cast<std::int64_t>(now_ms);
+  policy::item_outlook outlook;
+  outlook.time_left = work.item.deadline_ms == 0 ? Duration::max() : Duration(std::chrono::milliseconds(left_ms));
+  outlook.work_left =
+      policies_.estimate->work_left(work.item.template_name, work.item.tokens, work.item.partial_tokens);
+  return outlook;
+}
+
+policy::item_outlook Dispatcher::outlook_of(const Running& running) const {
+  policy::item_outlook outlook = outlook_of(running.work);
+  outlook.started = running.started;
+  return outlook;
+}
+
+void Dispatcher::sort_queue() {
+  std::vector<std::pair<policy::item_outlook, Queued>> waiting;
+  waiting.reserve(queue_.size());
+  for (Queued& work : queue_) {
+    waiting.emplace_back(outlook_of(work), std::move(work));
+  }
+  std::stable_sort(waiting.begin(), waiting.end(), [this](const auto& left, const auto& right) {
+    return policies_.set.order->before(left.first, right.first);
+  });
+  queue_.clear();
+  for (auto& [outlook, work] : waiting) {
+    queue_.push_back(std::move(work));
+  }
+}
+
+void Dispatcher::displace_late_items(const BackendId& id) {
+  if (queue_.empty()) {
+    return;
+  }
+  const policy::item_outlook first = outlook_of(queue_.front());
+  const auto displaced = std::find_if(running_.begin(), running_.end(), [&](const auto& entry) {
+    return entry.second.engine == id && policies_.set.order->displaces(first, outlook_of(entry.second));
+  });
+  if (displaced != running_.end()) {
+    put_back(displaced, "displaced", 0);
+  }
+}
+
 void Dispatcher::fill() {
   std::size_t free_slots = 0;
+  if (queue_.size() > 1) {
+    sort_queue();
+  }
   for (routing::Backend* backend : open_owned_engines()) {
     Engine& engine = engines_[backend->machine.id];
     if (environment_.now() < engine.resume_after || environment_.now() < backend->ejected_until) {
       continue;
     }
     std::size_t room = room_on(*backend, engine);
+    if (room == 0) {
+      displace_late_items(backend->machine.id);
+      room = room_on(*backend, engine);
+    }
     for (std::size_t position = 0; room > 0 && position < queue_.size();) {
       if (!fits(queue_[position], *backend)) {
         ++position;
@@ -196,6 +254,7 @@
     return lapsed;
   });
   const std::size_t wanted = free_slots + (free_slots + running_.size()) / kReadyPart;
+  give_back_surplus(wanted);
   if (wanted > queue_.size()) {
     request_items(wanted - queue_.size());
   }
@@ -254,10 +313,12 @@
   ask_after_ = environment_.now() + ask_interval_;
   std::erase_if(requested_at_, [this](const auto& entry) { return environment_.now() - entry.second > kAnswerUseful; });
   requested_at_[++next_request_] = environment_.now();
-  for (const PeerAddress& manager : managers_to_ask()) {
+  const std::vector<PeerAddress> managers = managers_to_ask();
+  const std::size_t share = (free_slots + managers.size() - 1) / std::max<std::size_t>(1, managers.size());
+  for (const PeerAddress& manager : managers) {
     wire::TakeItemsT request;
     request.request = next_request_;
-    request.capacity = static_cast<std::uint32_t>(free_slots);
+    request.capacity = static_cast<std::uint32_t>(share);
     send_message(environment_, manager, std::move(request));
   }
 }
@@ -323,8 +384,10 @@
   running.work = std::move(work);
   running.engine = backend.machine.id;
   running.started = id;
+  running.started_at = environment_.now();
+  running.first_event = running.work.item.partial_tokens;
   Engine& engine = engines_[running.engine];
-  ++engine.running;
+  set_running(running.engine, +1);
   log_.record("item_started", {{"job", running.work.item.job},
                                {"index", running.work.item.index},
                                {"item", name_of(running.work)},
@@ -345,11 +408,21 @@
 
 Dispatcher::Running Dispatcher::take_running(RunId id) {
   auto node = running_.extract(id);
-  Engine& engine = engines_[node.mapped().engine];
-  engine.running -= engine.running > 0 ? 1 : 0;
+  set_running(node.mapped().engine, -1);
   return std::move(node.mapped());
 }
 
+void Dispatcher::set_running(const BackendId& id, std::ptrdiff_t change) {
+  Engine& engine = engines_[id];
+  engine.running += static_cast<std::size_t>(change);
+  if (routing::Backend* backend = registry_.find(id)) {
+    backend->batch_in_flight = static_cast<std::uint32_t>(engine.running);
+  }
+  if (on_batch_activity) {
+    on_batch_activity(id);
+  }
+}
+
 void Dispatcher::on_token(RunId id, std::uint32_t offset, std::string_view text) {
   const auto entry = running_.find(id);
   if (entry == running_.end()) {
@@ -380,6 +453,9 @@
   }
   Running running = take_running(id);
   registry_.on_success(running.engine);
+  policies_.estimate->learn(running.work.item.template_name,
+                            {running.work.item.tokens, total, total - running.first_event,
+                             environment_.now() - running.started_at});
   write_result(std::move(running.work), false);
   if (!draining_) {
     fill();
@@ -456,22 +532,77 @@
   return work.http ? work.http->id : none;
 }
 
-void Dispatcher::report(const Queued& work, bool completed) {
+wire::ItemSettledT Dispatcher::settlement_of(const Queued& work) const {
   wire::ItemSettledT message;
   message.job = work.item.job;
   message.index = work.item.index;
-  message.completed = completed;
-  if (!completed && work.http) {
+  if (work.http) {
     message.failed_runs = work.item.failed_runs;
     message.partial = work.item.partial;
     message.partial_tokens = work.item.partial_tokens;
   }
+  return message;
+}
+
+PeerAddress Dispatcher::manager_of(const Queued& work) const {
+  const wire::MemberT* manager = membership::ranked_scheduler(members_, work.item.job);
+  return manager == nullptr ? work.manager : PeerAddress(manager->peer_address);
+}
+
+void Dispatcher::report(const Queued& work, bool completed) {
+  wire::ItemSettledT message = settlement_of(work);
+  message.completed = completed;
+  if (completed) {
+    message.partial.clear();
+  }
+  send_message(environment_, manager_of(work), std::move(message));
+}
+
+void Dispatcher::claim(const Queued& work) {
+  wire::ItemSettledT message = settlement_of(work);
+  message.held = true;
   send_message(environment_, work.manager, std::move(message));
+  counters_["batch_items_claimed_total"]++;
+}
+
+void Dispatcher::follow_managers() {
+  if (followed_members_version_ == members_.version()) {
+    return;
+  }
+  followed_members_version_ = members_.version();
+  for (auto& [id, running] : running_) {
+    PeerAddress manager = manager_of(running.work);
+    if (manager != running.work.manager) {
+      running.work.manager = std::move(manager);
+      claim(running.work);
+    }
+  }
+  std::erase_if(queue_, [this](const Queued& work) {
+    const bool moved = manager_of(work) != work.manager;
+    if (moved) {
+      report(work, false);
+    }
+    return moved;
+  });
+}
+
+void Dispatcher::give_back_surplus(std::size_t wanted) {
+  constexpr std::size_t kLeastKept = 2;
+  const std::size_t kept = std::max(kLeastKept, 2 * wanted);
+  while (queue_.size() > kept) {
+    report(queue_.back(), false);
+    queue_.pop_back();
+  }
 }
 
 void Dispatcher::handle(const wire::OnlineActivityT& message) {
   const BackendId id(message.engine);
-  engines_[id].gateways[message.gateway] = Activity{message.in_flight, environment_.now()};
+  Engine& engine = engines_[id];
+  Activity& activity = engine.gateways[message.gateway];
+  if (message.in_flight > activity.in_flight) {
+    engine.live.count(environment_.now(), message.in_flight - activity.in_flight);
+  }
+  activity = Activity{message.in_flight, environment_.now()};
   if (guards_.yield_to_online && catalog_.policy().batch_yields) {
     yield_on(id);
   }
@@ -486,31 +617,42 @@
   const std::size_t online = online_on(*backend, engine);
   const std::size_t allowed = backend->machine.slots > online ? backend->machine.slots - online : 0;
   while (engine.running > allowed) {
-    auto youngest = running_.end();
+    std::vector<std::map<RunId, Running>::iterator> runs;
+    std::vector<policy::item_outlook> outlooks;
     for (auto entry = running_.begin(); entry != running_.end(); ++entry) {
-      if (entry->second.engine == id &&
-          (youngest == running_.end() || entry->second.started > youngest->second.started)) {
-        youngest = entry;
+      if (entry->second.engine == id) {
+        runs.push_back(entry);
+        outlooks.push_back(outlook_of(entry->second));
       }
     }
-    if (youngest == running_.end()) {
+    if (runs.empty()) {
       return;
     }
-    client_.cancel(youngest->second.call);
-    Running running = take_running(youngest->first);
+    put_back(runs[policies_.set.victim->choose(outlooks)], "yielded", online);
     counters_["batch_items_yielded_total"]++;
-    log_.record("item_yielded", {{"job", running.work.item.job},
-                                 {"index", running.work.item.index},
-                                 {"item", name_of(running.work)},
-                                 {"backend", id.str()},
-                                 {"live", online},
-                                 {"batch_running", engine.running},
-                                 {"events", running.work.item.partial_tokens}});
     engine.resume_after = environment_.now() + kQuietAfterYield;
-    queue_.push_front(std::move(running.work));
   }
 }
 
+void Dispatcher::put_back(std::map<RunId, Running>::iterator run, std::string_view reason, std::uint32_t live) {
+  client_.cancel(run->second.call);
+  Running running = take_running(run->first);
+  log_.record("item_stopped", {{"job", running.work.item.job},
+                               {"index", running.work.item.index},
+                               {"item", name_of(running.work)},
+                               {"reason", reason},
+                               {"backend", running.engine.str()},
+                               {"live", live},
+                               {"batch_running", engines_[running.engine].running},
+                               {"events", running.work.item.partial_tokens}});
+  counters_["batch_items_put_back_total"]++;
+  const policy::item_outlook outlook = outlook_of(running.work);
+  const auto later = std::find_if(queue_.begin(), queue_.end(), [&](const Queued& waiting) {
+    return !policies_.set.order->before(outlook_of(waiting), outlook);
+  });
+  queue_.insert(later, std::move(running.work));
+}
+
 void Dispatcher::handle(const wire::JobNoticeT& message) {
   if (!message.cancelled) {
     if (!message.manager.empty()) {
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -13,6 +13,9 @@
 #include "config/objects.hpp"
 #include "ledger/client.hpp"
 #include "membership/membership.hpp"
+#include "policy/policies.hpp"
+#include "policy/rate_meter.hpp"
+#include "policy/work_estimate.hpp"
 #include "routing/backend.hpp"
 #include "routing/registry.hpp"
 
@@ -29,13 +32,22 @@
 
 /// Told by the simulation's oracle what is started.
 using StartHook = std::function<void(const JobId&, std::uint32_t index)>;
+/// This node's batch items on an engine are more or fewer than before.
+using BatchActivityHook = std::function<void(const BackendId&)>;
+
+/// What a dispatcher decides by.
+struct DispatchPolicies {
+  policy::policy_set set;
+  policy::work_estimate* estimate = nullptr;         ///< Shared with the node's job manager; outlives it.
+  std::function<Duration()> time_to_yield;           ///< As the gateways observe it; may be empty.
+};
 
 /// Sends batch items to the engines this node owns. Single threaded.
 class Dispatcher {
  public:
   Dispatcher(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
              const config::Catalog& catalog, routing::Registry& registry, routing::BackendClient& client,
-             DecisionLog& log, DispatchGuards guards = {});
+             DecisionLog& log, DispatchPolicies policies, DispatchGuards guards = {});
 
   void start();
   void handle(const PeerAddress& sender, const wire::GiveItemsT& message);
@@ -46,10 +58,9 @@
   /// This node is leaving: no new items; running ones are given back.
   void drain();
   std::size_t active() const { return running_.size() + unsettled_; }
-  /// @return the node that owns batch work on @p engine.
-  static const wire::MemberT* owner_of(const membership::Membership& members, const BackendId& engine);
 
   StartHook on_start;
+  BatchActivityHook on_batch_activity;
 
  private:
   using RunId = std::uint64_t;
@@ -64,7 +75,9 @@
     Queued work;
     BackendId engine;
     routing::CallId call = 0;
-    std::uint64_t started = 0;  ///< Order of starts; the youngest yields first.
+    std::uint64_t started = 0;  ///< Order of starts.
+    Timestamp started_at{};
+    std::uint32_t first_event = 0;  ///< Events that earlier runs have made.
   };
   struct Activity {
     std::uint32_t in_flight = 0;
@@ -74,17 +87,27 @@
     std::map<std::string, Activity> gateways;
     std::size_t running = 0;
     Timestamp resume_after{};
+    policy::rate_meter live;  ///< Live calls that began.
   };
 
   void tick();
   void fill();
   void request_items(std::size_t free_slots);
   std::uint32_t online_on(const routing::Backend& backend, Engine& engine) const;
+  std::size_t headroom_of(const routing::Backend& backend, const Engine& engine) const;
   std::size_t room_on(const routing::Backend& backend, Engine& engine) const;
   std::vector<routing::Backend*> open_owned_engines();
   void refresh_ownership();
   std::vector<PeerAddress> managers_to_ask();
   void yield_on(const BackendId& id);
+  policy::item_outlook outlook_of(const Queued& work) const;
+  policy::item_outlook outlook_of(const Running& running) const;
+  void sort_queue();
+  /// Stops a running item of @p id that will be late for a waiting one that can be in time.
+  void displace_late_items(const BackendId& id);
+  /// Stops @p run and puts it back among the waiting ones.
+  void put_back(std::map<RunId, Running>::iterator run, std::string_view reason, std::uint32_t live);
+  void set_running(const BackendId& id, std::ptrdiff_t change);
   /// @return the route of an HTTP item under the present configuration, or null.
   const forwarding::Route* route_of(const Queued& work) const;
   /// @return whether @p work may run on @p backend.
@@ -99,6 +122,13 @@
   Running take_running(RunId id);
   void write_result(Queued work, bool failed);
   void report(const Queued& work, bool completed);
+  /// Tells the manager of a running item that it is in good hands.
+  void claim(const Queued& work);
+  /// Items whose manager is another node by now are made known to it.
+  void follow_managers();
+  wire::ItemSettledT settlement_of(const Queued& work) const;
+  PeerAddress manager_of(const Queued& work) const;
+  void give_back_surplus(std::size_t wanted);
   static const std::string& name_of(const Queued& work);
 
   Environment& environment_;
@@ -109,6 +139,7 @@
   routing::Registry& registry_;
   routing::BackendClient& client_;
   DecisionLog& log_;
+  const DispatchPolicies policies_;
   const DispatchGuards guards_;
   std::deque<Queued> queue_;
   std::map<RunId, Running> running_;
@@ -128,6 +159,7 @@
   std::uint64_t owned_at_registry_version_ = 0;
   std::map<std::string, Timestamp> route_missing_since_;  ///< By job.
   RunId next_run_ = 0;
+  std::uint64_t followed_members_version_ = 0;
   bool draining_ = false;
   Lifetime lifetime_;
 };
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "common/hash.hpp"
+#include "membership/ranking.hpp"
 
 namespace madderdeck::batch {
 namespace {
@@ -20,11 +20,26 @@
 constexpr std::size_t kAnnounceFanout = 8;
 constexpr std::uint32_t kScanPage = 2000;
 constexpr std::size_t kChunksHeld = 64;
+/// A job older than this has likely been looked after by another node.
+constexpr Duration kFresh = 1500ms;
+/// As long as the nodes that run its items take to learn whom to tell.
+constexpr Duration kTakeOver = 250ms;
+constexpr Duration kEarlyUseful = 5s;
+constexpr std::size_t kMostEarly = 2000;  ///< Messages of all jobs together.
 }  // namespace
 
 JobManager::JobManager(Environment& environment, Counters& counters, ledger::Client& ledger,
-                       membership::Membership& members, DecisionLog& log, ManagerGuards guards)
-    : environment_(environment), counters_(counters), ledger_(ledger), members_(members), log_(log), guards_(guards) {}
+                       membership::Membership& members, DecisionLog& log,
+                       std::shared_ptr<const policy::item_order> order, const policy::work_estimate& estimate,
+                       ManagerGuards guards)
+    : environment_(environment),
+      counters_(counters),
+      ledger_(ledger),
+      members_(members),
+      log_(log),
+      order_(std::move(order)),
+      estimate_(estimate),
+      guards_(guards) {}
 
 void JobManager::start() { tick(); }
 
@@ -42,22 +57,22 @@
   return entry->second;
 }
 
-const wire::MemberT* JobManager::best_ranked(const std::string& job) const {
-  const wire::MemberT* owner = nullptr;
-  std::uint64_t owner_weight = 0;
-  for (const wire::MemberT* scheduler : members_.available(membership::Role::scheduler)) {
-    const std::uint64_t weight = rendezvous_weight(job, scheduler->id);
-    if (owner == nullptr || weight > owner_weight) {
-      owner = scheduler;
-      owner_weight = weight;
-    }
-  }
-  return owner;
+const wire::MemberT* JobManager::best_ranked(const std::string& name) const {
+  return membership::ranked_scheduler(members_, name);
 }
 
 void JobManager::tick() {
   environment_.after(kTick, lifetime_.guard([this] { tick(); }));
-  std::erase_if(jobs_, [this](const auto& entry) { return !owns(entry.first.str()); });
+  std::erase_if(jobs_, [this](const auto& entry) {
+    const bool moved = !owns(entry.first.str());
+    if (moved) {
+      hand_over(entry.second);
+    }
+    return moved;
+  });
+  std::erase_if(early_, [this](const auto& entry) {
+    return entry.second.empty() || environment_.now() - entry.second.back().at > kEarlyUseful;
+  });
   for (auto& [id, job] : jobs_) {
     expire_leases(job);
     // A job whose first reading failed has no items yet and is asked for again, too.
@@ -184,6 +199,8 @@
   job.confirmed_at = read_started;
   if (job.items.empty()) {
     job.record = *record;
+    const bool fresh = environment_.unix_milliseconds() < record->accepted_at_ms + kFresh / 1ms;
+    job.hand_out_after = fresh ? Timestamp{} : environment_.now() + kTakeOver;
     job.items.assign(record->items, ItemState::pending);
     load_results(id, "");
   }
@@ -209,6 +226,7 @@
     }
     if (page.next_after.empty()) {
       entry->second.loaded = true;
+      apply_early(id);
       last_announcement_ = Timestamp{};
       announce_pending();
       append_order(id);
@@ -234,7 +252,7 @@
   std::vector<Job*> order;
   for (auto& [id, job] : jobs_) {
     const bool leased = environment_.now() - job.confirmed_at < kJobLease - kLeastLeaseGiven;
-    if (job.loaded && (leased || !guards_.lease_jobs)) {
+    if (environment_.now() >= job.hand_out_after && job.loaded && (leased || !guards_.lease_jobs)) {
       order.push_back(&job);
     }
   }
@@ -249,11 +267,14 @@
   });
   wire::GiveItemsT reply;
   reply.request = message.request;
-  for (Job* job : order) {
-    if (reply.items.size() >= message.capacity) {
-      break;
+  const std::vector<Pass> passes = order_->late_go_last() ? std::vector{Pass::in_time, Pass::late} : std::vector{Pass::any};
+  for (const Pass pass : passes) {
+    for (Job* job : order) {
+      const auto room = message.capacity - static_cast<std::uint32_t>(reply.items.size());
+      if (room > 0) {
+        hand_out(*job, sender, room, pass, reply);
+      }
     }
-    hand_out(*job, sender, message.capacity - static_cast<std::uint32_t>(reply.items.size()), reply);
   }
   counters_["batch_items_handed_out_total"] += static_cast<CounterValue>(reply.items.size());
   // An empty answer tells the dispatcher to look elsewhere, unless items are about to be read.
@@ -271,7 +292,20 @@
   return nullptr;
 }
 
-void JobManager::hand_out(Job& job, const PeerAddress& to, std::uint32_t capacity, wire::GiveItemsT& reply) {
+bool JobManager::belongs_to(Pass pass, const Job& job, std::uint32_t index) const {
+  if (pass == Pass::any || job.record.deadline_ms == 0) {
+    return pass != Pass::late;
+  }
+  const std::uint32_t tokens = index < job.record.item_tokens.size() ? job.record.item_tokens[index] : 0;
+  const auto progress = job.unfinished.find(index);
+  const std::uint32_t events = progress == job.unfinished.end() ? 0 : progress->second.tokens;
+  const Duration work = estimate_.work_left(job.record.template_name, tokens, events);
+  const std::uint64_t done_at_ms = environment_.unix_milliseconds() + static_cast<std::uint64_t>(work / 1ms);
+  return (pass == Pass::late) == (done_at_ms > job.record.deadline_ms);
+}
+
+void JobManager::hand_out(Job& job, const PeerAddress& to, std::uint32_t capacity, Pass pass,
+                          wire::GiveItemsT& reply) {
   const wire::MemberT* holder = scheduler_at(to);
   std::uint32_t given = 0;
   bool only_settled_before = true;
@@ -285,6 +319,9 @@
       continue;
     }
     only_settled_before = false;
+    if (!belongs_to(pass, job, index)) {
+      continue;
+    }
     auto item = std::make_unique<wire::WorkItemT>();
     if (!item_body(job, index, item->body)) {
       break;  // the chunk is being read
@@ -293,6 +330,8 @@
     item->index = index;
     item->tenant = job.record.tenant;
     item->template_name = job.record.template_name;
+    item->deadline_ms = job.record.deadline_ms;
+    item->tokens = index < job.record.item_tokens.size() ? job.record.item_tokens[index] : 0;
     // How long the dispatcher may start it: what is left of the job's lease.
     const Duration left = job.confirmed_at + kJobLease - environment_.now();
     item->lease_ms = guards_.lease_jobs ? static_cast<std::uint32_t>(left / 1ms) : UINT32_MAX;
@@ -399,16 +438,45 @@
   }
 }
 
-void JobManager::handle(const wire::ItemSettledT& message) {
-  const auto entry = jobs_.find(JobId(message.job));
-  if (entry == jobs_.end() || message.index >= entry->second.items.size()) {
+void JobManager::handle(const PeerAddress& sender, const wire::ItemSettledT& message) {
+  const JobId id(message.job);
+  const auto entry = jobs_.find(id);
+  if (entry != jobs_.end() && entry->second.loaded) {
+    apply(entry->second, sender, message);
+    append_order(id);
+    complete_if_done(id);
+    return;
+  }
+  std::size_t waiting = 0;
+  for (const auto& [job, messages] : early_) {
+    waiting += messages.size();
+  }
+  if (finished_.contains(message.job) || waiting >= kMostEarly) {
+    counters_["batch_settlements_dropped_total"]++;
+    return;
+  }
+  early_[id].push_back({environment_.now(), sender, message});
+  if (owns(message.job)) {
+    open_job(id);
+  }
+}
+
+void JobManager::apply_early(const JobId& id) {
+  const auto node = early_.extract(id);
+  if (node.empty()) {
+    return;
+  }
+  for (const Early& early : node.mapped()) {
+    apply(jobs_.at(id), early.sender, early.message);
+  }
+}
+
+void JobManager::apply(Job& job, const PeerAddress& sender, const wire::ItemSettledT& message) {
+  if (message.index >= job.items.size()) {
     return;
   }
-  Job& job = entry->second;
   if (message.completed) {
     settle(job, message.index);
-    append_order(entry->first);
-    complete_if_done(JobId(message.job));
     return;
   }
   if (job.items[message.index] != ItemState::settled && message.partial_tokens + message.failed_runs > 0) {
@@ -419,13 +487,45 @@
       progress.tokens = message.partial_tokens;
     }
   }
-  if (job.items[message.index] == ItemState::leased) {
+  const bool free = job.items[message.index] == ItemState::pending;
+  if (message.held && free) {
+    const wire::MemberT* holder = scheduler_at(sender);
+    job.items[message.index] = ItemState::leased;
+    job.leases[message.index] =
+        Lease{environment_.now() + kItemLease, sender, holder == nullptr ? 0 : holder->incarnation};
+    counters_["batch_items_claimed_by_holders_total"]++;
+  } else if (!message.held && job.items[message.index] == ItemState::leased) {
     job.items[message.index] = ItemState::pending;
     job.leases.erase(message.index);
     job.cursor = std::min(job.cursor, message.index);
   }
 }
 
+void JobManager::hand_over(const Job& job) {
+  const wire::MemberT* owner = best_ranked(job.record.id);
+  if (owner == nullptr || owner->id == members_.self().id) {
+    return;
+  }
+  tell_owner(job.record.id);
+  for (const auto& [index, progress] : job.unfinished) {
+    wire::ItemSettledT message;
+    message.job = job.record.id;
+    message.index = index;
+    message.failed_runs = progress.failed_runs;
+    message.partial = progress.partial;
+    message.partial_tokens = progress.tokens;
+    send_message(environment_, PeerAddress(owner->peer_address), std::move(message));
+  }
+  counters_["jobs_handed_over_total"]++;
+}
+
+void JobManager::drain() {
+  for (const auto& [id, job] : jobs_) {
+    hand_over(job);
+  }
+  jobs_.clear();
+}
+
 void JobManager::complete_if_done(const JobId& id) {
   const auto entry = jobs_.find(id);
   if (entry == jobs_.end()) {
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -12,6 +12,8 @@
 #include "common/decision_log.hpp"
 #include "ledger/client.hpp"
 #include "membership/membership.hpp"
+#include "policy/policies.hpp"
+#include "policy/work_estimate.hpp"
 
 namespace madderdeck::batch {
 
@@ -32,12 +34,15 @@
 class JobManager {
  public:
   JobManager(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
-             DecisionLog& log, ManagerGuards guards = {});
+             DecisionLog& log, std::shared_ptr<const policy::item_order> order, const policy::work_estimate& estimate,
+             ManagerGuards guards = {});
 
   void start();
   void handle(const wire::JobNoticeT& message);
   void handle(const PeerAddress& sender, const wire::TakeItemsT& message);
-  void handle(const wire::ItemSettledT& message);
+  void handle(const PeerAddress& sender, const wire::ItemSettledT& message);
+  /// This node is leaving: what items have made goes to the nodes that look after their jobs from now on.
+  void drain();
   std::vector<JobProgress> progress() const;
 
  private:
@@ -60,6 +65,7 @@
     bool confirming = false;
     bool loaded = false;  ///< Earlier results have been read.
     bool completing = false;
+    Timestamp hand_out_after{};  ///< Until then, those who run items of a job taken over from another node say so.
     std::vector<ItemState> items;
     std::uint32_t settled = 0;
     std::uint32_t cursor = 0;  ///< No pending item lies before it.
@@ -79,6 +85,10 @@
   bool owns(const std::string& job) const;
   /// @return the scheduler that ranks first for @p name.
   const wire::MemberT* best_ranked(const std::string& name) const;
+  void hand_over(const Job& job);
+  void apply(Job& job, const PeerAddress& sender, const wire::ItemSettledT& message);
+  /// Applies what came about @p id before its job was open here.
+  void apply_early(const JobId& id);
   /// @return the first group from @p from on that this node looks through; past the last if none.
   std::uint32_t next_watched_group(std::uint32_t from) const;
   void tell_owner(const std::string& job);
@@ -91,7 +101,10 @@
   void confirm(const JobId& job);
   void expire_leases(Job& job);
   bool holder_lives(const Lease& lease) const;
-  void hand_out(Job& job, const PeerAddress& to, std::uint32_t capacity, wire::GiveItemsT& reply);
+  /// What is handed out in one pass over the jobs.
+  enum class Pass : std::uint8_t { any, in_time, late };
+  void hand_out(Job& job, const PeerAddress& to, std::uint32_t capacity, Pass pass, wire::GiveItemsT& reply);
+  bool belongs_to(Pass pass, const Job& job, std::uint32_t index) const;
   bool item_body(Job& job, std::uint32_t index, std::string& body);
   void load_chunk(Job& job, std::uint32_t chunk);
   void settle(Job& job, std::uint32_t index);
@@ -108,8 +121,17 @@
   ledger::Client& ledger_;
   membership::Membership& members_;
   DecisionLog& log_;
+  const std::shared_ptr<const policy::item_order> order_;
+  const policy::work_estimate& estimate_;
   const ManagerGuards guards_;
   std::map<JobId, Job> jobs_;
+  /// Told about a job that is not open here yet.
+  struct Early {
+    Timestamp at{};
+    PeerAddress sender;
+    wire::ItemSettledT message;
+  };
+  std::map<JobId, std::vector<Early>> early_;
   std::set<std::string> finished_;  ///< Jobs known to need nothing more.
   bool discovering_ = false;
   Timestamp last_discovery_{};
--- a/src/batch/submission.cpp
+++ b/src/batch/submission.cpp
@@ -12,7 +12,7 @@
       job_(job_id_for(request_.tenant, request_.idempotency_key)),
       submission_(hex64(environment.random()) + hex64(environment.random())) {}
 
-Status Submission::add(std::string_view item) {
+Status Submission::add(std::string_view item, std::uint32_t tokens) {
   if (items_ >= kMaxItemsPerJob) {
     return Error{ErrorKind::limit_exceeded, "more than " + std::to_string(kMaxItemsPerJob) + " items"};
   }
@@ -24,6 +24,10 @@
     return *failure_;
   }
   ++items_;
+  if (tokens > 0) {
+    tokens_.resize(items_);
+    tokens_.back() = tokens;
+  }
   digest_ = stable_hash(item, digest_);
   chunk_.items.emplace_back(item);
   if (chunk_.items.size() == kItemsPerChunk) {
@@ -83,6 +87,7 @@
   record.deadline_ms = request_.deadline_ms;
   record.host = request_.host;
   record.give_up_at_ms = request_.give_up_at_ms;
+  record.item_tokens = tokens_;
   record.state = wire::JobState::Accepted;
   const wire::Bytes encoded = wire::encode_record(record);
   const auto put_if_absent = [encoded](const ledger::OptionalValue& current) {
--- a/src/batch/submission.hpp
+++ b/src/batch/submission.hpp
@@ -38,13 +38,15 @@
 
   /// Takes one item, a JSON text.
   /// @return a typed refusal of the item (limits); the submission cannot go on after it.
-  Status add(std::string_view item);
+  /// @param tokens what it is stated to need, prompt and answer; 0 where nothing is stated.
+  Status add(std::string_view item, std::uint32_t tokens = 0);
   /// @return whether more items should be held back until on_room runs.
   bool congested() const { return chunks_in_flight_ >= kMaxChunksInFlight; }
   void on_room(std::function<void()> hook) { room_ = std::move(hook); }
   /// All items have been added; @p done gets the job that stands.
   void finish(SubmitDone done);
   std::uint32_t items() const { return items_; }
+  const JobId& job() const { return job_; }
 
   static constexpr std::size_t kMaxChunksInFlight = 8;
 
@@ -64,6 +66,7 @@
   std::size_t chunk_bytes_ = 0;
   std::uint32_t items_ = 0;
   std::uint32_t chunks_ = 0;
+  std::vector<std::uint32_t> tokens_;  ///< By item; empty where none is stated.
   std::uint64_t digest_ = 0;
   std::size_t chunks_in_flight_ = 0;
   std::optional<Error> failure_;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -67,6 +67,10 @@
       {"engines.loads_pushed", number_field(&Settings::loads_pushed, 0, 1)},
       {"engines.subset_size", number_field(&Settings::subset_size, 1, 100'000)},
       {"engines.batch_headroom_slots", number_field(&Settings::batch_headroom_slots, 0, 100'000)},
+      {"policies.headroom", text_field(&Settings::policy_headroom)},
+      {"policies.item_order", text_field(&Settings::policy_item_order)},
+      {"policies.victim", text_field(&Settings::policy_victim)},
+      {"policies.engine_choice", text_field(&Settings::policy_engine_choice)},
       {"membership.period_ms", number_field(&Settings::membership_period_ms, 50, 60'000)},
       {"ledger.groups", number_field(&Settings::ledger_groups, 1, 4'096)},
       {"ledger.tolerated_losses", number_field(&Settings::ledger_tolerated_losses, 0, 100)},
@@ -223,6 +227,9 @@
   if (settings.has_role("ledger") && settings.data_folder.empty()) {
     return fault(origin, "node.data_folder", "nothing", "a folder, since node.roles has ledger");
   }
+  if (const auto policies = settings.policies(); !succeeded(policies)) {
+    return Error{ErrorKind::invalid_argument, origin.text() + ": " + error_of(policies).detail};
+  }
   LogLevel level{};
   if (!parse_log_level(settings.log_level, level)) {
     return fault(origin, "log.level", settings.log_level, "debug, info, warning or error");
@@ -242,6 +249,15 @@
 
 }  // namespace
 
+Result<policy::policy_set> Settings::policies() const {
+  return policy::policy_set_builder()
+      .headroom(policy_headroom)
+      .item_order(policy_item_order)
+      .victim(policy_victim)
+      .engine_choice(policy_engine_choice)
+      .build();
+}
+
 bool Settings::has_role(const std::string& role) const {
   return std::find(roles.begin(), roles.end(), role) != roles.end();
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -7,6 +7,7 @@
 
 #include "common/error.hpp"
 #include "common/log.hpp"
+#include "policy/policies.hpp"
 
 namespace madderdeck::config {
 
@@ -52,6 +53,11 @@
   std::int64_t load_poll_ms = 1500;
   std::int64_t loads_pushed = 0;          ///< 1: engines tell their load with each answer.
   std::int64_t subset_size = 16;          ///< Engines of a pool that this node uses, until a fleet policy is declared.
+  // [policies]: what the node decides by; the names that policy::policy_set_builder takes.
+  std::string policy_headroom = "fixed";
+  std::string policy_item_order = "deadline";
+  std::string policy_victim = "youngest";
+  std::string policy_engine_choice = "reports";
   std::int64_t batch_headroom_slots = 2;  ///< Engine slots batch never takes, until a fleet policy is declared.
   // [ledger]
   std::int64_t ledger_groups = 16;           ///< Replica groups of a fleet that is founded.
@@ -70,6 +76,8 @@
   Result<Settings> reread() const;
   /// @return the roles as bits of wire::MemberT::roles.
   std::uint32_t role_bits() const;
+  /// @return the policies named, or ErrorKind::invalid_argument.
+  Result<policy::policy_set> policies() const;
   bool has_role(const std::string& role) const;
 };
 
--- a/src/forwarding/engine_choice.cpp
+++ b/src/forwarding/engine_choice.cpp
@@ -11,7 +11,7 @@
 
 constexpr Duration kReportFresh = 4s;
 constexpr Duration kSilence = 500ms;
-constexpr std::size_t kSamples = 4;
+constexpr Duration kExcessHolds = 1s;
 constexpr double kAffinitySlack = 0.25;  ///< Of the slots above the average load.
 constexpr double kMaxSlowness = 8.0;
 /// What a back end that reads a long prompt seems fuller by, as a part of its slots.
@@ -41,21 +41,45 @@
   return std::min(backend.latency_ms / median, kMaxSlowness);
 }
 
+bool uses_shared(const ChoiceInput& input) { return input.shared != nullptr && input.shared->any_heard(); }
+
+/// @return expected trouble for one more live call: below 1 there is a free slot, below 2 batch work has to yield, from
+///         2 on it waits for another live call to end.
+double cost_of(const known_calls& calls) {
+  const double live = (calls.live + 1) / calls.slots;
+  if (calls.live + calls.batch < calls.slots) {
+    return (calls.live + calls.batch + 1) / calls.slots;
+  }
+  return calls.live < calls.slots ? 1 + live : 2 + live - 1;
+}
+
 double load(const Backend& backend, const ChoiceInput& input) {
+  if (uses_shared(input)) {
+    return cost_of(calls_at(backend, *input.shared, input.now));
+  }
   return (estimated_requests(backend, input.now, input.sharing) + 1) / backend.machine.slots;
 }
 
+/// @return load as far as it matters to where a prompt's start is kept: batch work gives way.
+double affinity_load(const Backend& backend, const ChoiceInput& input) {
+  if (!uses_shared(input)) {
+    return load(backend, input);
+  }
+  const known_calls calls = calls_at(backend, *input.shared, input.now);
+  return (calls.live + 1) / calls.slots;
+}
+
 Backend* affine_backend(const std::vector<Backend*>& candidates, const ChoiceInput& input, double median) {
   double total = 0;
   for (const Backend* candidate : candidates) {
-    total += load(*candidate, input);
+    total += affinity_load(*candidate, input);
   }
   const double bound = std::min(1.0, total / static_cast<double>(candidates.size()) + kAffinitySlack);
   Backend* best = nullptr;
   std::uint64_t best_weight = 0;
   for (Backend* candidate : candidates) {
     const bool reading = input.now < candidate->reading_until;
-    if (reading || load(*candidate, input) > bound || slowness(*candidate, median) > 1) {
+    if (reading || affinity_load(*candidate, input) > bound || slowness(*candidate, median) > 1) {
       continue;
     }
     const std::uint64_t weight = rendezvous_weight(input.affinity_key, candidate->machine.id.str());
@@ -67,8 +91,28 @@
   return best;
 }
 
+/// @return up to @p count of @p candidates at random, each once.
+std::vector<Backend*> draw(std::vector<Backend*> candidates, std::size_t count, std::uint64_t random) {
+  constexpr std::uint64_t kMultiplier = 6364136223846793005ULL;
+  const std::size_t drawn = std::min(count, candidates.size());
+  for (std::size_t position = 0; position < drawn; ++position) {
+    random = random * kMultiplier + 1;
+    const std::size_t other = position + (random >> 33) % (candidates.size() - position);
+    std::swap(candidates[position], candidates[other]);
+  }
+  candidates.resize(drawn);
+  return candidates;
+}
+
 }  // namespace
 
+known_calls calls_at(const Backend& backend, const routing::shared_calls& shared, Timestamp now) {
+  const routing::open_calls others = shared.at(backend.machine.id);
+  const std::uint32_t unexplained = now - backend.reported_at < kExcessHolds ? backend.unexplained : 0;
+  return {static_cast<double>(backend.online_in_flight + others.live + unexplained),
+          static_cast<double>(backend.batch_in_flight + others.batch), static_cast<double>(backend.machine.slots)};
+}
+
 double estimated_requests(const Backend& backend, Timestamp now, double sharing) {
   const double own = backend.online_in_flight;
   const bool fresh = backend.reported_at.count() != 0 && now - backend.reported_at < kReportFresh;
@@ -102,9 +146,7 @@
   }
   Backend* best = nullptr;
   double best_cost = 0;
-  constexpr unsigned kBitsPerSample = 16;
-  for (std::size_t sample = 0; sample < kSamples; ++sample) {
-    Backend* candidate = candidates[(input.random >> (sample * kBitsPerSample)) % candidates.size()];
+  for (Backend* candidate : draw(std::move(candidates), input.samples, input.random)) {
     const double penalty = input.now < candidate->reading_until ? kReadingPenalty : 0;
     const double cost = (load(*candidate, input) + penalty) * slowness(*candidate, median);
     if (best == nullptr || cost < best_cost) {
--- a/src/forwarding/engine_choice.hpp
+++ b/src/forwarding/engine_choice.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "routing/registry.hpp"
+#include "routing/shared_calls.hpp"
 
 namespace madderdeck::forwarding {
 
@@ -16,8 +17,24 @@
   Timestamp now{};
   std::uint64_t random = 0;
   double sharing = 1;  ///< Gateways that use the same back end, on average.
+  const routing::shared_calls* shared = nullptr;  ///< Calls of the other nodes; null where they are not told.
+  std::size_t samples = 4;                        ///< Candidates that are compared; fewer where calls are told late.
 };
 
+/// Calls open at a back end, of all nodes.
+struct known_calls {
+  double live = 0;
+  double batch = 0;
+  double slots = 1;
+
+  /// @return whether a further live call waits until batch work has yielded.
+  bool needs_yield() const { return live + batch >= slots && live < slots; }
+  auto operator<=>(const known_calls&) const = default;
+};
+
+/// @return what this node and the others have open at @p backend, and what it runs besides by its own reports.
+known_calls calls_at(const routing::Backend& backend, const routing::shared_calls& shared, Timestamp now);
+
 /// @return estimated requests on @p backend, running and waiting. The last report counts while it is
 ///         fresh, with what this node has sent since; otherwise this node's own calls stand for
 ///         those of the others.
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "common/histogram.hpp"
 #include "forwarding/engine_choice.hpp"
 
 namespace madderdeck::forwarding {
@@ -21,6 +22,10 @@
 constexpr Duration kLeastReading = 30ms;
 constexpr Duration kMostReading = 1s;
 constexpr int kReadingSmoothing = 8;
+constexpr int kYieldSmoothing = 8;
+constexpr std::size_t kLeastSamples = 4;
+/// Told so late, the calls of others are as good as exact: all engines are compared.
+constexpr Duration kExactDelay = 25ms;
 
 }  // namespace
 
@@ -100,8 +105,7 @@
     return;
   }
   const std::string key = active.route->prefix_affinity ? affinity_key(active.request->prompt) : std::string();
-  Backend& backend =
-      choose_backend({open, key, environment_.now(), environment_.random(), registry_.sharing(active.pool)});
+  Backend& backend = choose(active, open, key);
   if (!key.empty()) {
     announce_reading(backend);
   }
@@ -119,8 +123,21 @@
   send(id, backend);
 }
 
+/// Where calls are told late, comparing all engines would send everybody's calls to the same ones.
+Backend& Forwarder::choose(const Active& active, const std::vector<Backend*>& open, const std::string& key) {
+  ChoiceInput input{open, key, environment_.now(), environment_.random(), registry_.sharing(active.pool)};
+  input.shared = shared_;
+  if (shared_ != nullptr) {
+    const auto all = static_cast<std::int64_t>(open.size());
+    const std::int64_t fresh = all * kExactDelay.count() / std::max(kExactDelay, shared_delay_).count();
+    input.samples = std::max(kLeastSamples, static_cast<std::size_t>(fresh));
+  }
+  return choose_backend(input);
+}
+
 void Forwarder::send(ForwardId id, Backend& backend) {
   Active& active = requests_.at(id);
+  active.awaits_yield = shared_ != nullptr && calls_at(backend, *shared_, environment_.now()).needs_yield();
   active.backend = backend.machine.id;
   active.tried.insert(active.backend);
   active.attempt = ++next_attempt_;
@@ -197,11 +214,25 @@
   const Duration elapsed = environment_.now() - active.sent_at;
   if (active.request->prompt.empty() || affinity_key(active.request->prompt).empty()) {
     registry_.on_first_token(active.backend, std::chrono::duration<double, std::milli>(elapsed).count());
+    learn_first_byte(active, elapsed);
   } else {
     long_prompt_time_ += (elapsed - long_prompt_time_) / kReadingSmoothing;
   }
 }
 
+void Forwarder::learn_first_byte(const Active& active, Duration elapsed) {
+  if (active.route->kind != RouteKind::stream) {
+    return;
+  }
+  if (!active.awaits_yield) {
+    first_byte_time_ += (elapsed - first_byte_time_) / kYieldSmoothing;
+    return;
+  }
+  const Duration waited = std::max(Duration::zero(), elapsed - first_byte_time_);
+  time_to_yield_ += (waited - time_to_yield_) / kYieldSmoothing;
+  observe(counters_, "time_to_yield", waited);
+}
+
 void Forwarder::on_head(ForwardId id, std::uint64_t attempt, AnswerHead head) {
   if (!is_current(id, attempt)) {
     counters_["forward_stale_events_total"]++;
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -17,6 +17,7 @@
 #include "routing/limits.hpp"
 #include "routing/outcome.hpp"
 #include "routing/registry.hpp"
+#include "routing/shared_calls.hpp"
 
 namespace madderdeck::forwarding {
 
@@ -56,6 +57,14 @@
   void resume(ForwardId id);
   std::size_t active() const { return requests_.size(); }
   void on_reading(ReadingHook hook) { on_reading_ = std::move(hook); }
+  /// From now on engines are chosen by the calls that the other gateways tell.
+  /// @param delay how late these are told.
+  void use_shared_calls(const routing::shared_calls& calls, Duration delay) {
+    shared_ = &calls;
+    shared_delay_ = delay;
+  }
+  /// @return moving average of what a live call waits for its first token more where batch work has to yield.
+  Duration time_to_yield() const { return time_to_yield_; }
 
  private:
   struct Active {
@@ -76,6 +85,7 @@
     bool head_passed = false;
     Timestamp first_at{};  ///< When the caller was sent the first of the answer.
     bool heard = false;    ///< Of the current send: any byte.
+    bool awaits_yield = false;  ///< Of the current send: the engine had no free slot, but batch work in some.
     AnswerHead head;
     std::string body;  ///< Of an answer that is passed on as a whole.
     EventSplitter splitter;
@@ -85,6 +95,8 @@
   void attempt(ForwardId id);
   void send(ForwardId id, routing::Backend& backend);
   void announce_reading(routing::Backend& backend);
+  routing::Backend& choose(const Active& active, const std::vector<routing::Backend*>& open, const std::string& key);
+  void learn_first_byte(const Active& active, Duration elapsed);
   void watch_first_byte(ForwardId id);
   void on_head(ForwardId id, std::uint64_t attempt, AnswerHead head);
   void on_piece(ForwardId id, std::uint64_t attempt, std::string_view piece);
@@ -116,6 +128,10 @@
   /// Smooth weighted round robin over a route's pools, by route name and pool.
   std::map<std::string, std::map<std::string, std::int64_t>> pool_credit_;
   Duration long_prompt_time_ = 100ms;  ///< Moving average from sending a long prompt to its first token.
+  Duration first_byte_time_{};               ///< Moving average for short prompts where a slot is free.
+  Duration time_to_yield_{};
+  const routing::shared_calls* shared_ = nullptr;
+  Duration shared_delay_{};
   ReadingHook on_reading_;
   ForwardId next_id_ = 0;
   std::uint64_t next_attempt_ = 0;
--- /dev/null
+++ b/src/membership/ranking.hpp
@@ -0,0 +1,23 @@
+#pragma once
+/// @file Who of the fleet looks after what: rendezvous ranking of the members with a role.
+
+#include "common/hash.hpp"
+#include "membership/membership.hpp"
+
+namespace madderdeck::membership {
+
+/// @return the scheduler that looks after @p key (a job, an engine, a limit) by this node's view; null where none is known.
+inline const wire::MemberT* ranked_scheduler(const Membership& members, std::string_view key) {
+  const wire::MemberT* first = nullptr;
+  std::uint64_t first_weight = 0;
+  for (const wire::MemberT* scheduler : members.available(Role::scheduler)) {
+    const std::uint64_t weight = rendezvous_weight(key, scheduler->id);
+    if (first == nullptr || weight > first_weight) {
+      first = scheduler;
+      first_weight = weight;
+    }
+  }
+  return first;
+}
+
+}  // namespace madderdeck::membership
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -116,6 +116,7 @@
     options.guards.registry.need_fresh_reports = !options.loads_pushed;
     options.default_policy.subset_size = static_cast<std::uint32_t>(settings_.subset_size);
     options.default_policy.batch_headroom_slots = static_cast<std::uint32_t>(settings_.batch_headroom_slots);
+    options.policies = value_of(settings_.policies());
     options.membership.period = std::chrono::milliseconds(settings_.membership_period_ms);
     options.membership.ack_timeout = std::min<Duration>(options.membership.ack_timeout, options.membership.period / 2);
     options.controller.group_count = static_cast<std::size_t>(settings_.ledger_groups);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -1,9 +1,11 @@
 #include "node/node_core.hpp"
 
+#include "membership/ranking.hpp"
+
 namespace madderdeck::node {
 namespace {
 constexpr Duration kActivityDelay = 2ms;    ///< Changes within it share a message.
-constexpr Duration kActivityQuiet = 200ms;  ///< A falling count is told this late.
+constexpr Duration kActivityQuiet = 20ms;  ///< A falling count is told this late.
 constexpr Duration kActivityRefresh = 1s;
 }  // namespace
 
@@ -51,6 +53,7 @@
         options.guards.forward);
     forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
+  shares_calls_ = options.policies.shared_calls;
   catalog.set_default_policy(options.default_policy);
   registry.set_subset_size(options.default_policy.subset_size);
   if (has_role(options.self, Role::ledger) && dependencies.storage != nullptr) {
@@ -59,9 +62,12 @@
         [this](const NodeId& node) { return members.address_of(node); }, options.guards.replica);
   }
   if (has_role(options.self, Role::scheduler)) {
-    jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, log, options.guards.manager);
-    dispatcher = std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
-                                                     dependencies.backends, log, options.guards.dispatch);
+    jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, log, options.policies.order,
+                                               estimate, options.guards.manager);
+    batch::DispatchPolicies policies{options.policies, &estimate, [this] { return observed_time_to_yield(); }};
+    dispatcher =
+        std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
+                                            dependencies.backends, log, std::move(policies), options.guards.dispatch);
   }
   if (replica && dependencies.platform.has_retirements()) {
     retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica,
@@ -113,10 +119,39 @@
   if (controller) {
     controller->start();
   }
+  if (shares_calls_) {
+    start_sharing_calls();
+  }
   refresh_activity();
   poll_loads();
 }
 
+void NodeCore::start_sharing_calls() {
+  announcer = std::make_unique<routing::call_announcer>(environment, counters, registry, members.self().id,
+                                                        [this] { return other_gateways(); },
+      [this](const BackendId& engine) { return dispatcher && dispatcher->owns(engine); });
+  registry.set_shared_calls(&shared_calls);
+  announcer->start();
+  if (dispatcher) {
+    dispatcher->on_batch_activity = [this](const BackendId& engine) { announcer->changed(engine); };
+  }
+}
+
+std::vector<PeerAddress> NodeCore::other_gateways() const {
+  std::vector<PeerAddress> others;
+  for (const wire::MemberT* gateway : members.available(Role::gateway)) {
+    if (gateway->id != members.self().id) {
+      others.emplace_back(gateway->peer_address);
+    }
+  }
+  return others;
+}
+
+Duration NodeCore::observed_time_to_yield() const {
+  const Duration own = forwarder ? forwarder->time_to_yield() : Duration::zero();
+  return std::max(own, shared_calls.time_to_yield());
+}
+
 void NodeCore::on_objects_changed(const std::vector<config::EntryKey>& keys) {
   const bool of_groups = !keys.empty() && keys.front().kind == config::kReplicaGroupsKind;
   const bool apart = of_groups && groups.table().find(keys.front()) != nullptr;
@@ -261,7 +296,7 @@
       break;
     case wire::Message::ItemSettled:
       if (jobs) {
-        jobs->handle(*body.AsItemSettled());
+        jobs->handle(sender, *body.AsItemSettled());
       }
       break;
     case wire::Message::OnlineActivity:
@@ -269,6 +304,9 @@
         dispatcher->handle(*body.AsOnlineActivity());
       }
       break;
+    case wire::Message::EngineActivity:
+      shared_calls.take(*body.AsEngineActivity(), environment.now());
+      break;
     case wire::Message::PromptReading:
       registry.on_reading(BackendId(body.AsPromptReading()->engine),
                           std::chrono::milliseconds(body.AsPromptReading()->expected_ms));
@@ -284,6 +322,7 @@
   members.leave();
   if (dispatcher) {
     dispatcher->drain();
+    jobs->drain();
   }
 }
 
@@ -306,7 +345,7 @@
 // --- jobs -----------------------------------------------------------------------------------
 
 void NodeCore::announce_job(const JobId& job, bool cancelled) {
-  const wire::MemberT* manager = batch::Dispatcher::owner_of(members, BackendId(job.str()));
+  const wire::MemberT* manager = membership::ranked_scheduler(members, job.str());
   for (const wire::MemberT* scheduler : members.available(Role::scheduler)) {
     wire::JobNoticeT notice;
     notice.job = job.str();
@@ -387,6 +426,13 @@
   return dispatcher && dispatcher->owns(id);
 }
 
+void NodeCore::tell_unexplained(const BackendId& id) {
+  const routing::Backend* backend = registry.find(id);
+  if (announcer && backend != nullptr && registry.unexplained(*backend) > 0) {
+    announcer->changed(id);
+  }
+}
+
 void NodeCore::poll_loads() {
   environment.after(load_poll_, lifetime_.guard([this] { poll_loads(); }));
   for (const auto& [id, backend] : registry.backends()) {
@@ -398,6 +444,7 @@
                          lifetime_.guard([this, id = id, asked_at](const std::optional<routing::LoadReport>& report) {
                            if (report) {
                              registry.on_report(id, *report, asked_at);
+                             tell_unexplained(id);
                            }
                          }));
   }
@@ -408,6 +455,9 @@
 void NodeCore::on_online_activity(const BackendId& engine, std::uint32_t in_flight) {
   ToldActivity& entry = activity_[engine];
   entry.in_flight = in_flight;
+  if (announcer) {
+    announcer->changed(engine);
+  }
   if (entry.scheduled || !guards_.tell_activity) {
     return;
   }
@@ -419,7 +469,7 @@
 void NodeCore::tell_activity(const BackendId& engine) {
   ToldActivity& entry = activity_[engine];
   entry.scheduled = false;
-  const wire::MemberT* owner = batch::Dispatcher::owner_of(members, engine);
+  const wire::MemberT* owner = membership::ranked_scheduler(members, engine.str());
   if (owner == nullptr) {
     return;
   }
@@ -448,6 +498,13 @@
 void NodeCore::refresh_activity() {
   environment.after(kActivityRefresh, lifetime_.guard([this] { refresh_activity(); }));
   registry.set_gateways(gateway_count());
+  if (announcer) {
+    shared_calls.forget_silent(environment.now());
+    if (forwarder) {
+      forwarder->use_shared_calls(shared_calls, announcer->delay());
+      announcer->set_time_to_yield(forwarder->time_to_yield());
+    }
+  }
   for (auto entry = activity_.begin(); entry != activity_.end();) {
     const bool idle = entry->second.in_flight == 0 && entry->second.told == 0 && !entry->second.scheduled;
     if (idle) {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -19,8 +19,12 @@
 #include "membership/membership.hpp"
 #include "object_store/controller.hpp"
 #include "object_store/retirement.hpp"
+#include "policy/policies.hpp"
+#include "policy/work_estimate.hpp"
+#include "routing/call_announcer.hpp"
 #include "routing/live_router.hpp"
 #include "routing/service_router.hpp"
+#include "routing/shared_calls.hpp"
 #include "wire/codec.hpp"
 
 namespace madderdeck::node {
@@ -65,6 +69,7 @@
   /// Back ends tell their load with their answers: only schedulers ask, for the engines they fill.
   bool loads_pushed = false;
   config::FleetPolicy default_policy;  ///< Stands until operators declare one.
+  policy::policy_set policies = value_of(policy::policy_set_builder().build());
   Guards guards;
 };
 
@@ -125,6 +130,9 @@
   routing::ServiceRouter services;
   std::unique_ptr<forwarding::Forwarder> forwarder;  ///< Only with an upstream.
   routing::TenantLimiter limiter;
+  routing::shared_calls shared_calls;                      ///< Of the other nodes.
+  std::unique_ptr<routing::call_announcer> announcer;      ///< Only where calls are shared.
+  policy::work_estimate estimate;                          ///< Of batch items.
   std::unique_ptr<batch::JobManager> jobs;        ///< Only on schedulers.
   std::unique_ptr<batch::Dispatcher> dispatcher;  ///< Only on schedulers.
   object_store::Declarations declarations;
@@ -137,6 +145,7 @@
     std::uint32_t told = 0;
     bool scheduled = false;
   };
+  bool shares_calls_ = false;
   forwarding::RouteTablePointer told_routes_;
   membership::Hooks make_hooks();
   void on_objects_changed(const std::vector<config::EntryKey>& keys);
@@ -145,7 +154,11 @@
   void tell_activity(const BackendId& engine);
   void tell_reading(const BackendId& engine, Duration expected);
   void refresh_activity();
+  std::vector<PeerAddress> other_gateways() const;
+  Duration observed_time_to_yield() const;
+  void start_sharing_calls();
   void poll_loads();
+  void tell_unexplained(const BackendId& id);
   bool polls(const routing::Backend& backend);
 
   std::map<BackendId, ToldActivity> activity_;
--- /dev/null
+++ b/src/policy/headroom.hpp
@@ -0,0 +1,50 @@
+#pragma once
+/// @file How many slots of an engine batch work leaves free.
+
+#include <compare>
+#include <cstdint>
+#include <memory>
+
+#include "common/environment.hpp"
+
+namespace madderdeck::policy {
+
+/// What one engine is asked for, as observed.
+struct engine_demand {
+  double live_per_second = 0;  ///< Live calls that arrive at the engine.
+  Duration time_to_yield{};    ///< From a live call at a full engine until batch has made room for it.
+  std::uint32_t slots = 1;
+
+  auto operator<=>(const engine_demand&) const = default;
+};
+
+/// Decides the headroom of one engine. Stateless.
+class headroom_policy {
+ public:
+  virtual ~headroom_policy() = default;
+  /// @return slots that batch work does not take; at most those of the engine.
+  virtual std::uint32_t free_slots(const engine_demand& demand) const = 0;
+};
+
+/// A constant number of slots.
+class fixed_headroom : public headroom_policy {
+ public:
+  explicit fixed_headroom(std::uint32_t slots) : slots_(slots) {}
+  std::uint32_t free_slots(const engine_demand& demand) const override;
+
+ private:
+  const std::uint32_t slots_;
+};
+
+/// As many slots as live calls arrive within the time to yield, but for a small share of these times.
+class observed_headroom : public headroom_policy {
+ public:
+  /// @param missed share of the times to yield in which more calls may arrive than slots are free, in (0, 1).
+  explicit observed_headroom(double missed) : missed_(missed) {}
+  std::uint32_t free_slots(const engine_demand& demand) const override;
+
+ private:
+  const double missed_;
+};
+
+}  // namespace madderdeck::policy
--- /dev/null
+++ b/src/policy/policies.cpp
@@ -0,0 +1,69 @@
+#include "policy/policies.hpp"
+
+#include <utility>
+
+namespace madderdeck::policy {
+namespace {
+
+/// Share of the times to yield in which a live call may find no free slot.
+constexpr double kMissed = 0.05;
+
+Error unknown(const std::string& key, const std::string& found, const std::string& allowed) {
+  return Error{ErrorKind::invalid_argument, "policies." + key + ": found '" + found + "', allowed is " + allowed};
+}
+
+}  // namespace
+
+policy_set_builder& policy_set_builder::headroom(std::string name) {
+  headroom_ = std::move(name);
+  return *this;
+}
+
+policy_set_builder& policy_set_builder::item_order(std::string name) {
+  item_order_ = std::move(name);
+  return *this;
+}
+
+policy_set_builder& policy_set_builder::victim(std::string name) {
+  victim_ = std::move(name);
+  return *this;
+}
+
+policy_set_builder& policy_set_builder::engine_choice(std::string name) {
+  engine_choice_ = std::move(name);
+  return *this;
+}
+
+Result<policy_set> policy_set_builder::build() const {
+  policy_set set;
+  if (headroom_ == "observed") {
+    set.headroom = std::make_shared<observed_headroom>(kMissed);
+  } else if (headroom_ != "fixed") {
+    return unknown("headroom", headroom_, "fixed or observed");
+  }
+  if (item_order_ == "arrival") {
+    set.order = std::make_shared<arrival_order>();
+  } else if (item_order_ == "deadline") {
+    set.order = std::make_shared<deadline_order>();
+  } else if (item_order_ == "attainable") {
+    set.order = std::make_shared<attainable_order>(false);
+  } else if (item_order_ == "attainable_displacing") {
+    set.order = std::make_shared<attainable_order>(true);
+  } else {
+    return unknown("item_order", item_order_, "arrival, deadline, attainable or attainable_displacing");
+  }
+  if (victim_ == "youngest") {
+    set.victim = std::make_shared<youngest_first>();
+  } else if (victim_ == "least_loss") {
+    set.victim = std::make_shared<least_loss_first>();
+  } else {
+    return unknown("victim", victim_, "youngest or least_loss");
+  }
+  if (engine_choice_ != "reports" && engine_choice_ != "shared") {
+    return unknown("engine_choice", engine_choice_, "reports or shared");
+  }
+  set.shared_calls = engine_choice_ == "shared";
+  return set;
+}
+
+}  // namespace madderdeck::policy
--- /dev/null
+++ b/src/policy/policies.hpp
@@ -0,0 +1,42 @@
+#pragma once
+/// @file The policies of one node, chosen by its settings.
+
+#include <memory>
+#include <string>
+
+#include "common/error.hpp"
+#include "policy/headroom.hpp"
+#include "policy/item_order.hpp"
+
+namespace madderdeck::policy {
+
+/// What a node decides by. Immutable; shared by its parts.
+struct policy_set {
+  std::shared_ptr<const headroom_policy> headroom;  ///< Null: the fleet policy's fixed number.
+  std::shared_ptr<const item_order> order;          ///< Never null.
+  std::shared_ptr<const victim_choice> victim;      ///< Never null.
+  bool shared_calls = false;  ///< Gateways tell each other their calls, and choose engines by them.
+};
+
+/// Makes a policy_set from names as settings state them; see docs/operators/settings.md.
+class policy_set_builder {
+ public:
+  /// @param name "fixed" or "observed".
+  policy_set_builder& headroom(std::string name);
+  /// @param name "arrival", "deadline", "attainable" or "attainable_displacing".
+  policy_set_builder& item_order(std::string name);
+  /// @param name "youngest" or "least_loss".
+  policy_set_builder& victim(std::string name);
+  /// @param name "reports" or "shared".
+  policy_set_builder& engine_choice(std::string name);
+  /// @return the set, or ErrorKind::invalid_argument naming the policy that is not known.
+  Result<policy_set> build() const;
+
+ private:
+  std::string headroom_ = "fixed";
+  std::string item_order_ = "deadline";
+  std::string victim_ = "youngest";
+  std::string engine_choice_ = "reports";
+};
+
+}  // namespace madderdeck::policy
--- /dev/null
+++ b/src/policy/work_estimate.cpp
@@ -0,0 +1,36 @@
+#include "policy/work_estimate.hpp"
+
+#include <algorithm>
+
+namespace madderdeck::policy {
+namespace {
+
+constexpr double kSmoothing = 0.1;
+constexpr std::uint32_t kLeastEvents = 4;  ///< A shorter run tells little about the pace.
+
+void approach(double& average, double value) { average += average == 0 ? value : kSmoothing * (value - average); }
+
+}  // namespace
+
+void work_estimate::learn(const std::string& kind, const finished_run& run) {
+  average& known = kinds_[kind];
+  approach(known.events, run.events);
+  if (run.tokens > 0) {
+    approach(known.events_per_token, static_cast<double>(run.events) / run.tokens);
+  }
+  if (run.run_events >= kLeastEvents) {
+    approach(known.event_us, static_cast<double>(run.took.count()) / run.run_events);
+  }
+}
+
+Duration work_estimate::work_left(const std::string& kind, std::uint32_t tokens, std::uint32_t events) const {
+  const auto entry = kinds_.find(kind);
+  if (entry == kinds_.end()) {
+    return Duration::zero();
+  }
+  const average& known = entry->second;
+  const double whole = tokens > 0 && known.events_per_token > 0 ? known.events_per_token * tokens : known.events;
+  return Duration(static_cast<std::int64_t>(std::max(0.0, whole - events) * known.event_us));
+}
+
+}  // namespace madderdeck::policy
--- /dev/null
+++ b/src/routing/call_announcer.cpp
@@ -0,0 +1,88 @@
+#include "routing/call_announcer.hpp"
+
+#include <algorithm>
+
+namespace madderdeck::routing {
+namespace {
+
+constexpr Duration kRefresh = 1s;
+/// For each peer: a node then gets at most 250 messages a second, whatever the size of the fleet.
+constexpr Duration kDelayOfOnePeer = 4ms;
+constexpr Duration kLeastDelay = 5ms;
+/// In larger fleets the messages would cost more than the knowledge is worth.
+constexpr std::size_t kMostPeers = 64;
+
+wire::EngineActivityT message_of(const std::string& node, Duration time_to_yield, bool complete) {
+  wire::EngineActivityT message;
+  message.node = node;
+  message.complete = complete;
+  message.yield_us = static_cast<std::uint32_t>(time_to_yield.count());
+  return message;
+}
+
+}  // namespace
+
+call_announcer::call_announcer(Environment& environment, Counters& counters, Registry& registry, std::string node,
+                               peers to, looks_after own)
+    : environment_(environment),
+      counters_(counters),
+      registry_(registry),
+      node_(std::move(node)),
+      to_(std::move(to)),
+      own_(std::move(own)) {}
+
+void call_announcer::start() { refresh(); }
+
+void call_announcer::refresh() {
+  environment_.after(kRefresh, lifetime_.guard([this] { refresh(); }));
+  delay_ = std::max(kLeastDelay, kDelayOfOnePeer * static_cast<int>(to_().size()));
+  tell(true);
+}
+
+void call_announcer::changed(const BackendId& engine) {
+  changed_.insert(engine);
+  if (scheduled_) {
+    return;
+  }
+  scheduled_ = true;
+  environment_.after(delay_, lifetime_.guard([this] {
+    scheduled_ = false;
+    tell(false);
+  }));
+}
+
+void call_announcer::tell(bool complete) {
+  const std::vector<PeerAddress> peers = to_();
+  std::set<BackendId> told;
+  std::swap(told, changed_);
+  if (peers.size() > kMostPeers) {
+    return;
+  }
+  const auto add = [this](wire::EngineActivityT& message, const BackendId& id, const Backend* backend) {
+    auto entry = std::make_unique<wire::EngineCallsT>();
+    entry->engine = id.str();
+    entry->live = backend == nullptr ? 0 : backend->online_in_flight;
+    entry->live += backend != nullptr && own_(id) ? registry_.unexplained(*backend) : 0;
+    entry->batch = backend == nullptr ? 0 : backend->batch_in_flight;
+    message.engines.push_back(std::move(entry));
+  };
+  for (const PeerAddress& peer : peers) {
+    wire::EngineActivityT message = message_of(node_, time_to_yield_, complete);
+    if (complete) {
+      for (const auto& [id, backend] : registry_.backends()) {
+        const std::uint32_t unexplained = own_(id) ? registry_.unexplained(backend) : 0;
+        if (backend.online_in_flight + backend.batch_in_flight + unexplained > 0) {
+          add(message, id, &backend);
+        }
+      }
+    } else {
+      for (const BackendId& id : told) {
+        add(message, id, registry_.find(id));
+      }
+    }
+    send_message(environment_, peer, std::move(message));
+    counters_["engine_activity_told_total"]++;
+  }
+}
+
+}  // namespace madderdeck::routing
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -10,6 +10,7 @@
 constexpr Duration kEjection = 2s;
 constexpr std::uint32_t kMaxEjectionDoublings = 4;
 constexpr Duration kReportFresh = 3s;
+constexpr Duration kExcessHolds = 1s;
 constexpr double kLatencySmoothing = 0.2;
 constexpr std::size_t kEjectableShare = 2;  ///< At most one in this many of a pool.
 /// Entries that go within it go together.
@@ -312,11 +313,22 @@
   counters_["backend_ejections_total"]++;
 }
 
+std::uint32_t Registry::unexplained(const Backend& backend) const {
+  return environment_.now() - backend.reported_at < kExcessHolds ? backend.unexplained : 0;
+}
+
 void Registry::on_report(const BackendId& id, const LoadReport& report, Timestamp asked_at) {
   Backend* backend = find(id);
   if (backend == nullptr || asked_at < backend->reported_at) {
     return;
   }
+  const open_calls others = shared_ == nullptr ? open_calls{} : shared_->at(id);
+  const std::uint32_t known = backend->online_in_flight + backend->batch_in_flight + others.live + others.batch;
+  const std::uint32_t reported = report.running_online + report.running_batch + report.waiting;
+  const std::uint32_t excess = reported > known ? reported - known : 0;
+  // One report alone may only be older than what is known.
+  backend->unexplained = std::min(excess, backend->last_excess);
+  backend->last_excess = excess;
   backend->report = report;
   backend->own_at_report = backend->online_in_flight;
   backend->reported_at = asked_at;
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -11,6 +11,7 @@
 #include "common/environment.hpp"
 #include "config/objects.hpp"
 #include "routing/backend.hpp"
+#include "routing/shared_calls.hpp"
 
 namespace madderdeck::routing {
 
@@ -26,6 +27,7 @@
 struct Backend {
   config::Machine machine;
   std::uint32_t online_in_flight = 0;  ///< This node's live calls; exact.
+  std::uint32_t batch_in_flight = 0;   ///< This node's batch items; exact.
   LoadReport report;
   Timestamp reported_at{};
   std::uint32_t consecutive_failures = 0;
@@ -35,6 +37,8 @@
   bool said_leaving = false;                ///< By its own refusal or report.
   double latency_ms = 0;                    ///< Moving average of time to first token.
   std::uint32_t own_at_report = 0;          ///< online_in_flight when the report came.
+  std::uint32_t last_excess = 0;            ///< Requests in the last report that nobody told of.
+  std::uint32_t unexplained = 0;            ///< The same in both of the last two reports: of nodes that died, say.
   std::uint32_t open_calls = 0;             ///< Passed-on requests that are under way.
   Timestamp reading_until{};                ///< Until then it likely reads a long prompt, for this gateway or another.
   Timestamp quiet_since{};                  ///< When one of them was last heard of, or the first was sent.
@@ -51,6 +55,12 @@
   void set_subset_size(std::uint32_t size);
   /// @param count gateways of the fleet, this one among them.
   void set_gateways(std::size_t count) { gateways_ = count; }
+  /// From now on the nodes tell each other their calls.
+  void set_shared_calls(const shared_calls* calls) { shared_ = calls; }
+  /// @return whether the calls of the other nodes are told.
+  bool knows_calls() const { return shared_ != nullptr && shared_->any_heard(); }
+  /// @return requests on @p backend that it has reported lately and no node has told of.
+  std::uint32_t unexplained(const Backend& backend) const;
   /// @return how many gateways use one back end of @p pool, on average.
   double sharing(const std::string& pool) const;
 
@@ -103,6 +113,7 @@
   Counters& counters_;
   const std::string node_;
   const RegistryGuards guards_;
+  const shared_calls* shared_ = nullptr;
   std::uint32_t subset_size_ = 16;
   std::uint64_t version_ = 1;
   std::size_t gateways_ = 1;
--- /dev/null
+++ b/src/routing/shared_calls.hpp
@@ -0,0 +1,48 @@
+#pragma once
+/// @file Calls that other nodes have open at each engine, as they tell them.
+
+#include <map>
+#include <string>
+#include <unordered_map>
+
+#include "common/environment.hpp"
+
+namespace madderdeck::routing {
+
+/// Calls open at one engine.
+struct open_calls {
+  std::uint32_t live = 0;
+  std::uint32_t batch = 0;
+
+  auto operator<=>(const open_calls&) const = default;
+};
+
+/// Sums over the nodes that were heard of lately. Single threaded.
+class shared_calls {
+ public:
+  /// Takes what another node tells. A complete message replaces all that it told before.
+  void take(const wire::EngineActivityT& message, Timestamp now);
+  /// Forgets nodes that have been silent for long.
+  void forget_silent(Timestamp now);
+  /// @return calls of all other nodes at @p engine.
+  open_calls at(const BackendId& engine) const;
+  /// @return whether any other node is heard of.
+  bool any_heard() const { return !nodes_.empty(); }
+  /// @return the longest time that live calls have lately waited for batch to yield, over all nodes; zero when unknown.
+  Duration time_to_yield() const;
+
+ private:
+  struct told {
+    std::map<BackendId, open_calls> engines;
+    Duration time_to_yield{};
+    Timestamp heard_at{};
+  };
+
+  void replace(open_calls& known, const BackendId& engine, open_calls value);
+  void drop(const told& node);
+
+  std::map<std::string, told> nodes_;
+  std::unordered_map<BackendId, open_calls> totals_;
+};
+
+}  // namespace madderdeck::routing
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -138,6 +138,30 @@
 struct OnlineActivityBuilder;
 struct OnlineActivityT;
 
+struct EngineCalls;
+struct EngineCallsBuilder;
+struct EngineCallsT;
+
+struct EngineActivity;
+struct EngineActivityBuilder;
+struct EngineActivityT;
+
+struct QueuedJob;
+struct QueuedJobBuilder;
+struct QueuedJobT;
+
+struct QueueReport;
+struct QueueReportBuilder;
+struct QueueReportT;
+
+struct QueueGrantRequest;
+struct QueueGrantRequestBuilder;
+struct QueueGrantRequestT;
+
+struct QueueGrantReply;
+struct QueueGrantReplyBuilder;
+struct QueueGrantReplyT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -297,6 +321,39 @@
   return EnumNamesReplicaStatus()[index];
 }
 
+enum class QueueVerdict : uint8_t {
+  Granted = 0,
+  Full = 1,
+  Unsure = 2,
+  MIN = Granted,
+  MAX = Unsure
+};
+
+inline const QueueVerdict (&EnumValuesQueueVerdict())[3] {
+  static const QueueVerdict values[] = {
+    QueueVerdict::Granted,
+    QueueVerdict::Full,
+    QueueVerdict::Unsure
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesQueueVerdict() {
+  static const char * const names[4] = {
+    "Granted",
+    "Full",
+    "Unsure",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameQueueVerdict(QueueVerdict e) {
+  if (flatbuffers::IsOutRange(e, QueueVerdict::Granted, QueueVerdict::Unsure)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesQueueVerdict()[index];
+}
+
 enum class Message : uint8_t {
   NONE = 0,
   Ping = 1,
@@ -323,11 +380,15 @@
   CopyStatusRequest = 22,
   CopyStatus = 23,
   PromptReading = 24,
+  EngineActivity = 25,
+  QueueReport = 26,
+  QueueGrantRequest = 27,
+  QueueGrantReply = 28,
   MIN = NONE,
-  MAX = PromptReading
+  MAX = QueueGrantReply
 };
 
-inline const Message (&EnumValuesMessage())[25] {
+inline const Message (&EnumValuesMessage())[29] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -353,13 +414,17 @@
     Message::AdoptGroup,
     Message::CopyStatusRequest,
     Message::CopyStatus,
-    Message::PromptReading
+    Message::PromptReading,
+    Message::EngineActivity,
+    Message::QueueReport,
+    Message::QueueGrantRequest,
+    Message::QueueGrantReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[26] = {
+  static const char * const names[30] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -385,13 +450,17 @@
     "CopyStatusRequest",
     "CopyStatus",
     "PromptReading",
+    "EngineActivity",
+    "QueueReport",
+    "QueueGrantRequest",
+    "QueueGrantReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::PromptReading)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::QueueGrantReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -496,6 +565,22 @@
   static const Message enum_value = Message::PromptReading;
 };
 
+template<> struct MessageTraits<madderdeck::wire::EngineActivity> {
+  static const Message enum_value = Message::EngineActivity;
+};
+
+template<> struct MessageTraits<madderdeck::wire::QueueReport> {
+  static const Message enum_value = Message::QueueReport;
+};
+
+template<> struct MessageTraits<madderdeck::wire::QueueGrantRequest> {
+  static const Message enum_value = Message::QueueGrantRequest;
+};
+
+template<> struct MessageTraits<madderdeck::wire::QueueGrantReply> {
+  static const Message enum_value = Message::QueueGrantReply;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -596,6 +681,22 @@
   static const Message enum_value = Message::PromptReading;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::EngineActivityT> {
+  static const Message enum_value = Message::EngineActivity;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::QueueReportT> {
+  static const Message enum_value = Message::QueueReport;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::QueueGrantRequestT> {
+  static const Message enum_value = Message::QueueGrantRequest;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::QueueGrantReplyT> {
+  static const Message enum_value = Message::QueueGrantReply;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -818,6 +919,38 @@
     return type == Message::PromptReading ?
       reinterpret_cast<const madderdeck::wire::PromptReadingT *>(value) : nullptr;
   }
+  madderdeck::wire::EngineActivityT *AsEngineActivity() {
+    return type == Message::EngineActivity ?
+      reinterpret_cast<madderdeck::wire::EngineActivityT *>(value) : nullptr;
+  }
+  const madderdeck::wire::EngineActivityT *AsEngineActivity() const {
+    return type == Message::EngineActivity ?
+      reinterpret_cast<const madderdeck::wire::EngineActivityT *>(value) : nullptr;
+  }
+  madderdeck::wire::QueueReportT *AsQueueReport() {
+    return type == Message::QueueReport ?
+      reinterpret_cast<madderdeck::wire::QueueReportT *>(value) : nullptr;
+  }
+  const madderdeck::wire::QueueReportT *AsQueueReport() const {
+    return type == Message::QueueReport ?
+      reinterpret_cast<const madderdeck::wire::QueueReportT *>(value) : nullptr;
+  }
+  madderdeck::wire::QueueGrantRequestT *AsQueueGrantRequest() {
+    return type == Message::QueueGrantRequest ?
+      reinterpret_cast<madderdeck::wire::QueueGrantRequestT *>(value) : nullptr;
+  }
+  const madderdeck::wire::QueueGrantRequestT *AsQueueGrantRequest() const {
+    return type == Message::QueueGrantRequest ?
+      reinterpret_cast<const madderdeck::wire::QueueGrantRequestT *>(value) : nullptr;
+  }
+  madderdeck::wire::QueueGrantReplyT *AsQueueGrantReply() {
+    return type == Message::QueueGrantReply ?
+      reinterpret_cast<madderdeck::wire::QueueGrantReplyT *>(value) : nullptr;
+  }
+  const madderdeck::wire::QueueGrantReplyT *AsQueueGrantReply() const {
+    return type == Message::QueueGrantReply ?
+      reinterpret_cast<const madderdeck::wire::QueueGrantReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -3756,6 +3889,8 @@
   uint32_t partial_tokens = 0;
   uint32_t failed_runs = 0;
   std::string host{};
+  uint64_t deadline_ms = 0;
+  uint32_t tokens = 0;
 };
 
 struct WorkItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3772,7 +3907,9 @@
     VT_PARTIAL = 16,
     VT_PARTIAL_TOKENS = 18,
     VT_FAILED_RUNS = 20,
-    VT_HOST = 22
+    VT_HOST = 22,
+    VT_DEADLINE_MS = 24,
+    VT_TOKENS = 26
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -3804,6 +3941,12 @@
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
   }
+  uint64_t deadline_ms() const {
+    return GetField<uint64_t>(VT_DEADLINE_MS, 0);
+  }
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -3822,6 +3965,8 @@
            VerifyField<uint32_t>(verifier, VT_FAILED_RUNS, 4) &&
            VerifyOffset(verifier, VT_HOST) &&
            verifier.VerifyString(host()) &&
+           VerifyField<uint64_t>(verifier, VT_DEADLINE_MS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            verifier.EndTable();
   }
   WorkItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3863,6 +4008,12 @@
   void add_host(flatbuffers::Offset<flatbuffers::String> host) {
     fbb_.AddOffset(WorkItem::VT_HOST, host);
   }
+  void add_deadline_ms(uint64_t deadline_ms) {
+    fbb_.AddElement<uint64_t>(WorkItem::VT_DEADLINE_MS, deadline_ms, 0);
+  }
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(WorkItem::VT_TOKENS, tokens, 0);
+  }
   explicit WorkItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3885,8 +4036,12 @@
     flatbuffers::Offset<flatbuffers::String> partial = 0,
     uint32_t partial_tokens = 0,
     uint32_t failed_runs = 0,
-    flatbuffers::Offset<flatbuffers::String> host = 0) {
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    uint64_t deadline_ms = 0,
+    uint32_t tokens = 0) {
   WorkItemBuilder builder_(_fbb);
+  builder_.add_deadline_ms(deadline_ms);
+  builder_.add_tokens(tokens);
   builder_.add_host(host);
   builder_.add_failed_runs(failed_runs);
   builder_.add_partial_tokens(partial_tokens);
@@ -3916,7 +4071,9 @@
     const char *partial = nullptr,
     uint32_t partial_tokens = 0,
     uint32_t failed_runs = 0,
-    const char *host = nullptr) {
+    const char *host = nullptr,
+    uint64_t deadline_ms = 0,
+    uint32_t tokens = 0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto template_name__ = template_name ? _fbb.CreateString(template_name) : 0;
@@ -3934,7 +4091,9 @@
       partial__,
       partial_tokens,
       failed_runs,
-      host__);
+      host__,
+      deadline_ms,
+      tokens);
 }
 
 flatbuffers::Offset<WorkItem> CreateWorkItem(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4198,6 +4357,7 @@
   uint32_t failed_runs = 0;
   std::string partial{};
   uint32_t partial_tokens = 0;
+  bool held = false;
 };
 
 struct ItemSettled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4210,7 +4370,8 @@
     VT_COMPLETED = 8,
     VT_FAILED_RUNS = 10,
     VT_PARTIAL = 12,
-    VT_PARTIAL_TOKENS = 14
+    VT_PARTIAL_TOKENS = 14,
+    VT_HELD = 16
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -4230,6 +4391,9 @@
   uint32_t partial_tokens() const {
     return GetField<uint32_t>(VT_PARTIAL_TOKENS, 0);
   }
+  bool held() const {
+    return GetField<uint8_t>(VT_HELD, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -4240,6 +4404,7 @@
            VerifyOffset(verifier, VT_PARTIAL) &&
            verifier.VerifyString(partial()) &&
            VerifyField<uint32_t>(verifier, VT_PARTIAL_TOKENS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_HELD, 1) &&
            verifier.EndTable();
   }
   ItemSettledT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4269,6 +4434,9 @@
   void add_partial_tokens(uint32_t partial_tokens) {
     fbb_.AddElement<uint32_t>(ItemSettled::VT_PARTIAL_TOKENS, partial_tokens, 0);
   }
+  void add_held(bool held) {
+    fbb_.AddElement<uint8_t>(ItemSettled::VT_HELD, static_cast<uint8_t>(held), 0);
+  }
   explicit ItemSettledBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4287,13 +4455,15 @@
     bool completed = false,
     uint32_t failed_runs = 0,
     flatbuffers::Offset<flatbuffers::String> partial = 0,
-    uint32_t partial_tokens = 0) {
+    uint32_t partial_tokens = 0,
+    bool held = false) {
   ItemSettledBuilder builder_(_fbb);
   builder_.add_partial_tokens(partial_tokens);
   builder_.add_partial(partial);
   builder_.add_failed_runs(failed_runs);
   builder_.add_index(index);
   builder_.add_job(job);
+  builder_.add_held(held);
   builder_.add_completed(completed);
   return builder_.Finish();
 }
@@ -4310,7 +4480,8 @@
     bool completed = false,
     uint32_t failed_runs = 0,
     const char *partial = nullptr,
-    uint32_t partial_tokens = 0) {
+    uint32_t partial_tokens = 0,
+    bool held = false) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto partial__ = partial ? _fbb.CreateString(partial) : 0;
   return madderdeck::wire::CreateItemSettled(
@@ -4320,7 +4491,8 @@
       completed,
       failed_runs,
       partial__,
-      partial_tokens);
+      partial_tokens,
+      held);
 }
 
 flatbuffers::Offset<ItemSettled> CreateItemSettled(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4502,126 +4674,734 @@
 
 flatbuffers::Offset<OnlineActivity> CreateOnlineActivity(flatbuffers::FlatBufferBuilder &_fbb, const OnlineActivityT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EnvelopeT : public flatbuffers::NativeTable {
-  typedef Envelope TableType;
-  std::string sender{};
-  madderdeck::wire::MessageUnion body{};
+struct EngineCallsT : public flatbuffers::NativeTable {
+  typedef EngineCalls TableType;
+  std::string engine{};
+  uint32_t live = 0;
+  uint32_t batch = 0;
 };
 
-struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EnvelopeT NativeTableType;
-  typedef EnvelopeBuilder Builder;
+struct EngineCalls FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineCallsT NativeTableType;
+  typedef EngineCallsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_SENDER = 4,
-    VT_BODY_TYPE = 6,
-    VT_BODY = 8
+    VT_ENGINE = 4,
+    VT_LIVE = 6,
+    VT_BATCH = 8
   };
-  const flatbuffers::String *sender() const {
-    return GetPointer<const flatbuffers::String *>(VT_SENDER);
-  }
-  madderdeck::wire::Message body_type() const {
-    return static_cast<madderdeck::wire::Message>(GetField<uint8_t>(VT_BODY_TYPE, 0));
-  }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
-  }
-  template<typename T> const T *body_as() const;
-  const madderdeck::wire::Ping *body_as_Ping() const {
-    return body_type() == madderdeck::wire::Message::Ping ? static_cast<const madderdeck::wire::Ping *>(body()) : nullptr;
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
   }
-  const madderdeck::wire::PingRequest *body_as_PingRequest() const {
-    return body_type() == madderdeck::wire::Message::PingRequest ? static_cast<const madderdeck::wire::PingRequest *>(body()) : nullptr;
+  uint32_t live() const {
+    return GetField<uint32_t>(VT_LIVE, 0);
   }
-  const madderdeck::wire::Ack *body_as_Ack() const {
-    return body_type() == madderdeck::wire::Message::Ack ? static_cast<const madderdeck::wire::Ack *>(body()) : nullptr;
+  uint32_t batch() const {
+    return GetField<uint32_t>(VT_BATCH, 0);
   }
-  const madderdeck::wire::RevisionNotice *body_as_RevisionNotice() const {
-    return body_type() == madderdeck::wire::Message::RevisionNotice ? static_cast<const madderdeck::wire::RevisionNotice *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<uint32_t>(verifier, VT_LIVE, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BATCH, 4) &&
+           verifier.EndTable();
   }
-  const madderdeck::wire::TablePull *body_as_TablePull() const {
-    return body_type() == madderdeck::wire::Message::TablePull ? static_cast<const madderdeck::wire::TablePull *>(body()) : nullptr;
+  EngineCallsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineCallsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineCalls> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCallsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineCallsBuilder {
+  typedef EngineCalls Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(EngineCalls::VT_ENGINE, engine);
   }
-  const madderdeck::wire::TableDelta *body_as_TableDelta() const {
-    return body_type() == madderdeck::wire::Message::TableDelta ? static_cast<const madderdeck::wire::TableDelta *>(body()) : nullptr;
+  void add_live(uint32_t live) {
+    fbb_.AddElement<uint32_t>(EngineCalls::VT_LIVE, live, 0);
   }
-  const madderdeck::wire::Prepare *body_as_Prepare() const {
-    return body_type() == madderdeck::wire::Message::Prepare ? static_cast<const madderdeck::wire::Prepare *>(body()) : nullptr;
+  void add_batch(uint32_t batch) {
+    fbb_.AddElement<uint32_t>(EngineCalls::VT_BATCH, batch, 0);
   }
-  const madderdeck::wire::Promise *body_as_Promise() const {
-    return body_type() == madderdeck::wire::Message::Promise ? static_cast<const madderdeck::wire::Promise *>(body()) : nullptr;
+  explicit EngineCallsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const madderdeck::wire::Accept *body_as_Accept() const {
-    return body_type() == madderdeck::wire::Message::Accept ? static_cast<const madderdeck::wire::Accept *>(body()) : nullptr;
+  flatbuffers::Offset<EngineCalls> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineCalls>(end);
+    return o;
   }
-  const madderdeck::wire::Accepted *body_as_Accepted() const {
-    return body_type() == madderdeck::wire::Message::Accepted ? static_cast<const madderdeck::wire::Accepted *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<EngineCalls> CreateEngineCalls(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    uint32_t live = 0,
+    uint32_t batch = 0) {
+  EngineCallsBuilder builder_(_fbb);
+  builder_.add_batch(batch);
+  builder_.add_live(live);
+  builder_.add_engine(engine);
+  return builder_.Finish();
+}
+
+struct EngineCalls::Traits {
+  using type = EngineCalls;
+  static auto constexpr Create = CreateEngineCalls;
+};
+
+inline flatbuffers::Offset<EngineCalls> CreateEngineCallsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    uint32_t live = 0,
+    uint32_t batch = 0) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  return madderdeck::wire::CreateEngineCalls(
+      _fbb,
+      engine__,
+      live,
+      batch);
+}
+
+flatbuffers::Offset<EngineCalls> CreateEngineCalls(flatbuffers::FlatBufferBuilder &_fbb, const EngineCallsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EngineActivityT : public flatbuffers::NativeTable {
+  typedef EngineActivity TableType;
+  std::string node{};
+  bool complete = false;
+  uint32_t yield_us = 0;
+  std::vector<std::unique_ptr<madderdeck::wire::EngineCallsT>> engines{};
+  EngineActivityT() = default;
+  EngineActivityT(const EngineActivityT &o);
+  EngineActivityT(EngineActivityT&&) FLATBUFFERS_NOEXCEPT = default;
+  EngineActivityT &operator=(EngineActivityT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct EngineActivity FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineActivityT NativeTableType;
+  typedef EngineActivityBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_COMPLETE = 6,
+    VT_YIELD_US = 8,
+    VT_ENGINES = 10
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
   }
-  const madderdeck::wire::ScanRequest *body_as_ScanRequest() const {
-    return body_type() == madderdeck::wire::Message::ScanRequest ? static_cast<const madderdeck::wire::ScanRequest *>(body()) : nullptr;
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
   }
-  const madderdeck::wire::ScanReply *body_as_ScanReply() const {
-    return body_type() == madderdeck::wire::Message::ScanReply ? static_cast<const madderdeck::wire::ScanReply *>(body()) : nullptr;
+  uint32_t yield_us() const {
+    return GetField<uint32_t>(VT_YIELD_US, 0);
   }
-  const madderdeck::wire::CopyRequest *body_as_CopyRequest() const {
-    return body_type() == madderdeck::wire::Message::CopyRequest ? static_cast<const madderdeck::wire::CopyRequest *>(body()) : nullptr;
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::EngineCalls>> *engines() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::EngineCalls>> *>(VT_ENGINES);
   }
-  const madderdeck::wire::CopyReply *body_as_CopyReply() const {
-    return body_type() == madderdeck::wire::Message::CopyReply ? static_cast<const madderdeck::wire::CopyReply *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_YIELD_US, 4) &&
+           VerifyOffset(verifier, VT_ENGINES) &&
+           verifier.VerifyVector(engines()) &&
+           verifier.VerifyVectorOfTables(engines()) &&
+           verifier.EndTable();
   }
-  const madderdeck::wire::JobNotice *body_as_JobNotice() const {
-    return body_type() == madderdeck::wire::Message::JobNotice ? static_cast<const madderdeck::wire::JobNotice *>(body()) : nullptr;
+  EngineActivityT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineActivityT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineActivity> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineActivityT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineActivityBuilder {
+  typedef EngineActivity Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(EngineActivity::VT_NODE, node);
   }
-  const madderdeck::wire::TakeItems *body_as_TakeItems() const {
-    return body_type() == madderdeck::wire::Message::TakeItems ? static_cast<const madderdeck::wire::TakeItems *>(body()) : nullptr;
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(EngineActivity::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
   }
-  const madderdeck::wire::GiveItems *body_as_GiveItems() const {
-    return body_type() == madderdeck::wire::Message::GiveItems ? static_cast<const madderdeck::wire::GiveItems *>(body()) : nullptr;
+  void add_yield_us(uint32_t yield_us) {
+    fbb_.AddElement<uint32_t>(EngineActivity::VT_YIELD_US, yield_us, 0);
   }
-  const madderdeck::wire::ItemSettled *body_as_ItemSettled() const {
-    return body_type() == madderdeck::wire::Message::ItemSettled ? static_cast<const madderdeck::wire::ItemSettled *>(body()) : nullptr;
+  void add_engines(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::EngineCalls>>> engines) {
+    fbb_.AddOffset(EngineActivity::VT_ENGINES, engines);
   }
-  const madderdeck::wire::OnlineActivity *body_as_OnlineActivity() const {
-    return body_type() == madderdeck::wire::Message::OnlineActivity ? static_cast<const madderdeck::wire::OnlineActivity *>(body()) : nullptr;
+  explicit EngineActivityBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const madderdeck::wire::MemberSync *body_as_MemberSync() const {
-    return body_type() == madderdeck::wire::Message::MemberSync ? static_cast<const madderdeck::wire::MemberSync *>(body()) : nullptr;
+  flatbuffers::Offset<EngineActivity> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineActivity>(end);
+    return o;
   }
-  const madderdeck::wire::AdoptGroup *body_as_AdoptGroup() const {
-    return body_type() == madderdeck::wire::Message::AdoptGroup ? static_cast<const madderdeck::wire::AdoptGroup *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<EngineActivity> CreateEngineActivity(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    bool complete = false,
+    uint32_t yield_us = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::EngineCalls>>> engines = 0) {
+  EngineActivityBuilder builder_(_fbb);
+  builder_.add_engines(engines);
+  builder_.add_yield_us(yield_us);
+  builder_.add_node(node);
+  builder_.add_complete(complete);
+  return builder_.Finish();
+}
+
+struct EngineActivity::Traits {
+  using type = EngineActivity;
+  static auto constexpr Create = CreateEngineActivity;
+};
+
+inline flatbuffers::Offset<EngineActivity> CreateEngineActivityDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    bool complete = false,
+    uint32_t yield_us = 0,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::EngineCalls>> *engines = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto engines__ = engines ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::EngineCalls>>(*engines) : 0;
+  return madderdeck::wire::CreateEngineActivity(
+      _fbb,
+      node__,
+      complete,
+      yield_us,
+      engines__);
+}
+
+flatbuffers::Offset<EngineActivity> CreateEngineActivity(flatbuffers::FlatBufferBuilder &_fbb, const EngineActivityT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QueuedJobT : public flatbuffers::NativeTable {
+  typedef QueuedJob TableType;
+  std::string route{};
+  std::string job{};
+  uint64_t tokens = 0;
+  bool closed = false;
+};
+
+struct QueuedJob FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueuedJobT NativeTableType;
+  typedef QueuedJobBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_JOB = 6,
+    VT_TOKENS = 8,
+    VT_CLOSED = 10
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
   }
-  const madderdeck::wire::CopyStatusRequest *body_as_CopyStatusRequest() const {
-    return body_type() == madderdeck::wire::Message::CopyStatusRequest ? static_cast<const madderdeck::wire::CopyStatusRequest *>(body()) : nullptr;
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
   }
-  const madderdeck::wire::CopyStatus *body_as_CopyStatus() const {
-    return body_type() == madderdeck::wire::Message::CopyStatus ? static_cast<const madderdeck::wire::CopyStatus *>(body()) : nullptr;
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
   }
-  const madderdeck::wire::PromptReading *body_as_PromptReading() const {
-    return body_type() == madderdeck::wire::Message::PromptReading ? static_cast<const madderdeck::wire::PromptReading *>(body()) : nullptr;
+  bool closed() const {
+    return GetField<uint8_t>(VT_CLOSED, 0) != 0;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_SENDER) &&
-           verifier.VerifyString(sender()) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           VerifyMessage(verifier, body(), body_type()) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CLOSED, 1) &&
            verifier.EndTable();
   }
-  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  QueuedJobT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueuedJobT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QueuedJob> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueuedJobT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const madderdeck::wire::Ping *Envelope::body_as<madderdeck::wire::Ping>() const {
-  return body_as_Ping();
-}
-
-template<> inline const madderdeck::wire::PingRequest *Envelope::body_as<madderdeck::wire::PingRequest>() const {
-  return body_as_PingRequest();
-}
-
-template<> inline const madderdeck::wire::Ack *Envelope::body_as<madderdeck::wire::Ack>() const {
+struct QueuedJobBuilder {
+  typedef QueuedJob Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(QueuedJob::VT_ROUTE, route);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(QueuedJob::VT_JOB, job);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(QueuedJob::VT_TOKENS, tokens, 0);
+  }
+  void add_closed(bool closed) {
+    fbb_.AddElement<uint8_t>(QueuedJob::VT_CLOSED, static_cast<uint8_t>(closed), 0);
+  }
+  explicit QueuedJobBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueuedJob> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueuedJob>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueuedJob> CreateQueuedJob(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint64_t tokens = 0,
+    bool closed = false) {
+  QueuedJobBuilder builder_(_fbb);
+  builder_.add_tokens(tokens);
+  builder_.add_job(job);
+  builder_.add_route(route);
+  builder_.add_closed(closed);
+  return builder_.Finish();
+}
+
+struct QueuedJob::Traits {
+  using type = QueuedJob;
+  static auto constexpr Create = CreateQueuedJob;
+};
+
+inline flatbuffers::Offset<QueuedJob> CreateQueuedJobDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    const char *job = nullptr,
+    uint64_t tokens = 0,
+    bool closed = false) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return madderdeck::wire::CreateQueuedJob(
+      _fbb,
+      route__,
+      job__,
+      tokens,
+      closed);
+}
+
+flatbuffers::Offset<QueuedJob> CreateQueuedJob(flatbuffers::FlatBufferBuilder &_fbb, const QueuedJobT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QueueReportT : public flatbuffers::NativeTable {
+  typedef QueueReport TableType;
+  std::string node{};
+  std::vector<std::unique_ptr<madderdeck::wire::QueuedJobT>> jobs{};
+  QueueReportT() = default;
+  QueueReportT(const QueueReportT &o);
+  QueueReportT(QueueReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  QueueReportT &operator=(QueueReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct QueueReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueReportT NativeTableType;
+  typedef QueueReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NODE = 4,
+    VT_JOBS = 6
+  };
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::QueuedJob>> *jobs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::QueuedJob>> *>(VT_JOBS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_JOBS) &&
+           verifier.VerifyVector(jobs()) &&
+           verifier.VerifyVectorOfTables(jobs()) &&
+           verifier.EndTable();
+  }
+  QueueReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueueReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QueueReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QueueReportBuilder {
+  typedef QueueReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(QueueReport::VT_NODE, node);
+  }
+  void add_jobs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::QueuedJob>>> jobs) {
+    fbb_.AddOffset(QueueReport::VT_JOBS, jobs);
+  }
+  explicit QueueReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueueReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueueReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueueReport> CreateQueueReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::QueuedJob>>> jobs = 0) {
+  QueueReportBuilder builder_(_fbb);
+  builder_.add_jobs(jobs);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct QueueReport::Traits {
+  using type = QueueReport;
+  static auto constexpr Create = CreateQueueReport;
+};
+
+inline flatbuffers::Offset<QueueReport> CreateQueueReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *node = nullptr,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::QueuedJob>> *jobs = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::QueuedJob>>(*jobs) : 0;
+  return madderdeck::wire::CreateQueueReport(
+      _fbb,
+      node__,
+      jobs__);
+}
+
+flatbuffers::Offset<QueueReport> CreateQueueReport(flatbuffers::FlatBufferBuilder &_fbb, const QueueReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QueueGrantRequestT : public flatbuffers::NativeTable {
+  typedef QueueGrantRequest TableType;
+  uint64_t request = 0;
+  std::string route{};
+  std::string job{};
+  uint64_t tokens = 0;
+  uint64_t limit = 0;
+};
+
+struct QueueGrantRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueGrantRequestT NativeTableType;
+  typedef QueueGrantRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ROUTE = 6,
+    VT_JOB = 8,
+    VT_TOKENS = 10,
+    VT_LIMIT = 12
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  uint64_t tokens() const {
+    return GetField<uint64_t>(VT_TOKENS, 0);
+  }
+  uint64_t limit() const {
+    return GetField<uint64_t>(VT_LIMIT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyField<uint64_t>(verifier, VT_TOKENS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LIMIT, 8) &&
+           verifier.EndTable();
+  }
+  QueueGrantRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueueGrantRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QueueGrantRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QueueGrantRequestBuilder {
+  typedef QueueGrantRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(QueueGrantRequest::VT_REQUEST, request, 0);
+  }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(QueueGrantRequest::VT_ROUTE, route);
+  }
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(QueueGrantRequest::VT_JOB, job);
+  }
+  void add_tokens(uint64_t tokens) {
+    fbb_.AddElement<uint64_t>(QueueGrantRequest::VT_TOKENS, tokens, 0);
+  }
+  void add_limit(uint64_t limit) {
+    fbb_.AddElement<uint64_t>(QueueGrantRequest::VT_LIMIT, limit, 0);
+  }
+  explicit QueueGrantRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueueGrantRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueueGrantRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueueGrantRequest> CreateQueueGrantRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    uint64_t tokens = 0,
+    uint64_t limit = 0) {
+  QueueGrantRequestBuilder builder_(_fbb);
+  builder_.add_limit(limit);
+  builder_.add_tokens(tokens);
+  builder_.add_request(request);
+  builder_.add_job(job);
+  builder_.add_route(route);
+  return builder_.Finish();
+}
+
+struct QueueGrantRequest::Traits {
+  using type = QueueGrantRequest;
+  static auto constexpr Create = CreateQueueGrantRequest;
+};
+
+inline flatbuffers::Offset<QueueGrantRequest> CreateQueueGrantRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *route = nullptr,
+    const char *job = nullptr,
+    uint64_t tokens = 0,
+    uint64_t limit = 0) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  return madderdeck::wire::CreateQueueGrantRequest(
+      _fbb,
+      request,
+      route__,
+      job__,
+      tokens,
+      limit);
+}
+
+flatbuffers::Offset<QueueGrantRequest> CreateQueueGrantRequest(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QueueGrantReplyT : public flatbuffers::NativeTable {
+  typedef QueueGrantReply TableType;
+  uint64_t request = 0;
+  madderdeck::wire::QueueVerdict verdict = madderdeck::wire::QueueVerdict::Granted;
+};
+
+struct QueueGrantReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QueueGrantReplyT NativeTableType;
+  typedef QueueGrantReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_VERDICT = 6
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  madderdeck::wire::QueueVerdict verdict() const {
+    return static_cast<madderdeck::wire::QueueVerdict>(GetField<uint8_t>(VT_VERDICT, 0));
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_VERDICT, 1) &&
+           verifier.EndTable();
+  }
+  QueueGrantReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QueueGrantReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QueueGrantReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QueueGrantReplyBuilder {
+  typedef QueueGrantReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(QueueGrantReply::VT_REQUEST, request, 0);
+  }
+  void add_verdict(madderdeck::wire::QueueVerdict verdict) {
+    fbb_.AddElement<uint8_t>(QueueGrantReply::VT_VERDICT, static_cast<uint8_t>(verdict), 0);
+  }
+  explicit QueueGrantReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QueueGrantReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QueueGrantReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QueueGrantReply> CreateQueueGrantReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    madderdeck::wire::QueueVerdict verdict = madderdeck::wire::QueueVerdict::Granted) {
+  QueueGrantReplyBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_verdict(verdict);
+  return builder_.Finish();
+}
+
+struct QueueGrantReply::Traits {
+  using type = QueueGrantReply;
+  static auto constexpr Create = CreateQueueGrantReply;
+};
+
+flatbuffers::Offset<QueueGrantReply> CreateQueueGrantReply(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EnvelopeT : public flatbuffers::NativeTable {
+  typedef Envelope TableType;
+  std::string sender{};
+  madderdeck::wire::MessageUnion body{};
+};
+
+struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EnvelopeT NativeTableType;
+  typedef EnvelopeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SENDER = 4,
+    VT_BODY_TYPE = 6,
+    VT_BODY = 8
+  };
+  const flatbuffers::String *sender() const {
+    return GetPointer<const flatbuffers::String *>(VT_SENDER);
+  }
+  madderdeck::wire::Message body_type() const {
+    return static_cast<madderdeck::wire::Message>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const madderdeck::wire::Ping *body_as_Ping() const {
+    return body_type() == madderdeck::wire::Message::Ping ? static_cast<const madderdeck::wire::Ping *>(body()) : nullptr;
+  }
+  const madderdeck::wire::PingRequest *body_as_PingRequest() const {
+    return body_type() == madderdeck::wire::Message::PingRequest ? static_cast<const madderdeck::wire::PingRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::Ack *body_as_Ack() const {
+    return body_type() == madderdeck::wire::Message::Ack ? static_cast<const madderdeck::wire::Ack *>(body()) : nullptr;
+  }
+  const madderdeck::wire::RevisionNotice *body_as_RevisionNotice() const {
+    return body_type() == madderdeck::wire::Message::RevisionNotice ? static_cast<const madderdeck::wire::RevisionNotice *>(body()) : nullptr;
+  }
+  const madderdeck::wire::TablePull *body_as_TablePull() const {
+    return body_type() == madderdeck::wire::Message::TablePull ? static_cast<const madderdeck::wire::TablePull *>(body()) : nullptr;
+  }
+  const madderdeck::wire::TableDelta *body_as_TableDelta() const {
+    return body_type() == madderdeck::wire::Message::TableDelta ? static_cast<const madderdeck::wire::TableDelta *>(body()) : nullptr;
+  }
+  const madderdeck::wire::Prepare *body_as_Prepare() const {
+    return body_type() == madderdeck::wire::Message::Prepare ? static_cast<const madderdeck::wire::Prepare *>(body()) : nullptr;
+  }
+  const madderdeck::wire::Promise *body_as_Promise() const {
+    return body_type() == madderdeck::wire::Message::Promise ? static_cast<const madderdeck::wire::Promise *>(body()) : nullptr;
+  }
+  const madderdeck::wire::Accept *body_as_Accept() const {
+    return body_type() == madderdeck::wire::Message::Accept ? static_cast<const madderdeck::wire::Accept *>(body()) : nullptr;
+  }
+  const madderdeck::wire::Accepted *body_as_Accepted() const {
+    return body_type() == madderdeck::wire::Message::Accepted ? static_cast<const madderdeck::wire::Accepted *>(body()) : nullptr;
+  }
+  const madderdeck::wire::ScanRequest *body_as_ScanRequest() const {
+    return body_type() == madderdeck::wire::Message::ScanRequest ? static_cast<const madderdeck::wire::ScanRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::ScanReply *body_as_ScanReply() const {
+    return body_type() == madderdeck::wire::Message::ScanReply ? static_cast<const madderdeck::wire::ScanReply *>(body()) : nullptr;
+  }
+  const madderdeck::wire::CopyRequest *body_as_CopyRequest() const {
+    return body_type() == madderdeck::wire::Message::CopyRequest ? static_cast<const madderdeck::wire::CopyRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::CopyReply *body_as_CopyReply() const {
+    return body_type() == madderdeck::wire::Message::CopyReply ? static_cast<const madderdeck::wire::CopyReply *>(body()) : nullptr;
+  }
+  const madderdeck::wire::JobNotice *body_as_JobNotice() const {
+    return body_type() == madderdeck::wire::Message::JobNotice ? static_cast<const madderdeck::wire::JobNotice *>(body()) : nullptr;
+  }
+  const madderdeck::wire::TakeItems *body_as_TakeItems() const {
+    return body_type() == madderdeck::wire::Message::TakeItems ? static_cast<const madderdeck::wire::TakeItems *>(body()) : nullptr;
+  }
+  const madderdeck::wire::GiveItems *body_as_GiveItems() const {
+    return body_type() == madderdeck::wire::Message::GiveItems ? static_cast<const madderdeck::wire::GiveItems *>(body()) : nullptr;
+  }
+  const madderdeck::wire::ItemSettled *body_as_ItemSettled() const {
+    return body_type() == madderdeck::wire::Message::ItemSettled ? static_cast<const madderdeck::wire::ItemSettled *>(body()) : nullptr;
+  }
+  const madderdeck::wire::OnlineActivity *body_as_OnlineActivity() const {
+    return body_type() == madderdeck::wire::Message::OnlineActivity ? static_cast<const madderdeck::wire::OnlineActivity *>(body()) : nullptr;
+  }
+  const madderdeck::wire::MemberSync *body_as_MemberSync() const {
+    return body_type() == madderdeck::wire::Message::MemberSync ? static_cast<const madderdeck::wire::MemberSync *>(body()) : nullptr;
+  }
+  const madderdeck::wire::AdoptGroup *body_as_AdoptGroup() const {
+    return body_type() == madderdeck::wire::Message::AdoptGroup ? static_cast<const madderdeck::wire::AdoptGroup *>(body()) : nullptr;
+  }
+  const madderdeck::wire::CopyStatusRequest *body_as_CopyStatusRequest() const {
+    return body_type() == madderdeck::wire::Message::CopyStatusRequest ? static_cast<const madderdeck::wire::CopyStatusRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::CopyStatus *body_as_CopyStatus() const {
+    return body_type() == madderdeck::wire::Message::CopyStatus ? static_cast<const madderdeck::wire::CopyStatus *>(body()) : nullptr;
+  }
+  const madderdeck::wire::PromptReading *body_as_PromptReading() const {
+    return body_type() == madderdeck::wire::Message::PromptReading ? static_cast<const madderdeck::wire::PromptReading *>(body()) : nullptr;
+  }
+  const madderdeck::wire::EngineActivity *body_as_EngineActivity() const {
+    return body_type() == madderdeck::wire::Message::EngineActivity ? static_cast<const madderdeck::wire::EngineActivity *>(body()) : nullptr;
+  }
+  const madderdeck::wire::QueueReport *body_as_QueueReport() const {
+    return body_type() == madderdeck::wire::Message::QueueReport ? static_cast<const madderdeck::wire::QueueReport *>(body()) : nullptr;
+  }
+  const madderdeck::wire::QueueGrantRequest *body_as_QueueGrantRequest() const {
+    return body_type() == madderdeck::wire::Message::QueueGrantRequest ? static_cast<const madderdeck::wire::QueueGrantRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::QueueGrantReply *body_as_QueueGrantReply() const {
+    return body_type() == madderdeck::wire::Message::QueueGrantReply ? static_cast<const madderdeck::wire::QueueGrantReply *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SENDER) &&
+           verifier.VerifyString(sender()) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           VerifyMessage(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const madderdeck::wire::Ping *Envelope::body_as<madderdeck::wire::Ping>() const {
+  return body_as_Ping();
+}
+
+template<> inline const madderdeck::wire::PingRequest *Envelope::body_as<madderdeck::wire::PingRequest>() const {
+  return body_as_PingRequest();
+}
+
+template<> inline const madderdeck::wire::Ack *Envelope::body_as<madderdeck::wire::Ack>() const {
   return body_as_Ack();
 }
 
@@ -4709,6 +5489,22 @@
   return body_as_PromptReading();
 }
 
+template<> inline const madderdeck::wire::EngineActivity *Envelope::body_as<madderdeck::wire::EngineActivity>() const {
+  return body_as_EngineActivity();
+}
+
+template<> inline const madderdeck::wire::QueueReport *Envelope::body_as<madderdeck::wire::QueueReport>() const {
+  return body_as_QueueReport();
+}
+
+template<> inline const madderdeck::wire::QueueGrantRequest *Envelope::body_as<madderdeck::wire::QueueGrantRequest>() const {
+  return body_as_QueueGrantRequest();
+}
+
+template<> inline const madderdeck::wire::QueueGrantReply *Envelope::body_as<madderdeck::wire::QueueGrantReply>() const {
+  return body_as_QueueGrantReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4973,6 +5769,7 @@
   madderdeck::wire::JobState state = madderdeck::wire::JobState::Accepted;
   uint64_t give_up_at_ms = 0;
   std::string host{};
+  std::vector<uint32_t> item_tokens{};
 };
 
 struct JobRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4992,7 +5789,8 @@
     VT_DEADLINE_MS = 22,
     VT_STATE = 24,
     VT_GIVE_UP_AT_MS = 26,
-    VT_HOST = 28
+    VT_HOST = 28,
+    VT_ITEM_TOKENS = 30
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -5033,6 +5831,9 @@
   const flatbuffers::String *host() const {
     return GetPointer<const flatbuffers::String *>(VT_HOST);
   }
+  const flatbuffers::Vector<uint32_t> *item_tokens() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ITEM_TOKENS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -5053,6 +5854,8 @@
            VerifyField<uint64_t>(verifier, VT_GIVE_UP_AT_MS, 8) &&
            VerifyOffset(verifier, VT_HOST) &&
            verifier.VerifyString(host()) &&
+           VerifyOffset(verifier, VT_ITEM_TOKENS) &&
+           verifier.VerifyVector(item_tokens()) &&
            verifier.EndTable();
   }
   JobRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5103,6 +5906,9 @@
   void add_host(flatbuffers::Offset<flatbuffers::String> host) {
     fbb_.AddOffset(JobRecord::VT_HOST, host);
   }
+  void add_item_tokens(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> item_tokens) {
+    fbb_.AddOffset(JobRecord::VT_ITEM_TOKENS, item_tokens);
+  }
   explicit JobRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5128,12 +5934,14 @@
     uint64_t deadline_ms = 0,
     madderdeck::wire::JobState state = madderdeck::wire::JobState::Accepted,
     uint64_t give_up_at_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> host = 0) {
+    flatbuffers::Offset<flatbuffers::String> host = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> item_tokens = 0) {
   JobRecordBuilder builder_(_fbb);
   builder_.add_give_up_at_ms(give_up_at_ms);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_accepted_at_ms(accepted_at_ms);
   builder_.add_digest(digest);
+  builder_.add_item_tokens(item_tokens);
   builder_.add_host(host);
   builder_.add_priority(priority);
   builder_.add_chunks(chunks);
@@ -5165,12 +5973,14 @@
     uint64_t deadline_ms = 0,
     madderdeck::wire::JobState state = madderdeck::wire::JobState::Accepted,
     uint64_t give_up_at_ms = 0,
-    const char *host = nullptr) {
+    const char *host = nullptr,
+    const std::vector<uint32_t> *item_tokens = nullptr) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto template_name__ = template_name ? _fbb.CreateString(template_name) : 0;
   auto submission__ = submission ? _fbb.CreateString(submission) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto item_tokens__ = item_tokens ? _fbb.CreateVector<uint32_t>(*item_tokens) : 0;
   return madderdeck::wire::CreateJobRecord(
       _fbb,
       id__,
@@ -5185,7 +5995,8 @@
       deadline_ms,
       state,
       give_up_at_ms,
-      host__);
+      host__,
+      item_tokens__);
 }
 
 flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7111,6 +7922,8 @@
   { auto _e = partial_tokens(); _o->partial_tokens = _e; }
   { auto _e = failed_runs(); _o->failed_runs = _e; }
   { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = deadline_ms(); _o->deadline_ms = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
 }
 
 inline flatbuffers::Offset<WorkItem> WorkItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7131,6 +7944,8 @@
   auto _partial_tokens = _o->partial_tokens;
   auto _failed_runs = _o->failed_runs;
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _deadline_ms = _o->deadline_ms;
+  auto _tokens = _o->tokens;
   return madderdeck::wire::CreateWorkItem(
       _fbb,
       _job,
@@ -7142,7 +7957,9 @@
       _partial,
       _partial_tokens,
       _failed_runs,
-      _host);
+      _host,
+      _deadline_ms,
+      _tokens);
 }
 
 inline JobNoticeT *JobNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7262,6 +8079,7 @@
   { auto _e = failed_runs(); _o->failed_runs = _e; }
   { auto _e = partial(); if (_e) _o->partial = _e->str(); }
   { auto _e = partial_tokens(); _o->partial_tokens = _e; }
+  { auto _e = held(); _o->held = _e; }
 }
 
 inline flatbuffers::Offset<ItemSettled> ItemSettled::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7278,6 +8096,7 @@
   auto _failed_runs = _o->failed_runs;
   auto _partial = _o->partial.empty() ? 0 : _fbb.CreateString(_o->partial);
   auto _partial_tokens = _o->partial_tokens;
+  auto _held = _o->held;
   return madderdeck::wire::CreateItemSettled(
       _fbb,
       _job,
@@ -7285,7 +8104,8 @@
       _completed,
       _failed_runs,
       _partial,
-      _partial_tokens);
+      _partial_tokens,
+      _held);
 }
 
 inline PromptReadingT *PromptReading::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7349,6 +8169,232 @@
       _in_flight);
 }
 
+inline EngineCallsT *EngineCalls::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EngineCallsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineCalls::UnPackTo(EngineCallsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = live(); _o->live = _e; }
+  { auto _e = batch(); _o->batch = _e; }
+}
+
+inline flatbuffers::Offset<EngineCalls> EngineCalls::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCallsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineCalls(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineCalls> CreateEngineCalls(flatbuffers::FlatBufferBuilder &_fbb, const EngineCallsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineCallsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
+  auto _live = _o->live;
+  auto _batch = _o->batch;
+  return madderdeck::wire::CreateEngineCalls(
+      _fbb,
+      _engine,
+      _live,
+      _batch);
+}
+
+inline EngineActivityT::EngineActivityT(const EngineActivityT &o)
+      : node(o.node),
+        complete(o.complete),
+        yield_us(o.yield_us) {
+  engines.reserve(o.engines.size());
+  for (const auto &engines_ : o.engines) { engines.emplace_back((engines_) ? new madderdeck::wire::EngineCallsT(*engines_) : nullptr); }
+}
+
+inline EngineActivityT &EngineActivityT::operator=(EngineActivityT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(complete, o.complete);
+  std::swap(yield_us, o.yield_us);
+  std::swap(engines, o.engines);
+  return *this;
+}
+
+inline EngineActivityT *EngineActivity::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EngineActivityT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineActivity::UnPackTo(EngineActivityT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = complete(); _o->complete = _e; }
+  { auto _e = yield_us(); _o->yield_us = _e; }
+  { auto _e = engines(); if (_e) { _o->engines.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->engines[_i] = std::unique_ptr<madderdeck::wire::EngineCallsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<EngineActivity> EngineActivity::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineActivityT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineActivity(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineActivity> CreateEngineActivity(flatbuffers::FlatBufferBuilder &_fbb, const EngineActivityT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineActivityT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _complete = _o->complete;
+  auto _yield_us = _o->yield_us;
+  auto _engines = _o->engines.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::EngineCalls>> (_o->engines.size(), [](size_t i, _VectorArgs *__va) { return CreateEngineCalls(*__va->__fbb, __va->__o->engines[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return madderdeck::wire::CreateEngineActivity(
+      _fbb,
+      _node,
+      _complete,
+      _yield_us,
+      _engines);
+}
+
+inline QueuedJobT *QueuedJob::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QueuedJobT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QueuedJob::UnPackTo(QueuedJobT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = closed(); _o->closed = _e; }
+}
+
+inline flatbuffers::Offset<QueuedJob> QueuedJob::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueuedJobT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQueuedJob(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QueuedJob> CreateQueuedJob(flatbuffers::FlatBufferBuilder &_fbb, const QueuedJobT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueuedJobT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  auto _tokens = _o->tokens;
+  auto _closed = _o->closed;
+  return madderdeck::wire::CreateQueuedJob(
+      _fbb,
+      _route,
+      _job,
+      _tokens,
+      _closed);
+}
+
+inline QueueReportT::QueueReportT(const QueueReportT &o)
+      : node(o.node) {
+  jobs.reserve(o.jobs.size());
+  for (const auto &jobs_ : o.jobs) { jobs.emplace_back((jobs_) ? new madderdeck::wire::QueuedJobT(*jobs_) : nullptr); }
+}
+
+inline QueueReportT &QueueReportT::operator=(QueueReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(jobs, o.jobs);
+  return *this;
+}
+
+inline QueueReportT *QueueReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QueueReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QueueReport::UnPackTo(QueueReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = jobs(); if (_e) { _o->jobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->jobs[_i] = std::unique_ptr<madderdeck::wire::QueuedJobT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<QueueReport> QueueReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQueueReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QueueReport> CreateQueueReport(flatbuffers::FlatBufferBuilder &_fbb, const QueueReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueueReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _jobs = _o->jobs.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::QueuedJob>> (_o->jobs.size(), [](size_t i, _VectorArgs *__va) { return CreateQueuedJob(*__va->__fbb, __va->__o->jobs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return madderdeck::wire::CreateQueueReport(
+      _fbb,
+      _node,
+      _jobs);
+}
+
+inline QueueGrantRequestT *QueueGrantRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QueueGrantRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QueueGrantRequest::UnPackTo(QueueGrantRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = limit(); _o->limit = _e; }
+}
+
+inline flatbuffers::Offset<QueueGrantRequest> QueueGrantRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQueueGrantRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QueueGrantRequest> CreateQueueGrantRequest(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueueGrantRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  auto _tokens = _o->tokens;
+  auto _limit = _o->limit;
+  return madderdeck::wire::CreateQueueGrantRequest(
+      _fbb,
+      _request,
+      _route,
+      _job,
+      _tokens,
+      _limit);
+}
+
+inline QueueGrantReplyT *QueueGrantReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QueueGrantReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QueueGrantReply::UnPackTo(QueueGrantReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = verdict(); _o->verdict = _e; }
+}
+
+inline flatbuffers::Offset<QueueGrantReply> QueueGrantReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQueueGrantReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QueueGrantReply> CreateQueueGrantReply(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QueueGrantReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _verdict = _o->verdict;
+  return madderdeck::wire::CreateQueueGrantReply(
+      _fbb,
+      _request,
+      _verdict);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -7477,6 +8523,7 @@
   { auto _e = state(); _o->state = _e; }
   { auto _e = give_up_at_ms(); _o->give_up_at_ms = _e; }
   { auto _e = host(); if (_e) _o->host = _e->str(); }
+  { auto _e = item_tokens(); if (_e) { _o->item_tokens.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->item_tokens[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<JobRecord> JobRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7500,6 +8547,7 @@
   auto _state = _o->state;
   auto _give_up_at_ms = _o->give_up_at_ms;
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
+  auto _item_tokens = _o->item_tokens.size() ? _fbb.CreateVector(_o->item_tokens) : 0;
   return madderdeck::wire::CreateJobRecord(
       _fbb,
       _id,
@@ -7514,7 +8562,8 @@
       _deadline_ms,
       _state,
       _give_up_at_ms,
-      _host);
+      _host,
+      _item_tokens);
 }
 
 inline ChunkRecordT *ChunkRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -7926,6 +8975,22 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PromptReading *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::EngineActivity: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::EngineActivity *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::QueueReport: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueReport *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::QueueGrantRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::QueueGrantReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -8041,6 +9106,22 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PromptReading *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::EngineActivity: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::EngineActivity *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::QueueReport: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueReport *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::QueueGrantRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::QueueGrantReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -8144,6 +9225,22 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PromptReadingT *>(value);
       return CreatePromptReading(_fbb, ptr, _rehasher).Union();
     }
+    case Message::EngineActivity: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::EngineActivityT *>(value);
+      return CreateEngineActivity(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::QueueReport: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueReportT *>(value);
+      return CreateQueueReport(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::QueueGrantRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantRequestT *>(value);
+      return CreateQueueGrantRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::QueueGrantReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantReplyT *>(value);
+      return CreateQueueGrantReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -8246,6 +9343,22 @@
       value = new madderdeck::wire::PromptReadingT(*reinterpret_cast<madderdeck::wire::PromptReadingT *>(u.value));
       break;
     }
+    case Message::EngineActivity: {
+      value = new madderdeck::wire::EngineActivityT(*reinterpret_cast<madderdeck::wire::EngineActivityT *>(u.value));
+      break;
+    }
+    case Message::QueueReport: {
+      value = new madderdeck::wire::QueueReportT(*reinterpret_cast<madderdeck::wire::QueueReportT *>(u.value));
+      break;
+    }
+    case Message::QueueGrantRequest: {
+      value = new madderdeck::wire::QueueGrantRequestT(*reinterpret_cast<madderdeck::wire::QueueGrantRequestT *>(u.value));
+      break;
+    }
+    case Message::QueueGrantReply: {
+      value = new madderdeck::wire::QueueGrantReplyT(*reinterpret_cast<madderdeck::wire::QueueGrantReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -8373,6 +9486,26 @@
       delete ptr;
       break;
     }
+    case Message::EngineActivity: {
+      auto ptr = reinterpret_cast<madderdeck::wire::EngineActivityT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::QueueReport: {
+      auto ptr = reinterpret_cast<madderdeck::wire::QueueReportT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::QueueGrantRequest: {
+      auto ptr = reinterpret_cast<madderdeck::wire::QueueGrantRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::QueueGrantReply: {
+      auto ptr = reinterpret_cast<madderdeck::wire::QueueGrantReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
