Queue limits of routes: waiting tokens over all nodes, without a central counter

Change: every node keeps a view of the open jobs of limited routes: what is let in is announced before it is written, managers report what still waits; far below the limit a node decides alone, near it the route's keeper does. A node that was started or frozen reads the job records first. 429 with a time to come back from the observed rate.

--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -1,6 +1,7 @@
 #include "batch/job_manager.hpp"
 
 #include <algorithm>
+#include <numeric>
 
 #include "membership/ranking.hpp"
 
@@ -192,14 +193,14 @@
   }
   const auto record = wire::decode_record<wire::JobRecordT>(*value_of(result));
   if (!record || record->state != wire::JobState::Accepted) {
-    finished_.insert(id.str());
-    jobs_.erase(entry);
+    finish(entry);
     return;
   }
   job.confirmed_at = read_started;
   if (job.items.empty()) {
     job.record = *record;
     const bool fresh = environment_.unix_milliseconds() < record->accepted_at_ms + kFresh / 1ms;
+    job.waiting_tokens = std::accumulate(record->item_tokens.begin(), record->item_tokens.end(), std::uint64_t{0});
     job.hand_out_after = fresh ? Timestamp{} : environment_.now() + kTakeOver;
     job.items.assign(record->items, ItemState::pending);
     load_results(id, "");
@@ -242,7 +243,9 @@
   const JobId id(message.job);
   if (message.cancelled) {
     finished_.insert(message.job);
-    jobs_.erase(id);
+    if (const auto entry = jobs_.find(id); entry != jobs_.end()) {
+      finish(entry);
+    }
   } else if (!message.job.empty() && owns(message.job) && !finished_.contains(message.job)) {
     open_job(id);
   }
@@ -433,6 +436,9 @@
   job.leases.erase(index);
   job.unfinished.erase(index);
   ++job.settled;
+  if (index < job.record.item_tokens.size()) {
+    job.waiting_tokens -= std::min<std::uint64_t>(job.waiting_tokens, job.record.item_tokens[index]);
+  }
   if (job.ordered() && !job.listed.contains(index)) {
     job.order_pending.push_back(index);
   }
@@ -526,6 +532,39 @@
   jobs_.clear();
 }
 
+wire::QueuedJobT JobManager::queued_job(const Job& job) {
+  wire::QueuedJobT queued;
+  queued.route = job.record.template_name;
+  queued.job = job.record.id;
+  queued.tokens = job.waiting_tokens;
+  return queued;
+}
+
+std::vector<wire::QueuedJobT> JobManager::queued_jobs() const {
+  std::vector<wire::QueuedJobT> queued;
+  for (const auto& [id, job] : jobs_) {
+    if (job.loaded && !job.record.item_tokens.empty()) {
+      queued.push_back(queued_job(job));
+    }
+  }
+  return queued;
+}
+
+std::vector<wire::QueuedJobT> JobManager::take_closed() {
+  std::vector<wire::QueuedJobT> closed;
+  std::swap(closed, closed_);
+  return closed;
+}
+
+void JobManager::finish(std::map<JobId, Job>::iterator job) {
+  finished_.insert(job->first.str());
+  if (!job->second.record.item_tokens.empty()) {
+    closed_.push_back(queued_job(job->second));
+    closed_.back().closed = true;
+  }
+  jobs_.erase(job);
+}
+
 void JobManager::complete_if_done(const JobId& id) {
   const auto entry = jobs_.find(id);
   if (entry == jobs_.end()) {
@@ -552,8 +591,7 @@
     }
     completed->second.completing = false;
     if (succeeded(result)) {
-      finished_.insert(id.str());
-      jobs_.erase(completed);
+      finish(completed);
       counters_["jobs_completed_total"]++;
     }
   }));
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -44,6 +44,10 @@
   /// This node is leaving: what items have made goes to the nodes that look after their jobs from now on.
   void drain();
   std::vector<JobProgress> progress() const;
+  /// @return what is still to be done of the jobs managed here whose items state their tokens.
+  std::vector<wire::QueuedJobT> queued_jobs() const;
+  /// @return jobs that have ended here since the last call.
+  std::vector<wire::QueuedJobT> take_closed();
 
  private:
   /// An item given to a dispatcher.
@@ -68,6 +72,7 @@
     Timestamp hand_out_after{};  ///< Until then, those who run items of a job taken over from another node say so.
     std::vector<ItemState> items;
     std::uint32_t settled = 0;
+    std::uint64_t waiting_tokens = 0;  ///< Of the items that are not settled.
     std::uint32_t cursor = 0;  ///< No pending item lies before it.
     std::map<std::uint32_t, Lease> leases;
     std::map<std::uint32_t, Progress> unfinished;  ///< What earlier runs of given-back items left.
@@ -86,6 +91,9 @@
   /// @return the scheduler that ranks first for @p name.
   const wire::MemberT* best_ranked(const std::string& name) const;
   void hand_over(const Job& job);
+  /// The job needs nothing more.
+  void finish(std::map<JobId, Job>::iterator job);
+  static wire::QueuedJobT queued_job(const Job& job);
   void apply(Job& job, const PeerAddress& sender, const wire::ItemSettledT& message);
   /// Applies what came about @p id before its job was open here.
   void apply_early(const JobId& id);
@@ -132,6 +140,7 @@
     wire::ItemSettledT message;
   };
   std::map<JobId, std::vector<Early>> early_;
+  std::vector<wire::QueuedJobT> closed_;
   std::set<std::string> finished_;  ///< Jobs known to need nothing more.
   bool discovering_ = false;
   Timestamp last_discovery_{};
--- /dev/null
+++ b/src/batch/queue_limiter.cpp
@@ -0,0 +1,340 @@
+#include "batch/queue_limiter.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+#include "membership/ranking.hpp"
+
+namespace madderdeck::batch {
+namespace {
+
+constexpr Duration kTick = 250ms;
+constexpr Duration kRefresh = 1s;
+/// A longer pause between ticks: this node was frozen and has missed what the others told.
+constexpr Duration kFrozen = 1s;
+/// A job that nobody tells of for so long is gone; longer than a manager's work takes to move to another node.
+constexpr Duration kForget = 10s;
+constexpr Duration kKeeperAnswers = 300ms;
+constexpr Duration kLeastComeback = 300ms;
+constexpr Duration kMostComeback = 4s;
+constexpr std::uint32_t kScanPage = 500;
+/// Up to this part of its limit a route is filled without asking.
+constexpr std::uint64_t kUnaskedPart = 2;
+/// Longer than a message takes.
+constexpr Duration kNewsTravel = 200ms;
+constexpr double kFreedSmoothing = 0.2;
+
+std::string keeper_key(const std::string& route) { return "queue-limit/" + route; }
+
+wire::QueuedJobT queued_job(const admission_request& request) {
+  wire::QueuedJobT job;
+  job.route = request.route;
+  job.job = request.job.str();
+  job.tokens = request.tokens;
+  return job;
+}
+
+}  // namespace
+
+queue_limiter::queue_limiter(Environment& environment, Counters& counters, ledger::Client& ledger,
+                             membership::Membership& members, DecisionLog& log)
+    : environment_(environment), counters_(counters), ledger_(ledger), members_(members), log_(log) {}
+
+void queue_limiter::start() {
+  ticked_at_ = environment_.now();
+  tick();
+}
+
+void queue_limiter::tick() {
+  environment_.after(kTick, lifetime_.guard([this] { tick(); }));
+  const Timestamp now = environment_.now();
+  informed_ = informed_ && now - ticked_at_ < kFrozen;
+  ticked_at_ = now;
+  for (auto& [route, jobs] : routes_) {
+    std::erase_if(jobs, [now](const auto& entry) { return now - entry.second.heard_at > kForget; });
+  }
+  if (limited_ && !informed_ && !reading_ && ledger_.has_group_map()) {
+    reading_ = true;
+    read_records(0, "");
+  }
+}
+
+void queue_limiter::read_records(std::uint32_t group, const std::string& after) {
+  if (group >= ledger_.group_map().groups.size()) {
+    reading_ = false;
+    informed_ = true;
+    counters_["queue_views_read_total"]++;
+    return;
+  }
+  const auto take_page = [this, group](const Result<ledger::ScanPage>& result) {
+    if (!succeeded(result)) {
+      reading_ = false;  // begun again at the next tick
+      return;
+    }
+    const ledger::ScanPage& page = value_of(result);
+    for (const ledger::ScanRecord& entry : page.records) {
+      const auto record = wire::decode_record<wire::JobRecordT>(entry.value);
+      if (!record || record->state != wire::JobState::Accepted) {
+        continue;
+      }
+      wire::QueuedJobT job;
+      job.route = record->template_name;
+      job.job = record->id;
+      job.tokens = std::accumulate(record->item_tokens.begin(), record->item_tokens.end(), std::uint64_t{0});
+      take(job, true);
+    }
+    read_records(page.next_after.empty() ? group + 1 : group, page.next_after);
+  };
+  ledger_.scan_group(group, kJobPrefix, after, kScanPage, lifetime_.guard(take_page));
+}
+
+void queue_limiter::take(const wire::QueuedJobT& job, bool estimated) {
+  Jobs& jobs = routes_[job.route];
+  const JobId id(job.job);
+  const auto known = jobs.find(id);
+  if (estimated && known != jobs.end()) {
+    return;
+  }
+  if (known != jobs.end() && !known->second.estimated && known->second.tokens > job.tokens) {
+    counters_["queue_tokens_freed_total"] += static_cast<CounterValue>(known->second.tokens - job.tokens);
+  }
+  if (job.closed) {
+    jobs.erase(id);
+    return;
+  }
+  jobs[id] = Entry{job.tokens, environment_.now(), estimated};
+}
+
+std::uint64_t queue_limiter::waiting(const std::string& route) const {
+  const auto jobs = routes_.find(route);
+  if (jobs == routes_.end()) {
+    return 0;
+  }
+  return std::accumulate(jobs->second.begin(), jobs->second.end(), std::uint64_t{0},
+                         [](std::uint64_t sum, const auto& entry) { return sum + entry.second.tokens; });
+}
+
+void queue_limiter::tell(std::vector<wire::QueuedJobT> jobs) {
+  for (const wire::MemberT* node : members_.available(membership::Role::gateway)) {
+    if (node->id == members_.self().id) {
+      continue;
+    }
+    wire::QueueReportT message;
+    message.node = members_.self().id;
+    for (const wire::QueuedJobT& job : jobs) {
+      message.jobs.push_back(std::make_unique<wire::QueuedJobT>(job));
+    }
+    send_message(environment_, PeerAddress(node->peer_address), std::move(message));
+    counters_["queue_reports_sent_total"]++;
+  }
+}
+
+void queue_limiter::set_managed(const std::vector<wire::QueuedJobT>& jobs) {
+  const Timestamp now = environment_.now();
+  const bool refresh = now - refreshed_at_ >= kRefresh;
+  refreshed_at_ = refresh ? now : refreshed_at_;
+  std::vector<wire::QueuedJobT> news;
+  std::map<JobId, wire::QueuedJobT> told;
+  std::map<std::string, std::uint64_t> freed;
+  for (const wire::QueuedJobT& job : jobs) {
+    const JobId id(job.job);
+    const auto before = told_.find(id);
+    const bool changed = before == told_.end() || before->second.tokens != job.tokens;
+    const bool less = before != told_.end() && before->second.tokens > job.tokens;
+    freed[job.route] += less ? before->second.tokens - job.tokens : 0;
+    take(job, false);
+    if (changed || refresh) {
+      news.push_back(job);
+    }
+    told.emplace(id, job);
+  }
+  for (const auto& [route, tokens] : freed) {
+    const double per_second = static_cast<double>(tokens) / std::chrono::duration<double>(kTick).count();
+    double& average = freed_per_second_[route];
+    average += kFreedSmoothing * (per_second - average);
+  }
+  told_ = std::move(told);
+  if (!news.empty()) {
+    tell(std::move(news));
+  }
+}
+
+void queue_limiter::close(const std::string& route, const JobId& job) {
+  wire::QueuedJobT closed;
+  closed.route = route;
+  closed.job = job.str();
+  closed.closed = true;
+  take(closed, false);
+  tell({closed});
+}
+
+void queue_limiter::close(const JobId& job) {
+  for (auto& [route, jobs] : routes_) {
+    jobs.erase(job);
+  }
+}
+
+void queue_limiter::handle(const wire::QueueReportT& message) {
+  for (const auto& job : message.jobs) {
+    take(*job, false);
+  }
+}
+
+Duration queue_limiter::time_until_free(const std::string& route, std::uint64_t tokens) const {
+  const auto freed = freed_per_second_.find(route);
+  // This node sees what its own jobs free; the others free as much each.
+  const std::size_t nodes = std::max<std::size_t>(1, members_.available(membership::Role::scheduler).size());
+  const double per_second = freed == freed_per_second_.end() ? 0 : freed->second * static_cast<double>(nodes);
+  if (per_second <= 0) {
+    return kMostComeback;
+  }
+  const double seconds = static_cast<double>(tokens) / per_second;
+  return std::clamp(Duration(static_cast<std::int64_t>(std::min(seconds, 60.0) * 1e6)), kLeastComeback, kMostComeback);
+}
+
+admission queue_limiter::decide(const admission_request& request) {
+  const auto jobs = routes_.find(request.route);
+  if (jobs != routes_.end() && jobs->second.contains(request.job)) {
+    return {admission_verdict::admitted, {}};  // sent again
+  }
+  if (!informed_) {
+    return {admission_verdict::unsure, kLeastComeback};
+  }
+  const std::uint64_t waits = waiting(request.route);
+  if (waits + request.tokens > request.limit) {
+    return {admission_verdict::full, time_until_free(request.route, waits + request.tokens - request.limit)};
+  }
+  return {admission_verdict::admitted, {}};
+}
+
+void queue_limiter::reserve(const admission_request& request) {
+  const wire::QueuedJobT job = queued_job(request);
+  if (!routes_[request.route].contains(request.job)) {
+    take(job, false);
+    tell({job});
+  }
+}
+
+bool queue_limiter::fits_unasked(const admission_request& request) {
+  if (!informed_) {
+    return false;
+  }
+  const Timestamp now = environment_.now();
+  auto& recent = unasked_[request.route];
+  std::erase_if(recent, [now](const Unasked& entry) { return now - entry.at > kNewsTravel; });
+  const std::uint64_t own = std::accumulate(recent.begin(), recent.end(), std::uint64_t{0},
+                                            [](std::uint64_t sum, const Unasked& entry) { return sum + entry.tokens; });
+  const std::uint64_t known = waiting(request.route);
+  const std::uint64_t settled = known > own ? known - own : 0;
+  const std::uint64_t nodes = std::max<std::size_t>(1, members_.available(membership::Role::gateway).size());
+  return settled + (own + request.tokens) * nodes <= request.limit / kUnaskedPart;
+}
+
+void queue_limiter::admit(const admission_request& request, AdmissionDone done) {
+  if (request.limit == 0) {
+    done({admission_verdict::admitted, {}});
+    return;
+  }
+  const bool far_below = fits_unasked(request);
+  const wire::MemberT* keeper = membership::ranked_scheduler(members_, keeper_key(request.route));
+  if (!far_below && keeper != nullptr && keeper->id != members_.self().id) {
+    ask_keeper(*keeper, request, std::move(done));
+    return;
+  }
+  const admission outcome = decide(request);
+  record(request, far_below ? "view" : "keeper", outcome);
+  if (outcome.verdict == admission_verdict::full) {
+    admit_if_known(request, done);
+    return;
+  }
+  if (outcome.verdict == admission_verdict::admitted) {
+    reserve(request);
+    unasked_[request.route].push_back({environment_.now(), request.tokens});
+  }
+  done(outcome);
+}
+
+void queue_limiter::ask_keeper(const wire::MemberT& keeper, const admission_request& request, AdmissionDone done) {
+  const std::uint64_t number = ++next_request_;
+  asked_[number] = Asked{request, std::move(done)};
+  wire::QueueGrantRequestT message;
+  message.request = number;
+  message.route = request.route;
+  message.job = request.job.str();
+  message.tokens = request.tokens;
+  message.limit = request.limit;
+  send_message(environment_, PeerAddress(keeper.peer_address), std::move(message));
+  environment_.after(kKeeperAnswers, lifetime_.guard([this, number] {
+    auto node = asked_.extract(number);
+    if (!node.empty()) {
+      counters_["queue_keeper_silent_total"]++;
+      const admission outcome{admission_verdict::unsure, kLeastComeback};
+      record(node.mapped().request, "silent keeper", outcome);
+      node.mapped().done(outcome);
+    }
+  }));
+}
+
+void queue_limiter::handle(const PeerAddress& sender, const wire::QueueGrantRequestT& message) {
+  const admission_request request{message.route, JobId(message.job), message.tokens, message.limit};
+  const admission outcome = decide(request);
+  if (outcome.verdict == admission_verdict::admitted) {
+    reserve(request);
+  }
+  wire::QueueGrantReplyT reply;
+  reply.request = message.request;
+  reply.verdict = outcome.verdict == admission_verdict::admitted ? wire::QueueVerdict::Granted
+                  : outcome.verdict == admission_verdict::full   ? wire::QueueVerdict::Full
+                                                                 : wire::QueueVerdict::Unsure;
+  send_message(environment_, sender, std::move(reply));
+}
+
+void queue_limiter::handle(const wire::QueueGrantReplyT& message) {
+  auto node = asked_.extract(message.request);
+  if (node.empty()) {
+    return;  // given up on
+  }
+  const Asked& asked = node.mapped();
+  if (message.verdict == wire::QueueVerdict::Full) {
+    admit_if_known(asked.request, asked.done);
+    return;
+  }
+  admission outcome{admission_verdict::unsure, kLeastComeback};
+  if (message.verdict == wire::QueueVerdict::Granted) {
+    take(queued_job(asked.request), true);  // told more exactly by others, maybe
+    outcome = {admission_verdict::admitted, {}};
+  }
+  record(asked.request, "keeper", outcome);
+  asked.done(outcome);
+}
+
+void queue_limiter::admit_if_known(const admission_request& request, const AdmissionDone& done) {
+  ledger_.read(job_key(request.job), lifetime_.guard([this, request, done](const Result<ledger::OptionalValue>& result) {
+    admission outcome{admission_verdict::full, time_until_free(request.route, request.tokens)};
+    if (!succeeded(result)) {
+      outcome = {admission_verdict::unsure, kLeastComeback};
+    } else if (value_of(result)) {
+      outcome = {admission_verdict::admitted, {}};
+    } else {
+      counters_["queue_jobs_refused_full_total"]++;
+    }
+    record(request, "record", outcome);
+    done(outcome);
+  }));
+}
+
+void queue_limiter::record(const admission_request& request, const char* by, const admission& outcome) {
+  const char* verdict = outcome.verdict == admission_verdict::admitted ? "admitted"
+                        : outcome.verdict == admission_verdict::full   ? "full"
+                                                                       : "unsure";
+  log_.record("job_admission", {{"job", request.job.str()},
+                                {"route", request.route},
+                                {"tokens", request.tokens},
+                                {"waiting", waiting(request.route)},
+                                {"limit", request.limit},
+                                {"by", by},
+                                {"outcome", verdict},
+                                {"retry_after_ms", outcome.retry_after / 1ms}});
+}
+
+}  // namespace madderdeck::batch
--- a/src/batch/submission.hpp
+++ b/src/batch/submission.hpp
@@ -3,6 +3,7 @@
 /// the whole job accepted, or none of it.
 
 #include <functional>
+#include <numeric>
 #include <string>
 #include <string_view>
 
@@ -46,6 +47,8 @@
   /// All items have been added; @p done gets the job that stands.
   void finish(SubmitDone done);
   std::uint32_t items() const { return items_; }
+  /// @return what all items are stated to need.
+  std::uint64_t tokens() const { return std::accumulate(tokens_.begin(), tokens_.end(), std::uint64_t{0}); }
   const JobId& job() const { return job_; }
 
   static constexpr std::size_t kMaxChunksInFlight = 8;
--- a/src/forwarding/route_table.cpp
+++ b/src/forwarding/route_table.cpp
@@ -45,6 +45,7 @@
   read_number(fields, "priority", route.priority);
   read_number(fields, "run_target_ms", route.run_target_ms);
   read_number(fields, "keep_ms", route.keep_ms);
+  read_number(fields, "max_queued_tokens", route.max_queued_tokens);
   route.resumable = fields.at("resumable").as_bool();
   route.prefix_affinity = fields.at("prefix_affinity").as_bool();
   return route;
@@ -66,6 +67,7 @@
                       {"priority", route.priority},
                       {"run_target_ms", route.run_target_ms},
                       {"keep_ms", route.keep_ms},
+                      {"max_queued_tokens", route.max_queued_tokens},
                       {"resumable", route.resumable},
                       {"prefix_affinity", route.prefix_affinity}};
 }
--- a/src/forwarding/route_table.hpp
+++ b/src/forwarding/route_table.hpp
@@ -40,6 +40,7 @@
   bool resumable = false;           ///< A stream may go on at another back end.
   bool prefix_affinity = false;     ///< Requests with the same prompt start belong together.
   std::uint32_t run_target_ms = 0;  ///< For batch: when all results are due.
+  std::uint64_t max_queued_tokens = 0;  ///< For batch: what may wait over all nodes; 0: no limit.
   std::uint32_t keep_ms = 0;        ///< For batch: when an item may be given up.
 
   /// @return whether running the request twice does no harm.
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -7,6 +7,7 @@
 constexpr Duration kActivityDelay = 2ms;    ///< Changes within it share a message.
 constexpr Duration kActivityQuiet = 20ms;  ///< A falling count is told this late.
 constexpr Duration kActivityRefresh = 1s;
+constexpr Duration kQueueReports = 250ms;
 }  // namespace
 
 using membership::has_role;
@@ -64,6 +65,7 @@
   if (has_role(options.self, Role::scheduler)) {
     jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, log, options.policies.order,
                                                estimate, options.guards.manager);
+    queues = std::make_unique<batch::queue_limiter>(environment, counters, ledger, members, log);
     batch::DispatchPolicies policies{options.policies, &estimate, [this] { return observed_time_to_yield(); }};
     dispatcher =
         std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
@@ -115,6 +117,8 @@
   if (jobs) {
     jobs->start();
     dispatcher->start();
+    queues->start();
+    report_queues();
   }
   if (controller) {
     controller->start();
@@ -163,6 +167,11 @@
     log.record("routes_taken", {{"version", told_routes_->version},
                                 {"routes", told_routes_->routes.size()},
                                 {"revision", objects.table().revision()}});
+    if (queues) {
+      const auto& routes = told_routes_->routes;
+      queues->set_limited(std::any_of(routes.begin(), routes.end(),
+                                      [](const forwarding::Route& route) { return route.max_queued_tokens > 0; }));
+    }
     if (on_routes_change) {
       on_routes_change(*told_routes_);
     }
@@ -281,9 +290,27 @@
     case wire::Message::JobNotice:
       if (jobs) {
         jobs->handle(*body.AsJobNotice());
+        if (body.AsJobNotice()->cancelled) {
+          queues->close(JobId(body.AsJobNotice()->job));
+        }
         dispatcher->handle(*body.AsJobNotice());
       }
       break;
+    case wire::Message::QueueReport:
+      if (queues) {
+        queues->handle(*body.AsQueueReport());
+      }
+      break;
+    case wire::Message::QueueGrantRequest:
+      if (queues) {
+        queues->handle(sender, *body.AsQueueGrantRequest());
+      }
+      break;
+    case wire::Message::QueueGrantReply:
+      if (queues) {
+        queues->handle(*body.AsQueueGrantReply());
+      }
+      break;
     case wire::Message::TakeItems:
       if (jobs) {
         jobs->handle(sender, *body.AsTakeItems());
@@ -495,6 +522,18 @@
   }
 }
 
+void NodeCore::report_queues() {
+  environment.after(kQueueReports, lifetime_.guard([this] { report_queues(); }));
+  const std::vector<wire::QueuedJobT> closed = jobs->take_closed();
+  if (!queues->limited()) {
+    return;
+  }
+  for (const wire::QueuedJobT& job : closed) {
+    queues->close(job.route, JobId(job.job));
+  }
+  queues->set_managed(jobs->queued_jobs());
+}
+
 void NodeCore::refresh_activity() {
   environment.after(kActivityRefresh, lifetime_.guard([this] { refresh_activity(); }));
   registry.set_gateways(gateway_count());
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -7,6 +7,7 @@
 
 #include "batch/dispatcher.hpp"
 #include "batch/job_manager.hpp"
+#include "batch/queue_limiter.hpp"
 #include "batch/result_reader.hpp"
 #include "batch/submission.hpp"
 #include "common/counters.hpp"
@@ -134,6 +135,7 @@
   std::unique_ptr<routing::call_announcer> announcer;      ///< Only where calls are shared.
   policy::work_estimate estimate;                          ///< Of batch items.
   std::unique_ptr<batch::JobManager> jobs;        ///< Only on schedulers.
+  std::unique_ptr<batch::queue_limiter> queues;   ///< Only on schedulers.
   std::unique_ptr<batch::Dispatcher> dispatcher;  ///< Only on schedulers.
   object_store::Declarations declarations;
   std::unique_ptr<object_store::Retirement> retirement;  ///< Only on ledger nodes.
@@ -154,6 +156,7 @@
   void tell_activity(const BackendId& engine);
   void tell_reading(const BackendId& engine, Duration expected);
   void refresh_activity();
+  void report_queues();
   std::vector<PeerAddress> other_gateways() const;
   Duration observed_time_to_yield() const;
   void start_sharing_calls();
