--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -170,13 +170,7 @@
   policy::item_outlook outlook;
   outlook.time_left = work.item.deadline_ms == 0 ? Duration::max() : Duration(std::chrono::milliseconds(left_ms));
   outlook.work_left =
-      policies_.estimate->work_left(work.item.template_name, work.item.tokens, work.item.partial_tokens);
-  return outlook;
-}
-
-policy::item_outlook Dispatcher::outlook_of(const Running& running) const {
-  policy::item_outlook outlook = outlook_of(running.work);
-  outlook.started = running.started;
+      policies_.estimate->time_left(work.item.template_name, work.item.tokens, work.item.partial_tokens);
   return outlook;
 }
 
@@ -195,19 +189,6 @@
   }
 }
 
-void Dispatcher::displace_late_items(const BackendId& id) {
-  if (queue_.empty()) {
-    return;
-  }
-  const policy::item_outlook first = outlook_of(queue_.front());
-  const auto displaced = std::find_if(running_.begin(), running_.end(), [&](const auto& entry) {
-    return entry.second.engine == id && policies_.set.order->displaces(first, outlook_of(entry.second));
-  });
-  if (displaced != running_.end()) {
-    put_back(displaced, "displaced", 0);
-  }
-}
-
 void Dispatcher::fill() {
   std::size_t free_slots = 0;
   if (queue_.size() > 1) {
@@ -219,10 +200,6 @@
       continue;
     }
     std::size_t room = room_on(*backend, engine);
-    if (room == 0) {
-      displace_late_items(backend->machine.id);
-      room = room_on(*backend, engine);
-    }
     for (std::size_t position = 0; room > 0 && position < queue_.size();) {
       if (!fits(queue_[position], *backend)) {
         ++position;
@@ -453,9 +430,9 @@
   }
   Running running = take_running(id);
   registry_.on_success(running.engine);
-  policies_.estimate->learn(running.work.item.template_name,
-                            {running.work.item.tokens, total, total - running.first_event,
-                             environment_.now() - running.started_at});
+  policies_.estimate->learn(
+      running.work.item.template_name,
+      {running.work.item.tokens, total, total - running.first_event, environment_.now() - running.started_at});
   write_result(std::move(running.work), false);
   if (!draining_) {
     fill();
@@ -617,35 +594,32 @@
   const std::size_t online = online_on(*backend, engine);
   const std::size_t allowed = backend->machine.slots > online ? backend->machine.slots - online : 0;
   while (engine.running > allowed) {
-    std::vector<std::map<RunId, Running>::iterator> runs;
-    std::vector<policy::item_outlook> outlooks;
+    auto youngest = running_.end();
     for (auto entry = running_.begin(); entry != running_.end(); ++entry) {
-      if (entry->second.engine == id) {
-        runs.push_back(entry);
-        outlooks.push_back(outlook_of(entry->second));
+      if (entry->second.engine == id &&
+          (youngest == running_.end() || entry->second.started > youngest->second.started)) {
+        youngest = entry;
       }
     }
-    if (runs.empty()) {
+    if (youngest == running_.end()) {
       return;
     }
-    put_back(runs[policies_.set.victim->choose(outlooks)], "yielded", online);
+    put_back(youngest, online);
     counters_["batch_items_yielded_total"]++;
     engine.resume_after = environment_.now() + kQuietAfterYield;
   }
 }
 
-void Dispatcher::put_back(std::map<RunId, Running>::iterator run, std::string_view reason, std::uint32_t live) {
+void Dispatcher::put_back(std::map<RunId, Running>::iterator run, std::uint32_t live) {
   client_.cancel(run->second.call);
   Running running = take_running(run->first);
-  log_.record("item_stopped", {{"job", running.work.item.job},
+  log_.record("item_yielded", {{"job", running.work.item.job},
                                {"index", running.work.item.index},
                                {"item", name_of(running.work)},
-                               {"reason", reason},
                                {"backend", running.engine.str()},
                                {"live", live},
                                {"batch_running", engines_[running.engine].running},
                                {"events", running.work.item.partial_tokens}});
-  counters_["batch_items_put_back_total"]++;
   const policy::item_outlook outlook = outlook_of(running.work);
   const auto later = std::find_if(queue_.begin(), queue_.end(), [&](const Queued& waiting) {
     return !policies_.set.order->before(outlook_of(waiting), outlook);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -38,8 +38,8 @@
 /// What a dispatcher decides by.
 struct DispatchPolicies {
   policy::policy_set set;
-  policy::work_estimate* estimate = nullptr;         ///< Shared with the node's job manager; outlives it.
-  std::function<Duration()> time_to_yield;           ///< As the gateways observe it; may be empty.
+  policy::work_estimate* estimate = nullptr;  ///< Shared with the node's job manager; outlives it.
+  std::function<Duration()> time_to_yield;    ///< As the gateways observe it; may be empty.
 };
 
 /// Sends batch items to the engines this node owns. Single threaded.
@@ -75,7 +75,7 @@
     Queued work;
     BackendId engine;
     routing::CallId call = 0;
-    std::uint64_t started = 0;  ///< Order of starts.
+    std::uint64_t started = 0;  ///< Order of starts; the youngest yields first.
     Timestamp started_at{};
     std::uint32_t first_event = 0;  ///< Events that earlier runs have made.
   };
@@ -101,12 +101,9 @@
   std::vector<PeerAddress> managers_to_ask();
   void yield_on(const BackendId& id);
   policy::item_outlook outlook_of(const Queued& work) const;
-  policy::item_outlook outlook_of(const Running& running) const;
   void sort_queue();
-  /// Stops a running item of @p id that will be late for a waiting one that can be in time.
-  void displace_late_items(const BackendId& id);
-  /// Stops @p run and puts it back among the waiting ones.
-  void put_back(std::map<RunId, Running>::iterator run, std::string_view reason, std::uint32_t live);
+  /// Stops @p run, since @p live live calls need the engine's slots, and puts it back among the waiting ones.
+  void put_back(std::map<RunId, Running>::iterator run, std::uint32_t live);
   void set_running(const BackendId& id, std::ptrdiff_t change);
   /// @return the route of an HTTP item under the present configuration, or null.
   const forwarding::Route* route_of(const Queued& work) const;
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -31,7 +31,7 @@
 
 JobManager::JobManager(Environment& environment, Counters& counters, ledger::Client& ledger,
                        membership::Membership& members, DecisionLog& log,
-                       std::shared_ptr<const policy::item_order> order, const policy::work_estimate& estimate,
+                       std::shared_ptr<const policy::item_order> order, policy::work_estimate& estimate,
                        ManagerGuards guards)
     : environment_(environment),
       counters_(counters),
@@ -270,7 +270,8 @@
   });
   wire::GiveItemsT reply;
   reply.request = message.request;
-  const std::vector<Pass> passes = order_->late_go_last() ? std::vector{Pass::in_time, Pass::late} : std::vector{Pass::any};
+  const std::vector<Pass> passes =
+      order_->late_go_last() ? std::vector{Pass::in_time, Pass::late} : std::vector{Pass::any};
   for (const Pass pass : passes) {
     for (Job* job : order) {
       const auto room = message.capacity - static_cast<std::uint32_t>(reply.items.size());
@@ -302,13 +303,12 @@
   const std::uint32_t tokens = index < job.record.item_tokens.size() ? job.record.item_tokens[index] : 0;
   const auto progress = job.unfinished.find(index);
   const std::uint32_t events = progress == job.unfinished.end() ? 0 : progress->second.tokens;
-  const Duration work = estimate_.work_left(job.record.template_name, tokens, events);
+  const Duration work = estimate_.time_left(job.record.template_name, tokens, events);
   const std::uint64_t done_at_ms = environment_.unix_milliseconds() + static_cast<std::uint64_t>(work / 1ms);
   return (pass == Pass::late) == (done_at_ms > job.record.deadline_ms);
 }
 
-void JobManager::hand_out(Job& job, const PeerAddress& to, std::uint32_t capacity, Pass pass,
-                          wire::GiveItemsT& reply) {
+void JobManager::hand_out(Job& job, const PeerAddress& to, std::uint32_t capacity, Pass pass, wire::GiveItemsT& reply) {
   const wire::MemberT* holder = scheduler_at(to);
   std::uint32_t given = 0;
   bool only_settled_before = true;
@@ -344,6 +344,7 @@
                                     {"to", to.str()},
                                     {"lease_ms", item->lease_ms},
                                     {"record_age_ms", (environment_.now() - job.confirmed_at) / 1ms}});
+    job.first_handed_out.try_emplace(index, environment_.now());
     job.leases[index] = Lease{environment_.now() + kItemLease, to, holder == nullptr ? 0 : holder->incarnation};
     item->host = job.record.host;
     if (const auto progress = job.unfinished.find(index); progress != job.unfinished.end()) {
@@ -482,6 +483,7 @@
     return;
   }
   if (message.completed) {
+    learn_stretch(job, message.index);
     settle(job, message.index);
     return;
   }
@@ -507,6 +509,17 @@
   }
 }
 
+void JobManager::learn_stretch(Job& job, std::uint32_t index) {
+  const auto node = job.first_handed_out.extract(index);
+  const bool late = job.record.deadline_ms != 0 && environment_.unix_milliseconds() > job.record.deadline_ms;
+  // One that is late may have waited for its turn among the late ones.
+  if (node.empty() || late || index >= job.record.item_tokens.size()) {
+    return;
+  }
+  const Duration work = estimate_.work_left(job.record.template_name, job.record.item_tokens[index], 0);
+  estimate_.learn_stretch(job.record.template_name, environment_.now() - node.mapped(), work);
+}
+
 void JobManager::hand_over(const Job& job) {
   const wire::MemberT* owner = best_ranked(job.record.id);
   if (owner == nullptr || owner->id == members_.self().id) {
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -34,7 +34,7 @@
 class JobManager {
  public:
   JobManager(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
-             DecisionLog& log, std::shared_ptr<const policy::item_order> order, const policy::work_estimate& estimate,
+             DecisionLog& log, std::shared_ptr<const policy::item_order> order, policy::work_estimate& estimate,
              ManagerGuards guards = {});
 
   void start();
@@ -73,9 +73,10 @@
     std::vector<ItemState> items;
     std::uint32_t settled = 0;
     std::uint64_t waiting_tokens = 0;  ///< Of the items that are not settled.
-    std::uint32_t cursor = 0;  ///< No pending item lies before it.
+    std::uint32_t cursor = 0;          ///< No pending item lies before it.
     std::map<std::uint32_t, Lease> leases;
-    std::map<std::uint32_t, Progress> unfinished;  ///< What earlier runs of given-back items left.
+    std::map<std::uint32_t, Timestamp> first_handed_out;  ///< Of items that are not settled.
+    std::map<std::uint32_t, Progress> unfinished;         ///< What earlier runs of given-back items left.
     std::map<std::uint32_t, wire::ChunkRecordT> chunks;
     std::set<std::uint32_t> loading_chunks;
     std::set<std::uint32_t> listed;            ///< Items known to stand in the order records.
@@ -116,6 +117,7 @@
   bool item_body(Job& job, std::uint32_t index, std::string& body);
   void load_chunk(Job& job, std::uint32_t chunk);
   void settle(Job& job, std::uint32_t index);
+  void learn_stretch(Job& job, std::uint32_t index);
   const wire::MemberT* scheduler_at(const PeerAddress& address) const;
   void complete_if_done(const JobId& id);
   /// Lists settled items in the job's order records.
@@ -130,7 +132,7 @@
   membership::Membership& members_;
   DecisionLog& log_;
   const std::shared_ptr<const policy::item_order> order_;
-  const policy::work_estimate& estimate_;
+  policy::work_estimate& estimate_;
   const ManagerGuards guards_;
   std::map<JobId, Job> jobs_;
   /// Told about a job that is not open here yet.
--- a/src/batch/queue_limiter.cpp
+++ b/src/batch/queue_limiter.cpp
@@ -22,6 +22,8 @@
 constexpr std::uint64_t kUnaskedPart = 2;
 /// Longer than a message takes.
 constexpr Duration kNewsTravel = 200ms;
+/// A node that has just started reads the open jobs within it.
+constexpr Duration kViewWait = 150ms;
 constexpr double kFreedSmoothing = 0.2;
 
 std::string keeper_key(const std::string& route) { return "queue-limit/" + route; }
@@ -53,6 +55,15 @@
   for (auto& [route, jobs] : routes_) {
     std::erase_if(jobs, [now](const auto& entry) { return now - entry.second.heard_at > kForget; });
   }
+  read_if_needed();
+}
+
+void queue_limiter::set_limited(bool limited) {
+  limited_ = limited;
+  read_if_needed();
+}
+
+void queue_limiter::read_if_needed() {
   if (limited_ && !informed_ && !reading_ && ledger_.has_group_map()) {
     reading_ = true;
     read_records(0, "");
@@ -64,6 +75,7 @@
     reading_ = false;
     informed_ = true;
     counters_["queue_views_read_total"]++;
+    decide_waiting();
     return;
   }
   const auto take_page = [this, group](const Result<ledger::ScanPage>& result) {
@@ -235,10 +247,34 @@
     done({admission_verdict::admitted, {}});
     return;
   }
+  if (informed_) {
+    admit_now(request, done);
+    return;
+  }
+  waiting_for_view_.push_back({request, std::move(done)});
+  read_if_needed();
+  if (!decision_scheduled_) {
+    decision_scheduled_ = true;
+    environment_.after(kViewWait, lifetime_.guard([this] {
+      decision_scheduled_ = false;
+      decide_waiting();
+    }));
+  }
+}
+
+void queue_limiter::decide_waiting() {
+  std::vector<Asked> waiting;
+  std::swap(waiting, waiting_for_view_);
+  for (const Asked& asked : waiting) {
+    admit_now(asked.request, asked.done);
+  }
+}
+
+void queue_limiter::admit_now(const admission_request& request, const AdmissionDone& done) {
   const bool far_below = fits_unasked(request);
   const wire::MemberT* keeper = membership::ranked_scheduler(members_, keeper_key(request.route));
   if (!far_below && keeper != nullptr && keeper->id != members_.self().id) {
-    ask_keeper(*keeper, request, std::move(done));
+    ask_keeper(*keeper, request, done);
     return;
   }
   const admission outcome = decide(request);
@@ -309,18 +345,19 @@
 }
 
 void queue_limiter::admit_if_known(const admission_request& request, const AdmissionDone& done) {
-  ledger_.read(job_key(request.job), lifetime_.guard([this, request, done](const Result<ledger::OptionalValue>& result) {
-    admission outcome{admission_verdict::full, time_until_free(request.route, request.tokens)};
-    if (!succeeded(result)) {
-      outcome = {admission_verdict::unsure, kLeastComeback};
-    } else if (value_of(result)) {
-      outcome = {admission_verdict::admitted, {}};
-    } else {
-      counters_["queue_jobs_refused_full_total"]++;
-    }
-    record(request, "record", outcome);
-    done(outcome);
-  }));
+  ledger_.read(job_key(request.job),
+               lifetime_.guard([this, request, done](const Result<ledger::OptionalValue>& result) {
+                 admission outcome{admission_verdict::full, time_until_free(request.route, request.tokens)};
+                 if (!succeeded(result)) {
+                   outcome = {admission_verdict::unsure, kLeastComeback};
+                 } else if (value_of(result)) {
+                   outcome = {admission_verdict::admitted, {}};
+                 } else {
+                   counters_["queue_jobs_refused_full_total"]++;
+                 }
+                 record(request, "record", outcome);
+                 done(outcome);
+               }));
 }
 
 void queue_limiter::record(const admission_request& request, const char* by, const admission& outcome) {
--- a/src/batch/queue_limiter.hpp
+++ b/src/batch/queue_limiter.hpp
@@ -45,12 +45,12 @@
 /// room away. Single threaded.
 class queue_limiter {
  public:
-  queue_limiter(Environment& environment, Counters& counters, ledger::Client& ledger,
-                membership::Membership& members, DecisionLog& log);
+  queue_limiter(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
+                DecisionLog& log);
 
   void start();
   /// @param limited whether any route has a limit; otherwise nothing is read or told.
-  void set_limited(bool limited) { limited_ = limited; }
+  void set_limited(bool limited);
   bool limited() const { return limited_; }
   /// Decides on a job; @p done may run before this returns.
   void admit(const admission_request& request, AdmissionDone done);
@@ -84,6 +84,10 @@
   };
 
   void tick();
+  void read_if_needed();
+  /// The view has become complete, or it takes too long: those who wait are decided on.
+  void decide_waiting();
+  void admit_now(const admission_request& request, const AdmissionDone& done);
   void read_records(std::uint32_t group, const std::string& after);
   void take(const wire::QueuedJobT& job, bool estimated);
   void tell(std::vector<wire::QueuedJobT> jobs);
@@ -110,9 +114,11 @@
     std::uint64_t tokens = 0;
   };
   std::map<std::string, std::vector<Unasked>> unasked_;  ///< By route; of the last kNewsTravel.
-  std::map<std::string, double> freed_per_second_;  ///< Moving average, by route.
-  std::map<JobId, wire::QueuedJobT> told_;          ///< What this node last told of the jobs it manages.
+  std::map<std::string, double> freed_per_second_;       ///< Moving average, by route.
+  std::map<JobId, wire::QueuedJobT> told_;               ///< What this node last told of the jobs it manages.
   std::map<std::uint64_t, Asked> asked_;
+  std::vector<Asked> waiting_for_view_;
+  bool decision_scheduled_ = false;
   std::uint64_t next_request_ = 0;
   Timestamp ticked_at_{};
   Timestamp refreshed_at_{};
--- a/src/bench/commands.hpp
+++ b/src/bench/commands.hpp
@@ -25,6 +25,5 @@
 int run_overhead(const CommandOptions& options);
 /// Runs each scenario file; with more than one, prints ratios against the first.
 int run_experiments(const CommandOptions& options, const std::vector<std::string>& paths);
-int run_scale(const CommandOptions& options, unsigned nodes, unsigned engines);
 
 }  // namespace madderdeck::bench
--- a/src/bench/main.cpp
+++ b/src/bench/main.cpp
@@ -8,7 +8,6 @@
 #include <iostream>
 
 #include "bench/commands.hpp"
-#include "bench/hollow.hpp"
 
 DEFINE_string(scenario, "", "Scenario file (JSON).");
 DEFINE_string(work_folder, "", "Folder for settings, data and logs; a new one under the temporary folder by default.");
@@ -16,16 +15,11 @@
 DEFINE_uint64(seed, 1, "Seed of arrivals and faults.");
 DEFINE_int32(seconds, 30, "Length of the run.");
 DEFINE_bool(json, false, "Print only the JSON result.");
-DEFINE_int32(nodes, 24, "scale: nodes in all; hollow: nodes of this process.");
-DEFINE_int32(engines, 48, "scale: engines in all.");
-DEFINE_int32(group, 0, "hollow: number of this process.");
-DEFINE_string(control_address, "", "hollow: where the scale run talks to this process.");
-DEFINE_string(platform, "", "hollow: address of the platform.");
 DEFINE_string(report, "", "HTML report to write.");
 
 int main(int argument_count, char** arguments) {
   using namespace madderdeck;
-  gflags::SetUsageMessage("madderdeck-bench demo|faults|run|compare|overhead|scale [flags] [scenarios]");
+  gflags::SetUsageMessage("madderdeck-bench demo|faults|run|compare|overhead [flags] [scenarios]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
   ::signal(SIGPIPE, SIG_IGN);
   bench::CommandOptions options;
@@ -47,16 +41,6 @@
   if (command == "run" || command == "compare") {
     return bench::run_experiments(options, {arguments + 2, arguments + argument_count});
   }
-  if (command == "scale") {
-    return bench::run_scale(options, static_cast<unsigned>(FLAGS_nodes), static_cast<unsigned>(FLAGS_engines));
-  }
-  if (command == "hollow") {
-    const Status status =
-        bench::run_hollow({FLAGS_subnet, static_cast<unsigned>(FLAGS_group), static_cast<unsigned>(FLAGS_nodes),
-                           FLAGS_control_address, FLAGS_platform});
-    std::cerr << (succeeded(status) ? "" : error_of(status).detail) << std::endl;
-    return succeeded(status) ? 0 : exit_code_for(error_of(status).kind);
-  }
   if (command == "faults") {
     return bench::run_faults(options);
   }
@@ -64,6 +48,6 @@
     return bench::run_demo(options);
   }
   std::cerr << "madderdeck-bench: invalid_argument: found '" << command
-            << "', allowed is demo, faults, run, compare, overhead or scale" << std::endl;
+            << "', allowed is demo, faults, run, compare or overhead" << std::endl;
   return exit_code_for(ErrorKind::invalid_argument);
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -69,7 +69,6 @@
       {"engines.batch_headroom_slots", number_field(&Settings::batch_headroom_slots, 0, 100'000)},
       {"policies.headroom", text_field(&Settings::policy_headroom)},
       {"policies.item_order", text_field(&Settings::policy_item_order)},
-      {"policies.victim", text_field(&Settings::policy_victim)},
       {"policies.engine_choice", text_field(&Settings::policy_engine_choice)},
       {"membership.period_ms", number_field(&Settings::membership_period_ms, 50, 60'000)},
       {"ledger.groups", number_field(&Settings::ledger_groups, 1, 4'096)},
@@ -253,7 +252,6 @@
   return policy::policy_set_builder()
       .headroom(policy_headroom)
       .item_order(policy_item_order)
-      .victim(policy_victim)
       .engine_choice(policy_engine_choice)
       .build();
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -51,12 +51,11 @@
   std::string operator_key;
   // [engines]
   std::int64_t load_poll_ms = 1500;
-  std::int64_t loads_pushed = 0;          ///< 1: engines tell their load with each answer.
-  std::int64_t subset_size = 16;          ///< Engines of a pool that this node uses, until a fleet policy is declared.
+  std::int64_t loads_pushed = 0;  ///< 1: engines tell their load with each answer.
+  std::int64_t subset_size = 16;  ///< Engines of a pool that this node uses, until a fleet policy is declared.
   // [policies]: what the node decides by; the names that policy::policy_set_builder takes.
   std::string policy_headroom = "fixed";
   std::string policy_item_order = "deadline";
-  std::string policy_victim = "youngest";
   std::string policy_engine_choice = "reports";
   std::int64_t batch_headroom_slots = 2;  ///< Engine slots batch never takes, until a fleet policy is declared.
   // [ledger]
--- a/src/forwarding/engine_choice.hpp
+++ b/src/forwarding/engine_choice.hpp
@@ -16,7 +16,7 @@
   std::string_view affinity_key;              ///< Empty: any back end is as good.
   Timestamp now{};
   std::uint64_t random = 0;
-  double sharing = 1;  ///< Gateways that use the same back end, on average.
+  double sharing = 1;                             ///< Gateways that use the same back end, on average.
   const routing::shared_calls* shared = nullptr;  ///< Calls of the other nodes; null where they are not told.
   std::size_t samples = 4;                        ///< Candidates that are compared; fewer where calls are told late.
 };
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -109,12 +109,23 @@
   if (!key.empty()) {
     announce_reading(backend);
   }
+  const routing::shared_calls nothing_shared;
+  const routing::shared_calls& shared = shared_ == nullptr ? nothing_shared : *shared_;
+  const known_calls known = calls_at(backend, shared, environment_.now());
+  const auto free_elsewhere = std::count_if(open.begin(), open.end(), [&](const Backend* other) {
+    const known_calls calls = calls_at(*other, shared, environment_.now());
+    return other != &backend && calls.live + calls.batch < calls.slots;
+  });
   log_.record("request_sent", {{"request", active.request->id},
                                {"route", active.route->name},
                                {"pool", active.pool},
                                {"backend", backend.machine.id.str()},
                                {"candidates", open.size()},
                                {"own_calls", backend.online_in_flight},
+                               {"known_calls", known.live + known.batch},
+                               {"known_live", known.live},
+                               {"slots", backend.machine.slots},
+                               {"free_elsewhere", free_elsewhere},
                                {"reported", backend.report.running_online + backend.report.waiting},
                                {"report_age_ms", (environment_.now() - backend.reported_at) / 1ms},
                                {"send", active.sends + 1},
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -83,8 +83,8 @@
     std::set<BackendId> tried;
     bool head_seen = false;  ///< Of the current send.
     bool head_passed = false;
-    Timestamp first_at{};  ///< When the caller was sent the first of the answer.
-    bool heard = false;    ///< Of the current send: any byte.
+    Timestamp first_at{};       ///< When the caller was sent the first of the answer.
+    bool heard = false;         ///< Of the current send: any byte.
     bool awaits_yield = false;  ///< Of the current send: the engine had no free slot, but batch work in some.
     AnswerHead head;
     std::string body;  ///< Of an answer that is passed on as a whole.
@@ -128,7 +128,7 @@
   /// Smooth weighted round robin over a route's pools, by route name and pool.
   std::map<std::string, std::map<std::string, std::int64_t>> pool_credit_;
   Duration long_prompt_time_ = 100ms;  ///< Moving average from sending a long prompt to its first token.
-  Duration first_byte_time_{};               ///< Moving average for short prompts where a slot is free.
+  Duration first_byte_time_{};         ///< Moving average for short prompts where a slot is free.
   Duration time_to_yield_{};
   const routing::shared_calls* shared_ = nullptr;
   Duration shared_delay_{};
--- a/src/forwarding/route_table.hpp
+++ b/src/forwarding/route_table.hpp
@@ -33,15 +33,15 @@
   std::string path_prefix;
   RouteKind kind = RouteKind::repeatable;
   std::vector<WeightedPool> pools;
-  std::uint32_t timeout_ms = 0;     ///< Longest that a request may be held.
-  std::uint32_t target_ms = 0;      ///< An answer within it is in time.
-  std::uint32_t max_attempts = 1;   ///< Back ends that one request may run on.
-  std::uint32_t priority = 0;       ///< 0 is the most urgent.
-  bool resumable = false;           ///< A stream may go on at another back end.
-  bool prefix_affinity = false;     ///< Requests with the same prompt start belong together.
-  std::uint32_t run_target_ms = 0;  ///< For batch: when all results are due.
+  std::uint32_t timeout_ms = 0;         ///< Longest that a request may be held.
+  std::uint32_t target_ms = 0;          ///< An answer within it is in time.
+  std::uint32_t max_attempts = 1;       ///< Back ends that one request may run on.
+  std::uint32_t priority = 0;           ///< 0 is the most urgent.
+  bool resumable = false;               ///< A stream may go on at another back end.
+  bool prefix_affinity = false;         ///< Requests with the same prompt start belong together.
+  std::uint32_t run_target_ms = 0;      ///< For batch: when all results are due.
   std::uint64_t max_queued_tokens = 0;  ///< For batch: what may wait over all nodes; 0: no limit.
-  std::uint32_t keep_ms = 0;        ///< For batch: when an item may be given up.
+  std::uint32_t keep_ms = 0;            ///< For batch: when an item may be given up.
 
   /// @return whether running the request twice does no harm.
   bool may_repeat() const { return kind == RouteKind::repeatable || (kind == RouteKind::stream && resumable); }
--- a/src/membership/ranking.hpp
+++ b/src/membership/ranking.hpp
@@ -6,7 +6,8 @@
 
 namespace madderdeck::membership {
 
-/// @return the scheduler that looks after @p key (a job, an engine, a limit) by this node's view; null where none is known.
+/// @return the scheduler that looks after @p key (a job, an engine, a limit) by this node's view; null where none is
+/// known.
 inline const wire::MemberT* ranked_scheduler(const Membership& members, std::string_view key) {
   const wire::MemberT* first = nullptr;
   std::uint64_t first_weight = 0;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -4,9 +4,10 @@
 
 namespace madderdeck::node {
 namespace {
-constexpr Duration kActivityDelay = 2ms;    ///< Changes within it share a message.
+constexpr Duration kActivityDelay = 2ms;   ///< Changes within it share a message.
 constexpr Duration kActivityQuiet = 20ms;  ///< A falling count is told this late.
 constexpr Duration kActivityRefresh = 1s;
+constexpr Duration kStarting = 2s;
 constexpr Duration kQueueReports = 250ms;
 }  // namespace
 
@@ -107,6 +108,7 @@
 }
 
 void NodeCore::start() {
+  started_at_ = environment.now();
   members.start();
   if (replica) {
     replica->restore();
@@ -131,8 +133,8 @@
 }
 
 void NodeCore::start_sharing_calls() {
-  announcer = std::make_unique<routing::call_announcer>(environment, counters, registry, members.self().id,
-                                                        [this] { return other_gateways(); },
+  announcer = std::make_unique<routing::call_announcer>(
+      environment, counters, registry, members.self().id, [this] { return other_gateways(); },
       [this](const BackendId& engine) { return dispatcher && dispatcher->owns(engine); });
   registry.set_shared_calls(&shared_calls);
   announcer->start();
@@ -194,6 +196,11 @@
                {{"backend", key.name},
                 {"state", backend == nullptr ? "gone" : (backend->machine.leaving ? "leaving" : "live")},
                 {"revision", machines.table().revision()}});
+    // What this node and others sent in an earlier life may still run; nobody else tells of it.
+    const bool just_started = environment.now() - started_at_ < kStarting;
+    if (just_started && shares_calls_ && forwarder && backend != nullptr && backend->reported_at.count() == 0) {
+      fetch_load(backend->machine.id);
+    }
   }
 }
 
@@ -466,17 +473,20 @@
     if (!polls(backend)) {
       continue;
     }
-    const Timestamp asked_at = environment.now();
-    backends_.fetch_load(id,
-                         lifetime_.guard([this, id = id, asked_at](const std::optional<routing::LoadReport>& report) {
-                           if (report) {
-                             registry.on_report(id, *report, asked_at);
-                             tell_unexplained(id);
-                           }
-                         }));
+    fetch_load(id);
   }
 }
 
+void NodeCore::fetch_load(const BackendId& id) {
+  const Timestamp asked_at = environment.now();
+  backends_.fetch_load(id, lifetime_.guard([this, id, asked_at](const std::optional<routing::LoadReport>& report) {
+    if (report) {
+      registry.on_report(id, *report, asked_at);
+      tell_unexplained(id);
+    }
+  }));
+}
+
 // --- live activity, for the schedulers that fill the same engines ---------------------------
 
 void NodeCore::on_online_activity(const BackendId& engine, std::uint32_t in_flight) {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -131,12 +131,12 @@
   routing::ServiceRouter services;
   std::unique_ptr<forwarding::Forwarder> forwarder;  ///< Only with an upstream.
   routing::TenantLimiter limiter;
-  routing::shared_calls shared_calls;                      ///< Of the other nodes.
-  std::unique_ptr<routing::call_announcer> announcer;      ///< Only where calls are shared.
-  policy::work_estimate estimate;                          ///< Of batch items.
-  std::unique_ptr<batch::JobManager> jobs;        ///< Only on schedulers.
-  std::unique_ptr<batch::queue_limiter> queues;   ///< Only on schedulers.
-  std::unique_ptr<batch::Dispatcher> dispatcher;  ///< Only on schedulers.
+  routing::shared_calls shared_calls;                  ///< Of the other nodes.
+  std::unique_ptr<routing::call_announcer> announcer;  ///< Only where calls are shared.
+  policy::work_estimate estimate;                      ///< Of batch items.
+  std::unique_ptr<batch::JobManager> jobs;             ///< Only on schedulers.
+  std::unique_ptr<batch::queue_limiter> queues;        ///< Only on schedulers.
+  std::unique_ptr<batch::Dispatcher> dispatcher;       ///< Only on schedulers.
   object_store::Declarations declarations;
   std::unique_ptr<object_store::Retirement> retirement;  ///< Only on ledger nodes.
   std::unique_ptr<object_store::Controller> controller;  ///< Only on controllers.
@@ -161,10 +161,12 @@
   Duration observed_time_to_yield() const;
   void start_sharing_calls();
   void poll_loads();
+  void fetch_load(const BackendId& id);
   void tell_unexplained(const BackendId& id);
   bool polls(const routing::Backend& backend);
 
   std::map<BackendId, ToldActivity> activity_;
+  Timestamp started_at_{};
   Lifetime lifetime_;
 };
 
--- a/src/policy/policies.cpp
+++ b/src/policy/policies.cpp
@@ -24,11 +24,6 @@
   return *this;
 }
 
-policy_set_builder& policy_set_builder::victim(std::string name) {
-  victim_ = std::move(name);
-  return *this;
-}
-
 policy_set_builder& policy_set_builder::engine_choice(std::string name) {
   engine_choice_ = std::move(name);
   return *this;
@@ -46,18 +41,9 @@
   } else if (item_order_ == "deadline") {
     set.order = std::make_shared<deadline_order>();
   } else if (item_order_ == "attainable") {
-    set.order = std::make_shared<attainable_order>(false);
-  } else if (item_order_ == "attainable_displacing") {
-    set.order = std::make_shared<attainable_order>(true);
-  } else {
-    return unknown("item_order", item_order_, "arrival, deadline, attainable or attainable_displacing");
-  }
-  if (victim_ == "youngest") {
-    set.victim = std::make_shared<youngest_first>();
-  } else if (victim_ == "least_loss") {
-    set.victim = std::make_shared<least_loss_first>();
+    set.order = std::make_shared<attainable_order>();
   } else {
-    return unknown("victim", victim_, "youngest or least_loss");
+    return unknown("item_order", item_order_, "arrival, deadline or attainable");
   }
   if (engine_choice_ != "reports" && engine_choice_ != "shared") {
     return unknown("engine_choice", engine_choice_, "reports or shared");
--- a/src/policy/policies.hpp
+++ b/src/policy/policies.hpp
@@ -14,7 +14,6 @@
 struct policy_set {
   std::shared_ptr<const headroom_policy> headroom;  ///< Null: the fleet policy's fixed number.
   std::shared_ptr<const item_order> order;          ///< Never null.
-  std::shared_ptr<const victim_choice> victim;      ///< Never null.
   bool shared_calls = false;  ///< Gateways tell each other their calls, and choose engines by them.
 };
 
@@ -23,10 +22,8 @@
  public:
   /// @param name "fixed" or "observed".
   policy_set_builder& headroom(std::string name);
-  /// @param name "arrival", "deadline", "attainable" or "attainable_displacing".
+  /// @param name "arrival", "deadline" or "attainable".
   policy_set_builder& item_order(std::string name);
-  /// @param name "youngest" or "least_loss".
-  policy_set_builder& victim(std::string name);
   /// @param name "reports" or "shared".
   policy_set_builder& engine_choice(std::string name);
   /// @return the set, or ErrorKind::invalid_argument naming the policy that is not known.
@@ -35,7 +32,6 @@
  private:
   std::string headroom_ = "fixed";
   std::string item_order_ = "deadline";
-  std::string victim_ = "youngest";
   std::string engine_choice_ = "reports";
 };
 
--- a/src/policy/work_estimate.cpp
+++ b/src/policy/work_estimate.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr double kSmoothing = 0.1;
+constexpr double kMostStretch = 3;
 constexpr std::uint32_t kLeastEvents = 4;  ///< A shorter run tells little about the pace.
 
 void approach(double& average, double value) { average += average == 0 ? value : kSmoothing * (value - average); }
@@ -23,6 +24,20 @@
   }
 }
 
+void work_estimate::learn_stretch(const std::string& kind, Duration took, Duration work) {
+  if (work <= Duration::zero()) {
+    return;
+  }
+  const double sample = static_cast<double>(took.count()) / static_cast<double>(work.count());
+  approach(kinds_[kind].stretch, std::clamp(sample, 1.0, kMostStretch));
+}
+
+Duration work_estimate::time_left(const std::string& kind, std::uint32_t tokens, std::uint32_t events) const {
+  const auto entry = kinds_.find(kind);
+  const double stretch = entry == kinds_.end() ? 1 : entry->second.stretch;
+  return Duration(static_cast<std::int64_t>(static_cast<double>(work_left(kind, tokens, events).count()) * stretch));
+}
+
 Duration work_estimate::work_left(const std::string& kind, std::uint32_t tokens, std::uint32_t events) const {
   const auto entry = kinds_.find(kind);
   if (entry == kinds_.end()) {
--- a/src/policy/work_estimate.hpp
+++ b/src/policy/work_estimate.hpp
@@ -21,15 +21,21 @@
 class work_estimate {
  public:
   void learn(const std::string& kind, const finished_run& run);
+  /// An item was done in time: @p took from its first start, with all times in which it had to yield.
+  /// @param work what it was estimated to need in a slot.
+  void learn_stretch(const std::string& kind, Duration took, Duration work);
   /// @param events made by earlier runs.
   /// @return time in a slot that the rest likely takes; zero while nothing is known of @p kind.
   Duration work_left(const std::string& kind, std::uint32_t tokens, std::uint32_t events) const;
+  /// @return the same with the times in which it will likely have to yield.
+  Duration time_left(const std::string& kind, std::uint32_t tokens, std::uint32_t events) const;
 
  private:
   struct average {
     double events_per_token = 0;
     double events = 0;
     double event_us = 0;
+    double stretch = 1;
   };
   std::map<std::string, average> kinds_;
 };
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -327,7 +327,8 @@
   const std::uint32_t reported = report.running_online + report.running_batch + report.waiting;
   const std::uint32_t excess = reported > known ? reported - known : 0;
   // One report alone may only be older than what is known.
-  backend->unexplained = std::min(excess, backend->last_excess);
+  const bool first = backend->reported_at.count() == 0;
+  backend->unexplained = first ? excess : std::min(excess, backend->last_excess);
   backend->last_excess = excess;
   backend->report = report;
   backend->own_at_report = backend->online_in_flight;
