Fewer messages in large fleets: counts of calls and reports of queue limits are spread by the number of pairs

Change: the delay of shared counts grows with the pairs of nodes, to 700 ms at most; what waits is told once a second or every 40 ms x nodes while all limits are far. A report that was sent before a job was closed no longer brings it back (found by the property test: a job that fits was refused).

--- a/src/batch/queue_limiter.cpp
+++ b/src/batch/queue_limiter.cpp
@@ -10,10 +10,17 @@
 
 constexpr Duration kTick = 250ms;
 constexpr Duration kRefresh = 1s;
+/// In large fleets all is told less often; much more often still than a job is forgotten.
+constexpr Duration kRefreshOfOnePeer = 40ms;
+constexpr Duration kReportOfOnePeer = 8ms;
+/// Below this part of the least limit nobody needs news soon.
+constexpr std::uint64_t kNearPart = 4;
 /// A longer pause between ticks: this node was frozen and has missed what the others told.
 constexpr Duration kFrozen = 1s;
 /// A job that nobody tells of for so long is gone; longer than a manager's work takes to move to another node.
 constexpr Duration kForget = 10s;
+/// Longer than a message takes; shorter than it takes a caller to send a withdrawn job again.
+constexpr Duration kClosedCounts = 250ms;
 constexpr Duration kKeeperAnswers = 300ms;
 constexpr Duration kLeastComeback = 300ms;
 constexpr Duration kMostComeback = 4s;
@@ -55,16 +62,17 @@
   for (auto& [route, jobs] : routes_) {
     std::erase_if(jobs, [now](const auto& entry) { return now - entry.second.heard_at > kForget; });
   }
+  std::erase_if(closed_at_, [now](const auto& entry) { return now - entry.second > kClosedCounts; });
   read_if_needed();
 }
 
-void queue_limiter::set_limited(bool limited) {
-  limited_ = limited;
+void queue_limiter::set_least_limit(std::uint64_t limit) {
+  least_limit_ = limit;
   read_if_needed();
 }
 
 void queue_limiter::read_if_needed() {
-  if (limited_ && !informed_ && !reading_ && ledger_.has_group_map()) {
+  if (limited() && !informed_ && !reading_ && ledger_.has_group_map()) {
     reading_ = true;
     read_records(0, "");
   }
@@ -112,8 +120,13 @@
   }
   if (job.closed) {
     jobs.erase(id);
+    closed_at_[id] = environment_.now();
     return;
   }
+  const auto closed = closed_at_.find(id);
+  if (closed != closed_at_.end() && environment_.now() - closed->second < kClosedCounts) {
+    return;  // sent before the job was closed
+  }
   jobs[id] = Entry{job.tokens, environment_.now(), estimated};
 }
 
@@ -141,9 +154,22 @@
   }
 }
 
+Duration queue_limiter::report_interval() const {
+  const auto peers = static_cast<int>(members_.available(membership::Role::gateway).size());
+  const bool near = std::any_of(routes_.begin(), routes_.end(),
+                                [this](const auto& route) { return waiting(route.first) > least_limit_ / kNearPart; });
+  return near ? kReportOfOnePeer * peers : std::max<Duration>(kRefresh, kRefreshOfOnePeer * peers);
+}
+
 void queue_limiter::set_managed(const std::vector<wire::QueuedJobT>& jobs) {
   const Timestamp now = environment_.now();
-  const bool refresh = now - refreshed_at_ >= kRefresh;
+  if (now - reported_at_ < report_interval()) {
+    return;
+  }
+  const double passed = std::chrono::duration<double>(now - reported_at_).count();
+  reported_at_ = now;
+  const auto peers = static_cast<int>(members_.available(membership::Role::gateway).size());
+  const bool refresh = now - refreshed_at_ >= std::max<Duration>(kRefresh, kRefreshOfOnePeer * peers);
   refreshed_at_ = refresh ? now : refreshed_at_;
   std::vector<wire::QueuedJobT> news;
   std::map<JobId, wire::QueuedJobT> told;
@@ -161,7 +187,7 @@
     told.emplace(id, job);
   }
   for (const auto& [route, tokens] : freed) {
-    const double per_second = static_cast<double>(tokens) / std::chrono::duration<double>(kTick).count();
+    const double per_second = static_cast<double>(tokens) / passed;
     double& average = freed_per_second_[route];
     average += kFreedSmoothing * (per_second - average);
   }
--- a/src/batch/queue_limiter.hpp
+++ b/src/batch/queue_limiter.hpp
@@ -49,16 +49,17 @@
                 DecisionLog& log);
 
   void start();
-  /// @param limited whether any route has a limit; otherwise nothing is read or told.
-  void set_limited(bool limited);
-  bool limited() const { return limited_; }
+  /// @param limit the least limit of a route; 0 where none has one: then nothing is read or told.
+  void set_least_limit(std::uint64_t limit);
+  bool limited() const { return least_limit_ > 0; }
   /// Decides on a job; @p done may run before this returns.
   void admit(const admission_request& request, AdmissionDone done);
   /// A job that was let in was certainly not accepted, or it needs nothing more.
   void close(const std::string& route, const JobId& job);
   /// @p job was ended by its caller.
   void close(const JobId& job);
-  /// What waits of the jobs that this node manages. Told to the others where it changed.
+  /// What waits of the jobs that this node manages. Told to the others where it changed: soon when a limit is near,
+  /// seldom when all are far.
   void set_managed(const std::vector<wire::QueuedJobT>& jobs);
 
   void handle(const wire::QueueReportT& message);
@@ -91,6 +92,8 @@
   void read_records(std::uint32_t group, const std::string& after);
   void take(const wire::QueuedJobT& job, bool estimated);
   void tell(std::vector<wire::QueuedJobT> jobs);
+  /// @return how long to wait between two reports of the jobs managed here.
+  Duration report_interval() const;
   admission decide(const admission_request& request);
   /// @return whether @p request fits even if every node lets in as much at this moment without asking.
   bool fits_unasked(const admission_request& request);
@@ -108,6 +111,7 @@
   membership::Membership& members_;
   DecisionLog& log_;
   std::map<std::string, Jobs> routes_;
+  std::map<JobId, Timestamp> closed_at_;  ///< Of the last moments: older words of these may still be under way.
   /// Let in without asking, and when; the others may not have heard of it.
   struct Unasked {
     Timestamp at{};
@@ -122,7 +126,8 @@
   std::uint64_t next_request_ = 0;
   Timestamp ticked_at_{};
   Timestamp refreshed_at_{};
-  bool limited_ = false;
+  Timestamp reported_at_{};
+  std::uint64_t least_limit_ = 0;
   bool informed_ = false;
   bool reading_ = false;
   Lifetime lifetime_;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -170,9 +170,12 @@
                                 {"routes", told_routes_->routes.size()},
                                 {"revision", objects.table().revision()}});
     if (queues) {
-      const auto& routes = told_routes_->routes;
-      queues->set_limited(std::any_of(routes.begin(), routes.end(),
-                                      [](const forwarding::Route& route) { return route.max_queued_tokens > 0; }));
+      std::uint64_t least = 0;
+      for (const forwarding::Route& route : told_routes_->routes) {
+        const std::uint64_t limit = route.max_queued_tokens;
+        least = limit > 0 && (least == 0 || limit < least) ? limit : least;
+      }
+      queues->set_least_limit(least);
     }
     if (on_routes_change) {
       on_routes_change(*told_routes_);
--- a/src/routing/call_announcer.cpp
+++ b/src/routing/call_announcer.cpp
@@ -6,9 +6,10 @@
 namespace {
 
 constexpr Duration kRefresh = 1s;
-/// For each peer: a node then gets at most 250 messages a second, whatever the size of the fleet.
-constexpr Duration kDelayOfOnePeer = 4ms;
+/// All nodes together send as many messages in a delay as there are pairs of them: the delay grows with the pairs.
+constexpr Duration kDelayOfOnePair = 800us;
 constexpr Duration kLeastDelay = 5ms;
+constexpr Duration kMostDelay = 700ms;
 /// In larger fleets the messages would cost more than the knowledge is worth.
 constexpr std::size_t kMostPeers = 64;
 
@@ -35,7 +36,8 @@
 
 void call_announcer::refresh() {
   environment_.after(kRefresh, lifetime_.guard([this] { refresh(); }));
-  delay_ = std::max(kLeastDelay, kDelayOfOnePeer * static_cast<int>(to_().size()));
+  const auto peers = static_cast<int>(std::min(to_().size(), kMostPeers));
+  delay_ = std::clamp(kDelayOfOnePair * (peers * peers), kLeastDelay, kMostDelay);
   tell(true);
 }
 
--- a/tests/batch/queue_limiter_test.cpp
+++ b/tests/batch/queue_limiter_test.cpp
@@ -27,7 +27,7 @@
     for (auto& node : nodes_) {
       node->members.start();
       node->ledger.on_group_map({{{1, {{NodeId("ledger"), DiskId("d")}}}}});
-      node->limiter.set_limited(true);
+      node->limiter.set_least_limit(kLimit);
       node->limiter.start();
       node->report();
     }
