Counts of calls are shared in fleets of up to 24 gateways; unobserved time to yield counts as 50 ms

Change: beyond 24 gateways nothing is told and reports decide as before; where nobody can see what yielding takes, headroom counts with 50 ms.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -19,6 +19,8 @@
 constexpr unsigned kMaxFailures = 20;
 constexpr Duration kReportUseful = 400ms;
 constexpr Duration kLeastTimeToYield = 10ms;  ///< Messages and the engine's step, before any was observed.
+/// The same where calls are not told, so that no gateway can see for what a live call waits.
+constexpr Duration kUnobservedTimeToYield = 50ms;
 /// Items kept ready beyond the free slots, as a part of the running ones, so that a slot that
 /// falls free need not wait for a question and its answer.
 constexpr std::size_t kReadyPart = 4;
@@ -153,8 +155,9 @@
     return catalog_.policy().batch_headroom_slots;
   }
   const Duration observed = policies_.time_to_yield ? policies_.time_to_yield() : Duration::zero();
+  const Duration least = registry_.knows_calls() ? kLeastTimeToYield : kUnobservedTimeToYield;
   return policies_.set.headroom->free_slots(
-      {engine.live.per_second(environment_.now()), std::max(observed, kLeastTimeToYield), backend.machine.slots});
+      {engine.live.per_second(environment_.now()), std::max(observed, least), backend.machine.slots});
 }
 
 std::size_t Dispatcher::room_on(const routing::Backend& backend, Engine& engine) const {
--- a/src/routing/call_announcer.cpp
+++ b/src/routing/call_announcer.cpp
@@ -10,8 +10,8 @@
 constexpr Duration kDelayOfOnePair = 800us;
 constexpr Duration kLeastDelay = 5ms;
 constexpr Duration kMostDelay = 700ms;
-/// In larger fleets the messages would cost more than the knowledge is worth.
-constexpr std::size_t kMostPeers = 64;
+/// In larger fleets the counts come so late that reports are the better guide (DECISIONS.md).
+constexpr std::size_t kMostPeers = 24;
 
 wire::EngineActivityT message_of(const std::string& node, Duration time_to_yield, bool complete) {
   wire::EngineActivityT message;
