--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -4,7 +4,6 @@
 
 #include "batch/item.hpp"
 #include "common/hash.hpp"
-#include "membership/ranking.hpp"
 
 namespace madderdeck::batch {
 namespace {
@@ -12,6 +11,11 @@
 constexpr Duration kActivityHolds = 2s;
 constexpr Duration kQuietAfterYield = 100ms;
 constexpr std::size_t kManagersAsked = 3;
+/// Few look after jobs there, and a dispatcher has many slots: it asks them all, so that the nearest deadlines go
+/// first.
+constexpr std::size_t kManagersAskedInLargeFleet = 16;
+/// Runs on an engine that has said nothing on any of its calls for so long go on elsewhere.
+constexpr Duration kEngineSilence = 1s;
 constexpr Duration kOwnershipInterval = 250ms;
 constexpr Duration kAskSoon = 20ms;
 constexpr Duration kAskBusy = 200ms;  ///< While some manager is known to have items.
@@ -53,8 +57,8 @@
 
 Dispatcher::Dispatcher(Environment& environment, Counters& counters, ledger::Client& ledger,
                        membership::Membership& members, const config::Catalog& catalog, routing::Registry& registry,
-                       routing::BackendClient& client, DecisionLog& log, DispatchPolicies policies,
-                       DispatchGuards guards)
+                       routing::BackendClient& client, DecisionLog& log, const placement::duties& who,
+                       DispatchPolicies policies, DispatchGuards guards)
     : environment_(environment),
       counters_(counters),
       ledger_(ledger),
@@ -63,6 +67,7 @@
       registry_(registry),
       client_(client),
       log_(log),
+      duties_(who),
       policies_(std::move(policies)),
       guards_(guards) {}
 
@@ -72,6 +77,7 @@
   environment_.after(kTick, lifetime_.guard([this] { tick(); }));
   if (!draining_) {
     follow_managers();
+    leave_silent_engines();
     fill();
   }
   counters_["batch_items_running"] = static_cast<CounterValue>(running_.size());
@@ -90,20 +96,12 @@
   owned_at_members_version_ = members_.version();
   owned_at_registry_version_ = registry_.version();
   owned_.clear();
-  std::vector<std::uint64_t> others;
-  for (const wire::MemberT* scheduler : members_.available(membership::Role::scheduler)) {
-    if (scheduler->id != members_.self().id) {
-      others.push_back(stable_hash(scheduler->id));
-    }
-  }
-  const std::uint64_t self = stable_hash(members_.self().id);
   for (const auto& [id, backend] : registry_.backends()) {
-    const std::uint64_t engine = stable_hash(id.str());
-    const std::uint64_t own_weight = rendezvous_weight(engine, self);
-    const bool first = std::none_of(others.begin(), others.end(), [engine, own_weight](std::uint64_t other) {
-      return rendezvous_weight(engine, other) > own_weight;
-    });
-    if (backend.machine.target == config::Target::model && first) {
+    if (backend.machine.target != config::Target::model) {
+      continue;
+    }
+    const wire::MemberT* owner = duties_.dispatcher_of(id.str(), backend.machine.zone);
+    if (owner != nullptr && owner->id == members_.self().id) {
       owned_.insert(id);
     }
   }
@@ -275,11 +273,10 @@
   std::vector<PeerAddress> candidates(busy_managers_.begin(), busy_managers_.end());
   if (candidates.empty()) {
     // Nobody is known to have items; a notice may have been lost.
-    for (const wire::MemberT* manager : members_.available(membership::Role::scheduler)) {
-      candidates.emplace_back(manager->peer_address);
-    }
+    candidates = duties_.managers();
   }
-  while (candidates.size() > kManagersAsked) {
+  const std::size_t most = duties_.divided() ? kManagersAskedInLargeFleet : kManagersAsked;
+  while (candidates.size() > most) {
     candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(environment_.random() % candidates.size()));
   }
   return candidates;
@@ -383,11 +380,13 @@
       lifetime_.guard([this, id](std::uint32_t offset, std::string_view text) { on_token(id, offset, text); });
   events.finished = lifetime_.guard([this, id](std::uint32_t total) { on_finished(id, total); });
   events.failed = lifetime_.guard([this, id](routing::CallFailure failure) { on_failed(id, failure); });
+  registry_.on_sent(backend.machine.id);
   running_.at(id).call = client_.start(backend.machine.id, call, std::move(events));
 }
 
 Dispatcher::Running Dispatcher::take_running(RunId id) {
   auto node = running_.extract(id);
+  registry_.on_ended(node.mapped().engine);
   set_running(node.mapped().engine, -1);
   return std::move(node.mapped());
 }
@@ -408,6 +407,7 @@
   if (entry == running_.end()) {
     return;
   }
+  registry_.on_heard(entry->second.engine);
   wire::WorkItemT& item = entry->second.work.item;
   if (offset == item.partial_tokens) {
     const bool event_of_stream = entry->second.work.http != nullptr;
@@ -525,7 +525,7 @@
 }
 
 PeerAddress Dispatcher::manager_of(const Queued& work) const {
-  const wire::MemberT* manager = membership::ranked_scheduler(members_, work.item.job);
+  const wire::MemberT* manager = duties_.manager_of(work.item.job);
   return manager == nullptr ? work.manager : PeerAddress(manager->peer_address);
 }
 
@@ -613,6 +613,22 @@
   }
 }
 
+void Dispatcher::leave_silent_engines() {
+  const Timestamp now = environment_.now();
+  for (auto entry = running_.begin(); entry != running_.end();) {
+    const auto run = entry++;
+    const routing::Backend* backend = registry_.find(run->second.engine);
+    const bool silent = backend != nullptr && backend->open_calls > 0 && now - backend->quiet_since > kEngineSilence;
+    // The run itself may have just begun to wait for its first event.
+    if (!silent || now - run->second.started_at < kEngineSilence) {
+      continue;
+    }
+    engines_[run->second.engine].resume_after = now + kEngineSilence;
+    counters_["batch_items_left_silent_engines_total"]++;
+    put_back(run, 0);
+  }
+}
+
 void Dispatcher::put_back(std::map<RunId, Running>::iterator run, std::uint32_t live) {
   client_.cancel(run->second.call);
   Running running = take_running(run->first);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "config/objects.hpp"
 #include "ledger/client.hpp"
 #include "membership/membership.hpp"
+#include "placement/duties.hpp"
 #include "policy/policies.hpp"
 #include "policy/rate_meter.hpp"
 #include "policy/work_estimate.hpp"
@@ -47,7 +48,7 @@
  public:
   Dispatcher(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
              const config::Catalog& catalog, routing::Registry& registry, routing::BackendClient& client,
-             DecisionLog& log, DispatchPolicies policies, DispatchGuards guards = {});
+             DecisionLog& log, const placement::duties& who, DispatchPolicies policies, DispatchGuards guards = {});
 
   void start();
   void handle(const PeerAddress& sender, const wire::GiveItemsT& message);
@@ -103,6 +104,8 @@
   policy::item_outlook outlook_of(const Queued& work) const;
   void sort_queue();
   /// Stops @p run, since @p live live calls need the engine's slots, and puts it back among the waiting ones.
+  /// Puts back what runs on engines that have said nothing for long: the items go on elsewhere from their last event.
+  void leave_silent_engines();
   void put_back(std::map<RunId, Running>::iterator run, std::uint32_t live);
   void set_running(const BackendId& id, std::ptrdiff_t change);
   /// @return the route of an HTTP item under the present configuration, or null.
@@ -136,6 +139,7 @@
   routing::Registry& registry_;
   routing::BackendClient& client_;
   DecisionLog& log_;
+  const placement::duties& duties_;
   const DispatchPolicies policies_;
   const DispatchGuards guards_;
   std::deque<Queued> queue_;
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <numeric>
 
-#include "membership/ranking.hpp"
-
 namespace madderdeck::batch {
 namespace {
 constexpr Duration kTick = 250ms;
@@ -30,13 +28,14 @@
 }  // namespace
 
 JobManager::JobManager(Environment& environment, Counters& counters, ledger::Client& ledger,
-                       membership::Membership& members, DecisionLog& log,
+                       membership::Membership& members, const placement::duties& who, DecisionLog& log,
                        std::shared_ptr<const policy::item_order> order, policy::work_estimate& estimate,
                        ManagerGuards guards)
     : environment_(environment),
       counters_(counters),
       ledger_(ledger),
       members_(members),
+      duties_(who),
       log_(log),
       order_(std::move(order)),
       estimate_(estimate),
@@ -58,9 +57,7 @@
   return entry->second;
 }
 
-const wire::MemberT* JobManager::best_ranked(const std::string& name) const {
-  return membership::ranked_scheduler(members_, name);
-}
+const wire::MemberT* JobManager::best_ranked(const std::string& name) const { return duties_.manager_of(name); }
 
 void JobManager::tick() {
   environment_.after(kTick, lifetime_.guard([this] { tick(); }));
@@ -108,13 +105,15 @@
   const bool pending = std::any_of(jobs_.begin(), jobs_.end(), [](const auto& entry) {
     return entry.second.loaded && entry.second.settled + entry.second.leases.size() < entry.second.items.size();
   });
-  auto schedulers = members_.available(membership::Role::scheduler);
-  for (std::size_t told = 0; pending && told < kAnnounceFanout && !schedulers.empty(); ++told) {
-    const std::size_t position = environment_.random() % schedulers.size();
+  std::vector<PeerAddress> dispatchers = duties_.dispatchers();
+  // In a large fleet few dispatch, and each may have free slots.
+  const std::size_t fanout = duties_.divided() ? dispatchers.size() : kAnnounceFanout;
+  for (std::size_t told = 0; pending && told < fanout && !dispatchers.empty(); ++told) {
+    const std::size_t position = environment_.random() % dispatchers.size();
     wire::JobNoticeT notice;
     notice.manager = members_.self().peer_address;
-    send_message(environment_, PeerAddress(schedulers[position]->peer_address), std::move(notice));
-    schedulers.erase(schedulers.begin() + static_cast<std::ptrdiff_t>(position));
+    send_message(environment_, dispatchers[position], std::move(notice));
+    dispatchers.erase(dispatchers.begin() + static_cast<std::ptrdiff_t>(position));
   }
 }
 
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -12,6 +12,7 @@
 #include "common/decision_log.hpp"
 #include "ledger/client.hpp"
 #include "membership/membership.hpp"
+#include "placement/duties.hpp"
 #include "policy/policies.hpp"
 #include "policy/work_estimate.hpp"
 
@@ -34,8 +35,8 @@
 class JobManager {
  public:
   JobManager(Environment& environment, Counters& counters, ledger::Client& ledger, membership::Membership& members,
-             DecisionLog& log, std::shared_ptr<const policy::item_order> order, policy::work_estimate& estimate,
-             ManagerGuards guards = {});
+             const placement::duties& who, DecisionLog& log, std::shared_ptr<const policy::item_order> order,
+             policy::work_estimate& estimate, ManagerGuards guards = {});
 
   void start();
   void handle(const wire::JobNoticeT& message);
@@ -130,6 +131,7 @@
   Counters& counters_;
   ledger::Client& ledger_;
   membership::Membership& members_;
+  const placement::duties& duties_;
   DecisionLog& log_;
   const std::shared_ptr<const policy::item_order> order_;
   policy::work_estimate& estimate_;
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -56,6 +56,7 @@
       {"node.seeds", list_field(&Settings::seeds)},
       {"node.zones", list_field(&Settings::zones)},
       {"node.data_folder", text_field(&Settings::data_folder)},
+      {"node.cpu_share", text_field(&Settings::cpu_share)},
       {"platform.endpoint", text_field(&Settings::platform_endpoint)},
       {"node.probe_address", text_field(&Settings::probe_address)},
       {"node.metrics_address", text_field(&Settings::metrics_address)},
@@ -63,6 +64,7 @@
       {"platform.readers", number_field(&Settings::platform_readers, 1, kMillion)},
       {"platform.all_read_up_to", number_field(&Settings::platform_all_read_up_to, 0, kMillion)},
       {"platform.feed_silence_ms", number_field(&Settings::platform_feed_silence_ms, 0, 600'000)},
+      {"platform.apply_within_ms", number_field(&Settings::platform_apply_within_ms, 0, 600'000)},
       {"platform.retry_ms", number_field(&Settings::platform_retry_ms, 10, 60'000)},
       {"engines.loads_pushed", number_field(&Settings::loads_pushed, 0, 1)},
       {"engines.subset_size", number_field(&Settings::subset_size, 1, 100'000)},
@@ -226,6 +228,14 @@
   if (settings.has_role("ledger") && settings.data_folder.empty()) {
     return fault(origin, "node.data_folder", "nothing", "a folder, since node.roles has ledger");
   }
+  constexpr double kMostShare = 1'024;
+  double share = 0;
+  const char* end = settings.cpu_share.data() + settings.cpu_share.size();
+  const auto parsed = std::from_chars(settings.cpu_share.data(), end, share);
+  const bool is_share = parsed.ec == std::errc() && parsed.ptr == end && share > 0 && share <= kMostShare;
+  if (!settings.cpu_share.empty() && !is_share) {
+    return fault(origin, "node.cpu_share", "'" + settings.cpu_share + "'", "a part of a core like 0.25, or none");
+  }
   if (const auto policies = settings.policies(); !succeeded(policies)) {
     return Error{ErrorKind::invalid_argument, origin.text() + ": " + error_of(policies).detail};
   }
@@ -256,6 +266,13 @@
       .build();
 }
 
+std::uint32_t Settings::capacity() const {
+  constexpr double kHundredths = 100;
+  double share = 0;
+  std::from_chars(cpu_share.data(), cpu_share.data() + cpu_share.size(), share);
+  return static_cast<std::uint32_t>(share * kHundredths);
+}
+
 bool Settings::has_role(const std::string& role) const {
   return std::find(roles.begin(), roles.end(), role) != roles.end();
 }
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -32,12 +32,14 @@
   std::int64_t seed_port = 0;      ///< When given, it stands for the ports of the seeds.
   std::vector<std::string> zones;  ///< When given, zone must be one of them.
   std::string data_folder;         ///< Only for the ledger role.
+  std::string cpu_share;           ///< Of a core, as a decimal number; the better equipped decide for the others.
   // [platform]
   std::string platform_endpoint;
   std::int64_t ledger_tolerated_losses = 1;   ///< Disks that may be lost at once; groups have 2 n + 1 replicas.
   std::int64_t platform_readers = 2;          ///< Controllers that watch the platform's store.
   std::int64_t platform_all_read_up_to = 0;   ///< In fleets of so many controllers or fewer all watch it.
   std::int64_t platform_feed_silence_ms = 0;  ///< Others look themselves after it; 0: never.
+  std::int64_t platform_apply_within_ms = 0;  ///< Bound for new configuration; feed, looks and waits follow; 0: none.
   std::int64_t platform_retry_ms = 1'000;     ///< Pause after a watch that failed.
   // [limits]
   std::int64_t max_body_bytes = 4 << 20;
@@ -75,6 +77,8 @@
   Result<Settings> reread() const;
   /// @return the roles as bits of wire::MemberT::roles.
   std::uint32_t role_bits() const;
+  /// @return cpu_share in hundredths of a core; 0 when it is not stated.
+  std::uint32_t capacity() const;
   /// @return the policies named, or ErrorKind::invalid_argument.
   Result<policy::policy_set> policies() const;
   bool has_role(const std::string& role) const;
--- a/src/forwarding/engine_choice.cpp
+++ b/src/forwarding/engine_choice.cpp
@@ -128,6 +128,15 @@
   return backend.open_calls > 0 && now - backend.quiet_since > kSilence;
 }
 
+Backend& preferred_backend(const std::vector<Backend*>& candidates, std::string_view key) {
+  const std::uint64_t key_hash = stable_hash(key);
+  return **std::max_element(candidates.begin(), candidates.end(),
+                            [key_hash](const Backend* left, const Backend* right) {
+                              return rendezvous_weight(key_hash, stable_hash(left->machine.id.str())) <
+                                     rendezvous_weight(key_hash, stable_hash(right->machine.id.str()));
+                            });
+}
+
 Backend& choose_backend(const ChoiceInput& input) {
   std::vector<Backend*> candidates;
   for (Backend* candidate : input.candidates) {
--- a/src/forwarding/engine_choice.hpp
+++ b/src/forwarding/engine_choice.hpp
@@ -43,6 +43,9 @@
 /// @return whether calls are open to @p backend and it has been silent on all of them for long.
 bool silent(const routing::Backend& backend, Timestamp now);
 
+/// @return the one of @p candidates (never empty) that affinity names for @p key, whatever its load.
+routing::Backend& preferred_backend(const std::vector<routing::Backend*>& candidates, std::string_view key);
+
 /// Least expected wait among a few random candidates; with an affinity key the back end that likely
 /// holds the prompt's start, while its load stays near the average. Silent ones come last.
 routing::Backend& choose_backend(const ChoiceInput& input);
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -105,10 +105,63 @@
     return;
   }
   const std::string key = active.route->prefix_affinity ? affinity_key(active.request->prompt) : std::string();
+  if (placer_ != nullptr && placer_->active()) {
+    ask_for_place(id, open, key);
+    return;
+  }
   Backend& backend = choose(active, open, key);
   if (!key.empty()) {
     announce_reading(backend);
   }
+  send_to(id, backend, open);
+}
+
+void Forwarder::ask_for_place(ForwardId id, const std::vector<Backend*>& open, const std::string& key) {
+  Active& active = requests_.at(id);
+  place_query query;
+  query.pool = active.pool;
+  query.excluded = active.tried;
+  if (!key.empty()) {
+    query.affinity_key = key;
+    query.first = preferred_backend(open, key).machine.id;
+    query.reading = std::clamp(long_prompt_time_, kLeastReading, kMostReading);
+  }
+  const std::uint64_t placing = ++next_placing_;
+  active.placing = placing;
+  placer_->place(query, lifetime_.guard([this, id, placing](const std::optional<place_answer>& answer) {
+    on_placed(id, placing, answer);
+  }));
+}
+
+void Forwarder::on_placed(ForwardId id, std::uint64_t placing, const std::optional<place_answer>& answer) {
+  const auto entry = requests_.find(id);
+  if (entry == requests_.end() || entry->second.placing != placing) {
+    counters_["forward_places_unused_total"]++;
+    return;
+  }
+  Active& active = entry->second;
+  active.placing = 0;
+  const std::vector<Backend*> open = choices(active);
+  if (open.empty()) {
+    end_unanswered(id, ErrorKind::unavailable, "the pool has no back end left that takes requests");
+    return;
+  }
+  const auto named = std::find_if(open.begin(), open.end(), [&answer](const Backend* backend) {
+    return answer && backend->machine.id == answer->engine;
+  });
+  if (named != open.end()) {
+    active.awaits_yield = answer->needs_yield;
+    send_to(id, **named, open);
+    return;
+  }
+  // Not told in time, or of an engine that this node does not know or does not use: by its own knowledge then.
+  counters_["forward_places_own_choice_total"]++;
+  const std::string key = active.route->prefix_affinity ? affinity_key(active.request->prompt) : std::string();
+  send_to(id, choose(active, open, key), open);
+}
+
+void Forwarder::send_to(ForwardId id, Backend& backend, const std::vector<Backend*>& open) {
+  Active& active = requests_.at(id);
   const routing::shared_calls nothing_shared;
   const routing::shared_calls& shared = shared_ == nullptr ? nothing_shared : *shared_;
   const known_calls known = calls_at(backend, shared, environment_.now());
@@ -148,7 +201,9 @@
 
 void Forwarder::send(ForwardId id, Backend& backend) {
   Active& active = requests_.at(id);
-  active.awaits_yield = shared_ != nullptr && calls_at(backend, *shared_, environment_.now()).needs_yield();
+  if (placer_ == nullptr || !placer_->active()) {
+    active.awaits_yield = shared_ != nullptr && calls_at(backend, *shared_, environment_.now()).needs_yield();
+  }
   active.backend = backend.machine.id;
   active.tried.insert(active.backend);
   active.attempt = ++next_attempt_;
@@ -436,6 +491,11 @@
     return;
   }
   Active& active = entry->second;
+  if (active.placing != 0) {
+    counters_["forward_timeouts_total"]++;
+    end_unanswered(id, ErrorKind::deadline_exceeded, "no engine was named in the time there was");
+    return;
+  }
   upstream_.cancel(active.call);
   leave_backend(active);
   if (!active.heard) {
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -11,6 +11,7 @@
 #include "common/counters.hpp"
 #include "common/decision_log.hpp"
 #include "common/environment.hpp"
+#include "forwarding/engine_placer.hpp"
 #include "forwarding/event_splitter.hpp"
 #include "forwarding/route_table.hpp"
 #include "forwarding/upstream.hpp"
@@ -63,6 +64,8 @@
     shared_ = &calls;
     shared_delay_ = delay;
   }
+  /// From now on @p placer is asked for engines while it is active. It outlives this.
+  void use_placer(engine_placer& placer) { placer_ = &placer; }
   /// @return moving average of what a live call waits for its first token more where batch work has to yield.
   Duration time_to_yield() const { return time_to_yield_; }
 
@@ -77,6 +80,7 @@
     std::string pool;
     BackendId backend;
     routing::CallId call = 0;
+    std::uint64_t placing = 0;  ///< Number of the question for an engine that is under way; 0: none.
     std::uint64_t attempt = 0;  ///< Number of the current send; events of others are dropped.
     std::uint32_t sends = 0;
     std::uint32_t runs = 0;  ///< Sends that may have run.
@@ -93,6 +97,11 @@
   };
 
   void attempt(ForwardId id);
+  /// Asks the placer for the engine of a request.
+  void ask_for_place(ForwardId id, const std::vector<routing::Backend*>& open, const std::string& key);
+  void on_placed(ForwardId id, std::uint64_t placing, const std::optional<place_answer>& answer);
+  /// Sends a request to @p backend, one of @p open.
+  void send_to(ForwardId id, routing::Backend& backend, const std::vector<routing::Backend*>& open);
   void send(ForwardId id, routing::Backend& backend);
   void announce_reading(routing::Backend& backend);
   routing::Backend& choose(const Active& active, const std::vector<routing::Backend*>& open, const std::string& key);
@@ -132,6 +141,8 @@
   Duration time_to_yield_{};
   const routing::shared_calls* shared_ = nullptr;
   Duration shared_delay_{};
+  engine_placer* placer_ = nullptr;
+  std::uint64_t next_placing_ = 0;
   ReadingHook on_reading_;
   ForwardId next_id_ = 0;
   std::uint64_t next_attempt_ = 0;
--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -45,7 +45,7 @@
   return true;
 }
 
-void Client::decide_next(std::uint32_t group, const ReplicaGroup& next, std::size_t quorum,
+void Client::decide_next(std::uint32_t group, const ReplicaGroup& next, const EpochRule& rule,
                          std::function<void(Result<ReplicaGroup>)> done) {
   if (group >= map_.groups.size() || next.epoch != map_.groups[group].epoch + 1) {
     done(Error{ErrorKind::conflict, "the group has another epoch by now"});
@@ -54,7 +54,7 @@
   const wire::Bytes proposal = wire::encode_record(to_wire(next));
   Operation operation;
   operation.key = group_config_key(group, next.epoch);
-  operation.quorum = quorum;
+  operation.rule = rule;
   operation.function = [proposal](const OptionalValue& current) {
     return current ? OptionalValue{} : OptionalValue{proposal};
   };
@@ -272,7 +272,7 @@
     return;
   }
   Operation& operation = operations_.at(id->second);
-  if (operation.phase != Phase::preparing) {
+  if (operation.phase != Phase::preparing || !operation.counts(message.replica)) {
     return;
   }
   if (message.status != wire::ReplicaStatus::Granted) {
@@ -320,7 +320,8 @@
     return;
   }
   Operation& operation = operations_.at(id->second);
-  if (operation.phase != Phase::accepting && operation.phase != Phase::copying) {
+  const bool accepting = operation.phase == Phase::accepting || operation.phase == Phase::copying;
+  if (!accepting || !operation.counts(message.replica)) {
     return;
   }
   if (message.status != wire::ReplicaStatus::Granted) {
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -61,6 +61,12 @@
 /// @return how far a node is from here; the least is asked for values.
 using NodeDistance = std::function<unsigned(const NodeId&)>;
 
+/// Who of a group's members must agree on its next epoch.
+struct EpochRule {
+  std::size_t quorum = 0;               ///< How many; 0: the majority.
+  std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts.
+};
+
 /// Proposer for all records. Owned by one node, single threaded.
 class Client {
  public:
@@ -87,9 +93,10 @@
   void write_exclusive(const std::string& key, wire::Bytes value, ChangeDone done);
   /// Lets the members of the present epoch decide the next one: the first proposal that a quorum
   /// takes stands, and is told to all concerned.
-  /// @param quorum members that must agree; the majority, unless disks of an even group are proven lost.
+  /// @param rule who must agree: the majority, unless a member of an even group is proven lost or another one was
+  ///        named the sole decider.
   /// @p done gets the description that stands, or why none was decided.
-  void decide_next(std::uint32_t group, const ReplicaGroup& next, std::size_t quorum,
+  void decide_next(std::uint32_t group, const ReplicaGroup& next, const EpochRule& rule,
                    std::function<void(Result<ReplicaGroup>)> done);
   /// Tells everybody named in the present description of @p group about it.
   void announce_group(std::uint32_t group);
@@ -124,10 +131,14 @@
     OptionalValue value;
     bool accept_sent = false;
     bool exclusive = false;
-    std::size_t quorum = 0;  ///< 0: the majority.
+    EpochRule rule;
     unsigned attempts = 0;
 
-    std::size_t needed() const { return quorum > 0 ? quorum : group.majority(); }
+    std::size_t needed() const { return rule.quorum > 0 ? rule.quorum : group.majority(); }
+    /// @return whether the answer of the group's member with that number counts.
+    bool counts(std::uint32_t replica) const {
+      return !rule.sole || (replica < group.replicas.size() && group.replicas[replica] == *rule.sole);
+    }
   };
   struct Scan {
     std::uint32_t group_number = 0;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -2,6 +2,7 @@
 /// @file Who is in the fleet: gossip with suspicion and refutation (SWIM), plus a leaving
 /// state that spreads eagerly. See docs/design/membership.md.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <optional>
@@ -70,6 +71,11 @@
   void leave();
   /// Replaces the addresses at which the fleet is looked for.
   void set_seeds(std::vector<PeerAddress> seeds) { seeds_ = std::move(seeds); }
+  bool has_seeds() const { return !seeds_.empty(); }
+  /// @return whether other nodes look for the fleet here.
+  bool is_seed() const {
+    return std::find(seeds_.begin(), seeds_.end(), PeerAddress(self_.peer_address)) != seeds_.end();
+  }
   /// Announces that this node's disk is to be emptied. It goes on working meanwhile.
   void retire();
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -109,6 +109,7 @@
     options.self.peer_address = settings_.peer_address;
     options.self.api_address = settings_.api_address;
     options.self.roles = settings_.role_bits();
+    options.self.capacity = settings_.capacity();
     // A restarted process must outrank what is still said about its predecessor.
     options.self.incarnation = environment_.unix_milliseconds();
     options.load_poll = std::chrono::milliseconds(settings_.load_poll_ms);
@@ -127,6 +128,9 @@
     options.controller.readers = static_cast<std::size_t>(settings_.platform_readers);
     options.controller.all_read_up_to = static_cast<std::size_t>(settings_.platform_all_read_up_to);
     options.controller.feed_silence = std::chrono::milliseconds(settings_.platform_feed_silence_ms);
+    if (settings_.platform_apply_within_ms > 0) {
+      options.controller.keep_within(std::chrono::milliseconds(settings_.platform_apply_within_ms));
+    }
     options.controller.store_retry = std::chrono::milliseconds(settings_.platform_retry_ms);
     for (const std::string& seed : settings_.seeds) {
       options.seeds.emplace_back(seed);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -35,6 +35,7 @@
           [this](std::size_t count) { return members.random_peers(count); },
           [this](const std::vector<config::EntryKey>& keys) { on_objects_changed(keys); }),
       members(environment, counters, options.self, options.seeds, make_hooks(), options.membership),
+      duties(members),
       ledger(
           environment, counters, [this](const NodeId& node) { return members.address_of(node); }, options.ledger,
           [this](const NodeId& node) { return members.distance_to(node); }),
@@ -56,6 +57,7 @@
     forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
   shares_calls_ = options.policies.shared_calls;
+  coordinates_ = options.policies.coordinated;
   catalog.set_default_policy(options.default_policy);
   registry.set_subset_size(options.default_policy.subset_size);
   if (has_role(options.self, Role::ledger) && dependencies.storage != nullptr) {
@@ -64,13 +66,13 @@
         [this](const NodeId& node) { return members.address_of(node); }, options.guards.replica);
   }
   if (has_role(options.self, Role::scheduler)) {
-    jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, log, options.policies.order,
-                                               estimate, options.guards.manager);
+    jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, duties, log,
+                                               options.policies.order, estimate, options.guards.manager);
     queues = std::make_unique<batch::queue_limiter>(environment, counters, ledger, members, log);
     batch::DispatchPolicies policies{options.policies, &estimate, [this] { return observed_time_to_yield(); }};
-    dispatcher =
-        std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
-                                            dependencies.backends, log, std::move(policies), options.guards.dispatch);
+    dispatcher = std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
+                                                     dependencies.backends, log, duties, std::move(policies),
+                                                     options.guards.dispatch);
   }
   if (replica && dependencies.platform.has_retirements()) {
     retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica,
@@ -128,6 +130,9 @@
   if (shares_calls_) {
     start_sharing_calls();
   }
+  if (coordinates_ && forwarder) {
+    start_coordination();
+  }
   refresh_activity();
   poll_loads();
 }
@@ -139,7 +144,26 @@
   registry.set_shared_calls(&shared_calls);
   announcer->start();
   if (dispatcher) {
-    dispatcher->on_batch_activity = [this](const BackendId& engine) { announcer->changed(engine); };
+    dispatcher->on_batch_activity = [this](const BackendId& engine) { on_calls_changed(engine); };
+  }
+}
+
+void NodeCore::start_coordination() {
+  const wire::MemberT& self = members.self();
+  coordinator = std::make_unique<placement::coordinator>(environment, counters, log, registry, duties, self);
+  places = std::make_unique<placement::place_client>(environment, counters, log, registry, duties, self, *coordinator);
+  call_reporter = std::make_unique<placement::call_reporter>(environment, counters, registry, *places, duties, self);
+  coordinator->start();
+  call_reporter->start();
+  forwarder->use_placer(*places);
+}
+
+void NodeCore::on_calls_changed(const BackendId& engine) {
+  if (call_reporter) {
+    call_reporter->changed(engine);
+  }
+  if (announcer) {
+    announcer->changed(engine);
   }
 }
 
@@ -155,7 +179,7 @@
 
 Duration NodeCore::observed_time_to_yield() const {
   const Duration own = forwarder ? forwarder->time_to_yield() : Duration::zero();
-  return std::max(own, shared_calls.time_to_yield());
+  return std::max(own, coordinated() ? coordinator->calls().time_to_yield() : shared_calls.time_to_yield());
 }
 
 void NodeCore::on_objects_changed(const std::vector<config::EntryKey>& keys) {
@@ -200,8 +224,10 @@
                 {"state", backend == nullptr ? "gone" : (backend->machine.leaving ? "leaving" : "live")},
                 {"revision", machines.table().revision()}});
     // What this node and others sent in an earlier life may still run; nobody else tells of it.
+    // In a large fleet the dispatchers do, or every start would be a load report for each pair of node and engine.
     const bool just_started = environment.now() - started_at_ < kStarting;
-    if (just_started && shares_calls_ && forwarder && backend != nullptr && backend->reported_at.count() == 0) {
+    if (just_started && shares_calls_ && !duties.divided() && forwarder && backend != nullptr &&
+        backend->reported_at.count() == 0) {
       fetch_load(backend->machine.id);
     }
   }
@@ -342,7 +368,26 @@
       }
       break;
     case wire::Message::EngineActivity:
-      shared_calls.take(*body.AsEngineActivity(), environment.now());
+      if (coordinated()) {
+        coordinator->take(*body.AsEngineActivity());
+      } else {
+        shared_calls.take(*body.AsEngineActivity(), environment.now());
+      }
+      break;
+    case wire::Message::PlaceRequest:
+      if (coordinator) {
+        coordinator->handle(sender, *body.AsPlaceRequest());
+      }
+      break;
+    case wire::Message::PlaceReply:
+      if (places) {
+        places->handle(*body.AsPlaceReply());
+      }
+      break;
+    case wire::Message::PlaceRoom:
+      if (coordinator) {
+        coordinator->handle(*body.AsPlaceRoom());
+      }
       break;
     case wire::Message::PromptReading:
       registry.on_reading(BackendId(body.AsPromptReading()->engine),
@@ -382,13 +427,26 @@
 // --- jobs -----------------------------------------------------------------------------------
 
 void NodeCore::announce_job(const JobId& job, bool cancelled) {
-  const wire::MemberT* manager = membership::ranked_scheduler(members, job.str());
-  for (const wire::MemberT* scheduler : members.available(Role::scheduler)) {
+  const wire::MemberT* manager = duties.manager_of(job.str());
+  std::set<PeerAddress> told;
+  if (cancelled || !duties.divided()) {
+    // Items may still run where the duties were before.
+    for (const wire::MemberT* scheduler : members.available(Role::scheduler)) {
+      told.insert(PeerAddress(scheduler->peer_address));
+    }
+  } else {
+    const std::vector<PeerAddress> dispatchers = duties.dispatchers();
+    told.insert(dispatchers.begin(), dispatchers.end());
+    if (manager != nullptr) {
+      told.insert(PeerAddress(manager->peer_address));
+    }
+  }
+  for (const PeerAddress& scheduler : told) {
     wire::JobNoticeT notice;
     notice.job = job.str();
     notice.cancelled = cancelled;
     notice.manager = manager == nullptr ? "" : manager->peer_address;
-    send_message(environment, PeerAddress(scheduler->peer_address), std::move(notice));
+    send_message(environment, scheduler, std::move(notice));
   }
 }
 
@@ -495,9 +553,7 @@
 void NodeCore::on_online_activity(const BackendId& engine, std::uint32_t in_flight) {
   ToldActivity& entry = activity_[engine];
   entry.in_flight = in_flight;
-  if (announcer) {
-    announcer->changed(engine);
-  }
+  on_calls_changed(engine);
   if (entry.scheduled || !guards_.tell_activity) {
     return;
   }
@@ -509,7 +565,9 @@
 void NodeCore::tell_activity(const BackendId& engine) {
   ToldActivity& entry = activity_[engine];
   entry.scheduled = false;
-  const wire::MemberT* owner = membership::ranked_scheduler(members, engine.str());
+  const routing::Backend* backend = registry.find(engine);
+  const std::string zone = backend == nullptr ? std::string() : backend->machine.zone;
+  const wire::MemberT* owner = duties.dispatcher_of(engine.str(), zone);
   if (owner == nullptr) {
     return;
   }
@@ -523,6 +581,9 @@
 
 /// Lost messages do no harm: a request may then wait behind the prompt.
 void NodeCore::tell_reading(const BackendId& engine, Duration expected) {
+  if (coordinated()) {
+    return;  // the coordinator that named the engine knows
+  }
   for (const wire::MemberT* gateway : members.available(Role::gateway)) {
     if (gateway->id == members.self().id) {
       continue;
@@ -550,6 +611,10 @@
 void NodeCore::refresh_activity() {
   environment.after(kActivityRefresh, lifetime_.guard([this] { refresh_activity(); }));
   registry.set_gateways(gateway_count());
+  if (call_reporter && forwarder) {
+    registry.set_shared_calls(coordinated() ? &coordinator->calls() : &shared_calls);
+    call_reporter->set_time_to_yield(forwarder->time_to_yield());
+  }
   if (announcer) {
     shared_calls.forget_silent(environment.now());
     if (forwarder) {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -20,6 +20,10 @@
 #include "membership/membership.hpp"
 #include "object_store/controller.hpp"
 #include "object_store/retirement.hpp"
+#include "placement/call_reporter.hpp"
+#include "placement/coordinator.hpp"
+#include "placement/duties.hpp"
+#include "placement/place_client.hpp"
 #include "policy/policies.hpp"
 #include "policy/work_estimate.hpp"
 #include "routing/call_announcer.hpp"
@@ -122,6 +126,7 @@
   config::TableReplicator machines;
   config::TableReplicator groups;  ///< Used where the platform keeps them apart from the objects.
   membership::Membership members;
+  placement::duties duties;
   ledger::Client ledger;
   batch::ResultReader results;
   std::unique_ptr<ledger::Replica> replica;  ///< Only on ledger nodes.
@@ -131,12 +136,15 @@
   routing::ServiceRouter services;
   std::unique_ptr<forwarding::Forwarder> forwarder;  ///< Only with an upstream.
   routing::TenantLimiter limiter;
-  routing::shared_calls shared_calls;                  ///< Of the other nodes.
-  std::unique_ptr<routing::call_announcer> announcer;  ///< Only where calls are shared.
-  policy::work_estimate estimate;                      ///< Of batch items.
-  std::unique_ptr<batch::JobManager> jobs;             ///< Only on schedulers.
-  std::unique_ptr<batch::queue_limiter> queues;        ///< Only on schedulers.
-  std::unique_ptr<batch::Dispatcher> dispatcher;       ///< Only on schedulers.
+  routing::shared_calls shared_calls;                   ///< Of the other nodes.
+  std::unique_ptr<routing::call_announcer> announcer;   ///< Only where calls are shared.
+  std::unique_ptr<placement::coordinator> coordinator;  ///< Only where large fleets are coordinated,
+  std::unique_ptr<placement::place_client> places;      ///< as are these.
+  std::unique_ptr<placement::call_reporter> call_reporter;
+  policy::work_estimate estimate;                 ///< Of batch items.
+  std::unique_ptr<batch::JobManager> jobs;        ///< Only on schedulers.
+  std::unique_ptr<batch::queue_limiter> queues;   ///< Only on schedulers.
+  std::unique_ptr<batch::Dispatcher> dispatcher;  ///< Only on schedulers.
   object_store::Declarations declarations;
   std::unique_ptr<object_store::Retirement> retirement;  ///< Only on ledger nodes.
   std::unique_ptr<object_store::Controller> controller;  ///< Only on controllers.
@@ -148,10 +156,12 @@
     bool scheduled = false;
   };
   bool shares_calls_ = false;
+  bool coordinates_ = false;
   forwarding::RouteTablePointer told_routes_;
   membership::Hooks make_hooks();
   void on_objects_changed(const std::vector<config::EntryKey>& keys);
   void on_machines_changed(const std::vector<config::EntryKey>& keys);
+  void on_calls_changed(const BackendId& engine);
   void on_online_activity(const BackendId& engine, std::uint32_t in_flight);
   void tell_activity(const BackendId& engine);
   void tell_reading(const BackendId& engine, Duration expected);
@@ -160,6 +170,9 @@
   std::vector<PeerAddress> other_gateways() const;
   Duration observed_time_to_yield() const;
   void start_sharing_calls();
+  void start_coordination();
+  /// @return whether the coordinators of a large fleet choose the engines.
+  bool coordinated() const { return places && places->active(); }
   void poll_loads();
   void fetch_load(const BackendId& id);
   void tell_unexplained(const BackendId& id);
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -9,10 +9,32 @@
 namespace {
 constexpr Duration kIdle = 500ms;
 constexpr Duration kFeedCheck = 100ms;
-constexpr std::uint64_t kFeedSpreadMs = 500;  ///< So that nodes do not look all at once: the first one's news spreads.
+constexpr Duration kStartCheck = 50ms;
+/// Between the looks of two nodes of a zone that follow each other in rank: the first one's word takes that long.
+constexpr Duration kLookStep = 40ms;
+constexpr Duration kLeastLookPause = 1s;  ///< After a look that failed; it doubles.
+constexpr unsigned kMostLookDoublings = 2;
+/// Word that is fresher by less is not worth passing on.
+constexpr Duration kRelayStep = 300ms;
 constexpr Duration kDeclareRest = 1s;
 constexpr Duration kAnnounceTime = 5s;
+constexpr std::size_t kPair = 2;  ///< Members of the smallest group that has no majority without all.
 constexpr char kReaderRank[] = "store-reader";
+
+/// @return the ids of the first @p count of @p members by their rank as readers.
+std::set<std::string> first_ranked(std::vector<const wire::MemberT*> members, std::size_t count) {
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  ranked.reserve(members.size());
+  for (const wire::MemberT* member : members) {
+    ranked.emplace_back(rendezvous_weight(kReaderRank, member->id), member->id);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::set<std::string> first;
+  for (std::size_t position = 0; position < std::min(count, ranked.size()); ++position) {
+    first.insert(std::move(ranked[position].second));
+  }
+  return first;
+}
 }  // namespace
 
 Controller::Controller(Environment& environment, Counters& counters, membership::Membership& members,
@@ -31,7 +53,8 @@
       platform_(platform),
       declarations_(declarations),
       log_(log),
-      options_(options) {}
+      options_(options),
+      deciders_(declarations, platform) {}
 
 void Controller::start() {
   started_ = environment_.now();
@@ -50,44 +73,101 @@
   return members_.responsive(membership::Role::controller).size() <= options_.all_read_up_to;
 }
 
-std::set<std::string> Controller::zone_readers() const {
-  std::set<std::string> zones;
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
-    zones.insert(member->zone);
-    if (member->zone == members_.self().zone) {
-      ranked.emplace_back(rendezvous_weight(kReaderRank, member->id), member->id);
+bool Controller::waits_for_peers() const {
+  if (environment_.now() - started_ >= options_.start_patience || objects_.as_of().count() != 0) {
+    return false;
+  }
+  // The seeds are where the others look for word.
+  return members_.has_seeds() && !members_.is_seed();
+}
+
+bool Controller::is_reader() const {
+  if (waits_for_peers()) {
+    return false;
+  }
+  return all_read() || readers().contains(members_.self().id);
+}
+
+std::set<std::string> Controller::readers() const {
+  return first_ranked(members_.responsive(membership::Role::controller), options_.readers);
+}
+
+std::set<std::string> Controller::relays_of(const std::string& zone) const {
+  auto controllers = members_.responsive(membership::Role::controller);
+  std::erase_if(controllers, [&zone](const wire::MemberT* member) { return member->zone != zone; });
+  const std::set<std::string> all_readers = readers();
+  std::set<std::string> here;
+  for (const wire::MemberT* member : controllers) {
+    if (all_readers.contains(member->id)) {
+      here.insert(member->id);
     }
   }
-  std::sort(ranked.rbegin(), ranked.rend());
-  const std::size_t zone_count = std::max<std::size_t>(1, zones.size());
-  const std::size_t for_fleet = (options_.readers + zone_count - 1) / zone_count;
-  const std::size_t for_zone = (ranked.size() + options_.fed_by_one - 1) / options_.fed_by_one;
-  ranked.resize(std::min(ranked.size(), std::max(for_fleet, for_zone)));
-  std::set<std::string> readers;
-  for (auto& [rank, id] : ranked) {
-    readers.insert(std::move(id));
-  }
-  return readers;
+  return here.empty() ? first_ranked(std::move(controllers), options_.relays) : here;
 }
 
 std::vector<PeerAddress> Controller::fed_from_here() const {
-  const std::set<std::string> readers = zone_readers();
+  const std::string& self = members_.self().id;
+  const std::set<std::string> all_readers = readers();
+  const bool reader = all_readers.contains(self);
+  std::map<std::string, std::set<std::string>> relays;
   std::vector<PeerAddress> fed;
   for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
-    if (member->zone != members_.self().zone || readers.contains(member->id)) {
+    const auto [zone, unknown] = relays.try_emplace(member->zone);
+    if (unknown) {
+      zone->second = relays_of(member->zone);
+    }
+    if (all_readers.contains(member->id)) {
       continue;
     }
-    const auto feeder = std::max_element(readers.begin(), readers.end(), [&](const auto& left, const auto& right) {
-      return rendezvous_weight(member->id, left) < rendezvous_weight(member->id, right);
-    });
-    if (feeder != readers.end() && *feeder == members_.self().id) {
+    const bool same_zone = member->zone == members_.self().zone;
+    const bool is_relay = zone->second.contains(member->id);
+    if (!same_zone || is_relay) {
+      if (reader && is_relay) {
+        fed.emplace_back(member->peer_address);
+      }
+      continue;
+    }
+    const auto feeder =
+        std::max_element(zone->second.begin(), zone->second.end(), [&](const auto& left, const auto& right) {
+          return rendezvous_weight(member->id, left) < rendezvous_weight(member->id, right);
+        });
+    if (feeder != zone->second.end() && *feeder == self) {
       fed.emplace_back(member->peer_address);
     }
   }
   return fed;
 }
 
+std::vector<PeerAddress> Controller::zone_peers() const {
+  std::vector<PeerAddress> peers;
+  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
+    if (member->zone == members_.self().zone && member->id != members_.self().id) {
+      peers.emplace_back(member->peer_address);
+    }
+  }
+  return peers;
+}
+
+void Controller::relay(config::TableReplicator& table, Timestamp& relayed) {
+  if (table.as_of() < relayed + kRelayStep || all_read() ||
+      !relays_of(members_.self().zone).contains(members_.self().id)) {
+    return;
+  }
+  relayed = table.as_of();
+  counters_["platform_feeds_relayed_total"]++;
+  table.feed(fed_from_here());
+}
+
+Duration Controller::patience_with_feed() const {
+  std::size_t rank = 0;
+  const std::uint64_t own = rendezvous_weight(kReaderRank, members_.self().id);
+  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
+    const bool before = rendezvous_weight(kReaderRank, member->id) > own;
+    rank += member->zone == members_.self().zone && before ? 1 : 0;
+  }
+  return options_.feed_silence + std::min<Duration>(kLookStep * rank, options_.look_spread);
+}
+
 bool Controller::ranks_among(std::size_t count) const {
   auto controllers = members_.available(membership::Role::controller);
   const auto rank = [](const wire::MemberT* member) { return rendezvous_weight(kReaderRank, member->id); };
@@ -106,7 +186,7 @@
     environment_.after(pause, lifetime_.guard([this, &table, source, probe] { watch(table, source, probe); }));
   };
   if (!is_reader()) {
-    again_after(kIdle, false);
+    again_after(waits_for_peers() ? kStartCheck : kIdle, false);
     return;
   }
   const auto next = [this, &table, source, again_after](bool answered) {
@@ -148,25 +228,36 @@
   if (is_reader()) {
     return;
   }
-  look_when_silent(objects_, &PlatformClient::watch_objects, looking_at_objects_);
-  look_when_silent(machines_, &PlatformClient::watch_machines, looking_at_machines_);
+  relay(objects_, relayed_objects_);
+  relay(machines_, relayed_machines_);
+  look_when_silent(objects_, &PlatformClient::watch_objects, look_at_objects_);
+  look_when_silent(machines_, &PlatformClient::watch_machines, look_at_machines_);
   if (platform_.has_group_source() && groups_.table().revision() == 0) {
-    look_when_silent(groups_, &PlatformClient::watch_groups, looking_at_groups_);
+    look_when_silent(groups_, &PlatformClient::watch_groups, look_at_groups_);
   }
 }
 
-void Controller::look_when_silent(config::TableReplicator& table, Watch source, bool& looking) {
-  const Duration spread = std::chrono::milliseconds(environment_.random() % kFeedSpreadMs);
-  if (looking || environment_.now() - table.as_of() < options_.feed_silence + spread) {
+void Controller::look_when_silent(config::TableReplicator& table, Watch source, Look& look) {
+  const Timestamp now = environment_.now();
+  const Duration silence = now - std::max(table.as_of(), started_);
+  if (look.running || now < look.not_before || silence < options_.feed_silence || silence < patience_with_feed()) {
     return;
   }
-  looking = true;
+  look.running = true;
   counters_["platform_feed_silences_total"]++;
   log_.record("store_feed_silent",
               {{"table", table.name()}, {"revision", table.table().revision()}, {"age_ms", table.age_ms()}});
-  ask(table, source, Duration::zero(), [this, &looking](bool answered) {
-    const auto done = lifetime_.guard([&looking] { looking = false; });
-    environment_.after(answered ? Duration::zero() : options_.store_retry, done);
+  ask(table, source, Duration::zero(), [this, &table, &look](bool answered) {
+    look.running = false;
+    if (answered) {
+      look.failures = 0;
+      // Nodes of this zone that miss the feed as well need not look.
+      table.feed(zone_peers());
+      return;
+    }
+    // The readers go on trying; all others asking as often would be a storm of calls while the store is away.
+    const Duration pause = kLeastLookPause * (1U << std::min(look.failures++, kMostLookDoublings));
+    look.not_before = environment_.now() + pause + Duration(environment_.random() % pause.count());
   });
 }
 
@@ -300,6 +391,16 @@
   return best;
 }
 
+std::optional<ledger::ReplicaIdentity> Controller::survivor_of(const ledger::ReplicaGroup& group, std::size_t lost) {
+  if (group.replicas.size() != kPair) {
+    return std::nullopt;
+  }
+  const ledger::ReplicaIdentity& other = group.replicas[1 - lost];
+  const wire::MemberT* node = member(other.node);
+  const bool there = node != nullptr && node->state != wire::MemberState::Dead && node->disk_id == other.disk.str();
+  return there ? std::optional(other) : std::nullopt;
+}
+
 std::optional<Controller::Change> Controller::wanted_change(const ledger::ReplicaGroup& group) {
   Change change;
   change.next = group;
@@ -316,10 +417,11 @@
       continue;
     }
     const wire::MemberT* node = substitute(group, replica);
+    const auto survivor = state == ReplicaState::missing ? survivor_of(group, index) : std::nullopt;
     const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
     if (node != nullptr) {
       *position = {NodeId(node->id), DiskId(node->disk_id)};
-    } else if (state == ReplicaState::retiring && group.replicas.size() >= options_.replicas) {
+    } else if (survivor || (state == ReplicaState::retiring && group.replicas.size() >= options_.replicas)) {
       change.next.replicas.erase(position);
     } else {
       continue;
@@ -329,9 +431,10 @@
     }
     // Of two members one decides alone when the other's disk is proven lost: all that the group
     // confirmed was confirmed by both.
-    constexpr std::size_t kPair = 2;
     if (state == ReplicaState::disk_replaced && group.replicas.size() == kPair) {
-      change.quorum = 1;
+      change.rule.quorum = 1;
+    } else if (survivor) {
+      change.rule = {1, survivor};
     }
     return change;  // one replacement a step: the next waits for a new look at the group
   }
@@ -351,7 +454,7 @@
       continue;
     }
     if (const auto change = wanted_change(groups[group])) {
-      decide(group, *change);
+      begin_change(group, *change);
       continue;
     }
     const auto announced = announce_until_.find(group);
@@ -361,8 +464,28 @@
   }
 }
 
-void Controller::decide(std::uint32_t group, const Change& change) {
+void Controller::begin_change(std::uint32_t group, const Change& change) {
   deciding_.insert(group);
+  if (!change.rule.sole) {
+    decide(group, change);
+    return;
+  }
+  const std::uint64_t epoch = change.next.epoch - 1;
+  deciders_.grant(group, epoch, *change.rule.sole, lifetime_.guard([this, group, epoch, change](const Status& status) {
+    log_.record("sole_decider_asked",
+                {{"group", group},
+                 {"epoch", epoch},
+                 {"member", change.rule.sole->node.str()},
+                 {"outcome", succeeded(status) ? "granted" : error_kind_name(error_of(status).kind)}});
+    if (succeeded(status)) {
+      decide(group, change);
+    } else {
+      deciding_.erase(group);  // asked again at the next look, if it is still wanted
+    }
+  }));
+}
+
+void Controller::decide(std::uint32_t group, const Change& change) {
   counters_["replica_replacements_total"]++;
   const auto decided = [this, group, before = change.next.epoch - 1](const Result<ledger::ReplicaGroup>& result) {
     deciding_.erase(group);
@@ -372,7 +495,7 @@
                                   {"epoch", succeeded(result) ? value_of(result).epoch : before},
                                   {"outcome", succeeded(result) ? "decided" : error_kind_name(error_of(result).kind)}});
   };
-  ledger_.decide_next(group, change.next, change.quorum, lifetime_.guard(decided));
+  ledger_.decide_next(group, change.next, change.rule, lifetime_.guard(decided));
 }
 
 /// The published map lets nodes that start find the groups; the members' own decisions stand.
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -2,6 +2,8 @@
 /// @file Reads the platform's store and machine list for the whole fleet, and keeps the
 /// ledger's replica groups populated. Every controller node runs it; few are active.
 
+#include <algorithm>
+
 #include "common/counters.hpp"
 #include "common/decision_log.hpp"
 #include "config/objects.hpp"
@@ -10,15 +12,20 @@
 #include "membership/membership.hpp"
 #include "object_store/declarations.hpp"
 #include "object_store/platform_client.hpp"
+#include "object_store/sole_deciders.hpp"
 
 namespace madderdeck::object_store {
 
 struct ControllerOptions {
-  std::size_t readers = 2;         ///< Controllers that watch the store at the same time, spread over the zones.
-  std::size_t fed_by_one = 32;     ///< A zone has a reader more for each so many nodes.
+  std::size_t readers = 2;         ///< Controllers of the whole fleet that watch the store at the same time.
+  std::size_t relays = 2;          ///< Controllers of each zone that pass the readers' word on to the others there.
   std::size_t all_read_up_to = 0;  ///< In fleets of so many controllers or fewer every one watches the store.
   /// A node that is no reader looks into the store itself when no peer has brought word of it for so long; zero: never.
   Duration feed_silence{};
+  /// Nodes of a zone look one after the other within this time, so that the first one's word reaches the others.
+  Duration look_spread = 500ms;
+  /// A node that starts and knows a seed waits so long for a peer's word before it reads the store.
+  Duration start_patience{};
   std::size_t maintainers = 2;      ///< Controllers that look after the replica groups.
   Duration store_retry = 1s;        ///< Pause after a watch that failed.
   Duration founding_wait = 3s;      ///< So that all disks of a new fleet are seen.
@@ -30,6 +37,15 @@
   Duration machine_poll = 500ms;
   std::size_t group_count = 16;  ///< Replica groups of a newly founded fleet, per three disks or more.
   std::size_t replicas = 3;      ///< Of each group: 2 n + 1 bear the loss of n disks at once.
+
+  /// Chooses waits so that every node of a large fleet has a new configuration within @p bound, also where all readers
+  /// are away: word is at most one wait old, then the nodes look themselves, the last one after three quarters.
+  void keep_within(Duration bound) {
+    watch_wait_of_readers = bound * 3 / 8;
+    feed_silence = bound * 9 / 20;
+    look_spread = bound * 3 / 10;
+    start_patience = std::min<Duration>(600ms, bound / 4);
+  }
 };
 
 /// Single threaded.
@@ -42,7 +58,7 @@
 
   void start();
   /// @return whether this node is one of the few that read the store.
-  bool is_reader() const { return all_read() || zone_readers().contains(members_.self().id); }
+  bool is_reader() const;
 
  private:
   using Watch = void (PlatformClient::*)(std::uint64_t, Duration, ChangesDone);
@@ -52,15 +68,31 @@
   void watch(config::TableReplicator& table, Watch source, bool at_once);
   /// @return whether the fleet is so small that every controller watches the store.
   bool all_read() const;
-  /// @return the nodes of this zone that read the store.
-  std::set<std::string> zone_readers() const;
-  /// @return the nodes of this zone that rely on this reader.
+  /// @return whether this node has just started and may still get the tables from a peer.
+  bool waits_for_peers() const;
+  /// @return the nodes that read the store for the fleet.
+  std::set<std::string> readers() const;
+  /// @return the nodes of @p zone that pass the readers' word on there; with a reader in the zone, the readers.
+  std::set<std::string> relays_of(const std::string& zone) const;
+  /// @return the nodes of this zone that rely on this node, and for a reader the relays of the other zones.
   std::vector<PeerAddress> fed_from_here() const;
+  /// @return the other controllers of this zone.
+  std::vector<PeerAddress> zone_peers() const;
+  /// Passes the readers' word on, if this node is to and there is fresher word than it last passed on.
+  void relay(config::TableReplicator& table, Timestamp& relayed);
+  /// @return after how long a silence of the feed this node looks into the store.
+  Duration patience_with_feed() const;
   /// Asks the source once; @p next gets whether it answered.
   void ask(config::TableReplicator& table, Watch source, Duration wait, std::function<void(bool)> next);
   /// Looks into the store where the readers' word of it has grown old: they may all be away, or cut off from here.
   void check_feed();
-  void look_when_silent(config::TableReplicator& table, Watch source, bool& looking);
+  /// A table that this node may have to look up itself.
+  struct Look {
+    bool running = false;
+    unsigned failures = 0;   ///< In a row.
+    Timestamp not_before{};  ///< After a failure.
+  };
+  void look_when_silent(config::TableReplicator& table, Watch source, Look& look);
   bool ranks_among(std::size_t count) const;
   void note_store(bool answers);
   void maintain_groups();
@@ -74,10 +106,14 @@
   };
   struct Change {
     ledger::ReplicaGroup next;
-    std::size_t quorum = 0;
+    ledger::EpochRule rule;
   };
   void change_groups();
+  /// Has @p change decided, after the store's grant where one member is to decide alone.
+  void begin_change(std::uint32_t group, const Change& change);
   void decide(std::uint32_t group, const Change& change);
+  /// @return the other member of a pair, if it is there; nothing for any other group.
+  std::optional<ledger::ReplicaIdentity> survivor_of(const ledger::ReplicaGroup& group, std::size_t lost);
   /// @return the next description of @p group, if there is a reason for one.
   std::optional<Change> wanted_change(const ledger::ReplicaGroup& group);
   void publish_groups();
@@ -101,13 +137,16 @@
   const ControllerOptions options_;
   std::map<NodeId, Timestamp> missing_since_;
   std::set<std::uint32_t> deciding_;
+  sole_deciders deciders_;
   std::map<std::uint32_t, Timestamp> announce_until_;  ///< Groups whose latest epoch is repeated for a while.
   bool declaring_ = false;
   Timestamp store_silent_since_{};
   Timestamp started_{};
-  bool looking_at_objects_ = false;
-  bool looking_at_machines_ = false;
-  bool looking_at_groups_ = false;
+  Look look_at_objects_;
+  Look look_at_machines_;
+  Look look_at_groups_;
+  Timestamp relayed_objects_{};
+  Timestamp relayed_machines_{};
   Lifetime lifetime_;
 };
 
--- a/src/object_store/retirement.cpp
+++ b/src/object_store/retirement.cpp
@@ -2,7 +2,9 @@
 
 namespace madderdeck::object_store {
 namespace {
-constexpr Duration kWatchWait = 10s;
+/// The store is asked by every ledger node, and each call has its price: as long as the store lets a watch wait,
+/// nearly.
+constexpr Duration kWatchWait = 25s;
 constexpr Duration kStoreRetry = 300ms;
 constexpr Duration kCheckInterval = 200ms;
 }  // namespace
--- /dev/null
+++ b/src/object_store/sole_deciders.cpp
@@ -0,0 +1,52 @@
+#include "object_store/sole_deciders.hpp"
+
+#include <utility>
+
+namespace madderdeck::object_store {
+namespace {
+
+config::EntryKey key_of(std::uint32_t group, std::uint64_t epoch) {
+  return {kSoleDeciderKind, "group-" + std::to_string(group) + "-epoch-" + std::to_string(epoch)};
+}
+
+std::string name_of(const ledger::ReplicaIdentity& member) { return member.node.str() + " " + member.disk.str(); }
+
+}  // namespace
+
+sole_deciders::sole_deciders(Declarations& declarations, PlatformClient& platform)
+    : declarations_(declarations), platform_(platform) {}
+
+void sole_deciders::grant(std::uint32_t group, std::uint64_t epoch, const ledger::ReplicaIdentity& member,
+                          granted done) {
+  PutRequest request;
+  request.key = key_of(group, epoch);
+  request.body = name_of(member);
+  const auto written = [this, key = request.key, wanted = request.body, done](const Result<std::uint64_t>& result) {
+    if (succeeded(result)) {
+      done(Ok{});
+    } else if (error_of(result).kind == ErrorKind::conflict || error_of(result).kind == ErrorKind::ambiguous) {
+      // A decider is named already: by another node, or by an earlier request whose answer was lost.
+      read_back(key, wanted, done);
+    } else {
+      done(error_of(result));
+    }
+  };
+  declarations_.declare(std::move(request), lifetime_.guard(written));
+}
+
+void sole_deciders::read_back(const config::EntryKey& key, const std::string& wanted, granted done) {
+  const auto take = [wanted, done = std::move(done)](const Result<std::optional<StoredObject>>& result) {
+    if (!succeeded(result)) {
+      done(error_of(result));
+    } else if (!value_of(result)) {
+      done(Error{ErrorKind::unavailable, "the store holds no decider yet"});
+    } else if (value_of(result)->entry.body != wanted) {
+      done(Error{ErrorKind::conflict, "the decider is " + value_of(result)->entry.body});
+    } else {
+      done(Ok{});
+    }
+  };
+  platform_.get(key, lifetime_.guard(take));
+}
+
+}  // namespace madderdeck::object_store
--- /dev/null
+++ b/src/placement/call_reporter.cpp
@@ -0,0 +1,122 @@
+#include "placement/call_reporter.hpp"
+
+#include <utility>
+
+#include "forwarding/engine_choice.hpp"
+
+namespace madderdeck::placement {
+namespace {
+
+constexpr Duration kDelay = 5ms;
+constexpr Duration kRefresh = 1s;
+constexpr Duration kSilenceCheck = 100ms;
+
+}  // namespace
+
+call_reporter::call_reporter(Environment& environment, Counters& counters, routing::Registry& registry,
+                             const place_client& places, const duties& who, const wire::MemberT& self)
+    : environment_(environment), counters_(counters), registry_(registry), places_(places), duties_(who), self_(self) {}
+
+void call_reporter::start() {
+  environment_.after(kRefresh, lifetime_.guard([this] { tell_all(); }));
+  environment_.after(kSilenceCheck, lifetime_.guard([this] { watch_silences(); }));
+}
+
+void call_reporter::changed(const BackendId& engine) {
+  changed_.insert(engine);
+  if (scheduled_) {
+    return;
+  }
+  scheduled_ = true;
+  environment_.after(kDelay, lifetime_.guard([this] {
+    scheduled_ = false;
+    tell_changes();
+  }));
+}
+
+void call_reporter::add(messages& to, const BackendId& engine, const routing::Backend* backend, bool complete) {
+  const bool open = backend != nullptr && backend->online_in_flight + backend->batch_in_flight > 0;
+  std::set<PeerAddress> receivers;
+  if (const auto before = told_.find(engine); before != told_.end()) {
+    receivers.insert(before->second);
+    told_.erase(before);
+  }
+  if (backend != nullptr) {
+    for (const std::string& pool : backend->machine.pools) {
+      const wire::MemberT* member = places_.coordinator_for(domain_of(registry_, *backend, pool));
+      if (member != nullptr) {
+        receivers.insert(PeerAddress(member->peer_address));
+        if (open) {
+          told_.insert_or_assign(engine, PeerAddress(member->peer_address));
+        }
+      }
+    }
+  }
+  receivers.erase(PeerAddress(self_.peer_address));
+  for (const PeerAddress& receiver : receivers) {
+    wire::EngineActivityT& message = to[receiver];
+    message.complete = complete;
+    auto entry = std::make_unique<wire::EngineCallsT>();
+    entry->engine = engine.str();
+    entry->live = backend == nullptr ? 0 : backend->online_in_flight;
+    entry->batch = backend == nullptr ? 0 : backend->batch_in_flight;
+    entry->silent = backend != nullptr && forwarding::silent(*backend, environment_.now());
+    message.engines.push_back(std::move(entry));
+  }
+}
+
+void call_reporter::send(messages to) {
+  for (auto& [receiver, message] : to) {
+    message.node = self_.id;
+    message.yield_us = static_cast<std::uint32_t>(time_to_yield_.count());
+    send_message(environment_, receiver, std::move(message));
+    counters_["calls_reported_total"]++;
+  }
+}
+
+void call_reporter::tell_changes() {
+  std::set<BackendId> told;
+  std::swap(told, changed_);
+  if (!duties_.divided()) {
+    return;
+  }
+  messages to;
+  for (const BackendId& engine : told) {
+    add(to, engine, registry_.find(engine), false);
+  }
+  send(std::move(to));
+}
+
+void call_reporter::tell_all() {
+  environment_.after(kRefresh, lifetime_.guard([this] { tell_all(); }));
+  if (!duties_.divided()) {
+    return;
+  }
+  messages to;
+  for (const auto& [id, backend] : registry_.backends()) {
+    if (backend.online_in_flight + backend.batch_in_flight > 0 || told_.contains(id)) {
+      add(to, id, &backend, true);
+    }
+  }
+  send(std::move(to));
+}
+
+/// An engine that went dark is told of within a check, and so is one that speaks again.
+void call_reporter::watch_silences() {
+  environment_.after(kSilenceCheck, lifetime_.guard([this] { watch_silences(); }));
+  for (const auto& [id, backend] : registry_.backends()) {
+    const bool silent = forwarding::silent(backend, environment_.now());
+    if (silent == silent_.contains(id)) {
+      continue;
+    }
+    if (silent) {
+      silent_.insert(id);
+      counters_["engines_fallen_silent_total"]++;
+    } else {
+      silent_.erase(id);
+    }
+    changed(id);
+  }
+}
+
+}  // namespace madderdeck::placement
--- /dev/null
+++ b/src/placement/call_reporter.hpp
@@ -0,0 +1,51 @@
+#pragma once
+/// @file Tells the coordinators which calls this node has open at their engines.
+
+#include <functional>
+#include <map>
+#include <set>
+
+#include "common/counters.hpp"
+#include "common/environment.hpp"
+#include "placement/place_client.hpp"
+#include "routing/registry.hpp"
+
+namespace madderdeck::placement {
+
+/// Changes within a few milliseconds share a message to each coordinator; once a second those that look after engines
+/// with calls of this node are told everything. Single threaded.
+class call_reporter {
+ public:
+  call_reporter(Environment& environment, Counters& counters, routing::Registry& registry, const place_client& places,
+                const duties& who, const wire::MemberT& self);
+
+  void start();
+  /// This node's calls at @p engine are others than before.
+  void changed(const BackendId& engine);
+  /// @param time how long live calls lately waited for batch work to yield.
+  void set_time_to_yield(Duration time) { time_to_yield_ = time; }
+
+ private:
+  using messages = std::map<PeerAddress, wire::EngineActivityT>;
+
+  void add(messages& to, const BackendId& engine, const routing::Backend* backend, bool complete);
+  void send(messages to);
+  void tell_changes();
+  void tell_all();
+  void watch_silences();
+
+  Environment& environment_;
+  Counters& counters_;
+  routing::Registry& registry_;
+  const place_client& places_;
+  const duties& duties_;
+  const wire::MemberT& self_;
+  std::set<BackendId> changed_;
+  std::set<BackendId> silent_;
+  std::map<BackendId, PeerAddress> told_;  ///< The coordinator last told of calls at an engine.
+  Duration time_to_yield_{};
+  bool scheduled_ = false;
+  Lifetime lifetime_;
+};
+
+}  // namespace madderdeck::placement
--- /dev/null
+++ b/src/placement/duties.cpp
@@ -0,0 +1,144 @@
+#include "placement/duties.hpp"
+
+#include <algorithm>
+
+#include "common/hash.hpp"
+
+namespace madderdeck::placement {
+namespace {
+
+using membership::Role;
+
+/// Of the schedulers of a zone one in so many runs batch work: each then has several engines and sees their lulls
+/// together, and its streams take a small part of a small machine.
+constexpr std::size_t kSchedulersPerDispatcher = 8;
+/// Of all schedulers one in so many looks after jobs: few queues, so that the nearest deadlines go first.
+constexpr std::size_t kSchedulersPerManager = 32;
+/// Coordinators are taken from so many of a zone's best equipped gateways.
+constexpr std::size_t kMostCoordinators = 3;
+
+std::size_t part_of(std::size_t count, std::size_t divisor) { return std::max<std::size_t>(1, count / divisor); }
+
+}  // namespace
+
+void duties::refresh() const {
+  if (version_ == members_.version()) {
+    return;
+  }
+  version_ = members_.version();
+  divided_ = members_.available(Role::gateway).size() > kMostSharingGateways;
+  const auto better_equipped = [](const candidate& left, const candidate& right) {
+    const std::uint32_t left_capacity = left.member->capacity;
+    const std::uint32_t right_capacity = right.member->capacity;
+    return left_capacity != right_capacity ? left_capacity > right_capacity : left.hash > right.hash;
+  };
+  const auto keep_first = [&](candidates& among, std::size_t count) {
+    std::sort(among.begin(), among.end(), better_equipped);
+    among.resize(std::min(among.size(), count));
+  };
+  managers_.clear();
+  dispatchers_.clear();
+  for (const wire::MemberT* member : members_.available(Role::scheduler)) {
+    const candidate scheduler{stable_hash(member->id), member};
+    managers_.push_back(scheduler);
+    dispatchers_[divided_ ? member->zone : ""].push_back(scheduler);
+  }
+  if (divided_) {
+    keep_first(managers_, part_of(managers_.size(), kSchedulersPerManager));
+    for (auto& [zone, schedulers] : dispatchers_) {
+      keep_first(schedulers, part_of(schedulers.size(), kSchedulersPerDispatcher));
+    }
+  }
+  all_dispatchers_.clear();
+  for (const auto& [zone, schedulers] : dispatchers_) {
+    all_dispatchers_.insert(all_dispatchers_.end(), schedulers.begin(), schedulers.end());
+  }
+  gateways_.clear();
+  for (const wire::MemberT* member : members_.available(Role::gateway)) {
+    gateways_[member->zone].push_back({stable_hash(member->id), member});
+  }
+  for (auto& [zone, gateways] : gateways_) {
+    candidates all = gateways;
+    keep_first(gateways, kMostCoordinators);
+    // The next in rank follows one that answers no probes; somebody else steps in when none of them answers.
+    const auto silent = [](const candidate& one) { return one.member->state != wire::MemberState::Alive; };
+    std::erase_if(gateways, silent);
+    if (gateways.empty()) {
+      std::erase_if(all, silent);
+      gateways = std::move(all);
+      keep_first(gateways, kMostCoordinators);
+    }
+  }
+}
+
+const wire::MemberT* duties::best_of(const candidates& among, std::string_view key) {
+  const std::uint64_t key_hash = stable_hash(key);
+  const wire::MemberT* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const candidate& one : among) {
+    const std::uint64_t weight = rendezvous_weight(key_hash, one.hash);
+    if (best == nullptr || weight > best_weight) {
+      best = one.member;
+      best_weight = weight;
+    }
+  }
+  return best;
+}
+
+bool duties::divided() const {
+  refresh();
+  return divided_;
+}
+
+const wire::MemberT* duties::dispatcher_of(std::string_view engine, const std::string& zone) const {
+  refresh();
+  const auto here = dispatchers_.find(divided_ ? zone : "");
+  return best_of(here == dispatchers_.end() ? all_dispatchers_ : here->second, engine);
+}
+
+const wire::MemberT* duties::manager_of(std::string_view job) const {
+  refresh();
+  return best_of(managers_, job);
+}
+
+std::vector<PeerAddress> duties::managers() const {
+  refresh();
+  std::vector<PeerAddress> found;
+  for (const candidate& manager : managers_) {
+    found.emplace_back(manager.member->peer_address);
+  }
+  return found;
+}
+
+std::vector<PeerAddress> duties::dispatchers() const {
+  refresh();
+  std::vector<PeerAddress> found;
+  for (const candidate& dispatcher : all_dispatchers_) {
+    found.emplace_back(dispatcher.member->peer_address);
+  }
+  return found;
+}
+
+std::vector<const wire::MemberT*> duties::coordinators_of(std::string_view key, const std::string& zone) const {
+  refresh();
+  candidates ranked;
+  const auto here = gateways_.find(zone);
+  if (here != gateways_.end()) {
+    ranked = here->second;
+  } else {
+    for (const auto& [name, gateways] : gateways_) {
+      ranked.insert(ranked.end(), gateways.begin(), gateways.end());
+    }
+  }
+  const std::uint64_t key_hash = stable_hash(key);
+  std::sort(ranked.begin(), ranked.end(), [key_hash](const candidate& left, const candidate& right) {
+    return rendezvous_weight(key_hash, left.hash) > rendezvous_weight(key_hash, right.hash);
+  });
+  std::vector<const wire::MemberT*> found;
+  for (const candidate& gateway : ranked) {
+    found.push_back(gateway.member);
+  }
+  return found;
+}
+
+}  // namespace madderdeck::placement
--- a/src/policy/policies.cpp
+++ b/src/policy/policies.cpp
@@ -45,10 +45,11 @@
   } else {
     return unknown("item_order", item_order_, "arrival, deadline or attainable");
   }
-  if (engine_choice_ != "reports" && engine_choice_ != "shared") {
-    return unknown("engine_choice", engine_choice_, "reports or shared");
+  if (engine_choice_ != "reports" && engine_choice_ != "shared" && engine_choice_ != "coordinated") {
+    return unknown("engine_choice", engine_choice_, "reports, shared or coordinated");
   }
-  set.shared_calls = engine_choice_ == "shared";
+  set.coordinated = engine_choice_ == "coordinated";
+  set.shared_calls = set.coordinated || engine_choice_ == "shared";
   return set;
 }
 
--- a/src/policy/policies.hpp
+++ b/src/policy/policies.hpp
@@ -15,6 +15,8 @@
   std::shared_ptr<const headroom_policy> headroom;  ///< Null: the fleet policy's fixed number.
   std::shared_ptr<const item_order> order;          ///< Never null.
   bool shared_calls = false;  ///< Gateways tell each other their calls, and choose engines by them.
+  /// In fleets too large for that, a coordinator in each zone knows the calls and chooses the engines.
+  bool coordinated = false;
 };
 
 /// Makes a policy_set from names as settings state them; see docs/operators/settings.md.
@@ -24,7 +26,7 @@
   policy_set_builder& headroom(std::string name);
   /// @param name "arrival", "deadline" or "attainable".
   policy_set_builder& item_order(std::string name);
-  /// @param name "reports" or "shared".
+  /// @param name "reports", "shared" or "coordinated".
   policy_set_builder& engine_choice(std::string name);
   /// @return the set, or ErrorKind::invalid_argument naming the policy that is not known.
   Result<policy_set> build() const;
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -65,6 +65,11 @@
   double sharing(const std::string& pool) const;
 
   Backend* find(const BackendId& id);
+  /// @return how many back ends offer @p pool, whatever their state.
+  std::size_t pool_size(const std::string& pool) const {
+    const auto ids = pools_.find(pool);
+    return ids == pools_.end() ? 0 : ids->second.size();
+  }
   /// @return back ends of @p pool in this node's subset that may get new work now. When
   ///         every one is ejected, all of them: some hope beats none.
   std::vector<Backend*> candidates(const std::string& pool);
--- a/src/routing/shared_calls.cpp
+++ b/src/routing/shared_calls.cpp
@@ -14,6 +14,8 @@
   open_calls& total = totals_[engine];
   total.live += value.live - known.live;
   total.batch += value.batch - known.batch;
+  total.nodes += value.nodes - known.nodes;
+  total.silent_nodes += value.silent_nodes - known.silent_nodes;
   known = value;
 }
 
@@ -27,10 +29,21 @@
   }
   for (const auto& entry : message.engines) {
     const BackendId engine(entry->engine);
-    replace(node.engines[engine], engine, open_calls{entry->live, entry->batch});
+    const std::uint32_t open = entry->live + entry->batch > 0 ? 1 : 0;
+    replace(node.engines[engine], engine, open_calls{entry->live, entry->batch, open, entry->silent ? open : 0});
   }
 }
 
+void shared_calls::expect(const std::string& node, const BackendId& engine, Timestamp now) {
+  told& asker = nodes_[node];
+  asker.heard_at = std::max(asker.heard_at, now);
+  open_calls& known = asker.engines[engine];
+  open_calls more = known;
+  ++more.live;
+  more.nodes = 1;
+  replace(known, engine, more);
+}
+
 void shared_calls::drop(const told& node) {
   for (const auto& [engine, calls] : node.engines) {
     const auto total = totals_.find(engine);
@@ -39,6 +52,8 @@
     }
     total->second.live -= calls.live;
     total->second.batch -= calls.batch;
+    total->second.nodes -= calls.nodes;
+    total->second.silent_nodes -= calls.silent_nodes;
     if (total->second == open_calls{}) {
       totals_.erase(total);
     }
--- a/src/routing/shared_calls.hpp
+++ b/src/routing/shared_calls.hpp
@@ -13,7 +13,11 @@
 struct open_calls {
   std::uint32_t live = 0;
   std::uint32_t batch = 0;
+  std::uint32_t nodes = 0;         ///< That have calls open there.
+  std::uint32_t silent_nodes = 0;  ///< Those of them that have heard nothing of it for long.
 
+  /// @return whether the engine says nothing to most of the nodes that have calls open there.
+  bool silent() const { return silent_nodes > 0 && 2 * silent_nodes >= nodes; }
   auto operator<=>(const open_calls&) const = default;
 };
 
@@ -22,6 +26,8 @@
  public:
   /// Takes what another node tells. A complete message replaces all that it told before.
   void take(const wire::EngineActivityT& message, Timestamp now);
+  /// Counts one live call more of @p node at @p engine, until that node tells itself.
+  void expect(const std::string& node, const BackendId& engine, Timestamp now);
   /// Forgets nodes that have been silent for long.
   void forget_silent(Timestamp now);
   /// @return calls of all other nodes at @p engine.
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -146,6 +146,18 @@
 struct EngineActivityBuilder;
 struct EngineActivityT;
 
+struct PlaceRequest;
+struct PlaceRequestBuilder;
+struct PlaceRequestT;
+
+struct PlaceReply;
+struct PlaceReplyBuilder;
+struct PlaceReplyT;
+
+struct PlaceRoom;
+struct PlaceRoomBuilder;
+struct PlaceRoomT;
+
 struct QueuedJob;
 struct QueuedJobBuilder;
 struct QueuedJobT;
@@ -384,11 +396,14 @@
   QueueReport = 26,
   QueueGrantRequest = 27,
   QueueGrantReply = 28,
+  PlaceRequest = 29,
+  PlaceReply = 30,
+  PlaceRoom = 31,
   MIN = NONE,
-  MAX = QueueGrantReply
+  MAX = PlaceRoom
 };
 
-inline const Message (&EnumValuesMessage())[29] {
+inline const Message (&EnumValuesMessage())[32] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -418,13 +433,16 @@
     Message::EngineActivity,
     Message::QueueReport,
     Message::QueueGrantRequest,
-    Message::QueueGrantReply
+    Message::QueueGrantReply,
+    Message::PlaceRequest,
+    Message::PlaceReply,
+    Message::PlaceRoom
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[30] = {
+  static const char * const names[33] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -454,13 +472,16 @@
     "QueueReport",
     "QueueGrantRequest",
     "QueueGrantReply",
+    "PlaceRequest",
+    "PlaceReply",
+    "PlaceRoom",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::QueueGrantReply)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::PlaceRoom)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -581,6 +602,18 @@
   static const Message enum_value = Message::QueueGrantReply;
 };
 
+template<> struct MessageTraits<madderdeck::wire::PlaceRequest> {
+  static const Message enum_value = Message::PlaceRequest;
+};
+
+template<> struct MessageTraits<madderdeck::wire::PlaceReply> {
+  static const Message enum_value = Message::PlaceReply;
+};
+
+template<> struct MessageTraits<madderdeck::wire::PlaceRoom> {
+  static const Message enum_value = Message::PlaceRoom;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -697,6 +730,18 @@
   static const Message enum_value = Message::QueueGrantReply;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::PlaceRequestT> {
+  static const Message enum_value = Message::PlaceRequest;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::PlaceReplyT> {
+  static const Message enum_value = Message::PlaceReply;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::PlaceRoomT> {
+  static const Message enum_value = Message::PlaceRoom;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -951,6 +996,30 @@
     return type == Message::QueueGrantReply ?
       reinterpret_cast<const madderdeck::wire::QueueGrantReplyT *>(value) : nullptr;
   }
+  madderdeck::wire::PlaceRequestT *AsPlaceRequest() {
+    return type == Message::PlaceRequest ?
+      reinterpret_cast<madderdeck::wire::PlaceRequestT *>(value) : nullptr;
+  }
+  const madderdeck::wire::PlaceRequestT *AsPlaceRequest() const {
+    return type == Message::PlaceRequest ?
+      reinterpret_cast<const madderdeck::wire::PlaceRequestT *>(value) : nullptr;
+  }
+  madderdeck::wire::PlaceReplyT *AsPlaceReply() {
+    return type == Message::PlaceReply ?
+      reinterpret_cast<madderdeck::wire::PlaceReplyT *>(value) : nullptr;
+  }
+  const madderdeck::wire::PlaceReplyT *AsPlaceReply() const {
+    return type == Message::PlaceReply ?
+      reinterpret_cast<const madderdeck::wire::PlaceReplyT *>(value) : nullptr;
+  }
+  madderdeck::wire::PlaceRoomT *AsPlaceRoom() {
+    return type == Message::PlaceRoom ?
+      reinterpret_cast<madderdeck::wire::PlaceRoomT *>(value) : nullptr;
+  }
+  const madderdeck::wire::PlaceRoomT *AsPlaceRoom() const {
+    return type == Message::PlaceRoom ?
+      reinterpret_cast<const madderdeck::wire::PlaceRoomT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -1062,6 +1131,7 @@
   uint64_t incarnation = 0;
   madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive;
   bool retiring = false;
+  uint32_t capacity = 0;
 };
 
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1078,7 +1148,8 @@
     VT_ROLES = 16,
     VT_INCARNATION = 18,
     VT_STATE = 20,
-    VT_RETIRING = 22
+    VT_RETIRING = 22,
+    VT_CAPACITY = 24
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -1110,6 +1181,9 @@
   bool retiring() const {
     return GetField<uint8_t>(VT_RETIRING, 0) != 0;
   }
+  uint32_t capacity() const {
+    return GetField<uint32_t>(VT_CAPACITY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -1128,6 +1202,7 @@
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint8_t>(verifier, VT_STATE, 1) &&
            VerifyField<uint8_t>(verifier, VT_RETIRING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_CAPACITY, 4) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1169,6 +1244,9 @@
   void add_retiring(bool retiring) {
     fbb_.AddElement<uint8_t>(Member::VT_RETIRING, static_cast<uint8_t>(retiring), 0);
   }
+  void add_capacity(uint32_t capacity) {
+    fbb_.AddElement<uint32_t>(Member::VT_CAPACITY, capacity, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1191,9 +1269,11 @@
     uint32_t roles = 0,
     uint64_t incarnation = 0,
     madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive,
-    bool retiring = false) {
+    bool retiring = false,
+    uint32_t capacity = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_capacity(capacity);
   builder_.add_roles(roles);
   builder_.add_disk_id(disk_id);
   builder_.add_region(region);
@@ -1222,7 +1302,8 @@
     uint32_t roles = 0,
     uint64_t incarnation = 0,
     madderdeck::wire::MemberState state = madderdeck::wire::MemberState::Alive,
-    bool retiring = false) {
+    bool retiring = false,
+    uint32_t capacity = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto peer_address__ = peer_address ? _fbb.CreateString(peer_address) : 0;
   auto api_address__ = api_address ? _fbb.CreateString(api_address) : 0;
@@ -1240,7 +1321,8 @@
       roles,
       incarnation,
       state,
-      retiring);
+      retiring,
+      capacity);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4679,6 +4761,7 @@
   std::string engine{};
   uint32_t live = 0;
   uint32_t batch = 0;
+  bool silent = false;
 };
 
 struct EngineCalls FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -4688,7 +4771,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_ENGINE = 4,
     VT_LIVE = 6,
-    VT_BATCH = 8
+    VT_BATCH = 8,
+    VT_SILENT = 10
   };
   const flatbuffers::String *engine() const {
     return GetPointer<const flatbuffers::String *>(VT_ENGINE);
@@ -4699,12 +4783,16 @@
   uint32_t batch() const {
     return GetField<uint32_t>(VT_BATCH, 0);
   }
+  bool silent() const {
+    return GetField<uint8_t>(VT_SILENT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ENGINE) &&
            verifier.VerifyString(engine()) &&
            VerifyField<uint32_t>(verifier, VT_LIVE, 4) &&
            VerifyField<uint32_t>(verifier, VT_BATCH, 4) &&
+           VerifyField<uint8_t>(verifier, VT_SILENT, 1) &&
            verifier.EndTable();
   }
   EngineCallsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4725,6 +4813,9 @@
   void add_batch(uint32_t batch) {
     fbb_.AddElement<uint32_t>(EngineCalls::VT_BATCH, batch, 0);
   }
+  void add_silent(bool silent) {
+    fbb_.AddElement<uint8_t>(EngineCalls::VT_SILENT, static_cast<uint8_t>(silent), 0);
+  }
   explicit EngineCallsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4740,11 +4831,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> engine = 0,
     uint32_t live = 0,
-    uint32_t batch = 0) {
+    uint32_t batch = 0,
+    bool silent = false) {
   EngineCallsBuilder builder_(_fbb);
   builder_.add_batch(batch);
   builder_.add_live(live);
   builder_.add_engine(engine);
+  builder_.add_silent(silent);
   return builder_.Finish();
 }
 
@@ -4757,13 +4850,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *engine = nullptr,
     uint32_t live = 0,
-    uint32_t batch = 0) {
+    uint32_t batch = 0,
+    bool silent = false) {
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   return madderdeck::wire::CreateEngineCalls(
       _fbb,
       engine__,
       live,
-      batch);
+      batch,
+      silent);
 }
 
 flatbuffers::Offset<EngineCalls> CreateEngineCalls(flatbuffers::FlatBufferBuilder &_fbb, const EngineCallsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4882,6 +4977,379 @@
 
 flatbuffers::Offset<EngineActivity> CreateEngineActivity(flatbuffers::FlatBufferBuilder &_fbb, const EngineActivityT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PlaceRequestT : public flatbuffers::NativeTable {
+  typedef PlaceRequest TableType;
+  uint64_t request = 0;
+  std::string node{};
+  std::string pool{};
+  std::string zone{};
+  std::string affinity_key{};
+  std::vector<std::string> excluded{};
+  uint32_t reading_us = 0;
+  bool final = false;
+};
+
+struct PlaceRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceRequestT NativeTableType;
+  typedef PlaceRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_NODE = 6,
+    VT_POOL = 8,
+    VT_ZONE = 10,
+    VT_AFFINITY_KEY = 12,
+    VT_EXCLUDED = 14,
+    VT_READING_US = 16,
+    VT_FINAL = 18
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  const flatbuffers::String *affinity_key() const {
+    return GetPointer<const flatbuffers::String *>(VT_AFFINITY_KEY);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *excluded() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_EXCLUDED);
+  }
+  uint32_t reading_us() const {
+    return GetField<uint32_t>(VT_READING_US, 0);
+  }
+  bool final() const {
+    return GetField<uint8_t>(VT_FINAL, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyOffset(verifier, VT_AFFINITY_KEY) &&
+           verifier.VerifyString(affinity_key()) &&
+           VerifyOffset(verifier, VT_EXCLUDED) &&
+           verifier.VerifyVector(excluded()) &&
+           verifier.VerifyVectorOfStrings(excluded()) &&
+           VerifyField<uint32_t>(verifier, VT_READING_US, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FINAL, 1) &&
+           verifier.EndTable();
+  }
+  PlaceRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceRequestBuilder {
+  typedef PlaceRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(PlaceRequest::VT_REQUEST, request, 0);
+  }
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(PlaceRequest::VT_NODE, node);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(PlaceRequest::VT_POOL, pool);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PlaceRequest::VT_ZONE, zone);
+  }
+  void add_affinity_key(flatbuffers::Offset<flatbuffers::String> affinity_key) {
+    fbb_.AddOffset(PlaceRequest::VT_AFFINITY_KEY, affinity_key);
+  }
+  void add_excluded(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded) {
+    fbb_.AddOffset(PlaceRequest::VT_EXCLUDED, excluded);
+  }
+  void add_reading_us(uint32_t reading_us) {
+    fbb_.AddElement<uint32_t>(PlaceRequest::VT_READING_US, reading_us, 0);
+  }
+  void add_final(bool final) {
+    fbb_.AddElement<uint8_t>(PlaceRequest::VT_FINAL, static_cast<uint8_t>(final), 0);
+  }
+  explicit PlaceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceRequest> CreatePlaceRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    flatbuffers::Offset<flatbuffers::String> affinity_key = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
+    uint32_t reading_us = 0,
+    bool final = false) {
+  PlaceRequestBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_reading_us(reading_us);
+  builder_.add_excluded(excluded);
+  builder_.add_affinity_key(affinity_key);
+  builder_.add_zone(zone);
+  builder_.add_pool(pool);
+  builder_.add_node(node);
+  builder_.add_final(final);
+  return builder_.Finish();
+}
+
+struct PlaceRequest::Traits {
+  using type = PlaceRequest;
+  static auto constexpr Create = CreatePlaceRequest;
+};
+
+inline flatbuffers::Offset<PlaceRequest> CreatePlaceRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *node = nullptr,
+    const char *pool = nullptr,
+    const char *zone = nullptr,
+    const char *affinity_key = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
+    uint32_t reading_us = 0,
+    bool final = false) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto affinity_key__ = affinity_key ? _fbb.CreateString(affinity_key) : 0;
+  auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  return madderdeck::wire::CreatePlaceRequest(
+      _fbb,
+      request,
+      node__,
+      pool__,
+      zone__,
+      affinity_key__,
+      excluded__,
+      reading_us,
+      final);
+}
+
+flatbuffers::Offset<PlaceRequest> CreatePlaceRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlaceReplyT : public flatbuffers::NativeTable {
+  typedef PlaceReply TableType;
+  uint64_t request = 0;
+  std::string engine{};
+  std::string zone{};
+  bool needs_yield = false;
+};
+
+struct PlaceReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceReplyT NativeTableType;
+  typedef PlaceReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_ENGINE = 6,
+    VT_ZONE = 8,
+    VT_NEEDS_YIELD = 10
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  bool needs_yield() const {
+    return GetField<uint8_t>(VT_NEEDS_YIELD, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint8_t>(verifier, VT_NEEDS_YIELD, 1) &&
+           verifier.EndTable();
+  }
+  PlaceReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceReplyBuilder {
+  typedef PlaceReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(PlaceReply::VT_REQUEST, request, 0);
+  }
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(PlaceReply::VT_ENGINE, engine);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PlaceReply::VT_ZONE, zone);
+  }
+  void add_needs_yield(bool needs_yield) {
+    fbb_.AddElement<uint8_t>(PlaceReply::VT_NEEDS_YIELD, static_cast<uint8_t>(needs_yield), 0);
+  }
+  explicit PlaceReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceReply> CreatePlaceReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    bool needs_yield = false) {
+  PlaceReplyBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_zone(zone);
+  builder_.add_engine(engine);
+  builder_.add_needs_yield(needs_yield);
+  return builder_.Finish();
+}
+
+struct PlaceReply::Traits {
+  using type = PlaceReply;
+  static auto constexpr Create = CreatePlaceReply;
+};
+
+inline flatbuffers::Offset<PlaceReply> CreatePlaceReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *engine = nullptr,
+    const char *zone = nullptr,
+    bool needs_yield = false) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return madderdeck::wire::CreatePlaceReply(
+      _fbb,
+      request,
+      engine__,
+      zone__,
+      needs_yield);
+}
+
+flatbuffers::Offset<PlaceReply> CreatePlaceReply(flatbuffers::FlatBufferBuilder &_fbb, const PlaceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlaceRoomT : public flatbuffers::NativeTable {
+  typedef PlaceRoom TableType;
+  std::string pool{};
+  std::string zone{};
+  uint32_t free = 0;
+};
+
+struct PlaceRoom FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceRoomT NativeTableType;
+  typedef PlaceRoomBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_POOL = 4,
+    VT_ZONE = 6,
+    VT_FREE = 8
+  };
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *zone() const {
+    return GetPointer<const flatbuffers::String *>(VT_ZONE);
+  }
+  uint32_t free() const {
+    return GetField<uint32_t>(VT_FREE, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_ZONE) &&
+           verifier.VerifyString(zone()) &&
+           VerifyField<uint32_t>(verifier, VT_FREE, 4) &&
+           verifier.EndTable();
+  }
+  PlaceRoomT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceRoomT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceRoom> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRoomT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceRoomBuilder {
+  typedef PlaceRoom Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(PlaceRoom::VT_POOL, pool);
+  }
+  void add_zone(flatbuffers::Offset<flatbuffers::String> zone) {
+    fbb_.AddOffset(PlaceRoom::VT_ZONE, zone);
+  }
+  void add_free(uint32_t free) {
+    fbb_.AddElement<uint32_t>(PlaceRoom::VT_FREE, free, 0);
+  }
+  explicit PlaceRoomBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceRoom> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceRoom>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceRoom> CreatePlaceRoom(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> zone = 0,
+    uint32_t free = 0) {
+  PlaceRoomBuilder builder_(_fbb);
+  builder_.add_free(free);
+  builder_.add_zone(zone);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+struct PlaceRoom::Traits {
+  using type = PlaceRoom;
+  static auto constexpr Create = CreatePlaceRoom;
+};
+
+inline flatbuffers::Offset<PlaceRoom> CreatePlaceRoomDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *pool = nullptr,
+    const char *zone = nullptr,
+    uint32_t free = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  return madderdeck::wire::CreatePlaceRoom(
+      _fbb,
+      pool__,
+      zone__,
+      free);
+}
+
+flatbuffers::Offset<PlaceRoom> CreatePlaceRoom(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRoomT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct QueuedJobT : public flatbuffers::NativeTable {
   typedef QueuedJob TableType;
   std::string route{};
@@ -5379,6 +5847,15 @@
   const madderdeck::wire::QueueGrantReply *body_as_QueueGrantReply() const {
     return body_type() == madderdeck::wire::Message::QueueGrantReply ? static_cast<const madderdeck::wire::QueueGrantReply *>(body()) : nullptr;
   }
+  const madderdeck::wire::PlaceRequest *body_as_PlaceRequest() const {
+    return body_type() == madderdeck::wire::Message::PlaceRequest ? static_cast<const madderdeck::wire::PlaceRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::PlaceReply *body_as_PlaceReply() const {
+    return body_type() == madderdeck::wire::Message::PlaceReply ? static_cast<const madderdeck::wire::PlaceReply *>(body()) : nullptr;
+  }
+  const madderdeck::wire::PlaceRoom *body_as_PlaceRoom() const {
+    return body_type() == madderdeck::wire::Message::PlaceRoom ? static_cast<const madderdeck::wire::PlaceRoom *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -5505,6 +5982,18 @@
   return body_as_QueueGrantReply();
 }
 
+template<> inline const madderdeck::wire::PlaceRequest *Envelope::body_as<madderdeck::wire::PlaceRequest>() const {
+  return body_as_PlaceRequest();
+}
+
+template<> inline const madderdeck::wire::PlaceReply *Envelope::body_as<madderdeck::wire::PlaceReply>() const {
+  return body_as_PlaceReply();
+}
+
+template<> inline const madderdeck::wire::PlaceRoom *Envelope::body_as<madderdeck::wire::PlaceRoom>() const {
+  return body_as_PlaceRoom();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -6766,6 +7255,7 @@
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = state(); _o->state = _e; }
   { auto _e = retiring(); _o->retiring = _e; }
+  { auto _e = capacity(); _o->capacity = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6786,6 +7276,7 @@
   auto _incarnation = _o->incarnation;
   auto _state = _o->state;
   auto _retiring = _o->retiring;
+  auto _capacity = _o->capacity;
   return madderdeck::wire::CreateMember(
       _fbb,
       _id,
@@ -6797,7 +7288,8 @@
       _roles,
       _incarnation,
       _state,
-      _retiring);
+      _retiring,
+      _capacity);
 }
 
 inline PingT::PingT(const PingT &o)
@@ -8181,6 +8673,7 @@
   { auto _e = engine(); if (_e) _o->engine = _e->str(); }
   { auto _e = live(); _o->live = _e; }
   { auto _e = batch(); _o->batch = _e; }
+  { auto _e = silent(); _o->silent = _e; }
 }
 
 inline flatbuffers::Offset<EngineCalls> EngineCalls::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineCallsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8194,11 +8687,13 @@
   auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
   auto _live = _o->live;
   auto _batch = _o->batch;
+  auto _silent = _o->silent;
   return madderdeck::wire::CreateEngineCalls(
       _fbb,
       _engine,
       _live,
-      _batch);
+      _batch,
+      _silent);
 }
 
 inline EngineActivityT::EngineActivityT(const EngineActivityT &o)
@@ -8252,6 +8747,120 @@
       _engines);
 }
 
+inline PlaceRequestT *PlaceRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlaceRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceRequest::UnPackTo(PlaceRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = affinity_key(); if (_e) _o->affinity_key = _e->str(); }
+  { auto _e = excluded(); if (_e) { _o->excluded.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->excluded[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = reading_us(); _o->reading_us = _e; }
+  { auto _e = final(); _o->final = _e; }
+}
+
+inline flatbuffers::Offset<PlaceRequest> PlaceRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceRequest> CreatePlaceRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _affinity_key = _o->affinity_key.empty() ? 0 : _fbb.CreateString(_o->affinity_key);
+  auto _excluded = _o->excluded.size() ? _fbb.CreateVectorOfStrings(_o->excluded) : 0;
+  auto _reading_us = _o->reading_us;
+  auto _final = _o->final;
+  return madderdeck::wire::CreatePlaceRequest(
+      _fbb,
+      _request,
+      _node,
+      _pool,
+      _zone,
+      _affinity_key,
+      _excluded,
+      _reading_us,
+      _final);
+}
+
+inline PlaceReplyT *PlaceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlaceReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceReply::UnPackTo(PlaceReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = needs_yield(); _o->needs_yield = _e; }
+}
+
+inline flatbuffers::Offset<PlaceReply> PlaceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceReply> CreatePlaceReply(flatbuffers::FlatBufferBuilder &_fbb, const PlaceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _needs_yield = _o->needs_yield;
+  return madderdeck::wire::CreatePlaceReply(
+      _fbb,
+      _request,
+      _engine,
+      _zone,
+      _needs_yield);
+}
+
+inline PlaceRoomT *PlaceRoom::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlaceRoomT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceRoom::UnPackTo(PlaceRoomT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = zone(); if (_e) _o->zone = _e->str(); }
+  { auto _e = free(); _o->free = _e; }
+}
+
+inline flatbuffers::Offset<PlaceRoom> PlaceRoom::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRoomT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceRoom(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceRoom> CreatePlaceRoom(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRoomT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceRoomT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
+  auto _free = _o->free;
+  return madderdeck::wire::CreatePlaceRoom(
+      _fbb,
+      _pool,
+      _zone,
+      _free);
+}
+
 inline QueuedJobT *QueuedJob::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<QueuedJobT>();
   UnPackTo(_o.get(), _resolver);
@@ -8991,6 +9600,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::PlaceRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::PlaceReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::PlaceRoom: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRoom *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9122,6 +9743,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::PlaceRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::PlaceReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::PlaceRoom: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRoom *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9241,6 +9874,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::QueueGrantReplyT *>(value);
       return CreateQueueGrantReply(_fbb, ptr, _rehasher).Union();
     }
+    case Message::PlaceRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRequestT *>(value);
+      return CreatePlaceRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::PlaceReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceReplyT *>(value);
+      return CreatePlaceReply(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::PlaceRoom: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRoomT *>(value);
+      return CreatePlaceRoom(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9359,6 +10004,18 @@
       value = new madderdeck::wire::QueueGrantReplyT(*reinterpret_cast<madderdeck::wire::QueueGrantReplyT *>(u.value));
       break;
     }
+    case Message::PlaceRequest: {
+      value = new madderdeck::wire::PlaceRequestT(*reinterpret_cast<madderdeck::wire::PlaceRequestT *>(u.value));
+      break;
+    }
+    case Message::PlaceReply: {
+      value = new madderdeck::wire::PlaceReplyT(*reinterpret_cast<madderdeck::wire::PlaceReplyT *>(u.value));
+      break;
+    }
+    case Message::PlaceRoom: {
+      value = new madderdeck::wire::PlaceRoomT(*reinterpret_cast<madderdeck::wire::PlaceRoomT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9506,6 +10163,21 @@
       delete ptr;
       break;
     }
+    case Message::PlaceRequest: {
+      auto ptr = reinterpret_cast<madderdeck::wire::PlaceRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::PlaceReply: {
+      auto ptr = reinterpret_cast<madderdeck::wire::PlaceReplyT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::PlaceRoom: {
+      auto ptr = reinterpret_cast<madderdeck::wire::PlaceRoomT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/batch/job_manager_test.cpp
+++ b/tests/batch/job_manager_test.cpp
@@ -137,7 +137,8 @@
   ledger::Client ledger{environment, counters,
                         [](const NodeId& node) { return std::optional(PeerAddress(node.str())); }};
   policy::work_estimate estimate;
-  JobManager manager{environment, counters, ledger, members, log, std::make_shared<policy::attainable_order>(),
+  placement::duties duties{members};
+  JobManager manager{environment, counters, ledger, members, duties, log, std::make_shared<policy::attainable_order>(),
                      estimate};
   std::map<std::string, wire::Bytes> values;
   std::size_t answered = 0;
--- /dev/null
+++ b/tests/object_store/sole_deciders_test.cpp
@@ -0,0 +1,94 @@
+#include "object_store/sole_deciders.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "emulator/platform_model.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::object_store;
+using madderdeck::tests::TestEnvironment;
+
+namespace {
+
+const ledger::ReplicaIdentity kA{NodeId("a"), DiskId("disk-a")};
+const ledger::ReplicaIdentity kB{NodeId("b"), DiskId("disk-b")};
+
+/// A store that may be away, and whose answers may be lost.
+class troubled_store : public PlatformClient {
+ public:
+  explicit troubled_store(TestEnvironment& environment) : environment_(environment), table(environment) {}
+  void watch_objects(std::uint64_t, Duration, ChangesDone) override {}
+  void watch_machines(std::uint64_t, Duration, ChangesDone) override {}
+  void get(const config::EntryKey& key, GetDone done) override {
+    environment_.after(1ms, [this, key, done] {
+      if (away) {
+        done(Error{ErrorKind::unavailable, "away"});
+        return;
+      }
+      const StoredObject* found = table.find(key);
+      done(found == nullptr ? std::optional<StoredObject>() : std::optional(*found));
+    });
+  }
+  void put(const PutRequest& request, PutDone done) override {
+    environment_.after(1ms, [this, request, done] {
+      if (away) {
+        done(Error{ErrorKind::unavailable, "away"});
+        return;
+      }
+      Result<std::uint64_t> result = emulator::compare_and_set(table, request);
+      done(lose_answers-- > 0 ? Result<std::uint64_t>(Error{ErrorKind::ambiguous, "lost"}) : result);
+    });
+  }
+  TestEnvironment& environment_;
+  emulator::WatchedTable table;
+  int lose_answers = 0;
+  bool away = false;
+};
+
+struct decider_fixture {
+  std::optional<Status> ask(const ledger::ReplicaIdentity& member, std::uint64_t epoch = 7) {
+    std::optional<Status> outcome;
+    deciders.grant(0, epoch, member, [&outcome](const Status& status) { outcome = status; });
+    environment.world.run_for(10s);
+    return outcome;
+  }
+  TestEnvironment environment;
+  Counters counters;
+  troubled_store store{environment};
+  Declarations declarations{environment, counters, store};
+  sole_deciders deciders{declarations, store};
+};
+
+}  // namespace
+
+TEST_CASE("of two members one is named the sole decider of an epoch, and stays so") {
+  decider_fixture fixture;
+  REQUIRE(succeeded(*fixture.ask(kA)));
+  const auto other = fixture.ask(kB);
+  REQUIRE_FALSE(succeeded(*other));
+  CHECK(error_of(*other).kind == ErrorKind::conflict);
+  CHECK(succeeded(*fixture.ask(kA)));
+}
+
+TEST_CASE("each epoch has a decider of its own") {
+  decider_fixture fixture;
+  REQUIRE(succeeded(*fixture.ask(kA, 7)));
+  CHECK(succeeded(*fixture.ask(kB, 8)));
+}
+
+TEST_CASE("a lost answer of the store neither grants twice nor loses the grant") {
+  decider_fixture fixture;
+  fixture.store.lose_answers = 1;
+  CHECK(succeeded(*fixture.ask(kA)));
+  CHECK_FALSE(succeeded(*fixture.ask(kB)));
+}
+
+TEST_CASE("while the store is away nobody is granted, later somebody is") {
+  decider_fixture fixture;
+  fixture.store.away = true;
+  CHECK_FALSE(succeeded(*fixture.ask(kA)));
+  fixture.store.away = false;
+  CHECK(succeeded(*fixture.ask(kB)));
+  CHECK_FALSE(succeeded(*fixture.ask(kA)));
+}
--- /dev/null
+++ b/tests/placement/coordinator_test.cpp
@@ -0,0 +1,247 @@
+#include "placement/coordinator.hpp"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "placement/call_reporter.hpp"
+#include "placement/fleet_members.hpp"
+#include "placement/place_client.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::placement;
+using namespace madderdeck::tests;
+
+namespace {
+
+constexpr std::uint32_t kSlots = 4;
+const std::string kPool = "p";
+
+/// A gateway of a large fleet with @p engines engines, in turn in the five zones.
+struct gateway_fixture {
+  explicit gateway_fixture(unsigned engines = 30) : fleet(60) {
+    registry.set_subset_size(1000);
+    std::vector<config::Entry> entries;
+    std::vector<config::EntryKey> keys;
+    for (unsigned number = 0; number < engines; ++number) {
+      config::Machine machine;
+      machine.id = BackendId("e" + std::to_string(number));
+      machine.pools = {kPool};
+      machine.zone = "z" + std::to_string(number % fleet_members::kZones);
+      machine.slots = kSlots;
+      entries.push_back({{config::kMachineKind, machine.id.str()}, config::format_machine(machine), number + 1, false});
+      keys.push_back(entries.back().key);
+    }
+    table.apply(0, engines, entries);
+    registry.update(table, keys);
+  }
+  const wire::MemberT& self() const { return fleet.members.self(); }
+  forwarding::place_query query() const {
+    forwarding::place_query query;
+    query.pool = kPool;
+    return query;
+  }
+  wire::EngineActivityT word(const std::string& node, const std::string& engine, std::uint32_t live,
+                             std::uint32_t batch, bool silent = false) const {
+    wire::EngineActivityT message;
+    message.node = node;
+    auto entry = std::make_unique<wire::EngineCallsT>();
+    entry->engine = engine;
+    entry->live = live;
+    entry->batch = batch;
+    entry->silent = silent;
+    message.engines.push_back(std::move(entry));
+    return message;
+  }
+  void fill_zone(const std::string& zone) {
+    for (const auto& [id, backend] : registry.backends()) {
+      if (backend.machine.zone == zone) {
+        own.take(word("other", id.str(), kSlots, 0));
+      }
+    }
+  }
+  std::size_t sent(wire::Message type) const { return fleet.environment.sent_of(type); }
+  const wire::PlaceRequestT& last_request() const {
+    for (auto message = fleet.environment.sent.rbegin(); message != fleet.environment.sent.rend(); ++message) {
+      if (message->body.type == wire::Message::PlaceRequest) {
+        return *message->body.AsPlaceRequest();
+      }
+    }
+    FAIL("no request");
+    static const wire::PlaceRequestT none;
+    return none;
+  }
+
+  fleet_members fleet;
+  NoDecisionLog log;
+  config::VersionedTable table;
+  routing::Registry registry{fleet.environment, fleet.counters, "node-0", {true, true, false, true}};
+  coordinator own{fleet.environment, fleet.counters, log, registry, fleet.who, self()};
+  place_client client{fleet.environment, fleet.counters, log, registry, fleet.who, self(), own};
+};
+
+const engine_domain kOwnDomain{kPool, "z0"};
+
+}  // namespace
+
+TEST_CASE("calls are placed on free slots of the zone while there are any, each slot once") {
+  rc::prop("whatever the engines run already", [] {
+    gateway_fixture fixture;
+    std::map<BackendId, std::uint32_t> live;
+    std::uint32_t free = 0;
+    for (const auto& [id, backend] : fixture.registry.backends()) {
+      if (backend.machine.zone != kOwnDomain.zone) {
+        continue;
+      }
+      live[id] = *rc::gen::inRange<std::uint32_t>(0, kSlots + 1);
+      free += kSlots - live[id];
+      fixture.own.take(fixture.word("other", id.str(), live[id], 0));
+    }
+    for (std::uint32_t call = 0; call < free; ++call) {
+      const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+      RC_ASSERT(choice.place.has_value());
+      RC_ASSERT(++live.at(choice.place->engine) <= kSlots);
+    }
+  });
+}
+
+TEST_CASE("batch work yields where no slot is free, and the answer says so") {
+  gateway_fixture fixture;
+  for (const auto& [id, backend] : fixture.registry.backends()) {
+    fixture.own.take(fixture.word("other", id.str(), 1, kSlots - 1));
+  }
+  const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+  REQUIRE(choice.place);
+  CHECK(choice.place->needs_yield);
+}
+
+TEST_CASE("a zone that is full names another one with room, while its word is fresh") {
+  gateway_fixture fixture;
+  fixture.fill_zone("z0");
+  CHECK(fixture.own.choose("asker", kOwnDomain, fixture.query(), false).place);  // no word of others: here, then
+  wire::PlaceRoomT room;
+  room.pool = kPool;
+  room.zone = "z3";
+  room.free = 9;
+  fixture.own.handle(room);
+  const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), false);
+  CHECK_FALSE(choice.place);
+  CHECK(choice.zone == "z3");
+  CHECK(fixture.own.choose("asker", kOwnDomain, fixture.query(), true).place);
+  fixture.fleet.environment.world.run_for(1s);
+  CHECK(fixture.own.choose("asker", kOwnDomain, fixture.query(), false).place);
+}
+
+TEST_CASE("an engine that several nodes hear nothing of gets no calls while others speak") {
+  gateway_fixture fixture;
+  fixture.own.take(fixture.word("a", "e0", 1, 0, true));
+  fixture.own.take(fixture.word("b", "e0", 1, 0, true));
+  for (int call = 0; call < 10; ++call) {
+    const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+    REQUIRE(choice.place);
+    CHECK(choice.place->engine != BackendId("e0"));
+  }
+}
+
+TEST_CASE("a small pool is looked after as a whole") {
+  gateway_fixture fixture(5);
+  CHECK(domain_in(fixture.registry, kPool, "z0") == engine_domain{kPool, ""});
+  std::set<BackendId> used;
+  for (unsigned call = 0; call < 5 * kSlots; ++call) {
+    const placement_choice choice = fixture.own.choose("asker", {kPool, ""}, fixture.query(), false);
+    REQUIRE(choice.place);
+    used.insert(choice.place->engine);
+  }
+  CHECK(used.size() == 5);
+}
+
+TEST_CASE("a gateway asks its zone's coordinator and takes the answer") {
+  gateway_fixture fixture;
+  std::optional<forwarding::place_answer> answer;
+  const wire::MemberT* coordinator = fixture.client.coordinator_for(kOwnDomain);
+  REQUIRE(coordinator != nullptr);
+  fixture.client.place(fixture.query(), [&](const auto& placed) { answer = placed; });
+  if (coordinator->id != fixture.self().id) {
+    wire::PlaceReplyT reply;
+    reply.request = fixture.last_request().request;
+    reply.engine = "e5";
+    fixture.client.handle(reply);
+    REQUIRE(answer);
+    CHECK(answer->engine == BackendId("e5"));
+  } else {
+    CHECK(answer);
+  }
+}
+
+TEST_CASE("a coordinator that does not answer keeps a call for 20 ms, and after two such calls the next one is asked") {
+  gateway_fixture fixture;
+  fixture.fleet.say(fixture.self().id, wire::MemberState::Alive);
+  const engine_domain other{kPool, "z1"};  // never this node's own
+  forwarding::place_query query = fixture.query();
+  query.first = BackendId("e1");
+  query.affinity_key = "shared";
+  const std::string first = fixture.client.coordinator_for(other)->id;
+  for (int call = 0; call < 2; ++call) {
+    bool told = false;
+    fixture.client.place(query, [&told](const auto& placed) { told = !placed; });
+    fixture.fleet.environment.world.run_for(19ms);
+    CHECK_FALSE(told);
+    fixture.fleet.environment.world.run_for(2ms);
+    CHECK(told);
+  }
+  CHECK(fixture.client.coordinator_for(other)->id != first);
+  fixture.fleet.environment.world.run_for(2100ms);
+  CHECK(fixture.client.coordinator_for(other)->id == first);
+}
+
+TEST_CASE("a late answer is counted and changes nothing") {
+  gateway_fixture fixture;
+  forwarding::place_query query = fixture.query();
+  query.first = BackendId("e1");
+  int answers = 0;
+  fixture.client.place(query, [&answers](const auto&) { ++answers; });
+  fixture.fleet.environment.world.run_for(30ms);
+  wire::PlaceReplyT reply;
+  reply.request = fixture.last_request().request;
+  reply.engine = "e1";
+  fixture.client.handle(reply);
+  CHECK(answers == 1);
+  CHECK(fixture.fleet.counters["placements_answered_late_total"] == 1);
+}
+
+TEST_CASE("calls are told to the coordinator of their engine's zone alone") {
+  gateway_fixture fixture;
+  call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
+                         fixture.fleet.who, fixture.self());
+  fixture.registry.find(BackendId("e1"))->online_in_flight = 2;
+  reporter.changed(BackendId("e1"));
+  fixture.fleet.environment.world.run_for(10ms);
+  REQUIRE(fixture.sent(wire::Message::EngineActivity) == 1);
+  const SentMessage& message = fixture.fleet.environment.sent.back();
+  CHECK(message.to.str() == fixture.client.coordinator_for({kPool, "z1"})->peer_address);
+  CHECK(message.body.AsEngineActivity()->engines.at(0)->live == 2);
+}
+
+TEST_CASE("an engine that falls silent under a call is told of within 100 ms") {
+  gateway_fixture fixture;
+  call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
+                         fixture.fleet.who, fixture.self());
+  reporter.start();
+  const BackendId engine("e1");
+  fixture.registry.find(engine)->online_in_flight = 1;
+  fixture.registry.on_sent(engine);
+  const auto silent_told = [&fixture] {
+    std::size_t told = 0;
+    for (const SentMessage& message : fixture.fleet.environment.sent) {
+      told += message.body.type == wire::Message::EngineActivity && message.body.AsEngineActivity()->engines[0]->silent;
+    }
+    return told;
+  };
+  fixture.fleet.environment.world.run_for(450ms);
+  CHECK(silent_told() == 0);
+  fixture.fleet.environment.world.run_for(200ms);
+  CHECK(silent_told() >= 1);
+  fixture.registry.on_heard(engine);
+  fixture.fleet.environment.world.run_for(110ms);
+  REQUIRE(fixture.fleet.environment.sent.back().body.type == wire::Message::EngineActivity);
+  CHECK_FALSE(fixture.fleet.environment.sent.back().body.AsEngineActivity()->engines[0]->silent);
+}
--- a/tests/routing/shared_calls_test.cpp
+++ b/tests/routing/shared_calls_test.cpp
@@ -30,9 +30,9 @@
   CHECK_FALSE(calls.any_heard());
   calls.take(told("a", false, 2, 1), 1s);
   calls.take(told("b", false, 3, 0), 1s);
-  CHECK(calls.at(kEngine) == open_calls{5, 1});
+  CHECK(calls.at(kEngine) == open_calls{5, 1, 2});
   calls.take(told("a", false, 0, 4), 1s);
-  CHECK(calls.at(kEngine) == open_calls{3, 4});
+  CHECK(calls.at(kEngine) == open_calls{3, 4, 2});
 }
 
 TEST_CASE("a complete message forgets what it does not name") {
@@ -40,7 +40,7 @@
   calls.take(told("a", false, 2, 1), 1s);
   calls.take(told("a", true, 1, 0, BackendId("e2")), 1s);
   CHECK(calls.at(kEngine) == open_calls{});
-  CHECK(calls.at(BackendId("e2")) == open_calls{1, 0});
+  CHECK(calls.at(BackendId("e2")) == open_calls{1, 0, 1});
 }
 
 TEST_CASE("a silent node counts no longer") {
@@ -48,7 +48,7 @@
   calls.take(told("a", false, 2, 1), 1s);
   calls.take(told("b", false, 3, 0), 3s);
   calls.forget_silent(4500ms);
-  CHECK(calls.at(kEngine) == open_calls{3, 0});
+  CHECK(calls.at(kEngine) == open_calls{3, 0, 1});
   calls.forget_silent(10s);
   CHECK_FALSE(calls.any_heard());
   CHECK(calls.at(kEngine) == open_calls{});
@@ -76,8 +76,49 @@
       for (auto& [node, engines] : expected) {
         sum.live += engines[engine].live;
         sum.batch += engines[engine].batch;
+        sum.nodes += engines[engine].live + engines[engine].batch > 0 ? 1 : 0;
       }
       RC_ASSERT(calls.at(BackendId(engine)) == sum);
     }
   });
 }
+
+TEST_CASE("a call that a node is to make counts until that node tells itself") {
+  shared_calls calls;
+  calls.expect("a", kEngine, 1s);
+  calls.expect("a", kEngine, 1s);
+  CHECK(calls.at(kEngine) == open_calls{2, 0, 1});
+  calls.take(told("a", false, 1, 0), 1s);
+  CHECK(calls.at(kEngine) == open_calls{1, 0, 1});
+}
+
+TEST_CASE("a call that a node was to make and that nobody hears of again is forgotten") {
+  shared_calls calls;
+  calls.expect("a", kEngine, 1s);
+  calls.forget_silent(3900ms);
+  CHECK(calls.at(kEngine) == open_calls{1, 0, 1});
+  calls.forget_silent(4100ms);
+  CHECK(calls.at(kEngine) == open_calls{});
+}
+
+TEST_CASE("an engine is silent when at least half of the nodes with calls there hear nothing of it") {
+  shared_calls calls;
+  const auto word = [](const std::string& node, std::uint32_t live, bool silent) {
+    wire::EngineActivityT message = told(node, false, live, 0);
+    message.engines.front()->silent = silent;
+    return message;
+  };
+  calls.take(word("a", 1, false), 1s);
+  CHECK_FALSE(calls.at(kEngine).silent());
+  calls.take(word("a", 1, true), 1s);
+  CHECK(calls.at(kEngine).silent());
+  calls.take(word("b", 2, false), 1s);
+  CHECK(calls.at(kEngine).silent());
+  calls.take(word("c", 1, false), 1s);
+  CHECK_FALSE(calls.at(kEngine).silent());
+  calls.take(word("b", 0, false), 1s);
+  calls.take(word("c", 0, false), 1s);
+  CHECK(calls.at(kEngine).silent());
+  calls.take(word("a", 0, true), 1s);  // its calls have ended: no witness is left
+  CHECK_FALSE(calls.at(kEngine).silent());
+}
