--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -9,6 +9,7 @@
 constexpr Duration kActivityRefresh = 1s;
 constexpr Duration kStarting = 2s;
 constexpr Duration kQueueReports = 250ms;
+constexpr int kPollsSavedByCoordination = 4;
 }  // namespace
 
 using membership::has_role;
@@ -529,7 +530,9 @@
 }
 
 void NodeCore::poll_loads() {
-  environment.after(load_poll_, lifetime_.guard([this] { poll_loads(); }));
+  // Where coordinators know all calls, reports only show what nodes that died have left running.
+  const Duration pause = coordinated() ? kPollsSavedByCoordination * load_poll_ : load_poll_;
+  environment.after(pause, lifetime_.guard([this] { poll_loads(); }));
   for (const auto& [id, backend] : registry.backends()) {
     if (!polls(backend)) {
       continue;
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kIdle = 500ms;
 constexpr Duration kFeedCheck = 100ms;
 constexpr Duration kStartCheck = 50ms;
+/// Changes of a large fleet come in storms, as when all back ends start; those within this time share a call.
+constexpr Duration kNewsPause = 150ms;
 /// Between the looks of two nodes of a zone that follow each other in rank: the first one's word takes that long.
 constexpr Duration kLookStep = 40ms;
 constexpr Duration kLeastLookPause = 1s;  ///< After a look that failed; it doubles.
@@ -189,8 +191,11 @@
     again_after(waits_for_peers() ? kStartCheck : kIdle, false);
     return;
   }
-  const auto next = [this, &table, source, again_after](bool answered) {
-    if (answered) {
+  const auto next = [this, &table, source, again_after, before = table.table().revision()](bool answered) {
+    const bool news = table.table().revision() != before;
+    if (answered && news && !all_read()) {
+      again_after(kNewsPause, false);
+    } else if (answered) {
       watch(table, source, false);
     } else {
       again_after(options_.store_retry, true);
--- a/tests/object_store/store_feed_test.cpp
+++ b/tests/object_store/store_feed_test.cpp
@@ -21,6 +21,10 @@
 
   void watch_objects(std::uint64_t since, Duration wait, object_store::ChangesDone done) override {
     ++object_reads;
+    if (away) {
+      environment_.after(4ms, [done] { done(Error{ErrorKind::unavailable, "away"}); });
+      return;
+    }
     answer(since, wait, std::move(done));
   }
   void watch_machines(std::uint64_t since, Duration wait, object_store::ChangesDone done) override {
@@ -35,13 +39,23 @@
 
   std::size_t object_reads = 0;
   std::uint64_t revision = 5;
+  bool away = false;
 
  private:
   void answer(std::uint64_t since, Duration wait, object_store::ChangesDone done) {
+    answer_when_due(since, environment_.now() + wait, done);
+  }
+  /// Answers 4 ms after there is something later than @p since, or at the end of the wait.
+  void answer_when_due(std::uint64_t since, Timestamp until, const object_store::ChangesDone& done) {
+    if (since >= revision && environment_.now() < until) {
+      const Duration pause = std::min<Duration>(10ms, until - environment_.now());
+      environment_.after(pause, [this, since, until, done] { answer_when_due(since, until, done); });
+      return;
+    }
     object_store::ChangeList changes;
     changes.since = since;
     changes.up_to = revision;
-    environment_.after(since < revision ? 4ms : wait + 4ms, [changes, done] { done(changes); });
+    environment_.after(4ms, [changes, done] { done(changes); });
   }
 
   TestEnvironment& environment_;
@@ -174,3 +188,57 @@
   CHECK(fixture->notices_sent() - before >= 4 * kFed * kTables);
   CHECK(fixture->notices_sent() - before <= 6 * kFed * kTables);
 }
+
+TEST_CASE("a storm of changes costs a reader of a large fleet a call each 150 ms, not one for each change") {
+  std::unique_ptr<FeedFixture> fixture;
+  for (char letter = 'a'; letter <= 'z'; ++letter) {
+    fixture = std::make_unique<FeedFixture>(8, std::string(1, letter));
+    if (fixture->core.controller->is_reader()) {
+      break;
+    }
+  }
+  REQUIRE(fixture->core.controller->is_reader());
+  fixture->environment.world.run_for(2s);
+  const std::size_t before = fixture->store.object_reads;
+  constexpr int kChanges = 150;
+  for (int change = 0; change < kChanges; ++change) {
+    ++fixture->store.revision;
+    fixture->environment.world.run_for(10ms);
+  }
+  CHECK(fixture->store.object_reads - before >= 2);
+  CHECK(fixture->store.object_reads - before <= 12);
+}
+
+TEST_CASE("a node that starts and knows a seed waits for a peer's word, a seed does not") {
+  const auto reads_within = [](Duration time, bool is_seed) {
+    TestEnvironment environment;
+    Counters counters;
+    FakeBackends backends;
+    quiet_store store{environment};
+    NoDecisionLog log;
+    node::NodeOptions options = FeedFixture::options();
+    options.seeds = {PeerAddress(is_seed ? "self:1" : "peer-0:1")};
+    options.controller.keep_within(4s);
+    node::NodeCore core({environment, counters, nullptr, backends, store, log}, options);
+    core.start();
+    environment.world.run_for(time);
+    return store.object_reads;
+  };
+  CHECK(reads_within(100ms, true) > 0);
+  CHECK(reads_within(500ms, false) == 0);
+  CHECK(reads_within(700ms, false) > 0);
+}
+
+TEST_CASE("while the store is away, nodes that do not read it look seldom") {
+  FeedFixture fixture(kFedFleet);
+  REQUIRE_FALSE(fixture.core.controller->is_reader());
+  fixture.environment.world.run_for(kLongestSilence);
+  fixture.store.away = true;
+  const std::size_t before = fixture.store.object_reads;
+  fixture.environment.world.run_for(10s);
+  CHECK(fixture.store.object_reads - before >= 2);
+  CHECK(fixture.store.object_reads - before <= 6);
+  fixture.store.away = false;
+  fixture.environment.world.run_for(9s);
+  CHECK(fixture.core.objects.age_ms() < 3000);
+}
