Coordinators leave out engines that break calls

Calls that fail are told to the coordinator at once; two in a second, or one that could not be sent, set the engine aside for 2 s, longer when it fails again. Live answers of 500 and above count as well.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -383,6 +383,9 @@
     return;
   }
   const bool failed = active.head.status >= kFirstServerError;
+  if (failed) {
+    registry_.on_failure_answer(active.backend);
+  }
   if (failed && !active.head_passed && may_send_again(active)) {
     on_failed(id, attempt, CallFailure::failed_run);
     return;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -153,10 +153,15 @@
   const wire::MemberT& self = members.self();
   coordinator = std::make_unique<placement::coordinator>(environment, counters, log, registry, duties, self);
   places = std::make_unique<placement::place_client>(environment, counters, log, registry, duties, self, *coordinator);
-  call_reporter = std::make_unique<placement::call_reporter>(environment, counters, registry, *places, duties, self);
+  call_reporter =
+      std::make_unique<placement::call_reporter>(environment, counters, registry, *places, duties, self, *coordinator);
   coordinator->start();
   call_reporter->start();
   forwarder->use_placer(*places);
+  registry.on_trouble = [this](const BackendId& engine, routing::CallFailure failure) {
+    const bool unreachable = failure == routing::CallFailure::not_sent;
+    call_reporter->failed(engine, unreachable ? placement::call_trouble::unreachable : placement::call_trouble::broken);
+  };
 }
 
 void NodeCore::on_calls_changed(const BackendId& engine) {
@@ -385,6 +390,11 @@
         places->handle(*body.AsPlaceReply());
       }
       break;
+    case wire::Message::EngineFailure:
+      if (coordinator) {
+        coordinator->handle(*body.AsEngineFailure());
+      }
+      break;
     case wire::Message::PlaceRoom:
       if (coordinator) {
         coordinator->handle(*body.AsPlaceRoom());
--- a/src/placement/call_reporter.cpp
+++ b/src/placement/call_reporter.cpp
@@ -14,8 +14,14 @@
 }  // namespace
 
 call_reporter::call_reporter(Environment& environment, Counters& counters, routing::Registry& registry,
-                             const place_client& places, const duties& who, const wire::MemberT& self)
-    : environment_(environment), counters_(counters), registry_(registry), places_(places), duties_(who), self_(self) {}
+                             const place_client& places, const duties& who, const wire::MemberT& self, coordinator& own)
+    : environment_(environment),
+      counters_(counters),
+      registry_(registry),
+      places_(places),
+      duties_(who),
+      self_(self),
+      own_(own) {}
 
 void call_reporter::start() {
   environment_.after(kRefresh, lifetime_.guard([this] { tell_all(); }));
@@ -34,6 +40,27 @@
   }));
 }
 
+void call_reporter::failed(const BackendId& engine, call_trouble trouble) {
+  const routing::Backend* backend = registry_.find(engine);
+  if (backend == nullptr || !duties_.divided()) {
+    return;
+  }
+  for (const std::string& pool : backend->machine.pools) {
+    const wire::MemberT* member = places_.coordinator_for(domain_of(registry_, *backend, pool));
+    if (member == nullptr) {
+      continue;
+    }
+    wire::EngineFailureT message;
+    message.engine = engine.str();
+    message.unreachable = trouble == call_trouble::unreachable;
+    if (member->id == self_.id) {
+      own_.handle(message);
+    } else {
+      send_message(environment_, PeerAddress(member->peer_address), std::move(message));
+    }
+  }
+}
+
 void call_reporter::add(messages& to, const BackendId& engine, const routing::Backend* backend, bool complete) {
   const bool open = backend != nullptr && backend->online_in_flight + backend->batch_in_flight > 0;
   std::set<PeerAddress> receivers;
--- a/src/placement/call_reporter.hpp
+++ b/src/placement/call_reporter.hpp
@@ -17,11 +17,13 @@
 class call_reporter {
  public:
   call_reporter(Environment& environment, Counters& counters, routing::Registry& registry, const place_client& places,
-                const duties& who, const wire::MemberT& self);
+                const duties& who, const wire::MemberT& self, coordinator& own);
 
   void start();
   /// This node's calls at @p engine are others than before.
   void changed(const BackendId& engine);
+  /// A call of this node failed at @p engine; told at once, also to this node's own coordinator.
+  void failed(const BackendId& engine, call_trouble trouble);
   /// @param time how long live calls lately waited for batch work to yield.
   void set_time_to_yield(Duration time) { time_to_yield_ = time; }
 
@@ -40,6 +42,7 @@
   const place_client& places_;
   const duties& duties_;
   const wire::MemberT& self_;
+  coordinator& own_;
   std::set<BackendId> changed_;
   std::set<BackendId> silent_;
   std::map<BackendId, PeerAddress> told_;  ///< The coordinator last told of calls at an engine.
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -13,6 +13,8 @@
 constexpr Duration kRoomUseful = 500ms;
 /// Slots that another zone must have free: its own callers may take some before the call gets there.
 constexpr std::uint32_t kLeastRoomElsewhere = 4;
+/// Engines in trouble are left out while at least one in so many is sound.
+constexpr std::size_t kLeastSoundPart = 3;
 /// A domain nobody has asked for lately is another node's by now.
 constexpr Duration kAskedLately = 3s;
 
@@ -30,6 +32,7 @@
 void coordinator::maintain() {
   environment_.after(kMaintenance, lifetime_.guard([this] { maintain(); }));
   calls_.forget_silent(environment_.now());
+  failing_.forget_old(environment_.now());
 }
 
 std::vector<routing::Backend*> coordinator::candidates(const engine_domain& domain,
@@ -41,10 +44,25 @@
       found.push_back(backend);
     }
   }
-  std::vector<routing::Backend*> speaking;
-  std::copy_if(found.begin(), found.end(), std::back_inserter(speaking),
-               [this](const routing::Backend* backend) { return !calls_.at(backend->machine.id).silent(); });
-  return speaking.empty() ? found : speaking;
+  std::vector<routing::Backend*> sound;
+  std::copy_if(found.begin(), found.end(), std::back_inserter(sound),
+               [this](const routing::Backend* backend) { return !in_trouble(backend->machine.id); });
+  // When most are in trouble the cause is likely elsewhere, and the few that are left could not carry all.
+  return kLeastSoundPart * sound.size() < found.size() ? found : sound;
+}
+
+bool coordinator::in_trouble(const BackendId& engine) const {
+  return calls_.at(engine).silent() || failing_.aside(engine, environment_.now());
+}
+
+void coordinator::handle(const wire::EngineFailureT& message) {
+  const BackendId engine(message.engine);
+  const bool before = failing_.aside(engine, environment_.now());
+  failing_.record(engine, message.unreachable ? call_trouble::unreachable : call_trouble::broken, environment_.now());
+  if (!before && failing_.aside(engine, environment_.now())) {
+    counters_["engines_set_aside_total"]++;
+    log_.record("engine_set_aside", {{"engine", message.engine}, {"unreachable", message.unreachable}});
+  }
 }
 
 placement_choice coordinator::choose(const std::string& node, const engine_domain& domain,
@@ -137,7 +155,7 @@
       }
       const forwarding::known_calls known = forwarding::calls_at(*backend, calls_, environment_.now());
       const double free = known.slots - known.live - known.batch;
-      word.free += free > 0 && !calls_.at(backend->machine.id).silent() ? static_cast<std::uint32_t>(free) : 0;
+      word.free += free > 0 && !in_trouble(backend->machine.id) ? static_cast<std::uint32_t>(free) : 0;
     }
     for (const std::string& zone : zones) {
       const auto there = duties_.coordinators_of(engine_domain{domain.pool, zone}.key(), zone);
--- a/src/placement/coordinator.hpp
+++ b/src/placement/coordinator.hpp
@@ -12,6 +12,7 @@
 #include "forwarding/engine_placer.hpp"
 #include "placement/duties.hpp"
 #include "placement/engine_domain.hpp"
+#include "placement/failing_engines.hpp"
 #include "routing/registry.hpp"
 #include "routing/shared_calls.hpp"
 
@@ -37,6 +38,7 @@
                           bool final);
   void handle(const PeerAddress& sender, const wire::PlaceRequestT& message);
   void handle(const wire::PlaceRoomT& message);
+  void handle(const wire::EngineFailureT& message);
   /// Takes what a gateway or dispatcher tells of its calls.
   void take(const wire::EngineActivityT& message);
   /// @return calls of the other nodes, as they told them here.
@@ -49,6 +51,8 @@
   };
 
   std::vector<routing::Backend*> candidates(const engine_domain& domain, const std::set<BackendId>& excluded);
+  /// @return whether @p engine says nothing to its callers or fails their calls.
+  bool in_trouble(const BackendId& engine) const;
   /// @return another zone of the pool with room to spare; nothing when none is known.
   std::optional<std::string> roomier_zone(const engine_domain& domain);
   void tell_room();
@@ -61,6 +65,7 @@
   const duties& duties_;
   const wire::MemberT& self_;
   routing::shared_calls calls_;
+  failing_engines failing_;
   std::map<engine_domain, room> rooms_;           ///< Of other coordinators.
   std::map<engine_domain, Timestamp> asked_for_;  ///< Domains that this node is coordinator of, by the askers.
   Lifetime lifetime_;
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -283,6 +283,9 @@
   if (failure == CallFailure::refused || failure == CallFailure::failed_run) {
     return;  // busy, or answering; not sick
   }
+  if (on_trouble) {
+    on_trouble(id, failure);
+  }
   ++backend->consecutive_failures;
   const bool dead_certain = failure == CallFailure::not_sent;
   if (dead_certain || backend->consecutive_failures >= kFailuresToEject) {
@@ -290,6 +293,12 @@
   }
 }
 
+void Registry::on_failure_answer(const BackendId& id) {
+  if (on_trouble && backends_.contains(id)) {
+    on_trouble(id, CallFailure::failed_run);
+  }
+}
+
 std::size_t Registry::ejected_count(const std::string& pool) const {
   const auto ids = pools_.find(pool);
   if (ids == pools_.end()) {
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -90,6 +90,10 @@
   /// A call ended with its whole answer.
   void on_success(const BackendId& id);
   void on_failure(const BackendId& id, CallFailure failure);
+  /// A live call was answered with the back end's own failure.
+  void on_failure_answer(const BackendId& id);
+  /// Told of calls that a sound back end would not have failed; may be empty.
+  std::function<void(const BackendId&, CallFailure)> on_trouble;
   /// @param asked_at when the report was asked for. Its age counts from there: the answer may
   ///        have waited while this node was frozen.
   void on_report(const BackendId& id, const LoadReport& report, Timestamp asked_at);
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -154,6 +154,10 @@
 struct PlaceReplyBuilder;
 struct PlaceReplyT;
 
+struct EngineFailure;
+struct EngineFailureBuilder;
+struct EngineFailureT;
+
 struct PlaceRoom;
 struct PlaceRoomBuilder;
 struct PlaceRoomT;
@@ -399,11 +403,12 @@
   PlaceRequest = 29,
   PlaceReply = 30,
   PlaceRoom = 31,
+  EngineFailure = 32,
   MIN = NONE,
-  MAX = PlaceRoom
+  MAX = EngineFailure
 };
 
-inline const Message (&EnumValuesMessage())[32] {
+inline const Message (&EnumValuesMessage())[33] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -436,13 +441,14 @@
     Message::QueueGrantReply,
     Message::PlaceRequest,
     Message::PlaceReply,
-    Message::PlaceRoom
+    Message::PlaceRoom,
+    Message::EngineFailure
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[33] = {
+  static const char * const names[34] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -475,13 +481,14 @@
     "PlaceRequest",
     "PlaceReply",
     "PlaceRoom",
+    "EngineFailure",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::PlaceRoom)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::EngineFailure)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -614,6 +621,10 @@
   static const Message enum_value = Message::PlaceRoom;
 };
 
+template<> struct MessageTraits<madderdeck::wire::EngineFailure> {
+  static const Message enum_value = Message::EngineFailure;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -742,6 +753,10 @@
   static const Message enum_value = Message::PlaceRoom;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::EngineFailureT> {
+  static const Message enum_value = Message::EngineFailure;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1020,6 +1035,14 @@
     return type == Message::PlaceRoom ?
       reinterpret_cast<const madderdeck::wire::PlaceRoomT *>(value) : nullptr;
   }
+  madderdeck::wire::EngineFailureT *AsEngineFailure() {
+    return type == Message::EngineFailure ?
+      reinterpret_cast<madderdeck::wire::EngineFailureT *>(value) : nullptr;
+  }
+  const madderdeck::wire::EngineFailureT *AsEngineFailure() const {
+    return type == Message::EngineFailure ?
+      reinterpret_cast<const madderdeck::wire::EngineFailureT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -5254,6 +5277,87 @@
 
 flatbuffers::Offset<PlaceReply> CreatePlaceReply(flatbuffers::FlatBufferBuilder &_fbb, const PlaceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EngineFailureT : public flatbuffers::NativeTable {
+  typedef EngineFailure TableType;
+  std::string engine{};
+  bool unreachable = false;
+};
+
+struct EngineFailure FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EngineFailureT NativeTableType;
+  typedef EngineFailureBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENGINE = 4,
+    VT_UNREACHABLE = 6
+  };
+  const flatbuffers::String *engine() const {
+    return GetPointer<const flatbuffers::String *>(VT_ENGINE);
+  }
+  bool unreachable() const {
+    return GetField<uint8_t>(VT_UNREACHABLE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENGINE) &&
+           verifier.VerifyString(engine()) &&
+           VerifyField<uint8_t>(verifier, VT_UNREACHABLE, 1) &&
+           verifier.EndTable();
+  }
+  EngineFailureT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EngineFailureT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EngineFailure> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineFailureT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EngineFailureBuilder {
+  typedef EngineFailure Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_engine(flatbuffers::Offset<flatbuffers::String> engine) {
+    fbb_.AddOffset(EngineFailure::VT_ENGINE, engine);
+  }
+  void add_unreachable(bool unreachable) {
+    fbb_.AddElement<uint8_t>(EngineFailure::VT_UNREACHABLE, static_cast<uint8_t>(unreachable), 0);
+  }
+  explicit EngineFailureBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EngineFailure> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EngineFailure>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EngineFailure> CreateEngineFailure(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> engine = 0,
+    bool unreachable = false) {
+  EngineFailureBuilder builder_(_fbb);
+  builder_.add_engine(engine);
+  builder_.add_unreachable(unreachable);
+  return builder_.Finish();
+}
+
+struct EngineFailure::Traits {
+  using type = EngineFailure;
+  static auto constexpr Create = CreateEngineFailure;
+};
+
+inline flatbuffers::Offset<EngineFailure> CreateEngineFailureDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *engine = nullptr,
+    bool unreachable = false) {
+  auto engine__ = engine ? _fbb.CreateString(engine) : 0;
+  return madderdeck::wire::CreateEngineFailure(
+      _fbb,
+      engine__,
+      unreachable);
+}
+
+flatbuffers::Offset<EngineFailure> CreateEngineFailure(flatbuffers::FlatBufferBuilder &_fbb, const EngineFailureT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PlaceRoomT : public flatbuffers::NativeTable {
   typedef PlaceRoom TableType;
   std::string pool{};
@@ -5856,6 +5960,9 @@
   const madderdeck::wire::PlaceRoom *body_as_PlaceRoom() const {
     return body_type() == madderdeck::wire::Message::PlaceRoom ? static_cast<const madderdeck::wire::PlaceRoom *>(body()) : nullptr;
   }
+  const madderdeck::wire::EngineFailure *body_as_EngineFailure() const {
+    return body_type() == madderdeck::wire::Message::EngineFailure ? static_cast<const madderdeck::wire::EngineFailure *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -5994,6 +6101,10 @@
   return body_as_PlaceRoom();
 }
 
+template<> inline const madderdeck::wire::EngineFailure *Envelope::body_as<madderdeck::wire::EngineFailure>() const {
+  return body_as_EngineFailure();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -8829,6 +8940,35 @@
       _needs_yield);
 }
 
+inline EngineFailureT *EngineFailure::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EngineFailureT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EngineFailure::UnPackTo(EngineFailureT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = engine(); if (_e) _o->engine = _e->str(); }
+  { auto _e = unreachable(); _o->unreachable = _e; }
+}
+
+inline flatbuffers::Offset<EngineFailure> EngineFailure::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EngineFailureT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEngineFailure(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EngineFailure> CreateEngineFailure(flatbuffers::FlatBufferBuilder &_fbb, const EngineFailureT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EngineFailureT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
+  auto _unreachable = _o->unreachable;
+  return madderdeck::wire::CreateEngineFailure(
+      _fbb,
+      _engine,
+      _unreachable);
+}
+
 inline PlaceRoomT *PlaceRoom::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<PlaceRoomT>();
   UnPackTo(_o.get(), _resolver);
@@ -9612,6 +9752,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRoom *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::EngineFailure: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::EngineFailure *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9755,6 +9899,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRoom *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::EngineFailure: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::EngineFailure *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9886,6 +10034,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PlaceRoomT *>(value);
       return CreatePlaceRoom(_fbb, ptr, _rehasher).Union();
     }
+    case Message::EngineFailure: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::EngineFailureT *>(value);
+      return CreateEngineFailure(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -10016,6 +10168,10 @@
       value = new madderdeck::wire::PlaceRoomT(*reinterpret_cast<madderdeck::wire::PlaceRoomT *>(u.value));
       break;
     }
+    case Message::EngineFailure: {
+      value = new madderdeck::wire::EngineFailureT(*reinterpret_cast<madderdeck::wire::EngineFailureT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -10178,6 +10334,11 @@
       delete ptr;
       break;
     }
+    case Message::EngineFailure: {
+      auto ptr = reinterpret_cast<madderdeck::wire::EngineFailureT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/placement/coordinator_test.cpp
+++ b/tests/placement/coordinator_test.cpp
@@ -211,7 +211,7 @@
 TEST_CASE("calls are told to the coordinator of their engine's zone alone") {
   gateway_fixture fixture;
   call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
-                         fixture.fleet.who, fixture.self());
+                         fixture.fleet.who, fixture.self(), fixture.own);
   fixture.registry.find(BackendId("e1"))->online_in_flight = 2;
   reporter.changed(BackendId("e1"));
   fixture.fleet.environment.world.run_for(10ms);
@@ -224,7 +224,7 @@
 TEST_CASE("an engine that falls silent under a call is told of within 100 ms") {
   gateway_fixture fixture;
   call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
-                         fixture.fleet.who, fixture.self());
+                         fixture.fleet.who, fixture.self(), fixture.own);
   reporter.start();
   const BackendId engine("e1");
   fixture.registry.find(engine)->online_in_flight = 1;
@@ -245,3 +245,32 @@
   REQUIRE(fixture.fleet.environment.sent.back().body.type == wire::Message::EngineActivity);
   CHECK_FALSE(fixture.fleet.environment.sent.back().body.AsEngineActivity()->engines[0]->silent);
 }
+
+TEST_CASE("an engine that breaks its calls is empty, and gets no more of them") {
+  gateway_fixture fixture;
+  wire::EngineFailureT failure;
+  failure.engine = "e0";
+  fixture.own.handle(failure);
+  fixture.own.handle(failure);
+  for (int call = 0; call < 10; ++call) {
+    const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+    REQUIRE(choice.place);
+    CHECK(choice.place->engine != BackendId("e0"));
+  }
+  fixture.fleet.environment.world.run_for(2100ms);
+  std::set<BackendId> used;
+  for (int call = 0; call < 24; ++call) {
+    used.insert(fixture.own.choose("asker", kOwnDomain, fixture.query(), true).place->engine);
+  }
+  CHECK(used.contains(BackendId("e0")));
+}
+
+TEST_CASE("a failed call is told to the coordinator of the engine's zone at once") {
+  gateway_fixture fixture;
+  call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
+                         fixture.fleet.who, fixture.self(), fixture.own);
+  reporter.failed(BackendId("e2"), call_trouble::unreachable);
+  REQUIRE(fixture.sent(wire::Message::EngineFailure) == 1);
+  CHECK(fixture.fleet.environment.sent.back().to.str() == fixture.client.coordinator_for({kPool, "z2"})->peer_address);
+  CHECK(fixture.fleet.environment.sent.back().body.AsEngineFailure()->unreachable);
+}
--- /dev/null
+++ b/tests/placement/failing_engines_test.cpp
@@ -0,0 +1,59 @@
+#include "placement/failing_engines.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace madderdeck;
+using namespace madderdeck::placement;
+
+namespace {
+const BackendId kEngine("e");
+}
+
+TEST_CASE("one lost answer sets no engine aside, two within a second do") {
+  failing_engines failing;
+  failing.record(kEngine, call_trouble::broken, 10s);
+  CHECK_FALSE(failing.aside(kEngine, 10s));
+  failing.record(kEngine, call_trouble::broken, 11500ms);
+  CHECK_FALSE(failing.aside(kEngine, 11500ms));
+  failing.record(kEngine, call_trouble::broken, 11600ms);
+  CHECK(failing.aside(kEngine, 11600ms));
+  CHECK(failing.aside(kEngine, 13500ms));
+  CHECK_FALSE(failing.aside(kEngine, 13600ms));
+}
+
+TEST_CASE("an engine that cannot be reached is set aside at once") {
+  failing_engines failing;
+  failing.record(kEngine, call_trouble::unreachable, 10s);
+  CHECK(failing.aside(kEngine, 11s));
+}
+
+TEST_CASE("one that fails again soon after it came back is set aside for twice as long, up to 8 s") {
+  failing_engines failing;
+  Timestamp now = 10s;
+  failing.record(kEngine, call_trouble::unreachable, now);
+  for (const Duration aside : {2s, 4s, 8s, 8s}) {
+    CHECK(failing.aside(kEngine, now + aside - 1ms));
+    now += aside;
+    CHECK_FALSE(failing.aside(kEngine, now));
+    now += 500ms;
+    failing.record(kEngine, call_trouble::broken, now);
+  }
+}
+
+TEST_CASE("failures of calls that were sent before it was set aside lengthen nothing") {
+  failing_engines failing;
+  failing.record(kEngine, call_trouble::unreachable, 10s);
+  for (int call = 0; call < 8; ++call) {
+    failing.record(kEngine, call_trouble::broken, 10100ms);
+  }
+  CHECK_FALSE(failing.aside(kEngine, 12s));
+}
+
+TEST_CASE("long sound engines start anew") {
+  failing_engines failing;
+  failing.record(kEngine, call_trouble::unreachable, 10s);
+  failing.record(kEngine, call_trouble::unreachable, 12500ms);
+  failing.forget_old(40s);
+  failing.record(kEngine, call_trouble::broken, 40s);
+  CHECK_FALSE(failing.aside(kEngine, 40s));
+}
