--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -33,6 +33,20 @@
   std::vector<Call> calls;
 };
 
+/// Names the engines that the test says, when the test says.
+class scripted_placer : public engine_placer {
+ public:
+  bool active() const override { return on; }
+  void place(const place_query& query, placed done) override {
+    queries.push_back(query);
+    answers.push_back(std::move(done));
+  }
+
+  bool on = true;
+  std::vector<place_query> queries;
+  std::vector<placed> answers;
+};
+
 /// What the caller has got.
 struct Caller {
   std::optional<AnswerHead> head;
@@ -263,3 +277,81 @@
   CHECK_FALSE(fixture.caller.head);
   CHECK(fixture.forwarder.active() == 1);
 }
+
+namespace {
+
+/// A forwarder whose engines a placer names.
+struct placed_fixture : Fixture {
+  placed_fixture() { forwarder.use_placer(placer); }
+  scripted_placer placer;
+};
+
+}  // namespace
+
+TEST_CASE("the engine that the placer names is used") {
+  placed_fixture fixture;
+  fixture.start();
+  CHECK(fixture.upstream.calls.empty());
+  fixture.placer.answers.at(0)(place_answer{BackendId("engine-2"), false});
+  REQUIRE(fixture.upstream.calls.size() == 1);
+  CHECK(fixture.call(0).call.backend == BackendId("engine-2"));
+}
+
+TEST_CASE("without an answer, or with an engine that is not known here, the forwarder chooses itself") {
+  placed_fixture fixture;
+  fixture.start();
+  SECTION("no answer") { fixture.placer.answers.at(0)(std::nullopt); }
+  SECTION("unknown engine") { fixture.placer.answers.at(0)(place_answer{BackendId("elsewhere"), false}); }
+  CHECK(fixture.upstream.calls.size() == 1);
+  CHECK(fixture.counters["forward_places_own_choice_total"] == 1);
+}
+
+TEST_CASE("a second send asks again and excludes the first engine") {
+  placed_fixture fixture;
+  fixture.start();
+  fixture.placer.answers.at(0)(place_answer{BackendId("engine-1"), false});
+  fixture.call(0).events.failed(CallFailure::not_sent);
+  REQUIRE(fixture.placer.queries.size() == 2);
+  CHECK(fixture.placer.queries.at(1).excluded.contains(BackendId("engine-1")));
+  fixture.placer.answers.at(1)(place_answer{BackendId("engine-1"), false});  // tried before: not again
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  CHECK(fixture.call(1).call.backend != BackendId("engine-1"));
+}
+
+TEST_CASE("a caller that leaves while an engine is asked for is forgotten, and a late answer sends nothing") {
+  placed_fixture fixture;
+  const ForwardId id = fixture.start();
+  fixture.forwarder.cancel(id);
+  CHECK(fixture.forwarder.active() == 0);
+  fixture.placer.answers.at(0)(place_answer{BackendId("engine-1"), false});
+  CHECK(fixture.upstream.calls.empty());
+}
+
+TEST_CASE("a request whose time ends while an engine is asked for has not run") {
+  placed_fixture fixture;
+  fixture.start();
+  fixture.environment.world.run_for(1100ms);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::no);
+  fixture.placer.answers.at(0)(place_answer{BackendId("engine-1"), false});
+  CHECK(fixture.upstream.calls.empty());
+}
+
+TEST_CASE("a request that may have run before stays unknown when its time ends while an engine is asked for") {
+  placed_fixture fixture;
+  fixture.start();
+  fixture.placer.answers.at(0)(place_answer{BackendId("engine-1"), false});
+  fixture.call(0).events.failed(CallFailure::broken);
+  REQUIRE(fixture.placer.queries.size() == 2);
+  fixture.environment.world.run_for(1100ms);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::unknown);
+}
+
+TEST_CASE("a placer that is not active is not asked") {
+  placed_fixture fixture;
+  fixture.placer.on = false;
+  fixture.start();
+  CHECK(fixture.placer.queries.empty());
+  CHECK(fixture.upstream.calls.size() == 1);
+}
