A node that has just started and hears from peers leaves the store to them

Now word from a peer keeps a node that knows a seed from reading for 5 s; a silent feed still makes it look. Test fails without the change (a node with few members reads at once).

--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -78,11 +78,17 @@
 }
 
 bool Controller::waits_for_peers() const {
-  if (environment_.now() - started_ >= options_.start_patience || objects_.as_of().count() != 0) {
+  // The seeds are where the others look for word.
+  if (!members_.has_seeds() || members_.is_seed()) {
     return false;
   }
-  // The seeds are where the others look for word.
-  return members_.has_seeds() && !members_.is_seed();
+  const Duration up = environment_.now() - started_;
+  const Timestamp word = objects_.as_of();
+  if (word.count() == 0) {
+    return up < options_.start_patience;
+  }
+  // With few members known yet a large fleet looks like one in which all read.
+  return up < options_.start_settling && environment_.now() - word < options_.feed_silence;
 }
 
 bool Controller::is_reader() const {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -26,6 +26,9 @@
   Duration look_spread = 500ms;
   /// A node that starts and knows a seed waits so long for a peer's word before it reads the store.
   Duration start_patience{};
+  /// For so long after its start a node that hears from peers leaves the store to them: it may not know all members
+  /// yet.
+  Duration start_settling{};
   std::size_t maintainers = 2;      ///< Controllers that look after the replica groups.
   Duration store_retry = 1s;        ///< Pause after a watch that failed.
   Duration founding_wait = 3s;      ///< So that all disks of a new fleet are seen.
@@ -45,6 +48,7 @@
     feed_silence = bound * 9 / 20;
     look_spread = bound * 3 / 10;
     start_patience = std::min<Duration>(600ms, bound / 4);
+    start_settling = 5s;
   }
 };
 
--- a/tests/object_store/store_feed_test.cpp
+++ b/tests/object_store/store_feed_test.cpp
@@ -242,3 +242,33 @@
   fixture.environment.world.run_for(9s);
   CHECK(fixture.core.objects.age_ms() < 3000);
 }
+
+TEST_CASE(
+    "a node that starts in a large fleet and hears from a peer leaves the store to others, however few it knows") {
+  TestEnvironment environment;
+  Counters counters;
+  FakeBackends backends;
+  quiet_store store{environment};
+  NoDecisionLog log;
+  node::NodeOptions options = FeedFixture::options();
+  options.seeds = {PeerAddress("peer-0:1")};
+  options.controller.keep_within(4s);
+  node::NodeCore core({environment, counters, nullptr, backends, store, log}, options);
+  core.start();
+  const auto word = [&core, &store](std::uint32_t age_ms) {
+    wire::TableDeltaT delta;
+    delta.table = wire::TableId::Objects;
+    delta.up_to = store.revision;
+    core.objects.handle(PeerAddress("peer-0:1"), delta);
+    core.objects.on_peer_revision(PeerAddress("peer-0:1"), store.revision, age_ms);
+    core.machines.handle(PeerAddress("peer-0:1"), delta);
+    core.machines.on_peer_revision(PeerAddress("peer-0:1"), store.revision, age_ms);
+  };
+  for (int step = 0; step < 9; ++step) {
+    word(100);
+    environment.world.run_for(500ms);
+  }
+  CHECK(store.object_reads == 0);
+  environment.world.run_for(3s);  // no word any more, and its start is over: it knows few members, so it reads
+  CHECK(store.object_reads > 0);
+}
