--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -232,7 +232,6 @@
   watch_first_byte(id);
 }
 
-/// A back end that went dark says nothing. What may be repeated is taken elsewhere in time.
 /// Other gateways keep away from @p backend until it has likely read the prompt.
 void Forwarder::announce_reading(Backend& backend) {
   const Duration expected = std::clamp(long_prompt_time_, kLeastReading, kMostReading);
@@ -243,6 +242,7 @@
   }
 }
 
+/// A back end that went dark says nothing. What may be repeated is taken elsewhere in time.
 void Forwarder::watch_first_byte(ForwardId id) {
   const Active& active = requests_.at(id);
   if (!active.route->may_repeat() || active.runs + 1 >= active.route->max_attempts) {
--- a/tests/object_store/store_feed_test.cpp
+++ b/tests/object_store/store_feed_test.cpp
@@ -272,3 +272,29 @@
   environment.world.run_for(3s);  // no word any more, and its start is over: it knows few members, so it reads
   CHECK(store.object_reads > 0);
 }
+
+TEST_CASE("a relay passes the readers' word on to its own zone, a node that is neither passes nothing on") {
+  bool relay_seen = false;
+  bool other_seen = false;
+  for (char letter = 'a'; letter <= 'z'; ++letter) {
+    FeedFixture fixture(16, std::string(1, letter));
+    if (fixture.core.controller->is_reader()) {
+      continue;
+    }
+    fixture.environment.world.run_for(kLongestSilence);
+    fixture.environment.sent.clear();
+    fixture.run_fed(3s, 100);
+    const bool relayed = fixture.counters["platform_feeds_relayed_total"] > 0;
+    relay_seen = relay_seen || relayed;
+    other_seen = other_seen || !relayed;
+    CHECK((fixture.notices_sent() > 0) == relayed);
+    for (const SentMessage& message : fixture.environment.sent) {
+      if (message.body.type == wire::Message::RevisionNotice) {
+        const std::string& peer = message.to.str();  // like "a3:1"; peers with even numbers share this node's zone
+        CHECK(std::stoi(peer.substr(1)) % 2 == 0);
+      }
+    }
+  }
+  CHECK(relay_seen);
+  CHECK(other_seen);
+}
