--- a/src/forwarding/engine_choice.cpp
+++ b/src/forwarding/engine_choice.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kReportFresh = 4s;
 constexpr Duration kSilence = 500ms;
 constexpr Duration kExcessHolds = 1s;
+constexpr double kAffinitySlack = 0.25;  ///< Of the slots above the average load.
 constexpr double kMaxSlowness = 8.0;
 /// What a back end that reads a long prompt seems fuller by, as a part of its slots.
 constexpr double kReadingPenalty = 0.5;
@@ -73,11 +74,11 @@
   for (const Backend* candidate : candidates) {
     total += affinity_load(*candidate, input);
   }
-  const double bound = std::min(1.0, total / static_cast<double>(candidates.size()) + input.affinity_slack);
+  const double bound = std::min(1.0, total / static_cast<double>(candidates.size()) + kAffinitySlack);
   Backend* best = nullptr;
   std::uint64_t best_weight = 0;
   for (Backend* candidate : candidates) {
-    const bool reading = input.now < candidate->reading_until && !input.affinity_waits_for_reading;
+    const bool reading = input.now < candidate->reading_until;
     if (reading || affinity_load(*candidate, input) > bound || slowness(*candidate, median) > input.affinity_slowness) {
       continue;
     }
--- a/src/forwarding/engine_choice.hpp
+++ b/src/forwarding/engine_choice.hpp
@@ -18,10 +18,6 @@
   std::uint64_t random = 0;
   double sharing = 1;                             ///< Gateways that use the same back end, on average.
   const routing::shared_calls* shared = nullptr;  ///< Calls of the other nodes; null where they are not told.
-  /// Slots, as a part of all, by which the engine for a shared prompt start may have more live calls than the average.
-  double affinity_slack = 0.25;
-  /// Whether that engine may be reading another long prompt.
-  bool affinity_waits_for_reading = false;
   /// An engine this many times as slow as the median is not the one for a shared prompt start.
   double affinity_slowness = 1;
   std::size_t samples = 4;  ///< Candidates that are compared; fewer where calls are told late.
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -15,9 +15,6 @@
 constexpr std::uint32_t kLeastRoomElsewhere = 4;
 /// Engines in trouble are left out while at least one in so many is sound.
 constexpr std::size_t kLeastSoundPart = 3;
-/// A shared start stays at its engine while that has a slot without a live call: read elsewhere, it takes the engine's
-/// time from all its streams and drives out what is kept there.
-constexpr double kAffinitySlack = 1;
 /// Reading a long shared start again costs more than a few slow tokens.
 constexpr double kAffinitySlowness = 3;
 /// Several times the pause between two calls at an engine: one that was slow and got none since is tried again.
@@ -85,8 +82,6 @@
   input.shared = &calls_;
   input.samples = open.size();
   input.affinity_slowness = kAffinitySlowness;
-  input.affinity_slack = kAffinitySlack;
-  input.affinity_waits_for_reading = true;
   routing::Backend& chosen = forwarding::choose_backend(input);
   const forwarding::known_calls known = forwarding::calls_at(chosen, calls_, environment_.now());
   const bool full = known.live + known.batch >= known.slots;
