--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -46,6 +46,7 @@
   call->method = std::move(item->method);
   call->target = std::move(item->target);
   call->host = work.host;
+  call->tenant = work.tenant;
   for (const auto& field : item->headers) {
     call->headers.push_back({field->name, field->value});
   }
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -546,7 +546,7 @@
 
 wire::QueuedJobT JobManager::queued_job(const Job& job) {
   wire::QueuedJobT queued;
-  queued.route = job.record.template_name;
+  queued.route = queue_name(job.record.template_name, job.record.tenant);
   queued.job = job.record.id;
   queued.tokens = job.waiting_tokens;
   return queued;
--- a/src/batch/queue_limiter.cpp
+++ b/src/batch/queue_limiter.cpp
@@ -98,7 +98,7 @@
         continue;
       }
       wire::QueuedJobT job;
-      job.route = record->template_name;
+      job.route = queue_name(record->template_name, record->tenant);
       job.job = record->id;
       job.tokens = std::accumulate(record->item_tokens.begin(), record->item_tokens.end(), std::uint64_t{0});
       take(job, true);
--- a/src/batch/records.cpp
+++ b/src/batch/records.cpp
@@ -13,6 +13,10 @@
                hex64(stable_hash(idempotency_key, ~tenant_hash)));
 }
 
+std::string queue_name(const std::string& route, const std::string& tenant) {
+  return tenant.empty() ? route : route + " of " + tenant;
+}
+
 std::string job_key(const JobId& job) { return kJobPrefix + job.str(); }
 
 std::string chunk_key(const JobId& job, const std::string& submission, std::uint32_t chunk) {
--- a/src/batch/records.hpp
+++ b/src/batch/records.hpp
@@ -10,6 +10,9 @@
 
 /// @return the job that @p tenant submits under @p idempotency_key, wherever and whenever.
 JobId job_id_for(const std::string& tenant, const std::string& idempotency_key);
+/// @return the queue in which jobs of @p tenant (empty: there are none) wait on a route or template; each has its own
+/// limit.
+std::string queue_name(const std::string& route, const std::string& tenant);
 /// @return key of the job's record.
 std::string job_key(const JobId& job);
 /// @return key of one chunk of the items that @p submission brought.
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <functional>
 #include <map>
 #include <optional>
@@ -72,6 +73,9 @@
       {"policies.headroom", text_field(&Settings::policy_headroom)},
       {"policies.item_order", text_field(&Settings::policy_item_order)},
       {"policies.engine_choice", text_field(&Settings::policy_engine_choice)},
+      {"tenants.rate_window_s", text_field(&Settings::tenant_rate_window_s)},
+      {"tenants.keys_useful_ms", number_field(&Settings::tenant_keys_useful_ms, 0, 3600 * 1000)},
+      {"tenants.keys_fail_closed", number_field(&Settings::tenant_keys_fail_closed, 0, 1)},
       {"membership.period_ms", number_field(&Settings::membership_period_ms, 50, 60'000)},
       {"ledger.groups", number_field(&Settings::ledger_groups, 1, 4'096)},
       {"ledger.tolerated_losses", number_field(&Settings::ledger_tolerated_losses, 0, 100)},
@@ -236,6 +240,13 @@
   if (!settings.cpu_share.empty() && !is_share) {
     return fault(origin, "node.cpu_share", "'" + settings.cpu_share + "'", "a part of a core like 0.25, or none");
   }
+  if (settings.tenant_rate_window().count() == 0) {
+    return fault(origin, "tenants.rate_window_s", "'" + settings.tenant_rate_window_s + "'",
+                 "a number of seconds from 0.1 to 3600");
+  }
+  if (settings.tenant_keys_fail_closed != 0 && settings.tenant_keys_useful_ms == 0) {
+    return fault(origin, "tenants.keys_useful_ms", "0", "a time from 1 on, since tenants.keys_fail_closed is 1");
+  }
   if (const auto policies = settings.policies(); !succeeded(policies)) {
     return Error{ErrorKind::invalid_argument, origin.text() + ": " + error_of(policies).detail};
   }
@@ -266,6 +277,18 @@
       .build();
 }
 
+std::chrono::milliseconds Settings::tenant_rate_window() const {
+  constexpr double kLeastSeconds = 0.1;
+  constexpr double kMostSeconds = 3'600;
+  constexpr double kMilliseconds = 1'000;
+  double seconds = 0;
+  const char* end = tenant_rate_window_s.data() + tenant_rate_window_s.size();
+  const auto parsed = std::from_chars(tenant_rate_window_s.data(), end, seconds);
+  const bool allowed =
+      parsed.ec == std::errc() && parsed.ptr == end && seconds >= kLeastSeconds && seconds <= kMostSeconds;
+  return std::chrono::milliseconds(allowed ? std::lround(seconds * kMilliseconds) : 0);
+}
+
 std::uint32_t Settings::capacity() const {
   constexpr double kHundredths = 100;
   double share = 0;
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// @file Settings of one node: a TOML file, with command line flags over it.
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -64,6 +65,10 @@
   std::int64_t ledger_groups = 16;           ///< Replica groups of a fleet that is founded.
   std::int64_t ledger_replace_after_ms = 0;  ///< Silence after which a replica is replaced; 0: as the policy says.
   std::int64_t ledger_check_ms = 1'000;      ///< How often the replica groups are looked at.
+  // [tenants]
+  std::string tenant_rate_window_s = "5";    ///< Over which rates are judged; a decimal number of seconds.
+  std::int64_t tenant_keys_useful_ms = 0;    ///< Age of the configuration up to which keys are sure; 0: any.
+  std::int64_t tenant_keys_fail_closed = 0;  ///< 1: nothing is served on keys that are older.
   // [membership]
   std::int64_t membership_period_ms = 1'000;
   // [log]
@@ -79,6 +84,8 @@
   std::uint32_t role_bits() const;
   /// @return cpu_share in hundredths of a core; 0 when it is not stated.
   std::uint32_t capacity() const;
+  /// @return tenant_rate_window_s; zero where it is none that is allowed.
+  std::chrono::milliseconds tenant_rate_window() const;
   /// @return the policies named, or ErrorKind::invalid_argument.
   Result<policy::policy_set> policies() const;
   bool has_role(const std::string& role) const;
--- a/src/forwarding/request.hpp
+++ b/src/forwarding/request.hpp
@@ -29,6 +29,8 @@
   std::optional<Duration> patience;  ///< How long the caller waits, from arrival.
   std::uint64_t resume_after = 0;    ///< Last event that the caller has.
   std::vector<PromptPart> prompt;
+  std::string tenant;                 ///< Whose request it is; empty where nobody showed a key.
+  std::uint32_t tenant_priority = 0;  ///< 0 is the most urgent.
 };
 using ForwardedRequestPointer = std::shared_ptr<const ForwardedRequest>;
 
--- a/src/forwarding/route_table.cpp
+++ b/src/forwarding/route_table.cpp
@@ -48,6 +48,8 @@
   read_number(fields, "max_queued_tokens", route.max_queued_tokens);
   route.resumable = fields.at("resumable").as_bool();
   route.prefix_affinity = fields.at("prefix_affinity").as_bool();
+  const json::value* needs_no_key = fields.if_contains("needs_no_key");
+  route.needs_no_key = needs_no_key != nullptr && needs_no_key->as_bool();
   return route;
 }
 
@@ -69,7 +71,28 @@
                       {"keep_ms", route.keep_ms},
                       {"max_queued_tokens", route.max_queued_tokens},
                       {"resumable", route.resumable},
-                      {"prefix_affinity", route.prefix_affinity}};
+                      {"prefix_affinity", route.prefix_affinity},
+                      {"needs_no_key", route.needs_no_key}};
+}
+
+tenancy::tenant parse_tenant(const json::object& fields) {
+  tenancy::tenant tenant;
+  tenant.name = text_of(fields, "name");
+  for (const json::value& key : fields.at("keys").as_array()) {
+    tenant.keys.emplace_back(key.as_string());
+  }
+  read_number(fields, "priority", tenant.priority);
+  read_number(fields, "per_second", tenant.rate.per_second);
+  read_number(fields, "burst", tenant.rate.burst);
+  return tenant;
+}
+
+json::object format_tenant(const tenancy::tenant& tenant) {
+  return json::object{{"name", tenant.name},
+                      {"keys", json::array(tenant.keys.begin(), tenant.keys.end())},
+                      {"priority", tenant.priority},
+                      {"per_second", tenant.rate.per_second},
+                      {"burst", tenant.rate.burst}};
 }
 
 }  // namespace
@@ -114,6 +137,17 @@
     read_number(limits, "max_body_bytes", table.limits.max_body_bytes);
     read_number(limits, "header_timeout_ms", table.limits.header_timeout_ms);
     read_number(limits, "idle_timeout_ms", table.limits.idle_timeout_ms);
+    std::vector<tenancy::tenant> tenants;
+    if (const json::value* entries = fields.if_contains("tenants")) {
+      for (const json::value& entry : entries->as_array()) {
+        tenants.push_back(parse_tenant(entry.as_object()));
+      }
+    }
+    auto directory = tenancy::tenant_directory::build(std::move(tenants));
+    if (!succeeded(directory)) {
+      return error_of(directory);
+    }
+    table.tenants = std::move(value_of(directory));
     return table;
   } catch (const std::exception& failure) {
     return Error{ErrorKind::invalid_argument, std::string("route table: ") + failure.what()};
@@ -129,8 +163,13 @@
   for (const Pool& pool : table.pools) {
     pools.push_back(json::object{{"name", pool.name}, {"max_connections", pool.max_connections}});
   }
+  json::array tenants;
+  for (const tenancy::tenant& tenant : table.tenants.tenants()) {
+    tenants.push_back(format_tenant(tenant));
+  }
   return json::serialize(json::object{{"version", table.version},
                                       {"routes", std::move(routes)},
+                                      {"tenants", std::move(tenants)},
                                       {"pools", std::move(pools)},
                                       {"limits", json::object{{"max_header_bytes", table.limits.max_header_bytes},
                                                               {"max_body_bytes", table.limits.max_body_bytes},
--- a/src/forwarding/route_table.hpp
+++ b/src/forwarding/route_table.hpp
@@ -9,6 +9,7 @@
 
 #include "common/environment.hpp"
 #include "common/error.hpp"
+#include "tenancy/tenant_directory.hpp"
 
 namespace madderdeck::forwarding {
 
@@ -39,8 +40,9 @@
   std::uint32_t priority = 0;           ///< 0 is the most urgent.
   bool resumable = false;               ///< A stream may go on at another back end.
   bool prefix_affinity = false;         ///< Requests with the same prompt start belong together.
+  bool needs_no_key = false;            ///< Callers that show no key are served, too.
   std::uint32_t run_target_ms = 0;      ///< For batch: when all results are due.
-  std::uint64_t max_queued_tokens = 0;  ///< For batch: what may wait over all nodes; 0: no limit.
+  std::uint64_t max_queued_tokens = 0;  ///< For batch: what may wait of one tenant over all nodes; 0: no limit.
   std::uint32_t keep_ms = 0;            ///< For batch: when an item may be given up.
 
   /// @return whether running the request twice does no harm.
@@ -67,6 +69,7 @@
   std::vector<Route> routes;
   std::vector<Pool> pools;
   CallerLimits limits;
+  tenancy::tenant_directory tenants;  ///< Empty: no keys are asked for.
 
   /// @return the route of @p host with the longest prefix that begins @p path, or null.
   const Route* match(std::string_view host, std::string_view path) const;
--- a/src/gateway/api.cpp
+++ b/src/gateway/api.cpp
@@ -71,16 +71,25 @@
     return;
   }
   const bool is_work = request.method == "POST" && !path.ends_with("/cancel");
-  if (is_work) {
-    const Duration wait = context_.core.limiter.admit(tenant->name, tenant->requests_per_second, tenant->burst,
-                                                      context_.core.gateway_count(), context_.core.environment.now());
-    if (wait.count() > 0) {
-      context_.core.counters["tenant_rate_limited_total"]++;
-      exchange->respond(problem(
-          routing::Refusal{{ErrorKind::limit_exceeded, "the tenant's rate is used up"}, routing::Ran::no, wait}));
+  if (!is_work) {
+    handle_work(exchange, tenant);
+    return;
+  }
+  const tenancy::stated_rate rate{
+      tenant->name, context_.core.objects.table().revision(), {tenant->requests_per_second, tenant->burst}};
+  context_.core.limiter.admit("", rate, [this, exchange, tenant](const tenancy::rate_decision& decision) {
+    if (decision.let_in) {
+      handle_work(exchange, tenant);
       return;
     }
-  }
+    exchange->respond(problem(routing::Refusal{
+        {ErrorKind::limit_exceeded, "the tenant's rate is used up"}, routing::Ran::no, decision.retry_after}));
+  });
+}
+
+void Api::handle_work(const ExchangePointer& exchange, const std::shared_ptr<const config::Tenant>& tenant) {
+  const net::HttpRequest& request = exchange->request();
+  const std::string path(request.path());
   if (request.method == "POST" && path == "/v1/chat/completions") {
     handle_completion(context_, exchange, tenant, true);
   } else if (request.method == "POST" && path == "/v1/completions") {
--- a/src/gateway/api.hpp
+++ b/src/gateway/api.hpp
@@ -31,6 +31,7 @@
 
  private:
   void handle_caller(const ExchangePointer& exchange);
+  void handle_work(const ExchangePointer& exchange, const std::shared_ptr<const config::Tenant>& tenant);
   void handle_operator(const ExchangePointer& exchange);
 
   ApiContext& context_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -188,6 +188,11 @@
     const bool streamed = options.streams_body && options.streams_body(exchange->request());
     server_->counters["http_requests_total"]++;
     bool body_read = false;
+    if (auto answer = options.answer_head ? options.answer_head(exchange->request()) : std::nullopt) {
+      exchange->respond(std::move(*answer));
+      co_await write_response(*exchange, keep_alive);
+      co_return co_await drop_body(parser, *exchange) && keep_alive && !server_->closing;
+    }
     if (streamed) {
       server_->handler(exchange);
       body_read = co_await feed_body(parser, *exchange);
@@ -250,6 +255,12 @@
     co_return true;
   }
 
+  /// Reads a body to its end and forgets it: closing on unread bytes would reset the connection under the answer.
+  asio::awaitable<bool> drop_body(Parser& parser, HttpExchange& exchange) {
+    const bool whole = co_await collect_body(parser, exchange);
+    co_return whole && !exchange.gone;
+  }
+
   /// Hands the body over piece by piece, at the handler's pace.
   asio::awaitable<bool> feed_body(Parser& parser, HttpExchange& exchange) {
     std::string piece(kPieceBytes, '\0');
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "common/counters.hpp"
@@ -52,6 +53,8 @@
   std::chrono::milliseconds idle_timeout{120'000};
   /// Whether the body of a request is handed over piece by piece, without a total limit.
   std::function<bool(const HttpRequest&)> streams_body;
+  /// Looks at the head of a request; an answer is sent at once, and the body read and dropped. May be empty.
+  std::function<std::optional<HttpResponse>(const HttpRequest&)> answer_head;
   /// Builds the response to a request that the server itself refuses (limits, bad syntax).
   std::function<HttpResponse(const Error&)> refusal;
 };
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -118,6 +118,13 @@
     options.default_policy.subset_size = static_cast<std::uint32_t>(settings_.subset_size);
     options.default_policy.batch_headroom_slots = static_cast<std::uint32_t>(settings_.batch_headroom_slots);
     options.policies = value_of(settings_.policies());
+    options.rate_window = settings_.tenant_rate_window();
+    options.key_trust.useful_for = std::chrono::milliseconds(settings_.tenant_keys_useful_ms);
+    options.key_trust.fail_closed = settings_.tenant_keys_fail_closed != 0;
+    if (options.key_trust.fail_closed) {
+      // A watch that shows no change for long leaves the age of what is known uncertain for as long.
+      options.controller.watch_wait = std::min(options.controller.watch_wait, options.key_trust.useful_for / 3);
+    }
     options.membership.period = std::chrono::milliseconds(settings_.membership_period_ms);
     options.membership.ack_timeout = std::min<Duration>(options.membership.ack_timeout, options.membership.period / 2);
     options.controller.group_count = static_cast<std::size_t>(settings_.ledger_groups);
@@ -150,6 +157,7 @@
     options.body_timeout = std::chrono::milliseconds(settings_.sender_timeout_ms);
     options.streams_body = [this](const net::HttpRequest& request) { return api_->streams_body(request); };
     options.refusal = [this](const Error& error) { return api_->refusal(error); };
+    options.answer_head = [this](const net::HttpRequest& request) { return api_->answer_head(request); };
     api_server_ = std::make_unique<net::HttpServer>(
         context_, counters_, [this](const std::shared_ptr<net::Exchange>& exchange) { api_->handle(exchange); },
         options);
--- a/src/node/integration.hpp
+++ b/src/node/integration.hpp
@@ -3,6 +3,7 @@
 /// integration; an adapter for another platform is another.
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/settings.hpp"
@@ -33,6 +34,10 @@
   virtual void handle(const gateway::ExchangePointer& exchange) = 0;
   /// @return the response to a request that the server itself refuses.
   virtual net::HttpResponse refusal(const Error& error) const = 0;
+  /// @return the answer to a request that its head alone shows to be refused; nothing for all others.
+  virtual std::optional<net::HttpResponse> answer_head(const net::HttpRequest& /*request*/) const {
+    return std::nullopt;
+  }
   /// @return whether the request's body is taken piece by piece.
   virtual bool streams_body(const net::HttpRequest& request) const = 0;
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -23,6 +23,7 @@
       backends_(dependencies.backends),
       load_poll_(options.load_poll),
       loads_pushed_(options.loads_pushed),
+      key_trust_(options.key_trust),
       objects(
           environment, counters, wire::TableId::Objects,
           [this](std::size_t count) { return members.random_peers(count); },
@@ -48,6 +49,7 @@
           [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
           options.guards.live),
       services(environment, counters, registry, dependencies.backends, claims, options.guards.service),
+      limiter(environment, counters, log, members, options.rate_window),
       declarations(environment, counters, dependencies.platform, options.guards.declarations) {
   objects.table().reject_older = options.guards.reject_older_config;
   if (dependencies.upstream != nullptr) {
@@ -113,6 +115,7 @@
 void NodeCore::start() {
   started_at_ = environment.now();
   members.start();
+  limiter.start();
   if (replica) {
     replica->restore();
   }
@@ -403,6 +406,12 @@
         coordinator->handle(*body.AsPlaceRoom());
       }
       break;
+    case wire::Message::RateRequest:
+      limiter.handle(sender, *body.AsRateRequest());
+      break;
+    case wire::Message::RateReply:
+      limiter.handle(*body.AsRateReply());
+      break;
     case wire::Message::PromptReading:
       registry.on_reading(BackendId(body.AsPromptReading()->engine),
                           std::chrono::milliseconds(body.AsPromptReading()->expected_ms));
@@ -436,6 +445,13 @@
   return configured && !draining_ && (!replica || replica->synchronized());
 }
 
+tenancy::identity NodeCore::authenticate(const tenancy::credentials& shown) const {
+  const std::uint32_t age_ms = objects.age_ms();
+  const Duration age =
+      age_ms == config::TableReplicator::kUnknownAge ? Duration::max() : Duration(std::chrono::milliseconds(age_ms));
+  return tenancy::authenticate(catalog.routes()->tenants, shown, key_trust_, age);
+}
+
 std::size_t NodeCore::gateway_count() const { return members.available(Role::gateway).size(); }
 
 // --- jobs -----------------------------------------------------------------------------------
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -30,6 +30,8 @@
 #include "routing/live_router.hpp"
 #include "routing/service_router.hpp"
 #include "routing/shared_calls.hpp"
+#include "tenancy/authentication.hpp"
+#include "tenancy/rate_limiter.hpp"
 #include "wire/codec.hpp"
 
 namespace madderdeck::node {
@@ -75,6 +77,8 @@
   bool loads_pushed = false;
   config::FleetPolicy default_policy;  ///< Stands until operators declare one.
   policy::policy_set policies = value_of(policy::policy_set_builder().build());
+  Duration rate_window = 5s;     ///< Over which the rates of tenants are judged.
+  tenancy::key_trust key_trust;  ///< How long keys are trusted without word of the configuration.
   Guards guards;
 };
 
@@ -99,6 +103,8 @@
   /// Tells the scheduler that manages @p job about it.
   void announce_job(const JobId& job, bool cancelled);
   std::size_t gateway_count() const;
+  /// @return whether a caller that shows @p credentials may use the fleet, by the configuration in force.
+  tenancy::identity authenticate(const tenancy::credentials& shown) const;
 
   std::string address_of(const BackendId& backend) const override;
   std::size_t connection_share(const BackendId& backend) const override;
@@ -118,6 +124,7 @@
   routing::BackendClient& backends_;
   const Duration load_poll_;
   const bool loads_pushed_;
+  const tenancy::key_trust key_trust_;
   bool draining_ = false;
 
  public:
@@ -135,7 +142,7 @@
   routing::LiveRouter live;
   routing::ServiceRouter services;
   std::unique_ptr<forwarding::Forwarder> forwarder;  ///< Only with an upstream.
-  routing::TenantLimiter limiter;
+  tenancy::rate_limiter limiter;
   routing::shared_calls shared_calls;                   ///< Of the other nodes.
   std::unique_ptr<routing::call_announcer> announcer;   ///< Only where calls are shared.
   std::unique_ptr<placement::coordinator> coordinator;  ///< Only where large fleets are coordinated,
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -224,6 +224,7 @@
       return;
     }
     const ChangeList& changes = value_of(result);
+    note_rejected(changes);
     // The store answered before the wait was over, however late this node comes to read it.
     const Timestamp as_of = std::min(environment_.now(), asked_at + wait);
     table.apply_from_source(changes.since, changes.up_to, changes.entries, changes.complete, as_of);
@@ -288,6 +289,16 @@
   told_reads_ = reads;
 }
 
+void Controller::note_rejected(const ChangeList& changes) {
+  for (const RejectedObject& object : changes.rejected) {
+    counters_["platform_objects_rejected_total"]++;
+    log_.record("object_rejected", {{"kind", object.key.kind},
+                                    {"name", object.key.name},
+                                    {"revision", object.revision},
+                                    {"reason", object.reason.detail}});
+  }
+}
+
 void Controller::note_store(bool answers) {
   const bool answered = store_silent_since_.count() == 0;
   if (answers == answered) {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -100,6 +100,8 @@
   bool ranks_among(std::size_t count) const;
   void tell_calls();
   void note_store(bool answers);
+  /// What cannot be read is told of: the version before stays in force.
+  void note_rejected(const ChangeList& changes);
   void maintain_groups();
   void found_groups();
   /// How a replica of a group stands.
--- a/src/object_store/platform_client.hpp
+++ b/src/object_store/platform_client.hpp
@@ -13,11 +13,19 @@
 
 namespace madderdeck::object_store {
 
+/// An object of the source that cannot be read; what was known of it before stands.
+struct RejectedObject {
+  config::EntryKey key;
+  std::uint64_t revision = 0;
+  Error reason;
+};
+
 /// Changes of a source after a revision, in revision order.
 struct ChangeList {
   std::uint64_t since = 0;
   std::uint64_t up_to = 0;
   std::vector<config::Entry> entries;
+  std::vector<RejectedObject> rejected;
   bool complete = false;  ///< The entries are all there are; what is not among them is gone.
 };
 using ChangesDone = std::function<void(Result<ChangeList>)>;
--- a/src/routing/backend.hpp
+++ b/src/routing/backend.hpp
@@ -62,6 +62,7 @@
   std::string host;
   net::Headers headers;
   std::string body;
+  std::string tenant;  ///< Whose item it is; empty where the fleet has no tenants.
   Duration time_left{};
 };
 
--- /dev/null
+++ b/src/tenancy/rate_limiter.cpp
@@ -0,0 +1,251 @@
+#include "tenancy/rate_limiter.hpp"
+
+#include <algorithm>
+
+#include "membership/ranking.hpp"
+
+namespace madderdeck::tenancy {
+namespace {
+
+using membership::Role;
+
+/// A round trip within a region takes 1 to 5 ms, on a node that is out of processor time some tens.
+constexpr Duration kPatience = 40ms;
+/// By then probes have shown whether the keeper is gone.
+constexpr Duration kLeftAlone = 500ms;
+constexpr Duration kMaintenance = 5s;
+constexpr Duration kLeastRetry = 100ms;
+/// More would only wait unused.
+constexpr std::uint32_t kMostWanted = 64;
+
+std::string keeper_key(const std::string& tenant) { return "tenant-rate/" + tenant; }
+
+}  // namespace
+
+rate_limiter::rate_limiter(Environment& environment, Counters& counters, DecisionLog& log,
+                           const membership::Membership& members, Duration window)
+    : environment_(environment),
+      counters_(counters),
+      log_(log),
+      members_(members),
+      window_(window),
+      own_(window),
+      next_request_(environment.random()) {}
+
+void rate_limiter::start() {
+  environment_.after(kMaintenance, lifetime_.guard([this] { maintain(); }));
+}
+
+void rate_limiter::maintain() {
+  environment_.after(kMaintenance, lifetime_.guard([this] { maintain(); }));
+  const Timestamp now = environment_.now();
+  own_.forget_idle(now);
+  std::erase_if(silent_until_, [now](const auto& entry) { return entry.second <= now; });
+  std::erase_if(accounts_, [now](const auto& entry) { return entry.second.used.sum(now) == 0; });
+}
+
+rate_limiter::account& rate_limiter::account_of(const std::string& tenant) {
+  return accounts_.try_emplace(tenant, window_).first->second;
+}
+
+const wire::MemberT* rate_limiter::keeper_of(const std::string& tenant) const {
+  refresh_view();
+  return membership::first_ranked(gateways_, keeper_key(tenant));
+}
+
+void rate_limiter::refresh_view() const {
+  if (view_version_ == members_.version()) {
+    return;
+  }
+  view_version_ = members_.version();
+  gateways_ = members_.responsive(Role::gateway);
+  reachable_nodes_.clear();
+  for (const wire::MemberT* gateway : gateways_) {
+    reachable_nodes_.insert(gateway->id);
+  }
+  gateways_known_ = std::max<std::size_t>(1, members_.available(Role::gateway).size());
+}
+
+bool rate_limiter::is_reachable(const std::string& node) const {
+  refresh_view();
+  return reachable_nodes_.contains(node);
+}
+
+bool rate_limiter::alone() const {
+  refresh_view();
+  return members_.has_seeds() && !members_.is_seed() && gateways_known_ <= 1;
+}
+
+void rate_limiter::admit(const std::string& request, const stated_rate& rate, decided done) {
+  if (!rate.limit.limited()) {
+    done({true, {}});
+    return;
+  }
+  account& of = account_of(rate.tenant);
+  const Timestamp now = environment_.now();
+  if (of.held > 0 && now < of.held_until) {
+    --of.held;
+    let_in(of, done);
+    return;
+  }
+  const wire::MemberT* keeper = keeper_of(rate.tenant);
+  const auto silent = keeper == nullptr ? silent_until_.end() : silent_until_.find(PeerAddress(keeper->peer_address));
+  if (keeper == nullptr || alone() || (silent != silent_until_.end() && now < silent->second)) {
+    decide_by_own_part(request, rate, done);
+  } else if (keeper->id == members_.self().id) {
+    const auto answer = own_.decide(
+        question_for(rate), [this](const std::string& node) { return is_reachable(node); }, gateways_known_, now);
+    take_answer(request, rate, answer, now, done);
+  } else {
+    ask(*keeper, request, rate, std::move(done));
+  }
+}
+
+rate_question rate_limiter::question_for(const stated_rate& rate) {
+  account& of = account_of(rate.tenant);
+  const Timestamp now = environment_.now();
+  rate_question question;
+  question.node = members_.self().id;
+  question.rate = rate;
+  question.recent = of.used.sum(now);
+  // As many as come within the time that they are useful, by the average over the window.
+  const double recent_part = std::chrono::duration<double>(kGrantUseful) / std::chrono::duration<double>(window_);
+  question.wanted =
+      std::clamp<std::uint32_t>(static_cast<std::uint32_t>(question.recent * recent_part), 1, kMostWanted);
+  return question;
+}
+
+void rate_limiter::ask(const wire::MemberT& keeper, const std::string& request, const stated_rate& rate, decided done) {
+  const rate_question question = question_for(rate);
+  wire::RateRequestT message;
+  message.request = ++next_request_;
+  message.node = question.node;
+  message.tenant = rate.tenant;
+  message.version = rate.version;
+  message.per_second = rate.limit.per_second;
+  message.burst = rate.limit.burst;
+  message.wanted = question.wanted;
+  message.recent = question.recent;
+  const PeerAddress address(keeper.peer_address);
+  pending_.emplace(message.request, pending{request, rate, std::move(done), address, environment_.now()});
+  counters_["tenant_rate_questions_total"]++;
+  environment_.after(kPatience, lifetime_.guard([this, number = message.request] {
+    auto node = pending_.extract(number);
+    if (node.empty()) {
+      return;
+    }
+    counters_["tenant_rate_keeper_silent_total"]++;
+    silent_until_[node.mapped().keeper] = environment_.now() + kLeftAlone;
+    decide_by_own_part(node.mapped().request, node.mapped().rate, node.mapped().done);
+  }));
+  send_message(environment_, address, std::move(message));
+}
+
+void rate_limiter::handle(const PeerAddress& sender, const wire::RateRequestT& message) {
+  wire::RateReplyT reply;
+  reply.request = message.request;
+  const wire::MemberT* keeper = keeper_of(message.tenant);
+  // While two nodes differ on who keeps a tenant, one of them at most grants.
+  reply.keeper = keeper != nullptr && keeper->id == members_.self().id;
+  if (reply.keeper) {
+    rate_question question;
+    question.node = message.node;
+    question.rate = {message.tenant, message.version, {message.per_second, message.burst}};
+    question.wanted = message.wanted;
+    question.recent = message.recent;
+    const auto answer = own_.decide(
+        question, [this, &message](const std::string& node) { return node == message.node || is_reachable(node); },
+        gateways_known_, environment_.now());
+    reply.granted = answer.granted;
+    reply.used = answer.used;
+    reply.allowed = answer.allowed;
+    reply.retry_us = static_cast<std::uint32_t>(answer.retry_after.count());
+  }
+  send_message(environment_, sender, std::move(reply));
+}
+
+void rate_limiter::handle(const wire::RateReplyT& message) {
+  auto node = pending_.extract(message.request);
+  if (node.empty()) {
+    counters_["tenant_rate_answers_late_total"]++;
+    return;
+  }
+  const pending& asked = node.mapped();
+  if (!message.keeper) {
+    decide_by_own_part(asked.request, asked.rate, asked.done);
+    return;
+  }
+  const rate_answer answer{message.granted, message.used, message.allowed, Duration(message.retry_us)};
+  take_answer(asked.request, asked.rate, answer, asked.asked_at, asked.done);
+}
+
+void rate_limiter::take_answer(const std::string& request, const stated_rate& rate, const rate_answer& answer,
+                               Timestamp asked_at, const decided& done) {
+  account& of = account_of(rate.tenant);
+  const Timestamp now = environment_.now();
+  of.part = answer.used > 0 ? std::min(1.0, of.used.sum(now) / answer.used) : 0;
+  of.keeper_known = true;
+  note_way(of, rate.tenant, false);
+  if (answer.granted == 0) {
+    refuse(request, rate, answer, "keeper", done);
+    return;
+  }
+  const bool still_held = now < of.held_until;
+  of.held = (still_held ? of.held : 0) + answer.granted - 1;
+  of.held_until = asked_at + kGrantUseful;
+  let_in(of, done);
+}
+
+/// One request a window is let in even where the part is less: limits are stated with some slack, and a tenant that
+/// sends little would get nothing.
+void rate_limiter::decide_by_own_part(const std::string& request, const stated_rate& rate, const decided& done) {
+  account& of = account_of(rate.tenant);
+  note_way(of, rate.tenant, true);
+  refresh_view();
+  const auto nodes = static_cast<double>(gateways_known_);
+  const double allowed = own_.allowed(rate.limit);
+  const double part = of.keeper_known || alone() ? of.part : 1 / nodes;
+  const double own = std::max(1.0, allowed * part);
+  counters_["tenant_rate_decided_by_part_total"]++;
+  if (of.used.sum(environment_.now()) + 1 <= own) {
+    let_in(of, done);
+    return;
+  }
+  rate_answer known;
+  known.used = of.used.sum(environment_.now());
+  known.allowed = own;
+  known.retry_after = std::max<Duration>(kLeastRetry, of.used.until_freed(environment_.now(), 1));
+  refuse(request, rate, known, "own part", done);
+}
+
+void rate_limiter::let_in(account& of, const decided& done) {
+  of.used.add(environment_.now(), 1);
+  counters_["tenant_rate_let_in_total"]++;
+  done({true, {}});
+}
+
+void rate_limiter::refuse(const std::string& request, const stated_rate& rate, const rate_answer& known,
+                          std::string_view by, const decided& done) {
+  counters_["tenant_rate_limited_total"]++;
+  log_.record("tenant_rate_refused", {{"request", request},
+                                      {"tenant", rate.tenant},
+                                      {"version", rate.version},
+                                      {"used", known.used},
+                                      {"allowed", known.allowed},
+                                      {"by", by},
+                                      {"retry_after_ms", known.retry_after / 1ms}});
+  done({false, known.retry_after});
+}
+
+void rate_limiter::note_way(account& of, const std::string& tenant, bool by_own_part) {
+  if (of.by_own_part == by_own_part) {
+    return;
+  }
+  of.by_own_part = by_own_part;
+  log_.record("tenant_rate_share", {{"tenant", tenant},
+                                    {"by", by_own_part ? "own part" : "keeper"},
+                                    {"part", of.part},
+                                    {"used", of.used.sum(environment_.now())}});
+}
+
+}  // namespace madderdeck::tenancy
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -178,6 +178,14 @@
 struct QueueGrantReplyBuilder;
 struct QueueGrantReplyT;
 
+struct RateRequest;
+struct RateRequestBuilder;
+struct RateRequestT;
+
+struct RateReply;
+struct RateReplyBuilder;
+struct RateReplyT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -404,11 +412,13 @@
   PlaceReply = 30,
   PlaceRoom = 31,
   EngineFailure = 32,
+  RateRequest = 33,
+  RateReply = 34,
   MIN = NONE,
-  MAX = EngineFailure
+  MAX = RateReply
 };
 
-inline const Message (&EnumValuesMessage())[33] {
+inline const Message (&EnumValuesMessage())[35] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -442,13 +452,15 @@
     Message::PlaceRequest,
     Message::PlaceReply,
     Message::PlaceRoom,
-    Message::EngineFailure
+    Message::EngineFailure,
+    Message::RateRequest,
+    Message::RateReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[34] = {
+  static const char * const names[36] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -482,13 +494,15 @@
     "PlaceReply",
     "PlaceRoom",
     "EngineFailure",
+    "RateRequest",
+    "RateReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::EngineFailure)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RateReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -625,6 +639,14 @@
   static const Message enum_value = Message::EngineFailure;
 };
 
+template<> struct MessageTraits<madderdeck::wire::RateRequest> {
+  static const Message enum_value = Message::RateRequest;
+};
+
+template<> struct MessageTraits<madderdeck::wire::RateReply> {
+  static const Message enum_value = Message::RateReply;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -757,6 +779,14 @@
   static const Message enum_value = Message::EngineFailure;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::RateRequestT> {
+  static const Message enum_value = Message::RateRequest;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::RateReplyT> {
+  static const Message enum_value = Message::RateReply;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1043,6 +1073,22 @@
     return type == Message::EngineFailure ?
       reinterpret_cast<const madderdeck::wire::EngineFailureT *>(value) : nullptr;
   }
+  madderdeck::wire::RateRequestT *AsRateRequest() {
+    return type == Message::RateRequest ?
+      reinterpret_cast<madderdeck::wire::RateRequestT *>(value) : nullptr;
+  }
+  const madderdeck::wire::RateRequestT *AsRateRequest() const {
+    return type == Message::RateRequest ?
+      reinterpret_cast<const madderdeck::wire::RateRequestT *>(value) : nullptr;
+  }
+  madderdeck::wire::RateReplyT *AsRateReply() {
+    return type == Message::RateReply ?
+      reinterpret_cast<madderdeck::wire::RateReplyT *>(value) : nullptr;
+  }
+  const madderdeck::wire::RateReplyT *AsRateReply() const {
+    return type == Message::RateReply ?
+      reinterpret_cast<const madderdeck::wire::RateReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -5855,6 +5901,280 @@
 
 flatbuffers::Offset<QueueGrantReply> CreateQueueGrantReply(flatbuffers::FlatBufferBuilder &_fbb, const QueueGrantReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RateRequestT : public flatbuffers::NativeTable {
+  typedef RateRequest TableType;
+  uint64_t request = 0;
+  std::string node{};
+  std::string tenant{};
+  uint64_t version = 0;
+  double per_second = 0.0;
+  double burst = 0.0;
+  uint32_t wanted = 0;
+  uint32_t recent = 0;
+};
+
+struct RateRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateRequestT NativeTableType;
+  typedef RateRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_NODE = 6,
+    VT_TENANT = 8,
+    VT_VERSION = 10,
+    VT_PER_SECOND = 12,
+    VT_BURST = 14,
+    VT_WANTED = 16,
+    VT_RECENT = 18
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  const flatbuffers::String *tenant() const {
+    return GetPointer<const flatbuffers::String *>(VT_TENANT);
+  }
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  double burst() const {
+    return GetField<double>(VT_BURST, 0.0);
+  }
+  uint32_t wanted() const {
+    return GetField<uint32_t>(VT_WANTED, 0);
+  }
+  uint32_t recent() const {
+    return GetField<uint32_t>(VT_RECENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyOffset(verifier, VT_TENANT) &&
+           verifier.VerifyString(tenant()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<double>(verifier, VT_BURST, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RECENT, 4) &&
+           verifier.EndTable();
+  }
+  RateRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateRequestBuilder {
+  typedef RateRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(RateRequest::VT_REQUEST, request, 0);
+  }
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(RateRequest::VT_NODE, node);
+  }
+  void add_tenant(flatbuffers::Offset<flatbuffers::String> tenant) {
+    fbb_.AddOffset(RateRequest::VT_TENANT, tenant);
+  }
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(RateRequest::VT_VERSION, version, 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(RateRequest::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_burst(double burst) {
+    fbb_.AddElement<double>(RateRequest::VT_BURST, burst, 0.0);
+  }
+  void add_wanted(uint32_t wanted) {
+    fbb_.AddElement<uint32_t>(RateRequest::VT_WANTED, wanted, 0);
+  }
+  void add_recent(uint32_t recent) {
+    fbb_.AddElement<uint32_t>(RateRequest::VT_RECENT, recent, 0);
+  }
+  explicit RateRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateRequest> CreateRateRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    flatbuffers::Offset<flatbuffers::String> tenant = 0,
+    uint64_t version = 0,
+    double per_second = 0.0,
+    double burst = 0.0,
+    uint32_t wanted = 0,
+    uint32_t recent = 0) {
+  RateRequestBuilder builder_(_fbb);
+  builder_.add_burst(burst);
+  builder_.add_per_second(per_second);
+  builder_.add_version(version);
+  builder_.add_request(request);
+  builder_.add_recent(recent);
+  builder_.add_wanted(wanted);
+  builder_.add_tenant(tenant);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct RateRequest::Traits {
+  using type = RateRequest;
+  static auto constexpr Create = CreateRateRequest;
+};
+
+inline flatbuffers::Offset<RateRequest> CreateRateRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *node = nullptr,
+    const char *tenant = nullptr,
+    uint64_t version = 0,
+    double per_second = 0.0,
+    double burst = 0.0,
+    uint32_t wanted = 0,
+    uint32_t recent = 0) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
+  return madderdeck::wire::CreateRateRequest(
+      _fbb,
+      request,
+      node__,
+      tenant__,
+      version,
+      per_second,
+      burst,
+      wanted,
+      recent);
+}
+
+flatbuffers::Offset<RateRequest> CreateRateRequest(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RateReplyT : public flatbuffers::NativeTable {
+  typedef RateReply TableType;
+  uint64_t request = 0;
+  bool keeper = false;
+  uint32_t granted = 0;
+  double used = 0.0;
+  double allowed = 0.0;
+  uint32_t retry_us = 0;
+};
+
+struct RateReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateReplyT NativeTableType;
+  typedef RateReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_KEEPER = 6,
+    VT_GRANTED = 8,
+    VT_USED = 10,
+    VT_ALLOWED = 12,
+    VT_RETRY_US = 14
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  bool keeper() const {
+    return GetField<uint8_t>(VT_KEEPER, 0) != 0;
+  }
+  uint32_t granted() const {
+    return GetField<uint32_t>(VT_GRANTED, 0);
+  }
+  double used() const {
+    return GetField<double>(VT_USED, 0.0);
+  }
+  double allowed() const {
+    return GetField<double>(VT_ALLOWED, 0.0);
+  }
+  uint32_t retry_us() const {
+    return GetField<uint32_t>(VT_RETRY_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KEEPER, 1) &&
+           VerifyField<uint32_t>(verifier, VT_GRANTED, 4) &&
+           VerifyField<double>(verifier, VT_USED, 8) &&
+           VerifyField<double>(verifier, VT_ALLOWED, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_US, 4) &&
+           verifier.EndTable();
+  }
+  RateReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateReplyBuilder {
+  typedef RateReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(RateReply::VT_REQUEST, request, 0);
+  }
+  void add_keeper(bool keeper) {
+    fbb_.AddElement<uint8_t>(RateReply::VT_KEEPER, static_cast<uint8_t>(keeper), 0);
+  }
+  void add_granted(uint32_t granted) {
+    fbb_.AddElement<uint32_t>(RateReply::VT_GRANTED, granted, 0);
+  }
+  void add_used(double used) {
+    fbb_.AddElement<double>(RateReply::VT_USED, used, 0.0);
+  }
+  void add_allowed(double allowed) {
+    fbb_.AddElement<double>(RateReply::VT_ALLOWED, allowed, 0.0);
+  }
+  void add_retry_us(uint32_t retry_us) {
+    fbb_.AddElement<uint32_t>(RateReply::VT_RETRY_US, retry_us, 0);
+  }
+  explicit RateReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateReply> CreateRateReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    bool keeper = false,
+    uint32_t granted = 0,
+    double used = 0.0,
+    double allowed = 0.0,
+    uint32_t retry_us = 0) {
+  RateReplyBuilder builder_(_fbb);
+  builder_.add_allowed(allowed);
+  builder_.add_used(used);
+  builder_.add_request(request);
+  builder_.add_retry_us(retry_us);
+  builder_.add_granted(granted);
+  builder_.add_keeper(keeper);
+  return builder_.Finish();
+}
+
+struct RateReply::Traits {
+  using type = RateReply;
+  static auto constexpr Create = CreateRateReply;
+};
+
+flatbuffers::Offset<RateReply> CreateRateReply(flatbuffers::FlatBufferBuilder &_fbb, const RateReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   std::string sender{};
@@ -5976,6 +6296,12 @@
   const madderdeck::wire::EngineFailure *body_as_EngineFailure() const {
     return body_type() == madderdeck::wire::Message::EngineFailure ? static_cast<const madderdeck::wire::EngineFailure *>(body()) : nullptr;
   }
+  const madderdeck::wire::RateRequest *body_as_RateRequest() const {
+    return body_type() == madderdeck::wire::Message::RateRequest ? static_cast<const madderdeck::wire::RateRequest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::RateReply *body_as_RateReply() const {
+    return body_type() == madderdeck::wire::Message::RateReply ? static_cast<const madderdeck::wire::RateReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -6118,6 +6444,14 @@
   return body_as_EngineFailure();
 }
 
+template<> inline const madderdeck::wire::RateRequest *Envelope::body_as<madderdeck::wire::RateRequest>() const {
+  return body_as_RateRequest();
+}
+
+template<> inline const madderdeck::wire::RateReply *Envelope::body_as<madderdeck::wire::RateReply>() const {
+  return body_as_RateReply();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -9160,6 +9494,94 @@
       _verdict);
 }
 
+inline RateRequestT *RateRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateRequest::UnPackTo(RateRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = tenant(); if (_e) _o->tenant = _e->str(); }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = burst(); _o->burst = _e; }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = recent(); _o->recent = _e; }
+}
+
+inline flatbuffers::Offset<RateRequest> RateRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateRequest> CreateRateRequest(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _tenant = _o->tenant.empty() ? 0 : _fbb.CreateString(_o->tenant);
+  auto _version = _o->version;
+  auto _per_second = _o->per_second;
+  auto _burst = _o->burst;
+  auto _wanted = _o->wanted;
+  auto _recent = _o->recent;
+  return madderdeck::wire::CreateRateRequest(
+      _fbb,
+      _request,
+      _node,
+      _tenant,
+      _version,
+      _per_second,
+      _burst,
+      _wanted,
+      _recent);
+}
+
+inline RateReplyT *RateReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateReply::UnPackTo(RateReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = keeper(); _o->keeper = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = used(); _o->used = _e; }
+  { auto _e = allowed(); _o->allowed = _e; }
+  { auto _e = retry_us(); _o->retry_us = _e; }
+}
+
+inline flatbuffers::Offset<RateReply> RateReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateReply> CreateRateReply(flatbuffers::FlatBufferBuilder &_fbb, const RateReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _keeper = _o->keeper;
+  auto _granted = _o->granted;
+  auto _used = _o->used;
+  auto _allowed = _o->allowed;
+  auto _retry_us = _o->retry_us;
+  return madderdeck::wire::CreateRateReply(
+      _fbb,
+      _request,
+      _keeper,
+      _granted,
+      _used,
+      _allowed,
+      _retry_us);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -9772,6 +10194,14 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::EngineFailure *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::RateRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::RateRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::RateReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::RateReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9919,6 +10349,14 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::EngineFailure *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::RateRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::RateRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::RateReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::RateReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -10054,6 +10492,14 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::EngineFailureT *>(value);
       return CreateEngineFailure(_fbb, ptr, _rehasher).Union();
     }
+    case Message::RateRequest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::RateRequestT *>(value);
+      return CreateRateRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::RateReply: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::RateReplyT *>(value);
+      return CreateRateReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -10188,6 +10634,14 @@
       value = new madderdeck::wire::EngineFailureT(*reinterpret_cast<madderdeck::wire::EngineFailureT *>(u.value));
       break;
     }
+    case Message::RateRequest: {
+      value = new madderdeck::wire::RateRequestT(*reinterpret_cast<madderdeck::wire::RateRequestT *>(u.value));
+      break;
+    }
+    case Message::RateReply: {
+      value = new madderdeck::wire::RateReplyT(*reinterpret_cast<madderdeck::wire::RateReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -10355,6 +10809,16 @@
       delete ptr;
       break;
     }
+    case Message::RateRequest: {
+      auto ptr = reinterpret_cast<madderdeck::wire::RateRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::RateReply: {
+      auto ptr = reinterpret_cast<madderdeck::wire::RateReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/platform/deploy_settings_test.cpp
+++ b/tests/platform/deploy_settings_test.cpp
@@ -28,22 +28,25 @@
 }
 
 Result<config::Settings> load(const std::string& path, const std::string& platform_address) {
-  const std::string filled =
-      fill(read_file(path),
-           {{"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.1.0.35:8146\",\"10.2.0.28:8146\""},
-            {"{{#bounds.config_apply_ms}}apply_within_ms = {{.}}{{/bounds.config_apply_ms}}", "apply_within_ms = 4000"},
-            {"{{limits.cpu_share}}", "0.12"},
-            {"{{node_name}}", "frontend-1"},
-            {"{{zone}}", "abdali-hall"},
-            {"{{region}}", "amman"},
-            {"{{ip}}", "10.1.0.35"},
-            {"{{port_range.0}}", "7660"},
-            {"{{port_range.1}}", "7661"},
-            {"{{listen.front}}", "10.1.0.35:8144"},
-            {"{{listen.ready}}", "10.1.0.35:8140"},
-            {"{{fault_tolerance.machines}}", "2"},
-            {"{{data_dir}}", "/data/ledger"},
-            {"{{platform.address}}", platform_address}});
+  const std::string filled = fill(
+      read_file(path),
+      {{"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.1.0.35:8146\",\"10.2.0.28:8146\""},
+       {"{{#bounds.config_apply_ms}}apply_within_ms = {{.}}{{/bounds.config_apply_ms}}", "apply_within_ms = 4000"},
+       {"{{#bounds.quota_window_s}}rate_window_s = \"{{.}}\"{{/bounds.quota_window_s}}", "rate_window_s = \"2.5\""},
+       {"{{#bounds.revoke_ms}}keys_useful_ms = {{.}}{{/bounds.revoke_ms}}", "keys_useful_ms = 5000"},
+       {"{{#bounds.revoke_fail_closed}}keys_fail_closed = 1{{/bounds.revoke_fail_closed}}", "keys_fail_closed = 1"},
+       {"{{limits.cpu_share}}", "0.12"},
+       {"{{node_name}}", "frontend-1"},
+       {"{{zone}}", "abdali-hall"},
+       {"{{region}}", "amman"},
+       {"{{ip}}", "10.1.0.35"},
+       {"{{port_range.0}}", "7660"},
+       {"{{port_range.1}}", "7661"},
+       {"{{listen.front}}", "10.1.0.35:8144"},
+       {"{{listen.ready}}", "10.1.0.35:8140"},
+       {"{{fault_tolerance.machines}}", "2"},
+       {"{{data_dir}}", "/data/ledger"},
+       {"{{platform.address}}", platform_address}});
   CHECK(filled.find("{{") == std::string::npos);
   const std::string file = "deploy-settings-test.toml";
   std::ofstream(file) << filled;
@@ -62,6 +65,9 @@
   CHECK(value_of(gateway).seeds.at(0) == "10.1.0.35:7660");  // peers hear at the same port everywhere
   CHECK(value_of(gateway).platform_apply_within_ms == 4000);
   CHECK(value_of(gateway).capacity() == 12);
+  CHECK(value_of(gateway).tenant_rate_window() == 2500ms);
+  CHECK(value_of(gateway).tenant_keys_useful_ms == 5000);
+  CHECK(value_of(gateway).tenant_keys_fail_closed == 1);
   const auto ledger = load("deploy/ledger.toml", "10.200.1.7:8142");
   REQUIRE(succeeded(ledger));
   CHECK(value_of(ledger).has_role("ledger"));
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -183,3 +183,26 @@
   CHECK(fixture.requests.back() == "PUT /objects/retirements/storage-1/status");
   CHECK(json::parse(fixture.bodies.back()).at("status").at("state").as_string() == "completed");
 }
+
+TEST_CASE("a configuration with malformed tenants is rejected by name and reason, and shows no key") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest&) {
+    const json::object spec{{"version", 3},
+                            {"routes", json::array()},
+                            {"services", json::array()},
+                            {"tenants", json::array{json::object{{"name", "a"}, {"api_keys", json::array{"secret"}}},
+                                                    json::object{{"name", "b"}, {"api_keys", json::array{"secret"}}}}}};
+    return ok({{"items", json::array{json::object{{"metadata", {{"name", "main"}, {"revision", 9}}}, {"spec", spec}}}},
+               {"more", false},
+               {"at", 9}});
+  };
+  std::optional<Result<object_store::ChangeList>> result;
+  fixture.client.watch_objects(0, 100ms, [&result](auto changes) { result = std::move(changes); });
+  fixture.http.run_until([&result] { return result.has_value(); }, std::chrono::seconds(5));
+  REQUIRE(result);
+  REQUIRE(succeeded(*result));
+  CHECK(value_of(*result).entries.empty());
+  REQUIRE(value_of(*result).rejected.size() == 1);
+  CHECK(value_of(*result).rejected.front().reason.kind == ErrorKind::invalid_argument);
+  CHECK(value_of(*result).rejected.front().reason.detail.find("secret") == std::string::npos);
+}
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -109,3 +109,62 @@
   CHECK(refusal_response({error, routing::Ran::unknown, Duration::zero()}).status == 502);
   CHECK(refusal_response({{ErrorKind::deadline_exceeded, ""}, routing::Ran::unknown, {}}).status == 504);
 }
+
+TEST_CASE("tenants come with their keys, rates and ranks, and survive the way from node to node") {
+  const auto result = translate_configuration(object(R"({
+    "version": 9, "routes": [{"name":"r","host":"h","path_prefix":"/","type":"safe","service":"s","public":true}],
+    "services": [], "tenants": [{"name":"t1","api_keys":["k1","k2"],"priority":1,"rate_per_s":2.5,"burst":7},
+                                {"name":"t2","api_keys":[]}]})"));
+  REQUIRE(succeeded(result));
+  const auto travelled = forwarding::parse_route_table(forwarding::format_route_table(value_of(result)));
+  REQUIRE(succeeded(travelled));
+  const forwarding::RouteTable& table = value_of(travelled);
+  CHECK(table.routes.at(0).needs_no_key);
+  REQUIRE(table.tenants.find_by_key("k2") != nullptr);
+  CHECK(*table.tenants.find_by_key("k2") == tenancy::tenant{"t1", {"k1", "k2"}, 1, {2.5, 7}});
+  REQUIRE(table.tenants.find("t2") != nullptr);
+  CHECK_FALSE(table.tenants.find("t2")->rate.limited());
+}
+
+TEST_CASE("a configuration whose tenants are malformed is refused as a whole") {
+  for (const char* tenants :
+       {R"([{"name":"a","api_keys":["k"]},{"name":"b","api_keys":["k"]}])", R"([{"name":"a","api_keys":[""]}])",
+        R"([{"api_keys":["k"]}])", R"([{"name":"a","api_keys":[7]}])",
+        R"([{"name":"a","api_keys":["k"],"rate_per_s":-1}])", R"({"a":"k"})"}) {
+    const auto result = translate_configuration(
+        object((std::string(R"({"version":1,"routes":[],"services":[],"tenants":)") + tenants + "}").c_str()));
+    REQUIRE_FALSE(succeeded(result));
+    CHECK(error_of(result).kind == ErrorKind::invalid_argument);
+  }
+}
+
+TEST_CASE("the key stays here and the tenant's name goes on, whatever the caller sent") {
+  net::HttpRequest request;
+  request.headers = {{"X-Madderdeck-Request-Id", "r1"},      {"x-api-KEY", "secret"}, {"X-Madderdeck-Tenant", "forged"},
+                     {"x-madderdeck-tenant", "forged, too"}, {"X-Api-Key", "secret"}, {"X-Other", "1"}};
+  const auto parsed = forwarded_request(request);
+  REQUIRE(succeeded(parsed));
+  value_of(parsed)->tenant = "clinic";
+  forwarding::UpstreamCall call;
+  call.request = value_of(parsed);
+  net::Headers headers = headers_for_engine(call);
+  CHECK(net::find_header(headers, "X-Api-Key").empty());
+  CHECK(net::find_header(headers, "X-Madderdeck-Tenant") == "clinic");
+  CHECK(std::count_if(headers.begin(), headers.end(), [](const net::Header& header) {
+          return header.value == "secret" || header.value.starts_with("forged");
+        }) == 0);
+  value_of(parsed)->tenant.clear();
+  headers = headers_for_engine(call);
+  CHECK(net::find_header(headers, "X-Madderdeck-Tenant").empty());
+  CHECK(net::find_header(headers, "X-Other") == "1");
+}
+
+TEST_CASE("one key, sent once or more often, is read; several different ones name nobody") {
+  net::HttpRequest request;
+  CHECK_FALSE(credentials_of(request).key.has_value());
+  request.headers = {{"X-API-KEY", "k1"}, {"x-api-key", "k1"}};
+  CHECK(credentials_of(request).key == "k1");
+  request.headers.push_back({"X-Api-Key", "k2"});
+  CHECK_FALSE(credentials_of(request).key.has_value());
+  CHECK(credentials_of(request).ambiguous);
+}
--- /dev/null
+++ b/tests/tenancy/rate_limiter_test.cpp
@@ -0,0 +1,189 @@
+#include "tenancy/rate_limiter.hpp"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+
+#include "placement/fleet_members.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::tenancy;
+using tests::fleet_members;
+
+namespace {
+
+constexpr unsigned kNodes = 50;
+
+/// One node of a fleet; the test carries its messages.
+struct limiter_fixture {
+  limiter_fixture() { limiter.start(); }
+
+  fleet_members fleet{kNodes};
+  NoDecisionLog log;
+  rate_limiter limiter{fleet.environment, fleet.counters, log, fleet.members, 5s};
+  int let_in = 0;
+  int refused = 0;
+  Duration retry_after{};
+
+  void admit(const stated_rate& rate) {
+    limiter.admit("r", rate, [this](const rate_decision& decision) {
+      (decision.let_in ? let_in : refused) += 1;
+      retry_after = decision.retry_after;
+    });
+  }
+  void run_for(Duration time) { fleet.environment.world.run_for(time); }
+  /// @return the question sent last.
+  const wire::RateRequestT& question() {
+    REQUIRE_FALSE(fleet.environment.sent.empty());
+    const wire::RateRequestT* found = fleet.environment.sent.back().body.AsRateRequest();
+    REQUIRE(found != nullptr);
+    return *found;
+  }
+  void answer(std::uint32_t granted, double used, double allowed, bool keeper = true) {
+    wire::RateReplyT reply;
+    reply.request = question().request;
+    reply.keeper = keeper;
+    reply.granted = granted;
+    reply.used = used;
+    reply.allowed = allowed;
+    reply.retry_us = granted == 0 ? 700'000 : 0;
+    limiter.handle(reply);
+  }
+};
+
+stated_rate rate(const std::string& tenant, double per_second = 20, double burst = 0) {
+  return {tenant, 1, {per_second, burst}};
+}
+
+/// @return a tenant whose keeper is (or is not) the fixture's node.
+std::string tenant_kept(bool here) {
+  for (int number = 0;; ++number) {
+    limiter_fixture fixture;
+    const std::string name = "t" + std::to_string(number);
+    fixture.admit(rate(name));
+    if ((fixture.let_in == 1) == here) {
+      return name;
+    }
+  }
+}
+
+}  // namespace
+
+TEST_CASE("without a limit nobody is asked") {
+  limiter_fixture fixture;
+  fixture.admit({"any", 1, {}});
+  CHECK(fixture.let_in == 1);
+  CHECK(fixture.fleet.environment.sent.empty());
+}
+
+TEST_CASE("the keeper's word decides, and a refusal carries its time to come back") {
+  const std::string tenant = tenant_kept(false);
+  limiter_fixture fixture;
+  fixture.admit(rate(tenant));
+  CHECK(fixture.let_in + fixture.refused == 0);
+  CHECK(fixture.question().tenant == tenant);
+  fixture.answer(1, 3, 105);
+  CHECK(fixture.let_in == 1);
+  fixture.admit(rate(tenant));
+  CHECK(fixture.question().recent == 1);
+  fixture.answer(0, 105, 105);
+  CHECK(fixture.refused == 1);
+  CHECK(fixture.retry_after == 700ms);
+}
+
+TEST_CASE("what is granted beyond one request is used without asking, for 250 ms from the question on") {
+  const std::string tenant = tenant_kept(false);
+  limiter_fixture fixture;
+  fixture.admit(rate(tenant));
+  fixture.run_for(10ms);
+  fixture.answer(3, 3, 105);
+  fixture.admit(rate(tenant));
+  CHECK(fixture.let_in == 2);
+  fixture.run_for(245ms);
+  fixture.admit(rate(tenant));
+  CHECK(fixture.let_in == 2);  // asked again
+}
+
+TEST_CASE("a keeper that says nothing costs a request 40 ms, and those after it for a while nothing") {
+  const std::string tenant = tenant_kept(false);
+  limiter_fixture fixture;
+  fixture.admit(rate(tenant));
+  fixture.run_for(39ms);
+  CHECK(fixture.let_in == 0);
+  fixture.run_for(2ms);
+  CHECK(fixture.let_in == 1);
+  const std::size_t sent = fixture.fleet.environment.sent.size();
+  fixture.admit(rate(tenant));
+  CHECK(fixture.let_in == 2);
+  CHECK(fixture.fleet.environment.sent.size() == sent);
+}
+
+TEST_CASE("cut off, a node goes on by the part that it had, and no further") {
+  const std::string tenant = tenant_kept(false);
+  limiter_fixture fixture;
+  // Five of the twenty requests that all nodes sent were this one's: a quarter of 105.
+  for (int request = 0; request < 5; ++request) {
+    fixture.admit(rate(tenant));
+    fixture.answer(1, 20, 105);
+  }
+  fixture.admit(rate(tenant));
+  fixture.answer(1, 20, 105);
+  for (int request = 0; request < 200; ++request) {
+    fixture.admit(rate(tenant));
+    fixture.run_for(45ms);
+  }
+  const int own_part = 105 * 6 / 20;
+  // 200 requests in 9 s are more than 5 of the part's windows hold: both windows are used up.
+  CHECK(fixture.let_in <= 2 * own_part + 6);
+  CHECK(fixture.let_in >= own_part);
+  CHECK(fixture.refused > 0);
+  CHECK(fixture.retry_after >= 100ms);
+}
+
+TEST_CASE("a node that thinks another keeps the tenant grants nothing") {
+  const std::string tenant = tenant_kept(false);
+  limiter_fixture fixture;
+  wire::RateRequestT request;
+  request.request = 7;
+  request.node = "node-3";
+  request.tenant = tenant;
+  request.per_second = 20;
+  request.wanted = 1;
+  fixture.limiter.handle(PeerAddress("node-3:1"), request);
+  REQUIRE(fixture.fleet.environment.sent.back().body.AsRateReply() != nullptr);
+  CHECK_FALSE(fixture.fleet.environment.sent.back().body.AsRateReply()->keeper);
+  CHECK(fixture.fleet.environment.sent.back().body.AsRateReply()->granted == 0);
+}
+
+TEST_CASE("a keeper counts for all nodes that ask") {
+  const std::string tenant = tenant_kept(true);
+  limiter_fixture fixture;
+  unsigned granted = 0;
+  for (unsigned request = 0; request < 500; ++request) {
+    wire::RateRequestT question;
+    question.request = request;
+    question.node = "node-" + std::to_string(1 + request % (kNodes - 1));
+    question.tenant = tenant;
+    question.per_second = 20;
+    question.wanted = 1;
+    fixture.limiter.handle(PeerAddress(question.node + ":1"), question);
+    granted += fixture.fleet.environment.sent.back().body.AsRateReply()->granted;
+  }
+  CHECK(granted == 105);
+}
+
+TEST_CASE("a late answer of a keeper is counted and changes nothing") {
+  const std::string tenant = tenant_kept(false);
+  limiter_fixture fixture;
+  fixture.admit(rate(tenant));
+  const std::uint64_t request = fixture.question().request;
+  fixture.run_for(50ms);
+  CHECK(fixture.let_in == 1);
+  wire::RateReplyT reply;
+  reply.request = request;
+  reply.keeper = true;
+  reply.granted = 1;
+  fixture.limiter.handle(reply);
+  CHECK(fixture.let_in == 1);
+  CHECK(fixture.fleet.counters["tenant_rate_answers_late_total"] == 1);
+}
