--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -73,6 +73,7 @@
       {"policies.headroom", text_field(&Settings::policy_headroom)},
       {"policies.item_order", text_field(&Settings::policy_item_order)},
       {"policies.engine_choice", text_field(&Settings::policy_engine_choice)},
+      {"policies.call_order", text_field(&Settings::policy_call_order)},
       {"tenants.rate_window_s", text_field(&Settings::tenant_rate_window_s)},
       {"tenants.keys_useful_ms", number_field(&Settings::tenant_keys_useful_ms, 0, 3600 * 1000)},
       {"tenants.keys_fail_closed", number_field(&Settings::tenant_keys_fail_closed, 0, 1)},
@@ -274,6 +275,7 @@
       .headroom(policy_headroom)
       .item_order(policy_item_order)
       .engine_choice(policy_engine_choice)
+      .call_order(policy_call_order)
       .build();
 }
 
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -60,6 +60,7 @@
   std::string policy_headroom = "fixed";
   std::string policy_item_order = "deadline";
   std::string policy_engine_choice = "reports";
+  std::string policy_call_order = "engine";
   std::int64_t batch_headroom_slots = 2;  ///< Engine slots batch never takes, until a fleet policy is declared.
   // [ledger]
   std::int64_t ledger_groups = 16;           ///< Replica groups of a fleet that is founded.
--- a/src/forwarding/engine_choice.cpp
+++ b/src/forwarding/engine_choice.cpp
@@ -17,30 +17,6 @@
 /// What a back end that reads a long prompt seems fuller by, as a part of its slots.
 constexpr double kReadingPenalty = 0.5;
 
-double median_latency(const std::vector<Backend*>& candidates) {
-  std::vector<double> latencies;
-  for (const Backend* candidate : candidates) {
-    if (candidate->latency_ms > 0) {
-      latencies.push_back(candidate->latency_ms);
-    }
-  }
-  if (latencies.empty()) {
-    return 0;
-  }
-  const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
-  std::nth_element(latencies.begin(), middle, latencies.end());
-  return *middle;
-}
-
-/// @return how many times as long as the median @p backend takes to its first byte; at least 1.
-double slowness(const Backend& backend, double median) {
-  constexpr double kNoise = 1.5;
-  if (median <= 0 || backend.latency_ms < kNoise * median) {
-    return 1;
-  }
-  return std::min(backend.latency_ms / median, kMaxSlowness);
-}
-
 bool uses_shared(const ChoiceInput& input) { return input.shared != nullptr && input.shared->any_heard(); }
 
 /// @return expected trouble for one more live call: below 1 there is a free slot, below 2 batch work has to yield, from
@@ -106,6 +82,29 @@
 
 }  // namespace
 
+double median_latency(const std::vector<Backend*>& candidates) {
+  std::vector<double> latencies;
+  for (const Backend* candidate : candidates) {
+    if (candidate->latency_ms > 0) {
+      latencies.push_back(candidate->latency_ms);
+    }
+  }
+  if (latencies.empty()) {
+    return 0;
+  }
+  const auto middle = latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  return *middle;
+}
+
+double slowness(const Backend& backend, double median) {
+  constexpr double kNoise = 1.5;
+  if (median <= 0 || backend.latency_ms < kNoise * median) {
+    return 1;
+  }
+  return std::min(backend.latency_ms / median, kMaxSlowness);
+}
+
 known_calls calls_at(const Backend& backend, const routing::shared_calls& shared, Timestamp now) {
   const routing::open_calls others = shared.at(backend.machine.id);
   const std::uint32_t unexplained = now - backend.reported_at < kExcessHolds ? backend.unexplained : 0;
--- a/src/forwarding/engine_choice.hpp
+++ b/src/forwarding/engine_choice.hpp
@@ -42,6 +42,13 @@
 ///         those of the others.
 double estimated_requests(const routing::Backend& backend, Timestamp now, double sharing);
 
+/// @return the median time to the first token, in milliseconds, of those of @p candidates that have one; 0 where none
+/// has.
+double median_latency(const std::vector<routing::Backend*>& candidates);
+
+/// @return how many times as long as @p median (0: not known) @p backend takes to its first token; from 1 on.
+double slowness(const routing::Backend& backend, double median);
+
 /// @return whether calls are open to @p backend and it has been silent on all of them for long.
 bool silent(const routing::Backend& backend, Timestamp now);
 
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -118,22 +118,44 @@
 
 void Forwarder::ask_for_place(ForwardId id, const std::vector<Backend*>& open, const std::string& key) {
   Active& active = requests_.at(id);
+  const std::uint64_t placing = ++next_placing_;
+  active.placing = placing;
+  const auto ticket = placer_->place(
+      query_for(active, open, key),
+      lifetime_.guard([this, id, placing](const place_outcome& outcome) { on_placed(id, placing, outcome); }));
+  const auto entry = requests_.find(id);
+  if (entry != requests_.end() && entry->second.placing == placing) {
+    entry->second.ticket = ticket;
+  }
+}
+
+place_query Forwarder::query_for(const Active& active, const std::vector<Backend*>& open,
+                                 const std::string& key) const {
+  const Timestamp now = environment_.now();
   place_query query;
+  query.request = active.request->id;
   query.pool = active.pool;
   query.excluded = active.tried;
   if (!key.empty()) {
     query.affinity_key = key;
     query.first = preferred_backend(open, key).machine.id;
-    query.reading = std::clamp(long_prompt_time_, kLeastReading, kMostReading);
-  }
-  const std::uint64_t placing = ++next_placing_;
-  active.placing = placing;
-  placer_->place(query, lifetime_.guard([this, id, placing](const std::optional<place_answer>& answer) {
-    on_placed(id, placing, answer);
-  }));
+    query.reading = std::clamp(long_prompt_time_ - kept_start_time_, kLeastReading, kMostReading);
+  }
+  const auto held = call_time_.find(active.pool);
+  query.holding = held == call_time_.end() ? Duration::zero() : held->second;
+  query.patience = active.give_up_at - now;
+  if (active.route->silence_ms > 0) {
+    const Timestamp given_up_at = active.started + std::chrono::milliseconds(active.route->silence_ms);
+    query.patience = std::min(query.patience, given_up_at - now);
+  }
+  query.due = active.route->target_ms == 0 ? query.patience
+                                           : active.started + std::chrono::milliseconds(active.route->target_ms) - now;
+  query.due -= key.empty() ? first_byte_time_ : long_prompt_time_;
+  query.rank = {active.request->tenant_priority, active.route->priority};
+  return query;
 }
 
-void Forwarder::on_placed(ForwardId id, std::uint64_t placing, const std::optional<place_answer>& answer) {
+void Forwarder::on_placed(ForwardId id, std::uint64_t placing, const place_outcome& outcome) {
   const auto entry = requests_.find(id);
   if (entry == requests_.end() || entry->second.placing != placing) {
     counters_["forward_places_unused_total"]++;
@@ -141,6 +163,13 @@
   }
   Active& active = entry->second;
   active.placing = 0;
+  if (outcome.retry_after) {
+    counters_["forward_refused_full_total"]++;
+    active.retry_after = outcome.retry_after;
+    end_unanswered(id, ErrorKind::unavailable, "no slot will be free in the time there is");
+    return;
+  }
+  const std::optional<place_answer>& answer = outcome.place;
   const std::vector<Backend*> open = choices(active);
   if (open.empty()) {
     end_unanswered(id, ErrorKind::unavailable, "the pool has no back end left that takes requests");
@@ -151,6 +180,7 @@
   });
   if (named != open.end()) {
     active.awaits_yield = answer->needs_yield;
+    active.keeps_start = answer->keeps_start;
     send_to(id, **named, open);
     return;
   }
@@ -286,10 +316,21 @@
     }
     learn_first_byte(active, elapsed);
   } else {
-    long_prompt_time_ += (elapsed - long_prompt_time_) / kReadingSmoothing;
+    learn_long_prompt(active, elapsed);
   }
 }
 
+void Forwarder::learn_long_prompt(const Active& active, Duration elapsed) {
+  Duration& average = active.keeps_start ? kept_start_time_ : long_prompt_time_;
+  average += (elapsed - average) / kReadingSmoothing;
+}
+
+void Forwarder::learn_call_time(const Active& active) {
+  const Duration took = environment_.now() - active.sent_at;
+  Duration& average = call_time_.try_emplace(active.pool, took).first->second;
+  average += (took - average) / kReadingSmoothing;
+}
+
 void Forwarder::learn_first_byte(const Active& active, Duration elapsed) {
   if (active.route->kind != RouteKind::stream) {
     return;
@@ -402,6 +443,7 @@
   Active& active = node.mapped();
   leave_backend(active);
   registry_.on_success(active.backend);
+  learn_call_time(active);
   counters_["forward_answered_total"]++;
   const Timestamp first_at = active.head_passed ? active.first_at : environment_.now();
   log_.record("request_answered", {{"request", active.request->id},
@@ -464,6 +506,9 @@
 }
 
 Duration Forwarder::comeback_time(const Active& active) const {
+  if (active.retry_after) {
+    return *active.retry_after;
+  }
   return active.tried.empty() ? kComebackOutage : kComebackBusy;
 }
 
@@ -500,6 +545,7 @@
   Active& active = entry->second;
   if (active.placing != 0) {
     counters_["forward_timeouts_total"]++;
+    placer_->withdraw(active.ticket);
     end_unanswered(id, ErrorKind::deadline_exceeded, "no engine was named in the time there was");
     return;
   }
@@ -519,6 +565,9 @@
     return;
   }
   Active& active = entry->second;
+  if (active.placing != 0) {
+    placer_->withdraw(active.ticket);
+  }
   upstream_.cancel(active.call);
   leave_backend(active);
   counters_["forward_cancelled_total"]++;
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -81,7 +81,10 @@
     BackendId backend;
     routing::CallId call = 0;
     std::uint64_t placing = 0;  ///< Number of the question for an engine that is under way; 0: none.
-    std::uint64_t attempt = 0;  ///< Number of the current send; events of others are dropped.
+    engine_placer::ticket ticket = 0;
+    std::optional<Duration> retry_after;  ///< As the placer said when it rejected the request.
+    bool keeps_start = false;             ///< Of the current send: the engine has likely read the prompt's start.
+    std::uint64_t attempt = 0;            ///< Number of the current send; events of others are dropped.
     std::uint32_t sends = 0;
     std::uint32_t runs = 0;  ///< Sends that may have run.
     std::set<BackendId> tried;
@@ -99,12 +102,16 @@
   void attempt(ForwardId id);
   /// Asks the placer for the engine of a request.
   void ask_for_place(ForwardId id, const std::vector<routing::Backend*>& open, const std::string& key);
-  void on_placed(ForwardId id, std::uint64_t placing, const std::optional<place_answer>& answer);
+  /// @return what the placer may decide by.
+  place_query query_for(const Active& active, const std::vector<routing::Backend*>& open, const std::string& key) const;
+  void on_placed(ForwardId id, std::uint64_t placing, const place_outcome& outcome);
   /// Sends a request to @p backend, one of @p open.
   void send_to(ForwardId id, routing::Backend& backend, const std::vector<routing::Backend*>& open);
   void send(ForwardId id, routing::Backend& backend);
   void announce_reading(routing::Backend& backend);
   routing::Backend& choose(const Active& active, const std::vector<routing::Backend*>& open, const std::string& key);
+  void learn_call_time(const Active& active);
+  void learn_long_prompt(const Active& active, Duration elapsed);
   void learn_first_byte(const Active& active, Duration elapsed);
   void watch_first_byte(ForwardId id);
   void on_head(ForwardId id, std::uint64_t attempt, AnswerHead head);
@@ -139,6 +146,8 @@
   Duration long_prompt_time_ = 100ms;  ///< Moving average from sending a long prompt to its first token.
   Duration first_byte_time_{};         ///< Moving average for short prompts where a slot is free.
   Duration time_to_yield_{};
+  Duration kept_start_time_{};                 ///< As long_prompt_time_, where the engine keeps the prompt's start.
+  std::map<std::string, Duration> call_time_;  ///< Moving average from sending to the end, by pool.
   const routing::shared_calls* shared_ = nullptr;
   Duration shared_delay_{};
   engine_placer* placer_ = nullptr;
--- a/src/forwarding/route_table.cpp
+++ b/src/forwarding/route_table.cpp
@@ -41,6 +41,7 @@
   }
   read_number(fields, "timeout_ms", route.timeout_ms);
   read_number(fields, "target_ms", route.target_ms);
+  read_number(fields, "silence_ms", route.silence_ms);
   read_number(fields, "max_attempts", route.max_attempts);
   read_number(fields, "priority", route.priority);
   read_number(fields, "run_target_ms", route.run_target_ms);
@@ -65,6 +66,7 @@
                       {"pools", std::move(pools)},
                       {"timeout_ms", route.timeout_ms},
                       {"target_ms", route.target_ms},
+                      {"silence_ms", route.silence_ms},
                       {"max_attempts", route.max_attempts},
                       {"priority", route.priority},
                       {"run_target_ms", route.run_target_ms},
--- a/src/forwarding/route_table.hpp
+++ b/src/forwarding/route_table.hpp
@@ -36,6 +36,7 @@
   std::vector<WeightedPool> pools;
   std::uint32_t timeout_ms = 0;         ///< Longest that a request may be held.
   std::uint32_t target_ms = 0;          ///< An answer within it is in time.
+  std::uint32_t silence_ms = 0;         ///< Callers give a stream up that has brought nothing for so long.
   std::uint32_t max_attempts = 1;       ///< Back ends that one request may run on.
   std::uint32_t priority = 0;           ///< 0 is the most urgent.
   bool resumable = false;               ///< A stream may go on at another back end.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -48,8 +48,17 @@
   digest_ = digest_of(self_);
 }
 
-void Membership::start() {
+/// A fleet that starts all at once: the first look finds seeds that do not listen yet, and a whole period would pass.
+void Membership::join_quickly(unsigned looks_left) {
+  if (!members_.empty() || seeds_.empty() || looks_left == 0) {
+    return;
+  }
   ping_seeds();
+  environment_.after(options_.join_interval, lifetime_.guard([this, looks_left] { join_quickly(looks_left - 1); }));
+}
+
+void Membership::start() {
+  join_quickly(options_.join_looks);
   const auto first =
       static_cast<Duration::rep>(environment_.random() % static_cast<std::uint64_t>(options_.period.count()));
   environment_.after(Duration(first), lifetime_.guard([this] { run_period(); }));
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -35,6 +35,8 @@
   std::size_t eager_limit = 24;       ///< With more news than this waiting, lists do the work.
   Duration least_sync_interval = 1s;  ///< Between whole lists sent to peers that differ.
   Duration most_sync_interval = 32s;
+  Duration join_interval = 50ms;      ///< Between looks for the fleet while nobody is known,
+  unsigned join_looks = 60;           ///< for so many; then one in each period.
   Duration dead_probe_interval = 5s;  ///< How often a dead member is tried, to heal a cut.
   Duration forget_dead_after = 24h;
 };
@@ -126,6 +128,8 @@
   void probe_indirectly(std::uint64_t sequence);
   void finish_probe(std::uint64_t sequence);
   void ping_seeds();
+  /// Looks for the fleet often until somebody is known.
+  void join_quickly(unsigned looks_left);
   void probe_dead_member();
   std::optional<NodeId> next_probe_target();
   /// @param spread whether peers are told; what a whole list brings they get by lists, too.
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -61,6 +61,7 @@
   }
   shares_calls_ = options.policies.shared_calls;
   coordinates_ = options.policies.coordinated;
+  call_order_ = options.policies.calls;
   catalog.set_default_policy(options.default_policy);
   registry.set_subset_size(options.default_policy.subset_size);
   if (has_role(options.self, Role::ledger) && dependencies.storage != nullptr) {
@@ -154,13 +155,15 @@
 
 void NodeCore::start_coordination() {
   const wire::MemberT& self = members.self();
-  coordinator = std::make_unique<placement::coordinator>(environment, counters, log, registry, duties, self);
+  coordinator =
+      std::make_unique<placement::coordinator>(environment, counters, log, registry, duties, self, call_order_);
   places = std::make_unique<placement::place_client>(environment, counters, log, registry, duties, self, *coordinator);
   call_reporter =
       std::make_unique<placement::call_reporter>(environment, counters, registry, *places, duties, self, *coordinator);
   coordinator->start();
   call_reporter->start();
   forwarder->use_placer(*places);
+  places->on_unused = [this](const BackendId& engine) { call_reporter->changed(engine); };
   registry.on_latency = [this](const BackendId& engine, double milliseconds) {
     call_reporter->first_token(engine, milliseconds);
   };
@@ -173,6 +176,7 @@
 void NodeCore::on_calls_changed(const BackendId& engine) {
   if (call_reporter) {
     call_reporter->changed(engine);
+    coordinator->on_calls_changed();
   }
   if (announcer) {
     announcer->changed(engine);
@@ -216,6 +220,7 @@
     if (on_routes_change) {
       on_routes_change(*told_routes_);
     }
+    tell_configured();
   }
   for (const config::EntryKey& key : keys) {
     if (key.kind == config::kReplicaGroupsKind) {
@@ -229,6 +234,7 @@
 
 void NodeCore::on_machines_changed(const std::vector<config::EntryKey>& keys) {
   registry.update(machines.table(), keys);
+  tell_configured();
   for (const config::EntryKey& key : keys) {
     const routing::Backend* backend = registry.find(BackendId(key.name));
     log.record("backend_listed",
@@ -393,7 +399,12 @@
       break;
     case wire::Message::PlaceReply:
       if (places) {
-        places->handle(*body.AsPlaceReply());
+        places->handle(sender, *body.AsPlaceReply());
+      }
+      break;
+    case wire::Message::PlaceWithdrawal:
+      if (coordinator) {
+        coordinator->handle(*body.AsPlaceWithdrawal());
       }
       break;
     case wire::Message::EngineFailure:
@@ -445,6 +456,37 @@
   return configured && !draining_ && (!replica || replica->synchronized());
 }
 
+bool NodeCore::configured() const { return catalog.routes() != nullptr && machines.table().revision() > 0; }
+
+void NodeCore::when_configured(std::function<void(bool)> done) {
+  /// Requests that wait; more would only be refused later.
+  constexpr std::size_t kMostAwaiting = 2'000;
+  if (configured() || awaiting_configuration_.size() >= kMostAwaiting) {
+    done(configured());
+    return;
+  }
+  const std::uint64_t number = ++next_awaiting_;
+  awaiting_configuration_.emplace(number, std::move(done));
+  counters["requests_before_configuration_total"]++;
+  environment.after(kConfigurationWait, lifetime_.guard([this, number] {
+    auto node = awaiting_configuration_.extract(number);
+    if (!node.empty()) {
+      node.mapped()(false);
+    }
+  }));
+}
+
+void NodeCore::tell_configured() {
+  if (!configured()) {
+    return;
+  }
+  std::map<std::uint64_t, std::function<void(bool)>> waiting;
+  std::swap(waiting, awaiting_configuration_);
+  for (auto& [number, done] : waiting) {
+    done(true);
+  }
+}
+
 tenancy::identity NodeCore::authenticate(const tenancy::credentials& shown) const {
   const std::uint32_t age_ms = objects.age_ms();
   const Duration age =
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -103,6 +103,10 @@
   /// Tells the scheduler that manages @p job about it.
   void announce_job(const JobId& job, bool cancelled);
   std::size_t gateway_count() const;
+  /// Runs @p done once this node knows routes and back ends, or with false when it does not within kConfigurationWait:
+  /// a node that has just started learns them within some hundred milliseconds, sooner than a caller comes back.
+  void when_configured(std::function<void(bool)> done);
+  static constexpr Duration kConfigurationWait = 1s;
   /// @return whether a caller that shows @p credentials may use the fleet, by the configuration in force.
   tenancy::identity authenticate(const tenancy::credentials& shown) const;
 
@@ -164,6 +168,7 @@
   };
   bool shares_calls_ = false;
   bool coordinates_ = false;
+  std::shared_ptr<const policy::call_order> call_order_;
   forwarding::RouteTablePointer told_routes_;
   membership::Hooks make_hooks();
   void on_objects_changed(const std::vector<config::EntryKey>& keys);
@@ -185,6 +190,10 @@
   void tell_unexplained(const BackendId& id);
   bool polls(const routing::Backend& backend);
 
+  bool configured() const;
+  void tell_configured();
+  std::map<std::uint64_t, std::function<void(bool)>> awaiting_configuration_;
+  std::uint64_t next_awaiting_ = 0;
   std::map<BackendId, ToldActivity> activity_;
   Timestamp started_at_{};
   Lifetime lifetime_;
--- a/src/placement/call_reporter.cpp
+++ b/src/placement/call_reporter.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kDelay = 5ms;
+constexpr Duration kStartDelay = 40ms;
 constexpr Duration kRefresh = 1s;
 constexpr Duration kSilenceCheck = 100ms;
 
@@ -27,23 +28,35 @@
 void call_reporter::start() {
   environment_.after(kRefresh, lifetime_.guard([this] { tell_all(); }));
   environment_.after(kSilenceCheck, lifetime_.guard([this] { watch_silences(); }));
+  watch_coordinators();
 }
 
 void call_reporter::changed(const BackendId& engine) {
   changed_.insert(engine);
-  if (scheduled_) {
+  const routing::Backend* backend = registry_.find(engine);
+  std::uint32_t& last = last_live_[engine];
+  const std::uint32_t live = backend == nullptr ? 0 : backend->online_in_flight;
+  const bool only_more = live > last;
+  last = live;
+  tell_within(only_more ? kStartDelay : kDelay);
+}
+
+void call_reporter::tell_within(Duration delay) {
+  bool& scheduled = delay > kDelay ? scheduled_ : scheduled_soon_;
+  if (scheduled || scheduled_soon_) {
     return;
   }
-  scheduled_ = true;
-  environment_.after(kDelay, lifetime_.guard([this] {
-    scheduled_ = false;
+  scheduled = true;
+  environment_.after(delay, lifetime_.guard([this, &scheduled] {
+    scheduled = false;
     tell_changes();
   }));
 }
 
 void call_reporter::first_token(const BackendId& engine, double milliseconds) {
   first_ms_[engine] = std::max<std::uint32_t>(1, static_cast<std::uint32_t>(milliseconds));
-  changed(engine);
+  changed_.insert(engine);
+  tell_within(kStartDelay);
 }
 
 void call_reporter::failed(const BackendId& engine, call_trouble trouble) {
@@ -112,6 +125,9 @@
 void call_reporter::tell_changes() {
   std::set<BackendId> told;
   std::swap(told, changed_);
+  if (told.empty()) {
+    return;
+  }
   if (!duties_.divided()) {
     first_ms_.clear();
     return;
@@ -125,6 +141,10 @@
 
 void call_reporter::tell_all() {
   environment_.after(kRefresh, lifetime_.guard([this] { tell_all(); }));
+  tell_everything();
+}
+
+void call_reporter::tell_everything() {
   if (!duties_.divided()) {
     return;
   }
@@ -137,6 +157,26 @@
   send(std::move(to));
 }
 
+void call_reporter::watch_coordinators() {
+  std::map<engine_domain, PeerAddress> found;
+  for (const auto& [id, backend] : registry_.backends()) {
+    for (const std::string& pool : backend.machine.pools) {
+      const engine_domain domain = domain_of(registry_, backend, pool);
+      if (found.contains(domain)) {
+        continue;
+      }
+      const wire::MemberT* member = places_.coordinator_for(domain);
+      found.emplace(domain, member == nullptr ? PeerAddress() : PeerAddress(member->peer_address));
+    }
+  }
+  const bool changed = !coordinators_.empty() && found != coordinators_;
+  coordinators_ = std::move(found);
+  if (changed) {
+    counters_["coordinator_changes_seen_total"]++;
+    tell_everything();
+  }
+}
+
 /// An engine that went dark is told of within a check, and so is one that speaks again.
 void call_reporter::watch_silences() {
   environment_.after(kSilenceCheck, lifetime_.guard([this] { watch_silences(); }));
--- a/src/placement/call_reporter.hpp
+++ b/src/placement/call_reporter.hpp
@@ -12,7 +12,8 @@
 
 namespace madderdeck::placement {
 
-/// Changes within a few milliseconds share a message to each coordinator; once a second those that look after engines
+/// Changes within a few milliseconds share a message to each coordinator, those that only begin calls within some tens:
+/// the coordinator has counted them since it named the engine. Once a second those that look after engines
 /// with calls of this node are told everything. Single threaded.
 class call_reporter {
  public:
@@ -35,8 +36,12 @@
   void add(messages& to, const BackendId& engine, const routing::Backend* backend, bool complete);
   void send(messages to);
   void tell_changes();
+  void tell_within(Duration delay);
   void tell_all();
+  void tell_everything();
   void watch_silences();
+  /// A coordinator that takes over hears at once what runs at its engines: it would take them for empty.
+  void watch_coordinators();
 
   Environment& environment_;
   Counters& counters_;
@@ -47,10 +52,13 @@
   coordinator& own_;
   std::set<BackendId> changed_;
   std::set<BackendId> silent_;
-  std::map<BackendId, std::uint32_t> first_ms_;  ///< Not told yet.
-  std::map<BackendId, PeerAddress> told_;        ///< The coordinator last told of calls at an engine.
+  std::map<BackendId, std::uint32_t> first_ms_;        ///< Not told yet.
+  std::map<BackendId, PeerAddress> told_;              ///< The coordinator last told of calls at an engine.
+  std::map<engine_domain, PeerAddress> coordinators_;  ///< As of the last look.
   Duration time_to_yield_{};
-  bool scheduled_ = false;
+  std::map<BackendId, std::uint32_t> last_live_;  ///< Open live calls at the latest change.
+  bool scheduled_ = false;                        ///< A word follows within kStartDelay,
+  bool scheduled_soon_ = false;                   ///< or within kDelay.
   Lifetime lifetime_;
 };
 
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "common/hash.hpp"
+#include "common/histogram.hpp"
 #include "forwarding/engine_choice.hpp"
 
 namespace madderdeck::placement {
@@ -15,8 +17,15 @@
 constexpr std::uint32_t kLeastRoomElsewhere = 4;
 /// Engines in trouble are left out while at least one in so many is sound.
 constexpr std::size_t kLeastSoundPart = 3;
-/// Reading a long shared start again costs more than a few slow tokens.
-constexpr double kAffinitySlowness = 3;
+constexpr double kMicroseconds = 1'000;       ///< In a millisecond.
+constexpr Duration kLeastFirstToken = 1ms;    ///< Before any was observed: calls are spread by it.
+constexpr Duration kLeastTimeToYield = 10ms;  ///< Messages and the engine's step, before any was observed.
+constexpr Duration kLeastRetry = 100ms;
+constexpr Duration kServeDelay = 2ms;
+constexpr Duration kServeInterval = 10ms;
+/// Of waiting calls that cannot use what is free, having tried it before; so many at most are passed over in one look.
+constexpr std::size_t kMostLookedAt = 8;
+const policy::arrival_call_order kNoOrder;
 /// Several times the pause between two calls at an engine: one that was slow and got none since is tried again.
 constexpr Duration kLatencyUseful = 3s;
 /// A domain nobody has asked for lately is another node's by now.
@@ -25,8 +34,15 @@
 }  // namespace
 
 coordinator::coordinator(Environment& environment, Counters& counters, DecisionLog& log, routing::Registry& registry,
-                         const duties& who, const wire::MemberT& self)
-    : environment_(environment), counters_(counters), log_(log), registry_(registry), duties_(who), self_(self) {}
+                         const duties& who, const wire::MemberT& self, std::shared_ptr<const policy::call_order> order)
+    : environment_(environment),
+      counters_(counters),
+      log_(log),
+      registry_(registry),
+      duties_(who),
+      self_(self),
+      order_(std::move(order)),
+      waiting_(order_ == nullptr ? kNoOrder : *order_) {}
 
 void coordinator::start() {
   environment_.after(kMaintenance, lifetime_.guard([this] { maintain(); }));
@@ -37,6 +53,7 @@
   environment_.after(kMaintenance, lifetime_.guard([this] { maintain(); }));
   calls_.forget_silent(environment_.now());
   failing_.forget_old(environment_.now());
+  starts_.forget_old(environment_.now());
   registry_.forget_latencies(kLatencyUseful);
 }
 
@@ -70,35 +87,201 @@
   }
 }
 
-placement_choice coordinator::choose(const std::string& node, const engine_domain& domain,
+placement_choice coordinator::choose(const caller& who, const engine_domain& domain,
                                      const forwarding::place_query& query, bool final) {
   asked_for_[domain] = environment_.now();
+  calls_.forget_unfulfilled(environment_.now());
+  if (waiting_.refresh(domain, who, environment_.now())) {
+    placement_choice choice;
+    choice.waiting = true;
+    return choice;
+  }
   const std::vector<routing::Backend*> open = candidates(domain, query.excluded);
   if (open.empty()) {
     counters_["placements_without_engine_total"]++;
     return {};
   }
-  forwarding::ChoiceInput input{open, query.affinity_key, environment_.now(), environment_.random()};
-  input.shared = &calls_;
-  input.samples = open.size();
-  input.affinity_slowness = kAffinitySlowness;
-  routing::Backend& chosen = forwarding::choose_backend(input);
-  const forwarding::known_calls known = forwarding::calls_at(chosen, calls_, environment_.now());
+  routing::Backend* engine = find_slot(open, query);
+  if (engine == nullptr) {
+    return hold(who, domain, query, open, final);
+  }
+  const forwarding::known_calls known = forwarding::calls_at(*engine, calls_, environment_.now());
   const bool full = known.live + known.batch >= known.slots;
-  if (full && !final) {
+  if (full && !final && query.affinity_key.empty()) {
     if (const auto zone = roomier_zone(domain)) {
       counters_["placements_passed_on_total"]++;
       return {std::nullopt, *zone};
     }
   }
   counters_[full ? "placements_at_full_engines_total" : "placements_total"]++;
+  return grant(who.node, *engine, query);
+}
+
+routing::Backend* coordinator::find_slot(const std::vector<routing::Backend*>& open,
+                                         const forwarding::place_query& query) {
+  const double median = forwarding::median_latency(open);
+  call_view call;
+  call.reading = query.affinity_key.empty() ? Duration::zero() : query.reading;
+  call.holding = query.holding;
+  call.first_token = std::max(kLeastFirstToken, Duration(static_cast<std::int64_t>(median * kMicroseconds)));
+  call.time_to_yield = std::max(kLeastTimeToYield, calls_.time_to_yield());
+  std::vector<engine_view> engines;
+  engines.reserve(open.size());
+  const Timestamp now = environment_.now();
+  for (const routing::Backend* backend : open) {
+    const forwarding::known_calls known = forwarding::calls_at(*backend, calls_, now);
+    engine_view view{known.live, known.batch, known.slots, forwarding::slowness(*backend, median)};
+    view.reading_left = std::max(Duration::zero(), backend->reading_until - now);
+    if (!query.affinity_key.empty()) {
+      view.keeps_start = starts_.keeps(query.affinity_key, backend->machine.id, now);
+      view.rank = rendezvous_weight(query.affinity_key, backend->machine.id.str());
+    }
+    engines.push_back(view);
+  }
+  const auto position = choose_slot(engines, call);
+  return position ? open[*position] : nullptr;
+}
+
+placement_choice coordinator::grant(const std::string& node, routing::Backend& engine,
+                                    const forwarding::place_query& query) {
+  const BackendId& id = engine.machine.id;
+  const forwarding::known_calls known = forwarding::calls_at(engine, calls_, environment_.now());
+  forwarding::place_answer answer{id, known.needs_yield()};
   if (node != self_.id) {
-    calls_.expect(node, chosen.machine.id, environment_.now());
+    calls_.expect(node, id, environment_.now());
   }
-  if (query.reading.count() > 0) {
-    registry_.on_reading(chosen.machine.id, query.reading);
+  if (!query.affinity_key.empty()) {
+    answer.keeps_start = starts_.keeps(query.affinity_key, id, environment_.now());
+    starts_.used(query.affinity_key, id, environment_.now());
+    if (!answer.keeps_start) {
+      registry_.on_reading(id, query.reading);
+    }
   }
-  return {forwarding::place_answer{chosen.machine.id, known.needs_yield()}, ""};
+  placement_choice choice;
+  choice.place = std::move(answer);
+  return choice;
+}
+
+placement_choice coordinator::hold(const caller& who, const engine_domain& domain, const forwarding::place_query& query,
+                                   const std::vector<routing::Backend*>& open, bool final) {
+  if (!final) {
+    if (const auto zone = roomier_zone(domain)) {
+      counters_["placements_passed_on_total"]++;
+      return {std::nullopt, *zone};
+    }
+  }
+  if (order_ == nullptr) {
+    counters_["placements_at_full_engines_total"]++;
+    routing::Backend* shortest =
+        *std::min_element(open.begin(), open.end(), [this](const auto* left, const auto* right) {
+          const auto queued = [this](const routing::Backend& backend) {
+            const auto known = forwarding::calls_at(backend, calls_, environment_.now());
+            return known.live / known.slots;
+          };
+          return queued(*left) < queued(*right);
+        });
+    return grant(who.node, *shortest, query);
+  }
+  const Timestamp now = environment_.now();
+  waiting_call call{who, query, now, now + query.due, now + query.patience, now};
+  double slots = 0;
+  for (const routing::Backend* backend : open) {
+    slots += backend->machine.slots;
+  }
+  const std::size_t ahead = waiting_.ahead_of(domain, call, now);
+  // Slots fall free one after the other, evenly over the time that a call keeps one.
+  const auto expected = Duration(
+      static_cast<std::int64_t>(static_cast<double>(query.holding.count()) * static_cast<double>(ahead + 1) / slots));
+  placement_choice choice;
+  if (expected >= query.patience || waiting_.size() >= waiting_calls::kMost) {
+    counters_["placements_rejected_total"]++;
+    choice.retry_after = std::max(kLeastRetry, expected);
+    log_.record("call_rejected", {{"request", query.request},
+                                  {"pool", domain.pool},
+                                  {"zone", domain.zone},
+                                  {"ahead", ahead},
+                                  {"expected_ms", expected / 1ms},
+                                  {"patience_ms", query.patience / 1ms}});
+    return choice;
+  }
+  counters_["placements_held_total"]++;
+  waiting_.add(domain, std::move(call));
+  serve_soon();
+  choice.waiting = true;
+  return choice;
+}
+
+void coordinator::withdraw(const caller& who) { waiting_.withdraw(who); }
+
+void coordinator::handle(const wire::PlaceWithdrawalT& message) { withdraw({message.node, message.request, {}}); }
+
+void coordinator::on_calls_changed() { serve_soon(); }
+
+/// Words of freed slots come many at a time; those within a few milliseconds share a look.
+void coordinator::serve_soon() {
+  if (serving_soon_ || waiting_.empty()) {
+    return;
+  }
+  serving_soon_ = true;
+  environment_.after(kServeDelay, lifetime_.guard([this] {
+    serving_soon_ = false;
+    serve_waiting();
+    if (!waiting_.empty()) {
+      // Slots also fall free by words that never come.
+      environment_.after(kServeInterval, lifetime_.guard([this] { serve_soon(); }));
+    }
+  }));
+}
+
+void coordinator::serve_waiting() {
+  calls_.forget_unfulfilled(environment_.now());
+  const std::size_t dropped = waiting_.drop_silent(environment_.now());
+  counters_["placements_held_dropped_total"] += static_cast<CounterValue>(dropped);
+  for (const engine_domain& domain : waiting_.domains()) {
+    while (waiting_.size(domain) > 0 && serve_first(domain)) {
+    }
+  }
+  counters_["placements_held"] = static_cast<CounterValue>(waiting_.size());
+}
+
+bool coordinator::serve_first(const engine_domain& domain) {
+  const Timestamp now = environment_.now();
+  const std::vector<waiting_call>& calls = waiting_.in_order(domain, now);
+  const std::size_t looked_at = std::min(calls.size(), kMostLookedAt);
+  for (std::size_t position = 0; position < looked_at; ++position) {
+    const forwarding::place_query& query = calls[position].query;
+    if (routing::Backend* engine = find_slot(candidates(domain, query.excluded), query)) {
+      const waiting_call call = waiting_.take(domain, position);
+      deliver(domain, call, grant(call.who.node, *engine, call.query));
+      return true;
+    }
+  }
+  if (const auto zone = roomier_zone(domain)) {
+    counters_["placements_passed_on_total"]++;
+    deliver(domain, waiting_.take(domain, 0), {std::nullopt, *zone});
+    return true;
+  }
+  return false;
+}
+
+void coordinator::deliver(const engine_domain& domain, const waiting_call& call, const placement_choice& choice) {
+  const Timestamp now = environment_.now();
+  observe(counters_, "placement_wait", now - call.arrived);
+  log_.record("call_held", {{"request", call.query.request},
+                            {"pool", domain.pool},
+                            {"zone", domain.zone},
+                            {"waited_ms", (now - call.arrived) / 1ms},
+                            {"due_ms", (call.due_at - now) / 1ms},
+                            {"others", waiting_.size(domain)},
+                            {"engine", choice.place ? choice.place->engine.str() : std::string()},
+                            {"passed_to", choice.zone}});
+  if (call.who.node == self_.id) {
+    if (on_own_call) {
+      on_own_call(call.who.request, choice);
+    }
+    return;
+  }
+  answer(call.who.address, call.who.request, choice);
 }
 
 std::optional<std::string> coordinator::roomier_zone(const engine_domain& domain) {
@@ -126,15 +309,28 @@
     query.excluded.insert(BackendId(engine));
   }
   query.reading = Duration(message.reading_us);
-  const placement_choice choice = choose(message.node, {message.pool, message.zone}, query, message.final);
+  query.request = message.caller_request;
+  query.holding = Duration(message.holding_us);
+  query.due = Duration(message.due_us);
+  query.patience = Duration(message.patience_us);
+  query.rank = {message.tenant_priority, message.route_priority};
+  const caller who{message.node, message.request, sender};
+  answer(sender, message.request, choose(who, {message.pool, message.zone}, query, message.final));
+}
+
+void coordinator::answer(const PeerAddress& to, std::uint64_t request, const placement_choice& choice) {
   wire::PlaceReplyT reply;
-  reply.request = message.request;
+  reply.request = request;
   reply.zone = choice.zone;
+  reply.waiting = choice.waiting;
+  reply.rejected = choice.retry_after.has_value();
+  reply.retry_us = static_cast<std::uint32_t>(choice.retry_after.value_or(Duration::zero()).count());
   if (choice.place) {
     reply.engine = choice.place->engine.str();
     reply.needs_yield = choice.place->needs_yield;
+    reply.keeps_start = choice.place->keeps_start;
   }
-  send_message(environment_, sender, std::move(reply));
+  send_message(environment_, to, std::move(reply));
 }
 
 void coordinator::handle(const wire::PlaceRoomT& message) {
@@ -143,6 +339,7 @@
 
 void coordinator::take(const wire::EngineActivityT& message) {
   calls_.take(message, environment_.now());
+  serve_soon();
   for (const auto& entry : message.engines) {
     if (entry->first_ms > 0) {
       registry_.on_first_token(BackendId(entry->engine), entry->first_ms);
--- a/src/placement/duties.cpp
+++ b/src/placement/duties.cpp
@@ -131,7 +131,11 @@
     }
   }
   const std::uint64_t key_hash = stable_hash(key);
+  // A coordinator hears of every call of its engines: on a small machine it falls behind in a burst.
   std::sort(ranked.begin(), ranked.end(), [key_hash](const candidate& left, const candidate& right) {
+    if (left.member->capacity != right.member->capacity) {
+      return left.member->capacity > right.member->capacity;
+    }
     return rendezvous_weight(key_hash, left.hash) > rendezvous_weight(key_hash, right.hash);
   });
   std::vector<const wire::MemberT*> found;
--- a/src/placement/place_client.cpp
+++ b/src/placement/place_client.cpp
@@ -23,7 +23,9 @@
       duties_(who),
       self_(self),
       own_(own),
-      next_request_(environment.random()) {}
+      next_request_(environment.random()) {
+  own.on_own_call = [this](std::uint64_t request, const placement_choice& choice) { take(request, choice); };
+}
 
 const wire::MemberT* place_client::coordinator_for(const engine_domain& domain) const {
   const auto ranked = duties_.coordinators_of(domain.key(), domain.zone);
@@ -47,76 +49,164 @@
   return domain_in(registry_, query.pool, self_.zone);
 }
 
-void place_client::place(const forwarding::place_query& query, placed done) {
-  ask(domain_for(query), query, false, std::move(done));
+place_client::ticket place_client::place(const forwarding::place_query& query, placed done) {
+  const ticket question = ++next_request_;
+  pending asked;
+  asked.query = query;
+  asked.done = std::move(done);
+  asked.domain = domain_for(query);
+  asked.started = environment_.now();
+  pending_.emplace(question, std::move(asked));
+  ask(question);
+  return question;
+}
+
+void place_client::withdraw(ticket question) {
+  const auto node = pending_.extract(question);
+  if (node.empty()) {
+    return;
+  }
+  if (node.mapped().asked == PeerAddress(self_.peer_address)) {
+    own_.withdraw({self_.id, question, {}});
+    return;
+  }
+  wire::PlaceWithdrawalT message;
+  message.request = question;
+  message.node = self_.id;
+  send_message(environment_, node.mapped().asked, std::move(message));
 }
 
-void place_client::ask(const engine_domain& domain, const forwarding::place_query& query, bool final, placed done) {
-  const wire::MemberT* member = coordinator_for(domain);
+void place_client::ask(ticket question) {
+  pending& asked = pending_.at(question);
+  ++asked.round;
+  asked.asked_at = environment_.now();
+  const wire::MemberT* member = coordinator_for(asked.domain);
   if (member == nullptr) {
     counters_["placements_without_coordinator_total"]++;
-    done(std::nullopt);
+    finish(question, std::nullopt);
     return;
   }
+  asked.waiting = asked.waiting && asked.asked == PeerAddress(member->peer_address);
+  asked.asked = PeerAddress(member->peer_address);
+  // What is stated as times from now has gone on since the call began.
+  forwarding::place_query query = asked.query;
+  const Duration passed = environment_.now() - asked.started;
+  query.due -= passed;
+  query.patience -= passed;
   if (member->id == self_.id) {
-    const placement_choice choice = own_.choose(self_.id, domain, query, final);
-    if (!choice.place && !choice.zone.empty()) {
-      ask({domain.pool, choice.zone}, query, true, std::move(done));
-    } else {
-      done(choice.place);
-    }
+    take(question, own_.choose({self_.id, question, {}}, asked.domain, query, asked.final));
     return;
   }
+  counters_["placements_asked_total"]++;
+  environment_.after(kPatience,
+                     lifetime_.guard([this, question, round = asked.round] { on_silence(question, round); }));
+  pending current = asked;
+  current.query = std::move(query);
+  send_question(question, current, *member);
+}
+
+void place_client::send_question(ticket question, const pending& asked, const wire::MemberT& member) {
   wire::PlaceRequestT request;
-  request.request = ++next_request_;
+  request.request = question;
   request.node = self_.id;
-  request.pool = domain.pool;
-  request.zone = domain.zone;
-  request.affinity_key = query.affinity_key;
-  for (const BackendId& engine : query.excluded) {
+  request.pool = asked.domain.pool;
+  request.zone = asked.domain.zone;
+  request.affinity_key = asked.query.affinity_key;
+  for (const BackendId& engine : asked.query.excluded) {
     request.excluded.push_back(engine.str());
   }
-  request.reading_us = static_cast<std::uint32_t>(query.reading.count());
-  request.final = final;
-  const PeerAddress address(member->peer_address);
-  pending_.emplace(request.request, pending{query, std::move(done), address, environment_.now()});
-  counters_["placements_asked_total"]++;
-  environment_.after(kPatience, lifetime_.guard([this, number = request.request] { on_silence(number); }));
-  send_message(environment_, address, std::move(request));
+  request.reading_us = static_cast<std::uint32_t>(asked.query.reading.count());
+  request.final = asked.final;
+  request.caller_request = asked.query.request;
+  request.holding_us = static_cast<std::uint32_t>(asked.query.holding.count());
+  request.due_us = asked.query.due.count();
+  request.patience_us = asked.query.patience.count();
+  request.tenant_priority = asked.query.rank.tenant;
+  request.route_priority = asked.query.rank.route;
+  send_message(environment_, PeerAddress(member.peer_address), std::move(request));
 }
 
-void place_client::handle(const wire::PlaceReplyT& message) {
-  auto node = pending_.extract(message.request);
-  if (node.empty()) {
+void place_client::handle(const PeerAddress& sender, const wire::PlaceReplyT& message) {
+  const auto asked = pending_.find(message.request);
+  // A coordinator that was asked before may answer after the call went on to another one.
+  if (asked == pending_.end() || asked->second.asked != sender) {
     counters_["placements_answered_late_total"]++;
+    if (!message.engine.empty() && on_unused) {
+      on_unused(BackendId(message.engine));
+    }
     return;
   }
-  pending& asked = node.mapped();
-  silences_.erase(asked.asked);
-  if (message.engine.empty() && !message.zone.empty()) {
-    ask({asked.query.pool, message.zone}, asked.query, true, std::move(asked.done));
-  } else if (message.engine.empty()) {
-    asked.done(std::nullopt);
+  silences_.erase(sender);
+  placement_choice choice;
+  choice.zone = message.zone;
+  choice.waiting = message.waiting;
+  if (message.rejected) {
+    choice.retry_after = Duration(message.retry_us);
+  } else if (!message.engine.empty()) {
+    choice.place = forwarding::place_answer{BackendId(message.engine), message.needs_yield, message.keeps_start};
+  }
+  take(message.request, choice);
+}
+
+void place_client::take(ticket question, const placement_choice& choice) {
+  const auto entry = pending_.find(question);
+  if (entry == pending_.end()) {
+    return;
+  }
+  pending& asked = entry->second;
+  if (choice.waiting) {
+    asked.waiting = true;
+    ++asked.round;
+    ask_again_later(question);
+  } else if (choice.retry_after) {
+    finish(question, forwarding::place_outcome::rejected(*choice.retry_after));
+  } else if (choice.place) {
+    finish(question, choice.place);
+  } else if (!choice.zone.empty() && !asked.final) {
+    asked.domain.zone = choice.zone;
+    asked.final = true;
+    asked.waiting = false;
+    ask(question);
   } else {
-    asked.done(forwarding::place_answer{BackendId(message.engine), message.needs_yield});
+    finish(question, std::nullopt);
   }
 }
 
-void place_client::on_silence(std::uint64_t request) {
-  auto node = pending_.extract(request);
-  if (node.empty()) {
+void place_client::finish(ticket question, const forwarding::place_outcome& outcome) {
+  auto node = pending_.extract(question);
+  node.mapped().done(outcome);
+}
+
+void place_client::ask_again_later(ticket question) {
+  const std::uint64_t round = pending_.at(question).round;
+  environment_.after(waiting_calls::kRefresh, lifetime_.guard([this, question, round] {
+    const auto asked = pending_.find(question);
+    if (asked != pending_.end() && asked->second.round == round) {
+      ask(question);
+    }
+  }));
+}
+
+void place_client::on_silence(ticket question, std::uint64_t round) {
+  const auto entry = pending_.find(question);
+  if (entry == pending_.end() || entry->second.round != round) {
     return;
   }
+  pending& asked = entry->second;
   counters_["placements_unanswered_total"]++;
-  silence& state = silences_[node.mapped().asked];
+  silence& state = silences_[asked.asked];
   if (++state.unanswered >= kMostUnanswered) {
     state.unanswered = 0;
     state.avoided_until = environment_.now() + kAvoided;
-    log_.record("coordinator_avoided", {{"address", node.mapped().asked.str()},
-                                        {"pool", node.mapped().query.pool},
-                                        {"silent_ms", (environment_.now() - node.mapped().asked_at) / 1ms}});
+    log_.record("coordinator_avoided", {{"address", asked.asked.str()},
+                                        {"pool", asked.query.pool},
+                                        {"silent_ms", (environment_.now() - asked.asked_at) / 1ms}});
+  }
+  if (asked.waiting) {
+    ask(question);  // it has waited already: the next in rank gives it a place by its age
+    return;
   }
-  node.mapped().done(std::nullopt);
+  finish(question, std::nullopt);
 }
 
 }  // namespace madderdeck::placement
--- a/src/placement/place_client.hpp
+++ b/src/placement/place_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// @file Asks coordinators for engines.
 
+#include <functional>
 #include <map>
 #include <string>
 
@@ -14,7 +15,9 @@
 namespace madderdeck::placement {
 
 /// One exchange of datagrams for a call, two where the first zone is full. A coordinator that does not answer is left
-/// alone for a while: then the next in rank is asked. Single threaded.
+/// alone for a while: then the next in rank is asked. Where all slots are taken the coordinator says so, and names an
+/// engine once one is free; meanwhile the question is repeated, so that a coordinator that dies costs a call no more
+/// than its place among those that wait. Single threaded.
 class place_client : public forwarding::engine_placer {
  public:
   /// @param own this node's coordinator, for the domains that are its own.
@@ -22,8 +25,11 @@
                const duties& who, const wire::MemberT& self, coordinator& own);
 
   bool active() const override { return duties_.divided(); }
-  void place(const forwarding::place_query& query, placed done) override;
-  void handle(const wire::PlaceReplyT& message);
+  ticket place(const forwarding::place_query& query, placed done) override;
+  void withdraw(ticket question) override;
+  void handle(const PeerAddress& sender, const wire::PlaceReplyT& message);
+  /// Told of engines that were named too late to be used: their coordinator counts a call there that never comes.
+  std::function<void(const BackendId&)> on_unused;
   /// @return the gateway that is asked for engines of @p domain now; null where there is none.
   const wire::MemberT* coordinator_for(const engine_domain& domain) const;
 
@@ -31,8 +37,13 @@
   struct pending {
     forwarding::place_query query;
     placed done;
+    engine_domain domain;
+    bool final = false;
     PeerAddress asked;
     Timestamp asked_at{};
+    Timestamp started{};
+    bool waiting = false;     ///< The coordinator has said that an engine follows.
+    std::uint64_t round = 0;  ///< Of questions for this call; timers of earlier ones do nothing.
   };
   struct silence {
     unsigned unanswered = 0;  ///< In a row.
@@ -40,8 +51,13 @@
   };
 
   engine_domain domain_for(const forwarding::place_query& query) const;
-  void ask(const engine_domain& domain, const forwarding::place_query& query, bool final, placed done);
-  void on_silence(std::uint64_t request);
+  /// Asks (again) for a call that is pending.
+  void ask(ticket question);
+  void send_question(ticket question, const pending& asked, const wire::MemberT& member);
+  void take(ticket question, const placement_choice& choice);
+  void finish(ticket question, const forwarding::place_outcome& outcome);
+  void ask_again_later(ticket question);
+  void on_silence(ticket question, std::uint64_t round);
 
   Environment& environment_;
   Counters& counters_;
--- /dev/null
+++ b/src/policy/call_order.cpp
@@ -0,0 +1,19 @@
+#include "policy/call_order.hpp"
+
+namespace madderdeck::policy {
+
+bool arrival_call_order::before(const call_outlook& left, const call_outlook& right) const {
+  return left.waited > right.waited;
+}
+
+bool attainable_call_order::before(const call_outlook& left, const call_outlook& right) const {
+  if (left.in_time() != right.in_time()) {
+    return left.in_time();
+  }
+  if (left.rank != right.rank) {
+    return left.rank < right.rank;
+  }
+  return left.in_time() ? left.time_left < right.time_left : left.waited > right.waited;
+}
+
+}  // namespace madderdeck::policy
--- a/src/policy/policies.cpp
+++ b/src/policy/policies.cpp
@@ -29,6 +29,11 @@
   return *this;
 }
 
+policy_set_builder& policy_set_builder::call_order(std::string name) {
+  call_order_ = std::move(name);
+  return *this;
+}
+
 Result<policy_set> policy_set_builder::build() const {
   policy_set set;
   if (headroom_ == "observed") {
@@ -48,6 +53,13 @@
   if (engine_choice_ != "reports" && engine_choice_ != "shared" && engine_choice_ != "coordinated") {
     return unknown("engine_choice", engine_choice_, "reports, shared or coordinated");
   }
+  if (call_order_ == "arrival") {
+    set.calls = std::make_shared<arrival_call_order>();
+  } else if (call_order_ == "attainable") {
+    set.calls = std::make_shared<attainable_call_order>();
+  } else if (call_order_ != "engine") {
+    return unknown("call_order", call_order_, "engine, arrival or attainable");
+  }
   set.coordinated = engine_choice_ == "coordinated";
   set.shared_calls = set.coordinated || engine_choice_ == "shared";
   return set;
--- a/src/policy/policies.hpp
+++ b/src/policy/policies.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "common/error.hpp"
+#include "policy/call_order.hpp"
 #include "policy/headroom.hpp"
 #include "policy/item_order.hpp"
 
@@ -14,6 +15,8 @@
 struct policy_set {
   std::shared_ptr<const headroom_policy> headroom;  ///< Null: the fleet policy's fixed number.
   std::shared_ptr<const item_order> order;          ///< Never null.
+  /// Of live calls for which no slot is free; null: they wait at an engine.
+  std::shared_ptr<const call_order> calls;
   bool shared_calls = false;  ///< Gateways tell each other their calls, and choose engines by them.
   /// In fleets too large for that, a coordinator in each zone knows the calls and chooses the engines.
   bool coordinated = false;
@@ -28,6 +31,8 @@
   policy_set_builder& item_order(std::string name);
   /// @param name "reports", "shared" or "coordinated".
   policy_set_builder& engine_choice(std::string name);
+  /// @param name "engine", "arrival" or "attainable".
+  policy_set_builder& call_order(std::string name);
   /// @return the set, or ErrorKind::invalid_argument naming the policy that is not known.
   Result<policy_set> build() const;
 
@@ -35,6 +40,7 @@
   std::string headroom_ = "fixed";
   std::string item_order_ = "deadline";
   std::string engine_choice_ = "reports";
+  std::string call_order_ = "engine";
 };
 
 }  // namespace madderdeck::policy
--- a/src/routing/shared_calls.cpp
+++ b/src/routing/shared_calls.cpp
@@ -26,9 +26,12 @@
   if (message.complete) {
     drop(node);
     node.engines.clear();
+    node.words.clear();
+    ++node.complete_words;
   }
   for (const auto& entry : message.engines) {
     const BackendId engine(entry->engine);
+    ++node.words[engine];
     const std::uint32_t open = entry->live + entry->batch > 0 ? 1 : 0;
     replace(node.engines[engine], engine, open_calls{entry->live, entry->batch, open, entry->silent ? open : 0});
   }
@@ -42,6 +45,33 @@
   ++more.live;
   more.nodes = 1;
   replace(known, engine, more);
+  expected_.push_back({node, engine, now + kExpected, words_about(asker, engine)});
+}
+
+std::uint64_t shared_calls::words_about(const told& node, const BackendId& engine) {
+  const auto words = node.words.find(engine);
+  // Complete words are about every engine; they start the count of the others anew.
+  constexpr std::uint64_t kComplete = 1ULL << 32U;
+  return node.complete_words * kComplete + (words == node.words.end() ? 0 : words->second);
+}
+
+void shared_calls::forget_unfulfilled(Timestamp now) {
+  for (; !expected_.empty() && expected_.front().until <= now; expected_.pop_front()) {
+    const expectation& one = expected_.front();
+    const auto node = nodes_.find(one.node);
+    if (node == nodes_.end() || words_about(node->second, one.engine) != one.word) {
+      continue;
+    }
+    const auto known = node->second.engines.find(one.engine);
+    if (known == node->second.engines.end() || known->second.live == 0) {
+      continue;
+    }
+    open_calls less = known->second;
+    --less.live;
+    less.nodes = less.live + less.batch > 0 ? 1 : 0;
+    less.silent_nodes = std::min(less.silent_nodes, less.nodes);
+    replace(known->second, one.engine, less);
+  }
 }
 
 void shared_calls::drop(const told& node) {
--- a/src/tenancy/rate_limiter.cpp
+++ b/src/tenancy/rate_limiter.cpp
@@ -14,6 +14,11 @@
 /// By then probes have shown whether the keeper is gone.
 constexpr Duration kLeftAlone = 500ms;
 constexpr Duration kMaintenance = 5s;
+/// By then nodes that start all at once know each other.
+constexpr Duration kYoung = 3s;
+constexpr Duration kTryAgain = 60ms;
+/// With a silent keeper each time, 600 ms: beyond, a refusal serves the caller better.
+constexpr unsigned kMostTries = 5;
 constexpr Duration kLeastRetry = 100ms;
 /// More would only wait unused.
 constexpr std::uint32_t kMostWanted = 64;
@@ -33,6 +38,7 @@
       next_request_(environment.random()) {}
 
 void rate_limiter::start() {
+  started_ = environment_.now();
   environment_.after(kMaintenance, lifetime_.guard([this] { maintain(); }));
 }
 
@@ -76,7 +82,7 @@
   return members_.has_seeds() && !members_.is_seed() && gateways_known_ <= 1;
 }
 
-void rate_limiter::admit(const std::string& request, const stated_rate& rate, decided done) {
+void rate_limiter::try_admit(const std::string& request, const stated_rate& rate, unsigned tries, decided done) {
   if (!rate.limit.limited()) {
     done({true, {}});
     return;
@@ -91,13 +97,13 @@
   const wire::MemberT* keeper = keeper_of(rate.tenant);
   const auto silent = keeper == nullptr ? silent_until_.end() : silent_until_.find(PeerAddress(keeper->peer_address));
   if (keeper == nullptr || alone() || (silent != silent_until_.end() && now < silent->second)) {
-    decide_by_own_part(request, rate, done);
+    on_undecided(request, rate, tries, done);
   } else if (keeper->id == members_.self().id) {
     const auto answer = own_.decide(
         question_for(rate), [this](const std::string& node) { return is_reachable(node); }, gateways_known_, now);
     take_answer(request, rate, answer, now, done);
   } else {
-    ask(*keeper, request, rate, std::move(done));
+    ask(*keeper, request, rate, tries, std::move(done));
   }
 }
 
@@ -115,7 +121,20 @@
   return question;
 }
 
-void rate_limiter::ask(const wire::MemberT& keeper, const std::string& request, const stated_rate& rate, decided done) {
+void rate_limiter::on_undecided(const std::string& request, const stated_rate& rate, unsigned tries,
+                                const decided& done) {
+  const bool young = environment_.now() - started_ < kYoung;
+  if (!young || tries >= kMostTries) {
+    decide_by_own_part(request, rate, done);
+    return;
+  }
+  counters_["tenant_rate_asked_again_total"]++;
+  environment_.after(
+      kTryAgain, lifetime_.guard([this, request, rate, tries, done] { try_admit(request, rate, tries + 1, done); }));
+}
+
+void rate_limiter::ask(const wire::MemberT& keeper, const std::string& request, const stated_rate& rate, unsigned tries,
+                       decided done) {
   const rate_question question = question_for(rate);
   wire::RateRequestT message;
   message.request = ++next_request_;
@@ -127,7 +146,7 @@
   message.wanted = question.wanted;
   message.recent = question.recent;
   const PeerAddress address(keeper.peer_address);
-  pending_.emplace(message.request, pending{request, rate, std::move(done), address, environment_.now()});
+  pending_.emplace(message.request, pending{request, rate, std::move(done), address, environment_.now(), tries});
   counters_["tenant_rate_questions_total"]++;
   environment_.after(kPatience, lifetime_.guard([this, number = message.request] {
     auto node = pending_.extract(number);
@@ -136,7 +155,7 @@
     }
     counters_["tenant_rate_keeper_silent_total"]++;
     silent_until_[node.mapped().keeper] = environment_.now() + kLeftAlone;
-    decide_by_own_part(node.mapped().request, node.mapped().rate, node.mapped().done);
+    on_undecided(node.mapped().request, node.mapped().rate, node.mapped().tries, node.mapped().done);
   }));
   send_message(environment_, address, std::move(message));
 }
@@ -172,7 +191,7 @@
   }
   const pending& asked = node.mapped();
   if (!message.keeper) {
-    decide_by_own_part(asked.request, asked.rate, asked.done);
+    on_undecided(asked.request, asked.rate, asked.tries, asked.done);
     return;
   }
   const rate_answer answer{message.granted, message.used, message.allowed, Duration(message.retry_us)};
--- a/src/tenancy/rate_limiter.hpp
+++ b/src/tenancy/rate_limiter.hpp
@@ -35,7 +35,9 @@
   void start();
   /// Decides on one request. @p done may run before this returns.
   /// @param request its id, for the log.
-  void admit(const std::string& request, const stated_rate& rate, decided done);
+  void admit(const std::string& request, const stated_rate& rate, decided done) {
+    try_admit(request, rate, 0, std::move(done));
+  }
 
   void handle(const PeerAddress& sender, const wire::RateRequestT& message);
   void handle(const wire::RateReplyT& message);
@@ -58,8 +60,12 @@
     decided done;
     PeerAddress keeper;
     Timestamp asked_at{};
+    unsigned tries = 0;  ///< Before this one.
   };
 
+  void try_admit(const std::string& request, const stated_rate& rate, unsigned tries, decided done);
+  /// No keeper has decided. A node that has just started asks again soon: the nodes do not know each other yet.
+  void on_undecided(const std::string& request, const stated_rate& rate, unsigned tries, const decided& done);
   account& account_of(const std::string& tenant);
   const wire::MemberT* keeper_of(const std::string& tenant) const;
   bool is_reachable(const std::string& node) const;
@@ -67,7 +73,8 @@
   /// @return whether this node has found nobody yet though it has been told where to look.
   bool alone() const;
   rate_question question_for(const stated_rate& rate);
-  void ask(const wire::MemberT& keeper, const std::string& request, const stated_rate& rate, decided done);
+  void ask(const wire::MemberT& keeper, const std::string& request, const stated_rate& rate, unsigned tries,
+           decided done);
   void take_answer(const std::string& request, const stated_rate& rate, const rate_answer& answer, Timestamp asked_at,
                    const decided& done);
   void decide_by_own_part(const std::string& request, const stated_rate& rate, const decided& done);
@@ -86,6 +93,7 @@
   std::map<std::string, account> accounts_;
   std::map<std::uint64_t, pending> pending_;
   std::map<PeerAddress, Timestamp> silent_until_;  ///< Keepers that have not answered.
+  Timestamp started_{};
   std::uint64_t next_request_ = 0;
   /// Derived again when the members change.
   mutable std::uint64_t view_version_ = 0;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -154,6 +154,10 @@
 struct PlaceReplyBuilder;
 struct PlaceReplyT;
 
+struct PlaceWithdrawal;
+struct PlaceWithdrawalBuilder;
+struct PlaceWithdrawalT;
+
 struct EngineFailure;
 struct EngineFailureBuilder;
 struct EngineFailureT;
@@ -414,11 +418,12 @@
   EngineFailure = 32,
   RateRequest = 33,
   RateReply = 34,
+  PlaceWithdrawal = 35,
   MIN = NONE,
-  MAX = RateReply
+  MAX = PlaceWithdrawal
 };
 
-inline const Message (&EnumValuesMessage())[35] {
+inline const Message (&EnumValuesMessage())[36] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -454,13 +459,14 @@
     Message::PlaceRoom,
     Message::EngineFailure,
     Message::RateRequest,
-    Message::RateReply
+    Message::RateReply,
+    Message::PlaceWithdrawal
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[36] = {
+  static const char * const names[37] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -496,13 +502,14 @@
     "EngineFailure",
     "RateRequest",
     "RateReply",
+    "PlaceWithdrawal",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RateReply)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::PlaceWithdrawal)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -647,6 +654,10 @@
   static const Message enum_value = Message::RateReply;
 };
 
+template<> struct MessageTraits<madderdeck::wire::PlaceWithdrawal> {
+  static const Message enum_value = Message::PlaceWithdrawal;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -787,6 +798,10 @@
   static const Message enum_value = Message::RateReply;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::PlaceWithdrawalT> {
+  static const Message enum_value = Message::PlaceWithdrawal;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1089,6 +1104,14 @@
     return type == Message::RateReply ?
       reinterpret_cast<const madderdeck::wire::RateReplyT *>(value) : nullptr;
   }
+  madderdeck::wire::PlaceWithdrawalT *AsPlaceWithdrawal() {
+    return type == Message::PlaceWithdrawal ?
+      reinterpret_cast<madderdeck::wire::PlaceWithdrawalT *>(value) : nullptr;
+  }
+  const madderdeck::wire::PlaceWithdrawalT *AsPlaceWithdrawal() const {
+    return type == Message::PlaceWithdrawal ?
+      reinterpret_cast<const madderdeck::wire::PlaceWithdrawalT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -5069,6 +5092,12 @@
   std::vector<std::string> excluded{};
   uint32_t reading_us = 0;
   bool final = false;
+  std::string caller_request{};
+  uint32_t holding_us = 0;
+  int64_t due_us = 0;
+  int64_t patience_us = 0;
+  uint32_t tenant_priority = 0;
+  uint32_t route_priority = 0;
 };
 
 struct PlaceRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5083,7 +5112,13 @@
     VT_AFFINITY_KEY = 12,
     VT_EXCLUDED = 14,
     VT_READING_US = 16,
-    VT_FINAL = 18
+    VT_FINAL = 18,
+    VT_CALLER_REQUEST = 20,
+    VT_HOLDING_US = 22,
+    VT_DUE_US = 24,
+    VT_PATIENCE_US = 26,
+    VT_TENANT_PRIORITY = 28,
+    VT_ROUTE_PRIORITY = 30
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -5109,6 +5144,24 @@
   bool final() const {
     return GetField<uint8_t>(VT_FINAL, 0) != 0;
   }
+  const flatbuffers::String *caller_request() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLER_REQUEST);
+  }
+  uint32_t holding_us() const {
+    return GetField<uint32_t>(VT_HOLDING_US, 0);
+  }
+  int64_t due_us() const {
+    return GetField<int64_t>(VT_DUE_US, 0);
+  }
+  int64_t patience_us() const {
+    return GetField<int64_t>(VT_PATIENCE_US, 0);
+  }
+  uint32_t tenant_priority() const {
+    return GetField<uint32_t>(VT_TENANT_PRIORITY, 0);
+  }
+  uint32_t route_priority() const {
+    return GetField<uint32_t>(VT_ROUTE_PRIORITY, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -5125,6 +5178,13 @@
            verifier.VerifyVectorOfStrings(excluded()) &&
            VerifyField<uint32_t>(verifier, VT_READING_US, 4) &&
            VerifyField<uint8_t>(verifier, VT_FINAL, 1) &&
+           VerifyOffset(verifier, VT_CALLER_REQUEST) &&
+           verifier.VerifyString(caller_request()) &&
+           VerifyField<uint32_t>(verifier, VT_HOLDING_US, 4) &&
+           VerifyField<int64_t>(verifier, VT_DUE_US, 8) &&
+           VerifyField<int64_t>(verifier, VT_PATIENCE_US, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TENANT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ROUTE_PRIORITY, 4) &&
            verifier.EndTable();
   }
   PlaceRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5160,6 +5220,24 @@
   void add_final(bool final) {
     fbb_.AddElement<uint8_t>(PlaceRequest::VT_FINAL, static_cast<uint8_t>(final), 0);
   }
+  void add_caller_request(flatbuffers::Offset<flatbuffers::String> caller_request) {
+    fbb_.AddOffset(PlaceRequest::VT_CALLER_REQUEST, caller_request);
+  }
+  void add_holding_us(uint32_t holding_us) {
+    fbb_.AddElement<uint32_t>(PlaceRequest::VT_HOLDING_US, holding_us, 0);
+  }
+  void add_due_us(int64_t due_us) {
+    fbb_.AddElement<int64_t>(PlaceRequest::VT_DUE_US, due_us, 0);
+  }
+  void add_patience_us(int64_t patience_us) {
+    fbb_.AddElement<int64_t>(PlaceRequest::VT_PATIENCE_US, patience_us, 0);
+  }
+  void add_tenant_priority(uint32_t tenant_priority) {
+    fbb_.AddElement<uint32_t>(PlaceRequest::VT_TENANT_PRIORITY, tenant_priority, 0);
+  }
+  void add_route_priority(uint32_t route_priority) {
+    fbb_.AddElement<uint32_t>(PlaceRequest::VT_ROUTE_PRIORITY, route_priority, 0);
+  }
   explicit PlaceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5180,9 +5258,21 @@
     flatbuffers::Offset<flatbuffers::String> affinity_key = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> excluded = 0,
     uint32_t reading_us = 0,
-    bool final = false) {
+    bool final = false,
+    flatbuffers::Offset<flatbuffers::String> caller_request = 0,
+    uint32_t holding_us = 0,
+    int64_t due_us = 0,
+    int64_t patience_us = 0,
+    uint32_t tenant_priority = 0,
+    uint32_t route_priority = 0) {
   PlaceRequestBuilder builder_(_fbb);
+  builder_.add_patience_us(patience_us);
+  builder_.add_due_us(due_us);
   builder_.add_request(request);
+  builder_.add_route_priority(route_priority);
+  builder_.add_tenant_priority(tenant_priority);
+  builder_.add_holding_us(holding_us);
+  builder_.add_caller_request(caller_request);
   builder_.add_reading_us(reading_us);
   builder_.add_excluded(excluded);
   builder_.add_affinity_key(affinity_key);
@@ -5207,12 +5297,19 @@
     const char *affinity_key = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *excluded = nullptr,
     uint32_t reading_us = 0,
-    bool final = false) {
+    bool final = false,
+    const char *caller_request = nullptr,
+    uint32_t holding_us = 0,
+    int64_t due_us = 0,
+    int64_t patience_us = 0,
+    uint32_t tenant_priority = 0,
+    uint32_t route_priority = 0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto affinity_key__ = affinity_key ? _fbb.CreateString(affinity_key) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
+  auto caller_request__ = caller_request ? _fbb.CreateString(caller_request) : 0;
   return madderdeck::wire::CreatePlaceRequest(
       _fbb,
       request,
@@ -5222,7 +5319,13 @@
       affinity_key__,
       excluded__,
       reading_us,
-      final);
+      final,
+      caller_request__,
+      holding_us,
+      due_us,
+      patience_us,
+      tenant_priority,
+      route_priority);
 }
 
 flatbuffers::Offset<PlaceRequest> CreatePlaceRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5233,6 +5336,10 @@
   std::string engine{};
   std::string zone{};
   bool needs_yield = false;
+  bool waiting = false;
+  bool rejected = false;
+  uint32_t retry_us = 0;
+  bool keeps_start = false;
 };
 
 struct PlaceReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5243,7 +5350,11 @@
     VT_REQUEST = 4,
     VT_ENGINE = 6,
     VT_ZONE = 8,
-    VT_NEEDS_YIELD = 10
+    VT_NEEDS_YIELD = 10,
+    VT_WAITING = 12,
+    VT_REJECTED = 14,
+    VT_RETRY_US = 16,
+    VT_KEEPS_START = 18
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -5257,6 +5368,18 @@
   bool needs_yield() const {
     return GetField<uint8_t>(VT_NEEDS_YIELD, 0) != 0;
   }
+  bool waiting() const {
+    return GetField<uint8_t>(VT_WAITING, 0) != 0;
+  }
+  bool rejected() const {
+    return GetField<uint8_t>(VT_REJECTED, 0) != 0;
+  }
+  uint32_t retry_us() const {
+    return GetField<uint32_t>(VT_RETRY_US, 0);
+  }
+  bool keeps_start() const {
+    return GetField<uint8_t>(VT_KEEPS_START, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -5265,6 +5388,10 @@
            VerifyOffset(verifier, VT_ZONE) &&
            verifier.VerifyString(zone()) &&
            VerifyField<uint8_t>(verifier, VT_NEEDS_YIELD, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WAITING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_REJECTED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_US, 4) &&
+           VerifyField<uint8_t>(verifier, VT_KEEPS_START, 1) &&
            verifier.EndTable();
   }
   PlaceReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5288,6 +5415,18 @@
   void add_needs_yield(bool needs_yield) {
     fbb_.AddElement<uint8_t>(PlaceReply::VT_NEEDS_YIELD, static_cast<uint8_t>(needs_yield), 0);
   }
+  void add_waiting(bool waiting) {
+    fbb_.AddElement<uint8_t>(PlaceReply::VT_WAITING, static_cast<uint8_t>(waiting), 0);
+  }
+  void add_rejected(bool rejected) {
+    fbb_.AddElement<uint8_t>(PlaceReply::VT_REJECTED, static_cast<uint8_t>(rejected), 0);
+  }
+  void add_retry_us(uint32_t retry_us) {
+    fbb_.AddElement<uint32_t>(PlaceReply::VT_RETRY_US, retry_us, 0);
+  }
+  void add_keeps_start(bool keeps_start) {
+    fbb_.AddElement<uint8_t>(PlaceReply::VT_KEEPS_START, static_cast<uint8_t>(keeps_start), 0);
+  }
   explicit PlaceReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5304,11 +5443,19 @@
     uint64_t request = 0,
     flatbuffers::Offset<flatbuffers::String> engine = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
-    bool needs_yield = false) {
+    bool needs_yield = false,
+    bool waiting = false,
+    bool rejected = false,
+    uint32_t retry_us = 0,
+    bool keeps_start = false) {
   PlaceReplyBuilder builder_(_fbb);
   builder_.add_request(request);
+  builder_.add_retry_us(retry_us);
   builder_.add_zone(zone);
   builder_.add_engine(engine);
+  builder_.add_keeps_start(keeps_start);
+  builder_.add_rejected(rejected);
+  builder_.add_waiting(waiting);
   builder_.add_needs_yield(needs_yield);
   return builder_.Finish();
 }
@@ -5323,7 +5470,11 @@
     uint64_t request = 0,
     const char *engine = nullptr,
     const char *zone = nullptr,
-    bool needs_yield = false) {
+    bool needs_yield = false,
+    bool waiting = false,
+    bool rejected = false,
+    uint32_t retry_us = 0,
+    bool keeps_start = false) {
   auto engine__ = engine ? _fbb.CreateString(engine) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   return madderdeck::wire::CreatePlaceReply(
@@ -5331,11 +5482,96 @@
       request,
       engine__,
       zone__,
-      needs_yield);
+      needs_yield,
+      waiting,
+      rejected,
+      retry_us,
+      keeps_start);
 }
 
 flatbuffers::Offset<PlaceReply> CreatePlaceReply(flatbuffers::FlatBufferBuilder &_fbb, const PlaceReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PlaceWithdrawalT : public flatbuffers::NativeTable {
+  typedef PlaceWithdrawal TableType;
+  uint64_t request = 0;
+  std::string node{};
+};
+
+struct PlaceWithdrawal FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceWithdrawalT NativeTableType;
+  typedef PlaceWithdrawalBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUEST = 4,
+    VT_NODE = 6
+  };
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           verifier.EndTable();
+  }
+  PlaceWithdrawalT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceWithdrawalT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceWithdrawal> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceWithdrawalT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceWithdrawalBuilder {
+  typedef PlaceWithdrawal Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(PlaceWithdrawal::VT_REQUEST, request, 0);
+  }
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(PlaceWithdrawal::VT_NODE, node);
+  }
+  explicit PlaceWithdrawalBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceWithdrawal> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceWithdrawal>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceWithdrawal> CreatePlaceWithdrawal(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    flatbuffers::Offset<flatbuffers::String> node = 0) {
+  PlaceWithdrawalBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_node(node);
+  return builder_.Finish();
+}
+
+struct PlaceWithdrawal::Traits {
+  using type = PlaceWithdrawal;
+  static auto constexpr Create = CreatePlaceWithdrawal;
+};
+
+inline flatbuffers::Offset<PlaceWithdrawal> CreatePlaceWithdrawalDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t request = 0,
+    const char *node = nullptr) {
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  return madderdeck::wire::CreatePlaceWithdrawal(
+      _fbb,
+      request,
+      node__);
+}
+
+flatbuffers::Offset<PlaceWithdrawal> CreatePlaceWithdrawal(flatbuffers::FlatBufferBuilder &_fbb, const PlaceWithdrawalT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EngineFailureT : public flatbuffers::NativeTable {
   typedef EngineFailure TableType;
   std::string engine{};
@@ -6302,6 +6538,9 @@
   const madderdeck::wire::RateReply *body_as_RateReply() const {
     return body_type() == madderdeck::wire::Message::RateReply ? static_cast<const madderdeck::wire::RateReply *>(body()) : nullptr;
   }
+  const madderdeck::wire::PlaceWithdrawal *body_as_PlaceWithdrawal() const {
+    return body_type() == madderdeck::wire::Message::PlaceWithdrawal ? static_cast<const madderdeck::wire::PlaceWithdrawal *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -6452,6 +6691,10 @@
   return body_as_RateReply();
 }
 
+template<> inline const madderdeck::wire::PlaceWithdrawal *Envelope::body_as<madderdeck::wire::PlaceWithdrawal>() const {
+  return body_as_PlaceWithdrawal();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -9225,6 +9468,12 @@
   { auto _e = excluded(); if (_e) { _o->excluded.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->excluded[_i] = _e->Get(_i)->str(); } } }
   { auto _e = reading_us(); _o->reading_us = _e; }
   { auto _e = final(); _o->final = _e; }
+  { auto _e = caller_request(); if (_e) _o->caller_request = _e->str(); }
+  { auto _e = holding_us(); _o->holding_us = _e; }
+  { auto _e = due_us(); _o->due_us = _e; }
+  { auto _e = patience_us(); _o->patience_us = _e; }
+  { auto _e = tenant_priority(); _o->tenant_priority = _e; }
+  { auto _e = route_priority(); _o->route_priority = _e; }
 }
 
 inline flatbuffers::Offset<PlaceRequest> PlaceRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9243,6 +9492,12 @@
   auto _excluded = _o->excluded.size() ? _fbb.CreateVectorOfStrings(_o->excluded) : 0;
   auto _reading_us = _o->reading_us;
   auto _final = _o->final;
+  auto _caller_request = _o->caller_request.empty() ? 0 : _fbb.CreateString(_o->caller_request);
+  auto _holding_us = _o->holding_us;
+  auto _due_us = _o->due_us;
+  auto _patience_us = _o->patience_us;
+  auto _tenant_priority = _o->tenant_priority;
+  auto _route_priority = _o->route_priority;
   return madderdeck::wire::CreatePlaceRequest(
       _fbb,
       _request,
@@ -9252,7 +9507,13 @@
       _affinity_key,
       _excluded,
       _reading_us,
-      _final);
+      _final,
+      _caller_request,
+      _holding_us,
+      _due_us,
+      _patience_us,
+      _tenant_priority,
+      _route_priority);
 }
 
 inline PlaceReplyT *PlaceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -9268,6 +9529,10 @@
   { auto _e = engine(); if (_e) _o->engine = _e->str(); }
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = needs_yield(); _o->needs_yield = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = rejected(); _o->rejected = _e; }
+  { auto _e = retry_us(); _o->retry_us = _e; }
+  { auto _e = keeps_start(); _o->keeps_start = _e; }
 }
 
 inline flatbuffers::Offset<PlaceReply> PlaceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9282,12 +9547,49 @@
   auto _engine = _o->engine.empty() ? 0 : _fbb.CreateString(_o->engine);
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _needs_yield = _o->needs_yield;
+  auto _waiting = _o->waiting;
+  auto _rejected = _o->rejected;
+  auto _retry_us = _o->retry_us;
+  auto _keeps_start = _o->keeps_start;
   return madderdeck::wire::CreatePlaceReply(
       _fbb,
       _request,
       _engine,
       _zone,
-      _needs_yield);
+      _needs_yield,
+      _waiting,
+      _rejected,
+      _retry_us,
+      _keeps_start);
+}
+
+inline PlaceWithdrawalT *PlaceWithdrawal::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlaceWithdrawalT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceWithdrawal::UnPackTo(PlaceWithdrawalT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+}
+
+inline flatbuffers::Offset<PlaceWithdrawal> PlaceWithdrawal::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceWithdrawalT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceWithdrawal(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceWithdrawal> CreatePlaceWithdrawal(flatbuffers::FlatBufferBuilder &_fbb, const PlaceWithdrawalT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceWithdrawalT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _request = _o->request;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  return madderdeck::wire::CreatePlaceWithdrawal(
+      _fbb,
+      _request,
+      _node);
 }
 
 inline EngineFailureT *EngineFailure::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -10202,6 +10504,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::RateReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::PlaceWithdrawal: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceWithdrawal *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -10357,6 +10663,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::RateReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::PlaceWithdrawal: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceWithdrawal *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -10500,6 +10810,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::RateReplyT *>(value);
       return CreateRateReply(_fbb, ptr, _rehasher).Union();
     }
+    case Message::PlaceWithdrawal: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::PlaceWithdrawalT *>(value);
+      return CreatePlaceWithdrawal(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -10642,6 +10956,10 @@
       value = new madderdeck::wire::RateReplyT(*reinterpret_cast<madderdeck::wire::RateReplyT *>(u.value));
       break;
     }
+    case Message::PlaceWithdrawal: {
+      value = new madderdeck::wire::PlaceWithdrawalT(*reinterpret_cast<madderdeck::wire::PlaceWithdrawalT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -10819,6 +11137,11 @@
       delete ptr;
       break;
     }
+    case Message::PlaceWithdrawal: {
+      auto ptr = reinterpret_cast<madderdeck::wire::PlaceWithdrawalT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -37,14 +37,17 @@
 class scripted_placer : public engine_placer {
  public:
   bool active() const override { return on; }
-  void place(const place_query& query, placed done) override {
+  ticket place(const place_query& query, placed done) override {
     queries.push_back(query);
     answers.push_back(std::move(done));
+    return answers.size();
   }
+  void withdraw(ticket question) override { withdrawn.push_back(question); }
 
   bool on = true;
   std::vector<place_query> queries;
   std::vector<placed> answers;
+  std::vector<ticket> withdrawn;
 };
 
 /// What the caller has got.
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -166,3 +166,14 @@
     CHECK(cluster.seen(node, 7) == wire::MemberState::Leaving);
   }
 }
+
+TEST_CASE("a node whose seed listens a little later joins within 100 ms of that") {
+  for (const Duration late : {150ms, 350ms, 550ms, 750ms}) {
+    Cluster cluster(2);
+    cluster.process(0).crash();
+    cluster.run(late);
+    cluster.process(0).start();
+    cluster.run(100ms);
+    CHECK(cluster.seen(1, 0) == wire::MemberState::Alive);
+  }
+}
--- a/tests/placement/coordinator_test.cpp
+++ b/tests/placement/coordinator_test.cpp
@@ -60,6 +60,16 @@
     }
   }
   std::size_t sent(wire::Message type) const { return fleet.environment.sent_of(type); }
+  /// @return whom the last question went to.
+  PeerAddress last_asked() const {
+    for (auto message = fleet.environment.sent.rbegin(); message != fleet.environment.sent.rend(); ++message) {
+      if (message->body.type == wire::Message::PlaceRequest) {
+        return message->to;
+      }
+    }
+    FAIL("no request");
+    return {};
+  }
   const wire::PlaceRequestT& last_request() const {
     for (auto message = fleet.environment.sent.rbegin(); message != fleet.environment.sent.rend(); ++message) {
       if (message->body.type == wire::Message::PlaceRequest) {
@@ -97,7 +107,7 @@
       fixture.own.take(fixture.word("other", id.str(), live[id], 0));
     }
     for (std::uint32_t call = 0; call < free; ++call) {
-      const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+      const placement_choice choice = fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true);
       RC_ASSERT(choice.place.has_value());
       RC_ASSERT(++live.at(choice.place->engine) <= kSlots);
     }
@@ -109,7 +119,7 @@
   for (const auto& [id, backend] : fixture.registry.backends()) {
     fixture.own.take(fixture.word("other", id.str(), 1, kSlots - 1));
   }
-  const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+  const placement_choice choice = fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true);
   REQUIRE(choice.place);
   CHECK(choice.place->needs_yield);
 }
@@ -117,18 +127,19 @@
 TEST_CASE("a zone that is full names another one with room, while its word is fresh") {
   gateway_fixture fixture;
   fixture.fill_zone("z0");
-  CHECK(fixture.own.choose("asker", kOwnDomain, fixture.query(), false).place);  // no word of others: here, then
+  CHECK(
+      fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), false).place);  // no word of others: here, then
   wire::PlaceRoomT room;
   room.pool = kPool;
   room.zone = "z3";
   room.free = 9;
   fixture.own.handle(room);
-  const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), false);
+  const placement_choice choice = fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), false);
   CHECK_FALSE(choice.place);
   CHECK(choice.zone == "z3");
-  CHECK(fixture.own.choose("asker", kOwnDomain, fixture.query(), true).place);
+  CHECK(fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true).place);
   fixture.fleet.environment.world.run_for(1s);
-  CHECK(fixture.own.choose("asker", kOwnDomain, fixture.query(), false).place);
+  CHECK(fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), false).place);
 }
 
 TEST_CASE("an engine that several nodes hear nothing of gets no calls while others speak") {
@@ -136,7 +147,7 @@
   fixture.own.take(fixture.word("a", "e0", 1, 0, true));
   fixture.own.take(fixture.word("b", "e0", 1, 0, true));
   for (int call = 0; call < 10; ++call) {
-    const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+    const placement_choice choice = fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true);
     REQUIRE(choice.place);
     CHECK(choice.place->engine != BackendId("e0"));
   }
@@ -147,7 +158,7 @@
   CHECK(domain_in(fixture.registry, kPool, "z0") == engine_domain{kPool, ""});
   std::set<BackendId> used;
   for (unsigned call = 0; call < 5 * kSlots; ++call) {
-    const placement_choice choice = fixture.own.choose("asker", {kPool, ""}, fixture.query(), false);
+    const placement_choice choice = fixture.own.choose(caller{"asker"}, {kPool, ""}, fixture.query(), false);
     REQUIRE(choice.place);
     used.insert(choice.place->engine);
   }
@@ -159,12 +170,12 @@
   std::optional<forwarding::place_answer> answer;
   const wire::MemberT* coordinator = fixture.client.coordinator_for(kOwnDomain);
   REQUIRE(coordinator != nullptr);
-  fixture.client.place(fixture.query(), [&](const auto& placed) { answer = placed; });
+  fixture.client.place(fixture.query(), [&](const auto& outcome) { answer = outcome.place; });
   if (coordinator->id != fixture.self().id) {
     wire::PlaceReplyT reply;
     reply.request = fixture.last_request().request;
     reply.engine = "e5";
-    fixture.client.handle(reply);
+    fixture.client.handle(fixture.last_asked(), reply);
     REQUIRE(answer);
     CHECK(answer->engine == BackendId("e5"));
   } else {
@@ -182,7 +193,7 @@
   const std::string first = fixture.client.coordinator_for(other)->id;
   for (int call = 0; call < 2; ++call) {
     bool told = false;
-    fixture.client.place(query, [&told](const auto& placed) { told = !placed; });
+    fixture.client.place(query, [&told](const auto& outcome) { told = !outcome.place; });
     fixture.fleet.environment.world.run_for(19ms);
     CHECK_FALSE(told);
     fixture.fleet.environment.world.run_for(2ms);
@@ -203,7 +214,7 @@
   wire::PlaceReplyT reply;
   reply.request = fixture.last_request().request;
   reply.engine = "e1";
-  fixture.client.handle(reply);
+  fixture.client.handle(fixture.last_asked(), reply);
   CHECK(answers == 1);
   CHECK(fixture.fleet.counters["placements_answered_late_total"] == 1);
 }
@@ -212,9 +223,15 @@
   gateway_fixture fixture;
   call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
                          fixture.fleet.who, fixture.self(), fixture.own);
+  fixture.registry.find(BackendId("e1"))->online_in_flight = 3;
+  reporter.changed(BackendId("e1"));
+  fixture.fleet.environment.world.run_for(35ms);
+  CHECK(fixture.sent(wire::Message::EngineActivity) == 0);  // a start: its coordinator named the engine
   fixture.registry.find(BackendId("e1"))->online_in_flight = 2;
   reporter.changed(BackendId("e1"));
-  fixture.fleet.environment.world.run_for(10ms);
+  fixture.fleet.environment.world.run_for(4ms);
+  CHECK(fixture.sent(wire::Message::EngineActivity) == 0);
+  fixture.fleet.environment.world.run_for(2ms);
   REQUIRE(fixture.sent(wire::Message::EngineActivity) == 1);
   const SentMessage& message = fixture.fleet.environment.sent.back();
   CHECK(message.to.str() == fixture.client.coordinator_for({kPool, "z1"})->peer_address);
@@ -253,14 +270,14 @@
   fixture.own.handle(failure);
   fixture.own.handle(failure);
   for (int call = 0; call < 10; ++call) {
-    const placement_choice choice = fixture.own.choose("asker", kOwnDomain, fixture.query(), true);
+    const placement_choice choice = fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true);
     REQUIRE(choice.place);
     CHECK(choice.place->engine != BackendId("e0"));
   }
   fixture.fleet.environment.world.run_for(2100ms);
   std::set<BackendId> used;
   for (int call = 0; call < 24; ++call) {
-    used.insert(fixture.own.choose("asker", kOwnDomain, fixture.query(), true).place->engine);
+    used.insert(fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true).place->engine);
   }
   CHECK(used.contains(BackendId("e0")));
 }
@@ -288,7 +305,7 @@
   const auto used_by = [&fixture](int calls) {
     std::set<BackendId> used;
     for (int call = 0; call < calls; ++call) {
-      used.insert(fixture.own.choose("asker", kOwnDomain, fixture.query(), true).place->engine);
+      used.insert(fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true).place->engine);
     }
     return used;
   };
@@ -297,3 +314,169 @@
   fixture.fleet.environment.world.run_for(5s);
   CHECK(used_by(6).contains(BackendId("e0")));
 }
+
+namespace {
+
+/// A coordinator that holds calls while all slots are taken.
+struct holding_fixture : gateway_fixture {
+  holding_fixture() { fill_zone("z0"); }
+
+  std::shared_ptr<const policy::call_order> order = std::make_shared<policy::attainable_call_order>();
+  coordinator holder{fleet.environment, fleet.counters, log, registry, fleet.who, self(), order};
+
+  void fill_zone(const std::string& zone) {
+    for (const auto& [id, backend] : registry.backends()) {
+      if (backend.machine.zone == zone) {
+        holder.take(word("other", id.str(), kSlots, 0));
+      }
+    }
+  }
+  placement_choice ask(std::uint64_t request, Duration due, Duration patience = 4s, policy::call_rank rank = {}) {
+    forwarding::place_query asked = query();
+    asked.due = due;
+    asked.patience = patience;
+    asked.holding = 700ms;
+    asked.rank = rank;
+    return holder.choose({"asker", request, PeerAddress("asker:1")}, kOwnDomain, asked, true);
+  }
+  /// @return the questions that were answered with an engine, in order.
+  std::vector<std::uint64_t> granted() const {
+    std::vector<std::uint64_t> found;
+    for (const SentMessage& message : fleet.environment.sent) {
+      const wire::PlaceReplyT* reply = message.body.AsPlaceReply();
+      if (reply != nullptr && !reply->engine.empty()) {
+        found.push_back(reply->request);
+      }
+    }
+    return found;
+  }
+  void free_slots(std::uint32_t slots) { holder.take(word("other", "e0", kSlots - slots, 0)); }
+  void run_for(Duration time) { fleet.environment.world.run_for(time); }
+};
+
+}  // namespace
+
+TEST_CASE("calls wait while every slot is taken, and those that can be in time go first, then the late ones") {
+  holding_fixture fixture;
+  CHECK(fixture.ask(1, -50ms).waiting);  // late already
+  CHECK(fixture.ask(2, 200ms).waiting);
+  CHECK(fixture.ask(3, 100ms).waiting);
+  CHECK(fixture.ask(4, 80ms, 4s, {0, 1}).waiting);  // of a less urgent route
+  fixture.run_for(20ms);
+  CHECK(fixture.granted().empty());
+  fixture.free_slots(1);
+  fixture.run_for(20ms);
+  CHECK(fixture.granted() == std::vector<std::uint64_t>{3});
+  fixture.free_slots(4);
+  fixture.run_for(20ms);
+  CHECK(fixture.granted() == std::vector<std::uint64_t>{3, 2, 4, 1});
+}
+
+TEST_CASE("a call that waits is asked for again without losing its place, and twice granted never") {
+  holding_fixture fixture;
+  fixture.ask(1, 100ms);
+  fixture.ask(2, 100ms);
+  for (int repeat = 0; repeat < 10; ++repeat) {
+    fixture.run_for(waiting_calls::kRefresh);
+    CHECK(fixture.ask(1, 100ms).waiting);
+    CHECK(fixture.ask(2, 100ms).waiting);
+  }
+  fixture.free_slots(4);
+  fixture.run_for(20ms);
+  CHECK(fixture.granted().size() == 2);
+}
+
+TEST_CASE("who left or fell silent while it waited gets no slot") {
+  holding_fixture fixture;
+  fixture.ask(1, 100ms);
+  fixture.ask(2, 100ms);
+  fixture.holder.withdraw({"asker", 1, {}});
+  fixture.run_for(700ms);
+  fixture.ask(3, 100ms);
+  fixture.run_for(700ms);  // 2 has not been asked for again in 1.4 s
+  fixture.free_slots(4);
+  fixture.run_for(20ms);
+  CHECK(fixture.granted() == std::vector<std::uint64_t>{3});
+}
+
+TEST_CASE("a call that would wait for longer than its caller is rejected at once, with the time to come back") {
+  holding_fixture fixture;
+  // The zone's slots end one call after the other within 700 ms; 60 ms are enough for some of them only.
+  std::optional<Duration> retry_after;
+  std::uint64_t request = 0;
+  while (!retry_after && request < 1'000) {
+    retry_after = fixture.ask(++request, 50ms, 60ms).retry_after;
+  }
+  REQUIRE(retry_after);
+  CHECK(request > 1);
+  CHECK(*retry_after >= 60ms);
+  CHECK(fixture.ask(5'000, 50ms, 4s).waiting);
+}
+
+TEST_CASE("calls that wait are passed on to a zone that has room") {
+  holding_fixture fixture;
+  fixture.ask(1, 100ms);
+  wire::PlaceRoomT room;
+  room.pool = kPool;
+  room.zone = "z3";
+  room.free = 9;
+  fixture.holder.handle(room);
+  fixture.run_for(20ms);
+  const wire::PlaceReplyT* reply = fixture.fleet.environment.sent.back().body.AsPlaceReply();
+  REQUIRE(reply != nullptr);
+  CHECK(reply->zone == "z3");
+}
+
+TEST_CASE("a gateway asks again for a call that waits, and goes to the next coordinator when the first dies") {
+  gateway_fixture fixture;
+  fixture.fleet.say(fixture.self().id, wire::MemberState::Alive);
+  forwarding::place_query query = fixture.query();
+  query.first = BackendId("e1");
+  query.affinity_key = "shared";
+  query.patience = 4s;
+  int answers = 0;
+  const auto ticket = fixture.client.place(query, [&answers](const auto&) { ++answers; });
+  const PeerAddress first = fixture.last_asked();
+  wire::PlaceReplyT reply;
+  reply.request = ticket;
+  reply.waiting = true;
+  fixture.client.handle(first, reply);
+  fixture.fleet.environment.world.run_for(290ms);
+  CHECK(fixture.sent(wire::Message::PlaceRequest) == 1);
+  fixture.fleet.environment.world.run_for(15ms);
+  CHECK(fixture.sent(wire::Message::PlaceRequest) == 2);
+  // Two questions in a row without an answer.
+  fixture.fleet.environment.world.run_for(45ms);
+  CHECK(answers == 0);
+  CHECK(fixture.last_asked() != first);
+  CHECK(fixture.last_request().patience_us < Duration(4s).count());
+  fixture.client.withdraw(ticket);
+  CHECK(fixture.sent(wire::Message::PlaceWithdrawal) == 1);
+  fixture.fleet.environment.world.run_for(1s);
+  CHECK(answers == 0);
+}
+
+TEST_CASE("a prompt's start stays at its engine while waiting there is less than reading it again") {
+  gateway_fixture fixture;
+  forwarding::place_query query = fixture.query();
+  query.affinity_key = "shared";
+  query.reading = 150ms;
+  query.holding = 700ms;
+  const auto first = fixture.own.choose(caller{"asker"}, kOwnDomain, query, true).place;
+  REQUIRE(first);
+  CHECK_FALSE(first->keeps_start);
+  fixture.fleet.environment.world.run_for(200ms);
+  // Full but for the others' calls there: the kept start is worth a short queue.
+  fixture.own.take(fixture.word("asker", first->engine.str(), 0, 0));
+  fixture.own.take(fixture.word("other", first->engine.str(), kSlots, 0));
+  query.holding = 300ms;
+  const auto queued = fixture.own.choose(caller{"asker"}, kOwnDomain, query, true).place;
+  REQUIRE(queued);
+  CHECK(queued->engine == first->engine);
+  CHECK(queued->keeps_start);
+  // A long queue is not.
+  fixture.own.take(fixture.word("other", first->engine.str(), kSlots + 3, 0));
+  const auto elsewhere = fixture.own.choose(caller{"asker"}, kOwnDomain, query, true).place;
+  REQUIRE(elsewhere);
+  CHECK(elsewhere->engine != first->engine);
+}
--- a/tests/routing/shared_calls_test.cpp
+++ b/tests/routing/shared_calls_test.cpp
@@ -122,3 +122,20 @@
   calls.take(word("a", 0, true), 1s);  // its calls have ended: no witness is left
   CHECK_FALSE(calls.at(kEngine).silent());
 }
+
+TEST_CASE("a call that was expected and never told of is forgotten after 150 ms, one that was told stays") {
+  shared_calls calls;
+  calls.expect("a", kEngine, 1s);
+  calls.expect("b", kEngine, 1s);
+  calls.take(told("b", false, 1, 0), 1s + 10ms);
+  CHECK(calls.at(kEngine).live == 2);
+  calls.forget_unfulfilled(1s + 149ms);
+  CHECK(calls.at(kEngine).live == 2);
+  calls.forget_unfulfilled(1s + 150ms);
+  CHECK(calls.at(kEngine) == open_calls{1, 0, 1});
+  calls.expect("a", kEngine, 2s);
+  calls.take(told("a", true, 1, 0, BackendId("e2")), 2s + 10ms);
+  calls.forget_unfulfilled(3s);
+  CHECK(calls.at(kEngine).live == 1);
+  CHECK(calls.at(BackendId("e2")).live == 1);
+}
--- a/tests/tenancy/rate_limiter_test.cpp
+++ b/tests/tenancy/rate_limiter_test.cpp
@@ -16,7 +16,10 @@
 
 /// One node of a fleet; the test carries its messages.
 struct limiter_fixture {
-  limiter_fixture() { limiter.start(); }
+  explicit limiter_fixture(Duration up = 10s) {
+    limiter.start();
+    run_for(up);
+  }
 
   fleet_members fleet{kNodes};
   NoDecisionLog log;
@@ -187,3 +190,19 @@
   CHECK(fixture.let_in == 1);
   CHECK(fixture.fleet.counters["tenant_rate_answers_late_total"] == 1);
 }
+
+TEST_CASE("a node that has just started asks again while the nodes do not know each other, for a bounded time") {
+  const std::string tenant = tenant_kept(false);
+  limiter_fixture fixture(0s);
+  fixture.admit(rate(tenant));
+  fixture.answer(0, 0, 0, false);
+  CHECK(fixture.let_in + fixture.refused == 0);
+  fixture.run_for(65ms);
+  CHECK(fixture.fleet.environment.sent_of(wire::Message::RateRequest) == 2);
+  fixture.answer(1, 1, 105);
+  CHECK(fixture.let_in == 1);
+  // Nobody ever answers: it is decided in the end.
+  fixture.admit(rate(tenant));
+  fixture.run_for(900ms);
+  CHECK(fixture.let_in + fixture.refused == 2);
+}
