Engines are set aside by the part of their calls that fail; nodes look for the fleet with growing pauses

Cause: two failed calls in a second set an engine aside. And on 295 machines the frequent looks of all nodes at their start flood the seeds. Test: a busy engine with 3 failures a second stays, one that fails every second call goes.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -49,16 +49,16 @@
 }
 
 /// A fleet that starts all at once: the first look finds seeds that do not listen yet, and a whole period would pass.
-void Membership::join_quickly(unsigned looks_left) {
-  if (!members_.empty() || seeds_.empty() || looks_left == 0) {
+void Membership::join_quickly(Duration pause) {
+  if (!members_.empty() || seeds_.empty() || pause >= options_.period) {
     return;
   }
   ping_seeds();
-  environment_.after(options_.join_interval, lifetime_.guard([this, looks_left] { join_quickly(looks_left - 1); }));
+  environment_.after(pause, lifetime_.guard([this, pause] { join_quickly(2 * pause); }));
 }
 
 void Membership::start() {
-  join_quickly(options_.join_looks);
+  join_quickly(options_.join_pause);
   const auto first =
       static_cast<Duration::rep>(environment_.random() % static_cast<std::uint64_t>(options_.period.count()));
   environment_.after(Duration(first), lifetime_.guard([this] { run_period(); }));
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -35,8 +35,9 @@
   std::size_t eager_limit = 24;       ///< With more news than this waiting, lists do the work.
   Duration least_sync_interval = 1s;  ///< Between whole lists sent to peers that differ.
   Duration most_sync_interval = 32s;
-  Duration join_interval = 50ms;      ///< Between looks for the fleet while nobody is known,
-  unsigned join_looks = 60;           ///< for so many; then one in each period.
+  /// From the first look for the fleet to the second, while nobody is known; it doubles up to the period. Seeds of a
+  /// large fleet that starts all at once hear every node's looks.
+  Duration join_pause = 80ms;
   Duration dead_probe_interval = 5s;  ///< How often a dead member is tried, to heal a cut.
   Duration forget_dead_after = 24h;
 };
@@ -129,7 +130,7 @@
   void finish_probe(std::uint64_t sequence);
   void ping_seeds();
   /// Looks for the fleet often until somebody is known.
-  void join_quickly(unsigned looks_left);
+  void join_quickly(Duration pause);
   void probe_dead_member();
   std::optional<NodeId> next_probe_target();
   /// @param spread whether peers are told; what a whole list brings they get by lists, too.
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -147,6 +147,7 @@
   const BackendId& id = engine.machine.id;
   const forwarding::known_calls known = forwarding::calls_at(engine, calls_, environment_.now());
   forwarding::place_answer answer{id, known.needs_yield()};
+  failing_.count_call(id, environment_.now());
   if (node != self_.id) {
     calls_.expect(node, id, environment_.now());
   }
--- a/src/placement/failing_engines.cpp
+++ b/src/placement/failing_engines.cpp
@@ -5,27 +5,37 @@
 namespace madderdeck::placement {
 namespace {
 
-/// Single answers get lost now and then; two so close together do not at a sound engine.
+/// Single answers get lost now and then; at a sound engine two so close together are a small part of its calls.
 constexpr Duration kTogether = 1s;
+constexpr std::size_t kLeastFailures = 2;
+constexpr double kLeastPart = 0.25;
 /// As long as a gateway leaves alone an engine that fails its own calls (Registry).
 constexpr Duration kAside = 2s;
 constexpr unsigned kMostDoublings = 2;
 /// A failure so soon after it came back is the same trouble.
 constexpr Duration kSameTrouble = 3s;
 constexpr Duration kRemembered = 20s;
+constexpr double kForgottenRate = 0.01;  ///< Calls a second.
 
 }  // namespace
 
+void failing_engines::count_call(const BackendId& engine, Timestamp now) { calls_[engine].count(now, 1); }
+
 void failing_engines::record(const BackendId& engine, call_trouble trouble, Timestamp now) {
-  const auto [entry, first] = engines_.try_emplace(engine);
-  history& known = entry->second;
+  history& known = engines_[engine];
   const bool again = known.aside_until.count() != 0 && now < known.aside_until + kSameTrouble;
-  const bool together = !first && now - known.failed_at < kTogether;
+  std::erase_if(known.failures, [now](Timestamp at) { return now - at >= kTogether; });
+  known.failures.push_back(now);
+  const auto calls = calls_.find(engine);
+  const double calls_a_second = calls == calls_.end() ? 0 : calls->second.per_second(now);
+  const auto failures = static_cast<double>(known.failures.size());
+  const bool together = known.failures.size() >= kLeastFailures && failures >= kLeastPart * calls_a_second;
   known.failed_at = now;
   if (now < known.aside_until) {
     return;  // calls that were sent before
   }
-  if (trouble != call_trouble::unreachable && !together && !again) {
+  const bool same_again = again && failures >= kLeastPart * calls_a_second;
+  if (trouble != call_trouble::unreachable && !together && !same_again) {
     return;
   }
   known.doublings = again ? std::min(known.doublings + 1, kMostDoublings) : 0;
@@ -38,6 +48,7 @@
 }
 
 void failing_engines::forget_old(Timestamp now) {
+  std::erase_if(calls_, [now](const auto& entry) { return entry.second.per_second(now) < kForgottenRate; });
   std::erase_if(engines_, [now](const auto& entry) { return now - entry.second.failed_at > kRemembered; });
 }
 
--- a/src/placement/failing_engines.hpp
+++ b/src/placement/failing_engines.hpp
@@ -2,9 +2,11 @@
 /// @file Engines at which calls of several nodes fail, as their coordinator hears of it.
 
 #include <map>
+#include <vector>
 
 #include "common/environment.hpp"
 #include "common/strong_id.hpp"
+#include "policy/rate_meter.hpp"
 
 namespace madderdeck::placement {
 
@@ -14,11 +16,14 @@
   broken,       ///< The connection ended, nothing came in time, or the answer was the engine's own failure.
 };
 
-/// An engine that breaks its calls is empty soon and would get all new ones. Two failures within a second, or one that
-/// could not be reached, set it aside; when calls fail again soon after it came back, for twice as long. Single
-/// threaded.
+/// An engine that breaks its calls is empty soon and would get all new ones. Two failures within a second that are a
+/// quarter of its calls or more, or one that could not be reached, set it aside; when calls fail again soon after it
+/// came back, for twice as long. Where an engine has 40 calls a second and more, two in a second fail at a sound one,
+/// too. Single threaded.
 class failing_engines {
  public:
+  /// A call goes to @p engine.
+  void count_call(const BackendId& engine, Timestamp now);
   void record(const BackendId& engine, call_trouble trouble, Timestamp now);
   /// @return whether @p engine is to get no calls at @p now, while others are there.
   bool aside(const BackendId& engine, Timestamp now) const;
@@ -28,11 +33,13 @@
  private:
   struct history {
     Timestamp failed_at{};
+    std::vector<Timestamp> failures;  ///< Of the last second.
     Timestamp aside_until{};
     unsigned doublings = 0;
   };
 
   std::map<BackendId, history> engines_;
+  std::map<BackendId, policy::rate_meter> calls_;
 };
 
 }  // namespace madderdeck::placement
--- a/tests/placement/failing_engines_test.cpp
+++ b/tests/placement/failing_engines_test.cpp
@@ -57,3 +57,26 @@
   failing.record(kEngine, call_trouble::broken, 40s);
   CHECK_FALSE(failing.aside(kEngine, 40s));
 }
+
+TEST_CASE("failures that are a small part of an engine's calls do not set it aside") {
+  failing_engines engines;
+  const BackendId busy("busy");
+  Timestamp now = 10s;
+  for (int call = 0; call < 400; ++call) {
+    now += 20ms;  // 50 a second
+    engines.count_call(busy, now);
+    if (call % 15 == 0) {
+      engines.record(busy, call_trouble::broken, now);  // 3 of them
+    }
+  }
+  CHECK_FALSE(engines.aside(busy, now));
+  // From now on every second one.
+  for (int call = 0; call < 60; ++call) {
+    now += 20ms;
+    engines.count_call(busy, now);
+    if (call % 2 == 0) {
+      engines.record(busy, call_trouble::broken, now);
+    }
+  }
+  CHECK(engines.aside(busy, now));
+}
