--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -235,12 +235,22 @@
 void NodeCore::on_machines_changed(const std::vector<config::EntryKey>& keys) {
   registry.update(machines.table(), keys);
   tell_configured();
+  // A node that starts learns of all back ends at once: a line for each would be most of its log.
+  constexpr std::size_t kMostListedApart = 16;
+  const bool apart = keys.size() <= kMostListedApart;
+  if (!apart) {
+    log.record(
+        "backends_listed",
+        {{"changed", keys.size()}, {"known", registry.backends().size()}, {"revision", machines.table().revision()}});
+  }
   for (const config::EntryKey& key : keys) {
     const routing::Backend* backend = registry.find(BackendId(key.name));
-    log.record("backend_listed",
-               {{"backend", key.name},
-                {"state", backend == nullptr ? "gone" : (backend->machine.leaving ? "leaving" : "live")},
-                {"revision", machines.table().revision()}});
+    if (apart) {
+      log.record("backend_listed",
+                 {{"backend", key.name},
+                  {"state", backend == nullptr ? "gone" : (backend->machine.leaving ? "leaving" : "live")},
+                  {"revision", machines.table().revision()}});
+    }
     // What this node and others sent in an earlier life may still run; nobody else tells of it.
     // In a large fleet the dispatchers do, or every start would be a load report for each pair of node and engine.
     const bool just_started = environment.now() - started_at_ < kStarting;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -107,3 +107,34 @@
   reader.feed("\nevent: error\ndata: x\n\n");
   CHECK(events == std::vector<std::string>{"one", "two"});
 }
+
+TEST_CASE("a request that its head shows to be refused is answered at once, and its connection serves the next one") {
+  bench::HttpSession http;
+  Counters counters;
+  ServerOptions options = small_limits();
+  options.answer_head = [](const HttpRequest& request) -> std::optional<HttpResponse> {
+    if (request.path() == "/refused") {
+      return HttpResponse{401, "text/plain", {}, "no"};
+    }
+    return std::nullopt;
+  };
+  int handled = 0;
+  HttpServer server(
+      http.context, counters,
+      [&handled](const std::shared_ptr<Exchange>& exchange) {
+        ++handled;
+        exchange->respond({200, "text/plain", {}, "yes"});
+      },
+      options);
+  REQUIRE(succeeded(server.listen(kAddress)));
+  for (int call = 0; call < 3; ++call) {
+    const auto refused = http.call(kAddress, "POST", "/refused", std::string(1500, 'x'));
+    REQUIRE(refused);
+    CHECK(refused->status == 401);
+    const auto served = http.call(kAddress, "POST", "/served", std::string(1500, 'x'));
+    REQUIRE(served);
+    CHECK(served->body == "yes");
+  }
+  CHECK(handled == 3);
+  CHECK(server.connections() == 1);
+}
