A dispatcher puts back what it runs on engines that another one looks after by now

When a node leaves or returns its engines change hands; items begun before went on under the former owner, whom nobody tells of live calls. Test: dispatcher_test.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -79,6 +79,7 @@
   if (!draining_) {
     follow_managers();
     leave_silent_engines();
+    leave_lost_engines();
     fill();
   }
   counters_["batch_items_running"] = static_cast<CounterValue>(running_.size());
@@ -630,6 +631,23 @@
   }
 }
 
+/// Live calls are told to an engine's present owner alone: what another node runs there would never make room for them.
+void Dispatcher::leave_lost_engines() {
+  refresh_ownership();
+  if (left_at_ownership_ == owned_at_) {
+    return;
+  }
+  left_at_ownership_ = owned_at_;
+  for (auto entry = running_.begin(); entry != running_.end();) {
+    const auto run = entry++;
+    const bool listed = registry_.find(run->second.engine) != nullptr;
+    if (listed && !owned_.contains(run->second.engine)) {
+      counters_["batch_items_left_lost_engines_total"]++;
+      put_back(run, 0);
+    }
+  }
+}
+
 void Dispatcher::put_back(std::map<RunId, Running>::iterator run, std::uint32_t live) {
   client_.cancel(run->second.call);
   Running running = take_running(run->first);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -106,6 +106,8 @@
   /// Stops @p run, since @p live live calls need the engine's slots, and puts it back among the waiting ones.
   /// Puts back what runs on engines that have said nothing for long: the items go on elsewhere from their last event.
   void leave_silent_engines();
+  /// Puts back what runs on engines that another dispatcher looks after by now.
+  void leave_lost_engines();
   void put_back(std::map<RunId, Running>::iterator run, std::uint32_t live);
   void set_running(const BackendId& id, std::ptrdiff_t change);
   /// @return the route of an HTTP item under the present configuration, or null.
@@ -156,6 +158,7 @@
   Duration ask_interval_{};  ///< Doubles while nobody has items.
   std::set<BackendId> owned_;
   Timestamp owned_at_{};
+  Timestamp left_at_ownership_{};  ///< The value of owned_at_ when runs on other engines were last put back.
   std::uint64_t owned_at_members_version_ = 0;
   std::uint64_t owned_at_registry_version_ = 0;
   std::map<std::string, Timestamp> route_missing_since_;  ///< By job.
--- /dev/null
+++ b/tests/batch/dispatcher_test.cpp
@@ -0,0 +1,101 @@
+#include "batch/dispatcher.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "placement/fleet_members.hpp"
+#include "support/fake_backends.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::batch;
+using tests::FakeBackends;
+using tests::fleet_members;
+
+namespace {
+
+constexpr char kPool[] = "m";
+const PeerAddress kManager("node-0:1");
+
+/// A dispatcher on node-0, which is alone at first, with one engine of four slots.
+struct dispatcher_fixture {
+  dispatcher_fixture() : engine(engine_of_other()) {
+    config::VersionedTable machines;
+    config::Machine machine;
+    machine.id = engine;
+    machine.pools = {kPool};
+    machine.zone = "z0";
+    machine.slots = 4;
+    machines.apply(0, 1, {{{config::kMachineKind, engine.str()}, config::format_machine(machine), 1}});
+    registry.update(machines, {{config::kMachineKind, engine.str()}});
+    config::VersionedTable objects;
+    objects.apply(0, 1, {{{config::kTemplateKind, "t"}, R"({"pool":"m"})", 1}});
+    catalog.update(objects, {{config::kTemplateKind, "t"}});
+    dispatcher.start();
+    fleet.environment.world.run_for(500ms);
+  }
+
+  /// @return an engine that node-1 looks after once it is there.
+  static BackendId engine_of_other() {
+    fleet_members both(2);
+    for (int number = 0;; ++number) {
+      BackendId id("e" + std::to_string(number));
+      if (both.who.dispatcher_of(id.str(), "z0")->id == "node-1") {
+        return id;
+      }
+    }
+  }
+  void give_item() {
+    std::uint64_t request = 0;
+    for (const auto& message : fleet.environment.sent) {
+      request = message.body.type == wire::Message::TakeItems ? message.body.AsTakeItems()->request : request;
+    }
+    wire::GiveItemsT items;
+    items.request = request;
+    auto item = std::make_unique<wire::WorkItemT>();
+    item->job = "j";
+    item->template_name = "t";
+    item->body = R"({"prompt":"p"})";
+    item->lease_ms = 30'000;
+    items.items.push_back(std::move(item));
+    dispatcher.handle(kManager, items);
+  }
+  void add_other() {
+    wire::MemberSyncT sync;
+    sync.members.push_back(std::make_unique<wire::MemberT>(fleet_members::member(1, fleet_members::equal)));
+    fleet.members.handle(PeerAddress("node-1:1"), sync);
+  }
+
+  const BackendId engine;
+  fleet_members fleet{1};
+  NoDecisionLog log;
+  FakeBackends backends;
+  config::Catalog catalog;
+  routing::Registry registry{fleet.environment, fleet.counters, "node-0", {true, true, false, true}};
+  ledger::Client ledger{fleet.environment, fleet.counters, [](const NodeId&) { return std::nullopt; }};
+  policy::work_estimate estimate;
+  Dispatcher dispatcher{fleet.environment,
+                        fleet.counters,
+                        ledger,
+                        fleet.members,
+                        catalog,
+                        registry,
+                        backends,
+                        log,
+                        fleet.who,
+                        DispatchPolicies{value_of(policy::policy_set_builder().build()), &estimate, {}}};
+};
+
+}  // namespace
+
+TEST_CASE("what runs on an engine that another dispatcher looks after by now is put back with what it has made") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  CHECK(fixture.backends.engine_calls[0].engine == fixture.engine);
+  fixture.fleet.environment.world.run_for(400ms);
+  CHECK_FALSE(fixture.backends.engine_calls[0].cancelled);
+  // Its owner is back: live calls are told to that one, and nobody would make this run yield.
+  fixture.add_other();
+  fixture.fleet.environment.world.run_for(300ms);
+  CHECK(fixture.backends.engine_calls[0].cancelled);
+  CHECK(fixture.fleet.counters["batch_items_left_lost_engines_total"] == 1);
+}
