--- a/src/placement/call_reporter.cpp
+++ b/src/placement/call_reporter.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kDelay = 5ms;
+/// The coordinator counted the call when it named the engine, and forgets it only after shared_calls::kExpected.
 constexpr Duration kStartDelay = 40ms;
 constexpr Duration kRefresh = 1s;
 constexpr Duration kSilenceCheck = 100ms;
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -20,12 +20,15 @@
 constexpr double kMicroseconds = 1'000;       ///< In a millisecond.
 constexpr Duration kLeastFirstToken = 1ms;    ///< Before any was observed: calls are spread by it.
 constexpr Duration kLeastTimeToYield = 10ms;  ///< Messages and the engine's step, before any was observed.
+/// A caller's way back takes some milliseconds; sooner it would only be refused again.
 constexpr Duration kLeastRetry = 100ms;
+/// Words of freed slots that come within it share a look; a hundredth of what a call keeps a slot.
 constexpr Duration kServeDelay = 2ms;
+/// Between looks where no word comes: counts also fall by what is forgotten.
 constexpr Duration kServeInterval = 10ms;
 /// Of waiting calls that cannot use what is free, having tried it before; so many at most are passed over in one look.
 constexpr std::size_t kMostLookedAt = 8;
-const policy::arrival_call_order kNoOrder;
+const policy::arrival_call_order kNoOrder;  ///< Where no call is held.
 /// Several times the pause between two calls at an engine: one that was slow and got none since is tried again.
 constexpr Duration kLatencyUseful = 3s;
 /// A domain nobody has asked for lately is another node's by now.
--- a/src/tenancy/rate_limiter.cpp
+++ b/src/tenancy/rate_limiter.cpp
@@ -13,13 +13,13 @@
 constexpr Duration kPatience = 40ms;
 /// By then probes have shown whether the keeper is gone.
 constexpr Duration kLeftAlone = 500ms;
-constexpr Duration kMaintenance = 5s;
+constexpr Duration kMaintenance = 5s;  ///< Between looks for what is no longer used.
 /// By then nodes that start all at once know each other.
 constexpr Duration kYoung = 3s;
-constexpr Duration kTryAgain = 60ms;
+constexpr Duration kTryAgain = 60ms;  ///< Longer than a question and its answer.
 /// With a silent keeper each time, 600 ms: beyond, a refusal serves the caller better.
 constexpr unsigned kMostTries = 5;
-constexpr Duration kLeastRetry = 100ms;
+constexpr Duration kLeastRetry = 100ms;  ///< Sooner a caller would only be refused again.
 /// More would only wait unused.
 constexpr std::uint32_t kMostWanted = 64;
 
