--- a/src/placement/failing_engines.cpp
+++ b/src/placement/failing_engines.cpp
@@ -8,8 +8,8 @@
 /// Single answers get lost now and then; at a sound engine two so close together are a small part of its calls.
 constexpr Duration kTogether = 1s;
 constexpr std::size_t kLeastFailures = 2;
-/// With two failures alone an engine of 50 calls a second, of which three failed, was left out for 2 s and 341 of 3,253
-/// calls of its pool waited for the others, up to 1.5 s; with this part none (one played day of each).
+/// With two failures alone 341 of 3,253 calls of a pool of three sound engines waited up to 1.5 s, since one or two of
+/// these were left out; with this part none was late (one run of a quiet day each).
 constexpr double kLeastPart = 0.25;
 /// As long as a gateway leaves alone an engine that fails its own calls (Registry).
 constexpr Duration kAside = 2s;
--- a/src/placement/place_client.hpp
+++ b/src/placement/place_client.hpp
@@ -26,8 +26,8 @@
 
   /// Coordinators choose in large fleets whose prompts have no long shared starts. Where they have, exact counts spread
   /// requests with the same start over more engines, which read it again: on a fleet of 250 gateways and prompts of
-  /// 13,300 shared tokens a busy day served 0.93 of the live replies in time by coordinators and 0.98 by affinity and
-  /// reports.
+  /// 13,300 shared tokens 15.5 million tokens of starts were read again by coordinators, 11.3 million by affinity and
+  /// reports (one run of a busy day each).
   bool active() const override { return duties_.divided() && long_starts_ < kMostLongStarts; }
   void note_request(bool long_start) override;
   ticket place(const forwarding::place_query& query, placed done) override;
--- a/src/policy/call_order.hpp
+++ b/src/policy/call_order.hpp
@@ -39,10 +39,10 @@
   bool before(const call_outlook& left, const call_outlook& right) const override;
 };
 
-/// With it 112 of 11,354 live calls of a day with full bursts missed their target of 300 ms, 2,377 where each engine
-/// served its own queue as it came (one played day of each). Calls that can still be in time first, the more urgent
-/// rank and then the nearest target before others; after them the late ones, which are still owed an answer: by rank,
-/// then as they came.
+/// Calls that can still be in time first, the more urgent rank and then the nearest target before others; after them
+/// the late ones, which are still owed an answer: by rank, then as they came. Purpose: when more is asked for than
+/// there are slots only the excess is late. A queue model at 13 in 100 of the slots missing: 0.06 of the calls late,
+/// 0.31 first come first served.
 class attainable_call_order : public call_order {
  public:
   bool before(const call_outlook& left, const call_outlook& right) const override;
