Sight: broken calls tell their request's fingerprint and whether the back end ended

A line has the id of a call, new each time, and 'broken' does not say whether the engine ended or only the connection. Change: a fingerprint over caller, method, target and body on 'call_broke'; the address is asked for a connection, once for all calls that broke together, and 'backend_checked' says what was found; counters backend_end_checks_total, backend_ends_seen_total. Nothing is decided by it yet. Tests: tests/quarantine, net/http_test (a real socket).

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -485,6 +485,9 @@
                               {"sends", active.sends},
                               {"events", active.last_event},
                               {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
+  if (detector_ != nullptr && failure == CallFailure::broken) {
+    detector_->call_broke({fingerprint_of(*active.request), active.request->id, active.backend}, [](bool) {});
+  }
   retry_or_end(id, failure);
 }
 
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -15,6 +15,7 @@
 #include "forwarding/event_splitter.hpp"
 #include "forwarding/route_table.hpp"
 #include "forwarding/upstream.hpp"
+#include "quarantine/end_detector.hpp"
 #include "routing/limits.hpp"
 #include "routing/outcome.hpp"
 #include "routing/registry.hpp"
@@ -64,6 +65,8 @@
     shared_ = &calls;
     shared_delay_ = delay;
   }
+  /// From now on it is found out whether back ends ended when calls to them broke off. @p detector outlives this.
+  void use_end_detector(quarantine::end_detector& detector) { detector_ = &detector; }
   /// From now on @p placer is asked for engines while it is active. It outlives this.
   void use_placer(engine_placer& placer) { placer_ = &placer; }
   /// @return moving average of what a live call waits for its first token more where batch work has to yield.
@@ -151,6 +154,7 @@
   const routing::shared_calls* shared_ = nullptr;
   Duration shared_delay_{};
   engine_placer* placer_ = nullptr;
+  quarantine::end_detector* detector_ = nullptr;
   std::uint64_t next_placing_ = 0;
   ReadingHook on_reading_;
   ForwardId next_id_ = 0;
--- a/src/net/http_backend_client.hpp
+++ b/src/net/http_backend_client.hpp
@@ -26,6 +26,11 @@
   void resume(routing::CallId call) override { client_.resume(call); }
 
   void fetch_load(const BackendId& backend, routing::ReportDone done) override;
+  void check_reachable(const BackendId& backend, routing::ReachabilityDone done) override {
+    client_.probe(backend.str(), kReachTimeout, std::move(done));
+  }
+  /// Across zones an answer takes a few milliseconds.
+  static constexpr std::chrono::milliseconds kReachTimeout{250};
 
  private:
   HttpClient& client_;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -102,31 +102,47 @@
 struct HttpClient::Implementation : std::enable_shared_from_this<HttpClient::Implementation> {
   Implementation(asio::io_context& io_context, std::string ip) : context(io_context), local_ip(std::move(ip)) {}
 
-  asio::awaitable<bool> connect(Call& call) {
+  /// @return why @p stream could not be connected to @p address; no error when it is.
+  asio::awaitable<beast::error_code> open(beast::tcp_stream& stream, const std::string& address,
+                                          std::chrono::milliseconds timeout) {
     Endpoint endpoint;
-    if (!parse_endpoint(call.endpoint, endpoint)) {
-      co_return false;
+    if (!parse_endpoint(address, endpoint)) {
+      co_return asio::error::invalid_argument;
     }
-    call.stream = std::make_unique<beast::tcp_stream>(context);
     const tcp::endpoint remote(asio::ip::make_address(endpoint.ip), endpoint.port);
     beast::error_code failure;
-    call.stream->socket().open(remote.protocol(), failure);
+    stream.socket().open(remote.protocol(), failure);
     if (!failure && !local_ip.empty()) {
       const int enabled = 1;
-      ::setsockopt(call.stream->socket().native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled,
-                   sizeof enabled);
-      call.stream->socket().bind(tcp::endpoint(asio::ip::make_address(local_ip), 0), failure);
+      ::setsockopt(stream.socket().native_handle(), IPPROTO_IP, IP_BIND_ADDRESS_NO_PORT, &enabled, sizeof enabled);
+      stream.socket().bind(tcp::endpoint(asio::ip::make_address(local_ip), 0), failure);
     }
     if (failure) {
-      co_return false;
+      co_return failure;
     }
-    call.stream->expires_after(call.options.connect_timeout);
-    auto [connect_failure] = co_await call.stream->async_connect(remote, kAwait);
-    if (!connect_failure) {
-      call.stream->socket().set_option(tcp::no_delay(true), failure);
+    stream.expires_after(timeout);
+    auto [connect_failure] = co_await stream.async_connect(remote, kAwait);
+    co_return connect_failure;
+  }
+
+  asio::awaitable<bool> connect(Call& call) {
+    call.stream = std::make_unique<beast::tcp_stream>(context);
+    const beast::error_code failure = co_await open(*call.stream, call.endpoint, call.options.connect_timeout);
+    if (!failure) {
+      beast::error_code ignored;
+      call.stream->socket().set_option(tcp::no_delay(true), ignored);
       bound_silence(call.stream->socket());
     }
-    co_return !connect_failure;
+    co_return !failure;
+  }
+
+  asio::awaitable<void> probe(std::string address, std::chrono::milliseconds timeout, routing::ReachabilityDone done) {
+    co_await asio::post(context, asio::use_awaitable);
+    beast::tcp_stream stream(context);
+    const beast::error_code failure = co_await open(stream, address, timeout);
+    using routing::reachability;
+    const bool refused = failure == asio::error::connection_refused;
+    done(!failure ? reachability::listening : (refused ? reachability::refused : reachability::silent));
   }
 
   bool take_pooled(Call& call) {
@@ -354,6 +370,15 @@
   return start(endpoint, std::move(request), std::move(events), options);
 }
 
+void HttpClient::probe(const std::string& endpoint, std::chrono::milliseconds timeout, routing::ReachabilityDone done) {
+  asio::co_spawn(
+      implementation_->context,
+      [implementation = implementation_, endpoint, timeout, done = std::move(done)]() -> asio::awaitable<void> {
+        co_await implementation->probe(endpoint, timeout, done);
+      },
+      asio::detached);
+}
+
 void HttpClient::cancel(CallNumber number) {
   const auto entry = implementation_->calls.find(number);
   if (entry == implementation_->calls.end()) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -10,6 +10,7 @@
 #include <variant>
 
 #include "net/http_types.hpp"
+#include "routing/backend.hpp"
 
 namespace madderdeck::net {
 
@@ -62,6 +63,8 @@
                    ClientCallOptions options = {});
   /// Collects the whole response.
   CallNumber fetch(const std::string& endpoint, HttpRequest request, SimpleDone done, ClientCallOptions options = {});
+  /// Opens a connection to @p endpoint and closes it at once. @p done never runs inside this call.
+  void probe(const std::string& endpoint, std::chrono::milliseconds timeout, routing::ReachabilityDone done);
   /// Ends a call; its connection closes and no further event arrives.
   void cancel(CallNumber call);
   void pause(CallNumber call);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -49,6 +49,7 @@
           [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
           options.guards.live),
       services(environment, counters, registry, dependencies.backends, claims, options.guards.service),
+      detector(environment, counters, log, dependencies.backends),
       limiter(environment, counters, log, members, options.rate_window),
       declarations(environment, counters, dependencies.platform, options.guards.declarations) {
   objects.table().reject_older = options.guards.reject_older_config;
@@ -57,6 +58,7 @@
         environment, counters, log, registry, *dependencies.upstream,
         [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
         options.guards.forward);
+    forwarder->use_end_detector(detector);
     forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
   shares_calls_ = options.policies.shared_calls;
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -145,6 +145,7 @@
   routing::ClaimBook claims;
   routing::LiveRouter live;
   routing::ServiceRouter services;
+  quarantine::end_detector detector;
   std::unique_ptr<forwarding::Forwarder> forwarder;  ///< Only with an upstream.
   tenancy::rate_limiter limiter;
   routing::shared_calls shared_calls;                   ///< Of the other nodes.
--- /dev/null
+++ b/src/quarantine/end_detector.cpp
@@ -0,0 +1,51 @@
+#include "quarantine/end_detector.hpp"
+
+namespace madderdeck::quarantine {
+
+void end_detector::call_broke(const broken_call& call, decided done) {
+  std::erase_if(ended_at_, [this](const auto& entry) { return environment_.now() - entry.second > kSameEnd; });
+  log_.record("call_broke",
+              {{"request", call.id}, {"fingerprint", call.request.str()}, {"backend", call.backend.str()}});
+  if (ended_at_.contains(call.backend)) {
+    done(true);
+    return;
+  }
+  const auto [entry, first] = questions_.try_emplace(call.backend);
+  entry->second.waiting.push_back(std::move(done));
+  if (!first) {
+    return;
+  }
+  const std::uint64_t number = ++next_question_;
+  entry->second.number = number;
+  counters_["backend_end_checks_total"]++;
+  client_.check_reachable(call.backend,
+                          lifetime_.guard([this, backend = call.backend, number](routing::reachability found) {
+                            settle(backend, number, found);
+                          }));
+  environment_.after(kPatience, lifetime_.guard([this, backend = call.backend, number] {
+    settle(backend, number, routing::reachability::silent);
+  }));
+}
+
+void end_detector::settle(const BackendId& backend, std::uint64_t number, routing::reachability found) {
+  const auto entry = questions_.find(backend);
+  if (entry == questions_.end() || entry->second.number != number) {
+    return;
+  }
+  const std::vector<decided> waiting = std::move(entry->second.waiting);
+  questions_.erase(entry);
+  const bool ended = found == routing::reachability::refused;
+  if (ended) {
+    ended_at_[backend] = environment_.now();
+    counters_["backend_ends_seen_total"]++;
+  }
+  log_.record("backend_checked", {{"backend", backend.str()},
+                                  {"found", routing::reachability_name(found)},
+                                  {"ended", ended},
+                                  {"broken_calls", waiting.size()}});
+  for (const decided& done : waiting) {
+    done(ended);
+  }
+}
+
+}  // namespace madderdeck::quarantine
--- /dev/null
+++ b/src/quarantine/end_detector.hpp
@@ -0,0 +1,61 @@
+#pragma once
+/// @file Whether a back end ended when a call to it broke off, or only the connection did.
+
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "common/counters.hpp"
+#include "common/decision_log.hpp"
+#include "common/environment.hpp"
+#include "quarantine/request_fingerprint.hpp"
+#include "routing/backend.hpp"
+
+namespace madderdeck::quarantine {
+
+/// A call that broke off after bytes of it had been sent.
+struct broken_call {
+  request_fingerprint request;
+  std::string id;  ///< The caller's, for the log.
+  BackendId backend;
+};
+
+/// Asks the back end's address for a connection: one that is refused means that the process is gone. Silence does not
+/// (a cut or frozen machine says nothing either), nor does a reset while connections are taken. Calls that broke
+/// together share one question. Single threaded.
+class end_detector {
+ public:
+  using decided = std::function<void(bool ended)>;
+
+  /// @param client outlives this.
+  end_detector(Environment& environment, Counters& counters, DecisionLog& log, routing::BackendClient& client)
+      : environment_(environment), counters_(counters), log_(log), client_(client) {}
+
+  /// @p done may run before this returns, and runs within kPatience.
+  void call_broke(const broken_call& call, decided done);
+
+  /// Ends are told apart from one another by this: a back end takes longer to start again. Reports of calls that broke
+  /// together lie a few milliseconds apart.
+  static constexpr Duration kSameEnd = 500ms;
+  /// Longest wait for an answer; across zones one takes a few milliseconds.
+  static constexpr Duration kPatience = 250ms;
+
+ private:
+  struct question {
+    std::vector<decided> waiting;
+    std::uint64_t number = 0;
+  };
+
+  void settle(const BackendId& backend, std::uint64_t number, routing::reachability found);
+
+  Environment& environment_;
+  Counters& counters_;
+  DecisionLog& log_;
+  routing::BackendClient& client_;
+  std::map<BackendId, question> questions_;
+  std::map<BackendId, Timestamp> ended_at_;  ///< Of the last kSameEnd.
+  std::uint64_t next_question_ = 0;
+  Lifetime lifetime_;
+};
+
+}  // namespace madderdeck::quarantine
--- a/src/routing/backend.hpp
+++ b/src/routing/backend.hpp
@@ -120,6 +120,28 @@
 
 using ReportDone = std::function<void(std::optional<LoadReport>)>;
 
+/// What became of an attempt to connect to a back end's address.
+enum class reachability {
+  listening,  ///< Connections are taken.
+  refused,    ///< The machine says that no process listens there.
+  silent,     ///< No answer in time, or none to be had: nothing is known.
+};
+
+/// @return the name of @p found, for logs.
+inline std::string_view reachability_name(reachability found) {
+  switch (found) {
+    case reachability::listening:
+      return "listening";
+    case reachability::refused:
+      return "refused";
+    case reachability::silent:
+      break;
+  }
+  return "silent";
+}
+
+using ReachabilityDone = std::function<void(reachability)>;
+
 /// Connection to engines and services. Events never run inside the starting call.
 class BackendClient {
  public:
@@ -133,6 +155,8 @@
   virtual void resume(CallId call) = 0;
   /// Reads the load report of a back end; nothing when it does not answer.
   virtual void fetch_load(const BackendId& backend, ReportDone done) = 0;
+  /// Opens a connection to @p backend and closes it. @p done never runs inside this call.
+  virtual void check_reachable(const BackendId& backend, ReachabilityDone done) = 0;
 };
 
 }  // namespace madderdeck::routing
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -97,6 +97,7 @@
   void pause(routing::CallId) override {}
   void resume(routing::CallId) override {}
   void fetch_load(const BackendId& backend, routing::ReportDone done) override;
+  void check_reachable(const BackendId& backend, routing::ReachabilityDone done) override;
 
  private:
   struct EngineStream;
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -223,4 +223,14 @@
   });
 }
 
+void SimBackends::check_reachable(const BackendId& backend, routing::ReachabilityDone done) {
+  fleet_.world.schedule(jitter(fleet_.world, 200us, 800us), [this, backend, done] {
+    const unsigned number = number_of(backend.str());
+    const bool is_service = backend.str().starts_with("10.2.");
+    const SimProcess& process = is_service ? fleet_.services[number]->process : fleet_.engines[number]->process;
+    const auto found = process.up() ? routing::reachability::listening : routing::reachability::refused;
+    at_node([done, found] { done(found); });
+  });
+}
+
 }  // namespace madderdeck::simulation
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -138,3 +138,17 @@
   CHECK(handled == 3);
   CHECK(server.connections() == 1);
 }
+
+TEST_CASE("a probe tells an address where somebody listens from one where nobody does") {
+  const auto probe = [](bench::HttpSession& http, const std::string& address) {
+    std::optional<routing::reachability> found;
+    http.client.probe(address, std::chrono::milliseconds(500), [&](routing::reachability what) { found = what; });
+    CHECK_FALSE(found);  // never inside the call
+    http.run_until([&] { return found.has_value(); }, std::chrono::milliseconds(2000));
+    return found;
+  };
+  ServerFixture fixture([](const std::shared_ptr<Exchange>& exchange) { exchange->respond({}); });
+  CHECK(probe(fixture.http, kAddress) == routing::reachability::listening);
+  CHECK(probe(fixture.http, "127.91.0.1:9399") == routing::reachability::refused);
+  CHECK(probe(fixture.http, "no address") == routing::reachability::silent);
+}
--- /dev/null
+++ b/tests/quarantine/end_detector_test.cpp
@@ -0,0 +1,62 @@
+#include "quarantine/end_detector.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "support/fake_backends.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::quarantine;
+using madderdeck::routing::reachability;
+
+namespace {
+
+struct detector_fixture {
+  void breaks(const std::string& backend) {
+    detector.call_broke({fingerprint_of({"tenant", "POST", "/path", "body"}), "r1", BackendId(backend)},
+                        [this](bool ended) { verdicts.push_back(ended); });
+  }
+
+  tests::TestEnvironment environment;
+  Counters counters;
+  NoDecisionLog log;
+  tests::FakeBackends backends;
+  end_detector detector{environment, counters, log, backends};
+  std::vector<bool> verdicts;
+};
+
+}  // namespace
+
+TEST_CASE("calls that broke together share one question about the back end") {
+  detector_fixture fixture;
+  fixture.breaks("engine-1");
+  fixture.breaks("engine-1");
+  REQUIRE(fixture.backends.checks.size() == 1);
+  fixture.backends.checks[0].done(reachability::refused);
+  CHECK(fixture.verdicts == std::vector<bool>{true, true});
+  fixture.breaks("engine-1");  // a little later, of the same end
+  CHECK(fixture.backends.checks.size() == 1);
+  CHECK(fixture.verdicts.size() == 3);
+  CHECK(fixture.counters["backend_ends_seen_total"] == 1);
+}
+
+TEST_CASE("a back end that takes connections or says nothing has not ended") {
+  detector_fixture fixture;
+  fixture.breaks("engine-1");
+  fixture.backends.checks.at(0).done(reachability::listening);
+  CHECK(fixture.verdicts == std::vector<bool>{false});
+  fixture.breaks("engine-2");
+  fixture.environment.world.run_for(end_detector::kPatience);
+  CHECK(fixture.verdicts == std::vector<bool>{false, false});
+  fixture.backends.checks.at(1).done(reachability::refused);  // too late to tell which end it is
+  CHECK(fixture.verdicts.size() == 2);
+}
+
+TEST_CASE("an end is not remembered longer than a back end needs to start again") {
+  detector_fixture fixture;
+  fixture.breaks("engine-1");
+  fixture.backends.checks.at(0).done(reachability::refused);
+  fixture.environment.world.run_for(end_detector::kSameEnd + 1ms);
+  fixture.breaks("engine-1");
+  CHECK(fixture.backends.checks.size() == 2);
+}
--- a/tests/support/fake_backends.hpp
+++ b/tests/support/fake_backends.hpp
@@ -35,8 +35,17 @@
   void pause(routing::CallId) override {}
   void resume(routing::CallId) override {}
   void fetch_load(const BackendId&, routing::ReportDone done) override { done(std::nullopt); }
+  void check_reachable(const BackendId& backend, routing::ReachabilityDone done) override {
+    checks.push_back({backend, std::move(done)});
+  }
+
+  struct StartedCheck {
+    BackendId backend;
+    routing::ReachabilityDone done;
+  };
 
   std::vector<StartedEngineCall> engine_calls;
+  std::vector<StartedCheck> checks;  ///< The test says what was found.
   std::vector<StartedServiceCall> service_calls;
 };
 
