--- a/src/common/error.hpp
+++ b/src/common/error.hpp
@@ -26,6 +26,7 @@
   body_too_large,      ///< The body of a request is larger than allowed.
   deadline_exceeded,   ///< No whole answer in the time there was.
   upstream_failed,     ///< The back end broke off or answered with what is no answer.
+  quarantined,         ///< Back ends ended while they ran equal requests; this one is not sent.
 };
 
 /// A failure with its kind and a human readable detail.
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -94,7 +94,30 @@
   return untried;
 }
 
+const routing::request_fingerprint& Forwarder::fingerprint_of(Active& active) {
+  if (!active.fingerprint) {
+    active.fingerprint = forwarding::fingerprint_of(*active.request);
+  }
+  return *active.fingerprint;
+}
+
+bool Forwarder::end_if_held_back(ForwardId id) {
+  if (repeats_ == nullptr || !repeats_->remembers_any()) {
+    return false;
+  }
+  Active& active = requests_.at(id);
+  if (!repeats_->holds_back(fingerprint_of(active), active.request->id)) {
+    return false;
+  }
+  counters_["forward_refused_quarantined_total"]++;
+  end_unanswered(id, ErrorKind::quarantined, "back ends ended each time they ran this request");
+  return true;
+}
+
 void Forwarder::attempt(ForwardId id) {
+  if (end_if_held_back(id)) {
+    return;
+  }
   Active& active = requests_.at(id);
   const std::vector<Backend*> open = choices(active);
   if (open.empty()) {
@@ -194,6 +217,10 @@
 }
 
 void Forwarder::send_to(ForwardId id, Backend& backend, const std::vector<Backend*>& open) {
+  // It may have waited for its engine while others learned what it does.
+  if (end_if_held_back(id)) {
+    return;
+  }
   Active& active = requests_.at(id);
   const routing::shared_calls nothing_shared;
   const routing::shared_calls& shared = shared_ == nullptr ? nothing_shared : *shared_;
@@ -447,6 +474,9 @@
   leave_backend(active);
   registry_.on_success(active.backend);
   learn_call_time(active);
+  if (repeats_ != nullptr && repeats_->remembers_any() && active.head.status < kFirstServerError) {
+    repeats_->call_answered(fingerprint_of(active));
+  }
   counters_["forward_answered_total"]++;
   const Timestamp first_at = active.head_passed ? active.first_at : environment_.now();
   log_.record("request_answered", {{"request", active.request->id},
@@ -485,10 +515,16 @@
                               {"sends", active.sends},
                               {"events", active.last_event},
                               {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
-  if (detector_ != nullptr && failure == CallFailure::broken) {
-    detector_->call_broke({fingerprint_of(*active.request), active.request->id, active.backend}, [](bool) {});
+  if (repeats_ == nullptr || failure != CallFailure::broken) {
+    retry_or_end(id, failure);
+    return;
   }
-  retry_or_end(id, failure);
+  active.breaks.report(*repeats_, {fingerprint_of(active), active.request->id, active.backend},
+                       lifetime_.guard([this, id, failure] {
+                         if (requests_.contains(id)) {
+                           retry_or_end(id, failure);
+                         }
+                       }));
 }
 
 void Forwarder::retry_or_end(ForwardId id, CallFailure failure) {
@@ -500,7 +536,7 @@
     attempt(id);
     return;
   }
-  const bool again = !not_run && may_send_again(active);
+  const bool again = !not_run && may_send_again(active) && active.breaks.may_run_again();
   active.runs += not_run ? 0 : 1;
   if (again && budget_.try_spend()) {
     counters_[active.head_passed ? "forward_resumed_total" : "forward_retried_total"]++;
@@ -539,8 +575,8 @@
     kind = ErrorKind::upstream_failed;
   }
   const Ran ran = may_have_run ? Ran::unknown : Ran::no;
-  active.events.refused(
-      routing::Refusal{Error{kind, detail}, ran, may_have_run ? Duration::zero() : comeback_time(active)});
+  const bool in_vain = may_have_run || kind == ErrorKind::quarantined;  // to come back
+  active.events.refused(routing::Refusal{Error{kind, detail}, ran, in_vain ? Duration::zero() : comeback_time(active)});
 }
 
 void Forwarder::on_give_up(ForwardId id) {
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -15,10 +15,10 @@
 #include "forwarding/event_splitter.hpp"
 #include "forwarding/route_table.hpp"
 #include "forwarding/upstream.hpp"
-#include "quarantine/end_detector.hpp"
 #include "routing/limits.hpp"
 #include "routing/outcome.hpp"
 #include "routing/registry.hpp"
+#include "routing/repeat_guard.hpp"
 #include "routing/shared_calls.hpp"
 
 namespace madderdeck::forwarding {
@@ -65,8 +65,8 @@
     shared_ = &calls;
     shared_delay_ = delay;
   }
-  /// From now on it is found out whether back ends ended when calls to them broke off. @p detector outlives this.
-  void use_end_detector(quarantine::end_detector& detector) { detector_ = &detector; }
+  /// From now on requests under which back ends end are not sent again. @p guard outlives this.
+  void use_repeat_guard(routing::repeat_guard& guard) { repeats_ = &guard; }
   /// From now on @p placer is asked for engines while it is active. It outlives this.
   void use_placer(engine_placer& placer) { placer_ = &placer; }
   /// @return moving average of what a live call waits for its first token more where batch work has to yield.
@@ -91,7 +91,9 @@
     std::uint32_t sends = 0;
     std::uint32_t runs = 0;  ///< Sends that may have run.
     std::set<BackendId> tried;
-    bool head_seen = false;  ///< Of the current send.
+    routing::call_breaks breaks;
+    std::optional<routing::request_fingerprint> fingerprint;  ///< Once it was needed.
+    bool head_seen = false;                                   ///< Of the current send.
     bool head_passed = false;
     Timestamp first_at{};       ///< When the caller was sent the first of the answer.
     bool heard = false;         ///< Of the current send: any byte.
@@ -134,6 +136,10 @@
   const std::string& choose_pool(const Route& route);
   std::vector<routing::Backend*> choices(const Active& active);
   bool may_send_again(const Active& active) const;
+  /// Ends a request that must not be sent to any back end.
+  /// @return whether it did.
+  bool end_if_held_back(ForwardId id);
+  static const routing::request_fingerprint& fingerprint_of(Active& active);
 
   Environment& environment_;
   Counters& counters_;
@@ -154,7 +160,7 @@
   const routing::shared_calls* shared_ = nullptr;
   Duration shared_delay_{};
   engine_placer* placer_ = nullptr;
-  quarantine::end_detector* detector_ = nullptr;
+  routing::repeat_guard* repeats_ = nullptr;
   std::uint64_t next_placing_ = 0;
   ReadingHook on_reading_;
   ForwardId next_id_ = 0;
--- a/src/forwarding/request.hpp
+++ b/src/forwarding/request.hpp
@@ -9,7 +9,7 @@
 
 #include "common/environment.hpp"
 #include "net/http_types.hpp"
-#include "quarantine/request_fingerprint.hpp"
+#include "routing/request_fingerprint.hpp"
 
 namespace madderdeck::forwarding {
 
@@ -36,8 +36,8 @@
 using ForwardedRequestPointer = std::shared_ptr<const ForwardedRequest>;
 
 /// @return what @p request has in common with its repeats.
-inline quarantine::request_fingerprint fingerprint_of(const ForwardedRequest& request) {
-  return quarantine::fingerprint_of({request.tenant, request.method, request.target, request.body});
+inline routing::request_fingerprint fingerprint_of(const ForwardedRequest& request) {
+  return routing::fingerprint_of({request.tenant, request.method, request.target, request.body});
 }
 
 /// Parts shared by fewer tokens are cheaper to read again than to queue for.
--- a/src/gateway/problem.cpp
+++ b/src/gateway/problem.cpp
@@ -24,6 +24,7 @@
     case ErrorKind::deadline_exceeded:
       return 504;
     case ErrorKind::upstream_failed:
+    case ErrorKind::quarantined:
       return 502;
     case ErrorKind::unavailable:
     case ErrorKind::ambiguous:
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -50,6 +50,9 @@
           options.guards.live),
       services(environment, counters, registry, dependencies.backends, claims, options.guards.service),
       detector(environment, counters, log, dependencies.backends),
+      quarantine(
+          environment, counters, log, detector, [this] { return other_senders(); },
+          [this](const BackendId& backend) { return is_leaving(backend); }, options.guards.quarantine),
       limiter(environment, counters, log, members, options.rate_window),
       declarations(environment, counters, dependencies.platform, options.guards.declarations) {
   objects.table().reject_older = options.guards.reject_older_config;
@@ -58,7 +61,7 @@
         environment, counters, log, registry, *dependencies.upstream,
         [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
         options.guards.forward);
-    forwarder->use_end_detector(detector);
+    forwarder->use_repeat_guard(quarantine);
     forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
   shares_calls_ = options.policies.shared_calls;
@@ -119,6 +122,7 @@
   started_at_ = environment.now();
   members.start();
   limiter.start();
+  quarantine.start();
   if (replica) {
     replica->restore();
   }
@@ -195,6 +199,22 @@
   return others;
 }
 
+std::vector<PeerAddress> NodeCore::other_senders() const {
+  std::set<PeerAddress> others;
+  for (const Role role : {Role::gateway, Role::scheduler}) {
+    for (const wire::MemberT* member : members.available(role)) {
+      others.insert(PeerAddress(member->peer_address));
+    }
+  }
+  others.erase(PeerAddress(members.self().peer_address));
+  return {others.begin(), others.end()};
+}
+
+bool NodeCore::is_leaving(const BackendId& backend) {
+  const routing::Backend* known = registry.find(backend);
+  return known != nullptr && (known->machine.leaving || known->said_leaving);
+}
+
 Duration NodeCore::observed_time_to_yield() const {
   const Duration own = forwarder ? forwarder->time_to_yield() : Duration::zero();
   return std::max(own, coordinated() ? coordinator->calls().time_to_yield() : shared_calls.time_to_yield());
@@ -435,6 +455,15 @@
     case wire::Message::RateReply:
       limiter.handle(*body.AsRateReply());
       break;
+    case wire::Message::SuspicionNews:
+      quarantine.handle(*body.AsSuspicionNews());
+      break;
+    case wire::Message::SuspicionDigest:
+      quarantine.handle(sender, *body.AsSuspicionDigest());
+      break;
+    case wire::Message::SuspicionSync:
+      quarantine.handle(sender, *body.AsSuspicionSync());
+      break;
     case wire::Message::PromptReading:
       registry.on_reading(BackendId(body.AsPromptReading()->engine),
                           std::chrono::milliseconds(body.AsPromptReading()->expected_ms));
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -26,6 +26,7 @@
 #include "placement/place_client.hpp"
 #include "policy/policies.hpp"
 #include "policy/work_estimate.hpp"
+#include "quarantine/request_quarantine.hpp"
 #include "routing/call_announcer.hpp"
 #include "routing/live_router.hpp"
 #include "routing/service_router.hpp"
@@ -47,6 +48,7 @@
   batch::ManagerGuards manager;
   batch::DispatchGuards dispatch;
   object_store::DeclarationGuards declarations;
+  quarantine::quarantine_guards quarantine;
   bool cancel_is_durable = true;  ///< A cancel is written before it is confirmed.
   bool reject_older_config = true;
   bool tell_activity = true;             ///< Schedulers hear of live calls on their engines.
@@ -146,6 +148,7 @@
   routing::LiveRouter live;
   routing::ServiceRouter services;
   quarantine::end_detector detector;
+  quarantine::request_quarantine quarantine;
   std::unique_ptr<forwarding::Forwarder> forwarder;  ///< Only with an upstream.
   tenancy::rate_limiter limiter;
   routing::shared_calls shared_calls;                   ///< Of the other nodes.
@@ -181,6 +184,9 @@
   void refresh_activity();
   void report_queues();
   std::vector<PeerAddress> other_gateways() const;
+  /// @return where the other nodes that send requests to back ends hear their peers.
+  std::vector<PeerAddress> other_senders() const;
+  bool is_leaving(const BackendId& backend);
   Duration observed_time_to_yield() const;
   void start_sharing_calls();
   void start_coordination();
--- a/src/quarantine/end_detector.cpp
+++ b/src/quarantine/end_detector.cpp
@@ -2,7 +2,7 @@
 
 namespace madderdeck::quarantine {
 
-void end_detector::call_broke(const broken_call& call, decided done) {
+void end_detector::call_broke(const routing::broken_call& call, decided done) {
   std::erase_if(ended_at_, [this](const auto& entry) { return environment_.now() - entry.second > kSameEnd; });
   log_.record("call_broke",
               {{"request", call.id}, {"fingerprint", call.request.str()}, {"backend", call.backend.str()}});
--- a/src/quarantine/end_detector.hpp
+++ b/src/quarantine/end_detector.hpp
@@ -8,31 +8,24 @@
 #include "common/counters.hpp"
 #include "common/decision_log.hpp"
 #include "common/environment.hpp"
-#include "quarantine/request_fingerprint.hpp"
 #include "routing/backend.hpp"
+#include "routing/repeat_guard.hpp"
 
 namespace madderdeck::quarantine {
 
-/// A call that broke off after bytes of it had been sent.
-struct broken_call {
-  request_fingerprint request;
-  std::string id;  ///< The caller's, for the log.
-  BackendId backend;
-};
-
 /// Asks the back end's address for a connection: one that is refused means that the process is gone. Silence does not
 /// (a cut or frozen machine says nothing either), nor does a reset while connections are taken. Calls that broke
 /// together share one question. Single threaded.
 class end_detector {
  public:
-  using decided = std::function<void(bool ended)>;
+  using decided = routing::repeat_guard::decided;
 
   /// @param client outlives this.
   end_detector(Environment& environment, Counters& counters, DecisionLog& log, routing::BackendClient& client)
       : environment_(environment), counters_(counters), log_(log), client_(client) {}
 
   /// @p done may run before this returns, and runs within kPatience.
-  void call_broke(const broken_call& call, decided done);
+  void call_broke(const routing::broken_call& call, decided done);
 
   /// Ends are told apart from one another by this: a back end takes longer to start again. Reports of calls that broke
   /// together lie a few milliseconds apart.
--- /dev/null
+++ b/src/quarantine/end_history.cpp
@@ -0,0 +1,135 @@
+#include "quarantine/end_history.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+#include "common/hash.hpp"
+
+namespace madderdeck::quarantine {
+
+using routing::request_fingerprint;
+
+UnixMilliseconds suspected_request::last_news() const {
+  UnixMilliseconds latest = std::max(answered_at, held_back_at);
+  for (const backend_end& end : ends) {
+    latest = std::max(latest, end.at);
+  }
+  return latest;
+}
+
+bool end_history::record(const request_fingerprint& request, const backend_end& end, UnixMilliseconds now) {
+  if (end.at + kKeptMs < now) {
+    return false;
+  }
+  auto entry = requests_.find(request);
+  if (entry == requests_.end()) {
+    if (requests_.size() >= kMostRequests) {
+      evict_one();
+    }
+    entry = requests_.emplace(request, suspected_request{request, {}, 0, 0}).first;
+  }
+  suspected_request& known = entry->second;
+  const bool same = std::any_of(known.ends.begin(), known.ends.end(), [&end](const backend_end& one) {
+    const UnixMilliseconds apart = std::max(one.at, end.at) - std::min(one.at, end.at);
+    return one.backend == end.backend && apart <= kSameEndMs;
+  });
+  if (same || end.at <= known.answered_at || known.ends.size() >= kMostEnds) {
+    return false;
+  }
+  known.ends.push_back(end);
+  return true;
+}
+
+bool end_history::acquit(const request_fingerprint& request, UnixMilliseconds at) {
+  const auto entry = requests_.find(request);
+  if (entry == requests_.end()) {
+    return false;
+  }
+  suspected_request& known = entry->second;
+  known.answered_at = std::max(known.answered_at, at);
+  const auto earlier =
+      std::erase_if(known.ends, [&known](const backend_end& end) { return end.at <= known.answered_at; });
+  return earlier > 0;
+}
+
+bool end_history::merge(const suspected_request& other, UnixMilliseconds now) {
+  bool news = false;
+  for (const backend_end& end : other.ends) {
+    news = record(other.request, end, now) || news;
+  }
+  const auto entry = requests_.find(other.request);
+  if (entry == requests_.end()) {
+    return news;
+  }
+  entry->second.held_back_at = std::max(entry->second.held_back_at, other.held_back_at);
+  return (other.answered_at > 0 && acquit(other.request, other.answered_at)) || news;
+}
+
+void end_history::note_held_back(const request_fingerprint& request, UnixMilliseconds now) {
+  if (const auto entry = requests_.find(request); entry != requests_.end()) {
+    entry->second.held_back_at = now;
+  }
+}
+
+void end_history::forget_old(UnixMilliseconds now) {
+  std::erase_if(requests_, [now](const auto& entry) { return entry.second.last_news() + kKeptMs < now; });
+}
+
+const suspected_request* end_history::find(const request_fingerprint& request) const {
+  const auto entry = requests_.find(request);
+  return entry == requests_.end() ? nullptr : &entry->second;
+}
+
+std::size_t end_history::ends(const request_fingerprint& request) const {
+  const suspected_request* known = find(request);
+  return known == nullptr ? 0 : known->ends.size();
+}
+
+std::size_t end_history::held_back() const {
+  return static_cast<std::size_t>(std::count_if(requests_.begin(), requests_.end(), [](const auto& entry) {
+    return entry.second.ends.size() >= kEndsToHoldBack;
+  }));
+}
+
+bool end_history::is_compared(const suspected_request& request) { return request.ends.size() + 1 >= kEndsToHoldBack; }
+
+bool end_history::is_shared(const suspected_request& request) {
+  return is_compared(request) || request.answered_at > 0;
+}
+
+std::vector<suspected_request> end_history::shared(std::size_t most) const {
+  std::vector<suspected_request> found;
+  for (const auto& [request, known] : requests_) {
+    if (is_shared(known)) {
+      found.push_back(known);
+    }
+  }
+  // The most dangerous first, should there be too many.
+  std::stable_sort(found.begin(), found.end(), [](const suspected_request& left, const suspected_request& right) {
+    return left.ends.size() > right.ends.size();
+  });
+  found.resize(std::min(found.size(), most));
+  return found;
+}
+
+std::uint64_t end_history::digest() const {
+  std::uint64_t sum = 0;
+  for (const auto& [request, known] : requests_) {
+    if (is_compared(known)) {
+      sum += stable_hash(request.str(), std::min(known.ends.size(), kEndsToHoldBack));
+    }
+  }
+  return sum;
+}
+
+void end_history::evict_one() {
+  const auto weight = [](const auto& entry) {
+    return std::tuple(std::min(entry.second.ends.size(), kEndsToHoldBack), entry.second.last_news());
+  };
+  const auto least =
+      std::min_element(requests_.begin(), requests_.end(),
+                       [&weight](const auto& left, const auto& right) { return weight(left) < weight(right); });
+  requests_.erase(least);
+}
+
+}  // namespace madderdeck::quarantine
--- /dev/null
+++ b/src/quarantine/end_history.hpp
@@ -0,0 +1,84 @@
+#pragma once
+/// @file Which requests were running when back ends ended. A pure data structure that any two nodes can merge.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/strong_id.hpp"
+#include "routing/request_fingerprint.hpp"
+
+namespace madderdeck::quarantine {
+
+/// Milliseconds since the Unix epoch, by the clock of the node that saw it: ages in messages would grow on their way.
+using UnixMilliseconds = std::uint64_t;
+
+/// A back end that ended.
+struct backend_end {
+  BackendId backend;
+  UnixMilliseconds at = 0;
+  auto operator<=>(const backend_end&) const = default;
+};
+
+/// One request and the back ends that ended while they ran it.
+struct suspected_request {
+  routing::request_fingerprint request;
+  std::vector<backend_end> ends;     ///< After answered_at; at most kMostEnds.
+  UnixMilliseconds answered_at = 0;  ///< Its last run that came to a good end; 0: none known.
+  UnixMilliseconds held_back_at = 0;
+
+  /// @return when there was last news of it.
+  UnixMilliseconds last_news() const;
+};
+
+/// Requests by fingerprint. Bounded in entries, in ends for each and in time. Single threaded.
+class end_history {
+ public:
+  /// With the third back end that ends under a request it is no accident: each crash of an engine puts one end on all
+  /// that ran there, and an innocent request would have to be caught by three crashes in a row without one good run.
+  static constexpr std::size_t kEndsToHoldBack = 3;
+  /// More say nothing new.
+  static constexpr std::size_t kMostEnds = 4;
+  /// Of about 300 bytes each. Those with the fewest ends go first, among them those without news for longest.
+  static constexpr std::size_t kMostRequests = 1024;
+  /// From the last end or refusal: a caller that goes on asking keeps its request held back.
+  static constexpr UnixMilliseconds kKeptMs = 15 * 60 * 1000;
+  /// Two reports of one back end within it are of one end; a back end takes longer to end again under the same id.
+  static constexpr UnixMilliseconds kSameEndMs = 2'500;
+
+  /// @return whether this is news.
+  bool record(const routing::request_fingerprint& request, const backend_end& end, UnixMilliseconds now);
+  /// A run ended well at @p at: earlier ends were others' fault.
+  /// @return whether there were any.
+  bool acquit(const routing::request_fingerprint& request, UnixMilliseconds at);
+  /// @return whether anything in @p other was news.
+  bool merge(const suspected_request& other, UnixMilliseconds now);
+  void note_held_back(const routing::request_fingerprint& request, UnixMilliseconds now);
+  void forget_old(UnixMilliseconds now);
+
+  /// @return what is known of @p request, or null.
+  const suspected_request* find(const routing::request_fingerprint& request) const;
+  std::size_t ends(const routing::request_fingerprint& request) const;
+  bool holds_back(const routing::request_fingerprint& request) const { return ends(request) >= kEndsToHoldBack; }
+  bool empty() const { return requests_.empty(); }
+  std::size_t size() const { return requests_.size(); }
+  std::size_t held_back() const;
+  /// @return what a node that differs is told: requests with two ends or more, and the acquitted. One end alone is told
+  ///         once and no more, since each crash puts one on everything that ran there.
+  std::vector<suspected_request> shared(std::size_t most) const;
+  /// @return a number over the requests with two ends or more, equal where these are; 0 without any.
+  std::uint64_t digest() const;
+
+ private:
+  /// With two ends or more.
+  static bool is_compared(const suspected_request& request);
+  /// These and the acquitted.
+  static bool is_shared(const suspected_request& request);
+  void evict_one();
+
+  std::map<routing::request_fingerprint, suspected_request> requests_;
+};
+
+}  // namespace madderdeck::quarantine
--- /dev/null
+++ b/src/quarantine/request_quarantine.cpp
@@ -0,0 +1,196 @@
+#include "quarantine/request_quarantine.hpp"
+
+#include <algorithm>
+
+namespace madderdeck::quarantine {
+namespace {
+
+using routing::request_fingerprint;
+
+/// Calls that broke with one back end are told in one message.
+constexpr Duration kTogether = 1ms;
+/// A message of so many stays below the size at which datagrams are cut up.
+constexpr std::size_t kMostInOneDatagram = 6;
+/// About 20 KB.
+constexpr std::size_t kMostInOneList = 128;
+/// Between lists: nodes that differ for good, since one has no room, shall not do nothing else.
+constexpr Duration kBetweenLists = 200ms;
+
+std::unique_ptr<wire::SuspectedRequestT> to_wire(const suspected_request& known) {
+  auto message = std::make_unique<wire::SuspectedRequestT>();
+  message->high = known.request.high();
+  message->low = known.request.low();
+  message->answered_at_ms = known.answered_at;
+  message->held_back_at_ms = known.held_back_at;
+  for (const backend_end& end : known.ends) {
+    auto told = std::make_unique<wire::BackendEndT>();
+    told->backend = end.backend.str();
+    told->at_ms = end.at;
+    message->ends.push_back(std::move(told));
+  }
+  return message;
+}
+
+suspected_request from_wire(const wire::SuspectedRequestT& message) {
+  suspected_request told;
+  told.request = {message.high, message.low};
+  told.answered_at = message.answered_at_ms;
+  told.held_back_at = message.held_back_at_ms;
+  for (const auto& end : message.ends) {
+    told.ends.push_back({BackendId(end->backend), end->at_ms});
+  }
+  return told;
+}
+
+}  // namespace
+
+request_quarantine::request_quarantine(Environment& environment, Counters& counters, DecisionLog& log,
+                                       end_detector& detector, peers senders, leaving is_leaving,
+                                       quarantine_guards guards)
+    : environment_(environment),
+      counters_(counters),
+      log_(log),
+      detector_(detector),
+      senders_(std::move(senders)),
+      is_leaving_(std::move(is_leaving)),
+      guards_(guards) {}
+
+void request_quarantine::start() { compare(); }
+
+bool request_quarantine::holds_back(const request_fingerprint& request, const std::string& id) {
+  if (!guards_.hold_back || !history_.holds_back(request)) {
+    return false;
+  }
+  const UnixMilliseconds now = environment_.unix_milliseconds();
+  const suspected_request& known = *history_.find(request);
+  log_.record("request_held_back", {{"request", id},
+                                    {"fingerprint", request.str()},
+                                    {"ends", known.ends.size()},
+                                    {"age_ms", now - std::min(now, known.ends.back().at)}});
+  counters_["quarantine_held_back_total"]++;
+  history_.note_held_back(request, now);
+  return true;
+}
+
+void request_quarantine::call_broke(const routing::broken_call& call, decided done) {
+  detector_.call_broke(call, lifetime_.guard([this, call, done = std::move(done)](bool ended) {
+    if (ended && !is_leaving_(call.backend)) {
+      const bool before = history_.holds_back(call.request);
+      const UnixMilliseconds now = environment_.unix_milliseconds();
+      if (history_.record(call.request, {call.backend, now}, now)) {
+        counters_["quarantine_ends_recorded_total"]++;
+        note_if_held_back(call.request, before, "saw");
+        tell(call.request);
+      }
+    }
+    done(ended);
+  }));
+}
+
+void request_quarantine::call_answered(const request_fingerprint& request) {
+  if (history_.acquit(request, environment_.unix_milliseconds())) {
+    counters_["quarantine_acquitted_total"]++;
+    log_.record("request_acquitted", {{"fingerprint", request.str()}});
+    tell(request);
+  }
+}
+
+void request_quarantine::note_if_held_back(const request_fingerprint& request, bool before, std::string_view learned) {
+  if (before || !history_.holds_back(request)) {
+    return;
+  }
+  const suspected_request& known = *history_.find(request);
+  log_.record("request_quarantined",
+              {{"fingerprint", request.str()},
+               {"ends", known.ends.size()},
+               {"first", known.ends.front().backend.str()},
+               {"last", known.ends.back().backend.str()},
+               {"between_ms", known.ends.back().at - std::min(known.ends.back().at, known.ends.front().at)},
+               {"learned", learned}});
+  counters_["quarantine_begun_total"]++;
+}
+
+void request_quarantine::tell(const request_fingerprint& request) {
+  if (!guards_.tell_others) {
+    return;
+  }
+  to_tell_.push_back(request);
+  if (to_tell_.size() == 1) {
+    environment_.after(kTogether, lifetime_.guard([this] { tell_waiting(); }));
+  }
+}
+
+void request_quarantine::tell_waiting() {
+  std::vector<request_fingerprint> waiting;
+  std::swap(waiting, to_tell_);
+  const std::vector<PeerAddress> peers = senders_();
+  for (std::size_t first = 0; first < waiting.size(); first += kMostInOneDatagram) {
+    const std::size_t end = std::min(waiting.size(), first + kMostInOneDatagram);
+    for (const PeerAddress& peer : peers) {
+      wire::SuspicionNewsT news;
+      for (std::size_t position = first; position < end; ++position) {
+        if (const suspected_request* known = history_.find(waiting[position])) {
+          news.requests.push_back(to_wire(*known));
+        }
+      }
+      send_message(environment_, peer, std::move(news));
+      counters_["quarantine_news_sent_total"]++;
+    }
+  }
+}
+
+void request_quarantine::take(const std::vector<std::unique_ptr<wire::SuspectedRequestT>>& requests) {
+  const UnixMilliseconds now = environment_.unix_milliseconds();
+  for (const auto& message : requests) {
+    const suspected_request told = from_wire(*message);
+    const bool before = history_.holds_back(told.request);
+    if (history_.merge(told, now)) {
+      counters_["quarantine_news_taken_total"]++;
+      note_if_held_back(told.request, before, "heard");
+    }
+  }
+}
+
+void request_quarantine::handle(const wire::SuspicionNewsT& message) { take(message.requests); }
+
+void request_quarantine::compare() {
+  environment_.after(kCompare, lifetime_.guard([this] { compare(); }));
+  history_.forget_old(environment_.unix_milliseconds());
+  counters_["quarantine_requests_known"] = static_cast<CounterValue>(history_.size());
+  counters_["quarantine_requests_held_back"] = static_cast<CounterValue>(history_.held_back());
+  const std::vector<PeerAddress> peers = senders_();
+  if (peers.empty() || !guards_.tell_others) {
+    return;
+  }
+  wire::SuspicionDigestT message;
+  message.digest = history_.digest();
+  send_message(environment_, peers[environment_.random() % peers.size()], std::move(message));
+}
+
+void request_quarantine::handle(const PeerAddress& sender, const wire::SuspicionDigestT& message) {
+  const bool too_soon = sent_shared_at_.count() != 0 && environment_.now() - sent_shared_at_ < kBetweenLists;
+  if (message.digest == history_.digest() || too_soon || !guards_.tell_others) {
+    return;
+  }
+  sent_shared_at_ = environment_.now();
+  send_shared(sender, true);
+}
+
+void request_quarantine::send_shared(const PeerAddress& to, bool reply) {
+  wire::SuspicionSyncT message;
+  message.reply = reply;
+  for (const suspected_request& known : history_.shared(kMostInOneList)) {
+    message.requests.push_back(to_wire(known));
+  }
+  counters_["quarantine_lists_sent_total"]++;
+  send_message(environment_, to, std::move(message));
+}
+
+void request_quarantine::handle(const PeerAddress& sender, const wire::SuspicionSyncT& message) {
+  take(message.requests);
+  if (message.reply) {
+    send_shared(sender, false);
+  }
+}
+
+}  // namespace madderdeck::quarantine
--- /dev/null
+++ b/src/quarantine/request_quarantine.hpp
@@ -0,0 +1,71 @@
+#pragma once
+/// @file Requests that end the back ends that run them, known to all nodes that send. See docs/design/quarantine.md.
+
+#include <functional>
+#include <vector>
+
+#include "quarantine/end_detector.hpp"
+#include "quarantine/end_history.hpp"
+
+namespace madderdeck::quarantine {
+
+/// Rules of the quarantine; always on in the daemon.
+struct quarantine_guards {
+  bool hold_back = true;    ///< A request under which three back ends have ended is not sent again.
+  bool tell_others = true;  ///< The other nodes hear of each end.
+};
+
+/// Each end is told to all nodes that send requests, in one datagram each. What was lost, and what a node missed that
+/// was cut off, frozen or not there, is made good by comparing digests with one node every kCompare. No call to the
+/// platform's store. Single threaded.
+class request_quarantine : public routing::repeat_guard {
+ public:
+  /// @return peer addresses of all other nodes that send requests to back ends.
+  using peers = std::function<std::vector<PeerAddress>()>;
+  /// @return whether a back end has said that it leaves: its end is no surprise.
+  using leaving = std::function<bool(const BackendId&)>;
+
+  /// @param detector outlives this.
+  request_quarantine(Environment& environment, Counters& counters, DecisionLog& log, end_detector& detector,
+                     peers senders, leaving is_leaving, quarantine_guards guards = {});
+
+  void start();
+
+  bool remembers_any() const override { return !history_.empty(); }
+  bool suspects(const routing::request_fingerprint& request) const override { return history_.ends(request) > 0; }
+  bool holds_back(const routing::request_fingerprint& request, const std::string& id) override;
+  void call_broke(const routing::broken_call& call, decided done) override;
+  void call_answered(const routing::request_fingerprint& request) override;
+
+  void handle(const wire::SuspicionNewsT& message);
+  void handle(const PeerAddress& sender, const wire::SuspicionDigestT& message);
+  void handle(const PeerAddress& sender, const wire::SuspicionSyncT& message);
+
+  const end_history& history() const { return history_; }
+
+  /// A node that missed news has it after two of these, within the 3 s in which nodes in touch may be behind.
+  static constexpr Duration kCompare = 500ms;
+
+ private:
+  void compare();
+  /// Tells all others of @p request, together with what else comes up within kTogether.
+  void tell(const routing::request_fingerprint& request);
+  void tell_waiting();
+  void take(const std::vector<std::unique_ptr<wire::SuspectedRequestT>>& requests);
+  void send_shared(const PeerAddress& to, bool reply);
+  void note_if_held_back(const routing::request_fingerprint& request, bool before, std::string_view learned);
+
+  Environment& environment_;
+  Counters& counters_;
+  DecisionLog& log_;
+  end_detector& detector_;
+  const peers senders_;
+  const leaving is_leaving_;
+  const quarantine_guards guards_;
+  end_history history_;
+  std::vector<routing::request_fingerprint> to_tell_;
+  Timestamp sent_shared_at_{};
+  Lifetime lifetime_;
+};
+
+}  // namespace madderdeck::quarantine
--- /dev/null
+++ b/src/routing/repeat_guard.cpp
@@ -0,0 +1,20 @@
+#include "routing/repeat_guard.hpp"
+
+namespace madderdeck::routing {
+
+void call_breaks::report(repeat_guard& guard, const broken_call& call, std::function<void()> go_on) {
+  const bool waits = broke_before_ || guard.suspects(call.request);
+  broke_before_ = true;
+  // The call may be over by the time the answer comes.
+  guard.call_broke(call, [ends = ends_, waits, go_on](bool ended) {
+    *ends += ended ? 1 : 0;
+    if (waits) {
+      go_on();
+    }
+  });
+  if (!waits) {
+    go_on();
+  }
+}
+
+}  // namespace madderdeck::routing
--- a/src/quarantine/request_fingerprint.cpp
+++ b/src/routing/request_fingerprint.cpp
@@ -1,10 +1,10 @@
-#include "quarantine/request_fingerprint.hpp"
+#include "routing/request_fingerprint.hpp"
 
 #include <array>
 
 #include "common/hash.hpp"
 
-namespace madderdeck::quarantine {
+namespace madderdeck::routing {
 
 std::string request_fingerprint::str() const { return hex64(high_) + hex64(low_); }
 
@@ -18,4 +18,4 @@
   return {whole.high64, whole.low64};
 }
 
-}  // namespace madderdeck::quarantine
+}  // namespace madderdeck::routing
--- a/src/quarantine/request_fingerprint.hpp
+++ b/src/routing/request_fingerprint.hpp
@@ -6,7 +6,7 @@
 #include <string>
 #include <string_view>
 
-namespace madderdeck::quarantine {
+namespace madderdeck::routing {
 
 /// 128 bits over a request; the same on every node. Immutable.
 class request_fingerprint {
@@ -37,4 +37,4 @@
 ///         next make another request.
 request_fingerprint fingerprint_of(const request_parts& parts);
 
-}  // namespace madderdeck::quarantine
+}  // namespace madderdeck::routing
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -190,6 +190,26 @@
 struct RateReplyBuilder;
 struct RateReplyT;
 
+struct BackendEnd;
+struct BackendEndBuilder;
+struct BackendEndT;
+
+struct SuspectedRequest;
+struct SuspectedRequestBuilder;
+struct SuspectedRequestT;
+
+struct SuspicionNews;
+struct SuspicionNewsBuilder;
+struct SuspicionNewsT;
+
+struct SuspicionDigest;
+struct SuspicionDigestBuilder;
+struct SuspicionDigestT;
+
+struct SuspicionSync;
+struct SuspicionSyncBuilder;
+struct SuspicionSyncT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -419,11 +439,14 @@
   RateRequest = 33,
   RateReply = 34,
   PlaceWithdrawal = 35,
+  SuspicionNews = 36,
+  SuspicionDigest = 37,
+  SuspicionSync = 38,
   MIN = NONE,
-  MAX = PlaceWithdrawal
+  MAX = SuspicionSync
 };
 
-inline const Message (&EnumValuesMessage())[36] {
+inline const Message (&EnumValuesMessage())[39] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -460,13 +483,16 @@
     Message::EngineFailure,
     Message::RateRequest,
     Message::RateReply,
-    Message::PlaceWithdrawal
+    Message::PlaceWithdrawal,
+    Message::SuspicionNews,
+    Message::SuspicionDigest,
+    Message::SuspicionSync
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[37] = {
+  static const char * const names[40] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -503,13 +529,16 @@
     "RateRequest",
     "RateReply",
     "PlaceWithdrawal",
+    "SuspicionNews",
+    "SuspicionDigest",
+    "SuspicionSync",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::PlaceWithdrawal)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::SuspicionSync)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -658,6 +687,18 @@
   static const Message enum_value = Message::PlaceWithdrawal;
 };
 
+template<> struct MessageTraits<madderdeck::wire::SuspicionNews> {
+  static const Message enum_value = Message::SuspicionNews;
+};
+
+template<> struct MessageTraits<madderdeck::wire::SuspicionDigest> {
+  static const Message enum_value = Message::SuspicionDigest;
+};
+
+template<> struct MessageTraits<madderdeck::wire::SuspicionSync> {
+  static const Message enum_value = Message::SuspicionSync;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -802,6 +843,18 @@
   static const Message enum_value = Message::PlaceWithdrawal;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::SuspicionNewsT> {
+  static const Message enum_value = Message::SuspicionNews;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::SuspicionDigestT> {
+  static const Message enum_value = Message::SuspicionDigest;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::SuspicionSyncT> {
+  static const Message enum_value = Message::SuspicionSync;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1112,6 +1165,30 @@
     return type == Message::PlaceWithdrawal ?
       reinterpret_cast<const madderdeck::wire::PlaceWithdrawalT *>(value) : nullptr;
   }
+  madderdeck::wire::SuspicionNewsT *AsSuspicionNews() {
+    return type == Message::SuspicionNews ?
+      reinterpret_cast<madderdeck::wire::SuspicionNewsT *>(value) : nullptr;
+  }
+  const madderdeck::wire::SuspicionNewsT *AsSuspicionNews() const {
+    return type == Message::SuspicionNews ?
+      reinterpret_cast<const madderdeck::wire::SuspicionNewsT *>(value) : nullptr;
+  }
+  madderdeck::wire::SuspicionDigestT *AsSuspicionDigest() {
+    return type == Message::SuspicionDigest ?
+      reinterpret_cast<madderdeck::wire::SuspicionDigestT *>(value) : nullptr;
+  }
+  const madderdeck::wire::SuspicionDigestT *AsSuspicionDigest() const {
+    return type == Message::SuspicionDigest ?
+      reinterpret_cast<const madderdeck::wire::SuspicionDigestT *>(value) : nullptr;
+  }
+  madderdeck::wire::SuspicionSyncT *AsSuspicionSync() {
+    return type == Message::SuspicionSync ?
+      reinterpret_cast<madderdeck::wire::SuspicionSyncT *>(value) : nullptr;
+  }
+  const madderdeck::wire::SuspicionSyncT *AsSuspicionSync() const {
+    return type == Message::SuspicionSync ?
+      reinterpret_cast<const madderdeck::wire::SuspicionSyncT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -6411,6 +6488,429 @@
 
 flatbuffers::Offset<RateReply> CreateRateReply(flatbuffers::FlatBufferBuilder &_fbb, const RateReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct BackendEndT : public flatbuffers::NativeTable {
+  typedef BackendEnd TableType;
+  std::string backend{};
+  uint64_t at_ms = 0;
+};
+
+struct BackendEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BackendEndT NativeTableType;
+  typedef BackendEndBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BACKEND = 4,
+    VT_AT_MS = 6
+  };
+  const flatbuffers::String *backend() const {
+    return GetPointer<const flatbuffers::String *>(VT_BACKEND);
+  }
+  uint64_t at_ms() const {
+    return GetField<uint64_t>(VT_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_BACKEND) &&
+           verifier.VerifyString(backend()) &&
+           VerifyField<uint64_t>(verifier, VT_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+  BackendEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BackendEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BackendEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BackendEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BackendEndBuilder {
+  typedef BackendEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_backend(flatbuffers::Offset<flatbuffers::String> backend) {
+    fbb_.AddOffset(BackendEnd::VT_BACKEND, backend);
+  }
+  void add_at_ms(uint64_t at_ms) {
+    fbb_.AddElement<uint64_t>(BackendEnd::VT_AT_MS, at_ms, 0);
+  }
+  explicit BackendEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BackendEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BackendEnd>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BackendEnd> CreateBackendEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> backend = 0,
+    uint64_t at_ms = 0) {
+  BackendEndBuilder builder_(_fbb);
+  builder_.add_at_ms(at_ms);
+  builder_.add_backend(backend);
+  return builder_.Finish();
+}
+
+struct BackendEnd::Traits {
+  using type = BackendEnd;
+  static auto constexpr Create = CreateBackendEnd;
+};
+
+inline flatbuffers::Offset<BackendEnd> CreateBackendEndDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *backend = nullptr,
+    uint64_t at_ms = 0) {
+  auto backend__ = backend ? _fbb.CreateString(backend) : 0;
+  return madderdeck::wire::CreateBackendEnd(
+      _fbb,
+      backend__,
+      at_ms);
+}
+
+flatbuffers::Offset<BackendEnd> CreateBackendEnd(flatbuffers::FlatBufferBuilder &_fbb, const BackendEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SuspectedRequestT : public flatbuffers::NativeTable {
+  typedef SuspectedRequest TableType;
+  uint64_t high = 0;
+  uint64_t low = 0;
+  std::vector<std::unique_ptr<madderdeck::wire::BackendEndT>> ends{};
+  uint64_t answered_at_ms = 0;
+  uint64_t held_back_at_ms = 0;
+  SuspectedRequestT() = default;
+  SuspectedRequestT(const SuspectedRequestT &o);
+  SuspectedRequestT(SuspectedRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  SuspectedRequestT &operator=(SuspectedRequestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct SuspectedRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspectedRequestT NativeTableType;
+  typedef SuspectedRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HIGH = 4,
+    VT_LOW = 6,
+    VT_ENDS = 8,
+    VT_ANSWERED_AT_MS = 10,
+    VT_HELD_BACK_AT_MS = 12
+  };
+  uint64_t high() const {
+    return GetField<uint64_t>(VT_HIGH, 0);
+  }
+  uint64_t low() const {
+    return GetField<uint64_t>(VT_LOW, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::BackendEnd>> *ends() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::BackendEnd>> *>(VT_ENDS);
+  }
+  uint64_t answered_at_ms() const {
+    return GetField<uint64_t>(VT_ANSWERED_AT_MS, 0);
+  }
+  uint64_t held_back_at_ms() const {
+    return GetField<uint64_t>(VT_HELD_BACK_AT_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_HIGH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOW, 8) &&
+           VerifyOffset(verifier, VT_ENDS) &&
+           verifier.VerifyVector(ends()) &&
+           verifier.VerifyVectorOfTables(ends()) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWERED_AT_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD_BACK_AT_MS, 8) &&
+           verifier.EndTable();
+  }
+  SuspectedRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspectedRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SuspectedRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectedRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspectedRequestBuilder {
+  typedef SuspectedRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_high(uint64_t high) {
+    fbb_.AddElement<uint64_t>(SuspectedRequest::VT_HIGH, high, 0);
+  }
+  void add_low(uint64_t low) {
+    fbb_.AddElement<uint64_t>(SuspectedRequest::VT_LOW, low, 0);
+  }
+  void add_ends(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::BackendEnd>>> ends) {
+    fbb_.AddOffset(SuspectedRequest::VT_ENDS, ends);
+  }
+  void add_answered_at_ms(uint64_t answered_at_ms) {
+    fbb_.AddElement<uint64_t>(SuspectedRequest::VT_ANSWERED_AT_MS, answered_at_ms, 0);
+  }
+  void add_held_back_at_ms(uint64_t held_back_at_ms) {
+    fbb_.AddElement<uint64_t>(SuspectedRequest::VT_HELD_BACK_AT_MS, held_back_at_ms, 0);
+  }
+  explicit SuspectedRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SuspectedRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SuspectedRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SuspectedRequest> CreateSuspectedRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::BackendEnd>>> ends = 0,
+    uint64_t answered_at_ms = 0,
+    uint64_t held_back_at_ms = 0) {
+  SuspectedRequestBuilder builder_(_fbb);
+  builder_.add_held_back_at_ms(held_back_at_ms);
+  builder_.add_answered_at_ms(answered_at_ms);
+  builder_.add_low(low);
+  builder_.add_high(high);
+  builder_.add_ends(ends);
+  return builder_.Finish();
+}
+
+struct SuspectedRequest::Traits {
+  using type = SuspectedRequest;
+  static auto constexpr Create = CreateSuspectedRequest;
+};
+
+inline flatbuffers::Offset<SuspectedRequest> CreateSuspectedRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::BackendEnd>> *ends = nullptr,
+    uint64_t answered_at_ms = 0,
+    uint64_t held_back_at_ms = 0) {
+  auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::BackendEnd>>(*ends) : 0;
+  return madderdeck::wire::CreateSuspectedRequest(
+      _fbb,
+      high,
+      low,
+      ends__,
+      answered_at_ms,
+      held_back_at_ms);
+}
+
+flatbuffers::Offset<SuspectedRequest> CreateSuspectedRequest(flatbuffers::FlatBufferBuilder &_fbb, const SuspectedRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SuspicionNewsT : public flatbuffers::NativeTable {
+  typedef SuspicionNews TableType;
+  std::vector<std::unique_ptr<madderdeck::wire::SuspectedRequestT>> requests{};
+  SuspicionNewsT() = default;
+  SuspicionNewsT(const SuspicionNewsT &o);
+  SuspicionNewsT(SuspicionNewsT&&) FLATBUFFERS_NOEXCEPT = default;
+  SuspicionNewsT &operator=(SuspicionNewsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct SuspicionNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspicionNewsT NativeTableType;
+  typedef SuspicionNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUESTS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *>(VT_REQUESTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           verifier.VerifyVectorOfTables(requests()) &&
+           verifier.EndTable();
+  }
+  SuspicionNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspicionNewsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SuspicionNews> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspicionNewsBuilder {
+  typedef SuspicionNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>> requests) {
+    fbb_.AddOffset(SuspicionNews::VT_REQUESTS, requests);
+  }
+  explicit SuspicionNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SuspicionNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SuspicionNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SuspicionNews> CreateSuspicionNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>> requests = 0) {
+  SuspicionNewsBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  return builder_.Finish();
+}
+
+struct SuspicionNews::Traits {
+  using type = SuspicionNews;
+  static auto constexpr Create = CreateSuspicionNews;
+};
+
+inline flatbuffers::Offset<SuspicionNews> CreateSuspicionNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *requests = nullptr) {
+  auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>(*requests) : 0;
+  return madderdeck::wire::CreateSuspicionNews(
+      _fbb,
+      requests__);
+}
+
+flatbuffers::Offset<SuspicionNews> CreateSuspicionNews(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SuspicionDigestT : public flatbuffers::NativeTable {
+  typedef SuspicionDigest TableType;
+  uint64_t digest = 0;
+};
+
+struct SuspicionDigest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspicionDigestT NativeTableType;
+  typedef SuspicionDigestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_DIGEST = 4
+  };
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           verifier.EndTable();
+  }
+  SuspicionDigestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspicionDigestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SuspicionDigest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspicionDigestBuilder {
+  typedef SuspicionDigest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(SuspicionDigest::VT_DIGEST, digest, 0);
+  }
+  explicit SuspicionDigestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SuspicionDigest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SuspicionDigest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SuspicionDigest> CreateSuspicionDigest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t digest = 0) {
+  SuspicionDigestBuilder builder_(_fbb);
+  builder_.add_digest(digest);
+  return builder_.Finish();
+}
+
+struct SuspicionDigest::Traits {
+  using type = SuspicionDigest;
+  static auto constexpr Create = CreateSuspicionDigest;
+};
+
+flatbuffers::Offset<SuspicionDigest> CreateSuspicionDigest(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct SuspicionSyncT : public flatbuffers::NativeTable {
+  typedef SuspicionSync TableType;
+  std::vector<std::unique_ptr<madderdeck::wire::SuspectedRequestT>> requests{};
+  bool reply = false;
+  SuspicionSyncT() = default;
+  SuspicionSyncT(const SuspicionSyncT &o);
+  SuspicionSyncT(SuspicionSyncT&&) FLATBUFFERS_NOEXCEPT = default;
+  SuspicionSyncT &operator=(SuspicionSyncT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct SuspicionSync FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspicionSyncT NativeTableType;
+  typedef SuspicionSyncBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_REQUESTS = 4,
+    VT_REPLY = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *>(VT_REQUESTS);
+  }
+  bool reply() const {
+    return GetField<uint8_t>(VT_REPLY, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           verifier.VerifyVectorOfTables(requests()) &&
+           VerifyField<uint8_t>(verifier, VT_REPLY, 1) &&
+           verifier.EndTable();
+  }
+  SuspicionSyncT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspicionSyncT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SuspicionSync> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionSyncT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspicionSyncBuilder {
+  typedef SuspicionSync Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>> requests) {
+    fbb_.AddOffset(SuspicionSync::VT_REQUESTS, requests);
+  }
+  void add_reply(bool reply) {
+    fbb_.AddElement<uint8_t>(SuspicionSync::VT_REPLY, static_cast<uint8_t>(reply), 0);
+  }
+  explicit SuspicionSyncBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SuspicionSync> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SuspicionSync>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SuspicionSync> CreateSuspicionSync(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>> requests = 0,
+    bool reply = false) {
+  SuspicionSyncBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_reply(reply);
+  return builder_.Finish();
+}
+
+struct SuspicionSync::Traits {
+  using type = SuspicionSync;
+  static auto constexpr Create = CreateSuspicionSync;
+};
+
+inline flatbuffers::Offset<SuspicionSync> CreateSuspicionSyncDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *requests = nullptr,
+    bool reply = false) {
+  auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>(*requests) : 0;
+  return madderdeck::wire::CreateSuspicionSync(
+      _fbb,
+      requests__,
+      reply);
+}
+
+flatbuffers::Offset<SuspicionSync> CreateSuspicionSync(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionSyncT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   std::string sender{};
@@ -6541,6 +7041,15 @@
   const madderdeck::wire::PlaceWithdrawal *body_as_PlaceWithdrawal() const {
     return body_type() == madderdeck::wire::Message::PlaceWithdrawal ? static_cast<const madderdeck::wire::PlaceWithdrawal *>(body()) : nullptr;
   }
+  const madderdeck::wire::SuspicionNews *body_as_SuspicionNews() const {
+    return body_type() == madderdeck::wire::Message::SuspicionNews ? static_cast<const madderdeck::wire::SuspicionNews *>(body()) : nullptr;
+  }
+  const madderdeck::wire::SuspicionDigest *body_as_SuspicionDigest() const {
+    return body_type() == madderdeck::wire::Message::SuspicionDigest ? static_cast<const madderdeck::wire::SuspicionDigest *>(body()) : nullptr;
+  }
+  const madderdeck::wire::SuspicionSync *body_as_SuspicionSync() const {
+    return body_type() == madderdeck::wire::Message::SuspicionSync ? static_cast<const madderdeck::wire::SuspicionSync *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -6695,6 +7204,18 @@
   return body_as_PlaceWithdrawal();
 }
 
+template<> inline const madderdeck::wire::SuspicionNews *Envelope::body_as<madderdeck::wire::SuspicionNews>() const {
+  return body_as_SuspicionNews();
+}
+
+template<> inline const madderdeck::wire::SuspicionDigest *Envelope::body_as<madderdeck::wire::SuspicionDigest>() const {
+  return body_as_SuspicionDigest();
+}
+
+template<> inline const madderdeck::wire::SuspicionSync *Envelope::body_as<madderdeck::wire::SuspicionSync>() const {
+  return body_as_SuspicionSync();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -9884,6 +10405,194 @@
       _retry_us);
 }
 
+inline BackendEndT *BackendEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BackendEndT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BackendEnd::UnPackTo(BackendEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = backend(); if (_e) _o->backend = _e->str(); }
+  { auto _e = at_ms(); _o->at_ms = _e; }
+}
+
+inline flatbuffers::Offset<BackendEnd> BackendEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BackendEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBackendEnd(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BackendEnd> CreateBackendEnd(flatbuffers::FlatBufferBuilder &_fbb, const BackendEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BackendEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _backend = _o->backend.empty() ? 0 : _fbb.CreateString(_o->backend);
+  auto _at_ms = _o->at_ms;
+  return madderdeck::wire::CreateBackendEnd(
+      _fbb,
+      _backend,
+      _at_ms);
+}
+
+inline SuspectedRequestT::SuspectedRequestT(const SuspectedRequestT &o)
+      : high(o.high),
+        low(o.low),
+        answered_at_ms(o.answered_at_ms),
+        held_back_at_ms(o.held_back_at_ms) {
+  ends.reserve(o.ends.size());
+  for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new madderdeck::wire::BackendEndT(*ends_) : nullptr); }
+}
+
+inline SuspectedRequestT &SuspectedRequestT::operator=(SuspectedRequestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(high, o.high);
+  std::swap(low, o.low);
+  std::swap(ends, o.ends);
+  std::swap(answered_at_ms, o.answered_at_ms);
+  std::swap(held_back_at_ms, o.held_back_at_ms);
+  return *this;
+}
+
+inline SuspectedRequestT *SuspectedRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SuspectedRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SuspectedRequest::UnPackTo(SuspectedRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = high(); _o->high = _e; }
+  { auto _e = low(); _o->low = _e; }
+  { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<madderdeck::wire::BackendEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = answered_at_ms(); _o->answered_at_ms = _e; }
+  { auto _e = held_back_at_ms(); _o->held_back_at_ms = _e; }
+}
+
+inline flatbuffers::Offset<SuspectedRequest> SuspectedRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspectedRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspectedRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SuspectedRequest> CreateSuspectedRequest(flatbuffers::FlatBufferBuilder &_fbb, const SuspectedRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspectedRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _high = _o->high;
+  auto _low = _o->low;
+  auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::BackendEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateBackendEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _answered_at_ms = _o->answered_at_ms;
+  auto _held_back_at_ms = _o->held_back_at_ms;
+  return madderdeck::wire::CreateSuspectedRequest(
+      _fbb,
+      _high,
+      _low,
+      _ends,
+      _answered_at_ms,
+      _held_back_at_ms);
+}
+
+inline SuspicionNewsT::SuspicionNewsT(const SuspicionNewsT &o) {
+  requests.reserve(o.requests.size());
+  for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new madderdeck::wire::SuspectedRequestT(*requests_) : nullptr); }
+}
+
+inline SuspicionNewsT &SuspicionNewsT::operator=(SuspicionNewsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(requests, o.requests);
+  return *this;
+}
+
+inline SuspicionNewsT *SuspicionNews::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SuspicionNewsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SuspicionNews::UnPackTo(SuspicionNewsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<madderdeck::wire::SuspectedRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<SuspicionNews> SuspicionNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspicionNews(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SuspicionNews> CreateSuspicionNews(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspicionNewsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspectedRequest(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return madderdeck::wire::CreateSuspicionNews(
+      _fbb,
+      _requests);
+}
+
+inline SuspicionDigestT *SuspicionDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SuspicionDigestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SuspicionDigest::UnPackTo(SuspicionDigestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = digest(); _o->digest = _e; }
+}
+
+inline flatbuffers::Offset<SuspicionDigest> SuspicionDigest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionDigestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspicionDigest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SuspicionDigest> CreateSuspicionDigest(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionDigestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspicionDigestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _digest = _o->digest;
+  return madderdeck::wire::CreateSuspicionDigest(
+      _fbb,
+      _digest);
+}
+
+inline SuspicionSyncT::SuspicionSyncT(const SuspicionSyncT &o)
+      : reply(o.reply) {
+  requests.reserve(o.requests.size());
+  for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new madderdeck::wire::SuspectedRequestT(*requests_) : nullptr); }
+}
+
+inline SuspicionSyncT &SuspicionSyncT::operator=(SuspicionSyncT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(requests, o.requests);
+  std::swap(reply, o.reply);
+  return *this;
+}
+
+inline SuspicionSyncT *SuspicionSync::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SuspicionSyncT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SuspicionSync::UnPackTo(SuspicionSyncT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<madderdeck::wire::SuspectedRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = reply(); _o->reply = _e; }
+}
+
+inline flatbuffers::Offset<SuspicionSync> SuspicionSync::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionSyncT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspicionSync(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SuspicionSync> CreateSuspicionSync(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionSyncT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspicionSyncT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspectedRequest(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _reply = _o->reply;
+  return madderdeck::wire::CreateSuspicionSync(
+      _fbb,
+      _requests,
+      _reply);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -10508,6 +11217,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PlaceWithdrawal *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::SuspicionNews: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::SuspicionDigest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionDigest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::SuspicionSync: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionSync *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -10667,6 +11388,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PlaceWithdrawal *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::SuspicionNews: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionNews *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::SuspicionDigest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionDigest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::SuspicionSync: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionSync *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -10814,6 +11547,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::PlaceWithdrawalT *>(value);
       return CreatePlaceWithdrawal(_fbb, ptr, _rehasher).Union();
     }
+    case Message::SuspicionNews: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionNewsT *>(value);
+      return CreateSuspicionNews(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::SuspicionDigest: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionDigestT *>(value);
+      return CreateSuspicionDigest(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::SuspicionSync: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionSyncT *>(value);
+      return CreateSuspicionSync(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -10960,6 +11705,18 @@
       value = new madderdeck::wire::PlaceWithdrawalT(*reinterpret_cast<madderdeck::wire::PlaceWithdrawalT *>(u.value));
       break;
     }
+    case Message::SuspicionNews: {
+      value = new madderdeck::wire::SuspicionNewsT(*reinterpret_cast<madderdeck::wire::SuspicionNewsT *>(u.value));
+      break;
+    }
+    case Message::SuspicionDigest: {
+      value = new madderdeck::wire::SuspicionDigestT(*reinterpret_cast<madderdeck::wire::SuspicionDigestT *>(u.value));
+      break;
+    }
+    case Message::SuspicionSync: {
+      value = new madderdeck::wire::SuspicionSyncT(*reinterpret_cast<madderdeck::wire::SuspicionSyncT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -11142,6 +11899,21 @@
       delete ptr;
       break;
     }
+    case Message::SuspicionNews: {
+      auto ptr = reinterpret_cast<madderdeck::wire::SuspicionNewsT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::SuspicionDigest: {
+      auto ptr = reinterpret_cast<madderdeck::wire::SuspicionDigestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::SuspicionSync: {
+      auto ptr = reinterpret_cast<madderdeck::wire::SuspicionSyncT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -360,3 +360,115 @@
   CHECK(fixture.placer.queries.empty());
   CHECK(fixture.upstream.calls.size() == 1);
 }
+
+namespace {
+
+/// Remembers what it is told; the test says whether a back end ended.
+class scripted_guard : public routing::repeat_guard {
+ public:
+  bool remembers_any() const override { return suspected || held; }
+  bool suspects(const routing::request_fingerprint&) const override { return suspected; }
+  bool holds_back(const routing::request_fingerprint&, const std::string&) override { return held; }
+  void call_broke(const routing::broken_call& call, decided done) override {
+    broken.push_back(call);
+    verdicts.push_back(std::move(done));
+  }
+  void call_answered(const routing::request_fingerprint&) override { ++answered; }
+
+  bool suspected = false;
+  bool held = false;
+  std::vector<routing::broken_call> broken;
+  std::vector<decided> verdicts;
+  int answered = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a request under which back ends ended is refused at once, as not run, without a time to come back") {
+  Fixture fixture;
+  scripted_guard guard;
+  guard.held = true;
+  fixture.forwarder.use_repeat_guard(guard);
+  fixture.start();
+  CHECK(fixture.upstream.calls.empty());
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->error.kind == ErrorKind::quarantined);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::no);
+  CHECK(fixture.caller.refusal->retry_after == Duration::zero());
+}
+
+TEST_CASE("a request that waits for an engine is not sent once others know what it does") {
+  Fixture fixture;
+  scripted_guard guard;
+  scripted_placer placer;
+  fixture.forwarder.use_repeat_guard(guard);
+  fixture.forwarder.use_placer(placer);
+  fixture.start();
+  REQUIRE(placer.answers.size() == 1);
+  guard.held = true;
+  placer.answers[0](place_answer{BackendId("engine-1")});
+  CHECK(fixture.upstream.calls.empty());
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->error.kind == ErrorKind::quarantined);
+}
+
+TEST_CASE("the first break of a call that nobody suspects is tried again at once") {
+  Fixture fixture;
+  scripted_guard guard;
+  fixture.forwarder.use_repeat_guard(guard);
+  fixture.start();
+  fixture.call(0).events.failed(CallFailure::broken);
+  CHECK(guard.broken.size() == 1);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  fixture.answer(1, 200, "whole");
+  fixture.call(1).events.finished();
+  CHECK(fixture.caller.body == "whole");
+  CHECK(guard.answered == 0);  // nothing is remembered
+}
+
+TEST_CASE("a suspected call waits until it is known whether its back end ended") {
+  Fixture fixture;
+  scripted_guard guard;
+  guard.suspected = true;
+  fixture.forwarder.use_repeat_guard(guard);
+  fixture.start();
+  fixture.call(0).events.failed(CallFailure::broken);
+  CHECK(fixture.upstream.calls.size() == 1);
+  guard.verdicts.at(0)(false);  // only the connection broke
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  fixture.answer(1, 200, "whole");
+  fixture.call(1).events.finished();
+  CHECK(guard.answered == 1);
+}
+
+TEST_CASE("one call ends no third back end") {
+  Fixture fixture(5);
+  fixture.route->max_attempts = 5;
+  scripted_guard guard;
+  fixture.forwarder.use_repeat_guard(guard);
+  fixture.start();
+  fixture.call(0).events.failed(CallFailure::broken);
+  guard.verdicts.at(0)(true);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  fixture.call(1).events.failed(CallFailure::broken);
+  CHECK_FALSE(fixture.caller.refusal);
+  guard.verdicts.at(1)(true);
+  CHECK(fixture.upstream.calls.size() == 2);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->error.kind == ErrorKind::upstream_failed);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::unknown);
+}
+
+TEST_CASE("a caller that leaves while the end of its back end is in question is not called back") {
+  Fixture fixture;
+  scripted_guard guard;
+  guard.suspected = true;
+  fixture.forwarder.use_repeat_guard(guard);
+  const ForwardId id = fixture.start();
+  fixture.call(0).events.failed(CallFailure::broken);
+  fixture.forwarder.cancel(id);
+  guard.verdicts.at(0)(true);
+  CHECK(fixture.upstream.calls.size() == 1);
+  CHECK_FALSE(fixture.caller.refusal);
+  CHECK(fixture.forwarder.active() == 0);
+}
--- a/tests/quarantine/end_detector_test.cpp
+++ b/tests/quarantine/end_detector_test.cpp
@@ -13,7 +13,7 @@
 
 struct detector_fixture {
   void breaks(const std::string& backend) {
-    detector.call_broke({fingerprint_of({"tenant", "POST", "/path", "body"}), "r1", BackendId(backend)},
+    detector.call_broke({routing::fingerprint_of({"tenant", "POST", "/path", "body"}), "r1", BackendId(backend)},
                         [this](bool ended) { verdicts.push_back(ended); });
   }
 
--- /dev/null
+++ b/tests/quarantine/end_history_test.cpp
@@ -0,0 +1,113 @@
+#include "quarantine/end_history.hpp"
+
+#include <rapidcheck/catch.h>
+
+#include <catch2/catch.hpp>
+
+using namespace madderdeck;
+using namespace madderdeck::quarantine;
+using madderdeck::routing::request_fingerprint;
+
+namespace {
+
+constexpr UnixMilliseconds kNow = 1'000'000'000;
+constexpr request_fingerprint kRequest{1, 2};
+
+backend_end end_of(unsigned backend, UnixMilliseconds at) {
+  return {BackendId("engine-" + std::to_string(backend)), at};
+}
+
+}  // namespace
+
+TEST_CASE("a request is held back once three back ends have ended under it") {
+  end_history history;
+  CHECK(history.record(kRequest, end_of(1, kNow), kNow));
+  CHECK(history.record(kRequest, end_of(2, kNow + 10), kNow + 10));
+  CHECK_FALSE(history.holds_back(kRequest));
+  CHECK(history.record(kRequest, end_of(3, kNow + 20), kNow + 20));
+  CHECK(history.holds_back(kRequest));
+  CHECK_FALSE(history.holds_back({1, 3}));
+}
+
+TEST_CASE("one end that several nodes saw, or that is told twice, counts once") {
+  end_history history;
+  for (const UnixMilliseconds at : {kNow, kNow + 3, kNow + 40, kNow}) {
+    history.record(kRequest, end_of(1, at), kNow + 50);
+  }
+  CHECK(history.ends(kRequest) == 1);
+  // Where a back end keeps its id, its next end is later.
+  CHECK(history.record(kRequest, end_of(1, kNow + end_history::kSameEndMs + 1), kNow + 5'000));
+  CHECK(history.ends(kRequest) == 2);
+}
+
+TEST_CASE("a good run acquits of what was before it, in whichever order the news comes") {
+  end_history history;
+  for (unsigned backend = 1; backend <= 3; ++backend) {
+    history.record(kRequest, end_of(backend, kNow + backend), kNow + 10);
+  }
+  CHECK(history.acquit(kRequest, kNow + 20));
+  CHECK_FALSE(history.holds_back(kRequest));
+  CHECK_FALSE(history.record(kRequest, end_of(4, kNow + 15), kNow + 30));  // heard late
+  CHECK(history.record(kRequest, end_of(5, kNow + 25), kNow + 30));
+  CHECK(history.ends(kRequest) == 1);
+  CHECK_FALSE(history.acquit({7, 7}, kNow));  // nothing is kept of requests that nobody suspects
+  CHECK(history.size() == 1);
+}
+
+TEST_CASE("what is held back is forgotten when nobody has asked for it for long") {
+  end_history history;
+  for (unsigned backend = 1; backend <= 3; ++backend) {
+    history.record(kRequest, end_of(backend, kNow), kNow);
+  }
+  history.forget_old(kNow + end_history::kKeptMs);
+  CHECK(history.holds_back(kRequest));
+  history.note_held_back(kRequest, kNow + end_history::kKeptMs);
+  history.forget_old(kNow + 2 * end_history::kKeptMs);
+  CHECK(history.holds_back(kRequest));
+  history.forget_old(kNow + 2 * end_history::kKeptMs + 1);
+  CHECK(history.empty());
+  CHECK_FALSE(history.record(kRequest, end_of(1, kNow), kNow + end_history::kKeptMs + 1));  // a peer still has it
+}
+
+TEST_CASE("thousands of other requests do not push out one that is held back, nor grow without bound") {
+  end_history history;
+  for (unsigned backend = 1; backend <= 3; ++backend) {
+    history.record(kRequest, end_of(backend, kNow), kNow);
+  }
+  for (std::uint64_t other = 10; other < 20'000; ++other) {
+    history.record({other, other}, end_of(1, kNow + other), kNow + other);
+    history.record({other, other}, end_of(2, kNow + other), kNow + other);
+  }
+  CHECK(history.holds_back(kRequest));
+  CHECK(history.size() == end_history::kMostRequests);
+}
+
+TEST_CASE("histories that have merged each other's share the same") {
+  rc::prop("any order, any number of times", [](const std::vector<std::pair<std::uint8_t, std::uint8_t>>& events) {
+    end_history left;
+    end_history right;
+    for (const auto& [which, backend] : events) {
+      end_history& one = which % 2 == 0 ? left : right;
+      // Ends at other back ends, well apart: which of two reports of one end came first makes no difference then.
+      const UnixMilliseconds at = kNow + backend * 10'000ULL;
+      if (which % 8 >= 6) {
+        one.acquit({which / 64U, 0}, at + 1);
+      } else {
+        one.record({which / 64U, 0}, end_of(backend, at), at);
+      }
+    }
+    const auto exchange = [](const end_history& from, end_history& to) {
+      for (const suspected_request& told : from.shared(1'000)) {
+        to.merge(told, kNow);
+      }
+    };
+    for (int round = 0; round < 3; ++round) {
+      exchange(left, right);
+      exchange(right, left);
+    }
+    for (std::uint64_t request = 0; request < 4; ++request) {
+      RC_ASSERT(left.holds_back({request, 0}) == right.holds_back({request, 0}));
+    }
+    RC_ASSERT(left.digest() == right.digest());
+  });
+}
--- /dev/null
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -0,0 +1,210 @@
+// How news of ends spreads over many nodes, over a network that loses, repeats and delays.
+#include "quarantine/request_quarantine.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "support/fake_backends.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::quarantine;
+using madderdeck::routing::fingerprint_of;
+using madderdeck::routing::reachability;
+using madderdeck::routing::request_fingerprint;
+
+namespace {
+
+/// Nodes with nothing but the quarantine.
+class spread_fixture {
+ public:
+  explicit spread_fixture(unsigned count, unsigned loss_percent = 0) : loss_percent_(loss_percent) {
+    for (unsigned number = 0; number < count; ++number) {
+      nodes.push_back(std::make_unique<node>(*this, number));
+      nodes.back()->quarantine.start();
+    }
+  }
+
+  /// A call to @p backend breaks at node @p number; the back end has ended.
+  void ends(unsigned number, const std::string& backend) {
+    node& at = *nodes[number];
+    at.quarantine.call_broke({request, "r", BackendId(backend)}, [](bool) {});
+    at.backends.checks.back().done(reachability::refused);
+  }
+  void run_for(Duration length) { world.run_for(length); }
+  unsigned holding_back() const {
+    unsigned count = 0;
+    for (const auto& one : nodes) {
+      count += one->quarantine.history().holds_back(request) ? 1 : 0;
+    }
+    return count;
+  }
+  /// Messages to and from @p number are lost.
+  void cut_off(unsigned number, bool now) { nodes[number]->cut = now; }
+  std::size_t messages() const { return messages_; }
+
+  struct node;
+  /// One node's clock and network.
+  class network : public Environment {
+   public:
+    network(spread_fixture& fixture, unsigned self) : fixture_(fixture), self_(self) {}
+    Timestamp now() const override { return fixture_.world.now(); }
+    std::uint64_t unix_milliseconds() const override {
+      return static_cast<std::uint64_t>(fixture_.world.now() / 1ms) + 1'000'000'000 + skew_ms;
+    }
+    std::uint64_t random() override { return fixture_.world.random.next(); }
+    void after(Duration delay, std::function<void()> task) override { fixture_.world.schedule(delay, std::move(task)); }
+    void send(const PeerAddress& to, wire::MessageUnion message) override {
+      fixture_.deliver(self_, static_cast<unsigned>(std::stoul(to.str())), std::move(message));
+    }
+    std::uint64_t skew_ms = 0;
+
+   private:
+    spread_fixture& fixture_;
+    const unsigned self_;
+  };
+  struct node {
+    node(spread_fixture& fixture, unsigned number)
+        : environment(fixture, number),
+          detector(environment, counters, log, backends),
+          quarantine(
+              environment, counters, log, detector, [&fixture, number] { return fixture.others(number); },
+              [](const BackendId& backend) { return backend.str().starts_with("leaving"); }) {}
+    network environment;
+    Counters counters;
+    NoDecisionLog log;
+    tests::FakeBackends backends;
+    end_detector detector;
+    request_quarantine quarantine;
+    bool cut = false;
+  };
+
+  simulation::World world{1};
+  std::vector<std::unique_ptr<node>> nodes;
+  const request_fingerprint request = fingerprint_of({"tenant", "POST", "/path", "body"});
+
+ private:
+  std::vector<PeerAddress> others(unsigned number) const {
+    std::vector<PeerAddress> peers;
+    for (unsigned other = 0; other < nodes.size(); ++other) {
+      if (other != number) {
+        peers.emplace_back(std::to_string(other));
+      }
+    }
+    return peers;
+  }
+  void deliver(unsigned from, unsigned to, wire::MessageUnion message) {
+    ++messages_;
+    if (nodes[from]->cut || nodes[to]->cut || world.random.chance(loss_percent_)) {
+      return;
+    }
+    const auto carried = std::make_shared<wire::MessageUnion>(std::move(message));
+    for (unsigned copy = 0; copy < (world.random.chance(5) ? 2U : 1U); ++copy) {
+      const Duration delay = 300us + Duration(static_cast<Duration::rep>(world.random.below(1'500)));
+      world.schedule(delay, [this, from, to, carried] {
+        request_quarantine& receiver = nodes[to]->quarantine;
+        const PeerAddress sender(std::to_string(from));
+        if (carried->type == wire::Message::SuspicionNews) {
+          receiver.handle(*carried->AsSuspicionNews());
+        } else if (carried->type == wire::Message::SuspicionDigest) {
+          receiver.handle(sender, *carried->AsSuspicionDigest());
+        } else {
+          receiver.handle(sender, *carried->AsSuspicionSync());
+        }
+      });
+    }
+  }
+
+  const unsigned loss_percent_;
+  std::size_t messages_ = 0;
+};
+
+}  // namespace
+
+TEST_CASE("three ends at three nodes hold a request back everywhere within milliseconds, in small and large fleets") {
+  for (const unsigned count : {8U, 50U, 250U}) {
+    INFO(count << " nodes");
+    spread_fixture fixture(count);
+    fixture.ends(0, "engine-0");
+    fixture.run_for(5ms);
+    fixture.ends(1, "engine-1");
+    fixture.run_for(5ms);
+    CHECK(fixture.holding_back() == 0);
+    fixture.ends(2, "engine-2");
+    CHECK(fixture.holding_back() == 1);
+    fixture.run_for(5ms);
+    CHECK(fixture.holding_back() == count);
+  }
+}
+
+TEST_CASE("what was lost on the way is made good by comparing") {
+  spread_fixture fixture(50, 30);
+  for (unsigned end = 0; end < 3; ++end) {
+    fixture.ends(end, "engine-" + std::to_string(end));
+    fixture.run_for(100ms);
+  }
+  fixture.run_for(2'500ms);
+  CHECK(fixture.holding_back() == 50);
+}
+
+TEST_CASE("a node that was cut off knows within the time in which nodes are in touch again") {
+  spread_fixture fixture(50);
+  fixture.cut_off(7, true);
+  for (unsigned end = 0; end < 3; ++end) {
+    fixture.ends(end, "engine-" + std::to_string(end));
+  }
+  fixture.run_for(10s);
+  CHECK(fixture.holding_back() == 49);
+  fixture.cut_off(7, false);
+  fixture.run_for(2 * request_quarantine::kCompare);
+  CHECK(fixture.holding_back() == 50);
+}
+
+TEST_CASE("the third end is not lost with the node that saw it") {
+  spread_fixture fixture(50);
+  for (unsigned end = 0; end < 3; ++end) {
+    fixture.ends(end, "engine-" + std::to_string(end));
+    fixture.run_for(2ms);
+  }
+  fixture.cut_off(2, true);  // it dies 2 ms after it saw the third
+  fixture.run_for(5ms);
+  CHECK(fixture.holding_back() == 50);
+}
+
+TEST_CASE("clocks that differ by two seconds change nothing") {
+  spread_fixture fixture(20);
+  for (unsigned number = 0; number < 20; ++number) {
+    fixture.nodes[number]->environment.skew_ms = number * 100;
+  }
+  for (unsigned end = 0; end < 3; ++end) {
+    fixture.ends(19 - 9 * end, "engine-" + std::to_string(end));
+    fixture.run_for(50ms);
+  }
+  CHECK(fixture.holding_back() == 20);
+}
+
+TEST_CASE("a run that ends well anywhere acquits everywhere") {
+  spread_fixture fixture(50);
+  for (unsigned end = 0; end < 3; ++end) {
+    fixture.ends(end, "engine-" + std::to_string(end));
+    fixture.run_for(5ms);
+  }
+  REQUIRE(fixture.holding_back() == 50);
+  fixture.nodes[30]->quarantine.call_answered(fixture.request);  // one that was under way
+  fixture.run_for(5ms);
+  CHECK(fixture.holding_back() == 0);
+}
+
+TEST_CASE("the end of a back end that leaves is nobody's fault") {
+  spread_fixture fixture(3);
+  for (unsigned end = 0; end < 4; ++end) {
+    fixture.ends(0, "leaving-" + std::to_string(end));
+  }
+  CHECK(fixture.nodes[0]->quarantine.history().empty());
+}
+
+TEST_CASE("a quiet fleet compares one digest a node and period") {
+  spread_fixture fixture(50);
+  fixture.run_for(10s);
+  // Two a second for each node, of some 100 bytes.
+  CHECK(fixture.messages() <= 50 * 21);
+}
--- a/tests/quarantine/request_fingerprint_test.cpp
+++ b/tests/routing/request_fingerprint_test.cpp
@@ -1,10 +1,10 @@
-#include "quarantine/request_fingerprint.hpp"
+#include "routing/request_fingerprint.hpp"
 
 #include <rapidcheck/catch.h>
 
 #include <catch2/catch.hpp>
 
-using namespace madderdeck::quarantine;
+using namespace madderdeck::routing;
 
 TEST_CASE("equal requests have equal fingerprints, on every node and in every version") {
   const request_parts parts{"tenant", "POST", "/a/b?c=d", "body"};
