A back end that ends may still take a connection: it is looked at twice; what another suspect explains does not count

Eight engines ended under one request instead of three. Change: 'listening' counts after a second look 20 ms later. Change: three ends that nobody else explains.

--- a/src/bench/commands.hpp
+++ b/src/bench/commands.hpp
@@ -22,6 +22,8 @@
 /// Each returns the process exit code; 0 only when nothing was lost, doubled or wrong.
 int run_demo(const CommandOptions& options);
 int run_faults(const CommandOptions& options);
+/// Faults that overlap, signals, changes of configuration, and a request that ends the engines which begin it.
+int run_soak(const CommandOptions& options);
 int run_overhead(const CommandOptions& options);
 /// Runs each scenario file; with more than one, prints ratios against the first.
 int run_experiments(const CommandOptions& options, const std::vector<std::string>& paths);
--- a/src/bench/fleet.cpp
+++ b/src/bench/fleet.cpp
@@ -58,7 +58,8 @@
                         "--zone=" + plan_.zones[number % plan_.zones.size()],
                         "--platform=" + part("platform").address,
                         "--slots=" + std::to_string(plan_.engine_slots),
-                        "--step_us=" + std::to_string(plan_.engine_step_us)};
+                        "--step_us=" + std::to_string(plan_.engine_step_us),
+                        "--ends_on=" + plan_.engine_ends_on};
     engines_.push_back(name);
   }
 }
@@ -118,6 +119,27 @@
 void Fleet::kill(const std::string& name) { part(name).process.kill(); }
 void Fleet::freeze(const std::string& name) { part(name).process.signal(SIGSTOP); }
 void Fleet::thaw(const std::string& name) { part(name).process.signal(SIGCONT); }
+void Fleet::reload(const std::string& name) {
+  if (part(name).process.running()) {
+    part(name).process.signal(SIGHUP);
+  }
+}
+
+unsigned Fleet::restart_ended_engines(milliseconds after) {
+  unsigned ended = 0;
+  for (const std::string& name : engines_) {
+    if (part(name).process.poll_ended()) {
+      ++ended;
+      http_.after(after, [this, name] {
+        if (!part(name).process.running()) {
+          restart(name);
+        }
+      });
+    }
+  }
+  return ended;
+}
+
 void Fleet::terminate(const std::string& name) { part(name).process.signal(SIGTERM); }
 
 Status Fleet::lose_disk(const std::string& name) {
--- a/src/bench/fleet.hpp
+++ b/src/bench/fleet.hpp
@@ -24,6 +24,7 @@
   std::string service_name = "slots";
   unsigned engine_slots = 16;
   unsigned engine_step_us = 8000;
+  std::string engine_ends_on;  ///< Text in a prompt that ends the engine which begins it; empty for none.
   unsigned service_work_ms = 5;
 };
 
@@ -59,6 +60,11 @@
   /// Kills the node, empties its data folder and starts it again.
   Status lose_disk(const std::string& name);
   void terminate(const std::string& name);
+  /// Sends SIGHUP.
+  void reload(const std::string& name);
+  /// Starts engines again that have ended by themselves, @p after that.
+  /// @return how many ended since the last look.
+  unsigned restart_ended_engines(std::chrono::milliseconds after);
   /// Sends a control message to an emulated system.
   bool control(const std::string& name, const std::string& json);
 
--- a/src/bench/load.cpp
+++ b/src/bench/load.cpp
@@ -102,6 +102,24 @@
 LiveLoad::LiveLoad(LoadTarget& target, LiveOptions options, std::uint64_t seed)
     : target_(target), options_(std::move(options)), generator_(seed) {}
 
+void FatalLoad::send() {
+  const std::string& gateway = target_.gateways[sent_++ % target_.gateways.size()];
+  constexpr std::uint32_t kTokens = 500;  // more than an engine makes before it ends
+  net::HttpRequest request;
+  request.method = "POST";
+  request.target = "/v1/completions";
+  request.headers = {{"Authorization", "Bearer " + target_.api_key}, {"Content-Type", "application/json"}};
+  request.body = json::serialize(
+      json::object{{"model", "agent-reply"}, {"prompt", text_}, {"max_tokens", kTokens}, {"stream", true}});
+  target_.http.client.fetch(
+      gateway, std::move(request), [this](const std::variant<net::SimpleResponse, net::CallBreak>& result) {
+        const auto* response = std::get_if<net::SimpleResponse>(&result);
+        const bool held =
+            response != nullptr && response->body.find("urn:madderdeck:error:quarantined") != std::string::npos;
+        held_back_ += held ? 1 : 0;
+      });
+}
+
 void LiveLoad::send(double due_s) {
   const std::uint64_t group = generator_() % options_.prefix_groups;
   std::string prompt;
--- a/src/bench/load.hpp
+++ b/src/bench/load.hpp
@@ -97,6 +97,23 @@
   std::uint64_t number_ = 0;
 };
 
+/// One call that ends every engine which begins it, sent again and again, each time at the next gateway.
+class FatalLoad {
+ public:
+  /// @param text as the engines are told (FleetPlan::engine_ends_on).
+  FatalLoad(LoadTarget& target, std::string text) : target_(target), text_(std::move(text)) {}
+  void send();
+  std::uint64_t sent() const { return sent_; }
+  /// @return calls that were refused as quarantined.
+  std::uint64_t held_back() const { return held_back_; }
+
+ private:
+  LoadTarget& target_;
+  const std::string text_;
+  std::uint64_t sent_ = 0;
+  std::uint64_t held_back_ = 0;
+};
+
 /// Calls that may not be repeated.
 struct BookingOptions {
   std::string template_name = "book-slot";
--- a/src/emulator/engine_server.cpp
+++ b/src/emulator/engine_server.cpp
@@ -19,6 +19,9 @@
   return parts;
 }
 
+/// An engine that is to end does so this long after it has begun the prompt.
+constexpr Duration kEndsAfter = 30ms;
+
 /// Serves one engine. Faults are set with POST /control.
 class EngineServer {
  public:
@@ -97,6 +100,7 @@
       exchange->abort();
       return;
     }
+    const bool ends = !options_.ends_on.empty() && generation.prompt.find(options_.ends_on) != std::string::npos;
     GenerationEvents events;
     auto sent = std::make_shared<std::int64_t>(0);
     events.token = [this, exchange, sent](std::uint32_t offset, const std::string& text) {
@@ -122,6 +126,9 @@
       respond_not_run(exchange, *refusal == EngineRefusal::model_not_loaded ? 404 : 503, reason);
       return;
     }
+    if (ends) {
+      environment_.after(kEndsAfter, [] { std::_Exit(1); });
+    }
     exchange->start_stream(200, "text/event-stream", {});
     exchange->on_caller_gone([this, id = std::get<GenerationId>(taken)] { model_.cancel(id); });
   }
--- a/src/emulator/main.cpp
+++ b/src/emulator/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_int32(step_us, 8000, "engine: decode step of an empty batch, microseconds.");
 DEFINE_int32(step_per_sequence_us, 100, "engine: added to the step for each sequence.");
 DEFINE_double(prefill_tokens_per_ms, 40, "engine: prompt tokens a millisecond.");
+DEFINE_string(ends_on, "", "engine: the process ends soon after it has begun a prompt that holds this.");
 DEFINE_int32(report_lag_ms, 300, "engine: age of load reports.");
 DEFINE_int32(work_ms, 5, "service: time one call takes.");
 DEFINE_string(journal, "", "service: file that lists what ran.");
@@ -53,6 +54,7 @@
     options.profile.step_per_sequence = Duration(FLAGS_step_per_sequence_us);
     options.profile.prefill_tokens_per_ms = FLAGS_prefill_tokens_per_ms;
     options.profile.report_lag = std::chrono::milliseconds(FLAGS_report_lag_ms);
+    options.ends_on = FLAGS_ends_on;
     return emulator::serve_engines(options);
   }
   if (system == "service") {
--- a/src/emulator/servers.hpp
+++ b/src/emulator/servers.hpp
@@ -16,6 +16,7 @@
   std::string zone;
   std::string platform;  ///< Where to register; empty for nowhere.
   EngineProfile profile;
+  std::string ends_on;  ///< The process ends soon after it has begun a prompt that holds this; empty for never.
 };
 /// Serves engines until the process ends.
 Status serve_engines(const EngineServerOptions& options);
--- a/src/quarantine/end_detector.cpp
+++ b/src/quarantine/end_detector.cpp
@@ -17,16 +17,37 @@
   }
   const std::uint64_t number = ++next_question_;
   entry->second.number = number;
-  counters_["backend_end_checks_total"]++;
-  client_.check_reachable(call.backend,
-                          lifetime_.guard([this, backend = call.backend, number](routing::reachability found) {
-                            settle(backend, number, found);
-                          }));
+  look(call.backend, number);
   environment_.after(kPatience, lifetime_.guard([this, backend = call.backend, number] {
     settle(backend, number, routing::reachability::silent);
   }));
 }
 
+void end_detector::look(const BackendId& backend, std::uint64_t number) {
+  counters_["backend_end_checks_total"]++;
+  client_.check_reachable(backend, lifetime_.guard([this, backend, number](routing::reachability found) {
+    on_look(backend, number, found);
+  }));
+}
+
+void end_detector::on_look(const BackendId& backend, std::uint64_t number, routing::reachability found) {
+  const auto entry = questions_.find(backend);
+  if (entry == questions_.end() || entry->second.number != number) {
+    return;
+  }
+  if (found != routing::reachability::listening || entry->second.looked_before) {
+    settle(backend, number, found);
+    return;
+  }
+  entry->second.looked_before = true;
+  environment_.after(kSecondLook, lifetime_.guard([this, backend, number] {
+    const auto asked = questions_.find(backend);
+    if (asked != questions_.end() && asked->second.number == number) {
+      look(backend, number);
+    }
+  }));
+}
+
 void end_detector::settle(const BackendId& backend, std::uint64_t number, routing::reachability found) {
   const auto entry = questions_.find(backend);
   if (entry == questions_.end() || entry->second.number != number) {
--- a/src/quarantine/end_detector.hpp
+++ b/src/quarantine/end_detector.hpp
@@ -14,8 +14,10 @@
 namespace madderdeck::quarantine {
 
 /// Asks the back end's address for a connection: one that is refused means that the process is gone. Silence does not
-/// (a cut or frozen machine says nothing either), nor does a reset while connections are taken. Calls that broke
-/// together share one question. Single threaded.
+/// (a cut or frozen machine says nothing either), nor does a reset while connections are taken, twice: a process that
+/// ends may reset its connections a little before its address refuses new ones. With one look eight engines ended under
+/// a request instead of three (one of 39 runs with real processes). Calls that broke together share one question.
+/// Single threaded.
 class end_detector {
  public:
   using decided = routing::repeat_guard::decided;
@@ -30,6 +32,8 @@
   /// Ends are told apart from one another by this: a back end takes longer to start again. Reports of calls that broke
   /// together lie a few milliseconds apart.
   static constexpr Duration kSameEnd = 500ms;
+  /// Between the looks; the kernel closes all that a process had open within a few milliseconds.
+  static constexpr Duration kSecondLook = 20ms;
   /// Longest wait for an answer; across zones one takes a few milliseconds.
   static constexpr Duration kPatience = 250ms;
 
@@ -37,8 +41,11 @@
   struct question {
     std::vector<decided> waiting;
     std::uint64_t number = 0;
+    bool looked_before = false;
   };
 
+  void look(const BackendId& backend, std::uint64_t number);
+  void on_look(const BackendId& backend, std::uint64_t number, routing::reachability found);
   void settle(const BackendId& backend, std::uint64_t number, routing::reachability found);
 
   Environment& environment_;
--- a/src/quarantine/end_history.hpp
+++ b/src/quarantine/end_history.hpp
@@ -39,12 +39,10 @@
  public:
   /// With the third back end that ends soon after it has begun to run a request it is no accident. Each crash of an
   /// engine puts an end on all that ran there; a batch item of some seconds, which is taken elsewhere each time, meets
-  /// three of them now and then, but seldom just begun each time: with all ends counted alike, one innocent item failed
-  /// in 60 simulated schedules with four engines that end every second; with these rules none.
+  /// three of them now and then, but seldom just begun each time. Ends at which another request ran that has as many do
+  /// not count: what runs beside a fatal request again and again shares its ends. With all ends counted alike one
+  /// innocent item failed in 60 simulated schedules in which every third action sends a fatal request.
   static constexpr std::size_t kEndsToHoldBack = 3;
-  /// Of these, so many must not be explained by another request that is as much suspected: what runs beside a fatal
-  /// request again and again shares its ends.
-  static constexpr std::size_t kUnexplainedToHoldBack = 2;
   /// With so many ends of any kind a request is held back whoever else was there. More are not kept.
   static constexpr std::size_t kMostEnds = 5;
   /// Of about 300 bytes each. Those with the fewest ends go first, among them those without news for longest.
--- a/src/simulation/callers.cpp
+++ b/src/simulation/callers.cpp
@@ -104,7 +104,13 @@
     }
   };
   events.broken = [this, node, open] { close_request(node, open); };
-  events.refused = [this, node, open](const routing::Refusal&) { close_request(node, open); };
+  events.refused = [this, node, open, body](const routing::Refusal& refusal) {
+    close_request(node, open);
+    if (refusal.error.kind == ErrorKind::quarantined && !body.starts_with(kFatalRequest)) {
+      oracle_.violated(Promise::fatal_request_contained, body + " was held back, though it ends no engine",
+                       world_.now());
+    }
+  };
   fleet_.core(node).forwarder->start(std::move(request), std::move(route), std::move(events));
 }
 
--- a/src/simulation/callers.hpp
+++ b/src/simulation/callers.hpp
@@ -25,6 +25,8 @@
   void send_forwarded(unsigned node, const std::string& body);
   /// @return the body of an ordinary request, never used before.
   std::string new_body() { return "body " + std::to_string(++live_number_); }
+  /// @return the body of one of a few ordinary requests that come again and again.
+  static std::string recurring_body(std::uint32_t choice) { return "recurring " + std::to_string(choice % 6); }
 
   /// @return the number of a new booking, not sent yet.
   std::size_t new_booking();
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -89,7 +89,8 @@
         break;
       case ActionKind::forwarded_request:
         if (const auto node = fleet_.pick_running(action.choice)) {
-          callers_.send_forwarded(*node, callers_.new_body());
+          const bool recurs = action.choice / 32 % 2 == 0;
+          callers_.send_forwarded(*node, recurs ? Callers::recurring_body(action.choice / 64) : callers_.new_body());
         }
         break;
       case ActionKind::fatal_request:
