A generation that waits for word of its engine gives its slot back once

Cause: between a break and the verdict a time-out or a caller that left released the engine's slot a second time, which then stood for another call. Test first: live_router_test (0 where 1 was expected). Only the program's own interface; passed-on requests do not take this path.

--- a/src/routing/live_router.cpp
+++ b/src/routing/live_router.cpp
@@ -62,14 +62,14 @@
   return call;
 }
 
-bool LiveRouter::held_back(const Active& active) {
+bool LiveRouter::held_back(LiveId id) {
   return repeats_ != nullptr && repeats_->remembers_any() &&
-         repeats_->holds_back(fingerprint_of(call_of(active)), std::to_string(active.attempt));
+         repeats_->holds_back(fingerprint_of(call_of(requests_.at(id))), std::to_string(id));
 }
 
 void LiveRouter::attempt(LiveId id) {
   Active& active = requests_.at(id);
-  if (held_back(active)) {
+  if (held_back(id)) {
     counters_["live_refused_quarantined_total"]++;
     refuse(id, ErrorKind::quarantined, "engines ended each time they ran this request", Duration::zero());
     return;
@@ -178,6 +178,7 @@
   const Duration answered_for = now - active.first_token_at.value_or(now);
   const broken_call broken{fingerprint_of(call_of(active)), std::to_string(attempt), active.engine, answered_for};
   active.attempt = 0;
+  active.engine = BackendId();  // it has no slot there any more, whatever comes before the next attempt
   active.breaks.report(*repeats_, broken, lifetime_.guard([this, id] {
     if (requests_.contains(id)) {
       retry_or_end(id);
--- a/src/routing/live_router.hpp
+++ b/src/routing/live_router.hpp
@@ -89,7 +89,7 @@
   void retry_or_end(LiveId id);
   /// @return the call that asks for what @p active still lacks.
   static EngineCall call_of(const Active& active);
-  bool held_back(const Active& active);
+  bool held_back(LiveId id);
   std::vector<Backend*> choices(const Active& active);
 
   Environment& environment_;
--- a/tests/routing/live_router_test.cpp
+++ b/tests/routing/live_router_test.cpp
@@ -108,3 +108,51 @@
   CHECK(fixture.backends.engine_calls[0].cancelled);
   CHECK(fixture.router.active() == 0);
 }
+
+namespace {
+
+/// Suspects every request; the test says whether an engine ended.
+class suspicious_guard : public repeat_guard {
+ public:
+  bool remembers_any() const override { return true; }
+  bool suspects(const request_fingerprint&) const override { return true; }
+  bool holds_back(const request_fingerprint&, const std::string&) override { return held; }
+  bool allows_retrial(const request_fingerprint&) const override { return false; }
+  bool beyond_doubt(const request_fingerprint&) const override { return false; }
+  void call_broke(const broken_call&, decided done) override { verdicts.push_back(std::move(done)); }
+  void call_answered(const request_fingerprint&) override {}
+
+  bool held = false;
+  std::vector<decided> verdicts;
+};
+
+}  // namespace
+
+TEST_CASE("a generation that waits for word of its engine holds no slot there, also when its time runs out") {
+  RouterFixture fixture;
+  suspicious_guard guard;
+  fixture.router.use_repeat_guard(guard);
+  fixture.start();
+  routing::Backend* engine = fixture.registry.find(fixture.backends.engine_calls.at(0).engine);
+  fixture.backends.engine_calls.at(0).events.failed(CallFailure::broken);
+  CHECK(engine->online_in_flight == 0);
+  engine->online_in_flight = 1;  // another call, which is still open
+  fixture.environment.world.run_for(10s);
+  REQUIRE(fixture.refusal);
+  CHECK(fixture.refusal->ran == Ran::unknown);
+  CHECK(engine->online_in_flight == 1);
+  guard.verdicts.at(0)(true);  // too late
+  CHECK(fixture.router.active() == 0);
+}
+
+TEST_CASE("a generation that is held back is refused at once") {
+  RouterFixture fixture;
+  suspicious_guard guard;
+  guard.held = true;
+  fixture.router.use_repeat_guard(guard);
+  fixture.start();
+  CHECK(fixture.backends.engine_calls.empty());
+  REQUIRE(fixture.refusal);
+  CHECK(fixture.refusal->error.kind == ErrorKind::quarantined);
+  CHECK(fixture.refusal->ran == Ran::no);
+}
--- a/tests/support/fake_backends.hpp
+++ b/tests/support/fake_backends.hpp
@@ -31,7 +31,11 @@
     service_calls.push_back({service, call, std::move(events)});
     return 0;
   }
-  void cancel(routing::CallId call) override { engine_calls.at(call - 1).cancelled = true; }
+  void cancel(routing::CallId call) override {
+    if (call > 0) {  // 0 names no call
+      engine_calls.at(call - 1).cancelled = true;
+    }
+  }
   void pause(routing::CallId) override {}
   void resume(routing::CallId) override {}
   void fetch_load(const BackendId&, routing::ReportDone done) override { done(std::nullopt); }
