--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -68,19 +68,26 @@
   storage_ = &storage;
   const Result<std::optional<wire::Bytes>> stored = storage.get(kStoredKey);
   if (!succeeded(stored)) {
-    // The other nodes with a disk have it, too.
-    counters_["quarantine_stored_unreadable_total"]++;
-    log_.record("quarantine_unreadable", {{"error", error_kind_name(error_of(stored).kind)}});
+    note_unreadable(error_of(stored).kind);
     return;
   }
-  const auto list = value_of(stored) ? wire::decode_record<wire::SuspicionSyncT>(*value_of(stored))
-                                     : std::optional<wire::SuspicionSyncT>();
-  if (list) {
+  if (const std::optional<wire::Bytes>& bytes = value_of(stored)) {
+    const auto list = wire::decode_record<wire::SuspicionSyncT>(*bytes);
+    if (!list) {
+      note_unreadable(ErrorKind::corrupted);
+      return;
+    }
     take(list->requests);
   }
   kept_digest_ = history_.digest();
 }
 
+/// It is written again at the next change; the other nodes with a disk have the list, too.
+void request_quarantine::note_unreadable(ErrorKind kind) {
+  counters_["quarantine_stored_unreadable_total"]++;
+  log_.record("quarantine_unreadable", {{"error", error_kind_name(kind)}});
+}
+
 void request_quarantine::keep() {
   if (storage_ == nullptr || kept_digest_ == history_.digest()) {
     return;
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -57,6 +57,7 @@
  private:
   void compare();
   void keep();
+  void note_unreadable(ErrorKind kind);
   /// Tells all others of @p request, together with what else comes up within kTogether.
   void tell(const routing::request_fingerprint& request);
   void tell_waiting();
--- a/tests/platform/ingress_test.cpp
+++ b/tests/platform/ingress_test.cpp
@@ -234,3 +234,11 @@
   open.environment.world.run_for(60s);
   CHECK(open.status("/a/1", kKnown) == 0);
 }
+
+TEST_CASE("a request that is held back gets a failure that promises nothing and invites no return") {
+  const net::HttpResponse response = users_platform::refusal_response(
+      {Error{ErrorKind::quarantined, "back ends ended"}, routing::Ran::no, Duration::zero()});
+  CHECK(response.status == 502);
+  CHECK(net::find_header(response.headers, "Retry-After").empty());
+  CHECK(response.body.find("urn:madderdeck:error:quarantined") != std::string::npos);
+}
--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "simulation/fleet.hpp"
 #include "support/fake_backends.hpp"
 #include "support/test_environment.hpp"
 
@@ -202,6 +203,27 @@
   CHECK(fixture.nodes[0]->quarantine.history().empty());
 }
 
+TEST_CASE("what is held back is read from the disk at the start, and damage is told") {
+  simulation::World world(1);
+  simulation::SimProcess process(world);
+  process.start();
+  simulation::SimStorage disk(world, process);
+  spread_fixture fixture(3);
+  fixture.nodes[0]->quarantine.keep_in(disk);
+  for (unsigned end = 0; end < 3; ++end) {
+    fixture.ends(1, "engine-" + std::to_string(end));
+  }
+  fixture.run_for(1s);
+  spread_fixture restarted(3);
+  restarted.nodes[0]->quarantine.keep_in(disk);
+  CHECK(restarted.holding_back() == 1);
+  disk.put("q/suspected", {1, 2, 3});
+  spread_fixture damaged(3);
+  damaged.nodes[0]->quarantine.keep_in(disk);
+  CHECK(damaged.holding_back() == 0);
+  CHECK(damaged.nodes[0]->counters["quarantine_stored_unreadable_total"] == 1);
+}
+
 TEST_CASE("a quiet fleet compares one digest a node and period") {
   spread_fixture fixture(50);
   fixture.run_for(10s);
