--- a/src/batch/result_reader.cpp
+++ b/src/batch/result_reader.cpp
@@ -6,13 +6,10 @@
 namespace {
 constexpr Duration kPollInterval = 200ms;
 constexpr std::uint32_t kScanPage = 1000;
-constexpr std::size_t kMaxFetches = 64;  ///< Results that one reading fetches at the same time.
+/// Results that one question asks for; jobs of the users' sites have 200 items at most.
+constexpr std::size_t kMostFetched = 256;
 constexpr std::size_t kMaxRememberedBytes = 6 << 20;
 constexpr std::size_t kMaxRememberedJobs = 256;
-
-/// What is remembered of jobs is bounded, and this job was dropped for another one.
-constexpr char kForgotten[] = "the job was forgotten while it was read";
-
 Error no_job(const JobId& job) { return Error{ErrorKind::not_found, "no job " + job.str()}; }
 }  // namespace
 
@@ -22,23 +19,31 @@
 void ResultReader::read(const JobId& job, std::uint32_t from, std::size_t max_bytes, Duration wait,
                         ResultPageDone done) {
   counters_["batch_result_reads_total"]++;
-  auto reading = std::make_shared<Reading>(Reading{job, from, max_bytes, environment_.now() + wait, std::move(done)});
+  auto reading = std::make_shared<Reading>();
+  reading->job = job;
+  reading->from = from;
+  reading->max_bytes = max_bytes;
   reading->started = environment_.now();
-  with_job(job, [this, reading](Result<Known*> result) {
+  reading->deadline = reading->started + wait;
+  reading->answer_by = reading->deadline + kAnswerWithin;
+  reading->done = std::move(done);
+  environment_.after(wait + kAnswerWithin,
+                     lifetime_.guard([this, reading] { answer(reading, "the time for the answer is over"); }));
+  with_job(job, reading->answer_by, [this, reading](Result<Known*> result) {
     if (!succeeded(result) && error_of(result).kind == ErrorKind::not_found) {
-      reading->done(error_of(result));
-      return;
-    }
-    if (!succeeded(result)) {
-      fail(*reading, "job", error_of(result).detail);
-      return;
+      finish(reading, error_of(result));
+    } else if (!succeeded(result)) {
+      fail(reading, "job", error_of(result).detail);
+    } else if (!reading->answered) {
+      reading->holds_job = true;
+      ++value_of(result)->readers;
+      read_order(reading);
     }
-    read_order(reading);
   });
 }
 
 /// Goes on with what is known of @p job, reading its record where nothing is.
-void ResultReader::with_job(const JobId& job, std::function<void(Result<Known*>)> next) {
+void ResultReader::with_job(const JobId& job, Timestamp until, std::function<void(Result<Known*>)> next) {
   if (const auto entry = known_.find(job); entry != known_.end()) {
     entry->second.used_at = environment_.now();
     next(&entry->second);
@@ -63,49 +68,60 @@
     }
     next(no_job(job));
   };
-  ledger_.scan(job_key(job), "", 2, lifetime_.guard(take));
+  ledger_.scan_within(left_until(until), job_key(job), 2, lifetime_.guard(take));
 }
 
 void ResultReader::forget_old() {
-  while (!known_.empty() && (known_.size() >= kMaxRememberedJobs || bytes_ > kMaxRememberedBytes)) {
-    const auto oldest = std::min_element(known_.begin(), known_.end(), [](const auto& left, const auto& right) {
-      return left.second.used_at < right.second.used_at;
-    });
+  while (known_.size() >= kMaxRememberedJobs || bytes_ > kMaxRememberedBytes) {
+    auto oldest = known_.end();
+    for (auto entry = known_.begin(); entry != known_.end(); ++entry) {
+      const bool older = oldest == known_.end() || entry->second.used_at < oldest->second.used_at;
+      oldest = entry->second.readers == 0 && older ? entry : oldest;
+    }
+    if (oldest == known_.end()) {
+      return;  // all are being read
+    }
     bytes_ -= oldest->second.bytes;
     known_.erase(oldest);
   }
 }
 
 void ResultReader::read_order(const ReadingPointer& reading) {
-  const auto entry = known_.find(reading->job);
-  if (entry != known_.end() && entry->second.order.size() == entry->second.total) {
+  if (reading->answered) {
+    return;
+  }
+  const Known& before = known_.at(reading->job);
+  if (before.order.size() == before.total) {
     read_results(reading);
     return;
   }
   const auto take = [this, reading](Result<ledger::ScanPage> result) {
-    const auto found = known_.find(reading->job);
-    if (!succeeded(result) || found == known_.end()) {
-      fail(*reading, "order", succeeded(result) ? kForgotten : error_of(result).detail);
+    if (reading->answered) {
       return;
     }
+    if (!succeeded(result)) {
+      fail(reading, "order", error_of(result).detail);
+      return;
+    }
+    Known& known = known_.at(reading->job);
     std::vector<std::uint32_t> order;
     for (const ledger::ScanRecord& record : value_of(result).records) {
       if (const auto segment = wire::decode_record<wire::OrderRecordT>(record.value)) {
         order.insert(order.end(), segment->indexes.begin(), segment->indexes.end());
       }
     }
-    if (order.size() > found->second.order.size()) {
-      found->second.order = std::move(order);
+    if (order.size() > known.order.size()) {
+      known.order = std::move(order);
     }
-    const bool none = found->second.order.size() <= reading->from;
-    const bool complete = found->second.order.size() == found->second.total;
+    const bool none = known.order.size() <= reading->from;
+    const bool complete = known.order.size() == known.total;
     if (none && !complete && environment_.now() + kPollInterval < reading->deadline) {
       environment_.after(kPollInterval, lifetime_.guard([this, reading] { read_order(reading); }));
       return;
     }
     read_results(reading);
   };
-  ledger_.scan(order_prefix(reading->job), "", kScanPage, lifetime_.guard(take));
+  ledger_.scan_within(left_until(reading->answer_by), order_prefix(reading->job), kScanPage, lifetime_.guard(take));
 }
 
 void ResultReader::remember(Known& known, wire::ResultRecordT record) {
@@ -117,58 +133,48 @@
   }
 }
 
-/// Results are written before they are listed, so what is listed can be read. They are fetched one
-/// by one: a scan of all would bring those again that are known.
+/// Results are written before they are listed, so what is listed can be read. One question asks for all that are
+/// missing: one for each result, sent again where it was slow, kept a busy group from ever answering (simulated: 32
+/// callers, machines with a tenth of a core, none of 32 jobs whole after 15 s).
 void ResultReader::read_results(const ReadingPointer& reading) {
-  const auto entry = known_.find(reading->job);
-  if (entry == known_.end()) {
-    fail(*reading, "results", kForgotten);
-    return;
-  }
-  const Known& known = entry->second;
-  std::vector<std::uint32_t> missing;
+  const Known& known = known_.at(reading->job);
+  std::vector<std::string> missing;
   for (std::size_t position = reading->from; position < known.order.size(); ++position) {
-    if (missing.size() == kMaxFetches) {
+    if (missing.size() == kMostFetched) {
       break;
     }
     if (!known.results.contains(known.order[position])) {
-      missing.push_back(known.order[position]);
+      missing.push_back(result_key(reading->job, known.order[position]));
     }
   }
   if (missing.empty()) {
-    answer(reading);
+    answer(reading, "");
     return;
   }
-  reading->fetching = missing.size();
-  for (const std::uint32_t index : missing) {
-    fetch_result(reading, index);
-  }
+  ledger_.fetch(
+      missing, reading->max_bytes, left_until(reading->answer_by),
+      lifetime_.guard([this, reading](const Result<ledger::ScanPage>& result) { take_results(reading, result); }));
 }
 
-void ResultReader::fetch_result(const ReadingPointer& reading, std::uint32_t index) {
-  const auto take = [this, reading](Result<ledger::ScanPage> result) {
-    const auto found = known_.find(reading->job);
-    if (succeeded(result) && found != known_.end()) {
-      for (const ledger::ScanRecord& record : value_of(result).records) {
-        if (auto decoded = wire::decode_record<wire::ResultRecordT>(record.value)) {
-          remember(found->second, std::move(*decoded));
-        }
+void ResultReader::take_results(const ReadingPointer& reading, const Result<ledger::ScanPage>& result) {
+  const auto known = known_.find(reading->job);
+  if (known != known_.end() && succeeded(result)) {
+    for (const ledger::ScanRecord& record : value_of(result).records) {
+      if (auto decoded = wire::decode_record<wire::ResultRecordT>(record.value)) {
+        remember(known->second, std::move(*decoded));
       }
     }
-    if (!succeeded(result)) {
-      reading->last_failure = error_of(result).detail;
-    }
-    if (--reading->fetching == 0) {
-      answer(reading);
-    }
-  };
-  ledger_.scan(result_key(reading->job, index), "", 1, lifetime_.guard(take));
+  }
+  answer(reading, succeeded(result) ? "the first result could not be settled" : error_of(result).detail);
 }
 
-void ResultReader::answer(const ReadingPointer& reading) {
+void ResultReader::answer(const ReadingPointer& reading, const std::string& failure) {
+  if (reading->answered) {
+    return;
+  }
   const auto entry = known_.find(reading->job);
-  if (entry == known_.end()) {
-    fail(*reading, "results", kForgotten);
+  if (!reading->holds_job || entry == known_.end()) {
+    fail(reading, "job", failure);
     return;
   }
   const Known& known = entry->second;
@@ -178,11 +184,11 @@
   std::size_t bytes = 0;
   for (std::size_t position = reading->from; position < known.order.size(); ++position) {
     const auto result = known.results.find(known.order[position]);
+    if (result == known.results.end() && page.results.empty()) {
+      fail(reading, "results", failure);
+      return;
+    }
     if (result == known.results.end()) {
-      if (page.results.empty()) {
-        fail(*reading, "results", reading->last_failure);
-        return;
-      }
       break;
     }
     bytes += result->second.body.size() + result->second.item_id.size();
@@ -191,21 +197,37 @@
     }
     page.results.push_back(result->second);
   }
-  reading->done(std::move(page));
+  finish(reading, std::move(page));
 }
 
-void ResultReader::fail(const Reading& reading, const char* stage, const std::string& reason) {
+void ResultReader::fail(const ReadingPointer& reading, const char* stage, const std::string& reason) {
+  if (reading->answered) {
+    return;
+  }
   counters_["batch_result_reads_failed_total"]++;
-  log_.record("results_read_failed", {{"job", reading.job.str()},
-                                      {"from", reading.from},
+  log_.record("results_read_failed", {{"job", reading->job.str()},
+                                      {"from", reading->from},
                                       {"stage", stage},
                                       {"reason", reason},
-                                      {"took_ms", (environment_.now() - reading.started) / 1ms}});
-  reading.done(Error{ErrorKind::unavailable, "the job's results cannot be read now"});
+                                      {"took_ms", (environment_.now() - reading->started) / 1ms}});
+  finish(reading, Error{ErrorKind::unavailable, "the job's results cannot be read now"});
+}
+
+void ResultReader::finish(const ReadingPointer& reading, Result<ResultPage> result) {
+  if (reading->answered) {
+    return;
+  }
+  reading->answered = true;
+  if (const auto known = known_.find(reading->job); reading->holds_job && known != known_.end()) {
+    --known->second.readers;
+  }
+  const ResultPageDone done = std::move(reading->done);
+  done(std::move(result));
 }
 
 void ResultReader::read_item(const JobId& job, const std::string& item_id, ItemBodyDone done) {
-  with_job(job, [this, job, item_id, done](Result<Known*> result) {
+  const Timestamp until = environment_.now() + kAnswerWithin;
+  with_job(job, until, [this, job, item_id, done, until](Result<Known*> result) {
     if (!succeeded(result)) {
       done(error_of(result));
       return;
@@ -228,7 +250,7 @@
       }
       done(Error{ErrorKind::not_found, "job " + job.str() + " has no item " + item_id});
     };
-    ledger_.scan(prefix, "", kScanPage, lifetime_.guard(take));
+    ledger_.scan_within(left_until(until), prefix, kScanPage, lifetime_.guard(take));
   });
 }
 
--- a/src/batch/result_reader.hpp
+++ b/src/batch/result_reader.hpp
@@ -2,6 +2,7 @@
 /// @file Reads batch jobs whose results have lasting positions: a position, once read, keeps its
 /// content at every node.
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,11 +33,15 @@
   ResultReader(Environment& environment, Counters& counters, ledger::Client& ledger, DecisionLog& log);
 
   /// Reads the results from position @p from on, at most @p max_bytes and at least one if there is
-  /// any. Waits up to @p wait for one to exist.
+  /// any. Waits up to @p wait for one to exist. Answers within kAnswerWithin beyond that, with what has come by then.
   void read(const JobId& job, std::uint32_t from, std::size_t max_bytes, Duration wait, ResultPageDone done);
-  /// Reads an item as it was submitted.
+  /// Reads an item as it was submitted. Answers within kAnswerWithin.
   void read_item(const JobId& job, const std::string& item_id, ItemBodyDone done);
 
+  /// Callers leave 1.5 s beyond the wait that they allow; the answer needs the rest of it for its way and for a busy
+  /// machine. What is done for a caller after it has left keeps its next try waiting.
+  static constexpr Duration kAnswerWithin = 1100ms;
+
  private:
   /// What is known of a job and will not change.
   struct Known {
@@ -46,27 +51,33 @@
     std::map<std::uint32_t, wire::ResultRecordT> results;
     std::size_t bytes = 0;
     Timestamp used_at{};
+    unsigned readers = 0;  ///< Readings under way; the job is not forgotten meanwhile.
   };
   struct Reading {
     JobId job;
     std::uint32_t from = 0;
     std::size_t max_bytes = 0;
-    Timestamp deadline{};
-    ResultPageDone done;
-    std::size_t fetching = 0;  ///< Results under way.
+    Timestamp deadline{};   ///< Until then it waits for a result to exist.
+    Timestamp answer_by{};  ///< Whatever has come by then is the answer.
     Timestamp started{};
-    std::string last_failure;  ///< Of a result that could not be fetched.
+    bool holds_job = false;  ///< Counted in Known::readers.
+    bool answered = false;
+    ResultPageDone done;
   };
   using ReadingPointer = std::shared_ptr<Reading>;
 
-  void with_job(const JobId& job, std::function<void(Result<Known*>)> next);
+  void with_job(const JobId& job, Timestamp until, std::function<void(Result<Known*>)> next);
   void read_order(const ReadingPointer& reading);
   void read_results(const ReadingPointer& reading);
-  void fetch_result(const ReadingPointer& reading, std::uint32_t index);
+  void take_results(const ReadingPointer& reading, const Result<ledger::ScanPage>& result);
   void remember(Known& known, wire::ResultRecordT record);
-  void answer(const ReadingPointer& reading);
+  /// Answers with the results that are known from the reading's position on.
+  /// @param failure why the first of them may be missing.
+  void answer(const ReadingPointer& reading, const std::string& failure);
   /// Answers that the results cannot be read now, and says in the log what was met.
-  void fail(const Reading& reading, const char* stage, const std::string& reason);
+  void fail(const ReadingPointer& reading, const char* stage, const std::string& reason);
+  void finish(const ReadingPointer& reading, Result<ResultPage> result);
+  Duration left_until(Timestamp until) const { return std::max<Duration>(until - environment_.now(), 1ms); }
   void forget_old();
 
   Environment& environment_;
--- a/src/bench/process.cpp
+++ b/src/bench/process.cpp
@@ -69,7 +69,7 @@
   if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) {
     return false;
   }
-  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
   pid_ = 0;
   return true;
 }
--- a/src/bench/process.hpp
+++ b/src/bench/process.hpp
@@ -38,7 +38,7 @@
   void kill();
   /// @return whether the process has ended by itself; then it is no longer running().
   bool poll_ended();
-  /// @return exit code of the ended process, -1 when a signal ended it.
+  /// @return exit code of the ended process, minus the number of the signal when one ended it.
   int exit_code() const { return exit_code_; }
   ProcessUsage usage() const;
 
--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -363,7 +363,9 @@
 
 struct Client::MergedPage {
   ScanPage page;
+  std::vector<std::size_t> positions;  ///< Of records that have to be settled.
   std::size_t unsettled = 0;
+  bool leave_out_failed = false;  ///< Records that cannot be settled now are left out; otherwise the page fails.
   std::optional<Error> failure;
 };
 
@@ -375,7 +377,6 @@
 
 void Client::scan_group(std::uint32_t group, const std::string& prefix, const std::string& after, std::uint32_t limit,
                         ScanDone done, ScanContent content) {
-  const OperationId id = ++next_id_;
   Scan scan;
   scan.group_number = group;
   scan.prefix = prefix;
@@ -383,9 +384,38 @@
   scan.limit = limit;
   scan.content = content;
   scan.done = std::move(done);
-  scan.deadline = environment_.now() + options_.operation_timeout;
+  submit_scan(std::move(scan), options_.operation_timeout);
+}
+
+void Client::scan_within(Duration patience, const std::string& prefix, std::uint32_t limit, ScanDone done) {
+  Scan scan;
+  scan.group_number = map_.groups.empty() ? 0 : map_.group_of(prefix);
+  scan.prefix = prefix;
+  scan.limit = limit;
+  scan.done = std::move(done);
+  submit_scan(std::move(scan), patience);
+}
+
+void Client::fetch(const std::vector<std::string>& keys, std::size_t max_bytes, Duration patience, ScanDone done) {
+  if (keys.empty()) {
+    done(ScanPage{});
+    return;
+  }
+  Scan scan;
+  scan.group_number = map_.groups.empty() ? 0 : map_.group_of(keys.front());
+  scan.keys = keys;
+  scan.max_bytes = max_bytes;
+  scan.done = std::move(done);
+  submit_scan(std::move(scan), patience);
+}
+
+void Client::submit_scan(Scan scan, Duration patience) {
+  const OperationId id = ++next_id_;
+  scan.deadline = environment_.now() + std::min(patience, options_.operation_timeout);
   counters_["ledger_scans_total"]++;
   scans_.emplace(id, std::move(scan));
+  // Where it is over before the next attempt would be.
+  environment_.after(std::min(patience, options_.operation_timeout), lifetime_.guard([this, id] { start_scan(id); }));
   start_scan(id);
 }
 
@@ -411,8 +441,8 @@
     return;
   }
   Scan& scan = entry->second;
-  by_request_.erase(scan.request);
   if (environment_.now() >= scan.deadline) {
+    by_request_.erase(scan.request);
     auto node = scans_.extract(entry);
     counters_["ledger_scans_failed_total"]++;
     node.mapped().done(scan_failure(node.mapped()));
@@ -422,26 +452,43 @@
     retry_scan(id);
     return;
   }
-  counters_["ledger_scan_attempts_total"]++;
-  scan.request = ++next_request_;
-  by_request_[scan.request] = id;
-  scan.group = map_.groups[scan.group_number];
-  scan.replies.clear();
-  scan.refused = 0;
-  scan.value_timer = false;
-  scan.source = value_source(scan.group);
+  begin_attempt(id, scan);
   ask_for_scan(scan);
+  const unsigned attempt = scan.attempts;
   const std::uint64_t number = scan.request;
   constexpr unsigned kMostDoublings = 2;
-  const Duration patience = options_.attempt_timeout * (1U << std::min(scan.attempts++, kMostDoublings));
-  environment_.after(patience, lifetime_.guard([this, id, number] {
+  const Duration patience = options_.attempt_timeout * (1U << std::min(attempt - 1, kMostDoublings));
+  environment_.after(patience, lifetime_.guard([this, id, number, attempt] {
     const auto found = scans_.find(id);
-    if (found != scans_.end() && found->second.request == number) {
+    if (found != scans_.end() && found->second.request == number && found->second.attempts == attempt) {
       start_scan(id);
     }
   }));
 }
 
+void Client::begin_attempt(OperationId id, Scan& scan) {
+  counters_["ledger_scan_attempts_total"]++;
+  ++scan.attempts;
+  const ReplicaGroup& group = map_.groups[scan.group_number];
+  const bool same = scan.request != 0 && scan.group.epoch == group.epoch;
+  if (!same) {
+    by_request_.erase(scan.request);
+    scan.request = ++next_request_;
+    by_request_[scan.request] = id;
+    scan.group = group;
+    scan.replies.clear();
+    scan.refused = 0;
+  }
+  scan.value_timer = false;
+  scan.source = value_source(scan.group);
+}
+
+bool Client::lacks_answer(const Scan& scan, std::uint32_t replica) {
+  const auto reply = scan.replies.find(replica);
+  const bool value_wanted = scan.content == ScanContent::values && scan.source == replica;
+  return reply == scan.replies.end() || (value_wanted && reply->second.ballots_only);
+}
+
 void Client::ask_for_scan(const Scan& scan) {
   wire::ScanRequestT request;
   request.request = scan.request;
@@ -450,9 +497,11 @@
   request.prefix = scan.prefix;
   request.after = scan.after;
   request.limit = scan.limit;
+  request.keys = scan.keys;
+  request.max_bytes = static_cast<std::uint32_t>(scan.max_bytes);
   for (std::uint32_t index = 0; index < scan.group.replicas.size(); ++index) {
     const auto address = addresses_(scan.group.replicas[index].node);
-    if (!address) {
+    if (!address || !lacks_answer(scan, index)) {
       continue;
     }
     request.ballots_only = scan.content == ScanContent::keys || (scan.source && index != *scan.source);
@@ -475,9 +524,12 @@
   }
   scan.value_timer = true;
   const std::uint64_t number = scan.request;
-  environment_.after(options_.value_wait, lifetime_.guard([this, id, number] {
+  const unsigned attempt = scan.attempts;
+  const auto bytes_time = std::chrono::milliseconds(scan.max_bytes * 1000 / options_.least_value_bytes_per_second);
+  environment_.after(options_.value_wait + bytes_time, lifetime_.guard([this, id, number, attempt] {
     const auto found = scans_.find(id);
-    if (found == scans_.end() || found->second.request != number || !found->second.source) {
+    const bool over = found == scans_.end() || found->second.request != number || found->second.attempts != attempt;
+    if (over || !found->second.source) {
       return;
     }
     counters_["ledger_scan_values_late_total"]++;
@@ -488,6 +540,7 @@
 }
 
 void Client::retry_scan(OperationId id) {
+  by_request_.erase(scans_.at(id).request);
   scans_.at(id).request = 0;
   environment_.after(options_.backoff_unit * 4, lifetime_.guard([this, id] { start_scan(id); }));
 }
@@ -503,13 +556,14 @@
     ++scan.refusals[message.status];
     ++scan.refused;
     if (learnt || scan.refused > scan.group.replicas.size() - scan.group.majority()) {
-      const OperationId scan_id = id->second;
-      by_request_.erase(id);
-      retry_scan(scan_id);
+      retry_scan(id->second);
     }
     return;
   }
-  scan.replies.insert_or_assign(message.replica, message);
+  const auto [reply, first] = scan.replies.try_emplace(message.replica, message);
+  if (!first && reply->second.ballots_only) {
+    reply->second = message;
+  }
   const OperationId scan_id = id->second;
   if (scan_complete(scan)) {
     by_request_.erase(id);
@@ -530,15 +584,16 @@
   return Error{ErrorKind::unavailable, detail};
 }
 
-void Client::finish_scan(OperationId id) {
-  auto node = scans_.extract(id);
-  Scan& scan = node.mapped();
-  // A truncated reply says nothing about keys after its last one.
+std::shared_ptr<Client::MergedPage> Client::merge_replies(const Scan& scan) {
+  const bool fetched = !scan.keys.empty();
+  // A truncated reply says nothing about keys after its last one; of a fetch the values' reply may end early.
   std::string horizon;
+  std::size_t reached = scan.keys.size();
   for (const auto& [replica, reply] : scan.replies) {
     if (reply.truncated && !reply.records.empty() && (horizon.empty() || reply.records.back()->key < horizon)) {
       horizon = reply.records.back()->key;
     }
+    reached = std::min(reached, reply.records.size());
   }
   const bool keys_only = scan.content == ScanContent::keys;
   const wire::Bytes no_value;
@@ -549,13 +604,17 @@
   };
   std::map<std::string, Candidate> candidates;
   for (const auto& [replica, reply] : scan.replies) {
+    std::size_t position = 0;
     for (const auto& record : reply.records) {
-      if (!horizon.empty() && record->key > horizon) {
+      if (fetched ? position++ >= reached : !horizon.empty() && record->key > horizon) {
         break;
       }
       const Ballot ballot = from_wire(record->accepted);
-      const auto [position, first] = candidates.try_emplace(record->key, Candidate{ballot});
-      Candidate& candidate = position->second;
+      if (fetched && ballot.is_zero()) {
+        continue;  // not held there
+      }
+      const auto [known, first] = candidates.try_emplace(record->key, Candidate{ballot});
+      Candidate& candidate = known->second;
       if (ballot > candidate.ballot) {
         candidate = Candidate{ballot};
       }
@@ -566,41 +625,61 @@
     }
   }
   auto merged = std::make_shared<MergedPage>();
-  merged->page.next_after = horizon;
-  std::vector<std::size_t> unsettled;
+  merged->leave_out_failed = fetched;
+  merged->page.next_after = fetched ? (reached < scan.keys.size() ? scan.keys[reached] : "") : horizon;
   for (const auto& [key, candidate] : candidates) {
     const bool has_value = keys_only || candidate.value != nullptr;
     if (candidate.count < scan.group.majority() || candidate.ballot.is_zero() || !has_value) {
-      unsettled.push_back(merged->page.records.size());
+      merged->positions.push_back(merged->page.records.size());
     }
     merged->page.records.push_back({key, candidate.value == nullptr ? no_value : *candidate.value});
   }
-  merged->unsettled = unsettled.size();
-  if (unsettled.empty()) {
-    scan.done(std::move(merged->page));
+  return merged;
+}
+
+void Client::finish_scan(OperationId id) {
+  auto node = scans_.extract(id);
+  Scan& scan = node.mapped();
+  const std::shared_ptr<MergedPage> merged = merge_replies(scan);
+  if (merged->positions.size() > options_.most_settled_at_once && !scan.keys.empty()) {
+    // The others come with a later fetch.
+    for (std::size_t number = options_.most_settled_at_once; number < merged->positions.size(); ++number) {
+      merged->page.records[merged->positions[number]].key.clear();
+    }
+    merged->positions.resize(options_.most_settled_at_once);
+  }
+  settle(merged, std::move(scan.done));
+}
+
+/// A value that only some replicas hold may not be chosen: a read settles it.
+void Client::settle(const std::shared_ptr<MergedPage>& merged, ScanDone scan_done) {
+  const auto finish = [merged](const ScanDone& done) {
+    if (merged->failure) {
+      done(*merged->failure);
+      return;
+    }
+    std::erase_if(merged->page.records, [](const ScanRecord& record) { return record.key.empty(); });
+    done(std::move(merged->page));
+  };
+  merged->unsettled = merged->positions.size();
+  if (merged->unsettled == 0) {
+    finish(scan_done);
     return;
   }
-  // A value that only some replicas hold may not be chosen: a read settles it.
-  auto done = std::make_shared<ScanDone>(std::move(scan.done));
-  for (const std::size_t position : unsettled) {
+  auto done = std::make_shared<ScanDone>(std::move(scan_done));
+  for (const std::size_t position : merged->positions) {
     counters_["ledger_scan_settles_total"]++;
-    read(merged->page.records[position].key, [merged, position, done](Result<OptionalValue> result) {
-      if (!succeeded(result)) {
-        merged->failure = error_of(result);
-      } else if (value_of(result)) {
+    read(merged->page.records[position].key, [merged, position, done, finish](Result<OptionalValue> result) {
+      if (succeeded(result) && value_of(result)) {
         merged->page.records[position].value = *value_of(result);
-      } else {
+      } else if (succeeded(result) || merged->leave_out_failed) {
         merged->page.records[position].key.clear();
+      } else {
+        merged->failure = error_of(result);
       }
-      if (--merged->unsettled > 0) {
-        return;
-      }
-      if (merged->failure) {
-        (*done)(*merged->failure);
-        return;
+      if (--merged->unsettled == 0) {
+        finish(*done);
       }
-      std::erase_if(merged->page.records, [](const ScanRecord& record) { return record.key.empty(); });
-      (*done)(std::move(merged->page));
     });
   }
 }
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -54,6 +54,10 @@
   Duration backoff_unit = 5ms;
   /// How long the value of a scan is waited for when the other replicas have told their ballots.
   Duration value_wait = 200ms;
+  /// Slowest link over which the values of fetched records come; they are given that much longer.
+  std::size_t least_value_bytes_per_second = 4 << 20;
+  /// Fetched records that are settled at the same time: each takes two rounds with the whole group.
+  std::size_t most_settled_at_once = 8;
   /// A replica that kept a scan waiting so is not the first to be asked for values for this long.
   Duration avoid_silent = 2s;
 };
@@ -104,9 +108,15 @@
   /// nearest replica; the others tell their ballots, which show whether its values stand.
   void scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done,
             ScanContent content = ScanContent::values);
+  /// As scan(), but gives up after @p patience.
+  void scan_within(Duration patience, const std::string& prefix, std::uint32_t limit, ScanDone done);
   /// As scan(), in the group of that number.
   void scan_group(std::uint32_t group, const std::string& prefix, const std::string& after, std::uint32_t limit,
                   ScanDone done, ScanContent content = ScanContent::values);
+  /// Reads the records of one partition that are named, with one question to each replica: as many of the first as @p
+  /// max_bytes hold, at least one. Those that do not exist are left out; next_after is the first key that was not
+  /// reached, or empty. Gives up after @p patience.
+  void fetch(const std::vector<std::string>& keys, std::size_t max_bytes, Duration patience, ScanDone done);
 
   void handle(const PeerAddress& sender, const wire::PromiseT& message);
   void handle(const PeerAddress& sender, const wire::AcceptedT& message);
@@ -145,6 +155,8 @@
     std::string prefix;
     std::string after;
     std::uint32_t limit = 0;
+    std::vector<std::string> keys;  ///< Of a fetch; otherwise empty.
+    std::size_t max_bytes = 0;      ///< Of a fetch.
     ScanDone done;
     Timestamp deadline{};
     std::uint64_t request = 0;
@@ -180,18 +192,25 @@
   template <class Request>
   void broadcast(const ReplicaGroup& group, const Request& request);
 
+  void submit_scan(Scan scan, Duration patience);
+  /// Asks those that have not answered yet. What has come stays, unless the group is of another epoch by now.
   void start_scan(OperationId id);
+  void begin_attempt(OperationId id, Scan& scan);
   void retry_scan(OperationId id);
   /// @return the replica of @p group to ask for values.
   std::uint32_t value_source(const ReplicaGroup& group) const;
   void ask_for_scan(const Scan& scan);
+  /// @return whether @p scan still needs the answer of the group's member with that number.
+  static bool lacks_answer(const Scan& scan, std::uint32_t replica);
   /// @return whether the replies tell what stands.
   static bool scan_complete(const Scan& scan);
   void await_value(OperationId id, Scan& scan);
   void finish_scan(OperationId id);
   /// @return why no majority answered @p scan: group, epoch, attempts, replies, refusals.
   static Error scan_failure(const Scan& scan);
-  void settle(std::shared_ptr<MergedPage> page, ScanDone done);
+  /// @return the records that a majority's replies tell, and which of them have to be settled.
+  static std::shared_ptr<MergedPage> merge_replies(const Scan& scan);
+  void settle(const std::shared_ptr<MergedPage>& page, ScanDone done);
   template <class Items>
   typename Items::iterator find_request(Items& items, std::uint64_t request);
 
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -10,7 +10,15 @@
 
 constexpr std::uint32_t kCopyPageRecords = 256;
 constexpr std::size_t kPageBytes = 1 << 20;
+/// Of values in one answer to a replica that copies: a reader's answer waits behind it for 20 ms on a tenth of a core.
+constexpr std::size_t kCopyPageBytes = 256 << 10;
 constexpr Duration kCopyRetry = 200ms;
+/// A page that has not come is asked for again after this long, then after twice as long, and so on.
+constexpr Duration kCopyPatience = 400ms;
+constexpr Duration kMostCopyPatience = 3200ms;
+/// Pages of all groups together that are under way to a replica that copies. With all sources asked at once, and again
+/// every 200 ms, one held over 280 MB of answers.
+constexpr std::size_t kMostCopiesAtOnce = 4;
 
 std::string group_prefix(char area, std::uint32_t group) {
   char text[16];
@@ -335,21 +343,25 @@
   return records;
 }
 
-Replica::Records Replica::values_of(std::uint32_t group, const std::vector<std::string>& keys) const {
+Replica::Records Replica::records_of(const RecordQuery& query) const {
   Records records;
   std::size_t bytes = 0;
-  for (const std::string& key : keys) {
-    if (bytes >= kPageBytes) {
-      break;
-    }
+  for (const std::string& key : query.keys) {
     auto record = std::make_unique<wire::LedgerRecordT>();
     record->key = key;
     record->accepted = to_wire(Ballot{});
-    if (auto loaded = load(group, key); succeeded(loaded)) {
+    if (auto loaded = load(query.group, key); succeeded(loaded)) {
       record->accepted = to_wire(value_of(loaded).accepted);
-      record->value = std::move(value_of(loaded).value);
+      if (query.values) {
+        record->value = std::move(value_of(loaded).value);
+      }
+    } else {
+      counters_["ledger_corrupted_reads_total"]++;
     }
     bytes += record->key.size() + record->value.size();
+    if (bytes > query.max_bytes && !records.empty()) {
+      break;
+    }
     records.push_back(std::move(record));
   }
   return records;
@@ -364,7 +376,10 @@
     reply.replica = progress_.at(message.group).index;
     reply.ballots_only = message.ballots_only;
     const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
-    reply.records = page(query, reply.truncated);
+    reply.records = message.keys.empty()
+                        ? page(query, reply.truncated)
+                        : records_of({message.group, message.keys, std::min<std::size_t>(message.max_bytes, kPageBytes),
+                                      !message.ballots_only});
   }
   describe_group(message.group, reply);
   send_message(environment_, sender, std::move(reply));
@@ -392,18 +407,41 @@
 }
 
 void Replica::request_copies() {
-  for (auto& [group, progress] : progress_) {
+  const Timestamp now = environment_.now();
+  std::size_t under_way = 0;
+  std::vector<std::pair<std::uint32_t, std::uint32_t>> due;  // group and number of the source
+  for (const auto& [group, progress] : progress_) {
     for (const auto& [number, source] : progress.copying) {
-      const auto address = addresses_(progress.description.source(number).node);
-      if (!source.complete && address) {
-        request_page(*address, group, progress, source);
+      const bool awaited = source.asked_at.count() != 0 && now - source.asked_at < source.patience;
+      if (!source.complete && awaited) {
+        ++under_way;
+      } else if (!source.complete && addresses_(progress.description.source(number).node)) {
+        due.emplace_back(group, number);
       }
     }
   }
+  const auto source_of = [this](const auto& one) -> CopySource& {
+    return progress_.at(one.first).copying.at(one.second);
+  };
+  std::stable_sort(due.begin(), due.end(), [&](const auto& left, const auto& right) {
+    return source_of(left).asked_at < source_of(right).asked_at;
+  });
+  for (const auto& one : due) {
+    if (under_way >= kMostCopiesAtOnce) {
+      return;
+    }
+    ++under_way;
+    CopySource& source = source_of(one);
+    const bool again = source.asked_at.count() != 0;
+    source.patience = again ? std::min(source.patience * 2, kMostCopyPatience) : kCopyPatience;
+    const GroupProgress& progress = progress_.at(one.first);
+    request_page(*addresses_(progress.description.source(one.second).node), one.first, progress, source);
+  }
 }
 
 void Replica::request_page(const PeerAddress& from, std::uint32_t group, const GroupProgress& progress,
-                           const CopySource& source) {
+                           CopySource& source) {
+  source.asked_at = environment_.now();
   wire::CopyRequestT request;
   request.group = group;
   request.epoch = progress.epoch;
@@ -455,7 +493,7 @@
       const std::string after = message.after.size() > 2 ? message.after.substr(2) : "";
       reply.records = page({message.group, "", after, message.limit, promises, false}, reply.truncated);
     } else {
-      reply.records = values_of(message.group, message.keys);
+      reply.records = records_of({message.group, message.keys, kCopyPageBytes, true});
     }
   }
   // What is copied must not be less durable here than it will be there.
@@ -498,6 +536,7 @@
     source_entry->second.wanted.clear();
     counters_["ledger_copy_sources_new_total"]++;
     finish_copy_if_complete(message.group);
+    request_copies();
     return;
   }
   if (message.status != wire::ReplicaStatus::Granted) {
@@ -521,8 +560,10 @@
   }
   if (source.complete) {
     finish_copy_if_complete(message.group);
+    request_copies();
     return;
   }
+  source.patience = kCopyPatience;
   request_page(sender, message.group, progress, source);
 }
 
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -64,6 +64,8 @@
   struct CopySource {
     std::string after;
     bool complete = false;
+    Timestamp asked_at{};                  ///< When the present page was last asked for; zero: not yet.
+    Duration patience{};                   ///< How long its answer is waited for before it is asked for again.
     std::map<std::string, Ballot> wanted;  ///< Records of the present page that are later there.
     std::string next_after;                ///< Where the copy goes on once these are here; empty: it is complete.
   };
@@ -102,9 +104,9 @@
   void store_group_state(std::uint32_t group, const GroupProgress& progress);
   GroupProgress restore_group_state(std::uint32_t group) const;
   void start_copy(std::uint32_t group);
+  /// Asks for the pages that are due, of the sources that were asked longest ago first.
   void request_copies();
-  void request_page(const PeerAddress& from, std::uint32_t group, const GroupProgress& progress,
-                    const CopySource& source);
+  void request_page(const PeerAddress& from, std::uint32_t group, const GroupProgress& progress, CopySource& source);
   void schedule_copy_retry();
   void merge(std::uint32_t group, const wire::LedgerRecordT& record);
   /// Takes a page of ballots: promises are merged, newer values noted as wanted.
@@ -115,8 +117,15 @@
   static bool awaited_from_member(const GroupProgress& progress, const std::string& key, const Ballot& ballot);
   void finish_copy_if_complete(std::uint32_t group);
   Records page(const PageQuery& query, bool& truncated) const;
-  /// @return the accepted values of @p keys, as many of the first as a message may hold.
-  Records values_of(std::uint32_t group, const std::vector<std::string>& keys) const;
+  /// What is wanted of records that are named.
+  struct RecordQuery {
+    std::uint32_t group = 0;
+    const std::vector<std::string>& keys;
+    std::size_t max_bytes = 0;  ///< Of keys and values; at least one record comes.
+    bool values = true;         ///< Otherwise only the ballots of accepted values.
+  };
+  /// @return as many of the first records as fit; one that does not exist has a zero ballot.
+  Records records_of(const RecordQuery& query) const;
   /// Fills the common part of @p reply and reads the record. When either is refused, the reply
   /// is sent and nothing returned.
   template <class Request, class Reply>
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -130,6 +130,14 @@
 struct ItemSettledBuilder;
 struct ItemSettledT;
 
+struct HeldItems;
+struct HeldItemsBuilder;
+struct HeldItemsT;
+
+struct ItemsHeld;
+struct ItemsHeldBuilder;
+struct ItemsHeldT;
+
 struct PromptReading;
 struct PromptReadingBuilder;
 struct PromptReadingT;
@@ -442,11 +450,12 @@
   SuspicionNews = 36,
   SuspicionDigest = 37,
   SuspicionSync = 38,
+  ItemsHeld = 39,
   MIN = NONE,
-  MAX = SuspicionSync
+  MAX = ItemsHeld
 };
 
-inline const Message (&EnumValuesMessage())[39] {
+inline const Message (&EnumValuesMessage())[40] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -486,13 +495,14 @@
     Message::PlaceWithdrawal,
     Message::SuspicionNews,
     Message::SuspicionDigest,
-    Message::SuspicionSync
+    Message::SuspicionSync,
+    Message::ItemsHeld
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[40] = {
+  static const char * const names[41] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -532,13 +542,14 @@
     "SuspicionNews",
     "SuspicionDigest",
     "SuspicionSync",
+    "ItemsHeld",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::SuspicionSync)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::ItemsHeld)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -699,6 +710,10 @@
   static const Message enum_value = Message::SuspicionSync;
 };
 
+template<> struct MessageTraits<madderdeck::wire::ItemsHeld> {
+  static const Message enum_value = Message::ItemsHeld;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -855,6 +870,10 @@
   static const Message enum_value = Message::SuspicionSync;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::ItemsHeldT> {
+  static const Message enum_value = Message::ItemsHeld;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1189,6 +1208,14 @@
     return type == Message::SuspicionSync ?
       reinterpret_cast<const madderdeck::wire::SuspicionSyncT *>(value) : nullptr;
   }
+  madderdeck::wire::ItemsHeldT *AsItemsHeld() {
+    return type == Message::ItemsHeld ?
+      reinterpret_cast<madderdeck::wire::ItemsHeldT *>(value) : nullptr;
+  }
+  const madderdeck::wire::ItemsHeldT *AsItemsHeld() const {
+    return type == Message::ItemsHeld ?
+      reinterpret_cast<const madderdeck::wire::ItemsHeldT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -3503,6 +3530,8 @@
   std::string after{};
   uint32_t limit = 0;
   bool ballots_only = false;
+  std::vector<std::string> keys{};
+  uint32_t max_bytes = 0;
 };
 
 struct ScanRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3516,7 +3545,9 @@
     VT_PREFIX = 10,
     VT_AFTER = 12,
     VT_LIMIT = 14,
-    VT_BALLOTS_ONLY = 16
+    VT_BALLOTS_ONLY = 16,
+    VT_KEYS = 18,
+    VT_MAX_BYTES = 20
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -3539,6 +3570,12 @@
   bool ballots_only() const {
     return GetField<uint8_t>(VT_BALLOTS_ONLY, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *keys() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KEYS);
+  }
+  uint32_t max_bytes() const {
+    return GetField<uint32_t>(VT_MAX_BYTES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -3550,6 +3587,10 @@
            verifier.VerifyString(after()) &&
            VerifyField<uint32_t>(verifier, VT_LIMIT, 4) &&
            VerifyField<uint8_t>(verifier, VT_BALLOTS_ONLY, 1) &&
+           VerifyOffset(verifier, VT_KEYS) &&
+           verifier.VerifyVector(keys()) &&
+           verifier.VerifyVectorOfStrings(keys()) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_BYTES, 4) &&
            verifier.EndTable();
   }
   ScanRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3582,6 +3623,12 @@
   void add_ballots_only(bool ballots_only) {
     fbb_.AddElement<uint8_t>(ScanRequest::VT_BALLOTS_ONLY, static_cast<uint8_t>(ballots_only), 0);
   }
+  void add_keys(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys) {
+    fbb_.AddOffset(ScanRequest::VT_KEYS, keys);
+  }
+  void add_max_bytes(uint32_t max_bytes) {
+    fbb_.AddElement<uint32_t>(ScanRequest::VT_MAX_BYTES, max_bytes, 0);
+  }
   explicit ScanRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3601,10 +3648,14 @@
     flatbuffers::Offset<flatbuffers::String> prefix = 0,
     flatbuffers::Offset<flatbuffers::String> after = 0,
     uint32_t limit = 0,
-    bool ballots_only = false) {
+    bool ballots_only = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> keys = 0,
+    uint32_t max_bytes = 0) {
   ScanRequestBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
+  builder_.add_max_bytes(max_bytes);
+  builder_.add_keys(keys);
   builder_.add_limit(limit);
   builder_.add_after(after);
   builder_.add_prefix(prefix);
@@ -3626,9 +3677,12 @@
     const char *prefix = nullptr,
     const char *after = nullptr,
     uint32_t limit = 0,
-    bool ballots_only = false) {
+    bool ballots_only = false,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *keys = nullptr,
+    uint32_t max_bytes = 0) {
   auto prefix__ = prefix ? _fbb.CreateString(prefix) : 0;
   auto after__ = after ? _fbb.CreateString(after) : 0;
+  auto keys__ = keys ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*keys) : 0;
   return madderdeck::wire::CreateScanRequest(
       _fbb,
       request,
@@ -3637,7 +3691,9 @@
       prefix__,
       after__,
       limit,
-      ballots_only);
+      ballots_only,
+      keys__,
+      max_bytes);
 }
 
 flatbuffers::Offset<ScanRequest> CreateScanRequest(flatbuffers::FlatBufferBuilder &_fbb, const ScanRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4761,6 +4817,162 @@
 
 flatbuffers::Offset<ItemSettled> CreateItemSettled(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct HeldItemsT : public flatbuffers::NativeTable {
+  typedef HeldItems TableType;
+  std::string job{};
+  std::vector<uint32_t> indexes{};
+};
+
+struct HeldItems FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HeldItemsT NativeTableType;
+  typedef HeldItemsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOB = 4,
+    VT_INDEXES = 6
+  };
+  const flatbuffers::String *job() const {
+    return GetPointer<const flatbuffers::String *>(VT_JOB);
+  }
+  const flatbuffers::Vector<uint32_t> *indexes() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_INDEXES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOB) &&
+           verifier.VerifyString(job()) &&
+           VerifyOffset(verifier, VT_INDEXES) &&
+           verifier.VerifyVector(indexes()) &&
+           verifier.EndTable();
+  }
+  HeldItemsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HeldItemsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HeldItems> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeldItemsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HeldItemsBuilder {
+  typedef HeldItems Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_job(flatbuffers::Offset<flatbuffers::String> job) {
+    fbb_.AddOffset(HeldItems::VT_JOB, job);
+  }
+  void add_indexes(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> indexes) {
+    fbb_.AddOffset(HeldItems::VT_INDEXES, indexes);
+  }
+  explicit HeldItemsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HeldItems> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HeldItems>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HeldItems> CreateHeldItems(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> job = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> indexes = 0) {
+  HeldItemsBuilder builder_(_fbb);
+  builder_.add_indexes(indexes);
+  builder_.add_job(job);
+  return builder_.Finish();
+}
+
+struct HeldItems::Traits {
+  using type = HeldItems;
+  static auto constexpr Create = CreateHeldItems;
+};
+
+inline flatbuffers::Offset<HeldItems> CreateHeldItemsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *job = nullptr,
+    const std::vector<uint32_t> *indexes = nullptr) {
+  auto job__ = job ? _fbb.CreateString(job) : 0;
+  auto indexes__ = indexes ? _fbb.CreateVector<uint32_t>(*indexes) : 0;
+  return madderdeck::wire::CreateHeldItems(
+      _fbb,
+      job__,
+      indexes__);
+}
+
+flatbuffers::Offset<HeldItems> CreateHeldItems(flatbuffers::FlatBufferBuilder &_fbb, const HeldItemsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct ItemsHeldT : public flatbuffers::NativeTable {
+  typedef ItemsHeld TableType;
+  std::vector<std::unique_ptr<madderdeck::wire::HeldItemsT>> jobs{};
+  ItemsHeldT() = default;
+  ItemsHeldT(const ItemsHeldT &o);
+  ItemsHeldT(ItemsHeldT&&) FLATBUFFERS_NOEXCEPT = default;
+  ItemsHeldT &operator=(ItemsHeldT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct ItemsHeld FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ItemsHeldT NativeTableType;
+  typedef ItemsHeldBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_JOBS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::HeldItems>> *jobs() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::HeldItems>> *>(VT_JOBS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_JOBS) &&
+           verifier.VerifyVector(jobs()) &&
+           verifier.VerifyVectorOfTables(jobs()) &&
+           verifier.EndTable();
+  }
+  ItemsHeldT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ItemsHeldT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ItemsHeld> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ItemsHeldT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ItemsHeldBuilder {
+  typedef ItemsHeld Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_jobs(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::HeldItems>>> jobs) {
+    fbb_.AddOffset(ItemsHeld::VT_JOBS, jobs);
+  }
+  explicit ItemsHeldBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ItemsHeld> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ItemsHeld>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ItemsHeld> CreateItemsHeld(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::HeldItems>>> jobs = 0) {
+  ItemsHeldBuilder builder_(_fbb);
+  builder_.add_jobs(jobs);
+  return builder_.Finish();
+}
+
+struct ItemsHeld::Traits {
+  using type = ItemsHeld;
+  static auto constexpr Create = CreateItemsHeld;
+};
+
+inline flatbuffers::Offset<ItemsHeld> CreateItemsHeldDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<madderdeck::wire::HeldItems>> *jobs = nullptr) {
+  auto jobs__ = jobs ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::HeldItems>>(*jobs) : 0;
+  return madderdeck::wire::CreateItemsHeld(
+      _fbb,
+      jobs__);
+}
+
+flatbuffers::Offset<ItemsHeld> CreateItemsHeld(flatbuffers::FlatBufferBuilder &_fbb, const ItemsHeldT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct PromptReadingT : public flatbuffers::NativeTable {
   typedef PromptReading TableType;
   std::string engine{};
@@ -7076,6 +7288,9 @@
   const madderdeck::wire::SuspicionSync *body_as_SuspicionSync() const {
     return body_type() == madderdeck::wire::Message::SuspicionSync ? static_cast<const madderdeck::wire::SuspicionSync *>(body()) : nullptr;
   }
+  const madderdeck::wire::ItemsHeld *body_as_ItemsHeld() const {
+    return body_type() == madderdeck::wire::Message::ItemsHeld ? static_cast<const madderdeck::wire::ItemsHeld *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -7242,6 +7457,10 @@
   return body_as_SuspicionSync();
 }
 
+template<> inline const madderdeck::wire::ItemsHeld *Envelope::body_as<madderdeck::wire::ItemsHeld>() const {
+  return body_as_ItemsHeld();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -9408,6 +9627,8 @@
   { auto _e = after(); if (_e) _o->after = _e->str(); }
   { auto _e = limit(); _o->limit = _e; }
   { auto _e = ballots_only(); _o->ballots_only = _e; }
+  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = max_bytes(); _o->max_bytes = _e; }
 }
 
 inline flatbuffers::Offset<ScanRequest> ScanRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ScanRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9425,6 +9646,8 @@
   auto _after = _o->after.empty() ? 0 : _fbb.CreateString(_o->after);
   auto _limit = _o->limit;
   auto _ballots_only = _o->ballots_only;
+  auto _keys = _o->keys.size() ? _fbb.CreateVectorOfStrings(_o->keys) : 0;
+  auto _max_bytes = _o->max_bytes;
   return madderdeck::wire::CreateScanRequest(
       _fbb,
       _request,
@@ -9433,7 +9656,9 @@
       _prefix,
       _after,
       _limit,
-      _ballots_only);
+      _ballots_only,
+      _keys,
+      _max_bytes);
 }
 
 inline ScanReplyT::ScanReplyT(const ScanReplyT &o)
@@ -9851,6 +10076,71 @@
       _held);
 }
 
+inline HeldItemsT *HeldItems::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HeldItemsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HeldItems::UnPackTo(HeldItemsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = job(); if (_e) _o->job = _e->str(); }
+  { auto _e = indexes(); if (_e) { _o->indexes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->indexes[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<HeldItems> HeldItems::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeldItemsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHeldItems(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HeldItems> CreateHeldItems(flatbuffers::FlatBufferBuilder &_fbb, const HeldItemsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeldItemsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _job = _o->job.empty() ? 0 : _fbb.CreateString(_o->job);
+  auto _indexes = _o->indexes.size() ? _fbb.CreateVector(_o->indexes) : 0;
+  return madderdeck::wire::CreateHeldItems(
+      _fbb,
+      _job,
+      _indexes);
+}
+
+inline ItemsHeldT::ItemsHeldT(const ItemsHeldT &o) {
+  jobs.reserve(o.jobs.size());
+  for (const auto &jobs_ : o.jobs) { jobs.emplace_back((jobs_) ? new madderdeck::wire::HeldItemsT(*jobs_) : nullptr); }
+}
+
+inline ItemsHeldT &ItemsHeldT::operator=(ItemsHeldT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(jobs, o.jobs);
+  return *this;
+}
+
+inline ItemsHeldT *ItemsHeld::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ItemsHeldT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ItemsHeld::UnPackTo(ItemsHeldT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = jobs(); if (_e) { _o->jobs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->jobs[_i] = std::unique_ptr<madderdeck::wire::HeldItemsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<ItemsHeld> ItemsHeld::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ItemsHeldT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateItemsHeld(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ItemsHeld> CreateItemsHeld(flatbuffers::FlatBufferBuilder &_fbb, const ItemsHeldT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ItemsHeldT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _jobs = _o->jobs.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::HeldItems>> (_o->jobs.size(), [](size_t i, _VectorArgs *__va) { return CreateHeldItems(*__va->__fbb, __va->__o->jobs[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return madderdeck::wire::CreateItemsHeld(
+      _fbb,
+      _jobs);
+}
+
 inline PromptReadingT *PromptReading::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<PromptReadingT>();
   UnPackTo(_o.get(), _resolver);
@@ -11261,6 +11551,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionSync *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::ItemsHeld: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::ItemsHeld *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -11432,6 +11726,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionSync *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::ItemsHeld: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::ItemsHeld *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -11591,6 +11889,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionSyncT *>(value);
       return CreateSuspicionSync(_fbb, ptr, _rehasher).Union();
     }
+    case Message::ItemsHeld: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::ItemsHeldT *>(value);
+      return CreateItemsHeld(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -11749,6 +12051,10 @@
       value = new madderdeck::wire::SuspicionSyncT(*reinterpret_cast<madderdeck::wire::SuspicionSyncT *>(u.value));
       break;
     }
+    case Message::ItemsHeld: {
+      value = new madderdeck::wire::ItemsHeldT(*reinterpret_cast<madderdeck::wire::ItemsHeldT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -11946,6 +12252,11 @@
       delete ptr;
       break;
     }
+    case Message::ItemsHeld: {
+      auto ptr = reinterpret_cast<madderdeck::wire::ItemsHeldT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/batch/result_reader_test.cpp
+++ b/tests/batch/result_reader_test.cpp
@@ -95,3 +95,31 @@
                          << group.value_bytes() / 1'000'000 << " MB of values");
   CHECK(whole == kCallers);
 }
+TEST_CASE("a page of results costs its group a few questions, however many results it has") {
+  slow_group group(1, kPerQuestion, kPerKilobyte);
+  persistent_caller caller(group, group.add_job("job", kItems, kResultBytes), 0, 1);
+  const std::uint64_t before = group.questions();
+  caller.ask();
+  group.world.run_for(1s);
+  CHECK(caller.whole());
+  constexpr std::uint64_t kStages = 3;  // the job, its order, the results
+  CHECK(group.questions() - before <= (kStages + 1) * slow_group::kReplicas);
+}
+
+TEST_CASE("a job is not forgotten while it is read, however many others are asked for meanwhile") {
+  constexpr unsigned kJobs = 24;  // 17 MB of results, of which 6 MiB are remembered
+  slow_group group(1, Duration(10), Duration(0));
+  std::vector<std::unique_ptr<persistent_caller>> callers;
+  for (unsigned number = 0; number < kJobs; ++number) {
+    const JobId job = group.add_job("job-" + std::to_string(number), kItems, kResultBytes);
+    callers.push_back(std::make_unique<persistent_caller>(group, job, 0, 1));
+  }
+  for (const auto& caller : callers) {
+    caller->ask();
+  }
+  group.world.run_for(2s);
+  for (const auto& caller : callers) {
+    CHECK(caller->whole());
+  }
+  CHECK(group.counters(0)["batch_result_reads_failed_total"] == 0);
+}
--- a/tests/ledger/scan_test.cpp
+++ b/tests/ledger/scan_test.cpp
@@ -129,3 +129,76 @@
   REQUIRE(fixture.answer.has_value());
   CHECK(value_of(*fixture.answer).records.front().key == "k/1");
 }
+
+TEST_CASE("what has come to a question stays when it is asked again: only those that are silent are asked") {
+  ScanFixture fixture;
+  fixture.start();
+  fixture.reply(0, {1, 1}, {7});
+  const std::uint64_t question = fixture.request_to(0).request;
+  fixture.environment.sent.clear();
+  fixture.environment.world.run_for(450ms);
+  CHECK(fixture.request_to(1).request == question);
+  for (const auto& message : fixture.environment.sent) {
+    CHECK(message.to != PeerAddress("a"));
+  }
+  fixture.reply(1, {1, 1}, {7});
+  REQUIRE(fixture.answer);
+  CHECK(value_of(*fixture.answer).records.front().value == wire::Bytes{7});
+}
+
+namespace {
+
+/// Answers a fetch of "k/1" and "k/2" for replica @p index; the source's answer holds as many as @p values.
+void answer_fetch(ScanFixture& fixture, unsigned index, std::size_t values, Ballot second) {
+  const wire::ScanRequestT request = fixture.request_to(index);
+  REQUIRE(request.keys == std::vector<std::string>{"k/2", "k/1"});
+  wire::ScanReplyT message;
+  message.request = request.request;
+  message.replica = index;
+  message.epoch = request.epoch;
+  message.ballots_only = request.ballots_only;
+  for (std::size_t position = 0; position < (request.ballots_only ? 2 : values); ++position) {
+    auto record = std::make_unique<wire::LedgerRecordT>();
+    record->key = request.keys[position];
+    record->accepted = to_wire(position == 0 ? Ballot{1, 1} : second);
+    record->value = request.ballots_only ? wire::Bytes{} : wire::Bytes{static_cast<std::uint8_t>(position)};
+    message.records.push_back(std::move(record));
+  }
+  fixture.client.handle(PeerAddress("x"), message);
+}
+
+}  // namespace
+
+TEST_CASE("a fetch asks each replica once, in the order of its keys, and says what it did not reach") {
+  ScanFixture fixture;
+  fixture.client.fetch({"k/2", "k/1"}, 100, 1s,
+                       [&fixture](Result<ScanPage> result) { fixture.answer = std::move(result); });
+  CHECK(fixture.environment.sent_of(wire::Message::ScanRequest) == kReplicas);
+  CHECK(fixture.asked_for_values() == 1);
+  SECTION("all came") {
+    answer_fetch(fixture, 0, 2, {1, 1});
+    answer_fetch(fixture, 1, 2, {1, 1});
+    REQUIRE(fixture.answer);
+    CHECK(value_of(*fixture.answer).records.size() == 2);
+    CHECK(value_of(*fixture.answer).next_after.empty());
+  }
+  SECTION("the values of the first only") {
+    answer_fetch(fixture, 0, 1, {1, 1});
+    answer_fetch(fixture, 1, 1, {1, 1});
+    REQUIRE(fixture.answer);
+    REQUIRE(value_of(*fixture.answer).records.size() == 1);
+    CHECK(value_of(*fixture.answer).records.front().key == "k/2");
+    CHECK(value_of(*fixture.answer).next_after == "k/1");
+  }
+  SECTION("one that nobody holds is left out") {
+    answer_fetch(fixture, 0, 2, {});
+    answer_fetch(fixture, 1, 2, {});
+    REQUIRE(fixture.answer);
+    CHECK(value_of(*fixture.answer).records.size() == 1);
+  }
+  SECTION("nobody answers in time") {
+    fixture.environment.world.run_for(1100ms);
+    REQUIRE(fixture.answer);
+    CHECK(error_of(*fixture.answer).kind == ErrorKind::unavailable);
+  }
+}
