--- a/tests/ledger/scan_test.cpp
+++ b/tests/ledger/scan_test.cpp
@@ -202,3 +202,29 @@
     CHECK(error_of(*fixture.answer).kind == ErrorKind::unavailable);
   }
 }
+
+// Gateways that had just been started answered 404 for jobs that had been accepted before: 12 times in one run with
+// real processes, of 75 jobs. A reading that begins before the node knows the replica groups waits for them; but the
+// group that it would ask had been worked out at its beginning, while there were none, as the first one. Once the
+// groups were known the first group was asked, truly had no such record, and said so. Settled by the time of these
+// calls, 0.8 s after their gateway's start, when it knew its routes already, and by the group that its questions name.
+TEST_CASE("a scan that begins before the groups are known asks the group of its key") {
+  TestEnvironment environment;
+  Counters counters;
+  Client client{environment, counters, [](const NodeId& node) { return std::optional(PeerAddress(node.str())); }};
+  GroupMap map;
+  for (const char* node : {"a", "b", "c", "d"}) {
+    map.groups.push_back({1, {{NodeId(node), DiskId("disk")}}});
+  }
+  std::string prefix = "job/1";
+  for (unsigned number = 2; map.group_of(prefix) == 0; ++number) {
+    prefix = "job/" + std::to_string(number);
+  }
+  client.scan(prefix, "", 2, [](const Result<ScanPage>&) {});
+  client.on_group_map(map);
+  environment.world.run_for(100ms);
+  REQUIRE(environment.sent_of(wire::Message::ScanRequest) >= 1);
+  for (const auto& message : environment.sent) {
+    CHECK(message.body.AsScanRequest()->group == map.group_of(prefix));
+  }
+}
