Scans ask the group of their key; held items are confirmed each second, what nobody holds is handed out after 3 s

Cause: a scan that began before the node knew the replica groups was bound to the first of them. The word that an item was given back went out once, to the node that its holder took for the job's manager; the manager that had given it waited 30 s. Change: the group is worked out with each attempt. Dispatchers confirm what they hold, run, write or withhold every second, to the manager that gave it and to the present one; leases last 3 s from the last confirmation. Before an item whose word was lost is run again the manager reads which results are written. Withheld items are held, not dropped: they come back after 30 s as before.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -29,6 +29,10 @@
 /// falls free need not wait for a question and its answer.
 constexpr std::size_t kReadyPart = 4;
 constexpr Duration kAnswerUseful = 5s;
+/// Held items are confirmed this often; their managers wait for three of these (JobManager's lease).
+constexpr Duration kConfirmHeld = 1s;
+/// An item under which engines ended is not run for so long, then its manager hands it out for one more try.
+constexpr Duration kWithheld = 30s;
 /// The next dispatcher is to know of the end before it gets the item: news of it takes 1 to 5 ms.
 constexpr Duration kNewsTime = 10ms;
 constexpr Duration kRouteMissing = 5s;  ///< Longer than a configuration takes to be in force everywhere.
@@ -80,10 +84,12 @@
   environment_.after(kTick, lifetime_.guard([this] { tick(); }));
   if (!draining_) {
     follow_managers();
+    return_withheld();
     leave_silent_engines();
     leave_lost_engines();
     fill();
   }
+  confirm_held();
   counters_["batch_items_running"] = static_cast<CounterValue>(running_.size());
   counters_["batch_items_queued"] = static_cast<CounterValue>(queue_.size());
 }
@@ -369,8 +375,19 @@
   if (work.item.give_up_at_ms == 0 && repeats_->beyond_doubt(fingerprint_of(work))) {
     work.item.partial = "engines ended each time they ran this item";
     write_result(std::move(work), true);
+    return;
   }
-  // Otherwise its manager hears nothing, hands it out again when the lease has run out, and gives it up in time.
+  withheld_.push_back({std::move(work), environment_.now() + kWithheld});
+}
+
+void Dispatcher::return_withheld() {
+  std::erase_if(withheld_, [this](const Withheld& one) {
+    const bool over = environment_.now() >= one.until;
+    if (over) {
+      report(one.work, false);
+    }
+    return over;
+  });
 }
 
 const routing::request_fingerprint& Dispatcher::fingerprint_of(Queued& work) const {
@@ -394,14 +411,15 @@
 }
 
 void Dispatcher::report_break(Running run) {
-  ++unsettled_;
+  const RunId id = ++next_run_;
   Queued work = std::move(run.work);
+  settling_[id] = {work.item.job, work.item.index, work.manager};
   const Timestamp now = environment_.now();
   const routing::broken_call broken{fingerprint_of(work), name_of(work), run.engine,
                                     now - run.first_event_at.value_or(now)};
-  repeats_->call_broke(broken, lifetime_.guard([this, work](bool) {
-    environment_.after(kNewsTime, lifetime_.guard([this, work] {
-      --unsettled_;
+  repeats_->call_broke(broken, lifetime_.guard([this, work, id](bool) {
+    environment_.after(kNewsTime, lifetime_.guard([this, work, id] {
+      settling_.erase(id);
       report(work, false);
     }));
   }));
@@ -569,10 +587,11 @@
   const auto first_stands = [encoded, once](const ledger::OptionalValue& current) -> ledger::OptionalValue {
     return current && (once || *current == encoded) ? std::nullopt : ledger::OptionalValue(encoded);
   };
-  ++unsettled_;
+  const RunId id = ++next_run_;
+  settling_[id] = {work.item.job, work.item.index, work.manager};
   ledger_.change(result_key(JobId(work.item.job), work.item.index), first_stands,
-                 lifetime_.guard([this, work](const Result<ledger::OptionalValue>& result) {
-                   --unsettled_;
+                 lifetime_.guard([this, work, id](const Result<ledger::OptionalValue>& result) {
+                   settling_.erase(id);
                    log_.record("item_result", {{"job", work.item.job},
                                                {"index", work.item.index},
                                                {"item", name_of(work)},
@@ -610,7 +629,49 @@
   if (completed) {
     message.partial.clear();
   }
-  send_message(environment_, manager_of(work), std::move(message));
+  const PeerAddress manager = manager_of(work);
+  if (manager != work.manager) {
+    // While a manager leaves, nodes differ on who follows it.
+    send_message(environment_, work.manager, message);
+  }
+  send_message(environment_, manager, std::move(message));
+}
+
+void Dispatcher::confirm_held() {
+  if (environment_.now() - confirmed_at_ < kConfirmHeld) {
+    return;
+  }
+  confirmed_at_ = environment_.now();
+  std::map<PeerAddress, std::map<std::string, std::vector<std::uint32_t>>> held;
+  const auto add = [&](const std::string& job, std::uint32_t index, const PeerAddress& manager) {
+    held[manager][job].push_back(index);
+    const wire::MemberT* present = duties_.manager_of(job);
+    if (present != nullptr && manager != PeerAddress(present->peer_address)) {
+      held[PeerAddress(present->peer_address)][job].push_back(index);
+    }
+  };
+  for (const Queued& work : queue_) {
+    add(work.item.job, work.item.index, work.manager);
+  }
+  for (const auto& [id, run] : running_) {
+    add(run.work.item.job, run.work.item.index, run.work.manager);
+  }
+  for (const auto& [id, one] : settling_) {
+    add(one.job, one.index, one.manager);
+  }
+  for (const Withheld& one : withheld_) {
+    add(one.work.item.job, one.work.item.index, one.work.manager);
+  }
+  for (auto& [manager, jobs] : held) {
+    wire::ItemsHeldT message;
+    for (auto& [job, indexes] : jobs) {
+      auto items = std::make_unique<wire::HeldItemsT>();
+      items->job = job;
+      items->indexes = std::move(indexes);
+      message.jobs.push_back(std::move(items));
+    }
+    send_message(environment_, manager, std::move(message));
+  }
 }
 
 void Dispatcher::claim(const Queued& work) {
@@ -751,6 +812,7 @@
     return;
   }
   std::erase_if(queue_, [&](const Queued& work) { return work.item.job == message.job; });
+  std::erase_if(withheld_, [&](const Withheld& one) { return one.work.item.job == message.job; });
   std::vector<RunId> stopped;
   for (const auto& [id, running] : running_) {
     if (running.work.item.job == message.job) {
@@ -770,6 +832,10 @@
     report(work, false);
   }
   queue_.clear();
+  for (const Withheld& one : withheld_) {
+    report(one.work, false);
+  }
+  withheld_.clear();
   while (!running_.empty()) {
     const RunId id = running_.begin()->first;
     client_.cancel(running_.at(id).call);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -61,7 +61,7 @@
   bool owns(const BackendId& engine);
   /// This node is leaving: no new items; running ones are given back.
   void drain();
-  std::size_t active() const { return running_.size() + unsettled_; }
+  std::size_t active() const { return running_.size() + settling_.size(); }
 
   StartHook on_start;
   BatchActivityHook on_batch_activity;
@@ -76,6 +76,16 @@
     std::shared_ptr<const routing::HttpItemCall> http;        ///< Set where the item is an HTTP request.
     std::optional<routing::request_fingerprint> fingerprint;  ///< Once it was needed.
   };
+  /// What of an item its manager has to know: that it is here.
+  struct Held {
+    std::string job;
+    std::uint32_t index = 0;
+    PeerAddress manager;
+  };
+  struct Withheld {
+    Queued work;
+    Timestamp until{};
+  };
   struct Running {
     Queued work;
     BackendId engine;
@@ -145,6 +155,10 @@
   void report(const Queued& work, bool completed);
   /// Tells the manager of a running item that it is in good hands.
   void claim(const Queued& work);
+  /// Tells managers what is held of their jobs; what they do not hear of for long they hand out again.
+  void confirm_held();
+  /// Gives back what has been withheld for long enough.
+  void return_withheld();
   /// Items whose manager is another node by now are made known to it.
   void follow_managers();
   wire::ItemSettledT settlement_of(const Queued& work) const;
@@ -165,8 +179,10 @@
   const DispatchGuards guards_;
   std::deque<Queued> queue_;
   std::map<RunId, Running> running_;
+  std::map<RunId, Held> settling_;  ///< Results that are being written, and breaks whose cause is looked for.
+  std::vector<Withheld> withheld_;
+  Timestamp confirmed_at_{};
   std::map<BackendId, Engine> engines_;
-  std::size_t unsettled_ = 0;
   routing::repeat_guard* repeats_ = nullptr;
   /// When recent requests for items were sent. A lease counts from there, not from the
   /// arrival of the answer, which may have been under way for long.
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -12,8 +12,9 @@
 /// An item given with less time to start than this would only come back.
 constexpr Duration kLeastLeaseGiven = 100ms;
 constexpr Duration kConfirmInterval = 700ms;
-/// A dispatcher that has not settled an item by then has lost it.
-constexpr Duration kItemLease = 30s;
+/// Dispatchers confirm what they hold every second; what is not confirmed for so long is handed out again. With 30 s
+/// and no word in between an item whose message was lost was left lying until the end of its job's time.
+constexpr Duration kItemLease = 3s;
 /// A manager with items that nobody has taken says so to a few schedulers this often.
 constexpr Duration kAnnounceInterval = 1s;
 constexpr std::size_t kAnnounceFanout = 8;
@@ -308,7 +309,6 @@
 }
 
 void JobManager::hand_out(Job& job, const PeerAddress& to, std::uint32_t capacity, Pass pass, wire::GiveItemsT& reply) {
-  const wire::MemberT* holder = scheduler_at(to);
   std::uint32_t given = 0;
   bool only_settled_before = true;
   for (std::uint32_t index = job.cursor; index < job.items.size() && given < capacity; ++index) {
@@ -345,7 +345,7 @@
                                     {"lease_ms", item->lease_ms},
                                     {"record_age_ms", (environment_.now() - job.confirmed_at) / 1ms}});
     job.first_handed_out.try_emplace(index, environment_.now());
-    job.leases[index] = Lease{environment_.now() + kItemLease, to, holder == nullptr ? 0 : holder->incarnation};
+    job.leases[index] = lease_of(to);
     item->host = job.record.host;
     if (const auto progress = job.unfinished.find(index); progress != job.unfinished.end()) {
       item->partial = progress->second.partial;
@@ -410,23 +410,62 @@
   return holder != nullptr && holder->incarnation == lease.incarnation;
 }
 
+JobManager::Lease JobManager::lease_of(const PeerAddress& holder) const {
+  const wire::MemberT* scheduler = scheduler_at(holder);
+  return {environment_.now() + kItemLease, holder, scheduler == nullptr ? 0 : scheduler->incarnation};
+}
+
+void JobManager::handle(const PeerAddress& sender, const wire::ItemsHeldT& message) {
+  for (const auto& held : message.jobs) {
+    const auto entry = jobs_.find(JobId(held->job));
+    if (entry != jobs_.end() && entry->second.loaded) {
+      renew_leases(entry->second, sender, held->indexes);
+    }
+  }
+}
+
+/// What is pending here is likely to have been given by the job's manager before this one.
+void JobManager::renew_leases(Job& job, const PeerAddress& holder, const std::vector<std::uint32_t>& items) {
+  for (const std::uint32_t index : items) {
+    if (index >= job.items.size()) {
+      continue;
+    }
+    const auto lease = job.leases.find(index);
+    if (lease != job.leases.end() && lease->second.holder == holder) {
+      lease->second = lease_of(holder);
+    } else if (job.items[index] == ItemState::pending) {
+      job.items[index] = ItemState::leased;
+      job.leases[index] = lease_of(holder);
+      counters_["batch_items_claimed_by_holders_total"]++;
+    }
+  }
+}
+
 void JobManager::expire_leases(Job& job) {
+  bool word_lost = false;
   for (auto lease = job.leases.begin(); lease != job.leases.end();) {
-    if (environment_.now() < lease->second.until && holder_lives(lease->second)) {
+    const bool lives = holder_lives(lease->second);
+    if (!guards_.expire_items || (environment_.now() < lease->second.until && lives)) {
       ++lease;
       continue;
     }
     if (job.items[lease->first] == ItemState::leased) {
       job.items[lease->first] = ItemState::pending;
       job.cursor = std::min(job.cursor, lease->first);
+      word_lost = word_lost || lives;
       counters_["batch_item_leases_expired_total"]++;
       log_.record("item_lease_expired", {{"job", job.record.id},
                                          {"index", lease->first},
                                          {"holder", lease->second.holder.str()},
-                                         {"holder_lives", holder_lives(lease->second)}});
+                                         {"holder_lives", lives}});
     }
     lease = job.leases.erase(lease);
   }
+  if (word_lost && job.loaded) {
+    // The message that was lost may have been that the item is done: what is written is read before it is run again.
+    job.loaded = false;
+    load_results(JobId(job.record.id), "");
+  }
 }
 
 void JobManager::settle(Job& job, std::uint32_t index) {
@@ -497,10 +536,8 @@
   }
   const bool free = job.items[message.index] == ItemState::pending;
   if (message.held && free) {
-    const wire::MemberT* holder = scheduler_at(sender);
     job.items[message.index] = ItemState::leased;
-    job.leases[message.index] =
-        Lease{environment_.now() + kItemLease, sender, holder == nullptr ? 0 : holder->incarnation};
+    job.leases[message.index] = lease_of(sender);
     counters_["batch_items_claimed_by_holders_total"]++;
   } else if (!message.held && job.items[message.index] == ItemState::leased) {
     job.items[message.index] = ItemState::pending;
@@ -616,7 +653,8 @@
     return;
   }
   job.ordering = true;
-  const auto append = [pending = job.order_pending](const ledger::OptionalValue& current) -> ledger::OptionalValue {
+  const auto append = [pending = job.order_pending,
+                       keeps = guards_.keep_positions](const ledger::OptionalValue& current) -> ledger::OptionalValue {
     auto record = current ? wire::decode_record<wire::OrderRecordT>(*current) : wire::OrderRecordT();
     if (!record) {
       return std::nullopt;
@@ -625,7 +663,7 @@
     const std::size_t before = record->indexes.size();
     for (const std::uint32_t index : pending) {
       if (record->indexes.size() < kOrderSegment && !present.contains(index)) {
-        record->indexes.push_back(index);
+        record->indexes.insert(keeps ? record->indexes.end() : record->indexes.begin(), index);
       }
     }
     return record->indexes.size() == before ? std::nullopt : ledger::OptionalValue(wire::encode_record(*record));
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -20,7 +20,9 @@
 
 /// Rules of handing out work; always on in the daemon.
 struct ManagerGuards {
-  bool lease_jobs = true;  ///< Items are handed out only under a fresh reading of the job's record.
+  bool lease_jobs = true;      ///< Items are handed out only under a fresh reading of the job's record.
+  bool expire_items = true;    ///< Items that nobody says they hold are handed out again.
+  bool keep_positions = true;  ///< Results are appended to the order of their job; what stands there stays.
 };
 
 /// Progress of a job that this node manages.
@@ -42,6 +44,7 @@
   void handle(const wire::JobNoticeT& message);
   void handle(const PeerAddress& sender, const wire::TakeItemsT& message);
   void handle(const PeerAddress& sender, const wire::ItemSettledT& message);
+  void handle(const PeerAddress& sender, const wire::ItemsHeldT& message);
   /// This node is leaving: what items have made goes to the nodes that look after their jobs from now on.
   void drain();
   std::vector<JobProgress> progress() const;
@@ -109,6 +112,9 @@
   void on_job_record(const JobId& job, Timestamp read_started, Result<ledger::OptionalValue> result);
   void load_results(const JobId& job, const std::string& after);
   void confirm(const JobId& job);
+  void renew_leases(Job& job, const PeerAddress& holder, const std::vector<std::uint32_t>& items);
+  /// @return the lease that @p holder has from now on.
+  Lease lease_of(const PeerAddress& holder) const;
   void expire_leases(Job& job);
   bool holder_lives(const Lease& lease) const;
   /// What is handed out in one pass over the jobs.
--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -371,14 +371,19 @@
 
 void Client::scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done,
                   ScanContent content) {
-  const std::uint32_t group = map_.groups.empty() ? 0 : map_.group_of(prefix);
-  scan_group(group, prefix, after, limit, std::move(done), content);
+  Scan scan;
+  scan.prefix = prefix;
+  scan.after = after;
+  scan.limit = limit;
+  scan.content = content;
+  scan.done = std::move(done);
+  submit_scan(std::move(scan), options_.operation_timeout);
 }
 
 void Client::scan_group(std::uint32_t group, const std::string& prefix, const std::string& after, std::uint32_t limit,
                         ScanDone done, ScanContent content) {
   Scan scan;
-  scan.group_number = group;
+  scan.named_group = group;
   scan.prefix = prefix;
   scan.after = after;
   scan.limit = limit;
@@ -389,7 +394,6 @@
 
 void Client::scan_within(Duration patience, const std::string& prefix, std::uint32_t limit, ScanDone done) {
   Scan scan;
-  scan.group_number = map_.groups.empty() ? 0 : map_.group_of(prefix);
   scan.prefix = prefix;
   scan.limit = limit;
   scan.done = std::move(done);
@@ -402,7 +406,6 @@
     return;
   }
   Scan scan;
-  scan.group_number = map_.groups.empty() ? 0 : map_.group_of(keys.front());
   scan.keys = keys;
   scan.max_bytes = max_bytes;
   scan.done = std::move(done);
@@ -448,7 +451,7 @@
     node.mapped().done(scan_failure(node.mapped()));
     return;
   }
-  if (scan.group_number >= map_.groups.size()) {
+  if (map_.groups.empty() || scan.named_group.value_or(0) >= map_.groups.size()) {
     retry_scan(id);
     return;
   }
@@ -469,6 +472,10 @@
 void Client::begin_attempt(OperationId id, Scan& scan) {
   counters_["ledger_scan_attempts_total"]++;
   ++scan.attempts;
+  // Only now: a node that has just started may not have known the groups when the scan began, and the first one would
+  // truly say that it has no such record.
+  const std::string& key = scan.keys.empty() ? scan.prefix : scan.keys.front();
+  scan.group_number = scan.named_group ? *scan.named_group : map_.group_of(key);
   const ReplicaGroup& group = map_.groups[scan.group_number];
   const bool same = scan.request != 0 && scan.group.epoch == group.epoch;
   if (!same) {
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -151,7 +151,8 @@
     }
   };
   struct Scan {
-    std::uint32_t group_number = 0;
+    std::optional<std::uint32_t> named_group;  ///< Otherwise the one that the prefix or the first key belongs to.
+    std::uint32_t group_number = 0;            ///< Of the present attempt.
     std::string prefix;
     std::string after;
     std::uint32_t limit = 0;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -422,6 +422,11 @@
         jobs->handle(sender, *body.AsItemSettled());
       }
       break;
+    case wire::Message::ItemsHeld:
+      if (jobs) {
+        jobs->handle(sender, *body.AsItemsHeld());
+      }
+      break;
     case wire::Message::OnlineActivity:
       if (dispatcher) {
         dispatcher->handle(*body.AsOnlineActivity());
