--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -653,17 +653,20 @@
     return;
   }
   job.ordering = true;
-  const auto append = [pending = job.order_pending,
-                       keeps = guards_.keep_positions](const ledger::OptionalValue& current) -> ledger::OptionalValue {
+  const auto append = [pending = job.order_pending, listed = job.listed,
+                       guards = guards_](const ledger::OptionalValue& current) -> ledger::OptionalValue {
     auto record = current ? wire::decode_record<wire::OrderRecordT>(*current) : wire::OrderRecordT();
     if (!record) {
       return std::nullopt;
     }
+    if (!guards.merge_positions) {
+      record->indexes.assign(listed.begin(), listed.end());
+    }
     const std::set<std::uint32_t> present(record->indexes.begin(), record->indexes.end());
     const std::size_t before = record->indexes.size();
     for (const std::uint32_t index : pending) {
       if (record->indexes.size() < kOrderSegment && !present.contains(index)) {
-        record->indexes.insert(keeps ? record->indexes.end() : record->indexes.begin(), index);
+        record->indexes.insert(guards.append_positions ? record->indexes.end() : record->indexes.begin(), index);
       }
     }
     return record->indexes.size() == before ? std::nullopt : ledger::OptionalValue(wire::encode_record(*record));
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -20,9 +20,10 @@
 
 /// Rules of handing out work; always on in the daemon.
 struct ManagerGuards {
-  bool lease_jobs = true;      ///< Items are handed out only under a fresh reading of the job's record.
-  bool expire_items = true;    ///< Items that nobody says they hold are handed out again.
-  bool keep_positions = true;  ///< Results are appended to the order of their job; what stands there stays.
+  bool lease_jobs = true;        ///< Items are handed out only under a fresh reading of the job's record.
+  bool expire_items = true;      ///< Items that nobody says they hold are handed out again.
+  bool append_positions = true;  ///< New results come after those that are listed.
+  bool merge_positions = true;   ///< What other managers have listed stays.
 };
 
 /// Progress of a job that this node manages.
--- a/src/simulation/callers.cpp
+++ b/src/simulation/callers.cpp
@@ -155,6 +155,110 @@
   return job.fatal_item && index == kFatalItem ? std::string(kFatalRequest) + " " + name : name;
 }
 
+void Callers::add_items(batch::Submission& submission, const JobPlan& job) const {
+  for (std::uint32_t index = 0; index < job.items; ++index) {
+    const std::string prompt = item_prompt(job, index);
+    if (!job.listed) {
+      submission.add("{\"prompt\":\"" + prompt + "\",\"max_tokens\":" + std::to_string(profile_.batch_tokens) + "}");
+      continue;
+    }
+    wire::HttpItemT item;
+    item.id = prompt;
+    item.method = "POST";
+    item.target = kListedPath + std::to_string(index);
+    item.body.assign(prompt.begin(), prompt.end());
+    const wire::Bytes encoded = wire::encode_record(item);
+    submission.add(std::string(encoded.begin(), encoded.end()), profile_.batch_tokens);
+  }
+}
+
+std::size_t Callers::new_listed_job(std::uint32_t items) {
+  const std::size_t number = new_job(items);
+  jobs_[number].listed = true;
+  return number;
+}
+
+bool Callers::has_to_complete(const JobPlan& job) const {
+  return job.listed && !job.id.empty() && !oracle_.jobs().at(job.id).cancel_sent;
+}
+
+std::uint64_t Callers::listed_jobs_to_complete() const {
+  return static_cast<std::uint64_t>(
+      std::count_if(jobs_.begin(), jobs_.end(), [this](const JobPlan& job) { return has_to_complete(job); }));
+}
+
+/// Each token is an event; a result holds their data with line feeds between.
+std::string Callers::expected_text(const JobPlan& job, std::uint32_t index) const {
+  std::string text;
+  for (std::uint32_t offset = 0; offset < profile_.batch_tokens; ++offset) {
+    text += (offset > 0 ? "\n" : "") + emulator::token_text(item_prompt(job, index), offset);
+  }
+  return text;
+}
+
+void Callers::read_positions(std::uint32_t choice) {
+  const auto node = fleet_.pick_running(choice);
+  std::vector<const JobPlan*> listed;
+  for (const JobPlan& job : jobs_) {
+    if (job.listed && !job.id.empty()) {
+      listed.push_back(&job);
+    }
+  }
+  if (node && !listed.empty()) {
+    const JobPlan& job = *listed[choice / 8 % listed.size()];
+    read_from(*node, job, choice / 64 % job.items, false);
+  }
+}
+
+void Callers::read_all_positions(unsigned node) {
+  for (const JobPlan& job : jobs_) {
+    if (has_to_complete(job)) {
+      read_from(node, job, 0, true);
+    }
+  }
+}
+
+void Callers::read_from(unsigned node, const JobPlan& job, std::uint32_t position, bool on) {
+  constexpr std::size_t kPageBytes = 4'000;
+  constexpr Duration kWait = 1s;
+  static constexpr Duration kPause = 300ms;
+  const auto take = [this, node, job, position, on](const Result<batch::ResultPage>& result) {
+    if (!succeeded(result) && error_of(result).kind == ErrorKind::not_found) {
+      oracle_.violated(Promise::item_exactly_once, job.id + " was accepted and is not known", world_.now());
+      return;
+    }
+    if (succeeded(result)) {
+      take_page(job, value_of(result));
+    }
+    const std::uint32_t reached =
+        succeeded(result) ? position + static_cast<std::uint32_t>(value_of(result).results.size()) : position;
+    if (reached == job.items) {
+      whole_readings_ += on ? 1 : 0;
+    } else if (on) {
+      const std::uint64_t life = fleet_.nodes[node]->process.life();
+      world_.schedule(reached > position ? Duration(1ms) : kPause, [this, node, job, reached, life] {
+        if (fleet_.usable(node) && fleet_.nodes[node]->process.life() == life) {
+          read_from(node, job, reached, true);
+        }
+      });
+    }
+  };
+  fleet_.core(node).results.read(JobId(job.id), position, kPageBytes, kWait, take);
+}
+
+void Callers::take_page(const JobPlan& job, const batch::ResultPage& page) {
+  for (std::uint32_t number = 0; number < page.results.size(); ++number) {
+    const wire::ResultRecordT& record = page.results[number];
+    if (record.failed || record.item_id != item_prompt(job, record.index) ||
+        record.body != expected_text(job, record.index)) {
+      oracle_.violated(Promise::item_exactly_once, job.id + " has a wrong result", world_.now());
+      continue;
+    }
+    oracle_.position_read(job.id, page.from + number, record.index, std::to_string(record.attempt) + record.body,
+                          world_.now());
+  }
+}
+
 void Callers::submit(std::uint32_t choice, std::size_t index) {
   const auto node = fleet_.pick_running(choice);
   if (!node) {
@@ -165,11 +269,9 @@
   request.tenant = "tenant";
   request.idempotency_key = "job-key-" + std::to_string(index);
   request.template_name = "bulk";
+  request.host = jobs_[index].listed ? kListedHost : "";
   auto submission = std::make_shared<batch::Submission>(at.environment, at.counters, at.ledger, std::move(request));
-  for (std::uint32_t item = 0; item < jobs_[index].items; ++item) {
-    submission->add("{\"prompt\":\"" + item_prompt(jobs_[index], item) +
-                    "\",\"max_tokens\":" + std::to_string(profile_.batch_tokens) + "}");
-  }
+  add_items(*submission, jobs_[index]);
   submissions_.push_back(submission);
   submission->finish([this, index, &at](const Result<batch::SubmittedJob>& result) {
     if (succeeded(result)) {
@@ -210,7 +312,7 @@
 }
 
 void Callers::read_results(unsigned node, const JobPlan& job) {
-  if (job.id.empty()) {
+  if (job.id.empty() || job.listed) {
     return;
   }
   constexpr std::uint32_t kAll = 10'000;
--- a/src/simulation/callers.hpp
+++ b/src/simulation/callers.hpp
@@ -45,6 +45,16 @@
   void cancel_job_at(unsigned node, std::size_t index);
   void read_some_results(std::uint32_t choice);
   void read_all_results(unsigned node);
+  /// @return the number of a new job of HTTP items, not submitted yet.
+  std::size_t new_listed_job(std::uint32_t items);
+  /// Reads one of the listed jobs from some position on.
+  void read_positions(std::uint32_t choice);
+  /// Reads every listed job that has to complete from its start at @p node, page by page until the end.
+  void read_all_positions(unsigned node);
+  /// @return how many times a listed job was read so to its end.
+  std::uint64_t whole_readings() const { return whole_readings_; }
+  /// @return accepted listed jobs that nobody has tried to cancel.
+  std::uint64_t listed_jobs_to_complete() const;
   /// @return the accepted name of a job; empty before.
   const std::string& job_name(std::size_t index) const { return jobs_[index].id; }
 
@@ -67,6 +77,7 @@
     std::string id;  ///< Empty until accepted.
     std::uint32_t items = 0;
     bool fatal_item = false;
+    bool listed = false;  ///< HTTP items; results have positions.
   };
   static constexpr std::uint32_t kFatalItem = 3;  ///< Its index.
 
@@ -74,6 +85,11 @@
   void close_request(unsigned node, std::uint64_t request);
   static std::string item_prompt(const JobPlan& job, std::uint32_t index);
   void read_results(unsigned node, const JobPlan& job);
+  bool has_to_complete(const JobPlan& job) const;
+  void add_items(batch::Submission& submission, const JobPlan& job) const;
+  std::string expected_text(const JobPlan& job, std::uint32_t index) const;
+  void read_from(unsigned node, const JobPlan& job, std::uint32_t position, bool on);
+  void take_page(const JobPlan& job, const batch::ResultPage& page);
 
   World& world_;
   SimFleet& fleet_;
@@ -86,6 +102,11 @@
   std::uint64_t live_number_ = 0;
   std::uint64_t request_number_ = 0;
   std::uint64_t declaration_number_ = 0;
+  std::uint64_t whole_readings_ = 0;
 };
 
+/// Host and path of the route of listed jobs.
+inline constexpr char kListedHost[] = "jobs";
+inline constexpr char kListedPath[] = "/jobs/";
+
 }  // namespace madderdeck::simulation
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -38,6 +38,7 @@
     settle();
     burst();
     complete_jobs();
+    read_everything_again();
     callers_.check();
     RunResult result;
     result.seed = seed;
@@ -76,6 +77,17 @@
     put("template", "bulk", R"({"pool":"model","max_tokens":1000})");
     put("template", "book", R"({"target":"service","pool":"service","repeatable":false,"timeout_ms":1500})");
     put("tenant", "tenant", R"({"api_key":"key"})");
+    forwarding::Route listed;
+    listed.name = "bulk";
+    listed.host = kListedHost;
+    listed.path_prefix = kListedPath;
+    listed.kind = forwarding::RouteKind::batch;
+    listed.pools.push_back({"model", 1});
+    listed.max_attempts = 3;
+    forwarding::RouteTable routes;
+    routes.version = 1;
+    routes.routes.push_back(std::move(listed));
+    put(forwarding::kRouteTableKind, "main", forwarding::format_route_table(routes));
     put("fleet_policy", "default", R"({"batch_headroom_slots":1,"replace_ledger_node_after_s":3600})");
   }
 
@@ -124,6 +136,12 @@
       case ActionKind::read_results:
         callers_.read_some_results(action.choice);
         break;
+      case ActionKind::submit_listed_job:
+        callers_.submit(action.choice, callers_.new_listed_job(profile_.job_items));
+        break;
+      case ActionKind::read_positions:
+        callers_.read_positions(action.choice);
+        break;
       case ActionKind::declare:
         callers_.declare(action.choice, action.choice / 16);
         break;
@@ -503,6 +521,7 @@
     do {
       world_.run_for(2s);
       callers_.read_all_results(0);
+      callers_.read_all_positions(0);
       world_.run_for(200ms);
     } while (!jobs_complete() && world_.now() < limit);
     for (const auto& [id, job] : oracle_.jobs()) {
@@ -515,6 +534,30 @@
     }
   }
 
+  /// Everything ends and starts once more; what was listed is read again at every node.
+  void read_everything_again() {
+    const std::uint64_t jobs = callers_.listed_jobs_to_complete();
+    if (jobs == 0 || !jobs_complete() || !oracle_.violations().empty()) {
+      return;
+    }
+    end_all_but(std::nullopt);
+    start_all();
+    world_.run_for(kSettleTime);
+    const std::uint64_t before = callers_.whole_readings();
+    const auto nodes = fleet_.running_nodes();
+    for (const unsigned node : nodes) {
+      callers_.read_all_positions(node);
+    }
+    world_.run_for(kSettleTime);
+    const std::uint64_t whole = callers_.whole_readings() - before;
+    if (whole < jobs * nodes.size()) {
+      oracle_.violated(Promise::results_keep_positions,
+                       std::to_string(whole) + " of " + std::to_string(jobs * nodes.size()) +
+                           " readings came to their end after everything was started anew",
+                       world_.now());
+    }
+  }
+
   Oracle oracle_;
   World world_;
   SimFleet fleet_;
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -54,9 +54,11 @@
   leave_during_suspension,
   restart_everything,   ///< All nodes end at the same moment and start again.
   lose_disk_and_power,  ///< A disk is lost while all other nodes lose power.
+  submit_listed_job,    ///< A job of HTTP items, whose results have lasting positions.
+  read_positions,       ///< Of one such job, from some position on.
   wait,
 };
-inline constexpr unsigned kActionKinds = 44;
+inline constexpr unsigned kActionKinds = 46;
 const char* action_name(ActionKind kind);
 
 struct Action {
@@ -79,6 +81,7 @@
 enum class ScheduleMix {
   standard,
   hardening,  ///< Besides the standard ones, passed-on requests and requests that end engines, suspended machines.
+  listing,    ///< Besides the standard ones, jobs whose results have positions; nodes that all end at once.
 };
 
 /// @return the schedule that goes with @p seed.
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -11,7 +11,9 @@
 DEFINE_string(seeds, "1-20", "Seeds to run, FROM-TO.");
 DEFINE_uint64(steps, 120, "Actions in each schedule.");
 DEFINE_string(profile, "qasr", "Site: qasr, ravelin or large.");
-DEFINE_string(mix, "standard", "Actions to draw from: standard or hardening (requests that end engines, too).");
+DEFINE_string(
+    mix, "standard",
+    "Actions to draw from: standard, hardening (requests that end engines, too) or listing (jobs with positions).");
 DEFINE_bool(json, false, "Print only the JSON result.");
 DEFINE_bool(list_mutants, false, "List the versions without a guard.");
 DEFINE_string(mutant, "", "Leave this guard out; the run then has to fail.");
@@ -85,6 +87,9 @@
   if (text == "standard") {
     return ScheduleMix::standard;
   }
+  if (text == "listing") {
+    return ScheduleMix::listing;
+  }
   return text == "hardening" ? std::optional(ScheduleMix::hardening) : std::nullopt;
 }
 
@@ -169,7 +174,8 @@
 
 int main(int argument_count, char** arguments) {
   gflags::SetUsageMessage(
-      "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] [--mix=standard|hardening] [--json]");
+      "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] [--mix=standard|hardening|listing] "
+      "[--json]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
   if (FLAGS_list_mutants) {
     for (const Mutant& mutant : mutants()) {
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -51,6 +51,12 @@
        [](Guards& guards) { guards.clock_counts_suspension = false; }, ScheduleMix::hardening},
       {"ends_untold", Promise::fatal_request_contained, 40,
        [](Guards& guards) { guards.quarantine.tell_others = false; }, ScheduleMix::hardening},
+      {"results_listed_in_front", Promise::results_keep_positions, 10,
+       [](Guards& guards) { guards.manager.append_positions = false; }, ScheduleMix::listing},
+      {"positions_of_others_dropped", Promise::results_keep_positions, 30,
+       [](Guards& guards) { guards.manager.merge_positions = false; }, ScheduleMix::listing},
+      {"lost_items_waited_for", Promise::item_exactly_once, 30,
+       [](Guards& guards) { guards.manager.expire_items = false; }, ScheduleMix::listing},
   };
   return all;
 }
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -14,10 +14,10 @@
 
 const char* promise_name(Promise promise) {
   static constexpr std::array<const char*, kPromises> kNames = {
-      "item_exactly_once",      "cancelled_job_stops",       "live_never_behind_batch",
-      "whole_own_answer",       "not_run_is_true",           "at_most_once",
-      "leaving_gets_no_work",   "planned_stop_cuts_nothing", "configuration_never_reverts",
-      "fatal_request_contained"};
+      "item_exactly_once",       "cancelled_job_stops",       "live_never_behind_batch",
+      "whole_own_answer",        "not_run_is_true",           "at_most_once",
+      "leaving_gets_no_work",    "planned_stop_cuts_nothing", "configuration_never_reverts",
+      "fatal_request_contained", "results_keep_positions"};
   return kNames.at(static_cast<std::size_t>(promise));
 }
 
@@ -107,6 +107,24 @@
   }
 }
 
+void Oracle::position_read(const std::string& job, std::uint32_t position, std::uint32_t index, const std::string& body,
+                           Timestamp at) {
+  auto& positions = jobs_[job].at_position;
+  const auto [entry, first] = positions.try_emplace(position, index);
+  if (entry->second != index) {
+    violated(Promise::results_keep_positions,
+             job + " position " + std::to_string(position) + " held item " + std::to_string(entry->second) +
+                 ", now item " + std::to_string(index),
+             at);
+  }
+  for (const auto& [other, item] : positions) {
+    if (first && other != position && item == index) {
+      violated(Promise::results_keep_positions, job + " lists item " + std::to_string(index) + " twice", at);
+    }
+  }
+  result_read(job, index, body, at);
+}
+
 void Oracle::declaration_accepted(const std::string& name, std::uint64_t revision, const std::string& body) {
   Declaration& known = declarations_[name];
   ++counts.config_changes;
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -23,8 +23,9 @@
   planned_stop_cuts_nothing,
   configuration_never_reverts,
   fatal_request_contained,
+  results_keep_positions,
 };
-inline constexpr std::size_t kPromises = 10;
+inline constexpr std::size_t kPromises = 11;
 const char* promise_name(Promise promise);
 
 /// How much of each kind of load and fault there was; a kind that never ran shows nothing.
@@ -83,6 +84,10 @@
   /// A result was read; it has to be the same at every reading.
   void result_read(const std::string& job, std::uint32_t index, const std::string& body, Timestamp at);
 
+  /// The result of item @p index was read at @p position; both have to be the same at every reading.
+  void position_read(const std::string& job, std::uint32_t position, std::uint32_t index, const std::string& body,
+                     Timestamp at);
+
   // Configuration.
   void declaration_accepted(const std::string& name, std::uint64_t revision, const std::string& body);
   /// A node holds @p revision of an object; it may never hold an older one in the same life.
@@ -94,7 +99,8 @@
     bool cancel_sent = false;
     bool cancelled = false;
     Timestamp cancelled_at{};
-    std::map<std::uint32_t, std::string> results;
+    std::map<std::uint32_t, std::string> results;        ///< By index.
+    std::map<std::uint32_t, std::uint32_t> at_position;  ///< Indexes, where results have positions.
   };
   struct Declaration {
     std::uint64_t revision = 0;
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -8,8 +8,8 @@
 using Weights = std::array<unsigned, kActionKinds>;
 
 /// How often each kind comes up, against the others.
-constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2,
-                              2,  2,  1,  3, 3, 3, 2, 2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6};
+constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2,
+                              2,  1,  3,  3, 3, 2, 2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6};
 
 Weights weights_of(ScheduleMix mix) {
   Weights weights = kWeights;
@@ -24,6 +24,12 @@
     weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 1;
     weights.at(static_cast<std::size_t>(ActionKind::lose_disk_and_power)) = 2;
   }
+  if (mix == ScheduleMix::listing) {
+    weights.at(static_cast<std::size_t>(ActionKind::submit_listed_job)) = 10;
+    weights.at(static_cast<std::size_t>(ActionKind::read_positions)) = 30;
+    weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 1;
+    weights.at(static_cast<std::size_t>(ActionKind::lose_disk_and_power)) = 2;
+  }
   return weights;
 }
 }  // namespace
@@ -72,6 +78,8 @@
                                                                    "leave_during_suspension",
                                                                    "restart_everything",
                                                                    "lose_disk_and_power",
+                                                                   "submit_listed_job",
+                                                                   "read_positions",
                                                                    "wait"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -39,6 +39,11 @@
   stream->id = ++next_;
   stream->engine = number_of(engine.str());
   stream->call = call;
+  if (call.http) {
+    stream->call.model = "model";
+    stream->call.prompt = call.http->body;
+    stream->call.max_tokens = fleet_.profile.batch_tokens;
+  }
   stream->events = std::move(events);
   if (fleet_.world.random.chance(fleet_.conditions.break_percent)) {
     stream->breaks_after = static_cast<int>(fleet_.world.random.below(8));
