--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -99,3 +99,46 @@
   CHECK(fixture.backends.engine_calls[0].cancelled);
   CHECK(fixture.fleet.counters["batch_items_left_lost_engines_total"] == 1);
 }
+
+namespace {
+
+/// @return how often @p manager was told that item 0 of job "j" is held.
+std::size_t confirmations(dispatcher_fixture& fixture, const PeerAddress& manager) {
+  std::size_t told = 0;
+  for (const auto& message : fixture.fleet.environment.sent) {
+    if (message.to != manager || message.body.type != wire::Message::ItemsHeld) {
+      continue;
+    }
+    for (const auto& job : message.body.AsItemsHeld()->jobs) {
+      told += job->job == "j" && job->indexes == std::vector<std::uint32_t>{0} ? 1 : 0;
+    }
+  }
+  return told;
+}
+
+}  // namespace
+
+TEST_CASE("what is held is confirmed every second, while it runs and while its result is written") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  fixture.fleet.environment.world.run_for(2100ms);
+  CHECK(confirmations(fixture, kManager) >= 2);
+  fixture.fleet.environment.sent.clear();
+  // No group answers, so that the result is being written for some seconds.
+  fixture.backends.engine_calls[0].events.token(0, "text");
+  fixture.backends.engine_calls[0].events.finished(1);
+  fixture.fleet.environment.world.run_for(2100ms);
+  CHECK(confirmations(fixture, kManager) >= 2);
+}
+
+TEST_CASE("what is held is confirmed to the manager that gave it and to the one that follows it") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  fixture.add_other();
+  // Wherever the job belongs by now, the node that gave the item is told, too.
+  fixture.fleet.environment.sent.clear();
+  fixture.fleet.environment.world.run_for(1100ms);
+  const std::string present = fixture.fleet.who.manager_of("j")->peer_address;
+  CHECK(confirmations(fixture, PeerAddress(present)) >= 1);
+}
--- a/tests/batch/job_manager_test.cpp
+++ b/tests/batch/job_manager_test.cpp
@@ -225,3 +225,49 @@
   fixture.run(2500ms);
   CHECK(fixture.take_all().size() == 3);
 }
+
+namespace {
+
+wire::ItemsHeldT held(std::vector<std::uint32_t> indexes) {
+  wire::ItemsHeldT message;
+  message.jobs.push_back(std::make_unique<wire::HeldItemsT>());
+  message.jobs.back()->job = kJob;
+  message.jobs.back()->indexes = std::move(indexes);
+  return message;
+}
+
+void open_job(ManagerFixture& fixture) {
+  fixture.leave_other();
+  wire::JobNoticeT notice;
+  notice.job = kJob;
+  fixture.manager.handle(notice);
+  fixture.run(700ms);
+}
+
+}  // namespace
+
+TEST_CASE("items that their holder confirms stay with it, others do not") {
+  ManagerFixture fixture;
+  open_job(fixture);
+  REQUIRE(fixture.take_all().size() == 3);
+  for (int second = 0; second < 6; ++second) {
+    fixture.manager.handle(kOther, held({0, 2, 99}));
+    fixture.manager.handle(PeerAddress("stranger:1"), held({1}));  // not its holder
+    fixture.run(1s);
+  }
+  CHECK(fixture.counters["batch_item_leases_expired_total"] == 1);
+  // After its lease the stranger's word stands for item 1.
+  CHECK(fixture.take_all().empty());
+}
+
+TEST_CASE("an item whose word of being done was lost is listed, not run again") {
+  ManagerFixture fixture;
+  open_job(fixture);
+  REQUIRE(fixture.take_all().size() == 3);
+  wire::ResultRecordT result;
+  result.index = 1;
+  fixture.values[result_key(JobId(kJob), 1)] = wire::encode_record(result);
+  fixture.run(3500ms);
+  CHECK(fixture.take_all() == std::vector<std::uint32_t>{0, 2});
+  CHECK(fixture.manager.progress().front().settled == 1);
+}
