A reading whose time is over before anything is known fails instead of saying that there is nothing

Cause: the answer at the end of a reading's time took an order that had not been read yet for an empty one. The test fails without the change (a question that takes 400 ms).

--- a/src/batch/result_reader.cpp
+++ b/src/batch/result_reader.cpp
@@ -92,6 +92,7 @@
   }
   const Known& before = known_.at(reading->job);
   if (before.order.size() == before.total) {
+    reading->order_read = true;
     read_results(reading);
     return;
   }
@@ -103,6 +104,7 @@
       fail(reading, "order", error_of(result).detail);
       return;
     }
+    reading->order_read = true;
     Known& known = known_.at(reading->job);
     std::vector<std::uint32_t> order;
     for (const ledger::ScanRecord& record : value_of(result).records) {
@@ -173,8 +175,9 @@
     return;
   }
   const auto entry = known_.find(reading->job);
-  if (!reading->holds_job || entry == known_.end()) {
-    fail(reading, "job", failure);
+  if (!reading->order_read || entry == known_.end()) {
+    // An empty page would say that the job has no results.
+    fail(reading, reading->holds_job ? "order" : "job", failure);
     return;
   }
   const Known& known = entry->second;
--- a/src/batch/result_reader.hpp
+++ b/src/batch/result_reader.hpp
@@ -60,7 +60,8 @@
     Timestamp deadline{};   ///< Until then it waits for a result to exist.
     Timestamp answer_by{};  ///< Whatever has come by then is the answer.
     Timestamp started{};
-    bool holds_job = false;  ///< Counted in Known::readers.
+    bool holds_job = false;   ///< Counted in Known::readers.
+    bool order_read = false;  ///< Before, no results known means nothing.
     bool answered = false;
     ResultPageDone done;
   };
--- a/tests/batch/result_reader_test.cpp
+++ b/tests/batch/result_reader_test.cpp
@@ -123,3 +123,21 @@
   }
   CHECK(group.counters(0)["batch_result_reads_failed_total"] == 0);
 }
+
+// With real processes four readings of jobs that had been read before were answered 200 without a result, while all
+// nodes were starting: the time for the answer was over before the order of the results had been read, and what is not
+// known was taken for what is not there.
+TEST_CASE("a reading whose time is over before anything is known fails; it does not say that there is nothing") {
+  for (const Duration per_question : {150ms, 400ms, 700ms, 1200ms}) {
+    slow_group group(1, Duration(10), Duration(0));
+    const JobId job = group.add_job("job", kItems, kResultBytes);
+    group.slow_down(per_question);
+    std::optional<Result<ResultPage>> answer;
+    group.reader(0).read(job, 0, kPageBytes, Duration::zero(),
+                         [&](Result<ResultPage> page) { answer = std::move(page); });
+    group.world.run_for(kCallersPatience);
+    INFO("a question takes " << per_question / 1ms << " ms");
+    REQUIRE(answer);
+    CHECK((!succeeded(*answer) || !value_of(*answer).results.empty()));
+  }
+}
--- a/tests/support/slow_group.hpp
+++ b/tests/support/slow_group.hpp
@@ -65,6 +65,7 @@
     return job;
   }
 
+  void slow_down(Duration per_question) { per_question_ = per_question; }
   batch::ResultReader& reader(unsigned gateway) { return gateways_[gateway]->reader; }
   Counters& counters(unsigned gateway) { return gateways_[gateway]->counters; }
   /// @return questions of readers that have reached a replica.
@@ -188,7 +189,7 @@
     });
   }
 
-  const Duration per_question_;
+  Duration per_question_;
   const Duration per_kilobyte_;
   ledger::GroupMap map_;
   std::vector<std::unique_ptr<replica_node>> replicas_;
