--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -10,15 +10,16 @@
 
 constexpr std::uint32_t kCopyPageRecords = 256;
 constexpr std::size_t kPageBytes = 1 << 20;
-/// Of values in one answer to a replica that copies: a reader's answer waits behind it for 20 ms on a tenth of a core.
-constexpr std::size_t kCopyPageBytes = 256 << 10;
+/// Of values in one answer to a replica that copies: a reader's answer waits behind it.
+constexpr std::size_t kCopyPageBytes = 512 << 10;
 constexpr Duration kCopyRetry = 200ms;
 /// A page that has not come is asked for again after this long, then after twice as long, and so on.
 constexpr Duration kCopyPatience = 400ms;
+constexpr Duration kValuesPatience = 1s;  ///< The same where values were asked for.
 constexpr Duration kMostCopyPatience = 3200ms;
 /// Pages of all groups together that are under way to a replica that copies. With all sources asked at once, and again
 /// every 200 ms, one held over 280 MB of answers.
-constexpr std::size_t kMostCopiesAtOnce = 4;
+constexpr std::size_t kMostCopiesAtOnce = 16;
 
 std::string group_prefix(char area, std::uint32_t group) {
   char text[16];
@@ -433,7 +434,8 @@
     ++under_way;
     CopySource& source = source_of(one);
     const bool again = source.asked_at.count() != 0;
-    source.patience = again ? std::min(source.patience * 2, kMostCopyPatience) : kCopyPatience;
+    const Duration first = source.wanted.empty() ? kCopyPatience : kValuesPatience;
+    source.patience = again ? std::min(source.patience * 2, kMostCopyPatience) : first;
     const GroupProgress& progress = progress_.at(one.first);
     request_page(*addresses_(progress.description.source(one.second).node), one.first, progress, source);
   }
@@ -563,7 +565,7 @@
     request_copies();
     return;
   }
-  source.patience = kCopyPatience;
+  source.patience = source.wanted.empty() ? kCopyPatience : kValuesPatience;
   request_page(sender, message.group, progress, source);
 }
 
