Attempts at changes have 0.4, 0.8 and 1.6 s: disks may be slower than the first

Before, an attempt whose answers came after 400 ms was dropped with them, and the next one came as late.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -6,7 +6,9 @@
 namespace madderdeck::ledger {
 namespace {
 constexpr unsigned kMaxBackoffExponent = 6;
-}
+/// Attempts at a change or a scan have 0.4, 0.8 and then 1.6 s: three within the 4 s of an operation.
+constexpr unsigned kMostAttemptDoublings = 2;
+}  // namespace
 
 Client::Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options,
                NodeDistance distance)
@@ -216,11 +218,15 @@
 }
 
 Duration Client::attempt_time(const Operation& operation) const {
-  if (operation.phase != Phase::accepting || !operation.value) {
-    return options_.attempt_timeout;
+  // The answers of an attempt that is over no longer count: on disks that take longer than the first attempt every one
+  // of them would come too late.
+  const unsigned doublings = std::min(operation.attempts - 1, kMostAttemptDoublings);
+  Duration time = options_.attempt_timeout * (1U << doublings);
+  if (operation.phase == Phase::accepting && operation.value) {
+    const std::size_t bytes = operation.value->size() * operation.group.replicas.size();
+    time += std::chrono::milliseconds(bytes * 1000 / options_.least_bytes_per_second);
   }
-  const std::size_t bytes = operation.value->size() * operation.group.replicas.size();
-  return options_.attempt_timeout + std::chrono::milliseconds(bytes * 1000 / options_.least_bytes_per_second);
+  return std::min(time, std::max<Duration>(operation.deadline - environment_.now(), options_.attempt_timeout));
 }
 
 void Client::arm_attempt_timer(OperationId id, std::uint64_t request) {
@@ -459,8 +465,7 @@
   ask_for_scan(scan);
   const unsigned attempt = scan.attempts;
   const std::uint64_t number = scan.request;
-  constexpr unsigned kMostDoublings = 2;
-  const Duration patience = options_.attempt_timeout * (1U << std::min(attempt - 1, kMostDoublings));
+  const Duration patience = options_.attempt_timeout * (1U << std::min(attempt - 1, kMostAttemptDoublings));
   environment_.after(patience, lifetime_.guard([this, id, number, attempt] {
     const auto found = scans_.find(id);
     if (found != scans_.end() && found->second.request == number && found->second.attempts == attempt) {
