--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -281,3 +281,20 @@
   CHECK(asked_b >= 2);  // a question may be lost
   CHECK(asked_b <= 4);
 }
+
+// Two nodes with a disk ended by themselves right after everything had been started anew: "vector::_M_range_check: __n
+// (which is 0)
+// >= this->size() (which is 0)". They were whole, and still copying from a member that had been emptied and was
+// leaving; then an epoch came in which that one was gone. The list of sources was kept, and the next page was asked of
+// a source that the new description did not have.
+TEST_CASE("a member that is still copying from one that leaves survives the epoch in which that one is gone") {
+  ReplicaFixture fixture;
+  fixture.replica->on_group_map(fixture.map(1));
+  GroupMap with_leaver = fixture.map(2);
+  with_leaver.groups[0].leaving = {{NodeId("d"), DiskId("disk-d")}};
+  fixture.replica->on_group_map(with_leaver);
+  fixture.environment.world.run_for(100ms);
+  fixture.replica->on_group_map(fixture.map(3));
+  CHECK_NOTHROW(fixture.environment.world.run_for(2s));
+  CHECK(fixture.replica->holds(0, 3));
+}
