--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -104,6 +104,8 @@
   progress.former = *number >= progress.description.replicas.size();
   progress.copied_by.clear();
   if (later) {
+    // Its sources are numbered by the description before: one that was leaving may be gone.
+    progress.copying.clear();
     // A founding member starts with an empty, complete copy. Whoever joins later has to copy.
     constexpr std::uint64_t kFoundingEpoch = 1;
     const bool founding = progress.epoch == 0 && description.epoch == kFoundingEpoch;
