--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -77,6 +77,15 @@
     put("template", "bulk", R"({"pool":"model","max_tokens":1000})");
     put("template", "book", R"({"target":"service","pool":"service","repeatable":false,"timeout_ms":1500})");
     put("tenant", "tenant", R"({"api_key":"key"})");
+    put("fleet_policy", "default", R"({"batch_headroom_slots":1,"replace_ledger_node_after_s":3600})");
+  }
+
+  /// The route of listed jobs, once there is one: schedules without them run as they did before there were any.
+  void declare_listed_route() {
+    if (listed_route_declared_) {
+      return;
+    }
+    listed_route_declared_ = true;
     forwarding::Route listed;
     listed.name = "bulk";
     listed.host = kListedHost;
@@ -87,8 +96,10 @@
     forwarding::RouteTable routes;
     routes.version = 1;
     routes.routes.push_back(std::move(listed));
-    put(forwarding::kRouteTableKind, "main", forwarding::format_route_table(routes));
-    put("fleet_policy", "default", R"({"batch_headroom_slots":1,"replace_ledger_node_after_s":3600})");
+    object_store::PutRequest request;
+    request.key = {forwarding::kRouteTableKind, "main"};
+    request.body = forwarding::format_route_table(routes);
+    emulator::compare_and_set(*fleet_.objects, request);
   }
 
   // --- actions ---
@@ -137,6 +148,7 @@
         callers_.read_some_results(action.choice);
         break;
       case ActionKind::submit_listed_job:
+        declare_listed_route();
         callers_.submit(action.choice, callers_.new_listed_job(profile_.job_items));
         break;
       case ActionKind::read_positions:
@@ -563,6 +575,7 @@
   SimFleet fleet_;
   const Profile profile_;
   Callers callers_;
+  bool listed_route_declared_ = false;
 };
 
 }  // namespace
