--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -50,10 +50,11 @@
 
 class HttpExchange : public Exchange, public std::enable_shared_from_this<HttpExchange> {
  public:
-  HttpExchange(const asio::any_io_executor& executor, HttpRequest request)
-      : wakeup(executor), request_(std::move(request)) {}
+  HttpExchange(const asio::any_io_executor& executor, HttpRequest request, std::string caller_ip)
+      : wakeup(executor), request_(std::move(request)), caller_ip_(std::move(caller_ip)) {}
 
   const HttpRequest& request() const override { return request_; }
+  std::string caller_ip() const override { return caller_ip_; }
   std::string take_body() override { return std::move(request_.body); }
   HttpRequest& mutable_request() { return request_; }
 
@@ -118,6 +119,7 @@
 
  private:
   HttpRequest request_;
+  const std::string caller_ip_;
 };
 
 }  // namespace
@@ -183,7 +185,7 @@
     if (failure) {
       co_return co_await refuse_unreadable(failure);
     }
-    auto exchange = std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()));
+    auto exchange = std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()), caller_ip());
     const bool keep_alive = parser.get().keep_alive();
     const bool streamed = options.streams_body && options.streams_body(exchange->request());
     server_->counters["http_requests_total"]++;
@@ -224,7 +226,7 @@
     server_->counters[too_large ? "http_headers_too_large_total" : "http_malformed_requests_total"]++;
     const Error error{too_large ? ErrorKind::header_too_large : ErrorKind::invalid_argument,
                       too_large ? "request header is too large" : "malformed HTTP: " + failure.message()};
-    HttpExchange exchange(stream_.get_executor(), HttpRequest());
+    HttpExchange exchange(stream_.get_executor(), HttpRequest(), caller_ip());
     exchange.respond(server_->options.refusal(error));
     co_await write_response(exchange, false);
     co_return false;
@@ -407,6 +409,12 @@
     }
   }
 
+  std::string caller_ip() const {
+    beast::error_code failure;
+    const tcp::endpoint remote = stream_.socket().remote_endpoint(failure);
+    return failure ? std::string() : remote.address().to_string();
+  }
+
   std::shared_ptr<HttpServer::Implementation> server_;
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -22,6 +22,8 @@
  public:
   virtual ~Exchange() = default;
   virtual const HttpRequest& request() const = 0;
+  /// @return the address from which the caller is connected, without its port; empty where that is not known.
+  virtual std::string caller_ip() const { return {}; }
   /// Sends a whole response. Exactly one of respond and start_stream is called.
   virtual void respond(HttpResponse response) = 0;
   /// @return the body, moved out of the request.
