--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -65,6 +65,14 @@
     forwarder->use_repeat_guard(quarantine);
     forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
+  registry.use_list_age([this] { return environment.now() - machines.as_of(); });
+  registry.on_lapse = [this](const BackendId& backend, bool kept, Duration heard_ago) {
+    log.record(kept ? "backend_lapse_doubted" : "backend_lapse_believed",
+               {{"backend", backend.str()},
+                {"heard_ms_ago", heard_ago / 1ms},
+                {"list_age_ms", machines.age_ms()},
+                {"revision", machines.table().revision()}});
+  };
   live.use_repeat_guard(quarantine);
   services.use_repeat_guard(quarantine);
   shares_calls_ = options.policies.shared_calls;
@@ -273,7 +281,10 @@
   if (!apart) {
     log.record(
         "backends_listed",
-        {{"changed", keys.size()}, {"known", registry.backends().size()}, {"revision", machines.table().revision()}});
+        {{"changed", keys.size()},
+         {"known", registry.backends().size()},
+         {"revision", machines.table().revision()},
+         {"list_age_ms", machines.age_ms()}});
   }
   for (const config::EntryKey& key : keys) {
     const routing::Backend* backend = registry.find(BackendId(key.name));
@@ -281,7 +292,8 @@
       log.record("backend_listed",
                  {{"backend", key.name},
                   {"state", backend == nullptr ? "gone" : (backend->machine.leaving ? "leaving" : "live")},
-                  {"revision", machines.table().revision()}});
+                  {"revision", machines.table().revision()},
+                  {"list_age_ms", machines.age_ms()}});
     }
     // What this node and others sent in an earlier life may still run; nobody else tells of it.
     // In a large fleet the dispatchers do, or every start would be a load report for each pair of node and engine.
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -113,6 +113,7 @@
       pools_[offered].push_back(id);
     }
     counters_["backend_lapses_doubted_total"]++;
+    tell_lapse(id, true, *backend.unlisted_since);
     const Duration left = node.mapped().at + kDoubt - environment_.now();
     environment_.after(std::max(left, Duration(1ms)), lifetime_.guard([this, id] { end_doubt(id); }));
   }
@@ -123,6 +124,7 @@
   if (backend == nullptr || !backend->unlisted_since) {
     return;
   }
+  const Timestamp unlisted_since = *backend->unlisted_since;
   const std::vector<std::string> pools = backend->machine.pools;
   const bool last_hope =
       std::any_of(pools.begin(), pools.end(), [this](const std::string& pool) { return listed_count(pool) == 0; });
@@ -131,12 +133,19 @@
     return;
   }
   remove(id, true);
+  tell_lapse(id, false, unlisted_since);
   ++version_;
   for (const std::string& pool : pools) {
     rebuild_subset(pool);
   }
 }
 
+void Registry::tell_lapse(const BackendId& id, bool kept, Timestamp heard_at) const {
+  if (on_lapse) {
+    on_lapse(id, kept, environment_.now() - heard_at);
+  }
+}
+
 void Registry::set_subset_size(std::uint32_t size) {
   if (size == subset_size_) {
     return;
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// @file The back ends this node knows, with what it learnt about each.
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -56,6 +57,12 @@
   void set_subset_size(std::uint32_t size);
   /// @param count gateways of the fleet, this one among them.
   void set_gateways(std::size_t count) { gateways_ = count; }
+  /// @param age how long ago the machine list was surely complete; for decision lines.
+  void use_list_age(std::function<Duration()> age) { list_age_ = std::move(age); }
+  /// @return how long ago the machine list was surely complete, in milliseconds; -1 where that is not known.
+  std::int64_t list_age_ms() const { return list_age_ ? list_age_() / 1ms : -1; }
+  /// Told of each back end that stays in use though its entry has gone, and of each that is given up then; may be empty.
+  std::function<void(const BackendId&, bool kept, Duration heard_ago)> on_lapse;
   /// From now on the nodes tell each other their calls.
   void set_shared_calls(const shared_calls* calls) { shared_ = calls; }
   /// @return whether the calls of the other nodes are told.
@@ -119,6 +126,7 @@
   /// Entries lapse together when the list's keeper was away: then back ends stay in use for a while.
   void reinstate_lapsed(const std::string& pool);
   void end_doubt(const BackendId& id);
+  void tell_lapse(const BackendId& id, bool kept, Timestamp heard_at) const;
   std::size_t listed_count(const std::string& pool) const;
   std::size_t ejected_count(const std::string& pool) const;
   void eject(Backend& backend);
@@ -128,6 +136,7 @@
   const std::string node_;
   const RegistryGuards guards_;
   const shared_calls* shared_ = nullptr;
+  std::function<Duration()> list_age_;
   std::uint32_t subset_size_ = 16;
   std::uint64_t version_ = 1;
   std::size_t gateways_ = 1;
