--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -9,6 +9,9 @@
 
 /// Calls that broke with one back end are told in one message.
 constexpr Duration kTogether = 1ms;
+/// News goes out twice: one datagram in a hundred is lost, and the request may come again before the nodes compare. Of
+/// 200 simulated fleets with that loss three ended a fourth back end when news went out once.
+constexpr Duration kTellAgain = 40ms;
 /// A message of so many stays below the size at which datagrams are cut up.
 constexpr std::size_t kMostInOneDatagram = 6;
 /// Engines that ended under a request ended 20 to 110 ms after its run began. Most live replies take some 700 ms.
@@ -175,6 +178,11 @@
 void request_quarantine::tell_waiting() {
   std::vector<request_fingerprint> waiting;
   std::swap(waiting, to_tell_);
+  send_news(waiting);
+  environment_.after(kTellAgain, lifetime_.guard([this, waiting = std::move(waiting)] { send_news(waiting); }));
+}
+
+void request_quarantine::send_news(const std::vector<request_fingerprint>& waiting) {
   const std::vector<PeerAddress> peers = senders_();
   for (std::size_t first = 0; first < waiting.size(); first += kMostInOneDatagram) {
     const std::size_t end = std::min(waiting.size(), first + kMostInOneDatagram);
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -61,6 +61,7 @@
   /// Tells all others of @p request, together with what else comes up within kTogether.
   void tell(const routing::request_fingerprint& request);
   void tell_waiting();
+  void send_news(const std::vector<routing::request_fingerprint>& waiting);
   void take(const std::vector<std::unique_ptr<wire::SuspectedRequestT>>& requests);
   wire::SuspicionSyncT shared_list() const;
   void send_shared(const PeerAddress& to, bool reply);
--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -137,6 +137,24 @@
   }
 }
 
+// News of an end was told once. Where that one message was lost, and the request came again before the nodes compared
+// 500 ms later, a fourth back end ended under it (send 300 ms after the third end, to a node without the news).
+TEST_CASE("news of an end whose first telling is lost is known long before the nodes compare") {
+  spread_fixture fixture(8);
+  for (unsigned end = 0; end < 3; ++end) {
+    for (unsigned number = 3; number < 8; ++number) {
+      fixture.cut_off(number, true);
+    }
+    fixture.ends(end, "engine-" + std::to_string(end));
+    fixture.run_for(5ms);
+    for (unsigned number = 3; number < 8; ++number) {
+      fixture.cut_off(number, false);
+    }
+  }
+  fixture.run_for(100ms);
+  CHECK(fixture.holding_back() == 8);
+}
+
 TEST_CASE("what was lost on the way is made good by comparing") {
   spread_fixture fixture(50, 30);
   for (unsigned end = 0; end < 3; ++end) {
--- a/tests/simulation/fatal_request_test.cpp
+++ b/tests/simulation/fatal_request_test.cpp
@@ -35,7 +35,7 @@
 }  // namespace
 
 TEST_CASE("a request that ends every engine that begins it is not sent again and again") {
-  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 99, 102}) {
     INFO("seed " << seed);
     const RunResult result =
         run_schedule(seed, repeats_at_other_nodes(30, 400), *find_profile("ravelin"), node::Guards());
@@ -49,7 +49,7 @@
 }
 
 TEST_CASE("a generation that ends every engine that begins it is not sent again, within a call or by other nodes") {
-  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 79}) {
     INFO("seed " << seed);
     const auto actions = repeats_at_other_nodes(30, 400, ActionKind::fatal_live);
     const RunResult result = run_schedule(seed, actions, *find_profile("ravelin"), node::Guards());
