--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -467,13 +467,13 @@
       lifetime_.guard([this, id](std::uint32_t offset, std::string_view text) { on_token(id, offset, text); });
   events.finished = lifetime_.guard([this, id](std::uint32_t total) { on_finished(id, total); });
   events.failed = lifetime_.guard([this, id](routing::CallFailure failure) { on_failed(id, failure); });
-  registry_.on_sent(backend.machine.id);
+  running_.at(id).life = registry_.on_sent(backend.machine.id);
   running_.at(id).call = client_.start(backend.machine.id, call, std::move(events));
 }
 
 Dispatcher::Running Dispatcher::take_running(RunId id) {
   auto node = running_.extract(id);
-  registry_.on_ended(node.mapped().engine);
+  registry_.on_ended(node.mapped().engine, node.mapped().life);
   set_running(node.mapped().engine, -1);
   return std::move(node.mapped());
 }
@@ -538,7 +538,9 @@
     return;
   }
   Running running = take_running(id);
-  registry_.on_failure(running.engine, failure);
+  if (registry_.lives_on(running.engine, running.life)) {
+    registry_.on_failure(running.engine, failure);
+  }
   counters_["batch_item_failures_total"]++;
   Queued& work = running.work;
   ++work.failures;
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -89,6 +89,7 @@
   struct Running {
     Queued work;
     BackendId engine;
+    std::uint64_t life = 0;  ///< Of the engine, when the run went there.
     routing::CallId call = 0;
     std::uint64_t started = 0;  ///< Order of starts; the youngest yields first.
     Timestamp started_at{};
--- a/src/config/objects.cpp
+++ b/src/config/objects.cpp
@@ -238,9 +238,11 @@
   result.id = BackendId(name);
   const std::string target = reader.choice("target", "model", {"model", "service"});
   result.target = target == "service" ? Target::service : Target::model;
+  const std::string state = reader.choice("state", "live", {"live", "leaving", "unreadable"});
+  const bool readable = state != "unreadable";
   std::string pool;
-  reader.text("pool", pool, true);
-  for (std::size_t start = 0; start <= pool.size();) {
+  reader.text("pool", pool, readable);
+  for (std::size_t start = 0; readable && start <= pool.size();) {
     const std::size_t end = std::min(pool.find(',', start), pool.size());
     result.pools.push_back(pool.substr(start, end - start));
     start = end + 1;
@@ -249,8 +251,9 @@
   reader.text("address", result.address);
   reader.text("zone", result.zone);
   reader.number("slots", result.slots, 1, 100'000);
-  const std::string state = reader.choice("state", "live", {"live", "leaving"});
-  result.leaving = state == "leaving";
+  result.leaving = state != "live";
+  constexpr double kLatestStart = 1e15;
+  reader.number("started_ms", result.started_unix_ms, 0, kLatestStart);
   return finish(reader, std::move(result));
 }
 
@@ -264,7 +267,8 @@
                                       {"address", machine.address},
                                       {"zone", machine.zone},
                                       {"slots", machine.slots},
-                                      {"state", machine.leaving ? "leaving" : "live"}});
+                                      {"state", machine.leaving ? "leaving" : "live"},
+                                      {"started_ms", machine.started_unix_ms}});
 }
 
 Status check_object(const std::string& kind, const std::string& name, std::string_view text) {
--- a/src/config/objects.hpp
+++ b/src/config/objects.hpp
@@ -125,7 +125,10 @@
   std::string zone;
   std::uint32_t slots = 1;
   bool leaving = false;
+  std::uint64_t started_unix_ms = 0;  ///< When its present process started; 0: not told.
 };
+/// Body of an entry that is there but cannot be read: it offers nothing and gets no work.
+inline constexpr char kUnreadableMachine[] = R"({"state":"unreadable"})";
 Result<Machine> parse_machine(const std::string& name, std::string_view json);
 std::string format_machine(const Machine& machine);
 inline constexpr char kMachineKind[] = "machine";
--- a/src/forwarding/backend_directory.hpp
+++ b/src/forwarding/backend_directory.hpp
@@ -13,6 +13,8 @@
   virtual ~BackendDirectory() = default;
   /// @return "ip:port" of @p backend; empty when it is not known any more.
   virtual std::string address_of(const BackendId& backend) const = 0;
+  /// @return whether @p backend may be sent a request now.
+  virtual bool takes_work(const BackendId& backend) const = 0;
   /// @return connections that this node may have open to @p backend.
   virtual std::size_t connection_share(const BackendId& backend) const = 0;
   /// @p backend told its load with an answer.
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -276,7 +276,7 @@
   active.splitter.reset();
   ++active.sends;
   ++backend.online_in_flight;
-  registry_.on_sent(active.backend);
+  active.life = registry_.on_sent(active.backend);
   on_activity_(active.backend, backend.online_in_flight);
   UpstreamCall call;
   call.backend = active.backend;
@@ -510,7 +510,9 @@
   }
   Active& active = requests_.at(id);
   leave_backend(active);
-  registry_.on_failure(active.backend, failure);
+  if (registry_.lives_on(active.backend, active.life)) {
+    registry_.on_failure(active.backend, failure);
+  }
   active.attempt = 0;
   log_.record("send_failed", {{"request", active.request->id},
                               {"backend", active.backend.str()},
@@ -640,9 +642,10 @@
   if (active.attempt == 0) {
     return;
   }
-  registry_.on_ended(active.backend);
+  registry_.on_ended(active.backend, active.life);
   Backend* backend = registry_.find(active.backend);
-  if (backend != nullptr && backend->online_in_flight > 0) {
+  // A back end that has started anew holds no calls of its life before.
+  if (backend != nullptr && backend->life == active.life && backend->online_in_flight > 0) {
     on_activity_(active.backend, --backend->online_in_flight);
   }
 }
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -82,6 +82,7 @@
     Timestamp sent_at{};
     std::string pool;
     BackendId backend;
+    std::uint64_t life = 0;  ///< Of the back end, when the current send went there.
     routing::CallId call = 0;
     std::uint64_t placing = 0;  ///< Number of the question for an engine that is under way; 0: none.
     engine_placer::ticket ticket = 0;
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -225,6 +225,10 @@
     if (call->cancelled) {
       co_return;
     }
+    if (call->options.still_wanted && !call->options.still_wanted()) {
+      fail(number, *call, CallBreak::connect_failed);
+      co_return;
+    }
     call->stream->expires_after(call->options.idle_timeout);
     if (call->request.body().size() > kWriteFirstBytes) {
       // The peer may answer before it has read all of it.
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -36,6 +36,9 @@
   std::chrono::milliseconds reuse_within{3'600'000};
   /// Open connections to the endpoint, calls and pool together; a call beyond them fails as not sent.
   std::size_t max_connections = 10'000;
+  /// Asked right before the request is sent, when there is a connection: where it says no, the call fails as not sent.
+  /// Empty: it is.
+  std::function<bool()> still_wanted;
   /// Tells whether a response is the one to this call. Others, which a faulty peer left on a
   /// kept connection, are read past. Empty: every response is.
   std::function<bool(unsigned status, const Headers& headers)> belongs;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -75,6 +75,10 @@
                 {"list_age_ms", machines.age_ms()},
                 {"revision", machines.table().revision()}});
   };
+  registry.on_restart = [this](const routing::Backend& backend) {
+    log.record("backend_restarted",
+               {{"backend", backend.machine.id.str()}, {"started_unix_ms", backend.machine.started_unix_ms}});
+  };
   live.use_repeat_guard(quarantine);
   services.use_repeat_guard(quarantine);
   shares_calls_ = options.policies.shared_calls;
@@ -649,6 +653,11 @@
   return entry == registry.backends().end() ? std::string() : entry->second.machine.address;
 }
 
+bool NodeCore::takes_work(const BackendId& backend) const {
+  const auto entry = registry.backends().find(backend);
+  return entry != registry.backends().end() && registry.open(entry->second);
+}
+
 std::size_t NodeCore::connection_share(const BackendId& backend) const {
   constexpr std::size_t kLeastShare = 4;
   constexpr std::size_t kUnlimited = 10'000;
--- a/src/routing/backend.hpp
+++ b/src/routing/backend.hpp
@@ -115,7 +115,8 @@
   std::uint32_t running_batch = 0;
   std::uint32_t waiting = 0;
   bool leaving = false;
-  bool kinds_told_apart = true;  ///< Otherwise running_online counts batch work, too.
+  std::uint64_t started_unix_ms = 0;  ///< When the back end's process started; 0: not told.
+  bool kinds_told_apart = true;       ///< Otherwise running_online counts batch work, too.
 };
 
 using ReportDone = std::function<void(std::optional<LoadReport>)>;
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -51,9 +51,14 @@
       continue;
     }
     auto [position, inserted] = backends_.try_emplace(id);
+    const std::uint64_t started = position->second.machine.started_unix_ms;
     position->second.machine = value_of(parsed);
+    if (started != 0 && position->second.machine.started_unix_ms > started) {
+      begin_life(position->second);
+    }
     position->second.unlisted.reset();
     if (inserted) {
+      position->second.life = ++lives_;
       position->second.added_at = environment_.now();
     }
     for (const std::string& pool : position->second.machine.pools) {
@@ -77,6 +82,23 @@
   }
 }
 
+void Registry::begin_life(Backend& backend) {
+  Backend anew;
+  anew.machine = std::move(backend.machine);
+  anew.life = ++lives_;
+  anew.added_at = environment_.now();
+  backend = std::move(anew);
+  counters_["backend_restarts_seen_total"]++;
+  if (on_restart) {
+    on_restart(backend);
+  }
+}
+
+bool Registry::lives_on(const BackendId& id, std::uint64_t life) const {
+  const auto backend = backends_.find(id);
+  return backend != backends_.end() && backend->second.life == life;
+}
+
 std::size_t Registry::listed_count(const std::string& pool) const {
   const auto ids = pools_.find(pool);
   if (ids == pools_.end()) {
@@ -239,13 +261,16 @@
   return found;
 }
 
-void Registry::on_sent(const BackendId& id) {
-  if (Backend* backend = find(id)) {
-    if (backend->open_calls == 0) {
-      backend->quiet_since = environment_.now();
-    }
-    ++backend->open_calls;
+std::uint64_t Registry::on_sent(const BackendId& id) {
+  Backend* backend = find(id);
+  if (backend == nullptr) {
+    return 0;
+  }
+  if (backend->open_calls == 0) {
+    backend->quiet_since = environment_.now();
   }
+  ++backend->open_calls;
+  return backend->life;
 }
 
 void Registry::on_heard(const BackendId& id) {
@@ -254,8 +279,8 @@
   }
 }
 
-void Registry::on_ended(const BackendId& id) {
-  if (Backend* backend = find(id); backend != nullptr && backend->open_calls > 0) {
+void Registry::on_ended(const BackendId& id, std::uint64_t life) {
+  if (Backend* backend = find(id); backend != nullptr && backend->life == life && backend->open_calls > 0) {
     --backend->open_calls;
   }
 }
@@ -351,6 +376,14 @@
   if (backend == nullptr || asked_at < backend->reported_at) {
     return;
   }
+  if (report.started_unix_ms != 0 && report.started_unix_ms < backend->machine.started_unix_ms) {
+    counters_["backend_reports_of_earlier_life_total"]++;
+    return;
+  }
+  if (backend->machine.started_unix_ms != 0 && report.started_unix_ms > backend->machine.started_unix_ms) {
+    backend->machine.started_unix_ms = report.started_unix_ms;
+    begin_life(*backend);
+  }
   const open_calls others = shared_ == nullptr ? open_calls{} : shared_->at(id);
   const std::uint32_t known = backend->online_in_flight + backend->batch_in_flight + others.live + others.batch;
   const std::uint32_t reported = report.running_online + report.running_batch + report.waiting;
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -29,6 +29,7 @@
 /// State of one back end.
 struct Backend {
   config::Machine machine;
+  std::uint64_t life = 0;              ///< Another one whenever it was not listed before or has started anew.
   std::uint32_t online_in_flight = 0;  ///< This node's live calls; exact.
   std::uint32_t batch_in_flight = 0;   ///< This node's batch items; exact.
   LoadReport report;
@@ -72,6 +73,8 @@
   /// Told of each back end that stays in use though its entry has gone, and of each that is given up then; may be
   /// empty.
   std::function<void(const BackendId&, bool kept, const lapse&)> on_lapse;
+  /// Told of each back end that has started anew under its id; may be empty.
+  std::function<void(const Backend&)> on_restart;
   /// From now on the nodes tell each other their calls.
   void set_shared_calls(const shared_calls* calls) { shared_ = calls; }
   /// @return whether the calls of the other nodes are told.
@@ -97,9 +100,13 @@
   bool in_subset(const BackendId& id) const;
 
   /// A passed-on request goes to @p id, is heard of, ends.
-  void on_sent(const BackendId& id);
+  /// @return the life of the back end that the request belongs to.
+  std::uint64_t on_sent(const BackendId& id);
   void on_heard(const BackendId& id);
-  void on_ended(const BackendId& id);
+  /// Nothing happens where the back end has started anew since.
+  void on_ended(const BackendId& id, std::uint64_t life);
+  /// @return whether @p id is known and is in its @p life.
+  bool lives_on(const BackendId& id, std::uint64_t life) const;
   /// Another gateway has sent a long prompt to @p id, which likely reads it for @p expected.
   void on_reading(const BackendId& id, Duration expected);
   /// The first token of a call arrived after @p milliseconds.
@@ -135,6 +142,8 @@
   /// Entries lapse together when the list's keeper was away: then back ends stay in use for a while.
   void reinstate_lapsed(const std::string& pool);
   void end_doubt(const BackendId& id);
+  /// Drops what was reckoned with the life before of a back end that has started anew under its id.
+  void begin_life(Backend& backend);
   void tell_lapse(const BackendId& id, bool kept, const lapse& how) const;
   std::size_t listed_count(const std::string& pool) const;
   std::size_t ejected_count(const std::string& pool) const;
@@ -149,6 +158,7 @@
   std::function<Duration()> list_age_;
   std::uint32_t subset_size_ = 16;
   std::uint64_t version_ = 1;
+  std::uint64_t lives_ = 0;  ///< Of all back ends.
   std::size_t gateways_ = 1;
   std::map<BackendId, Backend> backends_;
   std::map<std::string, std::vector<BackendId>> pools_;
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -70,9 +70,11 @@
 class Directory : public forwarding::BackendDirectory {
  public:
   std::string address_of(const BackendId&) const override { return kAddress; }
+  bool takes_work(const BackendId&) const override { return open; }
   std::size_t connection_share(const BackendId&) const override { return share; }
   void on_load(const BackendId&, const routing::LoadReport& report) override { load = report; }
   std::size_t share = 10;
+  bool open = true;
   std::optional<routing::LoadReport> load;
 };
 
@@ -138,6 +140,19 @@
   CHECK(fixture.engine.requests.at(0).find("Host: h.example\r\n") != std::string::npos);
 }
 
+// A request that was given to an engine could wait for its connection for up to a second, and arrived however long ago
+// the engine had said that it leaves.
+TEST_CASE("a request is not sent to an engine that has begun to leave while the connection was made") {
+  Fixture fixture({{answer("r1", "one")}});
+  fixture.directory.open = false;
+  const Outcome left = fixture.call("r1");
+  CHECK(left.failure == routing::CallFailure::not_sent);
+  CHECK(fixture.engine.connections == 1);
+  CHECK(fixture.engine.requests.empty());
+  fixture.directory.open = true;
+  CHECK(fixture.call("r1").body == "one");
+}
+
 TEST_CASE("an extra answer on a kept connection belongs to nobody") {
   Fixture fixture({{answer("r1", "one") + answer("r1", "one")}, {answer("r2", "two")}});
   CHECK(fixture.call("r1").body == "one");
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -168,3 +168,30 @@
   CHECK_FALSE(credentials_of(request).key.has_value());
   CHECK(credentials_of(request).ambiguous);
 }
+
+// Another writer may spoil an entry: it names no engine to use, and nothing of it may be taken for a value.
+TEST_CASE("an entry with a field missing or of another type, or of a state that is not known, is a typed error") {
+  const auto whole = object(R"({"service":"s1","address":"10.0.0.1:80","zone":"z","slots":19,"state":"ready",
+    "stage":"dual","born":1796259537142,"call_seq":3})");
+  REQUIRE(succeeded(translate_server("i-1", whole)));
+  CHECK(value_of(translate_server("i-1", whole)).started_unix_ms == 1'796'259'537'142);
+  for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    INFO(field);
+    auto spoiled = whole;
+    spoiled.erase(field);
+    CHECK(error_of(translate_server("i-1", spoiled)).kind == ErrorKind::invalid_argument);
+    for (const char* value : {"[]", "{}", "null", "true", "-1", "0.5", "1e300", "\"\"", "\"resting\""}) {
+      INFO(value);
+      spoiled[field] = boost::json::parse(value);
+      const std::string name = field;
+      const bool plausible = (name == "service" || name == "zone") && value == std::string("\"resting\"");
+      CHECK(succeeded(translate_server("i-1", spoiled)) == plausible);
+    }
+  }
+  for (const char* value : {"\"1\"", "1.5", "-4", "[]"}) {
+    INFO(value);
+    auto spoiled = whole;
+    spoiled["born"] = boost::json::parse(value);
+    CHECK(error_of(translate_server("i-1", spoiled)).kind == ErrorKind::invalid_argument);
+  }
+}
--- a/tests/routing/registry_test.cpp
+++ b/tests/routing/registry_test.cpp
@@ -196,3 +196,50 @@
   fixture.report_all(4);
   CHECK(fixture.registry.candidates("m").size() == 3);
 }
+
+// An engine may start anew under its id. What was reckoned with its life before stayed: calls that had ended with it,
+// its ejection, its word that it leaves.
+TEST_CASE("a back end that has started anew under its id begins with nothing of its life before") {
+  RegistryFixture fixture(2);
+  const BackendId id(RegistryFixture::name(1));
+  const auto list = [&fixture](std::uint64_t started) {
+    const std::string body = R"({"pool":"m","slots":4,"started_ms":)" + std::to_string(started) + "}";
+    fixture.change({{{"machine", RegistryFixture::name(1)}, body, fixture.table.revision() + 1, false}});
+  };
+  list(1'000);
+  Backend* backend = fixture.registry.find(id);
+  const std::uint64_t first_life = backend->life;
+  backend->online_in_flight = 3;
+  fixture.registry.on_sent(id);
+  fixture.registry.on_first_token(id, 80);
+  fixture.registry.on_failure(id, CallFailure::leaving);
+  fixture.registry.on_failure(id, CallFailure::not_sent);
+  list(1'000);
+  CHECK(fixture.registry.find(id)->online_in_flight == 3);
+  CHECK(fixture.registry.find(id)->said_leaving);
+  list(2'000);
+  backend = fixture.registry.find(id);
+  CHECK(backend->life != first_life);
+  CHECK(backend->online_in_flight == 0);
+  CHECK(backend->open_calls == 0);
+  CHECK_FALSE(backend->said_leaving);
+  CHECK(backend->ejected_until.count() == 0);
+  CHECK(backend->latency_ms == 0);
+
+  // Late word of the life before changes nothing.
+  fixture.registry.on_sent(id);
+  fixture.registry.on_ended(id, first_life);
+  CHECK(fixture.registry.find(id)->open_calls == 1);
+  LoadReport late;
+  late.running_online = 7;
+  late.leaving = true;
+  late.started_unix_ms = 1'000;
+  fixture.registry.on_report(id, late, fixture.environment.now());
+  CHECK(fixture.registry.find(id)->report.running_online == 0);
+  CHECK_FALSE(fixture.registry.find(id)->said_leaving);
+  // Its own word of a later start counts before the list tells of it.
+  LoadReport anew;
+  anew.started_unix_ms = 3'000;
+  fixture.registry.on_report(id, anew, fixture.environment.now());
+  CHECK(fixture.registry.find(id)->open_calls == 0);
+}
