--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -599,7 +599,7 @@
   }
   upstream_.cancel(active.call);
   leave_backend(active);
-  if (!active.heard) {
+  if (!active.heard && registry_.lives_on(active.backend, active.life)) {
     registry_.on_failure(active.backend, CallFailure::timed_out);
   }
   ++active.runs;
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -222,7 +222,8 @@
 void Controller::ask(config::TableReplicator& table, Watch source, Duration wait, std::function<void(bool)> next) {
   const Timestamp asked_at = environment_.now();
   const bool sound = store_silent_since_.count() == 0;
-  const auto take = [this, &table, asked_at, wait, next, sound](Result<ChangeList> result) {
+  const bool watched = wait.count() > 0;
+  const auto take = [this, &table, asked_at, wait, next, sound, watched](Result<ChangeList> result) {
     note_store(succeeded(result));
     if (!succeeded(result)) {
       counters_["platform_watch_failures_total"]++;
@@ -234,7 +235,7 @@
     // The store answered before the wait was over, however late this node comes to read it.
     const Timestamp as_of = std::min(environment_.now(), asked_at + wait);
     table.apply_from_source(changes.since, changes.up_to, changes.entries, changes.complete, as_of,
-                            sound && !changes.complete ? unchanged_until(asked_at) : Timestamp{});
+                            sound && watched && !changes.complete ? unchanged_until(asked_at) : Timestamp{});
     if (options_.feed_silence.count() > 0 && !all_read() && is_reader()) {
       table.feed(fed_from_here());
     }
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -51,11 +51,7 @@
       continue;
     }
     auto [position, inserted] = backends_.try_emplace(id);
-    const std::uint64_t started = position->second.machine.started_unix_ms;
-    position->second.machine = value_of(parsed);
-    if (started != 0 && position->second.machine.started_unix_ms > started) {
-      begin_life(position->second);
-    }
+    take_machine(position->second, value_of(parsed));
     position->second.unlisted.reset();
     if (inserted) {
       position->second.life = ++lives_;
@@ -82,9 +78,25 @@
   }
 }
 
+void Registry::take_machine(Backend& backend, config::Machine machine) {
+  const std::uint64_t started = backend.machine.started_unix_ms;
+  if (started != 0 && machine.started_unix_ms != 0 && machine.started_unix_ms < started) {
+    // Written by the life before, and taken late: the present one writes again with its next heartbeat.
+    counters_["backend_entries_of_earlier_life_total"]++;
+    return;
+  }
+  backend.machine = std::move(machine);
+  if (backend.machine.started_unix_ms == 0) {
+    backend.machine.started_unix_ms = started;  // an entry that cannot be read does not tell
+  } else if (started != 0 && backend.machine.started_unix_ms > started) {
+    begin_life(backend);
+  }
+}
+
 void Registry::begin_life(Backend& backend) {
   Backend anew;
   anew.machine = std::move(backend.machine);
+  anew.unlisted = backend.unlisted;
   anew.life = ++lives_;
   anew.added_at = environment_.now();
   backend = std::move(anew);
--- a/tests/routing/registry_test.cpp
+++ b/tests/routing/registry_test.cpp
@@ -237,9 +237,33 @@
   fixture.registry.on_report(id, late, fixture.environment.now());
   CHECK(fixture.registry.find(id)->report.running_online == 0);
   CHECK_FALSE(fixture.registry.find(id)->said_leaving);
+  const std::string draining = R"({"pool":"m","slots":4,"state":"leaving","started_ms":1000})";
+  fixture.change({{{"machine", RegistryFixture::name(1)}, draining, fixture.table.revision() + 1, false}});
+  CHECK_FALSE(fixture.registry.find(id)->machine.leaving);
+  CHECK(fixture.registry.find(id)->life == backend->life);
+  // An entry that cannot be read gets no work, and does not hide a later start.
+  fixture.change(
+      {{{"machine", RegistryFixture::name(1)}, config::kUnreadableMachine, fixture.table.revision() + 1, false}});
+  CHECK_FALSE(fixture.registry.open(*fixture.registry.find(id)));
+  list(2'000);
+  CHECK(fixture.registry.find(id)->life == backend->life);
   // Its own word of a later start counts before the list tells of it.
   LoadReport anew;
   anew.started_unix_ms = 3'000;
   fixture.registry.on_report(id, anew, fixture.environment.now());
   CHECK(fixture.registry.find(id)->open_calls == 0);
 }
+
+TEST_CASE("a back end that is no longer listed stays so when it tells of a new start") {
+  RegistryFixture fixture(3);
+  const BackendId id(RegistryFixture::name(1));
+  const std::string body = R"({"pool":"m","slots":4,"started_ms":1000})";
+  fixture.change({{{"machine", RegistryFixture::name(1)}, body, fixture.table.revision() + 1, false}});
+  fixture.remove({1, 2, 3});
+  LoadReport anew;
+  anew.started_unix_ms = 3'000;
+  fixture.registry.on_report(id, anew, fixture.environment.now());
+  CHECK(fixture.registry.find(id)->unlisted);
+  fixture.environment.world.run_for(2500ms);
+  CHECK(fixture.registry.find(id) == nullptr);
+}
