--- a/src/config/versioned_table.cpp
+++ b/src/config/versioned_table.cpp
@@ -96,8 +96,8 @@
       on_change_(std::move(on_change)) {}
 
 void TableReplicator::apply_from_source(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes,
-                                        bool complete, Timestamp as_of, Timestamp unchanged_until) {
-  take(since, up_to, changes, complete, std::max(unchanged_until, as_of_));
+                                        bool complete, Timestamp as_of) {
+  take(since, up_to, changes, complete);
   // An answer that was overtaken says nothing of what is held now, unless it reaches as far.
   if (up_to >= table_.revision()) {
     as_of_ = std::max(as_of_, as_of);
@@ -111,15 +111,14 @@
   return static_cast<std::uint32_t>(std::min<std::int64_t>((environment_.now() - as_of_) / 1ms, kUnknownAge - 1));
 }
 
-void TableReplicator::take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete,
-                           Timestamp unchanged_until) {
+void TableReplicator::take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete) {
   const std::uint64_t before = table_.revision();
   const std::vector<EntryKey> changed = table_.apply(since, up_to, changes, complete);
   if (table_.revision() != before && !changed.empty()) {
     counters_["table_updates_total"]++;
     announce();
   }
-  unchanged_until_ = unchanged_until;
+  unchanged_until_ = std::max(as_of_, watched_until_);
   if (!changed.empty()) {
     on_change_(changed);
   }
@@ -251,7 +250,7 @@
     changes.push_back(Entry{{entry->kind, entry->name}, entry->body, entry->revision, entry->deleted});
   }
   const std::uint64_t before = table_.revision();
-  take(message.since, message.up_to, changes, false, as_of_);
+  take(message.since, message.up_to, changes, false);
   if (!pulling_from_ || *pulling_from_ != sender) {
     return;
   }
--- a/src/config/versioned_table.hpp
+++ b/src/config/versioned_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 /// @file A replicated map of versioned entries, and its spreading from node to node.
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -77,10 +78,10 @@
 
   /// Takes changes read from the source and tells peers.
   /// @param as_of when the source surely had no later change than these.
-  /// @param unchanged_until when the source surely had no later change than what was held before; as_of() where it is
-  ///        not known better.
   void apply_from_source(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes,
-                         bool complete = false, Timestamp as_of = {}, Timestamp unchanged_until = {});
+                         bool complete = false, Timestamp as_of = {});
+  /// A watch of the source that waits had brought nothing when this node surely read what had come until @p until.
+  void note_unchanged(Timestamp until) { watched_until_ = std::max(watched_until_, until); }
   /// A peer claims to hold @p revision. A claim may have waited for long before it was read: that it is fresh counts
   /// only once the peer has answered a question.
   /// @param age_ms how long ago the source had nothing later, as the peer knew when it sent this.
@@ -103,8 +104,7 @@
   bool ask_for_age = true;
 
  private:
-  void take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete,
-            Timestamp unchanged_until);
+  void take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete);
   void announce();
   void pull(const PeerAddress& peer);
   void ask_age(const PeerAddress& peer);
@@ -118,6 +118,7 @@
   const OnChange on_change_;
   VersionedTable table_;
   Timestamp as_of_{};
+  Timestamp watched_until_{};
   Timestamp unchanged_until_{};
   std::optional<PeerAddress> pulling_from_;
   Timestamp pulled_at_{};
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -23,8 +23,9 @@
 constexpr Duration kDeclareRest = 1s;
 constexpr Duration kAnnounceTime = 5s;
 constexpr std::size_t kPair = 2;  ///< Members of the smallest group that has no majority without all.
-/// A watch is answered within this time of the first change.
-constexpr Duration kPromptAnswer = 50ms;
+/// How often the process notes that it runs. An answer may be read after the first note that follows a standstill, so
+/// the last but one counts.
+constexpr Duration kRunCheck = 50ms;
 constexpr char kReaderRank[] = "store-reader";
 
 /// @return the ids of the first @p count of @p members by their rank as readers.
@@ -64,6 +65,7 @@
 
 void Controller::start() {
   started_ = environment_.now();
+  note_running();
   watch(objects_, &PlatformClient::watch_objects, false);
   watch(machines_, &PlatformClient::watch_machines, false);
   if (platform_.has_group_source()) {
@@ -221,21 +223,31 @@
 
 void Controller::ask(config::TableReplicator& table, Watch source, Duration wait, std::function<void(bool)> next) {
   const Timestamp asked_at = environment_.now();
-  const bool sound = store_silent_since_.count() == 0;
-  const bool watched = wait.count() > 0;
-  const auto take = [this, &table, asked_at, wait, next, sound, watched](Result<ChangeList> result) {
+  const bool watches = wait.count() > 0;
+  if (watches) {
+    watched_since_[&table] = asked_at;
+  }
+  const auto take = [this, &table, asked_at, wait, next, watches](Result<ChangeList> result) {
     note_store(succeeded(result));
     if (!succeeded(result)) {
+      if (watches) {
+        watched_since_.erase(&table);
+      }
       counters_["platform_watch_failures_total"]++;
       next(false);
       return;
     }
     const ChangeList& changes = value_of(result);
     note_rejected(changes);
-    // The store answered before the wait was over, however late this node comes to read it.
-    const Timestamp as_of = std::min(environment_.now(), asked_at + wait);
-    table.apply_from_source(changes.since, changes.up_to, changes.entries, changes.complete, as_of,
-                            sound && watched && !changes.complete ? unchanged_until(asked_at) : Timestamp{});
+    // Without news the store answers at the end of the wait. News may have come long before this node reads it: its
+    // process may have stood still, so the answer is dated by when the process surely ran and had none.
+    const Timestamp none_yet = std::max(asked_at, ran_at_.back());
+    const bool news = !changes.entries.empty() || !changes.rejected.empty() || changes.complete;
+    const Timestamp as_of = news ? none_yet : std::min(environment_.now(), asked_at + wait);
+    table.apply_from_source(changes.since, changes.up_to, changes.entries, changes.complete, as_of);
+    if (watches) {
+      watched_since_.erase(&table);
+    }
     if (options_.feed_silence.count() > 0 && !all_read() && is_reader()) {
       table.feed(fed_from_here());
     }
@@ -245,9 +257,18 @@
   (platform_.*source)(table.table().revision(), wait, lifetime_.guard(take));
 }
 
-Timestamp Controller::unchanged_until(Timestamp asked_at) const {
-  const Timestamp before_answer = environment_.now() - kPromptAnswer;
-  return before_answer > asked_at ? before_answer : Timestamp{};
+void Controller::note_running() {
+  environment_.after(kRunCheck, lifetime_.guard([this] { note_running(); }));
+  std::rotate(ran_at_.rbegin(), ran_at_.rbegin() + 1, ran_at_.rend());
+  ran_at_.front() = environment_.now();
+  if (store_silent_since_.count() != 0) {
+    return;
+  }
+  for (const auto& [table, since] : watched_since_) {
+    if (ran_at_.back() > since) {
+      table->note_unchanged(ran_at_.back());
+    }
+  }
 }
 
 void Controller::check_feed() {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -3,6 +3,7 @@
 /// ledger's replica groups populated. Every controller node runs it; few are active.
 
 #include <algorithm>
+#include <array>
 
 #include "common/counters.hpp"
 #include "common/decision_log.hpp"
@@ -92,10 +93,8 @@
   Duration patience_with_feed() const;
   /// Asks the source once; @p next gets whether it answered.
   void ask(config::TableReplicator& table, Watch source, Duration wait, std::function<void(bool)> next);
-  /// @return until when the source of a watch that began at @p asked_at and is answered now had no change; zero where
-  /// the
-  ///         answer came so soon that the change may lie before the watch.
-  Timestamp unchanged_until(Timestamp asked_at) const;
+  /// Keeps when this process surely ran: what is read after a standstill may have come at its beginning.
+  void note_running();
   /// Looks into the store where the readers' word of it has grown old: they may all be away, or cut off from here.
   void check_feed();
   /// A table that this node may have to look up itself.
@@ -158,6 +157,8 @@
   CounterValue told_reads_ = 0;
   Timestamp store_silent_since_{};
   Timestamp started_{};
+  std::array<Timestamp, 2> ran_at_{};  ///< The latest notes that this process runs, the later one first.
+  std::map<config::TableReplicator*, Timestamp> watched_since_;  ///< Watches that wait for their answer.
   Look look_at_objects_;
   Look look_at_machines_;
   Look look_at_groups_;
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -152,6 +152,13 @@
   }
 }
 
+Duration Registry::doubt_left(const Backend& backend) const {
+  const std::vector<std::string>& pools = backend.machine.pools;
+  const bool whole_pool =
+      std::any_of(pools.begin(), pools.end(), [this](const std::string& pool) { return listed_count(pool) == 0; });
+  return used_until(*backend.unlisted, leave_notice_, whole_pool) - environment_.now();
+}
+
 void Registry::end_doubt(const BackendId& id) {
   const Backend* backend = find(id);
   if (backend == nullptr || !backend->unlisted) {
@@ -159,9 +166,7 @@
   }
   const lapse how = *backend->unlisted;
   const std::vector<std::string> pools = backend->machine.pools;
-  const bool whole_pool =
-      std::any_of(pools.begin(), pools.end(), [this](const std::string& pool) { return listed_count(pool) == 0; });
-  const Duration left = used_until(how, leave_notice_, whole_pool) - environment_.now();
+  const Duration left = doubt_left(*backend);
   if (left.count() > 0 || !guards_.end_doubts) {
     // Others of the pool may be listed meanwhile, which shortens the time.
     const Duration look = std::clamp(left, Duration(1ms), kDoubtLook);
@@ -215,6 +220,10 @@
   if (guards_.honour_machine_list && backend.machine.leaving) {
     return false;
   }
+  // However late this process comes to take it out.
+  if (backend.unlisted && guards_.end_doubts && doubt_left(backend).count() <= 0) {
+    return false;
+  }
   // Not heard of lately: it may have begun to leave meanwhile, or this node was frozen.
   if (guards_.need_fresh_reports && environment_.now() - backend.reported_at > kReportFresh) {
     return false;
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -142,6 +142,8 @@
   /// Entries lapse together when the list's keeper was away: then back ends stay in use for a while.
   void reinstate_lapsed(const std::string& pool);
   void end_doubt(const BackendId& id);
+  /// @return for how long @p backend, whose entry has gone, may still be used.
+  Duration doubt_left(const Backend& backend) const;
   /// Takes a listed entry; one of an earlier life changes nothing.
   void take_machine(Backend& backend, config::Machine machine);
   /// Drops what was reckoned with the life before of a back end that has started anew under its id.
--- a/tests/node/leaving_back_ends_test.cpp
+++ b/tests/node/leaving_back_ends_test.cpp
@@ -207,3 +207,13 @@
   fleet.run_for(kNotice - kStandstill - 50ms);
   CHECK(fleet.usable() == 0);
 }
+
+TEST_CASE("a change that a peer tells first is dated by the watch that had not brought it") {
+  fixture fleet(3, 0);
+  fleet.run_for(8s);  // the watch waits for 10 s, so the list was last confirmed long ago
+  fleet.hear_gone(3, kListed + 1);
+  fleet.run_for(kNotice / 2);
+  CHECK(fleet.usable() == 3);
+  fleet.run_for(kNotice / 2);
+  CHECK(fleet.usable() == 0);
+}
