--- a/tests/node/leaving_back_ends_test.cpp
+++ b/tests/node/leaving_back_ends_test.cpp
@@ -217,3 +217,43 @@
   fleet.run_for(kNotice / 2);
   CHECK(fleet.usable() == 0);
 }
+
+// A soak of real processes, seed 139: the store dropped one engine's entry, and 8 ms later took a heartbeat that the
+// engine had sent before it left. The entry said "live" for 3.7 s more, until three heartbeats were missed; eight
+// gateways sent 25 requests there up to 1.5 s after its notice. ("state":"gone" at revision 27, "live" at 28, "gone"
+// at 44.)
+TEST_CASE("a heartbeat that the store takes late does not undo an engine's leaving") {
+  fixture fleet(4);
+  const auto list = [&fleet](const std::string& state, std::uint64_t started) {
+    const std::uint64_t revision = fleet.core.machines.table().revision() + 1;
+    const std::string body =
+        R"({"pool":"m","slots":4,"state":")" + state + R"(","started_ms":)" + std::to_string(started) + "}";
+    const std::vector<config::Entry> changes = {{engine_key(1), body, revision, state == "gone"}};
+    fleet.core.machines.apply_from_source(revision - 1, revision, changes, false, fleet.environment.now());
+  };
+  list("live", 5'000);
+  REQUIRE(fleet.usable() == 4);
+  SECTION("its entry had gone") { list("gone", 0); }
+  SECTION("its entry had said that it leaves") { list("leaving", 5'000); }
+  CHECK(fleet.usable() == 3);
+  fleet.run_for(8ms);
+  list("live", 5'000);
+  CHECK(fleet.usable() == 3);
+  fleet.run_for(kNotice);
+  CHECK(fleet.usable() == 3);
+  list("live", 9'000);  // started anew under its id
+  CHECK(fleet.usable() == 4);
+}
+
+TEST_CASE("an engine whose entry only lapsed is used again once it stays listed") {
+  fixture fleet(4);
+  fleet.hear_gone(1, kListed + 1);
+  CHECK(fleet.usable() == 3);
+  fleet.run_for(100ms);
+  const std::uint64_t revision = kListed + 2;
+  fleet.core.machines.apply_from_source(revision - 1, revision,
+                                        {{engine_key(1), R"({"pool":"m","slots":4})", revision, false}}, false,
+                                        fleet.environment.now());
+  fleet.run_for(5s);
+  CHECK(fleet.usable() == 4);
+}
