--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -15,6 +15,12 @@
 constexpr std::size_t kEjectableShare = 2;  ///< At most one in this many of a pool.
 /// Entries that go within it go together.
 constexpr Duration kLapseWindow = 2s;
+/// A back end's last write may be taken by the list's keeper so long after its leaving was. The entry then stands until
+/// three heartbeats are missed: 25 requests in 1.5 s went to an engine that had left (soak of real processes, seed
+/// 139).
+constexpr Duration kLateWrite = 1s;
+/// Three heartbeats of 1.2 s and what it takes to hear of it: who is still listed then is there.
+constexpr Duration kProofOfLife = 4s;
 constexpr Duration kDoubtLook = 450ms;  ///< How often a back end that is no longer listed is looked at.
 }  // namespace
 
@@ -44,7 +50,6 @@
     if (entry == nullptr) {
       continue;
     }
-    vanished_.erase(id);
     const auto parsed = config::parse_machine(key.name, entry->body);
     if (!succeeded(parsed)) {
       counters_["machine_entries_invalid_total"]++;
@@ -55,8 +60,10 @@
     position->second.unlisted.reset();
     if (inserted) {
       position->second.life = ++lives_;
+      bar_if_just_gone(position->second);
       position->second.added_at = environment_.now();
     }
+    vanished_.erase(id);
     for (const std::string& pool : position->second.machine.pools) {
       pools_[pool].push_back(id);
       touched.push_back(pool);
@@ -85,7 +92,14 @@
     counters_["backend_entries_of_earlier_life_total"]++;
     return;
   }
+  const bool leaves = backend.machine.leaving && !backend.machine.pools.empty();
+  const bool same_life = machine.started_unix_ms <= started;
+  const bool takes_back = leaves && !machine.leaving && same_life && leave_notice_.count() > 0;
   backend.machine = std::move(machine);
+  if (takes_back) {
+    backend.machine.leaving = true;
+    counters_["backend_returns_doubted_total"]++;
+  }
   if (backend.machine.started_unix_ms == 0) {
     backend.machine.started_unix_ms = started;  // an entry that cannot be read does not tell
   } else if (started != 0 && backend.machine.started_unix_ms > started) {
@@ -93,6 +107,20 @@
   }
 }
 
+void Registry::bar_if_just_gone(Backend& backend) {
+  const auto gone = vanished_.find(backend.machine.id);
+  if (gone == vanished_.end() || leave_notice_.count() == 0) {
+    return;
+  }
+  const lapse& how = gone->second.how;
+  const bool late_write = environment_.now() - how.heard_at < kLateWrite && !list_was_away(how, leave_notice_);
+  const bool same_life = backend.machine.started_unix_ms <= gone->second.backend.machine.started_unix_ms;
+  if (late_write && same_life) {
+    backend.barred_until = environment_.now() + kProofOfLife;
+    counters_["backend_returns_doubted_total"]++;
+  }
+}
+
 void Registry::begin_life(Backend& backend) {
   Backend anew;
   anew.machine = std::move(backend.machine);
@@ -220,6 +248,9 @@
   if (guards_.honour_machine_list && backend.machine.leaving) {
     return false;
   }
+  if (environment_.now() < backend.barred_until) {
+    return false;
+  }
   // However late this process comes to take it out.
   if (backend.unlisted && guards_.end_doubts && doubt_left(backend).count() <= 0) {
     return false;
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -47,6 +47,8 @@
   std::uint32_t open_calls = 0;     ///< Passed-on requests that are under way.
   Timestamp reading_until{};        ///< Until then it likely reads a long prompt, for this gateway or another.
   Timestamp quiet_since{};          ///< When one of them was last heard of, or the first was sent.
+  /// Its entry is back within moments of its going: it is not used until then, unless it starts anew.
+  Timestamp barred_until{};
   /// Its entry is gone, but most others went with it: it may still be there, and is used until then.
   std::optional<lapse> unlisted;
 };
@@ -144,7 +146,9 @@
   void end_doubt(const BackendId& id);
   /// @return for how long @p backend, whose entry has gone, may still be used.
   Duration doubt_left(const Backend& backend) const;
-  /// Takes a listed entry; one of an earlier life changes nothing.
+  /// Bars a back end whose entry is listed again right after it had gone: it may be a late write of one that has left.
+  void bar_if_just_gone(Backend& backend);
+  /// Takes a listed entry; one of an earlier life changes nothing, nor does one that takes a leaving back.
   void take_machine(Backend& backend, config::Machine machine);
   /// Drops what was reckoned with the life before of a back end that has started anew under its id.
   void begin_life(Backend& backend);
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -274,18 +274,20 @@
 void SimFleet::publish_engine(unsigned number) {
   engines[number]->unlisted_since.reset();
   const bool leaving = engines[number]->model.leaving();
-  machines->store({{"machine", engine_name(number)},
-                   "{\"target\":\"model\",\"pool\":\"model\",\"slots\":" + std::to_string(profile.engine_slots) +
-                       ",\"state\":\"" + (leaving ? "leaving" : "live") + "\"}",
-                   0,
-                   false},
-                  "", kMachineListLag);
+  machines->store(
+      {{"machine", engine_name(number)},
+       "{\"target\":\"model\",\"pool\":\"model\",\"slots\":" + std::to_string(profile.engine_slots) + ",\"state\":\"" +
+           (leaving ? "leaving" : "live") + "\",\"started_ms\":" + std::to_string(engines[number]->starts) + "}",
+       0,
+       false},
+      "", kMachineListLag);
 }
 
 void SimFleet::publish_service(unsigned number) {
   machines->store({{"machine", service_name(number)},
                    std::string("{\"target\":\"service\",\"pool\":\"service\",\"slots\":64,\"state\":\"") +
-                       (services[number]->leaving ? "leaving" : "live") + "\"}",
+                       (services[number]->leaving ? "leaving" : "live") +
+                       "\",\"started_ms\":" + std::to_string(services[number]->starts) + "}",
                    0,
                    false},
                   "", kMachineListLag);
@@ -294,12 +296,14 @@
 void SimFleet::set_engine_leaving(unsigned number, bool leaving) {
   engines[number]->model.set_leaving(leaving);
   engines[number]->leaving_since = world.now();
+  engines[number]->starts += leaving ? 0 : 1;  // who left does not come back but by a start
   publish_engine(number);
 }
 
 void SimFleet::set_service_leaving(unsigned number, bool leaving) {
   services[number]->leaving = leaving;
   services[number]->leaving_since = world.now();
+  services[number]->starts += leaving ? 0 : 1;
   publish_service(number);
 }
 
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -204,6 +204,7 @@
   EngineEnvironment environment;
   emulator::EngineModel model;
   Timestamp leaving_since{};
+  std::uint64_t starts = 1;                 ///< As its entry tells them.
   std::optional<Timestamp> unlisted_since;  ///< Its entry has gone without a word; when readers could see that.
 };
 
@@ -212,6 +213,7 @@
   SimProcess process;
   bool leaving = false;
   Timestamp leaving_since{};
+  std::uint64_t starts = 1;  ///< As its entry tells them.
 };
 
 /// Conditions that faults set and healing clears.
