--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -20,9 +20,9 @@
 /// Calls on a fleet what the actions say, and tells the oracle what callers saw.
 class Driver {
  public:
-  Driver(std::uint64_t seed, const Profile& profile, const node::Guards& guards)
+  Driver(std::uint64_t seed, const Profile& profile, const node::Guards& guards, std::ostream* decisions)
       : world_(seed),
-        fleet_(world_, oracle_, profile, guards),
+        fleet_(world_, oracle_, profile, guards, decisions),
         profile_(profile),
         callers_(world_, fleet_, oracle_, profile) {}
 
@@ -425,7 +425,7 @@
       case ActionKind::connections_well:
         conditions.break_percent = 0;
         conditions.late_answer_percent = 0;
-        conditions.loss_percent = 1;
+        conditions.loss_percent = profile_.loss_percent;
         conditions.services_slow = false;
         break;
       case ActionKind::services_slow:
@@ -590,8 +590,8 @@
 }  // namespace
 
 RunResult run_schedule(std::uint64_t seed, const std::vector<Action>& actions, const Profile& profile,
-                       const node::Guards& guards) {
-  return Driver(seed, profile, guards).run(seed, actions);
+                       const node::Guards& guards, std::ostream* decisions) {
+  return Driver(seed, profile, guards, decisions).run(seed, actions);
 }
 
 }  // namespace madderdeck::simulation
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -2,6 +2,7 @@
 /// @file Schedules of actions, their execution against a simulated fleet, and their shortening.
 
 #include <cstdint>
+#include <iosfwd>
 #include <string>
 #include <vector>
 
@@ -88,8 +89,13 @@
 
 /// @return the schedule that goes with @p seed.
 std::vector<Action> make_schedule(std::uint64_t seed, std::size_t steps, ScheduleMix mix = ScheduleMix::standard);
+/// @return ordinary requests at all nodes, and between them one that ends its engines (@p kind), at another node each
+///         time, @p pause_ms apart.
+std::vector<Action> repeats_at_other_nodes(unsigned repeats, std::uint32_t pause_ms,
+                                           ActionKind kind = ActionKind::fatal_request);
+/// @param decisions takes the decision lines of all nodes; null drops them.
 RunResult run_schedule(std::uint64_t seed, const std::vector<Action>& actions, const Profile& profile,
-                       const node::Guards& guards);
+                       const node::Guards& guards, std::ostream* decisions = nullptr);
 /// @return a part of @p actions that still violates the promise that @p actions violate first.
 std::vector<Action> shorten(std::uint64_t seed, std::vector<Action> actions, const Profile& profile,
                             const node::Guards& guards);
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -1,6 +1,7 @@
 #include "simulation/fleet.hpp"
 
 #include <algorithm>
+#include <ostream>
 
 #include "simulation/support.hpp"
 
@@ -60,8 +61,19 @@
 
 // --- the fleet ------------------------------------------------------------------------------
 
-SimFleet::SimFleet(World& simulated_world, Oracle& checks, Profile shape, node::Guards node_guards)
-    : world(simulated_world), oracle(checks), profile(std::move(shape)), guards(node_guards) {
+void TracedDecisions::record(std::string_view event, std::initializer_list<DecisionField> fields) {
+  out_ << world_.now() / 1ms << " ms node-" << node_ << " " << event;
+  for (const DecisionField& field : fields) {
+    out_ << " " << field.name << "=";
+    std::visit([this](const auto& value) { out_ << value; }, field.value);
+  }
+  out_ << "\n";
+}
+
+SimFleet::SimFleet(World& simulated_world, Oracle& checks, Profile shape, node::Guards node_guards,
+                   std::ostream* decisions)
+    : world(simulated_world), oracle(checks), profile(std::move(shape)), guards(node_guards), decisions_(decisions) {
+  conditions.loss_percent = profile.loss_percent;
   platform_process = std::make_unique<SimProcess>(world);
   platform_process->start();
   platform_environment = std::make_unique<EngineEnvironment>(world, *platform_process);
@@ -94,6 +106,19 @@
 
 SimFleet::~SimFleet() = default;
 
+std::unique_ptr<DecisionLog> SimFleet::make_log(unsigned number) {
+  if (decisions_ == nullptr) {
+    return std::make_unique<NoDecisionLog>();
+  }
+  return std::make_unique<TracedDecisions>(*decisions_, world, number);
+}
+
+void SimFleet::note_engine(unsigned number, std::string_view what, std::string_view by) const {
+  if (decisions_ != nullptr) {
+    *decisions_ << world.now() / 1ms << " ms engine-" << number << " " << what << " " << by << "\n";
+  }
+}
+
 void SimFleet::start_node(unsigned number) {
   SimNode& node = *nodes[number];
   if (node.process.up()) {
@@ -122,6 +147,7 @@
   options.leave_notice = kNoticeOfUnlisted;
   options.guards = guards;
   NodeLife life;
+  life.log = make_log(number);
   life.environment = std::make_unique<SimEnvironment>(*this, number);
   life.backends = std::make_unique<SimBackends>(*this, number);
   life.upstream = std::make_unique<SimUpstream>(*this, number);
@@ -244,6 +270,7 @@
       return;  // ended by another one that ran beside it
     }
     crash_engine(number);
+    note_engine(number, "ends under", body);
     oracle.engine_ended_under(body, world.now());
     world.schedule(kEngineRestart, [&process] { process.start(); });
   });
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -2,6 +2,7 @@
 /// @file A simulated fleet: real NodeCore objects over a simulated network, disks, engines,
 /// services and platform.
 
+#include <iosfwd>
 #include <memory>
 #include <optional>
 #include <set>
@@ -30,6 +31,7 @@
   std::uint32_t live_tokens = 10;
   std::uint32_t batch_tokens = 60;
   std::uint32_t job_items = 20;
+  unsigned loss_percent = 1;  ///< Of messages between nodes, while no fault raises it.
 };
 /// @return the profile of that name, if there is one.
 std::optional<Profile> find_profile(const std::string& name);
@@ -169,13 +171,26 @@
   const unsigned node_;
 };
 
+/// Writes the decisions of one node as lines with simulated time, for tracing.
+class TracedDecisions : public DecisionLog {
+ public:
+  /// @param out outlives this.
+  TracedDecisions(std::ostream& out, const World& world, unsigned node) : out_(out), world_(world), node_(node) {}
+  void record(std::string_view event, std::initializer_list<DecisionField> fields) override;
+
+ private:
+  std::ostream& out_;
+  const World& world_;
+  const unsigned node_;
+};
+
 /// Everything of one node that dies with its process.
 struct NodeLife {
   std::unique_ptr<SimEnvironment> environment;
   std::unique_ptr<SimBackends> backends;
   std::unique_ptr<SimUpstream> upstream;
   std::unique_ptr<SimPlatformClient> platform;
-  std::unique_ptr<NoDecisionLog> log = std::make_unique<NoDecisionLog>();
+  std::unique_ptr<DecisionLog> log;
   std::unique_ptr<node::NodeCore> core;
 };
 
@@ -234,7 +249,8 @@
 /// Owns all parts; the driver acts on them.
 class SimFleet {
  public:
-  SimFleet(World& world, Oracle& oracle, Profile profile, node::Guards guards);
+  /// @param decisions takes the decision lines of all nodes; null drops them. It outlives this.
+  SimFleet(World& world, Oracle& oracle, Profile profile, node::Guards guards, std::ostream* decisions = nullptr);
   ~SimFleet();
 
   void start_node(unsigned number);
@@ -291,6 +307,11 @@
   std::unique_ptr<emulator::WatchedTable> machines;
 
  private:
+  /// Writes what happens to an engine among the decision lines.
+  void note_engine(unsigned number, std::string_view what, std::string_view by) const;
+  std::unique_ptr<DecisionLog> make_log(unsigned number);
+
+  std::ostream* const decisions_;
   /// Lives that have ended; events still queued for them refer to their objects.
   std::vector<NodeLife> ended_lives_;
   void count_suspension(SimNode& node) const;
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -2,6 +2,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <iostream>
 
@@ -14,6 +15,11 @@
 DEFINE_string(
     mix, "standard",
     "Actions to draw from: standard, hardening (requests that end engines, too) or listing (jobs with positions).");
+DEFINE_string(repeats, "",
+              "Instead of a mix: 'request' or 'generation', one that ends its engines, sent 30 times at other nodes.");
+DEFINE_uint64(pause_ms, 400, "With --repeats: between two of them.");
+DEFINE_uint64(loss_percent, 1, "Messages between nodes that are lost while no fault raises it.");
+DEFINE_bool(log, false, "Print the decision lines of all nodes.");
 DEFINE_bool(json, false, "Print only the JSON result.");
 DEFINE_bool(list_mutants, false, "List the versions without a guard.");
 DEFINE_string(mutant, "", "Leave this guard out; the run then has to fail.");
@@ -26,6 +32,9 @@
 using namespace madderdeck::simulation;
 namespace json = boost::json;
 
+constexpr unsigned kEndsThatTell = 3;  ///< Engines that one request may end while its repeats are apart.
+constexpr std::uint64_t kPercent = 100;
+
 struct SeedRange {
   std::uint64_t from = 0;
   std::uint64_t to = 0;
@@ -49,6 +58,7 @@
   std::uint64_t trace_hash = 0;
   LoadCounts counts;
   std::map<std::string, std::uint64_t> violations;
+  std::map<unsigned, std::uint64_t> engines_ended;  ///< Schedules by the most engines that one request ended.
 
   void add(const RunResult& result) {
     ++seeds;
@@ -58,6 +68,14 @@
     for (const Violation& violation : result.violations) {
       ++violations[promise_name(violation.promise)];
     }
+    ++engines_ended[most_ended(result)];
+  }
+  static unsigned most_ended(const RunResult& result) {
+    unsigned most = 0;
+    for (const auto& [body, request] : result.fatal_requests) {
+      most = std::max(most, request.ends);
+    }
+    return most;
   }
   json::object describe() const {
     json::object fault_counts;
@@ -68,6 +86,10 @@
     for (const auto& [promise, count] : violations) {
       violation_counts[promise] = count;
     }
+    json::object ended;
+    for (const auto& [count, schedules] : engines_ended) {
+      ended[std::to_string(count)] = schedules;
+    }
     return json::object{{"seeds", seeds},
                         {"steps", steps},
                         {"faults", std::move(fault_counts)},
@@ -79,6 +101,7 @@
                         {"live_answered", counts.live_answered},
                         {"planned_stops", counts.planned_stops},
                         {"trace_hash", hex64(trace_hash)},
+                        {"schedules_by_engines_ended", std::move(ended)},
                         {"violations", std::move(violation_counts)}};
   }
 };
@@ -96,6 +119,16 @@
   return text == "hardening" ? std::optional(ScheduleMix::hardening) : std::nullopt;
 }
 
+/// @return the schedule of @p seed that the flags ask for.
+std::vector<Action> schedule_of(std::uint64_t seed, ScheduleMix mix) {
+  constexpr unsigned kRepeats = 30;
+  if (FLAGS_repeats.empty()) {
+    return make_schedule(seed, FLAGS_steps, mix);
+  }
+  const ActionKind kind = FLAGS_repeats == "generation" ? ActionKind::fatal_live : ActionKind::fatal_request;
+  return repeats_at_other_nodes(kRepeats, static_cast<std::uint32_t>(FLAGS_pause_ms), kind);
+}
+
 void print_violation(const RunResult& result, const Profile& profile, const node::Guards& guards, ScheduleMix mix) {
   std::cout << "seed " << result.seed << " violates:\n";
   for (const Violation& violation : result.violations) {
@@ -105,7 +138,7 @@
   if (!FLAGS_shorten) {
     return;
   }
-  const auto actions = shorten(result.seed, make_schedule(result.seed, FLAGS_steps, mix), profile, guards);
+  const auto actions = shorten(result.seed, schedule_of(result.seed, mix), profile, guards);
   std::cout << "shortened schedule, replayed with the same seed:\n";
   for (const Action& action : actions) {
     std::cout << "  " << action_name(action.kind) << " choice=" << action.choice << " pause_ms=" << action.pause_ms
@@ -116,9 +149,16 @@
 int run_seeds(const SeedRange& range, const Profile& profile, const node::Guards& guards, ScheduleMix mix) {
   Totals totals;
   bool printed = false;
+  std::uint64_t over_three = 0;
   for (std::uint64_t seed = range.from; seed <= range.to; ++seed) {
-    const RunResult result = run_schedule(seed, make_schedule(seed, FLAGS_steps, mix), profile, guards);
+    const RunResult result =
+        run_schedule(seed, schedule_of(seed, mix), profile, guards, FLAGS_log ? &std::cout : nullptr);
     totals.add(result);
+    over_three += !FLAGS_repeats.empty() && Totals::most_ended(result) > kEndsThatTell ? 1 : 0;
+    if (!FLAGS_repeats.empty() && (Totals::most_ended(result) > kEndsThatTell || !result.violations.empty())) {
+      std::cout << "seed " << seed << " engines ended " << Totals::most_ended(result) << " violations "
+                << result.violations.size() << std::endl;
+    }
     if (!FLAGS_json) {
       std::cout << "seed " << seed << " trace " << hex64(result.trace_hash) << " violations "
                 << result.violations.size() << std::endl;
@@ -129,10 +169,10 @@
     }
   }
   std::cout << json::serialize(totals.describe()) << std::endl;
-  if (!totals.violations.empty()) {
+  if (!totals.violations.empty() || over_three > 0) {
     return 1;
   }
-  if (!totals.counts.every_load_ran()) {
+  if (FLAGS_repeats.empty() && !totals.counts.every_load_ran()) {
     std::cerr << "madderdeck-sim: a kind of load never ran, so nothing is shown; use more seeds or steps" << std::endl;
     return 2;
   }
@@ -179,6 +219,7 @@
   gflags::SetUsageMessage(
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
       "[--mix=standard|hardening|listing|leaving] "
+      "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--log] "
       "[--json]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
   if (FLAGS_list_mutants) {
@@ -188,7 +229,7 @@
     }
     return 0;
   }
-  const auto profile = find_profile(FLAGS_profile);
+  auto profile = find_profile(FLAGS_profile);
   const auto range = parse_seeds(FLAGS_seeds);
   const auto mix = parse_mix(FLAGS_mix);
   if (!mix) {
@@ -197,6 +238,13 @@
   if (!profile || !range) {
     return usage(!profile ? "profile: found " + FLAGS_profile : "seeds: found " + FLAGS_seeds);
   }
+  if (FLAGS_loss_percent >= kPercent) {
+    return usage("loss_percent: found " + std::to_string(FLAGS_loss_percent) + ", below 100 is wanted");
+  }
+  if (!FLAGS_repeats.empty() && FLAGS_repeats != "request" && FLAGS_repeats != "generation") {
+    return usage("repeats: found " + FLAGS_repeats);
+  }
+  profile->loss_percent = static_cast<unsigned>(FLAGS_loss_percent);
   if (FLAGS_all_mutants) {
     return run_mutants(*profile);
   }
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -112,6 +112,19 @@
   return actions;
 }
 
+std::vector<Action> repeats_at_other_nodes(unsigned repeats, std::uint32_t pause_ms, ActionKind kind) {
+  constexpr unsigned kOthersBetween = 4;
+  constexpr unsigned kNodes = 5;
+  std::vector<Action> actions;
+  for (unsigned repeat = 0; repeat < repeats; ++repeat) {
+    actions.push_back({kind, repeat % kNodes, 0});
+    for (unsigned other = 0; other < kOthersBetween; ++other) {
+      actions.push_back({ActionKind::forwarded_request, repeat + other, pause_ms / kOthersBetween});
+    }
+  }
+  return actions;
+}
+
 std::vector<Action> shorten(std::uint64_t seed, std::vector<Action> actions, const Profile& profile,
                             const node::Guards& guards) {
   const RunResult first = run_schedule(seed, actions, profile, guards);
