What nodes compare of requests that end engines is each end, not their number

Cause: the digest was a sum over the number of ends, which is the same on nodes that know two different ones each; neither sent its list. Now it is over each end by name and time. So that nodes which date one end by their own clocks agree, the earlier time stands. Why it holds: equal digests now mean equal ends; unequal ones exchange lists, and a merged list is the union whatever the order (property test).

--- a/src/quarantine/end_history.cpp
+++ b/src/quarantine/end_history.cpp
@@ -32,18 +32,22 @@
   const auto same =
       std::find_if(known.ends.begin(), known.ends.end(), [&end](const backend_end& one) { return same_end(one, end); });
   if (same != known.ends.end()) {
-    // Two copies ran there; one of them had just begun.
-    const bool news = same->advanced && !end.advanced;
+    // Two copies ran there; one of them had just begun. Of two nodes' times the earlier one stands, so that all nodes
+    // keep the same whatever they heard first.
+    const backend_end before = *same;
     same->advanced = same->advanced && end.advanced;
+    same->at = std::min(same->at, end.at);
+    const bool news = *same != before;
+    std::sort(known.ends.begin(), known.ends.end(), is_earlier);
+    erase_answered(known);
     return news;
   }
   if (end.at <= known.answered_at) {
     return false;
   }
   // The earliest stay, so that nodes that heard of them in another order keep the same.
-  const auto later = std::find_if(known.ends.begin(), known.ends.end(), [&end](const backend_end& one) {
-    return std::tie(end.at, end.backend) < std::tie(one.at, one.backend);
-  });
+  const auto later = std::find_if(known.ends.begin(), known.ends.end(),
+                                  [&end](const backend_end& one) { return is_earlier(end, one); });
   if (later == known.ends.end() && known.ends.size() >= kMostEnds) {
     return false;
   }
@@ -54,6 +58,10 @@
   return true;
 }
 
+bool end_history::is_earlier(const backend_end& one, const backend_end& other) {
+  return std::tie(one.at, one.backend) < std::tie(other.at, other.backend);
+}
+
 bool end_history::same_end(const backend_end& one, const backend_end& other) {
   const UnixMilliseconds apart = std::max(one.at, other.at) - std::min(one.at, other.at);
   return one.backend == other.backend && apart <= kSameEndMs;
@@ -98,9 +106,11 @@
   }
   suspected_request& known = entry->second;
   known.answered_at = std::max(known.answered_at, at);
-  const auto earlier =
-      std::erase_if(known.ends, [&known](const backend_end& end) { return end.at <= known.answered_at; });
-  return earlier > 0;
+  return erase_answered(known) > 0;
+}
+
+std::size_t end_history::erase_answered(suspected_request& known) {
+  return std::erase_if(known.ends, [&known](const backend_end& end) { return end.at <= known.answered_at; });
 }
 
 bool end_history::merge(const suspected_request& other, UnixMilliseconds now) {
@@ -163,10 +173,14 @@
 }
 
 std::uint64_t end_history::digest() const {
+  // Each end by itself: two nodes that know two different ends each have to find out.
   std::uint64_t sum = 0;
   for (const auto& [request, known] : requests_) {
-    if (is_compared(known)) {
-      sum += stable_hash(request.str(), known.ends.size() * kMostEnds + early_ends(known));
+    if (!is_compared(known)) {
+      continue;
+    }
+    for (const backend_end& end : known.ends) {
+      sum += stable_hash(request.str() + end.backend.str(), end.at * 2 + (end.advanced ? 1 : 0));
     }
   }
   return sum;
--- a/src/quarantine/end_history.hpp
+++ b/src/quarantine/end_history.hpp
@@ -74,7 +74,7 @@
   /// @return what a node that differs is told: requests with two ends or more, and the acquitted. One end alone is told
   ///         once and no more, since each crash puts one on everything that ran there.
   std::vector<suspected_request> shared(std::size_t most) const;
-  /// @return a number over the requests with two ends or more, equal where these are; 0 without any.
+  /// @return a number over the ends of requests with two or more, equal where these are; 0 without any.
   std::uint64_t digest() const;
 
  private:
@@ -82,7 +82,10 @@
   static bool is_compared(const suspected_request& request);
   /// These and the acquitted.
   static bool is_shared(const suspected_request& request);
+  static bool is_earlier(const backend_end& one, const backend_end& other);
   static bool same_end(const backend_end& one, const backend_end& other);
+  /// @return how many ends a later good run has acquitted of; they are gone.
+  static std::size_t erase_answered(suspected_request& known);
   static std::size_t early_ends(const suspected_request& suspect);
   /// @return how many of @p suspect's early ends no other request had that has as many of them, three or more.
   std::size_t unexplained(const suspected_request& suspect) const;
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <ostream>
 
 #include "simulation/callers.hpp"
 
@@ -21,7 +22,8 @@
 class Driver {
  public:
   Driver(std::uint64_t seed, const Profile& profile, const node::Guards& guards, std::ostream* decisions)
-      : world_(seed),
+      : decisions_(decisions),
+        world_(seed),
         fleet_(world_, oracle_, profile, guards, decisions),
         profile_(profile),
         callers_(world_, fleet_, oracle_, profile) {}
@@ -32,6 +34,10 @@
     world_.run_for(kFoundingTime);
     for (const Action& action : actions) {
       world_.trace(action_name(action.kind));
+      if (decisions_ != nullptr) {
+        *decisions_ << world_.now() / 1ms << " ms action " << action_name(action.kind) << " choice=" << action.choice
+                    << "\n";
+      }
       act(action);
       world_.run_for(std::chrono::milliseconds(action.pause_ms));
     }
@@ -579,6 +585,7 @@
     }
   }
 
+  std::ostream* const decisions_;
   Oracle oracle_;
   World world_;
   SimFleet fleet_;
--- a/tests/quarantine/end_history_test.cpp
+++ b/tests/quarantine/end_history_test.cpp
@@ -40,6 +40,23 @@
   CHECK(history.ends(kRequest) == 2);
 }
 
+// Two nodes have calls on the engine that ends and date its end by their own clocks. Each keeps what it heard first, so
+// a sum over the times would differ for good, and lists would go to and fro.
+TEST_CASE("nodes that date one end differently agree once they have told each other") {
+  end_history left;
+  end_history right;
+  left.record(kRequest, end_of(1, kNow), kNow);
+  right.record(kRequest, end_of(1, kNow + 40), kNow + 40);
+  for (end_history* history : {&left, &right}) {
+    history->record(kRequest, end_of(2, kNow + 20), kNow + 40);
+  }
+  const suspected_request of_left = *left.find(kRequest);
+  CHECK(left.digest() != right.digest());
+  CHECK_FALSE(left.merge(*right.find(kRequest), kNow + 50));
+  CHECK(right.merge(of_left, kNow + 50));
+  CHECK(left.digest() == right.digest());
+}
+
 TEST_CASE("nodes that hear of more ends than are kept keep the same ones, whatever the order") {
   end_history forwards;
   end_history backwards;
