A back end that ends a moment after a connection to it broke is noticed

Cause: a connection may break by itself; the back end is asked at once and 20 ms later, still takes connections, and ends by the request 20 to 110 ms after its begin. Unit test, red before.

--- a/src/quarantine/end_detector.cpp
+++ b/src/quarantine/end_detector.cpp
@@ -12,6 +12,7 @@
   }
   const auto [entry, first] = questions_.try_emplace(call.backend);
   entry->second.waiting.push_back(std::move(done));
+  entry->second.calls.push_back(call);
   if (!first) {
     return;
   }
@@ -54,11 +55,11 @@
     return;
   }
   const std::vector<decided> waiting = std::move(entry->second.waiting);
+  std::vector<routing::broken_call> calls = std::move(entry->second.calls);
   questions_.erase(entry);
   const bool ended = found == routing::reachability::refused;
   if (ended) {
-    ended_at_[backend] = environment_.now();
-    counters_["backend_ends_seen_total"]++;
+    note_end(backend);
   }
   log_.record("backend_checked", {{"backend", backend.str()},
                                   {"found", routing::reachability_name(found)},
@@ -67,6 +68,33 @@
   for (const decided& done : waiting) {
     done(ended);
   }
+  if (found == routing::reachability::listening) {
+    look_once_more(backend, std::move(calls));
+  }
+}
+
+void end_detector::note_end(const BackendId& backend) {
+  ended_at_[backend] = environment_.now();
+  counters_["backend_ends_seen_total"]++;
+}
+
+/// Nobody waits for it: the calls have gone on.
+void end_detector::look_once_more(const BackendId& backend, std::vector<routing::broken_call> calls) {
+  environment_.after(kLateLook, lifetime_.guard([this, backend, calls = std::move(calls)] {
+    counters_["backend_end_checks_total"]++;
+    client_.check_reachable(backend, lifetime_.guard([this, backend, calls](routing::reachability found) {
+      if (found != routing::reachability::refused) {
+        return;
+      }
+      note_end(backend);
+      log_.record("backend_ended_late", {{"backend", backend.str()}, {"broken_calls", calls.size()}});
+      for (const routing::broken_call& call : calls) {
+        if (on_late_end) {
+          on_late_end(call);
+        }
+      }
+    }));
+  }));
 }
 
 }  // namespace madderdeck::quarantine
--- a/src/quarantine/end_detector.hpp
+++ b/src/quarantine/end_detector.hpp
@@ -29,17 +29,24 @@
   /// @p done may run before this returns, and runs within kPatience.
   void call_broke(const routing::broken_call& call, decided done);
 
+  /// A back end that still took connections when a call to it broke has ended a moment later.
+  std::function<void(const routing::broken_call&)> on_late_end;
+
   /// Ends are told apart from one another by this: a back end takes longer to start again. Reports of calls that broke
   /// together lie a few milliseconds apart.
   static constexpr Duration kSameEnd = 500ms;
   /// Between the looks; the kernel closes all that a process had open within a few milliseconds.
   static constexpr Duration kSecondLook = 20ms;
+  /// After a connection broke while its back end lived on: one that ends by the request ends 20 to 110 ms after it has
+  /// begun to run it, whether the connection still stands or not.
+  static constexpr Duration kLateLook = 150ms;
   /// Longest wait for an answer; across zones one takes a few milliseconds.
   static constexpr Duration kPatience = 250ms;
 
  private:
   struct question {
     std::vector<decided> waiting;
+    std::vector<routing::broken_call> calls;
     std::uint64_t number = 0;
     bool looked_before = false;
   };
@@ -47,6 +54,8 @@
   void look(const BackendId& backend, std::uint64_t number);
   void on_look(const BackendId& backend, std::uint64_t number, routing::reachability found);
   void settle(const BackendId& backend, std::uint64_t number, routing::reachability found);
+  void look_once_more(const BackendId& backend, std::vector<routing::broken_call> calls);
+  void note_end(const BackendId& backend);
 
   Environment& environment_;
   Counters& counters_;
--- a/tests/quarantine/end_detector_test.cpp
+++ b/tests/quarantine/end_detector_test.cpp
@@ -78,3 +78,30 @@
   fixture.backends.checks.at(1).done(reachability::refused);
   CHECK(fixture.verdicts == std::vector<bool>{true});
 }
+
+// A request ends seven engines, four of which were counted. The connection of a call breaks by itself, the engine goes
+// on with the request and ends by it 20 to 110 ms later; it was asked while it still took connections. Shown by
+// hardening schedule 96: 'backend_checked found=listening' of an engine that is down 60 ms later.
+TEST_CASE("a back end that ends a moment after a connection to it broke is noticed") {
+  detector_fixture fixture;
+  std::vector<std::string> late;
+  fixture.detector.on_late_end = [&late](const routing::broken_call& call) { late.push_back(call.id); };
+  fixture.breaks("engine-1");
+  fixture.backends.checks.at(0).done(reachability::listening);
+  fixture.environment.world.run_for(end_detector::kSecondLook);
+  fixture.backends.checks.at(1).done(reachability::listening);
+  CHECK(fixture.verdicts == std::vector<bool>{false});  // the call goes on at once
+  fixture.environment.world.run_for(end_detector::kLateLook);
+  REQUIRE(fixture.backends.checks.size() == 3);
+  SECTION("it has ended") {
+    fixture.backends.checks.at(2).done(reachability::refused);
+    CHECK(late == std::vector<std::string>{"r1"});
+  }
+  SECTION("it goes on, and is not asked again") {
+    fixture.backends.checks.at(2).done(reachability::listening);
+    fixture.environment.world.run_for(5s);
+    CHECK(late.empty());
+    CHECK(fixture.backends.checks.size() == 3);
+  }
+  CHECK(fixture.verdicts.size() == 1);
+}
