News of an end is told until each node has taken it; a node that has just started asks until it is answered

Cause: news went out twice and was relied upon; where both messages were lost a node knew up to 500 ms later, by comparing. Now each message has a number and goes out again, with pauses that grow by half (8 ms first, 13 tries in 2 s), to those that have not acknowledged it; who is told less than it knows answers with the rest; a node asks at its start until one answers; while something is known nodes compare every 200 ms. Late ends of back ends count. Why it holds: delivery no longer rests on two datagrams, and what delivery gives up is made good by comparing within contact. Cost at 250 nodes and one end: 250 datagrams and 250 acknowledgements instead of 500 datagrams; at rest as before.

--- a/src/node/asio_environment.cpp
+++ b/src/node/asio_environment.cpp
@@ -16,7 +16,8 @@
   return type == wire::Message::Ping || type == wire::Message::PingRequest || type == wire::Message::Ack ||
          type == wire::Message::RevisionNotice || type == wire::Message::RevisionQuestion ||
          type == wire::Message::RevisionAnswer || type == wire::Message::PromptReading ||
-         type == wire::Message::SuspicionNews || type == wire::Message::SuspicionDigest;
+         type == wire::Message::SuspicionNews || type == wire::Message::SuspicionDigest ||
+         type == wire::Message::SuspicionTaken;
 }
 
 std::mt19937_64 seeded_generator() {
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -493,7 +493,7 @@
       limiter.handle(*body.AsRateReply());
       break;
     case wire::Message::SuspicionNews:
-      quarantine.handle(*body.AsSuspicionNews());
+      quarantine.handle(sender, *body.AsSuspicionNews());
       break;
     case wire::Message::SuspicionDigest:
       quarantine.handle(sender, *body.AsSuspicionDigest());
@@ -501,6 +501,9 @@
     case wire::Message::SuspicionSync:
       quarantine.handle(sender, *body.AsSuspicionSync());
       break;
+    case wire::Message::SuspicionTaken:
+      quarantine.handle(sender, *body.AsSuspicionTaken());
+      break;
     case wire::Message::PromptReading:
       registry.on_reading(BackendId(body.AsPromptReading()->engine),
                           std::chrono::milliseconds(body.AsPromptReading()->expected_ms));
--- /dev/null
+++ b/src/quarantine/news_delivery.cpp
@@ -0,0 +1,123 @@
+#include "quarantine/news_delivery.hpp"
+
+#include <algorithm>
+
+namespace madderdeck::quarantine {
+
+using routing::request_fingerprint;
+
+news_delivery::news_delivery(Environment& environment, Counters& counters, DecisionLog& log, peers everyone,
+                             compose write)
+    : environment_(environment),
+      counters_(counters),
+      log_(log),
+      everyone_(std::move(everyone)),
+      write_(std::move(write)),
+      // Answers to a former life of this node name other numbers.
+      next_number_(environment.random()) {}
+
+void news_delivery::tell(const std::vector<request_fingerprint>& requests) {
+  for (std::size_t first = 0; first < requests.size(); first += kMostInOneDatagram) {
+    const std::size_t end = std::min(requests.size(), first + kMostInOneDatagram);
+    tell_some(
+        {requests.begin() + static_cast<std::ptrdiff_t>(first), requests.begin() + static_cast<std::ptrdiff_t>(end)});
+  }
+}
+
+void news_delivery::tell_some(std::vector<request_fingerprint> requests) {
+  if (open_.size() >= kMostOpen) {
+    counters_["quarantine_news_over_limit_total"]++;
+    open_.erase(open_.begin());
+  }
+  if (++next_number_ == 0) {
+    ++next_number_;  // 0 asks for no answer
+  }
+  message opened;
+  opened.requests = std::move(requests);
+  opened.begun = environment_.now();
+  opened.pause = std::max<Duration>(kFirstPause, kPausePerPeer * everyone_().size());
+  open_.emplace(next_number_, std::move(opened));
+  send(next_number_);
+}
+
+void news_delivery::follow_peers(message& open) const {
+  const std::vector<PeerAddress> now = everyone_();
+  const std::set<PeerAddress> present(now.begin(), now.end());
+  std::erase_if(open.unanswered, [&present](const PeerAddress& peer) { return !present.contains(peer); });
+  for (const PeerAddress& peer : present) {
+    if (open.told.insert(peer).second) {
+      open.unanswered.insert(peer);
+    }
+  }
+}
+
+bool news_delivery::is_done(const message& open) const {
+  if (open.unanswered.empty()) {
+    return !open.told.empty();  // a node that has just started knows nobody yet
+  }
+  const bool only_silent = std::all_of(open.unanswered.begin(), open.unanswered.end(),
+                                       [this](const PeerAddress& peer) { return silent_.contains(peer); });
+  return only_silent && open.tries >= kTriesOfSilent;
+}
+
+void news_delivery::send(std::uint64_t number) {
+  const auto entry = open_.find(number);
+  if (entry == open_.end()) {
+    return;
+  }
+  message& open = entry->second;
+  follow_peers(open);
+  if (is_done(open)) {
+    open_.erase(entry);
+    return;
+  }
+  if (open.tries >= kMostTries) {
+    give_up(open);
+    open_.erase(entry);
+    return;
+  }
+  for (const PeerAddress& peer : open.unanswered) {
+    if (open.tries >= kTriesOfSilent && silent_.contains(peer)) {
+      continue;
+    }
+    wire::SuspicionNewsT news = write_(open.requests);
+    news.number = number;
+    send_message(environment_, peer, std::move(news));
+    counters_[open.tries == 0 ? "quarantine_news_sent_total" : "quarantine_news_repeated_total"]++;
+  }
+  ++open.tries;
+  environment_.after(open.pause, lifetime_.guard([this, number] { send(number); }));
+  open.pause += open.pause / 2;
+}
+
+void news_delivery::give_up(const message& open) {
+  silent_.insert(open.unanswered.begin(), open.unanswered.end());
+  forget_silent_that_left();
+  counters_["quarantine_news_unanswered_total"] += static_cast<CounterValue>(open.unanswered.size());
+  log_.record("quarantine_news_unanswered", {{"requests", open.requests.size()},
+                                             {"peers", open.unanswered.size()},
+                                             {"told", open.told.size()},
+                                             {"tries", open.tries},
+                                             {"age_ms", (environment_.now() - open.begun) / 1ms}});
+}
+
+void news_delivery::forget_silent_that_left() {
+  const std::vector<PeerAddress> now = everyone_();
+  const std::set<PeerAddress> present(now.begin(), now.end());
+  std::erase_if(silent_, [&present](const PeerAddress& peer) { return !present.contains(peer); });
+}
+
+void news_delivery::taken(const PeerAddress& peer, std::uint64_t number) {
+  silent_.erase(peer);
+  const auto entry = open_.find(number);
+  if (entry == open_.end()) {
+    counters_["quarantine_answers_late_total"]++;
+    return;
+  }
+  entry->second.unanswered.erase(peer);
+  if (entry->second.unanswered.empty()) {
+    open_.erase(entry);
+  }
+}
+
+}  // namespace madderdeck::quarantine
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -9,11 +9,6 @@
 
 /// Calls that broke with one back end are told in one message.
 constexpr Duration kTogether = 1ms;
-/// News goes out twice: one datagram in a hundred is lost, and the request may come again before the nodes compare. Of
-/// 200 simulated fleets with that loss three ended a fourth back end when news went out once.
-constexpr Duration kTellAgain = 40ms;
-/// A message of so many stays below the size at which datagrams are cut up.
-constexpr std::size_t kMostInOneDatagram = 6;
 /// Engines that ended under a request ended 20 to 110 ms after its run began. Most live replies take some 700 ms.
 constexpr Duration kAdvanced = 250ms;
 /// By then the engines that ended are back, and what ran beside the request has come to its end or is suspected itself.
@@ -22,6 +17,12 @@
 constexpr std::size_t kMostInOneList = 128;
 /// Between lists: nodes that differ for good, since one has no room, shall not do nothing else.
 constexpr Duration kBetweenLists = 200ms;
+/// A node that has just started asks again after it: a list of 20 KB has come back by then.
+constexpr Duration kAskAgain = 50ms;
+/// By then the comparisons have begun, and the node has found the others or has none.
+constexpr Duration kAskFor = 5s;
+/// A node that knows nothing has asked at its start instead; what it missed comes with the others' comparisons, too.
+constexpr Duration kAskedInstead = 1'400ms;
 /// Apart from the keys of the ledger, which begin with other letters.
 constexpr char kStoredKey[] = "q/suspected";
 
@@ -63,9 +64,30 @@
       detector_(detector),
       senders_(std::move(senders)),
       is_leaving_(std::move(is_leaving)),
-      guards_(guards) {}
+      guards_(guards),
+      delivery_(environment, counters, log, senders_,
+                [this](const std::vector<request_fingerprint>& requests) { return news_of(requests); }) {
+  detector_.on_late_end = lifetime_.guard([this](const routing::broken_call& call) { record_end(call); });
+}
+
+void request_quarantine::start() {
+  started_at_ = environment_.now();
+  ask_at_start();
+  environment_.after(kCompare, lifetime_.guard([this] { compare(); }));
+}
 
-void request_quarantine::start() { compare(); }
+/// The first comparison may be lost, and the node would send on what others hold back.
+void request_quarantine::ask_at_start() {
+  if (answered_at_start_ || !guards_.tell_others || environment_.now() - started_at_ > kAskFor) {
+    return;
+  }
+  const std::vector<PeerAddress> peers = senders_();
+  if (!peers.empty()) {
+    counters_["quarantine_asked_at_start_total"]++;
+    send_shared(peers[environment_.random() % peers.size()], true);
+  }
+  environment_.after(kAskAgain, lifetime_.guard([this] { ask_at_start(); }));
+}
 
 void request_quarantine::keep_in(ledger::Storage& storage) {
   storage_ = &storage;
@@ -129,24 +151,32 @@
 
 void request_quarantine::call_broke(const routing::broken_call& call, decided done) {
   detector_.call_broke(call, lifetime_.guard([this, call, done = std::move(done)](bool ended) {
-    if (ended && !is_leaving_(call.backend)) {
-      const bool before = history_.holds_back(call.request);
-      const UnixMilliseconds now = environment_.unix_milliseconds();
-      if (history_.record(call.request, {call.backend, now, call.answered_for >= kAdvanced}, now)) {
-        counters_["quarantine_ends_recorded_total"]++;
-        note_if_held_back(call.request, before, "saw");
-        tell(call.request);
-      }
+    if (ended) {
+      record_end(call);
     }
     done(ended);
   }));
 }
 
+void request_quarantine::record_end(const routing::broken_call& call) {
+  if (is_leaving_(call.backend)) {
+    return;
+  }
+  const bool before = history_.holds_back(call.request);
+  const UnixMilliseconds now = environment_.unix_milliseconds();
+  if (!history_.record(call.request, {call.backend, now, call.answered_for >= kAdvanced}, now)) {
+    return;
+  }
+  counters_["quarantine_ends_recorded_total"]++;
+  note_if_held_back(call.request, before, "saw");
+  tell(call.request);
+}
+
 void request_quarantine::call_answered(const request_fingerprint& request) {
   if (history_.acquit(request, environment_.unix_milliseconds())) {
     counters_["quarantine_acquitted_total"]++;
     log_.record("request_acquitted", {{"fingerprint", request.str()}});
-    tell(request);
+      tell(request);
   }
 }
 
@@ -178,25 +208,17 @@
 void request_quarantine::tell_waiting() {
   std::vector<request_fingerprint> waiting;
   std::swap(waiting, to_tell_);
-  send_news(waiting);
-  environment_.after(kTellAgain, lifetime_.guard([this, waiting = std::move(waiting)] { send_news(waiting); }));
+  delivery_.tell(waiting);
 }
 
-void request_quarantine::send_news(const std::vector<request_fingerprint>& waiting) {
-  const std::vector<PeerAddress> peers = senders_();
-  for (std::size_t first = 0; first < waiting.size(); first += kMostInOneDatagram) {
-    const std::size_t end = std::min(waiting.size(), first + kMostInOneDatagram);
-    for (const PeerAddress& peer : peers) {
-      wire::SuspicionNewsT news;
-      for (std::size_t position = first; position < end; ++position) {
-        if (const suspected_request* known = history_.find(waiting[position])) {
-          news.requests.push_back(to_wire(*known));
-        }
-      }
-      send_message(environment_, peer, std::move(news));
-      counters_["quarantine_news_sent_total"]++;
+wire::SuspicionNewsT request_quarantine::news_of(const std::vector<request_fingerprint>& requests) const {
+  wire::SuspicionNewsT news;
+  for (const request_fingerprint& request : requests) {
+    if (const suspected_request* known = history_.find(request)) {
+      news.requests.push_back(to_wire(*known));
     }
   }
+  return news;
 }
 
 void request_quarantine::take(const std::vector<std::unique_ptr<wire::SuspectedRequestT>>& requests) {
@@ -211,16 +233,47 @@
   }
 }
 
-void request_quarantine::handle(const wire::SuspicionNewsT& message) { take(message.requests); }
+void request_quarantine::handle(const PeerAddress& sender, const wire::SuspicionNewsT& message) {
+  take(message.requests);
+  if (message.number == 0) {
+    return;  // of a node that asks for no answer
+  }
+  wire::SuspicionTakenT taken;
+  taken.number = message.number;
+  send_message(environment_, sender, std::move(taken));
+  answer_with_more(sender, message);
+}
+
+void request_quarantine::handle(const PeerAddress& sender, const wire::SuspicionTakenT& message) {
+  delivery_.taken(sender, message.number);
+}
+
+/// A node that missed an end tells of the next one without it: it learns with the answer, not with a comparison 200 ms
+/// later.
+void request_quarantine::answer_with_more(const PeerAddress& sender, const wire::SuspicionNewsT& message) {
+  std::vector<request_fingerprint> more;
+  for (const auto& told : message.requests) {
+    const request_fingerprint request{told->high, told->low};
+    if (history_.ends(request) > told->ends.size()) {
+      more.push_back(request);
+    }
+  }
+  if (!more.empty()) {
+    counters_["quarantine_answered_with_more_total"]++;
+    send_message(environment_, sender, news_of(more));
+  }
+}
 
 void request_quarantine::compare() {
-  environment_.after(kCompare, lifetime_.guard([this] { compare(); }));
+  const Duration pause = history_.digest() == 0 ? kCompare : kCompareKnown;
+  environment_.after(pause, lifetime_.guard([this] { compare(); }));
   history_.forget_old(environment_.unix_milliseconds());
   keep();
   counters_["quarantine_requests_known"] = static_cast<CounterValue>(history_.size());
   counters_["quarantine_requests_held_back"] = static_cast<CounterValue>(history_.held_back());
   const std::vector<PeerAddress> peers = senders_();
-  if (peers.empty() || !guards_.tell_others) {
+  const bool asked_just_now = history_.digest() == 0 && environment_.now() - started_at_ < kAskedInstead;
+  if (peers.empty() || asked_just_now || !guards_.tell_others) {
     return;
   }
   wire::SuspicionDigestT message;
@@ -256,6 +309,8 @@
   take(message.requests);
   if (message.reply) {
     send_shared(sender, false);
+  } else {
+    answered_at_start_ = true;
   }
 }
 
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -7,6 +7,7 @@
 #include "ledger/storage.hpp"
 #include "quarantine/end_detector.hpp"
 #include "quarantine/end_history.hpp"
+#include "quarantine/news_delivery.hpp"
 
 namespace madderdeck::quarantine {
 
@@ -16,9 +17,9 @@
   bool tell_others = true;  ///< The other nodes hear of each end.
 };
 
-/// Each end is told to all nodes that send requests, in one datagram each. What was lost, and what a node missed that
-/// was cut off, frozen or not there, is made good by comparing digests with one node every kCompare. No call to the
-/// platform's store. Single threaded.
+/// Each end is told to all nodes that send requests until each has taken it. What a node missed that was cut off,
+/// frozen or not there is made good by comparing digests with one node every kCompare, and by asking at the start. No
+/// call to the platform's store. Single threaded.
 class request_quarantine : public routing::repeat_guard {
  public:
   /// @return peer addresses of all other nodes that send requests to back ends.
@@ -45,7 +46,8 @@
   void call_broke(const routing::broken_call& call, decided done) override;
   void call_answered(const routing::request_fingerprint& request) override;
 
-  void handle(const wire::SuspicionNewsT& message);
+  void handle(const PeerAddress& sender, const wire::SuspicionNewsT& message);
+  void handle(const PeerAddress& sender, const wire::SuspicionTakenT& message);
   void handle(const PeerAddress& sender, const wire::SuspicionDigestT& message);
   void handle(const PeerAddress& sender, const wire::SuspicionSyncT& message);
 
@@ -53,15 +55,22 @@
 
   /// A node that missed news has it after two of these, within the 3 s in which nodes in touch may be behind.
   static constexpr Duration kCompare = 500ms;
+  /// While there is something to compare: 15 times in those 3 s, each with two or three messages that may be lost.
+  static constexpr Duration kCompareKnown = 200ms;
 
  private:
   void compare();
+  /// Asks one node after the other for its list until one answers.
+  void ask_at_start();
+  void record_end(const routing::broken_call& call);
   void keep();
   void note_unreadable(ErrorKind kind);
   /// Tells all others of @p request, together with what else comes up within kTogether.
   void tell(const routing::request_fingerprint& request);
   void tell_waiting();
-  void send_news(const std::vector<routing::request_fingerprint>& waiting);
+  wire::SuspicionNewsT news_of(const std::vector<routing::request_fingerprint>& requests) const;
+  /// Tells @p sender what it does not know of the requests that it told of.
+  void answer_with_more(const PeerAddress& sender, const wire::SuspicionNewsT& message);
   void take(const std::vector<std::unique_ptr<wire::SuspectedRequestT>>& requests);
   wire::SuspicionSyncT shared_list() const;
   void send_shared(const PeerAddress& to, bool reply);
@@ -75,7 +84,10 @@
   const leaving is_leaving_;
   const quarantine_guards guards_;
   end_history history_;
+  news_delivery delivery_;
   std::vector<routing::request_fingerprint> to_tell_;
+  Timestamp started_at_{};
+  bool answered_at_start_ = false;
   Timestamp sent_shared_at_{};
   ledger::Storage* storage_ = nullptr;  ///< Only on nodes with a disk.
   std::uint64_t kept_digest_ = 0;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -218,6 +218,10 @@
 struct SuspicionNewsBuilder;
 struct SuspicionNewsT;
 
+struct SuspicionTaken;
+struct SuspicionTakenBuilder;
+struct SuspicionTakenT;
+
 struct SuspicionDigest;
 struct SuspicionDigestBuilder;
 struct SuspicionDigestT;
@@ -461,11 +465,12 @@
   ItemsHeld = 39,
   RevisionQuestion = 40,
   RevisionAnswer = 41,
+  SuspicionTaken = 42,
   MIN = NONE,
-  MAX = RevisionAnswer
+  MAX = SuspicionTaken
 };
 
-inline const Message (&EnumValuesMessage())[42] {
+inline const Message (&EnumValuesMessage())[43] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -508,13 +513,14 @@
     Message::SuspicionSync,
     Message::ItemsHeld,
     Message::RevisionQuestion,
-    Message::RevisionAnswer
+    Message::RevisionAnswer,
+    Message::SuspicionTaken
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[43] = {
+  static const char * const names[44] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -557,13 +563,14 @@
     "ItemsHeld",
     "RevisionQuestion",
     "RevisionAnswer",
+    "SuspicionTaken",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::RevisionAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::SuspicionTaken)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -736,6 +743,10 @@
   static const Message enum_value = Message::RevisionAnswer;
 };
 
+template<> struct MessageTraits<madderdeck::wire::SuspicionTaken> {
+  static const Message enum_value = Message::SuspicionTaken;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -904,6 +915,10 @@
   static const Message enum_value = Message::RevisionAnswer;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::SuspicionTakenT> {
+  static const Message enum_value = Message::SuspicionTaken;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1262,6 +1277,14 @@
     return type == Message::RevisionAnswer ?
       reinterpret_cast<const madderdeck::wire::RevisionAnswerT *>(value) : nullptr;
   }
+  madderdeck::wire::SuspicionTakenT *AsSuspicionTaken() {
+    return type == Message::SuspicionTaken ?
+      reinterpret_cast<madderdeck::wire::SuspicionTakenT *>(value) : nullptr;
+  }
+  const madderdeck::wire::SuspicionTakenT *AsSuspicionTaken() const {
+    return type == Message::SuspicionTaken ?
+      reinterpret_cast<const madderdeck::wire::SuspicionTakenT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -7178,6 +7201,7 @@
 struct SuspicionNewsT : public flatbuffers::NativeTable {
   typedef SuspicionNews TableType;
   std::vector<std::unique_ptr<madderdeck::wire::SuspectedRequestT>> requests{};
+  uint64_t number = 0;
   SuspicionNewsT() = default;
   SuspicionNewsT(const SuspicionNewsT &o);
   SuspicionNewsT(SuspicionNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -7189,16 +7213,21 @@
   typedef SuspicionNewsBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REQUESTS = 4
+    VT_REQUESTS = 4,
+    VT_NUMBER = 6
   };
   const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *requests() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *>(VT_REQUESTS);
   }
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_REQUESTS) &&
            verifier.VerifyVector(requests()) &&
            verifier.VerifyVectorOfTables(requests()) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            verifier.EndTable();
   }
   SuspicionNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -7213,6 +7242,9 @@
   void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>> requests) {
     fbb_.AddOffset(SuspicionNews::VT_REQUESTS, requests);
   }
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(SuspicionNews::VT_NUMBER, number, 0);
+  }
   explicit SuspicionNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -7226,8 +7258,10 @@
 
 inline flatbuffers::Offset<SuspicionNews> CreateSuspicionNews(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>> requests = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>> requests = 0,
+    uint64_t number = 0) {
   SuspicionNewsBuilder builder_(_fbb);
+  builder_.add_number(number);
   builder_.add_requests(requests);
   return builder_.Finish();
 }
@@ -7239,15 +7273,75 @@
 
 inline flatbuffers::Offset<SuspicionNews> CreateSuspicionNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *requests = nullptr) {
+    const std::vector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> *requests = nullptr,
+    uint64_t number = 0) {
   auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>>(*requests) : 0;
   return madderdeck::wire::CreateSuspicionNews(
       _fbb,
-      requests__);
+      requests__,
+      number);
 }
 
 flatbuffers::Offset<SuspicionNews> CreateSuspicionNews(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SuspicionTakenT : public flatbuffers::NativeTable {
+  typedef SuspicionTaken TableType;
+  uint64_t number = 0;
+};
+
+struct SuspicionTaken FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SuspicionTakenT NativeTableType;
+  typedef SuspicionTakenBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  SuspicionTakenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SuspicionTakenT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SuspicionTaken> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionTakenT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SuspicionTakenBuilder {
+  typedef SuspicionTaken Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(SuspicionTaken::VT_NUMBER, number, 0);
+  }
+  explicit SuspicionTakenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SuspicionTaken> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SuspicionTaken>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SuspicionTaken> CreateSuspicionTaken(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0) {
+  SuspicionTakenBuilder builder_(_fbb);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct SuspicionTaken::Traits {
+  using type = SuspicionTaken;
+  static auto constexpr Create = CreateSuspicionTaken;
+};
+
+flatbuffers::Offset<SuspicionTaken> CreateSuspicionTaken(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct SuspicionDigestT : public flatbuffers::NativeTable {
   typedef SuspicionDigest TableType;
   uint64_t digest = 0;
@@ -7540,6 +7634,9 @@
   const madderdeck::wire::RevisionAnswer *body_as_RevisionAnswer() const {
     return body_type() == madderdeck::wire::Message::RevisionAnswer ? static_cast<const madderdeck::wire::RevisionAnswer *>(body()) : nullptr;
   }
+  const madderdeck::wire::SuspicionTaken *body_as_SuspicionTaken() const {
+    return body_type() == madderdeck::wire::Message::SuspicionTaken ? static_cast<const madderdeck::wire::SuspicionTaken *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -7718,6 +7815,10 @@
   return body_as_RevisionAnswer();
 }
 
+template<> inline const madderdeck::wire::SuspicionTaken *Envelope::body_as<madderdeck::wire::SuspicionTaken>() const {
+  return body_as_SuspicionTaken();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -11146,13 +11247,15 @@
       _held_back_at_ms);
 }
 
-inline SuspicionNewsT::SuspicionNewsT(const SuspicionNewsT &o) {
+inline SuspicionNewsT::SuspicionNewsT(const SuspicionNewsT &o)
+      : number(o.number) {
   requests.reserve(o.requests.size());
   for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new madderdeck::wire::SuspectedRequestT(*requests_) : nullptr); }
 }
 
 inline SuspicionNewsT &SuspicionNewsT::operator=(SuspicionNewsT o) FLATBUFFERS_NOEXCEPT {
   std::swap(requests, o.requests);
+  std::swap(number, o.number);
   return *this;
 }
 
@@ -11166,6 +11269,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<madderdeck::wire::SuspectedRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = number(); _o->number = _e; }
 }
 
 inline flatbuffers::Offset<SuspicionNews> SuspicionNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11177,9 +11281,37 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspicionNewsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::SuspectedRequest>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspectedRequest(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _number = _o->number;
   return madderdeck::wire::CreateSuspicionNews(
       _fbb,
-      _requests);
+      _requests,
+      _number);
+}
+
+inline SuspicionTakenT *SuspicionTaken::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SuspicionTakenT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SuspicionTaken::UnPackTo(SuspicionTakenT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<SuspicionTaken> SuspicionTaken::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionTakenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSuspicionTaken(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SuspicionTaken> CreateSuspicionTaken(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SuspicionTakenT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  return madderdeck::wire::CreateSuspicionTaken(
+      _fbb,
+      _number);
 }
 
 inline SuspicionDigestT *SuspicionDigest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -11897,6 +12029,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::RevisionAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::SuspicionTaken: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionTaken *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -12080,6 +12216,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::RevisionAnswer *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::SuspicionTaken: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionTaken *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -12251,6 +12391,10 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::RevisionAnswerT *>(value);
       return CreateRevisionAnswer(_fbb, ptr, _rehasher).Union();
     }
+    case Message::SuspicionTaken: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::SuspicionTakenT *>(value);
+      return CreateSuspicionTaken(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -12421,6 +12565,10 @@
       value = new madderdeck::wire::RevisionAnswerT(*reinterpret_cast<madderdeck::wire::RevisionAnswerT *>(u.value));
       break;
     }
+    case Message::SuspicionTaken: {
+      value = new madderdeck::wire::SuspicionTakenT(*reinterpret_cast<madderdeck::wire::SuspicionTakenT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -12633,6 +12781,11 @@
       delete ptr;
       break;
     }
+    case Message::SuspicionTaken: {
+      auto ptr = reinterpret_cast<madderdeck::wire::SuspicionTakenT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -111,7 +111,9 @@
         request_quarantine& receiver = nodes[to]->quarantine;
         const PeerAddress sender(std::to_string(from));
         if (carried->type == wire::Message::SuspicionNews) {
-          receiver.handle(*carried->AsSuspicionNews());
+          receiver.handle(sender, *carried->AsSuspicionNews());
+        } else if (carried->type == wire::Message::SuspicionTaken) {
+          receiver.handle(sender, *carried->AsSuspicionTaken());
         } else if (carried->type == wire::Message::SuspicionDigest) {
           receiver.handle(sender, *carried->AsSuspicionDigest());
         } else {
@@ -299,6 +301,35 @@
   CHECK(damaged.nodes[0]->counters["quarantine_stored_unreadable_total"] == 1);
 }
 
+// An innocent request runs on three back ends that a fatal one ends. Its own node has seen all three, the other one's
+// third end is told 2 ms later: until then the innocent one alone has three.
+TEST_CASE("nobody is judged while the other nodes may still tell who ran there besides") {
+  spread_fixture fixture(4);
+  const request_fingerprint beside = fingerprint_of({"tenant", "POST", "/path", "another body"});
+  request_quarantine& judge = fixture.nodes[1]->quarantine;
+  const auto ends_beside = [&fixture, &beside](const std::string& backend) {
+    spread_fixture::node& at = *fixture.nodes[1];
+    at.quarantine.call_broke({beside, "innocent", BackendId(backend)}, [](bool) {});
+    at.backends.checks.back().done(reachability::refused);
+  };
+  for (unsigned end = 0; end < 3; ++end) {
+    ends_beside("engine-" + std::to_string(end));
+    if (end < 2) {
+      fixture.ends(0, "engine-" + std::to_string(end));
+      fixture.run_for(150ms);
+    }
+  }
+  CHECK(judge.undecided_for(beside) == request_quarantine::kUndecided);
+  fixture.run_for(20ms);
+  fixture.ends(0, "engine-2");
+  fixture.ends(0, "engine-3");  // the second try of that call
+  fixture.run_for(request_quarantine::kUndecided + 10ms);
+  CHECK(judge.undecided_for(beside) == Duration::zero());
+  CHECK_FALSE(judge.holds_back(beside, "innocent"));
+  CHECK(fixture.nodes[1]->counters["quarantine_begun_total"] == 1);  // of the fatal one
+  CHECK(judge.holds_back(fixture.request, "fatal"));
+}
+
 // All nodes lose power 60 ms after the third end. The list goes to the disk with the next comparison only, up to 500 ms
 // after the end, so it is gone and three more engines end.
 TEST_CASE("what is held back is on the disk before the next comparison") {
