What is held back goes to the disk 20 ms after it changes

Symptom: three engines more after a loss of power shortly after the third end. Cause: the list went to the disk with the next comparison only, up to 500 ms later. Now 20 ms after a change, what comes together in one write.

--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -23,6 +23,8 @@
 constexpr Duration kAskFor = 5s;
 /// A node that knows nothing has asked at its start instead; what it missed comes with the others' comparisons, too.
 constexpr Duration kAskedInstead = 1'400ms;
+/// What comes together is written together; a loss of power in between costs it.
+constexpr Duration kKeepSoon = 20ms;
 /// Apart from the keys of the ledger, which begin with other letters.
 constexpr char kStoredKey[] = "q/suspected";
 
@@ -113,6 +115,18 @@
   log_.record("quarantine_unreadable", {{"error", error_kind_name(kind)}});
 }
 
+/// Not with the next comparison only: all nodes may lose power before it.
+void request_quarantine::keep_soon() {
+  if (storage_ == nullptr || keeps_soon_) {
+    return;
+  }
+  keeps_soon_ = true;
+  environment_.after(kKeepSoon, lifetime_.guard([this] {
+    keeps_soon_ = false;
+    keep();
+  }));
+}
+
 void request_quarantine::keep() {
   if (storage_ == nullptr || kept_digest_ == history_.digest()) {
     return;
@@ -143,6 +157,10 @@
   return true;
 }
 
+void request_quarantine::note_change(const request_fingerprint& request) {
+  keep_soon();
+}
+
 bool request_quarantine::allows_retrial(const request_fingerprint& request) const {
   const suspected_request* known = history_.find(request);
   const bool one_more = known != nullptr && known->ends.size() == end_history::kEndsToHoldBack;
@@ -168,6 +186,7 @@
     return;
   }
   counters_["quarantine_ends_recorded_total"]++;
+  note_change(call.request);
   note_if_held_back(call.request, before, "saw");
   tell(call.request);
 }
@@ -176,7 +195,8 @@
   if (history_.acquit(request, environment_.unix_milliseconds())) {
     counters_["quarantine_acquitted_total"]++;
     log_.record("request_acquitted", {{"fingerprint", request.str()}});
-      tell(request);
+    keep_soon();
+    tell(request);
   }
 }
 
@@ -228,6 +248,7 @@
     const bool before = history_.holds_back(told.request);
     if (history_.merge(told, now)) {
       counters_["quarantine_news_taken_total"]++;
+      note_change(told.request);
       note_if_held_back(told.request, before, "heard");
     }
   }
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -63,6 +63,9 @@
   /// Asks one node after the other for its list until one answers.
   void ask_at_start();
   void record_end(const routing::broken_call& call);
+  /// What is known of @p request has changed.
+  void note_change(const routing::request_fingerprint& request);
+  void keep_soon();
   void keep();
   void note_unreadable(ErrorKind kind);
   /// Tells all others of @p request, together with what else comes up within kTogether.
@@ -88,6 +91,7 @@
   std::vector<routing::request_fingerprint> to_tell_;
   Timestamp started_at_{};
   bool answered_at_start_ = false;
+  bool keeps_soon_ = false;
   Timestamp sent_shared_at_{};
   ledger::Storage* storage_ = nullptr;  ///< Only on nodes with a disk.
   std::uint64_t kept_digest_ = 0;
