Nobody is held back while the nodes still tell each other who ran there besides

Cause: it ran on the same three engines; its third end was seen at its own node 2 ms before the fatal one's was heard, which explains it, and it was judged at once. Now a request with two ends or more is not judged, nor sent, within 100 ms of the last news of it (the others look at the engine twice, 20 ms apart, and tell, also when a message is lost); it waits and is judged then. It also keeps a repeat from being sent while word of the third end is on its way.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -367,7 +367,8 @@
   if (repeats_ == nullptr || !repeats_->remembers_any() || repeats_->allows_retrial(fingerprint_of(work))) {
     return false;
   }
-  return repeats_->holds_back(fingerprint_of(work), name_of(work));
+  const bool undecided = repeats_->undecided_for(fingerprint_of(work)) > Duration::zero();
+  return undecided || repeats_->holds_back(fingerprint_of(work), name_of(work));
 }
 
 void Dispatcher::withhold(Queued work) {
@@ -377,7 +378,9 @@
     write_result(std::move(work), true);
     return;
   }
-  withheld_.push_back({std::move(work), environment_.now() + kWithheld});
+  const Duration undecided = repeats_->undecided_for(fingerprint_of(work));
+  const Duration wait = undecided > Duration::zero() ? undecided : kWithheld;
+  withheld_.push_back({std::move(work), environment_.now() + wait});
 }
 
 void Dispatcher::return_withheld() {
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -114,8 +114,29 @@
   return true;
 }
 
+/// A request is not refused for what another one did that ran beside it, nor sent while word of a third end is on its
+/// way.
+bool Forwarder::wait_if_undecided(ForwardId id) {
+  if (repeats_ == nullptr || !repeats_->remembers_any()) {
+    return false;
+  }
+  Active& active = requests_.at(id);
+  const Duration wait = repeats_->undecided_for(fingerprint_of(active));
+  if (wait <= Duration::zero()) {
+    return false;
+  }
+  counters_["forward_waited_undecided_total"]++;
+  active.attempt = 0;
+  environment_.after(wait, lifetime_.guard([this, id] {
+    if (requests_.contains(id)) {
+      attempt(id);
+    }
+  }));
+  return true;
+}
+
 void Forwarder::attempt(ForwardId id) {
-  if (end_if_held_back(id)) {
+  if (wait_if_undecided(id) || end_if_held_back(id)) {
     return;
   }
   Active& active = requests_.at(id);
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -140,6 +140,8 @@
   bool may_send_again(const Active& active) const;
   /// Ends a request that must not be sent to any back end.
   /// @return whether it did.
+  /// @return whether it goes on with its attempt later.
+  bool wait_if_undecided(ForwardId id);
   bool end_if_held_back(ForwardId id);
   static const routing::request_fingerprint& fingerprint_of(Active& active);
 
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -157,7 +157,23 @@
   return true;
 }
 
+Duration request_quarantine::undecided_for(const request_fingerprint& request) const {
+  const suspected_request* known = history_.find(request);
+  const bool several = known != nullptr && known->ends.size() + 1 >= end_history::kEndsToHoldBack;
+  if (!several || !guards_.hold_back || !guards_.await_news || known->ends.size() >= end_history::kMostEnds) {
+    return Duration::zero();
+  }
+  const auto changed = changed_at_.find(request);
+  if (changed == changed_at_.end()) {
+    return Duration::zero();
+  }
+  return std::max(Duration::zero(), changed->second + kUndecided - environment_.now());
+}
+
 void request_quarantine::note_change(const request_fingerprint& request) {
+  const Timestamp now = environment_.now();
+  std::erase_if(changed_at_, [now](const auto& entry) { return entry.second + kUndecided < now; });
+  changed_at_[request] = now;
   keep_soon();
 }
 
@@ -204,6 +220,11 @@
   if (before || !history_.holds_back(request)) {
     return;
   }
+  // Not said before it is decided: what ran beside the request has as many ends for a moment.
+  if (const Duration wait = undecided_for(request); wait > Duration::zero()) {
+    environment_.after(wait, lifetime_.guard([this, request, learned] { note_if_held_back(request, false, learned); }));
+    return;
+  }
   const suspected_request& known = *history_.find(request);
   log_.record("request_quarantined",
               {{"fingerprint", request.str()},
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -15,6 +15,7 @@
 struct quarantine_guards {
   bool hold_back = true;    ///< A request under which three back ends have ended is not sent again.
   bool tell_others = true;  ///< The other nodes hear of each end.
+  bool await_news = true;   ///< Nobody is judged while others may still tell of ends that explain these.
 };
 
 /// Each end is told to all nodes that send requests until each has taken it. What a node missed that was cut off,
@@ -40,6 +41,7 @@
   bool suspects(const routing::request_fingerprint& request) const override { return history_.ends(request) > 0; }
   bool holds_back(const routing::request_fingerprint& request, const std::string& id) override;
   bool allows_retrial(const routing::request_fingerprint& request) const override;
+  Duration undecided_for(const routing::request_fingerprint& request) const override;
   bool beyond_doubt(const routing::request_fingerprint& request) const override {
     return history_.beyond_doubt(request);
   }
@@ -57,6 +59,9 @@
   static constexpr Duration kCompare = 500ms;
   /// While there is something to compare: 15 times in those 3 s, each with two or three messages that may be lost.
   static constexpr Duration kCompareKnown = 200ms;
+  /// From the last news of a request with two ends or more: by then the others that had calls on the same back end have
+  /// looked at it (twice, 20 ms apart) and told, also when the first message is lost.
+  static constexpr Duration kUndecided = 100ms;
 
  private:
   void compare();
@@ -89,6 +94,7 @@
   end_history history_;
   news_delivery delivery_;
   std::vector<routing::request_fingerprint> to_tell_;
+  std::map<routing::request_fingerprint, Timestamp> changed_at_;  ///< Of the last kUndecided, by this node's clock.
   Timestamp started_at_{};
   bool answered_at_start_ = false;
   bool keeps_soon_ = false;
--- a/src/routing/live_router.cpp
+++ b/src/routing/live_router.cpp
@@ -67,7 +67,27 @@
          repeats_->holds_back(fingerprint_of(call_of(requests_.at(id))), std::to_string(id));
 }
 
+bool LiveRouter::wait_if_undecided(LiveId id) {
+  if (repeats_ == nullptr || !repeats_->remembers_any()) {
+    return false;
+  }
+  const Duration wait = repeats_->undecided_for(fingerprint_of(call_of(requests_.at(id))));
+  if (wait <= Duration::zero()) {
+    return false;
+  }
+  counters_["live_waited_undecided_total"]++;
+  environment_.after(wait, lifetime_.guard([this, id] {
+    if (requests_.contains(id)) {
+      attempt(id);
+    }
+  }));
+  return true;
+}
+
 void LiveRouter::attempt(LiveId id) {
+  if (wait_if_undecided(id)) {
+    return;
+  }
   Active& active = requests_.at(id);
   if (held_back(id)) {
     counters_["live_refused_quarantined_total"]++;
--- a/src/routing/live_router.hpp
+++ b/src/routing/live_router.hpp
@@ -89,6 +89,8 @@
   void retry_or_end(LiveId id);
   /// @return the call that asks for what @p active still lacks.
   static EngineCall call_of(const Active& active);
+  /// @return whether it goes on with its attempt later.
+  bool wait_if_undecided(LiveId id);
   bool held_back(LiveId id);
   std::vector<Backend*> choices(const Active& active);
 
--- a/src/routing/repeat_guard.hpp
+++ b/src/routing/repeat_guard.hpp
@@ -30,6 +30,10 @@
   virtual bool suspects(const request_fingerprint& request) const = 0;
   /// @return whether @p request may not be sent any more. Counted and logged under @p id when it may not.
   virtual bool holds_back(const request_fingerprint& request, const std::string& id) = 0;
+  /// @return how long it is too early to say whether @p request may be sent; zero: it can be said now. Several back
+  /// ends
+  ///         ended a moment ago, and who ran there besides is still being told.
+  virtual Duration undecided_for(const request_fingerprint&) const { return Duration::zero(); }
   /// @return whether work that nobody waits for, though held back, may be tried once more by itself: what ran beside a
   ///         fatal request three times would otherwise be lost with it.
   virtual bool allows_retrial(const request_fingerprint& request) const = 0;
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -124,7 +124,37 @@
   return routing::fingerprint_of({request.key.tenant, "call", request.service, request.body});
 }
 
+bool ServiceRouter::wait_if_undecided(RequestId id) {
+  if (repeats_ == nullptr || !repeats_->remembers_any()) {
+    return false;
+  }
+  const Duration wait = repeats_->undecided_for(fingerprint_of(requests_.at(id).request));
+  if (wait <= Duration::zero()) {
+    return false;
+  }
+  counters_["service_waited_undecided_total"]++;
+  environment_.after(wait, lifetime_.guard([this, id] {
+    const auto entry = requests_.find(id);
+    if (entry == requests_.end()) {
+      return;
+    }
+    const Active& active = entry->second;
+    if (active.done) {
+      send(id);
+      return;
+    }
+    if (active.claimed && !active.maybe_ran) {
+      claims_.release(active.request.key, active.attempt, [](bool) {});  // the caller was told "not run"
+    }
+    forget(id);
+  }));
+  return true;
+}
+
 void ServiceRouter::send(RequestId id) {
+  if (wait_if_undecided(id)) {
+    return;
+  }
   Active& active = requests_.at(id);
   if (repeats_ != nullptr && repeats_->remembers_any() &&
       repeats_->holds_back(fingerprint_of(active.request), std::to_string(active.attempt))) {
--- a/src/routing/service_router.hpp
+++ b/src/routing/service_router.hpp
@@ -64,6 +64,8 @@
   void on_claim(RequestId id, Result<ClaimResult> result);
   void on_existing_claim(RequestId id, const wire::ClaimRecordT& record);
   void poll_claim(RequestId id);
+  /// @return whether it is sent later, if its caller still waits then.
+  bool wait_if_undecided(RequestId id);
   void send(RequestId id);
   void on_answer(RequestId id, const ServiceAnswer& answer);
   void on_failure(RequestId id, CallFailure failure);
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -376,7 +376,9 @@
     verdicts.push_back(std::move(done));
   }
   void call_answered(const routing::request_fingerprint&) override { ++answered; }
+  Duration undecided_for(const routing::request_fingerprint&) const override { return undecided; }
 
+  Duration undecided = Duration::zero();
   bool suspected = false;
   bool held = false;
   std::vector<routing::broken_call> broken;
@@ -399,6 +401,31 @@
   CHECK(fixture.caller.refusal->retry_after == Duration::zero());
 }
 
+TEST_CASE("a request that cannot be judged yet is judged a moment later, and sent once") {
+  Fixture fixture;
+  scripted_guard guard;
+  guard.suspected = true;
+  guard.undecided = 60ms;
+  fixture.forwarder.use_repeat_guard(guard);
+  fixture.start();
+  fixture.environment.world.run_for(59ms);
+  CHECK(fixture.upstream.calls.empty());
+  CHECK_FALSE(fixture.caller.refusal);
+  guard.undecided = Duration::zero();
+  SECTION("another one explains what happened") {
+    fixture.environment.world.run_for(2ms);
+    CHECK(fixture.upstream.calls.size() == 1);
+    CHECK_FALSE(fixture.caller.refusal);
+  }
+  SECTION("nothing else does") {
+    guard.held = true;
+    fixture.environment.world.run_for(2ms);
+    CHECK(fixture.upstream.calls.empty());
+    REQUIRE(fixture.caller.refusal);
+    CHECK(fixture.caller.refusal->error.kind == ErrorKind::quarantined);
+  }
+}
+
 TEST_CASE("a request that waits for an engine is not sent once others know what it does") {
   Fixture fixture;
   scripted_guard guard;
