Simulation: a leaving back end gets no new work after 2 s, as the strictest site has it

The oracle allowed 5 s where sites tell 2, 3 and 4 s, so three of these five seconds of late requests went unnoticed. Before: 5 s (3 s where an entry goes without a word).

--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -144,7 +144,7 @@
   }
   options.controller.group_count = 4;
   options.controller.feed_silence = 2s;
-  options.leave_notice = kNoticeOfUnlisted;
+  options.leave_notice = kLeaveNotice;
   options.guards = guards;
   NodeLife life;
   life.log = make_log(number);
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -70,12 +70,12 @@
     fail(routing::CallFailure::not_sent);
     return;
   }
-  if (engine.model.leaving() && fleet_.world.now() - engine.leaving_since > kLeavingGrace) {
+  if (engine.model.leaving() && fleet_.world.now() - engine.leaving_since > kLeaveNotice) {
     fleet_.oracle.violated(Promise::leaving_gets_no_work, "engine " + std::to_string(stream->engine) + " was sent work",
                            fleet_.world.now());
   }
   const bool counts = fleet_.in_touch(node_) && fleet_.platform_sound();
-  if (counts && engine.unlisted_since && fleet_.world.now() - *engine.unlisted_since > kNoticeOfUnlisted) {
+  if (counts && engine.unlisted_since && fleet_.world.now() - *engine.unlisted_since > kLeaveNotice) {
     fleet_.oracle.violated(Promise::leaving_gets_no_work,
                            "engine " + std::to_string(stream->engine) + " was sent work after its entry had gone",
                            fleet_.world.now());
@@ -197,7 +197,7 @@
       return;
     }
     if (service.leaving) {
-      if (fleet_.world.now() - service.leaving_since > kLeavingGrace) {
+      if (fleet_.world.now() - service.leaving_since > kLeaveNotice) {
         fleet_.oracle.violated(Promise::leaving_gets_no_work, "service " + std::to_string(number) + " was sent work",
                                fleet_.world.now());
       }
--- a/src/simulation/support.hpp
+++ b/src/simulation/support.hpp
@@ -7,10 +7,9 @@
 
 namespace madderdeck::simulation {
 
-/// A leaving back end may get new work for this long.
-inline constexpr Duration kLeavingGrace = 5s;
-/// One whose entry goes without a word may for this long, by nodes that hear of it.
-inline constexpr Duration kNoticeOfUnlisted = 3s;
+/// A back end that says that it leaves, or whose entry goes without a word, may get new work for so long by nodes that hear
+/// of it: what the strictest of the users' sites allows.
+inline constexpr Duration kLeaveNotice = 2s;
 
 /// @return a delay of at least @p least, below @p least + @p spread.
 inline Duration jitter(World& world, Duration least, Duration spread) {
