--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -203,6 +203,7 @@
   void poll_loads();
   void fetch_load(const BackendId& id);
   void tell_unexplained(const BackendId& id);
+  void note_unknown_kind(const PeerAddress& sender, unsigned kind);
   bool polls(const routing::Backend& backend);
 
   bool configured() const;
@@ -211,6 +212,7 @@
   std::uint64_t next_awaiting_ = 0;
   std::map<BackendId, ToldActivity> activity_;
   Timestamp started_at_{};
+  std::optional<Timestamp> unknown_kind_said_at_;
   Lifetime lifetime_;
 };
 
--- /dev/null
+++ b/src/simulation/earlier_version.cpp
@@ -0,0 +1,25 @@
+#include "simulation/earlier_version.hpp"
+
+namespace madderdeck::simulation {
+
+bool reduce_to_earlier_version(wire::MessageUnion& message) {
+  switch (message.type) {
+    case wire::Message::RevisionQuestion:
+    case wire::Message::RevisionAnswer:
+    case wire::Message::SuspicionTaken:
+      return false;
+    case wire::Message::TablePull:
+      message.AsTablePull()->number = 0;
+      return true;
+    case wire::Message::TableDelta:
+      message.AsTableDelta()->number = 0;
+      return true;
+    case wire::Message::SuspicionNews:
+      message.AsSuspicionNews()->number = 0;
+      return true;
+    default:
+      return true;
+  }
+}
+
+}  // namespace madderdeck::simulation
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ostream>
 
+#include "simulation/earlier_version.hpp"
 #include "simulation/support.hpp"
 
 namespace madderdeck::simulation {
@@ -54,6 +55,10 @@
   fleet_.nodes[node_]->process.schedule(delay, std::move(task));
 }
 void SimEnvironment::send(const PeerAddress& to, wire::MessageUnion message) {
+  const bool reduced = fleet_.speak_earlier_version(node_, number_of(to.str()));
+  if (reduced && !reduce_to_earlier_version(message)) {
+    return;
+  }
   std::vector<wire::MessageUnion> messages;
   messages.push_back(std::move(message));
   fleet_.deliver_message(node_, to, wire::encode_frame(SimFleet::address_of(node_), messages));
@@ -143,7 +148,7 @@
     options.seeds.push_back(address_of(seed));
   }
   options.controller.group_count = 4;
-  options.controller.feed_silence = 2s;
+  options.controller.keep_within(kLeaveNotice);  // as the deployed program does
   options.leave_notice = kLeaveNotice;
   options.guards = guards;
   NodeLife life;
@@ -338,6 +343,10 @@
   return conditions.cuts.contains({std::min(one, other), std::max(one, other)});
 }
 
+bool SimFleet::speak_earlier_version(unsigned one, unsigned other) const {
+  return profile.mixed_versions && (one % 2 == 1 || other % 2 == 1);
+}
+
 void SimFleet::deliver_message(unsigned from, const PeerAddress& to, const wire::Bytes& frame) {
   const unsigned target = number_of(to.str());
   if (target >= nodes.size() || cut_between(from, target)) {
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -31,7 +31,8 @@
   std::uint32_t live_tokens = 10;
   std::uint32_t batch_tokens = 60;
   std::uint32_t job_items = 20;
-  unsigned loss_percent = 1;  ///< Of messages between nodes, while no fault raises it.
+  bool mixed_versions = false;  ///< Every other node speaks as an earlier version does.
+  unsigned loss_percent = 1;    ///< Of messages between nodes, while no fault raises it.
 };
 /// @return the profile of that name, if there is one.
 std::optional<Profile> find_profile(const std::string& name);
@@ -280,6 +281,8 @@
   void set_service_leaving(unsigned number, bool leaving);
   void heal();
   bool cut_between(unsigned one, unsigned other) const;
+  /// @return whether what passes between these two is what an earlier version knows.
+  bool speak_earlier_version(unsigned one, unsigned other) const;
   /// Checks draining nodes and ends those that are done; called regularly.
   void check_drains();
   /// Compares configuration of all nodes with the store.
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -19,6 +19,7 @@
               "Instead of a mix: 'request' or 'generation', one that ends its engines, sent 30 times at other nodes.");
 DEFINE_uint64(pause_ms, 400, "With --repeats: between two of them.");
 DEFINE_uint64(loss_percent, 1, "Messages between nodes that are lost while no fault raises it.");
+DEFINE_bool(mixed_versions, false, "Every other node speaks as an earlier version does.");
 DEFINE_bool(log, false, "Print the decision lines of all nodes.");
 DEFINE_bool(json, false, "Print only the JSON result.");
 DEFINE_bool(list_mutants, false, "List the versions without a guard.");
@@ -219,7 +220,7 @@
   gflags::SetUsageMessage(
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
       "[--mix=standard|hardening|listing|leaving] "
-      "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--log] "
+      "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
       "[--json]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
   if (FLAGS_list_mutants) {
@@ -244,6 +245,7 @@
   if (!FLAGS_repeats.empty() && FLAGS_repeats != "request" && FLAGS_repeats != "generation") {
     return usage("repeats: found " + FLAGS_repeats);
   }
+  profile->mixed_versions = FLAGS_mixed_versions;
   profile->loss_percent = static_cast<unsigned>(FLAGS_loss_percent);
   if (FLAGS_all_mutants) {
     return run_mutants(*profile);
--- a/src/simulation/support.hpp
+++ b/src/simulation/support.hpp
@@ -7,8 +7,8 @@
 
 namespace madderdeck::simulation {
 
-/// A back end that says that it leaves, or whose entry goes without a word, may get new work for so long by nodes that hear
-/// of it: what the strictest of the users' sites allows.
+/// A back end that says that it leaves, or whose entry goes without a word, may get new work for so long by nodes that
+/// hear of it: what the strictest of the users' sites allows.
 inline constexpr Duration kLeaveNotice = 2s;
 
 /// @return a delay of at least @p least, below @p least + @p spread.
--- a/tests/wire/codec_test.cpp
+++ b/tests/wire/codec_test.cpp
@@ -48,3 +48,21 @@
 TEST_CASE("a damaged record is not decoded") {
   REQUIRE_FALSE(wire::decode_record<wire::JobRecordT>(std::string("nonsense")).has_value());
 }
+
+// While versions run side by side a later one sends kinds of message that this one does not know.
+TEST_CASE("a message of an unknown kind does not take the others of its frame along") {
+  flatbuffers::FlatBufferBuilder builder;
+  const auto sender = builder.CreateString("127.0.0.1:7000");
+  const auto known = wire::CreateRevisionNotice(builder, wire::TableId::Objects, 7);
+  const auto later_kind = static_cast<wire::Message>(250);
+  const std::vector<flatbuffers::Offset<wire::Envelope>> envelopes = {
+      wire::CreateEnvelope(builder, sender, later_kind, known.Union()),
+      wire::CreateEnvelope(builder, sender, wire::Message::RevisionNotice, known.Union())};
+  builder.Finish(wire::CreateFrame(builder, builder.CreateVector(envelopes)));
+  const std::string_view bytes(reinterpret_cast<const char*>(builder.GetBufferPointer()), builder.GetSize());
+  const auto decoded = wire::decode_frame(bytes);
+  REQUIRE(succeeded(decoded));
+  REQUIRE(value_of(decoded).size() == 2);
+  CHECK(value_of(decoded)[0].body.value == nullptr);
+  CHECK(value_of(decoded)[1].body.AsRevisionNotice()->revision == 7);
+}
