Nobody is judged too early where a coordinator names the engine, either

A request that had waited for its engine was judged at its sending without the 100 ms in which others still tell who ran there besides: it could be refused for what another one did. It waits there, too, and asks for an engine again. Unit test, red before.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -238,8 +238,8 @@
 }
 
 void Forwarder::send_to(ForwardId id, Backend& backend, const std::vector<Backend*>& open) {
-  // It may have waited for its engine while others learned what it does.
-  if (end_if_held_back(id)) {
+  // It may have waited for its engine while others learned what it does, or what ran beside it.
+  if (wait_if_undecided(id) || end_if_held_back(id)) {
     return;
   }
   Active& active = requests_.at(id);
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -441,6 +441,29 @@
   CHECK(fixture.caller.refusal->error.kind == ErrorKind::quarantined);
 }
 
+// The verdict is put off on both ways to an engine: where a coordinator names it, a request was refused for what
+// another one did that ran beside it.
+TEST_CASE("a request that got its engine while it cannot be judged asks for one again a moment later") {
+  Fixture fixture;
+  scripted_guard guard;
+  scripted_placer placer;
+  fixture.forwarder.use_repeat_guard(guard);
+  fixture.forwarder.use_placer(placer);
+  fixture.start();
+  REQUIRE(placer.answers.size() == 1);
+  guard.held = true;
+  guard.undecided = 60ms;
+  placer.answers[0](place_answer{BackendId("engine-1")});
+  CHECK(fixture.upstream.calls.empty());
+  CHECK_FALSE(fixture.caller.refusal);
+  guard.held = false;
+  guard.undecided = Duration::zero();
+  fixture.environment.world.run_for(61ms);
+  REQUIRE(placer.answers.size() == 2);
+  placer.answers[1](place_answer{BackendId("engine-1")});
+  CHECK(fixture.upstream.calls.size() == 1);
+}
+
 TEST_CASE("the first break of a call that nobody suspects is tried again at once") {
   Fixture fixture;
   scripted_guard guard;
