--- a/tests/quarantine/end_detector_test.cpp
+++ b/tests/quarantine/end_detector_test.cpp
@@ -79,9 +79,9 @@
   CHECK(fixture.verdicts == std::vector<bool>{true});
 }
 
-// A request ends seven engines, four of which were counted. The connection of a call breaks by itself, the engine goes
-// on with the request and ends by it 20 to 110 ms later; it was asked while it still took connections. Shown by
-// hardening schedule 96: 'backend_checked found=listening' of an engine that is down 60 ms later.
+// The connection of a call breaks by itself, the engine goes on with the request and ends by it 20 to 110 ms later; it
+// was asked only while it still took connections, so the end was not counted. Inferred from an earlier finding (seven
+// ends, four seen); its schedule was not traced again.
 TEST_CASE("a back end that ends a moment after a connection to it broke is noticed") {
   detector_fixture fixture;
   std::vector<std::string> late;
