Messages to a peer go in small frames, long ones apart from short ones

Callers saw: after heavy load no job could be read at any node, readings ended with 'the time for the answer is over' for good. Cause: all messages to one peer shared frames of up to 256 messages, whatever their size, one frame at a time. A frame over 32 MB is refused by its receiver, one that takes a busy receiver over 5 s is given up by its sender: either way all of it is lost, the small questions of readers with it, and the receiver's work on it is in vain. A refused frame was not counted. Lost frames are counted with their messages and told once a second (peer_frame_lost).

--- a/src/common/environment.hpp
+++ b/src/common/environment.hpp
@@ -31,6 +31,11 @@
   virtual std::uint64_t random() = 0;
   /// Sends @p message to a peer. Messages may be lost, repeated, delayed and reordered.
   virtual void send(const PeerAddress& to, wire::MessageUnion message) = 0;
+  /// As send(), but @p message has no use for the peer after @p useful_for: it may be dropped then unsent.
+  virtual void send_within(Duration useful_for, const PeerAddress& to, wire::MessageUnion message) {
+    static_cast<void>(useful_for);
+    send(to, std::move(message));
+  }
   /// Runs @p task once, @p delay from now.
   virtual void after(Duration delay, std::function<void()> task) = 0;
 };
@@ -43,6 +48,14 @@
   environment.send(to, std::move(body));
 }
 
+/// Wraps a typed message and sends it while it is useful.
+template <class MessageTable>
+void send_message_within(Duration useful_for, Environment& environment, const PeerAddress& to, MessageTable message) {
+  wire::MessageUnion body;
+  body.Set(std::move(message));
+  environment.send_within(useful_for, to, std::move(body));
+}
+
 /// Lets timers and late callbacks find out that their owner is gone.
 class Lifetime {
  public:
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -330,6 +330,18 @@
   CallNumber next = 0;
 };
 
+const char* call_break_name(CallBreak reason) {
+  switch (reason) {
+    case CallBreak::connect_failed:
+      return "connect_failed";
+    case CallBreak::broken:
+      return "broken";
+    case CallBreak::timed_out:
+      break;
+  }
+  return "timed_out";
+}
+
 HttpClient::HttpClient(asio::io_context& context, std::string local_ip)
     : implementation_(std::make_shared<Implementation>(context, std::move(local_ip))) {}
 HttpClient::~HttpClient() = default;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -21,6 +21,9 @@
   timed_out,       ///< No progress in time after sending had begun.
 };
 
+/// @return a word for log lines.
+const char* call_break_name(CallBreak reason);
+
 struct ClientCallEvents {
   std::function<void(unsigned status, const Headers& headers)> header;
   std::function<void(std::string_view piece)> body;
--- a/src/node/asio_environment.cpp
+++ b/src/node/asio_environment.cpp
@@ -8,9 +8,12 @@
 namespace asio = boost::asio;
 using udp = asio::ip::udp;
 
-constexpr std::size_t kMaxWaiting = 20'000;  ///< Messages to one peer; the oldest go first.
-constexpr std::size_t kMessagesPerFrame = 256;
 constexpr std::size_t kMaxFrameBytes = 32 * 1024 * 1024;
+constexpr std::chrono::seconds kFrameTime{5};  ///< For a frame to arrive and be answered, beside the time of its bytes.
+/// Slowest peer to which a long frame is not given up.
+constexpr std::size_t kLeastBytesPerSecond = 256 << 10;
+constexpr Duration kLossLinePause = 1s;  ///< Between two log lines about lost frames.
+constexpr unsigned kTaken = 204;
 
 bool is_datagram(wire::Message type) {
   return type == wire::Message::Ping || type == wire::Message::PingRequest || type == wire::Message::Ack ||
@@ -89,6 +92,10 @@
 }
 
 void AsioEnvironment::send(const PeerAddress& to, wire::MessageUnion message) {
+  send_within(Duration::max() / 2, to, std::move(message));
+}
+
+void AsioEnvironment::send_within(Duration useful_for, const PeerAddress& to, wire::MessageUnion message) {
   if (to == self_) {
     auto incoming = std::make_shared<wire::Incoming>(wire::Incoming{self_, std::move(message)});
     asio::post(context_, [this, incoming] { on_message_(*incoming); });
@@ -99,15 +106,14 @@
     return;
   }
   Outbox& outbox = outboxes_[to];
-  if (outbox.waiting.size() >= kMaxWaiting) {
-    outbox.waiting.pop_front();
-    counters_["peer_messages_dropped_total"]++;
-  }
-  outbox.waiting.push_back(std::move(message));
-  if (!outbox.sending) {
-    outbox.sending = true;
+  const Timestamp time = now();
+  const peer_lane lane = outbox.waiting.add(std::move(message), time, time + useful_for);
+  counters_["peer_messages_dropped_total"] += static_cast<CounterValue>(outbox.waiting.take_dropped());
+  bool& sending = outbox.sending.at(static_cast<std::size_t>(lane));
+  if (!sending) {
+    sending = true;
     // Messages of the same turn of the loop share a frame.
-    asio::post(context_, [this, to] { flush(to); });
+    asio::post(context_, [this, to, lane] { flush(to, lane); });
   }
 }
 
@@ -123,36 +129,59 @@
   counters_["peer_datagram_bytes_sent_total"] += static_cast<CounterValue>(frame.size());
 }
 
-void AsioEnvironment::flush(const PeerAddress& to) {
+void AsioEnvironment::flush(const PeerAddress& to, peer_lane lane) {
   Outbox& outbox = outboxes_[to];
-  if (outbox.waiting.empty()) {
-    outbox.sending = false;
+  const std::vector<wire::MessageUnion> messages = outbox.waiting.next_frame(lane, now());
+  counters_["peer_messages_dropped_total"] += static_cast<CounterValue>(outbox.waiting.take_dropped());
+  if (messages.empty()) {
+    outbox.sending.at(static_cast<std::size_t>(lane)) = false;
     return;
   }
-  std::vector<wire::MessageUnion> messages;
-  while (!outbox.waiting.empty() && messages.size() < kMessagesPerFrame) {
-    messages.push_back(std::move(outbox.waiting.front()));
-    outbox.waiting.pop_front();
-  }
   const wire::Bytes frame = wire::encode_frame(self_, messages);
+  counters_["peer_stream_bytes_sent_total"] += static_cast<CounterValue>(frame.size());
+  post(to, frame, {lane, messages.size(), frame.size(), now()});
+}
+
+void AsioEnvironment::post(const PeerAddress& to, const wire::Bytes& frame, SentFrame sent) {
   net::HttpRequest request;
   request.method = "POST";
   request.target = kPeerMessagesPath;
   request.body.assign(reinterpret_cast<const char*>(frame.data()), frame.size());
-  counters_["peer_stream_bytes_sent_total"] += static_cast<CounterValue>(frame.size());
   net::ClientCallOptions options;
-  options.idle_timeout = std::chrono::seconds(5);
+  options.idle_timeout = kFrameTime + std::chrono::milliseconds(frame.size() * 1000 / kLeastBytesPerSecond);
   client_.fetch(
       to.str(), std::move(request),
-      [this, to](const std::variant<net::SimpleResponse, net::CallBreak>& result) {
-        if (std::holds_alternative<net::CallBreak>(result)) {
-          counters_["peer_frames_failed_total"]++;
+      [this, to, sent](const std::variant<net::SimpleResponse, net::CallBreak>& result) {
+        const auto* response = std::get_if<net::SimpleResponse>(&result);
+        if (response == nullptr) {
+          note_lost(to, sent, net::call_break_name(std::get<net::CallBreak>(result)));
+        } else if (response->status != kTaken) {
+          note_lost(to, sent, "status " + std::to_string(response->status) + ": " + response->body);
         }
-        flush(to);
+        flush(to, sent.lane);
       },
       options);
 }
 
+void AsioEnvironment::note_lost(const PeerAddress& to, const SentFrame& sent, const std::string& reason) {
+  counters_["peer_frames_failed_total"]++;
+  counters_["peer_frame_messages_lost_total"] += static_cast<CounterValue>(sent.messages);
+  ++losses_;
+  const bool said_just_now = loss_said_at_.count() != 0 && now() - loss_said_at_ < kLossLinePause;
+  if (log_ == nullptr || said_just_now) {
+    return;
+  }
+  loss_said_at_ = now();
+  log_->record("peer_frame_lost", {{"peer", to.str()},
+                                   {"bulk", sent.lane == peer_lane::bulk},
+                                   {"messages", sent.messages},
+                                   {"bytes", sent.bytes},
+                                   {"reason", reason},
+                                   {"took_ms", (now() - sent.sent_at) / 1ms},
+                                   {"frames", losses_}});
+  losses_ = 0;
+}
+
 void AsioEnvironment::receive_datagrams() {
   socket_.async_receive_from(asio::buffer(datagram_), remote_,
                              [this](boost::system::error_code failure, std::size_t bytes) {
--- a/src/node/asio_environment.hpp
+++ b/src/node/asio_environment.hpp
@@ -5,15 +5,16 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <deque>
 #include <map>
 #include <random>
 
 #include "common/counters.hpp"
+#include "common/decision_log.hpp"
 #include "common/environment.hpp"
 #include "net/boot_clock.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
+#include "node/peer_outbox.hpp"
 #include "wire/codec.hpp"
 
 namespace madderdeck::node {
@@ -29,6 +30,9 @@
 
   AsioEnvironment(boost::asio::io_context& context, Counters& counters, net::HttpClient& client, PeerAddress self);
 
+  /// Tells @p log of frames that were lost; it outlives this object.
+  void set_log(DecisionLog& log) { log_ = &log; }
+
   /// Opens the UDP socket and the peer HTTP server on this node's peer address.
   Status listen(OnMessage on_message);
 
@@ -36,16 +40,25 @@
   std::uint64_t unix_milliseconds() const override;
   std::uint64_t random() override { return generator_(); }
   void send(const PeerAddress& to, wire::MessageUnion message) override;
+  void send_within(Duration useful_for, const PeerAddress& to, wire::MessageUnion message) override;
   void after(Duration delay, std::function<void()> task) override;
 
  private:
   struct Outbox {
-    std::deque<wire::MessageUnion> waiting;
-    bool sending = false;
+    peer_outbox waiting;
+    std::array<bool, kPeerLanes> sending{};
+  };
+  struct SentFrame {
+    peer_lane lane = peer_lane::prompt;
+    std::size_t messages = 0;
+    std::size_t bytes = 0;
+    Timestamp sent_at{};
   };
 
   void send_datagram(const PeerAddress& to, const wire::MessageUnion& message);
-  void flush(const PeerAddress& to);
+  void flush(const PeerAddress& to, peer_lane lane);
+  void post(const PeerAddress& to, const wire::Bytes& frame, SentFrame sent);
+  void note_lost(const PeerAddress& to, const SentFrame& sent, const std::string& reason);
   void receive_datagrams();
   void take_frame(std::string_view bytes);
 
@@ -59,6 +72,9 @@
   std::unique_ptr<net::HttpServer> server_;
   OnMessage on_message_;
   std::map<PeerAddress, Outbox> outboxes_;
+  DecisionLog* log_ = nullptr;
+  Timestamp loss_said_at_{};
+  std::size_t losses_ = 0;  ///< Frames lost since the last line about them.
   std::mt19937_64 generator_;
 };
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -37,7 +37,9 @@
         platform_(integration.make_platform(client_, settings)),
         background_(1),
         signals_(context_, SIGTERM, SIGINT),
-        reload_signal_(context_, SIGHUP) {}
+        reload_signal_(context_, SIGHUP) {
+    environment_.set_log(log_);
+  }
 
   Status run() {
     const Status prepared = prepare();
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -8,8 +8,53 @@
   std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(words.data()));
   return words;
 }
+
+std::size_t value_bytes(const std::vector<std::unique_ptr<LedgerRecordT>>& records) {
+  std::size_t bytes = 0;
+  for (const auto& record : records) {
+    bytes += record->key.size() + record->value.size();
+  }
+  return bytes;
+}
+
+std::size_t item_bytes(const GiveItemsT& message) {
+  std::size_t bytes = 0;
+  for (const auto& item : message.items) {
+    bytes += item->body.size() + item->partial.size();
+  }
+  return bytes;
+}
+
+std::size_t entry_bytes(const TableDeltaT& message) {
+  std::size_t bytes = 0;
+  for (const auto& entry : message.entries) {
+    bytes += entry->name.size() + entry->body.size();
+  }
+  return bytes;
+}
 }  // namespace
 
+std::size_t payload_bytes(const MessageUnion& message) {
+  switch (message.type) {
+    case Message::Accept:
+      return message.AsAccept()->value.size();
+    case Message::Promise:
+      return message.AsPromise()->value.size();
+    case Message::ScanReply:
+      return value_bytes(message.AsScanReply()->records);
+    case Message::CopyReply:
+      return value_bytes(message.AsCopyReply()->records);
+    case Message::GiveItems:
+      return item_bytes(*message.AsGiveItems());
+    case Message::ItemSettled:
+      return message.AsItemSettled()->partial.size();
+    case Message::TableDelta:
+      return entry_bytes(*message.AsTableDelta());
+    default:
+      return 0;
+  }
+}
+
 Bytes encode_frame(const PeerAddress& sender, const std::vector<MessageUnion>& messages) {
   flatbuffers::FlatBufferBuilder builder(1024);
   std::vector<flatbuffers::Offset<Envelope>> envelopes;
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -24,6 +24,9 @@
 /// @return the encoded frame holding @p messages, all from @p sender.
 Bytes encode_frame(const PeerAddress& sender, const std::vector<MessageUnion>& messages);
 
+/// @return bytes of the values, bodies and texts in @p message that may be long; the rest of a message is small.
+std::size_t payload_bytes(const MessageUnion& message);
+
 /// Verifies and decodes a frame.
 /// @return the messages, or ErrorKind::corrupted when the bytes are no valid frame.
 Result<std::vector<Incoming>> decode_frame(std::string_view bytes);
--- a/tests/node/asio_environment_test.cpp
+++ b/tests/node/asio_environment_test.cpp
@@ -171,8 +171,8 @@
       const auto frame = wire::decode_frame(std::string_view(from.bytes).substr(head + 4, length));
       REQUIRE(succeeded(frame));
       for (const wire::Incoming& incoming : value_of(frame)) {
-        arrived.emplace(incoming.body.AsAccept()->request, std::chrono::duration_cast<Timestamp>(
-                                                               std::chrono::steady_clock::now() - started_));
+        arrived.emplace(incoming.body.AsAccept()->request,
+                        std::chrono::duration_cast<Timestamp>(std::chrono::steady_clock::now() - started_));
       }
       from.bytes.erase(0, whole);
       boost::asio::write(from.stream, boost::asio::buffer(std::string("HTTP/1.1 204 No Content\r\n\r\n")));
