Fleet runner: which nodes with a disk may be struck is a rule of its own

Cause: the saboteur struck no node with a disk while another one was struck, by a set of names that timers emptied; the rule stood between signals and timers, without a test. Change: loss_rule (separate_losses, as until now; overlapping_losses for a mix to come) counts stopped nodes, disks that have to be copied and retirements, told each moment; the saboteur asks it. A node is struck until as many faults have ended as began; one that ends by itself within its catch-up time is noticed at once.

--- /dev/null
+++ b/tests/platform/bench/loss_rule_test.cpp
@@ -0,0 +1,126 @@
+#include "loss_rule.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace std::chrono_literals;
+using namespace madderdeck::users_platform::bench;
+
+namespace {
+
+const std::vector<std::string> kThree = {"a", "b", "c"};
+const std::vector<std::string> kFive = {"a", "b", "c", "d", "e"};
+constexpr std::chrono::milliseconds kCatchUp = 6s;
+
+using names = std::vector<std::string>;
+
+}  // namespace
+
+TEST_CASE("separate losses: a node counts until it has been back for the catch-up time") {
+  separate_losses rule(kThree, 1, kCatchUp);
+  CHECK(rule.stoppable(1s) == allowance{kThree, 1});
+  rule.note_stopped("b", 1s);
+  CHECK(rule.stoppable(2s).at_once == 0);
+  CHECK(rule.losable(2s).at_once == 0);
+  rule.note_back("b", 3s);
+  CHECK(rule.counts("b", 8'999ms));
+  CHECK(rule.stoppable(8'999ms).at_once == 0);
+  CHECK(rule.stoppable(9s) == allowance{kThree, 1});
+  CHECK(rule.at_rest(9s));
+}
+
+TEST_CASE("separate losses: a node that is being emptied counts, one that was taken away does not") {
+  separate_losses rule(kFive, 2, kCatchUp);
+  rule.note_leaving("c");
+  CHECK(rule.stoppable(1s) == allowance{{"a", "b", "d", "e"}, 1});
+  CHECK_FALSE(rule.at_rest(1s));
+  rule.note_left("c", 2s);
+  CHECK(rule.stoppable(2s) == allowance{{"a", "b", "d", "e"}, 2});
+  rule.note_stopped("a", 3s);
+  CHECK(rule.stoppable(3s) == allowance{{"b", "d", "e"}, 1});
+}
+
+TEST_CASE("overlapping losses: all nodes may be stopped, and no more disks lost than tolerated") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  CHECK(rule.stoppable(1s) == allowance{kThree, 3});
+  rule.note_stopped("a", 1s);
+  rule.note_disk_lost("a", 1s);
+  CHECK(rule.stoppable(1s) == allowance{{"b", "c"}, 2});
+  CHECK(rule.losable(1s) == allowance{{"a"}, 1});  // only the same one again
+  rule.note_back("a", 2s);
+  CHECK(rule.losable(7'999ms) == allowance{{"a"}, 1});
+  CHECK(rule.losable(8s) == allowance{kThree, 1});
+}
+
+TEST_CASE(
+    "overlapping losses: a lost disk that cannot be copied counts until all nodes have been back for long enough") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_stopped("a", 1s);
+  rule.note_disk_lost("a", 1s);
+  rule.note_back("a", 2s);
+  rule.note_stopped("b", 3s);  // nobody to copy from but the third
+  CHECK(rule.losable(8s) == allowance{{"a"}, 1});
+  rule.note_back("b", 10s);
+  CHECK(rule.losable(15'999ms) == allowance{{"a"}, 1});
+  CHECK(rule.losable(16s) == allowance{kThree, 1});
+}
+
+TEST_CASE("overlapping losses: a copied disk is not counted again when its node is stopped later") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_stopped("a", 1s);
+  rule.note_disk_lost("a", 1s);
+  rule.note_back("a", 2s);
+  rule.note_stopped("a", 9s);
+  CHECK(rule.losable(9s) == allowance{kThree, 1});
+}
+
+TEST_CASE("overlapping losses: within the tolerance a lost disk waits for its own node only") {
+  overlapping_losses rule(kFive, 2, kCatchUp);
+  rule.note_stopped("a", 1s);
+  rule.note_disk_lost("a", 1s);
+  rule.note_stopped("b", 1s);
+  rule.note_back("a", 2s);
+  CHECK(rule.losable(7s) == allowance{{"b", "c", "d", "e"}, 1});
+  CHECK(rule.losable(8s) == allowance{kFive, 2});
+  CHECK_FALSE(rule.at_rest(8s));
+  rule.note_back("b", 9s);
+  CHECK_FALSE(rule.at_rest(14'999ms));
+  CHECK(rule.at_rest(15s));
+}
+
+TEST_CASE("overlapping losses: a node is stopped until as many faults have ended as began") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_stopped("a", 1s);
+  rule.note_stopped("a", 2s);
+  rule.note_disk_lost("a", 2s);
+  rule.note_back("a", 3s);
+  CHECK(rule.counts("a", 20s));
+  CHECK(rule.stoppable(20s).nodes == names{"b", "c"});
+  rule.note_back("a", 20s);
+  CHECK(rule.losable(25'999ms).nodes == names{"a"});
+  CHECK(rule.losable(26s).nodes == kThree);
+}
+
+TEST_CASE("overlapping losses: of a group that lost a member by retirement no more disks are lost than before") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_leaving("c");
+  CHECK(rule.losable(1s) == allowance{kThree, 1});  // it still holds what it held
+  CHECK_FALSE(rule.at_rest(1s));
+  rule.note_left("c", 2s);
+  CHECK(rule.at_rest(2s));
+  CHECK(rule.stoppable(2s) == allowance{{"a", "b"}, 2});
+  CHECK(rule.losable(2s) == allowance{{"a", "b"}, 1});
+  rule.note_stopped("b", 3s);
+  rule.note_disk_lost("b", 3s);
+  CHECK(rule.losable(3s) == allowance{{"b"}, 1});
+}
+
+TEST_CASE("overlapping losses: a lost disk whose node is taken away counts for the catch-up time") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_leaving("c");
+  rule.note_stopped("c", 1s);
+  rule.note_disk_lost("c", 1s);
+  rule.note_left("c", 2s);
+  rule.note_back("c", 3s);  // a restart that was due; it is gone
+  CHECK(rule.losable(7'999ms).at_once == 0);
+  CHECK(rule.losable(8s) == allowance{{"a", "b"}, 1});
+}
