--- /dev/null
+++ b/tests/platform/bench/fault_plan_test.cpp
@@ -0,0 +1,88 @@
+#include "fault_plan.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <set>
+
+using namespace std::chrono_literals;
+using namespace madderdeck::users_platform::bench;
+
+namespace {
+
+constexpr double kLength_s = 34;
+constexpr std::uint64_t kSeeds = 200;
+
+bool strikes_disks(const fault& event) {
+  const std::set<fault_kind> kinds = {
+      fault_kind::lose_disk,     fault_kind::kill_ledgers,    fault_kind::freeze_ledgers,      fault_kind::roll_ledgers,
+      fault_kind::retire_ledger, fault_kind::kill_everything, fault_kind::lose_disks_and_power};
+  return kinds.contains(event.kind);
+}
+
+/// A number that stands for a whole plan.
+std::uint64_t digest(const std::vector<fault>& plan) {
+  std::uint64_t sum = plan.size();
+  for (const fault& event : plan) {
+    sum = sum * 1'000'003 + static_cast<std::uint64_t>(event.kind);
+    sum = sum * 1'000'003 + event.choice;
+    sum = sum * 1'000'003 + static_cast<std::uint64_t>(event.at_s * 1000 + 0.5);
+  }
+  return sum;
+}
+
+}  // namespace
+
+TEST_CASE("losses: a plan comes from its seed, in order, within the run") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    const std::vector<fault> plan = draw_faults(seed, kLength_s, fault_mix::losses);
+    REQUIRE(plan.size() >= 2);
+    CHECK(plan == draw_faults(seed, kLength_s, fault_mix::losses));
+    CHECK(plan != draw_faults(seed + 1, kLength_s, fault_mix::losses));
+    CHECK(plan.front().at_s >= 2);
+    CHECK(plan.back().at_s <= kLength_s - 3);
+    CHECK(std::is_sorted(plan.begin(), plan.end(),
+                         [](const fault& left, const fault& right) { return left.at_s < right.at_s; }));
+    for (const fault& event : plan) {
+      CHECK(event.length >= 500ms);
+      CHECK(event.length < 5s);
+    }
+  }
+}
+
+TEST_CASE("losses: strikes come at once, 0.3 to 8 s apart and after rests, beside gateways and the store") {
+  std::set<fault_kind> drawn;
+  unsigned at_once = 0;
+  unsigned soon = 0;
+  unsigned rests = 0;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    double before = -1;
+    for (const fault& event : draw_faults(seed, kLength_s, fault_mix::losses)) {
+      drawn.insert(event.kind);
+      if (!strikes_disks(event)) {
+        continue;
+      }
+      const double gap = event.at_s - before;
+      if (before >= 0) {
+        CHECK((gap == 0 || gap > 0.299));
+        at_once += gap == 0 ? 1 : 0;
+        soon += gap > 0 && gap <= 8 ? 1 : 0;
+        rests += gap > 8 ? 1 : 0;
+      }
+      before = event.at_s;
+    }
+  }
+  CHECK(drawn.size() == 15);
+  CHECK(at_once > kSeeds);
+  CHECK(soon > kSeeds);
+  CHECK(rests > kSeeds / 2);
+}
+
+TEST_CASE("the plans of the other mixes stay as they are: seeds that failed once can be played again") {
+  CHECK(digest(draw_faults(88'001, kLength_s, fault_mix::mixed)) == 12514542997132099512ULL);
+  CHECK(digest(draw_faults(88'011, kLength_s, fault_mix::all)) == 8031778906006050505ULL);
+  CHECK(digest(draw_faults(88'021, kLength_s, fault_mix::rolling)) == 8491675726162866542ULL);
+  CHECK(digest(draw_faults(140, kLength_s, fault_mix::leaving)) == 9450902135293069579ULL);
+  CHECK(digest(draw_faults(23, kLength_s, fault_mix::upgrade)) == 12294567747468841112ULL);
+  CHECK(draw_faults(1, kLength_s, fault_mix::none).empty());
+}
