Fleet runner: losses last up to 8 s, beyond the time after which a silent member is replaced

Cause: up to 5 s were drawn; a node is replaced some seconds after it falls silent (0.7 s after it is taken for dead), so that few were replaced while they were away. Change: 0.5 to 8 s.

--- a/tests/platform/bench/fault_plan_test.cpp
+++ b/tests/platform/bench/fault_plan_test.cpp
@@ -45,7 +45,7 @@
                          [](const fault& left, const fault& right) { return left.at_s < right.at_s; }));
     for (const fault& event : plan) {
       CHECK(event.length >= 500ms);
-      CHECK(event.length < 5s);
+      CHECK(event.length < 8s);
     }
   }
 }
