A node says that it has left its groups only when none counts on it: not where one names it with a former disk, nor without word of any

Cause: Replica::left_all_groups looked at the groups that name the present disk only; a node with a new disk, or one that had just started, was in none, so that a retirement was reported completed at once. It was taken away while its groups still counted on it; the next lost disk left one member of three. Change: the replica keeps the latest word of each group; it has left only when none names its node with another disk.

--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -85,7 +85,19 @@
   }
 }
 
+void Replica::take_word(std::uint32_t group, const ReplicaGroup& description) {
+  GroupWord& word = words_[group];
+  if (description.epoch < word.epoch) {
+    return;
+  }
+  word.epoch = description.epoch;
+  word.names_former_disk =
+      std::any_of(description.replicas.begin(), description.replicas.end(),
+                  [this](const ReplicaIdentity& member) { return member.node == self_ && member.disk != disk_; });
+}
+
 void Replica::adopt_group(std::uint32_t group, const ReplicaGroup& description) {
+  take_word(group, description);
   auto known = progress_.find(group);
   const bool first_sight = known == progress_.end();
   GroupProgress progress = first_sight ? restore_group_state(group) : known->second;
@@ -675,6 +687,11 @@
 }
 
 bool Replica::left_all_groups() const {
+  const bool awaited =
+      std::any_of(words_.begin(), words_.end(), [](const auto& entry) { return entry.second.names_former_disk; });
+  if (awaited || (words_.empty() && progress_.empty())) {
+    return false;
+  }
   for (const auto& [group, progress] : progress_) {
     if (!progress.former || progress.copied_by.size() < progress.description.replicas.size()) {
       return false;
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -49,7 +49,8 @@
 
   /// Asks the members of groups that this disk has left whether they have copied everything.
   void ask_copy_status();
-  /// @return whether this disk is in no group any more, and all that it held stands elsewhere.
+  /// @return whether this disk is in no group any more, and all that it held stands elsewhere. A group that names this
+  ///         node with a disk that it had before still counts on the node; without word of any group nobody can say.
   bool left_all_groups() const;
 
   /// @return whether every group that this replica knows to name its disk has been copied to it.
@@ -88,12 +89,18 @@
     std::map<std::uint32_t, CopySource> copying;  ///< by number of the source
     std::set<std::uint32_t> copied_by;            ///< Members that hold all that this former one held.
   };
+  /// The latest word of a group, whether this disk is in it or not.
+  struct GroupWord {
+    std::uint64_t epoch = 0;
+    bool names_former_disk = false;  ///< This node is a member with another disk.
+  };
   struct StoredRecord {
     Ballot promised;
     Ballot accepted;
     wire::Bytes value;
   };
 
+  void take_word(std::uint32_t group, const ReplicaGroup& description);
   wire::ReplicaStatus admit(std::uint32_t group, std::uint64_t epoch, bool for_copy = false) const;
   /// Tells a peer of another epoch which one this replica knows.
   template <class Reply>
@@ -143,6 +150,7 @@
   const AddressLookup addresses_;
   const ReplicaGuards guards_;
   std::map<std::uint32_t, GroupProgress> progress_;
+  std::map<std::uint32_t, GroupWord> words_;
   bool copy_retry_scheduled_ = false;
   Lifetime lifetime_;
 };
