A lost disk is replaced by the new one of its node though that is to leave, where there is no other

Cause: a node that is to leave was no substitute, not even for its own lost disk. Its group went on naming the lost disk for good: of three members two were left, and the next lost disk, an allowed one, left one. Change: where nobody else is there, the new disk takes the lost one's place; the node then leaves like any other member, with what the others copy from each other.

--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -460,7 +460,17 @@
       best_rank = rank;
     }
   }
-  return best;
+  return best != nullptr ? best : with_new_disk(lost);
+}
+
+const wire::MemberT* Controller::with_new_disk(const ledger::ReplicaIdentity& lost) const {
+  for (const wire::MemberT* node : members_.available(membership::Role::ledger)) {
+    const bool obsolete = ledger_.is_obsolete({NodeId(node->id), DiskId(node->disk_id)});
+    if (node->id == lost.node.str() && !node->disk_id.empty() && node->disk_id != lost.disk.str() && !obsolete) {
+      return node;
+    }
+  }
+  return nullptr;
 }
 
 std::optional<ledger::ReplicaIdentity> Controller::survivor_of(const ledger::ReplicaGroup& group, std::size_t lost) {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -136,6 +136,10 @@
   const wire::MemberT* member(const NodeId& node) const;
   ReplicaState state_of(const ledger::ReplicaIdentity& replica);
   const wire::MemberT* substitute(const ledger::ReplicaGroup& group, const ledger::ReplicaIdentity& lost) const;
+  /// @return the node of @p lost if it runs with another disk by now, though it may be about to leave: it leaves like
+  /// any
+  ///         member then. Without it the group would count on the lost disk for good.
+  const wire::MemberT* with_new_disk(const ledger::ReplicaIdentity& lost) const;
 
   Environment& environment_;
   Counters& counters_;
