--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -53,6 +53,7 @@
     result.steps = actions.size();
     result.counts = oracle_.counts;
     result.fatal_requests = oracle_.fatal_requests();
+    result.over_three = fleet_.sent_fatal.over_three();
     return result;
   }
 
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -77,6 +77,7 @@
   std::uint64_t steps = 0;
   LoadCounts counts;
   std::map<std::string, Oracle::FatalRequest> fatal_requests;
+  std::vector<fatal_sends::finding> over_three;  ///< Sends that ended a fourth engine or a later one.
 };
 
 /// Which actions a schedule draws from.
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -15,6 +15,8 @@
 /// As the users' sites have it: a node that was disturbed may be behind the others for so long.
 constexpr Duration kContact = 3s;
 constexpr Duration kEngineRestart = 3s;
+constexpr Duration kKnowledgeLook = 500us;
+constexpr Duration kLookForKnowledge = 10s;
 
 std::string engine_name(unsigned number) { return "10.1.0." + std::to_string(number) + ":9000"; }
 std::string service_name(unsigned number) { return "10.2.0." + std::to_string(number) + ":9000"; }
@@ -265,22 +267,44 @@
   }
 }
 
-void SimFleet::end_engine_if_fatal(unsigned number, const std::string& body) {
-  if (!body.starts_with(kFatalRequest)) {
+std::size_t SimFleet::ends_known(unsigned node, const routing::request_fingerprint& request) const {
+  const SimNode& at = *nodes[node];
+  return at.process.up() && at.life.core ? at.life.core->quarantine.history().ends(request) : 0;
+}
+
+void SimFleet::end_engine_if_fatal(fatal_send send, const routing::request_fingerprint& request) {
+  if (!send.body.starts_with(kFatalRequest)) {
     return;
   }
-  SimProcess& process = engines[number]->process;
-  world.schedule(jitter(world, 20ms, 40ms), [this, number, body, &process, life = process.life()] {
+  SimProcess& process = engines[send.engine]->process;
+  world.schedule(jitter(world, 20ms, 40ms), [this, send = std::move(send), request, &process, life = process.life()] {
     if (!process.up() || process.life() != life) {
       return;  // ended by another one that ran beside it
     }
-    crash_engine(number);
-    note_engine(number, "ends under", body);
-    oracle.engine_ended_under(body, world.now());
+    crash_engine(send.engine);
+    note_engine(send.engine, "ends under", send.body);
+    oracle.engine_ended_under(send.body, world.now());
+    sent_fatal.ended(send, world.now());
+    await_knowledge(send.body, request);
     world.schedule(kEngineRestart, [&process] { process.start(); });
   });
 }
 
+void SimFleet::await_knowledge(const std::string& body, const routing::request_fingerprint& request) {
+  if (!sent_fatal.awaits_knowledge(body)) {
+    return;
+  }
+  for (unsigned node = 0; node < nodes.size(); ++node) {
+    if (ends_known(node, request) >= fatal_sends::kEndsThatTell) {
+      sent_fatal.known(body, world.now());
+      return;
+    }
+  }
+  if (world.now() - sent_fatal.third_end_at(body) < kLookForKnowledge) {
+    world.schedule(kKnowledgeLook, [this, body, request] { await_knowledge(body, request); });
+  }
+}
+
 bool SimFleet::platform_sound() const {
   const bool well = !conditions.platform_down && conditions.platform_delay < 100ms;
   return well && world.now() - conditions.platform_disturbed_at > kContact;
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -12,6 +12,7 @@
 #include "emulator/engine_model.hpp"
 #include "emulator/platform_model.hpp"
 #include "node/node_core.hpp"
+#include "simulation/fatal_sends.hpp"
 #include "simulation/oracle.hpp"
 #include "simulation/world.hpp"
 
@@ -138,6 +139,8 @@
     forwarding::UpstreamEvents events;
     unsigned engine = 0;
     std::uint64_t engine_life = 0;
+    Timestamp begun{};
+    std::size_t ends_known = 0;  ///< Of this request, to the node as it sent.
     std::uint64_t next_event = 1;
     bool cancelled = false;
     Timestamp last_delivery{};
@@ -267,8 +270,11 @@
   void crash_engine(unsigned number);
   /// A request with @p body that a node has sent reaches an engine.
   void note_sent(unsigned node, const std::string& body);
-  /// Ends engine @p number soon when @p body is that of a fatal request; it is back some seconds later.
-  void end_engine_if_fatal(unsigned number, const std::string& body);
+  /// @return how many ends @p node knows of the request, for the moment when it sends it.
+  std::size_t ends_known(unsigned node, const routing::request_fingerprint& request) const;
+  /// Ends the engine that @p send has reached soon when its body is that of a fatal request; it is back some seconds
+  /// later.
+  void end_engine_if_fatal(fatal_send send, const routing::request_fingerprint& request);
   /// @return whether @p node has run and reached all others for as long as nodes need to tell each other news.
   bool in_touch(unsigned node) const;
   /// Notes the nodes that are frozen or cut off.
@@ -301,6 +307,7 @@
   const Profile profile;
   const node::Guards guards;
   Conditions conditions;
+  fatal_sends sent_fatal;
   std::vector<std::unique_ptr<SimNode>> nodes;
   std::vector<std::unique_ptr<SimEngine>> engines;
   std::vector<std::unique_ptr<SimService>> services;
@@ -318,6 +325,8 @@
   /// Lives that have ended; events still queued for them refer to their objects.
   std::vector<NodeLife> ended_lives_;
   void count_suspension(SimNode& node) const;
+  /// Looks until a node knows three ends of @p request.
+  void await_knowledge(const std::string& body, const routing::request_fingerprint& request);
   void publish_engine(unsigned number);
   void publish_service(unsigned number);
 };
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -21,6 +21,7 @@
 DEFINE_uint64(loss_percent, 1, "Messages between nodes that are lost while no fault raises it.");
 DEFINE_bool(mixed_versions, false, "Every other node speaks as an earlier version does.");
 DEFINE_bool(log, false, "Print the decision lines of all nodes.");
+DEFINE_bool(over_three, false, "Print why each send was not held back that ended a fourth engine or a later one.");
 DEFINE_bool(json, false, "Print only the JSON result.");
 DEFINE_bool(list_mutants, false, "List the versions without a guard.");
 DEFINE_string(mutant, "", "Leave this guard out; the run then has to fail.");
@@ -60,6 +61,7 @@
   LoadCounts counts;
   std::map<std::string, std::uint64_t> violations;
   std::map<unsigned, std::uint64_t> engines_ended;  ///< Schedules by the most engines that one request ended.
+  std::map<std::string, std::uint64_t> over_three;  ///< Sends that ended a fourth engine or a later one, by reason.
 
   void add(const RunResult& result) {
     ++seeds;
@@ -69,6 +71,9 @@
     for (const Violation& violation : result.violations) {
       ++violations[promise_name(violation.promise)];
     }
+    for (const fatal_sends::finding& found : result.over_three) {
+      ++over_three[send_reason_name(found.reason)];
+    }
     ++engines_ended[most_ended(result)];
   }
   static unsigned most_ended(const RunResult& result) {
@@ -91,6 +96,10 @@
     for (const auto& [count, schedules] : engines_ended) {
       ended[std::to_string(count)] = schedules;
     }
+    json::object reasons;
+    for (const auto& [reason, count] : over_three) {
+      reasons[reason] = count;
+    }
     return json::object{{"seeds", seeds},
                         {"steps", steps},
                         {"faults", std::move(fault_counts)},
@@ -103,6 +112,7 @@
                         {"planned_stops", counts.planned_stops},
                         {"trace_hash", hex64(trace_hash)},
                         {"schedules_by_engines_ended", std::move(ended)},
+                        {"sends_over_three", std::move(reasons)},
                         {"violations", std::move(violation_counts)}};
   }
 };
@@ -130,6 +140,18 @@
   return repeats_at_other_nodes(kRepeats, static_cast<std::uint32_t>(FLAGS_pause_ms), kind);
 }
 
+void print_over_three(const RunResult& result) {
+  for (const fatal_sends::finding& found : result.over_three) {
+    std::cout << "seed " << result.seed << " end " << found.send.end << " under '" << found.send.body << "': node-"
+              << found.send.node << " sent it to engine-" << found.send.engine << " at " << found.send.begun / 1ms
+              << " ms, " << found.after_third_end / 1us << " us after the third end, knowing " << found.send.ends_known
+              << " ends; "
+              << (found.after_known ? std::to_string(*found.after_known / 1us) + " us after a node knew three"
+                                    : std::string("no node knew three"))
+              << ": " << send_reason_name(found.reason) << std::endl;
+  }
+}
+
 void print_violation(const RunResult& result, const Profile& profile, const node::Guards& guards, ScheduleMix mix) {
   std::cout << "seed " << result.seed << " violates:\n";
   for (const Violation& violation : result.violations) {
@@ -160,6 +182,9 @@
       std::cout << "seed " << seed << " engines ended " << Totals::most_ended(result) << " violations "
                 << result.violations.size() << std::endl;
     }
+    if (FLAGS_over_three) {
+      print_over_three(result);
+    }
     if (!FLAGS_json) {
       std::cout << "seed " << seed << " trace " << hex64(result.trace_hash) << " violations "
                 << result.violations.size() << std::endl;
@@ -221,6 +246,7 @@
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
       "[--mix=standard|hardening|listing|leaving] "
       "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
+      "[--over_three] "
       "[--json]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
   if (FLAGS_list_mutants) {
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -10,6 +10,9 @@
   routing::CallId id = 0;
   unsigned engine = 0;
   std::uint64_t engine_life = 0;
+  Timestamp begun{};
+  routing::request_fingerprint request;
+  std::size_t ends_known = 0;  ///< Of this request, to the node as it sent.
   emulator::GenerationId generation = 0;
   routing::EngineCall call;
   routing::EngineEvents events;
@@ -37,6 +40,9 @@
                                    routing::EngineEvents events) {
   auto stream = std::make_shared<EngineStream>();
   stream->id = ++next_;
+  stream->begun = fleet_.world.now();
+  stream->request = routing::fingerprint_of(call);
+  stream->ends_known = fleet_.ends_known(node_, stream->request);
   stream->engine = number_of(engine.str());
   stream->call = call;
   if (call.http) {
@@ -132,7 +138,8 @@
   stream->generation = std::get<emulator::GenerationId>(taken);
   stream->engine_life = engine.process.life();
   fleet_.note_sent(node_, stream->call.prompt);
-  fleet_.end_engine_if_fatal(stream->engine, stream->call.prompt);
+  fleet_.end_engine_if_fatal({stream->call.prompt, node_, stream->engine, 0, stream->begun, stream->ends_known},
+                             stream->request);
   watch_stream(stream);
 }
 
