A request with three ends that is sent on says why: tied with another one, or explained by others

Change: 'request_not_quarantined' beside 'request_quarantined', with the request that shares most of its ends.

--- a/src/quarantine/end_history.cpp
+++ b/src/quarantine/end_history.cpp
@@ -184,6 +184,24 @@
   return ends(request) >= kEndsToHoldBack && judged().ambiguous.contains(request);
 }
 
+std::optional<request_fingerprint> end_history::shares_most(const request_fingerprint& request) const {
+  const suspected_request* known = find(request);
+  std::optional<request_fingerprint> found;
+  std::size_t most = 0;
+  for (const auto& [other, beside] : requests_) {
+    if (known == nullptr || other == request) {
+      continue;
+    }
+    std::vector<backend_end> left = known->ends;
+    erase_shared(left, beside.ends);
+    if (const std::size_t shared = known->ends.size() - left.size(); shared > most) {
+      most = shared;
+      found = other;
+    }
+  }
+  return found;
+}
+
 bool end_history::beyond_doubt(const request_fingerprint& request) const {
   return holds_back(request) && ends(request) > kEndsToHoldBack;
 }
--- a/src/quarantine/end_history.hpp
+++ b/src/quarantine/end_history.hpp
@@ -72,6 +72,8 @@
   /// and
   ///         nobody can tell yet which.
   bool is_ambiguous(const routing::request_fingerprint& request) const;
+  /// @return the request besides @p request that shares most of its ends, if any does.
+  std::optional<routing::request_fingerprint> shares_most(const routing::request_fingerprint& request) const;
   /// @return whether @p request, held back, ended another back end when it was tried once more, or five in all.
   bool beyond_doubt(const routing::request_fingerprint& request) const;
   bool empty() const { return requests_.empty(); }
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -218,7 +218,7 @@
 }
 
 void request_quarantine::note_if_held_back(const request_fingerprint& request, bool before, std::string_view learned) {
-  if (before || !history_.holds_back(request)) {
+  if (before || history_.ends(request) < end_history::kEndsToHoldBack) {
     return;
   }
   // Not said before it is decided: what ran beside the request has as many ends for a moment.
@@ -227,6 +227,16 @@
     return;
   }
   const suspected_request& known = *history_.find(request);
+  if (!history_.holds_back(request)) {
+    const std::optional<request_fingerprint> other = history_.shares_most(request);
+    log_.record("request_not_quarantined", {{"fingerprint", request.str()},
+                                            {"ends", known.ends.size()},
+                                            {"reason", history_.is_ambiguous(request) ? "tied" : "explained"},
+                                            {"beside", other ? other->str() : std::string()},
+                                            {"beside_ends", other ? history_.ends(*other) : 0},
+                                            {"learned", learned}});
+    return;
+  }
   log_.record("request_quarantined",
               {{"fingerprint", request.str()},
                {"ends", known.ends.size()},
