Requests that are held back stand in the platform's store, read by a node when it starts

Cause: the list was on the disks of nodes that had heard of it, and nobody had.

A node that saw an end under one writes it, once it is held back: a reading and a writing for each such request. Each node reads the object once when it starts. A request that came to a good end leaves the list again.

--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -25,6 +25,7 @@
       guards_(options.guards),
       storage_(dependencies.storage),
       backends_(dependencies.backends),
+      platform_(dependencies.platform),
       load_poll_(options.load_poll),
       loads_pushed_(options.loads_pushed),
       key_trust_(options.key_trust),
@@ -146,6 +147,7 @@
   if (replica) {
     quarantine.keep_in(*storage_);
   }
+  quarantine.mark_in(platform_);
   quarantine.start();
   if (replica) {
     replica->on_admitted = [this](std::uint32_t group, std::uint64_t epoch) {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -136,6 +136,7 @@
   Guards guards_;
   ledger::Storage* const storage_;  ///< Null on nodes without a disk.
   routing::BackendClient& backends_;
+  object_store::PlatformClient& platform_;
   const Duration load_poll_;
   const bool loads_pushed_;
   const tenancy::key_trust key_trust_;
--- /dev/null
+++ b/src/quarantine/held_back_marks.cpp
@@ -0,0 +1,207 @@
+#include "quarantine/held_back_marks.hpp"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "common/hash.hpp"
+
+namespace madderdeck::quarantine {
+namespace {
+
+namespace json = boost::json;
+using routing::request_fingerprint;
+
+constexpr char kRequests[] = "requests";
+
+json::object format_mark(const suspected_request& mark) {
+  json::array ends;
+  for (const backend_end& end : mark.ends) {
+    ends.push_back(json::object{{"backend", end.backend.str()}, {"at_ms", end.at}, {"advanced", end.advanced}});
+  }
+  return json::object{{"high", mark.request.high()},
+                      {"low", mark.request.low()},
+                      {"answered_at_ms", mark.answered_at},
+                      {"held_back_at_ms", mark.held_back_at},
+                      {"ends", std::move(ends)}};
+}
+
+suspected_request parse_mark(const json::object& fields) {
+  const auto number = [](const json::object& of, const char* name) { return of.at(name).to_number<std::uint64_t>(); };
+  suspected_request mark;
+  mark.request = {number(fields, "high"), number(fields, "low")};
+  mark.answered_at = number(fields, "answered_at_ms");
+  mark.held_back_at = number(fields, "held_back_at_ms");
+  for (const json::value& value : fields.at("ends").as_array()) {
+    const json::object& end = value.as_object();
+    mark.ends.push_back(
+        {BackendId(std::string(end.at("backend").as_string())), number(end, "at_ms"), end.at("advanced").as_bool()});
+  }
+  return mark;
+}
+
+bool is_held_back(const std::optional<suspected_request>& mark) {
+  return mark && mark->ends.size() >= end_history::kEndsToHoldBack;
+}
+
+}  // namespace
+
+std::string format_marks(const std::vector<suspected_request>& marks) {
+  json::array requests;
+  for (const suspected_request& mark : marks) {
+    requests.push_back(format_mark(mark));
+  }
+  return json::serialize(json::object{{kRequests, std::move(requests)}});
+}
+
+Result<std::vector<suspected_request>> parse_marks(const std::string& body) {
+  std::vector<suspected_request> marks;
+  try {
+    const json::value document = json::parse(body);
+    for (const json::value& value : document.as_object().at(kRequests).as_array()) {
+      marks.push_back(parse_mark(value.as_object()));
+    }
+  } catch (const std::exception& failure) {
+    return Error{ErrorKind::corrupted, std::string("held-back requests: ") + failure.what()};
+  }
+  return marks;
+}
+
+held_back_marks::held_back_marks(Environment& environment, Counters& counters, DecisionLog& log,
+                                 object_store::PlatformClient& platform, take taken, look_up known)
+    : environment_(environment),
+      counters_(counters),
+      log_(log),
+      platform_(platform),
+      taken_(std::move(taken)),
+      known_(std::move(known)) {}
+
+void held_back_marks::read() { begin(); }
+
+void held_back_marks::write(const request_fingerprint& request) {
+  to_write_.insert(request);
+  tries_ = 0;
+  begin();
+}
+
+void held_back_marks::begin() {
+  if (busy_) {
+    return;
+  }
+  busy_ = true;
+  tries_ = 0;
+  ask();
+}
+
+void held_back_marks::ask() {
+  ++tries_;
+  counters_["quarantine_marks_read_total"]++;
+  platform_.get(
+      {kMarksKind, kMarksName},
+      lifetime_.guard([this](const Result<std::optional<object_store::StoredObject>>& result) { on_read(result); }));
+}
+
+void held_back_marks::on_read(const Result<std::optional<object_store::StoredObject>>& result) {
+  if (!succeeded(result)) {
+    try_again(error_of(result).kind);
+    return;
+  }
+  const std::optional<object_store::StoredObject>& object = value_of(result);
+  const bool stands = object && !object->entry.deleted;
+  Result<std::vector<suspected_request>> marks = std::vector<suspected_request>();
+  if (stands) {
+    marks = parse_marks(object->entry.body);
+  }
+  if (!succeeded(marks)) {
+    counters_["quarantine_marks_unreadable_total"]++;
+    log_.record("quarantine_marks_unreadable", {{"revision", object->entry.revision}});
+    marks = std::vector<suspected_request>();  // the next mark writes it anew
+  }
+  const std::vector<suspected_request>& stored = value_of(marks);
+  seen_.clear();
+  for (const suspected_request& mark : stored) {
+    seen_.insert(mark.request);
+  }
+  taken_(stored);
+  writing_.merge(to_write_);
+  to_write_.clear();
+  if (is_settled(stored)) {
+    finish();
+  } else {
+    put(stands ? object->entry.revision : 0, renewed(stored));
+  }
+}
+
+bool held_back_marks::is_settled(const std::vector<suspected_request>& stored) const {
+  return std::all_of(writing_.begin(), writing_.end(), [&](const request_fingerprint& request) {
+    const bool listed = std::any_of(stored.begin(), stored.end(),
+                                    [&request](const suspected_request& mark) { return mark.request == request; });
+    return listed == is_held_back(known_(request));
+  });
+}
+
+std::vector<suspected_request> held_back_marks::renewed(const std::vector<suspected_request>& stored) const {
+  std::set<request_fingerprint> listed = writing_;
+  for (const suspected_request& mark : stored) {
+    listed.insert(mark.request);
+  }
+  std::vector<suspected_request> marks;
+  for (const request_fingerprint& request : listed) {
+    // What was too old to be taken is not known any more.
+    if (const std::optional<suspected_request> known = known_(request); is_held_back(known)) {
+      marks.push_back(*known);
+    }
+  }
+  std::stable_sort(marks.begin(), marks.end(), [](const suspected_request& one, const suspected_request& other) {
+    return one.last_news() > other.last_news();
+  });
+  marks.resize(std::min(marks.size(), kMostMarks));
+  return marks;
+}
+
+void held_back_marks::put(std::uint64_t revision, const std::vector<suspected_request>& marks) {
+  object_store::PutRequest request;
+  request.key = {kMarksKind, kMarksName};
+  request.body = format_marks(marks);
+  request.expected_revision = revision;
+  request.change_id = hex64(environment_.random()) + hex64(environment_.random());
+  counters_["quarantine_marks_written_total"]++;
+  platform_.put(request, lifetime_.guard([this, marks](const Result<std::uint64_t>& result) {
+    if (!succeeded(result)) {
+      try_again(error_of(result).kind);  // reading shows whether a write whose answer was lost stands
+      return;
+    }
+    log_.record("quarantine_marked", {{"requests", marks.size()}, {"revision", value_of(result)}, {"tries", tries_}});
+    for (const suspected_request& mark : marks) {
+      seen_.insert(mark.request);
+    }
+    finish();
+  }));
+}
+
+void held_back_marks::try_again(ErrorKind kind) {
+  if (tries_ >= kMostTries) {
+    counters_["quarantine_marks_given_up_total"]++;
+    log_.record("quarantine_not_marked",
+                {{"error", error_kind_name(kind)}, {"requests", to_write_.size() + writing_.size()}});
+    to_write_.clear();
+    writing_.clear();
+    busy_ = false;
+    return;
+  }
+  Duration pause = kFirstPause;
+  for (unsigned doubled = 1; doubled < tries_ && pause < kLongestPause; ++doubled) {
+    pause *= 2;
+  }
+  environment_.after(std::min(pause, kLongestPause), lifetime_.guard([this] { ask(); }));
+}
+
+/// What came up while the last answer was on its way is written next.
+void held_back_marks::finish() {
+  busy_ = false;
+  writing_.clear();
+  if (!to_write_.empty()) {
+    begin();
+  }
+}
+
+}  // namespace madderdeck::quarantine
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -109,6 +109,33 @@
   kept_digest_ = history_.digest();
 }
 
+void request_quarantine::mark_in(object_store::PlatformClient& platform) {
+  if (!guards_.mark_in_store) {
+    return;
+  }
+  marks_ = std::make_unique<held_back_marks>(
+      environment_, counters_, log_, platform,
+      [this](const std::vector<suspected_request>& marks) { take_marks(marks); },
+      [this](const request_fingerprint& request) {
+        const suspected_request* known = history_.find(request);
+        return known == nullptr ? std::nullopt : std::optional(*known);
+      });
+  marks_->read();
+}
+
+void request_quarantine::take_marks(const std::vector<suspected_request>& marks) {
+  for (const suspected_request& mark : marks) {
+    take(mark, "read");
+  }
+}
+
+/// A request that is held back and still came to a good end (a run that was under way) leaves the list again.
+void request_quarantine::unmark(const request_fingerprint& request) {
+  if (marks_ && marks_->holds(request) && history_.ends(request) < end_history::kEndsToHoldBack) {
+    marks_->write(request);
+  }
+}
+
 /// It is written again at the next change; the other nodes with a disk have the list, too.
 void request_quarantine::note_unreadable(ErrorKind kind) {
   counters_["quarantine_stored_unreadable_total"]++;
@@ -203,6 +230,7 @@
     return;
   }
   counters_["quarantine_ends_recorded_total"]++;
+  saw_end_.insert(call.request);
   note_change(call.request);
   note_if_held_back(call.request, before, "saw");
   tell(call.request);
@@ -212,6 +240,7 @@
   if (history_.acquit(request, environment_.unix_milliseconds())) {
     counters_["quarantine_acquitted_total"]++;
     log_.record("request_acquitted", {{"fingerprint", request.str()}});
+    unmark(request);
     keep_soon();
     tell(request);
   }
@@ -245,6 +274,9 @@
                {"between_ms", known.ends.back().at - std::min(known.ends.back().at, known.ends.front().at)},
                {"learned", learned}});
   counters_["quarantine_begun_total"]++;
+  if (marks_ && saw_end_.contains(request)) {
+    marks_->write(request);
+  }
 }
 
 void request_quarantine::tell(const request_fingerprint& request) {
@@ -274,16 +306,19 @@
 }
 
 void request_quarantine::take(const std::vector<std::unique_ptr<wire::SuspectedRequestT>>& requests) {
-  const UnixMilliseconds now = environment_.unix_milliseconds();
   for (const auto& message : requests) {
-    const suspected_request told = from_wire(*message);
-    const bool before = history_.holds_back(told.request);
-    if (history_.merge(told, now)) {
-      counters_["quarantine_news_taken_total"]++;
-      note_change(told.request);
-      note_if_held_back(told.request, before, "heard");
-    }
+    take(from_wire(*message), "heard");
+  }
+}
+
+void request_quarantine::take(const suspected_request& told, std::string_view learned) {
+  const bool before = history_.holds_back(told.request);
+  if (history_.merge(told, environment_.unix_milliseconds())) {
+    counters_["quarantine_news_taken_total"]++;
+    note_change(told.request);
+    note_if_held_back(told.request, before, learned);
   }
+  unmark(told.request);
 }
 
 void request_quarantine::handle(const PeerAddress& sender, const wire::SuspicionNewsT& message) {
@@ -321,6 +356,7 @@
   const Duration pause = history_.digest() == 0 ? kCompare : kCompareKnown;
   environment_.after(pause, lifetime_.guard([this] { compare(); }));
   history_.forget_old(environment_.unix_milliseconds());
+  std::erase_if(saw_end_, [this](const request_fingerprint& request) { return history_.ends(request) == 0; });
   keep();
   counters_["quarantine_requests_known"] = static_cast<CounterValue>(history_.size());
   counters_["quarantine_requests_held_back"] = static_cast<CounterValue>(history_.held_back());
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -2,25 +2,30 @@
 /// @file Requests that end the back ends that run them, known to all nodes that send. See docs/design/quarantine.md.
 
 #include <functional>
+#include <memory>
+#include <set>
 #include <vector>
 
 #include "ledger/storage.hpp"
 #include "quarantine/end_detector.hpp"
 #include "quarantine/end_history.hpp"
+#include "quarantine/held_back_marks.hpp"
 #include "quarantine/news_delivery.hpp"
 
 namespace madderdeck::quarantine {
 
 /// Rules of the quarantine; always on in the daemon.
 struct quarantine_guards {
-  bool hold_back = true;    ///< A request under which three back ends have ended is not sent again.
-  bool tell_others = true;  ///< The other nodes hear of each end.
-  bool await_news = true;   ///< Nobody is judged while others may still tell of ends that explain these.
+  bool hold_back = true;      ///< A request under which three back ends have ended is not sent again.
+  bool tell_others = true;    ///< The other nodes hear of each end.
+  bool await_news = true;     ///< Nobody is judged while others may still tell of ends that explain these.
+  bool mark_in_store = true;  ///< What is held back stands in the platform's store.
 };
 
 /// Each end is told to all nodes that send requests until each has taken it. What a node missed that was cut off,
-/// frozen or not there is made good by comparing digests with one node every kCompare, and by asking at the start. No
-/// call to the platform's store. Single threaded.
+/// frozen or not there is made good by comparing digests with one node every kCompare, and by asking at the start. Of
+/// the platform's store it needs a reading at the start and a writing for each request that is held back; it never
+/// waits for it. Single threaded.
 class request_quarantine : public routing::repeat_guard {
  public:
   /// @return peer addresses of all other nodes that send requests to back ends.
@@ -36,6 +41,10 @@
   /// From now on what is shared is kept on this node's disk, and what stands there is taken: it outlasts the loss of
   /// power on all machines, after which each fatal request would end three engines more. @p storage outlives this.
   void keep_in(ledger::Storage& storage);
+  /// From now on the requests that are held back are named in the platform's store, by nodes that saw back ends end
+  /// under them, and this node takes those that stand there: one node may know alone while all others stand still or
+  /// have lost power, and has no disk. @p platform outlives this.
+  void mark_in(object_store::PlatformClient& platform);
 
   bool remembers_any() const override { return !history_.empty(); }
   bool suspects(const routing::request_fingerprint& request) const override { return history_.ends(request) > 0; }
@@ -77,6 +86,8 @@
   void keep_soon();
   void keep();
   void note_unreadable(ErrorKind kind);
+  void take_marks(const std::vector<suspected_request>& marks);
+  void unmark(const routing::request_fingerprint& request);
   /// Tells all others of @p request, together with what else comes up within kTogether.
   void tell(const routing::request_fingerprint& request);
   void tell_waiting();
@@ -84,6 +95,7 @@
   /// Tells @p sender what it does not know of the requests that it told of.
   void answer_with_more(const PeerAddress& sender, const wire::SuspicionNewsT& message);
   void take(const std::vector<std::unique_ptr<wire::SuspectedRequestT>>& requests);
+  void take(const suspected_request& told, std::string_view learned);
   wire::SuspicionSyncT shared_list() const;
   void send_shared(const PeerAddress& to, bool reply);
   void note_if_held_back(const routing::request_fingerprint& request, bool before, std::string_view learned);
@@ -106,6 +118,8 @@
   Timestamp sent_shared_at_{};
   ledger::Storage* storage_ = nullptr;  ///< Only on nodes with a disk.
   std::uint64_t kept_digest_ = 0;
+  std::unique_ptr<held_back_marks> marks_;          ///< Only where a store is given.
+  std::set<routing::request_fingerprint> saw_end_;  ///< This node saw a back end end under these.
   Lifetime lifetime_;
 };
 
--- /dev/null
+++ b/tests/quarantine/held_back_marks_test.cpp
@@ -0,0 +1,220 @@
+// The list of held-back requests in the platform's store: written once for each, read at the start, and nothing waits
+// for a store that is away.
+#include "quarantine/held_back_marks.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "emulator/platform_model.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::quarantine;
+using madderdeck::routing::fingerprint_of;
+using madderdeck::routing::request_fingerprint;
+using madderdeck::tests::TestEnvironment;
+
+namespace {
+
+/// A store that may be away, whose answers may be lost, and that counts what it is asked.
+class counted_store : public object_store::PlatformClient {
+ public:
+  explicit counted_store(TestEnvironment& environment) : table(environment), environment_(environment) {}
+  void watch_objects(std::uint64_t, Duration, object_store::ChangesDone) override {}
+  void watch_machines(std::uint64_t, Duration, object_store::ChangesDone) override {}
+  void get(const config::EntryKey& key, object_store::GetDone done) override {
+    ++reads;
+    environment_.after(1ms, [this, key, done] {
+      const object_store::StoredObject* found = table.find(key);
+      if (away) {
+        done(Error{ErrorKind::unavailable, "away"});
+      } else {
+        done(found == nullptr ? std::optional<object_store::StoredObject>() : std::optional(*found));
+      }
+    });
+  }
+  void put(const object_store::PutRequest& request, object_store::PutDone done) override {
+    ++writes;
+    environment_.after(1ms, [this, request, done] {
+      if (away) {
+        done(Error{ErrorKind::unavailable, "away"});
+        return;
+      }
+      const Result<std::uint64_t> result = emulator::compare_and_set(table, request);
+      done(lose_answers-- > 0 ? Result<std::uint64_t>(Error{ErrorKind::ambiguous, "lost"}) : result);
+    });
+  }
+  emulator::WatchedTable table;
+  unsigned reads = 0;
+  unsigned writes = 0;
+  int lose_answers = 0;
+  bool away = false;
+
+ private:
+  TestEnvironment& environment_;
+};
+
+suspected_request with_ends(const std::string& body, UnixMilliseconds at, unsigned ends = 3) {
+  suspected_request known{fingerprint_of({"tenant", "POST", "/path", body}), {}, 0, 0};
+  for (unsigned end = 0; end < ends; ++end) {
+    known.ends.push_back({BackendId("engine-" + std::to_string(end)), at + end, end == 2});
+  }
+  return known;
+}
+
+/// A node that knows some requests.
+struct marking_node {
+  marking_node(TestEnvironment& environment, counted_store& store)
+      : marks(
+            environment, counters, log, store,
+            [this](const std::vector<suspected_request>& read) {
+              for (const suspected_request& mark : read) {
+                known.try_emplace(mark.request, mark);
+              }
+            },
+            [this](const request_fingerprint& request) {
+              const auto found = known.find(request);
+              return found == known.end() ? std::nullopt : std::optional(found->second);
+            }) {}
+  void hold_back(const suspected_request& request) {
+    known[request.request] = request;
+    marks.write(request.request);
+  }
+  Counters counters;
+  NoDecisionLog log;
+  std::map<request_fingerprint, suspected_request> known;
+  held_back_marks marks;
+};
+
+struct marks_fixture {
+  std::vector<suspected_request> listed() const {
+    const object_store::StoredObject* found = store.table.find({kMarksKind, kMarksName});
+    if (found == nullptr) {
+      return {};
+    }
+    return value_of(parse_marks(found->entry.body));
+  }
+  void run_for(Duration length) { environment.world.run_for(length); }
+  TestEnvironment environment;
+  counted_store store{environment};
+  marking_node one{environment, store};
+  marking_node other{environment, store};
+  const suspected_request fatal = with_ends("body", 1'000);
+};
+
+}  // namespace
+
+TEST_CASE("a request that is held back is read by a node that starts") {
+  marks_fixture fixture;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.run_for(1s);
+  fixture.other.marks.read();
+  fixture.run_for(1s);
+  REQUIRE(fixture.other.known.size() == 1);
+  const suspected_request& read = fixture.other.known.begin()->second;
+  CHECK(read.request == fixture.fatal.request);
+  CHECK(read.ends == fixture.fatal.ends);
+  CHECK(fixture.store.reads == 2);
+  CHECK(fixture.store.writes == 1);
+}
+
+TEST_CASE("several nodes that hold one request back write it once") {
+  marks_fixture fixture;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.run_for(1s);
+  fixture.other.hold_back(fixture.fatal);
+  fixture.run_for(10s);
+  CHECK(fixture.listed().size() == 1);
+  CHECK(fixture.store.writes == 1);
+}
+
+TEST_CASE("two nodes that write at the same moment lose neither request") {
+  marks_fixture fixture;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.other.hold_back(with_ends("another body", 1'000));
+  fixture.run_for(10s);
+  CHECK(fixture.listed().size() == 2);
+  CHECK(fixture.store.writes == 3);
+}
+
+TEST_CASE("what comes up while the store answers is written next") {
+  marks_fixture fixture;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.run_for(1500us);  // read, not written yet
+  fixture.one.hold_back(with_ends("another body", 1'000));
+  fixture.run_for(10s);
+  CHECK(fixture.listed().size() == 2);
+}
+
+TEST_CASE("a lost answer is settled by reading") {
+  marks_fixture fixture;
+  fixture.store.lose_answers = 1;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.run_for(10s);
+  CHECK(fixture.listed().size() == 1);
+  CHECK(fixture.store.writes == 1);
+  CHECK(fixture.store.reads == 2);
+}
+
+TEST_CASE("a store that is away for minutes is written to when it is back, and asked a bounded number of times") {
+  marks_fixture fixture;
+  fixture.store.away = true;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.run_for(5min);
+  CHECK(fixture.store.reads <= 15);
+  fixture.store.away = false;
+  fixture.run_for(held_back_marks::kLongestPause + 1s);
+  CHECK(fixture.listed().size() == 1);
+}
+
+TEST_CASE("a store that stays away is given up, and asked anew with the next request") {
+  marks_fixture fixture;
+  fixture.store.away = true;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.run_for(1h);
+  CHECK(fixture.store.reads == held_back_marks::kMostTries);
+  CHECK(fixture.one.counters["quarantine_marks_given_up_total"] == 1);
+  fixture.store.away = false;
+  fixture.one.hold_back(with_ends("another body", 1'000));
+  fixture.run_for(1s);
+  CHECK(fixture.listed().size() == 1);
+}
+
+TEST_CASE("a request that came to a good end leaves the list") {
+  marks_fixture fixture;
+  fixture.one.hold_back(fixture.fatal);
+  fixture.one.hold_back(with_ends("another body", 1'000));
+  fixture.run_for(1s);
+  REQUIRE(fixture.listed().size() == 2);
+  fixture.one.known[fixture.fatal.request].ends.clear();
+  fixture.one.marks.write(fixture.fatal.request);
+  fixture.run_for(1s);
+  REQUIRE(fixture.listed().size() == 1);
+  CHECK(fixture.listed().front().request != fixture.fatal.request);
+}
+
+TEST_CASE("a list that cannot be read is told and written anew") {
+  marks_fixture fixture;
+  object_store::PutRequest damaged;
+  damaged.key = {kMarksKind, kMarksName};
+  damaged.body = R"({"requests":[{"high":1}]})";
+  emulator::compare_and_set(fixture.store.table, damaged);
+  fixture.one.marks.read();
+  fixture.run_for(1s);
+  CHECK(fixture.one.counters["quarantine_marks_unreadable_total"] == 1);
+  fixture.one.hold_back(fixture.fatal);
+  fixture.run_for(1s);
+  CHECK(fixture.listed().size() == 1);
+}
+
+TEST_CASE("a list of marks that is full keeps those with the latest news") {
+  marks_fixture fixture;
+  for (unsigned number = 0; number < 2 * held_back_marks::kMostMarks; ++number) {
+    fixture.one.hold_back(with_ends("body " + std::to_string(number), 1'000 + number));
+  }
+  fixture.run_for(10s);
+  REQUIRE(fixture.listed().size() == held_back_marks::kMostMarks);
+  CHECK(fixture.listed().back().last_news() == 1'000 + held_back_marks::kMostMarks + 2);
+  const unsigned writes = fixture.store.writes;
+  fixture.run_for(1h);
+  CHECK(fixture.store.writes == writes);
+}
--- a/tests/simulation/lone_knowledge_test.cpp
+++ b/tests/simulation/lone_knowledge_test.cpp
@@ -128,3 +128,35 @@
     fixture.send_again();
   });
 }
+
+TEST_CASE("what one node knows reaches the others though the store was away and loses answers") {
+  on_many_seeds([](lone_knowledge& fixture) {
+    fixture.cut_off_knower();
+    fixture.fleet.conditions.platform_down = true;
+    fixture.end_three_engines();
+    fixture.fleet.conditions.platform_down = false;
+    fixture.fleet.conditions.platform_lost_answers = 50;
+    fixture.world.run_for(8s);
+    fixture.lose_power(kKnower);
+    fixture.send_again();
+  });
+}
+
+TEST_CASE("requests at a node that starts while the store is away wait for nothing, and it reads the list later") {
+  lone_knowledge fixture(1, "ravelin");
+  fixture.cut_off_knower();
+  fixture.end_three_engines();
+  fixture.fleet.conditions.platform_down = true;
+  fixture.fleet.crash_node(0);
+  fixture.fleet.start_node(0);
+  fixture.world.run_for(1s);  // it learns routes and engines from the others
+  const std::uint64_t before = fixture.oracle.counts.live_answered;
+  fixture.callers.send_forwarded(0, fixture.callers.new_body());
+  fixture.world.run_for(350ms);  // twelve events 25 ms apart
+  CHECK(fixture.oracle.counts.live_answered == before + 1);
+  const auto known = [&fixture] { return fixture.fleet.core(0).quarantine.history().held_back(); };
+  CHECK(known() == 0);
+  fixture.fleet.conditions.platform_down = false;
+  fixture.world.run_for(3s);
+  CHECK(known() == 1);
+}
