--- a/src/simulation/fatal_sends.hpp
+++ b/src/simulation/fatal_sends.hpp
@@ -31,6 +31,7 @@
   unsigned end = 0;            ///< Which of the ends this is, from 1.
   Timestamp begun{};           ///< When the node decided to send.
   std::size_t ends_known = 0;  ///< To the sender at that moment.
+  bool in_touch = true;        ///< The sender had run and reached all others for 3 s.
 };
 
 /// Collects the sends of one schedule. Single threaded.
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -141,6 +141,7 @@
     std::uint64_t engine_life = 0;
     Timestamp begun{};
     std::size_t ends_known = 0;  ///< Of this request, to the node as it sent.
+    bool in_touch = true;
     std::uint64_t next_event = 1;
     bool cancelled = false;
     Timestamp last_delivery{};
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -145,7 +145,7 @@
     std::cout << "seed " << result.seed << " end " << found.send.end << " under '" << found.send.body << "': node-"
               << found.send.node << " sent it to engine-" << found.send.engine << " at " << found.send.begun / 1ms
               << " ms, " << found.after_third_end / 1us << " us after the third end, knowing " << found.send.ends_known
-              << " ends; "
+              << " ends" << (found.send.in_touch ? "; " : ", not in touch; ")
               << (found.after_known ? std::to_string(*found.after_known / 1us) + " us after a node knew three"
                                     : std::string("no node knew three"))
               << ": " << send_reason_name(found.reason) << std::endl;
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -13,6 +13,7 @@
   Timestamp begun{};
   routing::request_fingerprint request;
   std::size_t ends_known = 0;  ///< Of this request, to the node as it sent.
+  bool in_touch = true;
   emulator::GenerationId generation = 0;
   routing::EngineCall call;
   routing::EngineEvents events;
@@ -41,6 +42,7 @@
   auto stream = std::make_shared<EngineStream>();
   stream->id = ++next_;
   stream->begun = fleet_.world.now();
+  stream->in_touch = fleet_.in_touch(node_);
   stream->request = routing::fingerprint_of(call);
   stream->ends_known = fleet_.ends_known(node_, stream->request);
   stream->engine = number_of(engine.str());
@@ -138,8 +140,9 @@
   stream->generation = std::get<emulator::GenerationId>(taken);
   stream->engine_life = engine.process.life();
   fleet_.note_sent(node_, stream->call.prompt);
-  fleet_.end_engine_if_fatal({stream->call.prompt, node_, stream->engine, 0, stream->begun, stream->ends_known},
-                             stream->request);
+  fleet_.end_engine_if_fatal(
+      {stream->call.prompt, node_, stream->engine, 0, stream->begun, stream->ends_known, stream->in_touch},
+      stream->request);
   watch_stream(stream);
 }
 
--- a/src/simulation/sim_upstream.cpp
+++ b/src/simulation/sim_upstream.cpp
@@ -42,6 +42,7 @@
   started->next_event = call.resume_after + 1;
   started->call = std::move(call);
   started->begun = fleet_.world.now();
+  started->in_touch = fleet_.in_touch(node_);
   started->ends_known = fleet_.ends_known(node_, forwarding::fingerprint_of(*started->call.request));
   started->events = std::move(events);
   calls_[++next_] = started;
@@ -62,7 +63,7 @@
   fleet_.note_sent(node_, body);
   call->engine_life = engine.process.life();
   at_node(call, [call] { call->events.head(forwarding::AnswerHead{200, {}, true}); });
-  fleet_.end_engine_if_fatal({body, node_, call->engine, 0, call->begun, call->ends_known},
+  fleet_.end_engine_if_fatal({body, node_, call->engine, 0, call->begun, call->ends_known, call->in_touch},
                              forwarding::fingerprint_of(*call->call.request));
   step(call);
 }
