Listed: a node that starts does not take what has been held back for more than 15 minutes

Five quarantines without a network between: three ends, refusals each minute for 20 minutes, then one more node starts. 4 of 5 hold the request back a second later; the fifth would send it to a fourth engine.

--- a/tests/quarantine/request_quarantine_test.cpp
+++ b/tests/quarantine/request_quarantine_test.cpp
@@ -214,6 +214,25 @@
   CHECK(fixture.holding_back() == 21);
 }
 
+// Callers go on asking for a request for longer than ends are kept, so it stays held back; a node that starts then is
+// told of it, takes none of its ends, for they are older, and sends it to one more back end.
+TEST_CASE("a node that starts takes what is held back though its ends are older than they are kept without refusals") {
+  spread_fixture fixture(4);
+  for (unsigned end = 0; end < 3; ++end) {
+    fixture.ends(end, "engine-" + std::to_string(end));
+  }
+  for (unsigned minute = 0; minute < 20; ++minute) {
+    fixture.run_for(1min);
+    for (unsigned number = 0; number < 4; ++number) {
+      CHECK(fixture.nodes[number]->quarantine.holds_back(fixture.request, "again"));
+    }
+  }
+  fixture.add_node_cut_off();
+  fixture.cut_off(4, false);
+  fixture.run_for(1s);
+  CHECK(fixture.holding_back() == 5);
+}
+
 TEST_CASE("what was lost on the way is made good by comparing") {
   spread_fixture fixture(50, 30);
   for (unsigned end = 0; end < 3; ++end) {
