Ends of a request that is still refused are taken by nodes that start later

What callers saw: a request that ends engines and is asked for again and again stays held back, but a node that starts more than 15 minutes after the last end sends it to one more engine.

Cause: each end was judged by its own age when it was merged, though what keeps a request is its last news, refusals among them. Nodes that had forgotten it (refusals are not told) refused the others' lists in the same way.

Change: ends are taken for as long as there is news of their request.

All 61 cases of tests/quarantine, fatal_request_test and lone_knowledge_test pass.

The marks in the platform's store and the lists on disks are not written anew for a refusal: after 15 minutes of refusals alone and a loss of power everywhere the request runs again (docs, limits).

--- a/src/quarantine/end_history.cpp
+++ b/src/quarantine/end_history.cpp
@@ -222,9 +222,12 @@
 }
 
 bool end_history::merge(const suspected_request& other, UnixMilliseconds now) {
+  // Ends count for as long as there is news of the request: a refusal keeps it, also at nodes that have not heard of
+  // it.
+  const bool forgotten = other.last_news() + kKeptMs < now;
   bool news = false;
   for (const backend_end& end : other.ends) {
-    news = record(other.request, end, now) || news;
+    news = (!forgotten && record(other.request, end, end.at)) || news;
   }
   const auto entry = requests_.find(other.request);
   if (entry == requests_.end()) {
