--- a/src/quarantine/end_history.cpp
+++ b/src/quarantine/end_history.cpp
@@ -184,6 +184,24 @@
   return ends(request) >= kEndsToHoldBack && judged().ambiguous.contains(request);
 }
 
+std::optional<request_fingerprint> end_history::shares_most(const request_fingerprint& request) const {
+  const suspected_request* known = find(request);
+  std::optional<request_fingerprint> found;
+  std::size_t most = 0;
+  for (const auto& [other, beside] : requests_) {
+    if (known == nullptr || other == request) {
+      continue;
+    }
+    std::vector<backend_end> left = known->ends;
+    erase_shared(left, beside.ends);
+    if (const std::size_t shared = known->ends.size() - left.size(); shared > most) {
+      most = shared;
+      found = other;
+    }
+  }
+  return found;
+}
+
 bool end_history::beyond_doubt(const request_fingerprint& request) const {
   return holds_back(request) && ends(request) > kEndsToHoldBack;
 }
@@ -204,9 +222,12 @@
 }
 
 bool end_history::merge(const suspected_request& other, UnixMilliseconds now) {
+  // Ends count for as long as there is news of the request: a refusal keeps it, also at nodes that have not heard of
+  // it.
+  const bool forgotten = other.last_news() + kKeptMs < now;
   bool news = false;
   for (const backend_end& end : other.ends) {
-    news = record(other.request, end, now) || news;
+    news = (!forgotten && record(other.request, end, end.at)) || news;
   }
   const auto entry = requests_.find(other.request);
   if (entry == requests_.end()) {
