--- a/src/bench/process.cpp
+++ b/src/bench/process.cpp
@@ -2,10 +2,12 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <string.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <fstream>
 #include <sstream>
 #include <utility>
@@ -29,8 +31,14 @@
     pointers.push_back(const_cast<char*>(argument.c_str()));
   }
   pointers.push_back(nullptr);
+  int outcome[2];  // closed by the kernel when the program runs; otherwise the child writes why it does not
+  if (::pipe2(outcome, O_CLOEXEC) != 0) {
+    return Error{ErrorKind::unavailable, "pipe failed"};
+  }
   const pid_t child = ::fork();
   if (child < 0) {
+    ::close(outcome[0]);
+    ::close(outcome[1]);
     return Error{ErrorKind::unavailable, "fork failed"};
   }
   if (child == 0) {
@@ -43,8 +51,21 @@
       ::setenv(name.c_str(), value.c_str(), 1);
     }
     ::execv(program.c_str(), pointers.data());
+    const int failure = errno;
+    [[maybe_unused]] const auto written = ::write(outcome[1], &failure, sizeof failure);
     ::_exit(127);
   }
+  ::close(outcome[1]);
+  int failure = 0;
+  ssize_t taken = 0;
+  do {
+    taken = ::read(outcome[0], &failure, sizeof failure);
+  } while (taken < 0 && errno == EINTR);
+  ::close(outcome[0]);
+  if (taken == static_cast<ssize_t>(sizeof failure)) {
+    ::waitpid(child, nullptr, 0);
+    return Error{ErrorKind::unavailable, program + ": " + ::strerror(failure)};
+  }
   pid_ = child;
   return Ok{};
 }
--- a/src/bench/process.hpp
+++ b/src/bench/process.hpp
@@ -28,6 +28,7 @@
   ~Process();
 
   /// Starts @p program with its output in @p log_file; @p variables are added to the environment.
+  /// @return once the program has taken the place of this one's copy; ErrorKind::unavailable when it cannot be run.
   Status start(const std::string& program, const std::vector<std::string>& arguments, const std::string& log_file,
                const std::map<std::string, std::string>& variables = {});
   bool running() const { return pid_ > 0; }
