Signals that come while a node starts no longer end it; a reload then is taken

Users saw: SIGHUP 3 ms after the program was started, exit 129; a node that was restarted and told to reload ended by itself. Cause: the handler stood at the end of the start only, and for signals that a node has no use for there was never any. Change: node/held_signals, linked into both programs, runs from .preinit_array, before the static objects of any library. SIGHUP is blocked until its handler stands and is delivered then; signals without a use are ignored.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -11,6 +11,7 @@
 #include "gateway/problem.hpp"
 #include "ledger/rocksdb_storage.hpp"
 #include "node/asio_environment.hpp"
+#include "node/held_signals.hpp"
 #include "node/node_core.hpp"
 
 namespace madderdeck::node {
@@ -37,7 +38,7 @@
         platform_(integration.make_platform(client_, settings)),
         background_(1),
         signals_(context_, SIGTERM, SIGINT),
-        reload_signal_(context_, SIGHUP) {}
+        reload_signal_(context_, kReloadSignal) {}
 
   Status run() {
     const Status prepared = prepare();
@@ -54,6 +55,7 @@
       }
     });
     await_reload();
+    release_reload_signal();
     context_.run();
     background_.join();
     log_event(LogLevel::info, "node_stopped", {{"node", settings_.id}});
