A mutant for mixed versions: it waits for acknowledgements that earlier nodes never give

Change: a guard bound_answers of the quarantine. Without it news of an end is never given up, and a request whose news somebody has not acknowledged is not held back. Conclusion: the oracle notices a node that relies on what earlier versions do not answer.

--- a/src/quarantine/news_delivery.cpp
+++ b/src/quarantine/news_delivery.cpp
@@ -7,12 +7,13 @@
 using routing::request_fingerprint;
 
 news_delivery::news_delivery(Environment& environment, Counters& counters, DecisionLog& log, peers everyone,
-                             compose write)
+                             compose write, bool gives_up)
     : environment_(environment),
       counters_(counters),
       log_(log),
       everyone_(std::move(everyone)),
       write_(std::move(write)),
+      gives_up_(gives_up),
       // Answers to a former life of this node name other numbers.
       next_number_(environment.random()) {}
 
@@ -57,7 +58,7 @@
   }
   const bool only_silent = std::all_of(open.unanswered.begin(), open.unanswered.end(),
                                        [this](const PeerAddress& peer) { return silent_.contains(peer); });
-  return only_silent && open.tries >= kTriesOfSilent;
+  return gives_up_ && only_silent && open.tries >= kTriesOfSilent;
 }
 
 void news_delivery::send(std::uint64_t number) {
@@ -71,7 +72,7 @@
     open_.erase(entry);
     return;
   }
-  if (open.tries >= kMostTries) {
+  if (gives_up_ && open.tries >= kMostTries) {
     give_up(open);
     open_.erase(entry);
     return;
@@ -101,6 +102,13 @@
                                              {"age_ms", (environment_.now() - open.begun) / 1ms}});
 }
 
+bool news_delivery::awaits(const request_fingerprint& request) const {
+  return std::any_of(open_.begin(), open_.end(), [&request](const auto& entry) {
+    const std::vector<request_fingerprint>& told = entry.second.requests;
+    return std::find(told.begin(), told.end(), request) != told.end();
+  });
+}
+
 void news_delivery::forget_silent_that_left() {
   const std::vector<PeerAddress> now = everyone_();
   const std::set<PeerAddress> present(now.begin(), now.end());
--- a/src/quarantine/news_delivery.hpp
+++ b/src/quarantine/news_delivery.hpp
@@ -25,12 +25,16 @@
   /// @return the message that says what is known of some requests at that moment.
   using compose = std::function<wire::SuspicionNewsT(const std::vector<routing::request_fingerprint>&)>;
 
-  news_delivery(Environment& environment, Counters& counters, DecisionLog& log, peers everyone, compose write);
+  /// @param gives_up whether news that stays unanswered is given up in the end.
+  news_delivery(Environment& environment, Counters& counters, DecisionLog& log, peers everyone, compose write,
+                bool gives_up = true);
 
   /// Tells all others of @p requests.
   void tell(const std::vector<routing::request_fingerprint>& requests);
   /// @p peer says that it took message @p number.
   void taken(const PeerAddress& peer, std::uint64_t number);
+  /// @return whether some peer that was told of @p request has not said that it took it.
+  bool awaits(const routing::request_fingerprint& request) const;
 
   /// Entries of some 300 bytes; so many stay below the size at which datagrams are cut up.
   static constexpr std::size_t kMostInOneDatagram = 6;
@@ -68,6 +72,7 @@
   DecisionLog& log_;
   const peers everyone_;
   const compose write_;
+  const bool gives_up_;
   std::map<std::uint64_t, message> open_;
   std::set<PeerAddress> silent_;
   std::uint64_t next_number_;
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -67,8 +67,10 @@
       senders_(std::move(senders)),
       is_leaving_(std::move(is_leaving)),
       guards_(guards),
-      delivery_(environment, counters, log, senders_,
-                [this](const std::vector<request_fingerprint>& requests) { return news_of(requests); }) {
+      delivery_(
+          environment, counters, log, senders_,
+          [this](const std::vector<request_fingerprint>& requests) { return news_of(requests); },
+          guards.bound_answers) {
   detector_.on_late_end = lifetime_.guard([this](const routing::broken_call& call) { record_end(call); });
 }
 
@@ -146,6 +148,9 @@
   if (!guards_.hold_back || !history_.holds_back(request)) {
     return false;
   }
+  if (!guards_.bound_answers && delivery_.awaits(request)) {
+    return false;
+  }
   const UnixMilliseconds now = environment_.unix_milliseconds();
   const suspected_request& known = *history_.find(request);
   log_.record("request_held_back", {{"request", id},
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -16,6 +16,8 @@
   bool hold_back = true;    ///< A request under which three back ends have ended is not sent again.
   bool tell_others = true;  ///< The other nodes hear of each end.
   bool await_news = true;   ///< Nobody is judged while others may still tell of ends that explain these.
+  /// News that nobody acknowledges is given up, and judged by all the same: earlier versions never acknowledge.
+  bool bound_answers = true;
 };
 
 /// Each end is told to all nodes that send requests until each has taken it. What a node missed that was cut off,
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -181,7 +181,8 @@
 }
 
 /// @return the first seed that shows the mutant; nothing when none does in time.
-std::optional<std::uint64_t> seed_that_shows(const Mutant& mutant, const Profile& profile) {
+std::optional<std::uint64_t> seed_that_shows(const Mutant& mutant, Profile profile) {
+  profile.mixed_versions = profile.mixed_versions || mutant.mixed_versions;
   node::Guards guards;
   mutant.apply(guards);
   for (std::uint64_t seed = 1; seed <= mutant.within_seeds; ++seed) {
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -53,6 +53,8 @@
        [](Guards& guards) { guards.registry.end_doubts = false; }, ScheduleMix::leaving},
       {"ends_untold", Promise::fatal_request_contained, 40,
        [](Guards& guards) { guards.quarantine.tell_others = false; }, ScheduleMix::hardening},
+      {"answers_of_earlier_versions_awaited", Promise::fatal_request_contained, 40,
+       [](Guards& guards) { guards.quarantine.bound_answers = false; }, ScheduleMix::hardening, true},
       {"results_listed_in_front", Promise::results_keep_positions, 10,
        [](Guards& guards) { guards.manager.append_positions = false; }, ScheduleMix::listing},
       {"positions_of_others_dropped", Promise::results_keep_positions, 30,
--- a/src/simulation/mutants.hpp
+++ b/src/simulation/mutants.hpp
@@ -16,6 +16,7 @@
   unsigned within_seeds;  ///< The oracle notices within this many seeds, from 1 on.
   void (*apply)(node::Guards& guards);
   ScheduleMix mix = ScheduleMix::standard;  ///< The schedules that show it.
+  bool mixed_versions = false;              ///< Shown where every other node speaks as an earlier version does.
 };
 
 /// @return all mutants; at least two for each promise.
