A member that leaves its group is not taken up again by a maintainer that has not heard why

Cause: a substitute was any node with a disk that is not known to be about to leave; word of that travels by membership, word of the epoch that has let it go by the group. Where the second came first, the maintainer put the leaving node in again, and it was taken away. Change: whoever stands among the group's leaving members, with the same disk, is no substitute. Figures: the two tests pass (both failed before), 24 tests of groups and members pass. Open: a maintainer that thaws with an old view, once a later epoch no longer lists the leaver, could still name it.

--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -450,7 +450,10 @@
     const bool member_already = std::any_of(group.replicas.begin(), group.replicas.end(), [&](const auto& replica) {
       return replica.node.str() == node->id && replica.node != lost.node;
     });
-    if (member_already) {
+    // Word that a node is to leave may come later than word of the epoch that has let it go.
+    const ledger::ReplicaIdentity identity{NodeId(node->id), DiskId(node->disk_id)};
+    const bool leaves = std::find(group.leaving.begin(), group.leaving.end(), identity) != group.leaving.end();
+    if (member_already || leaves) {
       continue;
     }
     // The same node with its new disk first, then the zone that the others use least.
