--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -203,6 +203,30 @@
   std::erase_if(changed_at_, [now](const auto& entry) { return entry.second + kUndecidedAmong < now; });
   changed_at_[request] = now;
   keep_soon();
+  note_released();
+}
+
+void request_quarantine::note_released() {
+  std::erase_if(quarantined_, [this](const request_fingerprint& request) {
+    if (history_.holds_back(request)) {
+      return false;
+    }
+    note_verdict("request_released", request, "heard");
+    return true;
+  });
+}
+
+void request_quarantine::note_verdict(std::string_view event, const request_fingerprint& request,
+                                      std::string_view learned) {
+  const std::size_t ends = history_.ends(request);
+  const std::optional<request_fingerprint> other = history_.shares_most(request);
+  const bool fewer = ends < end_history::kEndsToHoldBack;
+  log_.record(event, {{"fingerprint", request.str()},
+                      {"ends", ends},
+                      {"reason", fewer ? "acquitted" : (history_.is_ambiguous(request) ? "tied" : "explained")},
+                      {"beside", other ? other->str() : std::string()},
+                      {"beside_ends", other ? history_.ends(*other) : 0},
+                      {"learned", learned}});
 }
 
 bool request_quarantine::allows_retrial(const request_fingerprint& request) const {
@@ -241,6 +265,7 @@
     counters_["quarantine_acquitted_total"]++;
     log_.record("request_acquitted", {{"fingerprint", request.str()}});
     unmark(request);
+    note_released();
     keep_soon();
     tell(request);
   }
@@ -257,13 +282,7 @@
   }
   const suspected_request& known = *history_.find(request);
   if (!history_.holds_back(request)) {
-    const std::optional<request_fingerprint> other = history_.shares_most(request);
-    log_.record("request_not_quarantined", {{"fingerprint", request.str()},
-                                            {"ends", known.ends.size()},
-                                            {"reason", history_.is_ambiguous(request) ? "tied" : "explained"},
-                                            {"beside", other ? other->str() : std::string()},
-                                            {"beside_ends", other ? history_.ends(*other) : 0},
-                                            {"learned", learned}});
+    note_verdict("request_not_quarantined", request, learned);
     return;
   }
   log_.record("request_quarantined",
@@ -274,6 +293,7 @@
                {"between_ms", known.ends.back().at - std::min(known.ends.back().at, known.ends.front().at)},
                {"learned", learned}});
   counters_["quarantine_begun_total"]++;
+  quarantined_.insert(request);
   if (marks_ && saw_end_.contains(request)) {
     marks_->write(request);
   }
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -98,6 +98,10 @@
   void take(const suspected_request& told, std::string_view learned);
   wire::SuspicionSyncT shared_list() const;
   void send_shared(const PeerAddress& to, bool reply);
+  /// Says which requests are not held back any more by what has just been heard.
+  void note_released();
+  /// Why @p request, with three ends, is not held back, and beside which other one.
+  void note_verdict(std::string_view event, const routing::request_fingerprint& request, std::string_view learned);
   void note_if_held_back(const routing::request_fingerprint& request, bool before, std::string_view learned);
 
   Environment& environment_;
@@ -118,8 +122,9 @@
   Timestamp sent_shared_at_{};
   ledger::Storage* storage_ = nullptr;  ///< Only on nodes with a disk.
   std::uint64_t kept_digest_ = 0;
-  std::unique_ptr<held_back_marks> marks_;          ///< Only where a store is given.
-  std::set<routing::request_fingerprint> saw_end_;  ///< This node saw a back end end under these.
+  std::unique_ptr<held_back_marks> marks_;              ///< Only where a store is given.
+  std::set<routing::request_fingerprint> quarantined_;  ///< Said to be held back.
+  std::set<routing::request_fingerprint> saw_end_;      ///< This node saw a back end end under these.
   Lifetime lifetime_;
 };
 
