--- a/src/quarantine/end_history.cpp
+++ b/src/quarantine/end_history.cpp
@@ -187,15 +187,16 @@
 std::optional<request_fingerprint> end_history::shares_most(const request_fingerprint& request) const {
   const suspected_request* known = find(request);
   std::optional<request_fingerprint> found;
-  std::size_t most = 0;
+  std::pair<std::size_t, std::size_t> most;  // shared, and in all: who has more is the likelier reason
   for (const auto& [other, beside] : requests_) {
     if (known == nullptr || other == request) {
       continue;
     }
     std::vector<backend_end> left = known->ends;
     erase_shared(left, beside.ends);
-    if (const std::size_t shared = known->ends.size() - left.size(); shared > most) {
-      most = shared;
+    const std::size_t shared = known->ends.size() - left.size();
+    if (const std::pair weight(shared, beside.ends.size()); shared > 0 && weight > most) {
+      most = weight;
       found = other;
     }
   }
