--- a/src/node/held_signals.cpp
+++ b/src/node/held_signals.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Left as they are: what asks for the end, what means a crash, and what the kernel's default does not end a process by.
+/// Left as they are: what asks for the end, what means a crash, and what the kernel's default does not end a process
+/// by.
 bool is_left(int number) {
   for (const int left : {SIGTERM, SIGINT, SIGKILL, SIGSEGV, SIGABRT, SIGBUS, SIGFPE, SIGILL, SIGSYS, SIGTRAP, SIGSTOP,
                          SIGTSTP, SIGTTIN, SIGTTOU, SIGCONT, SIGCHLD, SIGURG, SIGWINCH}) {
