madderdeck status shows the replica groups

Users saw: status told how many groups there are and whether the asked node's disk is in step, nothing of the groups. Change: /admin/status has "groups" (epoch, members counting and needed, each member's disk and state) as the asked node sees them; the command line prints them as a table, and nothing for a node of an earlier version. Shown by hand on four real processes: two groups of three with a majority, without one after two kills, with it again at epoch 2 after one came back with an empty folder. There is no automatic test of the command line's output.

--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -41,6 +41,27 @@
   return members;
 }
 
+/// Prints the replica groups as the node that was asked sees them; a fleet of an earlier version tells none.
+void print_groups(const json::value& status) {
+  const json::value* groups = status.as_object().if_contains("groups");
+  if (groups == nullptr) {
+    return;
+  }
+  json::array rows;
+  for (const json::value& group : groups->as_array()) {
+    json::object row = group.as_object();
+    std::string members;
+    for (const json::value& member : group.at("members").as_array()) {
+      members += (members.empty() ? "" : ", ") + plain(member.at("node")) + "/" + plain(member.at("disk")) + " " +
+                 plain(member.at("state"));
+    }
+    row["members"] = std::move(members);
+    rows.push_back(std::move(row));
+  }
+  print_table(rows, {"group", "epoch", "majority", "members"});
+  std::cout << "\n";
+}
+
 void print_backends(const json::value& status) {
   print_table(status.at("backends").as_array(),
               {"id", "pool", "zone", "state", "slots", "online_in_flight", "reported_online", "reported_batch"});
@@ -60,6 +81,7 @@
   print_table(members_with_details(context.fleet, value_of(status)),
               {"id", "state", "ready", "zone", "revision", "live", "api_address", "disk_id"});
   std::cout << "\n";
+  print_groups(value_of(status));
   print_backends(value_of(status));
   return Ok{};
 }
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -112,6 +112,25 @@
   return backends;
 }
 
+json::array describe_groups(const node::NodeCore& core) {
+  json::array groups;
+  for (const ledger::group_view& seen : core.group_health->views()) {
+    json::array members;
+    for (const ledger::member_view& member : seen.members) {
+      members.push_back(json::object{{"node", member.identity.node.str()},
+                                     {"disk", member.identity.disk.str()},
+                                     {"state", ledger::name_of(member.state)}});
+    }
+    groups.push_back(json::object{{"group", seen.group},
+                                  {"epoch", seen.epoch},
+                                  {"counting", seen.counting()},
+                                  {"needed", seen.needed()},
+                                  {"majority", seen.has_majority()},
+                                  {"members", std::move(members)}});
+  }
+  return groups;
+}
+
 }  // namespace
 
 void handle_objects(ApiContext& context, const ExchangePointer& exchange) {
@@ -162,6 +181,7 @@
                             {"replica_synchronized", !core.replica || core.holds_its_records()},
                             {"live_active", core.live.active()},
                             {"members", describe_members(core)},
+                            {"groups", describe_groups(core)},
                             {"backends", describe_backends(core)},
                             {"jobs", std::move(jobs)}};
   exchange->respond({200, "application/json", {}, json::serialize(answer)});
