--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -55,7 +55,7 @@
       members += (members.empty() ? "" : ", ") + plain(member.at("node")) + "/" + plain(member.at("disk")) + " " +
                  plain(member.at("state"));
     }
-    row["members"] = std::move(members);
+    row["members"] = members;
     rows.push_back(std::move(row));
   }
   print_table(rows, {"group", "epoch", "majority", "members"});
