Results can be read beside replicas that know no named records

An earlier replica takes named records for a stretch of no length; one such reply among the majority emptied the page. Change: a reply that ends early or has no records says nothing about named records; those on which the others do not agree are read one by one, at most eight a page, the first ones first. Counted: ledger_fetches_not_understood_total. The unit test fails without it with one to five such replicas of five, passes with it.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -8,6 +8,17 @@
 constexpr unsigned kMaxBackoffExponent = 6;
 /// Attempts at a change or a scan have 0.4, 0.8 and then 1.6 s: three within the 4 s of an operation.
 constexpr unsigned kMostAttemptDoublings = 2;
+/// Named records that are read one after the other beside replicas that know no names; the others come with a later
+/// fetch. As many as are settled at once, so that the first ones asked for are among these.
+constexpr std::size_t kMostReadSingly = 8;
+
+/// @return whether @p reply to a question for named records is of a replica that knows no names: it takes the question
+/// for one about a stretch of no length.
+bool knows_no_names(const wire::ScanReplyT& reply) { return reply.truncated || reply.records.empty(); }
+
+bool some_know_no_names(const std::map<std::uint32_t, wire::ScanReplyT>& replies) {
+  return std::any_of(replies.begin(), replies.end(), [](const auto& entry) { return knows_no_names(entry.second); });
+}
 }  // namespace
 
 Client::Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options,
@@ -601,7 +612,15 @@
   // A truncated reply says nothing about keys after its last one; of a fetch the values' reply may end early.
   std::string horizon;
   std::size_t reached = scan.keys.size();
+  // Who knows no names says nothing about the records: each is settled by a read unless the others agree on it.
+  const bool some_know_none = fetched && some_know_no_names(scan.replies);
+  if (some_know_none) {
+    reached = std::min(reached, kMostReadSingly);
+  }
   for (const auto& [replica, reply] : scan.replies) {
+    if (fetched && knows_no_names(reply)) {
+      continue;
+    }
     if (reply.truncated && !reply.records.empty() && (horizon.empty() || reply.records.back()->key < horizon)) {
       horizon = reply.records.back()->key;
     }
@@ -615,10 +634,15 @@
     const wire::Bytes* value = nullptr;  ///< Null where only its ballot is known.
   };
   std::map<std::string, Candidate> candidates;
+  for (std::size_t position = 0; some_know_none && position < reached; ++position) {
+    candidates.try_emplace(scan.keys[position]);
+  }
   for (const auto& [replica, reply] : scan.replies) {
     std::size_t position = 0;
     for (const auto& record : reply.records) {
-      if (fetched ? position++ >= reached : !horizon.empty() && record->key > horizon) {
+      const bool beyond =
+          fetched ? position++ >= reached || knows_no_names(reply) : !horizon.empty() && record->key > horizon;
+      if (beyond) {
         break;
       }
       const Ballot ballot = from_wire(record->accepted);
@@ -653,6 +677,7 @@
   auto node = scans_.extract(id);
   Scan& scan = node.mapped();
   const std::shared_ptr<MergedPage> merged = merge_replies(scan);
+  counters_["ledger_fetches_not_understood_total"] += !scan.keys.empty() && some_know_no_names(scan.replies) ? 1 : 0;
   if (merged->positions.size() > options_.most_settled_at_once && !scan.keys.empty()) {
     // The others come with a later fetch.
     for (std::size_t number = options_.most_settled_at_once; number < merged->positions.size(); ++number) {
--- a/tests/batch/result_reader_test.cpp
+++ b/tests/batch/result_reader_test.cpp
@@ -141,3 +141,19 @@
     CHECK((!succeeded(*answer) || !value_of(*answer).results.empty()));
   }
 }
+
+// An upgrade with real processes from a version whose replicas know no named records: newer gateways put readings off
+// (503, "the first result could not be settled") for as long as such replicas were among the first to answer. Their
+// answer to named records is "0 records and that more follow".
+TEST_CASE("results are read whole beside replicas of a version that knows no named records") {
+  for (unsigned earlier = 1; earlier <= slow_group::kReplicas; ++earlier) {
+    INFO(earlier << " replicas of the earlier version");
+    slow_group group(1, Duration(10), Duration(0));
+    persistent_caller caller(group, group.add_job("job", kItems, kResultBytes), 0, 1);
+    group.run_earlier_version(earlier);
+    caller.ask();
+    group.world.run_for(3s);
+    CHECK(caller.whole());
+    CHECK(group.counters(0)["batch_result_reads_failed_total"] == 0);
+  }
+}
--- a/tests/support/slow_group.hpp
+++ b/tests/support/slow_group.hpp
@@ -65,6 +65,9 @@
     return job;
   }
 
+  /// From now on the first @p count replicas run a version that knows no named records: it reads the question without
+  /// the names, as one about a stretch of no length.
+  void run_earlier_version(unsigned count) { earlier_ = count; }
   void slow_down(Duration per_question) { per_question_ = per_question; }
   batch::ResultReader& reader(unsigned gateway) { return gateways_[gateway]->reader; }
   Counters& counters(unsigned gateway) { return gateways_[gateway]->counters; }
@@ -160,6 +163,11 @@
       }
     }
     for (unsigned number = 0; number < gateways_.size(); ++number) {
+      if (to == "gateway-" + std::to_string(number) && body->type == wire::Message::Promise) {
+        world.schedule(kLink, [this, number, from, body] {
+          gateways_[number]->client.handle(PeerAddress(from), *body->AsPromise());
+        });
+      }
       if (to == "gateway-" + std::to_string(number) && body->type == wire::Message::ScanReply) {
         const std::size_t bytes = bytes_of(*body);
         value_bytes_ += bytes;
@@ -176,9 +184,17 @@
   }
 
   void arrive(replica_node& node, const std::string& from, const std::shared_ptr<wire::MessageUnion>& body) {
+    if (body->type == wire::Message::Prepare) {
+      world.schedule(per_question_,
+                     [&node, from, body] { node.replica.handle(PeerAddress(from), *body->AsPrepare()); });
+    }
     if (body->type != wire::Message::ScanRequest) {
       return;
     }
+    if (is_earlier(node)) {
+      body->AsScanRequest()->keys.clear();
+      body->AsScanRequest()->max_bytes = 0;
+    }
     ++questions_;
     node.free_at = std::max(node.free_at, world.now()) + per_question_;
     world.schedule(node.free_at - world.now(), [this, &node, from, body] {
@@ -189,8 +205,18 @@
     });
   }
 
+  bool is_earlier(const replica_node& node) const {
+    for (unsigned number = 0; number < earlier_; ++number) {
+      if (replicas_[number].get() == &node) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   Duration per_question_;
   const Duration per_kilobyte_;
+  unsigned earlier_ = 0;
   ledger::GroupMap map_;
   std::vector<std::unique_ptr<replica_node>> replicas_;
   std::vector<std::unique_ptr<gateway_node>> gateways_;
