--- a/tests/batch/result_reader_test.cpp
+++ b/tests/batch/result_reader_test.cpp
@@ -23,7 +23,7 @@
 /// next gateway.
 struct persistent_caller {
   persistent_caller(slow_group& nodes, JobId wanted, unsigned first, unsigned count)
-      : group(nodes), job(std::move(wanted)), gateway(first), gateways(count) {}
+      : group(nodes), job(std::move(wanted)), gateway(first), gateways(std::max(1U, count)) {}
 
   void ask() {
     const std::uint64_t call = ++calls;
@@ -56,7 +56,7 @@
   slow_group& group;
   const JobId job;
   unsigned gateway = 0;
-  const unsigned gateways = 0;
+  const unsigned gateways = 1;
   std::uint32_t position = 0;
   std::uint64_t calls = 0;
   Timestamp whole_at{};
