The rule for a replica group's next epoch stands by itself

Cause: which disks hold a group next, and who must agree, was private to the controller and mixed with its clock and its view of the members; nothing could drive the rule without a whole node.

Change: ledger::wanted_change over a group_view; the controller says what it believes through one. Behaviour as before, but for none.

--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -65,12 +65,6 @@
 /// @return how far a node is from here; the least is asked for values.
 using NodeDistance = std::function<unsigned(const NodeId&)>;
 
-/// Who of a group's members must agree on its next epoch.
-struct EpochRule {
-  std::size_t quorum = 0;               ///< How many; 0: the majority.
-  std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts.
-};
-
 /// Proposer for all records. Owned by one node, single threaded.
 class Client {
  public:
--- /dev/null
+++ b/src/ledger/epoch_change.hpp
@@ -0,0 +1,49 @@
+#pragma once
+/// @file Which disks ought to hold a replica group next, as one who looks after the group believes the fleet to be.
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ledger/groups.hpp"
+
+namespace madderdeck::ledger {
+
+/// How a replica of a group stands.
+enum class replica_state {
+  present,
+  disk_replaced,  ///< Its node runs with another disk: the old one will never vote again.
+  missing,        ///< Nothing has been heard of its node for long.
+  retiring,       ///< An operator wants its node emptied.
+};
+
+/// A disk that may hold replicas.
+struct disk_place {
+  ReplicaIdentity identity;
+  std::string zone;
+};
+
+/// What is believed of the fleet. It may be out of date.
+class group_view {
+ public:
+  virtual ~group_view() = default;
+
+  virtual replica_state state_of(const ReplicaIdentity& replica) = 0;
+  /// @return whether the node of @p replica is up and has that disk.
+  virtual bool is_there(const ReplicaIdentity& replica) const = 0;
+  /// @return the disks that take new records.
+  virtual std::vector<disk_place> places() const = 0;
+};
+
+/// The next description of a group and who has to agree on it.
+struct epoch_change {
+  ReplicaGroup next;
+  EpochRule rule;
+};
+
+/// @param replicas how many a group ought to have.
+/// @return the next description of @p group, if there is a reason for one: one replacement a step, the next waits for a
+///         new look at the group.
+std::optional<epoch_change> wanted_change(const ReplicaGroup& group, group_view& view, std::size_t replicas);
+
+}  // namespace madderdeck::ledger
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -55,6 +55,12 @@
 ///        confirmed stands on a majority, of which one at least is among any half.
 std::size_t decision_quorum(std::size_t members, bool one_lost);
 
+/// Who of a group's members must agree on its next epoch.
+struct EpochRule {
+  std::size_t quorum = 0;               ///< How many; 0: the majority.
+  std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts.
+};
+
 /// @return the key under which the members of epoch - 1 decide who holds @p group at @p epoch.
 std::string group_config_key(std::uint32_t group, std::uint64_t epoch);
 
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -1,7 +1,6 @@
 #include "object_store/controller.hpp"
 
 #include <algorithm>
-#include <climits>
 
 #include "common/hash.hpp"
 
@@ -22,7 +21,6 @@
 constexpr Duration kRelayStep = 300ms;
 constexpr Duration kDeclareRest = 1s;
 constexpr Duration kAnnounceTime = 5s;
-constexpr std::size_t kPair = 2;  ///< Members of the smallest group that has no majority without all.
 /// How often the process notes that it runs. An answer may be read after the first note that follows a standstill, so
 /// the last but one counts.
 constexpr Duration kRunCheck = 50ms;
@@ -415,107 +413,47 @@
   return nullptr;
 }
 
-Controller::ReplicaState Controller::state_of(const ledger::ReplicaIdentity& replica) {
+ledger::replica_state Controller::state_of(const ledger::ReplicaIdentity& replica) {
   const wire::MemberT* node = member(replica.node);
   if (node != nullptr && node->state != wire::MemberState::Dead) {
     missing_since_.erase(replica.node);
     // A node that was frozen knows its peers as they were, but may have just learnt of later epochs.
     const bool known_as_it_was = ledger_.is_obsolete({replica.node, DiskId(node->disk_id)});
     if (!node->disk_id.empty() && node->disk_id != replica.disk.str() && !known_as_it_was) {
-      return ReplicaState::disk_replaced;
+      return ledger::replica_state::disk_replaced;
     }
-    return node->retiring ? ReplicaState::retiring : ReplicaState::present;
+    return node->retiring ? ledger::replica_state::retiring : ledger::replica_state::present;
   }
   const Duration patience = options_.replace_after.count() > 0
                                 ? options_.replace_after
                                 : std::chrono::seconds(catalog_.policy().replace_ledger_node_after_s);
   const auto [since, inserted] = missing_since_.try_emplace(replica.node, environment_.now());
-  return environment_.now() - since->second > patience ? ReplicaState::missing : ReplicaState::present;
+  return environment_.now() - since->second > patience ? ledger::replica_state::missing : ledger::replica_state::present;
 }
 
-const wire::MemberT* Controller::substitute(const ledger::ReplicaGroup& group,
-                                            const ledger::ReplicaIdentity& lost) const {
-  std::map<std::string, int> members_in_zone;
-  const wire::MemberT* best = nullptr;
-  int best_rank = INT_MIN;
-  const auto nodes = ledger_nodes();
-  for (const wire::MemberT* node : nodes) {
-    for (const ledger::ReplicaIdentity& replica : group.replicas) {
-      if (replica.node.str() == node->id && replica != lost) {
-        ++members_in_zone[node->zone];
-      }
-    }
-  }
-  for (const wire::MemberT* node : nodes) {
-    const bool member_already = std::any_of(group.replicas.begin(), group.replicas.end(), [&](const auto& replica) {
-      return replica.node.str() == node->id && replica.node != lost.node;
-    });
-    if (member_already) {
-      continue;
-    }
-    // The same node with its new disk first, then the zone that the others use least.
-    const int rank = node->id == lost.node.str() ? 1 : -members_in_zone[node->zone];
-    if (rank > best_rank) {
-      best = node;
-      best_rank = rank;
-    }
-  }
-  return best;
-}
+/// What this controller believes of the fleet, as the rule for the next epoch asks for it.
+class Controller::group_beliefs : public ledger::group_view {
+ public:
+  explicit group_beliefs(Controller& controller) : controller_(controller) {}
 
-std::optional<ledger::ReplicaIdentity> Controller::survivor_of(const ledger::ReplicaGroup& group, std::size_t lost) {
-  if (group.replicas.size() != kPair) {
-    return std::nullopt;
+  ledger::replica_state state_of(const ledger::ReplicaIdentity& replica) override {
+    return controller_.state_of(replica);
   }
-  const ledger::ReplicaIdentity& other = group.replicas[1 - lost];
-  const wire::MemberT* node = member(other.node);
-  const bool there = node != nullptr && node->state != wire::MemberState::Dead && node->disk_id == other.disk.str();
-  return there ? std::optional(other) : std::nullopt;
-}
-
-std::optional<Controller::Change> Controller::wanted_change(const ledger::ReplicaGroup& group) {
-  Change change;
-  change.next = group;
-  ++change.next.epoch;
-  // A member that leaves is copied from until it is gone.
-  std::erase_if(change.next.leaving, [this](const ledger::ReplicaIdentity& leaver) {
-    const wire::MemberT* node = member(leaver.node);
-    return node == nullptr || node->state == wire::MemberState::Dead || node->disk_id != leaver.disk.str();
-  });
-  for (std::size_t index = 0; index < group.replicas.size(); ++index) {
-    const ledger::ReplicaIdentity& replica = group.replicas[index];
-    const ReplicaState state = state_of(replica);
-    if (state == ReplicaState::present) {
-      continue;
-    }
-    const wire::MemberT* node = substitute(group, replica);
-    const auto survivor = state == ReplicaState::missing ? survivor_of(group, index) : std::nullopt;
-    const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
-    if (node != nullptr) {
-      *position = {NodeId(node->id), DiskId(node->disk_id)};
-    } else if (survivor || (state == ReplicaState::retiring && group.replicas.size() >= options_.replicas)) {
-      change.next.replicas.erase(position);
-    } else {
-      continue;
-    }
-    if (state == ReplicaState::retiring) {
-      change.next.leaving.push_back(replica);
-    }
-    if (state == ReplicaState::disk_replaced) {
-      change.rule.quorum = ledger::decision_quorum(group.replicas.size(), true);
-    } else if (survivor) {
-      change.rule = {1, survivor};
-    }
-    return change;  // one replacement a step: the next waits for a new look at the group
+  bool is_there(const ledger::ReplicaIdentity& replica) const override {
+    const wire::MemberT* node = controller_.member(replica.node);
+    return node != nullptr && node->state != wire::MemberState::Dead && node->disk_id == replica.disk.str();
   }
-  if (group.replicas.size() < options_.replicas) {
-    if (const wire::MemberT* node = substitute(group, ledger::ReplicaIdentity{})) {
-      change.next.replicas.push_back({NodeId(node->id), DiskId(node->disk_id)});
-      return change;
+  std::vector<ledger::disk_place> places() const override {
+    std::vector<ledger::disk_place> result;
+    for (const wire::MemberT* node : controller_.ledger_nodes()) {
+      result.push_back({{NodeId(node->id), DiskId(node->disk_id)}, node->zone});
     }
+    return result;
   }
-  return std::nullopt;
-}
+
+ private:
+  Controller& controller_;
+};
 
 void Controller::change_groups() {
   const auto& groups = ledger_.group_map().groups;
@@ -523,7 +461,8 @@
     if (deciding_.contains(group)) {
       continue;
     }
-    if (const auto change = wanted_change(groups[group])) {
+    group_beliefs beliefs(*this);
+    if (const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas)) {
       begin_change(group, *change);
       continue;
     }
@@ -534,7 +473,7 @@
   }
 }
 
-void Controller::begin_change(std::uint32_t group, const Change& change) {
+void Controller::begin_change(std::uint32_t group, const ledger::epoch_change& change) {
   deciding_.insert(group);
   if (!change.rule.sole) {
     decide(group, change);
@@ -555,7 +494,7 @@
   }));
 }
 
-void Controller::decide(std::uint32_t group, const Change& change) {
+void Controller::decide(std::uint32_t group, const ledger::epoch_change& change) {
   counters_["replica_replacements_total"]++;
   const auto decided = [this, group, before = change.next.epoch - 1](const Result<ledger::ReplicaGroup>& result) {
     deciding_.erase(group);
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -10,6 +10,7 @@
 #include "config/objects.hpp"
 #include "config/versioned_table.hpp"
 #include "ledger/client.hpp"
+#include "ledger/epoch_change.hpp"
 #include "membership/membership.hpp"
 #include "object_store/declarations.hpp"
 #include "object_store/platform_client.hpp"
@@ -111,31 +112,16 @@
   void note_rejected(const ChangeList& changes);
   void maintain_groups();
   void found_groups();
-  /// How a replica of a group stands.
-  enum class ReplicaState {
-    present,
-    disk_replaced,  ///< Its node runs with another disk: the old one will never vote again.
-    missing,        ///< Nothing has been heard of its node for long.
-    retiring,       ///< An operator wants its node emptied.
-  };
-  struct Change {
-    ledger::ReplicaGroup next;
-    ledger::EpochRule rule;
-  };
+  class group_beliefs;
   void change_groups();
   /// Has @p change decided, after the store's grant where one member is to decide alone.
-  void begin_change(std::uint32_t group, const Change& change);
-  void decide(std::uint32_t group, const Change& change);
-  /// @return the other member of a pair, if it is there; nothing for any other group.
-  std::optional<ledger::ReplicaIdentity> survivor_of(const ledger::ReplicaGroup& group, std::size_t lost);
-  /// @return the next description of @p group, if there is a reason for one.
-  std::optional<Change> wanted_change(const ledger::ReplicaGroup& group);
+  void begin_change(std::uint32_t group, const ledger::epoch_change& change);
+  void decide(std::uint32_t group, const ledger::epoch_change& change);
   void publish_groups();
   void declare_groups(const ledger::GroupMap& map);
   std::vector<const wire::MemberT*> ledger_nodes() const;
   const wire::MemberT* member(const NodeId& node) const;
-  ReplicaState state_of(const ledger::ReplicaIdentity& replica);
-  const wire::MemberT* substitute(const ledger::ReplicaGroup& group, const ledger::ReplicaIdentity& lost) const;
+  ledger::replica_state state_of(const ledger::ReplicaIdentity& replica);
 
   Environment& environment_;
   Counters& counters_;
