Tests that fail: members that come back, leave or are lost beside one that leaves

Cause: an exhaustive model of a group's epochs (next commits) reaches states in which a confirmed record is out of sight, or a place stays empty for good.

Change: each such state as a test of the real classes; the view tells whether a node is to be emptied, replicas tell their descriptions.

--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -124,6 +124,14 @@
   }
 }
 
+std::map<std::uint32_t, ReplicaGroup> Replica::descriptions() const {
+  std::map<std::uint32_t, ReplicaGroup> result;
+  for (const auto& [group, progress] : progress_) {
+    result.emplace(group, progress.description);
+  }
+  return result;
+}
+
 bool Replica::synchronized() const {
   for (const auto& [group, progress] : progress_) {
     if (!progress.synchronized) {
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -52,6 +52,9 @@
   /// @return whether this disk is in no group any more, and all that it held stands elsewhere.
   bool left_all_groups() const;
 
+  /// @return the descriptions that this disk knows, of the groups that name it.
+  std::map<std::uint32_t, ReplicaGroup> descriptions() const;
+
   /// @return whether every group that this replica knows to name its disk has been copied to it.
   bool synchronized() const;
   /// @return whether @p group, at @p epoch or later, has been copied to this disk.
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -428,7 +428,8 @@
                                 ? options_.replace_after
                                 : std::chrono::seconds(catalog_.policy().replace_ledger_node_after_s);
   const auto [since, inserted] = missing_since_.try_emplace(replica.node, environment_.now());
-  return environment_.now() - since->second > patience ? ledger::replica_state::missing : ledger::replica_state::present;
+  return environment_.now() - since->second > patience ? ledger::replica_state::missing
+                                                       : ledger::replica_state::present;
 }
 
 /// What this controller believes of the fleet, as the rule for the next epoch asks for it.
@@ -443,6 +444,10 @@
     const wire::MemberT* node = controller_.member(replica.node);
     return node != nullptr && node->state != wire::MemberState::Dead && node->disk_id == replica.disk.str();
   }
+  bool is_retiring(const NodeId& node) const override {
+    const wire::MemberT* known = controller_.member(node);
+    return known != nullptr && known->retiring;
+  }
   std::vector<ledger::disk_place> places() const override {
     std::vector<ledger::disk_place> result;
     for (const wire::MemberT* node : controller_.ledger_nodes()) {
--- /dev/null
+++ b/tests/ledger/epoch_change_test.cpp
@@ -0,0 +1,118 @@
+/// Who holds a replica group next: a disk that is gone is replaced before one that is to be emptied is let go, nobody
+/// keeps a place that stays empty, and no group is left without a majority of members that vote already.
+#include "ledger/epoch_change.hpp"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace madderdeck;
+using namespace madderdeck::ledger;
+
+namespace {
+
+const ReplicaIdentity kA{NodeId("a"), DiskId("disk-a")};
+const ReplicaIdentity kNewA{NodeId("a"), DiskId("disk-a2")};
+const ReplicaIdentity kB{NodeId("b"), DiskId("disk-b")};
+const ReplicaIdentity kC{NodeId("c"), DiskId("disk-c")};
+const ReplicaIdentity kD{NodeId("d"), DiskId("disk-d")};
+constexpr std::size_t kReplicas = 3;
+
+/// A fleet as it is told.
+class told_view : public group_view {
+ public:
+  replica_state state_of(const ReplicaIdentity& replica) override {
+    const auto told = states.find(replica);
+    return told == states.end() ? replica_state::present : told->second;
+  }
+  bool is_there(const ReplicaIdentity& replica) const override {
+    const auto told = states.find(replica);
+    return told == states.end() || told->second == replica_state::present || told->second == replica_state::retiring;
+  }
+  bool is_retiring(const NodeId& node) const override { return node == retiring; }
+  std::vector<disk_place> places() const override { return free; }
+
+  std::map<ReplicaIdentity, replica_state> states;
+  NodeId retiring;
+  std::vector<disk_place> free;
+};
+
+}  // namespace
+
+TEST_CASE("a lost disk is replaced by the one that its node has now, by a majority") {
+  told_view view;
+  view.states[kA] = replica_state::disk_replaced;
+  view.free = {{kNewA, "1"}, {kB, "2"}, {kC, "3"}, {kD, "1"}};
+  const auto change = wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kNewA, kB, kC}, {}});
+  CHECK(change->rule.quorum == 2);
+  CHECK_FALSE(change->rule.sole);
+}
+
+TEST_CASE("of a pair the one that is left decides alone, if the store names it") {
+  told_view view;
+  view.states[kA] = replica_state::missing;
+  view.free = {{kB, "2"}};
+  const auto change = wanted_change({4, {kA, kB}, {}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kB}, {}});
+  CHECK(change->rule.sole == kB);
+}
+
+TEST_CASE("a group that is short of members takes another disk") {
+  told_view view;
+  view.free = {{kB, "2"}, {kC, "3"}, {kD, "1"}};
+  const auto change = wanted_change({4, {kB, kC}, {}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kB, kC, kD}, {}});
+}
+
+TEST_CASE("a member that is to be emptied leaves a group of three without another disk to go to") {
+  told_view view;
+  view.states[kA] = replica_state::retiring;
+  view.free = {{kB, "2"}, {kC, "3"}};
+  const auto change = wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kB, kC}, {kA}});
+}
+
+// Found by the model of epochs: its place stayed empty for good, so that the next lost disk left no majority.
+TEST_CASE("a member that was to be emptied and has lost its disk gives its place up") {
+  told_view view;
+  view.states[kA] = replica_state::disk_replaced;
+  view.retiring = kA.node;
+  view.free = {{kB, "2"}, {kC, "3"}};
+  const auto change = wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kB, kC}, {}});
+  CHECK(change->rule.quorum == 2);
+}
+
+// Found by the model: the new disk was given the place of the member that leaves, and then waited for the one that was
+// gone; a single member was left to decide anything.
+TEST_CASE("a member that is gone is replaced before one that leaves is let go") {
+  told_view view;
+  view.states[kA] = replica_state::retiring;
+  view.states[kB] = replica_state::missing;
+  view.free = {{kC, "3"}, {kD, "2"}};
+  const auto change = wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kA, kD, kC}, {}});
+}
+
+TEST_CASE("a member that leaves stays as long as the others would have no majority without it") {
+  told_view view;
+  view.states[kA] = replica_state::retiring;
+  view.states[kB] = replica_state::missing;
+  view.free = {{kC, "3"}};
+  CHECK_FALSE(wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas));
+}
+
+TEST_CASE("a member that has left and is gone is copied from no more") {
+  told_view view;
+  view.states[kA] = replica_state::missing;
+  view.free = {{kB, "2"}, {kC, "3"}};
+  const auto change = wanted_change({5, {kB, kC}, {kA}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{6, {kB, kC}, {}});
+}
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -42,6 +42,35 @@
     return {};
   }
   std::size_t copy_requests() const { return environment.sent_of(wire::Message::CopyRequest); }
+  /// The member with that number answers a page that was asked for: it holds nothing.
+  void answer_empty(std::uint32_t member, const std::string& after, std::uint64_t epoch) {
+    wire::CopyReplyT reply;
+    reply.epoch = epoch;
+    reply.replica = member;
+    reply.after = after;
+    reply.ballots_only = true;
+    replica->handle(PeerAddress("peer"), reply);
+  }
+  void answer_whole(std::uint32_t member, std::uint64_t epoch) {
+    answer_empty(member, "p:", epoch);
+    answer_empty(member, "a:", epoch);
+  }
+  wire::CopyReplyT ask_for_copy(std::uint64_t epoch) {
+    wire::CopyRequestT request;
+    request.epoch = epoch;
+    request.after = "p:";
+    request.limit = 10;
+    environment.sent.clear();
+    replica->handle(kCaller, request);
+    environment.world.run_for(20ms);
+    for (const auto& message : environment.sent) {
+      if (message.body.type == wire::Message::CopyReply) {
+        return *message.body.AsCopyReply();
+      }
+    }
+    FAIL("no copy");
+    return {};
+  }
   void copied(std::uint32_t member, std::uint64_t epoch) {
     wire::CopyStatusT status;
     status.epoch = epoch;
@@ -102,6 +131,104 @@
   CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
 }
 
+// Found by the model of epochs: a record that two others had confirmed meanwhile was out of sight of a majority.
+TEST_CASE("a member whose place another disk had taken copies again before it votes, and is copied from meanwhile") {
+  const ReplicaIdentity other{NodeId("d"), DiskId("disk-d")};
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  SECTION("it has heard of it") { fixture.replica->adopt_group(0, {2, {other, kB, kC}, {}}); }
+  SECTION("it stood still meanwhile") {}
+  fixture.replica->adopt_group(0, {3, {kA, kB, other}, {}});
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
+  CHECK(fixture.ask_for_copy(3).status == wire::ReplicaStatus::Granted);
+  fixture.environment.world.run_for(20ms);
+  fixture.replica = fixture.make();
+  fixture.replica->restore();
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);  // nor after a restart
+  CHECK(fixture.ask_for_copy(3).status == wire::ReplicaStatus::Granted);
+  fixture.answer_whole(1, 3);
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
+  fixture.answer_whole(2, 3);
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
+}
+
+TEST_CASE("a member that follows its group from epoch to epoch votes all the time") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.replica->adopt_group(0, {2, {kA, kB, {NodeId("c"), DiskId("disk-c2")}}, {}});
+  fixture.replica->adopt_group(0, {3, {kA, {NodeId("b"), DiskId("disk-b2")}, {NodeId("c"), DiskId("disk-c2")}}, {}});
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
+}
+
+// Found by the model: what the lost disk and one other member had confirmed stood on that one alone, for good.
+TEST_CASE("those that stay copy from each other when a member goes without a successor") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.environment.sent.clear();
+  fixture.replica->adopt_group(0, {2, {kA, kB}, {}});
+  CHECK(fixture.copy_requests() == 1);
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
+}
+
+TEST_CASE("those that stay copy from each other when one that was leaving is gone") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.replica->adopt_group(0, {2, {kA, kB}, {kC}});
+  fixture.environment.sent.clear();
+  fixture.replica->adopt_group(0, {3, {kA, kB}, {}});
+  CHECK(fixture.copy_requests() == 1);
+}
+
+// Found by the model: a confirmed record that only the leaving member held was out of sight.
+TEST_CASE("a new disk votes only once it holds what the leaving member held, from it or from one that has copied it") {
+  const ReplicaIdentity leaver{NodeId("d"), DiskId("disk-d")};
+  constexpr std::uint32_t kNumberOfLeaver = 2;
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {3, {kB, kA}, {leaver}});
+  fixture.answer_whole(0, 3);
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
+  SECTION("from the leaving member") { fixture.answer_whole(kNumberOfLeaver, 3); }
+  SECTION("from a member that says that it holds it, asked once more") {
+    fixture.copied(0, 3);
+    CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
+    fixture.answer_whole(0, 3);
+  }
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
+}
+
+TEST_CASE("a member that lost another one beside a leaving one votes only once it holds what that one held") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.replica->adopt_group(0, {2, {kA, kB}, {kC}});
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
+  SECTION("it does not hold it yet") {
+    fixture.replica->adopt_group(0, {3, {kA}, {kC}});
+    CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
+    fixture.answer_whole(1, 3);
+    CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
+  }
+  SECTION("it held it before, also after a restart") {
+    fixture.answer_whole(2, 2);
+    fixture.environment.world.run_for(20ms);
+    fixture.replica = fixture.make();
+    fixture.replica->restore();
+    fixture.replica->adopt_group(0, {3, {kA}, {kC}});
+    CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
+  }
+}
+
+TEST_CASE("a replica tells what its disk knows of its groups") {
+  Fixture fixture;
+  const ReplicaGroup group{2, {kA, kB}, {kC}};
+  fixture.replica->adopt_group(0, group);
+  fixture.environment.world.run_for(20ms);
+  fixture.replica = fixture.make();
+  fixture.replica->restore();
+  const auto told = fixture.replica->descriptions();
+  REQUIRE(told.contains(0));
+  CHECK(told.at(0) == group);
+}
+
 TEST_CASE("a leaving member does not vote, and is done when all others hold what it held") {
   Fixture fixture;
   fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
--- a/tests/ledger/sole_decision_test.cpp
+++ b/tests/ledger/sole_decision_test.cpp
@@ -84,6 +84,23 @@
   CHECK_FALSE(decided(fixture.outcome));
 }
 
+// By reading: the question went on in the later epoch, by the narrower rule of the earlier one.
+TEST_CASE("a decision that its group has left behind is dropped, and asks nobody of the later epoch") {
+  pair_fixture fixture;
+  fixture.responder = 5;  // nobody answers
+  fixture.decide({1, kA});
+  REQUIRE_FALSE(decided(fixture.outcome));
+  fixture.outcome.reset();
+  fixture.client.decide_next(0, {4, {kA}, {}}, {1, kA},
+                             [&](const Result<ReplicaGroup>& result) { fixture.outcome = result; });
+  fixture.client.learn(0, {4, {kA, kB}, {}});
+  fixture.environment.sent.clear();
+  fixture.environment.world.run_for(2s);
+  CHECK(fixture.environment.sent_of(wire::Message::Prepare) == 0);
+  REQUIRE(fixture.outcome);
+  CHECK_FALSE(succeeded(*fixture.outcome));
+}
+
 // Five nodes with a disk, two of which may be lost at once: one was emptied and taken away, which left groups of four.
 // Then two disks were lost while all others lost power, and no job could be read any more, for good: a group of four
 // has no majority without three. What it confirmed stands on three members, so that each of the two that are left,
