Groups: gone before leaving, no place that stays empty, epochs published by their members

Change: wanted_change replaces what is gone first, lets a member go only if the others that vote have a majority, gives up the place of a disk lost as its node leaves, drops gone leavers by an epoch of its own (after 5 s; one that says nothing of leaving any more after 60 s). A member publishes an overdue epoch after 2, 4, 6 s.

--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -9,6 +9,8 @@
 
 constexpr std::size_t kPair = 2;  ///< Members of the smallest group that has no majority without all.
 
+bool is_gone(replica_state state) { return state == replica_state::disk_replaced || state == replica_state::missing; }
+
 /// @return the disk that takes the place of @p lost in @p group, if there is one.
 std::optional<ReplicaIdentity> substitute(const ReplicaGroup& group, const ReplicaIdentity& lost,
                                           const std::vector<disk_place>& places) {
@@ -26,7 +28,9 @@
     const bool member_already = std::any_of(group.replicas.begin(), group.replicas.end(), [&](const auto& replica) {
       return replica.node == place.identity.node && replica.node != lost.node;
     });
-    if (member_already) {
+    const bool leaves = std::any_of(group.leaving.begin(), group.leaving.end(),
+                                    [&](const auto& leaver) { return leaver.node == place.identity.node; });
+    if (member_already || leaves) {
       continue;
     }
     // The same node with its new disk first, then the zone that the others use least.
@@ -48,6 +52,53 @@
   return view.is_there(other) ? std::optional(other) : std::nullopt;
 }
 
+/// Takes the member with number @p index, whose disk or node is gone, out of @p change.
+/// @return whether there is a way.
+bool replace_gone(epoch_change& change, const ReplicaGroup& group, std::size_t index, replica_state state,
+                  const group_view& view) {
+  const ReplicaIdentity& replica = group.replicas[index];
+  const bool lost = state == replica_state::disk_replaced;
+  const auto other = substitute(group, replica, view.places());
+  const auto survivor = lost ? std::nullopt : survivor_of(group, index, view);
+  // It had been about to leave and has nothing to hand on any more. Its place would stay empty for good.
+  const bool lost_as_it_left = lost && view.is_retiring(replica.node) && group.replicas.size() > 1;
+  const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
+  if (other) {
+    *position = *other;
+  } else if (survivor || lost_as_it_left) {
+    change.next.replicas.erase(position);
+  } else {
+    return false;
+  }
+  if (lost) {
+    change.rule.quorum = decision_quorum(group.replicas.size(), true);
+  } else if (survivor) {
+    change.rule = {1, survivor};
+  }
+  return true;
+}
+
+/// Lets the member with number @p index go, which is to be emptied.
+/// @param present members that are neither gone nor to be emptied
+/// @return whether there is a way that leaves the group a majority of those that vote already.
+bool let_go(epoch_change& change, const ReplicaGroup& group, std::size_t index, std::size_t present,
+            std::size_t replicas, const group_view& view) {
+  const ReplicaIdentity& replica = group.replicas[index];
+  const auto other = substitute(group, replica, view.places());
+  const std::size_t members = group.replicas.size() - (other ? 0 : 1);
+  if ((!other && group.replicas.size() < replicas) || present < members / 2 + 1) {
+    return false;
+  }
+  const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
+  if (other) {
+    *position = *other;
+  } else {
+    change.next.replicas.erase(position);
+  }
+  change.next.leaving.push_back(replica);
+  return true;
+}
+
 }  // namespace
 
 std::optional<epoch_change> wanted_change(const ReplicaGroup& group, group_view& view, std::size_t replicas) {
@@ -55,32 +106,22 @@
   change.next = group;
   ++change.next.epoch;
   // A member that leaves is copied from until it is gone.
-  std::erase_if(change.next.leaving, [&view](const ReplicaIdentity& leaver) { return !view.is_there(leaver); });
-  for (std::size_t index = 0; index < group.replicas.size(); ++index) {
-    const ReplicaIdentity& replica = group.replicas[index];
-    const replica_state state = view.state_of(replica);
-    if (state == replica_state::present) {
-      continue;
-    }
-    const auto other = substitute(group, replica, view.places());
-    const auto survivor = state == replica_state::missing ? survivor_of(group, index, view) : std::nullopt;
-    const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
-    if (other) {
-      *position = *other;
-    } else if (survivor || (state == replica_state::retiring && group.replicas.size() >= replicas)) {
-      change.next.replicas.erase(position);
-    } else {
-      continue;
-    }
-    if (state == replica_state::retiring) {
-      change.next.leaving.push_back(replica);
+  std::erase_if(change.next.leaving, [&view](const ReplicaIdentity& leaver) { return view.has_gone(leaver); });
+  std::vector<replica_state> states;
+  for (const ReplicaIdentity& replica : group.replicas) {
+    states.push_back(view.state_of(replica));
+  }
+  for (std::size_t index = 0; index < states.size(); ++index) {
+    if (is_gone(states[index]) && replace_gone(change, group, index, states[index], view)) {
+      return change;
     }
-    if (state == replica_state::disk_replaced) {
-      change.rule.quorum = decision_quorum(group.replicas.size(), true);
-    } else if (survivor) {
-      change.rule = {1, survivor};
+  }
+  // Only now: a member that is to leave still votes, and who takes its place copies from all others first.
+  const auto present = static_cast<std::size_t>(std::count(states.begin(), states.end(), replica_state::present));
+  for (std::size_t index = 0; index < states.size(); ++index) {
+    if (states[index] == replica_state::retiring && let_go(change, group, index, present, replicas, view)) {
+      return change;
     }
-    return change;
   }
   if (group.replicas.size() < replicas) {
     if (const auto other = substitute(group, ReplicaIdentity{}, view.places())) {
@@ -88,6 +129,9 @@
       return change;
     }
   }
+  if (change.next.leaving.size() < group.leaving.size()) {
+    return change;  // nobody waits for it any more
+  }
   return std::nullopt;
 }
 
--- a/src/ledger/epoch_change.hpp
+++ b/src/ledger/epoch_change.hpp
@@ -31,6 +31,8 @@
   virtual replica_state state_of(const ReplicaIdentity& replica) = 0;
   /// @return whether the node of @p replica is up and has that disk.
   virtual bool is_there(const ReplicaIdentity& replica) const = 0;
+  /// @return whether the disk of @p leaver, a former member, is surely gone: nobody waits for what it holds any more.
+  virtual bool has_gone(const ReplicaIdentity& leaver) = 0;
   /// @return whether an operator wants @p node emptied, whatever disk it has.
   virtual bool is_retiring(const NodeId& node) const = 0;
   /// @return the disks that take new records.
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -21,6 +21,14 @@
 constexpr Duration kRelayStep = 300ms;
 constexpr Duration kDeclareRest = 1s;
 constexpr Duration kAnnounceTime = 5s;
+/// A former member has to seem gone for so long: one who was frozen or cut off may know its node with an earlier disk
+/// for a while, and what it holds may stand nowhere else.
+constexpr Duration kLeaverPatience = 5s;
+/// A former member that is there and says nothing of leaving: it may have started just now and not know yet that it is
+/// to be emptied, while the store is away.
+constexpr Duration kStayerPatience = 60s;
+/// A member waits so long for the maintainers to tell the store of its group's epoch before it does.
+constexpr Duration kUntoldPatience = 2s;
 /// How often the process notes that it runs. An answer may be read after the first note that follows a standstill, so
 /// the last but one counts.
 constexpr Duration kRunCheck = 50ms;
@@ -356,7 +364,11 @@
 
 void Controller::maintain_groups() {
   environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
-  if (!ranks_among(options_.maintainers) || environment_.now() - started_ < options_.founding_wait) {
+  if (environment_.now() - started_ < options_.founding_wait) {
+    return;
+  }
+  if (!ranks_among(options_.maintainers)) {
+    publish_overdue_groups();
     return;
   }
   if (!ledger_.has_group_map()) {
@@ -444,6 +456,16 @@
     const wire::MemberT* node = controller_.member(replica.node);
     return node != nullptr && node->state != wire::MemberState::Dead && node->disk_id == replica.disk.str();
   }
+  bool has_gone(const ledger::ReplicaIdentity& leaver) override {
+    const ledger::replica_state state = controller_.state_of(leaver);
+    if (state == ledger::replica_state::retiring) {
+      controller_.leaver_gone_since_.erase(leaver);
+      return false;
+    }
+    const Timestamp now = controller_.environment_.now();
+    const Duration patience = state == ledger::replica_state::present ? kStayerPatience : kLeaverPatience;
+    return now - controller_.leaver_gone_since_.try_emplace(leaver, now).first->second > patience;
+  }
   bool is_retiring(const NodeId& node) const override {
     const wire::MemberT* known = controller_.member(node);
     return known != nullptr && known->retiring;
@@ -525,6 +547,34 @@
   }
 }
 
+std::optional<std::uint32_t> Controller::place_in_untold_group() const {
+  const auto& known = ledger_.group_map().groups;
+  const auto& published = catalog_.groups().groups;
+  const ledger::ReplicaIdentity self{NodeId(members_.self().id), DiskId(members_.self().disk_id)};
+  for (std::size_t group = 0; group < std::min(known.size(), published.size()); ++group) {
+    const auto place = known[group].index_of(self);
+    if (place && known[group].epoch > published[group].epoch) {
+      return place;
+    }
+  }
+  return std::nullopt;
+}
+
+void Controller::publish_overdue_groups() {
+  const auto place = place_in_untold_group();
+  if (!place) {
+    untold_since_ = Timestamp{};
+    return;
+  }
+  if (untold_since_.count() == 0) {
+    untold_since_ = environment_.now();
+  }
+  // One after the other, so that the first one's word spares the others the call.
+  if (environment_.now() - untold_since_ > kUntoldPatience * (1 + *place)) {
+    publish_groups();
+  }
+}
+
 void Controller::declare_groups(const ledger::GroupMap& map) {
   const config::VersionedTable& source = platform_.has_group_source() ? groups_.table() : objects_.table();
   const config::Entry* present = source.find({config::kReplicaGroupsKind, config::kDefaultName});
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -118,6 +118,10 @@
   void begin_change(std::uint32_t group, const ledger::epoch_change& change);
   void decide(std::uint32_t group, const ledger::epoch_change& change);
   void publish_groups();
+  /// Publishes what the maintainers ought to have: they may not know of it.
+  void publish_overdue_groups();
+  /// @return the number of this node among the members of the first group whose published epoch is an earlier one.
+  std::optional<std::uint32_t> place_in_untold_group() const;
   void declare_groups(const ledger::GroupMap& map);
   std::vector<const wire::MemberT*> ledger_nodes() const;
   const wire::MemberT* member(const NodeId& node) const;
@@ -139,7 +143,9 @@
   std::set<std::uint32_t> deciding_;
   sole_deciders deciders_;
   std::map<std::uint32_t, Timestamp> announce_until_;  ///< Groups whose latest epoch is repeated for a while.
+  std::map<ledger::ReplicaIdentity, Timestamp> leaver_gone_since_;  ///< Former members that seem to be gone.
   bool declaring_ = false;
+  Timestamp untold_since_{};  ///< Since when this node is in a group whose published epoch is an earlier one; zero: no.
   CounterValue told_reads_ = 0;
   Timestamp store_silent_since_{};
   Timestamp started_{};
--- a/tests/ledger/epoch_change_test.cpp
+++ b/tests/ledger/epoch_change_test.cpp
@@ -28,6 +28,7 @@
     const auto told = states.find(replica);
     return told == states.end() || told->second == replica_state::present || told->second == replica_state::retiring;
   }
+  bool has_gone(const ReplicaIdentity& leaver) override { return state_of(leaver) == replica_state::missing; }
   bool is_retiring(const NodeId& node) const override { return node == retiring; }
   std::vector<disk_place> places() const override { return free; }
 
@@ -116,3 +117,11 @@
   REQUIRE(change);
   CHECK(change->next == ReplicaGroup{6, {kB, kC}, {}});
 }
+
+// Simulation, mix `losses`, qasr, seeds 14 and 252: a node that had just started did not know yet that it was to be
+// emptied, and was named beside itself.
+TEST_CASE("a node that leaves takes no place in the group that it leaves") {
+  told_view view;
+  view.free = {{kA, "1"}, {kB, "2"}, {kC, "3"}};
+  CHECK_FALSE(wanted_change({5, {kB, kC}, {kA}}, view, kReplicas));
+}
