A model of a group's epochs, searched whole

Change: every state that three faults bring three disks into (two faults five disks), with the product's own rule for the next epoch; mutants of seven rules.

--- /dev/null
+++ b/tests/ledger/epoch_model.cpp
@@ -0,0 +1,849 @@
+#include "ledger/epoch_model.hpp"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <deque>
+#include <map>
+#include <unordered_map>
+#include <unordered_set>
+
+#include "ledger/epoch_change.hpp"
+
+namespace madderdeck::tests {
+namespace {
+
+using ledger::ReplicaGroup;
+using ledger::ReplicaIdentity;
+
+constexpr unsigned kMostNodes = 6;
+constexpr unsigned kMostEpochs = 12;
+constexpr unsigned kMostWrites = 2;
+constexpr std::uint8_t kNobody = 0xFF;
+using node_set = std::uint8_t;  ///< A bit for each machine, with the disk that it has now.
+
+constexpr bool has(node_set set, unsigned node) { return (set >> node & 1U) != 0; }
+constexpr node_set only(unsigned node) { return static_cast<node_set>(1U << node); }
+unsigned size_of(node_set set) { return static_cast<unsigned>(std::popcount(set)); }
+
+/// A disk: the machine and how many disks this machine has lost before.
+struct disk {
+  std::uint8_t node = 0;
+  std::uint8_t number = 0;
+  auto operator<=>(const disk&) const = default;
+};
+
+struct description {
+  std::vector<disk> replicas;
+  std::vector<disk> leaving;
+  auto operator<=>(const description&) const = default;
+};
+
+enum class presence : std::uint8_t { up, silent, gone, spare };
+
+/// A machine with its process and its present disk.
+struct machine {
+  presence state = presence::spare;
+  std::uint8_t disk_number = 0;
+  bool retiring = false;
+  std::uint8_t epoch = 0;      ///< The latest that its disk knows.
+  bool voted = false;          ///< Its disk was admitted in some epoch.
+  bool returning = false;      ///< It has to copy again before it votes.
+  bool dropped = false;        ///< This process knows that it is no member any more.
+  bool holds_leaving = false;  ///< Its disk holds all that those held who leave in its epoch.
+  bool full = false;           ///< Its disk has copied everything that it lacked when its epoch began.
+  node_set copied = 0;         ///< Sources that this process has copied from in this epoch.
+  auto operator<=>(const machine&) const = default;
+};
+
+struct model_state {
+  std::array<machine, kMostNodes> machines;
+  std::vector<description> epochs;               ///< Decided, the first one is epoch 1.
+  std::array<node_set, kMostEpochs> voters{};    ///< Disks that hold the vote on an epoch.
+  std::array<std::uint8_t, kMostEpochs> sole{};  ///< The store's decider after an epoch, or kNobody.
+  std::array<node_set, kMostWrites> held{};      ///< Disks that hold each confirmed record.
+  std::uint8_t written = 0;
+  std::uint8_t published = 1;  ///< The epoch that the store tells to nodes that start.
+  bool store_up = true;
+  std::uint8_t lost = 0;  ///< Disks lost since everything was copied last.
+  std::uint8_t faults = 0;
+
+  unsigned latest() const { return static_cast<unsigned>(epochs.size()); }
+  const description& of(unsigned epoch) const { return epochs.at(epoch - 1); }
+};
+
+std::string name_of(unsigned node) { return std::string(1, static_cast<char>('a' + node)); }
+std::string name_of(const disk& one) { return name_of(one.node) + std::to_string(one.number); }
+std::string text_of(const description& group) {
+  std::string text = "{";
+  for (const disk& one : group.replicas) {
+    text += " " + name_of(one);
+  }
+  for (const disk& one : group.leaving) {
+    text += " (" + name_of(one) + " leaves)";
+  }
+  return text + " }";
+}
+std::string text_of(node_set set) {
+  std::string text;
+  for (unsigned node = 0; node < kMostNodes; ++node) {
+    text += has(set, node) ? name_of(node) : "";
+  }
+  return text;
+}
+
+/// @return the state as bytes; equal states have equal ones.
+std::string key_of(const model_state& state) {
+  std::string key;
+  const auto put = [&key](unsigned value) { key.push_back(static_cast<char>(value)); };
+  for (const machine& one : state.machines) {
+    put(static_cast<unsigned>(one.state) | (one.retiring ? 8U : 0U) | (one.voted ? 16U : 0U) |
+        (one.returning ? 32U : 0U) | (one.dropped ? 64U : 0U) | (one.full ? 128U : 0U));
+    put(one.disk_number * 16U + one.epoch);
+    put(one.holds_leaving ? 1 : 0);
+    put(one.copied);
+  }
+  for (unsigned epoch = 1; epoch <= state.latest(); ++epoch) {
+    for (const auto* list : {&state.of(epoch).replicas, &state.of(epoch).leaving}) {
+      for (const disk& one : *list) {
+        put(one.node * 16U + one.number);
+      }
+      put(0xFE);
+    }
+  }
+  for (unsigned epoch = 0; epoch < kMostEpochs; ++epoch) {
+    put(state.voters[epoch]);
+    put(state.sole[epoch]);
+  }
+  for (const node_set holders : state.held) {
+    put(holders);
+  }
+  put(state.written);
+  put(state.published);
+  put(state.store_up ? 1 : 0);
+  put(state.lost);
+  put(state.faults);
+  return key;
+}
+
+ReplicaIdentity identity_of(const disk& one) { return {NodeId(name_of(one.node)), DiskId(std::to_string(one.number))}; }
+disk disk_of(const ReplicaIdentity& identity) {
+  return {static_cast<std::uint8_t>(identity.node.str().front() - 'a'),
+          static_cast<std::uint8_t>(std::stoi(identity.disk.str()))};
+}
+
+/// Truth as one who looks after the group sees it; silent machines are still believed in, or not any more.
+class true_view : public ledger::group_view {
+ public:
+  true_view(const model_state& state, bool silent_are_missing) : state_(state), missing_(silent_are_missing) {}
+
+  ledger::replica_state state_of(const ReplicaIdentity& replica) override {
+    const disk wanted = disk_of(replica);
+    const machine& one = state_.machines[wanted.node];
+    if (!believed(one)) {
+      return ledger::replica_state::missing;
+    }
+    if (one.disk_number != wanted.number) {
+      return ledger::replica_state::disk_replaced;
+    }
+    return one.retiring ? ledger::replica_state::retiring : ledger::replica_state::present;
+  }
+  bool is_there(const ReplicaIdentity& replica) const override {
+    const disk wanted = disk_of(replica);
+    const machine& one = state_.machines[wanted.node];
+    return believed(one) && one.disk_number == wanted.number;
+  }
+  bool has_gone(const ReplicaIdentity& leaver) override {
+    const ledger::replica_state state = state_of(leaver);
+    return state == ledger::replica_state::disk_replaced || state == ledger::replica_state::missing;
+  }
+  bool is_retiring(const NodeId& node) const override {
+    return state_.machines[static_cast<std::size_t>(node.str().front() - 'a')].retiring;
+  }
+  std::vector<ledger::disk_place> places() const override {
+    std::vector<ledger::disk_place> result;
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state_.machines[node];
+      if (believed(one) && !one.retiring) {
+        result.push_back({identity_of({static_cast<std::uint8_t>(node), one.disk_number}), "zone-" + name_of(node)});
+      }
+    }
+    return result;
+  }
+
+ private:
+  bool believed(const machine& one) const {
+    return one.state == presence::up || (one.state == presence::silent && !missing_);
+  }
+
+  const model_state& state_;
+  const bool missing_;
+};
+
+/// All moves of the model.
+class group_model {
+ public:
+  group_model(const model_scope& scope, const model_rules& rules) : scope_(scope), rules_(rules) {}
+
+  model_state first() const {
+    model_state state;
+    state.sole.fill(kNobody);
+    description founding;
+    for (unsigned node = 0; node < scope_.disks; ++node) {
+      state.machines[node] = machine{presence::up, 0, false, 1, true, false, false, true, true, 0};
+      founding.replicas.push_back({static_cast<std::uint8_t>(node), 0});
+    }
+    for (unsigned node = scope_.disks; node < scope_.disks + scope_.further; ++node) {
+      state.machines[node].state = presence::up;
+    }
+    state.epochs.push_back(founding);
+    return state;
+  }
+
+  using moves = std::vector<std::pair<std::string, model_state>>;
+  /// @return what may happen next; @c violation is set when it breaks a promise.
+  moves next(const model_state& state) {
+    moves result;
+    steps_of_members(state, result);
+    steps_of_maintainers(state, result);
+    writes(state, result);
+    faults(state, result);
+    return result;
+  }
+
+  /// @return what is wrong with what the members would answer now; empty when nothing is.
+  std::string check_answers(const model_state& state) const {
+    for (unsigned epoch = 1; epoch <= state.latest(); ++epoch) {
+      const node_set voting = voting_in(state, epoch);
+      const unsigned majority = majority_of(state.of(epoch));
+      for (unsigned record = 0; record < state.written; ++record) {
+        if (size_of(static_cast<node_set>(voting & ~state.held[record])) >= majority) {
+          return "a majority of epoch " + std::to_string(epoch) + " answers that there is no record " +
+                 std::to_string(record) + ", which was confirmed";
+        }
+      }
+    }
+    return "";
+  }
+
+  /// @return what is wrong once everything is back and nothing more happens; empty when nothing is.
+  std::string check_return(model_state state) {
+    for (machine& one : state.machines) {
+      if (one.state == presence::silent || one.state == presence::up) {
+        start_anew(one);
+      }
+    }
+    state.store_up = true;
+    state.lost = 0;
+    state.faults = 0;
+    const auto [known, unknown] = judged_.try_emplace(key_of(state));
+    if (unknown) {
+      known->second = judge_return(std::move(state));
+    }
+    return known->second;
+  }
+  std::size_t judged() const { return judged_.size(); }
+
+  std::string violation;
+
+ private:
+  std::string judge_return(model_state state) {
+    for (unsigned round = 0; round < 4 * kMostEpochs; ++round) {
+      const std::string before = key_of(state);
+      const unsigned known = epoch_known_at_start(state);
+      state.published = static_cast<std::uint8_t>(known);
+      for (unsigned node = 0; node < kMostNodes; ++node) {
+        adopt(state, node, known);
+      }
+      copy_all(state);
+      if (const std::string problem = check_answers(state); !problem.empty()) {
+        return "all are back: " + problem;
+      }
+      const bool decided = decide_once(state, known);
+      if (!violation.empty()) {
+        return violation;
+      }
+      // Who decides, or finds that it was decided, tells all members.
+      for (unsigned node = 0; decided && known < state.latest() && node < kMostNodes; ++node) {
+        adopt(state, node, known + 1);
+      }
+      if (!decided && key_of(state) == before) {
+        break;
+      }
+    }
+    const unsigned known = epoch_known_at_start(state);
+    const node_set voting = voting_in(state, known);
+    const std::string group = "epoch " + std::to_string(known) + " " + text_of(state.of(known));
+    if (size_of(voting) < majority_of(state.of(known))) {
+      return "all are back, and " + group + " has only " + text_of(voting) + " as admitted members for good";
+    }
+    for (const disk& place : state.of(known).replicas) {
+      if (state.machines[place.node].state == presence::up && !has(voting, place.node)) {
+        return "all are back, and the place of " + name_of(place) + " in " + group + " is empty for good";
+      }
+    }
+    return "";
+  }
+
+  static unsigned majority_of(const description& group) { return static_cast<unsigned>(group.replicas.size() / 2 + 1); }
+  static bool names(const std::vector<disk>& list, const model_state& state, unsigned node) {
+    const disk wanted{static_cast<std::uint8_t>(node), state.machines[node].disk_number};
+    return std::find(list.begin(), list.end(), wanted) != list.end();
+  }
+  static bool is_member(const model_state& state, unsigned epoch, unsigned node) {
+    return names(state.of(epoch).replicas, state, node);
+  }
+  static bool leaves(const model_state& state, unsigned epoch, unsigned node) {
+    return names(state.of(epoch).leaving, state, node);
+  }
+  static bool takes_part(const machine& one) { return one.state == presence::up && one.epoch > 0 && !one.dropped; }
+
+  /// @return the machines whose votes count in @p epoch now.
+  node_set voting_in(const model_state& state, unsigned epoch) const {
+    node_set result = 0;
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      const bool fits = rules_.fence_old_epochs ? one.epoch == epoch : one.epoch >= epoch;
+      if (takes_part(one) && fits && one.voted && !one.returning && is_member(state, epoch, node)) {
+        result |= only(node);
+      }
+    }
+    return result;
+  }
+
+  static void start_anew(machine& one) {
+    one.state = presence::up;
+    one.dropped = false;
+    one.copied = 0;
+  }
+
+  /// The machine takes a decided epoch for its own, if it is later.
+  void adopt(model_state& state, unsigned node, unsigned epoch) const {
+    machine& one = state.machines[node];
+    if (one.state != presence::up || epoch <= one.epoch) {
+      return;
+    }
+    if (!is_member(state, epoch, node) && !leaves(state, epoch, node)) {
+      one.dropped = true;
+      return;
+    }
+    const bool followed = epoch == one.epoch + 1U;
+    const bool first_sight = one.dropped || one.epoch == 0;
+    const description& group = state.of(epoch);
+    const description before = one.epoch > 0 ? state.of(one.epoch) : description{};
+    const bool shrinks =
+        one.epoch > 0 && (group.replicas.size() < before.replicas.size() || !all_in(before.leaving, group.leaving));
+    one.holds_leaving =
+        group.leaving.empty() || (one.holds_leaving && followed && all_in(group.leaving, before.leaving));
+    auto named = group.replicas;
+    named.insert(named.end(), group.leaving.begin(), group.leaving.end());
+    const bool unsafe = rules_.wait_for_leaving && !one.holds_leaving && !all_in(before.replicas, named);
+    one.returning = one.returning || (one.voted && ((rules_.copy_when_back && !followed) || unsafe));
+    one.voted = one.voted || !rules_.copy_before_voting;
+    one.dropped = false;
+    one.epoch = static_cast<std::uint8_t>(epoch);
+    const bool lacks =
+        first_sight || !one.voted || one.returning || !group.leaving.empty() || (rules_.copy_when_fewer && shrinks);
+    one.copied = lacks ? 0 : static_cast<node_set>(0xFF);
+    one.full = !lacks;
+  }
+  static bool all_in(const std::vector<disk>& some, const std::vector<disk>& all) {
+    return std::all_of(some.begin(), some.end(),
+                       [&all](const disk& one) { return std::find(all.begin(), all.end(), one) != all.end(); });
+  }
+
+  /// @return the other members that @p node copies from in @p epoch, and those that leave.
+  static std::vector<disk> sources_of(const model_state& state, unsigned epoch, unsigned node, bool leaving) {
+    std::vector<disk> result = leaving ? state.of(epoch).leaving : state.of(epoch).replicas;
+    std::erase_if(result, [node](const disk& one) { return one.node == node; });
+    return result;
+  }
+
+  bool has_copied(const model_state& state, unsigned node, bool leaving) const {
+    const machine& one = state.machines[node];
+    if (leaving && one.holds_leaving) {
+      return true;
+    }
+    const auto sources = sources_of(state, one.epoch, node, leaving);
+    return std::all_of(sources.begin(), sources.end(), [&](const disk& from) { return has(one.copied, from.node); });
+  }
+  /// @return whether @p node holds everything that the members before it held.
+  bool holds_all(const model_state& state, unsigned node) const {
+    return has_copied(state, node, false) && has_copied(state, node, true);
+  }
+
+  void admit_if_complete(model_state& state, unsigned node) const {
+    machine& one = state.machines[node];
+    one.holds_leaving = one.holds_leaving || has_copied(state, node, true);
+    const bool waits = rules_.wait_for_leaving && !one.holds_leaving;
+    if (is_member(state, one.epoch, node) && has_copied(state, node, false) && !waits) {
+      one.voted = true;
+      one.returning = false;
+    }
+    one.full = one.full || holds_all(state, node);
+  }
+
+  /// @return whether anything was copied.
+  bool copy(model_state& state, unsigned node, const disk& from) const {
+    machine& one = state.machines[node];
+    machine& source = state.machines[from.node];
+    const bool there = source.state == presence::up && source.disk_number == from.number;
+    if (!takes_part(one) || !there || has(one.copied, from.node)) {
+      return false;
+    }
+    adopt(state, from.node, one.epoch);  // the question brings the epoch
+    if (!takes_part(source) || source.epoch != one.epoch) {
+      adopt(state, node, source.dropped ? 0 : source.epoch);
+      return false;
+    }
+    one.copied |= only(from.node);
+    if (source.voted && !source.returning && is_member(state, one.epoch, from.node)) {
+      one.holds_leaving = one.holds_leaving || source.holds_leaving;
+    }
+    if (source.voted) {  // otherwise its disk is new and has confirmed nothing
+      take_all(state, node, from.node);
+    }
+    admit_if_complete(state, node);
+    return true;
+  }
+
+  static void take_all(model_state& state, unsigned node, unsigned from) {
+    for (node_set& holders : state.held) {
+      holders |= has(holders, from) ? only(node) : 0;
+    }
+    for (node_set& holders : state.voters) {
+      holders |= has(holders, from) ? only(node) : 0;
+    }
+  }
+
+  std::vector<disk> all_sources(const model_state& state, unsigned node) const {
+    const unsigned epoch = state.machines[node].epoch;
+    if (epoch == 0 || !is_member(state, epoch, node)) {
+      return {};
+    }
+    auto result = sources_of(state, epoch, node, false);
+    const auto leaving = sources_of(state, epoch, node, true);
+    result.insert(result.end(), leaving.begin(), leaving.end());
+    return result;
+  }
+
+  void copy_all(model_state& state) const {
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      for (const disk& from : all_sources(state, node)) {
+        copy(state, node, from);
+      }
+      if (takes_part(state.machines[node])) {
+        admit_if_complete(state, node);
+      }
+    }
+  }
+
+  /// @return the epoch that one learns who begins with what the store tells and asks those it names.
+  unsigned epoch_known_at_start(const model_state& state) const {
+    unsigned known = state.published;
+    for (bool learnt = true; learnt;) {
+      learnt = false;
+      for (unsigned node = 0; node < kMostNodes; ++node) {
+        const machine& one = state.machines[node];
+        const auto named = [node](const disk& place) { return place.node == node; };
+        const description& group = state.of(known);
+        const bool asked = std::any_of(group.replicas.begin(), group.replicas.end(), named);
+        if (takes_part(one) && one.epoch > known && (asked || rules_.members_tell_epoch)) {
+          known = one.epoch;
+          learnt = true;
+        }
+      }
+    }
+    return known;
+  }
+
+  void steps_of_members(const model_state& state, moves& result) const {
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      if (one.state == presence::up) {
+        const unsigned first = scope_.coarse ? std::max(state.latest(), one.epoch + 1U) : one.epoch + 1U;
+        for (unsigned epoch = first; epoch <= state.latest(); ++epoch) {
+          if (one.dropped && !is_member(state, epoch, node) && !leaves(state, epoch, node)) {
+            continue;
+          }
+          model_state then = state;
+          adopt(then, node, epoch);
+          result.emplace_back(name_of(node) + " adopts epoch " + std::to_string(epoch), std::move(then));
+        }
+      }
+      if (!takes_part(one)) {
+        continue;
+      }
+      if (scope_.coarse) {
+        model_state then = state;
+        bool any = false;
+        for (const disk& from : all_sources(state, node)) {
+          any = copy(then, node, from) || any;
+        }
+        if (any) {
+          result.emplace_back(name_of(node) + " copies in epoch " + std::to_string(one.epoch), std::move(then));
+        }
+        continue;
+      }
+      for (const disk& from : all_sources(state, node)) {
+        model_state then = state;
+        if (copy(then, node, from)) {
+          result.emplace_back(
+              name_of(node) + " copies from " + name_of(from) + " in epoch " + std::to_string(one.epoch),
+              std::move(then));
+        }
+      }
+    }
+  }
+
+  /// Has the members that vote in @p epoch decide the next one, by each set of them that may.
+  /// @param view what is believed of the fleet
+  /// @param label what the move is called
+  void decide(const model_state& state, unsigned epoch, bool silent_are_missing, moves& result) {
+    const auto change = change_of(state, epoch, silent_are_missing);
+    if (!change || epoch + 1 >= kMostEpochs) {
+      return;
+    }
+    const node_set voting = voting_in(state, epoch);
+    const node_set allowed =
+        change->rule.sole ? static_cast<node_set>(voting & only(disk_of(*change->rule.sole).node)) : voting;
+    const unsigned quorum =
+        change->rule.quorum > 0 ? static_cast<unsigned>(change->rule.quorum) : majority_of(state.of(epoch));
+    if (change->rule.sole && !named_sole(state, epoch, disk_of(*change->rule.sole))) {
+      ask_store(state, epoch, disk_of(*change->rule.sole), result);
+      return;
+    }
+    description wanted;
+    for (const ReplicaIdentity& one : change->next.replicas) {
+      wanted.replicas.push_back(disk_of(one));
+    }
+    for (const ReplicaIdentity& one : change->next.leaving) {
+      wanted.leaving.push_back(disk_of(one));
+    }
+    for (unsigned set = 1; set < 1U << kMostNodes; ++set) {
+      const auto chosen = static_cast<node_set>(set);
+      if ((chosen & ~allowed) != 0 || size_of(chosen) != quorum) {
+        continue;
+      }
+      if (epoch < state.latest()) {
+        found_decided_ = true;
+        if ((chosen & state.voters[epoch]) == 0) {
+          violation = text_of(chosen) + " decide epoch " + std::to_string(epoch + 1) + " anew as " + text_of(wanted) +
+                      ", which others have decided as " + text_of(state.of(epoch + 1));
+        }
+        continue;
+      }
+      model_state then = state;
+      then.epochs.push_back(wanted);
+      then.voters[epoch] = scope_.coarse ? voting : chosen;
+      for (unsigned node = 0; scope_.coarse && node < kMostNodes; ++node) {
+        adopt(then, node, epoch + 1);
+      }
+      result.emplace_back(text_of(chosen) + " decide epoch " + std::to_string(epoch + 1) + " " + text_of(wanted),
+                          std::move(then));
+      if (scope_.coarse) {
+        return;
+      }
+    }
+  }
+
+  bool named_sole(const model_state& state, unsigned epoch, const disk& member) const {
+    return !rules_.one_sole_decider || state.sole[epoch] == member.node * 16U + member.number;
+  }
+  static void ask_store(const model_state& state, unsigned epoch, const disk& member, moves& result) {
+    if (!state.store_up || state.sole[epoch] != kNobody) {
+      return;
+    }
+    model_state then = state;
+    then.sole[epoch] = static_cast<std::uint8_t>(member.node * 16U + member.number);
+    result.emplace_back("the store names " + name_of(member) + " sole decider after epoch " + std::to_string(epoch),
+                        std::move(then));
+  }
+
+  /// @return the product's own choice; remembered, since few questions come often.
+  std::optional<ledger::epoch_change> change_of(const model_state& state, unsigned epoch, bool silent_are_missing) {
+    std::string key;
+    for (const machine& one : state.machines) {
+      key.push_back(
+          static_cast<char>(static_cast<unsigned>(one.state) + one.disk_number * 8U + (one.retiring ? 4U : 0U)));
+    }
+    key.push_back(silent_are_missing ? 1 : 0);
+    key.push_back(static_cast<char>(epoch));
+    key += text_of(state.of(epoch));
+    const auto [known, unknown] = changes_.try_emplace(key);
+    if (unknown) {
+      ReplicaGroup group;
+      group.epoch = epoch;
+      for (const disk& one : state.of(epoch).replicas) {
+        group.replicas.push_back(identity_of(one));
+      }
+      for (const disk& one : state.of(epoch).leaving) {
+        group.leaving.push_back(identity_of(one));
+      }
+      true_view view(state, silent_are_missing);
+      known->second = ledger::wanted_change(group, view, scope_.disks);
+    }
+    return known->second;
+  }
+
+  /// With all back: the first move that decides something.
+  /// @return whether the epoch after @p epoch is decided now, or the store has named who may do so.
+  bool decide_once(model_state& state, unsigned epoch) {
+    moves possible;
+    found_decided_ = false;
+    decide(state, epoch, true, possible);
+    if (possible.empty()) {
+      return found_decided_;
+    }
+    state = std::move(possible.front().second);
+    return true;
+  }
+
+  void steps_of_maintainers(const model_state& state, moves& result) {
+    bool silent = false;
+    for (const machine& one : state.machines) {
+      silent = silent || one.state == presence::silent;
+    }
+    for (unsigned epoch = 1; epoch <= state.latest(); ++epoch) {
+      decide(state, epoch, false, result);
+      if (silent && scope_.silent_replaced) {
+        decide(state, epoch, true, result);
+      }
+    }
+    if (state.store_up && state.published < state.latest()) {
+      model_state then = state;
+      then.published = static_cast<std::uint8_t>(state.latest());
+      result.emplace_back("the store is told of epoch " + std::to_string(state.latest()), std::move(then));
+    }
+  }
+
+  void writes(const model_state& state, moves& result) const {
+    if (state.written >= scope_.writes) {
+      return;
+    }
+    for (unsigned epoch = 1; epoch <= state.latest(); ++epoch) {
+      const node_set voting = voting_in(state, epoch);
+      for (unsigned set = 1; set < 1U << kMostNodes; ++set) {
+        const auto chosen = static_cast<node_set>(set);
+        if ((chosen & ~voting) != 0 || size_of(chosen) != majority_of(state.of(epoch))) {
+          continue;
+        }
+        model_state then = state;
+        then.held[then.written++] = chosen;
+        result.emplace_back(text_of(chosen) + " confirm a record in epoch " + std::to_string(epoch), std::move(then));
+      }
+    }
+  }
+
+  /// @return whether as many disks as there can be hold everything.
+  bool whole(const model_state& state) const {
+    const description& group = state.of(state.latest());
+    std::size_t places = 0;
+    for (const machine& one : state.machines) {
+      places += one.state != presence::gone && one.state != presence::spare && !one.retiring ? 1 : 0;
+    }
+    const bool successors_here = scope_.spares == 0 || started_spares(state) >= lost_machines(state);
+    if (group.replicas.size() < std::min<std::size_t>(places, scope_.disks) || !successors_here) {
+      return false;
+    }
+    return std::all_of(group.replicas.begin(), group.replicas.end(), [&](const disk& place) {
+      const machine& one = state.machines[place.node];
+      const bool here = one.disk_number == place.number && one.epoch == state.latest() && takes_part(one);
+      return here && one.voted && !one.returning && one.full;
+    });
+  }
+
+  void faults(const model_state& state, moves& result) const {
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      if (one.state == presence::silent) {
+        model_state then = state;
+        then.machines[node].state = presence::up;
+        result.emplace_back(name_of(node) + " is back", std::move(then));
+        then = state;
+        start_anew(then.machines[node]);
+        result.emplace_back(name_of(node) + " is back, started anew", std::move(then));
+      }
+      if (one.state == presence::up && one.retiring && has_left(state, node)) {
+        model_state then = state;
+        remove(then, node);
+        result.emplace_back(name_of(node) + " has left and is taken away", std::move(then));
+      }
+      if (one.state == presence::spare && node < scope_.disks + scope_.further + scope_.spares &&
+          started_spares(state) < lost_machines(state)) {
+        model_state then = state;
+        then.machines[node].state = presence::up;
+        result.emplace_back("the new machine " + name_of(node) + " starts", std::move(then));
+      }
+    }
+    if (!state.store_up) {
+      model_state then = state;
+      then.store_up = true;
+      result.emplace_back("the store is back", std::move(then));
+    }
+    if (state.faults < scope_.faults) {
+      new_faults(state, result);
+    }
+  }
+
+  static unsigned lost_machines(const model_state& state) {
+    return static_cast<unsigned>(std::count_if(state.machines.begin(), state.machines.end(),
+                                               [](const machine& one) { return one.state == presence::gone; }));
+  }
+  unsigned started_spares(const model_state& state) const {
+    const auto first = state.machines.begin() + scope_.disks + scope_.further;
+    return static_cast<unsigned>(std::count_if(first, first + scope_.spares, [](const machine& one) {
+      return one.state == presence::up || one.state == presence::silent;
+    }));
+  }
+  static void forget_disk(model_state& state, unsigned node) {
+    const auto others = static_cast<node_set>(~only(node));
+    for (node_set& holders : state.held) {
+      holders &= others;
+    }
+    for (node_set& holders : state.voters) {
+      holders &= others;
+    }
+  }
+  static void remove(model_state& state, unsigned node) {
+    forget_disk(state, node);
+    machine& one = state.machines[node];
+    one = machine{presence::gone, one.disk_number, false, 0, false, false, false, false, false, 0};
+  }
+
+  /// @return whether a retiring machine is in no group any more, and all members hold what it held.
+  bool has_left(const model_state& state, unsigned node) const {
+    const machine& one = state.machines[node];
+    if (one.dropped || one.epoch == 0 || !leaves(state, one.epoch, node)) {
+      return false;
+    }
+    const auto& members = state.of(one.epoch).replicas;
+    return std::all_of(members.begin(), members.end(), [&](const disk& place) {
+      const machine& member = state.machines[place.node];
+      const bool here = member.disk_number == place.number && takes_part(member) && member.epoch == one.epoch;
+      return here && member.voted && holds_all(state, place.node);
+    });
+  }
+
+  void new_faults(const model_state& state, moves& result) const {
+    model_state struck = state;
+    ++struck.faults;
+    const bool may_lose = scope_.tolerated > 0 && (state.lost < scope_.tolerated || whole(state));
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      const bool here = one.state == presence::up || one.state == presence::silent;
+      if (one.state == presence::up) {
+        model_state then = struck;
+        then.machines[node].state = presence::silent;
+        result.emplace_back(name_of(node) + " falls silent", std::move(then));
+      }
+      if (here && may_lose) {
+        lose(struck, state, node, result);
+      }
+      const bool may_retire = scope_.retirements && one.state == presence::up && !one.retiring &&
+                              (one.epoch > 0 && is_member(state, one.epoch, node));
+      if (may_retire && std::none_of(state.machines.begin(), state.machines.end(), [](const machine& other) {
+            return other.retiring || other.state == presence::gone;
+          })) {
+        model_state then = struck;
+        then.machines[node].retiring = true;
+        result.emplace_back(name_of(node) + " is to be emptied", std::move(then));
+      }
+    }
+    model_state dark = struck;
+    for (machine& one : dark.machines) {
+      if (one.state == presence::up || one.state == presence::silent) {
+        start_anew(one);
+      }
+    }
+    result.emplace_back("all lose power and start again", std::move(dark));
+    if (scope_.store_away && state.store_up) {
+      model_state then = struck;
+      then.store_up = false;
+      result.emplace_back("the store goes away", std::move(then));
+    }
+  }
+
+  void lose(const model_state& struck, const model_state& state, unsigned node, moves& result) const {
+    model_state then = struck;
+    then.lost = static_cast<std::uint8_t>((whole(state) ? 0 : state.lost) + 1);
+    model_state gone = then;
+    forget_disk(then, node);
+    const machine before = then.machines[node];
+    then.machines[node] = machine{presence::up,    static_cast<std::uint8_t>(before.disk_number + 1),
+                                  before.retiring, 0,
+                                  false,           false,
+                                  false,           false,
+                                  false,           0};
+    result.emplace_back(name_of(node) + " loses its disk", std::move(then));
+    if (lost_machines(state) < scope_.spares) {
+      remove(gone, node);
+      result.emplace_back(name_of(node) + " is lost for good", std::move(gone));
+    }
+  }
+
+  const model_scope scope_;
+  const model_rules rules_;
+  std::unordered_map<std::string, std::optional<ledger::epoch_change>> changes_;
+  bool found_decided_ = false;                           ///< By the last call of decide().
+  std::unordered_map<std::string, std::string> judged_;  ///< What comes of a state once all are back.
+};
+
+/// A state that was reached, and how.
+struct reached {
+  std::size_t from = 0;
+  std::string move;
+};
+
+std::vector<std::string> path_to(const std::vector<reached>& all, std::size_t last) {
+  std::vector<std::string> path;
+  for (std::size_t at = last; at != 0; at = all[at].from) {
+    path.push_back(all[at].move);
+  }
+  std::reverse(path.begin(), path.end());
+  return path;
+}
+
+}  // namespace
+
+model_result search(const model_scope& scope, const model_rules& rules) {
+  group_model model(scope, rules);
+  model_result result;
+  std::unordered_set<std::string> seen;
+  std::vector<reached> all(1);
+  std::deque<std::pair<std::size_t, model_state>> open;
+  open.emplace_back(0, model.first());
+  seen.insert(key_of(open.front().second));
+  while (!open.empty()) {
+    auto [number, state] = std::move(open.front());
+    open.pop_front();
+    ++result.states;
+    result.quiet_states = model.judged();
+    result.violation = model.check_answers(state);
+    if (result.violation.empty()) {
+      result.violation = model.check_return(state);
+    }
+    auto moves = result.violation.empty() ? model.next(state) : group_model::moves{};
+    if (!model.violation.empty()) {
+      result.violation = model.violation;
+    }
+    if (!result.violation.empty()) {
+      result.path = path_to(all, number);
+      return result;
+    }
+    for (auto& [move, then] : moves) {
+      if (!seen.insert(key_of(then)).second) {
+        continue;
+      }
+      all.push_back({number, std::move(move)});
+      open.emplace_back(all.size() - 1, std::move(then));
+    }
+    if (all.size() > scope.most_states) {
+      result.complete = false;
+      return result;
+    }
+  }
+  return result;
+}
+
+}  // namespace madderdeck::tests
