--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -738,13 +738,14 @@
   GroupProgress& progress = progress_.at(group);
   const bool told = std::any_of(progress.copying.begin(), progress.copying.end(),
                                 [](const auto& entry) { return entry.second.complete && entry.second.holds_leaving; });
-  const bool newly_held = !progress.holds_leaving && (told || copied_from(progress, true));
+  const bool members_complete = copied_from(progress, false);
+  // Values that a leaving member offers may be left to a member that holds them, too.
+  const bool newly_held = !progress.holds_leaving && (told || (members_complete && copied_from(progress, true)));
   if (newly_held) {
     progress.holds_leaving = true;
     std::erase_if(progress.copying,
                   [&](const auto& entry) { return entry.first >= progress.description.replicas.size(); });
   }
-  const bool members_complete = copied_from(progress, false);
   if (members_complete && progress.holds_leaving) {
     progress.copying.clear();
   }
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -207,7 +207,13 @@
     fixture.answer_whole(1, 3);
     CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
   }
+  SECTION("it left values to the lost one, which never came") {
+    fixture.answer_whole(2, 2);
+    fixture.replica->adopt_group(0, {3, {kA}, {kC}});
+    CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
+  }
   SECTION("it held it before, also after a restart") {
+    fixture.answer_whole(1, 2);
     fixture.answer_whole(2, 2);
     fixture.environment.world.run_for(20ms);
     fixture.replica = fixture.make();
