Simulation: disks lost, silent, emptied and replaced one beside the other (mix losses)

Change: nodes are emptied, taken away and come back with another disk; a disk falls silent or is cut off, another one is lost beside it, then power; the oracle as in the mix listing.

--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -63,6 +63,7 @@
   void check_regularly() {
     world_.schedule(kDrainCheck, [this] {
       fleet_.check_drains();
+      fleet_.replace_emptied();
       fleet_.observe_disturbances();
       for (unsigned node = 0; node < kLedgerNodes; ++node) {
         fleet_.observe_disk(node);
@@ -250,6 +251,12 @@
           start_all();
         }
         break;
+      case ActionKind::retire_disk:
+        retire_disk(action.choice % kLedgerNodes);
+        break;
+      case ActionKind::losses_in_a_row:
+        losses_in_a_row(action.choice);
+        break;
       case ActionKind::lose_disk_beside_stale_replica:
         lose_disk_beside_stale_replica(action.choice);
         break;
@@ -461,6 +468,52 @@
     return true;
   }
 
+  bool any_retiring() const {
+    return std::any_of(fleet_.nodes.begin(), fleet_.nodes.end(), [](const auto& node) { return node->retiring; });
+  }
+
+  /// One at a time, and only of a group that is whole.
+  void retire_disk(unsigned number) {
+    for (unsigned node = 0; node < kLedgerNodes; ++node) {
+      fleet_.observe_disk(node);
+      if (!fleet_.nodes[node]->disk_whole || any_retiring()) {
+        return;
+      }
+    }
+    fleet_.retire_disk(number);
+  }
+
+  /// One disk falls silent or is cut off, another one is lost beside it, then all lose power or a third one falls
+  /// silent, too; within some seconds all are back.
+  void losses_in_a_row(std::uint32_t choice) {
+    const unsigned silent = choice % kLedgerNodes;
+    const unsigned lost = (silent + 1 + choice / 4 % 2) % kLedgerNodes;
+    const unsigned third = kLedgerNodes - silent - lost;
+    if (choice / 8 % 2 == 0) {
+      fleet_.nodes[silent]->process.freeze();
+    } else {
+      for (unsigned other = 0; other < profile_.nodes; ++other) {
+        cut(silent, other);
+      }
+    }
+    world_.run_for(std::chrono::milliseconds(choice / 16 % 8 * 500));
+    const bool was_lost = lose_disk(lost);
+    world_.run_for(std::chrono::milliseconds(choice / 128 % 8 * 150));
+    if (choice / 1024 % 3 == 0) {
+      end_all_but(was_lost && choice / 4096 % 2 == 0 ? std::optional(lost) : std::nullopt);
+      start_all();
+    } else if (choice / 1024 % 3 == 1) {
+      fleet_.nodes[third]->process.freeze();
+      world_.run_for(2s);
+      fleet_.wake_node(third);
+    }
+    world_.run_for(std::chrono::milliseconds(choice / 8192 * 500));
+    fleet_.wake_node(silent);
+    for (unsigned other = 0; other < profile_.nodes; ++other) {
+      fleet_.conditions.cuts.erase({std::min(silent, other), std::max(silent, other)});
+    }
+  }
+
   /// The next disk goes as soon as the fleet says that the loss before it is repaired.
   void lose_second_disk(unsigned number) {
     constexpr unsigned kLooks = 8000;
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -58,9 +58,11 @@
   submit_listed_job,    ///< A job of HTTP items, whose results have lasting positions.
   read_positions,       ///< Of one such job, from some position on.
   engines_vanish,       ///< Entries of most engines go without a word; the engines serve on.
+  retire_disk,          ///< A node is emptied, taken away and comes back with another disk.
+  losses_in_a_row,      ///< Disks fall silent, one is lost beside them, then power perhaps, all within seconds.
   wait,
 };
-inline constexpr unsigned kActionKinds = 47;
+inline constexpr unsigned kActionKinds = 49;
 const char* action_name(ActionKind kind);
 
 struct Action {
@@ -84,7 +86,8 @@
   standard,
   hardening,  ///< Besides the standard ones, passed-on requests and requests that end engines, suspended machines.
   leaving,    ///< Besides the standard ones, engines whose entries go without a word, many at a time.
-  listing,    ///< Besides the standard ones, jobs whose results have positions; nodes that all end at once.
+  losses,   ///< As listing, and disks that are lost, silent and emptied one beside the other, the store away at times.
+  listing,  ///< Besides the standard ones, jobs whose results have positions; nodes that all end at once.
 };
 
 /// @return the schedule that goes with @p seed.
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -84,6 +84,7 @@
   platform_environment = std::make_unique<EngineEnvironment>(world, *platform_process);
   objects = std::make_unique<emulator::WatchedTable>(*platform_environment);
   machines = std::make_unique<emulator::WatchedTable>(*platform_environment);
+  retirements = std::make_unique<emulator::WatchedTable>(*platform_environment);
   emulator::EngineProfile engine_profile;
   engine_profile.slots = profile.engine_slots;
   engine_profile.step = profile.engine_step;
@@ -190,6 +191,24 @@
   start_node(number);
 }
 
+void SimFleet::retire_disk(unsigned number) {
+  nodes[number]->retiring = true;
+  retirements->store({{"retirement", "node-" + std::to_string(number)}, "", 0, false}, "", Duration::zero());
+}
+
+void SimFleet::replace_emptied() {
+  for (unsigned number = 0; number < kLedgerNodes; ++number) {
+    SimNode& node = *nodes[number];
+    if (node.retiring && node.emptied) {
+      node.retiring = false;
+      node.emptied = false;
+      retirements->store({{"retirement", "node-" + std::to_string(number)}, "", 0, true}, "", Duration::zero());
+      wake_node(number);
+      lose_disk(number);
+    }
+  }
+}
+
 void SimFleet::suspend_node(unsigned number) {
   if (nodes[number]->process.up() && !nodes[number]->suspended_at) {
     nodes[number]->process.freeze();
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -56,7 +56,13 @@
   SimProcess& process_;
   std::map<std::string, wire::Bytes> visible_;
   std::map<std::string, wire::Bytes> durable_;
-  std::map<std::string, wire::Bytes> unflushed_;
+  struct Write {
+    std::uint64_t number = 0;  ///< A flush that ends late does not undo what a later one has written.
+    wire::Bytes value;
+  };
+  std::map<std::string, Write> unflushed_;
+  std::map<std::string, std::uint64_t> flushed_;  ///< Numbers of the durable writes.
+  std::uint64_t writes_ = 0;
 };
 
 class SimFleet;
@@ -162,6 +168,10 @@
   SimPlatformClient(SimFleet& fleet, unsigned node) : fleet_(fleet), node_(node) {}
   void watch_objects(std::uint64_t since, Duration wait, object_store::ChangesDone done) override;
   void watch_machines(std::uint64_t since, Duration wait, object_store::ChangesDone done) override;
+  bool has_retirements() const override { return true; }
+  void watch_retirements(std::uint64_t since, Duration wait, object_store::ChangesDone done) override;
+  void report_retirement(const NodeId& node, object_store::RetirementState state,
+                         object_store::ReportDone done) override;
   void get(const config::EntryKey& key, object_store::GetDone done) override;
   void put(const object_store::PutRequest& request, object_store::PutDone done) override;
 
@@ -201,6 +211,8 @@
   SimStorage storage;
   std::string disk_id;
   bool has_disk = false;
+  bool retiring = false;    ///< Its disk is to be emptied.
+  bool emptied = false;     ///< It has said that its disk holds nothing that is needed.
   bool disk_whole = false;  ///< Seen as admitted and copied since the disk was new.
   std::string zone;
   Counters counters;
@@ -261,6 +273,10 @@
   void suspend_node(unsigned number);
   /// Wakes a node that is frozen or suspended.
   void wake_node(unsigned number);
+  /// An operator wants the disk of this node emptied.
+  void retire_disk(unsigned number);
+  /// Takes machines away that say that they are empty; each comes back with another disk.
+  void replace_emptied();
   /// Notes whether the node says that its disk holds all it should.
   void observe_disk(unsigned number);
   void drain_node(unsigned number);
@@ -308,6 +324,7 @@
   std::unique_ptr<EngineEnvironment> platform_environment;
   std::unique_ptr<emulator::WatchedTable> objects;
   std::unique_ptr<emulator::WatchedTable> machines;
+  std::unique_ptr<emulator::WatchedTable> retirements;
 
  private:
   /// Writes what happens to an engine among the decision lines.
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -114,6 +114,9 @@
   if (text == "listing") {
     return ScheduleMix::listing;
   }
+  if (text == "losses") {
+    return ScheduleMix::losses;
+  }
   if (text == "leaving") {
     return ScheduleMix::leaving;
   }
@@ -219,7 +222,7 @@
 int main(int argument_count, char** arguments) {
   gflags::SetUsageMessage(
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
-      "[--mix=standard|hardening|listing|leaving] "
+      "[--mix=standard|hardening|listing|leaving|losses] "
       "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
       "[--json]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -8,8 +8,8 @@
 using Weights = std::array<unsigned, kActionKinds>;
 
 /// How often each kind comes up, against the others.
-constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2,
-                              1,  3,  3,  3, 2, 2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6};
+constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1,
+                              3,  3,  3,  2, 2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6};
 
 Weights weights_of(ScheduleMix mix) {
   Weights weights = kWeights;
@@ -30,6 +30,18 @@
     weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 1;
     weights.at(static_cast<std::size_t>(ActionKind::lose_disk_and_power)) = 2;
   }
+  if (mix == ScheduleMix::losses) {
+    weights.at(static_cast<std::size_t>(ActionKind::submit_listed_job)) = 10;
+    weights.at(static_cast<std::size_t>(ActionKind::read_positions)) = 20;
+    weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 2;
+    weights.at(static_cast<std::size_t>(ActionKind::lose_disk)) = 4;
+    weights.at(static_cast<std::size_t>(ActionKind::lose_disk_and_power)) = 3;
+    weights.at(static_cast<std::size_t>(ActionKind::lose_disk_beside_stale_replica)) = 2;
+    weights.at(static_cast<std::size_t>(ActionKind::retire_disk)) = 3;
+    weights.at(static_cast<std::size_t>(ActionKind::losses_in_a_row)) = 4;
+    weights.at(static_cast<std::size_t>(ActionKind::platform_down)) = 4;
+    weights.at(static_cast<std::size_t>(ActionKind::platform_well)) = 4;
+  }
   if (mix == ScheduleMix::leaving) {
     weights.at(static_cast<std::size_t>(ActionKind::live_request)) = 60;
     weights.at(static_cast<std::size_t>(ActionKind::engines_vanish)) = 6;
@@ -86,6 +98,8 @@
                                                                    "submit_listed_job",
                                                                    "read_positions",
                                                                    "engines_vanish",
+                                                                   "retire_disk",
+                                                                   "losses_in_a_row",
                                                                    "wait"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
--- a/src/simulation/sim_platform.cpp
+++ b/src/simulation/sim_platform.cpp
@@ -13,6 +13,24 @@
   watch(*fleet_.machines, since, wait, std::move(done));
 }
 
+void SimPlatformClient::watch_retirements(std::uint64_t since, Duration wait, object_store::ChangesDone done) {
+  watch(*fleet_.retirements, since, wait, std::move(done));
+}
+
+void SimPlatformClient::report_retirement(const NodeId& node, object_store::RetirementState state,
+                                          object_store::ReportDone done) {
+  SimProcess& process = fleet_.nodes[node_]->process;
+  const std::uint64_t life = process.life();
+  fleet_.world.schedule(fleet_.conditions.platform_delay, [this, node, state, done, &process, life] {
+    const bool down = fleet_.conditions.platform_down;
+    SimNode& reporter = *fleet_.nodes[node_];
+    if (!down && state == object_store::RetirementState::completed && process.life() == life) {
+      reporter.emptied = reporter.retiring;
+    }
+    process.deliver(life, [done, down] { done(down ? Status(Error{ErrorKind::unavailable, "down"}) : Status(Ok{})); });
+  });
+}
+
 void SimPlatformClient::watch(emulator::WatchedTable& table, std::uint64_t since, Duration wait,
                               object_store::ChangesDone done) {
   SimProcess& process = fleet_.nodes[node_]->process;
--- a/src/simulation/sim_storage.cpp
+++ b/src/simulation/sim_storage.cpp
@@ -13,7 +13,7 @@
 
 void SimStorage::put(const std::string& key, const wire::Bytes& value) {
   visible_[key] = value;
-  unflushed_[key] = value;
+  unflushed_[key] = {++writes_, value};
 }
 
 void SimStorage::scan(const std::string& prefix, const std::string& after,
@@ -28,12 +28,17 @@
 }
 
 void SimStorage::flush(std::function<void(Status)> done) {
-  auto writes = std::make_shared<std::map<std::string, wire::Bytes>>(unflushed_);
+  auto writes = std::make_shared<std::map<std::string, Write>>(unflushed_);
   process_.schedule(jitter(world_, 500us, 2ms), [this, writes, done = std::move(done)] {
-    for (const auto& [key, value] : *writes) {
-      durable_[key] = value;
+    for (const auto& [key, write] : *writes) {
+      std::uint64_t& flushed = flushed_[key];
+      if (write.number < flushed) {
+        continue;
+      }
+      flushed = write.number;
+      durable_[key] = write.value;
       const auto pending = unflushed_.find(key);
-      if (pending != unflushed_.end() && pending->second == value) {
+      if (pending != unflushed_.end() && pending->second.number == write.number) {
         unflushed_.erase(pending);
       }
     }
@@ -50,6 +55,7 @@
   visible_.clear();
   durable_.clear();
   unflushed_.clear();
+  flushed_.clear();
 }
 
 }  // namespace madderdeck::simulation
