--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -65,12 +65,6 @@
 /// @return how far a node is from here; the least is asked for values.
 using NodeDistance = std::function<unsigned(const NodeId&)>;
 
-/// Who of a group's members must agree on its next epoch.
-struct EpochRule {
-  std::size_t quorum = 0;               ///< How many; 0: the majority.
-  std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts.
-};
-
 /// Proposer for all records. Owned by one node, single threaded.
 class Client {
  public:
@@ -147,6 +141,7 @@
     bool accept_sent = false;
     bool exclusive = false;
     EpochRule rule;
+    std::optional<std::uint64_t> only_epoch;  ///< Of a decision: its rule holds for the members of that epoch alone.
     unsigned attempts = 0;
 
     std::size_t needed() const { return rule.quorum > 0 ? rule.quorum : group.majority(); }
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -28,6 +28,8 @@
   std::vector<ReplicaIdentity> leaving;
 
   std::size_t majority() const { return replicas.size() / 2 + 1; }
+  /// @return members and former members that leave.
+  std::vector<ReplicaIdentity> all() const;
   /// @return the position of @p identity, if it is a member.
   std::optional<std::uint32_t> index_of(const ReplicaIdentity& identity) const;
   /// @return the source of copies with that number: replicas first, then those that leave.
@@ -55,6 +57,12 @@
 ///        confirmed stands on a majority, of which one at least is among any half.
 std::size_t decision_quorum(std::size_t members, bool one_lost);
 
+/// Who of a group's members must agree on its next epoch.
+struct EpochRule {
+  std::size_t quorum = 0;               ///< How many; 0: the majority.
+  std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts.
+};
+
 /// @return the key under which the members of epoch - 1 decide who holds @p group at @p epoch.
 std::string group_config_key(std::uint32_t group, std::uint64_t epoch);
 
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -53,6 +53,9 @@
   ///         node with a disk that it had before still counts on the node; without word of any group nobody can say.
   bool left_all_groups() const;
 
+  /// @return the descriptions that this disk knows, of the groups that name it.
+  std::map<std::uint32_t, ReplicaGroup> descriptions() const;
+
   /// @return whether every group that this replica knows to name its disk has been copied to it.
   bool synchronized() const;
   /// A group of this disk in which it does not vote yet.
@@ -80,6 +83,7 @@
     Duration patience{};                   ///< How long its answer is waited for before it is asked for again.
     std::map<std::string, Ballot> wanted;  ///< Records of the present page that are later there.
     std::string next_after;                ///< Where the copy goes on once these are here; empty: it is complete.
+    bool holds_leaving = false;            ///< It had all that the leaving members held before this copy began.
   };
   /// A stretch of the records that this replica holds.
   struct PageQuery {
@@ -96,6 +100,10 @@
     std::uint32_t index = 0;
     bool synchronized = false;
     bool former = false;  ///< No member any more; only copied from.
+    /// Its place was another's meanwhile, or may have been: it is copied from, but copies from all others before it
+    /// votes.
+    bool returning = false;
+    bool holds_leaving = true;  ///< All that the leaving members of this epoch held is here.
     ReplicaGroup description;
     std::map<std::uint32_t, CopySource> copying;  ///< by number of the source
     std::set<std::uint32_t> copied_by;            ///< Members that hold all that this former one held.
@@ -122,11 +130,22 @@
   void store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot, const wire::Bytes& value);
   void store_group_state(std::uint32_t group, const GroupProgress& progress);
   GroupProgress restore_group_state(std::uint32_t group) const;
+  /// What is kept beside the epoch: earlier versions do not know it.
+  void store_marks(std::uint32_t group, const GroupProgress& progress);
+  void restore_marks(std::uint32_t group, GroupProgress& progress) const;
+  /// Notes on the disk that its place in @p group is another's now.
+  void leave_place(std::uint32_t group, GroupProgress progress);
+  /// Moves @p progress, which is described by @p before still, to the later epoch that it is described by now.
+  void enter_epoch(std::uint32_t group, GroupProgress& progress, const ReplicaGroup& before);
   void start_copy(std::uint32_t group);
   /// Asks for the pages that are due, of the sources that were asked longest ago first.
   void request_copies();
   void request_page(const PeerAddress& from, std::uint32_t group, const GroupProgress& progress, CopySource& source);
   void schedule_copy_retry();
+  /// Asks members that were copied from whether they hold what the leaving ones held.
+  void ask_who_holds_leaving();
+  /// Notes that the member with that number does; it is copied from once more.
+  void note_holds_leaving(std::uint32_t group, std::uint32_t member);
   void merge(std::uint32_t group, const wire::LedgerRecordT& record);
   /// Takes a page of ballots: promises are merged, newer values noted as wanted.
   void take_ballots(std::uint32_t group, CopySource& source, const wire::CopyReplyT& page);
@@ -138,6 +157,8 @@
   wire::CopyStatusT describe_copy(std::uint32_t group, std::uint64_t epoch) const;
   /// Tells the other members that this disk votes from now on.
   void tell_admission(std::uint32_t group);
+  /// @return whether all sources that are members, or all that are leaving, have been copied from.
+  static bool copied_from(const GroupProgress& progress, bool leaving);
   Records page(const PageQuery& query, bool& truncated) const;
   /// What is wanted of records that are named.
   struct RecordQuery {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -10,6 +10,7 @@
 #include "config/objects.hpp"
 #include "config/versioned_table.hpp"
 #include "ledger/client.hpp"
+#include "ledger/epoch_change.hpp"
 #include "membership/membership.hpp"
 #include "object_store/declarations.hpp"
 #include "object_store/platform_client.hpp"
@@ -111,35 +112,20 @@
   void note_rejected(const ChangeList& changes);
   void maintain_groups();
   void found_groups();
-  /// How a replica of a group stands.
-  enum class ReplicaState {
-    present,
-    disk_replaced,  ///< Its node runs with another disk: the old one will never vote again.
-    missing,        ///< Nothing has been heard of its node for long.
-    retiring,       ///< An operator wants its node emptied.
-  };
-  struct Change {
-    ledger::ReplicaGroup next;
-    ledger::EpochRule rule;
-  };
+  class group_beliefs;
   void change_groups();
   /// Has @p change decided, after the store's grant where one member is to decide alone.
-  void begin_change(std::uint32_t group, const Change& change);
-  void decide(std::uint32_t group, const Change& change);
-  /// @return the other member of a pair, if it is there; nothing for any other group.
-  std::optional<ledger::ReplicaIdentity> survivor_of(const ledger::ReplicaGroup& group, std::size_t lost);
-  /// @return the next description of @p group, if there is a reason for one.
-  std::optional<Change> wanted_change(const ledger::ReplicaGroup& group);
+  void begin_change(std::uint32_t group, const ledger::epoch_change& change);
+  void decide(std::uint32_t group, const ledger::epoch_change& change);
   void publish_groups();
+  /// Publishes what the maintainers ought to have: they may not know of it.
+  void publish_overdue_groups();
+  /// @return the number of this node among the members of the first group whose published epoch is an earlier one.
+  std::optional<std::uint32_t> place_in_untold_group() const;
   void declare_groups(const ledger::GroupMap& map);
   std::vector<const wire::MemberT*> ledger_nodes() const;
   const wire::MemberT* member(const NodeId& node) const;
-  ReplicaState state_of(const ledger::ReplicaIdentity& replica);
-  const wire::MemberT* substitute(const ledger::ReplicaGroup& group, const ledger::ReplicaIdentity& lost) const;
-  /// @return the node of @p lost if it runs with another disk by now, though it may be about to leave: it leaves like
-  /// any
-  ///         member then. Without it the group would count on the lost disk for good.
-  const wire::MemberT* with_new_disk(const ledger::ReplicaIdentity& lost) const;
+  ledger::replica_state state_of(const ledger::ReplicaIdentity& replica);
 
   Environment& environment_;
   Counters& counters_;
@@ -157,7 +143,9 @@
   std::set<std::uint32_t> deciding_;
   sole_deciders deciders_;
   std::map<std::uint32_t, Timestamp> announce_until_;  ///< Groups whose latest epoch is repeated for a while.
+  std::map<ledger::ReplicaIdentity, Timestamp> leaver_gone_since_;  ///< Former members that seem to be gone.
   bool declaring_ = false;
+  Timestamp untold_since_{};  ///< Since when this node is in a group whose published epoch is an earlier one; zero: no.
   CounterValue told_reads_ = 0;
   Timestamp store_silent_since_{};
   Timestamp started_{};
