--- a/src/batch/submission_window.cpp
+++ b/src/batch/submission_window.cpp
@@ -64,7 +64,7 @@
 }
 
 void submission_window::grow(std::size_t bytes) {
-  const double part = static_cast<double>(bytes) / static_cast<double>(window_);
+  const double part = std::min(1.0, static_cast<double>(bytes) / static_cast<double>(window_));
   const auto step = static_cast<std::size_t>(part * static_cast<double>(bytes));
   window_ = std::min(window_ + step, limits_.most_bytes);
 }
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -277,24 +277,32 @@
   return allowed ? wire::ReplicaStatus::Granted : wire::ReplicaStatus::NotReady;
 }
 
-Result<Replica::StoredRecord> Replica::load(std::uint32_t group, const std::string& key, bool with_value) const {
-  StoredRecord record;
-  bool promise_sound = true;
-  const Status promise = storage_.look_at(promise_key(group, key), [&](std::string_view bytes) {
+Result<Ballot> Replica::load_promise(std::uint32_t group, const std::string& key) const {
+  Ballot promised;
+  bool sound = true;
+  const Status found = storage_.look_at(promise_key(group, key), [&](std::string_view bytes) {
     const auto state = wire::decode_record<wire::PromiseStateT>(bytes);
-    promise_sound = state.has_value();
-    record.promised = state ? from_wire(state->ballot) : Ballot{};
+    sound = state.has_value();
+    promised = state ? from_wire(state->ballot) : Ballot{};
   });
-  if (!succeeded(promise)) {
-    return error_of(promise);
+  if (!succeeded(found)) {
+    return error_of(found);
   }
-  if (!promise_sound) {
-    return Error{ErrorKind::corrupted, "promise of " + key};
+  return sound ? Result<Ballot>(promised) : Error{ErrorKind::corrupted, "promise of " + key};
+}
+
+Result<Replica::StoredRecord> Replica::load(std::uint32_t group, const std::string& key, bool with_value) const {
+  StoredRecord record;
+  const Result<Ballot> promised = load_promise(group, key);
+  if (!succeeded(promised)) {
+    return error_of(promised);
   }
+  record.promised = value_of(promised);
   bool value_sound = true;
   const Status accept = storage_.look_at(accept_key(group, key), [&](std::string_view bytes) {
     const auto view = view_accept(bytes);
     value_sound = view.has_value();
+    record.stored_bytes = bytes.size();
     record.accepted = view ? view->ballot : Ballot{};
     if (view && with_value) {
       record.value.assign(view->value.begin(), view->value.end());
@@ -493,12 +501,18 @@
 Replica::Records Replica::records_of(const RecordQuery& query) const {
   Records records;
   std::size_t bytes = 0;
+  std::size_t read_bytes = 0;
   for (const std::string& key : query.keys) {
+    // As many as the one that sends their values reaches at most; the answers are compared up to the shortest.
+    if (read_bytes >= kPageReadBytes) {
+      break;
+    }
     auto record = std::make_unique<wire::LedgerRecordT>();
     record->key = key;
     record->accepted = to_wire(Ballot{});
     if (auto loaded = load(query.group, key, query.values); succeeded(loaded)) {
       record->accepted = to_wire(value_of(loaded).accepted);
+      read_bytes += value_of(loaded).stored_bytes;
       if (query.values) {
         record->value = std::move(value_of(loaded).value);
       }
@@ -684,15 +698,18 @@
   reply_when_durable(sender, std::move(reply));
 }
 
-void Replica::merge(std::uint32_t group, const wire::LedgerRecordT& incoming) {
-  const auto loaded = load(group, incoming.key, false);
-  const StoredRecord current = succeeded(loaded) ? value_of(loaded) : StoredRecord{};
+void Replica::merge_promise(std::uint32_t group, const wire::LedgerRecordT& incoming) {
+  const Result<Ballot> held = load_promise(group, incoming.key);
   const Ballot promised = from_wire(incoming.promised);
-  const Ballot accepted = from_wire(incoming.accepted);
-  if (promised > current.promised) {
+  if (promised > (succeeded(held) ? value_of(held) : Ballot{})) {
     store_promise(group, incoming.key, promised);
   }
-  if (accepted > current.accepted) {
+}
+
+void Replica::merge_value(std::uint32_t group, const wire::LedgerRecordT& incoming) {
+  const auto held = load(group, incoming.key, false);
+  const Ballot accepted = from_wire(incoming.accepted);
+  if (accepted > (succeeded(held) ? value_of(held).accepted : Ballot{})) {
     store_accept(group, incoming.key, accepted, incoming.value);
     counters_["ledger_copied_records_total"]++;
     counters_["ledger_copied_bytes_total"] += static_cast<CounterValue>(incoming.value.size());
@@ -756,7 +773,8 @@
   const bool promises = area == "p:";
   for (const auto& record : page.records) {
     if (promises) {
-      merge(group, *record);
+      // Their values are not looked at: a page of promises is as small as the values beside them are large.
+      merge_promise(group, *record);
       continue;
     }
     const auto held = load(group, record->key, false);
@@ -787,7 +805,7 @@
     if (wanted != source.wanted.end() && from_wire(record->accepted) < wanted->second) {
       return false;
     }
-    merge(group, *record);
+    merge_value(group, *record);
     source.wanted.erase(record->key);
   }
   return true;
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -117,6 +117,7 @@
     Ballot promised;
     Ballot accepted;
     wire::Bytes value;
+    std::size_t stored_bytes = 0;  ///< Of the accepted value, as it was read.
   };
 
   void take_word(std::uint32_t group, const ReplicaGroup& description);
@@ -124,6 +125,7 @@
   /// Tells a peer of another epoch which one this replica knows.
   template <class Reply>
   void describe_group(std::uint32_t group, Reply& reply) const;
+  Result<Ballot> load_promise(std::uint32_t group, const std::string& key) const;
   /// @param with_value otherwise the value is checked and left out.
   Result<StoredRecord> load(std::uint32_t group, const std::string& key, bool with_value) const;
   void store_promise(std::uint32_t group, const std::string& key, const Ballot& ballot);
@@ -146,7 +148,10 @@
   void ask_who_holds_leaving();
   /// Notes that the member with that number does; it is copied from once more.
   void note_holds_leaving(std::uint32_t group, std::uint32_t member);
-  void merge(std::uint32_t group, const wire::LedgerRecordT& record);
+  /// Takes a promised ballot of another replica where it is later than the one held here.
+  void merge_promise(std::uint32_t group, const wire::LedgerRecordT& incoming);
+  /// The same of an accepted value.
+  void merge_value(std::uint32_t group, const wire::LedgerRecordT& incoming);
   /// Takes a page of ballots: promises are merged, newer values noted as wanted.
   void take_ballots(std::uint32_t group, CopySource& source, const wire::CopyReplyT& page);
   /// @return whether the source still had what it had offered.
--- a/tests/batch/submission_window_test.cpp
+++ b/tests/batch/submission_window_test.cpp
@@ -115,6 +115,21 @@
     CHECK(node.window.window_bytes() > first);
     CHECK(node.window.window_bytes() <= submission_window_limits{}.most_bytes);
   }
+  SECTION("one job makes it grow by its own size at most") {
+    const std::size_t large = 2 * first;
+    REQUIRE(node.window.enter(large));
+    node.window.leave(large, 50ms, submission_end::stored);
+    CHECK(node.window.window_bytes() <= std::max(first + large, submission_window_limits{}.most_bytes));
+    for (unsigned number = 0; number < 8; ++number) {
+      node.environment.world.run_for(2s);
+      REQUIRE(node.window.enter(1));
+      node.window.leave(1, kWriteTime, submission_end::failed);
+    }
+    const std::size_t least = node.window.window_bytes();
+    REQUIRE(node.window.enter(3 * least));
+    node.window.leave(3 * least, 50ms, submission_end::stored);
+    CHECK(node.window.window_bytes() <= 4 * least);
+  }
   SECTION("it is halved once for jobs that fail at the same moment") {
     node.environment.world.run_for(1ms);
     REQUIRE(node.window.enter(kJobBytes));
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -337,9 +337,48 @@
       return visit(key, value);
     });
   }
+  Status look_at(const std::string& key, const std::function<void(std::string_view)>& look) const override {
+    return SimStorage::look_at(key, [this, &look](std::string_view value) {
+      read_bytes += value.size();
+      look(value);
+    });
+  }
   mutable std::size_t read_bytes = 0;
 };
 
+constexpr std::size_t kLargeValue = 200'000;
+constexpr std::size_t kLargeValues = 100;
+constexpr std::size_t kMostReadAtOnce = 5'000'000;  // 1 ms for each MB, on a tenth of a core 50 ms
+
+/// A replica that holds many large values.
+struct large_values {
+  large_values() {
+    process.start();
+    replica.on_group_map(
+        {{{1, {{NodeId("a"), DiskId("disk-a")}, {NodeId("b"), DiskId("disk-b")}, {NodeId("c"), DiskId("disk-c")}}}}});
+    for (std::size_t number = 0; number < kLargeValues; ++number) {
+      wire::AcceptT accept;
+      accept.epoch = 1;
+      accept.ballot = to_wire(Ballot{1, 1});
+      accept.key = key(number);
+      accept.value.assign(kLargeValue, 3);
+      replica.handle(kCaller, accept);
+    }
+    environment.world.run_for(20ms);
+    environment.sent.clear();
+    storage.read_bytes = 0;
+  }
+  static std::string key(std::size_t number) { return "k/" + std::to_string(1000 + number); }
+
+  TestEnvironment environment;
+  Counters counters;
+  simulation::SimProcess process{environment.world};
+  counting_storage storage{environment.world, process};
+  Replica replica{environment,      storage,
+                  counters,         NodeId("a"),
+                  DiskId("disk-a"), [](const NodeId& node) { return std::optional(PeerAddress(node.str())); }};
+};
+
 }  // namespace
 
 // After a restart of all nodes a group's members compare what they hold: each asks each other one for pages of 256
@@ -390,3 +429,49 @@
   }
   CHECK(ballots == kRecords);
 }
+
+// The same work without bound stood in two more places: a question for the ballots of named records read all values, up
+// to 256 of them, though its answer is compared only up to where the one with the values ends; and a page of promises,
+// which is small, had the value beside each promise read by the replica that takes it.
+TEST_CASE("a question for the ballots of named records reads a bounded part of their values") {
+  large_values held;
+  wire::ScanRequestT request;
+  request.epoch = 1;
+  request.ballots_only = true;
+  request.max_bytes = 900'000;
+  for (std::size_t number = 0; number < kLargeValues; ++number) {
+    request.keys.push_back(large_values::key(number));
+  }
+  held.replica.handle(kCaller, request);
+  REQUIRE(held.environment.sent.size() == 1);
+  CHECK(!held.environment.sent.front().body.AsScanReply()->records.empty());
+  CHECK(held.storage.read_bytes <= kMostReadAtOnce);
+}
+
+TEST_CASE("a page of promises is taken without a look at the values beside them") {
+  large_values held;
+  held.replica.catch_up();
+  wire::CopyReplyT page;
+  page.epoch = 1;
+  page.replica = 1;
+  page.after = "p:";
+  page.ballots_only = true;
+  for (std::size_t number = 0; number < kLargeValues; ++number) {
+    auto record = std::make_unique<wire::LedgerRecordT>();
+    record->key = large_values::key(number);
+    record->promised = to_wire(Ballot{2, 1});
+    page.records.push_back(std::move(record));
+  }
+  held.storage.read_bytes = 0;
+  held.replica.handle(PeerAddress("b"), page);
+  CHECK(held.storage.read_bytes <= kMostReadAtOnce);
+  wire::PrepareT prepare;
+  prepare.epoch = 1;
+  prepare.ballot = to_wire(Ballot{1, 9});
+  prepare.key = large_values::key(0);
+  held.environment.sent.clear();
+  held.replica.handle(kCaller, prepare);
+  held.environment.world.run_for(20ms);
+  REQUIRE(!held.environment.sent.empty());
+  CHECK(held.environment.sent.back().body.AsPromise()->status == wire::ReplicaStatus::BallotTooLow);
+}
