--- a/src/batch/submission_window.hpp
+++ b/src/batch/submission_window.hpp
@@ -28,7 +28,8 @@
 
 /// Jobs are stored whole or not at all, so more than the ledger takes in the time of a write means that none is stored.
 /// The window grows by a job's size for each windowful that was stored in time, and is halved when one was not
-/// (additive increase, multiplicative decrease). A single job always passes. Single threaded.
+/// (additive increase, multiplicative decrease). A job of any size passes while no other is being written. Single
+/// threaded.
 class submission_window {
  public:
   submission_window(Environment& environment, Counters& counters, DecisionLog& log,
--- a/src/common/environment.hpp
+++ b/src/common/environment.hpp
@@ -29,7 +29,8 @@
   virtual std::uint64_t unix_milliseconds() const = 0;
   /// @return 64 random bits.
   virtual std::uint64_t random() = 0;
-  /// Sends @p message to a peer. Messages may be lost, repeated, delayed and reordered.
+  /// Sends @p message to a peer. Messages may be lost, repeated, delayed and reordered; one that cannot be sent within
+  /// some seconds may be dropped.
   virtual void send(const PeerAddress& to, wire::MessageUnion message) = 0;
   /// As send(), but @p message has no use for the peer after @p useful_for: it may be dropped then unsent.
   virtual void send_within(Duration useful_for, const PeerAddress& to, wire::MessageUnion message) {
--- a/src/node/peer_outbox.hpp
+++ b/src/node/peer_outbox.hpp
@@ -13,7 +13,7 @@
 
 /// Messages of a lane are sent in frames, one frame at a time; the lanes do not wait for each other.
 enum class peer_lane : std::size_t {
-  prompt,  ///< Questions, answers and votes: a peer has use for them for a second or so.
+  prompt,  ///< Short messages: most questions, votes and notices.
   bulk,    ///< Messages with long values.
 };
 inline constexpr std::size_t kPeerLanes = 2;
