--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -387,47 +387,27 @@
 // members silent, while the members spent 22 in 100 of their time in decoding and copying values that nobody had asked
 // for. A page now reads a few MB and goes on with the next one, so that a reader's question waits for one page at most.
 TEST_CASE("a page of ballots reads a bounded part of the values, and the next pages bring the rest") {
-  constexpr std::size_t kValueBytes = 200'000;
-  constexpr std::size_t kRecords = 100;
-  constexpr std::size_t kMostReadBytes = 5'000'000;  // 1 ms for each MB, on a tenth of a core 50 ms
-  TestEnvironment environment;
-  Counters counters;
-  simulation::SimProcess process(environment.world);
-  process.start();
-  counting_storage storage(environment.world, process);
-  Replica replica(environment, storage, counters, NodeId("a"), DiskId("disk-a"),
-                  [](const NodeId& node) { return std::optional(PeerAddress(node.str())); });
-  replica.on_group_map(
-      {{{1, {{NodeId("a"), DiskId("disk-a")}, {NodeId("b"), DiskId("disk-b")}, {NodeId("c"), DiskId("disk-c")}}}}});
-  for (std::size_t number = 0; number < kRecords; ++number) {
-    wire::AcceptT accept;
-    accept.epoch = 1;
-    accept.ballot = to_wire(Ballot{1, 1});
-    accept.key = "k/" + std::to_string(1000 + number);
-    accept.value.assign(kValueBytes, 3);
-    replica.handle(kCaller, accept);
-  }
-  environment.world.run_for(20ms);
+  large_values held;
   std::string after = "a:";
   std::size_t ballots = 0;
   for (bool truncated = true; truncated;) {
-    environment.sent.clear();
-    storage.read_bytes = 0;
+    held.environment.sent.clear();
+    held.storage.read_bytes = 0;
     wire::CopyRequestT request;
     request.epoch = 1;
     request.after = after;
     request.limit = 256;
-    replica.handle(kCaller, request);
-    environment.world.run_for(20ms);
-    REQUIRE(environment.sent.size() == 1);
-    const wire::CopyReplyT& reply = *environment.sent.front().body.AsCopyReply();
+    held.replica.handle(kCaller, request);
+    held.environment.world.run_for(20ms);
+    REQUIRE(held.environment.sent.size() == 1);
+    const wire::CopyReplyT& reply = *held.environment.sent.front().body.AsCopyReply();
     REQUIRE(!reply.records.empty());
-    CHECK(storage.read_bytes <= kMostReadBytes);
+    CHECK(held.storage.read_bytes <= kMostReadAtOnce);
     ballots += reply.records.size();
     truncated = reply.truncated;
     after = "a:" + reply.records.back()->key;
   }
-  CHECK(ballots == kRecords);
+  CHECK(ballots == kLargeValues);
 }
 
 // The same work without bound stood in two more places: a question for the ballots of named records read all values, up
