--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -106,8 +106,11 @@
   owned_at_members_version_ = members_.version();
   owned_at_registry_version_ = registry_.version();
   owned_.clear();
+  if (!duties_.dispatches()) {
+    return;
+  }
   for (const auto& [id, backend] : registry_.backends()) {
-    if (backend.machine.target != config::Target::model) {
+    if (backend.machine.target != config::Target::model || !duties_.dispatches_in(backend.machine.zone)) {
       continue;
     }
     const wire::MemberT* owner = duties_.dispatcher_of(id.str(), backend.machine.zone);
@@ -117,9 +120,11 @@
   }
 }
 
-bool Dispatcher::owns(const BackendId& engine) {
+bool Dispatcher::owns(const BackendId& engine) { return owned().contains(engine); }
+
+const std::set<BackendId>& Dispatcher::owned() {
   refresh_ownership();
-  return owned_.contains(engine);
+  return owned_;
 }
 
 std::vector<routing::Backend*> Dispatcher::open_owned_engines() {
@@ -207,7 +212,8 @@
   }
   for (routing::Backend* backend : open_owned_engines()) {
     Engine& engine = engines_[backend->machine.id];
-    if (environment_.now() < engine.resume_after || environment_.now() < backend->ejected_until) {
+    if (environment_.now() < engine.resume_after || environment_.now() < backend->ejected_until ||
+        registry_.warm_up_limit(*backend)) {
       continue;
     }
     std::size_t room = room_on(*backend, engine);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -59,6 +59,8 @@
   void use_repeat_guard(routing::repeat_guard& guard) { repeats_ = &guard; }
   /// @return whether batch work on @p engine is this node's.
   bool owns(const BackendId& engine);
+  /// @return the engines whose batch work is this node's.
+  const std::set<BackendId>& owned();
   /// This node is leaving: no new items; running ones are given back.
   void drain();
   std::size_t active() const { return running_.size() + settling_.size(); }
--- a/src/config/objects.cpp
+++ b/src/config/objects.cpp
@@ -261,6 +261,8 @@
   result.leaving = state != "live";
   constexpr double kLatestStart = 1e15;
   reader.number("started_ms", result.started_unix_ms, 0, kLatestStart);
+  constexpr double kLongestWarmUp = 3'600'000;
+  reader.number("warm_up_left_ms", result.warm_up_left_ms, 0, kLongestWarmUp);
   return finish(reader, std::move(result));
 }
 
@@ -275,7 +277,8 @@
                                       {"zone", machine.zone},
                                       {"slots", machine.slots},
                                       {"state", machine.leaving ? "leaving" : "live"},
-                                      {"started_ms", machine.started_unix_ms}});
+                                      {"started_ms", machine.started_unix_ms},
+                                      {"warm_up_left_ms", machine.warm_up_left_ms}});
 }
 
 Status check_object(const std::string& kind, const std::string& name, std::string_view text) {
--- a/src/config/objects.hpp
+++ b/src/config/objects.hpp
@@ -126,11 +126,14 @@
   std::uint32_t slots = 1;
   bool leaving = false;
   std::uint64_t started_unix_ms = 0;  ///< When its present process started; 0: not told.
+  std::uint32_t warm_up_left_ms = 0;  ///< For how long it still bears few requests, as of the entry's writing.
 };
 /// Body of an entry that is there but cannot be read: it offers nothing and gets no work.
 inline constexpr char kUnreadableMachine[] = R"({"state":"unreadable"})";
 Result<Machine> parse_machine(const std::string& name, std::string_view json);
 std::string format_machine(const Machine& machine);
 inline constexpr char kMachineKind[] = "machine";
+/// An entry stands for as long as the back ends of the zone of its name are to get no requests.
+inline constexpr char kEvacuationKind[] = "zone_evacuation";
 
 }  // namespace madderdeck::config
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -66,6 +66,7 @@
       {"platform.all_read_up_to", number_field(&Settings::platform_all_read_up_to, 0, kMillion)},
       {"platform.feed_silence_ms", number_field(&Settings::platform_feed_silence_ms, 0, 600'000)},
       {"platform.apply_within_ms", number_field(&Settings::platform_apply_within_ms, 0, 600'000)},
+      {"platform.zone_evacuations", number_field(&Settings::zone_evacuations, 0, 1)},
       {"platform.retry_ms", number_field(&Settings::platform_retry_ms, 10, 60'000)},
       {"engines.loads_pushed", number_field(&Settings::loads_pushed, 0, 1)},
       {"engines.leave_notice_ms", number_field(&Settings::leave_notice_ms, 0, 600'000)},
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -69,6 +69,7 @@
   std::int64_t ledger_replace_after_ms = 0;  ///< Silence after which a replica is replaced; 0: as the policy says.
   std::int64_t ledger_check_ms = 1'000;      ///< How often the replica groups are looked at.
   // [tenants]
+  std::int64_t zone_evacuations = 0;         ///< 1: operators evacuate zones through the platform's store.
   std::string tenant_rate_window_s = "5";    ///< Over which rates are judged; a decimal number of seconds.
   std::int64_t tenant_keys_useful_ms = 0;    ///< Age of the configuration up to which keys are sure; 0: any.
   std::int64_t tenant_keys_fail_closed = 0;  ///< 1: nothing is served on keys that are older.
--- a/src/config/versioned_table.cpp
+++ b/src/config/versioned_table.cpp
@@ -7,8 +7,10 @@
 
 namespace madderdeck::config {
 namespace {
-constexpr std::size_t kEntriesPerDelta = 24;
-constexpr std::size_t kBytesPerDelta = 24 * 1024;
+/// Entries of back ends take some 200 bytes: a node that starts in a fleet of 10,000 has them after 40 exchanges. On a
+/// link of 30 Mbit/s a delta takes 17 ms.
+constexpr std::size_t kBytesPerDelta = 64 * 1024;
+constexpr std::size_t kMostEntriesPerDelta = 512;
 constexpr std::size_t kAnnounceFanout = 3;
 constexpr Duration kPullTimeout = 250ms;
 /// A datagram and its answer; later ones have met a busy peer and say little.
@@ -20,13 +22,17 @@
 /// and take the back end for gone: a node of that version that started beside newer ones had no back end left, and
 /// refused every request. The field came with the numbers.
 std::string body_for_earlier_version(const Entry& change) {
-  constexpr char kLaterField[] = "started_ms";
+  if (change.key.kind != kMachineKind) {
+    return change.body;
+  }
   boost::system::error_code failure;
   boost::json::value body = boost::json::parse(change.body, failure);
-  if (change.key.kind != kMachineKind || failure || !body.is_object() || !body.as_object().contains(kLaterField)) {
+  if (failure || !body.is_object()) {
     return change.body;
   }
-  body.as_object().erase(kLaterField);
+  for (const char* later_field : {"started_ms", "warm_up_left_ms"}) {
+    body.as_object().erase(later_field);
+  }
   return boost::json::serialize(body);
 }
 
@@ -115,7 +121,9 @@
 
 void TableReplicator::apply_from_source(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes,
                                         bool complete, Timestamp as_of) {
-  take(since, up_to, changes, complete);
+  if (take(since, up_to, changes, complete)) {
+    announce();
+  }
   // An answer that was overtaken says nothing of what is held now, unless it reaches as far.
   if (up_to >= table_.revision()) {
     as_of_ = std::max(as_of_, as_of);
@@ -129,17 +137,16 @@
   return static_cast<std::uint32_t>(std::min<std::int64_t>((environment_.now() - as_of_) / 1ms, kUnknownAge - 1));
 }
 
-void TableReplicator::take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete) {
+bool TableReplicator::take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete) {
   const std::uint64_t before = table_.revision();
   const std::vector<EntryKey> changed = table_.apply(since, up_to, changes, complete);
-  if (table_.revision() != before && !changed.empty()) {
-    counters_["table_updates_total"]++;
-    announce();
-  }
+  const bool news = table_.revision() != before && !changed.empty();
+  counters_["table_updates_total"] += news ? 1 : 0;
   unchanged_until_ = std::max(as_of_, watched_until_);
   if (!changed.empty()) {
     on_change_(changed);
   }
+  return news;
 }
 
 void TableReplicator::announce() { feed(peers_(kAnnounceFanout)); }
@@ -242,9 +249,9 @@
   delta.up_to = table_.revision();
   delta.age_ms = age_ms();
   std::size_t bytes = 0;
-  const auto changes = table_.changes_after(message.since, kEntriesPerDelta + 1);
+  const auto changes = table_.changes_after(message.since, kMostEntriesPerDelta + 1);
   for (const Entry* change : changes) {
-    const bool full = delta.entries.size() >= kEntriesPerDelta || bytes > kBytesPerDelta;
+    const bool full = delta.entries.size() >= kMostEntriesPerDelta || bytes > kBytesPerDelta;
     if (full && delta.entries.back()->revision != change->revision) {
       delta.up_to = delta.entries.back()->revision;
       delta.age_ms = kUnknownAge;
@@ -268,7 +275,11 @@
     changes.push_back(Entry{{entry->kind, entry->name}, entry->body, entry->revision, entry->deleted});
   }
   const std::uint64_t before = table_.revision();
-  take(message.since, message.up_to, changes, false);
+  const bool news = take(message.since, message.up_to, changes, false);
+  // What is known to be behind is not worth telling: the next delta follows at once.
+  if (news && table_.revision() >= wanted_) {
+    announce();
+  }
   if (!pulling_from_ || *pulling_from_ != sender) {
     return;
   }
--- a/src/config/versioned_table.hpp
+++ b/src/config/versioned_table.hpp
@@ -104,7 +104,8 @@
   bool ask_for_age = true;
 
  private:
-  void take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete);
+  /// @return whether there was news in @p changes, which peers are to be told of.
+  bool take(std::uint64_t since, std::uint64_t up_to, const std::vector<Entry>& changes, bool complete);
   void announce();
   void pull(const PeerAddress& peer);
   void ask_age(const PeerAddress& peer);
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -94,6 +94,29 @@
   return untried;
 }
 
+std::vector<Backend*> Forwarder::warming_choice(const Active& active) {
+  for (Backend* backend : registry_.warming(active.pool)) {
+    if (!active.tried.contains(backend->machine.id) && allow_warming_ && allow_warming_(*backend)) {
+      return {backend};
+    }
+  }
+  return {};
+}
+
+/// The placer knows engines of the whole pool, this node's own choice is among a part of them.
+Backend* Forwarder::named_backend(const Active& active, const std::vector<Backend*>& open, const BackendId& id) {
+  Backend* backend = registry_.find(id);
+  if (backend != nullptr && std::find(open.begin(), open.end(), backend) != open.end()) {
+    return backend;
+  }
+  if (backend == nullptr || active.tried.contains(id) || !registry_.open(*backend)) {
+    return nullptr;
+  }
+  const std::vector<std::string>& pools = backend->machine.pools;
+  const bool offers = std::find(pools.begin(), pools.end(), active.pool) != pools.end();
+  return offers && environment_.now() >= backend->ejected_until ? backend : nullptr;
+}
+
 const routing::request_fingerprint& Forwarder::fingerprint_of(Active& active) {
   if (!active.fingerprint) {
     active.fingerprint = forwarding::fingerprint_of(*active.request);
@@ -140,8 +163,13 @@
     return;
   }
   Active& active = requests_.at(id);
-  const std::vector<Backend*> open = choices(active);
-  if (open.empty()) {
+  std::vector<Backend*> open = choices(active);
+  const bool placed = placer_ != nullptr && placer_->active();
+  if (open.empty() && !placed) {
+    open = warming_choice(active);
+  }
+  // Where there is a placer, it alone names those that warm up.
+  if (open.empty() && (!placed || registry_.warming(active.pool).empty())) {
     const bool tried = !active.tried.empty();
     counters_[tried ? "forward_refused_busy_total" : "forward_refused_no_backend_total"]++;
     end_unanswered(id, ErrorKind::unavailable,
@@ -185,7 +213,7 @@
   query.excluded = active.tried;
   if (!key.empty()) {
     query.affinity_key = key;
-    query.first = preferred_backend(open, key).machine.id;
+    query.first = open.empty() ? std::optional<BackendId>() : preferred_backend(open, key).machine.id;
     query.reading = std::clamp(long_prompt_time_ - kept_start_time_, kLeastReading, kMostReading);
   }
   const auto held = call_time_.find(active.pool);
@@ -218,17 +246,14 @@
   }
   const std::optional<place_answer>& answer = outcome.place;
   const std::vector<Backend*> open = choices(active);
-  if (open.empty()) {
-    end_unanswered(id, ErrorKind::unavailable, "the pool has no back end left that takes requests");
-    return;
-  }
-  const auto named = std::find_if(open.begin(), open.end(), [&answer](const Backend* backend) {
-    return answer && backend->machine.id == answer->engine;
-  });
-  if (named != open.end()) {
+  if (Backend* named = answer ? named_backend(active, open, answer->engine) : nullptr) {
     active.awaits_yield = answer->needs_yield;
     active.keeps_start = answer->keeps_start;
-    send_to(id, **named, open);
+    send_to(id, *named, open);
+    return;
+  }
+  if (open.empty()) {
+    end_unanswered(id, ErrorKind::unavailable, "the pool has no back end left that takes requests");
     return;
   }
   // Not told in time, or of an engine that this node does not know or does not use: by its own knowledge then.
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -69,6 +69,9 @@
   void use_repeat_guard(routing::repeat_guard& guard) { repeats_ = &guard; }
   /// From now on @p placer is asked for engines while it is active. It outlives this.
   void use_placer(engine_placer& placer) { placer_ = &placer; }
+  /// @param allow counts a request to a back end that warms up where this node may send one now; asked only where no
+  ///        other back end is left and there is no placer.
+  void allow_warming(std::function<bool(const routing::Backend&)> allow) { allow_warming_ = std::move(allow); }
   /// @return moving average of what a live call waits for its first token more where batch work has to yield.
   Duration time_to_yield() const { return time_to_yield_; }
 
@@ -137,6 +140,11 @@
   bool is_current(ForwardId id, std::uint64_t attempt) const;
   const std::string& choose_pool(const Route& route);
   std::vector<routing::Backend*> choices(const Active& active);
+  /// @return a back end that warms up and that this node may send @p active to; empty where there is none.
+  std::vector<routing::Backend*> warming_choice(const Active& active);
+  /// @return the back end of that id, where @p active may be sent to it; null otherwise.
+  routing::Backend* named_backend(const Active& active, const std::vector<routing::Backend*>& open,
+                                  const BackendId& id);
   bool may_send_again(const Active& active) const;
   /// Ends a request that must not be sent to any back end.
   /// @return whether it did.
@@ -164,6 +172,7 @@
   const routing::shared_calls* shared_ = nullptr;
   Duration shared_delay_{};
   engine_placer* placer_ = nullptr;
+  std::function<bool(const routing::Backend&)> allow_warming_;
   routing::repeat_guard* repeats_ = nullptr;
   std::uint64_t next_placing_ = 0;
   ReadingHook on_reading_;
--- a/src/forwarding/route_table.cpp
+++ b/src/forwarding/route_table.cpp
@@ -132,6 +132,8 @@
       Pool pool;
       pool.name = text_of(entry.as_object(), "name");
       read_number(entry.as_object(), "max_connections", pool.max_connections);
+      read_number(entry.as_object(), "warm_up_ms", pool.warm_up_ms);
+      read_number(entry.as_object(), "warm_up_per_second", pool.warm_up_per_second);
       table.pools.push_back(std::move(pool));
     }
     const json::object& limits = fields.at("limits").as_object();
@@ -163,7 +165,10 @@
   }
   json::array pools;
   for (const Pool& pool : table.pools) {
-    pools.push_back(json::object{{"name", pool.name}, {"max_connections", pool.max_connections}});
+    pools.push_back(json::object{{"name", pool.name},
+                                 {"max_connections", pool.max_connections},
+                                 {"warm_up_ms", pool.warm_up_ms},
+                                 {"warm_up_per_second", pool.warm_up_per_second}});
   }
   json::array tenants;
   for (const tenancy::tenant& tenant : table.tenants.tenants()) {
--- a/src/forwarding/route_table.hpp
+++ b/src/forwarding/route_table.hpp
@@ -54,6 +54,8 @@
 struct Pool {
   std::string name;
   std::uint32_t max_connections = 0;  ///< To one back end from all callers together; 0: not stated.
+  std::uint32_t warm_up_ms = 0;       ///< For so long after its start a back end bears few requests; 0: not at all.
+  double warm_up_per_second = 0;      ///< Requests that one bears meanwhile, of all callers together; 0: any number.
 };
 
 /// What callers may send and how long they may take.
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -353,6 +353,7 @@
   message.group_revision = revisions.groups;
   message.objects_age_ms = revisions.objects_age_ms;
   message.machines_age_ms = revisions.machines_age_ms;
+  message.evacuation_revision = revisions.evacuations;
   message.members_digest = digest_;
   return message;
 }
@@ -368,6 +369,7 @@
   TableRevisions revisions{message.object_revision, message.machine_revision, message.group_revision};
   revisions.objects_age_ms = message.objects_age_ms;
   revisions.machines_age_ms = message.machines_age_ms;
+  revisions.evacuations = message.evacuation_revision;
   hooks_.on_peer_revisions(sender, revisions);
   compare_lists(sender, message.members_digest);
 }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -51,6 +51,7 @@
   std::uint64_t groups = 0;
   std::uint32_t objects_age_ms = kUnknownAge;
   std::uint32_t machines_age_ms = kUnknownAge;
+  std::uint64_t evacuations = 0;
 };
 
 /// What Membership asks of and tells to its owner.
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -41,6 +41,10 @@
           environment, counters, wire::TableId::Groups,
           [this](std::size_t count) { return members.random_peers(count); },
           [this](const std::vector<config::EntryKey>& keys) { on_objects_changed(keys); }),
+      evacuations(
+          environment, counters, wire::TableId::Evacuations,
+          [this](std::size_t count) { return members.random_peers(count); },
+          [this](const std::vector<config::EntryKey>&) { on_evacuations_changed(); }),
       members(environment, counters, options.self, options.seeds, make_hooks(), options.membership),
       duties(members),
       ledger(
@@ -68,6 +72,7 @@
         [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
         options.guards.forward);
     forwarder->use_repeat_guard(quarantine);
+    forwarder->allow_warming([this](const routing::Backend& backend) { return may_warm(backend); });
     forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
   registry.set_leave_notice(options.leave_notice);
@@ -114,8 +119,8 @@
   }
   if (has_role(options.self, Role::controller)) {
     controller = std::make_unique<object_store::Controller>(environment, counters, members, objects, machines, groups,
-                                                            catalog, ledger, dependencies.platform, declarations, log,
-                                                            options.controller);
+                                                            evacuations, catalog, ledger, dependencies.platform,
+                                                            declarations, log, options.controller);
   }
 }
 
@@ -123,12 +128,14 @@
   membership::Hooks hooks;
   hooks.local_revisions = [this] {
     return membership::TableRevisions{objects.table().revision(), machines.table().revision(),
-                                      groups.table().revision(), objects.age_ms(), machines.age_ms()};
+                                      groups.table().revision(),  objects.age_ms(),
+                                      machines.age_ms(),          evacuations.table().revision()};
   };
   hooks.on_peer_revisions = [this](const PeerAddress& peer, const membership::TableRevisions& revisions) {
     objects.on_peer_revision(peer, revisions.objects, revisions.objects_age_ms);
     machines.on_peer_revision(peer, revisions.machines, revisions.machines_age_ms);
     groups.on_peer_revision(peer, revisions.groups);
+    evacuations.on_peer_revision(peer, revisions.evacuations);
   };
   hooks.on_change = [this](const wire::MemberT& member) {
     if (on_member_change) {
@@ -270,6 +277,9 @@
   services.set_policy(catalog.policy());
   if (catalog.routes() != told_routes_) {
     told_routes_ = catalog.routes();
+    for (const forwarding::Pool& pool : told_routes_->pools) {
+      registry.set_warm_up(pool.name, {std::chrono::milliseconds(pool.warm_up_ms), pool.warm_up_per_second});
+    }
     log.record("routes_taken", {{"version", told_routes_->version},
                                 {"routes", told_routes_->routes.size()},
                                 {"revision", objects.table().revision()}});
@@ -300,6 +310,16 @@
   }
 }
 
+void NodeCore::on_evacuations_changed() {
+  std::set<std::string> zones;
+  for (const config::Entry* entry : evacuations.table().list(config::kEvacuationKind)) {
+    zones.insert(entry->key.name);
+    log.record("zone_evacuated", {{"zone", entry->key.name}, {"revision", entry->revision}});
+  }
+  log.record("evacuations_taken", {{"zones", zones.size()}, {"revision", evacuations.table().revision()}});
+  registry.set_evacuated(std::move(zones));
+}
+
 void NodeCore::on_machines_changed(const std::vector<config::EntryKey>& keys) {
   registry.update(machines.table(), keys, machines.unchanged_until());
   tell_configured();
@@ -355,6 +375,8 @@
         return machines;
       case wire::TableId::Groups:
         return groups;
+      case wire::TableId::Evacuations:
+        return evacuations;
       case wire::TableId::Objects:
         break;
     }
@@ -695,6 +717,19 @@
 
 // --- what connections to back ends need ------------------------------------------------------
 
+/// In a fleet without coordinators one gateway alone uses a back end that warms up: the limit is one of all together.
+bool NodeCore::may_warm(const routing::Backend& backend) {
+  const auto gateways = duties.coordinators_of(backend.machine.id.str(), std::string());
+  const std::optional<double> limit = registry.warm_up_limit(backend);
+  const Timestamp now = environment.now();
+  const bool own = !gateways.empty() && gateways.front()->id == members.self().id;
+  if (!own || !limit || !warm_up_pace_.allows(backend.machine.id, *limit, now)) {
+    return false;
+  }
+  warm_up_pace_.count(backend.machine.id, now);
+  return true;
+}
+
 std::string NodeCore::address_of(const BackendId& backend) const {
   const auto entry = registry.backends().find(backend);
   return entry == registry.backends().end() ? std::string() : entry->second.machine.address;
@@ -729,12 +764,16 @@
 
 // --- load of back ends ----------------------------------------------------------------------
 
-bool NodeCore::polls(const routing::Backend& backend) {
-  const BackendId& id = backend.machine.id;
-  if (registry.in_subset(id) && !loads_pushed_) {
-    return true;
+std::set<BackendId> NodeCore::polled_backends() {
+  std::set<BackendId> polled = dispatcher ? dispatcher->owned() : std::set<BackendId>();
+  if (!loads_pushed_) {
+    for (const auto& [id, backend] : registry.backends()) {
+      if (registry.in_subset(id)) {
+        polled.insert(id);
+      }
+    }
   }
-  return dispatcher && dispatcher->owns(id);
+  return polled;
 }
 
 void NodeCore::tell_unexplained(const BackendId& id) {
@@ -748,10 +787,7 @@
   // Where coordinators know all calls, reports only show what nodes that died have left running.
   const Duration pause = coordinated() ? kPollsSavedByCoordination * load_poll_ : load_poll_;
   environment.after(pause, lifetime_.guard([this] { poll_loads(); }));
-  for (const auto& [id, backend] : registry.backends()) {
-    if (!polls(backend)) {
-      continue;
-    }
+  for (const BackendId& id : polled_backends()) {
     fetch_load(id);
   }
 }
@@ -829,6 +865,7 @@
 void NodeCore::refresh_activity() {
   environment.after(kActivityRefresh, lifetime_.guard([this] { refresh_activity(); }));
   registry.set_gateways(gateway_count());
+  warm_up_pace_.forget_old(environment.now());
   if (call_reporter && forwarder) {
     registry.set_shared_calls(coordinated() ? &coordinator->calls() : &shared_calls);
     call_reporter->set_time_to_yield(forwarder->time_to_yield());
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -147,7 +147,8 @@
   config::Catalog catalog;
   config::TableReplicator objects;
   config::TableReplicator machines;
-  config::TableReplicator groups;  ///< Used where the platform keeps them apart from the objects.
+  config::TableReplicator groups;       ///< Used where the platform keeps them apart from the objects.
+  config::TableReplicator evacuations;  ///< Zones whose back ends are to get no requests.
   membership::Membership members;
   placement::duties duties;
   ledger::Client ledger;
@@ -189,6 +190,9 @@
   membership::Hooks make_hooks();
   void on_objects_changed(const std::vector<config::EntryKey>& keys);
   void on_machines_changed(const std::vector<config::EntryKey>& keys);
+  void on_evacuations_changed();
+  /// @return whether this node may send a request to @p backend, which warms up; counts it then.
+  bool may_warm(const routing::Backend& backend);
   void on_calls_changed(const BackendId& engine);
   void on_online_activity(const BackendId& engine, std::uint32_t in_flight);
   void tell_activity(const BackendId& engine);
@@ -209,7 +213,8 @@
   void fetch_load(const BackendId& id);
   void tell_unexplained(const BackendId& id);
   void note_unknown_kind(const PeerAddress& sender, unsigned kind);
-  bool polls(const routing::Backend& backend);
+  /// @return those whose load this node asks for.
+  std::set<BackendId> polled_backends();
 
   bool configured() const;
   void tell_configured();
@@ -217,6 +222,7 @@
   std::uint64_t next_awaiting_ = 0;
   std::map<BackendId, ToldActivity> activity_;
   Timestamp started_at_{};
+  routing::warm_up_pace warm_up_pace_;
   std::optional<Timestamp> unknown_kind_said_at_;
   Lifetime lifetime_;
 };
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -32,41 +32,28 @@
 /// How often the process notes that it runs. An answer may be read after the first note that follows a standstill, so
 /// the last but one counts.
 constexpr Duration kRunCheck = 50ms;
-constexpr char kReaderRank[] = "store-reader";
 
-/// @return the ids of the first @p count of @p members by their rank as readers.
-std::set<std::string> first_ranked(std::vector<const wire::MemberT*> members, std::size_t count) {
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
-  ranked.reserve(members.size());
-  for (const wire::MemberT* member : members) {
-    ranked.emplace_back(rendezvous_weight(kReaderRank, member->id), member->id);
-  }
-  std::sort(ranked.rbegin(), ranked.rend());
-  std::set<std::string> first;
-  for (std::size_t position = 0; position < std::min(count, ranked.size()); ++position) {
-    first.insert(std::move(ranked[position].second));
-  }
-  return first;
-}
 }  // namespace
 
 Controller::Controller(Environment& environment, Counters& counters, membership::Membership& members,
                        config::TableReplicator& objects, config::TableReplicator& machines,
-                       config::TableReplicator& groups, const config::Catalog& catalog, ledger::Client& ledger,
-                       PlatformClient& platform, Declarations& declarations, DecisionLog& log,
-                       ControllerOptions options)
+                       config::TableReplicator& groups, config::TableReplicator& evacuations,
+                       const config::Catalog& catalog, ledger::Client& ledger, PlatformClient& platform,
+                       Declarations& declarations, DecisionLog& log, ControllerOptions options)
     : environment_(environment),
       counters_(counters),
       members_(members),
       objects_(objects),
       machines_(machines),
       groups_(groups),
+      evacuations_(evacuations),
       catalog_(catalog),
       ledger_(ledger),
       platform_(platform),
       declarations_(declarations),
       log_(log),
       options_(options),
+      feeds_(members, {options.readers, options.relays, options.all_read_up_to}),
       deciders_(declarations, platform) {}
 
 void Controller::start() {
@@ -77,6 +64,9 @@
   if (platform_.has_group_source()) {
     watch(groups_, &PlatformClient::watch_groups, false);
   }
+  if (platform_.has_evacuations()) {
+    watch(evacuations_, &PlatformClient::watch_evacuations, false);
+  }
   environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
   environment_.after(kCallSummary, lifetime_.guard([this] { tell_calls(); }));
   if (options_.feed_silence.count() > 0) {
@@ -84,10 +74,6 @@
   }
 }
 
-bool Controller::all_read() const {
-  return members_.responsive(membership::Role::controller).size() <= options_.all_read_up_to;
-}
-
 bool Controller::waits_for_peers() const {
   // The seeds are where the others look for word.
   if (!members_.has_seeds() || members_.is_seed()) {
@@ -106,102 +92,24 @@
   if (waits_for_peers()) {
     return false;
   }
-  return all_read() || readers().contains(members_.self().id);
-}
-
-std::set<std::string> Controller::readers() const {
-  return first_ranked(members_.responsive(membership::Role::controller), options_.readers);
-}
-
-std::set<std::string> Controller::relays_of(const std::string& zone) const {
-  auto controllers = members_.responsive(membership::Role::controller);
-  std::erase_if(controllers, [&zone](const wire::MemberT* member) { return member->zone != zone; });
-  const std::set<std::string> all_readers = readers();
-  std::set<std::string> here;
-  for (const wire::MemberT* member : controllers) {
-    if (all_readers.contains(member->id)) {
-      here.insert(member->id);
-    }
-  }
-  return here.empty() ? first_ranked(std::move(controllers), options_.relays) : here;
-}
-
-std::vector<PeerAddress> Controller::fed_from_here() const {
-  const std::string& self = members_.self().id;
-  const std::set<std::string> all_readers = readers();
-  const bool reader = all_readers.contains(self);
-  std::map<std::string, std::set<std::string>> relays;
-  std::vector<PeerAddress> fed;
-  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
-    const auto [zone, unknown] = relays.try_emplace(member->zone);
-    if (unknown) {
-      zone->second = relays_of(member->zone);
-    }
-    if (all_readers.contains(member->id)) {
-      continue;
-    }
-    const bool same_zone = member->zone == members_.self().zone;
-    const bool is_relay = zone->second.contains(member->id);
-    if (!same_zone || is_relay) {
-      if (reader && is_relay) {
-        fed.emplace_back(member->peer_address);
-      }
-      continue;
-    }
-    const auto feeder =
-        std::max_element(zone->second.begin(), zone->second.end(), [&](const auto& left, const auto& right) {
-          return rendezvous_weight(member->id, left) < rendezvous_weight(member->id, right);
-        });
-    if (feeder != zone->second.end() && *feeder == self) {
-      fed.emplace_back(member->peer_address);
-    }
-  }
-  return fed;
-}
-
-std::vector<PeerAddress> Controller::zone_peers() const {
-  std::vector<PeerAddress> peers;
-  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
-    if (member->zone == members_.self().zone && member->id != members_.self().id) {
-      peers.emplace_back(member->peer_address);
-    }
-  }
-  return peers;
+  return feeds_.all_read() || feeds_.is_reader();
 }
 
 void Controller::relay(config::TableReplicator& table, Relayed& relayed) {
   // News goes on at once, however short a time ago the word before it went.
   const bool news = table.table().revision() > relayed.revision;
   const bool fresher = table.as_of() >= relayed.as_of + kRelayStep;
-  if ((!news && !fresher) || all_read() || !relays_of(members_.self().zone).contains(members_.self().id)) {
+  if ((!news && !fresher) || feeds_.all_read() || !feeds_.is_relay()) {
     return;
   }
   relayed = {table.table().revision(), table.as_of()};
   counters_["platform_feeds_relayed_total"]++;
-  table.feed(fed_from_here());
+  table.feed(feeds_.fed_from_here());
 }
 
 Duration Controller::patience_with_feed() const {
-  std::size_t rank = 0;
-  const std::uint64_t own = rendezvous_weight(kReaderRank, members_.self().id);
-  for (const wire::MemberT* member : members_.responsive(membership::Role::controller)) {
-    const bool before = rendezvous_weight(kReaderRank, member->id) > own;
-    rank += member->zone == members_.self().zone && before ? 1 : 0;
-  }
-  return options_.feed_silence + std::min<Duration>(kLookStep * rank, options_.look_spread);
-}
-
-bool Controller::ranks_among(std::size_t count) const {
-  auto controllers = members_.available(membership::Role::controller);
-  const auto rank = [](const wire::MemberT* member) { return rendezvous_weight(kReaderRank, member->id); };
-  std::sort(controllers.begin(), controllers.end(),
-            [&](const wire::MemberT* left, const wire::MemberT* right) { return rank(left) > rank(right); });
-  for (std::size_t position = 0; position < std::min(count, controllers.size()); ++position) {
-    if (controllers[position]->id == members_.self().id) {
-      return true;
-    }
-  }
-  return false;
+  const auto before = static_cast<Duration::rep>(feeds_.rank_in_zone());
+  return options_.feed_silence + std::min<Duration>(kLookStep * before, options_.look_spread);
 }
 
 void Controller::watch(config::TableReplicator& table, Watch source, bool at_once) {
@@ -214,7 +122,7 @@
   }
   const auto next = [this, &table, source, again_after, before = table.table().revision()](bool answered) {
     const bool news = table.table().revision() != before;
-    if (answered && news && !all_read()) {
+    if (answered && news && !feeds_.all_read()) {
       again_after(kNewsPause, false);
     } else if (answered) {
       watch(table, source, false);
@@ -222,7 +130,8 @@
       again_after(options_.store_retry, true);
     }
   };
-  const bool prompt = !all_read() && options_.feed_silence.count() > 0 && &table != &groups_;
+  const bool prompt =
+      !feeds_.all_read() && options_.feed_silence.count() > 0 && (&table == &objects_ || &table == &machines_);
   const Duration wait = prompt ? std::min(options_.watch_wait, options_.watch_wait_of_readers) : options_.watch_wait;
   ask(table, source, at_once ? Duration::zero() : wait, next);
 }
@@ -254,8 +163,8 @@
     if (watches) {
       watched_since_.erase(&table);
     }
-    if (options_.feed_silence.count() > 0 && !all_read() && is_reader()) {
-      table.feed(fed_from_here());
+    if (options_.feed_silence.count() > 0 && !feeds_.all_read() && is_reader()) {
+      table.feed(feeds_.fed_from_here());
     }
     next(true);
   };
@@ -306,7 +215,10 @@
     if (answered) {
       look.failures = 0;
       // Nodes of this zone that miss the feed as well need not look.
-      table.feed(zone_peers());
+      table.feed(feeds_.zone_peers());
+      if (&table == &machines_) {
+        look_at_evacuations();
+      }
       return;
     }
     // The readers go on trying; all others asking as often would be a storm of calls while the store is away.
@@ -315,6 +227,17 @@
   });
 }
 
+void Controller::look_at_evacuations() {
+  if (!platform_.has_evacuations()) {
+    return;
+  }
+  ask(evacuations_, &PlatformClient::watch_evacuations, Duration::zero(), [this](bool answered) {
+    if (answered) {
+      evacuations_.feed(feeds_.zone_peers());
+    }
+  });
+}
+
 /// Calls are priced and rated: who makes them has to be seen.
 void Controller::tell_calls() {
   environment_.after(kCallSummary, lifetime_.guard([this] { tell_calls(); }));
@@ -367,7 +290,7 @@
   if (environment_.now() - started_ < options_.founding_wait) {
     return;
   }
-  if (!ranks_among(options_.maintainers)) {
+  if (feeds_.rank_in_fleet() >= options_.maintainers) {
     publish_overdue_groups();
     return;
   }
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -13,6 +13,7 @@
 #include "ledger/epoch_change.hpp"
 #include "membership/membership.hpp"
 #include "object_store/declarations.hpp"
+#include "object_store/feed_tree.hpp"
 #include "object_store/platform_client.hpp"
 #include "object_store/sole_deciders.hpp"
 
@@ -59,8 +60,8 @@
  public:
   Controller(Environment& environment, Counters& counters, membership::Membership& members,
              config::TableReplicator& objects, config::TableReplicator& machines, config::TableReplicator& groups,
-             const config::Catalog& catalog, ledger::Client& ledger, PlatformClient& platform,
-             Declarations& declarations, DecisionLog& log, ControllerOptions options = {});
+             config::TableReplicator& evacuations, const config::Catalog& catalog, ledger::Client& ledger,
+             PlatformClient& platform, Declarations& declarations, DecisionLog& log, ControllerOptions options = {});
 
   void start();
   /// @return whether this node is one of the few that read the store.
@@ -72,18 +73,8 @@
   /// @param at_once whether the store is to answer without waiting for a change: after a failure it
   ///        shows soon that the store is back.
   void watch(config::TableReplicator& table, Watch source, bool at_once);
-  /// @return whether the fleet is so small that every controller watches the store.
-  bool all_read() const;
   /// @return whether this node has just started and may still get the tables from a peer.
   bool waits_for_peers() const;
-  /// @return the nodes that read the store for the fleet.
-  std::set<std::string> readers() const;
-  /// @return the nodes of @p zone that pass the readers' word on there; with a reader in the zone, the readers.
-  std::set<std::string> relays_of(const std::string& zone) const;
-  /// @return the nodes of this zone that rely on this node, and for a reader the relays of the other zones.
-  std::vector<PeerAddress> fed_from_here() const;
-  /// @return the other controllers of this zone.
-  std::vector<PeerAddress> zone_peers() const;
   /// Passes the readers' word on, if this node is to and there is fresher word than it last passed on.
   struct Relayed {
     std::uint64_t revision = 0;
@@ -105,7 +96,8 @@
     Timestamp not_before{};  ///< After a failure.
   };
   void look_when_silent(config::TableReplicator& table, Watch source, Look& look);
-  bool ranks_among(std::size_t count) const;
+  /// Whoever has to look at the machine list looks at the zones that are evacuated, too.
+  void look_at_evacuations();
   void tell_calls();
   void note_store(bool answers);
   /// What cannot be read is told of: the version before stays in force.
@@ -133,12 +125,14 @@
   config::TableReplicator& objects_;
   config::TableReplicator& machines_;
   config::TableReplicator& groups_;
+  config::TableReplicator& evacuations_;
   const config::Catalog& catalog_;
   ledger::Client& ledger_;
   PlatformClient& platform_;
   Declarations& declarations_;
   DecisionLog& log_;
   const ControllerOptions options_;
+  const feed_tree feeds_;
   std::map<NodeId, Timestamp> missing_since_;
   std::set<std::uint32_t> deciding_;
   sole_deciders deciders_;
--- a/src/object_store/platform_client.hpp
+++ b/src/object_store/platform_client.hpp
@@ -68,6 +68,11 @@
   virtual bool has_retirements() const { return false; }
   /// Waits up to @p wait for requests after @p since; the entries' names are nodes.
   virtual void watch_retirements(std::uint64_t /*since*/, Duration /*wait*/, ChangesDone /*done*/) {}
+  /// @return whether operators ask through the platform for zones to be evacuated.
+  virtual bool has_evacuations() const { return false; }
+  /// Waits up to @p wait for changes after @p since; an entry stands for as long as the zone of its name is to get no
+  /// requests.
+  virtual void watch_evacuations(std::uint64_t /*since*/, Duration /*wait*/, ChangesDone /*done*/) {}
   /// Tells how far the emptying of @p node is.
   virtual void report_retirement(const NodeId& /*node*/, RetirementState /*state*/, ReportDone /*done*/) {}
   virtual void get(const config::EntryKey& key, GetDone done) = 0;
--- a/src/placement/call_reporter.cpp
+++ b/src/placement/call_reporter.cpp
@@ -1,6 +1,7 @@
 #include "placement/call_reporter.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "forwarding/engine_choice.hpp"
@@ -13,6 +14,7 @@
 constexpr Duration kStartDelay = 40ms;
 constexpr Duration kRefresh = 1s;
 constexpr Duration kSilenceCheck = 100ms;
+constexpr Duration kCoordinatorCheck = 100ms;
 
 }  // namespace
 
@@ -34,6 +36,7 @@
 
 void call_reporter::changed(const BackendId& engine) {
   changed_.insert(engine);
+  busy_.insert(engine);
   const routing::Backend* backend = registry_.find(engine);
   std::uint32_t& last = last_live_[engine];
   const std::uint32_t live = backend == nullptr ? 0 : backend->online_in_flight;
@@ -150,28 +153,39 @@
     return;
   }
   messages to;
-  for (const auto& [id, backend] : registry_.backends()) {
-    if (backend.online_in_flight + backend.batch_in_flight > 0 || told_.contains(id)) {
-      add(to, id, &backend, true);
+  std::set<BackendId> engines = busy_;
+  for (const auto& [engine, receiver] : told_) {
+    engines.insert(engine);
+  }
+  for (const BackendId& engine : engines) {
+    const routing::Backend* backend = registry_.find(engine);
+    const bool open = backend != nullptr && backend->online_in_flight + backend->batch_in_flight > 0;
+    if (!open) {
+      busy_.erase(engine);
+      last_live_.erase(engine);
     }
+    add(to, engine, backend, true);
   }
   send(std::move(to));
 }
 
-void call_reporter::watch_coordinators() {
-  std::map<engine_domain, PeerAddress> found;
-  for (const auto& [id, backend] : registry_.backends()) {
-    for (const std::string& pool : backend.machine.pools) {
-      const engine_domain domain = domain_of(registry_, backend, pool);
-      if (found.contains(domain)) {
-        continue;
-      }
-      const wire::MemberT* member = places_.coordinator_for(domain);
-      found.emplace(domain, member == nullptr ? PeerAddress() : PeerAddress(member->peer_address));
-    }
+/// @return whether another node than the one that was told of calls at @p engine coordinates it by now.
+bool call_reporter::changed_hands(const BackendId& engine, const PeerAddress& told) const {
+  const routing::Backend* backend = registry_.find(engine);
+  if (backend == nullptr) {
+    return false;
   }
-  const bool changed = !coordinators_.empty() && found != coordinators_;
-  coordinators_ = std::move(found);
+  const std::vector<std::string>& pools = backend->machine.pools;
+  return std::none_of(pools.begin(), pools.end(), [&](const std::string& pool) {
+    const wire::MemberT* member = places_.coordinator_for(domain_of(registry_, *backend, pool));
+    return member == nullptr || PeerAddress(member->peer_address) == told;
+  });
+}
+
+void call_reporter::watch_coordinators() {
+  environment_.after(kCoordinatorCheck, lifetime_.guard([this] { watch_coordinators(); }));
+  const bool changed = std::any_of(told_.begin(), told_.end(),
+                                   [this](const auto& told) { return changed_hands(told.first, told.second); });
   if (changed) {
     counters_["coordinator_changes_seen_total"]++;
     tell_everything();
@@ -181,18 +195,19 @@
 /// An engine that went dark is told of within a check, and so is one that speaks again.
 void call_reporter::watch_silences() {
   environment_.after(kSilenceCheck, lifetime_.guard([this] { watch_silences(); }));
-  for (const auto& [id, backend] : registry_.backends()) {
-    const bool silent = forwarding::silent(backend, environment_.now());
-    if (silent == silent_.contains(id)) {
-      continue;
+  std::set<BackendId> silent;
+  for (const BackendId& engine : registry_.called()) {
+    if (forwarding::silent(*registry_.find(engine), environment_.now())) {
+      silent.insert(engine);
     }
-    if (silent) {
-      silent_.insert(id);
-      counters_["engines_fallen_silent_total"]++;
-    } else {
-      silent_.erase(id);
-    }
-    changed(id);
+  }
+  std::vector<BackendId> others;
+  std::set_symmetric_difference(silent.begin(), silent.end(), silent_.begin(), silent_.end(),
+                                std::back_inserter(others));
+  std::swap(silent, silent_);
+  for (const BackendId& engine : others) {
+    counters_["engines_fallen_silent_total"] += silent_.contains(engine) ? 1 : 0;
+    changed(engine);
   }
 }
 
--- a/src/placement/call_reporter.hpp
+++ b/src/placement/call_reporter.hpp
@@ -42,6 +42,7 @@
   void watch_silences();
   /// A coordinator that takes over hears at once what runs at its engines: it would take them for empty.
   void watch_coordinators();
+  bool changed_hands(const BackendId& engine, const PeerAddress& told) const;
 
   Environment& environment_;
   Counters& counters_;
@@ -52,9 +53,9 @@
   coordinator& own_;
   std::set<BackendId> changed_;
   std::set<BackendId> silent_;
-  std::map<BackendId, std::uint32_t> first_ms_;        ///< Not told yet.
-  std::map<BackendId, PeerAddress> told_;              ///< The coordinator last told of calls at an engine.
-  std::map<engine_domain, PeerAddress> coordinators_;  ///< As of the last look.
+  std::set<BackendId> busy_;                     ///< Has every engine with calls of this node.
+  std::map<BackendId, std::uint32_t> first_ms_;  ///< Not told yet.
+  std::map<BackendId, PeerAddress> told_;        ///< The coordinator last told of calls at an engine.
   Duration time_to_yield_{};
   std::map<BackendId, std::uint32_t> last_live_;  ///< Open live calls at the latest change.
   bool scheduled_ = false;                        ///< A word follows within kStartDelay,
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -57,6 +57,7 @@
   calls_.forget_silent(environment_.now());
   failing_.forget_old(environment_.now());
   starts_.forget_old(environment_.now());
+  pace_.forget_old(environment_.now());
   registry_.forget_latencies(kLatencyUseful);
 }
 
@@ -64,24 +65,59 @@
                                                        const std::set<BackendId>& excluded) {
   std::vector<routing::Backend*> found;
   for (routing::Backend* backend : registry_.candidates(domain.pool)) {
-    const bool here = domain.zone.empty() || backend->machine.zone == domain.zone;
-    if (here && !excluded.contains(backend->machine.id)) {
+    if (domain.has(*backend) && !excluded.contains(backend->machine.id)) {
       found.push_back(backend);
     }
   }
+  const std::vector<routing::Backend*> warming = warm_enough(domain, excluded);
+  found.insert(found.end(), warming.begin(), warming.end());
   std::vector<routing::Backend*> sound;
-  std::copy_if(found.begin(), found.end(), std::back_inserter(sound),
-               [this](const routing::Backend* backend) { return !in_trouble(backend->machine.id); });
+  for (routing::Backend* backend : found) {
+    if (!in_trouble(backend->machine.id)) {
+      sound.push_back(backend);
+    } else if (calls_.at(backend->machine.id).silent()) {
+      registry_.note_possible_start(backend->machine.id);
+    }
+  }
   // When most are in trouble the cause is likely elsewhere, and the few that are left could not carry all.
   return kLeastSoundPart * sound.size() < found.size() ? found : sound;
 }
 
+std::vector<routing::Backend*> coordinator::warm_enough(const engine_domain& domain,
+                                                        const std::set<BackendId>& excluded) {
+  std::vector<routing::Backend*> found;
+  for (routing::Backend* backend : registry_.warming(domain.pool)) {
+    const BackendId& id = backend->machine.id;
+    const std::optional<double> limit = registry_.warm_up_limit(*backend);
+    if (domain.has(*backend) && !excluded.contains(id) && limit && pace_.allows(id, *limit, environment_.now())) {
+      found.push_back(backend);
+    }
+  }
+  return found;
+}
+
+double coordinator::warm_up_rate(const engine_domain& domain) {
+  double per_second = 0;
+  for (const routing::Backend* backend : registry_.warming(domain.pool)) {
+    per_second += domain.has(*backend) ? registry_.warm_up_limit(*backend).value_or(0) : 0;
+  }
+  return per_second;
+}
+
 bool coordinator::in_trouble(const BackendId& engine) const {
   return calls_.at(engine).silent() || failing_.aside(engine, environment_.now());
 }
 
+bool coordinator::all_in_trouble(const std::vector<routing::Backend*>& engines) const {
+  return std::all_of(engines.begin(), engines.end(),
+                     [this](const routing::Backend* engine) { return in_trouble(engine->machine.id); });
+}
+
 void coordinator::handle(const wire::EngineFailureT& message) {
   const BackendId engine(message.engine);
+  if (message.unreachable) {
+    registry_.note_possible_start(engine);
+  }
   const bool before = failing_.aside(engine, environment_.now());
   failing_.record(engine, message.unreachable ? call_trouble::unreachable : call_trouble::broken, environment_.now());
   if (!before && failing_.aside(engine, environment_.now())) {
@@ -100,7 +136,13 @@
     return choice;
   }
   const std::vector<routing::Backend*> open = candidates(domain, query.excluded);
-  if (open.empty()) {
+  if (!final && all_in_trouble(open)) {
+    if (const auto zone = roomier_zone(domain)) {
+      counters_["placements_passed_on_total"]++;
+      return {std::nullopt, *zone};
+    }
+  }
+  if (open.empty() && (order_ == nullptr || warm_up_rate(domain) == 0)) {
     counters_["placements_without_engine_total"]++;
     return {};
   }
@@ -151,6 +193,10 @@
   const forwarding::known_calls known = forwarding::calls_at(engine, calls_, environment_.now());
   forwarding::place_answer answer{id, known.needs_yield()};
   failing_.count_call(id, environment_.now());
+  if (registry_.warm_up_limit(engine)) {
+    pace_.count(id, environment_.now());
+    counters_["placements_at_warming_engines_total"]++;
+  }
   if (node != self_.id) {
     calls_.expect(node, id, environment_.now());
   }
@@ -188,14 +234,8 @@
   }
   const Timestamp now = environment_.now();
   waiting_call call{who, query, now, now + query.due, now + query.patience, now};
-  double slots = 0;
-  for (const routing::Backend* backend : open) {
-    slots += backend->machine.slots;
-  }
   const std::size_t ahead = waiting_.ahead_of(domain, call, now);
-  // Slots fall free one after the other, evenly over the time that a call keeps one.
-  const auto expected = Duration(
-      static_cast<std::int64_t>(static_cast<double>(query.holding.count()) * static_cast<double>(ahead + 1) / slots));
+  const Duration expected = expected_wait(domain, query, open, ahead);
   placement_choice choice;
   if (expected >= query.patience || waiting_.size() >= waiting_calls::kMost) {
     counters_["placements_rejected_total"]++;
@@ -215,6 +255,18 @@
   return choice;
 }
 
+Duration coordinator::expected_wait(const engine_domain& domain, const forwarding::place_query& query,
+                                    const std::vector<routing::Backend*>& open, std::size_t ahead) {
+  const auto calls = static_cast<double>(ahead + 1);
+  double slots = 0;
+  for (const routing::Backend* backend : open) {
+    slots += backend->machine.slots;
+  }
+  const double wait_s =
+      slots > 0 ? std::chrono::duration<double>(query.holding).count() * calls / slots : calls / warm_up_rate(domain);
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait_s));
+}
+
 void coordinator::withdraw(const caller& who) { waiting_.withdraw(who); }
 
 void coordinator::handle(const wire::PlaceWithdrawalT& message) { withdraw({message.node, message.request, {}}); }
--- a/src/placement/coordinator.hpp
+++ b/src/placement/coordinator.hpp
@@ -68,6 +68,13 @@
   };
 
   std::vector<routing::Backend*> candidates(const engine_domain& domain, const std::set<BackendId>& excluded);
+  /// @return engines of @p domain that warm up and bear one more request now.
+  std::vector<routing::Backend*> warm_enough(const engine_domain& domain, const std::set<BackendId>& excluded);
+  /// @return how many calls a second the engines of @p domain that warm up bear together.
+  double warm_up_rate(const engine_domain& domain);
+  /// @return in what time a call behind @p ahead others gets an engine, slots falling free evenly.
+  Duration expected_wait(const engine_domain& domain, const forwarding::place_query& query,
+                         const std::vector<routing::Backend*>& open, std::size_t ahead);
   /// @return the engine that gives the call its first token soonest; null where all are full.
   routing::Backend* find_slot(const std::vector<routing::Backend*>& open, const forwarding::place_query& query);
   /// Counts the call at @p engine from now on.
@@ -83,6 +90,7 @@
   void deliver(const engine_domain& domain, const waiting_call& call, const placement_choice& choice);
   /// @return whether @p engine says nothing to its callers or fails their calls.
   bool in_trouble(const BackendId& engine) const;
+  bool all_in_trouble(const std::vector<routing::Backend*>& engines) const;
   /// @return another zone of the pool with room to spare; nothing when none is known.
   std::optional<std::string> roomier_zone(const engine_domain& domain);
   void tell_room();
@@ -97,6 +105,7 @@
   const std::shared_ptr<const policy::call_order> order_;
   routing::shared_calls calls_;
   kept_starts starts_;
+  routing::warm_up_pace pace_;
   waiting_calls waiting_;
   bool serving_soon_ = false;
   failing_engines failing_;
--- a/src/placement/duties.cpp
+++ b/src/placement/duties.cpp
@@ -91,9 +91,25 @@
 }
 
 const wire::MemberT* duties::dispatcher_of(std::string_view engine, const std::string& zone) const {
+  return best_of(dispatchers_in(zone), engine);
+}
+
+const duties::candidates& duties::dispatchers_in(const std::string& zone) const {
   refresh();
   const auto here = dispatchers_.find(divided_ ? zone : "");
-  return best_of(here == dispatchers_.end() ? all_dispatchers_ : here->second, engine);
+  return here == dispatchers_.end() ? all_dispatchers_ : here->second;
+}
+
+bool duties::has_self(const candidates& among) const {
+  const wire::MemberT& self = members_.self();
+  return std::any_of(among.begin(), among.end(), [&self](const candidate& one) { return one.member == &self; });
+}
+
+bool duties::dispatches_in(const std::string& zone) const { return has_self(dispatchers_in(zone)); }
+
+bool duties::dispatches() const {
+  refresh();
+  return has_self(all_dispatchers_);
 }
 
 const wire::MemberT* duties::manager_of(std::string_view job) const {
--- a/src/placement/duties.hpp
+++ b/src/placement/duties.hpp
@@ -25,6 +25,10 @@
   bool divided() const;
   /// @return the scheduler that runs batch work on @p engine, which stands in @p zone; null where there is none.
   const wire::MemberT* dispatcher_of(std::string_view engine, const std::string& zone) const;
+  /// @return whether this node may run batch work on engines of @p zone.
+  bool dispatches_in(const std::string& zone) const;
+  /// @return whether there is a zone on whose engines this node may run batch work.
+  bool dispatches() const;
   /// @return the scheduler that looks after @p job; null where there is none.
   const wire::MemberT* manager_of(std::string_view job) const;
   /// @return where schedulers that may look after jobs hear their peers.
@@ -42,6 +46,9 @@
   using candidates = std::vector<candidate>;
 
   void refresh() const;
+  /// @return the schedulers that may run batch work on engines of @p zone.
+  const candidates& dispatchers_in(const std::string& zone) const;
+  bool has_self(const candidates& among) const;
   static const wire::MemberT* best_of(const candidates& among, std::string_view key);
 
   const membership::Membership& members_;
--- a/src/placement/engine_domain.hpp
+++ b/src/placement/engine_domain.hpp
@@ -13,6 +13,8 @@
   std::string pool;
   std::string zone;  ///< Empty: of all zones.
 
+  /// @return whether @p backend, one of the pool, is among them.
+  bool has(const routing::Backend& backend) const { return zone.empty() || backend.machine.zone == zone; }
   std::string key() const { return "engines " + pool + " " + zone; }
   auto operator<=>(const engine_domain&) const = default;
 };
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -24,12 +24,12 @@
 constexpr Duration kDoubtLook = 450ms;  ///< How often a back end that is no longer listed is looked at.
 }  // namespace
 
-Registry::Registry(Environment& environment, Counters& counters, std::string node, RegistryGuards guards)
-    : environment_(environment), counters_(counters), node_(std::move(node)), guards_(guards) {}
+Registry::Registry(Environment& environment, Counters& counters, const std::string& node, RegistryGuards guards)
+    : environment_(environment), counters_(counters), node_hash_(stable_hash(node)), guards_(guards) {}
 
 void Registry::update(const config::VersionedTable& table, const std::vector<config::EntryKey>& keys,
                       Timestamp unchanged_until) {
-  std::vector<std::string> touched;
+  std::set<std::string> touched;
   for (const config::EntryKey& key : keys) {
     if (key.kind != config::kMachineKind) {
       continue;
@@ -40,8 +40,8 @@
       if (entry == nullptr && known->second.unlisted) {
         continue;  // told once more, by another reader of the list: the time that is left goes on
       }
-      const std::vector<std::string> left = known->second.machine.pools;
-      touched.insert(touched.end(), left.begin(), left.end());
+      const std::vector<std::string>& left = known->second.machine.pools;
+      touched.insert(left.begin(), left.end());
       if (entry == nullptr && !known->second.machine.leaving) {
         vanished_[id] = Vanished{known->second, {environment_.now(), unchanged_until}};
       }
@@ -58,29 +58,37 @@
     auto [position, inserted] = backends_.try_emplace(id);
     take_machine(position->second, value_of(parsed));
     position->second.unlisted.reset();
+    warm_up_for(position->second, std::chrono::milliseconds(position->second.machine.warm_up_left_ms));
     if (inserted) {
       position->second.life = ++lives_;
       bar_if_just_gone(position->second);
       position->second.added_at = environment_.now();
     }
     vanished_.erase(id);
-    for (const std::string& pool : position->second.machine.pools) {
-      pools_[pool].push_back(id);
-      touched.push_back(pool);
-    }
+    join_pools(position->second);
+    const std::vector<std::string>& joined = position->second.machine.pools;
+    touched.insert(joined.begin(), joined.end());
   }
   version_ += touched.empty() ? 0 : 1;
   for (const std::string& pool : touched) {
     reinstate_lapsed(pool);
-    rebuild_subset(pool);
+  }
+}
+
+void Registry::join_pools(Backend& backend) {
+  for (const std::string& pool : backend.machine.pools) {
+    pools_[pool].add(node_hash_, backend);
   }
 }
 
 void Registry::remove(const BackendId& id, bool forget) {
-  for (const std::string& pool : backends_.at(id).machine.pools) {
-    std::erase(pools_[pool], id);
+  const Backend& backend = backends_.at(id);
+  for (const std::string& pool : backend.machine.pools) {
+    pools_[pool].remove(node_hash_, backend);
   }
   if (forget) {
+    called_.erase(id);
+    timed_.erase(id);
     backends_.erase(id);
   }
 }
@@ -127,7 +135,10 @@
   anew.unlisted = backend.unlisted;
   anew.life = ++lives_;
   anew.added_at = environment_.now();
+  anew.warms_until = backend.warms_until;
+  called_.erase(anew.machine.id);
   backend = std::move(anew);
+  warm_up_for(backend, warm_up_length(backend));
   counters_["backend_restarts_seen_total"]++;
   if (on_restart) {
     on_restart(backend);
@@ -140,12 +151,8 @@
 }
 
 std::size_t Registry::listed_count(const std::string& pool) const {
-  const auto ids = pools_.find(pool);
-  if (ids == pools_.end()) {
-    return 0;
-  }
-  return static_cast<std::size_t>(std::count_if(ids->second.begin(), ids->second.end(),
-                                                [this](const BackendId& id) { return !backends_.at(id).unlisted; }));
+  const auto known = pools_.find(pool);
+  return known == pools_.end() ? 0 : known->second.listed();
 }
 
 void Registry::reinstate_lapsed(const std::string& pool) {
@@ -171,8 +178,12 @@
     Backend& backend = backends_[id];
     backend = std::move(node.mapped().backend);
     backend.unlisted = node.mapped().how;
-    for (const std::string& offered : backend.machine.pools) {
-      pools_[offered].push_back(id);
+    join_pools(backend);
+    if (backend.open_calls > 0) {
+      called_.insert(id);
+    }
+    if (backend.latency_ms > 0) {
+      timed_.insert(id);
     }
     counters_["backend_lapses_doubted_total"]++;
     tell_lapse(id, true, *backend.unlisted);
@@ -193,7 +204,6 @@
     return;
   }
   const lapse how = *backend->unlisted;
-  const std::vector<std::string> pools = backend->machine.pools;
   const Duration left = doubt_left(*backend);
   if (left.count() > 0 || !guards_.end_doubts) {
     // Others of the pool may be listed meanwhile, which shortens the time.
@@ -204,9 +214,6 @@
   remove(id, true);
   tell_lapse(id, false, how);
   ++version_;
-  for (const std::string& pool : pools) {
-    rebuild_subset(pool);
-  }
 }
 
 void Registry::tell_lapse(const BackendId& id, bool kept, const lapse& how) const {
@@ -215,36 +222,26 @@
   }
 }
 
-void Registry::set_subset_size(std::uint32_t size) {
-  if (size == subset_size_) {
-    return;
-  }
-  subset_size_ = size;
-  for (const auto& [pool, ids] : pools_) {
-    rebuild_subset(pool);
-  }
-}
-
-void Registry::rebuild_subset(const std::string& pool) {
-  std::vector<BackendId> ids = pools_[pool];
-  // Rendezvous order: a change of one machine changes the subset by one machine.
-  std::sort(ids.begin(), ids.end(), [this](const BackendId& left, const BackendId& right) {
-    const std::uint64_t left_weight = rendezvous_weight(node_, left.str());
-    const std::uint64_t right_weight = rendezvous_weight(node_, right.str());
-    return left_weight != right_weight ? left_weight > right_weight : left < right;
-  });
-  if (ids.size() > subset_size_) {
-    ids.resize(subset_size_);
-  }
-  subsets_[pool] = std::move(ids);
-}
-
 Backend* Registry::find(const BackendId& id) {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second;
 }
 
+/// Back ends of a zone that was evacuated may have started anew meanwhile, and their entries may not tell it yet.
+void Registry::set_evacuated(std::set<std::string> zones) {
+  std::swap(evacuated_, zones);
+  for (const std::string& zone : zones) {
+    if (!evacuated_.contains(zone)) {
+      note_possible_starts(zone);
+    }
+  }
+  ++version_;
+}
+
 bool Registry::open(const Backend& backend) const {
+  if (!evacuated_.empty() && evacuated_.contains(backend.machine.zone)) {
+    return false;
+  }
   if (guards_.honour_machine_list && backend.machine.leaving) {
     return false;
   }
@@ -264,45 +261,115 @@
 }
 
 double Registry::sharing(const std::string& pool) const {
-  const auto all = pools_.find(pool);
-  const auto used = subsets_.find(pool);
-  if (all == pools_.end() || used == subsets_.end() || all->second.empty()) {
+  const std::size_t size = pool_size(pool);
+  if (size == 0) {
     return 1;
   }
-  const double share = static_cast<double>(used->second.size()) / static_cast<double>(all->second.size());
+  const double share = static_cast<double>(std::min<std::size_t>(size, subset_size_)) / static_cast<double>(size);
   return std::max(1.0, share * static_cast<double>(gateways_));
 }
 
+std::vector<Backend*> Registry::subset_of(const std::string& pool) const {
+  std::vector<Backend*> used;
+  const auto known = pools_.find(pool);
+  if (known == pools_.end()) {
+    return used;
+  }
+  const std::set<ranked_pool::member>& members = known->second.in_order();
+  used.reserve(std::min<std::size_t>(members.size(), subset_size_));
+  for (auto member = members.begin(); member != members.end() && used.size() < subset_size_; ++member) {
+    used.push_back(member->backend);
+  }
+  return used;
+}
+
 bool Registry::in_subset(const BackendId& id) const {
   const auto backend = backends_.find(id);
   if (backend == backends_.end()) {
     return false;
   }
   const auto& pools = backend->second.machine.pools;
-  return std::any_of(pools.begin(), pools.end(), [this, &id](const std::string& pool) {
-    const auto subset = subsets_.find(pool);
-    return subset != subsets_.end() &&
-           std::find(subset->second.begin(), subset->second.end(), id) != subset->second.end();
+  return std::any_of(pools.begin(), pools.end(), [this, &backend](const std::string& pool) {
+    const std::vector<Backend*> used = subset_of(pool);
+    return std::find(used.begin(), used.end(), &backend->second) != used.end();
   });
 }
 
 std::vector<Backend*> Registry::candidates(const std::string& pool) {
   std::vector<Backend*> usable;
   std::vector<Backend*> ejected;
-  const auto subset = subsets_.find(pool);
-  if (subset == subsets_.end()) {
-    return usable;
-  }
-  for (const BackendId& id : subset->second) {
-    Backend& backend = backends_.at(id);
-    if (!open(backend)) {
-      continue;
+  for (Backend* backend : subset_of(pool)) {
+    if (open(*backend) && !warm_up_limit(*backend)) {
+      (environment_.now() < backend->ejected_until ? ejected : usable).push_back(backend);
     }
-    (environment_.now() < backend.ejected_until ? ejected : usable).push_back(&backend);
   }
   return usable.empty() ? ejected : usable;
 }
 
+std::optional<double> Registry::warm_up_limit(const Backend& backend) const {
+  if (environment_.now() >= backend.warms_until) {
+    return std::nullopt;
+  }
+  std::optional<double> least;
+  for (const std::string& pool : backend.machine.pools) {
+    const auto known = warm_ups_.find(pool);
+    if (known != warm_ups_.end() && known->second.limits()) {
+      least = std::min(least.value_or(known->second.per_second), known->second.per_second);
+    }
+  }
+  return least;
+}
+
+Duration Registry::warm_up_length(const Backend& backend) const {
+  Duration longest{};
+  for (const std::string& pool : backend.machine.pools) {
+    const auto known = warm_ups_.find(pool);
+    if (known != warm_ups_.end() && known->second.limits()) {
+      longest = std::max(longest, known->second.length);
+    }
+  }
+  return longest;
+}
+
+void Registry::warm_up_for(Backend& backend, Duration time) {
+  if (time <= Duration::zero()) {
+    return;
+  }
+  backend.warms_until = std::max(backend.warms_until, environment_.now() + time);
+  warming_.insert(backend.machine.id);
+}
+
+void Registry::note_possible_start(const BackendId& id) {
+  if (Backend* backend = find(id)) {
+    warm_up_for(*backend, warm_up_length(*backend));
+  }
+}
+
+void Registry::note_possible_starts(const std::string& zone) {
+  for (auto& [id, backend] : backends_) {
+    if (backend.machine.zone == zone) {
+      warm_up_for(backend, warm_up_length(backend));
+    }
+  }
+}
+
+std::vector<Backend*> Registry::warming(const std::string& pool) {
+  std::vector<Backend*> found;
+  std::erase_if(warming_, [&](const BackendId& id) {
+    Backend* backend = find(id);
+    if (backend == nullptr || environment_.now() >= backend->warms_until) {
+      return true;
+    }
+    const std::vector<std::string>& pools = backend->machine.pools;
+    const bool offers = std::find(pools.begin(), pools.end(), pool) != pools.end();
+    if (offers && warm_up_limit(*backend) && open(*backend) && environment_.now() >= backend->ejected_until) {
+      found.push_back(backend);
+    }
+    return false;
+  });
+  return found;
+}
+
 std::vector<Backend*> Registry::all_open() {
   std::vector<Backend*> found;
   for (auto& [id, backend] : backends_) {
@@ -320,6 +387,7 @@
   }
   if (backend->open_calls == 0) {
     backend->quiet_since = environment_.now();
+    called_.insert(id);
   }
   ++backend->open_calls;
   return backend->life;
@@ -332,8 +400,12 @@
 }
 
 void Registry::on_ended(const BackendId& id, std::uint64_t life) {
-  if (Backend* backend = find(id); backend != nullptr && backend->life == life && backend->open_calls > 0) {
-    --backend->open_calls;
+  Backend* backend = find(id);
+  if (backend == nullptr || backend->life != life || backend->open_calls == 0) {
+    return;
+  }
+  if (--backend->open_calls == 0) {
+    called_.erase(id);
   }
 }
 
@@ -349,15 +421,17 @@
     const double before = backend->latency_ms == 0 ? milliseconds : backend->latency_ms;
     backend->latency_ms = before + kLatencySmoothing * (milliseconds - before);
     backend->latency_at = environment_.now();
+    timed_.insert(id);
   }
 }
 
 void Registry::forget_latencies(Duration age) {
-  for (auto& [id, backend] : backends_) {
-    if (environment_.now() - backend.latency_at > age) {
-      backend.latency_ms = 0;
-    }
-  }
+  std::erase_if(timed_, [this, age](const BackendId& id) {
+    Backend& backend = backends_.at(id);
+    const bool old = environment_.now() - backend.latency_at > age;
+    backend.latency_ms = old ? 0 : backend.latency_ms;
+    return old;
+  });
 }
 
 void Registry::on_success(const BackendId& id) {
@@ -383,6 +457,9 @@
   if (on_trouble) {
     on_trouble(id, failure);
   }
+  if (failure == CallFailure::not_sent) {
+    note_possible_start(id);
+  }
   ++backend->consecutive_failures;
   const bool dead_certain = failure == CallFailure::not_sent;
   if (dead_certain || backend->consecutive_failures >= kFailuresToEject) {
@@ -397,12 +474,13 @@
 }
 
 std::size_t Registry::ejected_count(const std::string& pool) const {
-  const auto ids = pools_.find(pool);
-  if (ids == pools_.end()) {
+  const auto known = pools_.find(pool);
+  if (known == pools_.end()) {
     return 0;
   }
-  return static_cast<std::size_t>(std::count_if(ids->second.begin(), ids->second.end(), [this](const BackendId& id) {
-    return environment_.now() < backends_.at(id).ejected_until;
+  const std::set<ranked_pool::member>& members = known->second.in_order();
+  return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [this](const auto& member) {
+    return environment_.now() < member.backend->ejected_until;
   }));
 }
 
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -13,7 +14,9 @@
 #include "config/objects.hpp"
 #include "routing/backend.hpp"
 #include "routing/lapse.hpp"
+#include "routing/ranked_pool.hpp"
 #include "routing/shared_calls.hpp"
+#include "routing/warm_up.hpp"
 
 namespace madderdeck::routing {
 
@@ -47,6 +50,7 @@
   std::uint32_t open_calls = 0;     ///< Passed-on requests that are under way.
   Timestamp reading_until{};        ///< Until then it likely reads a long prompt, for this gateway or another.
   Timestamp quiet_since{};          ///< When one of them was last heard of, or the first was sent.
+  Timestamp warms_until{};          ///< Until then it bears few requests, where its pool limits them.
   /// Its entry is back within moments of its going: it is not used until then, unless it starts anew.
   Timestamp barred_until{};
   /// Its entry is gone, but most others went with it: it may still be there, and is used until then.
@@ -56,7 +60,7 @@
 /// All back ends by pool. Single threaded.
 class Registry {
  public:
-  Registry(Environment& environment, Counters& counters, std::string node, RegistryGuards guards = {});
+  Registry(Environment& environment, Counters& counters, const std::string& node, RegistryGuards guards = {});
 
   /// Takes the present state of the machine list entries @p keys.
   /// @param unchanged_until until when the source surely had no change of what was known before; zero: not known.
@@ -65,7 +69,20 @@
   /// @param notice for how long after the platform's store took a back end's leaving requests may still reach it; zero:
   ///        not told.
   void set_leave_notice(Duration notice) { leave_notice_ = notice; }
-  void set_subset_size(std::uint32_t size);
+  /// @param size how many back ends of each pool this node sends live requests to, at most.
+  void set_subset_size(std::uint32_t size) { subset_size_ = size; }
+  /// @param zones whose back ends are to get no requests from now on; those of all others may again.
+  void set_evacuated(std::set<std::string> zones);
+  /// @param limits what back ends of @p pool bear after a start.
+  void set_warm_up(const std::string& pool, const warm_up& limits) { warm_ups_[pool] = limits; }
+  /// @return the limit of requests a second at @p backend, which warms up; nothing where it does not.
+  std::optional<double> warm_up_limit(const Backend& backend) const;
+  /// @return open back ends of @p pool, of the whole of it, that warm up.
+  std::vector<Backend*> warming(const std::string& pool);
+  /// @p id failed a call or was silent: should it have started anew, it warms up now.
+  void note_possible_start(const BackendId& id);
+  /// Back ends of @p zone may start anew from now on without a word.
+  void note_possible_starts(const std::string& zone);
   /// @param count gateways of the fleet, this one among them.
   void set_gateways(std::size_t count) { gateways_ = count; }
   /// @param age how long ago the machine list was surely complete; for decision lines.
@@ -92,7 +109,7 @@
     const auto ids = pools_.find(pool);
     return ids == pools_.end() ? 0 : ids->second.size();
   }
-  /// @return back ends of @p pool in this node's subset that may get new work now. When
+  /// @return back ends of @p pool in this node's subset that may get new work now and do not warm up. When
   ///         every one is ejected, all of them: some hope beats none.
   std::vector<Backend*> candidates(const std::string& pool);
   /// @return every back end of the machine list that takes new work.
@@ -128,6 +145,8 @@
   ///        have waited while this node was frozen.
   void on_report(const BackendId& id, const LoadReport& report, Timestamp asked_at);
   const std::map<BackendId, Backend>& backends() const { return backends_; }
+  /// @return those to which passed-on requests of this node are under way: few, however large the fleet is.
+  const std::set<BackendId>& called() const { return called_; }
   /// @return a number that changes with the set of known back ends.
   std::uint64_t version() const { return version_; }
 
@@ -138,7 +157,12 @@
     lapse how;
   };
 
-  void rebuild_subset(const std::string& pool);
+  /// @return the back ends of @p pool that this node sends live requests to, whatever their state.
+  std::vector<Backend*> subset_of(const std::string& pool) const;
+  void join_pools(Backend& backend);
+  /// @return the longest time for which back ends of its pools warm up.
+  Duration warm_up_length(const Backend& backend) const;
+  void warm_up_for(Backend& backend, Duration time);
   /// Takes @p id out of its pools; @p forget: out of the registry, too.
   void remove(const BackendId& id, bool forget);
   /// Entries lapse together when the list's keeper was away: then back ends stay in use for a while.
@@ -159,7 +183,7 @@
 
   Environment& environment_;
   Counters& counters_;
-  const std::string node_;
+  const std::uint64_t node_hash_;
   const RegistryGuards guards_;
   Duration leave_notice_{};
   const shared_calls* shared_ = nullptr;
@@ -169,9 +193,13 @@
   std::uint64_t lives_ = 0;  ///< Of all back ends.
   std::size_t gateways_ = 1;
   std::map<BackendId, Backend> backends_;
-  std::map<std::string, std::vector<BackendId>> pools_;
-  std::map<std::string, std::vector<BackendId>> subsets_;
-  std::map<BackendId, Vanished> vanished_;  ///< Of the last kLapseWindow.
+  std::map<std::string, ranked_pool> pools_;
+  std::map<BackendId, Vanished> vanished_;   ///< Of the last kLapseWindow.
+  std::set<std::string> evacuated_;          ///< Zones.
+  std::map<std::string, warm_up> warm_ups_;  ///< By pool.
+  std::set<BackendId> warming_;              ///< Back ends that warm up; forgotten when next looked at.
+  std::set<BackendId> called_;               ///< Back ends with open calls.
+  std::set<BackendId> timed_;                ///< Back ends with a known time to the first token.
   Lifetime lifetime_;
 };
 
--- /dev/null
+++ b/src/routing/warm_up.cpp
@@ -0,0 +1,38 @@
+#include "routing/warm_up.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+
+namespace madderdeck::routing {
+namespace {
+
+/// A second, and what requests that were allowed in it may be apart more or less when they arrive.
+constexpr Duration kWindow = 1100ms;
+constexpr double kLeast = 1;  ///< Requests in a window, however low the limit is: the back end would get none for good.
+
+}  // namespace
+
+bool warm_up_pace::allows(const BackendId& back_end, double per_second, Timestamp now) const {
+  const auto known = recent_.find(back_end);
+  if (known == recent_.end()) {
+    return true;
+  }
+  const auto in_window =
+      std::count_if(known->second.begin(), known->second.end(), [now](Timestamp at) { return now - at < kWindow; });
+  return static_cast<double>(in_window) + 1 <= std::max(kLeast, std::floor(per_second));
+}
+
+void warm_up_pace::count(const BackendId& back_end, Timestamp now) { recent_[back_end].push_back(now); }
+
+void warm_up_pace::forget_old(Timestamp now) {
+  for (auto entry = recent_.begin(); entry != recent_.end();) {
+    std::deque<Timestamp>& times = entry->second;
+    while (!times.empty() && now - times.front() >= kWindow) {
+      times.pop_front();
+    }
+    entry = times.empty() ? recent_.erase(entry) : std::next(entry);
+  }
+}
+
+}  // namespace madderdeck::routing
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -318,31 +318,34 @@
   Objects = 0,
   Machines = 1,
   Groups = 2,
+  Evacuations = 3,
   MIN = Objects,
-  MAX = Groups
+  MAX = Evacuations
 };
 
-inline const TableId (&EnumValuesTableId())[3] {
+inline const TableId (&EnumValuesTableId())[4] {
   static const TableId values[] = {
     TableId::Objects,
     TableId::Machines,
-    TableId::Groups
+    TableId::Groups,
+    TableId::Evacuations
   };
   return values;
 }
 
 inline const char * const *EnumNamesTableId() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "Objects",
     "Machines",
     "Groups",
+    "Evacuations",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameTableId(TableId e) {
-  if (flatbuffers::IsOutRange(e, TableId::Objects, TableId::Groups)) return "";
+  if (flatbuffers::IsOutRange(e, TableId::Objects, TableId::Evacuations)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesTableId()[index];
 }
@@ -1640,6 +1643,7 @@
   uint64_t group_revision = 0;
   uint32_t objects_age_ms = 4294967295;
   uint32_t machines_age_ms = 4294967295;
+  uint64_t evacuation_revision = 0;
   PingT() = default;
   PingT(const PingT &o);
   PingT(PingT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1660,7 +1664,8 @@
     VT_MEMBERS_DIGEST = 16,
     VT_GROUP_REVISION = 18,
     VT_OBJECTS_AGE_MS = 20,
-    VT_MACHINES_AGE_MS = 22
+    VT_MACHINES_AGE_MS = 22,
+    VT_EVACUATION_REVISION = 24
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1692,6 +1697,9 @@
   uint32_t machines_age_ms() const {
     return GetField<uint32_t>(VT_MACHINES_AGE_MS, 4294967295);
   }
+  uint64_t evacuation_revision() const {
+    return GetField<uint64_t>(VT_EVACUATION_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1707,6 +1715,7 @@
            VerifyField<uint64_t>(verifier, VT_GROUP_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTS_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_MACHINES_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_REVISION, 8) &&
            verifier.EndTable();
   }
   PingT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1748,6 +1757,9 @@
   void add_machines_age_ms(uint32_t machines_age_ms) {
     fbb_.AddElement<uint32_t>(Ping::VT_MACHINES_AGE_MS, machines_age_ms, 4294967295);
   }
+  void add_evacuation_revision(uint64_t evacuation_revision) {
+    fbb_.AddElement<uint64_t>(Ping::VT_EVACUATION_REVISION, evacuation_revision, 0);
+  }
   explicit PingBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1770,8 +1782,10 @@
     uint64_t members_digest = 0,
     uint64_t group_revision = 0,
     uint32_t objects_age_ms = 4294967295,
-    uint32_t machines_age_ms = 4294967295) {
+    uint32_t machines_age_ms = 4294967295,
+    uint64_t evacuation_revision = 0) {
   PingBuilder builder_(_fbb);
+  builder_.add_evacuation_revision(evacuation_revision);
   builder_.add_group_revision(group_revision);
   builder_.add_members_digest(members_digest);
   builder_.add_machine_revision(machine_revision);
@@ -1801,7 +1815,8 @@
     uint64_t members_digest = 0,
     uint64_t group_revision = 0,
     uint32_t objects_age_ms = 4294967295,
-    uint32_t machines_age_ms = 4294967295) {
+    uint32_t machines_age_ms = 4294967295,
+    uint64_t evacuation_revision = 0) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>>(*updates) : 0;
   return madderdeck::wire::CreatePing(
       _fbb,
@@ -1814,7 +1829,8 @@
       members_digest,
       group_revision,
       objects_age_ms,
-      machines_age_ms);
+      machines_age_ms,
+      evacuation_revision);
 }
 
 flatbuffers::Offset<Ping> CreatePing(flatbuffers::FlatBufferBuilder &_fbb, const PingT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1911,6 +1927,7 @@
   uint64_t group_revision = 0;
   uint32_t objects_age_ms = 4294967295;
   uint32_t machines_age_ms = 4294967295;
+  uint64_t evacuation_revision = 0;
   AckT() = default;
   AckT(const AckT &o);
   AckT(AckT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1930,7 +1947,8 @@
     VT_MEMBERS_DIGEST = 14,
     VT_GROUP_REVISION = 16,
     VT_OBJECTS_AGE_MS = 18,
-    VT_MACHINES_AGE_MS = 20
+    VT_MACHINES_AGE_MS = 20,
+    VT_EVACUATION_REVISION = 22
   };
   uint64_t sequence() const {
     return GetField<uint64_t>(VT_SEQUENCE, 0);
@@ -1959,6 +1977,9 @@
   uint32_t machines_age_ms() const {
     return GetField<uint32_t>(VT_MACHINES_AGE_MS, 4294967295);
   }
+  uint64_t evacuation_revision() const {
+    return GetField<uint64_t>(VT_EVACUATION_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
@@ -1973,6 +1994,7 @@
            VerifyField<uint64_t>(verifier, VT_GROUP_REVISION, 8) &&
            VerifyField<uint32_t>(verifier, VT_OBJECTS_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_MACHINES_AGE_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_EVACUATION_REVISION, 8) &&
            verifier.EndTable();
   }
   AckT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2011,6 +2033,9 @@
   void add_machines_age_ms(uint32_t machines_age_ms) {
     fbb_.AddElement<uint32_t>(Ack::VT_MACHINES_AGE_MS, machines_age_ms, 4294967295);
   }
+  void add_evacuation_revision(uint64_t evacuation_revision) {
+    fbb_.AddElement<uint64_t>(Ack::VT_EVACUATION_REVISION, evacuation_revision, 0);
+  }
   explicit AckBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2032,8 +2057,10 @@
     uint64_t members_digest = 0,
     uint64_t group_revision = 0,
     uint32_t objects_age_ms = 4294967295,
-    uint32_t machines_age_ms = 4294967295) {
+    uint32_t machines_age_ms = 4294967295,
+    uint64_t evacuation_revision = 0) {
   AckBuilder builder_(_fbb);
+  builder_.add_evacuation_revision(evacuation_revision);
   builder_.add_group_revision(group_revision);
   builder_.add_members_digest(members_digest);
   builder_.add_machine_revision(machine_revision);
@@ -2061,7 +2088,8 @@
     uint64_t members_digest = 0,
     uint64_t group_revision = 0,
     uint32_t objects_age_ms = 4294967295,
-    uint32_t machines_age_ms = 4294967295) {
+    uint32_t machines_age_ms = 4294967295,
+    uint64_t evacuation_revision = 0) {
   auto updates__ = updates ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::Member>>(*updates) : 0;
   return madderdeck::wire::CreateAck(
       _fbb,
@@ -2073,7 +2101,8 @@
       members_digest,
       group_revision,
       objects_age_ms,
-      machines_age_ms);
+      machines_age_ms,
+      evacuation_revision);
 }
 
 flatbuffers::Offset<Ack> CreateAck(flatbuffers::FlatBufferBuilder &_fbb, const AckT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9186,7 +9215,8 @@
         members_digest(o.members_digest),
         group_revision(o.group_revision),
         objects_age_ms(o.objects_age_ms),
-        machines_age_ms(o.machines_age_ms) {
+        machines_age_ms(o.machines_age_ms),
+        evacuation_revision(o.evacuation_revision) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new madderdeck::wire::MemberT(*updates_) : nullptr); }
 }
@@ -9202,6 +9232,7 @@
   std::swap(group_revision, o.group_revision);
   std::swap(objects_age_ms, o.objects_age_ms);
   std::swap(machines_age_ms, o.machines_age_ms);
+  std::swap(evacuation_revision, o.evacuation_revision);
   return *this;
 }
 
@@ -9224,6 +9255,7 @@
   { auto _e = group_revision(); _o->group_revision = _e; }
   { auto _e = objects_age_ms(); _o->objects_age_ms = _e; }
   { auto _e = machines_age_ms(); _o->machines_age_ms = _e; }
+  { auto _e = evacuation_revision(); _o->evacuation_revision = _e; }
 }
 
 inline flatbuffers::Offset<Ping> Ping::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PingT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9244,6 +9276,7 @@
   auto _group_revision = _o->group_revision;
   auto _objects_age_ms = _o->objects_age_ms;
   auto _machines_age_ms = _o->machines_age_ms;
+  auto _evacuation_revision = _o->evacuation_revision;
   return madderdeck::wire::CreatePing(
       _fbb,
       _sequence,
@@ -9255,7 +9288,8 @@
       _members_digest,
       _group_revision,
       _objects_age_ms,
-      _machines_age_ms);
+      _machines_age_ms,
+      _evacuation_revision);
 }
 
 inline PingRequestT *PingRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -9295,7 +9329,8 @@
         members_digest(o.members_digest),
         group_revision(o.group_revision),
         objects_age_ms(o.objects_age_ms),
-        machines_age_ms(o.machines_age_ms) {
+        machines_age_ms(o.machines_age_ms),
+        evacuation_revision(o.evacuation_revision) {
   updates.reserve(o.updates.size());
   for (const auto &updates_ : o.updates) { updates.emplace_back((updates_) ? new madderdeck::wire::MemberT(*updates_) : nullptr); }
 }
@@ -9310,6 +9345,7 @@
   std::swap(group_revision, o.group_revision);
   std::swap(objects_age_ms, o.objects_age_ms);
   std::swap(machines_age_ms, o.machines_age_ms);
+  std::swap(evacuation_revision, o.evacuation_revision);
   return *this;
 }
 
@@ -9331,6 +9367,7 @@
   { auto _e = group_revision(); _o->group_revision = _e; }
   { auto _e = objects_age_ms(); _o->objects_age_ms = _e; }
   { auto _e = machines_age_ms(); _o->machines_age_ms = _e; }
+  { auto _e = evacuation_revision(); _o->evacuation_revision = _e; }
 }
 
 inline flatbuffers::Offset<Ack> Ack::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AckT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -9350,6 +9387,7 @@
   auto _group_revision = _o->group_revision;
   auto _objects_age_ms = _o->objects_age_ms;
   auto _machines_age_ms = _o->machines_age_ms;
+  auto _evacuation_revision = _o->evacuation_revision;
   return madderdeck::wire::CreateAck(
       _fbb,
       _sequence,
@@ -9360,7 +9398,8 @@
       _members_digest,
       _group_revision,
       _objects_age_ms,
-      _machines_age_ms);
+      _machines_age_ms,
+      _evacuation_revision);
 }
 
 inline MemberSyncT::MemberSyncT(const MemberSyncT &o)
--- a/tests/config/versioned_table_test.cpp
+++ b/tests/config/versioned_table_test.cpp
@@ -18,10 +18,13 @@
 const PeerAddress kSecond("10.0.0.2:1");
 
 struct Node {
+  /// @param peers that are told of news.
+  explicit Node(std::vector<PeerAddress> peers = {}) : others(std::move(peers)) {}
+
   TestEnvironment environment;
   Counters counters;
-  TableReplicator replicator{environment, counters, wire::TableId::Objects,
-                             [](std::size_t) { return std::vector<PeerAddress>(); },
+  std::vector<PeerAddress> others;
+  TableReplicator replicator{environment, counters, wire::TableId::Objects, [this](std::size_t) { return others; },
                              [](const std::vector<EntryKey>&) {}};
 };
 }  // namespace
@@ -137,3 +140,35 @@
   CHECK(told_for(5) == body);
   CHECK(told_for(0) == R"({"target":"model","pool":"lm","state":"live"})");
 }
+
+// A fleet of 10,000 back ends that starts: each node pulled 417 deltas of 24 entries and told three peers of each,
+// 1,251 notices of which all but the last were of no use to anybody.
+TEST_CASE("a node that starts learns of 10,000 back ends in few exchanges, and tells its peers of the last") {
+  constexpr std::uint64_t kBackEnds = 10'000;
+  constexpr std::size_t kMostExchanges = 40;
+  Node keeper;
+  std::vector<Entry> entries;
+  for (std::uint64_t number = 1; number <= kBackEnds; ++number) {
+    Machine machine;
+    machine.id = BackendId("i-" + std::to_string(100'000 + number));
+    machine.address = "10.128.100.100:8080";
+    machine.pools = {"lm-booking"};
+    machine.zone = "tabarbour-hall";
+    entries.push_back({{kMachineKind, machine.id.str()}, format_machine(machine), number, false});
+  }
+  keeper.replicator.apply_from_source(0, kBackEnds, entries, true, 1ms);
+  Node learner({kFirst, kSecond, PeerAddress("10.0.0.3:1")});
+  learner.replicator.on_peer_revision(PeerAddress("keeper"), kBackEnds);
+  std::size_t exchanges = 0;
+  while (learner.replicator.table().revision() < kBackEnds && exchanges < kBackEnds) {
+    const auto pull = std::find_if(learner.environment.sent.rbegin(), learner.environment.sent.rend(),
+                                   [](const auto& sent) { return sent.body.type == wire::Message::TablePull; });
+    REQUIRE(pull != learner.environment.sent.rend());
+    keeper.replicator.handle(PeerAddress("learner"), *pull->body.AsTablePull());
+    learner.replicator.handle(PeerAddress("keeper"), *keeper.environment.sent.back().body.AsTableDelta());
+    ++exchanges;
+  }
+  CHECK(learner.replicator.table().size() == kBackEnds);
+  CHECK(exchanges <= kMostExchanges);
+  CHECK(learner.environment.sent_of(wire::Message::RevisionNotice) == learner.others.size());
+}
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -287,7 +287,7 @@
 
 /// A forwarder whose engines a placer names.
 struct placed_fixture : Fixture {
-  placed_fixture() { forwarder.use_placer(placer); }
+  explicit placed_fixture(std::size_t backends = 3) : Fixture(backends) { forwarder.use_placer(placer); }
   scripted_placer placer;
 };
 
@@ -302,6 +302,62 @@
   CHECK(fixture.call(0).call.backend == BackendId("engine-2"));
 }
 
+// A fleet of 10,000 engines, of which each gateway uses 1,000 by its own choice: nine in ten of the engines that
+// coordinators named were not among them, and the gateways chose by themselves.
+TEST_CASE("an engine that the placer names is used, also where it is not among this node's own") {
+  constexpr std::size_t kEngines = 40;
+  placed_fixture fixture(kEngines);
+  fixture.registry.set_subset_size(4);
+  const auto own = fixture.registry.candidates("pool");
+  std::string other;
+  for (std::size_t number = 0; number < kEngines && other.empty(); ++number) {
+    const BackendId id("engine-" + std::to_string(number));
+    other = fixture.registry.in_subset(id) ? "" : id.str();
+  }
+  fixture.start();
+  SECTION("one that takes requests") {
+    fixture.placer.answers.at(0)(place_answer{BackendId(other), false});
+    REQUIRE(fixture.upstream.calls.size() == 1);
+    CHECK(fixture.call(0).call.backend.str() == other);
+    CHECK(fixture.counters["forward_places_own_choice_total"] == 0);
+  }
+  SECTION("one that this node could not reach") {
+    fixture.registry.on_failure(BackendId(other), CallFailure::not_sent);
+    fixture.placer.answers.at(0)(place_answer{BackendId(other), false});
+    REQUIRE(fixture.upstream.calls.size() == 1);
+    CHECK(fixture.call(0).call.backend.str() != other);
+  }
+}
+
+TEST_CASE("engines that warm up are used where a placer names them, without one by the gateway that may") {
+  placed_fixture fixture;
+  fixture.registry.set_warm_up("pool", {3s, 5});
+  for (const auto& key : fixture.keys) {
+    fixture.registry.note_possible_start(BackendId(key.name));
+  }
+  SECTION("a placer") {
+    fixture.start();
+    REQUIRE(fixture.placer.answers.size() == 1);
+    fixture.placer.answers.at(0)(place_answer{BackendId("engine-1"), false});
+    CHECK(fixture.call(0).call.backend.str() == "engine-1");
+  }
+  SECTION("no placer, not this gateway") {
+    fixture.placer.on = false;
+    fixture.start();
+    CHECK(fixture.upstream.calls.empty());
+    REQUIRE(fixture.caller.refusal);
+    CHECK(fixture.caller.refusal->ran == routing::Ran::no);
+  }
+  SECTION("no placer, this gateway") {
+    fixture.placer.on = false;
+    fixture.forwarder.allow_warming(
+        [](const routing::Backend& backend) { return backend.machine.id == BackendId("engine-2"); });
+    fixture.start();
+    REQUIRE(fixture.upstream.calls.size() == 1);
+    CHECK(fixture.call(0).call.backend.str() == "engine-2");
+  }
+}
+
 TEST_CASE("without an answer, or with an engine that is not known here, the forwarder chooses itself") {
   placed_fixture fixture;
   fixture.start();
--- a/tests/object_store/store_feed_test.cpp
+++ b/tests/object_store/store_feed_test.cpp
@@ -31,6 +31,19 @@
   void watch_machines(std::uint64_t since, Duration wait, object_store::ChangesDone done) override {
     answer(since, wait, std::move(done));
   }
+  bool has_evacuations() const override { return evacuates; }
+  void watch_evacuations(std::uint64_t since, Duration wait, object_store::ChangesDone done) override {
+    ++evacuation_reads;
+    const bool news = since < evacuation_revision;
+    object_store::ChangeList changes;
+    changes.since = since;
+    changes.up_to = std::max<std::uint64_t>(1, evacuation_revision);
+    changes.complete = true;
+    if (!evacuated_zone.empty()) {
+      changes.entries.push_back({{config::kEvacuationKind, evacuated_zone}, "{}", changes.up_to, false});
+    }
+    environment_.after(news || since == 0 ? Duration(4ms) : wait, [changes, done] { done(changes); });
+  }
   void get(const config::EntryKey&, object_store::GetDone done) override {
     done(std::optional<object_store::StoredObject>());
   }
@@ -39,6 +52,10 @@
   }
 
   std::size_t object_reads = 0;
+  std::size_t evacuation_reads = 0;
+  bool evacuates = false;
+  std::string evacuated_zone;
+  std::uint64_t evacuation_revision = 0;
   std::uint64_t revision = 5;
   bool away = false;
 
@@ -323,3 +340,46 @@
   CHECK(relay_seen);
   CHECK(other_seen);
 }
+
+TEST_CASE("a node that reads the store takes and lifts the evacuation of a zone, and its peers learn of both") {
+  FeedFixture fixture(2);
+  FeedFixture peer(2);
+  fixture.store.evacuates = true;
+  fixture.store.evacuated_zone = "y";
+  fixture.store.evacuation_revision = 7;
+  fixture.core.controller->start();
+  const auto evacuated = [](FeedFixture& node) {
+    return node.core.evacuations.table().list(config::kEvacuationKind).size();
+  };
+  const auto tell_peer = [&] {
+    peer.core.evacuations.on_peer_revision(PeerAddress("self:1"), fixture.core.evacuations.table().revision());
+    wire::TablePullT pull;
+    pull.since = peer.core.evacuations.table().revision();
+    pull.number = 1;
+    fixture.core.evacuations.handle(PeerAddress("peer-1:1"), pull);
+    peer.core.evacuations.handle(PeerAddress("self:1"), *fixture.environment.sent.back().body.AsTableDelta());
+  };
+  fixture.environment.world.run_for(1s);
+  CHECK(evacuated(fixture) == 1);
+  tell_peer();
+  CHECK(evacuated(peer) == 1);
+  fixture.store.evacuated_zone.clear();
+  fixture.store.evacuation_revision = 9;
+  fixture.environment.world.run_for(21s);
+  CHECK(evacuated(fixture) == 0);
+  tell_peer();
+  CHECK(evacuated(peer) == 0);
+}
+
+TEST_CASE("a store in which nobody evacuates zones is not asked about them") {
+  FeedFixture fixture(2);
+  fixture.environment.world.run_for(30s);
+  CHECK(fixture.store.evacuation_reads == 0);
+}
+
+TEST_CASE("a node whose feed is silent looks at the evacuated zones, too") {
+  FeedFixture fixture(kFedFleet);
+  fixture.store.evacuates = true;
+  fixture.environment.world.run_for(kLongestSilence + 100ms);
+  CHECK(fixture.store.evacuation_reads > 0);
+}
--- a/tests/placement/coordinator_test.cpp
+++ b/tests/placement/coordinator_test.cpp
@@ -238,6 +238,55 @@
   CHECK(message.body.AsEngineActivity()->engines.at(0)->live == 2);
 }
 
+// After a loss of power coordinators change. The new one took its engines for empty until each gateway's next word of
+// everything, up to a second later, since the look for such changes ran once, before any engine was known.
+TEST_CASE("a coordinator that takes over is told of open calls within 100 ms") {
+  gateway_fixture fixture;
+  call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
+                         fixture.fleet.who, fixture.self(), fixture.own);
+  reporter.start();
+  const BackendId engine("e2");
+  routing::Backend& backend = *fixture.registry.find(engine);
+  backend.online_in_flight = 1;
+  reporter.changed(engine);
+  fixture.fleet.environment.world.run_for(60ms);
+  const engine_domain domain = domain_of(fixture.registry, backend, kPool);
+  const std::string first = fixture.client.coordinator_for(domain)->id;
+  fixture.fleet.say(first, wire::MemberState::Dead);
+  const PeerAddress next(fixture.client.coordinator_for(domain)->peer_address);
+  fixture.fleet.environment.sent.clear();
+  fixture.fleet.environment.world.run_for(101ms);
+  const auto told = std::find_if(
+      fixture.fleet.environment.sent.begin(), fixture.fleet.environment.sent.end(),
+      [&next](const SentMessage& sent) { return sent.to == next && sent.body.type == wire::Message::EngineActivity; });
+  REQUIRE(told != fixture.fleet.environment.sent.end());
+  CHECK(told->body.AsEngineActivity()->engines.at(0)->live == 1);
+}
+
+// One quiet node of a fleet with 10,000 engines looked at each of them ten times a second.
+TEST_CASE("a node tells of the engines that it calls, and of no others") {
+  gateway_fixture fixture(2'000);
+  call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
+                         fixture.fleet.who, fixture.self(), fixture.own);
+  reporter.start();
+  routing::Backend& backend = *fixture.registry.find(BackendId("e7"));
+  backend.online_in_flight = 1;
+  reporter.changed(BackendId("e7"));
+  fixture.fleet.environment.world.run_for(3s);
+  backend.online_in_flight = 0;
+  reporter.changed(BackendId("e7"));
+  fixture.fleet.environment.world.run_for(1500ms);
+  std::size_t entries = 0;
+  for (const SentMessage& sent : fixture.fleet.environment.sent) {
+    entries += sent.body.type == wire::Message::EngineActivity ? sent.body.AsEngineActivity()->engines.size() : 0;
+  }
+  CHECK(entries >= 4);
+  CHECK(entries <= 6);  // its start, its end, and once a second
+  fixture.fleet.environment.sent.clear();
+  fixture.fleet.environment.world.run_for(3s);
+  CHECK(fixture.sent(wire::Message::EngineActivity) == 0);
+}
+
 TEST_CASE("an engine that falls silent under a call is told of within 100 ms") {
   gateway_fixture fixture;
   call_reporter reporter(fixture.fleet.environment, fixture.fleet.counters, fixture.registry, fixture.client,
@@ -413,6 +462,62 @@
   CHECK(fixture.ask(5'000, 50ms, 4s).waiting);
 }
 
+// An engine that had just started got 13 requests in one second, 12.8 were allowed: gateways and coordinators did not
+// know that it bore few.
+TEST_CASE("engines that warm up get no more calls a second than they bear, and the others wait") {
+  gateway_fixture fixture;
+  coordinator holder{fixture.fleet.environment,
+                     fixture.fleet.counters,
+                     fixture.log,
+                     fixture.registry,
+                     fixture.fleet.who,
+                     fixture.self(),
+                     std::make_shared<policy::attainable_call_order>()};
+  constexpr double kPerSecond = 5;
+  fixture.registry.set_warm_up(kPool, {20s, kPerSecond});
+  std::map<BackendId, unsigned> calls;
+  std::vector<BackendId> engines;
+  for (const auto& [id, backend] : fixture.registry.backends()) {
+    engines.push_back(id);
+    calls[id] = 0;
+  }
+  for (const BackendId& id : engines) {
+    fixture.registry.note_possible_start(id);
+  }
+  unsigned held = 0;
+  for (std::uint64_t number = 1; number <= 60; ++number) {
+    forwarding::place_query query = fixture.query();
+    query.patience = 20s;
+    query.due = 20s;
+    const placement_choice choice = holder.choose({"asker", number, {}}, kOwnDomain, query, true);
+    held += choice.waiting ? 1 : 0;
+    if (choice.place) {
+      ++calls[choice.place->engine];
+    }
+  }
+  CHECK(held > 0);
+  for (const auto& [id, count] : calls) {
+    CHECK(count <= kPerSecond);
+  }
+  CHECK(fixture.fleet.counters["placements_rejected_total"] == 0);
+}
+
+TEST_CASE("a zone all of whose engines are silent passes its calls on to one that has room") {
+  gateway_fixture fixture;
+  for (const auto& [id, backend] : fixture.registry.backends()) {
+    if (backend.machine.zone == kOwnDomain.zone) {
+      fixture.own.take(fixture.word("other", id.str(), 1, 0, true));
+    }
+  }
+  wire::PlaceRoomT room;
+  room.pool = kPool;
+  room.zone = "z3";
+  room.free = 9;
+  fixture.own.handle(room);
+  CHECK(fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), false).zone == "z3");
+  CHECK(fixture.own.choose(caller{"asker"}, kOwnDomain, fixture.query(), true).place);
+}
+
 TEST_CASE("calls that wait are passed on to a zone that has room") {
   holding_fixture fixture;
   fixture.ask(1, 100ms);
--- a/tests/platform/deploy_settings_test.cpp
+++ b/tests/platform/deploy_settings_test.cpp
@@ -33,6 +33,7 @@
       {{"{{#seeds}}\"{{.}}\"{{,}}{{/seeds}}", "\"10.1.0.35:8146\",\"10.2.0.28:8146\""},
        {"{{#bounds.config_apply_ms}}apply_within_ms = {{.}}{{/bounds.config_apply_ms}}", "apply_within_ms = 4000"},
        {"{{#bounds.drain_ms}}leave_notice_ms = {{.}}{{/bounds.drain_ms}}", "leave_notice_ms = 3000"},
+       {"{{#bounds.evacuate_ms}}zone_evacuations = 1{{/bounds.evacuate_ms}}", "zone_evacuations = 1"},
        {"{{#bounds.quota_window_s}}rate_window_s = \"{{.}}\"{{/bounds.quota_window_s}}", "rate_window_s = \"2.5\""},
        {"{{#bounds.revoke_ms}}keys_useful_ms = {{.}}{{/bounds.revoke_ms}}", "keys_useful_ms = 5000"},
        {"{{#bounds.revoke_fail_closed}}keys_fail_closed = 1{{/bounds.revoke_fail_closed}}", "keys_fail_closed = 1"},
@@ -66,6 +67,7 @@
   CHECK(value_of(gateway).seeds.at(0) == "10.1.0.35:7660");  // peers hear at the same port everywhere
   CHECK(value_of(gateway).platform_apply_within_ms == 4000);
   CHECK(value_of(gateway).leave_notice_ms == 3000);
+  CHECK(value_of(gateway).zone_evacuations == 1);
   CHECK(value_of(gateway).capacity() == 12);
   CHECK(value_of(gateway).tenant_rate_window() == 2500ms);
   CHECK(value_of(gateway).tenant_keys_useful_ms == 5000);
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -242,3 +242,23 @@
     CHECK(value_of(machine).pools.empty() == (entry.key.name != "i-1"));
   }
 }
+
+TEST_CASE("an evacuation names its zone, whatever else it says") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest&) {
+    const json::object zone{{"metadata", json::object{{"name", "hall-a"}, {"revision", 12}}},
+                            {"spec", json::object{{"reason", 7}}}};
+    return ok({{"events", json::array{json::object{{"gone", false}, {"object", zone}}}}, {"at", 12}});
+  };
+  StoreClient client(fixture.http.client, kAddress, true);
+  CHECK(client.has_evacuations());
+  std::optional<Result<object_store::ChangeList>> result;
+  client.watch_evacuations(5, 0ms, [&result](auto changes) { result = std::move(changes); });
+  fixture.http.run_until([&result] { return result.has_value(); }, std::chrono::seconds(5));
+  REQUIRE(result);
+  REQUIRE(succeeded(*result));
+  CHECK(fixture.requests.back() == "GET /objects/evacuations?watch=5&wait_ms=0");
+  const config::Entry& entry = value_of(*result).entries.at(0);
+  CHECK(entry.key == config::EntryKey{config::kEvacuationKind, "hall-a"});
+  CHECK_FALSE(entry.deleted);
+}
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -9,6 +9,7 @@
 using namespace madderdeck::users_platform;
 
 namespace {
+namespace json = boost::json;
 boost::json::object object(const char* text) { return boost::json::parse(text).as_object(); }
 }  // namespace
 
@@ -195,3 +196,31 @@
     CHECK(error_of(translate_server("i-1", spoiled)).kind == ErrorKind::invalid_argument);
   }
 }
+
+TEST_CASE(
+    "how an engine warms up is kept on its way from node to node, and a spoiled figure does not spoil the entry") {
+  const auto server = [](const json::value& left) {
+    json::object spec = json::parse(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":8,"state":"ready",
+        "stage":"dual"})")
+                            .as_object();
+    spec["cold_left_ms"] = left;
+    return translate_server("i-1", spec);
+  };
+  const auto told = config::parse_machine("i-1", config::format_machine(value_of(server(2400))));
+  REQUIRE(succeeded(told));
+  CHECK(value_of(told).warm_up_left_ms == 2400);
+  REQUIRE(succeeded(server("soon")));
+  CHECK(value_of(server("soon")).warm_up_left_ms == 0);
+  REQUIRE(succeeded(server(4e9)));
+  CHECK(succeeded(config::parse_machine("i-1", config::format_machine(value_of(server(4e9))))));
+  const auto spec = json::parse(R"({"version":3,"routes":[],"services":[{"name":"s","cold_start_s":3.0,
+      "cold_per_s":5.2},{"name":"t"}]})")
+                        .as_object();
+  const auto table = translate_configuration(spec);
+  REQUIRE(succeeded(table));
+  const auto copied = forwarding::parse_route_table(forwarding::format_route_table(value_of(table)));
+  REQUIRE(succeeded(copied));
+  CHECK(value_of(copied).find_pool("s")->warm_up_ms == 3000);
+  CHECK(value_of(copied).find_pool("s")->warm_up_per_second == Approx(5.2));
+  CHECK(value_of(copied).find_pool("t")->warm_up_per_second == 0);
+}
