--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -176,8 +176,13 @@
   }
   const Duration observed = policies_.time_to_yield ? policies_.time_to_yield() : Duration::zero();
   const Duration least = registry_.knows_calls() ? kLeastTimeToYield : kUnobservedTimeToYield;
-  return policies_.set.headroom->free_slots(
-      {engine.live.per_second(environment_.now()), std::max(observed, least), backend.machine.slots});
+  const Timestamp now = environment_.now();
+  double rate = engine.live.per_second(now);
+  if (policies_.set.headroom_for_peaks && !owned_.empty()) {
+    // Over all engines of this node: at a single one a few calls that come together by chance look like a wave.
+    rate = std::max(rate, live_.peak_per_second(now) / static_cast<double>(owned_.size()));
+  }
+  return policies_.set.headroom->free_slots({rate, std::max(observed, least), backend.machine.slots});
 }
 
 std::size_t Dispatcher::room_on(const routing::Backend& backend, Engine& engine) const {
@@ -739,7 +744,9 @@
     return;  // overtaken on its way
   }
   if (message.in_flight > activity.in_flight) {
-    engine.live.count(environment_.now(), message.in_flight - activity.in_flight);
+    const std::uint32_t begun = message.in_flight - activity.in_flight;
+    engine.live.count(environment_.now(), begun);
+    live_.count(environment_.now(), begun);
   }
   activity.in_flight = message.in_flight;
   activity.heard_at = environment_.now();
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -189,6 +189,7 @@
   std::vector<Withheld> withheld_;
   Timestamp confirmed_at_{};
   std::map<BackendId, Engine> engines_;
+  policy::rate_meter live_;  ///< Live calls that began at any engine of this node.
   routing::repeat_guard* repeats_ = nullptr;
   /// When recent requests for items were sent. A lease counts from there, not from the
   /// arrival of the answer, which may have been under way for long.
--- a/src/policy/policies.cpp
+++ b/src/policy/policies.cpp
@@ -36,10 +36,11 @@
 
 Result<policy_set> policy_set_builder::build() const {
   policy_set set;
-  if (headroom_ == "observed") {
+  if (headroom_ == "observed" || headroom_ == "waves") {
     set.headroom = std::make_shared<observed_headroom>(kMissed);
+    set.headroom_for_peaks = headroom_ == "waves";
   } else if (headroom_ != "fixed") {
-    return unknown("headroom", headroom_, "fixed or observed");
+    return unknown("headroom", headroom_, "fixed, observed or waves");
   }
   if (item_order_ == "arrival") {
     set.order = std::make_shared<arrival_order>();
--- a/src/policy/policies.hpp
+++ b/src/policy/policies.hpp
@@ -14,7 +14,9 @@
 /// What a node decides by. Immutable; shared by its parts.
 struct policy_set {
   std::shared_ptr<const headroom_policy> headroom;  ///< Null: the fleet policy's fixed number.
-  std::shared_ptr<const item_order> order;          ///< Never null.
+  /// Batch leaves room for the next wave of live calls as the latest ones were, not for the present rate alone.
+  bool headroom_for_peaks = false;
+  std::shared_ptr<const item_order> order;  ///< Never null.
   /// Of live calls for which no slot is free; null: they wait at an engine.
   std::shared_ptr<const call_order> calls;
   bool shared_calls = false;  ///< Gateways tell each other their calls, and choose engines by them.
@@ -25,7 +27,7 @@
 /// Makes a policy_set from names as settings state them; see docs/operators/settings.md.
 class policy_set_builder {
  public:
-  /// @param name "fixed" or "observed".
+  /// @param name "fixed", "observed" or "waves".
   policy_set_builder& headroom(std::string name);
   /// @param name "arrival", "deadline" or "attainable".
   policy_set_builder& item_order(std::string name);
--- a/src/policy/rate_meter.hpp
+++ b/src/policy/rate_meter.hpp
@@ -12,11 +12,17 @@
 class rate_meter {
  public:
   void count(Timestamp now, double events) {
+    const double held = held_peak(now);
     short_.add(now, events);
     long_.add(now, events);
+    peak_ = std::max(held, short_.at(now));
+    peak_at_ = now;
   }
   /// @return events a second.
   double per_second(Timestamp now) const { return std::max(short_.at(now), long_.at(now)); }
+  /// @return events a second as in the latest bursts: traffic that comes in waves is met with what the one before asked
+  ///         for.
+  double peak_per_second(Timestamp now) const { return std::max(per_second(now), held_peak(now)); }
 
  private:
   /// Exponentially weighted.
@@ -38,6 +44,16 @@
     Timestamp as_of_{};
   };
 
+  /// A peak is forgotten so slowly: several waves come within it.
+  static constexpr Duration kPeakHeld = 20s;
+
+  double held_peak(Timestamp now) const {
+    const double passed = std::chrono::duration<double>(now - peak_at_).count();
+    return peak_ * std::exp(-passed / std::chrono::duration<double>(kPeakHeld).count());
+  }
+
+  double peak_ = 0;  ///< Of the short average, as of peak_at_.
+  Timestamp peak_at_{};
   average short_{500ms};
   average long_{8s};
 };
--- a/tests/policy/work_estimate_test.cpp
+++ b/tests/policy/work_estimate_test.cpp
@@ -52,3 +52,25 @@
   CHECK(meter.per_second(now + 4s) < in_burst / 5);
   CHECK(meter.per_second(now + 60s) < 0.1);
 }
+
+// Traffic in waves of 2.4 s every 5.8 s: a wave found engines that batch had filled up to what the pause before asked
+// for, and its first calls waited for batch to yield.
+TEST_CASE("the rate of the latest wave is kept through the pause that follows it") {
+  rate_meter meter;
+  constexpr Duration kWave = 2400ms;
+  constexpr Duration kCycle = 5800ms;
+  constexpr Duration kStep = 10ms;
+  double least_after_a_wave = 1e9;
+  for (Timestamp now = 1s; now < 40s; now += kStep) {
+    const bool high = now % kCycle < kWave;
+    meter.count(now, high ? 1.87 : 0.38);
+    if (now > kCycle + 1s) {
+      least_after_a_wave = std::min(least_after_a_wave, meter.peak_per_second(now));
+    }
+  }
+  constexpr double kWaveRate = 187;
+  CHECK(least_after_a_wave > 0.75 * kWaveRate);
+  CHECK(meter.peak_per_second(40s) < 1.1 * kWaveRate);
+  CHECK(meter.per_second(40s) <= meter.peak_per_second(40s));
+  CHECK(meter.peak_per_second(140s) < 0.05 * kWaveRate);  // traffic that ended is forgotten
+}
