Engines that nobody calls are asked for their load seldom

Change: engines with known calls each second, the others in one round of ten; all for 5 s after a member's death and after the node's own start. Test: dispatcher_test.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -134,6 +134,23 @@
   return owned_;
 }
 
+std::vector<BackendId> Dispatcher::worth_asking(std::uint64_t round) {
+  std::vector<BackendId> found;
+  for (const BackendId& id : owned()) {
+    const routing::Backend* backend = registry_.find(id);
+    const auto known = engines_.find(id);
+    const bool live =
+        known != engines_.end() && std::any_of(known->second.gateways.begin(), known->second.gateways.end(),
+                                               [](const auto& gateway) { return gateway.second.in_flight > 0; });
+    const bool batch = known != engines_.end() && known->second.running > 0;
+    const bool others = backend != nullptr && registry_.unexplained(*backend) > 0;
+    if (live || batch || others || (stable_hash(id.str()) + round) % kIdleRounds == 0) {
+      found.push_back(id);
+    }
+  }
+  return found;
+}
+
 std::vector<routing::Backend*> Dispatcher::open_owned_engines() {
   refresh_ownership();
   std::vector<routing::Backend*> open;
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -62,6 +62,10 @@
   bool owns(const BackendId& engine);
   /// @return the engines whose batch work is this node's.
   const std::set<BackendId>& owned();
+  /// @return those of owned() with calls that are known here, and of the others one in kIdleRounds, each in its turn.
+  /// @param round counts the looks.
+  std::vector<BackendId> worth_asking(std::uint64_t round);
+  static constexpr std::uint64_t kIdleRounds = 10;
   /// This node is leaving: no new items; running ones are given back.
   void drain();
   std::size_t active() const { return running_.size() + settling_.size(); }
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -10,6 +10,8 @@
 constexpr Duration kStarting = 2s;
 constexpr Duration kQueueReports = 250ms;
 constexpr int kPollsSavedByCoordination = 4;
+/// What a dead node had sent runs on for some seconds, and only the back ends tell of it.
+constexpr Duration kAskedAfterDeath = 5s;
 /// A node that was declared dead by mistake has refuted it by then, also where 30 in 100 messages are lost.
 constexpr Duration kDeadStillTold = 10s;
 constexpr Duration kUnknownKindLines = 10s;  ///< From one line about messages of unknown kinds to the next.
@@ -138,6 +140,9 @@
     evacuations.on_peer_revision(peer, revisions.evacuations);
   };
   hooks.on_change = [this](const wire::MemberT& member) {
+    if (member.state == wire::MemberState::Dead) {
+      ask_all_until_ = environment.now() + kAskedAfterDeath;
+    }
     if (on_member_change) {
       on_member_change(member);
     }
@@ -152,6 +157,7 @@
 
 void NodeCore::start() {
   started_at_ = environment.now();
+  ask_all_until_ = started_at_ + kAskedAfterDeath;
   members.start();
   limiter.start();
   if (replica) {
@@ -771,6 +777,11 @@
 // --- load of back ends ----------------------------------------------------------------------
 
 std::set<BackendId> NodeCore::polled_backends() {
+  ++poll_round_;
+  if (loads_pushed_ && dispatcher && coordinated() && environment.now() >= ask_all_until_) {
+    const std::vector<BackendId> asked = dispatcher->worth_asking(poll_round_);
+    return {asked.begin(), asked.end()};
+  }
   std::set<BackendId> polled = dispatcher ? dispatcher->owned() : std::set<BackendId>();
   if (!loads_pushed_) {
     for (const auto& [id, backend] : registry.backends()) {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -224,6 +224,8 @@
   std::map<BackendId, ToldActivity> activity_;
   Timestamp started_at_{};
   routing::warm_up_pace warm_up_pace_;
+  std::uint64_t poll_round_ = 0;
+  Timestamp ask_all_until_{};  ///< Until then every back end that this node looks after is asked for its load.
   word_numbers word_numbers_{environment};
   std::optional<Timestamp> unknown_kind_said_at_;
   Lifetime lifetime_;
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -142,3 +142,29 @@
   const std::string present = fixture.fleet.who.manager_of("j")->peer_address;
   CHECK(confirmations(fixture, PeerAddress(present)) >= 1);
 }
+
+// A resting fleet of 10,000 engines: 10,000 of them were asked for their load each second, by nodes that had no call
+// there.
+TEST_CASE("an engine that nobody calls is asked for its load in one round of ten, one with calls in each") {
+  dispatcher_fixture fixture;
+  REQUIRE(fixture.dispatcher.owns(fixture.engine));
+  const auto asked = [&fixture] {
+    std::size_t times = 0;
+    for (std::uint64_t round = 0; round < Dispatcher::kIdleRounds; ++round) {
+      times += fixture.dispatcher.worth_asking(round).size();
+    }
+    return times;
+  };
+  CHECK(asked() == 1);
+  wire::OnlineActivityT activity;
+  activity.engine = fixture.engine.str();
+  activity.gateway = "gateway-1";
+  activity.in_flight = 1;
+  fixture.dispatcher.handle(activity);
+  CHECK(asked() == Dispatcher::kIdleRounds);
+  activity.in_flight = 0;
+  fixture.dispatcher.handle(activity);
+  CHECK(asked() == 1);
+  fixture.give_item();
+  CHECK(asked() == Dispatcher::kIdleRounds);
+}
