--- a/src/placement/call_reporter.hpp
+++ b/src/placement/call_reporter.hpp
@@ -61,8 +61,8 @@
   std::map<BackendId, PeerAddress> told_;        ///< The coordinator last told of calls at an engine.
   Duration time_to_yield_{};
   std::map<BackendId, std::uint32_t> last_live_;  ///< Open live calls at the latest change.
-  bool scheduled_ = false;       ///< A word follows within kStartDelay,
-  bool scheduled_soon_ = false;  ///< or within kDelay.
+  bool scheduled_ = false;                        ///< A word follows within kStartDelay,
+  bool scheduled_soon_ = false;                   ///< or within kDelay.
   Lifetime lifetime_;
 };
 
