--- a/src/config/versioned_table.cpp
+++ b/src/config/versioned_table.cpp
@@ -12,7 +12,9 @@
 constexpr std::size_t kBytesPerDelta = 64 * 1024;
 constexpr std::size_t kMostEntriesPerDelta = 512;
 constexpr std::size_t kAnnounceFanout = 3;
-constexpr std::uint64_t kMuch = 1'000;  ///< Revisions: more than a storm of changes, less than a table.
+constexpr std::uint64_t kFarBehind = 1'000;  ///< Revisions: more than a storm of changes, less than a whole table.
+/// Peers of this zone probe each other about once a second; twice that at most is lost where none of them has the
+/// table.
 constexpr Duration kNearPatience = 1500ms;
 constexpr Duration kPullTimeout = 250ms;
 /// A datagram and its answer; later ones have met a busy peer and say little.
@@ -187,10 +189,10 @@
   }
 }
 
-bool TableReplicator::misses_much() const { return wanted_ > table_.revision() + kMuch; }
+bool TableReplicator::is_far_behind() const { return wanted_ > table_.revision() + kFarBehind; }
 
 bool TableReplicator::waits_for_near(const PeerAddress& peer) {
-  if (!is_near_ || !misses_much() || is_near_(peer)) {
+  if (!is_near_ || !is_far_behind() || is_near_(peer)) {
     near_awaited_until_.reset();
     return false;
   }
@@ -310,7 +312,7 @@
     return;
   }
   if (table_.revision() > before || sender != claimant_) {
-    const bool goes_on = table_.revision() > before && misses_much() && is_near_ && is_near_(sender);
+    const bool goes_on = table_.revision() > before && is_far_behind() && is_near_ && is_near_(sender);
     pull(goes_on ? sender : claimant_);
   } else {
     wanted_ = 0;  // the claimant does not hold what it claimed; asking again at once would not end
--- a/src/config/versioned_table.hpp
+++ b/src/config/versioned_table.hpp
@@ -116,7 +116,7 @@
   void pull(const PeerAddress& peer);
   /// @return whether to leave the claim of @p peer for a while, as a near peer may have the same soon.
   bool waits_for_near(const PeerAddress& peer);
-  bool misses_much() const;
+  bool is_far_behind() const;
   void ask_age(const PeerAddress& peer);
   /// The source had nothing later than what is held @p age_ms before @p asked_at.
   void confirm(Timestamp asked_at, std::uint32_t age_ms);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -76,7 +76,7 @@
         [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
         options.guards.forward);
     forwarder->use_repeat_guard(quarantine);
-    forwarder->allow_warming([this](const routing::Backend& backend) { return may_warm(backend); });
+    forwarder->allow_warming([this](const routing::Backend& backend) { return allows_warming(backend); });
     forwarder->on_reading([this](const BackendId& engine, Duration expected) { tell_reading(engine, expected); });
   }
   machines.prefer_near(
@@ -732,7 +732,7 @@
 // --- what connections to back ends need ------------------------------------------------------
 
 /// In a fleet without coordinators one gateway alone uses a back end that warms up: the limit is one of all together.
-bool NodeCore::may_warm(const routing::Backend& backend) {
+bool NodeCore::allows_warming(const routing::Backend& backend) {
   const auto gateways = duties.coordinators_of(backend.machine.id.str(), std::string());
   const std::optional<double> limit = registry.warm_up_limit(backend);
   const Timestamp now = environment.now();
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -193,7 +193,7 @@
   void on_machines_changed(const std::vector<config::EntryKey>& keys);
   void on_evacuations_changed();
   /// @return whether this node may send a request to @p backend, which warms up; counts it then.
-  bool may_warm(const routing::Backend& backend);
+  bool allows_warming(const routing::Backend& backend);
   void on_calls_changed(const BackendId& engine);
   void on_online_activity(const BackendId& engine, std::uint32_t in_flight);
   void tell_activity(const BackendId& engine);
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -68,7 +68,7 @@
       found.push_back(backend);
     }
   }
-  const std::vector<routing::Backend*> warming = warm_enough(domain, excluded);
+  const std::vector<routing::Backend*> warming = warming_candidates(domain, excluded);
   found.insert(found.end(), warming.begin(), warming.end());
   std::vector<routing::Backend*> sound;
   for (routing::Backend* backend : found) {
@@ -82,8 +82,8 @@
   return kLeastSoundPart * sound.size() < found.size() ? found : sound;
 }
 
-std::vector<routing::Backend*> coordinator::warm_enough(const engine_domain& domain,
-                                                        const std::set<BackendId>& excluded) {
+std::vector<routing::Backend*> coordinator::warming_candidates(const engine_domain& domain,
+                                                               const std::set<BackendId>& excluded) {
   std::vector<routing::Backend*> found;
   for (routing::Backend* backend : registry_.warming(domain.pool)) {
     const BackendId& id = backend->machine.id;
--- a/src/placement/coordinator.hpp
+++ b/src/placement/coordinator.hpp
@@ -69,7 +69,7 @@
 
   std::vector<routing::Backend*> candidates(const engine_domain& domain, const std::set<BackendId>& excluded);
   /// @return engines of @p domain that warm up and bear one more request now.
-  std::vector<routing::Backend*> warm_enough(const engine_domain& domain, const std::set<BackendId>& excluded);
+  std::vector<routing::Backend*> warming_candidates(const engine_domain& domain, const std::set<BackendId>& excluded);
   /// @return how many calls a second the engines of @p domain that warm up bear together.
   double warm_up_rate(const engine_domain& domain);
   /// @return in what time a call behind @p ahead others gets an engine, slots falling free evenly.
--- a/src/routing/warm_up.cpp
+++ b/src/routing/warm_up.cpp
@@ -7,7 +7,7 @@
 namespace madderdeck::routing {
 namespace {
 
-/// A second, and what requests that were allowed in it may be apart more or less when they arrive.
+/// A second, and by how much less two requests may be apart when they arrive than when they were allowed.
 constexpr Duration kWindow = 1100ms;
 constexpr double kLeast = 1;  ///< Requests in a window, however low the limit is: the back end would get none for good.
 
