--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -265,3 +265,14 @@
     CHECK(cluster.at(node).live_count() == kNodes);
   }
 }
+
+TEST_CASE("a node that starts does not know the fleet until it has heard of no new member for a while") {
+  constexpr unsigned kNodes = 60;
+  Cluster cluster(kNodes, 3);
+  CHECK_FALSE(cluster.at(kNodes - 1).knows_fleet());
+  cluster.run(10s);
+  for (unsigned node = 0; node < kNodes; ++node) {
+    CHECK(cluster.at(node).knows_fleet());
+    CHECK(cluster.at(node).live_count() == kNodes);
+  }
+}
