--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -202,6 +202,8 @@
   operation.group_number = map_.group_of(operation.key);
   operation.group = map_.groups[operation.group_number];
   operation.granted.clear();
+  operation.admitted = 0;
+  operation.whole = 0;
   operation.refused = 0;
   operation.best_accepted = Ballot{};
   operation.best_count = 0;
@@ -333,11 +335,26 @@
     operation.value = message.value;
   }
   operation.best_count += accepted == operation.best_accepted ? 1 : 0;
-  if (operation.granted.size() >= operation.needed()) {
+  // Earlier versions grant a decision only where they are admitted, and do not tell whether they are whole.
+  const bool says_nothing = message.standing == wire::ReplicaStanding::NotSaid;
+  operation.admitted += says_nothing || message.standing == wire::ReplicaStanding::Admitted ? 1 : 0;
+  operation.whole += says_nothing || message.whole ? 1 : 0;
+  if (operation.granted.size() >= operation.needed() && operation.is_safe_to_decide()) {
     promises_complete(id->second, operation);
   }
 }
 
+bool Client::Operation::is_safe_to_decide() const {
+  const bool proposed_before = !best_accepted.is_zero();
+  if (!only_epoch || proposed_before) {
+    return true;
+  }
+  if (rule.whole_majority) {
+    return whole >= group.majority();
+  }
+  return whole > 0 || (!rule.sole && admitted >= needed());
+}
+
 void Client::promises_complete(OperationId id, Operation& operation) {
   OptionalValue next = operation.function(operation.value);
   if (!next) {
--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -11,6 +11,10 @@
 
 bool is_gone(replica_state state) { return state == replica_state::disk_replaced || state == replica_state::missing; }
 
+bool contains(const std::vector<ReplicaIdentity>& list, const ReplicaIdentity& identity) {
+  return std::find(list.begin(), list.end(), identity) != list.end();
+}
+
 /// @return the disk that takes the place of @p lost in @p group, if there is one.
 std::optional<ReplicaIdentity> substitute(const ReplicaGroup& group, const ReplicaIdentity& lost,
                                           const std::vector<disk_place>& places) {
@@ -43,6 +47,16 @@
   return best;
 }
 
+/// @return a former member that was given up as it was silent and is there again.
+std::optional<ReplicaIdentity> returned_member(const ReplicaGroup& group, const fleet_view& view) {
+  for (const disk_place& place : view.places()) {
+    if (contains(group.leaving, place.identity) && !view.is_retiring(place.identity.node)) {
+      return place.identity;
+    }
+  }
+  return std::nullopt;
+}
+
 /// @return the other member of a pair, if it is there; nothing for any other group.
 std::optional<ReplicaIdentity> survivor_of(const ReplicaGroup& group, std::size_t lost, const fleet_view& view) {
   if (group.replicas.size() != kPair) {
@@ -58,13 +72,17 @@
                   const fleet_view& view) {
   const ReplicaIdentity& replica = group.replicas[index];
   const bool lost = state == replica_state::disk_replaced;
-  const auto other = substitute(group, replica, view.places());
+  auto other = substitute(group, replica, view.places());
+  if (!other) {
+    other = returned_member(group, view);
+  }
   const auto survivor = lost ? std::nullopt : survivor_of(group, index, view);
   // It had been about to leave and has nothing to hand on any more. Its place would stay empty for good.
   const bool lost_as_it_left = lost && view.is_retiring(replica.node) && group.replicas.size() > 1;
   const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
   if (other) {
     *position = *other;
+    std::erase(change.next.leaving, *other);
   } else if (survivor || lost_as_it_left) {
     change.next.replicas.erase(position);
   } else {
@@ -72,8 +90,14 @@
   }
   if (lost) {
     change.rule.quorum = decision_quorum(group.replicas.size(), true);
-  } else if (survivor) {
-    change.rule = {1, survivor};
+    return true;
+  }
+  if (other) {
+    // It may only be silent, and what it holds may stand with it and the next one that is lost.
+    change.next.leaving.push_back(replica);
+  }
+  if (survivor) {
+    change.rule = {1, survivor, false};
   }
   return true;
 }
@@ -105,8 +129,9 @@
   epoch_change change;
   change.next = group;
   ++change.next.epoch;
-  // A member that leaves is copied from until it is gone.
-  std::erase_if(change.next.leaving, [&view](const ReplicaIdentity& leaver) { return view.has_gone(leaver); });
+  std::erase_if(change.next.leaving, [&view](const ReplicaIdentity& leaver) {
+    return view.has_gone(leaver) && view.state_of(leaver) == replica_state::disk_replaced;
+  });
   std::vector<replica_state> states;
   for (const ReplicaIdentity& replica : group.replicas) {
     states.push_back(view.state_of(replica));
@@ -129,10 +154,11 @@
       return change;
     }
   }
-  if (change.next.leaving.size() < group.leaving.size()) {
-    return change;  // nobody waits for it any more
-  }
-  return std::nullopt;
+  // A member that leaves is copied from until it is gone.
+  const auto given_up =
+      std::erase_if(change.next.leaving, [&view](const ReplicaIdentity& leaver) { return view.has_gone(leaver); });
+  change.rule.whole_majority = given_up > 0;
+  return change.next.leaving.size() < group.leaving.size() ? std::optional(change) : std::nullopt;
 }
 
 }  // namespace madderdeck::ledger
--- a/src/ledger/groups.cpp
+++ b/src/ledger/groups.cpp
@@ -70,6 +70,8 @@
   return std::string(kConfigKind) + number;
 }
 
+bool is_decision(std::string_view key) { return key.starts_with(kConfigKind); }
+
 wire::GroupDescriptionT to_wire(const ReplicaGroup& group) {
   wire::GroupDescriptionT description;
   description.epoch = group.epoch;
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -57,15 +57,21 @@
 ///        confirmed stands on a majority, of which one at least is among any half.
 std::size_t decision_quorum(std::size_t members, bool one_lost);
 
-/// Who of a group's members must agree on its next epoch.
+/// Who of a group's members must agree on its next epoch. All may, whatever they hold; but either as many of them have
+/// to be admitted, so that together they hold every confirmed record, or one of them has to be whole.
 struct EpochRule {
   std::size_t quorum = 0;               ///< How many; 0: the majority.
-  std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts.
+  std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts, and it has to be whole.
+  /// A majority has to be whole: what a disk holds that is given up may stand nowhere else.
+  bool whole_majority = false;
 };
 
 /// @return the key under which the members of epoch - 1 decide who holds @p group at @p epoch.
 std::string group_config_key(std::uint32_t group, std::uint64_t epoch);
 
+/// @return whether @p key is that of a decision on who holds a group.
+bool is_decision(std::string_view key);
+
 wire::GroupDescriptionT to_wire(const ReplicaGroup& group);
 ReplicaGroup from_wire(const wire::GroupDescriptionT& description);
 
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -24,9 +24,11 @@
 constexpr Duration kCopyPatience = 400ms;
 constexpr Duration kValuesPatience = 1s;  ///< The same where values were asked for.
 constexpr Duration kMostCopyPatience = 3200ms;
+constexpr Duration kLeftValuesPatience = 2s;  ///< So long a source may leave values unsent that others offer, too.
 /// Pages of all groups together that are under way to a replica that copies: 8 MB at most. Chosen as four sources of
 /// four groups.
 constexpr std::size_t kMostCopiesAtOnce = 16;
+constexpr char kFirstCursor[] = "p:";  ///< Where a copy begins: with the first promise.
 
 std::string group_prefix(char area, std::uint32_t group) {
   char text[16];
@@ -41,9 +43,28 @@
 /// Marks on a disk: one byte of these, then the epoch that they were made in, least byte first.
 constexpr std::uint8_t kReturning = 1;
 constexpr std::uint8_t kHoldsLeaving = 2;
+constexpr std::uint8_t kWhole = 4;
+constexpr std::uint8_t kWholeBefore = 8;
+constexpr unsigned kFirstFreshLeaverBit = 4;  ///< From here on a bit for each of the first leaving members.
+constexpr unsigned kMostFreshLeavers = 4;
+constexpr std::uint8_t kFreshLeavers = 0xF0;
 constexpr std::size_t kMarksBytes = 1 + sizeof(std::uint64_t);
 constexpr unsigned kByteBits = 8;
 
+/// @return the bit of the leaving member at @p position; zero where there is none for it.
+std::uint8_t fresh_leaver_bit(std::size_t position) {
+  return position < kMostFreshLeavers ? static_cast<std::uint8_t>(1U << (kFirstFreshLeaverBit + position)) : 0;
+}
+
+/// @return the bits of those leaving members of @p now that were members of @p before.
+std::uint8_t fresh_leavers_of(const ReplicaGroup& now, const ReplicaGroup& before) {
+  std::uint8_t bits = 0;
+  for (std::size_t position = 0; position < now.leaving.size(); ++position) {
+    bits |= before.index_of(now.leaving[position]) ? fresh_leaver_bit(position) : 0;
+  }
+  return bits;
+}
+
 bool all_in(const std::vector<ReplicaIdentity>& some, const std::vector<ReplicaIdentity>& all) {
   return std::all_of(some.begin(), some.end(), [&all](const ReplicaIdentity& one) {
     return std::find(all.begin(), all.end(), one) != all.end();
@@ -157,11 +178,11 @@
   if (later) {
     enter_epoch(group, progress, before);
   }
-  // What a member held that has gone without a successor may stand here alone, or nowhere but here not.
+  // What a member held that has gone may stand with one of the others alone.
   const bool fewer = progress.description.replicas.size() < before.replicas.size() ||
                      !all_in(before.leaving, progress.description.leaving);
   const bool lacks_something =
-      first_sight || !progress.synchronized || progress.returning || fewer || !progress.description.leaving.empty();
+      first_sight || !votes(progress) || !progress.whole || fewer || !progress.description.leaving.empty();
   const bool copies = lacks_something && guards_.admission_before_voting;
   progress_[group] = std::move(progress);
   if (copies) {
@@ -190,8 +211,15 @@
   progress.holds_leaving =
       now.leaving.empty() || (progress.holds_leaving && followed && all_in(now.leaving, before.leaving));
   // What was confirmed by a member that is lost and one that leaves may stand with that one alone.
-  const bool lacks_confirmed = !progress.holds_leaving && !all_in(before.replicas, now.all());
+  const bool lacks_confirmed = !progress.holds_leaving && !progress.whole && !all_in(before.replicas, now.all());
   const bool copies_again = progress.returning || !followed || lacks_confirmed || progress.former;
+  const bool kept_all = followed && !progress.returning && !lacks_confirmed;
+  const bool was_whole = progress.whole || progress.whole_before;
+  // Where all make a majority, nothing was confirmed without this one.
+  const bool took_part_in_all = before.majority() == before.replicas.size();
+  progress.whole = founding || (progress.whole && kept_all && took_part_in_all);
+  progress.whole_before = was_whole && kept_all && before.replicas == now.replicas;
+  progress.fresh_leavers = followed ? fresh_leavers_of(now, before) : 0;
   progress.returning = progress.synchronized && copies_again && guards_.admission_before_voting;
   progress.epoch = now.epoch;
   progress.synchronized = progress.synchronized || founding || !guards_.admission_before_voting;
@@ -273,10 +301,17 @@
   if (epoch > progress.epoch) {
     return wire::ReplicaStatus::UnknownEpoch;
   }
-  const bool allowed = progress.synchronized && (for_copy || (!progress.former && !progress.returning));
+  const bool allowed = for_copy ? progress.synchronized : votes(progress);
   return allowed ? wire::ReplicaStatus::Granted : wire::ReplicaStatus::NotReady;
 }
 
+wire::ReplicaStatus Replica::admit_to(std::uint32_t group, std::uint64_t epoch, const std::string& key) const {
+  const wire::ReplicaStatus status = admit(group, epoch);
+  const bool decides = status == wire::ReplicaStatus::NotReady && !progress_.at(group).former &&
+                       key == group_config_key(group, epoch + 1);
+  return decides ? wire::ReplicaStatus::Granted : status;
+}
+
 Result<Ballot> Replica::load_promise(std::uint32_t group, const std::string& key) const {
   Ballot promised;
   bool sound = true;
@@ -344,8 +379,9 @@
 
 void Replica::store_marks(std::uint32_t group, const GroupProgress& progress) {
   wire::Bytes marks(kMarksBytes);
-  marks[0] =
-      static_cast<std::uint8_t>((progress.returning ? kReturning : 0) | (progress.holds_leaving ? kHoldsLeaving : 0));
+  marks[0] = static_cast<std::uint8_t>((progress.returning ? kReturning : 0) |
+                                       (progress.holds_leaving ? kHoldsLeaving : 0) | (progress.whole ? kWhole : 0) |
+                                       (progress.whole_before ? kWholeBefore : 0) | progress.fresh_leavers);
   for (std::size_t byte = 1; byte < kMarksBytes; ++byte) {
     marks[byte] = static_cast<std::uint8_t>(progress.epoch >> ((byte - 1) * kByteBits));
   }
@@ -366,6 +402,9 @@
   progress.returning = (marks[0] & kReturning) != 0;
   if (epoch == progress.epoch) {
     progress.holds_leaving = progress.holds_leaving || (marks[0] & kHoldsLeaving) != 0;
+    progress.whole = (marks[0] & kWhole) != 0;
+    progress.whole_before = (marks[0] & kWholeBefore) != 0;
+    progress.fresh_leavers = marks[0] & kFreshLeavers;
   }
 }
 
@@ -406,7 +445,7 @@
                                                            Reply& reply, bool with_value) {
   reply.request = message.request;
   reply.epoch = message.epoch;
-  reply.status = admit(message.group, message.epoch);
+  reply.status = admit_to(message.group, message.epoch, message.key);
   if (reply.status != wire::ReplicaStatus::Granted) {
     describe_group(message.group, reply);
     send_message(environment_, sender, std::move(reply));
@@ -442,6 +481,11 @@
     return;
   }
   store_promise(message.group, message.key, ballot);
+  if (message.key == group_config_key(message.group, message.epoch + 1)) {
+    reply.standing = standing(message.group, message.epoch);
+    const GroupProgress& progress = progress_.at(message.group);
+    reply.whole = progress.whole || progress.whole_before;
+  }
   reply.accepted = to_wire(record->accepted);
   reply.value = record->value;
   reply_when_durable(sender, std::move(reply));
@@ -562,7 +606,7 @@
   for (std::uint32_t number = 0; number < sources && !progress.former; ++number) {
     const bool leaving = number >= description.replicas.size();
     if (number != progress.index && !(leaving && progress.holds_leaving)) {
-      progress.copying[number] = CopySource{"p:", false};
+      progress.copying[number] = CopySource{kFirstCursor, false};
     }
   }
   finish_copy_if_complete(group);
@@ -632,23 +676,40 @@
       unfinished = unfinished || !progress.copying.empty();
     }
     if (unfinished) {
-      ask_who_holds_leaving();
+      take_back_values();
+      ask_how_sources_stand();
       request_copies();
       schedule_copy_retry();
     }
   }));
 }
 
-void Replica::ask_who_holds_leaving() {
+void Replica::take_back_values() {
+  const Timestamp now = environment_.now();
+  for (auto& [group, progress] : progress_) {
+    for (auto& [number, silent] : progress.copying) {
+      if (silent.wanted.empty() || now - silent.values_since < kLeftValuesPatience) {
+        continue;
+      }
+      silent.wanted.clear();
+      for (auto& [other, source] : progress.copying) {
+        if (source.left_to.contains(number)) {
+          source = CopySource{kFirstCursor, false};
+        }
+      }
+    }
+  }
+}
+
+void Replica::ask_how_sources_stand() {
   for (const auto& [group, progress] : progress_) {
-    const bool votes = progress.synchronized && !progress.returning;
-    if (votes || progress.former || progress.holds_leaving) {
+    if (progress.whole || progress.former) {
       continue;
     }
     for (const auto& [number, source] : progress.copying) {
       const bool member = number < progress.description.replicas.size();
       const auto address = addresses_(progress.description.source(number).node);
-      if (member && source.complete && !source.holds_leaving && address) {
+      if (member && source.complete && address) {
         wire::CopyStatusRequestT request;
         request.group = group;
         request.epoch = progress.epoch;
@@ -666,11 +727,24 @@
     return;
   }
   // What it took from the leaving ones came after its pages, maybe.
-  source->second = CopySource{"p:", false};
+  source->second = CopySource{kFirstCursor, false};
   source->second.holds_leaving = true;
   request_copies();
 }
 
+void Replica::note_whole(std::uint32_t group, std::uint32_t number) {
+  GroupProgress& progress = progress_.at(group);
+  const auto source = progress.copying.find(number);
+  if (progress.whole || source == progress.copying.end() || source->second.whole || !source->second.complete) {
+    return;
+  }
+  // What it took to become whole came after its pages, maybe.
+  const bool holds_leaving = source->second.holds_leaving;
+  source->second = CopySource{kFirstCursor, false};
+  source->second.holds_leaving = holds_leaving;
+  request_copies();
+}
+
 void Replica::handle(const PeerAddress& sender, const wire::CopyRequestT& message) {
   if (message.description) {
     adopt_group(message.group, from_wire(*message.description));
@@ -683,6 +757,8 @@
   describe_group(message.group, reply);
   if (const auto entry = progress_.find(message.group); entry != progress_.end()) {
     reply.replica = entry->second.index;
+    reply.standing = standing(message.group, message.epoch);
+    reply.whole = entry->second.whole && entry->second.epoch == message.epoch;
   }
   if (reply.status == wire::ReplicaStatus::Granted) {
     reply.ballots_only = message.keys.empty();
@@ -747,6 +823,7 @@
   if (message.ballots_only != source.wanted.empty()) {
     return;  // late or repeated
   }
+  note_standing(source, message);
   if (message.ballots_only) {
     take_ballots(message.group, source, message);
   } else if (!take_values(message.group, source, message)) {
@@ -755,6 +832,7 @@
     start_copy(message.group);
     return;
   }
+  source.values_since = environment_.now();
   if (source.wanted.empty()) {
     source.complete = source.next_after.empty();
     source.after = source.next_after;
@@ -768,10 +846,21 @@
   request_page(sender, message.group, progress, source);
 }
 
+void Replica::note_standing(CopySource& source, const wire::CopyReplyT& page) {
+  const bool begins = page.ballots_only && page.after == kFirstCursor;
+  if (begins) {
+    source.votes = page.standing == wire::ReplicaStanding::Admitted;
+    source.whole = page.whole;
+  }
+}
+
 void Replica::take_ballots(std::uint32_t group, CopySource& source, const wire::CopyReplyT& page) {
   const std::string area = page.after.substr(0, 2);
   const bool promises = area == "p:";
   for (const auto& record : page.records) {
+    if (is_decision(record->key)) {
+      continue;  // each member votes on it by its own record
+    }
     if (promises) {
       // Their values are not looked at: a page of promises is as small as the values beside them are large.
       merge_promise(group, *record);
@@ -780,7 +869,12 @@
     const auto held = load(group, record->key, false);
     const Ballot here = succeeded(held) ? value_of(held).accepted : Ballot{};
     const Ballot there = from_wire(record->accepted);
-    if (there > here && !awaited_from_member(progress_.at(group), record->key, there)) {
+    if (there <= here) {
+      continue;
+    }
+    if (const auto other = awaited_from(progress_.at(group), record->key, there)) {
+      source.left_to.insert(*other);
+    } else {
       source.wanted.emplace(record->key, there);
     }
   }
@@ -791,12 +885,14 @@
   }
 }
 
-bool Replica::awaited_from_member(const GroupProgress& progress, const std::string& key, const Ballot& ballot) {
-  return std::any_of(progress.copying.begin(), progress.copying.end(), [&](const auto& entry) {
+std::optional<std::uint32_t> Replica::awaited_from(const GroupProgress& progress, const std::string& key,
+                                                   const Ballot& ballot) {
+  const auto source = std::find_if(progress.copying.begin(), progress.copying.end(), [&](const auto& entry) {
     const auto wanted = entry.second.wanted.find(key);
     const bool member = entry.first < progress.description.replicas.size();
     return member && wanted != entry.second.wanted.end() && wanted->second >= ballot;
   });
+  return source == progress.copying.end() ? std::nullopt : std::optional(source->first);
 }
 
 bool Replica::take_values(std::uint32_t group, CopySource& source, const wire::CopyReplyT& values) {
@@ -817,6 +913,41 @@
   });
 }
 
+bool Replica::holds_all_of(const GroupProgress& progress, const CopySource& source) {
+  return source.complete && std::all_of(source.left_to.begin(), source.left_to.end(), [&](std::uint32_t other) {
+           return progress.copying.contains(other) && progress.copying.at(other).complete;
+         });
+}
+
+bool Replica::copied_from_whole(const GroupProgress& progress) {
+  return std::any_of(progress.copying.begin(), progress.copying.end(),
+                     [&](const auto& entry) { return entry.second.whole && holds_all_of(progress, entry.second); });
+}
+
+std::size_t Replica::admitted_copied_from(const GroupProgress& progress, bool fresh_leavers) {
+  const auto counts = [&](const auto& entry) {
+    const std::size_t members = progress.description.replicas.size();
+    const bool member = entry.first < members;
+    const bool fresh_leaver =
+        fresh_leavers && !member && (fresh_leaver_bit(entry.first - members) & progress.fresh_leavers) != 0;
+    return holds_all_of(progress, entry.second) && ((member && entry.second.votes) || fresh_leaver);
+  };
+  return static_cast<std::size_t>(std::count_if(progress.copying.begin(), progress.copying.end(), counts));
+}
+
+bool Replica::has_copied_all(const GroupProgress& progress) {
+  const bool all_members = copied_from(progress, false);
+  const std::size_t majority = progress.description.majority();
+  if (copied_from_whole(progress)) {
+    return true;
+  }
+  if (all_members && progress.holds_leaving) {
+    return true;
+  }
+  return votes(progress) ? 1 + admitted_copied_from(progress, true) >= majority
+                         : admitted_copied_from(progress, false) >= majority;
+}
+
 void Replica::finish_copy_if_complete(std::uint32_t group) {
   GroupProgress& progress = progress_.at(group);
   const bool told = std::any_of(progress.copying.begin(), progress.copying.end(),
@@ -829,18 +960,22 @@
     std::erase_if(progress.copying,
                   [&](const auto& entry) { return entry.first >= progress.description.replicas.size(); });
   }
-  if (members_complete && progress.holds_leaving) {
-    progress.copying.clear();
-  }
-  const bool votes = progress.synchronized && !progress.returning;
-  const bool admitted = members_complete && progress.holds_leaving && !votes && !progress.former;
+  const bool newly_whole = !progress.whole && !progress.former && has_copied_all(progress);
+  const bool admitted = newly_whole && !votes(progress);
+  progress.whole = progress.whole || newly_whole;
   if (admitted) {
     progress.synchronized = true;
     progress.returning = false;
   }
-  if (admitted || newly_held) {
+  if (members_complete && progress.holds_leaving) {
+    progress.copying.clear();
+  }
+  if (newly_whole || newly_held) {
     store_group_state(group, progress);
   }
+  if (newly_whole) {
+    counters_["ledger_replicas_whole_total"]++;
+  }
   if (admitted) {
     counters_["ledger_replicas_admitted_total"]++;
     tell_admission(group);
@@ -890,18 +1025,26 @@
     status.replica = entry->second.index;
     status.complete = status.epoch == epoch && entry->second.synchronized && !entry->second.returning &&
                       entry->second.copying.empty();
+    status.whole = status.epoch == epoch && entry->second.whole;
   }
   return status;
 }
 
 void Replica::handle(const wire::CopyStatusT& message) {
   const auto entry = progress_.find(message.group);
-  if (entry == progress_.end() || entry->second.epoch != message.epoch || !message.complete) {
+  if (entry == progress_.end() || entry->second.epoch != message.epoch) {
     return;
   }
   if (entry->second.former) {
-    entry->second.copied_by.insert(message.replica);
-  } else {
+    if (message.complete) {
+      entry->second.copied_by.insert(message.replica);
+    }
+    return;
+  }
+  if (message.whole) {
+    note_whole(message.group, message.replica);
+  }
+  if (message.complete) {
     note_holds_leaving(message.group, message.replica);
   }
 }
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -84,6 +84,10 @@
     std::map<std::string, Ballot> wanted;  ///< Records of the present page that are later there.
     std::string next_after;                ///< Where the copy goes on once these are here; empty: it is complete.
     bool holds_leaving = false;            ///< It had all that the leaving members held before this copy began.
+    bool votes = false;                    ///< It was admitted when this copy began.
+    bool whole = false;                    ///< It was whole when this copy began.
+    Timestamp values_since{};              ///< When it last sent something while values were wanted.
+    std::set<std::uint32_t> left_to;       ///< Sources that values which this one offered are awaited from.
   };
   /// A stretch of the records that this replica holds.
   struct PageQuery {
@@ -104,7 +108,12 @@
     /// votes.
     bool returning = false;
     bool holds_leaving = true;  ///< All that the leaving members of this epoch held is here.
+    bool whole = false;         ///< Every record that was confirmed before this epoch is here.
+    /// It was whole in an earlier epoch of the same members: it lacks at most what the others confirmed since.
+    bool whole_before = false;
     ReplicaGroup description;
+    /// Which leaving members were members in the epoch before this one: a bit for each of the first of them.
+    std::uint8_t fresh_leavers = 0;
     std::map<std::uint32_t, CopySource> copying;  ///< by number of the source
     std::set<std::uint32_t> copied_by;            ///< Members that hold all that this former one held.
   };
@@ -122,7 +131,12 @@
 
   void take_word(std::uint32_t group, const ReplicaGroup& description);
   wire::ReplicaStatus admit(std::uint32_t group, std::uint64_t epoch, bool for_copy = false) const;
-  /// Tells a peer of another epoch which one this replica knows.
+  /// The same for the record under @p key. On the next description of its group a member votes at once, whatever it
+  /// holds: that record begins with the epoch that names the member.
+  wire::ReplicaStatus admit_to(std::uint32_t group, std::uint64_t epoch, const std::string& key) const;
+  static bool votes(const GroupProgress& progress) {
+    return progress.synchronized && !progress.returning && !progress.former;
+  }  /// Tells a peer of another epoch which one this replica knows.
   template <class Reply>
   void describe_group(std::uint32_t group, Reply& reply) const;
   Result<Ballot> load_promise(std::uint32_t group, const std::string& key) const;
@@ -144,26 +158,42 @@
   void request_copies();
   void request_page(const PeerAddress& from, std::uint32_t group, const GroupProgress& progress, CopySource& source);
   void schedule_copy_retry();
-  /// Asks members that were copied from whether they hold what the leaving ones held.
-  void ask_who_holds_leaving();
+  /// Asks members that were copied from whether they are whole by now, and hold what the leaving ones held.
+  void ask_how_sources_stand();
   /// Notes that the member with that number does; it is copied from once more.
   void note_holds_leaving(std::uint32_t group, std::uint32_t member);
   /// Takes a promised ballot of another replica where it is later than the one held here.
   void merge_promise(std::uint32_t group, const wire::LedgerRecordT& incoming);
   /// The same of an accepted value.
   void merge_value(std::uint32_t group, const wire::LedgerRecordT& incoming);
+  /// Takes up how the source of @p page stands.
+  static void note_standing(CopySource& source, const wire::CopyReplyT& page);
   /// Takes a page of ballots: promises are merged, newer values noted as wanted.
   void take_ballots(std::uint32_t group, CopySource& source, const wire::CopyReplyT& page);
   /// @return whether the source still had what it had offered.
   bool take_values(std::uint32_t group, CopySource& source, const wire::CopyReplyT& values);
-  /// @return whether a member that has to be copied from anyway is being asked for this value.
-  static bool awaited_from_member(const GroupProgress& progress, const std::string& key, const Ballot& ballot);
+  /// @return the member that has to be copied from anyway and is being asked for this value.
+  static std::optional<std::uint32_t> awaited_from(const GroupProgress& progress, const std::string& key,
+                                                   const Ballot& ballot);
   void finish_copy_if_complete(std::uint32_t group);
   wire::CopyStatusT describe_copy(std::uint32_t group, std::uint64_t epoch) const;
   /// Tells the other members that this disk votes from now on.
   void tell_admission(std::uint32_t group);
   /// @return whether all sources that are members, or all that are leaving, have been copied from.
   static bool copied_from(const GroupProgress& progress, bool leaving);
+  /// @return whether everything that @p source offered is here.
+  static bool holds_all_of(const GroupProgress& progress, const CopySource& source);
+  /// @return whether a source that was whole has been copied from.
+  static bool copied_from_whole(const GroupProgress& progress);
+  /// @return how many admitted sources have been copied from.
+  /// @param fresh_leavers whether those count that were members in the epoch before.
+  static std::size_t admitted_copied_from(const GroupProgress& progress, bool fresh_leavers);
+  /// @return whether what has been copied holds every record that was confirmed before the epoch.
+  static bool has_copied_all(const GroupProgress& progress);
+  /// Has values that a source leaves unsent for long asked for from the others.
+  void take_back_values();
+  /// Notes that a source is whole by now; it is copied from once more.
+  void note_whole(std::uint32_t group, std::uint32_t number);
   Records page(const PageQuery& query, bool& truncated) const;
   /// What is wanted of records that are named.
   struct RecordQuery {
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -3214,6 +3214,7 @@
   uint32_t replica = 0;
   bool complete = false;
   madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid;
+  bool whole = false;
 };
 
 struct CopyStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3225,7 +3226,8 @@
     VT_EPOCH = 6,
     VT_REPLICA = 8,
     VT_COMPLETE = 10,
-    VT_STANDING = 12
+    VT_STANDING = 12,
+    VT_WHOLE = 14
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -3242,6 +3244,9 @@
   madderdeck::wire::ReplicaStanding standing() const {
     return static_cast<madderdeck::wire::ReplicaStanding>(GetField<uint8_t>(VT_STANDING, 0));
   }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -3249,6 +3254,7 @@
            VerifyField<uint32_t>(verifier, VT_REPLICA, 4) &&
            VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            VerifyField<uint8_t>(verifier, VT_STANDING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
            verifier.EndTable();
   }
   CopyStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3275,6 +3281,9 @@
   void add_standing(madderdeck::wire::ReplicaStanding standing) {
     fbb_.AddElement<uint8_t>(CopyStatus::VT_STANDING, static_cast<uint8_t>(standing), 0);
   }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(CopyStatus::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
   explicit CopyStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3292,11 +3301,13 @@
     uint64_t epoch = 0,
     uint32_t replica = 0,
     bool complete = false,
-    madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid) {
+    madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid,
+    bool whole = false) {
   CopyStatusBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_replica(replica);
   builder_.add_group(group);
+  builder_.add_whole(whole);
   builder_.add_standing(standing);
   builder_.add_complete(complete);
   return builder_.Finish();
@@ -3443,6 +3454,8 @@
   std::unique_ptr<madderdeck::wire::Ballot> accepted{};
   std::vector<uint8_t> value{};
   std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
+  madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid;
+  bool whole = false;
   PromiseT() = default;
   PromiseT(const PromiseT &o);
   PromiseT(PromiseT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3461,7 +3474,9 @@
     VT_PROMISED = 12,
     VT_ACCEPTED = 14,
     VT_VALUE = 16,
-    VT_DESCRIPTION = 18
+    VT_DESCRIPTION = 18,
+    VT_STANDING = 20,
+    VT_WHOLE = 22
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -3487,6 +3502,12 @@
   const madderdeck::wire::GroupDescription *description() const {
     return GetPointer<const madderdeck::wire::GroupDescription *>(VT_DESCRIPTION);
   }
+  madderdeck::wire::ReplicaStanding standing() const {
+    return static_cast<madderdeck::wire::ReplicaStanding>(GetField<uint8_t>(VT_STANDING, 0));
+  }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -3499,6 +3520,8 @@
            verifier.VerifyVector(value()) &&
            VerifyOffset(verifier, VT_DESCRIPTION) &&
            verifier.VerifyTable(description()) &&
+           VerifyField<uint8_t>(verifier, VT_STANDING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
            verifier.EndTable();
   }
   PromiseT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3534,6 +3557,12 @@
   void add_description(flatbuffers::Offset<madderdeck::wire::GroupDescription> description) {
     fbb_.AddOffset(Promise::VT_DESCRIPTION, description);
   }
+  void add_standing(madderdeck::wire::ReplicaStanding standing) {
+    fbb_.AddElement<uint8_t>(Promise::VT_STANDING, static_cast<uint8_t>(standing), 0);
+  }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(Promise::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
   explicit PromiseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3554,7 +3583,9 @@
     const madderdeck::wire::Ballot *promised = nullptr,
     const madderdeck::wire::Ballot *accepted = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid,
+    bool whole = false) {
   PromiseBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
@@ -3563,6 +3594,8 @@
   builder_.add_accepted(accepted);
   builder_.add_promised(promised);
   builder_.add_replica(replica);
+  builder_.add_whole(whole);
+  builder_.add_standing(standing);
   builder_.add_status(status);
   return builder_.Finish();
 }
@@ -3581,7 +3614,9 @@
     const madderdeck::wire::Ballot *promised = nullptr,
     const madderdeck::wire::Ballot *accepted = nullptr,
     const std::vector<uint8_t> *value = nullptr,
-    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0) {
+    flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
+    madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid,
+    bool whole = false) {
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return madderdeck::wire::CreatePromise(
       _fbb,
@@ -3592,7 +3627,9 @@
       promised,
       accepted,
       value__,
-      description);
+      description,
+      standing,
+      whole);
 }
 
 flatbuffers::Offset<Promise> CreatePromise(flatbuffers::FlatBufferBuilder &_fbb, const PromiseT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4474,6 +4511,8 @@
   bool truncated = false;
   std::unique_ptr<madderdeck::wire::GroupDescriptionT> description{};
   bool ballots_only = false;
+  madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid;
+  bool whole = false;
   CopyReplyT() = default;
   CopyReplyT(const CopyReplyT &o);
   CopyReplyT(CopyReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -4493,7 +4532,9 @@
     VT_RECORDS = 14,
     VT_TRUNCATED = 16,
     VT_DESCRIPTION = 18,
-    VT_BALLOTS_ONLY = 20
+    VT_BALLOTS_ONLY = 20,
+    VT_STANDING = 22,
+    VT_WHOLE = 24
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -4522,6 +4563,12 @@
   bool ballots_only() const {
     return GetField<uint8_t>(VT_BALLOTS_ONLY, 0) != 0;
   }
+  madderdeck::wire::ReplicaStanding standing() const {
+    return static_cast<madderdeck::wire::ReplicaStanding>(GetField<uint8_t>(VT_STANDING, 0));
+  }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -4537,6 +4584,8 @@
            VerifyOffset(verifier, VT_DESCRIPTION) &&
            verifier.VerifyTable(description()) &&
            VerifyField<uint8_t>(verifier, VT_BALLOTS_ONLY, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STANDING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
            verifier.EndTable();
   }
   CopyReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4575,6 +4624,12 @@
   void add_ballots_only(bool ballots_only) {
     fbb_.AddElement<uint8_t>(CopyReply::VT_BALLOTS_ONLY, static_cast<uint8_t>(ballots_only), 0);
   }
+  void add_standing(madderdeck::wire::ReplicaStanding standing) {
+    fbb_.AddElement<uint8_t>(CopyReply::VT_STANDING, static_cast<uint8_t>(standing), 0);
+  }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(CopyReply::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
   explicit CopyReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4596,7 +4651,9 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>> records = 0,
     bool truncated = false,
     flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
-    bool ballots_only = false) {
+    bool ballots_only = false,
+    madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid,
+    bool whole = false) {
   CopyReplyBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_description(description);
@@ -4604,6 +4661,8 @@
   builder_.add_after(after);
   builder_.add_replica(replica);
   builder_.add_group(group);
+  builder_.add_whole(whole);
+  builder_.add_standing(standing);
   builder_.add_ballots_only(ballots_only);
   builder_.add_truncated(truncated);
   builder_.add_status(status);
@@ -4625,7 +4684,9 @@
     const std::vector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>> *records = nullptr,
     bool truncated = false,
     flatbuffers::Offset<madderdeck::wire::GroupDescription> description = 0,
-    bool ballots_only = false) {
+    bool ballots_only = false,
+    madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid,
+    bool whole = false) {
   auto after__ = after ? _fbb.CreateString(after) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<madderdeck::wire::LedgerRecord>>(*records) : 0;
   return madderdeck::wire::CreateCopyReply(
@@ -4638,7 +4699,9 @@
       records__,
       truncated,
       description,
-      ballots_only);
+      ballots_only,
+      standing,
+      whole);
 }
 
 flatbuffers::Offset<CopyReply> CreateCopyReply(flatbuffers::FlatBufferBuilder &_fbb, const CopyReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9995,6 +10058,7 @@
   { auto _e = replica(); _o->replica = _e; }
   { auto _e = complete(); _o->complete = _e; }
   { auto _e = standing(); _o->standing = _e; }
+  { auto _e = whole(); _o->whole = _e; }
 }
 
 inline flatbuffers::Offset<CopyStatus> CopyStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10010,13 +10074,15 @@
   auto _replica = _o->replica;
   auto _complete = _o->complete;
   auto _standing = _o->standing;
+  auto _whole = _o->whole;
   return madderdeck::wire::CreateCopyStatus(
       _fbb,
       _group,
       _epoch,
       _replica,
       _complete,
-      _standing);
+      _standing,
+      _whole);
 }
 
 inline PrepareT::PrepareT(const PrepareT &o)
@@ -10082,7 +10148,9 @@
         promised((o.promised) ? new madderdeck::wire::Ballot(*o.promised) : nullptr),
         accepted((o.accepted) ? new madderdeck::wire::Ballot(*o.accepted) : nullptr),
         value(o.value),
-        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr) {
+        description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr),
+        standing(o.standing),
+        whole(o.whole) {
 }
 
 inline PromiseT &PromiseT::operator=(PromiseT o) FLATBUFFERS_NOEXCEPT {
@@ -10094,6 +10162,8 @@
   std::swap(accepted, o.accepted);
   std::swap(value, o.value);
   std::swap(description, o.description);
+  std::swap(standing, o.standing);
+  std::swap(whole, o.whole);
   return *this;
 }
 
@@ -10114,6 +10184,8 @@
   { auto _e = accepted(); if (_e) _o->accepted = std::unique_ptr<madderdeck::wire::Ballot>(new madderdeck::wire::Ballot(*_e)); }
   { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
   { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
+  { auto _e = standing(); _o->standing = _e; }
+  { auto _e = whole(); _o->whole = _e; }
 }
 
 inline flatbuffers::Offset<Promise> Promise::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PromiseT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10132,6 +10204,8 @@
   auto _accepted = _o->accepted ? _o->accepted.get() : nullptr;
   auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
   auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
+  auto _standing = _o->standing;
+  auto _whole = _o->whole;
   return madderdeck::wire::CreatePromise(
       _fbb,
       _request,
@@ -10141,7 +10215,9 @@
       _promised,
       _accepted,
       _value,
-      _description);
+      _description,
+      _standing,
+      _whole);
 }
 
 inline AcceptT::AcceptT(const AcceptT &o)
@@ -10506,7 +10582,9 @@
         after(o.after),
         truncated(o.truncated),
         description((o.description) ? new madderdeck::wire::GroupDescriptionT(*o.description) : nullptr),
-        ballots_only(o.ballots_only) {
+        ballots_only(o.ballots_only),
+        standing(o.standing),
+        whole(o.whole) {
   records.reserve(o.records.size());
   for (const auto &records_ : o.records) { records.emplace_back((records_) ? new madderdeck::wire::LedgerRecordT(*records_) : nullptr); }
 }
@@ -10521,6 +10599,8 @@
   std::swap(truncated, o.truncated);
   std::swap(description, o.description);
   std::swap(ballots_only, o.ballots_only);
+  std::swap(standing, o.standing);
+  std::swap(whole, o.whole);
   return *this;
 }
 
@@ -10542,6 +10622,8 @@
   { auto _e = truncated(); _o->truncated = _e; }
   { auto _e = description(); if (_e) _o->description = std::unique_ptr<madderdeck::wire::GroupDescriptionT>(_e->UnPack(_resolver)); }
   { auto _e = ballots_only(); _o->ballots_only = _e; }
+  { auto _e = standing(); _o->standing = _e; }
+  { auto _e = whole(); _o->whole = _e; }
 }
 
 inline flatbuffers::Offset<CopyReply> CopyReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10561,6 +10643,8 @@
   auto _truncated = _o->truncated;
   auto _description = _o->description ? CreateGroupDescription(_fbb, _o->description.get(), _rehasher) : 0;
   auto _ballots_only = _o->ballots_only;
+  auto _standing = _o->standing;
+  auto _whole = _o->whole;
   return madderdeck::wire::CreateCopyReply(
       _fbb,
       _group,
@@ -10571,7 +10655,9 @@
       _records,
       _truncated,
       _description,
-      _ballots_only);
+      _ballots_only,
+      _standing,
+      _whole);
 }
 
 inline WorkItemT *WorkItem::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/ledger/epoch_change_test.cpp
+++ b/tests/ledger/epoch_change_test.cpp
@@ -98,7 +98,30 @@
   view.free = {{kC, "3"}, {kD, "2"}};
   const auto change = wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas);
   REQUIRE(change);
-  CHECK(change->next == ReplicaGroup{5, {kA, kD, kC}, {}});
+  CHECK(change->next == ReplicaGroup{5, {kA, kD, kC}, {kB}});
+}
+
+// What it held with the next member that was lost stood nowhere else, though it was back.
+TEST_CASE("a silent member whose place another disk takes is copied from until a majority holds everything") {
+  told_view view;
+  view.states[kA] = replica_state::missing;
+  view.free = {{kB, "2"}, {kC, "3"}, {kD, "1"}};
+  const auto replaced = wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas);
+  REQUIRE(replaced);
+  CHECK(replaced->next == ReplicaGroup{5, {kD, kB, kC}, {kA}});
+  const auto given_up = wanted_change(replaced->next, view, kReplicas);
+  REQUIRE(given_up);
+  CHECK(given_up->next == ReplicaGroup{6, {kD, kB, kC}, {}});
+  CHECK(given_up->rule.whole_majority);
+}
+
+TEST_CASE("a silent member that is back takes the place of a lost one where no other disk is free") {
+  told_view view;
+  view.states[kB] = replica_state::missing;
+  view.free = {{kA, "1"}, {kC, "3"}, {kD, "1"}};
+  const auto change = wanted_change({5, {kD, kB, kC}, {kA}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{6, {kD, kA, kC}, {kB}});
 }
 
 TEST_CASE("a member that leaves stays as long as the others would have no majority without it") {
@@ -116,6 +139,7 @@
   const auto change = wanted_change({5, {kB, kC}, {kA}}, view, kReplicas);
   REQUIRE(change);
   CHECK(change->next == ReplicaGroup{6, {kB, kC}, {}});
+  CHECK(change->rule.whole_majority);
 }
 
 // Simulation, mix `losses`, qasr, seeds 14 and 252: a node that had just started did not know yet that it was to be
--- a/tests/ledger/epoch_model.cpp
+++ b/tests/ledger/epoch_model.cpp
@@ -53,6 +53,11 @@
   bool holds_leaving = false;  ///< Its disk holds all that those held who leave in its epoch.
   bool full = false;           ///< Its disk has copied everything that it lacked when its epoch began.
   node_set copied = 0;         ///< Sources that this process has copied from in this epoch.
+  node_set copied_votes = 0;   ///< Of them those that were admitted.
+  node_set copied_whole = 0;   ///< Of them those that were whole.
+  bool whole = false;          ///< Its disk holds all that was confirmed before its epoch.
+  bool whole_before = false;   ///< It was whole in an earlier epoch of the same members.
+  bool followed = false;       ///< Its disk has seen the epoch before this one.
   auto operator<=>(const machine&) const = default;
 };
 
@@ -100,8 +105,11 @@
     put(static_cast<unsigned>(one.state) | (one.retiring ? 8U : 0U) | (one.voted ? 16U : 0U) |
         (one.returning ? 32U : 0U) | (one.dropped ? 64U : 0U) | (one.full ? 128U : 0U));
     put(one.disk_number * 16U + one.epoch);
-    put(one.holds_leaving ? 1 : 0);
+    put((one.holds_leaving ? 1U : 0U) | (one.whole ? 2U : 0U) | (one.whole_before ? 4U : 0U) |
+        (one.followed ? 8U : 0U));
     put(one.copied);
+    put(one.copied_votes);
+    put(one.copied_whole);
   }
   for (unsigned epoch = 1; epoch <= state.latest(); ++epoch) {
     for (const auto* list : {&state.of(epoch).replicas, &state.of(epoch).leaving}) {
@@ -190,7 +198,7 @@
     state.sole.fill(kNobody);
     description founding;
     for (unsigned node = 0; node < scope_.disks; ++node) {
-      state.machines[node] = machine{presence::up, 0, false, 1, true, false, false, true, true, 0};
+      state.machines[node] = machine{presence::up, 0, false, 1, true, false, false, true, true, 0, 0, 0, true};
       founding.replicas.push_back({static_cast<std::uint8_t>(node), 0});
     }
     for (unsigned node = scope_.disks; node < scope_.disks + scope_.further; ++node) {
@@ -315,6 +323,8 @@
     one.state = presence::up;
     one.dropped = false;
     one.copied = 0;
+    one.copied_votes = 0;
+    one.copied_whole = 0;
   }
 
   /// The machine takes a decided epoch for its own, if it is later.
@@ -337,16 +347,38 @@
         group.leaving.empty() || (one.holds_leaving && followed && all_in(group.leaving, before.leaving));
     auto named = group.replicas;
     named.insert(named.end(), group.leaving.begin(), group.leaving.end());
-    const bool unsafe = rules_.wait_for_leaving && !one.holds_leaving && !all_in(before.replicas, named);
-    one.returning = one.returning || (one.voted && ((rules_.copy_when_back && !followed) || unsafe));
+    const bool unsafe = rules_.wait_for_leaving && !one.holds_leaving && !one.whole && !all_in(before.replicas, named);
+    const bool kept_all = followed && !one.returning && !unsafe;
+    const bool took_part_in_all = one.epoch > 0 && majority_of(before) == before.replicas.size();
+    one.whole_before =
+        rules_.whole_members_decide && (one.whole || one.whole_before) && kept_all && before.replicas == group.replicas;
+    const bool stays_whole = kept_all && (took_part_in_all || !rules_.compare_in_each_epoch);
+    one.whole = rules_.whole_members_decide && one.whole && stays_whole;
+    one.followed = followed && !group.leaving.empty();
+    const bool former = rules_.copy_when_back && one.epoch > 0 && leaves(state, one.epoch, node);
+    one.returning = one.returning || (one.voted && (former || (rules_.copy_when_back && !followed) || unsafe));
     one.voted = one.voted || !rules_.copy_before_voting;
     one.dropped = false;
     one.epoch = static_cast<std::uint8_t>(epoch);
     const bool lacks =
         first_sight || !one.voted || one.returning || !group.leaving.empty() || (rules_.copy_when_fewer && shrinks);
-    one.copied = lacks ? 0 : static_cast<node_set>(0xFF);
+    const bool compares = rules_.whole_members_decide && rules_.copy_when_fewer && !one.whole;
+    one.copied = lacks || compares ? 0 : static_cast<node_set>(0xFF);
+    one.copied_votes = 0;
+    one.copied_whole = 0;
     one.full = !lacks;
   }
+  static bool is_admitted(const model_state& state, unsigned node) {
+    const machine& one = state.machines[node];
+    return takes_part(one) && one.voted && !one.returning && is_member(state, one.epoch, node);
+  }
+  static node_set nodes_of(const std::vector<disk>& list) {
+    node_set result = 0;
+    for (const disk& one : list) {
+      result |= only(one.node);
+    }
+    return result;
+  }
   static bool all_in(const std::vector<disk>& some, const std::vector<disk>& all) {
     return std::all_of(some.begin(), some.end(),
                        [&all](const disk& one) { return std::find(all.begin(), all.end(), one) != all.end(); });
@@ -372,15 +404,51 @@
     return has_copied(state, node, false) && has_copied(state, node, true);
   }
 
+  /// @return whether what @p node has copied holds everything that was confirmed before its epoch.
+  bool has_copied_all(const model_state& state, unsigned node) const {
+    const machine& one = state.machines[node];
+    const bool all_members = has_copied(state, node, false);
+    const bool waits = rules_.wait_for_leaving && !one.holds_leaving;
+    if (!rules_.whole_members_decide) {
+      return all_members && !waits;
+    }
+    if (one.copied_whole != 0) {
+      return true;
+    }
+    const description& group = state.of(one.epoch);
+    const unsigned admitted = size_of(one.copied_votes & nodes_of(group.replicas));
+    if (!is_admitted(state, node)) {
+      return (all_members && !waits) || admitted >= majority_of(group);
+    }
+    const node_set before = one.followed ? nodes_of(state.of(one.epoch - 1U).replicas) : 0;
+    const unsigned fresh_leavers = size_of(one.copied & nodes_of(group.leaving) & before);
+    return (all_members && !waits) || 1 + admitted + fresh_leavers >= majority_of(group);
+  }
+
   void admit_if_complete(model_state& state, unsigned node) const {
     machine& one = state.machines[node];
     one.holds_leaving = one.holds_leaving || has_copied(state, node, true);
-    const bool waits = rules_.wait_for_leaving && !one.holds_leaving;
-    if (is_member(state, one.epoch, node) && has_copied(state, node, false) && !waits) {
+    if (is_member(state, one.epoch, node) && has_copied_all(state, node)) {
+      one.whole = rules_.whole_members_decide;
       one.voted = true;
       one.returning = false;
     }
-    one.full = one.full || holds_all(state, node);
+    one.full = one.full || one.whole || holds_all(state, node);
+    forget_what_is_settled(state, node);
+  }
+
+  /// Makes states equal that differ in nothing that still matters.
+  void forget_what_is_settled(model_state& state, unsigned node) const {
+    machine& one = state.machines[node];
+    if (!one.whole) {
+      return;
+    }
+    one.whole_before = false;
+    one.copied_votes = 0;
+    one.copied_whole = 0;
+    if (holds_all(state, node)) {
+      one.copied = static_cast<node_set>(0xFF);
+    }
   }
 
   /// @return whether anything was copied.
@@ -388,7 +456,8 @@
     machine& one = state.machines[node];
     machine& source = state.machines[from.node];
     const bool there = source.state == presence::up && source.disk_number == from.number;
-    if (!takes_part(one) || !there || has(one.copied, from.node)) {
+    const bool again = source.whole && !one.whole && !has(one.copied_whole, from.node);
+    if (!takes_part(one) || !there || (has(one.copied, from.node) && !again)) {
       return false;
     }
     adopt(state, from.node, one.epoch);  // the question brings the epoch
@@ -397,6 +466,8 @@
       return false;
     }
     one.copied |= only(from.node);
+    one.copied_votes |= is_admitted(state, from.node) ? only(from.node) : 0;
+    one.copied_whole |= source.whole ? only(from.node) : 0;
     if (source.voted && !source.returning && is_member(state, one.epoch, from.node)) {
       one.holds_leaving = one.holds_leaving || source.holds_leaving;
     }
@@ -411,9 +482,6 @@
     for (node_set& holders : state.held) {
       holders |= has(holders, from) ? only(node) : 0;
     }
-    for (node_set& holders : state.voters) {
-      holders |= has(holders, from) ? only(node) : 0;
-    }
   }
 
   std::vector<disk> all_sources(const model_state& state, unsigned node) const {
@@ -496,6 +564,42 @@
     }
   }
 
+  /// @return the machines that vote on what follows @p epoch now.
+  node_set deciding_in(const model_state& state, unsigned epoch) const {
+    if (!rules_.whole_members_decide) {
+      return voting_in(state, epoch);
+    }
+    node_set result = 0;
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      if (takes_part(one) && one.epoch == epoch && is_member(state, epoch, node)) {
+        result |= only(node);
+      }
+    }
+    return result;
+  }
+
+  /// @return whether @p granting are enough, and hold everything together.
+  bool may_decide(const model_state& state, unsigned epoch, const ledger::epoch_change& change, node_set granting,
+                  unsigned quorum) const {
+    if (size_of(granting) < quorum) {
+      return false;
+    }
+    if (!rules_.whole_members_decide || !rules_.decide_only_with_all_records) {
+      return true;
+    }
+    unsigned whole = 0;
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      whole += has(granting, node) && (one.whole || one.whole_before) ? 1 : 0;
+    }
+    if (change.rule.whole_majority) {
+      return whole >= majority_of(state.of(epoch));
+    }
+    const unsigned admitted = size_of(granting & voting_in(state, epoch));
+    return whole > 0 || (!change.rule.sole && admitted >= quorum);
+  }
+
   /// Has the members that vote in @p epoch decide the next one, by each set of them that may.
   /// @param view what is believed of the fleet
   /// @param label what the move is called
@@ -504,7 +608,7 @@
     if (!change || epoch + 1 >= kMostEpochs) {
       return;
     }
-    const node_set voting = voting_in(state, epoch);
+    const node_set voting = deciding_in(state, epoch);
     const node_set allowed =
         change->rule.sole ? static_cast<node_set>(voting & only(disk_of(*change->rule.sole).node)) : voting;
     const unsigned quorum =
@@ -520,14 +624,19 @@
     for (const ReplicaIdentity& one : change->next.leaving) {
       wanted.leaving.push_back(disk_of(one));
     }
+    const bool decided = epoch < state.latest();
+    if (!decided && !may_decide(state, epoch, *change, allowed, quorum)) {
+      return;
+    }
     for (unsigned set = 1; set < 1U << kMostNodes; ++set) {
       const auto chosen = static_cast<node_set>(set);
       if ((chosen & ~allowed) != 0 || size_of(chosen) != quorum) {
         continue;
       }
-      if (epoch < state.latest()) {
+      if (decided) {
         found_decided_ = true;
-        if ((chosen & state.voters[epoch]) == 0) {
+        const auto unaware = static_cast<node_set>(allowed & ~state.voters[epoch]);
+        if ((chosen & state.voters[epoch]) == 0 && may_decide(state, epoch, *change, unaware, quorum)) {
           violation = text_of(chosen) + " decide epoch " + std::to_string(epoch + 1) + " anew as " + text_of(wanted) +
                       ", which others have decided as " + text_of(state.of(epoch + 1));
         }
--- a/tests/ledger/epoch_model.hpp
+++ b/tests/ledger/epoch_model.hpp
@@ -23,6 +23,10 @@
   /// A disk that joins has what leaving members held: from them, or from a member that has copied it.
   bool wait_for_leaving = true;
   bool members_tell_epoch = true;  ///< Members that start tell the epoch that their disks know.
+  /// Members vote on the next epoch whatever they hold, where one of them is whole.
+  bool whole_members_decide = true;
+  bool decide_only_with_all_records = true;  ///< Who decides holds every confirmed record, together or one of them.
+  bool compare_in_each_epoch = true;         ///< A member is whole only by a copy in the present epoch.
 };
 
 /// What is searched.
--- a/tests/ledger/epoch_model_test.cpp
+++ b/tests/ledger/epoch_model_test.cpp
@@ -112,8 +112,7 @@
 
 TEST_CASE("epochs of three disks with a fourth at hand, none lost, three faults") { check_holds(silence_scope()); }
 
-// A silent member's place is taken by another disk at once; if one of the others is lost before that disk has copied,
-// too few are left that vote, though the silent one is back with everything.
+// The silent member's place is taken by another disk at once, and one of the others is lost before that one has copied.
 TEST_CASE("epochs of three disks with a fourth at hand, two faults") {
   model_scope scope;
   scope.further = 1;
@@ -129,8 +128,7 @@
   check_holds(scope);
 }
 
-// A new machine takes the place of one that was emptied. If one of the other two is lost before it has copied, the last
-// one is no majority.
+// A new machine takes the place of one that was emptied, and one of the other two is lost before it has copied.
 TEST_CASE("epochs of three disks, one of which is emptied and replaced by a new machine, two faults") {
   model_scope scope = emptied_scope();
   scope.spares = 1;
@@ -167,6 +165,20 @@
     scope.coarse = true;
     rules.copy_when_fewer = false;
   }
+  SECTION("nobody decides who does not vote on records, so that a whole member alone is no majority") {
+    scope.further = 1;
+    scope.faults = 2;
+    rules.whole_members_decide = false;
+  }
+  SECTION("members that still copy decide by themselves") {
+    scope.further = 1;
+    scope.faults = 2;
+    scope.coarse = true;
+    rules.decide_only_with_all_records = false;
+  }
+  SECTION("a member counts as whole that took part in no decision that others made") {
+    rules.compare_in_each_epoch = false;
+  }
   SECTION("each of a pair may decide alone") {
     scope = emptied_scope();
     scope.tolerated = 0;
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -16,6 +16,12 @@
 const ReplicaIdentity kB{NodeId("b"), DiskId("disk-b")};
 const ReplicaIdentity kC{NodeId("c"), DiskId("disk-c")};
 
+/// How a member that is copied from stands.
+struct source_standing {
+  wire::ReplicaStanding standing = wire::ReplicaStanding::NotSaid;
+  bool whole = false;
+};
+
 struct Fixture {
   Fixture() {
     process.start();
@@ -25,11 +31,11 @@
     return std::make_unique<Replica>(environment, storage, counters, kA.node, kA.disk,
                                      [](const NodeId& node) { return std::optional(PeerAddress(node.str())); });
   }
-  wire::PromiseT prepare(std::uint64_t epoch) {
+  wire::PromiseT prepare(std::uint64_t epoch, const std::string& key = "k/1") {
     wire::PrepareT request;
     request.epoch = epoch;
     request.ballot = ledger::to_wire(Ballot{++counter, 1});
-    request.key = "k/1";
+    request.key = key;
     environment.sent.clear();
     replica->handle(kCaller, request);
     environment.world.run_for(20ms);
@@ -43,17 +49,33 @@
   }
   std::size_t copy_requests() const { return environment.sent_of(wire::Message::CopyRequest); }
   /// The member with that number answers a page that was asked for: it holds nothing.
-  void answer_empty(std::uint32_t member, const std::string& after, std::uint64_t epoch) {
+  void answer_empty(std::uint32_t member, const std::string& after, std::uint64_t epoch, source_standing source = {}) {
     wire::CopyReplyT reply;
     reply.epoch = epoch;
     reply.replica = member;
     reply.after = after;
     reply.ballots_only = true;
+    reply.standing = source.standing;
+    reply.whole = source.whole;
     replica->handle(PeerAddress("peer"), reply);
   }
-  void answer_whole(std::uint32_t member, std::uint64_t epoch) {
+  void answer_whole(std::uint32_t member, std::uint64_t epoch, source_standing source = {}) {
+    answer_empty(member, "p:", epoch, source);
+    answer_empty(member, "a:", epoch, source);
+  }
+  /// The member with that number tells the ballot of one record, the same as any other member, and no promises.
+  void offer(std::uint32_t member, std::uint64_t epoch) {
     answer_empty(member, "p:", epoch);
-    answer_empty(member, "a:", epoch);
+    wire::CopyReplyT page;
+    page.epoch = epoch;
+    page.replica = member;
+    page.after = "a:";
+    page.ballots_only = true;
+    auto record = std::make_unique<wire::LedgerRecordT>();
+    record->key = "k/1";
+    record->accepted = ledger::to_wire(Ballot{7, 1});
+    page.records.push_back(std::move(record));
+    replica->handle(PeerAddress("peer"), page);
   }
   wire::CopyReplyT ask_for_copy(std::uint64_t epoch) {
     wire::CopyRequestT request;
@@ -208,10 +230,16 @@
     CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
   }
   SECTION("it left values to the lost one, which never came") {
-    fixture.answer_whole(2, 2);
+    fixture.offer(1, 2);
+    fixture.offer(2, 2);
     fixture.replica->adopt_group(0, {3, {kA}, {kC}});
     CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
   }
+  SECTION("it holds all that the leaving one and itself had confirmed with the lost one") {
+    fixture.answer_whole(2, 2);
+    fixture.replica->adopt_group(0, {3, {kA}, {kC}});
+    CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
+  }
   SECTION("it held it before, also after a restart") {
     fixture.answer_whole(1, 2);
     fixture.answer_whole(2, 2);
@@ -319,3 +347,102 @@
   CHECK(client.is_obsolete(kB));
   CHECK_FALSE(client.is_obsolete({kB.node, DiskId("disk-b2")}));
 }
+
+namespace {
+
+constexpr source_standing kVotes{wire::ReplicaStanding::Admitted, false};
+constexpr source_standing kWhole{wire::ReplicaStanding::Admitted, true};
+const ReplicaIdentity kNewC{NodeId("c"), DiskId("disk-c2")};
+
+}  // namespace
+
+// One voting member of three was left when another disk was lost before the first new one had copied: no epoch could be
+// decided any more, and every reading failed for good.
+TEST_CASE("a member that still copies votes on who holds the group next, and on nothing else") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {2, {kA, kB, kC}, {}});
+  const wire::PromiseT decision = fixture.prepare(2, group_config_key(0, 3));
+  CHECK(decision.status == wire::ReplicaStatus::Granted);
+  CHECK(decision.standing == wire::ReplicaStanding::Copying);
+  CHECK_FALSE(decision.whole);
+  CHECK(fixture.prepare(2, group_config_key(0, 4)).status == wire::ReplicaStatus::NotReady);
+  CHECK(fixture.prepare(2, group_config_key(1, 3)).status == wire::ReplicaStatus::NotReady);
+  CHECK(fixture.prepare(2).status == wire::ReplicaStatus::NotReady);
+}
+
+TEST_CASE("a former member does not vote on who holds the group next") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.replica->adopt_group(0, {2, {kB, kC}, {kA}});
+  CHECK(fixture.prepare(2, group_config_key(0, 3)).status == wire::ReplicaStatus::NotReady);
+}
+
+TEST_CASE("a member is whole in a later epoch once it has compared its records with a majority") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  CHECK(fixture.prepare(1, group_config_key(0, 2)).whole);
+  fixture.replica->adopt_group(0, {2, {kA, kB, kNewC}, {}});
+  CHECK_FALSE(fixture.prepare(2, group_config_key(0, 3)).whole);
+  SECTION("a member that votes makes a majority with it") {
+    fixture.answer_whole(1, 2, kVotes);
+    CHECK(fixture.prepare(2, group_config_key(0, 3)).whole);
+  }
+  SECTION("one that does not vote says nothing of what the others hold") {
+    fixture.answer_whole(1, 2);
+    CHECK_FALSE(fixture.prepare(2, group_config_key(0, 3)).whole);
+  }
+  SECTION("also after a restart") {
+    fixture.answer_whole(1, 2, kVotes);
+    fixture.environment.world.run_for(20ms);
+    fixture.replica = fixture.make();
+    fixture.replica->restore();
+    CHECK(fixture.prepare(2, group_config_key(0, 3)).whole);
+  }
+}
+
+// A new disk waited for a member that had gone dark, though another one held everything.
+TEST_CASE("a new disk votes once it has copied from a member that holds everything, while another one is silent") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {2, {kB, kC, kA}, {}});
+  SECTION("whole from the first page on") {
+    fixture.answer_whole(0, 2, kWhole);
+    CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
+  }
+  SECTION("whole only since: it is copied from once more") {
+    fixture.answer_whole(0, 2, kVotes);
+    CHECK(fixture.prepare(2).status == wire::ReplicaStatus::NotReady);
+    wire::CopyStatusT status;
+    status.epoch = 2;
+    status.replica = 0;
+    status.whole = true;
+    fixture.replica->handle(status);
+    CHECK(fixture.prepare(2).status == wire::ReplicaStatus::NotReady);
+    fixture.answer_whole(0, 2, kWhole);
+    CHECK(fixture.prepare(2).status == wire::ReplicaStatus::Granted);
+  }
+}
+
+TEST_CASE("of a pair the member that stays is whole at once, as both had to confirm everything") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB}, {}});
+  fixture.replica->adopt_group(0, {2, {kA, kB, kC}, {}});
+  CHECK(fixture.prepare(2, group_config_key(0, 3)).whole);
+}
+
+TEST_CASE("votes on who holds the group next are not copied") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {2, {kB, kC, kA}, {}});
+  fixture.answer_empty(0, "p:", 2);
+  wire::CopyReplyT page;
+  page.epoch = 2;
+  page.replica = 0;
+  page.after = "a:";
+  page.ballots_only = true;
+  auto record = std::make_unique<wire::LedgerRecordT>();
+  record->key = group_config_key(0, 3);
+  record->accepted = ledger::to_wire(Ballot{7, 1});
+  page.records.push_back(std::move(record));
+  fixture.environment.sent.clear();
+  fixture.replica->handle(PeerAddress("peer"), page);
+  CHECK(fixture.prepare(2, group_config_key(0, 3)).accepted->counter() == 0);
+}
--- a/tests/ledger/sole_decision_test.cpp
+++ b/tests/ledger/sole_decision_test.cpp
@@ -34,6 +34,8 @@
         promise.request = message.body.AsPrepare()->request;
         promise.replica = number;
         promise.epoch = 3;
+        promise.standing = wire::ReplicaStanding::Admitted;
+        promise.whole = responder_whole;
         client.handle(message.to, promise);
       } else if (message.body.type == wire::Message::Accept) {
         wire::AcceptedT accepted;
@@ -56,6 +58,7 @@
   Counters counters;
   Client client{environment, counters, [](const NodeId& node) { return std::optional(PeerAddress(node.str())); }};
   std::uint32_t responder = kNumberOfA;
+  bool responder_whole = true;
   std::optional<Result<ReplicaGroup>> outcome;
 };
 
@@ -77,6 +80,13 @@
   CHECK(fixture.client.group_map().groups.at(0).epoch == 4);
 }
 
+TEST_CASE("a sole decider that may lack confirmed records does not decide") {
+  pair_fixture fixture;
+  fixture.responder_whole = false;
+  fixture.decide({1, kA});
+  CHECK_FALSE(decided(fixture.outcome));
+}
+
 TEST_CASE("the other member's word does not count for it, though it may be heard again") {
   pair_fixture fixture;
   fixture.responder = kNumberOfB;
@@ -157,3 +167,84 @@
     CHECK((members % 2 == 0) == (fewer < majority));
   }
 }
+
+namespace {
+
+/// How a member of a group of three answers a decision.
+struct member_answer {
+  std::uint32_t number = 0;
+  wire::ReplicaStanding standing = wire::ReplicaStanding::Admitted;
+  bool whole = false;
+};
+
+/// @return what comes of a decision on a group of three where only these members answer.
+std::optional<Result<ReplicaGroup>> outcome_of(const std::vector<member_answer>& answers, const EpochRule& rule) {
+  TestEnvironment environment;
+  Counters counters;
+  Client client{environment, counters, [](const NodeId& node) { return std::optional(PeerAddress(node.str())); }};
+  const std::vector<std::string> nodes{"a", "b", "c"};
+  ReplicaGroup group{3, {}, {}};
+  for (const std::string& node : nodes) {
+    group.replicas.push_back({NodeId(node), DiskId("disk")});
+  }
+  client.on_group_map({{group}});
+  ReplicaGroup next = group;
+  next.epoch = 4;
+  next.replicas[0].disk = DiskId("new disk");
+  std::optional<Result<ReplicaGroup>> outcome;
+  client.decide_next(0, next, rule, [&outcome](const Result<ReplicaGroup>& result) { outcome = result; });
+  for (int step = 0; step < 5 && !outcome; ++step) {
+    const auto sent = std::exchange(environment.sent, {});
+    for (const auto& message : sent) {
+      for (const member_answer& answer : answers) {
+        if (message.to != PeerAddress(nodes.at(answer.number))) {
+          continue;
+        }
+        if (message.body.type == wire::Message::Prepare) {
+          wire::PromiseT promise;
+          promise.request = message.body.AsPrepare()->request;
+          promise.replica = answer.number;
+          promise.epoch = 3;
+          promise.standing = answer.standing;
+          promise.whole = answer.whole;
+          client.handle(message.to, promise);
+        } else if (message.body.type == wire::Message::Accept) {
+          wire::AcceptedT accepted;
+          accepted.request = message.body.AsAccept()->request;
+          accepted.replica = answer.number;
+          accepted.epoch = 3;
+          client.handle(message.to, accepted);
+        }
+      }
+    }
+    environment.world.run_for(100ms);
+  }
+  return outcome;
+}
+
+constexpr auto kCopies = wire::ReplicaStanding::Copying;
+constexpr auto kAdmitted = wire::ReplicaStanding::Admitted;
+
+}  // namespace
+
+// Two disks were lost one after the other, and the one member that held everything was no majority by itself.
+TEST_CASE("a member that holds everything and one that still copies decide who holds the group next") {
+  CHECK(decided(outcome_of({{1, kCopies, false}, {2, kAdmitted, true}}, {})));
+}
+
+TEST_CASE("members that may lack confirmed records do not decide who holds the group next") {
+  CHECK_FALSE(decided(outcome_of({{1, kCopies, false}, {2, kAdmitted, false}}, {})));
+  CHECK_FALSE(decided(outcome_of({{1, kCopies, false}, {2, kCopies, false}}, {})));
+  CHECK(decided(outcome_of({{1, kAdmitted, false}, {2, kAdmitted, false}}, {})));
+}
+
+TEST_CASE("a silent former member is given up once a majority holds everything without it") {
+  const EpochRule gives_up{0, std::nullopt, true};
+  CHECK_FALSE(decided(outcome_of({{1, kAdmitted, false}, {2, kAdmitted, true}}, gives_up)));
+  CHECK(decided(outcome_of({{1, kAdmitted, true}, {2, kAdmitted, true}}, gives_up)));
+}
+
+TEST_CASE("members of earlier versions decide as they did: they answer only where they are admitted") {
+  constexpr auto kNotSaid = wire::ReplicaStanding::NotSaid;
+  CHECK(decided(outcome_of({{1, kNotSaid, false}, {2, kNotSaid, false}}, {})));
+}
