Simulation: power losses that keep some writes, one-way cuts, machines replaced at another address

A loss of power always forgot every write that was not flushed, a kill did so as well, links were cut both ways only, the platform reached every node or none, and a node with a disk came back at its address only.

Change: SimStorage keeps the writes since the last flush in their order; lose_power() keeps a first part of them, a kill keeps all. Conditions have one-way cuts and nodes that the platform does not answer. replace_machine() takes a machine away for good and adds one at another address with an empty disk. Pages of copies may take time. With Profile::loss_series nodes have the deployed program's times.

--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -53,6 +53,9 @@
   quarantine::quarantine_guards quarantine;
   bool cancel_is_durable = true;  ///< A cancel is written before it is confirmed.
   bool reject_older_config = true;
+  bool copies_arrive = true;             ///< A new disk is sent what the others hold.
+  bool copies_arrive_soon = true;        ///< ... within the time that a machine has to catch up.
+  bool disks_keep_identity = true;       ///< A disk that comes back is the one that it was.
   bool clock_counts_suspension = true;   ///< The clock goes on while the machine is suspended.
   bool tell_activity = true;             ///< Schedulers hear of live calls on their engines.
   bool drain_waits = true;               ///< A leaving node ends only after its live calls.
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -12,6 +12,10 @@
 constexpr Duration kMachineListLag = 1s;
 constexpr std::uint64_t kQuietChecksToStop = 5;
 constexpr unsigned kLedgerNodes = 3;
+/// As deploy/ledger.toml has them.
+constexpr Duration kDeployedProbePeriod = 500ms;
+constexpr Duration kDeployedGroupCheck = 300ms;
+constexpr Duration kDeployedReplaceAfter = 700ms;
 /// As the users' sites have it: a node that was disturbed may be behind the others for so long.
 constexpr Duration kContact = 3s;
 constexpr Duration kEngineRestart = 3s;
@@ -61,9 +65,10 @@
   if (reduced && !reduce_to_earlier_version(message)) {
     return;
   }
+  const Duration on_the_way = message.type == wire::Message::CopyReply ? fleet_.copy_page_time : Duration::zero();
   std::vector<wire::MessageUnion> messages;
   messages.push_back(std::move(message));
-  fleet_.deliver_message(node_, to, wire::encode_frame(SimFleet::address_of(node_), messages));
+  fleet_.deliver_message(node_, to, wire::encode_frame(SimFleet::address_of(node_), messages), on_the_way);
 }
 
 // --- the fleet ------------------------------------------------------------------------------
@@ -103,15 +108,19 @@
     publish_service(number);
   }
   for (unsigned number = 0; number < profile.nodes; ++number) {
-    nodes.push_back(std::make_unique<SimNode>(world));
-    SimNode& node = *nodes.back();
-    node.zone = "zone-" + std::to_string(number % 3);
-    node.has_disk = number < kLedgerNodes;
-    node.disk_id = node.has_disk ? "disk-" + hex64(world.random.next()) : "";
+    add_node("zone-" + std::to_string(number % 3), number < kLedgerNodes);
     start_node(number);
   }
 }
 
+void SimFleet::add_node(std::string zone, bool has_disk) {
+  nodes.push_back(std::make_unique<SimNode>(world));
+  SimNode& node = *nodes.back();
+  node.zone = std::move(zone);
+  node.has_disk = has_disk;
+  node.disk_id = has_disk ? "disk-" + hex64(world.random.next()) : "";
+}
+
 SimFleet::~SimFleet() = default;
 
 std::unique_ptr<DecisionLog> SimFleet::make_log(unsigned number) {
@@ -129,11 +138,14 @@
 
 void SimFleet::start_node(unsigned number) {
   SimNode& node = *nodes[number];
-  if (node.process.up()) {
+  if (node.process.up() || node.removed) {
     return;
   }
   node.process.start();
   node.disturbed_at = world.now();
+  if (!guards.disks_keep_identity && node.has_disk) {
+    node.disk_id = "disk-" + hex64(world.random.next());
+  }
   node.draining = false;
   node.quiet_checks = 0;
   node.open_requests.clear();
@@ -147,13 +159,16 @@
                        static_cast<std::uint32_t>(Role::controller) |
                        (node.has_disk ? static_cast<std::uint32_t>(Role::ledger) : 0);
   options.self.incarnation = static_cast<std::uint64_t>(world.now() / 1ms);
-  for (unsigned seed = 0; seed < kLedgerNodes; ++seed) {
+  for (const unsigned seed : seeds_) {
     options.seeds.push_back(address_of(seed));
   }
   options.controller.group_count = 4;
   options.controller.keep_within(kLeaveNotice);  // as the deployed program does
   options.leave_notice = kLeaveNotice;
   options.guards = guards;
+  if (profile.loss_series) {
+    use_deployed_times(options);
+  }
   NodeLife life;
   life.log = make_log(number);
   life.environment = std::make_unique<SimEnvironment>(*this, number);
@@ -173,11 +188,29 @@
   node.life.core->start();
 }
 
+void SimFleet::use_deployed_times(node::NodeOptions& options) {
+  options.membership.period = kDeployedProbePeriod;
+  options.membership.ack_timeout = std::min<Duration>(options.membership.ack_timeout, kDeployedProbePeriod / 2);
+  options.controller.group_check = kDeployedGroupCheck;
+  options.controller.replace_after = kDeployedReplaceAfter;
+}
+
 void SimFleet::crash_node(unsigned number) {
+  nodes[number]->storage.crash();
+  end_process(number);
+}
+
+void SimFleet::kill_node(unsigned number) { end_process(number); }
+
+void SimFleet::cut_power(unsigned number) {
+  nodes[number]->storage.lose_power();
+  end_process(number);
+}
+
+void SimFleet::end_process(unsigned number) {
   SimNode& node = *nodes[number];
   count_suspension(node);
   node.process.crash();
-  node.storage.crash();
   node.open_requests.clear();
   node.draining = false;
   ended_lives_.push_back(std::move(node.life));
@@ -185,12 +218,37 @@
 }
 
 void SimFleet::lose_disk(unsigned number) {
-  SimNode& node = *nodes[number];
   crash_node(number);
+  empty_disk(number);
+  start_node(number);
+}
+
+void SimFleet::empty_disk(unsigned number) {
+  SimNode& node = *nodes[number];
   node.storage.wipe();
   node.disk_whole = false;
   node.disk_id = "disk-" + hex64(world.random.next());
-  start_node(number);
+}
+
+unsigned SimFleet::replace_machine(unsigned number) {
+  if (nodes[number]->process.up()) {
+    crash_node(number);
+  }
+  nodes[number]->removed = true;
+  add_node(nodes[number]->zone, true);
+  const auto successor = static_cast<unsigned>(nodes.size() - 1);
+  std::replace(seeds_.begin(), seeds_.end(), number, successor);
+  return successor;
+}
+
+std::vector<unsigned> SimFleet::disk_nodes() const {
+  std::vector<unsigned> found;
+  for (unsigned number = 0; number < nodes.size(); ++number) {
+    if (nodes[number]->has_disk && !nodes[number]->removed) {
+      found.push_back(number);
+    }
+  }
+  return found;
 }
 
 void SimFleet::retire_disk(unsigned number) {
@@ -333,9 +391,7 @@
 
 void SimFleet::observe_disturbances() {
   for (unsigned number = 0; number < nodes.size(); ++number) {
-    const bool cut = std::any_of(conditions.cuts.begin(), conditions.cuts.end(),
-                                 [number](const auto& pair) { return pair.first == number || pair.second == number; });
-    if (cut || nodes[number]->process.frozen()) {
+    if (is_cut_off(number) || nodes[number]->process.frozen()) {
       nodes[number]->disturbed_at = world.now();
     }
   }
@@ -386,13 +442,27 @@
   return conditions.cuts.contains({std::min(one, other), std::max(one, other)});
 }
 
+bool SimFleet::cut_from_to(unsigned from, unsigned to) const {
+  return cut_between(from, to) || conditions.one_way_cuts.contains({from, to});
+}
+
+bool SimFleet::is_cut_off(unsigned number) const {
+  const auto touches = [this, number](const auto& pair) {
+    const bool part = !nodes[pair.first]->removed && !nodes[pair.second]->removed;
+    return part && (pair.first == number || pair.second == number);
+  };
+  return std::any_of(conditions.cuts.begin(), conditions.cuts.end(), touches) ||
+         std::any_of(conditions.one_way_cuts.begin(), conditions.one_way_cuts.end(), touches) ||
+         conditions.platform_cuts.contains(number);
+}
+
 bool SimFleet::speak_earlier_version(unsigned one, unsigned other) const {
   return profile.mixed_versions && (one % 2 == 1 || other % 2 == 1);
 }
 
-void SimFleet::deliver_message(unsigned from, const PeerAddress& to, const wire::Bytes& frame) {
+void SimFleet::deliver_message(unsigned from, const PeerAddress& to, const wire::Bytes& frame, Duration on_the_way) {
   const unsigned target = number_of(to.str());
-  if (target >= nodes.size() || cut_between(from, target)) {
+  if (target >= nodes.size() || cut_from_to(from, target)) {
     return;
   }
   const bool own = from == target;
@@ -404,8 +474,8 @@
     const std::uint64_t life = nodes[target]->process.life();
     const bool late = !own && world.random.chance(conditions.late_percent);
     const Duration delay = late ? jitter(world, 10ms, 3s) : jitter(world, 300us, 1500us);
-    world.schedule(own ? Duration(0) : delay, [this, from, target, life, frame] {
-      if (cut_between(from, target)) {
+    world.schedule(own ? Duration(0) : delay + on_the_way, [this, from, target, life, frame] {
+      if (cut_from_to(from, target)) {
         return;
       }
       nodes[target]->process.deliver(life, [this, target, frame] {
@@ -413,7 +483,8 @@
         world.trace(bytes);
         const auto decoded = wire::decode_frame(bytes);
         for (const wire::Incoming& incoming : value_of(decoded)) {
-          if (nodes[target]->life.core) {
+          const bool dropped = !guards.copies_arrive && incoming.body.type == wire::Message::CopyReply;
+          if (nodes[target]->life.core && !dropped) {
             nodes[target]->life.core->handle(incoming);
           }
         }
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -2,6 +2,7 @@
 /// @file A simulated fleet: real NodeCore objects over a simulated network, disks, engines,
 /// services and platform.
 
+#include <deque>
 #include <iosfwd>
 #include <memory>
 #include <optional>
@@ -34,6 +35,9 @@
   std::uint32_t job_items = 20;
   bool mixed_versions = false;  ///< Every other node speaks as an earlier version does.
   unsigned loss_percent = 1;    ///< Of messages between nodes, while no fault raises it.
+  /// Ledger and membership have the deployed program's times; groups and the time until jobs are readable are watched.
+  bool loss_series = false;
+  unsigned replaced_percent = 30;  ///< Disks lost in series whose machine is replaced at another address.
 };
 /// @return the profile of that name, if there is one.
 std::optional<Profile> find_profile(const std::string& name);
@@ -50,6 +54,8 @@
   void flush(std::function<void(Status)> done) override;
   /// Forgets what was not flushed.
   void crash();
+  /// Power is lost: of what was not flushed the first writes are kept, from none to all of them.
+  void lose_power();
   void wipe();
 
  private:
@@ -61,7 +67,13 @@
     std::uint64_t number = 0;  ///< A flush that ends late does not undo what a later one has written.
     wire::Bytes value;
   };
+  struct LoggedWrite {
+    std::uint64_t number = 0;
+    std::string key;
+    wire::Bytes value;
+  };
   std::map<std::string, Write> unflushed_;
+  std::deque<LoggedWrite> log_;                   ///< All writes since the last flush, in their order.
   std::map<std::string, std::uint64_t> flushed_;  ///< Numbers of the durable writes.
   std::uint64_t writes_ = 0;
 };
@@ -215,6 +227,7 @@
   SimStorage storage;
   std::string disk_id;
   bool has_disk = false;
+  bool removed = false;     ///< Its machine was taken away for good.
   bool retiring = false;    ///< Its disk is to be emptied.
   bool emptied = false;     ///< It has said that its disk holds nothing that is needed.
   bool disk_whole = false;  ///< Seen as admitted and copied since the disk was new.
@@ -250,7 +263,9 @@
 
 /// Conditions that faults set and healing clears.
 struct Conditions {
-  std::set<std::pair<unsigned, unsigned>> cuts;  ///< Pairs of nodes that cannot reach each other.
+  std::set<std::pair<unsigned, unsigned>> cuts;          ///< Pairs of nodes that cannot reach each other.
+  std::set<std::pair<unsigned, unsigned>> one_way_cuts;  ///< The first one's messages do not reach the second one.
+  std::set<unsigned> platform_cuts;                      ///< Nodes that the platform's store does not answer.
   unsigned loss_percent = 1;
   unsigned duplicate_percent = 2;
   unsigned late_percent = 1;  ///< Messages that take up to seconds.
@@ -271,8 +286,20 @@
   ~SimFleet();
 
   void start_node(unsigned number);
+  /// Ends the process; what it had not flushed is forgotten.
   void crash_node(unsigned number);
+  /// Ends the process; its disk keeps every write.
+  void kill_node(unsigned number);
+  /// The machine loses power: its disk keeps some of the writes that were not flushed.
+  void cut_power(unsigned number);
   void lose_disk(unsigned number);
+  /// Empties the disk of a node whose process has ended; it is another disk from now on.
+  void empty_disk(unsigned number);
+  /// Takes a machine with a disk away for good.
+  /// @return the number of the one that replaces it, at another address, with an empty disk, not started yet.
+  unsigned replace_machine(unsigned number);
+  /// @return nodes with a disk that have not been taken away.
+  std::vector<unsigned> disk_nodes() const;
   /// Suspends the machine: the process stands still, and so does a steady clock.
   void suspend_node(unsigned number);
   /// Wakes a node that is frozen or suspended.
@@ -304,6 +331,13 @@
   void set_service_leaving(unsigned number, bool leaving);
   void heal();
   bool cut_between(unsigned one, unsigned other) const;
+  /// @return whether messages from @p from do not reach @p to.
+  bool cut_from_to(unsigned from, unsigned to) const;
+  /// @return whether the node is cut off from another one that is part of the fleet, or from the platform's store.
+  bool is_cut_off(unsigned number) const;
+  bool platform_answers(unsigned node) const {
+    return !conditions.platform_down && !conditions.platform_cuts.contains(node);
+  }
   /// @return whether what passes between these two is what an earlier version knows.
   bool speak_earlier_version(unsigned one, unsigned other) const;
   /// Checks draining nodes and ends those that are done; called regularly.
@@ -312,7 +346,8 @@
   void observe_configuration();
 
   static PeerAddress address_of(unsigned node) { return PeerAddress("10.0.0." + std::to_string(node) + ":7000"); }
-  void deliver_message(unsigned from, const PeerAddress& to, const wire::Bytes& frame);
+  /// @param on_the_way besides the network's delay
+  void deliver_message(unsigned from, const PeerAddress& to, const wire::Bytes& frame, Duration on_the_way = {});
   bool usable(unsigned node) const { return nodes[node]->process.up() && !nodes[node]->draining; }
   std::vector<unsigned> running_nodes() const;
   /// @return one of the nodes that take requests, if there are any.
@@ -324,6 +359,7 @@
   const Profile profile;
   const node::Guards guards;
   Conditions conditions;
+  Duration copy_page_time{};  ///< What a page of a copy takes besides the network's delay.
   fatal_sends sent_fatal;
   std::vector<std::unique_ptr<SimNode>> nodes;
   std::vector<std::unique_ptr<SimEngine>> engines;
@@ -338,8 +374,13 @@
   /// Writes what happens to an engine among the decision lines.
   void note_engine(unsigned number, std::string_view what, std::string_view by) const;
   std::unique_ptr<DecisionLog> make_log(unsigned number);
+  void add_node(std::string zone, bool has_disk);
+  void end_process(unsigned number);
+  /// Chooses the times that the deployed program has.
+  static void use_deployed_times(node::NodeOptions& options);
 
   std::ostream* const decisions_;
+  std::vector<unsigned> seeds_ = {0, 1, 2};  ///< Nodes with a disk, at which those that start look for the fleet.
   /// Lives that have ended; events still queued for them refer to their objects.
   std::vector<NodeLife> ended_lives_;
   void count_suspension(SimNode& node) const;
--- a/src/simulation/sim_platform.cpp
+++ b/src/simulation/sim_platform.cpp
@@ -22,7 +22,7 @@
   SimProcess& process = fleet_.nodes[node_]->process;
   const std::uint64_t life = process.life();
   fleet_.world.schedule(fleet_.conditions.platform_delay, [this, node, state, done, &process, life] {
-    const bool down = fleet_.conditions.platform_down;
+    const bool down = !fleet_.platform_answers(node_);
     SimNode& reporter = *fleet_.nodes[node_];
     if (!down && state == object_store::RetirementState::completed && process.life() == life) {
       reporter.emptied = reporter.retiring;
@@ -39,13 +39,13 @@
     process.deliver(life, [done, result = std::move(result)] { done(result); });
   };
   fleet_.world.schedule(fleet_.conditions.platform_delay, [this, &table, since, wait, answer] {
-    if (fleet_.conditions.platform_down) {
+    if (!fleet_.platform_answers(node_)) {
       answer(Error{ErrorKind::unavailable, "down"});
       return;
     }
     table.watch(since, wait, [this, answer](const object_store::ChangeList& changes) {
       fleet_.world.schedule(fleet_.conditions.platform_delay, [this, answer, changes] {
-        if (fleet_.conditions.platform_down) {
+        if (!fleet_.platform_answers(node_)) {
           answer(Error{ErrorKind::unavailable, "down"});
         } else {
           answer(changes);
@@ -60,7 +60,7 @@
   const std::uint64_t life = process.life();
   fleet_.world.schedule(fleet_.conditions.platform_delay, [this, key, done, &process, life] {
     Result<std::optional<object_store::StoredObject>> result = std::optional<object_store::StoredObject>();
-    if (fleet_.conditions.platform_down) {
+    if (!fleet_.platform_answers(node_)) {
       result = Error{ErrorKind::unavailable, "down"};
     } else if (const auto* found = fleet_.objects->find(key)) {
       result = std::optional(*found);
@@ -74,7 +74,7 @@
   const std::uint64_t life = process.life();
   fleet_.world.schedule(fleet_.conditions.platform_delay, [this, request, done, &process, life] {
     Result<std::uint64_t> result = Error{ErrorKind::unavailable, "down"};
-    if (!fleet_.conditions.platform_down) {
+    if (fleet_.platform_answers(node_)) {
       result = emulator::compare_and_set(*fleet_.objects, request);
       if (fleet_.world.random.chance(fleet_.conditions.platform_lost_answers)) {
         result = Error{ErrorKind::ambiguous, "answer lost"};
--- a/src/simulation/sim_storage.cpp
+++ b/src/simulation/sim_storage.cpp
@@ -14,6 +14,7 @@
 void SimStorage::put(const std::string& key, const wire::Bytes& value) {
   visible_[key] = value;
   unflushed_[key] = {++writes_, value};
+  log_.push_back({writes_, key, value});
 }
 
 void SimStorage::scan(const std::string& prefix, const std::string& after,
@@ -29,7 +30,7 @@
 
 void SimStorage::flush(std::function<void(Status)> done) {
   auto writes = std::make_shared<std::map<std::string, Write>>(unflushed_);
-  process_.schedule(jitter(world_, 500us, 2ms), [this, writes, done = std::move(done)] {
+  process_.schedule(jitter(world_, 500us, 2ms), [this, writes, up_to = writes_, done = std::move(done)] {
     for (const auto& [key, write] : *writes) {
       std::uint64_t& flushed = flushed_[key];
       if (write.number < flushed) {
@@ -42,6 +43,9 @@
         unflushed_.erase(pending);
       }
     }
+    while (!log_.empty() && log_.front().number <= up_to) {
+      log_.pop_front();
+    }
     done(Ok{});
   });
 }
@@ -49,6 +53,23 @@
 void SimStorage::crash() {
   visible_ = durable_;
   unflushed_.clear();
+  log_.clear();
+}
+
+void SimStorage::lose_power() {
+  constexpr unsigned kNothingKeptPercent = 25;
+  constexpr unsigned kAllKeptPercent = 25;
+  std::uint64_t kept = world_.random.below(log_.size() + 1);
+  if (world_.random.chance(kNothingKeptPercent)) {
+    kept = 0;
+  } else if (world_.random.chance(kAllKeptPercent)) {
+    kept = log_.size();
+  }
+  for (std::uint64_t write = 0; write < kept; ++write) {
+    durable_[log_[write].key] = log_[write].value;
+    flushed_[log_[write].key] = log_[write].number;
+  }
+  crash();
 }
 
 void SimStorage::wipe() {
@@ -56,6 +77,7 @@
   durable_.clear();
   unflushed_.clear();
   flushed_.clear();
+  log_.clear();
 }
 
 }  // namespace madderdeck::simulation
