--- a/tests/platform/bench/loss_rule_test.cpp
+++ b/tests/platform/bench/loss_rule_test.cpp
@@ -81,6 +81,7 @@
   rule.note_back("a", 2s);
   CHECK(rule.losable(7s) == allowance{{"b", "c", "d", "e"}, 1});
   CHECK(rule.losable(8s) == allowance{kFive, 2});
+  CHECK(rule.disks_copied(8s));
   CHECK_FALSE(rule.at_rest(8s));
   rule.note_back("b", 9s);
   CHECK_FALSE(rule.at_rest(14'999ms));
@@ -124,3 +125,78 @@
   CHECK(rule.losable(7'999ms).at_once == 0);
   CHECK(rule.losable(8s) == allowance{{"a", "b"}, 1});
 }
+
+TEST_CASE(
+    "overlapping losses: a node that is back for less than the catch-up time holds up the copy that waits for it") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_stopped("c", 1s);
+  rule.note_stopped("a", 2s);
+  rule.note_disk_lost("a", 2s);
+  rule.note_back("a", 3s);
+  rule.note_back("c", 4s);
+  rule.note_stopped("c", 6s);
+  CHECK(rule.losable(13s) == allowance{{"a"}, 1});
+  CHECK_FALSE(rule.disks_copied(13s));
+  rule.note_back("c", 14s);
+  CHECK(rule.losable(19'999ms) == allowance{{"a"}, 1});
+  CHECK(rule.losable(20s) == allowance{kThree, 1});
+  CHECK(rule.at_rest(20s));
+}
+
+TEST_CASE("overlapping losses: all ended at the moment of a loss make the disk wait for all") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  for (const std::string& name : kThree) {
+    rule.note_stopped(name, 1s);
+  }
+  rule.note_disk_lost("b", 1s);
+  rule.note_back("a", 2s);
+  rule.note_back("b", 2s);
+  rule.note_back("c", 5s);
+  CHECK(rule.losable(10'999ms) == allowance{{"b"}, 1});
+  CHECK(rule.losable(11s) == allowance{kThree, 1});
+}
+
+TEST_CASE("overlapping losses: a machine that is replaced counts until its successor has had the catch-up time") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_replaced("b", "d", 1s);
+  CHECK(rule.stoppable(1s).nodes == names{"a", "c"});
+  CHECK(rule.losable(5s) == allowance{{"d"}, 1});
+  rule.note_back("d", 6s);
+  CHECK(rule.counts("d", 11'999ms));
+  CHECK(rule.losable(11'999ms) == allowance{{"d"}, 1});
+  CHECK_FALSE(rule.at_rest(11'999ms));
+  CHECK(rule.losable(12s) == allowance{{"a", "c", "d"}, 1});
+  CHECK(rule.stoppable(12s) == allowance{{"a", "c", "d"}, 3});
+  CHECK(rule.at_rest(12s));
+}
+
+TEST_CASE("overlapping losses: a successor that comes while another node is away waits for that one, too") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_stopped("a", 1s);
+  rule.note_replaced("b", "d", 2s);
+  rule.note_back("d", 4s);
+  CHECK(rule.losable(10s) == allowance{{"d"}, 1});
+  rule.note_back("a", 11s);
+  CHECK(rule.losable(16'999ms) == allowance{{"d"}, 1});
+  CHECK(rule.losable(17s) == allowance{{"a", "c", "d"}, 1});
+}
+
+TEST_CASE("overlapping losses: a machine whose lost disk is not copied yet may be replaced, and is one loss") {
+  overlapping_losses rule(kFive, 2, kCatchUp);
+  rule.note_stopped("b", 1s);
+  rule.note_disk_lost("b", 1s);
+  rule.note_back("b", 2s);
+  rule.note_replaced("b", "f", 3s);
+  CHECK(rule.losable(4s) == allowance{{"a", "c", "d", "e"}, 1});
+  rule.note_back("f", 5s);
+  CHECK(rule.losable(11s).at_once == 2);
+}
+
+TEST_CASE("separate losses: a machine that is replaced counts until its successor has had the catch-up time") {
+  separate_losses rule(kThree, 1, kCatchUp);
+  rule.note_replaced("b", "d", 1s);
+  CHECK(rule.stoppable(1s).at_once == 0);
+  rule.note_back("d", 6s);
+  CHECK(rule.stoppable(11'999ms).at_once == 0);
+  CHECK(rule.stoppable(12s) == allowance{{"a", "c", "d"}, 1});
+}
