Fleet runner: series that strike nodes with a disk one by one

Cause: the runner did not play a node that is back for a short time only and away again before another one's new disk has copied, nor a machine that is replaced by one at another address, nor a second loss while the disk of a joint loss is copied, and it waited for eight quiet seconds before a closing.

Existing mixes draw as before; the digest of a plan of `losses` is now kept, too.

--- a/tests/platform/bench/fault_plan_test.cpp
+++ b/tests/platform/bench/fault_plan_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <optional>
 #include <set>
 
 using namespace std::chrono_literals;
@@ -78,11 +79,80 @@
   CHECK(rests > kSeeds / 2);
 }
 
+TEST_CASE("series: a plan comes from its seed, in order, within the run") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    const std::vector<fault> plan = draw_faults(seed, kLength_s, fault_mix::series);
+    REQUIRE_FALSE(plan.empty());
+    CHECK(plan == draw_faults(seed, kLength_s, fault_mix::series));
+    CHECK(plan != draw_faults(seed + 1, kLength_s, fault_mix::series));
+    CHECK(plan.front().at_s >= 2);
+    CHECK(plan.back().at_s <= kLength_s - 3);
+    CHECK(std::is_sorted(plan.begin(), plan.end(),
+                         [](const fault& left, const fault& right) { return left.at_s < right.at_s; }));
+  }
+}
+
+TEST_CASE("series: a node is away again 0.3 to 6 s after it was back, for 2 to 12 s, around another one's lost disk") {
+  unsigned again = 0;
+  unsigned lost_meanwhile = 0;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    std::optional<fault> away;
+    for (const fault& event : draw_faults(seed, kLength_s, fault_mix::series)) {
+      const double until = away ? away->at_s + std::chrono::duration<double>(away->length).count() : 0;
+      if (event.kind == fault_kind::lose_numbered_disk) {
+        REQUIRE(away);
+        CHECK(event.choice > away->choice);
+        CHECK(event.choice <= away->choice + 2);
+        lost_meanwhile += event.at_s < until ? 1 : 0;
+      }
+      if (event.kind != fault_kind::kill_numbered_ledger && event.kind != fault_kind::freeze_numbered_ledger) {
+        continue;
+      }
+      CHECK(event.length >= 2s);
+      CHECK(event.length < 12s);
+      const bool same = away && event.choice == away->choice;
+      again += same && event.at_s - until > 0.299 && event.at_s - until < 6.001 ? 1 : 0;
+      away = event;
+    }
+  }
+  CHECK(again > kSeeds / 2);
+  CHECK(lost_meanwhile > kSeeds / 2);
+}
+
+TEST_CASE("series: machines are replaced after 1 to 6 s, and disks are lost soon after everything has ended") {
+  unsigned replaced = 0;
+  unsigned second = 0;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    double ended = -100;
+    for (const fault& event : draw_faults(seed, kLength_s, fault_mix::series)) {
+      if (event.kind == fault_kind::replace_numbered_ledger) {
+        CHECK(event.length >= 1s);
+        CHECK(event.length < 6s);
+        ++replaced;
+      }
+      if (event.kind == fault_kind::lose_disks_and_power) {
+        ended = event.at_s;
+      }
+      second += event.kind == fault_kind::lose_disk && event.at_s - ended < 5.3 ? 1 : 0;
+    }
+  }
+  CHECK(replaced > kSeeds / 4);
+  CHECK(second > kSeeds / 8);
+}
+
+TEST_CASE("series close as soon as that is allowed, one of three while nodes may be away; other mixes settle before") {
+  CHECK(draw_closing_moment(3, fault_mix::series) == closing_moment::disks_copied);
+  CHECK(draw_closing_moment(4, fault_mix::series) == closing_moment::at_rest);
+  CHECK(draw_closing_moment(5, fault_mix::series) == closing_moment::at_rest);
+  CHECK(draw_closing_moment(3, fault_mix::losses) == closing_moment::settled);
+}
+
 TEST_CASE("the plans of the other mixes stay as they are: seeds that failed once can be played again") {
   CHECK(digest(draw_faults(88'001, kLength_s, fault_mix::mixed)) == 12514542997132099512ULL);
   CHECK(digest(draw_faults(88'011, kLength_s, fault_mix::all)) == 8031778906006050505ULL);
   CHECK(digest(draw_faults(88'021, kLength_s, fault_mix::rolling)) == 8491675726162866542ULL);
   CHECK(digest(draw_faults(140, kLength_s, fault_mix::leaving)) == 9450902135293069579ULL);
   CHECK(digest(draw_faults(23, kLength_s, fault_mix::upgrade)) == 12294567747468841112ULL);
+  CHECK(digest(draw_faults(99'634, kLength_s, fault_mix::losses)) == 10918138590271081314ULL);
   CHECK(draw_faults(1, kLength_s, fault_mix::none).empty());
 }
