Fleet runner: whole copies of each group right before the closing

Cause: the summary told how many whole copies a group had at most and at the end, not with how many it went into the closing, which tells a copy that was too slow from a group that was stuck before.

Change: groups have whole_at_closing and whole_at_end.

--- a/tests/platform/bench/disk_copies_test.cpp
+++ b/tests/platform/bench/disk_copies_test.cpp
@@ -87,18 +87,19 @@
   const std::map<std::string, bool> jobs = {{"j-1", false}, {"j-2", false}, {"j-3", false}, {"j-4", false},
                                             {"j-5", false}, {"j-6", false}, {"j-7", false}, {"j-8", false}};
   std::size_t unread = 0;
-  for (const group_outcome& one : outcomes_of(copies, jobs, 5'000, 9'000)) {
+  for (const group_outcome& one : outcomes_of(copies, jobs, {5'000, 5'999, 9'000})) {
     CHECK(one.most_whole_copies == 2);
-    CHECK(one.whole_copies == 1);
+    CHECK(one.whole_at_closing == 2);
+    CHECK(one.whole_at_end == 1);
     CHECK(one.jobs == one.jobs_unread);
     CHECK(is_broken(one, kMajority) == (one.jobs > 0));
     unread += one.jobs_unread;
   }
   CHECK(unread == jobs.size());
-  for (const group_outcome& one : outcomes_of(copies, jobs, 6'000, 9'000)) {
+  for (const group_outcome& one : outcomes_of(copies, jobs, {6'000, 6'000, 9'000})) {
     CHECK_FALSE(is_broken(one, kMajority));  // it had one whole copy only
   }
-  for (const group_outcome& one : outcomes_of(copies, {{"j-1", true}}, 5'000, 9'000)) {
+  for (const group_outcome& one : outcomes_of(copies, {{"j-1", true}}, {5'000, 6'000, 9'000})) {
     CHECK_FALSE(is_broken(one, kMajority));
   }
 }
