A disk's identity lasts exactly as long as its records

Callers see: a node whose file disk_id cannot be read, is empty or is torn ends its start with a typed error and leaves the file as it is; before, a new identity was written over it, so that a disk that was not lost counted as lost. A folder whose records have gone is a new disk; before, it took part under its old identity, and with the founding epoch it voted at once.

Cause: the identity stood in a file alone, and any failure to read that file counted as "no file". The folder of the database is an entry of the data folder that nothing synced.

The identity now stands within the database, too, synced before any record, and the data folder is synced before the file is written. File and database must agree. Folders of earlier versions (file, group states, nothing within the database) keep their identity. Records of another identity are moved to records.former and not served; lines disk_identity_made (with the reason) and disk_identity_file_made.

That the folder's sync comes before the file is not covered by a test: nothing there can take an unsynced folder entry away.

--- /dev/null
+++ b/src/ledger/rocksdb_disk.cpp
@@ -0,0 +1,241 @@
+#include "ledger/rocksdb_disk.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <filesystem>
+#include <optional>
+
+#include "common/hash.hpp"
+
+namespace madderdeck::ledger {
+namespace {
+
+constexpr char kIdentityFile[] = "disk_id";
+constexpr char kFormerRecordsFolder[] = "records.former";
+/// Within the database; the areas of replicas have one letter.
+constexpr char kIdentityKey[] = "disk/identity";
+/// Of the descriptions of groups, which a replica writes before any record.
+constexpr char kGroupStates[] = "g/";
+constexpr std::size_t kMostIdentityBytes = 256;
+
+/// A file descriptor that is closed with its scope.
+class Descriptor {
+ public:
+  Descriptor(const std::string& path, int flags) : number_(::open(path.c_str(), flags | O_CLOEXEC, 0644)) {}
+  ~Descriptor() {
+    if (number_ >= 0) {
+      ::close(number_);
+    }
+  }
+  Descriptor(const Descriptor&) = delete;
+  Descriptor& operator=(const Descriptor&) = delete;
+  bool is_open() const { return number_ >= 0; }
+  ssize_t read(char* bytes, std::size_t size) const { return ::read(number_, bytes, size); }
+  bool sync() const { return number_ >= 0 && ::fsync(number_) == 0; }
+  bool write(const std::string& text) const {
+    return number_ >= 0 && ::write(number_, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+  }
+
+ private:
+  const int number_;
+};
+
+/// Writes a small file so that it survives a loss of power, whole or not at all.
+bool write_durably(const std::string& folder, const std::string& name, const std::string& text) {
+  const std::string path = folder + "/" + name;
+  const std::string unfinished = path + ".new";
+  const Descriptor file(unfinished, O_WRONLY | O_CREAT | O_TRUNC);
+  if (!file.write(text) || !file.sync() || ::rename(unfinished.c_str(), path.c_str()) != 0) {
+    return false;
+  }
+  return Descriptor(folder, O_RDONLY | O_DIRECTORY).sync();
+}
+
+bool sync_folder(const std::string& folder) { return Descriptor(folder, O_RDONLY | O_DIRECTORY).sync(); }
+
+Error unwritable(const std::string& what) {
+  return Error{ErrorKind::storage_unwritable, what + ": " + std::strerror(errno)};
+}
+
+/// Makes @p folder and the folders above it, each of which survives a loss of power.
+Status make_folder(const std::filesystem::path& folder) {
+  std::error_code failure;
+  if (std::filesystem::is_directory(folder, failure)) {
+    return Ok{};
+  }
+  const std::filesystem::path parent = folder.has_parent_path() ? folder.parent_path() : ".";
+  if (const Status above = make_folder(parent); !succeeded(above)) {
+    return above;
+  }
+  std::filesystem::create_directory(folder, failure);
+  if (failure) {
+    return Error{ErrorKind::storage_unwritable, "cannot make " + folder.string() + ": " + failure.message()};
+  }
+  return sync_folder(parent.string()) ? Status(Ok{}) : unwritable("cannot sync " + parent.string());
+}
+
+/// @return the identity in the file; nothing where there is no file.
+Result<std::optional<std::string>> read_identity_file(const std::string& folder) {
+  const std::string path = folder + "/" + kIdentityFile;
+  const Descriptor file(path, O_RDONLY);
+  if (!file.is_open() && errno == ENOENT) {
+    return std::optional<std::string>();
+  }
+  std::array<char, kMostIdentityBytes> bytes;
+  const ssize_t size = file.is_open() ? file.read(bytes.data(), bytes.size()) : -1;
+  if (size < 0) {
+    return Error{ErrorKind::unavailable, "cannot read " + path + ": " + std::strerror(errno)};
+  }
+  const std::string text(bytes.data(), static_cast<std::size_t>(size));
+  const std::size_t end = text.find_first_of(" \t\r\n");
+  if (end == 0 || end == std::string::npos) {
+    return Error{ErrorKind::corrupted, path + " is empty or torn"};
+  }
+  return std::optional(text.substr(0, end));
+}
+
+/// What a folder tells of its identity.
+struct FolderContents {
+  std::optional<std::string> in_file;
+  std::optional<std::string> in_records;
+  bool holds_group_states = false;
+  bool holds_records = false;  ///< Anything but the identity.
+};
+
+Result<FolderContents> look_into(const RocksDbStorage& storage, std::optional<std::string> in_file) {
+  FolderContents found;
+  found.in_file = std::move(in_file);
+  const auto identity = storage.get(kIdentityKey);
+  const auto states = storage.holds(kGroupStates);
+  const auto records = storage.holds("", kIdentityKey);
+  if (!succeeded(identity)) {
+    return error_of(identity);
+  }
+  if (!succeeded(states)) {
+    return error_of(states);
+  }
+  if (!succeeded(records)) {
+    return error_of(records);
+  }
+  if (const auto& bytes = value_of(identity)) {
+    found.in_records = std::string(bytes->begin(), bytes->end());
+  }
+  found.holds_group_states = value_of(states);
+  found.holds_records = value_of(records);
+  return found;
+}
+
+NewIdentityReason why_new(const FolderContents& found) {
+  if (found.in_records) {
+    const bool agree = !found.in_file || *found.in_file == *found.in_records;
+    return agree ? NewIdentityReason::none : NewIdentityReason::records_of_another_disk;
+  }
+  if (!found.in_file) {
+    return found.holds_records ? NewIdentityReason::records_without_identity : NewIdentityReason::empty_folder;
+  }
+  // Earlier versions wrote the identity to the file alone.
+  return found.holds_group_states ? NewIdentityReason::none : NewIdentityReason::records_gone;
+}
+
+/// Closes the database, moves it aside and makes an empty one. Records that were moved aside before are removed.
+Status replace_records(const std::string& folder, const Executors& executors, OpenedDisk& disk) {
+  disk.storage.reset();
+  disk.former_records = folder + "/" + kFormerRecordsFolder;
+  std::error_code failure;
+  std::filesystem::remove_all(disk.former_records, failure);
+  if (!failure) {
+    std::filesystem::rename(folder + "/" + kRecordsFolder, disk.former_records, failure);
+  }
+  if (failure) {
+    return Error{ErrorKind::storage_unwritable,
+                 "cannot move records to " + disk.former_records + ": " + failure.message()};
+  }
+  if (!sync_folder(folder)) {
+    return unwritable("cannot sync " + folder);
+  }
+  auto storage = RocksDbStorage::open(folder, executors);
+  if (!succeeded(storage)) {
+    return error_of(storage);
+  }
+  disk.storage = std::move(value_of(storage));
+  return Ok{};
+}
+
+/// Writes the identity into the database, then the file: a file tells that a database was here.
+Status keep_identity(const std::string& folder, const FolderContents& found, const OpenedDisk& disk) {
+  if (found.in_records != disk.identity) {
+    if (const Status kept = disk.storage->put_synced(kIdentityKey, disk.identity); !succeeded(kept)) {
+      return kept;
+    }
+  }
+  // The database's own folder is an entry here that the database does not sync.
+  if (!sync_folder(folder)) {
+    return unwritable("cannot sync " + folder);
+  }
+  if (found.in_file != disk.identity && !write_durably(folder, kIdentityFile, disk.identity + "\n")) {
+    return unwritable("cannot write " + folder + "/" + kIdentityFile);
+  }
+  return Ok{};
+}
+
+}  // namespace
+
+std::string_view new_identity_reason_name(NewIdentityReason reason) {
+  switch (reason) {
+    case NewIdentityReason::none:
+      return "none";
+    case NewIdentityReason::empty_folder:
+      return "empty_folder";
+    case NewIdentityReason::records_gone:
+      return "records_gone";
+    case NewIdentityReason::records_of_another_disk:
+      return "records_of_another_disk";
+    case NewIdentityReason::records_without_identity:
+      return "records_without_identity";
+  }
+  return "unknown";
+}
+
+Result<OpenedDisk> open_disk(const std::string& folder, std::uint64_t random, const Executors& executors) {
+  if (const Status made = make_folder(folder); !succeeded(made)) {
+    return error_of(made);
+  }
+  auto in_file = read_identity_file(folder);
+  if (!succeeded(in_file)) {
+    return error_of(in_file);
+  }
+  auto storage = RocksDbStorage::open(folder, executors);
+  if (!succeeded(storage)) {
+    return error_of(storage);
+  }
+  const auto contents = look_into(*value_of(storage), std::move(value_of(in_file)));
+  if (!succeeded(contents)) {
+    return error_of(contents);
+  }
+  const FolderContents& found = value_of(contents);
+  OpenedDisk disk;
+  disk.storage = std::move(value_of(storage));
+  disk.reason = why_new(found);
+  if (disk.reason == NewIdentityReason::none) {
+    disk.identity = found.in_records ? *found.in_records : *found.in_file;
+    disk.identity_file_made = !found.in_file;
+  } else {
+    disk.identity = "disk-" + hex64(random);
+    disk.former_identity = found.in_file.value_or("");
+  }
+  if (disk.reason != NewIdentityReason::none && found.holds_records) {
+    if (const Status replaced = replace_records(folder, executors, disk); !succeeded(replaced)) {
+      return error_of(replaced);
+    }
+  }
+  if (const Status kept = keep_identity(folder, found, disk); !succeeded(kept)) {
+    return error_of(kept);
+  }
+  return disk;
+}
+
+}  // namespace madderdeck::ledger
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -1,23 +1,21 @@
 #include "ledger/rocksdb_storage.hpp"
 
-#include <fcntl.h>
 #include <rocksdb/cache.h>
 #include <rocksdb/db.h>
 #include <rocksdb/filter_policy.h>
 #include <rocksdb/table.h>
-#include <unistd.h>
 
-#include <filesystem>
-#include <fstream>
 #include <vector>
 
-#include "common/hash.hpp"
-
 namespace madderdeck::ledger {
 namespace {
 constexpr std::size_t kWriteBufferBytes = 16 << 20;
 constexpr std::size_t kCacheBytes = 8 << 20;
 constexpr int kBloomBitsPerKey = 10;
+
+Error read_error(const rocksdb::Status& status) {
+  return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::unavailable, status.ToString()};
+}
 }  // namespace
 
 struct RocksDbStorage::Implementation {
@@ -44,7 +42,7 @@
   table_options.filter_policy.reset(rocksdb::NewBloomFilterPolicy(kBloomBitsPerKey));
   options.table_factory.reset(rocksdb::NewBlockBasedTableFactory(table_options));
   rocksdb::DB* database = nullptr;
-  const rocksdb::Status status = rocksdb::DB::Open(options, folder + "/records", &database);
+  const rocksdb::Status status = rocksdb::DB::Open(options, folder + "/" + kRecordsFolder, &database);
   if (!status.ok()) {
     return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::storage_unwritable, status.ToString()};
   }
@@ -72,7 +70,7 @@
     return Ok{};
   }
   if (!status.ok()) {
-    return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::unavailable, status.ToString()};
+    return read_error(status);
   }
   look(std::string_view(value.data(), value.size()));
   return Ok{};
@@ -129,55 +127,26 @@
   });
 }
 
-namespace {
-
-/// A file descriptor that is closed with its scope.
-class Descriptor {
- public:
-  Descriptor(const std::string& path, int flags) : number_(::open(path.c_str(), flags | O_CLOEXEC, 0644)) {}
-  ~Descriptor() {
-    if (number_ >= 0) {
-      ::close(number_);
-    }
-  }
-  Descriptor(const Descriptor&) = delete;
-  Descriptor& operator=(const Descriptor&) = delete;
-  bool sync() const { return number_ >= 0 && ::fsync(number_) == 0; }
-  bool write(const std::string& text) const {
-    return number_ >= 0 && ::write(number_, text.data(), text.size()) == static_cast<ssize_t>(text.size());
-  }
-
- private:
-  const int number_;
-};
-
-/// Writes a small file so that it survives a loss of power, whole or not at all.
-bool write_durably(const std::string& folder, const std::string& name, const std::string& text) {
-  const std::string path = folder + "/" + name;
-  const std::string unfinished = path + ".new";
-  const Descriptor file(unfinished, O_WRONLY | O_CREAT | O_TRUNC);
-  if (!file.write(text) || !file.sync() || ::rename(unfinished.c_str(), path.c_str()) != 0) {
-    return false;
+Status RocksDbStorage::put_synced(const std::string& key, const std::string& value) {
+  rocksdb::WriteOptions synced;
+  synced.sync = true;
+  const rocksdb::Status status = implementation_->database->Put(synced, key, value);
+  if (!status.ok()) {
+    return Error{ErrorKind::storage_unwritable, status.ToString()};
   }
-  return Descriptor(folder, O_RDONLY | O_DIRECTORY).sync();
+  return Ok{};
 }
 
-}  // namespace
-
-Result<std::string> load_disk_id(const std::string& folder, std::uint64_t random) {
-  std::error_code failure;
-  std::filesystem::create_directories(folder, failure);
-  constexpr char kName[] = "disk_id";
-  std::string identity;
-  if (std::ifstream file(folder + "/" + kName); file >> identity) {
-    return identity;
+Result<bool> RocksDbStorage::holds(const std::string& prefix, const std::string& besides) const {
+  const std::unique_ptr<rocksdb::Iterator> iterator(implementation_->database->NewIterator(rocksdb::ReadOptions()));
+  iterator->Seek(prefix);
+  if (iterator->Valid() && !besides.empty() && iterator->key() == besides) {
+    iterator->Next();
   }
-  identity = "disk-" + hex64(random);
-  // Without its identity a disk's records count for nothing, so it must last as long as they do.
-  if (!write_durably(folder, kName, identity + "\n")) {
-    return Error{ErrorKind::storage_unwritable, "cannot write " + folder + "/" + kName};
+  if (!iterator->status().ok()) {
+    return read_error(iterator->status());
   }
-  return identity;
+  return iterator->Valid() && iterator->key().starts_with(prefix);
 }
 
 }  // namespace madderdeck::ledger
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -15,6 +15,9 @@
   std::function<void(std::function<void()>)> owner;       ///< Runs a task on the owner's thread.
 };
 
+/// The database's folder within the disk folder.
+inline constexpr char kRecordsFolder[] = "records";
+
 /// Writes go to the log at once and are synced in groups by a background task.
 class RocksDbStorage : public Storage {
  public:
@@ -31,6 +34,13 @@
             const std::function<bool(std::string_view, std::string_view)>& visit) const override;
   void flush(std::function<void(Status)> done) override;
 
+  /// Writes and syncs before it returns; for the start, where nothing else waits.
+  /// @return ErrorKind::storage_unwritable on failure.
+  Status put_synced(const std::string& key, const std::string& value);
+  /// @return whether there is a key that starts with @p prefix, other than @p besides; ErrorKind::corrupted or
+  ///         ErrorKind::unavailable where that cannot be read.
+  Result<bool> holds(const std::string& prefix, const std::string& besides = "") const;
+
  private:
   struct Implementation;
   explicit RocksDbStorage(std::shared_ptr<Implementation> implementation);
@@ -39,8 +49,4 @@
   std::shared_ptr<Implementation> implementation_;
 };
 
-/// Reads the identity of the disk folder, making one where there is none.
-/// @return ErrorKind::storage_unwritable when the folder cannot be written.
-Result<std::string> load_disk_id(const std::string& folder, std::uint64_t random);
-
 }  // namespace madderdeck::ledger
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -9,7 +9,7 @@
 
 #include "gateway/api.hpp"
 #include "gateway/problem.hpp"
-#include "ledger/rocksdb_storage.hpp"
+#include "ledger/rocksdb_disk.hpp"
 #include "node/asio_environment.hpp"
 #include "node/held_signals.hpp"
 #include "node/node_core.hpp"
@@ -72,19 +72,10 @@
   Status prepare() {
     NodeOptions options = describe_self();
     if (settings_.has_role("ledger")) {
-      const auto disk = ledger::load_disk_id(settings_.data_folder, environment_.random());
-      if (!succeeded(disk)) {
-        return error_of(disk);
+      const Status opened = open_disk(options);
+      if (!succeeded(opened)) {
+        return opened;
       }
-      options.self.disk_id = value_of(disk);
-      ledger::Executors executors;
-      executors.background = [this](std::function<void()> task) { asio::post(background_, std::move(task)); };
-      executors.owner = [this](std::function<void()> task) { asio::post(context_, std::move(task)); };
-      auto storage = ledger::RocksDbStorage::open(settings_.data_folder, std::move(executors));
-      if (!succeeded(storage)) {
-        return error_of(storage);
-      }
-      storage_ = std::move(value_of(storage));
     }
     core_ = std::make_unique<NodeCore>(NodeDependencies{environment_, counters_, storage_.get(), backends_->client(),
                                                         *platform_, log_, backends_->upstream()},
@@ -110,6 +101,30 @@
     return succeeded(peers) ? listen_api() : peers;
   }
 
+  Status open_disk(NodeOptions& options) {
+    ledger::Executors executors;
+    executors.background = [this](std::function<void()> task) { asio::post(background_, std::move(task)); };
+    executors.owner = [this](std::function<void()> task) { asio::post(context_, std::move(task)); };
+    auto opened = ledger::open_disk(settings_.data_folder, environment_.random(), executors);
+    if (!succeeded(opened)) {
+      return error_of(opened);
+    }
+    ledger::OpenedDisk& disk = value_of(opened);
+    if (disk.reason != ledger::NewIdentityReason::none) {
+      log_event(LogLevel::warning, "disk_identity_made",
+                {{"disk", disk.identity},
+                 {"reason", ledger::new_identity_reason_name(disk.reason)},
+                 {"former", disk.former_identity},
+                 {"former_records", disk.former_records}});
+    }
+    if (disk.identity_file_made) {
+      log_event(LogLevel::warning, "disk_identity_file_made", {{"disk", disk.identity}});
+    }
+    options.self.disk_id = disk.identity;
+    storage_ = std::move(disk.storage);
+    return Ok{};
+  }
+
   NodeOptions describe_self() {
     NodeOptions options;
     options.self.id = settings_.id;
