What a replica tells is what a loss of power leaves

Callers see: an answer to a scan leaves after a sync where something is unsynced, and at once where nothing is. The same holds for the present epoch in a refusal. A page of a copy and the state of a copy, which waited for a sync in any case, leave at once where all is synced. An answer to a scan that comes out later than its reader waits is not sent.

Cause: the handler of scans and the refusals sent without asking the disk, so that a reader could be told a result that was gone once a majority had lost power.

Storage tells whether anything is unsynced. RocksDbStorage counts its writes and remembers up to which one a sync under way covers; who comes later shares that sync if it covers all writes.

--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -386,21 +386,35 @@
   return progress;
 }
 
-template <class Reply>
-void Replica::reply_when_durable(const PeerAddress& to, Reply reply) {
-  if (!guards_.flush_before_reply) {
-    send_message(environment_, to, std::move(reply));
+template <class Send>
+void Replica::when_durable(Send send) {
+  if (!guards_.flush_before_reply || !storage_.has_unflushed()) {
+    send();
     return;
   }
-  storage_.flush(lifetime_.guard([this, to, reply = std::move(reply)](const Status& status) mutable {
+  storage_.flush(lifetime_.guard([this, send = std::move(send)](const Status& status) mutable {
     if (!succeeded(status)) {
       counters_["ledger_flush_failures_total"]++;
       return;
     }
-    send_message(environment_, to, std::move(reply));
+    send();
   }));
 }
 
+template <class Reply>
+void Replica::reply_when_durable(const PeerAddress& to, Reply reply) {
+  when_durable([this, to, reply = std::move(reply)]() mutable { send_message(environment_, to, std::move(reply)); });
+}
+
+template <class Reply>
+void Replica::refuse(const PeerAddress& to, Reply reply) {
+  if (reply.description) {
+    reply_when_durable(to, std::move(reply));
+  } else {
+    send_message(environment_, to, std::move(reply));
+  }
+}
+
 template <class Request, class Reply>
 std::optional<Replica::StoredRecord> Replica::open_request(const PeerAddress& sender, const Request& message,
                                                            Reply& reply, bool with_value) {
@@ -409,7 +423,7 @@
   reply.status = admit(message.group, message.epoch);
   if (reply.status != wire::ReplicaStatus::Granted) {
     describe_group(message.group, reply);
-    send_message(environment_, sender, std::move(reply));
+    refuse(sender, std::move(reply));
     return std::nullopt;
   }
   reply.replica = progress_.at(message.group).index;
@@ -533,19 +547,28 @@
   reply.request = message.request;
   reply.epoch = message.epoch;
   reply.status = admit(message.group, message.epoch);
-  if (reply.status == wire::ReplicaStatus::Granted) {
-    reply.replica = progress_.at(message.group).index;
-    reply.ballots_only = message.ballots_only;
-    const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
-    reply.records = message.keys.empty()
-                        ? page(query, reply.truncated)
-                        : records_of({message.group, message.keys, std::min<std::size_t>(message.max_bytes, kPageBytes),
-                                      !message.ballots_only});
+  if (reply.status != wire::ReplicaStatus::Granted) {
+    describe_group(message.group, reply);
+    refuse(sender, std::move(reply));
+    return;
   }
-  describe_group(message.group, reply);
+  reply.replica = progress_.at(message.group).index;
+  reply.ballots_only = message.ballots_only;
+  const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
+  reply.records = message.keys.empty()
+                      ? page(query, reply.truncated)
+                      : records_of({message.group, message.keys, std::min<std::size_t>(message.max_bytes, kPageBytes),
+                                    !message.ballots_only});
   // A reader that has left needs no answer; others wait behind its values.
   const Duration useful_for = message.patience_ms == 0 ? kScanPatience : std::chrono::milliseconds(message.patience_ms);
-  send_message_within(useful_for, environment_, sender, std::move(reply));
+  const Timestamp useful_until = environment_.now() + useful_for;
+  // A reader takes what a majority tells for chosen.
+  when_durable([this, sender, useful_until, reply = std::move(reply)]() mutable {
+    const Timestamp now = environment_.now();
+    if (now < useful_until) {
+      send_message_within(useful_until - now, environment_, sender, std::move(reply));
+    }
+  });
 }
 
 // --- copying to a new or returning replica -------------------------------------------------
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -181,6 +181,13 @@
                                            bool with_value);
   template <class Reply>
   void refuse_ballot(const PeerAddress& sender, Reply reply);
+  /// Runs @p send once nothing is left that a loss of power could take away of what is known now: at once where all is
+  /// synced. Does not run it when the disk fails.
+  template <class Send>
+  void when_durable(Send send);
+  /// Sends a reply that tells no record; where it tells an epoch, only once that is durable.
+  template <class Reply>
+  void refuse(const PeerAddress& to, Reply reply);
   template <class Reply>
   void reply_when_durable(const PeerAddress& to, Reply reply);
 
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -21,8 +21,12 @@
 struct RocksDbStorage::Implementation {
   std::unique_ptr<rocksdb::DB> database;
   Executors executors;
-  std::vector<std::function<void(Status)>> waiting;
-  bool flushing = false;
+  using Waiting = std::vector<std::function<void(Status)>>;
+  Waiting waiting;
+  std::shared_ptr<Waiting> under_way;  ///< They wait for the sync under way; none: there is no sync.
+  std::uint64_t puts = 0;              ///< Since the database was opened.
+  std::uint64_t syncing_puts = 0;      ///< Covered by the sync under way, or else by the last one.
+  std::uint64_t synced_puts = 0;
   bool failed = false;  ///< A write or sync failed: nothing is confirmed any more.
 };
 
@@ -77,6 +81,7 @@
 }
 
 void RocksDbStorage::put(const std::string& key, const wire::Bytes& value) {
+  ++implementation_->puts;
   const rocksdb::Slice slice(reinterpret_cast<const char*>(value.data()), value.size());
   if (!implementation_->database->Put(rocksdb::WriteOptions(), key, slice).ok()) {
     implementation_->failed = true;
@@ -99,34 +104,49 @@
 }
 
 void RocksDbStorage::flush(std::function<void(Status)> done) {
-  implementation_->waiting.push_back(std::move(done));
-  if (!implementation_->flushing) {
+  Implementation& state = *implementation_;
+  if (state.under_way && state.syncing_puts == state.puts) {
+    state.under_way->push_back(std::move(done));
+    return;
+  }
+  state.waiting.push_back(std::move(done));
+  if (!state.under_way) {
     start_flush(implementation_);
   }
 }
 
+bool RocksDbStorage::has_unflushed() const {
+  return implementation_->failed || implementation_->synced_puts != implementation_->puts;
+}
+
 void RocksDbStorage::start_flush(const std::shared_ptr<Implementation>& implementation) {
-  implementation->flushing = true;
-  auto group = std::make_shared<std::vector<std::function<void(Status)>>>(std::move(implementation->waiting));
+  implementation->under_way = std::make_shared<Implementation::Waiting>(std::move(implementation->waiting));
   implementation->waiting.clear();
-  implementation->executors.background([implementation, group] {
+  implementation->syncing_puts = implementation->puts;
+  implementation->executors.background([implementation] {
     const rocksdb::Status synced = implementation->database->SyncWAL();
-    implementation->executors.owner([implementation, group, good = synced.ok()] {
-      implementation->failed = implementation->failed || !good;
-      const Status status =
-          implementation->failed ? Status(Error{ErrorKind::storage_unwritable, "write or sync failed"}) : Status(Ok{});
-      for (const auto& done : *group) {
-        done(status);
-      }
-      if (implementation->waiting.empty()) {
-        implementation->flushing = false;
-      } else {
-        start_flush(implementation);
-      }
-    });
+    implementation->executors.owner([implementation, good = synced.ok()] { finish_flush(implementation, good); });
   });
 }
 
+void RocksDbStorage::finish_flush(const std::shared_ptr<Implementation>& implementation, bool synced) {
+  implementation->failed = implementation->failed || !synced;
+  if (!implementation->failed) {
+    implementation->synced_puts = implementation->syncing_puts;
+  }
+  const auto group = std::move(implementation->under_way);
+  implementation->under_way = nullptr;
+  const Status status =
+      implementation->failed ? Status(Error{ErrorKind::storage_unwritable, "write or sync failed"}) : Status(Ok{});
+  for (const auto& done : *group) {
+    done(status);
+  }
+  // One of them may have begun the next sync.
+  if (!implementation->waiting.empty() && !implementation->under_way) {
+    start_flush(implementation);
+  }
+}
+
 Status RocksDbStorage::put_synced(const std::string& key, const std::string& value) {
   rocksdb::WriteOptions synced;
   synced.sync = true;
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -32,7 +32,9 @@
   void put(const std::string& key, const wire::Bytes& value) override;
   void scan(const std::string& prefix, const std::string& after,
             const std::function<bool(std::string_view, std::string_view)>& visit) const override;
+  /// Callers that a sync under way covers already share it.
   void flush(std::function<void(Status)> done) override;
+  bool has_unflushed() const override;
 
   /// Writes and syncs before it returns; for the start, where nothing else waits.
   /// @return ErrorKind::storage_unwritable on failure.
@@ -45,6 +47,7 @@
   struct Implementation;
   explicit RocksDbStorage(std::shared_ptr<Implementation> implementation);
   static void start_flush(const std::shared_ptr<Implementation>& implementation);
+  static void finish_flush(const std::shared_ptr<Implementation>& implementation, bool synced);
 
   std::shared_ptr<Implementation> implementation_;
 };
--- a/src/ledger/storage.hpp
+++ b/src/ledger/storage.hpp
@@ -29,6 +29,8 @@
   /// Runs @p done once everything put so far survives the loss of the process. Callers that
   /// arrive while a flush is under way share the next one (group commit).
   virtual void flush(std::function<void(Status)> done) = 0;
+  /// @return whether a loss of power may take anything away that was put.
+  virtual bool has_unflushed() const = 0;
 };
 
 inline Status Storage::look_at(const std::string& key, const std::function<void(std::string_view)>& look) const {
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -14,6 +14,17 @@
 
 const PeerAddress kCaller("10.0.0.9:1");
 
+/// Counts the flushes that it is asked for.
+class flush_counting_storage : public simulation::SimStorage {
+ public:
+  using SimStorage::SimStorage;
+  void flush(std::function<void(Status)> done) override {
+    ++flushes;
+    SimStorage::flush(std::move(done));
+  }
+  unsigned flushes = 0;
+};
+
 /// One replica with a disk.
 struct ReplicaFixture {
   explicit ReplicaFixture(const std::string& disk = "disk-a") {
@@ -61,7 +72,7 @@
   TestEnvironment environment;
   Counters counters;
   simulation::SimProcess process{environment.world};
-  simulation::SimStorage storage{environment.world, process};
+  flush_counting_storage storage{environment.world, process};
   std::unique_ptr<Replica> replica;
 };
 
@@ -150,6 +161,78 @@
   CHECK(fixture.last(wire::Message::ScanReply).AsScanReply()->status == wire::ReplicaStatus::Granted);
 }
 
+TEST_CASE("what is synced is told at once and costs no flush") {
+  ReplicaFixture fixture;
+  fixture.replica->on_group_map(fixture.map(1));
+  fixture.accept(1, {1, 1}, {1});
+  fixture.environment.sent.clear();
+  const unsigned flushes = fixture.storage.flushes;
+  SECTION("to a scan") {
+    wire::ScanRequestT scan;
+    scan.epoch = 1;
+    scan.prefix = "k/";
+    scan.limit = 10;
+    fixture.replica->handle(kCaller, scan);
+    CHECK(fixture.last(wire::Message::ScanReply).AsScanReply()->records.size() == 1);
+  }
+  SECTION("to a replica that copies") {
+    wire::CopyRequestT copy;
+    copy.epoch = 1;
+    copy.after = "a:";
+    copy.limit = 10;
+    fixture.replica->handle(kCaller, copy);
+    CHECK(fixture.last(wire::Message::CopyReply).AsCopyReply()->records.size() == 1);
+  }
+  SECTION("to one that asks how far the copy is") {
+    wire::CopyStatusRequestT status;
+    status.epoch = 1;
+    fixture.replica->handle(kCaller, status);
+    const wire::MessageUnion answer = fixture.last(wire::Message::CopyStatus);
+    CHECK(answer.AsCopyStatus()->standing == wire::ReplicaStanding::Admitted);
+  }
+  CHECK(fixture.storage.flushes == flushes);
+}
+
+TEST_CASE("an epoch is told only once a loss of power would leave it") {
+  ReplicaFixture fixture;
+  fixture.replica->on_group_map(fixture.map(1));
+  fixture.environment.world.run_for(20ms);
+  fixture.replica->on_group_map(fixture.map(2));
+  fixture.environment.sent.clear();
+  wire::Message answer = wire::Message::NONE;
+  SECTION("to one that prepares") {
+    wire::PrepareT request;
+    request.epoch = 1;
+    request.ballot = to_wire({1, 1});
+    request.key = "k/1";
+    fixture.replica->handle(kCaller, request);
+    answer = wire::Message::Promise;
+  }
+  SECTION("to one that sends a value") {
+    wire::AcceptT request;
+    request.epoch = 1;
+    request.ballot = to_wire({1, 1});
+    request.key = "k/1";
+    fixture.replica->handle(kCaller, request);
+    answer = wire::Message::Accepted;
+  }
+  SECTION("to a scan") {
+    wire::ScanRequestT request;
+    request.epoch = 1;
+    fixture.replica->handle(kCaller, request);
+    answer = wire::Message::ScanReply;
+  }
+  SECTION("to a replica that copies") {
+    wire::CopyRequestT request;
+    request.epoch = 1;
+    fixture.replica->handle(kCaller, request);
+    answer = wire::Message::CopyReply;
+  }
+  CHECK(fixture.environment.sent_of(answer) == 0);
+  fixture.environment.world.run_for(20ms);
+  CHECK(fixture.environment.sent_of(answer) == 1);
+}
+
 TEST_CASE("a disk that is not in the map, or not of this epoch, does not vote") {
   ReplicaFixture fixture;
   CHECK(fixture.prepare(1, {1, 1}).status == wire::ReplicaStatus::UnknownEpoch);
