A disk that refuses writes for a while is used again without a restart of the node

Callers see: after a refused write or sync the replica takes part in nothing; the database is closed and opened again after 250 ms, then after twice as long, up to 2 s, until that succeeds; then the replica goes on from what the disk holds, as after a restart. Lines disk_writes_refused, disk_not_opened, disk_writes_regained (with how long); counters ledger_disk_refusals_total and ledger_disk_reopen_failures_total.

Cause: RocksDbStorage stayed failed for the life of the process after a refused sync.

Who waited for a sync has been told that it failed and is not told otherwise later. Opening the database writes what the log held to a table and syncs it, so that all that can be read afterwards is durable. What the replica had in memory (an epoch, a mark of admission) may not be on the disk, so it is dropped and read again.

Left: a write that is refused in the moment in which another thread enters SyncWAL still ends the process. Not run: the whole node on a disk that refuses.

--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -120,6 +120,16 @@
   }
 }
 
+void Replica::suspend() {
+  suspended_ = true;
+  progress_.clear();
+}
+
+void Replica::resume() {
+  suspended_ = false;
+  restore();
+}
+
 void Replica::take_word(std::uint32_t group, const ReplicaGroup& description) {
   GroupWord& word = words_[group];
   if (description.epoch < word.epoch) {
@@ -133,6 +143,9 @@
 
 void Replica::adopt_group(std::uint32_t group, const ReplicaGroup& description) {
   take_word(group, description);
+  if (suspended_) {
+    return;
+  }
   auto known = progress_.find(group);
   const bool first_sight = known == progress_.end();
   GroupProgress progress = first_sight ? restore_group_state(group) : known->second;
@@ -208,6 +221,9 @@
 }
 
 bool Replica::synchronized() const {
+  if (suspended_) {
+    return false;
+  }
   for (const auto& [group, progress] : progress_) {
     if (!progress.synchronized || progress.returning) {
       return false;
@@ -932,7 +948,7 @@
 bool Replica::left_all_groups() const {
   const bool awaited =
       std::any_of(words_.begin(), words_.end(), [](const auto& entry) { return entry.second.names_former_disk; });
-  if (awaited || (words_.empty() && progress_.empty())) {
+  if (suspended_ || awaited || (words_.empty() && progress_.empty())) {
     return false;
   }
   for (const auto& [group, progress] : progress_) {
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -36,6 +36,10 @@
   void restore();
   /// Adopts a decided description of one group, unless a later one is known.
   void adopt_group(std::uint32_t group, const ReplicaGroup& description);
+  /// Forgets what it knows of its groups, since its disk refuses writes: takes part in nothing until resume().
+  void suspend();
+  /// Takes up what the disk holds, as after a restart.
+  void resume();
   /// Copies again from the other members what this replica missed while it was away.
   void catch_up();
 
@@ -200,6 +204,7 @@
   const ReplicaGuards guards_;
   std::map<std::uint32_t, GroupProgress> progress_;
   std::map<std::uint32_t, GroupWord> words_;
+  bool suspended_ = false;
   bool copy_retry_scheduled_ = false;
   Lifetime lifetime_;
 };
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -5,6 +5,8 @@
 #include <rocksdb/filter_policy.h>
 #include <rocksdb/table.h>
 
+#include <algorithm>
+#include <atomic>
 #include <vector>
 
 namespace madderdeck::ledger {
@@ -12,6 +14,11 @@
 constexpr std::size_t kWriteBufferBytes = 16 << 20;
 constexpr std::size_t kCacheBytes = 8 << 20;
 constexpr int kBloomBitsPerKey = 10;
+/// After a refused write the database is opened again after this long, then after twice as long, and so on.
+constexpr Duration kReopenAfter = 250ms;
+constexpr Duration kMostReopenAfter = 2s;
+
+Error write_error(const rocksdb::Status& status) { return Error{ErrorKind::storage_unwritable, status.ToString()}; }
 
 Error read_error(const rocksdb::Status& status) {
   return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::unavailable, status.ToString()};
@@ -27,15 +34,19 @@
   std::uint64_t puts = 0;              ///< Since the database was opened.
   std::uint64_t syncing_puts = 0;      ///< Covered by the sync under way, or else by the last one.
   std::uint64_t synced_puts = 0;
-  bool failed = false;  ///< A write or sync failed: nothing is confirmed any more.
+  std::string folder;
+  rocksdb::Env* env = nullptr;
+  DiskTroubleHooks hooks;
+  /// A write or sync failed: the owner does not touch the database, which the background task opens again.
+  bool failed = false;
+  /// The same for the background task: RocksDB may end the process where a log is synced whose write has failed.
+  std::atomic<bool> log_refused = false;
+  Duration reopen_after{};
 };
 
-RocksDbStorage::RocksDbStorage(std::shared_ptr<Implementation> implementation)
-    : implementation_(std::move(implementation)) {}
-RocksDbStorage::~RocksDbStorage() = default;
-
-Result<std::unique_ptr<RocksDbStorage>> RocksDbStorage::open(const std::string& folder, Executors executors) {
+Status RocksDbStorage::open_database(Implementation& implementation) {
   rocksdb::Options options;
+  options.env = implementation.env;
   options.create_if_missing = true;
   options.write_buffer_size = kWriteBufferBytes;
   options.max_background_jobs = 2;
@@ -46,16 +57,33 @@
   table_options.filter_policy.reset(rocksdb::NewBloomFilterPolicy(kBloomBitsPerKey));
   options.table_factory.reset(rocksdb::NewBlockBasedTableFactory(table_options));
   rocksdb::DB* database = nullptr;
-  const rocksdb::Status status = rocksdb::DB::Open(options, folder + "/" + kRecordsFolder, &database);
+  const rocksdb::Status status = rocksdb::DB::Open(options, implementation.folder + "/" + kRecordsFolder, &database);
   if (!status.ok()) {
     return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::storage_unwritable, status.ToString()};
   }
+  implementation.database.reset(database);
+  return Ok{};
+}
+
+RocksDbStorage::RocksDbStorage(std::shared_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation)) {}
+RocksDbStorage::~RocksDbStorage() = default;
+
+Result<std::unique_ptr<RocksDbStorage>> RocksDbStorage::open(const std::string& folder, Executors executors,
+                                                             rocksdb::Env* env) {
   auto implementation = std::make_shared<Implementation>();
-  implementation->database.reset(database);
+  implementation->folder = folder;
+  implementation->env = env != nullptr ? env : rocksdb::Env::Default();
   implementation->executors = std::move(executors);
+  const Status opened = open_database(*implementation);
+  if (!succeeded(opened)) {
+    return error_of(opened);
+  }
   return std::unique_ptr<RocksDbStorage>(new RocksDbStorage(std::move(implementation)));
 }
 
+void RocksDbStorage::set_hooks(DiskTroubleHooks hooks) { implementation_->hooks = std::move(hooks); }
+
 Result<std::optional<wire::Bytes>> RocksDbStorage::get(const std::string& key) const {
   std::optional<wire::Bytes> value;
   const Status found =
@@ -67,6 +95,9 @@
 }
 
 Status RocksDbStorage::look_at(const std::string& key, const std::function<void(std::string_view)>& look) const {
+  if (implementation_->failed) {
+    return Error{ErrorKind::unavailable, "the disk refused a write"};
+  }
   rocksdb::DB& database = *implementation_->database;
   rocksdb::PinnableSlice value;
   const rocksdb::Status status = database.Get(rocksdb::ReadOptions(), database.DefaultColumnFamily(), key, &value);
@@ -81,15 +112,23 @@
 }
 
 void RocksDbStorage::put(const std::string& key, const wire::Bytes& value) {
+  if (implementation_->failed) {
+    return;  // the flush that goes with it fails
+  }
   ++implementation_->puts;
   const rocksdb::Slice slice(reinterpret_cast<const char*>(value.data()), value.size());
-  if (!implementation_->database->Put(rocksdb::WriteOptions(), key, slice).ok()) {
-    implementation_->failed = true;
+  const rocksdb::Status status = implementation_->database->Put(rocksdb::WriteOptions(), key, slice);
+  if (!status.ok()) {
+    implementation_->log_refused = true;
+    note_refused(implementation_, write_error(status));
   }
 }
 
 void RocksDbStorage::scan(const std::string& prefix, const std::string& after,
                           const std::function<bool(std::string_view, std::string_view)>& visit) const {
+  if (implementation_->failed) {
+    return;
+  }
   const std::unique_ptr<rocksdb::Iterator> iterator(implementation_->database->NewIterator(rocksdb::ReadOptions()));
   iterator->Seek(after > prefix ? after : prefix);
   for (; iterator->Valid() && iterator->key().starts_with(prefix); iterator->Next()) {
@@ -105,12 +144,14 @@
 
 void RocksDbStorage::flush(std::function<void(Status)> done) {
   Implementation& state = *implementation_;
-  if (state.under_way && state.syncing_puts == state.puts) {
+  if (state.under_way && state.syncing_puts == state.puts && !state.failed) {
     state.under_way->push_back(std::move(done));
     return;
   }
   state.waiting.push_back(std::move(done));
-  if (!state.under_way) {
+  if (state.failed) {
+    fail_waiting(state);
+  } else if (!state.under_way) {
     start_flush(implementation_);
   }
 }
@@ -124,22 +165,27 @@
   implementation->waiting.clear();
   implementation->syncing_puts = implementation->puts;
   implementation->executors.background([implementation] {
-    const rocksdb::Status synced = implementation->database->SyncWAL();
-    implementation->executors.owner([implementation, good = synced.ok()] { finish_flush(implementation, good); });
+    const rocksdb::Status status = implementation->log_refused ? rocksdb::Status::IOError("a write was refused")
+                                                               : implementation->database->SyncWAL();
+    const Status synced = status.ok() ? Status(Ok{}) : write_error(status);
+    implementation->executors.owner([implementation, synced] { finish_flush(implementation, synced); });
   });
 }
 
-void RocksDbStorage::finish_flush(const std::shared_ptr<Implementation>& implementation, bool synced) {
-  implementation->failed = implementation->failed || !synced;
-  if (!implementation->failed) {
-    implementation->synced_puts = implementation->syncing_puts;
-  }
+void RocksDbStorage::finish_flush(const std::shared_ptr<Implementation>& implementation, const Status& synced) {
   const auto group = std::move(implementation->under_way);
   implementation->under_way = nullptr;
-  const Status status =
-      implementation->failed ? Status(Error{ErrorKind::storage_unwritable, "write or sync failed"}) : Status(Ok{});
+  if (!succeeded(synced) && !implementation->failed) {
+    note_refused(implementation, error_of(synced));
+  }
+  if (implementation->failed) {
+    implementation->waiting.insert(implementation->waiting.begin(), group->begin(), group->end());
+    fail_waiting(*implementation);
+    return;
+  }
+  implementation->synced_puts = implementation->syncing_puts;
   for (const auto& done : *group) {
-    done(status);
+    done(Ok{});
   }
   // One of them may have begun the next sync.
   if (!implementation->waiting.empty() && !implementation->under_way) {
@@ -147,6 +193,68 @@
   }
 }
 
+void RocksDbStorage::fail_waiting(Implementation& implementation) {
+  const Implementation::Waiting group = std::move(implementation.waiting);
+  implementation.waiting.clear();
+  for (const auto& done : group) {
+    done(Error{ErrorKind::storage_unwritable, "write or sync failed"});
+  }
+}
+
+void RocksDbStorage::note_refused(const std::shared_ptr<Implementation>& implementation, const Error& error) {
+  implementation->failed = true;
+  implementation->reopen_after = kReopenAfter;
+  schedule_reopen(implementation);
+  // Later, since whoever put something is in the middle of what the owner drops now.
+  implementation->executors.owner([implementation, error] {
+    if (implementation->hooks.refused) {
+      implementation->hooks.refused(error);
+    }
+  });
+}
+
+void RocksDbStorage::schedule_reopen(const std::shared_ptr<Implementation>& implementation) {
+  if (!implementation->executors.after) {
+    return;
+  }
+  const Duration delay = implementation->reopen_after;
+  implementation->reopen_after = std::min(delay * 2, kMostReopenAfter);
+  implementation->executors.after(delay, [weak = std::weak_ptr<Implementation>(implementation)] {
+    if (const auto kept = weak.lock()) {
+      reopen(kept);
+    }
+  });
+}
+
+void RocksDbStorage::reopen(const std::shared_ptr<Implementation>& implementation) {
+  // After a sync under way, if there is one: background tasks run one after the other.
+  implementation->executors.background([implementation] {
+    implementation->database.reset();
+    const Status opened = open_database(*implementation);
+    implementation->executors.owner([implementation, opened] { finish_reopen(implementation, opened); });
+  });
+}
+
+void RocksDbStorage::finish_reopen(const std::shared_ptr<Implementation>& implementation, const Status& opened) {
+  const DiskTroubleHooks& hooks = implementation->hooks;
+  if (!succeeded(opened)) {
+    schedule_reopen(implementation);
+    if (hooks.still_refused) {
+      hooks.still_refused(error_of(opened));
+    }
+    return;
+  }
+  // What the log held was written to a table and synced when the database was opened.
+  implementation->failed = false;
+  implementation->log_refused = false;
+  implementation->puts = 0;
+  implementation->syncing_puts = 0;
+  implementation->synced_puts = 0;
+  if (hooks.regained) {
+    hooks.regained();
+  }
+}
+
 Status RocksDbStorage::put_synced(const std::string& key, const std::string& value) {
   rocksdb::WriteOptions synced;
   synced.sync = true;
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -5,27 +5,47 @@
 #include <memory>
 #include <string>
 
+#include "common/environment.hpp"
 #include "ledger/storage.hpp"
 
+namespace rocksdb {
+class Env;
+}
+
 namespace madderdeck::ledger {
 
 /// How the storage leaves and comes back to its owner's thread.
 struct Executors {
   std::function<void(std::function<void()>)> background;  ///< Runs a blocking task elsewhere.
   std::function<void(std::function<void()>)> owner;       ///< Runs a task on the owner's thread.
+  /// Runs a task on the owner's thread after a while; needed only to try a disk again that refused a write.
+  std::function<void(Duration, std::function<void()>)> after;
+};
+
+/// Told on the owner's thread; each may be empty.
+struct DiskTroubleHooks {
+  std::function<void(const Error&)> refused;        ///< A write or sync failed: nothing is read or confirmed any more.
+  std::function<void(const Error&)> still_refused;  ///< The database could not be opened again.
+  std::function<void()> regained;  ///< It is open again and holds what is on the disk, all of it synced.
 };
 
 /// The database's folder within the disk folder.
 inline constexpr char kRecordsFolder[] = "records";
 
-/// Writes go to the log at once and are synced in groups by a background task.
+/// Writes go to the log at once and are synced in groups by a background task. After a refused write or sync the
+/// database is closed and opened again until that succeeds: what was put and not confirmed may be there then or not,
+/// and nobody who waited for it is told that it is. Meanwhile reads and flushes fail and writes are dropped; the owner
+/// has to drop what it derived from them.
 class RocksDbStorage : public Storage {
  public:
   ~RocksDbStorage() override;
 
   /// Opens or creates the database in @p folder.
+  /// @param env the file system; null for the system's own.
   /// @return ErrorKind::storage_unwritable or ErrorKind::corrupted on failure.
-  static Result<std::unique_ptr<RocksDbStorage>> open(const std::string& folder, Executors executors);
+  static Result<std::unique_ptr<RocksDbStorage>> open(const std::string& folder, Executors executors,
+                                                      rocksdb::Env* env = nullptr);
+  void set_hooks(DiskTroubleHooks hooks);
 
   Result<std::optional<wire::Bytes>> get(const std::string& key) const override;
   Status look_at(const std::string& key, const std::function<void(std::string_view value)>& look) const override;
@@ -46,8 +66,15 @@
  private:
   struct Implementation;
   explicit RocksDbStorage(std::shared_ptr<Implementation> implementation);
+  /// Opens the database that @p implementation describes; also on the background thread.
+  static Status open_database(Implementation& implementation);
   static void start_flush(const std::shared_ptr<Implementation>& implementation);
-  static void finish_flush(const std::shared_ptr<Implementation>& implementation, bool synced);
+  static void finish_flush(const std::shared_ptr<Implementation>& implementation, const Status& synced);
+  static void note_refused(const std::shared_ptr<Implementation>& implementation, const Error& error);
+  static void fail_waiting(Implementation& implementation);
+  static void schedule_reopen(const std::shared_ptr<Implementation>& implementation);
+  static void reopen(const std::shared_ptr<Implementation>& implementation);
+  static void finish_reopen(const std::shared_ptr<Implementation>& implementation, const Status& opened);
 
   std::shared_ptr<Implementation> implementation_;
 };
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -105,6 +105,9 @@
     ledger::Executors executors;
     executors.background = [this](std::function<void()> task) { asio::post(background_, std::move(task)); };
     executors.owner = [this](std::function<void()> task) { asio::post(context_, std::move(task)); };
+    executors.after = [this](Duration delay, std::function<void()> task) {
+      environment_.after(delay, std::move(task));
+    };
     auto opened = ledger::open_disk(settings_.data_folder, environment_.random(), executors);
     if (!succeeded(opened)) {
       return error_of(opened);
@@ -122,9 +125,31 @@
     }
     options.self.disk_id = disk.identity;
     storage_ = std::move(disk.storage);
+    storage_->set_hooks(disk_trouble_hooks());
     return Ok{};
   }
 
+  ledger::DiskTroubleHooks disk_trouble_hooks() {
+    ledger::DiskTroubleHooks hooks;
+    hooks.refused = [this](const Error& error) {
+      disk_refused_at_ = environment_.now();
+      counters_["ledger_disk_refusals_total"]++;
+      log_event(LogLevel::error, "disk_writes_refused", {{"error", error.detail}});
+      core_->on_disk_refused();
+    };
+    hooks.still_refused = [this](const Error& error) {
+      counters_["ledger_disk_reopen_failures_total"]++;
+      log_event(LogLevel::error, "disk_not_opened",
+                {{"error", error.detail}, {"refused_for_ms", (environment_.now() - disk_refused_at_) / 1ms}});
+    };
+    hooks.regained = [this] {
+      log_event(LogLevel::warning, "disk_writes_regained",
+                {{"refused_for_ms", (environment_.now() - disk_refused_at_) / 1ms}});
+      core_->on_disk_regained();
+    };
+    return hooks;
+  }
+
   NodeOptions describe_self() {
     NodeOptions options;
     options.self.id = settings_.id;
@@ -294,6 +319,7 @@
   asio::signal_set signals_;
   asio::signal_set reload_signal_;
   Timestamp drain_deadline_{};
+  Timestamp disk_refused_at_{};
   bool fleet_known_ = false;
   bool was_ready_ = false;
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -310,16 +310,33 @@
     if (key.kind == config::kReplicaGroupsKind) {
       ledger.on_group_map(catalog.groups());
       if (replica) {
-        // Its disk may know of later epochs than the store, which nobody else may know any more.
-        for (const auto& [group, description] : replica->descriptions()) {
-          ledger.learn(group, description);
-        }
-        replica->on_group_map(ledger.group_map());
+        match_replica_and_client();
       }
     }
   }
 }
 
+void NodeCore::match_replica_and_client() {
+  // Its disk may know of later epochs than the store, which nobody else may know any more.
+  for (const auto& [group, description] : replica->descriptions()) {
+    ledger.learn(group, description);
+  }
+  replica->on_group_map(ledger.group_map());
+}
+
+void NodeCore::on_disk_refused() {
+  if (replica) {
+    replica->suspend();
+  }
+}
+
+void NodeCore::on_disk_regained() {
+  if (replica) {
+    replica->resume();
+    match_replica_and_client();
+  }
+}
+
 void NodeCore::on_evacuations_changed() {
   std::set<std::string> zones;
   for (const config::Entry* entry : evacuations.table().list(config::kEvacuationKind)) {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -108,6 +108,10 @@
   /// @return whether this node's disk holds what the replica groups have placed on it. A disk that replaces a lost one
   ///         does not before it has been admitted and has copied; until then no other disk may be given up.
   bool holds_its_records() const;
+  /// The disk refuses writes: the replica takes part in nothing until the disk is back.
+  void on_disk_refused();
+  /// The disk takes writes again; the replica goes on from what it holds.
+  void on_disk_regained();
   /// Cancels a job durably, then tells every scheduler.
   void cancel_job(const JobId& job, std::function<void(Result<wire::JobRecordT>)> done);
   /// Tells the scheduler that manages @p job about it.
@@ -191,6 +195,8 @@
   membership::Hooks make_hooks();
   void on_objects_changed(const std::vector<config::EntryKey>& keys);
   void on_machines_changed(const std::vector<config::EntryKey>& keys);
+  /// Tells the replica and the client of this node what either knows of the groups.
+  void match_replica_and_client();
   void on_evacuations_changed();
   /// @return whether this node may send a request to @p backend, which warms up; counts it then.
   bool allows_warming(const routing::Backend& backend);
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -233,6 +233,27 @@
   CHECK(fixture.environment.sent_of(answer) == 1);
 }
 
+TEST_CASE("a replica whose disk refuses writes takes part in nothing, and goes on from what the disk holds") {
+  ReplicaFixture fixture;
+  fixture.replica->on_group_map(fixture.map(1));
+  CHECK(fixture.accept(1, {2, 1}, {7}).status == wire::ReplicaStatus::Granted);
+  fixture.replica->on_group_map(fixture.map(2));
+  fixture.storage.crash();  // that epoch was not written
+  fixture.replica->suspend();
+  CHECK(fixture.prepare(1, {3, 1}).status == wire::ReplicaStatus::UnknownEpoch);
+  fixture.replica->on_group_map(fixture.map(3));
+  CHECK(fixture.prepare(3, {3, 1}).status == wire::ReplicaStatus::UnknownEpoch);
+  CHECK(fixture.replica->descriptions().empty());
+  CHECK_FALSE(fixture.replica->synchronized());
+  CHECK_FALSE(fixture.replica->left_all_groups());
+
+  fixture.replica->resume();
+  const wire::PromiseT promise = fixture.prepare(1, {3, 1});
+  CHECK(promise.status == wire::ReplicaStatus::Granted);
+  CHECK(promise.value == std::vector<std::uint8_t>{7});
+  CHECK(fixture.replica->synchronized());
+}
+
 TEST_CASE("a disk that is not in the map, or not of this epoch, does not vote") {
   ReplicaFixture fixture;
   CHECK(fixture.prepare(1, {1, 1}).status == wire::ReplicaStatus::UnknownEpoch);
--- a/tests/support/temporary_disk.hpp
+++ b/tests/support/temporary_disk.hpp
@@ -16,7 +16,7 @@
 /// @return executors that run each task at once.
 inline ledger::Executors inline_executors() {
   const auto run = [](const std::function<void()>& task) { task(); };
-  return {run, run};
+  return {run, run, {}};
 }
 
 /// Syncs @p storage; fails the test where that fails.
