An epoch on the disk never stands without its marks after a loss of power

Callers see nothing but for one case: power is lost while the database begins its next log (16 MB) and the last writes of the log before are lost whole. A replica could then know an epoch without the marks that keep it from voting.

Cause: the marks were written before the epoch, as writes of their own. RocksDB takes a log that ends between two records for whole and goes on with the next one, so the order of writes that are not synced is not kept across logs.

Storage::put_together writes several entries as one record of the log; Replica uses it for epoch and marks. The recovery mode of the log, the default so far, is named.

"an epoch lasts only with the marks that belong to it" failed with the replica as it was and passes.

--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -44,6 +44,15 @@
 constexpr std::size_t kMarksBytes = 1 + sizeof(std::uint64_t);
 constexpr unsigned kByteBits = 8;
 
+wire::Bytes encode_marks(bool returning, bool holds_leaving, std::uint64_t epoch) {
+  wire::Bytes marks(kMarksBytes);
+  marks[0] = static_cast<std::uint8_t>((returning ? kReturning : 0) | (holds_leaving ? kHoldsLeaving : 0));
+  for (std::size_t byte = 1; byte < kMarksBytes; ++byte) {
+    marks[byte] = static_cast<std::uint8_t>(epoch >> ((byte - 1) * kByteBits));
+  }
+  return marks;
+}
+
 bool all_in(const std::vector<ReplicaIdentity>& some, const std::vector<ReplicaIdentity>& all) {
   return std::all_of(some.begin(), some.end(), [&all](const ReplicaIdentity& one) {
     return std::find(all.begin(), all.end(), one) != all.end();
@@ -349,23 +358,18 @@
 }
 
 void Replica::store_group_state(std::uint32_t group, const GroupProgress& progress) {
-  store_marks(group, progress);  // first: an epoch on the disk without them would let this replica vote too early
   wire::GroupStateT state;
   state.epoch = progress.epoch;
   state.complete = progress.synchronized;
   state.description = std::make_unique<wire::GroupDescriptionT>(to_wire(progress.description));
-  storage_.put(state_key(group), wire::encode_record(state));
+  // An epoch on the disk without its marks would let this replica vote too early.
+  storage_.put_together({{marks_key(group), encode_marks(progress.returning, progress.holds_leaving, progress.epoch)},
+                         {state_key(group), wire::encode_record(state)}});
   storage_.flush([](const Status&) {});
 }
 
 void Replica::store_marks(std::uint32_t group, const GroupProgress& progress) {
-  wire::Bytes marks(kMarksBytes);
-  marks[0] =
-      static_cast<std::uint8_t>((progress.returning ? kReturning : 0) | (progress.holds_leaving ? kHoldsLeaving : 0));
-  for (std::size_t byte = 1; byte < kMarksBytes; ++byte) {
-    marks[byte] = static_cast<std::uint8_t>(progress.epoch >> ((byte - 1) * kByteBits));
-  }
-  storage_.put(marks_key(group), marks);
+  storage_.put(marks_key(group), encode_marks(progress.returning, progress.holds_leaving, progress.epoch));
 }
 
 void Replica::restore_marks(std::uint32_t group, GroupProgress& progress) const {
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -4,6 +4,7 @@
 #include <rocksdb/db.h>
 #include <rocksdb/filter_policy.h>
 #include <rocksdb/table.h>
+#include <rocksdb/write_batch.h>
 
 #include <algorithm>
 #include <atomic>
@@ -18,6 +19,10 @@
 constexpr Duration kReopenAfter = 250ms;
 constexpr Duration kMostReopenAfter = 2s;
 
+rocksdb::Slice slice_of(const wire::Bytes& bytes) {
+  return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
+}
+
 Error write_error(const rocksdb::Status& status) { return Error{ErrorKind::storage_unwritable, status.ToString()}; }
 
 Error read_error(const rocksdb::Status& status) {
@@ -48,6 +53,8 @@
   rocksdb::Options options;
   options.env = implementation.env;
   options.create_if_missing = true;
+  // Opens with what was synced, whatever a loss of power left of the writes after it.
+  options.wal_recovery_mode = rocksdb::WALRecoveryMode::kPointInTimeRecovery;
   options.write_buffer_size = kWriteBufferBytes;
   options.max_background_jobs = 2;
   options.compression = rocksdb::kNoCompression;
@@ -112,12 +119,25 @@
 }
 
 void RocksDbStorage::put(const std::string& key, const wire::Bytes& value) {
+  rocksdb::WriteBatch batch;
+  batch.Put(key, slice_of(value));
+  write(batch);
+}
+
+void RocksDbStorage::put_together(const std::vector<Entry>& entries) {
+  rocksdb::WriteBatch batch;
+  for (const Entry& entry : entries) {
+    batch.Put(entry.key, slice_of(entry.value));
+  }
+  write(batch);
+}
+
+void RocksDbStorage::write(rocksdb::WriteBatch& batch) {
   if (implementation_->failed) {
     return;  // the flush that goes with it fails
   }
   ++implementation_->puts;
-  const rocksdb::Slice slice(reinterpret_cast<const char*>(value.data()), value.size());
-  const rocksdb::Status status = implementation_->database->Put(rocksdb::WriteOptions(), key, slice);
+  const rocksdb::Status status = implementation_->database->Write(rocksdb::WriteOptions(), &batch);
   if (!status.ok()) {
     implementation_->log_refused = true;
     note_refused(implementation_, write_error(status));
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -10,7 +10,8 @@
 
 namespace rocksdb {
 class Env;
-}
+class WriteBatch;
+}  // namespace rocksdb
 
 namespace madderdeck::ledger {
 
@@ -50,6 +51,7 @@
   Result<std::optional<wire::Bytes>> get(const std::string& key) const override;
   Status look_at(const std::string& key, const std::function<void(std::string_view value)>& look) const override;
   void put(const std::string& key, const wire::Bytes& value) override;
+  void put_together(const std::vector<Entry>& entries) override;
   void scan(const std::string& prefix, const std::string& after,
             const std::function<bool(std::string_view, std::string_view)>& visit) const override;
   /// Callers that a sync under way covers already share it.
@@ -66,6 +68,7 @@
  private:
   struct Implementation;
   explicit RocksDbStorage(std::shared_ptr<Implementation> implementation);
+  void write(rocksdb::WriteBatch& batch);
   /// Opens the database that @p implementation describes; also on the background thread.
   static Status open_database(Implementation& implementation);
   static void start_flush(const std::shared_ptr<Implementation>& implementation);
--- a/src/ledger/storage.hpp
+++ b/src/ledger/storage.hpp
@@ -5,13 +5,15 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "common/error.hpp"
 #include "wire/codec.hpp"
 
 namespace madderdeck::ledger {
 
-/// A write is visible to reads at once and lasts only after the next flush.
+/// A write is visible to reads at once and lasts only after the next flush; until then a loss of power may leave it or
+/// not, whatever becomes of the writes around it.
 /// Not thread safe; callbacks run on the owner's thread.
 class Storage {
  public:
@@ -22,6 +24,12 @@
   /// Lets @p look see the value in place, without a copy; it is not called where there is none. Fails as get() does.
   virtual Status look_at(const std::string& key, const std::function<void(std::string_view value)>& look) const;
   virtual void put(const std::string& key, const wire::Bytes& value) = 0;
+  struct Entry {
+    std::string key;
+    wire::Bytes value;
+  };
+  /// Puts @p entries of which none may last without the others.
+  virtual void put_together(const std::vector<Entry>& entries) = 0;
   /// Calls @p visit for each key that starts with @p prefix and is greater than @p after, in
   /// order, until it returns false.
   virtual void scan(const std::string& prefix, const std::string& after,
--- a/src/simulation/sim_storage.cpp
+++ b/src/simulation/sim_storage.cpp
@@ -16,6 +16,12 @@
   unflushed_[key] = {++writes_, value};
 }
 
+void SimStorage::put_together(const std::vector<Entry>& entries) {
+  for (const Entry& entry : entries) {
+    put(entry.key, entry.value);  // a crash takes all that was not flushed
+  }
+}
+
 void SimStorage::scan(const std::string& prefix, const std::string& after,
                       const std::function<bool(std::string_view, std::string_view)>& visit) const {
   auto entry = after > prefix ? visible_.upper_bound(after) : visible_.lower_bound(prefix);
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -22,7 +22,15 @@
     ++flushes;
     SimStorage::flush(std::move(done));
   }
+  void put_together(const std::vector<Entry>& entries) override {
+    last_together.clear();
+    for (const Entry& entry : entries) {
+      last_together.push_back(entry.key);
+    }
+    SimStorage::put_together(entries);
+  }
   unsigned flushes = 0;
+  std::vector<std::string> last_together;  ///< Keys of the last entries that were put together.
 };
 
 /// One replica with a disk.
@@ -254,6 +262,12 @@
   CHECK(fixture.replica->synchronized());
 }
 
+TEST_CASE("an epoch lasts only with the marks that belong to it") {
+  ReplicaFixture fixture;
+  fixture.replica->on_group_map(fixture.map(1));
+  CHECK(fixture.storage.last_together == std::vector<std::string>{"m/0000/", "g/0000/"});
+}
+
 TEST_CASE("a disk that is not in the map, or not of this epoch, does not vote") {
   ReplicaFixture fixture;
   CHECK(fixture.prepare(1, {1, 1}).status == wire::ReplicaStatus::UnknownEpoch);
