--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -141,6 +141,16 @@
   }
 }
 
+void Replica::suspend() {
+  suspended_ = true;
+  progress_.clear();
+}
+
+void Replica::resume() {
+  suspended_ = false;
+  restore();
+}
+
 void Replica::take_word(std::uint32_t group, const ReplicaGroup& description) {
   GroupWord& word = words_[group];
   if (description.epoch < word.epoch) {
@@ -154,6 +164,9 @@
 
 void Replica::adopt_group(std::uint32_t group, const ReplicaGroup& description) {
   take_word(group, description);
+  if (suspended_) {
+    return;
+  }
   auto known = progress_.find(group);
   const bool first_sight = known == progress_.end();
   GroupProgress progress = first_sight ? restore_group_state(group) : known->second;
@@ -236,6 +249,9 @@
 }
 
 bool Replica::synchronized() const {
+  if (suspended_) {
+    return false;
+  }
   for (const auto& [group, progress] : progress_) {
     if (!progress.synchronized || progress.returning) {
       return false;
@@ -368,16 +384,16 @@
 }
 
 void Replica::store_group_state(std::uint32_t group, const GroupProgress& progress) {
-  store_marks(group, progress);  // first: an epoch on the disk without them would let this replica vote too early
   wire::GroupStateT state;
   state.epoch = progress.epoch;
   state.complete = progress.synchronized;
   state.description = std::make_unique<wire::GroupDescriptionT>(to_wire(progress.description));
-  storage_.put(state_key(group), wire::encode_record(state));
+  // An epoch on the disk without its marks would let this replica vote too early.
+  storage_.put_together({{marks_key(group), encode_marks(progress)}, {state_key(group), wire::encode_record(state)}});
   storage_.flush([](const Status&) {});
 }
 
-void Replica::store_marks(std::uint32_t group, const GroupProgress& progress) {
+wire::Bytes Replica::encode_marks(const GroupProgress& progress) {
   wire::Bytes marks(kMarksBytes);
   marks[0] = static_cast<std::uint8_t>((progress.returning ? kReturning : 0) |
                                        (progress.holds_leaving ? kHoldsLeaving : 0) | (progress.whole ? kWhole : 0) |
@@ -385,7 +401,11 @@
   for (std::size_t byte = 1; byte < kMarksBytes; ++byte) {
     marks[byte] = static_cast<std::uint8_t>(progress.epoch >> ((byte - 1) * kByteBits));
   }
-  storage_.put(marks_key(group), marks);
+  return marks;
+}
+
+void Replica::store_marks(std::uint32_t group, const GroupProgress& progress) {
+  storage_.put(marks_key(group), encode_marks(progress));
 }
 
 void Replica::restore_marks(std::uint32_t group, GroupProgress& progress) const {
@@ -425,21 +445,35 @@
   return progress;
 }
 
-template <class Reply>
-void Replica::reply_when_durable(const PeerAddress& to, Reply reply) {
-  if (!guards_.flush_before_reply) {
-    send_message(environment_, to, std::move(reply));
+template <class Send>
+void Replica::when_durable(Send send) {
+  if (!guards_.flush_before_reply || !storage_.has_unflushed()) {
+    send();
     return;
   }
-  storage_.flush(lifetime_.guard([this, to, reply = std::move(reply)](const Status& status) mutable {
+  storage_.flush(lifetime_.guard([this, send = std::move(send)](const Status& status) mutable {
     if (!succeeded(status)) {
       counters_["ledger_flush_failures_total"]++;
       return;
     }
-    send_message(environment_, to, std::move(reply));
+    send();
   }));
 }
 
+template <class Reply>
+void Replica::reply_when_durable(const PeerAddress& to, Reply reply) {
+  when_durable([this, to, reply = std::move(reply)]() mutable { send_message(environment_, to, std::move(reply)); });
+}
+
+template <class Reply>
+void Replica::refuse(const PeerAddress& to, Reply reply) {
+  if (reply.description) {
+    reply_when_durable(to, std::move(reply));
+  } else {
+    send_message(environment_, to, std::move(reply));
+  }
+}
+
 template <class Request, class Reply>
 std::optional<Replica::StoredRecord> Replica::open_request(const PeerAddress& sender, const Request& message,
                                                            Reply& reply, bool with_value) {
@@ -448,7 +482,7 @@
   reply.status = admit_to(message.group, message.epoch, message.key);
   if (reply.status != wire::ReplicaStatus::Granted) {
     describe_group(message.group, reply);
-    send_message(environment_, sender, std::move(reply));
+    refuse(sender, std::move(reply));
     return std::nullopt;
   }
   reply.replica = progress_.at(message.group).index;
@@ -577,19 +611,28 @@
   reply.request = message.request;
   reply.epoch = message.epoch;
   reply.status = admit(message.group, message.epoch);
-  if (reply.status == wire::ReplicaStatus::Granted) {
-    reply.replica = progress_.at(message.group).index;
-    reply.ballots_only = message.ballots_only;
-    const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
-    reply.records = message.keys.empty()
-                        ? page(query, reply.truncated)
-                        : records_of({message.group, message.keys, std::min<std::size_t>(message.max_bytes, kPageBytes),
-                                      !message.ballots_only});
+  if (reply.status != wire::ReplicaStatus::Granted) {
+    describe_group(message.group, reply);
+    refuse(sender, std::move(reply));
+    return;
   }
-  describe_group(message.group, reply);
+  reply.replica = progress_.at(message.group).index;
+  reply.ballots_only = message.ballots_only;
+  const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
+  reply.records = message.keys.empty()
+                      ? page(query, reply.truncated)
+                      : records_of({message.group, message.keys, std::min<std::size_t>(message.max_bytes, kPageBytes),
+                                    !message.ballots_only});
   // A reader that has left needs no answer; others wait behind its values.
   const Duration useful_for = message.patience_ms == 0 ? kScanPatience : std::chrono::milliseconds(message.patience_ms);
-  send_message_within(useful_for, environment_, sender, std::move(reply));
+  const Timestamp useful_until = environment_.now() + useful_for;
+  // A reader takes what a majority tells for chosen.
+  when_durable([this, sender, useful_until, reply = std::move(reply)]() mutable {
+    const Timestamp now = environment_.now();
+    if (now < useful_until) {
+      send_message_within(useful_until - now, environment_, sender, std::move(reply));
+    }
+  });
 }
 
 // --- copying to a new or returning replica -------------------------------------------------
@@ -935,47 +978,85 @@
   return static_cast<std::size_t>(std::count_if(progress.copying.begin(), progress.copying.end(), counts));
 }
 
-bool Replica::has_copied_all(const GroupProgress& progress) {
+bool Replica::has_copied_all(const GroupProgress& progress, bool holds_leaving) {
   const bool all_members = copied_from(progress, false);
   const std::size_t majority = progress.description.majority();
   if (copied_from_whole(progress)) {
     return true;
   }
-  if (all_members && progress.holds_leaving) {
+  if (all_members && holds_leaving) {
     return true;
   }
   return votes(progress) ? 1 + admitted_copied_from(progress, true) >= majority
                          : admitted_copied_from(progress, false) >= majority;
 }
 
-void Replica::finish_copy_if_complete(std::uint32_t group) {
-  GroupProgress& progress = progress_.at(group);
+bool Replica::newly_holds_leaving(const GroupProgress& progress) {
   const bool told = std::any_of(progress.copying.begin(), progress.copying.end(),
                                 [](const auto& entry) { return entry.second.complete && entry.second.holds_leaving; });
-  const bool members_complete = copied_from(progress, false);
   // Values that a leaving member offers may be left to a member that holds them, too.
-  const bool newly_held = !progress.holds_leaving && (told || (members_complete && copied_from(progress, true)));
-  if (newly_held) {
+  const bool copied = copied_from(progress, false) && copied_from(progress, true);
+  return !progress.holds_leaving && (told || copied);
+}
+
+bool Replica::newly_whole(const GroupProgress& progress) {
+  const bool holds_leaving = progress.holds_leaving || newly_holds_leaving(progress);
+  return !progress.whole && !progress.former && has_copied_all(progress, holds_leaving);
+}
+
+void Replica::finish_copy_if_complete(std::uint32_t group) {
+  GroupProgress& progress = progress_.at(group);
+  if (!newly_whole(progress) && !newly_holds_leaving(progress)) {
+    end_copy_if_complete(progress);
+    return;
+  }
+  if (progress.awaits_flush) {
+    return;
+  }
+  // Marks may not last longer than the records that they speak of.
+  progress.awaits_flush = true;
+  storage_.flush(lifetime_.guard([this, group, epoch = progress.epoch](const Status& status) {
+    const auto entry = progress_.find(group);
+    if (entry == progress_.end() || entry->second.epoch != epoch) {
+      return;
+    }
+    entry->second.awaits_flush = false;
+    if (succeeded(status)) {
+      mark_copied(group);
+    } else {
+      counters_["ledger_flush_failures_total"]++;
+    }
+  }));
+}
+
+void Replica::end_copy_if_complete(GroupProgress& progress) {
+  if (copied_from(progress, false) && progress.holds_leaving && (progress.whole || progress.former)) {
+    progress.copying.clear();
+  }
+}
+
+void Replica::mark_copied(std::uint32_t group) {
+  GroupProgress& progress = progress_.at(group);
+  const bool held = newly_holds_leaving(progress);
+  const bool whole = newly_whole(progress);
+  const bool admitted = whole && !votes(progress);
+  if (held) {
     progress.holds_leaving = true;
     std::erase_if(progress.copying,
                   [&](const auto& entry) { return entry.first >= progress.description.replicas.size(); });
   }
-  const bool newly_whole = !progress.whole && !progress.former && has_copied_all(progress);
-  const bool admitted = newly_whole && !votes(progress);
-  progress.whole = progress.whole || newly_whole;
+  if (whole) {
+    progress.whole = true;
+    counters_["ledger_replicas_whole_total"]++;
+  }
   if (admitted) {
     progress.synchronized = true;
     progress.returning = false;
   }
-  if (members_complete && progress.holds_leaving) {
-    progress.copying.clear();
-  }
-  if (newly_whole || newly_held) {
+  end_copy_if_complete(progress);
+  if (whole || held) {
     store_group_state(group, progress);
   }
-  if (newly_whole) {
-    counters_["ledger_replicas_whole_total"]++;
-  }
   if (admitted) {
     counters_["ledger_replicas_admitted_total"]++;
     tell_admission(group);
@@ -1052,7 +1133,7 @@
 bool Replica::left_all_groups() const {
   const bool awaited =
       std::any_of(words_.begin(), words_.end(), [](const auto& entry) { return entry.second.names_former_disk; });
-  if (awaited || (words_.empty() && progress_.empty())) {
+  if (suspended_ || awaited || (words_.empty() && progress_.empty())) {
     return false;
   }
   for (const auto& [group, progress] : progress_) {
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -36,6 +36,10 @@
   void restore();
   /// Adopts a decided description of one group, unless a later one is known.
   void adopt_group(std::uint32_t group, const ReplicaGroup& description);
+  /// Forgets what it knows of its groups, since its disk refuses writes: takes part in nothing until resume().
+  void suspend();
+  /// Takes up what the disk holds, as after a restart.
+  void resume();
   /// Copies again from the other members what this replica missed while it was away.
   void catch_up();
 
@@ -114,6 +118,7 @@
     ReplicaGroup description;
     /// Which leaving members were members in the epoch before this one: a bit for each of the first of them.
     std::uint8_t fresh_leavers = 0;
+    bool awaits_flush = false;                    ///< Something was copied to the end and is not on the disk yet.
     std::map<std::uint32_t, CopySource> copying;  ///< by number of the source
     std::set<std::uint32_t> copied_by;            ///< Members that hold all that this former one held.
   };
@@ -148,6 +153,7 @@
   GroupProgress restore_group_state(std::uint32_t group) const;
   /// What is kept beside the epoch: earlier versions do not know it.
   void store_marks(std::uint32_t group, const GroupProgress& progress);
+  static wire::Bytes encode_marks(const GroupProgress& progress);
   void restore_marks(std::uint32_t group, GroupProgress& progress) const;
   /// Notes on the disk that its place in @p group is another's now.
   void leave_place(std::uint32_t group, GroupProgress progress);
@@ -189,7 +195,14 @@
   /// @param fresh_leavers whether those count that were members in the epoch before.
   static std::size_t admitted_copied_from(const GroupProgress& progress, bool fresh_leavers);
   /// @return whether what has been copied holds every record that was confirmed before the epoch.
-  static bool has_copied_all(const GroupProgress& progress);
+  /// @param holds_leaving whether it holds all that the leaving members held.
+  static bool has_copied_all(const GroupProgress& progress, bool holds_leaving);
+  static bool newly_holds_leaving(const GroupProgress& progress);
+  static bool newly_whole(const GroupProgress& progress);
+  /// Takes up what has been copied to the end, once it is on the disk.
+  void mark_copied(std::uint32_t group);
+  /// Asks no source any more where nothing is left to copy.
+  static void end_copy_if_complete(GroupProgress& progress);
   /// Has values that a source leaves unsent for long asked for from the others.
   void take_back_values();
   /// Notes that a source is whole by now; it is copied from once more.
@@ -211,6 +224,13 @@
                                            bool with_value);
   template <class Reply>
   void refuse_ballot(const PeerAddress& sender, Reply reply);
+  /// Runs @p send once nothing is left that a loss of power could take away of what is known now: at once where all is
+  /// synced. Does not run it when the disk fails.
+  template <class Send>
+  void when_durable(Send send);
+  /// Sends a reply that tells no record; where it tells an epoch, only once that is durable.
+  template <class Reply>
+  void refuse(const PeerAddress& to, Reply reply);
   template <class Reply>
   void reply_when_durable(const PeerAddress& to, Reply reply);
 
@@ -223,6 +243,7 @@
   const ReplicaGuards guards_;
   std::map<std::uint32_t, GroupProgress> progress_;
   std::map<std::uint32_t, GroupWord> words_;
+  bool suspended_ = false;
   bool copy_retry_scheduled_ = false;
   Lifetime lifetime_;
 };
