Each step of a replica's life has a line

Cause: of a disk's way to its first vote only its end was told, without how long it took; nothing said which epochs a replica entered, in which role, what made it copy, or from whom and how far. Change: replica_journal writes epoch_adopted, epoch_restored, replica_copy_begun, replica_copying (every 5 s while pages come, with growing pauses up to 80 s while none do) and replica_admitted with its time, pages, records and bytes. Members that vote and only catch up have no line unless that lasts 5 s.

--- /dev/null
+++ b/src/ledger/replica_journal.cpp
@@ -0,0 +1,134 @@
+#include "ledger/replica_journal.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace madderdeck::ledger {
+namespace {
+
+constexpr Duration kLook = 1s;
+/// From one line about a copy to the next; it doubles while nothing comes.
+constexpr Duration kBetweenLines = 5s;
+constexpr Duration kMostBetweenLines = 80s;
+
+}  // namespace
+
+replica_journal::replica_journal(Environment& environment, DecisionLog& log, Replica& replica)
+    : environment_(environment), log_(log), replica_(replica) {}
+
+void replica_journal::start() {
+  replica_.on_epoch = [this](const epoch_step& step) { tell_epoch(step); };
+  replica_.on_copy_begun = [this](std::uint32_t group, std::uint64_t epoch) { tell_begun(group, epoch); };
+  replica_.on_admitted = [this](std::uint32_t group, std::uint64_t epoch) { tell_admitted(group, epoch); };
+}
+
+void replica_journal::tell_epoch(const epoch_step& step) {
+  const bool at_start = step.from_epoch == step.description.epoch;
+  log_.record(at_start ? "epoch_restored" : "epoch_adopted", {{"group", step.group},
+                                                              {"from_epoch", step.from_epoch},
+                                                              {"epoch", step.description.epoch},
+                                                              {"role", name_of(step.role)},
+                                                              {"copies_for", name_of(step.reason)},
+                                                              {"members", text_of(step.description.replicas)},
+                                                              {"leaving", text_of(step.description.leaving)}});
+}
+
+void replica_journal::tell_begun(std::uint32_t group, std::uint64_t epoch) {
+  const copy_progress& copy = *replica_.copy_of(group);
+  told_copy& told = copies_[group];
+  if (told.began_at != copy.began_at || told.pause.count() == 0) {
+    told = {copy.began_at, environment_.now() + kBetweenLines, kBetweenLines, 0};
+    std::vector<ReplicaIdentity> sources;
+    for (const awaited_source& source : replica_.awaited_sources(group)) {
+      sources.push_back(source.identity);
+    }
+    // A member that votes catches up after each start and each false alarm: told only if that lasts.
+    if (copy.to_vote && !sources.empty()) {
+      log_.record("replica_copy_begun", {{"group", group}, {"epoch", epoch}, {"sources", text_of(sources)}});
+    }
+  }
+  schedule_look();
+}
+
+void replica_journal::tell_admitted(std::uint32_t group, std::uint64_t epoch) {
+  const copy_progress* copy = replica_.copy_of(group);
+  const source_progress total = copy == nullptr ? source_progress{} : copy->total();
+  const Duration took = copy == nullptr ? Duration{} : environment_.now() - copy->began_at;
+  log_.record("replica_admitted", {{"group", group},
+                                   {"epoch", epoch},
+                                   {"took_ms", took / 1ms},
+                                   {"pages", total.pages},
+                                   {"records", total.records},
+                                   {"bytes", total.bytes},
+                                   {"restarts", copy == nullptr ? 0 : copy->restarts}});
+}
+
+void replica_journal::schedule_look() {
+  if (look_scheduled_) {
+    return;
+  }
+  look_scheduled_ = true;
+  environment_.after(kLook, lifetime_.guard([this] {
+    look_scheduled_ = false;
+    look_at_copies();
+  }));
+}
+
+void replica_journal::look_at_copies() {
+  std::erase_if(copies_, [this](const auto& entry) { return replica_.awaited_sources(entry.first).empty(); });
+  for (auto& [group, told] : copies_) {
+    const copy_progress* copy = replica_.copy_of(group);
+    if (copy == nullptr || environment_.now() < told.tell_at) {
+      continue;
+    }
+    tell_progress(group, *copy);
+    const std::uint64_t pages = copy->total().pages;
+    told.pause = pages != told.pages ? kBetweenLines : std::min(told.pause * 2, kMostBetweenLines);
+    told.pages = pages;
+    told.tell_at = environment_.now() + told.pause;
+  }
+  if (!copies_.empty()) {
+    schedule_look();
+  }
+}
+
+void replica_journal::tell_progress(std::uint32_t group, const copy_progress& copy) {
+  const source_progress total = copy.total();
+  log_.record("replica_copying", {{"group", group},
+                                  {"to_vote", copy.to_vote},
+                                  {"copying_ms", (environment_.now() - copy.began_at) / 1ms},
+                                  {"records", total.records},
+                                  {"bytes", total.bytes},
+                                  {"restarts", copy.restarts},
+                                  {"sources", describe_sources(group, copy)}});
+}
+
+std::string replica_journal::describe_sources(std::uint32_t group, const copy_progress& copy) const {
+  const std::vector<awaited_source> awaited = replica_.awaited_sources(group);
+  std::set<ReplicaIdentity> named;
+  for (const auto& [identity, source] : copy.sources) {
+    named.insert(identity);
+  }
+  for (const awaited_source& source : awaited) {
+    named.insert(source.identity);
+  }
+  std::string text;
+  for (const ReplicaIdentity& identity : named) {
+    const auto sent = copy.sources.find(identity);
+    const source_progress came = sent == copy.sources.end() ? source_progress{} : sent->second;
+    text += (text.empty() ? "" : ", ") + text_of(identity) + " " + std::to_string(came.pages) + " pages " +
+            std::to_string(came.records) + " records " + short_bytes(came.bytes);
+    const auto waits = std::find_if(awaited.begin(), awaited.end(),
+                                    [&identity](const awaited_source& source) { return source.identity == identity; });
+    if (waits == awaited.end()) {
+      text += " done";
+    } else if (waits->asked_at.count() == 0) {
+      text += " not asked";
+    } else {
+      text += " asked " + std::to_string((environment_.now() - waits->asked_at) / 1ms) + " ms ago";
+    }
+  }
+  return text;
+}
+
+}  // namespace madderdeck::ledger
--- /dev/null
+++ b/src/ledger/replica_journal.hpp
@@ -0,0 +1,49 @@
+#pragma once
+/// @file Tells operators of each step of the replicas on this node's disk: nothing is decided by it.
+
+#include <map>
+#include <string>
+
+#include "common/decision_log.hpp"
+#include "common/environment.hpp"
+#include "ledger/replica.hpp"
+
+namespace madderdeck::ledger {
+
+/// Writes one line for each epoch that a replica enters, each copy that it needs before it votes, the progress of
+/// copies that last, and each admission. Owned by one node, single threaded.
+class replica_journal {
+ public:
+  replica_journal(Environment& environment, DecisionLog& log, Replica& replica);
+
+  /// Takes the replica's callbacks; to be called before it restores its groups.
+  void start();
+
+ private:
+  /// A copy that is being told of.
+  struct told_copy {
+    Timestamp began_at{};     ///< Of the copy that it is.
+    Timestamp tell_at{};      ///< When the next line is due.
+    Duration pause{};         ///< From the latest line to the next one.
+    std::uint64_t pages = 0;  ///< That had come at the latest line.
+  };
+
+  void tell_epoch(const epoch_step& step);
+  void tell_begun(std::uint32_t group, std::uint64_t epoch);
+  void tell_admitted(std::uint32_t group, std::uint64_t epoch);
+  void tell_progress(std::uint32_t group, const copy_progress& copy);
+  /// Tells of the copies whose lines are due, as long as there are any.
+  void look_at_copies();
+  void schedule_look();
+  /// @return for each source what has come from it, and for how long its next page has been waited for.
+  std::string describe_sources(std::uint32_t group, const copy_progress& copy) const;
+
+  Environment& environment_;
+  DecisionLog& log_;
+  Replica& replica_;
+  std::map<std::uint32_t, told_copy> copies_;
+  bool look_scheduled_ = false;
+  Lifetime lifetime_;
+};
+
+}  // namespace madderdeck::ledger
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -106,6 +106,7 @@
     replica = std::make_unique<ledger::Replica>(
         environment, *dependencies.storage, counters, NodeId(options.self.id), DiskId(options.self.disk_id),
         [this](const NodeId& node) { return members.address_of(node); }, options.guards.replica);
+    replica_journal = std::make_unique<ledger::replica_journal>(environment, log, *replica);
   }
   group_health = std::make_unique<ledger::group_health>(environment, counters, log, ledger, replica.get(),
                                                         [this](const NodeId& node) { return members.find(node); });
@@ -170,9 +171,7 @@
   quarantine.mark_in(platform_);
   quarantine.start();
   if (replica) {
-    replica->on_admitted = [this](std::uint32_t group, std::uint64_t epoch) {
-      log.record("replica_admitted", {{"group", group}, {"epoch", epoch}});
-    };
+    replica_journal->start();
     replica->restore();
   }
   start_watching_groups();
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -18,6 +18,7 @@
 #include "forwarding/forwarder.hpp"
 #include "ledger/client.hpp"
 #include "ledger/group_health.hpp"
+#include "ledger/replica_journal.hpp"
 #include "ledger/replica.hpp"
 #include "membership/membership.hpp"
 #include "object_store/controller.hpp"
@@ -155,7 +156,8 @@
   ledger::Client ledger;
   batch::ResultReader results;
   batch::submission_window submissions;
-  std::unique_ptr<ledger::Replica> replica;  ///< Only on ledger nodes.
+  std::unique_ptr<ledger::Replica> replica;                  ///< Only on ledger nodes.
+  std::unique_ptr<ledger::replica_journal> replica_journal;  ///< As the replica.
   std::unique_ptr<ledger::group_health> group_health;
   routing::Registry registry;
   routing::ClaimBook claims;
