A next epoch that is not decided says who granted and who refused it

Cause: group_changed with outcome "unavailable" came every 4 s for good and said nothing else. Change: it has why (what each member answered), the members and leaving ones that were decided or asked for, and the sole decider where one was named. Its other fields are as before. Evidence: the text of why is checked in write_test; of the line itself there is no test.

--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -466,15 +466,26 @@
   }));
 }
 
+void Controller::tell_change(std::uint32_t group, const ledger::epoch_change& asked,
+                             const Result<ledger::ReplicaGroup>& result) {
+  const std::uint64_t before = asked.next.epoch - 1;
+  const bool decided = succeeded(result);
+  log_.record("group_changed", {{"group", group},
+                                {"from_epoch", before},
+                                {"epoch", decided ? value_of(result).epoch : before},
+                                {"outcome", decided ? "decided" : error_kind_name(error_of(result).kind)},
+                                {"why", decided ? "" : error_of(result).detail},
+                                {"members", ledger::text_of(decided ? value_of(result).replicas : asked.next.replicas)},
+                                {"leaving", ledger::text_of(decided ? value_of(result).leaving : asked.next.leaving)},
+                                {"sole_decider", asked.rule.sole ? ledger::text_of(*asked.rule.sole) : ""}});
+}
+
 void Controller::decide(std::uint32_t group, const ledger::epoch_change& change) {
   counters_["replica_replacements_total"]++;
-  const auto decided = [this, group, before = change.next.epoch - 1](const Result<ledger::ReplicaGroup>& result) {
+  const auto decided = [this, group, change](const Result<ledger::ReplicaGroup>& result) {
     deciding_.erase(group);
     announce_until_[group] = environment_.now() + kAnnounceTime;
-    log_.record("group_changed", {{"group", group},
-                                  {"from_epoch", before},
-                                  {"epoch", succeeded(result) ? value_of(result).epoch : before},
-                                  {"outcome", succeeded(result) ? "decided" : error_kind_name(error_of(result).kind)}});
+    tell_change(group, change, result);
   };
   ledger_.decide_next(group, change.next, change.rule, lifetime_.guard(decided));
 }
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -110,6 +110,8 @@
   /// Has @p change decided, after the store's grant where one member is to decide alone.
   void begin_change(std::uint32_t group, const ledger::epoch_change& change);
   void decide(std::uint32_t group, const ledger::epoch_change& change);
+  /// Tells operators what became of @p asked, and of a refusal who granted and who refused.
+  void tell_change(std::uint32_t group, const ledger::epoch_change& asked, const Result<ledger::ReplicaGroup>& result);
   void publish_groups();
   /// Publishes what the maintainers ought to have: they may not know of it.
   void publish_overdue_groups();
