A start says which disk was found, and why one is new

Cause: a disk whose identity file cannot be read gets a new identity, as an empty one does, and no line told them apart. Change: disk_opened names the identity, whether it is new, and what was missing. The choice itself is as before.

--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -164,20 +164,37 @@
 
 }  // namespace
 
-Result<std::string> load_disk_id(const std::string& folder, std::uint64_t random) {
+namespace {
+
+/// @return why a folder whose identity could not be read has none.
+const char* describe_missing_identity(const std::string& folder, const std::string& name) {
+  std::error_code failure;
+  if (std::filesystem::exists(folder + "/" + name, failure)) {
+    return "identity file empty or unreadable";
+  }
+  if (failure || !std::filesystem::is_empty(folder, failure)) {
+    return failure ? "folder unreadable" : "no identity file beside other files";
+  }
+  return "no identity file, folder empty";
+}
+
+}  // namespace
+
+Result<disk_identity> load_disk_id(const std::string& folder, std::uint64_t random) {
   std::error_code failure;
   std::filesystem::create_directories(folder, failure);
   constexpr char kName[] = "disk_id";
   std::string identity;
   if (std::ifstream file(folder + "/" + kName); file >> identity) {
-    return identity;
+    return disk_identity{identity, false, ""};
   }
+  const char* why = describe_missing_identity(folder, kName);
   identity = "disk-" + hex64(random);
   // Without its identity a disk's records count for nothing, so it must last as long as they do.
   if (!write_durably(folder, kName, identity + "\n")) {
     return Error{ErrorKind::storage_unwritable, "cannot write " + folder + "/" + kName};
   }
-  return identity;
+  return disk_identity{identity, true, why};
 }
 
 }  // namespace madderdeck::ledger
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -39,8 +39,15 @@
   std::shared_ptr<Implementation> implementation_;
 };
 
+/// Who a disk folder is.
+struct disk_identity {
+  std::string id;
+  bool is_new = false;   ///< It was made now: the disk holds nothing of any group, whatever lies in the folder.
+  const char* why = "";  ///< Of a new one: what was missing. For operators.
+};
+
 /// Reads the identity of the disk folder, making one where there is none.
 /// @return ErrorKind::storage_unwritable when the folder cannot be written.
-Result<std::string> load_disk_id(const std::string& folder, std::uint64_t random);
+Result<disk_identity> load_disk_id(const std::string& folder, std::uint64_t random);
 
 }  // namespace madderdeck::ledger
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -76,7 +76,12 @@
       if (!succeeded(disk)) {
         return error_of(disk);
       }
-      options.self.disk_id = value_of(disk);
+      options.self.disk_id = value_of(disk).id;
+      log_event(LogLevel::info, "disk_opened",
+                {{"node", settings_.id},
+                 {"disk", value_of(disk).id},
+                 {"new", value_of(disk).is_new},
+                 {"why", value_of(disk).why}});
       ledger::Executors executors;
       executors.background = [this](std::function<void()> task) { asio::post(background_, std::move(task)); };
       executors.owner = [this](std::function<void()> task) { asio::post(context_, std::move(task)); };
