A group's majority is told by what its members have said

Cause: a member that had joined in a later epoch counted until it said otherwise, and nodes without a disk, or with one that was no member, never asked. So a gateway told a majority as regained by an empty disk, and a node with a new disk called another one admitted that had never copied. A refusal held for 5 s and then counted as a vote, so that a group which nobody read was told as regained; a refusal that came within the half second in which this node had learnt of the epoch was dropped. Change: such a member is not_heard until it grants a request or says that it votes. All nodes ask, one question a second each at most, members of later epochs and those that refused, and not again once they have said that they vote; in the founding epoch nobody is asked. A group is told as lost only where it has no majority even with those that have not been heard, so that a node that starts raises no false alarm, and as regained only without them. Of one that was there, "refusals ... for a while", the end is replaced: it held that a member that refused and then said nothing counts after 6 s, which is the fault; now it does not count until it has said that it votes. Not covered: a member of the founding epoch that answers probes, refuses nothing and leaves unanswered the few requests that it gets (less than five in a row, or with pauses above 3 s) still counts.

--- a/src/ledger/group_health.cpp
+++ b/src/ledger/group_health.cpp
@@ -13,7 +13,7 @@
 constexpr Duration kLeastBetweenLosses = 10s;
 /// A node that starts has not heard of all members yet.
 constexpr Duration kStarting = 3s;
-/// Of a refusal: who still asks hears the next one before.
+/// Of a refusal: by then the member has been asked, or the next request has met it.
 constexpr Duration kRefusalHolds = 5s;
 /// From one question to the next, to whomever: a question and its answer are some 70 bytes each.
 constexpr Duration kBetweenQuestions = 1s;
@@ -21,6 +21,9 @@
 constexpr Duration kFirstAskPause = 1s;
 constexpr unsigned kAsksBeforeDoubling = 4;
 constexpr unsigned kMostAskDoublings = 4;
+/// While a group has no majority, so that its return is told soon.
+constexpr unsigned kMostAskDoublingsWhenLost = 2;
+constexpr std::uint64_t kFoundingEpoch = 1;
 /// Questions go over connections: one that is not answered met no one, or a node that does not know the epoch and is of
 /// a version that does not say so.
 constexpr unsigned kUnansweredMeansSilent = 3;
@@ -55,6 +58,8 @@
   switch (state) {
     case member_state::counts:
       return "admitted";
+    case member_state::not_heard:
+      return "not_heard";
     case member_state::not_admitted:
       return "not_admitted";
     case member_state::unknown_epoch:
@@ -73,16 +78,41 @@
   return "unknown";
 }
 
+const char* name_of(evidence known_by) {
+  switch (known_by) {
+    case evidence::nothing:
+      return "no word yet";
+    case evidence::founding:
+      return "founding member";
+    case evidence::membership:
+      return "probes";
+    case evidence::requests:
+      return "requests unanswered";
+    case evidence::refusal:
+      return "refused a request";
+    case evidence::word:
+      return "its own word";
+    case evidence::own_disk:
+      return "this node";
+  }
+  return "unknown";
+}
+
 std::size_t group_view::counting() const {
   return static_cast<std::size_t>(std::count_if(
       members.begin(), members.end(), [](const member_view& member) { return member.state == member_state::counts; }));
 }
 
+std::size_t group_view::not_heard() const {
+  return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const member_view& member) {
+    return member.state == member_state::not_heard;
+  }));
+}
+
 std::string group_view::text() const {
   std::string text;
   for (const member_view& member : members) {
-    text += (text.empty() ? "" : ", ") + member.identity.node.str() + "/" + member.identity.disk.str() + " " +
-            name_of(member.state);
+    text += (text.empty() ? "" : ", ") + text_of(member.identity) + " " + name_of(member.state);
   }
   return text;
 }
@@ -106,18 +136,18 @@
   take_epochs();
   CounterValue lost = 0;
   for (std::uint32_t group = 0; group < groups_.size(); ++group) {
+    note_seen(group, groups_[group]);
     review(group, groups_[group]);
     lost += groups_[group].told_lost ? 1 : 0;
   }
   counters_["ledger_groups_without_majority"] = lost;
   if (replica_ != nullptr) {
     review_admissions();
-    ask_next();
   }
+  ask_next();
 }
 
 void group_health::take_epochs() {
-  constexpr std::uint64_t kFoundingEpoch = 1;
   groups_.resize(client_.group_map().groups.size());
   for (std::uint32_t group = 0; group < groups_.size(); ++group) {
     const ReplicaGroup& present = description(group);
@@ -131,8 +161,11 @@
       const auto known = state.words.find(identity);
       const bool admitted = known != state.words.end() && known->second.said == member_state::counts;
       // A group is founded on disks that lack nothing.
-      if (admitted || present.epoch == kFoundingEpoch) {
+      if (admitted) {
+        words[identity] = known->second;
+      } else if (present.epoch == kFoundingEpoch) {
         words[identity].said = member_state::counts;
+        words[identity].by = evidence::founding;
       } else {
         words[identity] = word{};
       }
@@ -141,6 +174,17 @@
   }
 }
 
+void group_health::note_seen(std::uint32_t group, group_state& state) const {
+  std::map<ReplicaIdentity, seen_member> seen;
+  for (const ReplicaIdentity& identity : description(group).replicas) {
+    const member_state now_seen = find_state(group, identity).state;
+    const auto before = state.seen.find(identity);
+    const bool as_before = before != state.seen.end() && before->second.state == now_seen;
+    seen[identity] = as_before ? before->second : seen_member{now_seen, environment_.now()};
+  }
+  state.seen = std::move(seen);
+}
+
 // --- majorities -----------------------------------------------------------------------------
 
 void group_health::review(std::uint32_t group, group_state& state) {
@@ -149,7 +193,8 @@
     return;
   }
   const group_view seen = view(group);
-  if (seen.has_majority() != state.told_lost) {
+  const bool differs = state.told_lost ? seen.has_majority() : !seen.may_have_majority();
+  if (!differs) {
     state.differs_since.reset();
     return;
   }
@@ -196,41 +241,79 @@
   seen.group = group;
   seen.epoch = present.epoch;
   for (const ReplicaIdentity& identity : present.replicas) {
-    seen.members.push_back({identity, state_of(group, identity)});
+    const finding found = find_state(group, identity);
+    member_view member{identity, found.state, found.known_by, {}};
+    if (group < groups_.size()) {
+      const auto before = groups_[group].seen.find(identity);
+      const bool as_before = before != groups_[group].seen.end() && before->second.state == found.state;
+      member.held_for = as_before ? environment_.now() - before->second.since : Duration{};
+    }
+    seen.members.push_back(std::move(member));
   }
   return seen;
 }
 
-member_state group_health::state_of(std::uint32_t group, const ReplicaIdentity& identity) const {
+group_health::finding group_health::find_state(std::uint32_t group, const ReplicaIdentity& identity) const {
   const member_state presence = presence_of(identity);
   if (presence != member_state::counts) {
-    return presence;
+    return {presence, evidence::membership};
   }
   if (replica_ != nullptr && replica_->is(identity)) {
-    switch (replica_->standing(group, description(group).epoch)) {
-      case wire::ReplicaStanding::Admitted:
-        return member_state::counts;
-      case wire::ReplicaStanding::Copying:
-        return member_state::not_admitted;
-      case wire::ReplicaStanding::UnknownEpoch:
-      case wire::ReplicaStanding::NotSaid:
-        return member_state::unknown_epoch;
-    }
+    return {own_state(group), evidence::own_disk};
   }
+  const finding heard = heard_state(group, identity);
+  const bool may_vote = heard.state == member_state::counts || heard.state == member_state::not_heard;
+  return may_vote && is_silent(identity.node) ? finding{member_state::silent, evidence::requests} : heard;
+}
+
+member_state group_health::own_state(std::uint32_t group) const {
+  switch (replica_->standing(group, description(group).epoch)) {
+    case wire::ReplicaStanding::Admitted:
+      return member_state::counts;
+    case wire::ReplicaStanding::Copying:
+      return member_state::not_admitted;
+    case wire::ReplicaStanding::UnknownEpoch:
+    case wire::ReplicaStanding::NotSaid:
+      break;
+  }
+  return member_state::unknown_epoch;
+}
+
+group_health::finding group_health::heard_state(std::uint32_t group, const ReplicaIdentity& identity) const {
+  const word* heard = nullptr;
   if (group < groups_.size()) {
     const auto entry = groups_[group].words.find(identity);
-    if (entry != groups_[group].words.end()) {
-      const word& heard = entry->second;
-      const bool over = heard.refusal && environment_.now() - heard.heard_at >= kRefusalHolds;
-      if (heard.said && !over && *heard.said != member_state::counts) {
-        return *heard.said;
-      }
-      if (!heard.said && heard.unanswered >= kUnansweredMeansSilent) {
-        return member_state::silent;
-      }
-    }
+    heard = entry == groups_[group].words.end() ? nullptr : &entry->second;
+  }
+  if (heard == nullptr) {  // this node has just learnt of the epoch
+    const bool founding = description(group).epoch == kFoundingEpoch;
+    return founding ? finding{member_state::counts, evidence::founding} : finding{};
   }
-  return is_silent(identity.node) ? member_state::silent : member_state::counts;
+  const bool over = heard->by == evidence::refusal && environment_.now() - heard->heard_at >= kRefusalHolds;
+  if (heard->said && !over) {
+    return {*heard->said, heard->by};
+  }
+  if (heard->unanswered >= kUnansweredMeansSilent) {
+    return {member_state::silent, evidence::requests};
+  }
+  const bool cannot_tell = heard->answered && !heard->said;
+  return cannot_tell ? finding{member_state::counts, evidence::word} : finding{};
+}
+
+std::string group_health::explain(std::uint32_t group, const member_view& member) const {
+  const wire::MemberT* node = member_(member.identity.node);
+  if (member.state == member_state::disk_replaced && node != nullptr) {
+    return "its node runs with " + node->disk_id;
+  }
+  if (member.known_by != evidence::own_disk || member.state != member_state::not_admitted) {
+    return name_of(member.known_by);
+  }
+  const copy_progress* copy = replica_->copy_of(group);
+  std::string text = "copied " + short_bytes(copy == nullptr ? 0 : copy->total().bytes);
+  for (const awaited_source& source : replica_->awaited_sources(group)) {
+    text += ", waits for " + text_of(source.identity);
+  }
+  return text;
 }
 
 member_state group_health::presence_of(const ReplicaIdentity& identity) const {
@@ -292,16 +375,63 @@
   return nullptr;
 }
 
+group_health::word* group_health::word_at(const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch) {
+  // The epoch may have been learnt since the last look.
+  if (group >= groups_.size() || groups_[group].epoch != epoch) {
+    take_epochs();
+  }
+  const bool present = group < groups_.size() && groups_[group].epoch == epoch;
+  return present ? word_of(sender, group) : nullptr;
+}
+
+bool group_health::all_admitted(std::uint32_t group, std::uint64_t epoch) const {
+  if (group >= groups_.size() || groups_[group].epoch != epoch) {
+    return false;
+  }
+  const auto& words = groups_[group].words;
+  return std::all_of(words.begin(), words.end(),
+                     [](const auto& entry) { return entry.second.said == member_state::counts; });
+}
+
+void group_health::on_granted(const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch) {
+  if (all_admitted(group, epoch)) {
+    return;
+  }
+  word* heard = word_at(sender, group, epoch);
+  if (heard == nullptr) {
+    return;
+  }
+  heard->said = member_state::counts;
+  heard->by = evidence::word;
+  heard->heard_at = environment_.now();
+  heard->unanswered = 0;
+}
+
 void group_health::on_refusal(const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch,
                               wire::ReplicaStatus status) {
-  const bool not_ready = status == wire::ReplicaStatus::NotReady;
-  const bool unknown = status == wire::ReplicaStatus::UnknownEpoch;
-  word* heard = word_of(sender, group);
-  if (heard == nullptr || (!not_ready && !unknown) || groups_[group].epoch != epoch) {
+  switch (status) {
+    case wire::ReplicaStatus::Granted:
+    case wire::ReplicaStatus::BallotTooLow:
+    case wire::ReplicaStatus::Corrupted:
+      on_granted(sender, group, epoch);  // it votes, though not for this
+      return;
+    case wire::ReplicaStatus::StaleEpoch:
+      return;
+    case wire::ReplicaStatus::UnknownEpoch:
+    case wire::ReplicaStatus::NotReady:
+      break;
+  }
+  word* heard = word_at(sender, group, epoch);
+  if (heard == nullptr) {
     return;
   }
+  if (heard->said == member_state::counts) {
+    heard->asked = 0;
+    heard->ask_at = environment_.now();
+  }
+  const bool not_ready = status == wire::ReplicaStatus::NotReady;
   heard->said = not_ready ? member_state::not_admitted : member_state::unknown_epoch;
-  heard->refusal = true;
+  heard->by = evidence::refusal;
   heard->heard_at = environment_.now();
   heard->unanswered = 0;
 }
@@ -313,20 +443,17 @@
   }
   heard->unanswered = 0;
   heard->heard_at = environment_.now();
-  heard->refusal = false;
+  heard->by = evidence::word;
+  heard->answered = true;
   heard->said = said_by(message, groups_[message.group].epoch);
 }
 
 // --- questions ------------------------------------------------------------------------------
 
-bool group_health::is_member(const ReplicaGroup& group) const {
-  return replica_ != nullptr && std::any_of(group.replicas.begin(), group.replicas.end(),
-                                            [this](const ReplicaIdentity& member) { return replica_->is(member); });
-}
-
 bool group_health::has_to_be_asked(const ReplicaIdentity& identity, const word& heard) const {
   const bool admitted = heard.said == member_state::counts;
-  return !admitted && !replica_->is(identity) && presence_of(identity) == member_state::counts;
+  const bool own = replica_ != nullptr && replica_->is(identity);
+  return !admitted && !own && presence_of(identity) == member_state::counts;
 }
 
 void group_health::ask_next() {
@@ -335,9 +462,6 @@
   const ReplicaIdentity* asked = nullptr;
   std::uint32_t asked_group = 0;
   for (std::uint32_t group = 0; group < groups_.size(); ++group) {
-    if (!is_member(description(group))) {
-      continue;
-    }
     for (auto& [identity, heard] : groups_[group].words) {
       if (now >= heard.ask_at && (due == nullptr || heard.ask_at < due->ask_at) && has_to_be_asked(identity, heard)) {
         due = &heard;
@@ -349,8 +473,8 @@
   if (due == nullptr || now - last_question_ < kBetweenQuestions) {
     return;
   }
-  const unsigned doublings =
-      std::min(std::max(due->asked, kAsksBeforeDoubling) - kAsksBeforeDoubling, kMostAskDoublings);
+  const unsigned most_doublings = groups_[asked_group].told_lost ? kMostAskDoublingsWhenLost : kMostAskDoublings;
+  const unsigned doublings = std::min(std::max(due->asked, kAsksBeforeDoubling) - kAsksBeforeDoubling, most_doublings);
   due->ask_at = now + kFirstAskPause * (1U << doublings);
   ++due->asked;
   ++due->unanswered;
@@ -387,7 +511,7 @@
 void group_health::tell_waiting(const Replica::unadmitted& replica, const waiting_replica& waiting) {
   std::string sources;
   for (const ReplicaIdentity& source : replica.waits_for) {
-    sources += (sources.empty() ? "" : ", ") + source.node.str() + "/" + source.disk.str() + " " +
+    sources += (sources.empty() ? "" : ", ") + text_of(source) + " " +
                (presence_of(source) == member_state::counts ? "copying" : name_of(presence_of(source)));
   }
   log_.record("replica_not_admitted", {{"group", replica.group},
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -201,6 +201,9 @@
   ledger.on_asked = [this](const NodeId& node) { group_health->on_asked(node); };
   ledger.on_refusal = [this](const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch,
                              wire::ReplicaStatus status) { group_health->on_refusal(sender, group, epoch, status); };
+  ledger.on_granted = [this](const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch) {
+    group_health->on_granted(sender, group, epoch);
+  };
   group_health->start();
 }
 
@@ -481,8 +484,8 @@
     case wire::Message::CopyStatus:
       if (replica) {
         replica->handle(*body.AsCopyStatus());
-        group_health->handle(sender, *body.AsCopyStatus());
       }
+      group_health->handle(sender, *body.AsCopyStatus());
       break;
     case wire::Message::JobNotice:
       if (jobs) {
--- a/tests/ledger/group_health_test.cpp
+++ b/tests/ledger/group_health_test.cpp
@@ -6,10 +6,12 @@
 
 #include "ledger/group_health.hpp"
 #include "simulation/fleet.hpp"
+#include "support/kept_lines.hpp"
 #include "support/test_environment.hpp"
 
 using namespace madderdeck;
 using namespace madderdeck::ledger;
+using madderdeck::tests::kept_lines;
 using madderdeck::tests::TestEnvironment;
 
 namespace {
@@ -19,33 +21,6 @@
 const ReplicaIdentity kC{NodeId("c"), DiskId("disk-c")};
 const ReplicaIdentity kNewC{NodeId("c"), DiskId("disk-c2")};
 
-/// Keeps lines as "event field=value ...".
-class kept_lines : public DecisionLog {
- public:
-  void record(std::string_view event, std::initializer_list<DecisionField> fields) override {
-    std::string line(event);
-    for (const DecisionField& field : fields) {
-      line +=
-          " " + std::string(field.name) + "=" + std::visit([](const auto& value) { return text(value); }, field.value);
-    }
-    lines.push_back(std::move(line));
-  }
-  std::size_t count(const std::string& event) const {
-    return static_cast<std::size_t>(std::count_if(
-        lines.begin(), lines.end(), [&event](const std::string& line) { return line.starts_with(event + " "); }));
-  }
-
-  std::vector<std::string> lines;
-
- private:
-  static std::string text(std::string_view value) { return std::string(value); }
-  static std::string text(bool value) { return value ? "true" : "false"; }
-  template <class Number>
-  static std::string text(Number value) {
-    return std::to_string(value);
-  }
-};
-
 /// A node of a fleet with three disks; with a disk of its own it is "a".
 class fixture {
  public:
@@ -69,6 +44,9 @@
     client.on_asked = [this](const NodeId& node) { health->on_asked(node); };
     client.on_refusal = [this](const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch,
                                wire::ReplicaStatus status) { health->on_refusal(sender, group, epoch, status); };
+    client.on_granted = [this](const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch) {
+      health->on_granted(sender, group, epoch);
+    };
     adopt(founded);
     health->start();
     run_for(6s);
@@ -135,7 +113,7 @@
   REQUIRE(node.log.count("group_majority_regained") == 1);
   CHECK(node.log.lines.back().find("counting=2 needed=2") != std::string::npos);
   CHECK(node.gauge() == 0);
-  CHECK(node.questions() == 0);  // a node without a disk asks nobody
+  CHECK(node.questions() == 0);  // the members have been in the group since it was founded
 }
 
 TEST_CASE("a majority that comes and goes is not told at every turn") {
@@ -231,7 +209,7 @@
   CHECK(node.state_of(2) == member_state::counts);
 }
 
-TEST_CASE("refusals of a node's own requests tell who is not admitted, for a while") {
+TEST_CASE("refusals of a node's own requests tell who is not admitted, until the member says otherwise") {
   fixture node(false);
   node.client.read("k/1", [](const Result<OptionalValue>&) {});
   std::optional<std::uint64_t> request;
@@ -248,9 +226,136 @@
   node.client.handle(fixture::address_of(kB.node), refusal);
   CHECK(node.state_of(1) == member_state::not_admitted);
   node.run_for(6s);
+  CHECK(node.state_of(1) == member_state::silent);  // asked since, without an answer
+  node.say(kB, 1, wire::ReplicaStanding::Copying);
+  node.run_for(30s);
+  CHECK(node.state_of(1) == member_state::not_admitted);
+  node.say(kB, 1, wire::ReplicaStanding::Admitted);
   CHECK(node.state_of(1) == member_state::counts);
 }
 
+TEST_CASE("a disk that joined in a later epoch does not count before it is heard to be admitted") {
+  const bool with_disk = GENERATE(false, true);
+  fixture node(with_disk);
+  node.replace_c();
+  node.run_for(1s);
+  CHECK(node.state_of(2) != member_state::counts);
+  node.say(kNewC, 2, wire::ReplicaStanding::Copying);
+  node.set(kB, wire::MemberState::Dead);
+  node.run_for(4s);
+  CHECK(node.log.count("group_majority_lost") == 1);
+  node.say(kNewC, 2, wire::ReplicaStanding::Admitted);
+  node.run_for(1s);
+  CHECK(node.log.count("group_majority_regained") == 1);
+  CHECK(node.state_of(2) == member_state::counts);
+}
+
+// A group was down to one member after its other one had died; that one came back with a new disk, which the next epoch
+// named, and a gateway said at once that the majority was there again, with the empty disk as admitted.
+TEST_CASE("a majority is not regained by a new disk that nobody has heard to be admitted") {
+  fixture node(false, {3, {kC, kA}, {}});
+  node.say(kA, 3, wire::ReplicaStanding::Admitted);
+  node.say(kC, 3, wire::ReplicaStanding::Admitted);
+  node.set(kC, wire::MemberState::Dead);
+  node.run_for(4s);
+  REQUIRE(node.log.count("group_majority_lost") == 1);
+  node.set(kC, wire::MemberState::Alive);
+  node.members[kC.node].disk_id = kNewC.disk.str();
+  node.adopt({5, {kA, kNewC}, {}});
+  node.run_for(2s);
+  CHECK(node.log.count("group_majority_regained") == 0);
+  node.say(kNewC, 5, wire::ReplicaStanding::Copying);
+  node.run_for(5s);
+  CHECK(node.log.count("group_majority_regained") == 0);
+  node.say(kNewC, 5, wire::ReplicaStanding::Admitted);
+  node.run_for(1s);
+  CHECK(node.log.count("group_majority_regained") == 1);
+}
+
+// The members were one whose disk had been lost with all power and one that had never copied. The node of the lost
+// disk, back with a new one and a member of nothing, called the other one admitted.
+TEST_CASE("a node that is no member of a group calls none of its members admitted unheard") {
+  const ReplicaIdentity lost{NodeId("a"), DiskId("disk-of-before")};
+  fixture node(true, {5, {lost, kC}, {}});
+  node.run_for(2s);
+  REQUIRE(node.log.count("group_majority_lost") == 1);
+  CHECK(node.log.lines.back().find("a/disk-of-before disk_replaced") != std::string::npos);
+  CHECK(node.log.lines.back().find("c/disk-c admitted") == std::string::npos);
+  CHECK(node.questions() > 0);
+}
+
+TEST_CASE("a group whose members refuse after a joint start is told as lost, and not as regained when nobody reads") {
+  fixture node(false);
+  for (const ReplicaIdentity& member : {kA, kB}) {
+    node.health->on_refusal(fixture::address_of(member.node), 0, 1, wire::ReplicaStatus::NotReady);
+  }
+  node.run_for(20s);
+  CHECK(node.log.count("group_majority_lost") == 1);
+  CHECK(node.log.count("group_majority_regained") == 0);
+  CHECK(node.gauge() == 1);
+}
+
+TEST_CASE("a refusal counts also where the node has learnt of the epoch within the same moment") {
+  fixture node(false);
+  node.adopt({2, {kA, kB, kC}, {}});
+  for (const ReplicaIdentity& member : {kA, kB}) {
+    node.health->on_refusal(fixture::address_of(member.node), 0, 2, wire::ReplicaStatus::UnknownEpoch);
+  }
+  node.run_for(4s);
+  CHECK(node.log.count("group_majority_lost") == 1);
+}
+
+TEST_CASE("a node without a disk asks members of a later epoch, one question a second at most, until they have told") {
+  fixture node(false, {5, {kA, kB, kC}, {}});  // runs for 6 s
+  CHECK(node.questions() >= 3);
+  CHECK(node.questions() <= 7);
+  CHECK(node.state_of(0) != member_state::counts);
+  for (const ReplicaIdentity& member : {kA, kB, kC}) {
+    node.say(member, 5, wire::ReplicaStanding::Admitted);
+  }
+  const std::size_t asked = node.questions();
+  node.run_for(60s);
+  CHECK(node.questions() == asked);
+  CHECK(node.state_of(0) == member_state::counts);
+  CHECK(node.log.lines.empty());
+}
+
+TEST_CASE("a group is not told as lost for want of questions that have not gone out yet") {
+  constexpr std::uint32_t kGroups = 8;  // 24 questions at one a second
+  TestEnvironment environment;
+  Counters counters;
+  kept_lines log;
+  std::map<NodeId, wire::MemberT> members;
+  for (const ReplicaIdentity& identity : {kA, kB, kC}) {
+    members[identity.node].peer_address = fixture::address_of(identity.node).str();
+    members[identity.node].disk_id = identity.disk.str();
+  }
+  Client client(environment, counters, [](const NodeId& node) { return std::optional(fixture::address_of(node)); });
+  GroupMap map;
+  map.groups.assign(kGroups, {5, {kA, kB, kC}, {}});
+  client.on_group_map(map);
+  group_health health(environment, counters, log, client, nullptr,
+                      [&members](const NodeId& node) { return &members.at(node); });
+  health.start();
+  std::size_t answered = 0;
+  for (int round = 0; round < 400; ++round) {
+    environment.world.run_for(100ms);
+    for (; answered < environment.sent.size(); ++answered) {
+      const auto& question = environment.sent[answered];
+      if (question.body.type == wire::Message::CopyStatusRequest) {
+        wire::CopyStatusT status;
+        status.group = question.body.AsCopyStatusRequest()->group;
+        status.epoch = 5;
+        status.standing = wire::ReplicaStanding::Admitted;
+        health.handle(question.to, status);
+      }
+    }
+  }
+  CHECK(log.lines.empty());
+  CHECK(environment.sent_of(wire::Message::CopyStatusRequest) == kGroups * 3);
+  CHECK(health.view(kGroups - 1).counting() == 3);
+}
+
 TEST_CASE("a disk that is not admitted for long is told, with the members that it waits for") {
   const ReplicaIdentity lost{NodeId("a"), DiskId("disk-of-before")};
   fixture node(true, {1, {lost, kB, kC}, {}});
@@ -281,3 +386,57 @@
   CHECK_FALSE(answer.complete);
   CHECK(answer.standing == wire::ReplicaStanding::UnknownEpoch);
 }
+
+TEST_CASE("operators are told for how long a member is in its state, and what that is known by") {
+  fixture node(false);
+  member_view b = node.health->view(0).members.at(1);
+  CHECK(node.health->explain(0, b) == "founding member");
+  node.set(kB, wire::MemberState::Dead);
+  node.run_for(10s);
+  b = node.health->view(0).members.at(1);
+  CHECK(b.state == member_state::dead);
+  CHECK(b.held_for >= 9s);
+  CHECK(b.held_for <= 10s);
+  CHECK(node.health->explain(0, b) == "probes");
+  node.replace_c();
+  node.run_for(1s);
+  CHECK(node.health->explain(0, node.health->view(0).members.at(2)) == "no word yet");
+  node.say(kNewC, 2, wire::ReplicaStanding::Copying);
+  CHECK(node.health->explain(0, node.health->view(0).members.at(2)) == "its own word");
+  node.members[kC.node].disk_id = "disk-c3";
+  CHECK(node.health->explain(0, node.health->view(0).members.at(2)) == "its node runs with disk-c3");
+}
+
+TEST_CASE("a node that copies tells operators how far it is and whom it waits for") {
+  const ReplicaIdentity lost{NodeId("a"), DiskId("disk-of-before")};
+  fixture node(true, {1, {lost, kB, kC}, {}});
+  node.adopt({2, {kA, kB, kC}, {}});
+  node.run_for(1s);
+  const member_view own = node.health->view(0).members.at(0);
+  CHECK(own.state == member_state::not_admitted);
+  CHECK(node.health->explain(0, own) == "copied 0 KB, waits for b/disk-b, waits for c/disk-c");
+}
+
+TEST_CASE("a member that grants a request is admitted, and one that only finds a ballot too low, too") {
+  fixture node(false, {5, {kA, kB, kC}, {}});
+  node.environment.sent.clear();
+  node.client.read("k/1", [](const Result<OptionalValue>&) {});
+  std::optional<std::uint64_t> request;
+  for (const auto& message : node.environment.sent) {
+    if (message.body.type == wire::Message::Prepare) {
+      request = message.body.AsPrepare()->request;
+    }
+  }
+  REQUIRE(request);
+  wire::PromiseT promise;
+  promise.request = *request;
+  promise.epoch = 5;
+  node.client.handle(fixture::address_of(kA.node), promise);
+  CHECK(node.state_of(0) == member_state::counts);
+  CHECK(node.state_of(1) != member_state::counts);
+  promise.replica = 1;
+  promise.status = wire::ReplicaStatus::BallotTooLow;
+  node.client.handle(fixture::address_of(kB.node), promise);
+  CHECK(node.state_of(1) == member_state::counts);
+  CHECK(node.state_of(2) != member_state::counts);
+}
