--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -119,7 +119,9 @@
     for (const ledger::member_view& member : seen.members) {
       members.push_back(json::object{{"node", member.identity.node.str()},
                                      {"disk", member.identity.disk.str()},
-                                     {"state", ledger::name_of(member.state)}});
+                                     {"state", ledger::name_of(member.state)},
+                                     {"state_for_ms", member.held_for / 1ms},
+                                     {"why", core.group_health->explain(seen.group, member)}});
     }
     groups.push_back(json::object{{"group", seen.group},
                                   {"epoch", seen.epoch},
