A refusal that comes after its attempt is over is noted

Cause: a scan's attempt ends with the first refusals that rule out a majority, in a group of two with the first one, and what came later was dropped. So failed readings called a member silent that refused each of twenty attempts, and group_health did not hear of it. Change: the requests of a scan are known by their numbers until it ends; a later refusal is noted for the failure's text and for group_health. It starts no attempt and teaches no epoch, as before. Not covered: the same of changes and decisions, whose attempts end alike.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -23,6 +23,11 @@
 bool some_know_no_names(const std::map<std::uint32_t, wire::ScanReplyT>& replies) {
   return std::any_of(replies.begin(), replies.end(), [](const auto& entry) { return knows_no_names(entry.second); });
 }
+/// Forgets all requests of the scan @p id; those of attempts that are over are kept until it ends.
+template <class Requests, class Id>
+void forget_requests(Requests& requests, Id id) {
+  std::erase_if(requests, [id](const auto& entry) { return entry.second == id; });
+}
 }  // namespace
 
 Client::Client(Environment& environment, Counters& counters, AddressLookup addresses, ClientOptions options,
@@ -520,7 +525,7 @@
   }
   Scan& scan = entry->second;
   if (environment_.now() >= scan.deadline) {
-    by_request_.erase(scan.request);
+    forget_requests(by_request_, id);
     auto node = scans_.extract(entry);
     counters_["ledger_scans_failed_total"]++;
     node.mapped().done(scan_failure(node.mapped()));
@@ -624,7 +629,7 @@
 }
 
 void Client::retry_scan(OperationId id) {
-  by_request_.erase(scans_.at(id).request);
+  // Still known by its number: a member whose refusal comes later is not silent.
   scans_.at(id).request = 0;
   environment_.after(options_.backoff_unit * 4, lifetime_.guard([this, id] { start_scan(id); }));
 }
@@ -635,11 +640,20 @@
     return;
   }
   Scan& scan = scans_.at(id->second);
+  const bool late = message.request != scan.request;
   if (message.status != wire::ReplicaStatus::Granted) {
-    const bool learnt = reconcile_epochs(sender, scan.group_number, message);
     ++scan.refusals[sender][message.status];
     scan.latest_refusals[sender] = {message.status, message.standing, message.known_epoch, message.copied_bytes,
                                     message.waits_ms};
+  }
+  if (late) {
+    if (message.status != wire::ReplicaStatus::Granted && on_refusal) {
+      on_refusal(sender, scan.group_number, message.epoch, message.status);
+    }
+    return;
+  }
+  if (message.status != wire::ReplicaStatus::Granted) {
+    const bool learnt = reconcile_epochs(sender, scan.group_number, message);
     ++scan.refused;
     if (learnt || scan.refused > scan.group.replicas.size() - scan.group.majority()) {
       retry_scan(id->second);
@@ -653,7 +667,11 @@
   }
   const OperationId scan_id = id->second;
   if (scan_complete(scan)) {
-    by_request_.erase(id);
+    if (scan.attempts > 1) {
+      forget_requests(by_request_, scan_id);
+    } else {
+      by_request_.erase(id);
+    }
     finish_scan(scan_id);
   } else {
     await_value(scan_id, scan);
--- a/tests/ledger/scan_test.cpp
+++ b/tests/ledger/scan_test.cpp
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <memory>
+#include <set>
 
 #include "ledger/client.hpp"
 #include "support/test_environment.hpp"
@@ -231,6 +233,7 @@
 
 namespace {
 
+constexpr Duration kLate = 300ms;
 constexpr std::size_t kShownOfLine = 150;  ///< Characters that are left of a line that was cut.
 
 /// A client of three members with long names; those that have an answer refuse each scan with it.
@@ -269,6 +272,12 @@
     reply.known_epoch = refusal->second.known_epoch;
     reply.copied_bytes = refusal->second.copied_bytes;
     reply.waits_ms = refusal->second.waits_ms;
+    if (late.contains(message.to)) {
+      environment.world.schedule(kLate, [this, to = message.to, reply = std::make_shared<wire::ScanReplyT>(reply)] {
+        client.handle(to, *reply);
+      });
+      return;
+    }
     client.handle(message.to, reply);
   }
   void refuse(const char* name, wire::ReplicaStatus status, wire::ReplicaStanding standing, std::uint64_t known_epoch) {
@@ -282,6 +291,7 @@
   Counters counters;
   Client client{environment, counters, [](const NodeId& node) { return std::optional(PeerAddress(node.str())); }};
   std::map<PeerAddress, wire::ScanReplyT> refusals;
+  std::set<PeerAddress> late;  ///< Their refusals come after that of all others.
 };
 
 }  // namespace
@@ -303,6 +313,24 @@
   CHECK(detail.find(", refusals storage-hall-b-1 NotReady ") != std::string::npos);
 }
 
+// A group of two, one of which refused at once: each attempt was over before the other one's refusal came, and lines
+// said that it was silent.
+TEST_CASE("a member whose refusal comes after its attempt is over is not called silent") {
+  refusing_group group;
+  group.refuse("storage-hall-a-1", wire::ReplicaStatus::UnknownEpoch, wire::ReplicaStanding::UnknownEpoch, 0);
+  group.refuse("storage-hall-b-1", wire::ReplicaStatus::UnknownEpoch, wire::ReplicaStanding::UnknownEpoch, 0);
+  group.refuse("storage-hall-c-1", wire::ReplicaStatus::NotReady, wire::ReplicaStanding::Copying, 5);
+  group.late.insert(PeerAddress("storage-hall-c-1"));
+  std::set<PeerAddress> told;
+  group.client.on_refusal = [&told](const PeerAddress& sender, std::uint32_t, std::uint64_t, wire::ReplicaStatus) {
+    told.insert(sender);
+  };
+  const std::string detail = group.scan();
+  CHECK(detail.find("storage-hall-c-1 NotReady copied 0 KB in 0 s;") != std::string::npos);
+  CHECK(told.size() == 3);
+  group.environment.world.run_for(1s);  // answers that come after the end find nothing
+}
+
 TEST_CASE("a failed scan says so where a member of an earlier version does not tell why it refuses") {
   refusing_group group;
   group.refuse("storage-hall-b-1", wire::ReplicaStatus::NotReady, wire::ReplicaStanding::NotSaid, 0);
