--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -106,6 +106,7 @@
     replica = std::make_unique<ledger::Replica>(
         environment, *dependencies.storage, counters, NodeId(options.self.id), DiskId(options.self.disk_id),
         [this](const NodeId& node) { return members.address_of(node); }, options.guards.replica);
+    replica_journal = std::make_unique<ledger::replica_journal>(environment, log, *replica);
   }
   group_health = std::make_unique<ledger::group_health>(environment, counters, log, ledger, replica.get(),
                                                         [this](const NodeId& node) { return members.find(node); });
@@ -170,9 +171,7 @@
   quarantine.mark_in(platform_);
   quarantine.start();
   if (replica) {
-    replica->on_admitted = [this](std::uint32_t group, std::uint64_t epoch) {
-      log.record("replica_admitted", {{"group", group}, {"epoch", epoch}});
-    };
+    replica_journal->start();
     replica->restore();
   }
   start_watching_groups();
@@ -202,6 +201,9 @@
   ledger.on_asked = [this](const NodeId& node) { group_health->on_asked(node); };
   ledger.on_refusal = [this](const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch,
                              wire::ReplicaStatus status) { group_health->on_refusal(sender, group, epoch, status); };
+  ledger.on_granted = [this](const PeerAddress& sender, std::uint32_t group, std::uint64_t epoch) {
+    group_health->on_granted(sender, group, epoch);
+  };
   group_health->start();
 }
 
@@ -499,8 +501,8 @@
     case wire::Message::CopyStatus:
       if (replica) {
         replica->handle(*body.AsCopyStatus());
-        group_health->handle(sender, *body.AsCopyStatus());
       }
+      group_health->handle(sender, *body.AsCopyStatus());
       break;
     case wire::Message::JobNotice:
       if (jobs) {
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -62,6 +62,7 @@
   void answer_whole(std::uint32_t member, std::uint64_t epoch, source_standing source = {}) {
     answer_empty(member, "p:", epoch, source);
     answer_empty(member, "a:", epoch, source);
+    environment.world.run_for(20ms);  // what was copied goes to the disk first
   }
   /// The member with that number tells the ballot of one record, the same as any other member, and no promises.
   void offer(std::uint32_t member, std::uint64_t epoch) {
