A silent member's answer ends the decision that gives its place away; lost disks are replaced right after a joint start

What callers saw: jobs that could not be read any more though no further disk was lost. A machine gone for good stayed a member, and its successor was given the place of a member that had been silent for some seconds; the new disk then waited for the gone one for good.

Cause: a decision once begun asks again and again, and the vote of the member that is back completed the majority that gives its place away.

Change: a decision that gives up a silent member ends when that member answers. The pause after a start holds for founding and for members that are missed, not for disks that are proven lost.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -350,6 +350,10 @@
     return;
   }
   Operation& operation = operations_.at(id->second);
+  if (operation.phase == Phase::preparing && operation.gives_up(message.replica)) {
+    finish(id->second, Error{ErrorKind::conflict, "a member that was to be replaced as a silent one answers"});
+    return;
+  }
   if (operation.phase != Phase::preparing || !operation.counts(message.replica)) {
     return;
   }
@@ -391,7 +395,7 @@
   if (rule.whole_majority) {
     return whole >= group.majority();
   }
-  return whole > 0 || (!rule.sole && admitted >= needed());
+  return whole > 0 || (!rule.sole && admitted >= group.majority());
 }
 
 void Client::promises_complete(OperationId id, Operation& operation) {
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -161,6 +161,10 @@
     /// @return whether those that granted a decision hold every confirmed record.
     bool is_safe_to_decide() const;
     std::size_t needed() const { return rule.quorum > 0 ? rule.quorum : group.majority(); }
+    /// @return whether the group's member with that number is given up as a silent one.
+    bool gives_up(std::uint32_t replica) const {
+      return rule.silent && replica < group.replicas.size() && group.replicas[replica] == *rule.silent;
+    }
     /// @return whether the answer of the group's member with that number counts.
     bool counts(std::uint32_t replica) const {
       return !rule.sole || (replica < group.replicas.size() && group.replicas[replica] == *rule.sole);
--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -97,8 +97,9 @@
     change.next.leaving.push_back(replica);
   }
   if (survivor) {
-    change.rule = {1, survivor, false};
+    change.rule = {1, survivor, false, std::nullopt};
   }
+  change.rule.silent = replica;
   return true;
 }
 
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -45,9 +45,10 @@
 constexpr std::uint8_t kHoldsLeaving = 2;
 constexpr std::uint8_t kWhole = 4;
 constexpr std::uint8_t kWholeBefore = 8;
-constexpr unsigned kFirstFreshLeaverBit = 4;  ///< From here on a bit for each of the first leaving members.
-constexpr unsigned kMostFreshLeavers = 4;
-constexpr std::uint8_t kFreshLeavers = 0xF0;
+constexpr std::uint8_t kWholeLast = 16;
+constexpr unsigned kFirstFreshLeaverBit = 5;  ///< From here on a bit for each of the first leaving members.
+constexpr unsigned kMostFreshLeavers = 3;
+constexpr std::uint8_t kFreshLeavers = 0xE0;
 constexpr std::size_t kMarksBytes = 1 + sizeof(std::uint64_t);
 constexpr unsigned kByteBits = 8;
 
@@ -231,15 +232,19 @@
   const bool followed = now.epoch == progress.epoch + 1;
   progress.holds_leaving =
       now.leaving.empty() || (progress.holds_leaving && followed && all_in(now.leaving, before.leaving));
-  // What was confirmed by a member that is lost and one that leaves may stand with that one alone.
-  const bool lacks_confirmed = !progress.holds_leaving && !progress.whole && !all_in(before.replicas, now.all());
+  // What was confirmed by a member that is lost and one that leaves may stand with that one alone, where half of the
+  // members could decide.
+  const bool half_could_decide = before.replicas.size() % 2 == 0;
+  const bool lacks_confirmed =
+      half_could_decide && !progress.holds_leaving && !progress.whole && !all_in(before.replicas, now.all());
   const bool copies_again = progress.returning || !followed || lacks_confirmed || progress.former;
   const bool kept_all = followed && !progress.returning && !lacks_confirmed;
   const bool was_whole = progress.whole || progress.whole_before;
   // Where all make a majority, nothing was confirmed without this one.
   const bool took_part_in_all = before.majority() == before.replicas.size();
   progress.whole = founding || (progress.whole && kept_all && took_part_in_all);
-  progress.whole_before = was_whole && kept_all && before.replicas == now.replicas;
+  progress.whole_last = was_whole && kept_all;
+  progress.whole_before = progress.whole_last && before.replicas == now.replicas;
   progress.fresh_leavers = followed ? fresh_leavers_of(now, before) : 0;
   progress.returning = progress.synchronized && copies_again && guards_.admission_before_voting;
   progress.awaits_flush = false;
@@ -404,9 +409,10 @@
 
 wire::Bytes Replica::encode_marks(const GroupProgress& progress) {
   wire::Bytes marks(kMarksBytes);
-  marks[0] = static_cast<std::uint8_t>((progress.returning ? kReturning : 0) |
-                                       (progress.holds_leaving ? kHoldsLeaving : 0) | (progress.whole ? kWhole : 0) |
-                                       (progress.whole_before ? kWholeBefore : 0) | progress.fresh_leavers);
+  marks[0] =
+      static_cast<std::uint8_t>((progress.returning ? kReturning : 0) | (progress.holds_leaving ? kHoldsLeaving : 0) |
+                                (progress.whole ? kWhole : 0) | (progress.whole_before ? kWholeBefore : 0) |
+                                (progress.whole_last ? kWholeLast : 0) | progress.fresh_leavers);
   for (std::size_t byte = 1; byte < kMarksBytes; ++byte) {
     marks[byte] = static_cast<std::uint8_t>(progress.epoch >> ((byte - 1) * kByteBits));
   }
@@ -433,6 +439,7 @@
     progress.holds_leaving = progress.holds_leaving || (marks[0] & kHoldsLeaving) != 0;
     progress.whole = (marks[0] & kWhole) != 0;
     progress.whole_before = (marks[0] & kWholeBefore) != 0;
+    progress.whole_last = (marks[0] & kWholeLast) != 0;
     progress.fresh_leavers = marks[0] & kFreshLeavers;
   }
 }
@@ -1042,7 +1049,7 @@
     const bool member = entry.first < members;
     const bool fresh_leaver =
         fresh_leavers && !member && (fresh_leaver_bit(entry.first - members) & progress.fresh_leavers) != 0;
-    return holds_all_of(progress, entry.second) && ((member && entry.second.votes) || fresh_leaver);
+    return entry.second.votes && (member || fresh_leaver) && holds_all_of(progress, entry.second);
   };
   return static_cast<std::size_t>(std::count_if(progress.copying.begin(), progress.copying.end(), counts));
 }
@@ -1053,7 +1060,7 @@
   if (copied_from_whole(progress)) {
     return true;
   }
-  if (all_members && holds_leaving) {
+  if (all_members && (holds_leaving || progress.whole_last)) {
     return true;
   }
   return votes(progress) ? 1 + admitted_copied_from(progress, true) >= majority
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -132,6 +132,7 @@
     bool whole = false;         ///< Every record that was confirmed before this epoch is here.
     /// It was whole in an earlier epoch of the same members: it lacks at most what the others confirmed since.
     bool whole_before = false;
+    bool whole_last = false;  ///< It was whole in the epoch before this one, whoever its members were.
     ReplicaGroup description;
     /// Which leaving members were members in the epoch before this one: a bit for each of the first of them.
     std::uint8_t fresh_leavers = 0;
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -309,7 +309,7 @@
 
 void Controller::maintain_groups() {
   environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
-  if (environment_.now() - started_ < options_.founding_wait) {
+  if (!ledger_.has_group_map() && !knows_fleet()) {
     return;
   }
   if (feeds_.rank_in_fleet() >= options_.maintainers) {
@@ -324,6 +324,8 @@
   }
 }
 
+bool Controller::knows_fleet() const { return environment_.now() - started_ >= options_.founding_wait; }
+
 void Controller::found_groups() {
   if (declaring_) {
     return;
@@ -381,6 +383,9 @@
     }
     return node->retiring ? ledger::replica_state::retiring : ledger::replica_state::present;
   }
+  if (!knows_fleet()) {
+    return ledger::replica_state::present;
+  }
   const Duration patience = options_.replace_after.count() > 0
                                 ? options_.replace_after
                                 : std::chrono::seconds(catalog_.policy().replace_ledger_node_after_s);
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -104,6 +104,8 @@
   /// What cannot be read is told of: the version before stays in force.
   void note_rejected(const ChangeList& changes);
   void maintain_groups();
+  /// @return whether this process has run for long enough to miss members that it has not heard of.
+  bool knows_fleet() const;
   void found_groups();
   class group_beliefs;
   void change_groups();
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -74,6 +74,9 @@
     return {};
   }
 
+  /// What has been copied goes to the disk.
+  void sync() { environment.world.run_for(20ms); }
+
   /// @return the keys whose values the last copy request asks for.
   std::vector<std::string> wanted_keys() { return last(wire::Message::CopyRequest).AsCopyRequest()->keys; }
 
@@ -294,6 +297,7 @@
   c.answer("a:", true);
   CHECK_FALSE(fixture.replica->synchronized());
   c.answer("a:", false);
+  fixture.sync();
   CHECK(fixture.replica->synchronized());
   const wire::PromiseT promise = fixture.prepare(2, {9, 1});
   CHECK(promise.status == wire::ReplicaStatus::Granted);
@@ -315,6 +319,7 @@
   CHECK(fixture.environment.sent.empty());
   CHECK_FALSE(fixture.replica->synchronized());
   b.answer("a:", false);
+  fixture.sync();
   CHECK(fixture.replica->synchronized());
   CHECK(fixture.counters["ledger_copied_records_total"] == 1);
 }
@@ -335,6 +340,7 @@
   unready.status = wire::ReplicaStatus::NotReady;
   SECTION("the other new disk counts as copied") {
     fixture.replica->handle(PeerAddress("c"), unready);
+    fixture.sync();
     CHECK(fixture.replica->synchronized());
     CHECK(fixture.prepare(2, {9, 1}).value == std::vector<std::uint8_t>{1});
   }
@@ -496,6 +502,7 @@
   pair.answer(0, "a:", false, 0, 1);
   CHECK(pair.asked() == asked + 1);
   pair.answer(0, "a:", false, 1, 3);
+  pair.fixture.sync();
   CHECK(pair.fixture.replica->holds(0, 2));
 }
 
@@ -505,6 +512,7 @@
   pair.fixture.replica->catch_up();
   pair.answer(0, "a:", false, 0, 3);
   pair.offer_values(0);
+  pair.fixture.sync();
   CHECK(pair.fixture.replica->holds(0, 2));
   CHECK(pair.fixture.counters["ledger_copied_records_total"] == 3);
 }
@@ -657,3 +665,21 @@
   REQUIRE(!held.environment.sent.empty());
   CHECK(held.environment.sent.back().body.AsPromise()->status == wire::ReplicaStatus::BallotTooLow);
 }
+
+// Power was lost between a mark and the records that it spoke of: logs of the database are kept one by one.
+TEST_CASE("a replica votes once what it has copied is on its disk, not before") {
+  ReplicaFixture fixture("disk-new");
+  fixture.replica->on_group_map(fixture.map(2, "disk-new"));
+  CopySourceScript b(fixture, 1, "b");
+  CopySourceScript c(fixture, 2, "c");
+  for (CopySourceScript* source : {&b, &c}) {
+    source->answer("p:", true);
+    source->answer("a:", true);
+    source->answer("a:", false);
+  }
+  CHECK_FALSE(fixture.replica->synchronized());
+  const unsigned flushes = fixture.storage.flushes;
+  CHECK(flushes > 0);
+  fixture.sync();
+  CHECK(fixture.replica->synchronized());
+}
--- a/tests/ledger/sole_decision_test.cpp
+++ b/tests/ledger/sole_decision_test.cpp
@@ -248,3 +248,12 @@
   constexpr auto kNotSaid = wire::ReplicaStanding::NotSaid;
   CHECK(decided(outcome_of({{1, kNotSaid, false}, {2, kNotSaid, false}}, {})));
 }
+
+// The vote of a member that was just back completed the majority that gave its place away, while a machine that was
+// gone for good stayed a member: the new disk waited for that one for good.
+TEST_CASE("a member that is to be replaced as a silent one ends the decision by its answer") {
+  EpochRule rule;
+  rule.silent = ReplicaIdentity{NodeId("a"), DiskId("disk")};
+  CHECK_FALSE(decided(outcome_of({{0, kAdmitted, true}, {1, kAdmitted, true}, {2, kAdmitted, true}}, rule)));
+  CHECK(decided(outcome_of({{1, kAdmitted, true}, {2, kAdmitted, true}}, rule)));
+}
