Simulation: losses of disks in series, and two promises for groups under them

Cause: no mix played a disk lost while another machine with a disk is away, that one back for a short time, away again, and then all without power and one more disk lost; nothing asserted that a group with a majority of whole copies stays readable.

--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -63,6 +63,14 @@
        [](Guards& guards) { guards.manager.merge_positions = false; }, ScheduleMix::listing},
       {"lost_items_waited_for", Promise::item_exactly_once, 30,
        [](Guards& guards) { guards.manager.expire_items = false; }, ScheduleMix::listing},
+      {"copies_never_arrive", Promise::group_stays_readable, 10, [](Guards& guards) { guards.copies_arrive = false; },
+       ScheduleMix::series},
+      {"disk_taken_for_another", Promise::group_stays_readable, 5,
+       [](Guards& guards) { guards.disks_keep_identity = false; }, ScheduleMix::series},
+      {"copies_arrive_late", Promise::job_readable_in_time, 20,
+       [](Guards& guards) { guards.copies_arrive_soon = false; }, ScheduleMix::series},
+      {"job_accepted_before_sync", Promise::job_readable_in_time, 20,
+       [](Guards& guards) { guards.replica.flush_before_reply = false; }, ScheduleMix::series},
   };
   return all;
 }
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -2,6 +2,8 @@
 
 #include <array>
 
+#include "simulation/support.hpp"
+
 namespace madderdeck::simulation {
 namespace {
 /// A cancelled job's items may still start for this long: the job lease of 2 s and a margin.
@@ -10,6 +12,11 @@
 constexpr unsigned kEndsThatTell = 3;
 constexpr unsigned kSendsBorne = 3;
 constexpr Duration kContact = 3s;
+
+template <class Element>
+void append(std::vector<Element>& to, const std::vector<Element>& from) {
+  to.insert(to.end(), from.begin(), from.end());
+}
 }  // namespace
 
 const char* promise_name(Promise promise) {
@@ -17,10 +24,17 @@
       "item_exactly_once",       "cancelled_job_stops",       "live_never_behind_batch",
       "whole_own_answer",        "not_run_is_true",           "at_most_once",
       "leaving_gets_no_work",    "planned_stop_cuts_nothing", "configuration_never_reverts",
-      "fatal_request_contained", "results_keep_positions"};
+      "fatal_request_contained", "results_keep_positions",    "group_stays_readable",
+      "job_readable_in_time"};
   return kNames.at(static_cast<std::size_t>(promise));
 }
 
+void RecoveryTimes::add(const RecoveryTimes& other) {
+  append(job_after_majority, other.job_after_majority);
+  append(job_after_all_back, other.job_after_all_back);
+  append(group_after_all_back, other.group_after_all_back);
+}
+
 void LoadCounts::add(const LoadCounts& other) {
   accepted_items += other.accepted_items;
   completed_items += other.completed_items;
@@ -141,4 +155,27 @@
   held = revision;
 }
 
+void Oracle::group_seen(std::uint32_t group, GroupSight sight, Timestamp at) {
+  Group& known = groups_[group];
+  if (sight.whole_majority) {
+    known.whole_at = at;
+  }
+  known.sight = std::move(sight);
+}
+
+void Oracle::recovery_is_due(Timestamp at) {
+  for (const auto& [number, group] : groups_) {
+    const bool was_whole = group.whole_at && *group.whole_at >= last_loss_at_ - kRecover;
+    if (!group.sight.can_vote && was_whole) {
+      violated(Promise::group_stays_readable,
+               "group " + std::to_string(number) + " cannot vote: " + group.sight.members, at);
+    }
+  }
+}
+
+void Oracle::job_unread(const std::string& job, std::uint32_t group, Timestamp at) {
+  violated(Promise::job_readable_in_time,
+           job + " of group " + std::to_string(group) + " cannot be read, " + groups_[group].sight.members, at);
+}
+
 }  // namespace madderdeck::simulation
--- a/src/simulation/support.hpp
+++ b/src/simulation/support.hpp
@@ -11,6 +11,10 @@
 /// hear of it: what the strictest of the users' sites allows.
 inline constexpr Duration kLeaveNotice = 2s;
 
+/// What the users' pages grant a machine that is back, and the service after all are back.
+inline constexpr Duration kCatchUp = 4700ms;
+inline constexpr Duration kRecover = 12s;
+
 /// @return a delay of at least @p least, below @p least + @p spread.
 inline Duration jitter(World& world, Duration least, Duration spread) {
   return least + Duration(static_cast<Duration::rep>(world.random.below(static_cast<std::uint64_t>(spread.count()))));
