--- a/src/simulation/group_watch.hpp
+++ b/src/simulation/group_watch.hpp
@@ -18,10 +18,10 @@
   GroupWatch(World& world, SimFleet& fleet, Oracle& oracle);
 
   void look();
-  /// The machine with a disk was taken away, its successor is @p successor.
+  /// A machine with a disk is taken away for good.
   void machine_removed(unsigned node);
-  /// A disk is lost or power: the oracle's time of the last loss. Call before the loss.
   void disk_lost(unsigned node);
+  /// Some machines lose power; their disks stay.
   void power_lost();
   /// @return whether the disk of @p node may be lost now, by the users' rule.
   bool may_lose_disk(unsigned node);
