--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -237,10 +237,15 @@
     CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
   }
   SECTION("it holds all that the leaving one and itself had confirmed with the lost one") {
-    fixture.answer_whole(2, 2);
+    fixture.answer_whole(2, 2, {wire::ReplicaStanding::Admitted, false});
     fixture.replica->adopt_group(0, {3, {kA}, {kC}});
     CHECK(fixture.prepare(3).status == wire::ReplicaStatus::Granted);
   }
+  SECTION("the leaving one had not voted, so what the lost one confirmed may stand with nobody that was copied from") {
+    fixture.answer_whole(2, 2);
+    fixture.replica->adopt_group(0, {3, {kA}, {kC}});
+    CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);
+  }
   SECTION("it held it before, also after a restart") {
     fixture.answer_whole(1, 2);
     fixture.answer_whole(2, 2);
