Leaving members count where they voted; a decision ends by a member's vote only, and is asked for by those that look at standings

What callers would have seen: a group without a majority for good after one lost disk beside an emptied or silent member, though two disks held every record; in a group of five a lost disk that is never replaced; beside nodes of the version before a record out of sight.

Causes: a member became a returning one in the very epoch that made it a leaving one, so that it never said that it had voted; a refusal that names no member was taken for the answer of the first one; a proposer of the version before takes whoever grants a decision for a member that votes, and members of that version were taken for whole; a mark could speak of values that came after the sync that it waited for.

Change: the flag of the earlier epoch decides; only a vote of the member that is given up, lost ones too, ends the decision; Prepare says whether its sender looks at how those that grant it stand; members of the version before count as admitted; what was complete when the sync began is marked.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -217,6 +217,7 @@
   operation.granted.clear();
   operation.admitted = 0;
   operation.whole = 0;
+  operation.say_nothing = 0;
   operation.refused = 0;
   operation.best_accepted = Ballot{};
   operation.best_count = 0;
@@ -240,6 +241,7 @@
   request.epoch = operation.group.epoch;
   request.ballot = to_wire(operation.ballot);
   request.key = operation.key;
+  request.reads_standing = operation.only_epoch.has_value();
   // Answers to an attempt that is over do not count.
   broadcast(operation.group, request, attempt_time(operation));
   arm_attempt_timer(id, operation.request);
@@ -350,8 +352,10 @@
     return;
   }
   Operation& operation = operations_.at(id->second);
-  if (operation.phase == Phase::preparing && operation.gives_up(message.replica)) {
-    finish(id->second, Error{ErrorKind::conflict, "a member that was to be replaced as a silent one answers"});
+  const bool votes =
+      message.status == wire::ReplicaStatus::Granted || message.status == wire::ReplicaStatus::BallotTooLow;
+  if (operation.phase == Phase::preparing && votes && operation.gives_up(message.replica)) {
+    finish(id->second, Error{ErrorKind::conflict, "a member that was to be given up answers"});
     return;
   }
   if (operation.phase != Phase::preparing || !operation.counts(message.replica)) {
@@ -380,8 +384,9 @@
   operation.best_count += accepted == operation.best_accepted ? 1 : 0;
   // Earlier versions grant a decision only where they are admitted, and do not tell whether they are whole.
   const bool says_nothing = message.standing == wire::ReplicaStanding::NotSaid;
+  operation.say_nothing += says_nothing ? 1 : 0;
   operation.admitted += says_nothing || message.standing == wire::ReplicaStanding::Admitted ? 1 : 0;
-  operation.whole += says_nothing || message.whole ? 1 : 0;
+  operation.whole += message.whole ? 1 : 0;
   if (operation.granted.size() >= operation.needed() && operation.is_safe_to_decide()) {
     promises_complete(id->second, operation);
   }
@@ -389,7 +394,8 @@
 
 bool Client::Operation::is_safe_to_decide() const {
   const bool proposed_before = !best_accepted.is_zero();
-  if (!only_epoch || proposed_before) {
+  const bool all_of_earlier_versions = say_nothing == granted.size();
+  if (!only_epoch || proposed_before || all_of_earlier_versions) {
     return true;
   }
   if (rule.whole_majority) {
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -156,14 +156,15 @@
     std::optional<std::uint64_t> only_epoch;  ///< Of a decision: its rule holds for the members of that epoch alone.
     std::size_t admitted = 0;                 ///< Of a decision: members that granted it and vote on records.
     std::size_t whole = 0;                    ///< Of a decision: members that granted it and are whole.
+    std::size_t say_nothing = 0;              ///< Of a decision: members of earlier versions that granted it.
     unsigned attempts = 0;
 
     /// @return whether those that granted a decision hold every confirmed record.
     bool is_safe_to_decide() const;
     std::size_t needed() const { return rule.quorum > 0 ? rule.quorum : group.majority(); }
-    /// @return whether the group's member with that number is given up as a silent one.
+    /// @return whether the group's member with that number is to be given up.
     bool gives_up(std::uint32_t replica) const {
-      return rule.silent && replica < group.replicas.size() && group.replicas[replica] == *rule.silent;
+      return rule.given_up && replica < group.replicas.size() && group.replicas[replica] == *rule.given_up;
     }
     /// @return whether the answer of the group's member with that number counts.
     bool counts(std::uint32_t replica) const {
--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -88,6 +88,7 @@
   } else {
     return false;
   }
+  change.rule.given_up = replica;
   if (lost) {
     change.rule.quorum = decision_quorum(group.replicas.size(), true);
     return true;
@@ -97,9 +98,9 @@
     change.next.leaving.push_back(replica);
   }
   if (survivor) {
-    change.rule = {1, survivor, false, std::nullopt};
+    change.rule.quorum = 1;
+    change.rule.sole = survivor;
   }
-  change.rule.silent = replica;
   return true;
 }
 
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -64,7 +64,7 @@
   std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts, and it has to be whole.
   /// A majority has to be whole: what a disk holds that is given up may stand nowhere else.
   bool whole_majority = false;
-  std::optional<ReplicaIdentity> silent;  ///< Given up as nothing is heard of it: an answer of it ends the decision.
+  std::optional<ReplicaIdentity> given_up;  ///< Taken for silent or lost: an answer of it ends the decision.
 };
 
 /// @return the key under which the members of epoch - 1 decide who holds @p group at @p epoch.
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -191,11 +191,12 @@
     leave_place(group, std::move(progress));
     return;
   }
+  const bool was_former = progress.former;
   progress.index = *number;
   progress.former = *number >= progress.description.replicas.size();
   progress.copied_by.clear();
   if (later) {
-    enter_epoch(group, progress, before);
+    enter_epoch(group, progress, before, was_former);
   }
   // What a member held that has gone may stand with one of the others alone.
   const bool fewer = progress.description.replicas.size() < before.replicas.size() ||
@@ -221,7 +222,7 @@
   progress_.erase(group);
 }
 
-void Replica::enter_epoch(std::uint32_t group, GroupProgress& progress, const ReplicaGroup& before) {
+void Replica::enter_epoch(std::uint32_t group, GroupProgress& progress, const ReplicaGroup& before, bool was_former) {
   const ReplicaGroup& now = progress.description;
   // Its sources are numbered by the description before: one that was leaving may be gone.
   progress.copying.clear();
@@ -237,7 +238,7 @@
   const bool half_could_decide = before.replicas.size() % 2 == 0;
   const bool lacks_confirmed =
       half_could_decide && !progress.holds_leaving && !progress.whole && !all_in(before.replicas, now.all());
-  const bool copies_again = progress.returning || !followed || lacks_confirmed || progress.former;
+  const bool copies_again = progress.returning || !followed || lacks_confirmed || was_former;
   const bool kept_all = followed && !progress.returning && !lacks_confirmed;
   const bool was_whole = progress.whole || progress.whole_before;
   // Where all make a majority, nothing was confirmed without this one.
@@ -335,10 +336,24 @@
   return allowed ? wire::ReplicaStatus::Granted : wire::ReplicaStatus::NotReady;
 }
 
-wire::ReplicaStatus Replica::admit_to(std::uint32_t group, std::uint64_t epoch, const std::string& key) const {
-  const wire::ReplicaStatus status = admit(group, epoch);
-  const bool decides = status == wire::ReplicaStatus::NotReady && !progress_.at(group).former &&
-                       key == group_config_key(group, epoch + 1);
+bool Replica::is_decision_of_member(std::uint32_t group, std::uint64_t epoch, const std::string& key) const {
+  const auto entry = progress_.find(group);
+  const bool member = entry != progress_.end() && entry->second.epoch == epoch && !entry->second.former;
+  return member && key == group_config_key(group, epoch + 1);
+}
+
+wire::ReplicaStatus Replica::admit_to(const wire::PrepareT& message) const {
+  const wire::ReplicaStatus status = admit(message.group, message.epoch);
+  // A proposer of an earlier version takes whoever grants it for a member that votes on records.
+  const bool decides = status == wire::ReplicaStatus::NotReady && message.reads_standing &&
+                       is_decision_of_member(message.group, message.epoch, message.key);
+  return decides ? wire::ReplicaStatus::Granted : status;
+}
+
+wire::ReplicaStatus Replica::admit_to(const wire::AcceptT& message) const {
+  const wire::ReplicaStatus status = admit(message.group, message.epoch);
+  const bool decides =
+      status == wire::ReplicaStatus::NotReady && is_decision_of_member(message.group, message.epoch, message.key);
   return decides ? wire::ReplicaStatus::Granted : status;
 }
 
@@ -495,7 +510,7 @@
                                                            Reply& reply, bool with_value) {
   reply.request = message.request;
   reply.epoch = message.epoch;
-  reply.status = admit_to(message.group, message.epoch, message.key);
+  reply.status = admit_to(message);
   if (reply.status != wire::ReplicaStatus::Granted) {
     describe_group(message.group, reply);
     refuse(sender, std::move(reply));
@@ -1082,7 +1097,8 @@
 
 void Replica::finish_copy_if_complete(std::uint32_t group) {
   GroupProgress& progress = progress_.at(group);
-  if (!newly_whole(progress) && !newly_holds_leaving(progress)) {
+  const copied_parts parts{newly_holds_leaving(progress), newly_whole(progress)};
+  if (!parts.leaving && !parts.whole) {
     end_copy_if_complete(progress);
     return;
   }
@@ -1091,17 +1107,18 @@
   }
   // Marks may not last longer than the records that they speak of.
   progress.awaits_flush = true;
-  storage_.flush(lifetime_.guard([this, group, epoch = progress.epoch](const Status& status) {
+  storage_.flush(lifetime_.guard([this, group, parts, epoch = progress.epoch](const Status& status) {
     const auto entry = progress_.find(group);
     if (entry == progress_.end() || entry->second.epoch != epoch) {
       return;
     }
     entry->second.awaits_flush = false;
-    if (succeeded(status)) {
-      mark_copied(group);
-    } else {
+    if (!succeeded(status)) {
       counters_["ledger_flush_failures_total"]++;
+      return;
     }
+    mark_copied(group, parts);
+    finish_copy_if_complete(group);  // more may have come meanwhile
   }));
 }
 
@@ -1111,10 +1128,11 @@
   }
 }
 
-void Replica::mark_copied(std::uint32_t group) {
+void Replica::mark_copied(std::uint32_t group, copied_parts parts) {
   GroupProgress& progress = progress_.at(group);
-  const bool held = newly_holds_leaving(progress);
-  const bool whole = newly_whole(progress);
+  // A copy that has begun anew since has forgotten what it had.
+  const bool held = parts.leaving && newly_holds_leaving(progress);
+  const bool whole = parts.whole && newly_whole(progress);
   const bool admitted = whole && !votes(progress);
   if (held) {
     progress.holds_leaving = true;
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -154,9 +154,11 @@
 
   void take_word(std::uint32_t group, const ReplicaGroup& description);
   wire::ReplicaStatus admit(std::uint32_t group, std::uint64_t epoch, bool for_copy = false) const;
-  /// The same for the record under @p key. On the next description of its group a member votes at once, whatever it
-  /// holds: that record begins with the epoch that names the member.
-  wire::ReplicaStatus admit_to(std::uint32_t group, std::uint64_t epoch, const std::string& key) const;
+  /// The same for a record. On the next description of its group a member votes at once, whatever it holds: that record
+  /// begins with the epoch that names the member.
+  wire::ReplicaStatus admit_to(const wire::PrepareT& message) const;
+  wire::ReplicaStatus admit_to(const wire::AcceptT& message) const;
+  bool is_decision_of_member(std::uint32_t group, std::uint64_t epoch, const std::string& key) const;
   static bool votes(const GroupProgress& progress) {
     return progress.synchronized && !progress.returning && !progress.former;
   }  /// Tells a peer of another epoch which one this replica knows.
@@ -176,7 +178,8 @@
   /// Notes on the disk that its place in @p group is another's now.
   void leave_place(std::uint32_t group, GroupProgress progress);
   /// Moves @p progress, which is described by @p before still, to the later epoch that it is described by now.
-  void enter_epoch(std::uint32_t group, GroupProgress& progress, const ReplicaGroup& before);
+  /// @param was_former whether it was no member any more in the earlier one.
+  void enter_epoch(std::uint32_t group, GroupProgress& progress, const ReplicaGroup& before, bool was_former);
   void start_copy(std::uint32_t group);
   void note_copy_begun(std::uint32_t group);
   void note_page(std::uint32_t group, const ReplicaIdentity& source, const wire::CopyReplyT& page);
@@ -238,8 +241,13 @@
   static bool has_copied_all(const GroupProgress& progress, bool holds_leaving);
   static bool newly_holds_leaving(const GroupProgress& progress);
   static bool newly_whole(const GroupProgress& progress);
-  /// Takes up what has been copied to the end, once it is on the disk.
-  void mark_copied(std::uint32_t group);
+  /// What has been copied to the end.
+  struct copied_parts {
+    bool leaving = false;  ///< All that the leaving members held.
+    bool whole = false;    ///< Every record that was confirmed before the epoch.
+  };
+  /// Takes up what has been copied to the end and is on the disk.
+  void mark_copied(std::uint32_t group, copied_parts parts);
   /// Asks no source any more where nothing is left to copy.
   static void end_copy_if_complete(GroupProgress& progress);
   /// Has values that a source leaves unsent for long asked for from the others.
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -3327,6 +3327,7 @@
   uint64_t epoch = 0;
   std::unique_ptr<madderdeck::wire::Ballot> ballot{};
   std::string key{};
+  bool reads_standing = false;
   PrepareT() = default;
   PrepareT(const PrepareT &o);
   PrepareT(PrepareT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3342,7 +3343,8 @@
     VT_GROUP = 6,
     VT_EPOCH = 8,
     VT_BALLOT = 10,
-    VT_KEY = 12
+    VT_KEY = 12,
+    VT_READS_STANDING = 14
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -3359,6 +3361,9 @@
   const flatbuffers::String *key() const {
     return GetPointer<const flatbuffers::String *>(VT_KEY);
   }
+  bool reads_standing() const {
+    return GetField<uint8_t>(VT_READS_STANDING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -3367,6 +3372,7 @@
            VerifyField<madderdeck::wire::Ballot>(verifier, VT_BALLOT, 8) &&
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
+           VerifyField<uint8_t>(verifier, VT_READS_STANDING, 1) &&
            verifier.EndTable();
   }
   PrepareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3393,6 +3399,9 @@
   void add_key(flatbuffers::Offset<flatbuffers::String> key) {
     fbb_.AddOffset(Prepare::VT_KEY, key);
   }
+  void add_reads_standing(bool reads_standing) {
+    fbb_.AddElement<uint8_t>(Prepare::VT_READS_STANDING, static_cast<uint8_t>(reads_standing), 0);
+  }
   explicit PrepareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3410,13 +3419,15 @@
     uint32_t group = 0,
     uint64_t epoch = 0,
     const madderdeck::wire::Ballot *ballot = nullptr,
-    flatbuffers::Offset<flatbuffers::String> key = 0) {
+    flatbuffers::Offset<flatbuffers::String> key = 0,
+    bool reads_standing = false) {
   PrepareBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
   builder_.add_key(key);
   builder_.add_ballot(ballot);
   builder_.add_group(group);
+  builder_.add_reads_standing(reads_standing);
   return builder_.Finish();
 }
 
@@ -3431,7 +3442,8 @@
     uint32_t group = 0,
     uint64_t epoch = 0,
     const madderdeck::wire::Ballot *ballot = nullptr,
-    const char *key = nullptr) {
+    const char *key = nullptr,
+    bool reads_standing = false) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return madderdeck::wire::CreatePrepare(
       _fbb,
@@ -3439,7 +3451,8 @@
       group,
       epoch,
       ballot,
-      key__);
+      key__,
+      reads_standing);
 }
 
 flatbuffers::Offset<Prepare> CreatePrepare(flatbuffers::FlatBufferBuilder &_fbb, const PrepareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -10155,7 +10168,8 @@
         group(o.group),
         epoch(o.epoch),
         ballot((o.ballot) ? new madderdeck::wire::Ballot(*o.ballot) : nullptr),
-        key(o.key) {
+        key(o.key),
+        reads_standing(o.reads_standing) {
 }
 
 inline PrepareT &PrepareT::operator=(PrepareT o) FLATBUFFERS_NOEXCEPT {
@@ -10164,6 +10178,7 @@
   std::swap(epoch, o.epoch);
   std::swap(ballot, o.ballot);
   std::swap(key, o.key);
+  std::swap(reads_standing, o.reads_standing);
   return *this;
 }
 
@@ -10181,6 +10196,7 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = ballot(); if (_e) _o->ballot = std::unique_ptr<madderdeck::wire::Ballot>(new madderdeck::wire::Ballot(*_e)); }
   { auto _e = key(); if (_e) _o->key = _e->str(); }
+  { auto _e = reads_standing(); _o->reads_standing = _e; }
 }
 
 inline flatbuffers::Offset<Prepare> Prepare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PrepareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10196,13 +10212,15 @@
   auto _epoch = _o->epoch;
   auto _ballot = _o->ballot ? _o->ballot.get() : nullptr;
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
+  auto _reads_standing = _o->reads_standing;
   return madderdeck::wire::CreatePrepare(
       _fbb,
       _request,
       _group,
       _epoch,
       _ballot,
-      _key);
+      _key,
+      _reads_standing);
 }
 
 inline PromiseT::PromiseT(const PromiseT &o)
--- a/tests/ledger/epoch_model_test.cpp
+++ b/tests/ledger/epoch_model_test.cpp
@@ -120,6 +120,14 @@
   check_holds(scope);
 }
 
+TEST_CASE("epochs of three disks with a fourth at hand, two faults, decisions heard by all that are up") {
+  model_scope scope;
+  scope.further = 1;
+  scope.faults = 2;
+  scope.coarse = true;
+  check_holds(scope);
+}
+
 // One of three has been emptied; of the two that are left one falls silent and the store lets the other decide alone.
 // What that one confirms stands nowhere else until the silent one has copied it.
 TEST_CASE("epochs of three disks, one of which is to be emptied, silent ones taken for gone, three faults") {
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -36,6 +36,7 @@
     request.epoch = epoch;
     request.ballot = ledger::to_wire(Ballot{++counter, 1});
     request.key = key;
+    request.reads_standing = is_decision(key);
     environment.sent.clear();
     replica->handle(kCaller, request);
     environment.world.run_for(20ms);
@@ -376,6 +377,33 @@
   CHECK(fixture.prepare(2).status == wire::ReplicaStatus::NotReady);
 }
 
+// A proposer of the version before would have decided with members that hold nothing.
+TEST_CASE("a member that still copies grants no decision to a proposer that does not look at it") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {2, {kA, kB, kC}, {}});
+  wire::PrepareT request;
+  request.epoch = 2;
+  request.ballot = ledger::to_wire(Ballot{1, 1});
+  request.key = group_config_key(0, 3);
+  fixture.environment.sent.clear();
+  fixture.replica->handle(kCaller, request);
+  fixture.environment.world.run_for(20ms);
+  REQUIRE_FALSE(fixture.environment.sent.empty());
+  CHECK(fixture.environment.sent.back().body.AsPromise()->status == wire::ReplicaStatus::NotReady);
+}
+
+// By the model a leaving member that had voted counted for those that stay; none ever said so.
+TEST_CASE("a member that voted says so in the epoch that makes it a leaving one") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.replica->adopt_group(0, {2, {kB, kC}, {kA}});
+  const wire::CopyReplyT page = fixture.ask_for_copy(2);
+  CHECK(page.status == wire::ReplicaStatus::Granted);
+  CHECK(page.standing == wire::ReplicaStanding::Admitted);
+  fixture.replica->adopt_group(0, {3, {kB, kA}, {}});
+  CHECK(fixture.prepare(3).status == wire::ReplicaStatus::NotReady);  // what was confirmed meanwhile it lacks
+}
+
 TEST_CASE("a former member does not vote on who holds the group next") {
   Fixture fixture;
   fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
--- a/tests/ledger/sole_decision_test.cpp
+++ b/tests/ledger/sole_decision_test.cpp
@@ -175,6 +175,7 @@
   std::uint32_t number = 0;
   wire::ReplicaStanding standing = wire::ReplicaStanding::Admitted;
   bool whole = false;
+  wire::ReplicaStatus status = wire::ReplicaStatus::Granted;
 };
 
 /// @return what comes of a decision on a group of three where only these members answer.
@@ -207,12 +208,14 @@
           promise.epoch = 3;
           promise.standing = answer.standing;
           promise.whole = answer.whole;
+          promise.status = answer.status;
           client.handle(message.to, promise);
         } else if (message.body.type == wire::Message::Accept) {
           wire::AcceptedT accepted;
           accepted.request = message.body.AsAccept()->request;
           accepted.replica = answer.number;
           accepted.epoch = 3;
+          accepted.status = answer.status;
           client.handle(message.to, accepted);
         }
       }
@@ -247,13 +250,18 @@
 TEST_CASE("members of earlier versions decide as they did: they answer only where they are admitted") {
   constexpr auto kNotSaid = wire::ReplicaStanding::NotSaid;
   CHECK(decided(outcome_of({{1, kNotSaid, false}, {2, kNotSaid, false}}, {})));
+  // One of them does not make up for a member that only copies.
+  CHECK_FALSE(decided(outcome_of({{1, kNotSaid, false}, {2, kCopies, false}}, {})));
 }
 
 // The vote of a member that was just back completed the majority that gave its place away, while a machine that was
 // gone for good stayed a member: the new disk waited for that one for good.
-TEST_CASE("a member that is to be replaced as a silent one ends the decision by its answer") {
+TEST_CASE("a member that is to be given up ends the decision by its vote, and nobody else does") {
   EpochRule rule;
-  rule.silent = ReplicaIdentity{NodeId("a"), DiskId("disk")};
+  rule.given_up = ReplicaIdentity{NodeId("a"), DiskId("disk")};
   CHECK_FALSE(decided(outcome_of({{0, kAdmitted, true}, {1, kAdmitted, true}, {2, kAdmitted, true}}, rule)));
   CHECK(decided(outcome_of({{1, kAdmitted, true}, {2, kAdmitted, true}}, rule)));
+  // A refusal for the sake of the epoch names no member.
+  const member_answer refuses{0, kCopies, false, wire::ReplicaStatus::UnknownEpoch};
+  CHECK(decided(outcome_of({refuses, {1, kAdmitted, true}, {2, kAdmitted, true}}, rule)));
 }
