--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -51,14 +51,12 @@
 };
 
 /// How many of @p members have to agree on their group's next epoch.
-/// @param one_lost whether the disk of one of them is proven lost. It takes no part any more, so that of an even group
-/// half is
-///        enough: any two halves of the others share a member, and each shares one with any majority. What was
-///        confirmed stands on a majority, of which one at least is among any half.
+/// @param one_lost whether the disk of one of them is proven lost. It takes no part any more, so that half of an even
+///        group is enough: any two halves of the others share a member, and each shares one with any majority.
 std::size_t decision_quorum(std::size_t members, bool one_lost);
 
-/// Who of a group's members must agree on its next epoch. All may, whatever they hold; but either as many of them have
-/// to be admitted, so that together they hold every confirmed record, or one of them has to be whole.
+/// Who of a group's members must agree on its next epoch. All may, whatever they hold; but either a majority has to be
+/// admitted, so that together they hold every confirmed record, or one of them has to be whole.
 struct EpochRule {
   std::size_t quorum = 0;               ///< How many; 0: the majority.
   std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts, and it has to be whole.
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -10,12 +10,9 @@
 
 constexpr std::uint32_t kCopyPageRecords = 256;
 constexpr std::size_t kPageBytes = 1 << 20;
-/// Read from the disk for one page, also where only ballots are sent: a node answers nothing else meanwhile. Half a GB
-/// for a page of 256 ballots left readers of a busy node without any answer for seconds.
+/// Read from the disk for one page, also where only ballots are sent: a node answers nothing else meanwhile.
 constexpr std::size_t kPageReadBytes = 4 << 20;
-/// Of values in one answer to a replica that copies: a reader's answer waits behind it. With four pages of half that
-/// size at once the last job was readable up to 17 s after a start of everything (four runs of 86 processes), with
-/// these limits after 4.3 s (one run).
+/// Of values in one answer to a replica that copies: a reader's answer waits behind it.
 constexpr std::size_t kCopyPageBytes = 512 << 10;
 /// For how long the answer to a scan is worth sending where its reader does not say.
 constexpr Duration kScanPatience = 4s;
@@ -25,8 +22,7 @@
 constexpr Duration kValuesPatience = 1s;  ///< The same where values were asked for.
 constexpr Duration kMostCopyPatience = 3200ms;
 constexpr Duration kLeftValuesPatience = 2s;  ///< So long a source may leave values unsent that others offer, too.
-/// Pages of all groups together that are under way to a replica that copies: 8 MB at most. Chosen as four sources of
-/// four groups.
+/// Pages of all groups together that are under way to a replica that copies: 8 MB at most.
 constexpr std::size_t kMostCopiesAtOnce = 16;
 constexpr char kFirstCursor[] = "p:";  ///< Where a copy begins: with the first promise.
 
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -123,8 +123,8 @@
   struct GroupProgress {
     std::uint64_t epoch = 0;
     std::uint32_t index = 0;
-    bool synchronized = false;
-    bool former = false;  ///< No member any more; only copied from.
+    bool synchronized = false;  ///< It was admitted in this epoch or an earlier one.
+    bool former = false;        ///< No member any more; only copied from.
     /// Its place was another's meanwhile, or may have been: it is copied from, but copies from all others before it
     /// votes.
     bool returning = false;
@@ -159,9 +159,11 @@
   wire::ReplicaStatus admit_to(const wire::PrepareT& message) const;
   wire::ReplicaStatus admit_to(const wire::AcceptT& message) const;
   bool is_decision_of_member(std::uint32_t group, std::uint64_t epoch, const std::string& key) const;
+  /// @return whether the replica's word counts for records.
   static bool votes(const GroupProgress& progress) {
     return progress.synchronized && !progress.returning && !progress.former;
-  }  /// Tells a peer of another epoch which one this replica knows.
+  }
+  /// Tells a peer of another epoch which one this replica knows.
   template <class Reply>
   void describe_group(std::uint32_t group, Reply& reply) const;
   Result<Ballot> load_promise(std::uint32_t group, const std::string& key) const;
