Half of an even group decides again once a disk is proven lost, where that half is admitted

A decision had come to ask for a majority that is admitted, of four members three, where two are left.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -401,7 +401,7 @@
   if (rule.whole_majority) {
     return whole >= group.majority();
   }
-  return whole > 0 || (!rule.sole && admitted >= group.majority());
+  return whole > 0 || (!rule.sole && admitted >= needed());
 }
 
 void Client::promises_complete(OperationId id, Operation& operation) {
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -55,8 +55,8 @@
 ///        group is enough: any two halves of the others share a member, and each shares one with any majority.
 std::size_t decision_quorum(std::size_t members, bool one_lost);
 
-/// Who of a group's members must agree on its next epoch. All may, whatever they hold; but either a majority has to be
-/// admitted, so that together they hold every confirmed record, or one of them has to be whole.
+/// Who of a group's members must agree on its next epoch. All may, whatever they hold; but either as many have to be
+/// admitted as have to agree, so that together they hold what was confirmed, or one of them has to be whole.
 struct EpochRule {
   std::size_t quorum = 0;               ///< How many; 0: the majority.
   std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts, and it has to be whole.
