A node that is emptied keeps its disk until as many others hold everything as the losses ask for

Cause: a node counted as emptied once all members of its group held what it held. A group that had lost a member by then was described with one: one copy was enough to let a whole one go, and the disk that was left was the next one lost. Two faults beside it: of a pair with one lost member the other went on alone though the disk that was to be emptied was there and whole; and a member was let go as soon as its successor was named, which holds nothing yet.

Change: ledger/handover says how many members have to hold what a former one held: all, and no fewer than a majority of a full group. The lost member of a pair gives its place back to one that is to be emptied, where no other disk is free. A member is let go only by a decision of a whole majority of others.

Evidence: the test of replicas and the model's new promise (no disk is taken away that leaves a record on fewer disks than the losses ask for) fail without the rule.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -386,7 +386,7 @@
   const bool says_nothing = message.standing == wire::ReplicaStanding::NotSaid;
   operation.say_nothing += says_nothing ? 1 : 0;
   operation.admitted += says_nothing || message.standing == wire::ReplicaStanding::Admitted ? 1 : 0;
-  operation.whole += message.whole ? 1 : 0;
+  operation.whole += message.whole && !operation.lets_go(message.replica) ? 1 : 0;
   if (operation.granted.size() >= operation.needed() && operation.is_safe_to_decide()) {
     promises_complete(id->second, operation);
   }
@@ -399,7 +399,7 @@
     return true;
   }
   if (rule.whole_majority) {
-    return whole >= group.majority();
+    return whole >= std::max(group.majority(), rule.least_whole);
   }
   return whole > 0 || (!rule.sole && admitted >= needed());
 }
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -155,8 +155,8 @@
     std::map<PeerAddress, wire::ReplicaStatus> refusals;  ///< The latest one of each member, in all attempts.
     std::optional<std::uint64_t> only_epoch;  ///< Of a decision: its rule holds for the members of that epoch alone.
     std::size_t admitted = 0;                 ///< Of a decision: members that granted it and vote on records.
-    std::size_t whole = 0;                    ///< Of a decision: members that granted it and are whole.
-    std::size_t say_nothing = 0;              ///< Of a decision: members of earlier versions that granted it.
+    std::size_t whole = 0;        ///< Of a decision: members that granted it and are whole, but one that is let go.
+    std::size_t say_nothing = 0;  ///< Of a decision: members of earlier versions that granted it.
     unsigned attempts = 0;
 
     /// @return whether those that granted a decision hold every confirmed record.
@@ -166,6 +166,10 @@
     bool gives_up(std::uint32_t replica) const {
       return rule.given_up && replica < group.replicas.size() && group.replicas[replica] == *rule.given_up;
     }
+    /// @return whether the group's member with that number is to be let go.
+    bool lets_go(std::uint32_t replica) const {
+      return rule.let_go && replica < group.replicas.size() && group.replicas[replica] == *rule.let_go;
+    }
     /// @return whether the answer of the group's member with that number counts.
     bool counts(std::uint32_t replica) const {
       return !rule.sole || (replica < group.replicas.size() && group.replicas[replica] == *rule.sole);
--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -4,6 +4,8 @@
 #include <climits>
 #include <map>
 
+#include "ledger/handover.hpp"
+
 namespace madderdeck::ledger {
 namespace {
 
@@ -57,6 +59,18 @@
   return std::nullopt;
 }
 
+/// @return a former member that is to be emptied and is there still, for a pair of which one is gone. Without it the
+///         other one would confirm alone what stands nowhere else.
+std::optional<ReplicaIdentity> leaver_beside_survivor(const ReplicaGroup& group, const fleet_view& view) {
+  if (group.replicas.size() != kPair) {
+    return std::nullopt;
+  }
+  const auto leaver = std::find_if(group.leaving.begin(), group.leaving.end(), [&view](const auto& former) {
+    return view.is_retiring(former.node) && view.is_there(former);
+  });
+  return leaver == group.leaving.end() ? std::nullopt : std::optional(*leaver);
+}
+
 /// @return the other member of a pair, if it is there; nothing for any other group.
 std::optional<ReplicaIdentity> survivor_of(const ReplicaGroup& group, std::size_t lost, const fleet_view& view) {
   if (group.replicas.size() != kPair) {
@@ -77,6 +91,9 @@
     other = returned_member(group, view);
   }
   const auto survivor = lost ? std::nullopt : survivor_of(group, index, view);
+  if (!other && survivor) {
+    other = leaver_beside_survivor(group, view);
+  }
   // It had been about to leave and has nothing to hand on any more. Its place would stay empty for good.
   const bool lost_as_it_left = lost && view.is_retiring(replica.node) && group.replicas.size() > 1;
   const auto position = change.next.replicas.begin() + static_cast<std::ptrdiff_t>(index);
@@ -122,6 +139,9 @@
     change.next.replicas.erase(position);
   }
   change.next.leaving.push_back(replica);
+  // It votes until others hold everything: who takes a place may still be copying.
+  change.rule.whole_majority = true;
+  change.rule.let_go = replica;
   return true;
 }
 
@@ -151,8 +171,15 @@
     }
   }
   if (group.replicas.size() < replicas) {
-    if (const auto other = substitute(group, ReplicaIdentity{}, view.places())) {
+    auto other = substitute(group, ReplicaIdentity{}, view.places());
+    // A member that is to be emptied cannot be let go before somebody else has joined.
+    const bool keeps_retiring = std::find(states.begin(), states.end(), replica_state::retiring) != states.end();
+    if (!other && keeps_retiring) {
+      other = returned_member(group, view);
+    }
+    if (other) {
       change.next.replicas.push_back(*other);
+      std::erase(change.next.leaving, *other);
       return change;
     }
   }
@@ -160,6 +187,7 @@
   const auto given_up =
       std::erase_if(change.next.leaving, [&view](const ReplicaIdentity& leaver) { return view.has_gone(leaver); });
   change.rule.whole_majority = given_up > 0;
+  change.rule.least_whole = least_copies(replicas);
   return change.next.leaving.size() < group.leaving.size() ? std::optional(change) : std::nullopt;
 }
 
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -62,6 +62,8 @@
   std::optional<ReplicaIdentity> sole;  ///< Only this one's word counts, and it has to be whole.
   /// A majority has to be whole: what a disk holds that is given up may stand nowhere else.
   bool whole_majority = false;
+  std::size_t least_whole = 0;              ///< With whole_majority: not fewer, however small the group is.
+  std::optional<ReplicaIdentity> let_go;    ///< Is to be emptied: does not count among the whole ones.
   std::optional<ReplicaIdentity> given_up;  ///< Taken for silent or lost: an answer of it ends the decision.
 };
 
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -190,7 +190,7 @@
   const bool was_former = progress.former;
   progress.index = *number;
   progress.former = *number >= progress.description.replicas.size();
-  progress.copied_by.clear();
+  progress.handover.begin_epoch();
   if (later) {
     enter_epoch(group, progress, before, was_former);
   }
@@ -1274,7 +1274,7 @@
   for (const auto& [group, progress] : progress_) {
     for (std::uint32_t index = 0; progress.former && index < progress.description.replicas.size(); ++index) {
       const auto address = addresses_(progress.description.replicas[index].node);
-      if (progress.copied_by.contains(index) || !address) {
+      if (progress.handover.is_copied_by(index) || !address) {
         continue;
       }
       wire::CopyStatusRequestT request;
@@ -1310,7 +1310,7 @@
   }
   if (entry->second.former) {
     if (message.complete) {
-      entry->second.copied_by.insert(message.replica);
+      entry->second.handover.note_copied(message.replica);
     }
     return;
   }
@@ -1322,18 +1322,26 @@
   }
 }
 
-bool Replica::left_all_groups() const {
-  const bool awaited =
-      std::any_of(words_.begin(), words_.end(), [](const auto& entry) { return entry.second.names_former_disk; });
-  if (suspended_ || awaited || (words_.empty() && progress_.empty())) {
-    return false;
+std::vector<pending_handover> Replica::pending_handovers(std::size_t least_copies) const {
+  std::vector<pending_handover> pending;
+  for (const auto& [group, word] : words_) {
+    if (word.names_former_disk) {
+      pending.push_back({group, word.epoch, 0, least_copies, true});
+    }
   }
   for (const auto& [group, progress] : progress_) {
-    if (!progress.former || progress.copied_by.size() < progress.description.replicas.size()) {
-      return false;
+    const std::size_t needed = copies_needed(progress.description, least_copies);
+    const std::size_t copies = progress.handover.copies();
+    if (!progress.former || copies < needed) {
+      pending.push_back({group, progress.epoch, copies, needed, !progress.former});
     }
   }
-  return true;
+  return pending;
+}
+
+bool Replica::left_all_groups(std::size_t least_copies) const {
+  const bool knows_groups = !words_.empty() || !progress_.empty();
+  return !suspended_ && knows_groups && pending_handovers(least_copies).empty();
 }
 
 }  // namespace madderdeck::ledger
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -12,6 +12,7 @@
 #include "ledger/ballot.hpp"
 #include "ledger/copy_progress.hpp"
 #include "ledger/groups.hpp"
+#include "ledger/handover.hpp"
 #include "ledger/storage.hpp"
 
 namespace madderdeck::ledger {
@@ -54,9 +55,15 @@
 
   /// Asks the members of groups that this disk has left whether they have copied everything.
   void ask_copy_status();
-  /// @return whether this disk is in no group any more, and all that it held stands elsewhere. A group that names this
-  ///         node with a disk that it had before still counts on the node; without word of any group nobody can say.
-  bool left_all_groups() const;
+  /// @param least_copies how many disks have to hold each record.
+  /// @return the groups that keep this disk from going: it is a member, or too few others hold all that it held. A
+  /// group
+  ///         that names this node with a disk that it had before still counts on the node.
+  std::vector<pending_handover> pending_handovers(std::size_t least_copies) const;
+  /// @return whether this disk is in no group any more, and all that it held stands on enough others. Without word of
+  /// any
+  ///         group nobody can say.
+  bool left_all_groups(std::size_t least_copies) const;
 
   /// @return the descriptions that this disk knows, of the groups that name it.
   std::map<std::uint32_t, ReplicaGroup> descriptions() const;
@@ -138,7 +145,7 @@
     std::uint8_t fresh_leavers = 0;
     bool awaits_flush = false;                    ///< Something was copied to the end and is not on the disk yet.
     std::map<std::uint32_t, CopySource> copying;  ///< by number of the source
-    std::set<std::uint32_t> copied_by;            ///< Members that hold all that this former one held.
+    handover_progress handover;                   ///< Of a former member.
   };
   /// The latest word of a group, whether this disk is in it or not.
   struct GroupWord {
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -121,8 +121,9 @@
     dispatcher->use_repeat_guard(quarantine);
   }
   if (replica && dependencies.platform.has_retirements()) {
-    retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica,
-                                                            dependencies.platform);
+    retirement =
+        std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica, dependencies.platform,
+                                                   ledger::least_copies(options.controller.replicas));
   }
   if (has_role(options.self, Role::controller)) {
     controller = std::make_unique<object_store::Controller>(environment, counters, members, objects, machines, groups,
--- a/tests/ledger/epoch_change_test.cpp
+++ b/tests/ledger/epoch_change_test.cpp
@@ -149,3 +149,52 @@
   view.free = {{kA, "1"}, {kB, "2"}, {kC, "3"}};
   CHECK_FALSE(wanted_change({5, {kB, kC}, {kA}}, view, kReplicas));
 }
+
+// Results that could not be read any more: a pair lost one member while a third disk, which was to be emptied, still
+// held everything; the other one went on alone, and its disk was the next one lost.
+TEST_CASE("a member that is to be emptied takes the place of a lost one of a pair where no other disk is free") {
+  told_view view;
+  view.states[kA] = replica_state::retiring;
+  view.states[kC] = replica_state::missing;
+  view.retiring = kA.node;
+  view.free = {{kB, "2"}};
+  const auto change = wanted_change({5, {kC, kB}, {kA}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{6, {kA, kB}, {kC}});
+  CHECK(change->rule.sole == kB);
+  SECTION("and stays while there is no other one") {
+    view.states[kC] = replica_state::disk_replaced;
+    CHECK(wanted_change({6, {kA, kB}, {}}, view, kReplicas) == std::nullopt);
+  }
+  SECTION("and is let go once a new disk has joined") {
+    const ReplicaIdentity new_c{kC.node, DiskId("disk-c2")};
+    view.free = {{kB, "2"}, {new_c, "3"}};
+    const auto joined = wanted_change({6, {kA, kB}, {}}, view, kReplicas);
+    REQUIRE(joined);
+    CHECK(joined->next == ReplicaGroup{7, {kA, kB, new_c}, {}});
+    const auto let_go = wanted_change(joined->next, view, kReplicas);
+    REQUIRE(let_go);
+    CHECK(let_go->next == ReplicaGroup{8, {kB, new_c}, {kA}});
+  }
+}
+
+TEST_CASE("a silent member that is back joins a group of which one is to be emptied and cannot go yet") {
+  told_view view;
+  view.states[kA] = replica_state::retiring;
+  view.retiring = kA.node;
+  view.free = {{kB, "2"}, {kC, "3"}};
+  const auto change = wanted_change({6, {kA, kB}, {kC}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{7, {kA, kB, kC}, {}});
+}
+
+TEST_CASE("a member that leaves is given up only once as many others are whole as the losses ask for") {
+  told_view view;
+  view.states[kA] = replica_state::missing;
+  view.free = {{kB, "2"}};
+  const auto change = wanted_change({5, {kB}, {kA}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{6, {kB}, {}});
+  CHECK(change->rule.whole_majority);
+  CHECK(change->rule.least_whole == 2);
+}
--- a/tests/ledger/epoch_model.cpp
+++ b/tests/ledger/epoch_model.cpp
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "ledger/epoch_change.hpp"
+#include "ledger/handover.hpp"
 
 namespace madderdeck::tests {
 namespace {
@@ -639,10 +640,12 @@
     unsigned whole = 0;
     for (unsigned node = 0; node < kMostNodes; ++node) {
       const machine& one = state.machines[node];
-      whole += has(granting, node) && (one.whole || one.whole_before) ? 1 : 0;
+      const bool let_go =
+          change.rule.let_go && disk_of(*change.rule.let_go) == disk{static_cast<std::uint8_t>(node), one.disk_number};
+      whole += has(granting, node) && !let_go && (one.whole || one.whole_before) ? 1 : 0;
     }
     if (change.rule.whole_majority) {
-      return whole >= majority_of(state.of(epoch));
+      return whole >= std::max<std::size_t>(majority_of(state.of(epoch)), change.rule.least_whole);
     }
     const unsigned admitted = size_of(granting & voting_in(state, epoch));
     return whole > 0 || (!change.rule.sole && admitted >= quorum);
@@ -810,7 +813,7 @@
     });
   }
 
-  void faults(const model_state& state, moves& result) const {
+  void faults(const model_state& state, moves& result) {
     for (unsigned node = 0; node < kMostNodes; ++node) {
       const machine& one = state.machines[node];
       if (one.state == presence::silent) {
@@ -824,6 +827,7 @@
       if (one.state == presence::up && one.retiring && has_left(state, node)) {
         model_state then = state;
         remove(then, node);
+        check_copies_left(state, then, node);
         result.emplace_back(name_of(node) + " has left and is taken away", std::move(then));
       }
       if (one.state == presence::spare && node < scope_.disks + scope_.further + scope_.spares &&
@@ -868,6 +872,18 @@
     one = machine{presence::gone, one.disk_number, false, 0, false, false, false, false, false, 0};
   }
 
+  /// Notes where a record has fewer disks than it needs once @p node has been taken away.
+  void check_copies_left(const model_state& before, const model_state& after, unsigned node) {
+    const std::size_t least = ledger::least_copies(scope_.disks);
+    for (unsigned record = 0; record < before.written; ++record) {
+      const bool had_enough = size_of(before.held[record]) >= least;
+      if (had_enough && size_of(after.held[record]) < least) {
+        violation = name_of(node) + " was emptied and taken away, and record " + std::to_string(record) +
+                    " stands with " + text_of(after.held[record]) + " alone";
+      }
+    }
+  }
+
   /// @return whether a retiring machine is in no group any more, and all members hold what it held.
   bool has_left(const model_state& state, unsigned node) const {
     const machine& one = state.machines[node];
@@ -875,6 +891,11 @@
       return false;
     }
     const auto& members = state.of(one.epoch).replicas;
+    const ReplicaGroup sized{one.epoch, std::vector<ReplicaIdentity>(members.size()), {}};
+    const std::size_t least = rules_.leave_enough_copies ? ledger::least_copies(scope_.disks) : 0;
+    if (members.size() < ledger::copies_needed(sized, least)) {
+      return false;
+    }
     return std::all_of(members.begin(), members.end(), [&](const disk& place) {
       const machine& member = state.machines[place.node];
       const bool here = member.disk_number == place.number && takes_part(member) && member.epoch == one.epoch;
--- a/tests/ledger/epoch_model.hpp
+++ b/tests/ledger/epoch_model.hpp
@@ -27,6 +27,8 @@
   bool whole_members_decide = true;
   bool decide_only_with_all_records = true;  ///< Who decides holds every confirmed record, together or one of them.
   bool compare_in_each_epoch = true;         ///< A member is whole only by a copy in the present epoch.
+  /// A disk that is to be emptied goes only once as many others as the losses ask for hold everything.
+  bool leave_enough_copies = true;
 };
 
 /// What is searched.
@@ -58,7 +60,8 @@
 
 /// Looks at every state, the shortest paths first, until one breaks a promise: no group without a majority of admitted
 /// members once all processes and the store are back; no confirmed record out of sight of a majority that answers; no
-/// two descriptions of one epoch.
+/// two descriptions of one epoch; no disk emptied and taken away that leaves a record on fewer disks than the losses ask
+/// for.
 model_result search(const model_scope& scope, const model_rules& rules);
 
 }  // namespace madderdeck::tests
--- a/tests/ledger/epoch_model_test.cpp
+++ b/tests/ledger/epoch_model_test.cpp
@@ -163,6 +163,12 @@
     scope.coarse = true;
     rules.members_tell_epoch = false;
   }
+  SECTION("a disk is taken away that leaves a record on one other") {
+    scope = emptied_scope();
+    scope.silent_replaced = true;
+    scope.coarse = true;
+    rules.leave_enough_copies = false;
+  }
   SECTION("what a leaving member held is not waited for") {
     scope = emptied_scope();
     scope.faults = 2;
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 const PeerAddress kCaller("10.0.0.9:1");
+constexpr std::size_t kLeastCopies = least_copies(3);
 const ReplicaIdentity kA{NodeId("a"), DiskId("disk-a")};
 const ReplicaIdentity kB{NodeId("b"), DiskId("disk-b")};
 const ReplicaIdentity kC{NodeId("c"), DiskId("disk-c")};
@@ -273,15 +274,34 @@
 TEST_CASE("a leaving member does not vote, and is done when all others hold what it held") {
   Fixture fixture;
   fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
-  CHECK_FALSE(fixture.replica->left_all_groups());
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
   fixture.replica->adopt_group(0, {2, {kB, kC}, {kA}});
   CHECK(fixture.prepare(2).status == wire::ReplicaStatus::NotReady);
-  CHECK_FALSE(fixture.replica->left_all_groups());
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
   fixture.copied(0, 2);
   fixture.copied(1, 1);  // of an earlier epoch: does not count
-  CHECK_FALSE(fixture.replica->left_all_groups());
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
   fixture.copied(1, 2);
-  CHECK(fixture.replica->left_all_groups());
+  CHECK(fixture.replica->left_all_groups(kLeastCopies));
+}
+
+// Results that could not be read any more: a disk was emptied and taken away while its group had one other member, whose
+// disk was the next one lost.
+TEST_CASE("a disk that is emptied stays until as many others hold everything as the losses ask for") {
+  Fixture fixture;
+  fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
+  fixture.replica->adopt_group(0, {2, {kB, kC}, {kA}});
+  fixture.replica->adopt_group(0, {3, {kB}, {kA}});
+  fixture.copied(0, 3);
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
+  CHECK(fixture.replica->pending_handovers(kLeastCopies) ==
+        std::vector<pending_handover>{{0, 3, 1, kLeastCopies, false}});
+  const ReplicaIdentity new_c{kC.node, DiskId("disk-c2")};
+  fixture.replica->adopt_group(0, {4, {kB, new_c}, {kA}});
+  fixture.copied(0, 4);
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
+  fixture.copied(1, 4);
+  CHECK(fixture.replica->left_all_groups(kLeastCopies));
 }
 
 // Fleet runner, --faults=losses, seed 11 at abc1e0f, three disks: a node whose disk had been lost was
@@ -291,28 +311,28 @@
   Fixture fixture;
   const ReplicaIdentity lost{kA.node, DiskId("disk-lost")};
   fixture.replica->adopt_group(0, {2, {lost, kB, kC}, {}});
-  CHECK_FALSE(fixture.replica->left_all_groups());
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
   SECTION("until a later epoch has replaced it") {
     const ReplicaIdentity d{NodeId("d"), DiskId("disk-d")};
     fixture.replica->adopt_group(0, {3, {d, kB, kC}, {}});
-    CHECK(fixture.replica->left_all_groups());
+    CHECK(fixture.replica->left_all_groups(kLeastCopies));
     fixture.replica->adopt_group(0, {2, {lost, kB, kC}, {}});  // old word
-    CHECK(fixture.replica->left_all_groups());
+    CHECK(fixture.replica->left_all_groups(kLeastCopies));
   }
   SECTION("until the others hold all where nobody replaces it") {
     fixture.replica->adopt_group(0, {3, {kB, kC}, {kA}});
-    CHECK_FALSE(fixture.replica->left_all_groups());
+    CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
     fixture.copied(0, 3);
     fixture.copied(1, 3);
-    CHECK(fixture.replica->left_all_groups());
+    CHECK(fixture.replica->left_all_groups(kLeastCopies));
   }
 }
 
 TEST_CASE("a node that knows of no group yet cannot say that it has left all") {
   Fixture fixture;
-  CHECK_FALSE(fixture.replica->left_all_groups());
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
   fixture.replica->adopt_group(0, {1, {kB, kC}, {}});
-  CHECK(fixture.replica->left_all_groups());
+  CHECK(fixture.replica->left_all_groups(kLeastCopies));
 }
 
 TEST_CASE("a disk that a later epoch has replaced is obsolete, a node that merely left is not") {
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 const PeerAddress kCaller("10.0.0.9:1");
+constexpr std::size_t kLeastCopies = least_copies(3);
 
 /// Counts the flushes that it is asked for.
 class flush_counting_storage : public simulation::SimStorage {
@@ -256,7 +257,7 @@
   CHECK(fixture.prepare(3, {3, 1}).status == wire::ReplicaStatus::UnknownEpoch);
   CHECK(fixture.replica->descriptions().empty());
   CHECK_FALSE(fixture.replica->synchronized());
-  CHECK_FALSE(fixture.replica->left_all_groups());
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
 
   fixture.replica->resume();
   const wire::PromiseT promise = fixture.prepare(1, {3, 1});
