The database's own messages go to the node's log: a full disk no longer ends the process

Cause: RocksDB keeps a file of messages (LOG) beside its data. Debian's 7.8.3 has its assertions compiled in, and any call to a file after a refused write of the same file asserts. The message that the log's write was refused is refused, too; the next message ends the process. Why tests did not see it: files that a test hands to the database as an Env are not asked for LOG, which the default Env opens by itself.

--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -8,8 +8,12 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cstdarg>
+#include <cstdio>
 #include <vector>
 
+#include "common/log.hpp"
+
 namespace madderdeck::ledger {
 namespace {
 constexpr std::size_t kWriteBufferBytes = 16 << 20;
@@ -23,6 +27,22 @@
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
+/// Takes what the database says of its own work. Its usual file of messages would be on the disk that it reports on, and
+/// this version of RocksDB ends the process with the second line that such a file refuses.
+class MessageLog : public rocksdb::Logger {
+ public:
+  MessageLog() : rocksdb::Logger(rocksdb::InfoLogLevel::WARN_LEVEL) {}
+  using rocksdb::Logger::Logv;
+  void Logv(const char* format, std::va_list arguments) override {
+    char text[kMostMessageBytes];
+    std::vsnprintf(text, sizeof text, format, arguments);
+    log_event(LogLevel::warning, "database_message", {{"text", text}});
+  }
+
+ private:
+  static constexpr std::size_t kMostMessageBytes = 512;
+};
+
 Error write_error(const rocksdb::Status& status) { return Error{ErrorKind::storage_unwritable, status.ToString()}; }
 
 Error read_error(const rocksdb::Status& status) {
@@ -58,7 +78,7 @@
   options.write_buffer_size = kWriteBufferBytes;
   options.max_background_jobs = 2;
   options.compression = rocksdb::kNoCompression;
-  options.keep_log_file_num = 2;
+  options.info_log = std::make_shared<MessageLog>();
   rocksdb::BlockBasedTableOptions table_options;
   table_options.block_cache = rocksdb::NewLRUCache(kCacheBytes);
   table_options.filter_policy.reset(rocksdb::NewBloomFilterPolicy(kBloomBitsPerKey));
