A node whose disk refuses writes when it starts stays up and waits for the disk

Cause: opening the disk was a condition of the start. Now a folder that refuses writes or cannot be read for the moment is opened again in the background, after 250 ms, then after twice as long, up to 2 s. Until then the replica is suspended, as after a refused write, and the node names no disk to its peers: nobody takes its disk for replaced. A damaged folder ends the node with a typed error as before.

Seen by: lines disk_writes_refused, disk_not_opened, disk_writes_regained, disk_damaged; metric ledger_disk_refuses; `madderdeck status`, column disk.

--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -34,6 +34,8 @@
         row["ready"] = details.at("ready");
         row["revision"] = details.at("object_revision");
         row["live"] = details.at("live_active");
+        const json::value* disk = details.as_object().if_contains("disk");
+        row["disk"] = disk == nullptr ? json::value("") : *disk;  // earlier versions do not tell it
       }
     }
     members.push_back(std::move(row));
@@ -98,7 +100,7 @@
     return Ok{};
   }
   print_table(members_with_details(context.fleet, value_of(status)),
-              {"id", "state", "ready", "zone", "revision", "live", "api_address", "disk_id"});
+              {"id", "state", "ready", "zone", "revision", "live", "api_address", "disk", "disk_id"});
   std::cout << "\n";
   print_groups(value_of(status));
   print_backends(value_of(status));
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -95,6 +95,14 @@
   return members;
 }
 
+/// @return how this node's own disk stands.
+const char* disk_state(const node::NodeCore& core) {
+  if (!core.replica) {
+    return "none";
+  }
+  return core.replica->is_suspended() ? "refuses writes" : "open";
+}
+
 json::array describe_backends(const node::NodeCore& core) {
   json::array backends;
   for (const auto& [id, backend] : core.registry.backends()) {
@@ -181,6 +189,7 @@
                             {"machine_revision", core.machines.table().revision()},
                             {"replica_groups", core.catalog.groups().groups.size()},
                             {"replica_synchronized", !core.replica || core.holds_its_records()},
+                            {"disk", disk_state(core)},
                             {"live_active", core.live.active()},
                             {"members", describe_members(core)},
                             {"groups", describe_groups(core)},
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -42,6 +42,9 @@
   void suspend();
   /// Takes up what the disk holds, as after a restart.
   void resume();
+  /// Names the disk, which was not known before; while it is suspended.
+  void set_disk(DiskId disk) { disk_ = std::move(disk); }
+  bool is_suspended() const { return suspended_; }
   /// Copies again from the other members what this replica missed while it was away.
   void catch_up();
 
@@ -294,7 +297,7 @@
   Storage& storage_;
   Counters& counters_;
   const NodeId self_;
-  const DiskId disk_;
+  DiskId disk_;
   const AddressLookup addresses_;
   const ReplicaGuards guards_;
   std::map<std::uint32_t, GroupProgress> progress_;
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -19,9 +19,6 @@
 constexpr std::size_t kWriteBufferBytes = 16 << 20;
 constexpr std::size_t kCacheBytes = 8 << 20;
 constexpr int kBloomBitsPerKey = 10;
-/// After a refused write the database is opened again after this long, then after twice as long, and so on.
-constexpr Duration kReopenAfter = 250ms;
-constexpr Duration kMostReopenAfter = 2s;
 
 rocksdb::Slice slice_of(const wire::Bytes& bytes) {
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
@@ -109,6 +106,18 @@
   return std::unique_ptr<RocksDbStorage>(new RocksDbStorage(std::move(implementation)));
 }
 
+std::unique_ptr<RocksDbStorage> RocksDbStorage::make_unopened() {
+  auto implementation = std::make_shared<Implementation>();
+  implementation->failed = true;
+  return std::unique_ptr<RocksDbStorage>(new RocksDbStorage(std::move(implementation)));
+}
+
+void RocksDbStorage::take_over(std::unique_ptr<RocksDbStorage> opened) {
+  DiskTroubleHooks hooks = std::move(implementation_->hooks);
+  implementation_ = std::move(opened->implementation_);
+  implementation_->hooks = std::move(hooks);
+}
+
 void RocksDbStorage::set_hooks(DiskTroubleHooks hooks) { implementation_->hooks = std::move(hooks); }
 
 Result<std::optional<wire::Bytes>> RocksDbStorage::get(const std::string& key) const {
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -30,6 +30,10 @@
   std::function<void()> regained;  ///< It is open again and holds what is on the disk, all of it synced.
 };
 
+/// After a refused write the database is opened again after this long, then after twice as long, and so on.
+inline constexpr Duration kReopenAfter = 250ms;
+inline constexpr Duration kMostReopenAfter = 2s;
+
 /// The database's folder within the disk folder.
 inline constexpr char kRecordsFolder[] = "records";
 
@@ -46,6 +50,10 @@
   /// @return ErrorKind::storage_unwritable or ErrorKind::corrupted on failure.
   static Result<std::unique_ptr<RocksDbStorage>> open(const std::string& folder, Executors executors,
                                                       rocksdb::Env* env = nullptr);
+  /// @return storage without a database, as after a refused write, until take_over().
+  static std::unique_ptr<RocksDbStorage> make_unopened();
+  /// Goes on with the database of @p opened, which goes. This one has none.
+  void take_over(std::unique_ptr<RocksDbStorage> opened);
   void set_hooks(DiskTroubleHooks hooks);
 
   Result<std::optional<wire::Bytes>> get(const std::string& key) const override;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -94,6 +94,15 @@
   enqueue(NodeId(self_.id), true);
 }
 
+void Membership::set_disk(const std::string& disk_id) {
+  digest_ ^= digest_of(self_);
+  self_.disk_id = disk_id;
+  ++self_.incarnation;
+  digest_ ^= digest_of(self_);
+  ++version_;
+  enqueue(NodeId(self_.id), true);
+}
+
 // --- queries --------------------------------------------------------------------------------
 
 const MemberT* Membership::find(const NodeId& node) const {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -82,6 +82,8 @@
   }
   /// Announces that this node's disk is to be emptied. It goes on working meanwhile.
   void retire();
+  /// Tells the others which disk this node runs with, which it did not know when it started.
+  void set_disk(const std::string& disk_id);
 
   void handle(const PeerAddress& sender, const wire::PingT& message);
   void handle(const PeerAddress& sender, const wire::PingRequestT& message);
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -9,7 +9,7 @@
 
 #include "gateway/api.hpp"
 #include "gateway/problem.hpp"
-#include "ledger/rocksdb_disk.hpp"
+#include "ledger/rocksdb_disk_opener.hpp"
 #include "node/asio_environment.hpp"
 #include "node/held_signals.hpp"
 #include "node/node_core.hpp"
@@ -48,6 +48,10 @@
     if (!succeeded(prepared)) {
       return prepared;
     }
+    if (disk_opener_) {
+      core_->on_disk_refused();
+      disk_opener_->start();
+    }
     core_->start();
     watch_readiness();
     log_event(LogLevel::info, "node_started",
@@ -63,7 +67,7 @@
     background_.join();
     log_event(LogLevel::info, "node_stopped", {{"node", settings_.id}});
     stop_logging();
-    return Ok{};
+    return failure_;
   }
 
  private:
@@ -108,11 +112,25 @@
     executors.after = [this](Duration delay, std::function<void()> task) {
       environment_.after(delay, std::move(task));
     };
-    auto opened = ledger::open_disk(settings_.data_folder, environment_.random(), executors);
-    if (!succeeded(opened)) {
+    const std::uint64_t random = environment_.random();
+    auto opened = ledger::open_disk(settings_.data_folder, random, executors);
+    if (succeeded(opened)) {
+      tell_identity(value_of(opened));
+      options.self.disk_id = value_of(opened).identity;
+      storage_ = std::move(value_of(opened).storage);
+    } else if (ledger::is_worth_another_attempt(error_of(opened))) {
+      note_disk_refused(error_of(opened));
+      storage_ = ledger::RocksDbStorage::make_unopened();
+      disk_opener_ =
+          std::make_unique<ledger::disk_opener>(settings_.data_folder, random, executors, disk_opener_hooks());
+    } else {
       return error_of(opened);
     }
-    ledger::OpenedDisk& disk = value_of(opened);
+    storage_->set_hooks(disk_trouble_hooks());
+    return Ok{};
+  }
+
+  static void tell_identity(const ledger::OpenedDisk& disk) {
     if (disk.reason != ledger::NewIdentityReason::none) {
       log_event(LogLevel::warning, "disk_identity_made",
                 {{"disk", disk.identity},
@@ -123,33 +141,58 @@
     if (disk.identity_file_made) {
       log_event(LogLevel::warning, "disk_identity_file_made", {{"disk", disk.identity}});
     }
-    options.self.disk_id = disk.identity;
-    storage_ = std::move(disk.storage);
-    storage_->set_hooks(disk_trouble_hooks());
-    return Ok{};
+  }
+
+  void note_disk_refused(const Error& error) {
+    disk_refused_at_ = environment_.now();
+    counters_["ledger_disk_refusals_total"]++;
+    counters_["ledger_disk_refuses"] = 1;
+    log_event(LogLevel::error, "disk_writes_refused", {{"error", error.detail}});
+  }
+
+  void note_disk_not_opened(const Error& error) {
+    counters_["ledger_disk_reopen_failures_total"]++;
+    log_event(LogLevel::error, "disk_not_opened",
+              {{"error", error.detail}, {"refused_for_ms", (environment_.now() - disk_refused_at_) / 1ms}});
+  }
+
+  void note_disk_regained() {
+    counters_["ledger_disk_refuses"] = 0;
+    log_event(LogLevel::warning, "disk_writes_regained",
+              {{"refused_for_ms", (environment_.now() - disk_refused_at_) / 1ms}});
   }
 
   ledger::DiskTroubleHooks disk_trouble_hooks() {
     ledger::DiskTroubleHooks hooks;
     hooks.refused = [this](const Error& error) {
-      disk_refused_at_ = environment_.now();
-      counters_["ledger_disk_refusals_total"]++;
-      log_event(LogLevel::error, "disk_writes_refused", {{"error", error.detail}});
+      note_disk_refused(error);
       core_->on_disk_refused();
     };
-    hooks.still_refused = [this](const Error& error) {
-      counters_["ledger_disk_reopen_failures_total"]++;
-      log_event(LogLevel::error, "disk_not_opened",
-                {{"error", error.detail}, {"refused_for_ms", (environment_.now() - disk_refused_at_) / 1ms}});
-    };
+    hooks.still_refused = [this](const Error& error) { note_disk_not_opened(error); };
     hooks.regained = [this] {
-      log_event(LogLevel::warning, "disk_writes_regained",
-                {{"refused_for_ms", (environment_.now() - disk_refused_at_) / 1ms}});
+      note_disk_regained();
       core_->on_disk_regained();
     };
     return hooks;
   }
 
+  ledger::disk_opener_hooks disk_opener_hooks() {
+    ledger::disk_opener_hooks hooks;
+    hooks.refused = [this](const Error& error) { note_disk_not_opened(error); };
+    hooks.opened = [this](ledger::OpenedDisk disk) {
+      tell_identity(disk);
+      storage_->take_over(std::move(disk.storage));
+      note_disk_regained();
+      core_->on_disk_opened(DiskId(disk.identity));
+    };
+    hooks.given_up = [this](const Error& error) {
+      log_event(LogLevel::error, "disk_damaged", {{"error", error.detail}});
+      failure_ = error;
+      context_.stop();
+    };
+    return hooks;
+  }
+
   NodeOptions describe_self() {
     NodeOptions options;
     options.self.id = settings_.id;
@@ -311,6 +354,7 @@
   std::unique_ptr<object_store::PlatformClient> platform_;
   asio::thread_pool background_;
   std::unique_ptr<ledger::RocksDbStorage> storage_;
+  std::unique_ptr<ledger::disk_opener> disk_opener_;  ///< Where the disk could not be opened at the start.
   std::unique_ptr<NodeCore> core_;
   std::unique_ptr<gateway::ApiContext> api_context_;
   std::unique_ptr<CallerInterface> api_;
@@ -320,6 +364,7 @@
   asio::signal_set reload_signal_;
   Timestamp drain_deadline_{};
   Timestamp disk_refused_at_{};
+  Status failure_ = Ok{};  ///< Why the node ends by itself.
   bool fleet_known_ = false;
   bool was_ready_ = false;
 };
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -333,6 +333,16 @@
   }
 }
 
+void NodeCore::on_disk_opened(const DiskId& disk) {
+  if (!replica) {
+    return;
+  }
+  members.set_disk(disk.str());
+  replica->set_disk(disk);
+  quarantine.keep_in(*storage_);
+  on_disk_regained();
+}
+
 void NodeCore::on_disk_regained() {
   if (replica) {
     replica->resume();
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -112,8 +112,10 @@
   /// @return whether this node's disk holds what the replica groups have placed on it. A disk that replaces a lost one
   ///         does not before it has been admitted and has copied; until then no other disk may be given up.
   bool holds_its_records() const;
-  /// The disk refuses writes: the replica takes part in nothing until the disk is back.
+  /// The disk refuses writes, or has not been opened yet: the replica takes part in nothing until the disk is back.
   void on_disk_refused();
+  /// The disk, which could not be opened when this node started, is open and known to be @p disk.
+  void on_disk_opened(const DiskId& disk);
   /// The disk takes writes again; the replica goes on from what it holds.
   void on_disk_regained();
   /// Cancels a job durably, then tells every scheduler.
