A disk that cannot be read is no empty disk: groups wait, scans are refused

A start whose reading of a group's state failed went on with an empty state: told of the founding description, the disk voted as a founding member that holds nothing, whatever it had promised and confirmed. A scan that met an unreadable place ended there without a word: the part before it was answered as everything, also to a new disk that copies.

Now a failed reading of states leaves the group out (all of them, where the list cannot be read), is told (group_state_unreadable, ledger_group_states_unreadable_total) and is repeated each second, with what was heard meanwhile; a node that is emptied waits for it. Storage::scan tells how it ended; a scan is refused, a page of a copy is not answered and asked for again.

The two tests need the new interface and were not run on the code before.

--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -17,6 +17,7 @@
 /// For how long the answer to a scan is worth sending where its reader does not say.
 constexpr Duration kScanPatience = 4s;
 constexpr Duration kCopyRetry = 200ms;
+constexpr Duration kReadAgain = 1s;  ///< After states of groups could not be read.
 /// A page that has not come is asked for again after this long, then after twice as long, and so on.
 constexpr Duration kCopyPatience = 400ms;
 constexpr Duration kValuesPatience = 1s;  ///< The same where values were asked for.
@@ -120,28 +121,91 @@
 }
 
 void Replica::restore() {
+  if (suspended_) {
+    return;
+  }
   std::vector<std::uint32_t> groups;
-  storage_.scan("g/", "", [&groups](std::string_view key, std::string_view) {
+  const Status read = storage_.scan("g/", "", [&groups](std::string_view key, std::string_view) {
     groups.push_back(static_cast<std::uint32_t>(std::strtoul(std::string(key.substr(2)).c_str(), nullptr, 10)));
     return true;
   });
+  groups_unread_ = !succeeded(read);
+  if (groups_unread_) {
+    counters_["ledger_group_states_unreadable_total"]++;
+    if (on_unreadable) {
+      on_unreadable(std::nullopt, error_of(read));
+    }
+    schedule_reading_again();
+    return;
+  }
   for (const std::uint32_t group : groups) {
-    GroupProgress progress = restore_group_state(group);
-    const auto number = progress.description.source_number_of({self_, disk_});
-    if (!number) {
-      continue;
+    restore_group(group);
+  }
+}
+
+void Replica::restore_group(std::uint32_t group) {
+  auto read = restore_group_state(group);
+  if (!succeeded(read)) {
+    note_unreadable(group, error_of(read), {});
+    return;
+  }
+  GroupProgress& progress = value_of(read);
+  const auto number = progress.description.source_number_of({self_, disk_});
+  if (!number) {
+    return;
+  }
+  progress.index = *number;
+  progress.former = *number >= progress.description.replicas.size();
+  progress_[group] = std::move(progress);
+  tell_epoch(group, progress_.at(group), progress_.at(group));
+  start_copy(group);
+}
+
+void Replica::note_unreadable(std::uint32_t group, const Error& error, const ReplicaGroup& heard) {
+  const auto [entry, first] = unreadable_.try_emplace(group, heard);
+  entry->second = heard.epoch > entry->second.epoch ? heard : entry->second;
+  counters_["ledger_group_states_unreadable_total"]++;
+  if (first && on_unreadable) {
+    on_unreadable(group, error);
+  }
+  schedule_reading_again();
+}
+
+void Replica::schedule_reading_again() {
+  if (reading_again_) {
+    return;
+  }
+  reading_again_ = true;
+  environment_.after(kReadAgain, lifetime_.guard([this] {
+    reading_again_ = false;
+    read_again();
+  }));
+}
+
+void Replica::read_again() {
+  if (suspended_) {
+    return;  // resume() reads everything
+  }
+  const std::map<std::uint32_t, ReplicaGroup> heard = std::exchange(unreadable_, {});
+  if (groups_unread_) {
+    restore();
+  } else {
+    for (const auto& [group, description] : heard) {
+      restore_group(group);
+    }
+  }
+  for (const auto& [group, description] : heard) {
+    if (description.epoch > 0) {
+      adopt_group(group, description);
     }
-    progress.index = *number;
-    progress.former = *number >= progress.description.replicas.size();
-    progress_[group] = std::move(progress);
-    tell_epoch(group, progress_.at(group), progress_.at(group));
-    start_copy(group);
   }
 }
 
 void Replica::suspend() {
   suspended_ = true;
   progress_.clear();
+  unreadable_.clear();
+  groups_unread_ = false;
 }
 
 void Replica::resume() {
@@ -167,7 +231,17 @@
   }
   auto known = progress_.find(group);
   const bool first_sight = known == progress_.end();
-  GroupProgress progress = first_sight ? restore_group_state(group) : known->second;
+  if (groups_unread_ || unreadable_.contains(group)) {
+    ReplicaGroup& heard = unreadable_[group];
+    heard = description.epoch > heard.epoch ? description : heard;
+    return;
+  }
+  auto read = first_sight ? restore_group_state(group) : Result<GroupProgress>(known->second);
+  if (!succeeded(read)) {
+    note_unreadable(group, error_of(read), description);
+    return;
+  }
+  GroupProgress progress = std::move(value_of(read));
   if (!first_sight && description.epoch <= progress.epoch) {
     return;
   }
@@ -434,11 +508,14 @@
   storage_.put(marks_key(group), encode_marks(progress));
 }
 
-void Replica::restore_marks(std::uint32_t group, GroupProgress& progress) const {
+Status Replica::restore_marks(std::uint32_t group, GroupProgress& progress) const {
   const auto stored = storage_.get(marks_key(group));
   progress.holds_leaving = progress.description.leaving.empty();
-  if (!succeeded(stored) || !value_of(stored) || value_of(stored)->size() != kMarksBytes) {
-    return;  // of an earlier version
+  if (!succeeded(stored)) {
+    return error_of(stored);
+  }
+  if (!value_of(stored) || value_of(stored)->size() != kMarksBytes) {
+    return Ok{};  // of an earlier version
   }
   const wire::Bytes& marks = *value_of(stored);
   std::uint64_t epoch = 0;
@@ -453,22 +530,30 @@
     progress.whole_last = (marks[0] & kWholeLast) != 0;
     progress.fresh_leavers = marks[0] & kFreshLeavers;
   }
+  return Ok{};
 }
 
-Replica::GroupProgress Replica::restore_group_state(std::uint32_t group) const {
+Result<Replica::GroupProgress> Replica::restore_group_state(std::uint32_t group) const {
   GroupProgress progress;
   const auto stored = storage_.get(state_key(group));
-  if (!succeeded(stored) || !value_of(stored)) {
+  if (!succeeded(stored)) {
+    return error_of(stored);
+  }
+  if (!value_of(stored)) {
     return progress;
   }
-  if (const auto state = wire::decode_record<wire::GroupStateT>(*value_of(stored))) {
-    progress.epoch = state->epoch;
-    progress.synchronized = state->complete;
-    if (state->description) {
-      progress.description = from_wire(*state->description);
-    }
+  const auto state = wire::decode_record<wire::GroupStateT>(*value_of(stored));
+  if (!state) {
+    return Error{ErrorKind::corrupted, "state of group " + std::to_string(group)};
+  }
+  progress.epoch = state->epoch;
+  progress.synchronized = state->complete;
+  if (state->description) {
+    progress.description = from_wire(*state->description);
+  }
+  if (const Status marks = restore_marks(group, progress); !succeeded(marks)) {
+    return error_of(marks);
   }
-  restore_marks(group, progress);
   return progress;
 }
 
@@ -570,7 +655,7 @@
   reply_when_durable(sender, std::move(reply));
 }
 
-Replica::Records Replica::page(const PageQuery& query, bool& truncated) const {
+Result<Replica::Records> Replica::page(const PageQuery& query, bool& truncated) const {
   Records records;
   std::size_t bytes = 0;
   std::size_t read_bytes = 0;
@@ -599,7 +684,11 @@
     records.push_back(std::move(record));
     return true;
   };
-  storage_.scan(area_prefix + query.prefix, query.after.empty() ? "" : area_prefix + query.after, visit);
+  const std::string after = query.after.empty() ? "" : area_prefix + query.after;
+  if (const Status read = storage_.scan(area_prefix + query.prefix, after, visit); !succeeded(read)) {
+    counters_["ledger_scans_unreadable_total"]++;
+    return error_of(read);
+  }
   return records;
 }
 
@@ -647,10 +736,16 @@
   reply.replica = progress_.at(message.group).index;
   reply.ballots_only = message.ballots_only;
   const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
-  reply.records = message.keys.empty()
-                      ? page(query, reply.truncated)
-                      : records_of({message.group, message.keys, std::min<std::size_t>(message.max_bytes, kPageBytes),
-                                    !message.ballots_only});
+  if (!message.keys.empty()) {
+    const std::size_t max_bytes = std::min<std::size_t>(message.max_bytes, kPageBytes);
+    reply.records = records_of({message.group, message.keys, max_bytes, !message.ballots_only});
+  } else if (auto records = page(query, reply.truncated); succeeded(records)) {
+    reply.records = std::move(value_of(records));
+  } else {
+    reply.status = wire::ReplicaStatus::Corrupted;
+    refuse(sender, std::move(reply));
+    return;
+  }
   // A reader that has left needs no answer; others wait behind its values.
   const Duration useful_for = message.patience_ms == 0 ? kScanPatience : std::chrono::milliseconds(message.patience_ms);
   const Timestamp useful_until = environment_.now() + useful_for;
@@ -867,7 +962,11 @@
     if (reply.ballots_only) {
       const bool promises = message.after.starts_with("p:");
       const std::string after = message.after.size() > 2 ? message.after.substr(2) : "";
-      reply.records = page({message.group, "", after, message.limit, promises, false}, reply.truncated);
+      auto records = page({message.group, "", after, message.limit, promises, false}, reply.truncated);
+      if (!succeeded(records)) {
+        return;  // asked for again; a part would count as everything
+      }
+      reply.records = std::move(value_of(records));
     } else {
       reply.records = records_of({message.group, message.keys, kCopyPageBytes, true});
     }
@@ -1341,7 +1440,8 @@
 
 bool Replica::left_all_groups(std::size_t least_copies) const {
   const bool knows_groups = !words_.empty() || !progress_.empty();
-  return !suspended_ && knows_groups && pending_handovers(least_copies).empty();
+  const bool all_read = !suspended_ && !groups_unread_ && unreadable_.empty();
+  return all_read && knows_groups && pending_handovers(least_copies).empty();
 }
 
 }  // namespace madderdeck::ledger
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -34,7 +34,8 @@
 
   /// Adopts @p map: moves groups to their new epoch and starts copying where this disk is new.
   void on_group_map(const GroupMap& map);
-  /// Takes up what this disk knows of its groups from before a restart.
+  /// Takes up what this disk knows of its groups from before a restart. A group whose state cannot be read has this
+  /// disk take no part until it can: without it nobody knows what the disk has promised.
   void restore();
   /// Adopts a decided description of one group, unless a later one is known.
   void adopt_group(std::uint32_t group, const ReplicaGroup& description);
@@ -96,6 +97,9 @@
   std::function<void(const epoch_step&)> on_epoch;
   /// Told when the copy of a group begins or starts again; may be empty.
   std::function<void(std::uint32_t group, std::uint64_t epoch)> on_copy_begun;
+  /// Told when what this disk knows of its groups cannot be read, or of one of them; it is read again after a while.
+  /// May be empty.
+  std::function<void(std::optional<std::uint32_t> group, const Error&)> on_unreadable;
   /// Told when this disk has copied a group and votes from now on; may be empty.
   std::function<void(std::uint32_t group, std::uint64_t epoch)> on_admitted;
 
@@ -182,11 +186,17 @@
   void store_promise(std::uint32_t group, const std::string& key, const Ballot& ballot);
   void store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot, const wire::Bytes& value);
   void store_group_state(std::uint32_t group, const GroupProgress& progress);
-  GroupProgress restore_group_state(std::uint32_t group) const;
+  /// @return an empty state where the disk holds none; ErrorKind::corrupted or ErrorKind::unavailable.
+  Result<GroupProgress> restore_group_state(std::uint32_t group) const;
+  void restore_group(std::uint32_t group);
+  /// Leaves the group out until its state can be read. @param heard the latest description, if there is one.
+  void note_unreadable(std::uint32_t group, const Error& error, const ReplicaGroup& heard);
+  void schedule_reading_again();
+  void read_again();
   /// What is kept beside the epoch: earlier versions do not know it.
   void store_marks(std::uint32_t group, const GroupProgress& progress);
   static wire::Bytes encode_marks(const GroupProgress& progress);
-  void restore_marks(std::uint32_t group, GroupProgress& progress) const;
+  Status restore_marks(std::uint32_t group, GroupProgress& progress) const;
   /// Notes on the disk that its place in @p group is another's now.
   void leave_place(std::uint32_t group, GroupProgress progress);
   /// Moves @p progress, which is described by @p before still, to the later epoch that it is described by now.
@@ -266,7 +276,8 @@
   void take_back_values();
   /// Notes that a source is whole by now; it is copied from once more.
   void note_whole(std::uint32_t group, std::uint32_t number);
-  Records page(const PageQuery& query, bool& truncated) const;
+  /// @return ErrorKind::corrupted or ErrorKind::unavailable where the disk cannot be read on.
+  Result<Records> page(const PageQuery& query, bool& truncated) const;
   /// What is wanted of records that are named.
   struct RecordQuery {
     std::uint32_t group = 0;
@@ -303,6 +314,9 @@
   std::map<std::uint32_t, GroupProgress> progress_;
   std::map<std::uint32_t, GroupWord> words_;
   bool suspended_ = false;
+  std::map<std::uint32_t, ReplicaGroup> unreadable_;  ///< Groups left out, and what was heard of them last.
+  bool groups_unread_ = false;                        ///< Nobody knows which groups the disk has.
+  bool reading_again_ = false;
   std::map<std::uint32_t, copy_progress> copies_;  ///< The latest one of each group.
   bool copy_retry_scheduled_ = false;
   std::map<PeerAddress, source_activity> heard_of_sources_;
--- a/src/ledger/replica_journal.cpp
+++ b/src/ledger/replica_journal.cpp
@@ -19,6 +19,11 @@
 void replica_journal::start() {
   replica_.on_epoch = [this](const epoch_step& step) { tell_epoch(step); };
   replica_.on_copy_begun = [this](std::uint32_t group, std::uint64_t epoch) { tell_begun(group, epoch); };
+  replica_.on_unreadable = [this](std::optional<std::uint32_t> group, const Error& error) {
+    log_.record("group_state_unreadable", {{"group", group ? std::to_string(*group) : "all"},
+                                           {"error", error_kind_name(error.kind)},
+                                           {"detail", error.detail}});
+  };
   replica_.on_admitted = [this](std::uint32_t group, std::uint64_t epoch) { tell_admitted(group, epoch); };
 }
 
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -24,8 +24,8 @@
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
 }
 
-/// Takes what the database says of its own work. Its usual file of messages would be on the disk that it reports on, and
-/// this version of RocksDB ends the process with the second line that such a file refuses.
+/// Takes what the database says of its own work. Its usual file of messages would be on the disk that it reports on,
+/// and this version of RocksDB ends the process with the second line that such a file refuses.
 class MessageLog : public rocksdb::Logger {
  public:
   MessageLog() : rocksdb::Logger(rocksdb::InfoLogLevel::WARN_LEVEL) {}
@@ -173,10 +173,10 @@
   }
 }
 
-void RocksDbStorage::scan(const std::string& prefix, const std::string& after,
-                          const std::function<bool(std::string_view, std::string_view)>& visit) const {
+Status RocksDbStorage::scan(const std::string& prefix, const std::string& after,
+                            const std::function<bool(std::string_view, std::string_view)>& visit) const {
   if (implementation_->failed) {
-    return;
+    return Error{ErrorKind::unavailable, "the disk refused a write"};
   }
   const std::unique_ptr<rocksdb::Iterator> iterator(implementation_->database->NewIterator(rocksdb::ReadOptions()));
   iterator->Seek(after > prefix ? after : prefix);
@@ -186,9 +186,10 @@
       continue;
     }
     if (!visit(key, std::string_view(iterator->value().data(), iterator->value().size()))) {
-      return;
+      return Ok{};
     }
   }
+  return iterator->status().ok() ? Status(Ok{}) : read_error(iterator->status());
 }
 
 void RocksDbStorage::flush(std::function<void(Status)> done) {
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -60,8 +60,8 @@
   Status look_at(const std::string& key, const std::function<void(std::string_view value)>& look) const override;
   void put(const std::string& key, const wire::Bytes& value) override;
   void put_together(const std::vector<Entry>& entries) override;
-  void scan(const std::string& prefix, const std::string& after,
-            const std::function<bool(std::string_view, std::string_view)>& visit) const override;
+  Status scan(const std::string& prefix, const std::string& after,
+              const std::function<bool(std::string_view, std::string_view)>& visit) const override;
   /// Callers that a sync under way covers already share it.
   void flush(std::function<void(Status)> done) override;
   bool has_unflushed() const override;
--- a/src/ledger/storage.hpp
+++ b/src/ledger/storage.hpp
@@ -32,8 +32,9 @@
   virtual void put_together(const std::vector<Entry>& entries) = 0;
   /// Calls @p visit for each key that starts with @p prefix and is greater than @p after, in
   /// order, until it returns false.
-  virtual void scan(const std::string& prefix, const std::string& after,
-                    const std::function<bool(std::string_view key, std::string_view value)>& visit) const = 0;
+  /// @return ErrorKind::corrupted or ErrorKind::unavailable where the disk cannot be read on: there may be more keys.
+  virtual Status scan(const std::string& prefix, const std::string& after,
+                      const std::function<bool(std::string_view key, std::string_view value)>& visit) const = 0;
   /// Runs @p done once everything put so far survives the loss of the process. Callers that
   /// arrive while a flush is under way share the next one (group commit).
   virtual void flush(std::function<void(Status)> done) = 0;
--- a/src/simulation/sim_storage.cpp
+++ b/src/simulation/sim_storage.cpp
@@ -23,15 +23,16 @@
   }
 }
 
-void SimStorage::scan(const std::string& prefix, const std::string& after,
-                      const std::function<bool(std::string_view, std::string_view)>& visit) const {
+Status SimStorage::scan(const std::string& prefix, const std::string& after,
+                        const std::function<bool(std::string_view, std::string_view)>& visit) const {
   auto entry = after > prefix ? visible_.upper_bound(after) : visible_.lower_bound(prefix);
   for (; entry != visible_.end() && entry->first.starts_with(prefix); ++entry) {
     const auto& bytes = entry->second;
     if (!visit(entry->first, std::string_view(reinterpret_cast<const char*>(bytes.data()), bytes.size()))) {
-      return;
+      return Ok{};
     }
   }
+  return Ok{};
 }
 
 void SimStorage::flush(std::function<void(Status)> done) {
--- a/tests/ledger/group_epochs_test.cpp
+++ b/tests/ledger/group_epochs_test.cpp
@@ -285,8 +285,8 @@
   CHECK(fixture.replica->left_all_groups(kLeastCopies));
 }
 
-// Results that could not be read any more: a disk was emptied and taken away while its group had one other member, whose
-// disk was the next one lost.
+// Results that could not be read any more: a disk was emptied and taken away while its group had one other member,
+// whose disk was the next one lost.
 TEST_CASE("a disk that is emptied stays until as many others hold everything as the losses ask for") {
   Fixture fixture;
   fixture.replica->adopt_group(0, {1, {kA, kB, kC}, {}});
--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -541,9 +541,9 @@
 class counting_storage : public simulation::SimStorage {
  public:
   using SimStorage::SimStorage;
-  void scan(const std::string& prefix, const std::string& after,
-            const std::function<bool(std::string_view, std::string_view)>& visit) const override {
-    SimStorage::scan(prefix, after, [this, &visit](std::string_view key, std::string_view value) {
+  Status scan(const std::string& prefix, const std::string& after,
+              const std::function<bool(std::string_view, std::string_view)>& visit) const override {
+    return SimStorage::scan(prefix, after, [this, &visit](std::string_view key, std::string_view value) {
       read_bytes += value.size();
       return visit(key, value);
     });
@@ -684,3 +684,104 @@
   fixture.sync();
   CHECK(fixture.replica->synchronized());
 }
+
+namespace {
+
+/// A disk that cannot be read for a while.
+class unreadable_storage : public simulation::SimStorage {
+ public:
+  using SimStorage::SimStorage;
+  Result<std::optional<wire::Bytes>> get(const std::string& key) const override {
+    return fails_reads ? Result<std::optional<wire::Bytes>>(error()) : SimStorage::get(key);
+  }
+  Status scan(const std::string& prefix, const std::string& after,
+              const std::function<bool(std::string_view, std::string_view)>& visit) const override {
+    return fails_scans ? Status(error()) : SimStorage::scan(prefix, after, visit);
+  }
+  bool fails_reads = false;
+  bool fails_scans = false;
+
+ private:
+  static Error error() { return Error{ErrorKind::unavailable, "cannot be read"}; }
+};
+
+struct unreadable_fixture {
+  unreadable_fixture() {
+    process.start();
+    replica = make();
+    replica->on_group_map(map);
+    environment.world.run_for(20ms);  // the state of the group is on the disk
+    replica->handle(kCaller, accept());
+    environment.world.run_for(20ms);
+  }
+  std::unique_ptr<Replica> make() {
+    return std::make_unique<Replica>(environment, storage, counters, NodeId("a"), DiskId("disk-a"),
+                                     [](const NodeId& node) { return std::optional(PeerAddress(node.str())); });
+  }
+  static wire::AcceptT accept() {
+    wire::AcceptT message;
+    message.request = 1;
+    message.epoch = 1;
+    message.key = "job/x";
+    message.ballot = to_wire(Ballot{1, 1});
+    message.value = {7};
+    return message;
+  }
+  GroupMap map{{ReplicaGroup{1, {{NodeId("a"), DiskId("disk-a")}, {NodeId("b"), DiskId("disk-b")}}, {}}}};
+  TestEnvironment environment;
+  Counters counters;
+  simulation::SimProcess process{environment.world};
+  unreadable_storage storage{environment.world, process};
+  std::unique_ptr<Replica> replica;
+};
+
+}  // namespace
+
+// By reading of the code: a disk whose state of a group could not be read at a start took the founding description for
+// its first one, and voted as a founding member that holds nothing, whatever it had promised and confirmed.
+TEST_CASE("a disk that cannot read what it knows of a group takes no part in it until it can") {
+  unreadable_fixture fixture;
+  fixture.replica = fixture.make();
+  SECTION("none of its groups") { fixture.storage.fails_scans = true; }
+  SECTION("the state of one") {}
+  fixture.storage.fails_reads = true;
+  std::size_t told = 0;
+  fixture.replica->on_unreadable = [&told](std::optional<std::uint32_t>, const Error&) { ++told; };
+  fixture.replica->restore();
+  fixture.replica->on_group_map(fixture.map);
+  CHECK(told == 1);
+  CHECK_FALSE(fixture.replica->holds(0, 1));
+  CHECK_FALSE(fixture.replica->left_all_groups(kLeastCopies));
+  fixture.environment.world.run_for(5s);
+  CHECK_FALSE(fixture.replica->holds(0, 1));
+  fixture.storage.fails_reads = false;
+  fixture.storage.fails_scans = false;
+  fixture.environment.world.run_for(2s);
+  CHECK(fixture.replica->holds(0, 1));
+}
+
+// By reading of the code: what came before the place that could not be read was answered as if it were everything.
+TEST_CASE("a scan of a disk that cannot be read on is refused, not answered in part") {
+  unreadable_fixture fixture;
+  fixture.storage.fails_scans = true;
+  fixture.environment.sent.clear();
+  wire::ScanRequestT request;
+  request.request = 2;
+  request.epoch = 1;
+  request.prefix = "job/";
+  request.limit = 10;
+  fixture.replica->handle(kCaller, request);
+  wire::CopyRequestT copy;
+  copy.epoch = 1;
+  copy.after = "a:";
+  copy.limit = 10;
+  fixture.replica->handle(kCaller, copy);
+  fixture.environment.world.run_for(20ms);
+  CHECK(fixture.environment.sent_of(wire::Message::CopyReply) == 0);
+  REQUIRE(fixture.environment.sent_of(wire::Message::ScanReply) == 1);
+  for (const auto& message : fixture.environment.sent) {
+    if (message.body.type == wire::Message::ScanReply) {
+      CHECK(message.body.AsScanReply()->status == wire::ReplicaStatus::Corrupted);
+    }
+  }
+}
