--- a/tests/platform/bench/fault_plan_test.cpp
+++ b/tests/platform/bench/fault_plan_test.cpp
@@ -147,6 +147,29 @@
   CHECK(draw_closing_moment(3, fault_mix::losses) == closing_moment::settled);
 }
 
+TEST_CASE("refusals: disks refuse writes for 0.5 to 8 s, again while they do, and beside other faults") {
+  bool again = false;
+  bool beside = false;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const std::vector<fault> plan = draw_faults(seed, kLength_s, fault_mix::refusals);
+    REQUIRE_FALSE(plan.empty());
+    CHECK(plan == draw_faults(seed, kLength_s, fault_mix::refusals));
+    double refuses_until = 0;
+    for (const fault& event : plan) {
+      CHECK(event.at_s >= 2);
+      CHECK(event.at_s <= kLength_s - 3);
+      CHECK(event.length >= 500ms);
+      CHECK(event.length <= 8s);
+      const bool refuses = event.kind == fault_kind::refuse_numbered_writes;
+      again = again || (refuses && event.at_s < refuses_until);
+      beside = beside || (!refuses && event.at_s < refuses_until);
+      refuses_until = refuses ? event.at_s + static_cast<double>(event.length.count()) / 1000 : refuses_until;
+    }
+  }
+  CHECK(again);
+  CHECK(beside);
+}
+
 TEST_CASE("the plans of the other mixes stay as they are: seeds that failed once can be played again") {
   CHECK(digest(draw_faults(88'001, kLength_s, fault_mix::mixed)) == 12514542997132099512ULL);
   CHECK(digest(draw_faults(88'011, kLength_s, fault_mix::all)) == 8031778906006050505ULL);
