A copied value below a promise is not counted by readers that do not prepare

A member promised ballot 10 to a writer that it told of no value, and copied a value of ballot 5 afterwards. With the member that had accepted that value, a reader of a page saw a majority of equal ballots and took it for chosen, and its writer could be told so; the first writer could still have another value chosen without having seen it.

Weighed: not to take the value - the member would then be called whole without a record that may be confirmed.

--- a/tests/ledger/replica_test.cpp
+++ b/tests/ledger/replica_test.cpp
@@ -785,3 +785,42 @@
     }
   }
 }
+
+// By reading of the code: a member had promised a ballot to a writer that it told of no value, and then copied an older
+// value of another writer. With the member that had accepted it, a reader saw a majority and took it for chosen, while
+// the first writer could still have its own value chosen without having seen the other one.
+TEST_CASE("a copied value below a promise is not counted by readers that do not prepare") {
+  ReplicaFixture fixture;
+  fixture.replica->on_group_map(fixture.map(1));
+  fixture.replica->on_group_map(fixture.map(2));  // copies from the others, and votes
+  REQUIRE(fixture.prepare(2, {10, 1}).status == wire::ReplicaStatus::Granted);
+  CopySourceScript b(fixture, 1, "b");
+  b.set_ballot({5, 2});
+  b.answer("p:", true);
+  b.answer("a:", true);
+  b.answer("a:", false);
+  wire::ScanRequestT request;
+  request.epoch = 2;
+  request.limit = 10;
+  SECTION("in a page") { request.prefix = "k/"; }
+  SECTION("by name") {
+    request.keys = {"k/1"};
+    request.max_bytes = 1000;
+  }
+  fixture.environment.sent.clear();
+  fixture.replica->handle(kCaller, request);
+  fixture.environment.world.run_for(20ms);
+  const wire::MessageUnion answer = fixture.last(wire::Message::ScanReply);
+  const auto& records = answer.AsScanReply()->records;
+  REQUIRE(records.size() == 1);
+  CHECK(from_wire(records.front()->accepted) == Ballot{});
+  CHECK(records.front()->value.empty());
+  // One that prepares is told of it, and by an accept it is replaced.
+  CHECK(fixture.prepare(2, {11, 1}).value == std::vector<std::uint8_t>{1});
+  CHECK(fixture.accept(2, {11, 1}, {9}).status == wire::ReplicaStatus::Granted);
+  fixture.environment.sent.clear();
+  fixture.replica->handle(kCaller, request);
+  fixture.environment.world.run_for(20ms);
+  const wire::MessageUnion later = fixture.last(wire::Message::ScanReply);
+  CHECK(from_wire(later.AsScanReply()->records.front()->accepted) == Ballot{11, 1});
+}
