--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -51,7 +51,7 @@
   void put(const std::string& key, const wire::Bytes& value) override;
   void put_together(const std::vector<Entry>& entries) override;
   Status scan(const std::string& prefix, const std::string& after,
-            const std::function<bool(std::string_view, std::string_view)>& visit) const override;
+              const std::function<bool(std::string_view, std::string_view)>& visit) const override;
   void flush(std::function<void(Status)> done) override;
   bool has_unflushed() const override { return !unflushed_.empty(); }
   /// Forgets what was not flushed.
--- a/tests/ledger/epoch_model.hpp
+++ b/tests/ledger/epoch_model.hpp
@@ -60,8 +60,8 @@
 
 /// Looks at every state, the shortest paths first, until one breaks a promise: no group without a majority of admitted
 /// members once all processes and the store are back; no confirmed record out of sight of a majority that answers; no
-/// two descriptions of one epoch; no disk emptied and taken away that leaves a record on fewer disks than the losses ask
-/// for.
+/// two descriptions of one epoch; no disk emptied and taken away that leaves a record on fewer disks than the losses
+/// ask for.
 model_result search(const model_scope& scope, const model_rules& rules);
 
 }  // namespace madderdeck::tests
