--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -81,7 +81,6 @@
 struct accepted_view {
   Ballot ballot;
   std::string_view value;
-  bool below_promise = false;
 };
 
 /// Checks an accepted value in place: values may have megabytes, and most readers want its ballot.
@@ -97,7 +96,6 @@
   if (state->ballot() != nullptr) {
     view.ballot = Ballot{state->ballot()->counter(), state->ballot()->proposer()};
   }
-  view.below_promise = state->below_promise();
   if (const auto* value = state->value()) {
     view.value = {reinterpret_cast<const char*>(value->data()), value->size()};
   }
@@ -456,7 +454,6 @@
     value_sound = view.has_value();
     record.stored_bytes = bytes.size();
     record.accepted = view ? view->ballot : Ballot{};
-    record.below_promise = view && view->below_promise;
     if (view && with_value) {
       record.value.assign(view->value.begin(), view->value.end());
     }
@@ -476,13 +473,12 @@
   storage_.put(promise_key(group, key), wire::encode_record(state));
 }
 
-void Replica::store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot, const wire::Bytes& value,
-                           bool below_promise) {
+void Replica::store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot,
+                           const wire::Bytes& value) {
   wire::AcceptStateT state;
   state.ballot = to_wire(ballot);
   state.value = value;
   state.checksum = checksum_of(ballot, view_of(value));
-  state.below_promise = below_promise;
   storage_.put(accept_key(group, key), wire::encode_record(state));
 }
 
@@ -678,10 +674,7 @@
         record->promised = to_wire(from_wire(state->ballot));
       }
     } else {
-      auto accepted = view_accept(stored_value);
-      if (query.counted && accepted && accepted->below_promise) {
-        accepted.reset();
-      }
+      const auto accepted = view_accept(stored_value);
       record->accepted = to_wire(accepted ? accepted->ballot : Ballot{});
       if (accepted && query.values) {
         record->value.assign(accepted->value.begin(), accepted->value.end());
@@ -711,10 +704,7 @@
     auto record = std::make_unique<wire::LedgerRecordT>();
     record->key = key;
     record->accepted = to_wire(Ballot{});
-    auto loaded = load(query.group, key, query.values);
-    if (succeeded(loaded) && query.counted && value_of(loaded).below_promise) {
-      // A reader that finds no majority settles the record by a read of its own.
-    } else if (succeeded(loaded)) {
+    if (auto loaded = load(query.group, key, query.values); succeeded(loaded)) {
       record->accepted = to_wire(value_of(loaded).accepted);
       read_bytes += value_of(loaded).stored_bytes;
       if (query.values) {
@@ -748,7 +738,7 @@
   const PageQuery query{message.group, message.prefix, message.after, message.limit, false, !message.ballots_only};
   if (!message.keys.empty()) {
     const std::size_t max_bytes = std::min<std::size_t>(message.max_bytes, kPageBytes);
-    reply.records = records_of({message.group, message.keys, max_bytes, !message.ballots_only, true});
+    reply.records = records_of({message.group, message.keys, max_bytes, !message.ballots_only});
   } else if (auto records = page(query, reply.truncated); succeeded(records)) {
     reply.records = std::move(value_of(records));
   } else {
@@ -972,13 +962,13 @@
     if (reply.ballots_only) {
       const bool promises = message.after.starts_with("p:");
       const std::string after = message.after.size() > 2 ? message.after.substr(2) : "";
-      auto records = page({message.group, "", after, message.limit, promises, false, false}, reply.truncated);
+      auto records = page({message.group, "", after, message.limit, promises, false}, reply.truncated);
       if (!succeeded(records)) {
         return;  // asked for again; a part would count as everything
       }
       reply.records = std::move(value_of(records));
     } else {
-      reply.records = records_of({message.group, message.keys, kCopyPageBytes, true, false});
+      reply.records = records_of({message.group, message.keys, kCopyPageBytes, true});
     }
   }
   // What is copied must not be less durable here than it will be there.
@@ -997,10 +987,7 @@
   const auto held = load(group, incoming.key, false);
   const Ballot accepted = from_wire(incoming.accepted);
   if (accepted > (succeeded(held) ? value_of(held).accepted : Ballot{})) {
-    // Whoever holds the promise may not have been told of this value, and may still have another one chosen.
-    const bool below_promise = succeeded(held) && accepted < value_of(held).promised;
-    counters_["ledger_copied_below_promise_total"] += below_promise ? 1 : 0;
-    store_accept(group, incoming.key, accepted, incoming.value, below_promise);
+    store_accept(group, incoming.key, accepted, incoming.value);
     counters_["ledger_copied_records_total"]++;
     counters_["ledger_copied_bytes_total"] += static_cast<CounterValue>(incoming.value.size());
   }
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -132,7 +132,6 @@
     std::uint32_t limit = 0;
     bool promises = false;  ///< Promised ballots in place of accepted values.
     bool values = true;     ///< Otherwise only the ballots of accepted values.
-    bool counted = true;    ///< For a reader that takes what a majority tells for chosen.
   };
   using Records = std::vector<std::unique_ptr<wire::LedgerRecordT>>;
   struct GroupProgress {
@@ -165,7 +164,6 @@
     Ballot accepted;
     wire::Bytes value;
     std::size_t stored_bytes = 0;  ///< Of the accepted value, as it was read.
-    bool below_promise = false;    ///< The accepted value was copied after a later ballot had been promised.
   };
 
   void take_word(std::uint32_t group, const ReplicaGroup& description);
@@ -186,9 +184,7 @@
   /// @param with_value otherwise the value is checked and left out.
   Result<StoredRecord> load(std::uint32_t group, const std::string& key, bool with_value) const;
   void store_promise(std::uint32_t group, const std::string& key, const Ballot& ballot);
-  /// @param below_promise whether it is copied, and a later ballot was promised here before.
-  void store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot, const wire::Bytes& value,
-                    bool below_promise = false);
+  void store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot, const wire::Bytes& value);
   void store_group_state(std::uint32_t group, const GroupProgress& progress);
   /// @return an empty state where the disk holds none; ErrorKind::corrupted or ErrorKind::unavailable.
   Result<GroupProgress> restore_group_state(std::uint32_t group) const;
@@ -288,7 +284,6 @@
     const std::vector<std::string>& keys;
     std::size_t max_bytes = 0;  ///< Of keys and values; at least one record comes.
     bool values = true;         ///< Otherwise only the ballots of accepted values.
-    bool counted = true;        ///< For a reader that takes what a majority tells for chosen.
   };
   /// @return as many of the first records as fit; one that does not exist has a zero ballot.
   Records records_of(const RecordQuery& query) const;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -9335,7 +9335,6 @@
   std::unique_ptr<madderdeck::wire::Ballot> ballot{};
   std::vector<uint8_t> value{};
   uint64_t checksum = 0;
-  bool below_promise = false;
   AcceptStateT() = default;
   AcceptStateT(const AcceptStateT &o);
   AcceptStateT(AcceptStateT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -9349,8 +9348,7 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_BALLOT = 4,
     VT_VALUE = 6,
-    VT_CHECKSUM = 8,
-    VT_BELOW_PROMISE = 10
+    VT_CHECKSUM = 8
   };
   const madderdeck::wire::Ballot *ballot() const {
     return GetStruct<const madderdeck::wire::Ballot *>(VT_BALLOT);
@@ -9361,16 +9359,12 @@
   uint64_t checksum() const {
     return GetField<uint64_t>(VT_CHECKSUM, 0);
   }
-  bool below_promise() const {
-    return GetField<uint8_t>(VT_BELOW_PROMISE, 0) != 0;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<madderdeck::wire::Ballot>(verifier, VT_BALLOT, 8) &&
            VerifyOffset(verifier, VT_VALUE) &&
            verifier.VerifyVector(value()) &&
            VerifyField<uint64_t>(verifier, VT_CHECKSUM, 8) &&
-           VerifyField<uint8_t>(verifier, VT_BELOW_PROMISE, 1) &&
            verifier.EndTable();
   }
   AcceptStateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -9391,9 +9385,6 @@
   void add_checksum(uint64_t checksum) {
     fbb_.AddElement<uint64_t>(AcceptState::VT_CHECKSUM, checksum, 0);
   }
-  void add_below_promise(bool below_promise) {
-    fbb_.AddElement<uint8_t>(AcceptState::VT_BELOW_PROMISE, static_cast<uint8_t>(below_promise), 0);
-  }
   explicit AcceptStateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -9409,13 +9400,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const madderdeck::wire::Ballot *ballot = nullptr,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> value = 0,
-    uint64_t checksum = 0,
-    bool below_promise = false) {
+    uint64_t checksum = 0) {
   AcceptStateBuilder builder_(_fbb);
   builder_.add_checksum(checksum);
   builder_.add_value(value);
   builder_.add_ballot(ballot);
-  builder_.add_below_promise(below_promise);
   return builder_.Finish();
 }
 
@@ -9428,15 +9417,13 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const madderdeck::wire::Ballot *ballot = nullptr,
     const std::vector<uint8_t> *value = nullptr,
-    uint64_t checksum = 0,
-    bool below_promise = false) {
+    uint64_t checksum = 0) {
   auto value__ = value ? _fbb.CreateVector<uint8_t>(*value) : 0;
   return madderdeck::wire::CreateAcceptState(
       _fbb,
       ballot,
       value__,
-      checksum,
-      below_promise);
+      checksum);
 }
 
 flatbuffers::Offset<AcceptState> CreateAcceptState(flatbuffers::FlatBufferBuilder &_fbb, const AcceptStateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -12304,15 +12291,13 @@
 inline AcceptStateT::AcceptStateT(const AcceptStateT &o)
       : ballot((o.ballot) ? new madderdeck::wire::Ballot(*o.ballot) : nullptr),
         value(o.value),
-        checksum(o.checksum),
-        below_promise(o.below_promise) {
+        checksum(o.checksum) {
 }
 
 inline AcceptStateT &AcceptStateT::operator=(AcceptStateT o) FLATBUFFERS_NOEXCEPT {
   std::swap(ballot, o.ballot);
   std::swap(value, o.value);
   std::swap(checksum, o.checksum);
-  std::swap(below_promise, o.below_promise);
   return *this;
 }
 
@@ -12328,7 +12313,6 @@
   { auto _e = ballot(); if (_e) _o->ballot = std::unique_ptr<madderdeck::wire::Ballot>(new madderdeck::wire::Ballot(*_e)); }
   { auto _e = value(); if (_e) { _o->value.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->value.begin()); } }
   { auto _e = checksum(); _o->checksum = _e; }
-  { auto _e = below_promise(); _o->below_promise = _e; }
 }
 
 inline flatbuffers::Offset<AcceptState> AcceptState::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AcceptStateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -12342,13 +12326,11 @@
   auto _ballot = _o->ballot ? _o->ballot.get() : nullptr;
   auto _value = _o->value.size() ? _fbb.CreateVector(_o->value) : 0;
   auto _checksum = _o->checksum;
-  auto _below_promise = _o->below_promise;
   return madderdeck::wire::CreateAcceptState(
       _fbb,
       _ballot,
       _value,
-      _checksum,
-      _below_promise);
+      _checksum);
 }
 
 inline bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type) {
