--- a/src/ledger/handover.hpp
+++ b/src/ledger/handover.hpp
@@ -10,9 +10,8 @@
 namespace madderdeck::ledger {
 
 /// @param replicas how many members a group ought to have.
-/// @return how many disks have to hold each record: as many as a majority has, so that one is left when as many disks
-/// are
-///         lost as a group of that size bears.
+/// @return how many disks have to hold each record: as many as a majority has. One is left when as many disks are lost
+///         as a group of that size bears.
 constexpr std::size_t least_copies(std::size_t replicas) { return replicas / 2 + 1; }
 
 /// What a former member still waits for before its disk may go.
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -61,12 +61,10 @@
   void ask_copy_status();
   /// @param least_copies how many disks have to hold each record.
   /// @return the groups that keep this disk from going: it is a member, or too few others hold all that it held. A
-  /// group
-  ///         that names this node with a disk that it had before still counts on the node.
+  ///         group that names this node with a disk that it had before still counts on the node.
   std::vector<pending_handover> pending_handovers(std::size_t least_copies) const;
   /// @return whether this disk is in no group any more, and all that it held stands on enough others. Without word of
-  /// any
-  ///         group nobody can say.
+  ///         any group nobody can say.
   bool left_all_groups(std::size_t least_copies) const;
 
   /// @return the descriptions that this disk knows, of the groups that name it.
