A member that was told to stop hands its place to a free disk before it ends

What callers saw: no record of a group readable after a machine with a disk was replaced as planned (successor first) and another disk was lost right after the old machine had gone: one whole copy of three, at the founding epoch for good. Cause: a place was given to the successor only once the old member was held for dead. Change: a node that leaves is 'stopping'; where another disk is free it is let go as one that is to be emptied is, and its process waits until as many others hold its records, within its time to drain. Nothing changes where no disk is free.

--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -121,13 +121,17 @@
   return true;
 }
 
-/// Lets the member with number @p index go, which is to be emptied.
-/// @param present members that are neither gone nor to be emptied
+/// Lets the member with number @p index go, which is to be emptied or whose process was told to stop. The latter may
+/// only start again: it keeps its place where no other disk is free.
+/// @param present members that are neither gone nor about to go
 /// @return whether there is a way that leaves the group a majority of those that vote already.
-bool let_go(epoch_change& change, const ReplicaGroup& group, std::size_t index, std::size_t present,
-            std::size_t replicas, const fleet_view& view) {
+bool let_go(epoch_change& change, const ReplicaGroup& group, std::size_t index, replica_state state,
+            std::size_t present, std::size_t replicas, const fleet_view& view) {
   const ReplicaIdentity& replica = group.replicas[index];
   const auto other = substitute(group, replica, view.places());
+  if (!other && state == replica_state::stopping) {
+    return false;
+  }
   const std::size_t members = group.replicas.size() - (other ? 0 : 1);
   if ((!other && group.replicas.size() < replicas) || present < members / 2 + 1) {
     return false;
@@ -166,7 +170,8 @@
   // Only now: a member that is to leave still votes, and who takes its place copies from all others first.
   const auto present = static_cast<std::size_t>(std::count(states.begin(), states.end(), replica_state::present));
   for (std::size_t index = 0; index < states.size(); ++index) {
-    if (states[index] == replica_state::retiring && let_go(change, group, index, present, replicas, view)) {
+    const bool goes = states[index] == replica_state::retiring || states[index] == replica_state::stopping;
+    if (goes && let_go(change, group, index, states[index], present, replicas, view)) {
       return change;
     }
   }
--- a/src/ledger/epoch_change.hpp
+++ b/src/ledger/epoch_change.hpp
@@ -15,6 +15,7 @@
   disk_replaced,  ///< Its node runs with another disk: the old one will never vote again.
   missing,        ///< Nothing has been heard of its node for long.
   retiring,       ///< An operator wants its node emptied.
+  stopping,       ///< Its process was told to stop, and may not come back.
 };
 
 /// A disk that may hold replicas.
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -336,7 +336,8 @@
       log_event(late ? LogLevel::warning : LogLevel::info, "drain_finished",
                 {{"node", settings_.id},
                  {"cut_off", core_->live.active() + core_->services.active() +
-                                 (core_->forwarder ? core_->forwarder->active() : 0)}});
+                                 (core_->forwarder ? core_->forwarder->active() : 0)},
+                 {"records_handed_over", !core_->hands_over_records()}});
       context_.stop();
       return;
     }
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -33,6 +33,7 @@
       load_poll_(options.load_poll),
       loads_pushed_(options.loads_pushed),
       key_trust_(options.key_trust),
+      handover_copies_(ledger::least_copies(options.controller.replicas)),
       objects(
           environment, counters, wire::TableId::Objects,
           [this](std::size_t count) { return members.random_peers(count); },
@@ -121,9 +122,8 @@
     dispatcher->use_repeat_guard(quarantine);
   }
   if (replica && dependencies.platform.has_retirements()) {
-    retirement =
-        std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica, dependencies.platform,
-                                                   ledger::least_copies(options.controller.replicas));
+    retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica,
+                                                            dependencies.platform, handover_copies_);
   }
   if (has_role(options.self, Role::controller)) {
     controller = std::make_unique<object_store::Controller>(environment, counters, members, objects, machines, groups,
@@ -627,13 +627,22 @@
 void NodeCore::drain() {
   draining_ = true;
   members.leave();
+  if (replica && controller && !handover) {
+    handover = std::make_unique<object_store::stopping_handover>(environment, counters, log, *replica, *controller,
+                                                                 handover_copies_);
+    handover->start();
+  }
   if (dispatcher) {
     dispatcher->drain();
     jobs->drain();
   }
 }
 
-bool NodeCore::drained() const {
+bool NodeCore::drained() const { return has_finished_calls() && !hands_over_records(); }
+
+bool NodeCore::hands_over_records() const { return handover && handover->is_pending(); }
+
+bool NodeCore::has_finished_calls() const {
   const bool live_done = live.active() == 0 || !guards_.drain_waits;
   const bool services_done = services.active() == 0 || !guards_.drain_waits_for_services;
   const bool forwards_done = !forwarder || forwarder->active() == 0;
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -23,6 +23,7 @@
 #include "membership/membership.hpp"
 #include "object_store/controller.hpp"
 #include "object_store/retirement.hpp"
+#include "object_store/stopping_handover.hpp"
 #include "placement/call_reporter.hpp"
 #include "placement/coordinator.hpp"
 #include "placement/duties.hpp"
@@ -106,6 +107,10 @@
   bool draining() const { return draining_; }
   /// @return whether the last accepted request has ended.
   bool drained() const;
+  /// @return whether no request is open that this node has taken.
+  bool has_finished_calls() const;
+  /// @return whether a node that drains still holds records that others are to copy before it ends.
+  bool hands_over_records() const;
   /// @return whether callers can be served: configuration is known and, where this node holds
   ///         ledger records, they are in step.
   bool ready() const;
@@ -152,6 +157,7 @@
   const Duration load_poll_;
   const bool loads_pushed_;
   const tenancy::key_trust key_trust_;
+  const std::size_t handover_copies_;  ///< Disks that have to hold a record before this node's disk may go.
   bool draining_ = false;
 
  public:
@@ -188,6 +194,8 @@
   object_store::Declarations declarations;
   std::unique_ptr<object_store::Retirement> retirement;  ///< Only on ledger nodes.
   std::unique_ptr<object_store::Controller> controller;  ///< Only on controllers.
+  /// Only on ledger nodes that are controllers, once they drain.
+  std::unique_ptr<object_store::stopping_handover> handover;
 
  private:
   struct ToldActivity {
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -307,6 +307,14 @@
   return nodes;
 }
 
+bool Controller::has_free_disk(const ledger::ReplicaGroup& group) const {
+  const std::vector<ledger::ReplicaIdentity> used = group.all();
+  const auto nodes = ledger_nodes();
+  return std::any_of(nodes.begin(), nodes.end(), [&used](const wire::MemberT* node) {
+    return std::none_of(used.begin(), used.end(), [node](const auto& one) { return one.node.str() == node->id; });
+  });
+}
+
 void Controller::maintain_groups() {
   environment_.after(options_.group_check, lifetime_.guard([this] { maintain_groups(); }));
   if (!ledger_.has_group_map() && !knows_fleet()) {
@@ -381,7 +389,11 @@
     if (!node->disk_id.empty() && node->disk_id != replica.disk.str() && !known_as_it_was) {
       return ledger::replica_state::disk_replaced;
     }
-    return node->retiring ? ledger::replica_state::retiring : ledger::replica_state::present;
+    if (node->retiring) {
+      return ledger::replica_state::retiring;
+    }
+    const bool stopping = node->state == wire::MemberState::Leaving;
+    return stopping ? ledger::replica_state::stopping : ledger::replica_state::present;
   }
   if (!knows_fleet()) {
     return ledger::replica_state::present;
@@ -408,7 +420,7 @@
   }
   bool has_gone(const ledger::ReplicaIdentity& leaver) override {
     const ledger::replica_state state = controller_.state_of(leaver);
-    if (state == ledger::replica_state::retiring) {
+    if (state == ledger::replica_state::retiring || state == ledger::replica_state::stopping) {
       controller_.leaver_gone_since_.erase(leaver);
       return false;
     }
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -11,6 +11,8 @@
 
 constexpr Duration kMachineListLag = 1s;
 constexpr std::uint64_t kQuietChecksToStop = 5;
+/// A node that drains waits no longer for others to copy its records.
+constexpr Duration kHandoverPatience = 7s;
 constexpr unsigned kLedgerNodes = 3;
 /// As deploy/ledger.toml has them.
 constexpr Duration kDeployedProbePeriod = 500ms;
@@ -317,6 +319,7 @@
 void SimFleet::drain_node(unsigned number) {
   SimNode& node = *nodes[number];
   node.draining = true;
+  node.draining_since = world.now();
   node.life.core->drain();
   ++oracle.counts.planned_stops;
 }
@@ -327,7 +330,8 @@
     if (!node.process.up() || node.process.frozen() || !node.draining) {
       continue;
     }
-    node.quiet_checks = node.life.core->drained() ? node.quiet_checks + 1 : 0;
+    const bool waits = world.now() - node.draining_since < kHandoverPatience && node.life.core->hands_over_records();
+    node.quiet_checks = node.life.core->has_finished_calls() && !waits ? node.quiet_checks + 1 : 0;
     if (node.quiet_checks < kQuietChecksToStop) {
       continue;
     }
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -237,6 +237,7 @@
   Counters counters;
   NodeLife life;
   bool draining = false;
+  Timestamp draining_since{};
   std::uint64_t quiet_checks = 0;
   std::set<std::uint64_t> open_requests;  ///< Callers waiting at this node.
   std::optional<Timestamp> suspended_at;  ///< While the machine is suspended.
--- a/tests/ledger/epoch_change_test.cpp
+++ b/tests/ledger/epoch_change_test.cpp
@@ -77,6 +77,33 @@
   CHECK(change->next == ReplicaGroup{5, {kB, kC}, {kA}});
 }
 
+// The successor of a machine that was replaced as planned was no member yet when the machine was taken away.
+TEST_CASE("a member whose process was told to stop hands its place to a free disk and is copied from") {
+  told_view view;
+  view.states[kA] = replica_state::stopping;
+  view.free = {{kB, "2"}, {kC, "3"}, {kD, "1"}};
+  const auto change = wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kD, kB, kC}, {kA}});
+  CHECK(change->rule.whole_majority);
+  CHECK(change->rule.let_go == kA);
+}
+
+TEST_CASE("a member whose process was told to stop keeps its place where no other disk is free") {
+  told_view view;
+  view.states[kA] = replica_state::stopping;
+  view.free = {{kB, "2"}, {kC, "3"}};
+  CHECK_FALSE(wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas));
+}
+
+TEST_CASE("of two members that stop at the same time none gives its place up") {
+  told_view view;
+  view.states[kA] = replica_state::stopping;
+  view.states[kB] = replica_state::stopping;
+  view.free = {{kC, "3"}, {kD, "1"}};
+  CHECK_FALSE(wanted_change({4, {kA, kB, kC}, {}}, view, kReplicas));
+}
+
 // Found by the model of epochs: its place stayed empty for good, so that the next lost disk left no majority.
 TEST_CASE("a member that was to be emptied and has lost its disk gives its place up") {
   told_view view;
--- a/tests/simulation/planned_replacement_test.cpp
+++ b/tests/simulation/planned_replacement_test.cpp
@@ -48,6 +48,14 @@
     return successor;
   }
 
+  std::uint64_t latest_epoch() {
+    std::uint64_t latest = 0;
+    for (const ledger::ReplicaGroup& group : fleet.core(kReader).ledger.group_map().groups) {
+      latest = std::max(latest, group.epoch);
+    }
+    return latest;
+  }
+
   /// Lets the old machine end, by itself or when its time is over, and takes it away.
   /// @return how long it took.
   Duration finish_replacement() {
@@ -99,3 +107,24 @@
     CHECK(site.readable_records() == kRecords);
   }
 }
+
+TEST_CASE("a node with a disk that is told to stop does not wait where no other disk is free") {
+  constexpr Duration kSoon = 1s;
+  replaced_fleet site(1);
+  const std::uint64_t before = site.latest_epoch();
+  site.fleet.drain_node(kReplaced);
+  site.world.run_for(kSoon);
+  CHECK_FALSE(site.fleet.nodes[kReplaced]->process.up());
+  site.fleet.start_node(kReplaced);
+  site.world.run_for(kRecover);
+  CHECK(site.latest_epoch() == before);
+  CHECK(site.readable_records() == kRecords);
+}
+
+TEST_CASE("a node with a disk that is told to stop ends once its successor holds its records") {
+  replaced_fleet site(1);
+  const unsigned successor = site.begin_replacement();
+  CHECK(site.finish_replacement() < kStopWithin);
+  site.fleet.observe_disk(successor);
+  CHECK(site.fleet.nodes[successor]->disk_whole);
+}
