Fleet runner: nodes with a disk that are out of touch, and how long nodes take to be admitted

What no run with real processes played: a node with a disk that the store turns away, throttles or drops while it serves all others; a node whose settings name seeds at which nobody lives; a node that is frozen around another one's lost disk and then replaced for good, each next loss at the first moment that the rule of losses allows.

The settings of a node may name stale seeds until they are corrected and the node is told by SIGHUP, not in a process's first second (a known fault). The plans of all other mixes stay as they are.

No logic of the nodes is changed.

--- a/tests/platform/bench/disk_copies_test.cpp
+++ b/tests/platform/bench/disk_copies_test.cpp
@@ -37,6 +37,16 @@
   CHECK(disks.all() == expected);
 }
 
+TEST_CASE("a start with a new disk is told from others") {
+  disk_lives disks;
+  CHECK_FALSE(disks.note_started("a", 100));  // founding
+  disks.note_founded();
+  CHECK_FALSE(disks.note_started("a", 200));
+  disks.note_lost("a", 300);
+  CHECK(disks.note_started("a", 400));
+  CHECK_FALSE(disks.note_started("a", 500));
+}
+
 TEST_CASE("lines about copies are read, others are none") {
   CHECK(parse_copy_line("a", R"({"time_ms":7,"event":"replica_admitted","group":1,"epoch":2})") == admitted("a", 1, 7));
   const std::string waiting =
--- a/tests/platform/bench/fault_plan_test.cpp
+++ b/tests/platform/bench/fault_plan_test.cpp
@@ -1,4 +1,5 @@
 #include "fault_plan.hpp"
+#include "unlisted_plan.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -144,6 +145,8 @@
   CHECK(draw_closing_moment(3, fault_mix::series) == closing_moment::disks_copied);
   CHECK(draw_closing_moment(4, fault_mix::series) == closing_moment::at_rest);
   CHECK(draw_closing_moment(5, fault_mix::series) == closing_moment::at_rest);
+  CHECK(draw_closing_moment(3, fault_mix::unlisted) == closing_moment::disks_copied);
+  CHECK(draw_closing_moment(4, fault_mix::unlisted) == closing_moment::at_rest);
   CHECK(draw_closing_moment(3, fault_mix::losses) == closing_moment::settled);
 }
 
@@ -170,6 +173,81 @@
   CHECK(beside);
 }
 
+TEST_CASE("unlisted: a plan comes from its seed, in order, within the run, and names nodes") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    const std::vector<fault> plan = draw_faults(seed, kLength_s, fault_mix::unlisted);
+    REQUIRE_FALSE(plan.empty());
+    CHECK(plan == draw_faults(seed, kLength_s, fault_mix::unlisted));
+    CHECK(plan != draw_faults(seed + 1, kLength_s, fault_mix::unlisted));
+    CHECK(plan.front().at_s >= 2);
+    CHECK(plan.back().at_s <= kLength_s - 3);
+    CHECK(std::is_sorted(plan.begin(), plan.end(),
+                         [](const fault& left, const fault& right) { return left.at_s < right.at_s; }));
+  }
+}
+
+TEST_CASE(
+    "unlisted: nodes out of touch for 6 to 20 s, in each of the ways, and losses of them that wait for the rule") {
+  std::set<std::string> ways;
+  std::set<fault_kind> lost_out_of_touch;
+  unsigned of_others = 0;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    std::optional<fault> out;
+    for (const fault& event : draw_faults(seed, kLength_s, fault_mix::unlisted)) {
+      if (event.kind == fault_kind::turn_numbered_away || event.kind == fault_kind::stale_numbered_seeds) {
+        CHECK(event.length >= 6s);
+        CHECK(event.length < 20s);
+        CHECK_FALSE(event.waits);
+        ways.insert(event.kind == fault_kind::stale_numbered_seeds ? "stale" : store_fault_of(event.choice));
+        out = event;
+        continue;
+      }
+      if (event.waits && out) {
+        const bool same = event.choice == out->choice % kNumbers;
+        if (same) {
+          lost_out_of_touch.insert(event.kind);
+        }
+        of_others += same ? 0 : 1;
+      }
+    }
+  }
+  CHECK(ways == std::set<std::string>{"busy", "many", "reset", "silent", "throttled", "dropping", "stale"});
+  CHECK(lost_out_of_touch == std::set<fault_kind>{fault_kind::lose_numbered_disk, fault_kind::replace_numbered_ledger,
+                                                  fault_kind::lose_disks_and_power});
+  CHECK(of_others > kSeeds);
+}
+
+TEST_CASE("unlisted: a node that was frozen for 12 s around another one's lost disk is replaced when that is allowed") {
+  constexpr double kLong_s = 65;
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    const unlisted_form form = unlisted_form_of(seed);
+    if (form == unlisted_form::blocks) {
+      continue;
+    }
+    std::optional<fault> frozen;
+    std::optional<fault> lost;
+    std::optional<fault> replaced;
+    for (const fault& event : draw_faults(seed, kLong_s, fault_mix::unlisted)) {
+      frozen = event.kind == fault_kind::freeze_numbered_ledger ? event : frozen;
+      lost = event.kind == fault_kind::lose_numbered_disk ? event : lost;
+      replaced = event.kind == fault_kind::replace_numbered_ledger ? event : replaced;
+    }
+    REQUIRE((frozen && lost && replaced));
+    CHECK(frozen->length == 12s);
+    CHECK(lost->choice > frozen->choice);
+    CHECK(lost->choice <= frozen->choice + 2);
+    CHECK((frozen->at_s < lost->at_s) == (form == unlisted_form::frozen_first));
+    CHECK(lost->at_s < frozen->at_s + 12);
+    CHECK(replaced->choice == frozen->choice);
+    CHECK(replaced->at_s == frozen->at_s + 12);
+    CHECK(replaced->waits);
+  }
+  CHECK(unlisted_form_of(4) == unlisted_form::blocks);
+  CHECK(unlisted_form_of(5) == unlisted_form::blocks);
+  CHECK(unlisted_form_of(6) == unlisted_form::frozen_first);
+  CHECK(unlisted_form_of(7) == unlisted_form::lost_first);
+}
+
 TEST_CASE("the plans of the other mixes stay as they are: seeds that failed once can be played again") {
   CHECK(digest(draw_faults(88'001, kLength_s, fault_mix::mixed)) == 12514542997132099512ULL);
   CHECK(digest(draw_faults(88'011, kLength_s, fault_mix::all)) == 8031778906006050505ULL);
