--- a/tests/platform/bench/disk_copies_test.cpp
+++ b/tests/platform/bench/disk_copies_test.cpp
@@ -90,6 +90,22 @@
   CHECK(copy_history(disks.all(), {}, kGroups).times(10'000) == copy_times{1, 0, 0, 0, 0});
 }
 
+TEST_CASE("a whole disk that is lost before another one has its copies is an early loss") {
+  disk_lives disks = one_lost();
+  disks.note_lost("b", 5'000);
+  CHECK(copy_history(disks.all(), {admitted("a", 0, 4'000)}, kGroups).early_losses(1) == 1);
+  CHECK(copy_history(disks.all(), {admitted("a", 0, 4'000)}, kGroups).early_losses(2) == 0);
+  CHECK(copy_history(disks.all(), {admitted("a", 0, 4'000), admitted("a", 1, 5'000)}, kGroups).early_losses(1) == 0);
+  CHECK(copy_history(disks.all(), {admitted("a", 0, 4'000), admitted("a", 1, 5'001)}, kGroups).early_losses(1) == 1);
+}
+
+TEST_CASE("a disk that lacks copies may be lost again, which is no early loss") {
+  disk_lives disks = one_lost();
+  disks.note_lost("a", 2'000);
+  disks.note_started("a", 2'500);
+  CHECK(copy_history(disks.all(), {}, kGroups).early_losses(1) == 0);
+}
+
 TEST_CASE("a group that had a majority of whole copies must be readable") {
   disk_lives disks = one_lost();
   disks.note_lost("b", 6'000);
