--- a/tests/platform/bench/fault_plan_test.cpp
+++ b/tests/platform/bench/fault_plan_test.cpp
@@ -257,3 +257,18 @@
   CHECK(digest(draw_faults(99'634, kLength_s, fault_mix::losses)) == 10918138590271081314ULL);
   CHECK(draw_faults(1, kLength_s, fault_mix::none).empty());
 }
+
+TEST_CASE("planned: after each planned replacement a loss that strikes another node waits until it is allowed") {
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    const std::vector<fault> plan = draw_faults(seed, kLength_s, fault_mix::planned);
+    REQUIRE_FALSE(plan.empty());
+    CHECK(plan == draw_faults(seed, kLength_s, fault_mix::planned));
+    for (std::size_t number = 0; number + 1 < plan.size(); number += 2) {
+      CHECK(plan[number].kind == fault_kind::replace_as_planned);
+      CHECK(plan[number].waits);
+      CHECK(plan[number + 1].waits);
+      CHECK(plan[number + 1].at_s == plan[number].at_s);
+      CHECK(plan[number + 1].choice % 3 != plan[number].choice % 3);
+    }
+  }
+}
--- a/tests/platform/bench/loss_rule_test.cpp
+++ b/tests/platform/bench/loss_rule_test.cpp
@@ -200,3 +200,14 @@
   CHECK(rule.stoppable(11'999ms).at_once == 0);
   CHECK(rule.stoppable(12s) == allowance{{"a", "c", "d"}, 1});
 }
+
+TEST_CASE("a machine that was replaced as planned counts no longer once its successor has had its time") {
+  overlapping_losses rule(kThree, 1, kCatchUp);
+  rule.note_stopped("a", 1000ms);
+  rule.note_disk_lost("a", 1000ms);
+  CHECK(rule.losable(8000ms).nodes == names{"a"});
+  rule.note_replaced_as_planned("a", "d", 1000ms, 8000ms);
+  CHECK(rule.losable(8000ms).nodes == names{"b", "c", "d"});
+  CHECK(rule.losable(8000ms).at_once == 1);
+  CHECK(rule.at_rest(8000ms));
+}
