--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -159,7 +159,8 @@
                        static_cast<std::uint32_t>(Role::controller) |
                        (node.has_disk ? static_cast<std::uint32_t>(Role::ledger) : 0);
   options.self.incarnation = static_cast<std::uint64_t>(world.now() / 1ms);
-  for (const unsigned seed : seeds_) {
+  const auto own_seeds = own_seeds_.find(number);
+  for (const unsigned seed : own_seeds == own_seeds_.end() ? seeds_ : own_seeds->second) {
     options.seeds.push_back(address_of(seed));
   }
   options.controller.group_count = 4;
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -306,6 +306,10 @@
   void suspend_node(unsigned number);
   /// Wakes a node that is frozen or suspended.
   void wake_node(unsigned number);
+  /// Gives all nodes, or @p node alone, the addresses of other nodes as seeds, from the next start on. Nobody lives at
+  /// a number that no node has.
+  void set_seeds(std::vector<unsigned> seeds) { seeds_ = std::move(seeds); }
+  void set_seeds_of(unsigned node, std::vector<unsigned> seeds) { own_seeds_[node] = std::move(seeds); }
   /// An operator wants the disk of this node emptied.
   void retire_disk(unsigned number);
   /// Takes machines away that say that they are empty; each comes back with another disk.
@@ -383,6 +387,7 @@
 
   std::ostream* const decisions_;
   std::vector<unsigned> seeds_ = {0, 1, 2};  ///< Nodes with a disk, at which those that start look for the fleet.
+  std::map<unsigned, std::vector<unsigned>> own_seeds_;  ///< Of nodes whose settings name others.
   /// Lives that have ended; events still queued for them refer to their objects.
   std::vector<NodeLife> ended_lives_;
   void count_suspension(SimNode& node) const;
