A node that hears nobody says so, and who found it

What callers saw: nothing; a node whose seeds answer nobody is out of the fleet for good, and neither it nor anybody else logs it. Change: the search for the fleet, from a start or from the loss of all members until the first word of a living one, is kept in fleet_search; lines fleet_not_found (after 3 s, then with doubling pauses up to 10 min) and fleet_joined (by a seed or a peer that wrote first, after how long), gauge membership_alone; node_started and settings_reloaded name the seeds. No decision changes. Evidence: "a node that finds nobody says so with growing pauses, and who found it", new; without the change there is nothing to ask.

--- /dev/null
+++ b/src/membership/fleet_search.cpp
@@ -0,0 +1,36 @@
+#include "membership/fleet_search.hpp"
+
+namespace madderdeck::membership {
+
+std::string_view name_of(found_by who) {
+  switch (who) {
+    case found_by::seed:
+      return "seed";
+    case found_by::remembered_peer:
+      return "remembered_peer";
+    case found_by::peer:
+      return "peer";
+  }
+  return "unknown";
+}
+
+void fleet_search::begin(Timestamp now, bool at_start) {
+  active_ = true;
+  at_start_ = at_start;
+  began_at_ = now;
+  pause_ = kFirstWord;
+  next_word_ = now + pause_;
+  seeds_asked = 0;
+  remembered_asked = 0;
+}
+
+bool fleet_search::take_word(Timestamp now) {
+  if (!active_ || now < next_word_) {
+    return false;
+  }
+  pause_ = std::min(2 * pause_, kLongestPause);
+  next_word_ = now + pause_;
+  return true;
+}
+
+}  // namespace madderdeck::membership
--- a/src/membership/member_lists.cpp
+++ b/src/membership/member_lists.cpp
@@ -116,6 +116,7 @@
   if (changed) {
     sync_interval_ = options_.least_sync_interval;
   }
+  note_word(sender);
   if (message.reply) {
     send_whole_list(sender, false);
   }
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -67,6 +67,7 @@
 
 void Membership::start() {
   started_at_ = environment_.now();
+  begin_search(true);
   join_quickly(options_.join_pause);
   const auto first =
       static_cast<Duration::rep>(environment_.random() % static_cast<std::uint64_t>(options_.period.count()));
@@ -220,7 +221,7 @@
   if (const auto target = next_probe_target()) {
     probe(*target);
   } else {
-    ping_seeds();
+    look_for_fleet();
   }
   look_at_unknown_seed();
   if (environment_.now() - last_dead_probe_ >= options_.dead_probe_interval) {
@@ -229,6 +230,33 @@
   }
 }
 
+void Membership::begin_search(bool at_start) {
+  search_.begin(environment_.now(), at_start);
+  counters_["membership_alone"] = 1;
+}
+
+void Membership::look_for_fleet() {
+  if (!search_.active()) {
+    begin_search(false);
+  }
+  ping_seeds();
+  if (search_.take_word(environment_.now()) && hooks_.on_not_found) {
+    hooks_.on_not_found(search_);
+  }
+}
+
+void Membership::note_word(const PeerAddress& sender) {
+  if (!search_.active() || live_count() == 1) {
+    return;
+  }
+  search_.end();
+  counters_["membership_alone"] = 0;
+  if (hooks_.on_found) {
+    const bool by_seed = std::find(seeds_.begin(), seeds_.end(), sender) != seeds_.end();
+    hooks_.on_found(search_, sender, by_seed ? found_by::seed : found_by::peer);
+  }
+}
+
 void Membership::ping_seeds() {
   for (const PeerAddress& seed : seeds_) {
     if (seed.str() == self_.peer_address) {
@@ -236,6 +264,7 @@
     }
     wire::PingT ping = make_probe_message<wire::PingT>(++sequence_);
     ping.join = true;
+    search_.seeds_asked++;
     send_message(environment_, seed, std::move(ping));
   }
 }
@@ -407,6 +436,7 @@
   for (const auto& update : message.updates) {
     merge(*update, false, true);
   }
+  note_word(sender);
   TableRevisions revisions{message.object_revision, message.machine_revision, message.group_revision};
   revisions.objects_age_ms = message.objects_age_ms;
   revisions.machines_age_ms = message.machines_age_ms;
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -12,6 +12,7 @@
 
 #include "common/counters.hpp"
 #include "common/environment.hpp"
+#include "membership/fleet_search.hpp"
 
 namespace madderdeck::membership {
 
@@ -62,6 +63,10 @@
   std::function<void(const wire::MemberT&)> on_change;
   /// Others had declared this node dead: it was cut off or frozen for long.
   std::function<void()> on_self_refuted;
+  /// No living member has been heard of for some time; may be empty.
+  std::function<void(const fleet_search&)> on_not_found;
+  /// A search has ended with word from @p by; may be empty.
+  std::function<void(const fleet_search&, const PeerAddress& by, found_by)> on_found;
 };
 
 /// Membership of one node. Single threaded.
@@ -76,6 +81,7 @@
   /// Replaces the addresses at which the fleet is looked for.
   void set_seeds(std::vector<PeerAddress> seeds) { seeds_ = std::move(seeds); }
   bool has_seeds() const { return !seeds_.empty(); }
+  const std::vector<PeerAddress>& seeds() const { return seeds_; }
   /// @return whether other nodes look for the fleet here.
   bool is_seed() const {
     return std::find(seeds_.begin(), seeds_.end(), PeerAddress(self_.peer_address)) != seeds_.end();
@@ -143,6 +149,11 @@
   void probe(const NodeId& target);
   void probe_indirectly(std::uint64_t sequence);
   void finish_probe(std::uint64_t sequence);
+  /// While no living member is known.
+  void look_for_fleet();
+  void begin_search(bool at_start);
+  /// Ends the search if a living member is known by now.
+  void note_word(const PeerAddress& sender);
   void ping_seeds();
   void look_at_unknown_seed();
   /// Looks for the fleet often until somebody is known.
@@ -183,6 +194,7 @@
   const Hooks hooks_;
   wire::MemberT self_;
   std::vector<PeerAddress> seeds_;
+  fleet_search search_;
   std::size_t next_seed_ = 0;  ///< Of those that are looked at once a period.
   std::map<NodeId, Entry> members_;
   std::vector<NodeId> probe_order_;
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -22,6 +22,7 @@
 constexpr Duration kReadinessCheck = 250ms;  ///< For the log alone: probes are answered by what holds then.
 /// Callers measure a connection's rest from a little later than this node does.
 constexpr std::chrono::milliseconds kIdleMargin{500};
+constexpr std::size_t kSeedsNamed = 8;  ///< In a line.
 constexpr std::size_t kProbeBodyBytes = 4096;
 /// What is confirmed stands on two disks or more, whatever may be lost; more than seven cost more than they save.
 constexpr std::size_t kLeastReplicas = 3;
@@ -55,7 +56,10 @@
     core_->start();
     watch_readiness();
     log_event(LogLevel::info, "node_started",
-              {{"node", settings_.id}, {"zone", settings_.zone}, {"api", settings_.api_address}});
+              {{"node", settings_.id},
+               {"zone", settings_.zone},
+               {"api", settings_.api_address},
+               {"seeds", text_of_seeds(settings_.seeds)}});
     signals_.async_wait([this](boost::system::error_code failure, int) {
       if (!failure) {
         begin_drain();
@@ -71,6 +75,13 @@
   }
 
  private:
+  static std::string text_of_seeds(const std::vector<std::string>& seeds) {
+    std::string text;
+    for (std::size_t number = 0; number < std::min(kSeedsNamed, seeds.size()); ++number) {
+      text += (text.empty() ? "" : ", ") + seeds[number];
+    }
+    return text;
+  }
   static std::string local_ip(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
   Status prepare() {
@@ -294,7 +305,9 @@
         core_->members.set_seeds(std::move(seeds));
       }
       log_event(LogLevel::info, "settings_reloaded",
-                {{"node", settings_.id}, {"outcome", succeeded(fresh) ? "taken" : error_of(fresh).detail}});
+                {{"node", settings_.id},
+                 {"outcome", succeeded(fresh) ? "taken" : error_of(fresh).detail},
+                 {"seeds", succeeded(fresh) ? text_of_seeds(value_of(fresh).seeds) : ""}});
       await_reload();
     });
   }
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -158,9 +158,32 @@
       replica->catch_up();
     }
   };
+  hooks.on_not_found = [this](const membership::fleet_search& search) { tell_not_found(search); };
+  hooks.on_found = [this](const membership::fleet_search& search, const PeerAddress& by, membership::found_by who) {
+    log.record("fleet_joined", {{"node", members.self().id},
+                                {"by", membership::name_of(who)},
+                                {"address", by.str()},
+                                {"alone_ms", search.alone(environment.now()) / 1ms},
+                                {"at_start", search.at_start()},
+                                {"seeds_asked", search.seeds_asked}});
+  };
   return hooks;
 }
 
+void NodeCore::tell_not_found(const membership::fleet_search& search) {
+  constexpr std::size_t kSeedsNamed = 8;
+  std::string seeds;
+  for (std::size_t number = 0; number < std::min(kSeedsNamed, members.seeds().size()); ++number) {
+    seeds += (seeds.empty() ? "" : ", ") + members.seeds()[number].str();
+  }
+  log.record("fleet_not_found", {{"node", members.self().id},
+                                 {"alone_ms", search.alone(environment.now()) / 1ms},
+                                 {"at_start", search.at_start()},
+                                 {"seeds", seeds},
+                                 {"seeds_asked", search.seeds_asked},
+                                 {"dead_members", members.members().size() - 1}});
+}
+
 void NodeCore::start() {
   started_at_ = environment.now();
   ask_all_until_ = started_at_ + kAskedAfterDeath;
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -200,6 +200,7 @@
   std::shared_ptr<const policy::call_order> call_order_;
   forwarding::RouteTablePointer told_routes_;
   membership::Hooks make_hooks();
+  void tell_not_found(const membership::fleet_search& search);
   void on_objects_changed(const std::vector<config::EntryKey>& keys);
   void on_machines_changed(const std::vector<config::EntryKey>& keys);
   /// Tells the replica and the client of this node what either knows of the groups.
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -38,6 +38,8 @@
     }
     return wire::MemberState::Dead;
   }
+  /// @return what node @p number told of its searches for the fleet, a line each.
+  const std::vector<std::string>& told(unsigned number) const { return nodes_[number]->told; }
   std::uint64_t messages() const { return messages_; }
   /// @return bytes that node @p number has sent, without those of network headers.
   std::uint64_t bytes_sent(unsigned number) const { return nodes_[number]->bytes; }
@@ -84,10 +86,17 @@
       member.incarnation = 1;
       return member;
     }
-    static Hooks hooks() {
+    Hooks hooks() {
       Hooks hooks;
       hooks.local_revisions = [] { return TableRevisions{}; };
       hooks.on_peer_revisions = [](const PeerAddress&, const TableRevisions&) {};
+      hooks.on_not_found = [this](const fleet_search& search) {
+        const auto alone = std::to_string(search.alone(now()) / 1s);
+        told.push_back("alone for " + alone + " s, asked " + std::to_string(search.seeds_asked));
+      };
+      hooks.on_found = [this](const fleet_search&, const PeerAddress& by, found_by who) {
+        told.push_back("found by " + std::string(name_of(who)) + " " + by.str());
+      };
       return hooks;
     }
     Timestamp now() const override { return owner.world_.now(); }
@@ -123,6 +132,7 @@
     Cluster& owner;
     const unsigned number;
     std::uint64_t bytes = 0;
+    std::vector<std::string> told;
     SimProcess process;
     Counters counters;
     Membership membership;
@@ -276,3 +286,17 @@
     CHECK(cluster.at(node).live_count() == kNodes);
   }
 }
+
+// A node whose seeds answer nobody was out of the fleet for good, and no line said so.
+TEST_CASE("a node that finds nobody says so with growing pauses, and who found it") {
+  Cluster cluster(3);
+  cluster.process(0).crash();
+  cluster.run(15s);
+  REQUIRE(cluster.told(1).size() == 2);
+  CHECK(cluster.told(1)[0].starts_with("alone for 3 s, asked "));
+  CHECK(cluster.told(1)[1].starts_with("alone for 9 s, asked "));
+  cluster.process(0).start();
+  cluster.run(3s);
+  REQUIRE(cluster.told(1).size() == 3);
+  CHECK(cluster.told(1)[2] == "found by seed 10.0.0.0:1");
+}
