A node with a disk remembers its peers there, and asks them when no seed answers

What callers saw: a node with a disk that starts with seeds that are stale, down or cut off knows nobody and is known to nobody for good; after a joint loss of power in which another disk was lost, groups have no majority though the disks that make one are there. Cause: seeds and gossip alone tell who is in the fleet, and a process that ends takes what it knew with it. Change: a node with a disk keeps up to 32 peers in its storage (m/peers: living ones with a disk first, then others, of all zones in turn, then those that are away), written when they change, at most once in 10 s; nothing waits for it, and a disk that refuses leaves it as it is. After 500 ms alone, at a start or after all members have died, four of them are asked a period besides the seeds; who has found somebody goes on until each that is no member was asked, then asks one in 5 s. While alone a dead member is tried each period.

The cluster of the membership tests starts with incarnation 1000, was 1, so that a start can come before it; nothing reads the number.

--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,6 +15,10 @@
 /// nodes that start at once, from few seeds.
 constexpr std::size_t kMembersPerJoinReply = 25;
 constexpr std::size_t kMaxRelays = 1024;
+/// Seeds answer within some milliseconds; for so long only they are asked.
+constexpr Duration kSeedsFirst = 500ms;
+/// Of the remembered peers, in a period.
+constexpr std::size_t kRememberedAtOnce = 4;
 /// Without a new member for so long a node knows the fleet: lists of members come several a second while it joins.
 constexpr Duration kJoinQuiet = 400ms;
 /// Nodes that start after each other must not put that off for ever.
@@ -224,7 +228,8 @@
     look_for_fleet();
   }
   look_at_unknown_seed();
-  if (environment_.now() - last_dead_probe_ >= options_.dead_probe_interval) {
+  ask_remembered();
+  if (search_.active() || environment_.now() - last_dead_probe_ >= options_.dead_probe_interval) {
     last_dead_probe_ = environment_.now();
     probe_dead_member();
   }
@@ -252,8 +257,52 @@
   search_.end();
   counters_["membership_alone"] = 0;
   if (hooks_.on_found) {
-    const bool by_seed = std::find(seeds_.begin(), seeds_.end(), sender) != seeds_.end();
-    hooks_.on_found(search_, sender, by_seed ? found_by::seed : found_by::peer);
+    hooks_.on_found(search_, sender, who_lives_at(sender));
+  }
+}
+
+found_by Membership::who_lives_at(const PeerAddress& address) const {
+  if (std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end()) {
+    return found_by::seed;
+  }
+  const bool remembered = std::any_of(remembered_.begin(), remembered_.end(),
+                                      [&address](const remembered_peer& peer) { return peer.address == address; });
+  return remembered ? found_by::remembered_peer : found_by::peer;
+}
+
+void Membership::recall(std::vector<remembered_peer> peers) {
+  remembered_ = std::move(peers);
+  not_asked_yet_ = remembered_.size();
+}
+
+bool Membership::knows_address(const PeerAddress& address) const {
+  return address.str() == self_.peer_address || std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+           return entry.second.member.peer_address == address.str();
+         });
+}
+
+void Membership::ask_remembered() {
+  const Timestamp now = environment_.now();
+  const bool alone = search_.active();
+  const bool often = alone || not_asked_yet_ > 0;
+  if (now - started_at_ < kSeedsFirst || (alone && search_.alone(now) < kSeedsFirst) ||
+      (!often && now - last_remembered_ask_ < options_.dead_probe_interval)) {
+    return;
+  }
+  last_remembered_ask_ = now;
+  std::size_t left = often ? kRememberedAtOnce : 1;
+  for (std::size_t looked = 0; looked < remembered_.size() && left > 0; ++looked) {
+    const PeerAddress& address = remembered_[next_remembered_++ % remembered_.size()].address;
+    not_asked_yet_ -= not_asked_yet_ > 0 ? 1 : 0;
+    if (!alone && knows_address(address)) {
+      continue;
+    }
+    wire::PingT ping = make_probe_message<wire::PingT>(++sequence_);
+    ping.join = alone;
+    search_.remembered_asked++;
+    counters_["membership_remembered_asked_total"]++;
+    send_message(environment_, address, std::move(ping));
+    --left;
   }
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -13,6 +13,7 @@
 #include "common/counters.hpp"
 #include "common/environment.hpp"
 #include "membership/fleet_search.hpp"
+#include "membership/remembered_peers.hpp"
 
 namespace madderdeck::membership {
 
@@ -82,6 +83,11 @@
   void set_seeds(std::vector<PeerAddress> seeds) { seeds_ = std::move(seeds); }
   bool has_seeds() const { return !seeds_.empty(); }
   const std::vector<PeerAddress>& seeds() const { return seeds_; }
+  /// Takes the peers that an earlier process of this node knew. They are asked besides the seeds.
+  void recall(std::vector<remembered_peer> peers);
+  /// Takes a later list of them.
+  void remember(std::vector<remembered_peer> peers) { remembered_ = std::move(peers); }
+  const std::vector<remembered_peer>& remembered() const { return remembered_; }
   /// @return whether other nodes look for the fleet here.
   bool is_seed() const {
     return std::find(seeds_.begin(), seeds_.end(), PeerAddress(self_.peer_address)) != seeds_.end();
@@ -155,6 +161,12 @@
   /// Ends the search if a living member is known by now.
   void note_word(const PeerAddress& sender);
   void ping_seeds();
+  /// Asks remembered peers: several a period while nobody is known and until each was asked once, then now and then one
+  /// that is no member, since parts of a fleet may have come up apart.
+  void ask_remembered();
+  /// @return whether a member, living or dead, is known at @p address.
+  bool knows_address(const PeerAddress& address) const;
+  found_by who_lives_at(const PeerAddress& address) const;
   void look_at_unknown_seed();
   /// Looks for the fleet often until somebody is known.
   void join_quickly(Duration pause);
@@ -196,6 +208,10 @@
   std::vector<PeerAddress> seeds_;
   fleet_search search_;
   std::size_t next_seed_ = 0;  ///< Of those that are looked at once a period.
+  std::vector<remembered_peer> remembered_;
+  std::size_t next_remembered_ = 0;
+  std::size_t not_asked_yet_ = 0;  ///< Of those that were recalled.
+  Timestamp last_remembered_ask_{};
   std::map<NodeId, Entry> members_;
   std::vector<NodeId> probe_order_;
   std::vector<Update> updates_;
--- /dev/null
+++ b/src/membership/remembered_peers.cpp
@@ -0,0 +1,72 @@
+#include "membership/remembered_peers.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "common/hash.hpp"
+#include "membership/membership.hpp"
+
+namespace madderdeck::membership {
+namespace {
+
+using Candidates = std::vector<const wire::MemberT*>;
+
+/// @return @p candidates of all zones in turn; within a zone each node has an order of its own, so that no peer is
+///         remembered by all.
+Candidates in_turn(const Candidates& candidates, const std::string& self) {
+  std::map<std::string, std::vector<std::pair<std::uint64_t, const wire::MemberT*>>> zones;
+  for (const wire::MemberT* member : candidates) {
+    zones[member->zone].emplace_back(rendezvous_weight(self, member->id), member);
+  }
+  std::size_t most = 0;
+  for (auto& [zone, ranked] : zones) {
+    std::sort(ranked.begin(), ranked.end(), std::greater<>());
+    most = std::max(most, ranked.size());
+  }
+  Candidates ordered;
+  for (std::size_t rank = 0; rank < most; ++rank) {
+    for (const auto& [zone, ranked] : zones) {
+      if (rank < ranked.size()) {
+        ordered.push_back(ranked[rank].second);
+      }
+    }
+  }
+  return ordered;
+}
+
+void append(const Candidates& ordered, std::size_t most, std::vector<remembered_peer>& chosen) {
+  for (const wire::MemberT* member : ordered) {
+    if (chosen.size() >= most) {
+      return;
+    }
+    chosen.push_back({NodeId(member->id), PeerAddress(member->peer_address), member->zone, member->roles});
+  }
+}
+
+}  // namespace
+
+std::vector<remembered_peer> choose_peers(const Membership& members, const std::vector<remembered_peer>& before) {
+  Candidates with_disk;
+  Candidates others;
+  std::set<PeerAddress> lived_at{PeerAddress(members.self().peer_address)};
+  for (const wire::MemberT* member : members.members()) {
+    if (member == &members.self() || member->state == wire::MemberState::Dead) {
+      continue;
+    }
+    lived_at.insert(PeerAddress(member->peer_address));
+    (has_role(*member, Role::ledger) ? with_disk : others).push_back(member);
+  }
+  std::vector<remembered_peer> chosen;
+  append(in_turn(with_disk, members.self().id), kMostDisksRemembered, chosen);
+  append(in_turn(others, members.self().id), kMostLivingRemembered, chosen);
+  for (const remembered_peer& peer : before) {
+    // Who has come back at another address, or whose address is another's, needs no second entry.
+    if (chosen.size() < kMostRemembered && !members.is_live(peer.id) && !lived_at.contains(peer.address)) {
+      chosen.push_back(peer);
+    }
+  }
+  return chosen;
+}
+
+}  // namespace madderdeck::membership
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -50,6 +50,7 @@
           [this](std::size_t count) { return members.random_peers(count); },
           [this](const std::vector<config::EntryKey>&) { on_evacuations_changed(); }),
       members(environment, counters, options.self, options.seeds, make_hooks(), options.membership),
+      remembered_peers(environment, counters, log, members),
       duties(members),
       ledger(
           environment, counters, [this](const NodeId& node) { return members.address_of(node); }, options.ledger,
@@ -165,7 +166,8 @@
                                 {"address", by.str()},
                                 {"alone_ms", search.alone(environment.now()) / 1ms},
                                 {"at_start", search.at_start()},
-                                {"seeds_asked", search.seeds_asked}});
+                                {"seeds_asked", search.seeds_asked},
+                                {"remembered_asked", search.remembered_asked}});
   };
   return hooks;
 }
@@ -181,12 +183,17 @@
                                  {"at_start", search.at_start()},
                                  {"seeds", seeds},
                                  {"seeds_asked", search.seeds_asked},
+                                 {"remembered_peers", members.remembered().size()},
+                                 {"remembered_asked", search.remembered_asked},
                                  {"dead_members", members.members().size() - 1}});
 }
 
 void NodeCore::start() {
   started_at_ = environment.now();
   ask_all_until_ = started_at_ + kAskedAfterDeath;
+  if (replica) {
+    remembered_peers.keep_in(*storage_);
+  }
   members.start();
   limiter.start();
   if (replica) {
@@ -368,6 +375,7 @@
 
 void NodeCore::on_disk_regained() {
   if (replica) {
+    remembered_peers.keep_in(*storage_);
     replica->resume();
     match_replica_and_client();
   }
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -21,6 +21,7 @@
 #include "ledger/replica_journal.hpp"
 #include "ledger/replica.hpp"
 #include "membership/membership.hpp"
+#include "node/peer_memory.hpp"
 #include "object_store/controller.hpp"
 #include "object_store/retirement.hpp"
 #include "placement/call_reporter.hpp"
@@ -161,6 +162,7 @@
   config::TableReplicator groups;       ///< Used where the platform keeps them apart from the objects.
   config::TableReplicator evacuations;  ///< Zones whose back ends are to get no requests.
   membership::Membership members;
+  peer_memory remembered_peers;  ///< Used on ledger nodes alone.
   placement::duties duties;
   ledger::Client ledger;
   batch::ResultReader results;
--- a/tests/membership/membership_test.cpp
+++ b/tests/membership/membership_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <numeric>
 
 #include "simulation/world.hpp"
 #include "wire/codec.hpp"
@@ -13,6 +14,17 @@
 
 namespace {
 
+constexpr unsigned kNobody = 200;  ///< An address at which nobody lives.
+
+/// How a process of a node starts.
+struct Start {
+  unsigned address = 0;
+  std::uint64_t incarnation = 1000;
+  std::string disk;
+  std::vector<unsigned> seeds;       ///< Addresses.
+  std::vector<unsigned> remembered;  ///< Addresses.
+};
+
 /// Members over a simulated network without loss.
 class Cluster {
  public:
@@ -21,12 +33,43 @@
   explicit Cluster(unsigned count, unsigned seeds = 1, bool in_halves = false)
       : world_(7), seeds_(seeds), in_halves_(in_halves) {
     for (unsigned number = 0; number < count; ++number) {
-      nodes_.push_back(std::make_unique<Node>(*this, number));
+      nodes_.push_back(std::make_unique<Node>(*this, number, default_start(number)));
     }
     for (auto& node : nodes_) {
       node->membership.start();
     }
   }
+  /// @return a start at the node's usual address with the cluster's seeds.
+  Start default_start(unsigned number) const {
+    Start how;
+    how.address = number;
+    how.seeds.resize(seeds_);
+    std::iota(how.seeds.begin(), how.seeds.end(), 0U);
+    return how;
+  }
+  /// Ends the process, if it runs, and starts another one.
+  void restart(unsigned number, const Start& how) {
+    end(number);
+    ended_.push_back(std::move(nodes_[number]));
+    nodes_[number] = std::make_unique<Node>(*this, number, how);
+    nodes_[number]->membership.start();
+  }
+  /// Ends all processes; what they have sent arrives nowhere.
+  void end_all() {
+    for (unsigned number = 0; number < nodes_.size(); ++number) {
+      end(number);
+    }
+    run(1s);
+  }
+  /// After end_all(): all start as usual, the last nodes as @p last tells for each.
+  void start_all(const std::vector<Start>& last) {
+    const auto count = static_cast<unsigned>(nodes_.size());
+    const unsigned first = count - static_cast<unsigned>(last.size());
+    for (unsigned number = 0; number < count; ++number) {
+      restart(number, number < first ? default_start(number) : last[number - first]);
+    }
+  }
+  void end(unsigned number) { nodes_[number]->process.crash(); }
   void run(Duration length) { world_.run_for(length); }
   Membership& at(unsigned number) { return nodes_[number]->membership; }
   SimProcess& process(unsigned number) { return nodes_[number]->process; }
@@ -63,27 +106,34 @@
 
  private:
   struct Node : Environment {
-    Node(Cluster& cluster, unsigned index)
+    Node(Cluster& cluster, unsigned index, const Start& how)
         : owner(cluster),
           number(index),
+          at(how.address),
           process(cluster.world_),
-          membership(*this, counters, self(index), seeds_of(cluster.seeds_), hooks()) {
+          membership(*this, counters, self(index, how), addresses_of(how.seeds), hooks()) {
       process.start();
+      std::vector<remembered_peer> peers;
+      for (const unsigned peer : how.remembered) {
+        peers.push_back({NodeId("former" + std::to_string(peer)), address(peer), "", 15});
+      }
+      membership.recall(std::move(peers));
     }
     static PeerAddress address(unsigned index) { return PeerAddress("10.0.0." + std::to_string(index) + ":1"); }
-    static std::vector<PeerAddress> seeds_of(unsigned count) {
-      std::vector<PeerAddress> seeds;
-      for (unsigned index = 0; index < count; ++index) {
-        seeds.push_back(address(index));
+    static std::vector<PeerAddress> addresses_of(const std::vector<unsigned>& indexes) {
+      std::vector<PeerAddress> addresses;
+      for (const unsigned index : indexes) {
+        addresses.push_back(address(index));
       }
-      return seeds;
+      return addresses;
     }
-    static wire::MemberT self(unsigned index) {
+    static wire::MemberT self(unsigned index, const Start& how) {
       wire::MemberT member;
       member.id = "n" + std::to_string(index);
-      member.peer_address = address(index).str();
+      member.peer_address = address(how.address).str();
       member.roles = 15;
-      member.incarnation = 1;
+      member.incarnation = how.incarnation;
+      member.disk_id = how.disk;
       return member;
     }
     Hooks hooks() {
@@ -106,14 +156,16 @@
     void send(const PeerAddress& to, wire::MessageUnion message) override {
       const auto target = static_cast<unsigned>(std::stoul(to.str().substr(7)));
       ++owner.messages_;
-      bytes += wire::encode_frame(address(number), {message}).size();
+      bytes += wire::encode_frame(address(at), {message}).size();
       if (owner.in_halves_ && target % 2 != number % 2) {
         return;
       }
       owner.world_.schedule(1ms, [this, target, body = std::make_shared<wire::MessageUnion>(std::move(message))] {
-        Node& receiver = *owner.nodes_[target];
-        receiver.process.deliver(receiver.process.life(),
-                                 [this, &receiver, body] { receiver.take(address(number), *body); });
+        Node* receiver = owner.node_at(target);
+        if (receiver != nullptr) {
+          receiver->process.deliver(receiver->process.life(),
+                                    [this, receiver, body] { receiver->take(address(at), *body); });
+        }
       });
     }
     void take(const PeerAddress& sender, wire::MessageUnion& body) {
@@ -131,6 +183,7 @@
     }
     Cluster& owner;
     const unsigned number;
+    const unsigned at;  ///< Of its address.
     std::uint64_t bytes = 0;
     std::vector<std::string> told;
     SimProcess process;
@@ -138,11 +191,25 @@
     Membership membership;
   };
 
+  /// @return who lives at the address; null where that is nobody.
+  Node* node_at(unsigned address) {
+    if (address < nodes_.size() && nodes_[address]->at == address) {
+      return nodes_[address].get();
+    }
+    for (const auto& node : nodes_) {
+      if (node->at == address) {
+        return node.get();
+      }
+    }
+    return nullptr;
+  }
+
   World world_;
   const unsigned seeds_;
   bool in_halves_;
   std::uint64_t messages_ = 0;
   std::vector<std::unique_ptr<Node>> nodes_;
+  std::vector<std::unique_ptr<Node>> ended_;  ///< What they have sent may be on its way.
 };
 
 }  // namespace
@@ -300,3 +367,102 @@
   REQUIRE(cluster.told(1).size() == 3);
   CHECK(cluster.told(1)[2] == "found by seed 10.0.0.0:1");
 }
+
+// Nothing but its seeds told a node that starts where the fleet is: one whose seeds had gone was out of it for good.
+TEST_CASE("a node whose seeds are gone is found through a remembered peer") {
+  constexpr unsigned kNodes = 8;
+  Cluster cluster(kNodes, 2);
+  cluster.end_all();
+  Start how = cluster.default_start(7);
+  how.seeds = {kNobody};
+  how.remembered = {kNobody + 1, 3};
+  cluster.start_all({how});
+  cluster.run(5s);
+  CHECK(cluster.complete_views() == kNodes);
+  REQUIRE(cluster.told(7).size() == 1);
+  CHECK(cluster.told(7)[0] == "found by remembered_peer 10.0.0.3:1");
+}
+
+TEST_CASE("seeds that answer are asked alone") {
+  Cluster cluster(4, 2);
+  cluster.run(10s);
+  Start how = cluster.default_start(3);
+  how.incarnation += 1;
+  how.remembered = {kNobody, 0, 1, 2};
+  cluster.restart(3, how);
+  cluster.run(2s);
+  CHECK(cluster.told(3)[0].starts_with("found by seed"));
+}
+
+TEST_CASE("a remembered address that is another node's by now does no harm") {
+  constexpr unsigned kNodes = 6;
+  Cluster cluster(kNodes, 2);
+  cluster.end_all();
+  Start how = cluster.default_start(5);
+  how.seeds = {kNobody};
+  how.remembered = {4};  // as the address of a node of another name
+  cluster.start_all({how});
+  cluster.run(5s);
+  CHECK(cluster.complete_views() == kNodes);
+  for (unsigned node = 0; node < kNodes; ++node) {
+    CHECK(cluster.at(node).find(NodeId("former4")) == nullptr);
+    CHECK(cluster.at(node).address_of(NodeId("n4")) == PeerAddress("10.0.0.4:1"));
+  }
+  CHECK(cluster.deaths() == 0);
+}
+
+// Two that find each other by what they remember know somebody, and would look no further.
+TEST_CASE("nodes that found each other by remembered peers still look for the rest") {
+  constexpr unsigned kNodes = 8;
+  Cluster cluster(kNodes, 2);
+  cluster.end_all();
+  std::vector<Start> last;
+  for (const unsigned node : {6U, 7U}) {
+    Start how = cluster.default_start(node);
+    how.seeds = {kNobody};
+    how.remembered = {13 - node, kNobody + 1, kNobody + 2, kNobody + 3, kNobody + 4, kNobody + 5, 4};
+    last.push_back(how);
+  }
+  cluster.start_all(last);
+  cluster.run(10s);
+  CHECK(cluster.complete_views() == kNodes);
+}
+
+TEST_CASE("a node that has lost all members finds them again by what it remembers") {
+  constexpr unsigned kNodes = 6;
+  Cluster cluster(kNodes, 2);
+  Start how = cluster.default_start(5);
+  how.seeds = {kNobody};
+  how.remembered = {3};
+  cluster.restart(5, how);
+  cluster.run(10s);
+  REQUIRE(cluster.complete_views() == kNodes);
+  // All others are down for so long that it takes them for dead; then one comes back whose seeds have gone, too.
+  for (unsigned node = 0; node < 5; ++node) {
+    cluster.end(node);
+  }
+  cluster.run(60s);
+  REQUIRE(cluster.at(5).live_count() == 1);
+  Start other = cluster.default_start(3);
+  other.incarnation += 1;
+  other.seeds = {kNobody};
+  cluster.restart(3, other);
+  cluster.run(2s);
+  CHECK(cluster.at(3).live_count() == 2);
+  CHECK(cluster.at(5).live_count() == 2);
+}
+
+TEST_CASE("remembered peers are few, of all zones, and not forgotten while they are only away") {
+  constexpr unsigned kNodes = 120;
+  Cluster cluster(kNodes, 3);
+  cluster.run(15s);
+  REQUIRE(cluster.complete_views() == kNodes);
+  std::vector<remembered_peer> before{{NodeId("away"), PeerAddress("10.0.0.250:1"), "", 15},
+                                      {NodeId("moved"), PeerAddress("10.0.0.7:1"), "", 15}};
+  const std::vector<remembered_peer> chosen = choose_peers(cluster.at(9), before);
+  CHECK(chosen.size() == kMostDisksRemembered + 1);  // all have a disk here
+  CHECK(chosen.back() == before[0]);
+  CHECK(std::none_of(chosen.begin(), chosen.end(), [](const auto& peer) { return peer.id.str() == "n9"; }));
+  CHECK(choose_peers(cluster.at(9), chosen) == chosen);
+  CHECK(choose_peers(cluster.at(8), {}) != choose_peers(cluster.at(9), {}));
+}
--- a/tests/simulation/lost_seeds_test.cpp
+++ b/tests/simulation/lost_seeds_test.cpp
@@ -95,3 +95,26 @@
     CHECK(site.violations() == std::vector<std::string>());
   }
 }
+
+TEST_CASE("a list of peers that is damaged on the disk ends no node, and the others remember it") {
+  fleet_without_power site(11);
+  site.lose_power();
+  site.fleet.nodes[kLost]->storage.put(node::peer_memory::kKey, {1, 2, 3});
+  site.fleet.set_seeds_of(kLost, {kNobody});
+  site.start_all();
+  site.world.run_for(kRecover);
+  CHECK(site.fleet.nodes[kLost]->counters["membership_peers_unread_total"] == 1);
+  CHECK(site.known_to(kLost) == site.fleet.nodes.size());
+}
+
+TEST_CASE("a gateway whose seeds are gone is found by a node with a disk that remembers it") {
+  fleet_without_power site(12);
+  site.lose_power();
+  site.fleet.set_seeds_of(kSeeds[1], {kNobody});
+  for (unsigned node = 0; node <= kSeeds[0]; ++node) {
+    site.fleet.set_seeds_of(node, {kSeeds[0]});
+  }
+  site.start_all();
+  site.world.run_for(kRecover);
+  CHECK(site.known_to(kSeeds[1]) == site.fleet.nodes.size());
+}
