--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -15,6 +15,12 @@
 /// nodes that start at once, from few seeds.
 constexpr std::size_t kMembersPerJoinReply = 25;
 constexpr std::size_t kMaxRelays = 1024;
+/// The former process may outbid the same word by one when it wakes; of two alike each node would keep another one.
+constexpr std::uint64_t kStepElsewhere = 2;
+/// Seeds answer within some milliseconds; for so long only they are asked.
+constexpr Duration kSeedsFirst = 500ms;
+/// Of the remembered peers, in a period.
+constexpr std::size_t kRememberedAtOnce = 4;
 /// Without a new member for so long a node knows the fleet: lists of members come several a second while it joins.
 constexpr Duration kJoinQuiet = 400ms;
 /// Nodes that start after each other must not put that off for ever.
@@ -67,6 +73,7 @@
 
 void Membership::start() {
   started_at_ = environment_.now();
+  begin_search(true);
   join_quickly(options_.join_pause);
   const auto first =
       static_cast<Duration::rep>(environment_.random() % static_cast<std::uint64_t>(options_.period.count()));
@@ -220,15 +227,87 @@
   if (const auto target = next_probe_target()) {
     probe(*target);
   } else {
-    ping_seeds();
+    look_for_fleet();
   }
   look_at_unknown_seed();
-  if (environment_.now() - last_dead_probe_ >= options_.dead_probe_interval) {
+  ask_remembered();
+  if (search_.active() || environment_.now() - last_dead_probe_ >= options_.dead_probe_interval) {
     last_dead_probe_ = environment_.now();
     probe_dead_member();
   }
 }
 
+void Membership::begin_search(bool at_start) {
+  search_.begin(environment_.now(), at_start);
+  counters_["membership_alone"] = 1;
+}
+
+void Membership::look_for_fleet() {
+  if (!search_.active()) {
+    begin_search(false);
+  }
+  ping_seeds();
+  if (search_.take_word(environment_.now()) && hooks_.on_not_found) {
+    hooks_.on_not_found(search_);
+  }
+}
+
+void Membership::note_word(const PeerAddress& sender) {
+  if (!search_.active() || live_count() == 1) {
+    return;
+  }
+  search_.end();
+  counters_["membership_alone"] = 0;
+  if (hooks_.on_found) {
+    hooks_.on_found(search_, sender, who_lives_at(sender));
+  }
+}
+
+found_by Membership::who_lives_at(const PeerAddress& address) const {
+  if (std::find(seeds_.begin(), seeds_.end(), address) != seeds_.end()) {
+    return found_by::seed;
+  }
+  const bool remembered = std::any_of(remembered_.begin(), remembered_.end(),
+                                      [&address](const remembered_peer& peer) { return peer.address == address; });
+  return remembered ? found_by::remembered_peer : found_by::peer;
+}
+
+void Membership::recall(std::vector<remembered_peer> peers) {
+  remembered_ = std::move(peers);
+  not_asked_yet_ = remembered_.size();
+}
+
+bool Membership::knows_address(const PeerAddress& address) const {
+  return address.str() == self_.peer_address || std::any_of(members_.begin(), members_.end(), [&](const auto& entry) {
+           return entry.second.member.peer_address == address.str();
+         });
+}
+
+void Membership::ask_remembered() {
+  const Timestamp now = environment_.now();
+  const bool alone = search_.active();
+  const bool often = alone || not_asked_yet_ > 0;
+  if (now - started_at_ < kSeedsFirst || (alone && search_.alone(now) < kSeedsFirst) ||
+      (!often && now - last_remembered_ask_ < options_.dead_probe_interval)) {
+    return;
+  }
+  last_remembered_ask_ = now;
+  std::size_t left = often ? kRememberedAtOnce : 1;
+  for (std::size_t looked = 0; looked < remembered_.size() && left > 0; ++looked) {
+    const PeerAddress& address = remembered_[next_remembered_++ % remembered_.size()].address;
+    not_asked_yet_ -= not_asked_yet_ > 0 ? 1 : 0;
+    if (!alone && knows_address(address)) {
+      continue;
+    }
+    wire::PingT ping = make_probe_message<wire::PingT>(++sequence_);
+    ping.join = alone;
+    search_.remembered_asked++;
+    counters_["membership_remembered_asked_total"]++;
+    send_message(environment_, address, std::move(ping));
+    --left;
+  }
+}
+
 void Membership::ping_seeds() {
   for (const PeerAddress& seed : seeds_) {
     if (seed.str() == self_.peer_address) {
@@ -236,6 +315,7 @@
     }
     wire::PingT ping = make_probe_message<wire::PingT>(++sequence_);
     ping.join = true;
+    search_.seeds_asked++;
     send_message(environment_, seed, std::move(ping));
   }
 }
@@ -407,6 +487,7 @@
   for (const auto& update : message.updates) {
     merge(*update, false, true);
   }
+  note_word(sender);
   TableRevisions revisions{message.object_revision, message.machine_revision, message.group_revision};
   revisions.objects_age_ms = message.objects_age_ms;
   revisions.machines_age_ms = message.machines_age_ms;
@@ -490,14 +571,16 @@
 }
 
 void Membership::refute(const MemberT& rumour) {
-  const bool other_process = rumour.peer_address != self_.peer_address;
-  const bool accused = rumour.state == MemberState::Suspect || rumour.state == MemberState::Dead;
+  const bool elsewhere = rumour.peer_address != self_.peer_address;
+  const bool dead = rumour.state == MemberState::Dead;
+  const bool accused = rumour.state == MemberState::Suspect || dead;
   const bool outdated = rumour.incarnation > self_.incarnation;
-  if (other_process || rumour.incarnation < self_.incarnation || (!accused && !outdated)) {
+  // A process of this name at another address may run: it is outbid once it is taken for dead, not before.
+  if (rumour.incarnation < self_.incarnation || (elsewhere ? !dead : !accused && !outdated)) {
     return;
   }
   digest_ ^= digest_of(self_);
-  self_.incarnation = rumour.incarnation + 1;
+  self_.incarnation = rumour.incarnation + (elsewhere ? kStepElsewhere : 1);
   digest_ ^= digest_of(self_);
   counters_["membership_refutations_total"]++;
   enqueue(NodeId(self_.id), true);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -51,6 +51,7 @@
           [this](std::size_t count) { return members.random_peers(count); },
           [this](const std::vector<config::EntryKey>&) { on_evacuations_changed(); }),
       members(environment, counters, options.self, options.seeds, make_hooks(), options.membership),
+      remembered_peers(environment, counters, log, members),
       duties(members),
       ledger(
           environment, counters, [this](const NodeId& node) { return members.address_of(node); }, options.ledger,
@@ -158,12 +159,41 @@
       replica->catch_up();
     }
   };
+  hooks.on_not_found = [this](const membership::fleet_search& search) { tell_not_found(search); };
+  hooks.on_found = [this](const membership::fleet_search& search, const PeerAddress& by, membership::found_by who) {
+    log.record("fleet_joined", {{"node", members.self().id},
+                                {"by", membership::name_of(who)},
+                                {"address", by.str()},
+                                {"alone_ms", search.alone(environment.now()) / 1ms},
+                                {"at_start", search.at_start()},
+                                {"seeds_asked", search.seeds_asked},
+                                {"remembered_asked", search.remembered_asked}});
+  };
   return hooks;
 }
 
+void NodeCore::tell_not_found(const membership::fleet_search& search) {
+  constexpr std::size_t kSeedsNamed = 8;
+  std::string seeds;
+  for (std::size_t number = 0; number < std::min(kSeedsNamed, members.seeds().size()); ++number) {
+    seeds += (seeds.empty() ? "" : ", ") + members.seeds()[number].str();
+  }
+  log.record("fleet_not_found", {{"node", members.self().id},
+                                 {"alone_ms", search.alone(environment.now()) / 1ms},
+                                 {"at_start", search.at_start()},
+                                 {"seeds", seeds},
+                                 {"seeds_asked", search.seeds_asked},
+                                 {"remembered_peers", members.remembered().size()},
+                                 {"remembered_asked", search.remembered_asked},
+                                 {"dead_members", members.members().size() - 1}});
+}
+
 void NodeCore::start() {
   started_at_ = environment.now();
   ask_all_until_ = started_at_ + kAskedAfterDeath;
+  if (replica) {
+    remembered_peers.keep_in(*storage_);
+  }
   members.start();
   limiter.start();
   if (replica) {
@@ -345,6 +375,7 @@
 
 void NodeCore::on_disk_regained() {
   if (replica) {
+    remembered_peers.keep_in(*storage_);
     replica->resume();
     match_replica_and_client();
   }
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -21,6 +21,7 @@
 #include "ledger/replica_journal.hpp"
 #include "ledger/replica.hpp"
 #include "membership/membership.hpp"
+#include "node/peer_memory.hpp"
 #include "object_store/controller.hpp"
 #include "object_store/retirement.hpp"
 #include "object_store/stopping_handover.hpp"
@@ -168,6 +169,7 @@
   config::TableReplicator groups;       ///< Used where the platform keeps them apart from the objects.
   config::TableReplicator evacuations;  ///< Zones whose back ends are to get no requests.
   membership::Membership members;
+  peer_memory remembered_peers;  ///< Used on ledger nodes alone.
   placement::duties duties;
   ledger::Client ledger;
   batch::ResultReader results;
@@ -209,6 +211,7 @@
   std::shared_ptr<const policy::call_order> call_order_;
   forwarding::RouteTablePointer told_routes_;
   membership::Hooks make_hooks();
+  void tell_not_found(const membership::fleet_search& search);
   void on_objects_changed(const std::vector<config::EntryKey>& keys);
   void on_machines_changed(const std::vector<config::EntryKey>& keys);
   /// Tells the replica and the client of this node what either knows of the groups.
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -142,8 +142,8 @@
 }
 
 std::vector<PeerAddress> SimFleet::seeds_of(unsigned number) const {
-  if (nodes[number]->stale_seeds) {
-    return *nodes[number]->stale_seeds;
+  if (nodes[number]->own_seeds) {
+    return *nodes[number]->own_seeds;
   }
   std::vector<PeerAddress> seeds;
   for (const unsigned seed : seeds_) {
@@ -152,16 +152,21 @@
   return seeds;
 }
 
-void SimFleet::make_seeds_stale(unsigned number) {
-  nodes[number]->stale_seeds = {address_of(kNobody), address_of(kNobody + 1), address_of(kNobody + 2)};
+void SimFleet::set_seeds_of(unsigned number, const std::vector<unsigned>& seeds) {
+  nodes[number]->own_seeds.emplace();
+  for (const unsigned seed : seeds) {
+    nodes[number]->own_seeds->push_back(address_of(seed));
+  }
 }
 
+void SimFleet::make_seeds_stale(unsigned number) { set_seeds_of(number, {kNobody, kNobody + 1, kNobody + 2}); }
+
 void SimFleet::correct_seeds(unsigned number) {
   SimNode& node = *nodes[number];
-  if (!node.stale_seeds) {
+  if (!node.own_seeds) {
     return;
   }
-  node.stale_seeds.reset();
+  node.own_seeds.reset();
   if (node.process.up()) {
     node.apart_at = world.now();
     node.life.core->members.set_seeds(seeds_of(number));
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -247,7 +247,7 @@
   Duration suspended{};                   ///< In all; a steady clock is behind by it.
   Timestamp disturbed_at{};               ///< When it last started, woke or was cut off.
   Timestamp apart_at{};  ///< The same, where cuts from machines that reach nobody with a disk are left out.
-  std::optional<std::vector<PeerAddress>> stale_seeds;  ///< In its settings instead of the fleet's seeds.
+  std::optional<std::vector<PeerAddress>> own_seeds;  ///< In its settings instead of the fleet's seeds.
   Duration clock_behind{};                              ///< Its time of day is late by so much.
   Duration next_clock_behind{};                         ///< The same from its next start on.
 };
@@ -319,6 +319,10 @@
   void suspend_node(unsigned number);
   /// Wakes a node that is frozen or suspended.
   void wake_node(unsigned number);
+  /// Gives all nodes, or @p node alone, the addresses of other nodes as seeds, from the next start on. Nobody lives at
+  /// a number that no node has.
+  void set_seeds(std::vector<unsigned> seeds) { seeds_ = std::move(seeds); }
+  void set_seeds_of(unsigned number, const std::vector<unsigned>& seeds);
   /// An operator wants the disk of this node emptied.
   void retire_disk(unsigned number);
   /// Takes machines away that say that they are empty; each comes back with another disk.
--- a/src/simulation/group_watch.cpp
+++ b/src/simulation/group_watch.cpp
@@ -61,7 +61,7 @@
 
 bool GroupWatch::can_find_nobody(unsigned node) const {
   const SimNode& at = *fleet_.nodes[node];
-  return at.stale_seeds && at.has_disk && !at.disk_whole;
+  return at.own_seeds && at.has_disk && !at.disk_whole;
 }
 
 void GroupWatch::look_at_machines() {
