Tests: a store that turns the first-ranked away, a silent store, a change that another one keeps from being tried

A pair whose sole decider the store would name, but not to the two that rank first; a fleet that is founded while the store answers all but these two; a store that answers nothing, not even with a failure; a group of four with one silent and one emptied disk. Conclusion: the duty hangs on two nodes for pairs and for the founding, too.

--- a/tests/ledger/epoch_change_test.cpp
+++ b/tests/ledger/epoch_change_test.cpp
@@ -198,3 +198,17 @@
   CHECK(change->rule.whole_majority);
   CHECK(change->rule.least_whole == 2);
 }
+
+// By reading: the silent member was given up first, which takes three votes of four; two could have taken the new disk.
+TEST_CASE("a lost disk is replaced before a silent member, whose end more members have to agree on") {
+  const ReplicaIdentity new_b{NodeId("b"), DiskId("disk-b2")};
+  const ReplicaIdentity e{NodeId("e"), DiskId("disk-e")};
+  told_view view;
+  view.states[kA] = replica_state::missing;
+  view.states[kB] = replica_state::disk_replaced;
+  view.free = {{new_b, "2"}, {kC, "3"}, {kD, "1"}, {e, "1"}};
+  const auto change = wanted_change({4, {kA, kB, kC, kD}, {}}, view, 5);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{5, {kA, new_b, kC, kD}, {}});
+  CHECK(change->rule.quorum == 2);
+}
--- a/tests/object_store/sole_deciders_test.cpp
+++ b/tests/object_store/sole_deciders_test.cpp
@@ -21,6 +21,9 @@
   void watch_objects(std::uint64_t, Duration, ChangesDone) override {}
   void watch_machines(std::uint64_t, Duration, ChangesDone) override {}
   void get(const config::EntryKey& key, GetDone done) override {
+    if (silent_reads) {
+      return;
+    }
     environment_.after(1ms, [this, key, done] {
       if (away) {
         done(Error{ErrorKind::unavailable, "away"});
@@ -31,6 +34,9 @@
     });
   }
   void put(const PutRequest& request, PutDone done) override {
+    if (silent_writes) {
+      return;
+    }
     environment_.after(1ms, [this, request, done] {
       if (away) {
         done(Error{ErrorKind::unavailable, "away"});
@@ -44,6 +50,8 @@
   emulator::WatchedTable table;
   int lose_answers = 0;
   bool away = false;
+  bool silent_reads = false;   ///< They are never answered, not even with a failure.
+  bool silent_writes = false;  ///< The same of writes.
 };
 
 struct decider_fixture {
@@ -92,3 +100,20 @@
   CHECK(succeeded(*fixture.ask(kB)));
   CHECK_FALSE(succeeded(*fixture.ask(kA)));
 }
+
+// By reading: who asks holds its group back until the answer comes, so without one it would for good.
+TEST_CASE("a store that answers nothing at all leaves nobody waiting for a grant for good") {
+  decider_fixture fixture;
+  fixture.store.silent_writes = true;
+  const auto unwritten = fixture.ask(kA);
+  REQUIRE(unwritten);
+  CHECK_FALSE(succeeded(*unwritten));
+  fixture.store.silent_writes = false;
+  REQUIRE(succeeded(*fixture.ask(kA)));
+  fixture.store.silent_reads = true;
+  const auto unread = fixture.ask(kA);
+  REQUIRE(unread);
+  CHECK_FALSE(succeeded(*unread));
+  fixture.store.silent_reads = false;
+  CHECK(succeeded(*fixture.ask(kA)));
+}
--- a/tests/simulation/cut_off_maintainers_test.cpp
+++ b/tests/simulation/cut_off_maintainers_test.cpp
@@ -49,8 +49,11 @@
 /// A fleet whose maintainers may be cut off from all nodes with a disk.
 class cut_off_maintainers {
  public:
-  explicit cut_off_maintainers(std::uint64_t seed) : world(seed), fleet(world, oracle, site(), node::Guards()) {
-    world.run_for(10s);
+  explicit cut_off_maintainers(std::uint64_t seed, bool founded = true)
+      : world(seed), fleet(world, oracle, site(), node::Guards()) {
+    if (founded) {
+      world.run_for(10s);
+    }
   }
   void cut_off() {
     for (const unsigned maintainer : maintainers_of(fleet.profile.nodes)) {
@@ -60,6 +63,18 @@
     }
     world.run_for(3s);
   }
+  /// The store does not answer the maintainers.
+  void turn_away() {
+    for (const unsigned maintainer : maintainers_of(fleet.profile.nodes)) {
+      fleet.conditions.platform_cuts.insert(maintainer);
+    }
+  }
+  /// @return whether every group that @p node knows has @p members.
+  bool all_have(unsigned node, std::size_t members) {
+    const auto& groups = fleet.core(node).ledger.group_map().groups;
+    return !groups.empty() && std::all_of(groups.begin(), groups.end(),
+                                          [members](const auto& group) { return group.replicas.size() == members; });
+  }
   /// @return whether the groups that @p node knows have left behind all that was lost.
   bool all_changed(unsigned node) {
     const auto& groups = fleet.core(node).ledger.group_map().groups;
@@ -109,3 +124,28 @@
     }
   }
 }
+
+TEST_CASE("one of two members decides alone though the store answers none of the controllers that rank first") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    INFO("seed " << seed);
+    cut_off_maintainers fixture(seed);
+    fixture.fleet.retire_disk(2);
+    fixture.world.run_for(15s);
+    REQUIRE(fixture.all_have(1, 2));
+    fixture.turn_away();
+    fixture.fleet.crash_node(0);
+    fixture.fleet.crash_node(2);
+    fixture.world.run_for(15s);
+    CHECK(fixture.all_have(1, 1));
+  }
+}
+
+TEST_CASE("groups are founded though the store answers none of the controllers that rank first") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    INFO("seed " << seed);
+    cut_off_maintainers fixture(seed, false);
+    fixture.turn_away();
+    fixture.world.run_for(20s);
+    CHECK(fixture.all_have(1, kDisks));
+  }
+}
