A store that answers nothing at all ends a change that waits for it

A controller holds a group back (deciding_) until the store has named a sole decider, and the published map (declaring_) until it has taken it. Cause: the limit of Declarations was looked at only between two calls, and a sole decider was read back without one. A call whose answer never comes, against what clients of the store promise (2 s here, 1.5 s on the platform), ended neither. Change: a declaration ends as ambiguous 4 s after its 5 s to settle, a reading back as unavailable after 4 s. Tests: sole_deciders gets the environment, so its fixture passes it; nothing else changed in existing ones. Evidence before: "a store that answers nothing at all leaves nobody waiting for a grant for good", REQUIRE( unwritten ) failed. After: passes, with all of sole_deciders_test and declarations_test. Conclusion: every way out of deciding_ is bounded: 9 and 4 s at the store, 4 s at the members (Client::submit).

--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -59,7 +59,7 @@
       options_(options),
       feeds_(members, {options.readers, options.relays, options.all_read_up_to}),
       pending_(environment, counters, log),
-      deciders_(declarations, platform) {}
+      deciders_(environment, declarations, platform) {}
 
 void Controller::start() {
   started_ = environment_.now();
--- a/src/object_store/declarations.cpp
+++ b/src/object_store/declarations.cpp
@@ -6,6 +6,8 @@
 namespace {
 constexpr Duration kSettleTime = 5s;
 constexpr Duration kRetryPause = 200ms;
+/// Beyond that an answer is not waited for: a client of the store tells of a failed call within it.
+constexpr Duration kAnswerTime = 4s;
 }  // namespace
 
 Declarations::Declarations(Environment& environment, Counters& counters, PlatformClient& platform,
@@ -16,9 +18,17 @@
   const ChangeNumber number = ++next_;
   request.change_id = hex64(environment_.random()) + hex64(environment_.random());
   pending_.emplace(number, Pending{std::move(request), std::move(done), environment_.now() + kSettleTime, false});
+  environment_.after(kSettleTime + kAnswerTime, lifetime_.guard([this, number] { end_unanswered(number); }));
   try_put(number);
 }
 
+void Declarations::end_unanswered(ChangeNumber number) {
+  if (pending_.contains(number)) {
+    counters_["declarations_unanswered_total"]++;
+    finish(number, Error{ErrorKind::ambiguous, "the platform's store has not answered at all"});
+  }
+}
+
 void Declarations::try_put(ChangeNumber number) {
   platform_.put(pending_.at(number).request, lifetime_.guard([this, number](Result<std::uint64_t> result) {
     const auto entry = pending_.find(number);
--- a/src/object_store/declarations.hpp
+++ b/src/object_store/declarations.hpp
@@ -38,6 +38,8 @@
 
   void try_put(ChangeNumber number);
   void read_back(ChangeNumber number);
+  /// Ends a change whose answer never comes.
+  void end_unanswered(ChangeNumber number);
   void finish(ChangeNumber number, Result<std::uint64_t> result);
   void retry(ChangeNumber number, void (Declarations::*step)(ChangeNumber));
 
--- a/src/object_store/sole_deciders.cpp
+++ b/src/object_store/sole_deciders.cpp
@@ -1,5 +1,6 @@
 #include "object_store/sole_deciders.hpp"
 
+#include <memory>
 #include <utility>
 
 namespace madderdeck::object_store {
@@ -9,12 +10,15 @@
   return {kSoleDeciderKind, "group-" + std::to_string(group) + "-epoch-" + std::to_string(epoch)};
 }
 
+/// Beyond that an answer is not waited for: a client of the store tells of a failed call within it.
+constexpr Duration kAnswerTime = 4s;
+
 std::string name_of(const ledger::ReplicaIdentity& member) { return member.node.str() + " " + member.disk.str(); }
 
 }  // namespace
 
-sole_deciders::sole_deciders(Declarations& declarations, PlatformClient& platform)
-    : declarations_(declarations), platform_(platform) {}
+sole_deciders::sole_deciders(Environment& environment, Declarations& declarations, PlatformClient& platform)
+    : environment_(environment), declarations_(declarations), platform_(platform) {}
 
 void sole_deciders::grant(std::uint32_t group, std::uint64_t epoch, const ledger::ReplicaIdentity& member,
                           granted done) {
@@ -35,7 +39,16 @@
 }
 
 void sole_deciders::read_back(const config::EntryKey& key, const std::string& wanted, granted done) {
-  const auto take = [wanted, done = std::move(done)](const Result<std::optional<StoredObject>>& result) {
+  // Told once: by the answer, or by its absence.
+  const auto tell = [waiting = std::make_shared<granted>(std::move(done))](const Status& status) {
+    if (const granted told = std::exchange(*waiting, nullptr)) {
+      told(status);
+    }
+  };
+  environment_.after(kAnswerTime, lifetime_.guard([tell] {
+    tell(Error{ErrorKind::unavailable, "the platform's store has not answered at all"});
+  }));
+  const auto take = [wanted, done = tell](const Result<std::optional<StoredObject>>& result) {
     if (!succeeded(result)) {
       done(error_of(result));
     } else if (!value_of(result)) {
--- a/src/object_store/sole_deciders.hpp
+++ b/src/object_store/sole_deciders.hpp
@@ -23,7 +23,7 @@
   /// ErrorKind::ambiguous when the store does not tell. It may be asked again at any time.
   using granted = std::function<void(Status)>;
 
-  sole_deciders(Declarations& declarations, PlatformClient& platform);
+  sole_deciders(Environment& environment, Declarations& declarations, PlatformClient& platform);
 
   /// Asks that @p member decide who holds @p group after @p epoch.
   void grant(std::uint32_t group, std::uint64_t epoch, const ledger::ReplicaIdentity& member, granted done);
@@ -31,6 +31,7 @@
  private:
   void read_back(const config::EntryKey& key, const std::string& wanted, granted done);
 
+  Environment& environment_;
   Declarations& declarations_;
   PlatformClient& platform_;
   Lifetime lifetime_;
--- a/tests/object_store/sole_deciders_test.cpp
+++ b/tests/object_store/sole_deciders_test.cpp
@@ -65,7 +65,7 @@
   Counters counters;
   troubled_store store{environment};
   Declarations declarations{environment, counters, store};
-  sole_deciders deciders{declarations, store};
+  sole_deciders deciders{environment, declarations, store};
 };
 
 }  // namespace
