A lost disk is replaced before a silent member is given up

Cause: wanted_change named the first change in the order of the members. In a group of four with one silent and one emptied disk the silent one's end was asked for first, which takes three votes where two members are left; the new disk could have come in with these two (decision_quorum), and was never tried. Of three, five or two members both changes need the same. Change: members whose disks are proven lost first, then silent ones. The first never needs more votes, nor anybody's that the second does without, so it cannot hold the second up where that could be made. Evidence before: "a lost disk is replaced before a silent member, whose end more members have to agree on" failed at CHECK( change->next == ReplicaGroup{5, {kA, new_b, kC, kD}, {}} ). After: passes, with all of epoch_change_test. Conclusion: mended; other pairs of changes (a leaving member, a free place) come after both, as before.

--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -11,8 +11,6 @@
 
 constexpr std::size_t kPair = 2;  ///< Members of the smallest group that has no majority without all.
 
-bool is_gone(replica_state state) { return state == replica_state::disk_replaced || state == replica_state::missing; }
-
 bool contains(const std::vector<ReplicaIdentity>& list, const ReplicaIdentity& identity) {
   return std::find(list.begin(), list.end(), identity) != list.end();
 }
@@ -177,10 +175,14 @@
   for (const ReplicaIdentity& replica : group.replicas) {
     states.push_back(view.state_of(replica));
   }
-  for (std::size_t index = 0; index < states.size(); ++index) {
-    if (is_gone(states[index]) && replace_gone(change, group, index, states[index], view)) {
-      change.reason = reason_of(group.replicas[index], states[index]);
-      return change;
+  // A lost disk first: no more members have to agree on its end than on that of a silent one, which none may be left
+  // to.
+  for (const replica_state gone : {replica_state::disk_replaced, replica_state::missing}) {
+    for (std::size_t index = 0; index < states.size(); ++index) {
+      if (states[index] == gone && replace_gone(change, group, index, gone, view)) {
+        change.reason = reason_of(group.replicas[index], gone);
+        return change;
+      }
     }
   }
   // Only now: a member that is to leave still votes, and who takes its place copies from all others first.
