Changes of replica groups that stay undone are proposed by others in their turn

What callers saw: groups that stay at their founding epoch while two of three disks are there; batch results that do not come. Cause: two controllers, chosen by rank among those that seem alive, alone proposed a group's next epoch, asked the store for a sole decider and founded the groups. Cut off from the members, refused by the store or of another belief, they did not, and nobody else did. Change: a controller that does not rank first has a change decided in its turn, once it has stayed undone for 2 s by its own view: the members that are there first, a second each, then the controllers by rank; one attempt a turn, 16 decisions at a time. A silent member (or former one) is given up so by members of the group only, whose word others have to agree with. Groups are founded in the same way, 2 s a controller after founding_patience. group_change_taken_up tells each turn. Nobody that could not reach a majority of the members decides anything, as before.

--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -33,6 +33,10 @@
 constexpr Duration kStayerPatience = 60s;
 /// A member waits so long for the maintainers to tell the store of its group's epoch before it does.
 constexpr Duration kUntoldPatience = 2s;
+/// From one controller that may found the groups to the next.
+constexpr Duration kFoundingTurn = 2s;
+/// Decisions under way at a node that does not look after the groups.
+constexpr std::size_t kMostDecisionsInTurn = 16;
 /// How often the process notes that it runs. An answer may be read after the first note that follows a standstill, so
 /// the last but one counts.
 constexpr Duration kRunCheck = 50ms;
@@ -318,15 +322,26 @@
     change_groups(maintains);
     tell_pending_changes();
   }
-  if (!maintains) {
-    publish_overdue_groups();
-  } else if (!ledger_.has_group_map()) {
-    found_groups();
-  } else {
+  if (!ledger_.has_group_map()) {
+    if (maintains || is_to_found()) {
+      found_groups();
+    }
+  } else if (maintains) {
     publish_groups();
+  } else {
+    publish_overdue_groups();
   }
 }
 
+bool Controller::is_to_found() const {
+  const std::size_t rank = feeds_.rank_in_fleet();
+  if (rank == feed_tree::kNoRank) {
+    return false;
+  }
+  const auto before = static_cast<Duration::rep>(rank - options_.maintainers);
+  return environment_.now() - started_ >= options_.founding_patience + kFoundingTurn * (1 + before);
+}
+
 void Controller::tell_pending_changes() {
   change_makers makers;
   for (const NodeId& node : feeds_.first_in_fleet(options_.maintainers)) {
@@ -441,7 +456,65 @@
   mutable std::optional<std::vector<ledger::disk_place>> places_;  ///< Once a look: every node looks.
 };
 
-void Controller::change_groups(bool makes) {
+std::optional<proposal_turns> Controller::turns_at(const ledger::ReplicaGroup& group) {
+  const std::size_t rank = feeds_.rank_in_fleet();
+  if (rank == feed_tree::kNoRank) {
+    return std::nullopt;
+  }
+  const ledger::ReplicaIdentity self{NodeId(members_.self().id), DiskId(members_.self().disk_id)};
+  std::optional<std::size_t> place;
+  std::size_t there = 0;
+  for (const ledger::ReplicaIdentity& replica : group.replicas) {
+    const ledger::replica_state state = state_of(replica);
+    if (state == ledger::replica_state::disk_replaced || state == ledger::replica_state::missing) {
+      continue;
+    }
+    if (replica == self) {
+      place = there;
+    }
+    ++there;
+  }
+  // Members come first: they reach each other, or nobody can decide. Every other turn is theirs later on.
+  if (place) {
+    return proposal_turns{*place, 2 * there};
+  }
+  const std::size_t others = feeds_.count_in_fleet() - options_.maintainers;
+  return proposal_turns{there + rank - options_.maintainers, std::max<std::size_t>(1, others)};
+}
+
+bool Controller::takes_silence_for_loss(const ledger::epoch_change& change) {
+  const auto& given_up = change.rule.given_up;
+  const bool leavers_dropped = change.rule.whole_majority && !change.rule.let_go;
+  return leavers_dropped || (given_up && state_of(*given_up) == ledger::replica_state::missing);
+}
+
+bool Controller::takes_turn(std::uint32_t group, const ledger::epoch_change& change) {
+  if (deciding_.size() >= kMostDecisionsInTurn) {
+    return false;
+  }
+  // That a silent node is gone is this node's word alone: only a member's, which others have to agree with, goes for
+  // it.
+  const ledger::ReplicaGroup& description = ledger_.group_map().groups[group];
+  const bool is_member =
+      description.index_of({NodeId(members_.self().id), DiskId(members_.self().disk_id)}).has_value();
+  if (takes_silence_for_loss(change) && !is_member) {
+    return false;
+  }
+  const auto turns = turns_at(description);
+  if (!turns || !pending_.take_turn(group, *turns)) {
+    return false;
+  }
+  counters_["replica_replacements_in_turn_total"]++;
+  log_.record("group_change_taken_up", {{"group", group},
+                                        {"epoch", change.next.epoch - 1},
+                                        {"reason", change.reason},
+                                        {"pending_ms", pending_.wanted_for(group) / 1ms},
+                                        {"rank", feeds_.rank_in_fleet()},
+                                        {"turn", turns->first}});
+  return true;
+}
+
+void Controller::change_groups(bool maintains) {
   const auto& groups = ledger_.group_map().groups;
   group_beliefs beliefs(*this);
   for (std::uint32_t group = 0; group < groups.size(); ++group) {
@@ -450,7 +523,7 @@
     }
     if (const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas)) {
       pending_.note_wanted(group, *change);
-      if (makes) {
+      if (maintains || takes_turn(group, *change)) {
         begin_change(group, *change);
       }
       continue;
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -109,8 +109,18 @@
   bool knows_fleet() const;
   void found_groups();
   class group_beliefs;
-  /// Looks at what is wanted of each group, and has it decided where @p makes says that this node is to.
-  void change_groups(bool makes);
+  /// Looks at what is wanted of each group, and has it decided where this node is to.
+  /// @param maintains whether it is one of the few that look after the groups.
+  void change_groups(bool maintains);
+  /// @return whether it is this node's turn at a change of @p group that those who look after the groups have not made:
+  ///         they may be cut off from its members, be turned away by the store, or believe something else.
+  bool takes_turn(std::uint32_t group, const ledger::epoch_change& change);
+  /// @return whether @p change gives up a member, or a former one, that is only silent as this node believes.
+  bool takes_silence_for_loss(const ledger::epoch_change& change);
+  /// @return when it is, at changes of @p group; nothing where this node takes no new work.
+  std::optional<proposal_turns> turns_at(const ledger::ReplicaGroup& group);
+  /// @return whether this node is to found the groups, which those that rank before it have not done.
+  bool is_to_found() const;
   /// Tells operators of changes that are wanted and not made.
   void tell_pending_changes();
   /// Has @p change decided, after the store's grant where one member is to decide alone.
--- a/src/object_store/feed_tree.cpp
+++ b/src/object_store/feed_tree.cpp
@@ -57,6 +57,7 @@
     }
   }
   const std::vector<const wire::MemberT*> available = members_.available(membership::Role::controller);
+  count_in_fleet_ = available.size();
   rank_in_fleet_ = static_cast<std::size_t>(std::count_if(
       available.begin(), available.end(), [own](const wire::MemberT* member) { return weight_of(*member) > own; }));
   if (std::find(available.begin(), available.end(), &self) == available.end()) {
@@ -141,6 +142,11 @@
   return rank_in_fleet_;
 }
 
+std::size_t feed_tree::count_in_fleet() const {
+  refresh();
+  return count_in_fleet_;
+}
+
 std::vector<NodeId> feed_tree::first_in_fleet(std::size_t count) const {
   controllers all;
   for (const wire::MemberT* member : members_.available(membership::Role::controller)) {
--- a/src/object_store/feed_tree.hpp
+++ b/src/object_store/feed_tree.hpp
@@ -41,6 +41,8 @@
   /// @return how many controllers of the fleet come before this node, of those that take new work; kNoRank where it
   ///         takes none itself.
   std::size_t rank_in_fleet() const;
+  /// @return how many controllers of the fleet take new work, this node among them.
+  std::size_t count_in_fleet() const;
   /// @return the first @p count controllers of the fleet by that rank, fewer where there are fewer.
   std::vector<NodeId> first_in_fleet(std::size_t count) const;
 
@@ -70,6 +72,7 @@
   mutable std::vector<PeerAddress> zone_peers_;
   mutable std::size_t rank_in_zone_ = 0;
   mutable std::size_t rank_in_fleet_ = 0;
+  mutable std::size_t count_in_fleet_ = 0;
 };
 
 }  // namespace madderdeck::object_store
--- a/src/object_store/pending_changes.cpp
+++ b/src/object_store/pending_changes.cpp
@@ -7,6 +7,10 @@
 
 /// A change is made within some round trips where its members can agree; then it is told.
 constexpr Duration kTellAfter = 3s;
+/// Those that rank first have looked and asked by then, and most changes are made.
+constexpr Duration kUndonePatience = 2s;
+/// Where members can agree they have within one turn, so that two proposers seldom meet.
+constexpr Duration kTurn = 1s;
 constexpr Duration kMostPause = 80s;
 /// Of one look: a node that goes may be a member of hundreds of groups.
 constexpr unsigned kMostLines = 8;
@@ -53,6 +57,22 @@
   return entry == pending_.end() ? Duration::zero() : environment_.now() - entry->second.since;
 }
 
+bool pending_changes::take_turn(std::uint32_t group, const proposal_turns& turns) {
+  const Duration undone = wanted_for(group) - kUndonePatience;
+  if (undone < Duration::zero()) {
+    return false;
+  }
+  const auto begun = static_cast<std::size_t>(undone / kTurn);
+  if (begun < turns.first) {
+    return false;
+  }
+  const std::size_t own = (begun - turns.first) / turns.cycle + 1;
+  std::size_t& taken = pending_.at(group).turns_taken;
+  const bool takes = own > taken;
+  taken = own;
+  return takes;
+}
+
 void pending_changes::tell(const change_makers& makers) {
   const Timestamp now = environment_.now();
   CounterValue overdue = 0;
--- a/src/object_store/pending_changes.hpp
+++ b/src/object_store/pending_changes.hpp
@@ -19,6 +19,12 @@
   std::int64_t rank = 0;  ///< Of this node; -1: it takes no new work.
 };
 
+/// Which turns of a node are its own at a change that stays undone.
+struct proposal_turns {
+  std::size_t first = 0;  ///< The number of its first one.
+  std::size_t cycle = 1;  ///< From one of its own to the next.
+};
+
 /// Keeps since when each change has been wanted and what became of this node's own attempts at it, and tells operators
 /// of those that stay undone. Single threaded.
 class pending_changes {
@@ -36,6 +42,10 @@
   void note_outcome(std::uint32_t group, const Error& why);
   /// @return for how long the present change of the group has been wanted; zero where none is.
   Duration wanted_for(std::uint32_t group) const;
+  /// @return whether one of this node's @p turns at the group's change has begun that it has not taken yet; it has
+  /// taken
+  ///         it with that. The first turn of all begins when the change has stayed undone for a while.
+  bool take_turn(std::uint32_t group, const proposal_turns& turns);
   /// Tells of those whose line is due, of a few at a time.
   void tell(const change_makers& makers);
 
@@ -48,6 +58,7 @@
     Duration pause{};
     unsigned attempts = 0;  ///< Of this node.
     Timestamp attempted_at{};
+    std::size_t turns_taken = 0;
     std::string outcome = "none";
     std::string detail;
   };
--- a/tests/object_store/pending_changes_test.cpp
+++ b/tests/object_store/pending_changes_test.cpp
@@ -78,3 +78,35 @@
   CHECK(fixture.log.lines.size() == 8);
   CHECK(fixture.counters["ledger_group_changes_pending"] == 100);
 }
+
+TEST_CASE("proposers of a change that stays undone take turns, members first, and each one of its own once") {
+  pending_fixture fixture;
+  fixture.changes.note_wanted(0, change_to(5));
+  const proposal_turns second_member{1, 4};
+  const proposal_turns third_controller{4, 10};
+  std::vector<int> members;
+  std::vector<int> others;
+  for (int second = 0; second < 20; ++second) {
+    if (fixture.changes.take_turn(0, second_member)) {
+      members.push_back(second);
+    }
+    fixture.environment.world.run_for(1s);
+  }
+  CHECK(members == std::vector<int>{3, 7, 11, 15, 19});
+  fixture.changes.note_wanted(0, change_to(6));
+  for (int second = 0; second < 30; ++second) {
+    if (fixture.changes.take_turn(0, third_controller)) {
+      others.push_back(second);
+    }
+    fixture.environment.world.run_for(1s);
+  }
+  CHECK(others == std::vector<int>{6, 16, 26});
+}
+
+TEST_CASE("a turn that passed while a node did not look is taken late, and once") {
+  pending_fixture fixture;
+  fixture.changes.note_wanted(0, change_to(5));
+  fixture.environment.world.run_for(60s);
+  CHECK(fixture.changes.take_turn(0, {0, 4}));
+  CHECK_FALSE(fixture.changes.take_turn(0, {0, 4}));
+}
--- a/tests/object_store/replacement_test.cpp
+++ b/tests/object_store/replacement_test.cpp
@@ -121,6 +121,13 @@
     return groups.at(0);
   }
 
+  void run_answered(Duration time) {
+    for (Duration passed{}; passed < time; passed += 50ms) {
+      environment.world.run_for(50ms);
+      answer();
+    }
+  }
+
   std::uint32_t c_number = 2;  ///< Of member c in its group.
   TestEnvironment environment;
   Counters counters;
@@ -196,3 +203,28 @@
   CHECK(line->find("epoch=2 reason=b/disk-b disk_replaced") != std::string::npos);
   CHECK(line->find("rank=2 makers=maintainer-") != std::string::npos);
 }
+
+TEST_CASE("a lost disk is replaced by a controller that does not rank first when nobody else does it") {
+  maintainer_fixture fixture;
+  fixture.add(kA);
+  fixture.add(kNewB);
+  fixture.add(kC);
+  fixture.add_maintainers();
+  CHECK(fixture.after_a_while().epoch == kEpoch);
+  fixture.run_answered(8s);
+  CHECK(fixture.core.ledger.group_map().groups.at(0) == ReplicaGroup{kEpoch + 1, {kA, kNewB, kC}, {}});
+  CHECK(fixture.log.count("group_change_taken_up") == 1);
+}
+
+TEST_CASE("a silent member is not given up on the word of a controller that neither ranks first nor is a member") {
+  const ReplicaIdentity d{NodeId("d"), DiskId("disk-d")};
+  maintainer_fixture fixture;
+  fixture.add(kA);
+  fixture.add(kC);
+  fixture.add(d);
+  fixture.add_maintainers();
+  fixture.run_answered(300s);
+  CHECK(fixture.core.ledger.group_map().groups.at(0).epoch == kEpoch);
+  CHECK(fixture.log.count("group_change_pending") > 0);
+  CHECK(fixture.log.lines.back().find("reason=b/disk-b missing") != std::string::npos);
+}
