--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -11,8 +11,6 @@
 
 constexpr std::size_t kPair = 2;  ///< Members of the smallest group that has no majority without all.
 
-bool is_gone(replica_state state) { return state == replica_state::disk_replaced || state == replica_state::missing; }
-
 bool contains(const std::vector<ReplicaIdentity>& list, const ReplicaIdentity& identity) {
   return std::find(list.begin(), list.end(), identity) != list.end();
 }
@@ -161,8 +159,29 @@
   return true;
 }
 
+/// @return "node/disk state".
+std::string reason_of(const ReplicaIdentity& replica, replica_state state) {
+  return text_of(replica) + " " + name_of(state);
+}
+
 }  // namespace
 
+const char* name_of(replica_state state) {
+  switch (state) {
+    case replica_state::present:
+      return "present";
+    case replica_state::disk_replaced:
+      return "disk_replaced";
+    case replica_state::missing:
+      return "missing";
+    case replica_state::retiring:
+      return "retiring";
+    case replica_state::stopping:
+      return "stopping";
+  }
+  return "unknown";
+}
+
 std::optional<epoch_change> wanted_change(const ReplicaGroup& group, fleet_view& view, std::size_t replicas) {
   epoch_change change;
   change.next = group;
@@ -174,9 +193,14 @@
   for (const ReplicaIdentity& replica : group.replicas) {
     states.push_back(standing_of(group, replica, view));
   }
-  for (std::size_t index = 0; index < states.size(); ++index) {
-    if (is_gone(states[index]) && replace_gone(change, group, index, states[index], view)) {
-      return change;
+  // A lost disk first: no more members have to agree on its end than on that of a silent one, which none may be left
+  // to.
+  for (const replica_state gone : {replica_state::disk_replaced, replica_state::missing}) {
+    for (std::size_t index = 0; index < states.size(); ++index) {
+      if (states[index] == gone && replace_gone(change, group, index, gone, view)) {
+        change.reason = reason_of(group.replicas[index], gone);
+        return change;
+      }
     }
   }
   // Only now: a member that is to leave still votes, and who takes its place copies from all others first.
@@ -184,6 +208,7 @@
   for (std::size_t index = 0; index < states.size(); ++index) {
     const bool goes = states[index] == replica_state::retiring || states[index] == replica_state::stopping;
     if (goes && let_go(change, group, index, states[index], present, replicas, view)) {
+      change.reason = reason_of(group.replicas[index], states[index]);
       return change;
     }
   }
@@ -197,6 +222,7 @@
     if (other) {
       change.next.replicas.push_back(*other);
       std::erase(change.next.leaving, *other);
+      change.reason = std::to_string(group.replicas.size()) + " members of " + std::to_string(replicas);
       return change;
     }
   }
@@ -205,6 +231,7 @@
       std::erase_if(change.next.leaving, [&view](const ReplicaIdentity& leaver) { return view.has_gone(leaver); });
   change.rule.whole_majority = given_up > 0;
   change.rule.least_whole = least_copies(replicas);
+  change.reason = "leaving members are gone: " + text_of(group.leaving);
   return change.next.leaving.size() < group.leaving.size() ? std::optional(change) : std::nullopt;
 }
 
--- a/src/ledger/epoch_change.hpp
+++ b/src/ledger/epoch_change.hpp
@@ -18,6 +18,9 @@
   stopping,       ///< Its process was told to stop, and may not come back.
 };
 
+/// @return the name that logs show.
+const char* name_of(replica_state state);
+
 /// A disk that may hold replicas.
 struct disk_place {
   ReplicaIdentity identity;
@@ -47,6 +50,7 @@
 struct epoch_change {
   ReplicaGroup next;
   EpochRule rule;
+  std::string reason;  ///< For operators: the member and how it stands, or what else the group needs.
 };
 
 /// @param replicas how many a group ought to have.
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -33,6 +33,10 @@
 constexpr Duration kStayerPatience = 60s;
 /// A member waits so long for the maintainers to tell the store of its group's epoch before it does.
 constexpr Duration kUntoldPatience = 2s;
+/// From one controller that may found the groups to the next.
+constexpr Duration kFoundingTurn = 2s;
+/// Decisions under way at a node that does not look after the groups.
+constexpr std::size_t kMostDecisionsInTurn = 16;
 /// How often the process notes that it runs. An answer may be read after the first note that follows a standstill, so
 /// the last but one counts.
 constexpr Duration kRunCheck = 50ms;
@@ -58,7 +62,8 @@
       log_(log),
       options_(options),
       feeds_(members, {options.readers, options.relays, options.all_read_up_to}),
-      deciders_(declarations, platform) {}
+      pending_(environment, counters, log),
+      deciders_(environment, declarations, platform) {}
 
 void Controller::start() {
   started_ = environment_.now();
@@ -312,16 +317,39 @@
   if (!ledger_.has_group_map() && !knows_fleet()) {
     return;
   }
-  if (feeds_.rank_in_fleet() >= options_.maintainers) {
-    publish_overdue_groups();
-    return;
+  const bool maintains = feeds_.rank_in_fleet() < options_.maintainers;
+  if (ledger_.has_group_map()) {
+    change_groups(maintains);
+    tell_pending_changes();
   }
   if (!ledger_.has_group_map()) {
-    found_groups();
-  } else {
-    change_groups();
+    if (maintains || is_to_found()) {
+      found_groups();
+    }
+  } else if (maintains) {
     publish_groups();
+  } else {
+    publish_overdue_groups();
+  }
+}
+
+bool Controller::is_to_found() const {
+  const std::size_t rank = feeds_.rank_in_fleet();
+  if (rank == feed_tree::kNoRank) {
+    return false;
   }
+  const auto before = static_cast<Duration::rep>(rank - options_.maintainers);
+  return environment_.now() - started_ >= options_.founding_patience + kFoundingTurn * (1 + before);
+}
+
+void Controller::tell_pending_changes() {
+  change_makers makers;
+  for (const NodeId& node : feeds_.first_in_fleet(options_.maintainers)) {
+    makers.first += (makers.first.empty() ? "" : ", ") + node.str();
+  }
+  const std::size_t rank = feeds_.rank_in_fleet();
+  makers.rank = rank == feed_tree::kNoRank ? -1 : static_cast<std::int64_t>(rank);
+  pending_.tell(makers);
 }
 
 bool Controller::knows_fleet() const { return environment_.now() - started_ >= options_.founding_wait; }
@@ -363,14 +391,7 @@
   declare_groups(map);
 }
 
-const wire::MemberT* Controller::member(const NodeId& node) const {
-  for (const wire::MemberT* known : members_.members()) {
-    if (known->id == node.str()) {
-      return known;
-    }
-  }
-  return nullptr;
-}
+const wire::MemberT* Controller::member(const NodeId& node) const { return members_.find(node); }
 
 ledger::replica_state Controller::state_of(const ledger::ReplicaIdentity& replica) {
   const wire::MemberT* node = member(replica.node);
@@ -432,15 +453,18 @@
     });
   }
   std::vector<ledger::disk_place> places() const override {
-    std::vector<ledger::disk_place> result;
-    for (const wire::MemberT* node : controller_.ledger_nodes()) {
-      result.push_back({{NodeId(node->id), DiskId(node->disk_id)}, node->zone});
+    if (!places_) {
+      places_.emplace();
+      for (const wire::MemberT* node : controller_.ledger_nodes()) {
+        places_->push_back({{NodeId(node->id), DiskId(node->disk_id)}, node->zone});
+      }
     }
-    return result;
+    return *places_;
   }
 
  private:
   Controller& controller_;
+  mutable std::optional<std::vector<ledger::disk_place>> places_;  ///< Once a look: every node looks.
 };
 
 bool Controller::wants_place_of(std::uint32_t group, const ledger::ReplicaIdentity& member) {
@@ -453,17 +477,79 @@
   return change && change->rule.let_go == member;
 }
 
-void Controller::change_groups() {
+std::optional<proposal_turns> Controller::turns_at(const ledger::ReplicaGroup& group) {
+  const std::size_t rank = feeds_.rank_in_fleet();
+  if (rank == feed_tree::kNoRank) {
+    return std::nullopt;
+  }
+  const ledger::ReplicaIdentity self{NodeId(members_.self().id), DiskId(members_.self().disk_id)};
+  std::optional<std::size_t> place;
+  std::size_t there = 0;
+  for (const ledger::ReplicaIdentity& replica : group.replicas) {
+    const ledger::replica_state state = state_of(replica);
+    if (state == ledger::replica_state::disk_replaced || state == ledger::replica_state::missing) {
+      continue;
+    }
+    if (replica == self) {
+      place = there;
+    }
+    ++there;
+  }
+  // Members come first: they reach each other, or nobody can decide. Every other turn is theirs later on.
+  if (place) {
+    return proposal_turns{*place, 2 * there};
+  }
+  const std::size_t others = feeds_.count_in_fleet() - options_.maintainers;
+  return proposal_turns{there + rank - options_.maintainers, std::max<std::size_t>(1, others)};
+}
+
+bool Controller::takes_silence_for_loss(const ledger::epoch_change& change) {
+  const auto& given_up = change.rule.given_up;
+  const bool leavers_dropped = change.rule.whole_majority && !change.rule.let_go;
+  return leavers_dropped || (given_up && state_of(*given_up) == ledger::replica_state::missing);
+}
+
+bool Controller::takes_turn(std::uint32_t group, const ledger::epoch_change& change) {
+  if (deciding_.size() >= kMostDecisionsInTurn) {
+    return false;
+  }
+  // That a silent node is gone is this node's word alone: only a member's, which others have to agree with, goes for
+  // it.
+  const ledger::ReplicaGroup& description = ledger_.group_map().groups[group];
+  const bool is_member =
+      description.index_of({NodeId(members_.self().id), DiskId(members_.self().disk_id)}).has_value();
+  if (takes_silence_for_loss(change) && !is_member) {
+    return false;
+  }
+  const auto turns = turns_at(description);
+  if (!turns || !pending_.take_turn(group, *turns)) {
+    return false;
+  }
+  counters_["replica_replacements_in_turn_total"]++;
+  log_.record("group_change_taken_up", {{"group", group},
+                                        {"epoch", change.next.epoch - 1},
+                                        {"reason", change.reason},
+                                        {"pending_ms", pending_.wanted_for(group) / 1ms},
+                                        {"rank", feeds_.rank_in_fleet()},
+                                        {"turn", turns->first}});
+  return true;
+}
+
+void Controller::change_groups(bool maintains) {
   const auto& groups = ledger_.group_map().groups;
+  group_beliefs beliefs(*this);
   for (std::uint32_t group = 0; group < groups.size(); ++group) {
     if (deciding_.contains(group)) {
       continue;
     }
-    group_beliefs beliefs(*this);
     if (const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas)) {
-      begin_change(group, *change);
+      pending_.note_wanted(group, *change);
+      if (maintains || takes_turn(group, *change)) {
+        begin_change(group, *change);
+      }
       continue;
     }
+    pending_.note_calm(group);
     const auto announced = announce_until_.find(group);
     if (announced != announce_until_.end() && environment_.now() < announced->second) {
       ledger_.announce_group(group);
@@ -473,6 +559,7 @@
 
 void Controller::begin_change(std::uint32_t group, const ledger::epoch_change& change) {
   deciding_.insert(group);
+  pending_.note_attempt(group);
   if (!change.rule.sole) {
     decide(group, change);
     return;
@@ -487,6 +574,7 @@
     if (succeeded(status)) {
       decide(group, change);
     } else {
+      pending_.note_outcome(group, error_of(status));
       deciding_.erase(group);  // asked again at the next look, if it is still wanted
     }
   }));
@@ -512,6 +600,9 @@
     deciding_.erase(group);
     announce_until_[group] = environment_.now() + kAnnounceTime;
     tell_change(group, change, result);
+    if (!succeeded(result)) {
+      pending_.note_outcome(group, error_of(result));
+    }
   };
   ledger_.decide_next(group, change.next, change.rule, lifetime_.guard(decided));
 }
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -14,6 +14,7 @@
 #include "membership/membership.hpp"
 #include "object_store/declarations.hpp"
 #include "object_store/feed_tree.hpp"
+#include "object_store/pending_changes.hpp"
 #include "object_store/platform_client.hpp"
 #include "object_store/sole_deciders.hpp"
 
@@ -110,7 +111,20 @@
   bool knows_fleet() const;
   void found_groups();
   class group_beliefs;
-  void change_groups();
+  /// Looks at what is wanted of each group, and has it decided where this node is to.
+  /// @param maintains whether it is one of the few that look after the groups.
+  void change_groups(bool maintains);
+  /// @return whether it is this node's turn at a change of @p group that those who look after the groups have not made:
+  ///         they may be cut off from its members, be turned away by the store, or believe something else.
+  bool takes_turn(std::uint32_t group, const ledger::epoch_change& change);
+  /// @return whether @p change gives up a member, or a former one, that is only silent as this node believes.
+  bool takes_silence_for_loss(const ledger::epoch_change& change);
+  /// @return when it is, at changes of @p group; nothing where this node takes no new work.
+  std::optional<proposal_turns> turns_at(const ledger::ReplicaGroup& group);
+  /// @return whether this node is to found the groups, which those that rank before it have not done.
+  bool is_to_found() const;
+  /// Tells operators of changes that are wanted and not made.
+  void tell_pending_changes();
   /// Has @p change decided, after the store's grant where one member is to decide alone.
   void begin_change(std::uint32_t group, const ledger::epoch_change& change);
   void decide(std::uint32_t group, const ledger::epoch_change& change);
@@ -142,6 +156,7 @@
   const feed_tree feeds_;
   std::map<NodeId, Timestamp> missing_since_;
   std::set<std::uint32_t> deciding_;
+  pending_changes pending_;
   sole_deciders deciders_;
   std::map<std::uint32_t, Timestamp> announce_until_;  ///< Groups whose latest epoch is repeated for a while.
   std::map<ledger::ReplicaIdentity, Timestamp> leaver_gone_since_;  ///< Former members that seem to be gone.
