Sight: operations of the disk that hang, how each start opened the disk, why it ended last

What on-call saw: a node whose disk hangs looked like one that is dead; a start that ended because of a damaged database wrote its reason to standard error alone; nothing told how long opening the disk took.

Change: disk_slow and disk_slow_ended (operation, how long, callers that wait for a sync), told from a thread of their own since reads and writes keep the node's thread waiting; ledger_disk_slow_ms, ledger_disk_slow_total; disk_opening and disk_opened (took_ms, log_bytes) at each start before the node joins; disk_damaged at each start that it ends, and node_not_started as the last line; node_stopped names the error. No change of decisions.

--- a/src/ledger/rocksdb_disk.cpp
+++ b/src/ledger/rocksdb_disk.cpp
@@ -141,6 +141,22 @@
   return found.holds_group_states ? NewIdentityReason::none : NewIdentityReason::records_gone;
 }
 
+/// @return how much log the database in @p folder has to read; what cannot be told is left out.
+std::uint64_t log_bytes_in(const std::string& folder) {
+  std::uint64_t bytes = 0;
+  std::error_code failure;
+  std::filesystem::directory_iterator entry(folder + "/" + kRecordsFolder, failure);
+  for (; !failure && entry != std::filesystem::directory_iterator(); entry.increment(failure)) {
+    if (entry->path().extension() != ".log") {
+      continue;
+    }
+    std::error_code unknown;
+    const std::uintmax_t size = entry->file_size(unknown);
+    bytes += unknown ? 0 : size;
+  }
+  return bytes;
+}
+
 /// Closes the database, moves it aside and makes an empty one. Records that were moved aside before are removed.
 Status replace_records(const std::string& folder, const Executors& executors, OpenedDisk& disk) {
   disk.storage.reset();
@@ -208,6 +224,7 @@
   if (!succeeded(in_file)) {
     return error_of(in_file);
   }
+  const std::uint64_t log_bytes = log_bytes_in(folder);
   auto storage = RocksDbStorage::open(folder, executors);
   if (!succeeded(storage)) {
     return error_of(storage);
@@ -218,6 +235,7 @@
   }
   const FolderContents& found = value_of(contents);
   OpenedDisk disk;
+  disk.log_bytes = log_bytes;
   disk.storage = std::move(value_of(storage));
   disk.reason = why_new(found);
   if (disk.reason == NewIdentityReason::none) {
--- a/src/ledger/rocksdb_disk.hpp
+++ b/src/ledger/rocksdb_disk.hpp
@@ -28,6 +28,7 @@
   std::string former_identity;      ///< Which the folder named before, where it has a new one; may be empty.
   std::string former_records;       ///< Folder that records of another identity were moved to; empty: there were none.
   bool identity_file_made = false;  ///< The file beside the records was missing; made from the identity within them.
+  std::uint64_t log_bytes = 0;  ///< Of the database's log, which the opening reads; 0 where that was not to be told.
 };
 
 /// Opens the database in @p folder, or makes it. The identity stands in a file and within the database, where it is
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -81,6 +81,7 @@
   table_options.filter_policy.reset(rocksdb::NewBloomFilterPolicy(kBloomBitsPerKey));
   options.table_factory.reset(rocksdb::NewBlockBasedTableFactory(table_options));
   rocksdb::DB* database = nullptr;
+  const observed_operation observed(implementation.executors.observer, disk_operation::open);
   const rocksdb::Status status = rocksdb::DB::Open(options, implementation.folder + "/" + kRecordsFolder, &database);
   if (!status.ok()) {
     return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::storage_unwritable, status.ToString()};
@@ -136,7 +137,10 @@
   }
   rocksdb::DB& database = *implementation_->database;
   rocksdb::PinnableSlice value;
-  const rocksdb::Status status = database.Get(rocksdb::ReadOptions(), database.DefaultColumnFamily(), key, &value);
+  const rocksdb::Status status = [&] {
+    const observed_operation observed(implementation_->executors.observer, disk_operation::read);
+    return database.Get(rocksdb::ReadOptions(), database.DefaultColumnFamily(), key, &value);
+  }();
   if (status.IsNotFound()) {
     return Ok{};
   }
@@ -166,7 +170,10 @@
     return;  // the flush that goes with it fails
   }
   ++implementation_->puts;
-  const rocksdb::Status status = implementation_->database->Write(rocksdb::WriteOptions(), &batch);
+  const rocksdb::Status status = [&] {
+    const observed_operation observed(implementation_->executors.observer, disk_operation::write);
+    return implementation_->database->Write(rocksdb::WriteOptions(), &batch);
+  }();
   if (!status.ok()) {
     implementation_->log_refused = true;
     note_refused(implementation_, write_error(status));
@@ -178,6 +185,7 @@
   if (implementation_->failed) {
     return Error{ErrorKind::unavailable, "the disk refused a write"};
   }
+  const observed_operation observed(implementation_->executors.observer, disk_operation::read);
   const std::unique_ptr<rocksdb::Iterator> iterator(implementation_->database->NewIterator(rocksdb::ReadOptions()));
   iterator->Seek(after > prefix ? after : prefix);
   for (; iterator->Valid() && iterator->key().starts_with(prefix); iterator->Next()) {
@@ -196,9 +204,11 @@
   Implementation& state = *implementation_;
   if (state.under_way && state.syncing_puts == state.puts && !state.failed) {
     state.under_way->push_back(std::move(done));
+    tell_waiting(state);
     return;
   }
   state.waiting.push_back(std::move(done));
+  tell_waiting(state);
   if (state.failed) {
     fail_waiting(state);
   } else if (!state.under_way) {
@@ -215,6 +225,7 @@
   implementation->waiting.clear();
   implementation->syncing_puts = implementation->puts;
   implementation->executors.background([implementation] {
+    const observed_operation observed(implementation->executors.observer, disk_operation::sync);
     const rocksdb::Status status = implementation->log_refused ? rocksdb::Status::IOError("a write was refused")
                                                                : implementation->database->SyncWAL();
     const Status synced = status.ok() ? Status(Ok{}) : write_error(status);
@@ -225,6 +236,7 @@
 void RocksDbStorage::finish_flush(const std::shared_ptr<Implementation>& implementation, const Status& synced) {
   const auto group = std::move(implementation->under_way);
   implementation->under_way = nullptr;
+  tell_waiting(*implementation);
   if (!succeeded(synced) && !implementation->failed) {
     note_refused(implementation, error_of(synced));
   }
@@ -251,6 +263,13 @@
   }
 }
 
+void RocksDbStorage::tell_waiting(const Implementation& implementation) {
+  if (implementation.executors.observer != nullptr) {
+    const std::size_t under_way = implementation.under_way ? implementation.under_way->size() : 0;
+    implementation.executors.observer->callers_waiting(under_way + implementation.waiting.size());
+  }
+}
+
 void RocksDbStorage::note_refused(const std::shared_ptr<Implementation>& implementation, const Error& error) {
   implementation->failed = true;
   implementation->reopen_after = kReopenAfter;
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "common/environment.hpp"
+#include "ledger/disk_observer.hpp"
 #include "ledger/storage.hpp"
 
 namespace rocksdb {
@@ -21,6 +22,7 @@
   std::function<void(std::function<void()>)> owner;       ///< Runs a task on the owner's thread.
   /// Runs a task on the owner's thread after a while; needed only to try a disk again that refused a write.
   std::function<void(Duration, std::function<void()>)> after;
+  disk_observer* observer = nullptr;  ///< Outlives the storage; may be null.
 };
 
 /// Told on the owner's thread; each may be empty.
@@ -83,6 +85,7 @@
   static void finish_flush(const std::shared_ptr<Implementation>& implementation, const Status& synced);
   static void note_refused(const std::shared_ptr<Implementation>& implementation, const Error& error);
   static void fail_waiting(Implementation& implementation);
+  static void tell_waiting(const Implementation& implementation);
   static void schedule_reopen(const std::shared_ptr<Implementation>& implementation);
   static void reopen(const std::shared_ptr<Implementation>& implementation);
   static void finish_reopen(const std::shared_ptr<Implementation>& implementation, const Status& opened);
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -11,6 +11,7 @@
 #include "gateway/problem.hpp"
 #include "ledger/rocksdb_disk_opener.hpp"
 #include "node/asio_environment.hpp"
+#include "node/disk_watch.hpp"
 #include "node/held_signals.hpp"
 #include "node/node_core.hpp"
 
@@ -46,6 +47,10 @@
   Status run() {
     const Status prepared = prepare();
     if (!succeeded(prepared)) {
+      const Error& error = error_of(prepared);
+      log_event(LogLevel::error, "node_not_started",
+                {{"node", settings_.id}, {"kind", error_kind_name(error.kind)}, {"error", error.detail}});
+      stop_logging();
       return prepared;
     }
     if (disk_opener_) {
@@ -65,7 +70,8 @@
     release_reload_signal();
     context_.run();
     background_.join();
-    log_event(LogLevel::info, "node_stopped", {{"node", settings_.id}});
+    log_event(LogLevel::info, "node_stopped",
+              {{"node", settings_.id}, {"error", succeeded(failure_) ? "" : error_of(failure_).detail}});
     stop_logging();
     return failure_;
   }
@@ -112,10 +118,13 @@
     executors.after = [this](Duration delay, std::function<void()> task) {
       environment_.after(delay, std::move(task));
     };
+    executors.observer = &disk_watch_;
     const std::uint64_t random = environment_.random();
+    log_event(LogLevel::info, "disk_opening", {{"folder", settings_.data_folder}});
+    disk_opening_since_ = environment_.now();
     auto opened = ledger::open_disk(settings_.data_folder, random, executors);
     if (succeeded(opened)) {
-      tell_identity(value_of(opened));
+      tell_opened(value_of(opened));
       options.self.disk_id = value_of(opened).identity;
       storage_ = std::move(value_of(opened).storage);
     } else if (ledger::is_worth_another_attempt(error_of(opened))) {
@@ -124,12 +133,37 @@
       disk_opener_ =
           std::make_unique<ledger::disk_opener>(settings_.data_folder, random, executors, disk_opener_hooks());
     } else {
+      note_disk_damaged(error_of(opened));
       return error_of(opened);
     }
     storage_->set_hooks(disk_trouble_hooks());
     return Ok{};
   }
 
+  std::int64_t disk_opening_ms() const { return (environment_.now() - disk_opening_since_) / 1ms; }
+
+  void tell_opened(const ledger::OpenedDisk& disk) const {
+    tell_identity(disk);
+    log_event(LogLevel::info, "disk_opened",
+              {{"disk", disk.identity}, {"took_ms", disk_opening_ms()}, {"log_bytes", disk.log_bytes}});
+  }
+
+  void note_disk_damaged(const Error& error) const {
+    log_event(LogLevel::error, "disk_damaged", {{"error", error.detail}, {"took_ms", disk_opening_ms()}});
+  }
+
+  /// On any thread: the node's may wait for the disk.
+  void note_disk_slow(const slow_disk_operation& slow) {
+    log_event(LogLevel::warning, slow.has_ended ? "disk_slow_ended" : "disk_slow",
+              {{"operation", ledger::disk_operation_name(slow.operation)},
+               {"lasts_ms", slow.lasts.count()},
+               {"callers_waiting", slow.callers_waiting}});
+    asio::post(context_, [this, slow] {
+      counters_["ledger_disk_slow_ms"] = slow.has_ended ? 0 : slow.lasts.count();
+      counters_["ledger_disk_slow_total"] += slow.has_ended ? 1 : 0;
+    });
+  }
+
   static void tell_identity(const ledger::OpenedDisk& disk) {
     if (disk.reason != ledger::NewIdentityReason::none) {
       log_event(LogLevel::warning, "disk_identity_made",
@@ -180,13 +214,13 @@
     ledger::disk_opener_hooks hooks;
     hooks.refused = [this](const Error& error) { note_disk_not_opened(error); };
     hooks.opened = [this](ledger::OpenedDisk disk) {
-      tell_identity(disk);
+      tell_opened(disk);
       storage_->take_over(std::move(disk.storage));
       note_disk_regained();
       core_->on_disk_opened(DiskId(disk.identity));
     };
     hooks.given_up = [this](const Error& error) {
-      log_event(LogLevel::error, "disk_damaged", {{"error", error.detail}});
+      note_disk_damaged(error);
       failure_ = error;
       context_.stop();
     };
@@ -352,6 +386,7 @@
   ProcessDecisionLog log_;
   std::unique_ptr<BackendConnections> backends_;
   std::unique_ptr<object_store::PlatformClient> platform_;
+  disk_watch disk_watch_{[this](const slow_disk_operation& slow) { note_disk_slow(slow); }};
   asio::thread_pool background_;
   std::unique_ptr<ledger::RocksDbStorage> storage_;
   std::unique_ptr<ledger::disk_opener> disk_opener_;  ///< Where the disk could not be opened at the start.
@@ -364,6 +399,7 @@
   asio::signal_set reload_signal_;
   Timestamp drain_deadline_{};
   Timestamp disk_refused_at_{};
+  Timestamp disk_opening_since_{};
   Status failure_ = Ok{};  ///< Why the node ends by itself.
   bool fleet_known_ = false;
   bool was_ready_ = false;
--- /dev/null
+++ b/src/node/disk_watch.cpp
@@ -0,0 +1,85 @@
+#include "node/disk_watch.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace madderdeck::node {
+namespace {
+
+constexpr std::chrono::milliseconds kLookEvery{250};
+
+std::chrono::milliseconds in_milliseconds(disk_watch::clock::duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration);
+}
+
+}  // namespace
+
+disk_watch::disk_watch(Tell tell) : tell_(std::move(tell)), thread_([this] { watch(); }) {}
+
+disk_watch::~disk_watch() {
+  {
+    const std::lock_guard lock(mutex_);
+    ends_ = true;
+  }
+  changed_.notify_all();
+  thread_.join();
+}
+
+void disk_watch::began(ledger::disk_operation operation) {
+  const std::lock_guard lock(mutex_);
+  Kind& kind = kind_of(operation);
+  if (kind.depth++ == 0) {
+    kind.began = clock::now();
+    kind.told_next = kSlowAfter;
+  }
+}
+
+void disk_watch::ended(ledger::disk_operation operation) {
+  slow_disk_operation slow;
+  {
+    const std::lock_guard lock(mutex_);
+    Kind& kind = kind_of(operation);
+    if (--kind.depth > 0) {
+      return;
+    }
+    slow = {operation, in_milliseconds(clock::now() - kind.began), callers_waiting_, true};
+  }
+  if (slow.lasts >= kSlowAfter) {
+    tell_(slow);
+  }
+}
+
+void disk_watch::callers_waiting(std::size_t count) {
+  const std::lock_guard lock(mutex_);
+  callers_waiting_ = count;
+}
+
+void disk_watch::watch() {
+  std::unique_lock lock(mutex_);
+  while (!ends_) {
+    changed_.wait_for(lock, kLookEvery, [this] { return ends_; });
+    look(lock);
+  }
+}
+
+void disk_watch::look(std::unique_lock<std::mutex>& lock) {
+  const auto now = clock::now();
+  std::vector<slow_disk_operation> found;
+  for (std::size_t number = 0; number < kinds_.size(); ++number) {
+    Kind& kind = kinds_.at(number);
+    const auto lasts = now - kind.began;
+    if (kind.depth == 0 || lasts < kind.told_next) {
+      continue;
+    }
+    kind.told_next = lasts + std::min<clock::duration>(lasts, kMostBetweenTellings);
+    found.push_back({static_cast<ledger::disk_operation>(number), in_milliseconds(lasts), callers_waiting_, false});
+  }
+  lock.unlock();
+  for (const slow_disk_operation& slow : found) {
+    tell_(slow);
+  }
+  lock.lock();
+}
+
+}  // namespace madderdeck::node
--- /dev/null
+++ b/src/node/disk_watch.hpp
@@ -0,0 +1,62 @@
+#pragma once
+/// @file Tells of operations of the disk that last for long, while they last.
+
+#include <array>
+#include <chrono>
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+
+#include "ledger/disk_observer.hpp"
+
+namespace madderdeck::node {
+
+/// An operation of the disk that has been under way for long.
+struct slow_disk_operation {
+  ledger::disk_operation operation = ledger::disk_operation::open;
+  std::chrono::milliseconds lasts{};  ///< So far, or in all where it has ended.
+  std::size_t callers_waiting = 0;    ///< For a sync.
+  bool has_ended = false;
+};
+
+/// Looks from a thread of its own, since the node's may be the one that waits for the disk.
+class disk_watch : public ledger::disk_observer {
+ public:
+  using clock = std::chrono::steady_clock;
+  using Tell = std::function<void(const slow_disk_operation&)>;
+
+  /// An operation is told of after this long, then after twice as long, and so on, and when it has ended.
+  static constexpr std::chrono::milliseconds kSlowAfter{1000};
+  static constexpr std::chrono::milliseconds kMostBetweenTellings{60'000};
+
+  /// @param tell called on any thread.
+  explicit disk_watch(Tell tell);
+  ~disk_watch() override;
+  disk_watch(const disk_watch&) = delete;
+  disk_watch& operator=(const disk_watch&) = delete;
+
+  void began(ledger::disk_operation operation) override;
+  void ended(ledger::disk_operation operation) override;
+  void callers_waiting(std::size_t count) override;
+
+ private:
+  struct Kind {
+    unsigned depth = 0;
+    clock::time_point began{};
+    clock::duration told_next{};
+  };
+  Kind& kind_of(ledger::disk_operation operation) { return kinds_.at(static_cast<std::size_t>(operation)); }
+  void watch();
+  void look(std::unique_lock<std::mutex>& lock);
+
+  const Tell tell_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::array<Kind, ledger::kDiskOperations> kinds_;
+  std::size_t callers_waiting_ = 0;
+  bool ends_ = false;
+  std::thread thread_;
+};
+
+}  // namespace madderdeck::node
--- a/tests/node/full_disk_start_test.cpp
+++ b/tests/node/full_disk_start_test.cpp
@@ -63,6 +63,8 @@
     }
     return false;
   }
+  /// Damages the database so that it cannot be opened.
+  void damage_disk() const { std::ofstream(path("data/records/CURRENT"), std::ios::trunc) << "\n"; }
   bool runs() { return !process_.poll_ended(); }
   const std::string& log() const { return log_; }
   std::string identity() const {
@@ -112,3 +114,18 @@
   CHECK_FALSE(node.identity().empty());
   CHECK((identity.empty() || identity == node.identity()));
 }
+
+TEST_CASE("a node tells how its start opened the disk, and last why a damaged one ends it") {
+  node_beside_disk node("127.98.6.2");
+  node.start(false);
+  REQUIRE(node.tells("node_started"));
+  CHECK(node.tells("disk_opened"));
+  CHECK(node.log().find("disk_opened") < node.log().find("node_started"));
+  node.stop();
+  node.damage_disk();
+  node.start(false);
+  REQUIRE(node.tells("node_not_started"));
+  CHECK(node.tells("disk_damaged"));
+  CHECK(node.log().find("disk_damaged") < node.log().find("node_not_started"));
+  CHECK(node.log().find("\"kind\":\"corrupted\"") != std::string::npos);
+}
