Test: schedules of losses of power, each of which keeps any part of what was not synced

A disk whose database cannot be opened ends its node at each start, for good. Whether losses of power can lead there was tested with single damages of one log only. Files in memory now lose each unsynced write (kept, dropped, torn: its first or its last part), each unsynced creation, rename and removal apart from the others, at any change of a file, also in the middle of opening, of writing tables and of merging them; five losses in a row on each disk. Checked at each start: the database opens, its identity is there, each confirmed record is there, records put together are there together, and what was read after an opening is still there after the next loss. The size of the table in memory can be given for it.

Not covered: the file disk_id and moving records aside, which do not go through the database's file system.

--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -16,7 +16,6 @@
 
 namespace madderdeck::ledger {
 namespace {
-constexpr std::size_t kWriteBufferBytes = 16 << 20;
 constexpr std::size_t kCacheBytes = 8 << 20;
 constexpr int kBloomBitsPerKey = 10;
 
@@ -58,6 +57,7 @@
   std::uint64_t synced_puts = 0;
   std::string folder;
   rocksdb::Env* env = nullptr;
+  std::size_t write_buffer_bytes = kWriteBufferBytes;
   DiskTroubleHooks hooks;
   /// A write or sync failed: the owner does not touch the database, which the background task opens again.
   bool failed = false;
@@ -72,7 +72,7 @@
   options.create_if_missing = true;
   // Opens with what was synced, whatever a loss of power left of the writes after it.
   options.wal_recovery_mode = rocksdb::WALRecoveryMode::kPointInTimeRecovery;
-  options.write_buffer_size = kWriteBufferBytes;
+  options.write_buffer_size = implementation.write_buffer_bytes;
   options.max_background_jobs = 2;
   options.compression = rocksdb::kNoCompression;
   options.info_log = std::make_shared<MessageLog>();
@@ -95,10 +95,11 @@
 RocksDbStorage::~RocksDbStorage() = default;
 
 Result<std::unique_ptr<RocksDbStorage>> RocksDbStorage::open(const std::string& folder, Executors executors,
-                                                             rocksdb::Env* env) {
+                                                             rocksdb::Env* env, std::size_t write_buffer_bytes) {
   auto implementation = std::make_shared<Implementation>();
   implementation->folder = folder;
   implementation->env = env != nullptr ? env : rocksdb::Env::Default();
+  implementation->write_buffer_bytes = write_buffer_bytes;
   implementation->executors = std::move(executors);
   const Status opened = open_database(*implementation);
   if (!succeeded(opened)) {
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -36,6 +36,9 @@
 inline constexpr Duration kReopenAfter = 250ms;
 inline constexpr Duration kMostReopenAfter = 2s;
 
+/// Of the table in memory; a full one is written to the disk.
+inline constexpr std::size_t kWriteBufferBytes = 16 << 20;
+
 /// The database's folder within the disk folder.
 inline constexpr char kRecordsFolder[] = "records";
 
@@ -51,7 +54,8 @@
   /// @param env the file system; null for the system's own.
   /// @return ErrorKind::storage_unwritable or ErrorKind::corrupted on failure.
   static Result<std::unique_ptr<RocksDbStorage>> open(const std::string& folder, Executors executors,
-                                                      rocksdb::Env* env = nullptr);
+                                                      rocksdb::Env* env = nullptr,
+                                                      std::size_t write_buffer_bytes = kWriteBufferBytes);
   /// @return storage without a database, as after a refused write, until take_over().
   static std::unique_ptr<RocksDbStorage> make_unopened();
   /// Goes on with the database of @p opened, which goes. This one has none.
