A node that starts while its disk hangs joins and uses the disk later

What others saw: a node whose disk did not answer when it started was absent for as long: no socket, no word to peers, no line but disk_opening; it could not be told from a machine that is gone. Cause: the start opened the disk on the node's own thread before it listened. The whole opening counts as one operation for disk_slow.

Evidence, before (the disk's identity is a named pipe that nobody has answered yet), madderdeck-tests "a node that starts while its disk hangs joins and uses the disk later": 3 of 19 assertions failed, CHECK( node.tells("node_started") ) false after 30 s. After: with "a node that starts while its disk*" and "a node tells how its start*" 68 assertions passed. Conclusion: shown for a hang of the start only. A disk that hangs later still keeps the node's thread in reads and writes, and a node that ends waits for the operation under way.

--- a/src/ledger/rocksdb_disk.cpp
+++ b/src/ledger/rocksdb_disk.cpp
@@ -217,6 +217,7 @@
 }
 
 Result<OpenedDisk> open_disk(const std::string& folder, std::uint64_t random, const Executors& executors) {
+  const observed_operation observed(executors.observer, disk_operation::open);
   if (const Status made = make_folder(folder); !succeeded(made)) {
     return error_of(made);
   }
--- a/src/ledger/rocksdb_disk_opener.hpp
+++ b/src/ledger/rocksdb_disk_opener.hpp
@@ -1,8 +1,10 @@
 #pragma once
-/// @file Opens a disk folder that refuses writes at first, as soon as it takes them.
+/// @file Opens a disk folder; one that hangs or refuses writes at first, as soon as it does not.
 
 #include <cstdint>
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 
 #include "ledger/rocksdb_disk.hpp"
@@ -25,10 +27,16 @@
   /// @param random a new identity is made of it.
   disk_opener(std::string folder, std::uint64_t random, Executors executors, disk_opener_hooks hooks);
 
-  /// Begins, after the first pause.
-  void start();
+  /// Begins the first attempt.
+  void begin();
+  /// Waits for the first attempt, on the owner's thread.
+  /// @return how it ended, of which no hook is told; nothing where it goes on after @p patience: the hooks are told.
+  std::optional<Result<OpenedDisk>> wait(Duration patience);
+  /// Tries again after a pause, for a first attempt that failed.
+  void try_again();
 
  private:
+  struct First;
   void schedule();
   void attempt();
   void finish(Result<OpenedDisk> opened);
@@ -37,6 +45,7 @@
   const std::uint64_t random_;
   const Executors executors_;
   const disk_opener_hooks hooks_;
+  const std::shared_ptr<First> first_;
   Duration pause_;
 };
 
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <csignal>
+#include <optional>
 #include <random>
 
 #include "gateway/api.hpp"
@@ -24,6 +25,8 @@
 /// Callers measure a connection's rest from a little later than this node does.
 constexpr std::chrono::milliseconds kIdleMargin{500};
 constexpr std::size_t kProbeBodyBytes = 4096;
+/// A node whose disk is not open by then joins without it.
+constexpr Duration kOpeningPatience = disk_watch::kSlowAfter;
 /// What is confirmed stands on two disks or more, whatever may be lost; more than seven cost more than they save.
 constexpr std::size_t kLeastReplicas = 3;
 constexpr std::size_t kMostReplicas = 7;
@@ -53,9 +56,8 @@
       stop_logging();
       return prepared;
     }
-    if (disk_opener_) {
+    if (disk_is_awaited_) {
       core_->on_disk_refused();
-      disk_opener_->start();
     }
     core_->start();
     watch_readiness();
@@ -122,24 +124,36 @@
     const std::uint64_t random = environment_.random();
     log_event(LogLevel::info, "disk_opening", {{"folder", settings_.data_folder}});
     disk_opening_since_ = environment_.now();
-    auto opened = ledger::open_disk(settings_.data_folder, random, executors);
-    if (succeeded(opened)) {
-      tell_opened(value_of(opened));
-      options.self.disk_id = value_of(opened).identity;
-      storage_ = std::move(value_of(opened).storage);
-    } else if (ledger::is_worth_another_attempt(error_of(opened))) {
-      note_disk_refused(error_of(opened));
+    disk_opener_ = std::make_unique<ledger::disk_opener>(settings_.data_folder, random, executors, disk_opener_hooks());
+    disk_opener_->begin();
+    auto outcome = disk_opener_->wait(kOpeningPatience);
+    disk_is_awaited_ = !outcome || !succeeded(*outcome);
+    if (!disk_is_awaited_) {
+      ledger::OpenedDisk& disk = value_of(*outcome);
+      tell_opened(disk);
+      options.self.disk_id = disk.identity;
+      storage_ = std::move(disk.storage);
+    } else if (!outcome || ledger::is_worth_another_attempt(error_of(*outcome))) {
       storage_ = ledger::RocksDbStorage::make_unopened();
-      disk_opener_ =
-          std::make_unique<ledger::disk_opener>(settings_.data_folder, random, executors, disk_opener_hooks());
+      await_disk(outcome);
     } else {
-      note_disk_damaged(error_of(opened));
-      return error_of(opened);
+      note_disk_damaged(error_of(*outcome));
+      return error_of(*outcome);
     }
     storage_->set_hooks(disk_trouble_hooks());
     return Ok{};
   }
 
+  /// The node joins without its disk, which refuses writes, or has not answered at all.
+  void await_disk(const std::optional<Result<ledger::OpenedDisk>>& outcome) {
+    if (outcome) {
+      note_disk_refused(error_of(*outcome));
+      disk_opener_->try_again();
+    } else {
+      note_disk_refused(Error{ErrorKind::unavailable, "opening it is still under way"});
+    }
+  }
+
   std::int64_t disk_opening_ms() const { return (environment_.now() - disk_opening_since_) / 1ms; }
 
   void tell_opened(const ledger::OpenedDisk& disk) const {
@@ -389,7 +403,8 @@
   disk_watch disk_watch_{[this](const slow_disk_operation& slow) { note_disk_slow(slow); }};
   asio::thread_pool background_;
   std::unique_ptr<ledger::RocksDbStorage> storage_;
-  std::unique_ptr<ledger::disk_opener> disk_opener_;  ///< Where the disk could not be opened at the start.
+  std::unique_ptr<ledger::disk_opener> disk_opener_;
+  bool disk_is_awaited_ = false;  ///< It was not open when the node joined.
   std::unique_ptr<NodeCore> core_;
   std::unique_ptr<gateway::ApiContext> api_context_;
   std::unique_ptr<CallerInterface> api_;
--- a/tests/node/full_disk_start_test.cpp
+++ b/tests/node/full_disk_start_test.cpp
@@ -65,6 +65,13 @@
   }
   /// Damages the database so that it cannot be opened.
   void damage_disk() const { std::ofstream(path("data/records/CURRENT"), std::ios::trunc) << "\n"; }
+  /// Lets the disk's identity be read only once somebody answers: the disk hangs.
+  void hang_disk() const {
+    std::filesystem::remove(path("data/disk_id"));
+    REQUIRE(::mkfifo(path("data/disk_id").c_str(), 0600) == 0);
+  }
+  /// Ends the hang of hang_disk().
+  void answer_disk(const std::string& identity) const { std::ofstream(path("data/disk_id")) << identity << "\n"; }
   bool runs() { return !process_.poll_ended(); }
   const std::string& log() const { return log_; }
   std::string identity() const {
@@ -129,3 +136,24 @@
   CHECK(node.log().find("disk_damaged") < node.log().find("node_not_started"));
   CHECK(node.log().find("\"kind\":\"corrupted\"") != std::string::npos);
 }
+
+// A node whose disk did not answer when it started was absent for as long: it neither listened nor joined.
+TEST_CASE("a node that starts while its disk hangs joins and uses the disk later") {
+  node_beside_disk node("127.98.6.3");
+  node.start(false);
+  REQUIRE(node.tells("node_started"));
+  node.stop();
+  const std::string identity = node.identity();
+  node.hang_disk();
+  node.start(false);
+  CHECK(node.tells("node_started"));
+  CHECK(node.tells("disk_slow"));
+  INFO(node.log());
+  CHECK(node.log().find("disk_opened") == std::string::npos);
+  CHECK(node.runs());
+  node.answer_disk(identity);
+  CHECK(node.tells("disk_writes_regained"));
+  CHECK(node.tells("disk_opened"));
+  CHECK(node.log().find(identity) != std::string::npos);
+  CHECK(node.runs());
+}
