Test, failing: a loss of power while the database writes a change of its tables leaves it unusable for good

What operators saw: a node that ends at each start with "Corruption: checksum mismatch in file MANIFEST-...". The new test loses power before each change of a file of a short run and tears each unsynced write: four ways for each of 150 moments.

--- a/tests/ledger/rocksdb_power_schedules_test.cpp
+++ b/tests/ledger/rocksdb_power_schedules_test.cpp
@@ -6,7 +6,10 @@
 #include <array>
 #include <cstdlib>
 #include <memory>
+#include <optional>
 #include <random>
+#include <string>
+#include <vector>
 
 #include "ledger/rocksdb_disk.hpp"
 #include "support/lossy_files.hpp"
@@ -152,6 +155,46 @@
   std::array<Versions, kKeys> records_{};
 };
 
+/// A disk with its folder alone.
+lossy_names empty_disk() {
+  auto folder = std::make_shared<lossy_file>();
+  folder->is_folder = true;
+  return {{kFolder, folder}};
+}
+
+std::string record_of_run(unsigned number) { return "a/" + std::to_string(number); }
+
+/// Makes a database, fills more than a table with records, each of which is confirmed, and closes it.
+/// @return how many were confirmed before power was lost.
+unsigned confirm_records(lossy_files& files) {
+  constexpr unsigned kRecords = 30;
+  const auto opened = RocksDbStorage::open(kFolder, tests::inline_executors(), &files, kSmallBuffer);
+  REQUIRE(succeeded(opened));
+  unsigned confirmed = 0;
+  for (unsigned number = 0; number < kRecords; ++number) {
+    value_of(opened)->put(record_of_run(number), wire::Bytes(kMostValueBytes, 1));
+    tests::flush(*value_of(opened));
+    confirmed += files.has_lost_power() ? 0 : 1;
+  }
+  return confirmed;
+}
+
+/// @return what is wrong with a disk that has to hold @p confirmed records; empty: nothing.
+std::string fault_of(const lossy_names& left, unsigned confirmed) {
+  lossy_files files(left, 0);
+  const auto opened = RocksDbStorage::open(kFolder, tests::inline_executors(), &files, kSmallBuffer);
+  if (!succeeded(opened)) {
+    return error_of(opened).detail;
+  }
+  for (unsigned number = 0; number < confirmed; ++number) {
+    const auto found = value_of(opened)->get(record_of_run(number));
+    if (!succeeded(found) || !value_of(found)) {
+      return "record " + std::to_string(number) + " of " + std::to_string(confirmed) + " is not there";
+    }
+  }
+  return "";
+}
+
 std::uint64_t from_environment(const char* name, std::uint64_t otherwise) {
   const char* const given = std::getenv(name);
   return given != nullptr ? std::strtoull(given, nullptr, 10) : otherwise;
@@ -166,3 +209,26 @@
     schedule(seed).run();
   }
 }
+
+// Ended nodes for good: "checksum mismatch in file MANIFEST" at each start, after a loss of power in the moment between
+// the write of a change of tables and its sync.
+TEST_CASE("a disk opens after a loss of power that tears what its database was writing, whatever that was") {
+  constexpr std::size_t kMostChangesOfRun = 150;
+  constexpr unsigned kTearings = 4;
+  std::vector<std::string> faults;
+  for (std::size_t changes = 0; changes < kMostChangesOfRun; ++changes) {
+    for (unsigned tearing = 0; tearing < kTearings; ++tearing) {
+      lossy_files files(empty_disk(), changes * kTearings + tearing);
+      files.set_kept({1, 1, 1});
+      files.lose_power_after(changes);
+      const unsigned confirmed = confirm_records(files);
+      files.lose_power_now();
+      const std::string fault = fault_of(files.left(), confirmed);
+      if (!fault.empty()) {
+        faults.push_back(fault);
+      }
+    }
+  }
+  INFO((faults.empty() ? "" : faults.front()));
+  CHECK(faults.empty());
+}
--- a/tests/support/lossy_files.cpp
+++ b/tests/support/lossy_files.cpp
@@ -152,6 +152,11 @@
   lose_power();
 }
 
+void lossy_files::set_kept(const kept_shares& kept) {
+  const std::lock_guard lock(mutex_);
+  kept_ = kept;
+}
+
 std::shared_ptr<lossy_file> lossy_files::find(const std::string& name) const {
   const auto found = names_.find(tidy(name));
   return found == names_.end() ? nullptr : found->second;
@@ -212,14 +217,14 @@
   changes_ = std::move(others);
 }
 
-std::string lossy_files::after_loss(const lossy_file& file, double kept, double torn) {
+std::string lossy_files::after_loss(const lossy_file& file, const kept_shares& kept) {
   std::string bytes = file.synced;
   for (const lossy_file::Write& write : file.unsynced) {
-    if (!chance(kept)) {
+    if (!chance(kept.writes)) {
       continue;
     }
     lossy_file::Write part = write;
-    if (!write.cuts && !write.bytes.empty() && chance(torn)) {
+    if (!write.cuts && !write.bytes.empty() && chance(kept.torn)) {
       const std::size_t border = std::uniform_int_distribution<std::size_t>(0, write.bytes.size() - 1)(random_);
       const bool first = chance(0.5);
       part.bytes = first ? write.bytes.substr(0, border) : write.bytes.substr(border);
@@ -230,18 +235,24 @@
   return bytes;
 }
 
+kept_shares lossy_files::draw_kept() {
+  constexpr std::array<double, 5> kShares{0, 0.2, 0.5, 0.8, 1};
+  const auto share = [&] { return kShares.at(std::uniform_int_distribution<std::size_t>(0, 4)(random_)); };
+  kept_shares kept;
+  kept.changes = share();
+  kept.writes = share();
+  kept.torn = share() / 2;
+  return kept;
+}
+
 void lossy_files::lose_power() {
   if (has_lost_power_) {
     return;
   }
-  constexpr std::array<double, 5> kShares{0, 0.2, 0.5, 0.8, 1};
-  const auto share = [&] { return kShares.at(std::uniform_int_distribution<std::size_t>(0, 4)(random_)); };
-  const double changes_kept = share();
-  const double writes_kept = share();
-  const double writes_torn = share() / 2;
+  const kept_shares kept = kept_ ? *kept_ : draw_kept();
   lossy_names names = synced_names_;
   for (const Change& change : changes_) {
-    if (!chance(changes_kept)) {
+    if (!chance(kept.changes)) {
       continue;
     }
     forget(names, change.removed, change.file);
@@ -255,7 +266,7 @@
     }
     auto survivor = std::make_shared<lossy_file>();
     survivor->is_folder = file->is_folder;
-    survivor->bytes = after_loss(*file, writes_kept, writes_torn);
+    survivor->bytes = after_loss(*file, kept);
     survivor->synced = survivor->bytes;
     left_[name] = survivor;
   }
--- a/tests/support/lossy_files.hpp
+++ b/tests/support/lossy_files.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -27,6 +28,13 @@
   std::vector<Write> unsynced;  ///< Each survives, is lost or torn.
 };
 
+/// Of what is not synced, which shares a loss of power keeps.
+struct kept_shares {
+  double changes = 0;  ///< Of created, renamed and removed files.
+  double writes = 0;
+  double torn = 0;  ///< Of the writes that are kept.
+};
+
 /// Names with their files.
 using lossy_names = std::map<std::string, std::shared_ptr<lossy_file>>;
 
@@ -40,6 +48,8 @@
   /// go on with files that nobody reads again.
   void lose_power_after(std::size_t changes);
   void lose_power_now();
+  /// Sets what the loss keeps, which is drawn otherwise.
+  void set_kept(const kept_shares& kept);
   bool has_lost_power() const { return has_lost_power_; }
   /// @return what the loss left.
   lossy_names left() const { return left_; }
@@ -90,7 +100,8 @@
   void change(Change change);
   void before_change();
   void lose_power();
-  std::string after_loss(const lossy_file& file, double kept, double torn);
+  kept_shares draw_kept();
+  std::string after_loss(const lossy_file& file, const kept_shares& kept);
   void write(lossy_file& file, lossy_file::Write write);
   void sync(const std::string& name, const std::shared_ptr<lossy_file>& file);
   void sync_folder(const std::string& folder);
@@ -102,6 +113,7 @@
   lossy_names synced_names_;     ///< What survives in any case.
   std::vector<Change> changes_;  ///< Not synced, in their order.
   lossy_names left_;
+  std::optional<kept_shares> kept_;
   std::size_t changes_left_ = 0;  ///< Until power is lost; 0: not decided.
   std::atomic<bool> has_lost_power_ = false;
 };
