A loss of power while the database describes its tables no longer leaves a disk that cannot be opened

What operators saw: a node that ends at each start, for good, with "Corruption: checksum mismatch in file MANIFEST-...". Cause: the database appends each change of its tables (a full table in memory, a merge) to its manifest and syncs it. A loss of power between the two may leave the write torn, or a later one without an earlier one; the database opens no manifest with such a record, whatever the log holds. Change: each change of tables makes a new manifest (max_manifest_file_size); it is named in CURRENT only once it is synced, and never written on after that.

Manifests do not pile up: a new test counts them. Cost, not measured: a flush or merge of tables writes the whole list of tables and renames a file, with two more syncs.

--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -18,6 +18,7 @@
 namespace {
 constexpr std::size_t kCacheBytes = 8 << 20;
 constexpr int kBloomBitsPerKey = 10;
+constexpr std::size_t kManifestOfOneChange = 1;  ///< Bytes after which the next change goes to a new manifest.
 
 rocksdb::Slice slice_of(const wire::Bytes& bytes) {
   return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
@@ -72,6 +73,9 @@
   options.create_if_missing = true;
   // Opens with what was synced, whatever a loss of power left of the writes after it.
   options.wal_recovery_mode = rocksdb::WALRecoveryMode::kPointInTimeRecovery;
+  // Each change of tables makes a new manifest, which is named only once it is synced: one that is written on and torn
+  // by a loss of power before its sync cannot be opened.
+  options.max_manifest_file_size = kManifestOfOneChange;
   options.write_buffer_size = implementation.write_buffer_bytes;
   options.max_background_jobs = 2;
   options.compression = rocksdb::kNoCompression;
--- a/tests/ledger/rocksdb_power_schedules_test.cpp
+++ b/tests/ledger/rocksdb_power_schedules_test.cpp
@@ -3,6 +3,7 @@
 /// synced.
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 #include <memory>
@@ -232,3 +233,15 @@
   INFO((faults.empty() ? "" : faults.front()));
   CHECK(faults.empty());
 }
+
+TEST_CASE("a database that changes its tables often keeps few of its descriptions of them") {
+  constexpr std::size_t kMostManifests = 3;  ///< The present one, and what is not removed yet.
+  lossy_files files(empty_disk(), 0);
+  confirm_records(files);
+  std::vector<std::string> names;
+  REQUIRE(files.GetChildren(std::string(kFolder) + "/" + kRecordsFolder, &names).ok());
+  const auto manifests =
+      std::count_if(names.begin(), names.end(), [](const std::string& name) { return name.starts_with("MANIFEST"); });
+  CHECK(manifests >= 1);
+  CHECK(manifests <= static_cast<std::ptrdiff_t>(kMostManifests));
+}
