--- a/src/ledger/rocksdb_disk_opener.cpp
+++ b/src/ledger/rocksdb_disk_opener.cpp
@@ -1,8 +1,8 @@
 #include "ledger/rocksdb_disk_opener.hpp"
 
 #include <algorithm>
-#include <condition_variable>
-#include <mutex>
+#include <atomic>
+#include <future>
 #include <utility>
 
 namespace madderdeck::ledger {
@@ -13,10 +13,10 @@
 
 /// The first attempt, as both threads see it.
 struct disk_opener::First {
-  std::mutex mutex;
-  std::condition_variable ended;
+  enum class State { under_way, ended, left_to_hooks };
   std::optional<Result<OpenedDisk>> outcome;
-  bool is_left_to_hooks = false;
+  std::promise<void> ended;
+  std::atomic<State> state = State::under_way;
 };
 
 disk_opener::disk_opener(std::string folder, std::uint64_t random, Executors executors, disk_opener_hooks hooks)
@@ -29,24 +29,25 @@
 
 void disk_opener::begin() {
   executors_.background([this] {
-    auto opened = std::make_shared<Result<OpenedDisk>>(open_disk(folder_, random_, executors_));
-    const std::lock_guard lock(first_->mutex);
-    if (first_->is_left_to_hooks) {
-      executors_.owner([this, opened] { finish(std::move(*opened)); });
+    First& first = *first_;
+    first.outcome = open_disk(folder_, random_, executors_);
+    if (first.state.exchange(First::State::ended) == First::State::left_to_hooks) {
+      executors_.owner([this] { finish(std::move(*first_->outcome)); });
       return;
     }
-    first_->outcome = std::move(*opened);
-    first_->ended.notify_all();
+    first.ended.set_value();
   });
 }
 
 std::optional<Result<OpenedDisk>> disk_opener::wait(Duration patience) {
-  std::unique_lock lock(first_->mutex);
-  if (!first_->ended.wait_for(lock, patience, [this] { return first_->outcome.has_value(); })) {
-    first_->is_left_to_hooks = true;
+  First& first = *first_;
+  std::future<void> ended = first.ended.get_future();
+  const bool is_late = ended.wait_for(patience) != std::future_status::ready;
+  if (is_late && first.state.exchange(First::State::left_to_hooks) == First::State::under_way) {
     return std::nullopt;
   }
-  return std::exchange(first_->outcome, std::nullopt);
+  ended.wait();
+  return std::exchange(first.outcome, std::nullopt);
 }
 
 void disk_opener::try_again() { schedule(); }
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -54,6 +54,7 @@
       log_event(LogLevel::error, "node_not_started",
                 {{"node", settings_.id}, {"kind", error_kind_name(error.kind)}, {"error", error.detail}});
       stop_logging();
+      background_.join();  // an opening of the disk may be under way
       return prepared;
     }
     if (disk_is_awaited_) {
