--- a/src/ledger/rocksdb_disk_opener.cpp
+++ b/src/ledger/rocksdb_disk_opener.cpp
@@ -1,7 +1,8 @@
 #include "ledger/rocksdb_disk_opener.hpp"
 
 #include <algorithm>
-#include <memory>
+#include <atomic>
+#include <future>
 #include <utility>
 
 namespace madderdeck::ledger {
@@ -10,14 +11,46 @@
   return error.kind == ErrorKind::storage_unwritable || error.kind == ErrorKind::unavailable;
 }
 
+/// The first attempt, as both threads see it.
+struct disk_opener::First {
+  enum class State { under_way, ended, left_to_hooks };
+  std::optional<Result<OpenedDisk>> outcome;
+  std::promise<void> ended;
+  std::atomic<State> state = State::under_way;
+};
+
 disk_opener::disk_opener(std::string folder, std::uint64_t random, Executors executors, disk_opener_hooks hooks)
     : folder_(std::move(folder)),
       random_(random),
       executors_(std::move(executors)),
       hooks_(std::move(hooks)),
+      first_(std::make_shared<First>()),
       pause_(kReopenAfter) {}
 
-void disk_opener::start() { schedule(); }
+void disk_opener::begin() {
+  executors_.background([this] {
+    First& first = *first_;
+    first.outcome = open_disk(folder_, random_, executors_);
+    if (first.state.exchange(First::State::ended) == First::State::left_to_hooks) {
+      executors_.owner([this] { finish(std::move(*first_->outcome)); });
+      return;
+    }
+    first.ended.set_value();
+  });
+}
+
+std::optional<Result<OpenedDisk>> disk_opener::wait(Duration patience) {
+  First& first = *first_;
+  std::future<void> ended = first.ended.get_future();
+  const bool is_late = ended.wait_for(patience) != std::future_status::ready;
+  if (is_late && first.state.exchange(First::State::left_to_hooks) == First::State::under_way) {
+    return std::nullopt;
+  }
+  ended.wait();
+  return std::exchange(first.outcome, std::nullopt);
+}
+
+void disk_opener::try_again() { schedule(); }
 
 void disk_opener::schedule() {
   executors_.after(pause_, [this] { attempt(); });
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "common/environment.hpp"
+#include "ledger/disk_observer.hpp"
 #include "ledger/storage.hpp"
 
 namespace rocksdb {
@@ -21,6 +22,7 @@
   std::function<void(std::function<void()>)> owner;       ///< Runs a task on the owner's thread.
   /// Runs a task on the owner's thread after a while; needed only to try a disk again that refused a write.
   std::function<void(Duration, std::function<void()>)> after;
+  disk_observer* observer = nullptr;  ///< Outlives the storage; may be null.
 };
 
 /// Told on the owner's thread; each may be empty.
@@ -34,6 +36,9 @@
 inline constexpr Duration kReopenAfter = 250ms;
 inline constexpr Duration kMostReopenAfter = 2s;
 
+/// Of the table in memory; a full one is written to the disk.
+inline constexpr std::size_t kWriteBufferBytes = 16 << 20;
+
 /// The database's folder within the disk folder.
 inline constexpr char kRecordsFolder[] = "records";
 
@@ -49,7 +54,8 @@
   /// @param env the file system; null for the system's own.
   /// @return ErrorKind::storage_unwritable or ErrorKind::corrupted on failure.
   static Result<std::unique_ptr<RocksDbStorage>> open(const std::string& folder, Executors executors,
-                                                      rocksdb::Env* env = nullptr);
+                                                      rocksdb::Env* env = nullptr,
+                                                      std::size_t write_buffer_bytes = kWriteBufferBytes);
   /// @return storage without a database, as after a refused write, until take_over().
   static std::unique_ptr<RocksDbStorage> make_unopened();
   /// Goes on with the database of @p opened, which goes. This one has none.
@@ -83,6 +89,7 @@
   static void finish_flush(const std::shared_ptr<Implementation>& implementation, const Status& synced);
   static void note_refused(const std::shared_ptr<Implementation>& implementation, const Error& error);
   static void fail_waiting(Implementation& implementation);
+  static void tell_waiting(const Implementation& implementation);
   static void schedule_reopen(const std::shared_ptr<Implementation>& implementation);
   static void reopen(const std::shared_ptr<Implementation>& implementation);
   static void finish_reopen(const std::shared_ptr<Implementation>& implementation, const Status& opened);
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -5,12 +5,14 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/thread_pool.hpp>
 #include <csignal>
+#include <optional>
 #include <random>
 
 #include "gateway/api.hpp"
 #include "gateway/problem.hpp"
 #include "ledger/rocksdb_disk_opener.hpp"
 #include "node/asio_environment.hpp"
+#include "node/disk_watch.hpp"
 #include "node/held_signals.hpp"
 #include "node/node_core.hpp"
 
@@ -24,6 +26,8 @@
 constexpr std::chrono::milliseconds kIdleMargin{500};
 constexpr std::size_t kSeedsNamed = 8;  ///< In a line.
 constexpr std::size_t kProbeBodyBytes = 4096;
+/// A node whose disk is not open by then joins without it.
+constexpr Duration kOpeningPatience = disk_watch::kSlowAfter;
 /// What is confirmed stands on two disks or more, whatever may be lost; more than seven cost more than they save.
 constexpr std::size_t kLeastReplicas = 3;
 constexpr std::size_t kMostReplicas = 7;
@@ -47,11 +51,15 @@
   Status run() {
     const Status prepared = prepare();
     if (!succeeded(prepared)) {
+      const Error& error = error_of(prepared);
+      log_event(LogLevel::error, "node_not_started",
+                {{"node", settings_.id}, {"kind", error_kind_name(error.kind)}, {"error", error.detail}});
+      stop_logging();
+      background_.join();  // an opening of the disk may be under way
       return prepared;
     }
-    if (disk_opener_) {
+    if (disk_is_awaited_) {
       core_->on_disk_refused();
-      disk_opener_->start();
     }
     core_->start();
     watch_readiness();
@@ -69,7 +77,8 @@
     release_reload_signal();
     context_.run();
     background_.join();
-    log_event(LogLevel::info, "node_stopped", {{"node", settings_.id}});
+    log_event(LogLevel::info, "node_stopped",
+              {{"node", settings_.id}, {"error", succeeded(failure_) ? "" : error_of(failure_).detail}});
     stop_logging();
     return failure_;
   }
@@ -123,24 +132,64 @@
     executors.after = [this](Duration delay, std::function<void()> task) {
       environment_.after(delay, std::move(task));
     };
+    executors.observer = &disk_watch_;
     const std::uint64_t random = environment_.random();
-    auto opened = ledger::open_disk(settings_.data_folder, random, executors);
-    if (succeeded(opened)) {
-      tell_identity(value_of(opened));
-      options.self.disk_id = value_of(opened).identity;
-      storage_ = std::move(value_of(opened).storage);
-    } else if (ledger::is_worth_another_attempt(error_of(opened))) {
-      note_disk_refused(error_of(opened));
+    log_event(LogLevel::info, "disk_opening", {{"folder", settings_.data_folder}});
+    disk_opening_since_ = environment_.now();
+    disk_opener_ = std::make_unique<ledger::disk_opener>(settings_.data_folder, random, executors, disk_opener_hooks());
+    disk_opener_->begin();
+    auto outcome = disk_opener_->wait(kOpeningPatience);
+    disk_is_awaited_ = !outcome || !succeeded(*outcome);
+    if (!disk_is_awaited_) {
+      ledger::OpenedDisk& disk = value_of(*outcome);
+      tell_opened(disk);
+      options.self.disk_id = disk.identity;
+      storage_ = std::move(disk.storage);
+    } else if (!outcome || ledger::is_worth_another_attempt(error_of(*outcome))) {
       storage_ = ledger::RocksDbStorage::make_unopened();
-      disk_opener_ =
-          std::make_unique<ledger::disk_opener>(settings_.data_folder, random, executors, disk_opener_hooks());
+      await_disk(outcome);
     } else {
-      return error_of(opened);
+      note_disk_damaged(error_of(*outcome));
+      return error_of(*outcome);
     }
     storage_->set_hooks(disk_trouble_hooks());
     return Ok{};
   }
 
+  /// The node joins without its disk, which refuses writes, or has not answered at all.
+  void await_disk(const std::optional<Result<ledger::OpenedDisk>>& outcome) {
+    if (outcome) {
+      note_disk_refused(error_of(*outcome));
+      disk_opener_->try_again();
+    } else {
+      note_disk_refused(Error{ErrorKind::unavailable, "opening it is still under way"});
+    }
+  }
+
+  std::int64_t disk_opening_ms() const { return (environment_.now() - disk_opening_since_) / 1ms; }
+
+  void tell_opened(const ledger::OpenedDisk& disk) const {
+    tell_identity(disk);
+    log_event(LogLevel::info, "disk_opened",
+              {{"disk", disk.identity}, {"took_ms", disk_opening_ms()}, {"log_bytes", disk.log_bytes}});
+  }
+
+  void note_disk_damaged(const Error& error) const {
+    log_event(LogLevel::error, "disk_damaged", {{"error", error.detail}, {"took_ms", disk_opening_ms()}});
+  }
+
+  /// On any thread: the node's may wait for the disk.
+  void note_disk_slow(const slow_disk_operation& slow) {
+    log_event(LogLevel::warning, slow.has_ended ? "disk_slow_ended" : "disk_slow",
+              {{"operation", ledger::disk_operation_name(slow.operation)},
+               {"lasts_ms", slow.lasts.count()},
+               {"callers_waiting", slow.callers_waiting}});
+    asio::post(context_, [this, slow] {
+      counters_["ledger_disk_slow_ms"] = slow.has_ended ? 0 : slow.lasts.count();
+      counters_["ledger_disk_slow_total"] += slow.has_ended ? 1 : 0;
+    });
+  }
+
   static void tell_identity(const ledger::OpenedDisk& disk) {
     if (disk.reason != ledger::NewIdentityReason::none) {
       log_event(LogLevel::warning, "disk_identity_made",
@@ -191,13 +240,13 @@
     ledger::disk_opener_hooks hooks;
     hooks.refused = [this](const Error& error) { note_disk_not_opened(error); };
     hooks.opened = [this](ledger::OpenedDisk disk) {
-      tell_identity(disk);
+      tell_opened(disk);
       storage_->take_over(std::move(disk.storage));
       note_disk_regained();
       core_->on_disk_opened(DiskId(disk.identity));
     };
     hooks.given_up = [this](const Error& error) {
-      log_event(LogLevel::error, "disk_damaged", {{"error", error.detail}});
+      note_disk_damaged(error);
       failure_ = error;
       context_.stop();
     };
@@ -366,9 +415,11 @@
   ProcessDecisionLog log_;
   std::unique_ptr<BackendConnections> backends_;
   std::unique_ptr<object_store::PlatformClient> platform_;
+  disk_watch disk_watch_{[this](const slow_disk_operation& slow) { note_disk_slow(slow); }};
   asio::thread_pool background_;
   std::unique_ptr<ledger::RocksDbStorage> storage_;
-  std::unique_ptr<ledger::disk_opener> disk_opener_;  ///< Where the disk could not be opened at the start.
+  std::unique_ptr<ledger::disk_opener> disk_opener_;
+  bool disk_is_awaited_ = false;  ///< It was not open when the node joined.
   std::unique_ptr<NodeCore> core_;
   std::unique_ptr<gateway::ApiContext> api_context_;
   std::unique_ptr<CallerInterface> api_;
@@ -378,6 +429,7 @@
   asio::signal_set reload_signal_;
   Timestamp drain_deadline_{};
   Timestamp disk_refused_at_{};
+  Timestamp disk_opening_since_{};
   Status failure_ = Ok{};  ///< Why the node ends by itself.
   bool fleet_known_ = false;
   bool was_ready_ = false;
