--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -151,9 +151,17 @@
 }
 
 void SimFleet::make_seeds_stale(unsigned number) {
+  if (!profile.seeds_go_stale) {
+    return;
+  }
   nodes[number]->stale_seeds = {address_of(kNobody), address_of(kNobody + 1), address_of(kNobody + 2)};
 }
 
+bool SimFleet::can_find_nobody(unsigned number) const {
+  const SimNode& node = *nodes[number];
+  return node.stale_seeds && node.has_disk && !node.disk_whole;
+}
+
 void SimFleet::correct_seeds(unsigned number) {
   SimNode& node = *nodes[number];
   if (!node.stale_seeds) {
@@ -586,6 +594,9 @@
   for (unsigned number = 0; number < nodes.size(); ++number) {
     wake_node(number);
     start_node(number);
+    if (can_find_nobody(number)) {
+      correct_seeds(number);
+    }
   }
   for (unsigned number = 0; number < engines.size(); ++number) {
     engines[number]->process.start();
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -40,6 +40,8 @@
   bool loss_series = false;
   unsigned replaced_percent = 30;  ///< Disks lost in series whose machine is replaced at another address.
   bool successors_judged = false;  ///< Groups have to take new disks in within the time to catch up.
+  bool seeds_go_stale = true;      ///< Otherwise what would make them so is drawn and left out, to tell causes apart.
+  bool gateways_are_cut = true;    ///< The same of gateways that reach no disk.
   bool seeds_drawn = false;        ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
 };
 /// @return the profile of that name, if there is one.
@@ -349,6 +351,8 @@
   bool is_apart(unsigned number) const;
   /// Has a node look for the fleet at addresses where nobody lives, from its next start on.
   void make_seeds_stale(unsigned number);
+  /// @return whether the node's seeds are stale and its disk is new, so that nothing tells it of a peer.
+  bool can_find_nobody(unsigned number) const;
   /// Gives a node the fleet's seeds, at once if it runs.
   void correct_seeds(unsigned number);
   bool platform_answers(unsigned node) const {
--- a/src/simulation/isolation_series.cpp
+++ b/src/simulation/isolation_series.cpp
@@ -195,6 +195,9 @@
 }
 
 void IsolationSeries::apply_gateway_cuts() {
+  if (!fleet_.profile.gateways_are_cut) {
+    return;
+  }
   for (const unsigned gateway : cut_gateways_) {
     for (const unsigned disk : fleet_.disk_nodes()) {
       fleet_.conditions.cuts.insert({std::min(gateway, disk), std::max(gateway, disk)});
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -22,6 +22,8 @@
 DEFINE_uint64(loss_percent, 1, "Messages between nodes that are lost while no fault raises it.");
 DEFINE_uint64(replaced_percent, 30,
               "With --mix=series: lost disks whose machine is replaced by another one at another address.");
+DEFINE_string(without, "",
+              "With --mix=isolation: 'stale_seeds', 'cut_gateways' or both with a comma between; drawn and left out.");
 DEFINE_bool(mixed_versions, false, "Every other node speaks as an earlier version does.");
 DEFINE_bool(log, false, "Print the decision lines of all nodes.");
 DEFINE_bool(over_three, false, "Print why each send was not held back that ended a fourth engine or a later one.");
@@ -291,7 +293,7 @@
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
       "[--mix=standard|hardening|listing|leaving|losses|series|isolation] "
       "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
-      "[--over_three] [--all_violations] [--replaced_percent=N] "
+      "[--over_three] [--all_violations] [--replaced_percent=N] [--without=stale_seeds,cut_gateways] "
       "[--json]");
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
   if (FLAGS_list_mutants) {
@@ -316,9 +318,15 @@
   if (!FLAGS_repeats.empty() && FLAGS_repeats != "request" && FLAGS_repeats != "generation") {
     return usage("repeats: found " + FLAGS_repeats);
   }
+  const std::set<std::string> known = {"", "stale_seeds", "cut_gateways", "stale_seeds,cut_gateways"};
+  if (!known.contains(FLAGS_without)) {
+    return usage("without: found " + FLAGS_without);
+  }
   profile->mixed_versions = FLAGS_mixed_versions;
   profile->loss_percent = static_cast<unsigned>(FLAGS_loss_percent);
   profile = profile_for(*mix, *profile);
+  profile->seeds_go_stale = FLAGS_without.find("stale_seeds") == std::string::npos;
+  profile->gateways_are_cut = FLAGS_without.find("cut_gateways") == std::string::npos;
   profile->replaced_percent = static_cast<unsigned>(FLAGS_replaced_percent);
   if (FLAGS_all_mutants) {
     return run_mutants(*profile);
--- a/tests/simulation/loss_rule_test.cpp
+++ b/tests/simulation/loss_rule_test.cpp
@@ -71,3 +71,19 @@
   site.rule.expire(21s + kCatchUpTime);
   CHECK(site.rule.may_lose(1));
 }
+
+// Two losses that a deaf machine lies between: the rule allows the second one, however little was copied meanwhile.
+TEST_CASE("a machine that was deaf may be lost once all have been back for the time to catch up") {
+  three_machines site;
+  constexpr unsigned kDeaf = 2;
+  site.see_at(90'698ms, {kDeaf});
+  site.rule.machine_removed(0);
+  site.see_at(95'559ms, {0, kDeaf});
+  site.see_at(99'184ms, {kDeaf});
+  site.see_at(99'184ms + kCatchUpTime - 1ms);
+  CHECK_FALSE(site.rule.may_lose(kDeaf));
+  site.see_at(99'184ms + kCatchUpTime);
+  site.see_at(104'044ms, {kDeaf});
+  CHECK(site.rule.may_lose(kDeaf));
+  CHECK(site.rule.may_lose(1));
+}
