--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -159,7 +159,16 @@
   }
 }
 
-void SimFleet::make_seeds_stale(unsigned number) { set_seeds_of(number, {kNobody, kNobody + 1, kNobody + 2}); }
+void SimFleet::make_seeds_stale(unsigned number) {
+  if (profile.seeds_go_stale) {
+    set_seeds_of(number, {kNobody, kNobody + 1, kNobody + 2});
+  }
+}
+
+bool SimFleet::can_find_nobody(unsigned number) const {
+  const SimNode& node = *nodes[number];
+  return node.own_seeds && node.has_disk && !node.disk_whole;
+}
 
 void SimFleet::correct_seeds(unsigned number) {
   SimNode& node = *nodes[number];
@@ -601,6 +610,9 @@
   for (unsigned number = 0; number < nodes.size(); ++number) {
     wake_node(number);
     start_node(number);
+    if (can_find_nobody(number)) {
+      correct_seeds(number);
+    }
   }
   for (unsigned number = 0; number < engines.size(); ++number) {
     engines[number]->process.start();
