--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -333,8 +333,9 @@
   }
   ask_interval_ = std::clamp(ask_interval_ * 2, kAskSoon, busy_managers_.empty() ? kAskSeldom : kAskBusy);
   ask_after_ = environment_.now() + ask_interval_;
-  std::erase_if(requested_at_, [this](const auto& entry) { return environment_.now() - entry.second > kAnswerUseful; });
-  requested_at_[++next_request_] = environment_.now();
+  std::erase_if(requests_,
+                [this](const auto& entry) { return environment_.now() - entry.second.asked_at > kAnswerUseful; });
+  requests_[++next_request_] = Request{environment_.now(), {}};
   const std::vector<PeerAddress> managers = managers_to_ask();
   const std::size_t share = (free_slots + managers.size() - 1) / std::max<std::size_t>(1, managers.size());
   for (const PeerAddress& manager : managers) {
@@ -346,17 +347,23 @@
 }
 
 void Dispatcher::handle(const PeerAddress& sender, const wire::GiveItemsT& message) {
-  const auto requested = requested_at_.find(message.request);
-  const bool known = requested != requested_at_.end();
+  const auto requested = requests_.find(message.request);
+  const bool known = requested != requests_.end();
   bool usable = false;
+  std::size_t repeated = 0;
   for (const auto& item : message.items) {
+    if (known && !requested->second.taken.emplace(sender, item->job, item->index).second) {
+      counters_["batch_items_repeated_total"]++;
+      ++repeated;
+      continue;
+    }
     Queued work;
     work.item = *item;
     work.manager = sender;
     if (!item->host.empty()) {
       work.http = decode_http_item(*item);
     }
-    work.start_before = (known ? requested->second : Timestamp{}) + std::chrono::milliseconds(item->lease_ms);
+    work.start_before = (known ? requested->second.asked_at : Timestamp{}) + std::chrono::milliseconds(item->lease_ms);
     if (draining_ || (!known && guards_.respect_leases)) {
       report(work, false);
     } else {
@@ -364,6 +371,9 @@
       queue_.push_back(std::move(work));
     }
   }
+  if (repeated > 0 && repeated == message.items.size()) {
+    return;
+  }
   // Items that come too late to be started are given back; asking for them again at once would not end.
   if (usable) {
     busy_managers_.insert(sender);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -4,7 +4,9 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "batch/records.hpp"
@@ -195,9 +197,12 @@
   std::map<BackendId, Engine> engines_;
   policy::rate_meter live_;  ///< Live calls that began at any engine of this node.
   routing::repeat_guard* repeats_ = nullptr;
-  /// When recent requests for items were sent. A lease counts from there, not from the
-  /// arrival of the answer, which may have been under way for long.
-  std::map<std::uint64_t, Timestamp> requested_at_;
+  /// A request for items, and which of them its answers have brought: they may be repeated on the way.
+  struct Request {
+    Timestamp asked_at{};  ///< A lease counts from here, not from the answer, which may have been under way for long.
+    std::set<std::tuple<PeerAddress, std::string, std::uint32_t>> taken;  ///< Manager, job and index.
+  };
+  std::map<std::uint64_t, Request> requests_;  ///< Recent ones.
   std::uint64_t next_request_ = 0;
   /// Managers that said they have items. Asked first; forgotten when they have none.
   std::set<PeerAddress> busy_managers_;
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -57,13 +57,17 @@
     item->lease_ms = 30'000;
     items.items.push_back(std::move(item));
     dispatcher.handle(kManager, items);
+    last_given = std::move(items);
   }
+  /// The message of the last give_item() arrives once more.
+  void repeat_item() { dispatcher.handle(kManager, last_given); }
   void add_other() {
     wire::MemberSyncT sync;
     sync.members.push_back(std::make_unique<wire::MemberT>(fleet_members::member(1, fleet_members::equal)));
     fleet.members.handle(PeerAddress("node-1:1"), sync);
   }
 
+  wire::GiveItemsT last_given;
   const BackendId engine;
   fleet_members fleet{1};
   NoDecisionLog log;
@@ -168,3 +172,13 @@
   fixture.give_item();
   CHECK(asked() == Dispatcher::kIdleRounds);
 }
+
+// A message may be repeated on the way. An item that came twice was run twice at once; one under which engines had
+// ended was withheld twice and given back twice, so that its one more try was made at two engines.
+TEST_CASE("an item whose message is repeated on the way is taken once") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  fixture.repeat_item();
+  CHECK(fixture.backends.engine_calls.size() == 1);
+  CHECK(fixture.fleet.counters["batch_items_repeated_total"] == 1);
+}
