Controllers that have just started miss a machine that is gone after 1 s, not 3

Cause: a node that nobody has heard of counted as present until the controller had run for as long as a founding waits (3 s), and for replace_after on top: decided 4.5 s after the start, 0.6 s before the next disk may be lost. Change: it is missed once this node has joined the fleet and 1 s is over. Founding waits as before.

--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -31,6 +31,9 @@
 /// A former member that is there and says nothing of leaving: it may have started just now and not know yet that it is
 /// to be emptied, while the store is away.
 constexpr Duration kStayerPatience = 60s;
+/// A node that lists no new members by then misses those that it has not heard of. A member that starts later keeps what
+/// it holds for the others to copy.
+constexpr Duration kSettling = 1s;
 /// A member waits so long for the maintainers to tell the store of its group's epoch before it does.
 constexpr Duration kUntoldPatience = 2s;
 /// From one controller that may found the groups to the next.
@@ -352,6 +355,11 @@
   pending_.tell(makers);
 }
 
+bool Controller::has_settled() const {
+  const Duration least = std::min<Duration>(kSettling, options_.founding_wait);
+  return members_.knows_fleet() && environment_.now() - started_ >= least;
+}
+
 bool Controller::knows_fleet() const { return environment_.now() - started_ >= options_.founding_wait; }
 
 void Controller::found_groups() {
@@ -408,7 +416,7 @@
     const bool stopping = node->state == wire::MemberState::Leaving;
     return stopping ? ledger::replica_state::stopping : ledger::replica_state::present;
   }
-  if (!knows_fleet()) {
+  if (!has_settled()) {
     return ledger::replica_state::present;
   }
   const Duration patience = options_.replace_after.count() > 0
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -107,8 +107,10 @@
   /// What cannot be read is told of: the version before stays in force.
   void note_rejected(const ChangeList& changes);
   void maintain_groups();
-  /// @return whether this process has run for long enough to miss members that it has not heard of.
+  /// @return whether this process has run for long enough to found groups on the nodes that it has heard of.
   bool knows_fleet() const;
+  /// @return whether this node has joined the fleet for long enough to miss members that it has not heard of.
+  bool has_settled() const;
   void found_groups();
   class group_beliefs;
   /// Looks at what is wanted of each group, and has it decided where this node is to.
--- a/tests/simulation/planned_replacement_test.cpp
+++ b/tests/simulation/planned_replacement_test.cpp
@@ -115,6 +115,33 @@
   }
 }
 
+// Controllers that had just started took the machine that was gone for present for longer than its successor may take.
+TEST_CASE("a disk that is lost after a machine was replaced and all lost power leaves every record readable") {
+  constexpr Duration kPageTime = 200ms;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    replaced_fleet site(seed);
+    site.fleet.copy_page_time = kPageTime;
+    site.fleet.conditions.loss_percent = 0;  // copies go over connections
+    site.fleet.conditions.late_percent = 0;
+    const unsigned successor = site.fleet.replace_machine(kReplaced);
+    for (unsigned node = 0; node < site.fleet.nodes.size(); ++node) {
+      if (site.fleet.nodes[node]->process.up()) {
+        site.fleet.cut_power(node);
+      }
+    }
+    for (unsigned node = 0; node < site.fleet.nodes.size(); ++node) {
+      site.fleet.start_node(node);
+    }
+    site.world.run_for(kCatchUp);
+    site.fleet.observe_disk(successor);
+    CHECK(site.fleet.nodes[successor]->disk_whole);
+    site.fleet.lose_disk(seed % 2 == 0 ? 0 : 2);
+    site.world.run_for(kRecover);
+    CHECK(site.readable_records() == kRecords);
+  }
+}
+
 TEST_CASE("a node with a disk that is told to stop does not wait where no other disk is free") {
   constexpr Duration kSoon = 1s;
   replaced_fleet site(1);
