Changes of groups that stay undone are taken up after 1 s

What callers would see: a group without its successor for 4.9 s where the first-ranked controllers reach no disk; the next disk may be lost after 4.7. Cause: detection (2.8 s), replace_after (0.7 s) and 2 s of patience leave nothing for a copy. Change: 1 s; normal changes are decided within some round trips.

--- a/src/object_store/pending_changes.cpp
+++ b/src/object_store/pending_changes.cpp
@@ -8,7 +8,7 @@
 /// A change is made within some round trips where its members can agree; then it is told.
 constexpr Duration kTellAfter = 3s;
 /// Those that rank first have looked and asked by then, and most changes are made.
-constexpr Duration kUndonePatience = 2s;
+constexpr Duration kUndonePatience = 1s;
 /// Where members can agree they have within one turn, so that two proposers seldom meet.
 constexpr Duration kTurn = 1s;
 constexpr Duration kMostPause = 80s;
