--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -31,8 +31,8 @@
 /// A former member that is there and says nothing of leaving: it may have started just now and not know yet that it is
 /// to be emptied, while the store is away.
 constexpr Duration kStayerPatience = 60s;
-/// A node that lists no new members by then misses those that it has not heard of. A member that starts later keeps what
-/// it holds for the others to copy.
+/// A node that lists no new members by then misses those that it has not heard of. A member that starts later keeps
+/// what it holds for the others to copy.
 constexpr Duration kSettling = 1s;
 /// A member waits so long for the maintainers to tell the store of its group's epoch before it does.
 constexpr Duration kUntoldPatience = 2s;
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -250,8 +250,8 @@
   Timestamp disturbed_at{};               ///< When it last started, woke or was cut off.
   Timestamp apart_at{};  ///< The same, where cuts from machines that reach nobody with a disk are left out.
   std::optional<std::vector<PeerAddress>> own_seeds;  ///< In its settings instead of the fleet's seeds.
-  Duration clock_behind{};                              ///< Its time of day is late by so much.
-  Duration next_clock_behind{};                         ///< The same from its next start on.
+  Duration clock_behind{};                            ///< Its time of day is late by so much.
+  Duration next_clock_behind{};                       ///< The same from its next start on.
 };
 
 struct SimEngine {
