--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -572,13 +572,14 @@
       if (cut_from_to(from, target)) {
         return;
       }
-      nodes[target]->process.deliver(life, [this, target, frame] {
+      nodes[target]->process.deliver(life, [this, from, target, frame] {
         const std::string_view bytes(reinterpret_cast<const char*>(frame.data()), frame.size());
         world.trace(bytes);
-        const auto decoded = wire::decode_frame(bytes);
-        for (const wire::Incoming& incoming : value_of(decoded)) {
+        auto decoded = wire::decode_frame(bytes);
+        for (wire::Incoming& incoming : value_of(decoded)) {
           const bool dropped = !guards.copies_arrive && incoming.body.type == wire::Message::CopyReply;
-          if (nodes[target]->life.core && !dropped) {
+          const bool passed = !passes || passes(from, target, incoming);
+          if (nodes[target]->life.core && !dropped && passed) {
             nodes[target]->life.core->handle(incoming);
           }
         }
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -3,6 +3,7 @@
 /// services and platform.
 
 #include <deque>
+#include <functional>
 #include <iosfwd>
 #include <memory>
 #include <optional>
@@ -384,6 +385,9 @@
   std::optional<unsigned> pick_running(std::uint32_t choice) const;
   node::NodeCore& core(unsigned node) { return *nodes[node]->life.core; }
 
+  /// Asked of each message that reaches a node, which it may alter: whether the node gets it now. May be empty.
+  std::function<bool(unsigned from, unsigned to, wire::Incoming&)> passes;
+
   World& world;
   Oracle& oracle;
   const Profile profile;
