--- a/tests/object_store/departed_member_test.cpp
+++ b/tests/object_store/departed_member_test.cpp
@@ -48,9 +48,153 @@
 
 void lose_another(departure_site& site, unsigned departed) {
   site.wait(drawn(site, kLostWithin));
-  site.fleet.lose_disk(another(site, departed));
+  site.lose_disk(another(site, departed));
 }
 
+/// How a controller that looks after the groups hears less than others for a while.
+enum class disturbance { none, word_late, epochs_late, turned_away, cut_off, frozen, started_anew };
+constexpr std::size_t kDisturbances = 7;
+
+/// Orders of events that a seed draws.
+class drawn_departure {
+ public:
+  explicit drawn_departure(std::uint64_t seed) : random_(seed), site_(shape_of(seed)) {}
+
+  /// @return the site after the departure, judged.
+  departure_site& play() {
+    site_.found();
+    add_disks();
+    freeze_member();
+    for (const unsigned maintainer : site_.maintainers()) {
+      draw_disturbance(maintainer);
+    }
+    site_.wait(draw(2s));
+    retire();
+    site_.wait_until([this] { return site_.said_completed(departing_); }, 15s);
+    if (site_.said_completed(departing_)) {
+      site_.wait(draw(kGoneWithin));
+      site_.depart(departing_);
+    }
+    if (random_.chance(50)) {  // otherwise the next disk is lost while some are disturbed still
+      site_.wait_until([this] { return ended_ == begun_; });
+    }
+    site_.wait(draw(kLostWithin));
+    site_.lose_disk(lost_);
+    site_.wait_until([this] { return ended_ == begun_; });
+    site_.recover();
+    site_.judge();
+    return site_;
+  }
+
+ private:
+  departure_site::shape shape_of(std::uint64_t seed) {
+    departure_site::shape shape;
+    shape.seed = seed;
+    shape.four_disks = random_.chance(30);
+    four_disks_ = shape.four_disks;
+    return shape;
+  }
+
+  Duration draw(Duration most) {
+    return Duration(static_cast<Duration::rep>(random_.below(static_cast<std::uint64_t>(most.count()))));
+  }
+
+  void add_disks() {
+    disks_ = {0, 1, 2};
+    if (!four_disks_ && random_.chance(50)) {
+      site_.add_spare();
+    }
+    if (site_.fleet.disk_nodes().size() > disks_.size()) {
+      disks_ = site_.fleet.disk_nodes();
+    }
+    site_.wait(3s);
+    departing_ = disks_[random_.below(disks_.size())];
+    std::erase(disks_, departing_);
+    lost_ = disks_[random_.below(disks_.size())];
+    std::erase(disks_, lost_);
+  }
+
+  /// One of three disks that stay may be silent for a while, besides the one that is lost.
+  void freeze_member() {
+    if (disks_.size() > 1 && random_.chance(40)) {
+      const unsigned member = disks_[random_.below(disks_.size())];
+      site_.freeze(member);
+      end_after(500ms + draw(8s), [this, member] { site_.thaw(member); });
+      std::erase(disks_, member);
+    }
+  }
+
+  void end_after(Duration time, std::function<void()> end) {
+    ++begun_;
+    site_.world.schedule(time, [this, end = std::move(end)] {
+      end();
+      ++ended_;
+    });
+  }
+
+  /// What ends with word of the departing disk still on its way for a while.
+  void end_with_late_word(unsigned node, Duration time, std::function<void()> end) {
+    const Duration late = random_.chance(50) ? draw(kWithheld) : 0ms;
+    end_after(time, [this, node, end = std::move(end)] {
+      site_.withhold_word(node, departing_);
+      end();
+    });
+    end_after(time + late, [this, node] { site_.tell_words(node); });
+  }
+
+  void draw_disturbance(unsigned node) {
+    const Duration brief = draw(kWithheld);
+    const Duration lasting = random_.chance(50) ? brief : 2s + draw(18s);
+    switch (static_cast<disturbance>(random_.below(kDisturbances))) {
+      case disturbance::none:
+        return;
+      case disturbance::turned_away:
+        site_.fleet.conditions.platform_cuts.insert(node);
+        end_after(lasting, [this, node] { site_.fleet.conditions.platform_cuts.erase(node); });
+        [[fallthrough]];
+      case disturbance::word_late: {
+        // From when the disk is to be emptied on, nearly: the word that a node lives is not late for longer.
+        end_after(draw(2s), [this, node] { site_.withhold_word(node, departing_); });
+        end_after(2s + brief, [this, node] { site_.tell_words(node); });
+        return;
+      }
+      case disturbance::epochs_late:
+        site_.withhold_epochs(node);
+        end_after(lasting, [this, node] { site_.tell_epochs(node); });
+        return;
+      case disturbance::cut_off:
+        site_.cut_off(node);
+        end_with_late_word(node, brief, [this, node] { site_.reconnect(node); });
+        return;
+      case disturbance::frozen:
+        site_.freeze(node);
+        end_with_late_word(node, lasting, [this, node] { site_.thaw(node); });
+        return;
+      case disturbance::started_anew:
+        site_.fleet.crash_node(node);
+        end_with_late_word(node, lasting, [this, node] { site_.fleet.start_node(node); });
+        return;
+    }
+  }
+
+  void retire() {
+    site_.fleet.retire_disk(departing_);
+    if (!disks_.empty() && random_.chance(30)) {
+      site_.wait(draw(500ms));
+      site_.fleet.retire_disk(disks_[random_.below(disks_.size())]);
+    }
+  }
+
+  simulation::Random random_;
+  bool four_disks_ = false;
+  departure_site site_;
+  std::vector<unsigned> disks_;  ///< That stay and nothing happens to.
+  unsigned departing_ = 0;
+  unsigned lost_ = 0;
+  unsigned begun_ = 0;  ///< Disturbances.
+  unsigned ended_ = 0;
+};
+
 }  // namespace
 
 // The order of events of jobs that could not be read: the maintainer put the leaving disk in again.
@@ -176,15 +320,11 @@
     site.fleet.start_node(started);
     site.wait(300ms);
     site.reconnect(started);
-    for (unsigned node = 0; node < site.fleet.nodes.size(); ++node) {
-      if (node != behind) {
-        site.hold(started, [behind](unsigned from, const wire::MessageUnion& message) {
-          const bool of_members = message.type == wire::Message::Ping || message.type == wire::Message::Ack ||
-                                  message.type == wire::Message::MemberSync;
-          return of_members && from != behind;
-        });
-      }
-    }
+    site.hold(started, [behind](unsigned from, const wire::MessageUnion& message) {
+      const bool of_members = message.type == wire::Message::Ping || message.type == wire::Message::Ack ||
+                              message.type == wire::Message::MemberSync;
+      return of_members && from != behind;
+    });
     site.wait(kWithheld);
     site.release(started);
     site.tell_words(behind);
@@ -308,3 +448,23 @@
     site.wait(drawn(site, kLostWithin));
   });
 }
+
+TEST_CASE("no drawn order of events around a departure leaves a group with a disk that is gone for good") {
+  constexpr std::uint64_t kSchedules = 200;
+  std::map<departure_fault, unsigned> schedules_with;
+  std::string broken;
+  for (std::uint64_t seed = 1; seed <= kSchedules; ++seed) {
+    drawn_departure departure(seed);
+    const departure_site& site = departure.play();
+    for (const auto& [fault, times] : site.faults()) {
+      ++schedules_with[fault];
+    }
+    if (!site.faults().empty()) {
+      broken += "\nseed " + std::to_string(seed) + "\n" + site.account();
+    }
+  }
+  INFO(broken);
+  CHECK(schedules_with[departure_fault::named_after_completed] == 0);
+  CHECK(schedules_with[departure_fault::completed_while_named] == 0);
+  CHECK(schedules_with[departure_fault::no_majority] == 0);
+}
--- a/tests/support/departure_site.cpp
+++ b/tests/support/departure_site.cpp
@@ -194,11 +194,13 @@
 // --- what happens -----------------------------------------------------------------------------
 
 void departure_site::freeze(unsigned node) {
+  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " frozen\n";
   cut_off(node);
   fleet.suspend_node(node);
 }
 
 void departure_site::thaw(unsigned node) {
+  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " thawed\n";
   reconnect(node);
   fleet.wake_node(node);
 }
@@ -209,6 +211,11 @@
   account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " departed\n";
 }
 
+void departure_site::lose_disk(unsigned node) {
+  fleet.lose_disk(node);
+  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " lost its disk\n";
+}
+
 bool departure_site::wait_until(const std::function<bool()>& condition, Duration patience) {
   const Timestamp end = world.now() + patience;
   while (!condition() && world.now() < end) {
@@ -259,13 +266,14 @@
 }
 
 void departure_site::take_line(const std::string& line) {
-  const bool decided = line.find(" group_changed ") != std::string::npos;
-  const bool told = decided || line.find(" retirement_") != std::string::npos ||
-                    line.find(" group_change_taken_up ") != std::string::npos;
-  if (told) {
+  const bool decided =
+      line.find(" group_changed ") != std::string::npos && field_of(line, "outcome", "why") == "decided";
+  const bool retirement =
+      line.find(" retirement_begun ") != std::string::npos || line.find(" retirement_completed ") != std::string::npos;
+  if (decided || retirement) {
     account_ += line + "\n";
   }
-  if (decided && field_of(line, "outcome", "why") == "decided") {
+  if (decided) {
     take_epoch(line);
   } else if (line.find(" epoch_adopted ") != std::string::npos) {
     take_epoch(line);
--- a/tests/support/departure_site.hpp
+++ b/tests/support/departure_site.hpp
@@ -71,6 +71,8 @@
   void freeze(unsigned node);
   void thaw(unsigned node);
   void depart(unsigned node);
+  /// Empties the disk of @p node, which is back with another one at once.
+  void lose_disk(unsigned node);
   void wait(Duration time) { world.run_for(time); }
   /// @return whether @p condition was true within @p patience.
   bool wait_until(const std::function<bool()>& condition, Duration patience = 30s);
