--- a/tests/object_store/departed_member_test.cpp
+++ b/tests/object_store/departed_member_test.cpp
@@ -11,8 +11,9 @@
 constexpr std::uint64_t kSeeds = 6;     ///< Of each order: departing disk, moments and network delays differ.
 constexpr Duration kWithheld = 1500ms;  ///< A member that is silent for that long is suspected, not yet dead.
 constexpr Duration kGoneWithin = 1s;    ///< After a node says that its disk is emptied.
-constexpr Duration kLostWithin = 5s;    ///< The next disk, after that.
-constexpr Duration kForgotten = 20s;    ///< Epochs list no former member by then.
+constexpr Duration kSoon = 100ms;
+constexpr Duration kLostWithin = 5s;  ///< The next disk, after that.
+constexpr Duration kForgotten = 20s;  ///< Epochs list no former member by then.
 
 Duration drawn(departure_site& site, Duration most) {
   return Duration(static_cast<Duration::rep>(site.world.random.below(static_cast<std::uint64_t>(most.count()))));
@@ -46,11 +47,18 @@
   site.depart(disk);
 }
 
+/// The next disk is lost some time after the departure; at the worst moment where an epoch names the departed one.
 void lose_another(departure_site& site, unsigned departed) {
-  site.wait(drawn(site, kLostWithin));
+  site.wait_until([&] { return site.is_member(departed); }, drawn(site, kLostWithin));
+  site.wait(drawn(site, kSoon));
   site.lose_disk(another(site, departed));
 }
 
+/// Lets others act for as long as word is late.
+void wait_for_late_word(departure_site& site, unsigned departed) {
+  site.wait_until([&] { return site.is_member(departed); }, kWithheld);
+}
+
 /// How a controller that looks after the groups hears less than others for a while.
 enum class disturbance { none, word_late, epochs_late, turned_away, cut_off, frozen, started_anew };
 constexpr std::size_t kDisturbances = 7;
@@ -78,7 +86,8 @@
     if (random_.chance(50)) {  // otherwise the next disk is lost while some are disturbed still
       site_.wait_until([this] { return ended_ == begun_; });
     }
-    site_.wait(draw(kLostWithin));
+    site_.wait_until([this] { return site_.is_member(departing_); }, draw(kLostWithin));
+    site_.wait(draw(kSoon));
     site_.lose_disk(lost_);
     site_.wait_until([this] { return ended_ == begun_; });
     site_.recover();
@@ -205,9 +214,9 @@
     site.withhold_word(late, disk);
     site.fleet.retire_disk(disk);
     empty_and_depart(site, disk);
-    site.wait(kWithheld);
-    site.tell_words(late);
+    wait_for_late_word(site, disk);
     lose_another(site, disk);
+    site.tell_words(late);
   });
 }
 
@@ -218,9 +227,9 @@
     site.withhold_epochs(late);
     site.fleet.retire_disk(disk);
     empty_and_depart(site, disk);
-    site.wait(kWithheld);
-    site.tell_epochs(late);
+    wait_for_late_word(site, disk);
     lose_another(site, disk);
+    site.tell_epochs(late);
   });
 }
 
@@ -233,9 +242,9 @@
     site.withhold_word(late, disk);
     site.fleet.retire_disk(disk);
     empty_and_depart(site, disk);
-    site.wait(kWithheld);
-    site.tell_words(late);
+    wait_for_late_word(site, disk);
     lose_another(site, disk);
+    site.tell_words(late);
   });
 }
 
@@ -248,9 +257,9 @@
     empty_and_depart(site, disk);
     site.withhold_word(late, disk);
     site.reconnect(late);
-    site.wait(kWithheld);
-    site.tell_words(late);
+    wait_for_late_word(site, disk);
     lose_another(site, disk);
+    site.tell_words(late);
   });
 }
 
@@ -264,9 +273,9 @@
     site.wait(drawn(site, 2s));
     site.withhold_word(late, disk);
     site.thaw(late);
-    site.wait(kWithheld);
-    site.tell_words(late);
+    wait_for_late_word(site, disk);
     lose_another(site, disk);
+    site.tell_words(late);
   });
 }
 
@@ -281,9 +290,9 @@
     REQUIRE(site.wait_until([&] { return !site.is_named(disk); }, kForgotten));
     site.withhold_word(late, disk);
     site.thaw(late);
-    site.wait(kWithheld);
-    site.tell_words(late);
+    wait_for_late_word(site, disk);
     lose_another(site, disk);
+    site.tell_words(late);
   });
 }
 
@@ -325,10 +334,10 @@
                               message.type == wire::Message::MemberSync;
       return of_members && from != behind;
     });
-    site.wait(kWithheld);
+    wait_for_late_word(site, disk);
+    lose_another(site, disk);
     site.release(started);
     site.tell_words(behind);
-    lose_another(site, disk);
   });
 }
 
@@ -346,9 +355,9 @@
     site.withhold_word(late, disk);
     site.withhold_word(late, successor);
     site.thaw(late);
-    site.wait(kWithheld);
-    site.tell_words(late);
+    wait_for_late_word(site, disk);
     lose_another(site, disk);
+    site.tell_words(late);
   });
 }
 
@@ -365,11 +374,11 @@
     site.fleet.retire_disk(spare);
     site.fleet.retire_disk(disk);
     empty_and_depart(site, spare);
-    site.wait(500ms);
+    wait_for_late_word(site, spare);
+    lose_another(site, disk);
     for (const unsigned maintainer : site.maintainers()) {
       site.tell_words(maintainer);
     }
-    lose_another(site, disk);
   });
 }
 
