--- a/tests/object_store/departed_member_test.cpp
+++ b/tests/object_store/departed_member_test.cpp
@@ -12,8 +12,9 @@
 constexpr Duration kWithheld = 1500ms;  ///< A member that is silent for that long is suspected, not yet dead.
 constexpr Duration kGoneWithin = 1s;    ///< After a node says that its disk is emptied.
 constexpr Duration kSoon = 100ms;
-constexpr Duration kLostWithin = 5s;  ///< The next disk, after that.
-constexpr Duration kForgotten = 20s;  ///< Epochs list no former member by then.
+constexpr Duration kSomeLooks = 500ms;  ///< A node looks every 200 ms whether its disk is emptied.
+constexpr Duration kLostWithin = 5s;    ///< The next disk, after that.
+constexpr Duration kForgotten = 20s;    ///< Epochs list no former member by then.
 
 Duration drawn(departure_site& site, Duration most) {
   return Duration(static_cast<Duration::rep>(site.world.random.below(static_cast<std::uint64_t>(most.count()))));
@@ -60,8 +61,8 @@
 }
 
 /// How a controller that looks after the groups hears less than others for a while.
-enum class disturbance { none, word_late, epochs_late, turned_away, cut_off, frozen, started_anew };
-constexpr std::size_t kDisturbances = 7;
+enum class disturbance { none, word_late, epochs_late, turned_away, cut_off, frozen, backlog, started_anew };
+constexpr std::size_t kDisturbances = 8;
 
 /// Orders of events that a seed draws.
 class drawn_departure {
@@ -179,6 +180,10 @@
         site_.freeze(node);
         end_with_late_word(node, lasting, [this, node] { site_.thaw(node); });
         return;
+      case disturbance::backlog:
+        site_.freeze_with_backlog(node);
+        end_with_late_word(node, lasting, [this, node] { site_.thaw(node); });
+        return;
       case disturbance::started_anew:
         site_.fleet.crash_node(node);
         end_with_late_word(node, lasting, [this, node] { site_.fleet.start_node(node); });
@@ -279,6 +284,20 @@
   });
 }
 
+// Nothing is lost: it hears of all in the order in which it was sent.
+TEST_CASE("a maintainer that thaws with all that was sent meanwhile does not name an emptied disk again") {
+  play({}, [](departure_site& site) {
+    const unsigned disk = departing_disk(site);
+    const unsigned late = site.maintainers().at(site.world.random.below(2));
+    site.freeze_with_backlog(late);
+    site.fleet.retire_disk(disk);
+    empty_and_depart(site, disk);
+    site.wait(drawn(site, kForgotten));
+    site.thaw(late);
+    lose_another(site, disk);
+  });
+}
+
 // No epoch lists the departed disk any more, so that nothing tells the maintainer that it has left.
 TEST_CASE("a maintainer that thaws when no epoch lists the emptied disk any more does not name it again") {
   play({}, [](departure_site& site) {
@@ -310,7 +329,7 @@
   });
 }
 
-// Its peer was frozen all the time and tells what it knew before.
+// Its peer was frozen all the time and tells what it knew before. It is cut off from all others still.
 TEST_CASE("a maintainer that starts with the members of a peer that is behind does not name the emptied disk again") {
   play({}, [](departure_site& site) {
     const unsigned disk = departing_disk(site);
@@ -323,9 +342,9 @@
     REQUIRE(site.wait_until([&] { return !site.is_named(disk); }, kForgotten));
     site.fleet.crash_node(started);
     site.fleet.set_seeds_of(started, {behind});
-    site.withhold_word(behind, disk);
     site.cut_off(started);
-    site.thaw(behind);  // reaches the one that starts as well
+    site.reconnect(started, behind);
+    site.fleet.wake_node(behind);
     site.fleet.start_node(started);
     site.wait(300ms);
     site.reconnect(started);
@@ -337,7 +356,38 @@
     wait_for_late_word(site, disk);
     lose_another(site, disk);
     site.release(started);
-    site.tell_words(behind);
+  });
+}
+
+// A second disk to be emptied cannot go before somebody has joined: the maintainer takes the departed one for that.
+TEST_CASE("a maintainer that wants another member to leave does not take the emptied disk up again for it") {
+  play({}, [](departure_site& site) {
+    const unsigned disk = departing_disk(site);
+    const unsigned late = site.maintainers().at(site.world.random.below(2));
+    site.withhold_word(late, disk);
+    site.fleet.retire_disk(disk);
+    REQUIRE(site.wait_until([&] { return site.said_completed(disk); }));
+    site.fleet.retire_disk(another(site, disk));
+    empty_and_depart(site, disk);
+    wait_for_late_word(site, disk);
+    lose_another(site, disk);
+    site.tell_words(late);
+  });
+}
+
+// The other member of the pair is silent, and the departed disk is taken for one that has come back.
+TEST_CASE("a maintainer that misses a member does not take the emptied disk up again in its place") {
+  play({}, [](departure_site& site) {
+    const unsigned disk = departing_disk(site);
+    const unsigned silent = another(site, disk);
+    for (const unsigned maintainer : site.maintainers()) {
+      site.withhold_word(maintainer, disk);
+    }
+    site.fleet.retire_disk(disk);
+    REQUIRE(site.wait_until([&] { return site.said_completed(disk); }));
+    site.freeze(silent);
+    empty_and_depart(site, disk);
+    site.wait_until([&] { return site.is_member(disk); }, kLostWithin);
   });
 }
 
@@ -447,10 +497,12 @@
       const bool of_members = message.type == wire::Message::Ping || message.type == wire::Message::Ack;
       return (from == stays && message.type == wire::Message::CopyStatus) || !of_members;
     });
-    const bool taken_up = site.wait_until([&] { return site.is_member(disk); }, 10s);
-    CAPTURE(taken_up);
+    site.wait_until([&] { return site.is_member(disk); }, 10s);
+    // The epoch that takes it up again is still on its way.
+    site.release(disk, [](const wire::MessageUnion& message) { return message.type == wire::Message::CopyStatus; });
+    site.wait(kSomeLooks);
     site.release(disk);
-    site.wait(500ms);
+    site.wait(kSomeLooks);
     if (site.said_completed(disk)) {
       site.depart(disk);
     }
--- a/tests/support/departure_site.cpp
+++ b/tests/support/departure_site.cpp
@@ -137,16 +137,24 @@
 
 // --- what a node hears ------------------------------------------------------------------------
 
+void departure_site::withhold_word(unsigned node, unsigned about) {
+  tell("does not hear about " + name_of(about), node);
+  withheld_words_.insert({node, about});
+}
+
 void departure_site::tell_words(unsigned node) {
+  tell("hears about all", node);
   std::erase_if(withheld_words_, [node](const auto& pair) { return pair.first == node; });
 }
 
 void departure_site::withhold_epochs(unsigned node) {
+  tell("does not hear of epochs", node);
   withheld_epochs_.insert(node);
   fleet.conditions.platform_cuts.insert(node);
 }
 
 void departure_site::tell_epochs(unsigned node) {
+  tell("hears of epochs", node);
   withheld_epochs_.erase(node);
   fleet.conditions.platform_cuts.erase(node);
 }
@@ -155,8 +163,14 @@
 
 void departure_site::release(unsigned node) {
   holdings_.erase(node);
+  release(node, [](const wire::MessageUnion&) { return true; });
+}
+
+void departure_site::release(unsigned node, const std::function<bool(const wire::MessageUnion&)>& which) {
   for (held_message& message : std::exchange(held_[node], {})) {
-    if (fleet.nodes[node]->life.core) {
+    if (!which(message.incoming.body)) {
+      held_[node].push_back(std::move(message));
+    } else if (fleet.nodes[node]->life.core) {
       fleet.core(node).handle(message.incoming);
     }
   }
@@ -174,6 +188,10 @@
   std::erase_if(fleet.conditions.cuts, [node](const auto& pair) { return pair.first == node || pair.second == node; });
 }
 
+void departure_site::reconnect(unsigned one, unsigned other) {
+  fleet.conditions.cuts.erase({std::min(one, other), std::max(one, other)});
+}
+
 bool departure_site::pass(unsigned from, unsigned to, wire::Incoming& incoming) {
   if (withheld_epochs_.contains(to) && from != to && tells_epochs(incoming.body.type)) {
     return false;
@@ -194,13 +212,18 @@
 // --- what happens -----------------------------------------------------------------------------
 
 void departure_site::freeze(unsigned node) {
-  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " frozen\n";
+  tell("frozen, loses messages", node);
   cut_off(node);
   fleet.suspend_node(node);
 }
 
+void departure_site::freeze_with_backlog(unsigned node) {
+  tell("frozen", node);
+  fleet.suspend_node(node);
+}
+
 void departure_site::thaw(unsigned node) {
-  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " thawed\n";
+  tell("thawed", node);
   reconnect(node);
   fleet.wake_node(node);
 }
@@ -208,12 +231,12 @@
 void departure_site::depart(unsigned node) {
   fleet.crash_node(node);
   fleet.remove_machine(node);
-  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " departed\n";
+  tell("departed", node);
 }
 
 void departure_site::lose_disk(unsigned node) {
   fleet.lose_disk(node);
-  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " lost its disk\n";
+  tell("lost its disk", node);
 }
 
 bool departure_site::wait_until(const std::function<bool()>& condition, Duration patience) {
@@ -260,6 +283,10 @@
   return leaves || is_member(node);
 }
 
+void departure_site::tell(const std::string& event, unsigned node) {
+  account_ += std::to_string(world.now() / 1ms) + " ms " + name_of(node) + " " + event + "\n";
+}
+
 void departure_site::note(departure_fault fault, const std::string& what) {
   ++faults_[fault];
   account_ += std::to_string(world.now() / 1ms) + " ms FAULT " + what + "\n";
--- a/tests/support/departure_site.hpp
+++ b/tests/support/departure_site.hpp
@@ -54,7 +54,7 @@
 
   // What a node hears.
   /// Messages that would tell @p node by membership of @p about are lost from now on.
-  void withhold_word(unsigned node, unsigned about) { withheld_words_.insert({node, about}); }
+  void withhold_word(unsigned node, unsigned about);
   void tell_words(unsigned node);
   /// Messages of the ledger and of tables to @p node are lost from now on, and the store does not answer it.
   void withhold_epochs(unsigned node);
@@ -63,12 +63,17 @@
   void hold(unsigned node, std::function<bool(unsigned from, const wire::MessageUnion&)> which);
   /// Hands out what was held for @p node, in its order.
   void release(unsigned node);
+  /// Hands out those that @p which picks; the others wait on.
+  void release(unsigned node, const std::function<bool(const wire::MessageUnion&)>& which);
   void cut_off(unsigned node);
   void reconnect(unsigned node);
+  void reconnect(unsigned one, unsigned other);
 
   // What happens to a node.
   /// Freezes @p node; what is sent to it meanwhile is lost.
   void freeze(unsigned node);
+  /// Freezes @p node; what is sent to it meanwhile waits.
+  void freeze_with_backlog(unsigned node);
   void thaw(unsigned node);
   void depart(unsigned node);
   /// Empties the disk of @p node, which is back with another one at once.
@@ -114,6 +119,7 @@
   void take_line(const std::string& line);
   void take_epoch(const std::string& line);
   void take_completion(const std::string& line);
+  void tell(const std::string& event, unsigned node);
   void note(departure_fault fault, const std::string& what);
   std::string identity_of(unsigned node) const;
 
