--- a/tests/object_store/departed_member_test.cpp
+++ b/tests/object_store/departed_member_test.cpp
@@ -391,6 +391,20 @@
   });
 }
 
+// All have heard of everything: the emptied disk seems to be there still when the other member of the pair is missed.
+TEST_CASE("a pair whose other member is silent does not take the emptied disk up again") {
+  play({}, [](departure_site& site) {
+    const unsigned disk = departing_disk(site);
+    const unsigned silent = another(site, disk);
+    site.fleet.retire_disk(disk);
+    REQUIRE(site.wait_until([&] { return site.said_completed(disk); }));
+    site.freeze(silent);
+    site.wait(kGoneWithin);
+    site.depart(disk);
+    site.wait_until([&] { return site.is_member(disk); }, kLostWithin);
+  });
+}
+
 // A maintainer that does not know the successor takes it for missing, and the departed disk for its substitute.
 TEST_CASE("a maintainer that thaws and knows no successor does not give its place to the emptied disk") {
   play({}, [](departure_site& site) {
