Sight: each decided or refused epoch tells its proposer, the view that decided it, and who granted and refused

group_changed says the proposer, the reason, for each named disk how its node was taken to stand and the age of the latest word of it, who granted, who refused and on what ground. Counted by ground: ledger_epochs_decided_total and ledger_epochs_refused_*_total. A decision whose grants lack confirmed records is no longer told as unanswered.

--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -66,25 +66,11 @@
   });
 }
 
-const char* state_name(wire::MemberState state) {
-  switch (state) {
-    case wire::MemberState::Alive:
-      return "alive";
-    case wire::MemberState::Suspect:
-      return "suspect";
-    case wire::MemberState::Leaving:
-      return "leaving";
-    case wire::MemberState::Dead:
-      return "dead";
-  }
-  return "unknown";
-}
-
 json::array describe_members(const node::NodeCore& core) {
   json::array members;
   for (const wire::MemberT* member : core.members.members()) {
     members.push_back(json::object{{"id", member->id},
-                                   {"state", state_name(member->state)},
+                                   {"state", membership::name_of(member->state)},
                                    {"zone", member->zone},
                                    {"peer_address", member->peer_address},
                                    {"api_address", member->api_address},
--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -218,6 +218,7 @@
   operation.admitted = 0;
   operation.whole = 0;
   operation.say_nothing = 0;
+  operation.not_whole.clear();
   operation.refused = 0;
   operation.best_accepted = Ballot{};
   operation.best_count = 0;
@@ -304,9 +305,35 @@
 void Client::finish(OperationId id, Result<OptionalValue> result) {
   auto node = operations_.extract(id);
   by_request_.erase(node.mapped().request);
+  if (node.mapped().only_epoch && on_decision) {
+    on_decision(map_.group_of(node.mapped().key), votes_on(node.mapped()));
+  }
   node.mapped().done(std::move(result));
 }
 
+decision_votes Client::votes_on(const Operation& operation) const {
+  decision_votes votes;
+  votes.needed = operation.group.replicas.empty() ? 0 : operation.needed();
+  for (std::uint32_t index = 0; index < operation.group.replicas.size(); ++index) {
+    member_vote vote{operation.group.replicas[index]};
+    const auto address = addresses_(vote.member.node);
+    const auto refusal = address ? operation.refusals.find(*address) : operation.refusals.end();
+    vote.whole = !operation.not_whole.contains(index);
+    vote.counts = operation.counts(index);
+    if (operation.given_up_answer == index) {
+      vote.ground = refusal_ground::given_up_answers;
+    } else if (operation.granted.contains(index)) {
+      vote.ground = refusal_ground::none;
+    } else if (!address) {
+      vote.ground = refusal_ground::no_address;
+    } else if (refusal != operation.refusals.end()) {
+      vote.ground = ground_of(refusal->second);
+    }
+    votes.members.push_back(std::move(vote));
+  }
+  return votes;
+}
+
 void Client::give_up(OperationId id) {
   const bool maybe_written = operations_.at(id).accept_sent;
   counters_["ledger_operations_failed_total"]++;
@@ -334,7 +361,9 @@
     }
     detail += operation.counts(index) ? "" : " (does not count)";
   }
-  return detail + "; no majority of replicas answered, attempts " + std::to_string(operation.attempts);
+  const bool enough = operation.granted.size() >= operation.needed();
+  detail += enough ? "; those that granted may lack confirmed records" : "; no majority of replicas answered";
+  return detail + ", attempts " + std::to_string(operation.attempts);
 }
 
 void Client::refuse(OperationId id, Operation& operation, const Ballot& promised) {
@@ -355,6 +384,7 @@
   const bool votes =
       message.status == wire::ReplicaStatus::Granted || message.status == wire::ReplicaStatus::BallotTooLow;
   if (operation.phase == Phase::preparing && votes && operation.gives_up(message.replica)) {
+    operation.given_up_answer = message.replica;
     finish(id->second, Error{ErrorKind::conflict, "a member that was to be given up answers"});
     return;
   }
@@ -387,6 +417,9 @@
   operation.say_nothing += says_nothing ? 1 : 0;
   operation.admitted += says_nothing || message.standing == wire::ReplicaStanding::Admitted ? 1 : 0;
   operation.whole += message.whole && !operation.lets_go(message.replica) ? 1 : 0;
+  if (!says_nothing && !message.whole) {
+    operation.not_whole.insert(message.replica);
+  }
   if (operation.granted.size() >= operation.needed() && operation.is_safe_to_decide()) {
     promises_complete(id->second, operation);
   }
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -11,6 +11,7 @@
 #include "common/counters.hpp"
 #include "common/environment.hpp"
 #include "ledger/ballot.hpp"
+#include "ledger/decision_votes.hpp"
 #include "ledger/groups.hpp"
 #include "wire/codec.hpp"
 
@@ -120,6 +121,9 @@
   /// Told when a replica takes a request of the epoch: it votes; may be empty.
   std::function<void(const PeerAddress&, std::uint32_t group, std::uint64_t epoch)> on_granted;
 
+  /// Told how the members answered a proposal of a group's next epoch, before its own answer is given; may be empty.
+  std::function<void(std::uint32_t group, const decision_votes&)> on_decision;
+
   void handle(const PeerAddress& sender, const wire::PromiseT& message);
   void handle(const PeerAddress& sender, const wire::AcceptedT& message);
   void handle(const PeerAddress& sender, const wire::ScanReplyT& message);
@@ -157,6 +161,8 @@
     std::size_t admitted = 0;                 ///< Of a decision: members that granted it and vote on records.
     std::size_t whole = 0;        ///< Of a decision: members that granted it and are whole, but one that is let go.
     std::size_t say_nothing = 0;  ///< Of a decision: members of earlier versions that granted it.
+    std::set<std::uint32_t> not_whole;  ///< Of a decision: members that granted it and may lack confirmed records.
+    std::optional<std::uint32_t> given_up_answer;  ///< Of a decision: the member to be given up, which answered.
     unsigned attempts = 0;
 
     /// @return whether those that granted a decision hold every confirmed record.
@@ -246,6 +252,8 @@
   std::string count_refusals(const Scan& scan) const;
   /// @return why no majority agreed to @p operation: what each member said last.
   std::string operation_failure(const Operation& operation) const;
+  /// @return how the members answered @p operation, a decision, last.
+  decision_votes votes_on(const Operation& operation) const;
   /// @return the records that a majority's replies tell, and which of them have to be settled.
   static std::shared_ptr<MergedPage> merge_replies(const Scan& scan);
   void settle(const std::shared_ptr<MergedPage>& page, ScanDone done);
--- /dev/null
+++ b/src/ledger/decision_votes.cpp
@@ -0,0 +1,110 @@
+#include "ledger/decision_votes.hpp"
+
+#include <algorithm>
+#include <map>
+
+namespace madderdeck::ledger {
+namespace {
+
+void append(std::string& list, const std::string& item) { list += (list.empty() ? "" : ", ") + item; }
+
+}  // namespace
+
+const char* name_of(refusal_ground ground) {
+  switch (ground) {
+    case refusal_ground::none:
+      return "none";
+    case refusal_ground::silent:
+      return "silent";
+    case refusal_ground::no_address:
+      return "no_address";
+    case refusal_ground::not_admitted:
+      return "not_admitted";
+    case refusal_ground::unknown_epoch:
+      return "unknown_epoch";
+    case refusal_ground::stale_epoch:
+      return "stale_epoch";
+    case refusal_ground::outbid:
+      return "outbid";
+    case refusal_ground::corrupted:
+      return "corrupted";
+    case refusal_ground::not_whole:
+      return "not_whole";
+    case refusal_ground::given_up_answers:
+      return "given_up_answers";
+    case refusal_ground::epoch_passed:
+      return "epoch_passed";
+    case refusal_ground::store:
+      return "store";
+    case refusal_ground::other:
+      break;
+  }
+  return "other";
+}
+
+refusal_ground ground_of(wire::ReplicaStatus status) {
+  switch (status) {
+    case wire::ReplicaStatus::Granted:
+      return refusal_ground::none;
+    case wire::ReplicaStatus::BallotTooLow:
+      return refusal_ground::outbid;
+    case wire::ReplicaStatus::StaleEpoch:
+      return refusal_ground::stale_epoch;
+    case wire::ReplicaStatus::UnknownEpoch:
+      return refusal_ground::unknown_epoch;
+    case wire::ReplicaStatus::NotReady:
+      return refusal_ground::not_admitted;
+    case wire::ReplicaStatus::Corrupted:
+      return refusal_ground::corrupted;
+  }
+  return refusal_ground::other;
+}
+
+std::size_t decision_votes::granted() const {
+  return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](const member_vote& vote) {
+    return vote.counts && vote.ground == refusal_ground::none;
+  }));
+}
+
+std::string decision_votes::granted_text() const {
+  std::string text;
+  for (const member_vote& vote : members) {
+    if (vote.ground == refusal_ground::none) {
+      append(text, text_of(vote.member) + (vote.whole ? "" : " not_whole"));
+    }
+  }
+  return text;
+}
+
+std::string decision_votes::refused_text() const {
+  std::string text;
+  for (const member_vote& vote : members) {
+    if (vote.ground != refusal_ground::none) {
+      append(text, text_of(vote.member) + " " + name_of(vote.ground) + (vote.counts ? "" : " (does not count)"));
+    }
+  }
+  return text;
+}
+
+refusal_ground ground_of(const Error& error, const decision_votes& votes) {
+  std::map<refusal_ground, std::size_t> counted;
+  for (const member_vote& vote : votes.members) {
+    if (vote.counts && vote.ground != refusal_ground::none) {
+      ++counted[vote.ground];
+    }
+  }
+  if (counted.contains(refusal_ground::given_up_answers)) {
+    return refusal_ground::given_up_answers;
+  }
+  if (error.kind == ErrorKind::conflict) {
+    return refusal_ground::epoch_passed;
+  }
+  if (votes.needed > 0 && votes.granted() >= votes.needed) {
+    return refusal_ground::not_whole;
+  }
+  const auto most = std::max_element(counted.begin(), counted.end(),
+                                     [](const auto& left, const auto& right) { return left.second < right.second; });
+  return most == counted.end() ? refusal_ground::other : most->first;
+}
+
+}  // namespace madderdeck::ledger
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -50,6 +50,20 @@
 
 }  // namespace
 
+const char* name_of(MemberState state) {
+  switch (state) {
+    case MemberState::Alive:
+      return "alive";
+    case MemberState::Suspect:
+      return "suspect";
+    case MemberState::Leaving:
+      return "leaving";
+    case MemberState::Dead:
+      return "dead";
+  }
+  return "unknown";
+}
+
 Membership::Membership(Environment& environment, Counters& counters, MemberT self, std::vector<PeerAddress> seeds,
                        Hooks hooks, Options options)
     : environment_(environment),
@@ -125,6 +139,19 @@
   return member == nullptr ? std::nullopt : std::optional(PeerAddress(member->peer_address));
 }
 
+std::optional<member_word> Membership::last_word_of(const NodeId& node) const {
+  if (node.str() == self_.id) {
+    return member_word{};
+  }
+  const auto entry = members_.find(node);
+  if (entry == members_.end()) {
+    return std::nullopt;
+  }
+  const Timestamp heard_at = entry->second.heard_at;
+  const Timestamp told_at = entry->second.told_at;
+  return member_word{environment_.now() - std::max(heard_at, told_at), heard_at >= told_at};
+}
+
 unsigned Membership::distance_to(const NodeId& node) const {
   const MemberT* member = find(node);
   if (member == nullptr || member->region != self_.region) {
@@ -559,6 +586,9 @@
   const NodeId node(update.id);
   auto [position, inserted] = members_.try_emplace(node);
   Entry& entry = position->second;
+  if (first_hand) {
+    entry.heard_at = environment_.now();
+  }
   if (!inserted && !overrides(update, entry.member)) {
     return false;
   }
@@ -566,6 +596,9 @@
     members_.erase(position);
     return false;
   }
+  if (!first_hand) {
+    entry.told_at = environment_.now();
+  }
   accept_update(entry, update, spread);
   return true;
 }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -44,6 +44,15 @@
   Duration forget_dead_after = 24h;
 };
 
+/// @return the name of @p state that operators see.
+const char* name_of(wire::MemberState state);
+
+/// The latest word of a member.
+struct member_word {
+  Duration age{};          ///< Since this node read it.
+  bool first_hand = true;  ///< From the member itself; otherwise news of it that others have passed on.
+};
+
 /// Revisions of the versioned tables, carried by every probe, and how long ago the store showed that nothing later
 /// stood there, in milliseconds.
 struct TableRevisions {
@@ -107,6 +116,8 @@
   /// @return what is believed of @p node, which may be this one; null when nothing is known.
   const wire::MemberT* find(const NodeId& node) const;
   std::optional<PeerAddress> address_of(const NodeId& node) const;
+  /// @return the latest word of @p node, which may be this one; nothing when none is known.
+  std::optional<member_word> last_word_of(const NodeId& node) const;
   /// @return 0 for a node of this zone, 1 for one of this region, 2 for others and unknown ones.
   unsigned distance_to(const NodeId& node) const;
   /// @return whether the node at @p address is known to stand in this node's zone.
@@ -136,6 +147,8 @@
   struct Entry {
     wire::MemberT member;
     Timestamp state_since{};
+    Timestamp heard_at{};  ///< The latest message of its own; zero: none.
+    Timestamp told_at{};   ///< The latest news of it from others; zero: none.
   };
   struct Update {
     NodeId node;
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -66,10 +66,13 @@
       options_(options),
       feeds_(members, {options.readers, options.relays, options.all_read_up_to}),
       pending_(environment, counters, log),
+      proposals_(environment, counters, log, members),
       deciders_(environment, declarations, platform) {}
 
 void Controller::start() {
   started_ = environment_.now();
+  ledger_.on_decision = lifetime_.guard(
+      [this](std::uint32_t group, const ledger::decision_votes& votes) { proposals_.note_votes(group, votes); });
   watch(objects_, &PlatformClient::watch_objects, false);
   watch(machines_, &PlatformClient::watch_machines, false);
   if (platform_.has_group_source()) {
@@ -568,6 +571,7 @@
 void Controller::begin_change(std::uint32_t group, const ledger::epoch_change& change) {
   deciding_.insert(group);
   pending_.note_attempt(group);
+  proposals_.note_proposed(group, change);
   if (!change.rule.sole) {
     decide(group, change);
     return;
@@ -583,31 +587,18 @@
       decide(group, change);
     } else {
       pending_.note_outcome(group, error_of(status));
+      proposals_.tell_not_let(group, change, error_of(status));
       deciding_.erase(group);  // asked again at the next look, if it is still wanted
     }
   }));
 }
 
-void Controller::tell_change(std::uint32_t group, const ledger::epoch_change& asked,
-                             const Result<ledger::ReplicaGroup>& result) {
-  const std::uint64_t before = asked.next.epoch - 1;
-  const bool decided = succeeded(result);
-  log_.record("group_changed", {{"group", group},
-                                {"from_epoch", before},
-                                {"epoch", decided ? value_of(result).epoch : before},
-                                {"outcome", decided ? "decided" : error_kind_name(error_of(result).kind)},
-                                {"why", decided ? "" : error_of(result).detail},
-                                {"members", ledger::text_of(decided ? value_of(result).replicas : asked.next.replicas)},
-                                {"leaving", ledger::text_of(decided ? value_of(result).leaving : asked.next.leaving)},
-                                {"sole_decider", asked.rule.sole ? ledger::text_of(*asked.rule.sole) : ""}});
-}
-
 void Controller::decide(std::uint32_t group, const ledger::epoch_change& change) {
   counters_["replica_replacements_total"]++;
   const auto decided = [this, group, change](const Result<ledger::ReplicaGroup>& result) {
     deciding_.erase(group);
     announce_until_[group] = environment_.now() + kAnnounceTime;
-    tell_change(group, change, result);
+    proposals_.tell(group, change, result);
     if (!succeeded(result)) {
       pending_.note_outcome(group, error_of(result));
     }
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -16,6 +16,7 @@
 #include "object_store/feed_tree.hpp"
 #include "object_store/pending_changes.hpp"
 #include "object_store/platform_client.hpp"
+#include "object_store/proposal_journal.hpp"
 #include "object_store/sole_deciders.hpp"
 
 namespace madderdeck::object_store {
@@ -130,8 +131,6 @@
   /// Has @p change decided, after the store's grant where one member is to decide alone.
   void begin_change(std::uint32_t group, const ledger::epoch_change& change);
   void decide(std::uint32_t group, const ledger::epoch_change& change);
-  /// Tells operators what became of @p asked, and of a refusal who granted and who refused.
-  void tell_change(std::uint32_t group, const ledger::epoch_change& asked, const Result<ledger::ReplicaGroup>& result);
   void publish_groups();
   /// Publishes what the maintainers ought to have: they may not know of it.
   void publish_overdue_groups();
@@ -159,6 +158,7 @@
   std::map<NodeId, Timestamp> missing_since_;
   std::set<std::uint32_t> deciding_;
   pending_changes pending_;
+  proposal_journal proposals_;
   sole_deciders deciders_;
   std::map<std::uint32_t, Timestamp> announce_until_;  ///< Groups whose latest epoch is repeated for a while.
   std::map<ledger::ReplicaIdentity, Timestamp> leaver_gone_since_;  ///< Former members that seem to be gone.
--- /dev/null
+++ b/tests/ledger/decision_votes_test.cpp
@@ -0,0 +1,158 @@
+/// Who granted a group's next epoch, who refused it, and on what ground.
+#include <catch2/catch.hpp>
+
+#include "ledger/client.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::ledger;
+using madderdeck::tests::TestEnvironment;
+
+namespace {
+
+const ReplicaIdentity kA{NodeId("a"), DiskId("disk-a")};
+const ReplicaIdentity kB{NodeId("b"), DiskId("disk-b")};
+const ReplicaIdentity kC{NodeId("c"), DiskId("disk-c")};
+const Error kUnavailable{ErrorKind::unavailable, "too few"};
+
+decision_votes votes_of(refusal_ground a, refusal_ground b, refusal_ground c) {
+  return {2, {{kA, a}, {kB, b}, {kC, c}}};
+}
+
+/// How a member answers a prepare.
+struct member_answer {
+  wire::ReplicaStatus status = wire::ReplicaStatus::Granted;
+  bool whole = true;
+};
+
+/// What a proposer of the next epoch was told.
+struct told {
+  std::optional<decision_votes> votes;
+  std::optional<Result<ReplicaGroup>> result;
+  unsigned calls = 0;
+  refusal_ground ground() const {
+    return succeeded(*result) ? refusal_ground::none : ground_of(error_of(*result), *votes);
+  }
+};
+
+/// @return what is told of a decision where the members answer so; who is not named stays silent.
+told decide(const std::map<std::string, member_answer>& answers, const EpochRule& rule = {}) {
+  const std::vector<ReplicaIdentity> members{kA, kB, kC};
+  TestEnvironment environment;
+  Counters counters;
+  Client client{environment, counters, [](const NodeId& node) { return std::optional(PeerAddress(node.str())); }};
+  client.on_group_map({{ReplicaGroup{3, members, {}}}});
+  told told;
+  client.on_decision = [&told](std::uint32_t group, const decision_votes& votes) {
+    CHECK(group == 0);
+    CHECK_FALSE(told.result);
+    told.votes = votes;
+    ++told.calls;
+  };
+  client.decide_next(0, {4, {kA, kB}, {kC}}, rule,
+                     [&told](const Result<ReplicaGroup>& result) { told.result = result; });
+  for (int step = 0; step < 60 && !told.result; ++step) {
+    for (const auto& message : std::exchange(environment.sent, {})) {
+      const auto answer = answers.find(message.to.str());
+      if (answer == answers.end()) {
+        continue;
+      }
+      const auto number = static_cast<std::uint32_t>(std::distance(
+          members.begin(), std::find_if(members.begin(), members.end(),
+                                        [&](const auto& member) { return member.node.str() == message.to.str(); })));
+      if (message.body.type == wire::Message::Prepare) {
+        wire::PromiseT promise;
+        promise.request = message.body.AsPrepare()->request;
+        promise.replica = number;
+        promise.epoch = 3;
+        promise.status = answer->second.status;
+        promise.whole = answer->second.whole;
+        promise.standing = answer->second.whole ? wire::ReplicaStanding::Admitted : wire::ReplicaStanding::Copying;
+        client.handle(message.to, promise);
+      } else if (message.body.type == wire::Message::Accept) {
+        wire::AcceptedT accepted;
+        accepted.request = message.body.AsAccept()->request;
+        accepted.replica = number;
+        accepted.epoch = 3;
+        accepted.status = answer->second.status;
+        client.handle(message.to, accepted);
+      }
+    }
+    environment.world.run_for(100ms);
+  }
+  REQUIRE(told.result);
+  return told;
+}
+
+}  // namespace
+
+TEST_CASE("the ground of a refused epoch is the one of most members that refused it") {
+  constexpr auto kNone = refusal_ground::none;
+  constexpr auto kSilent = refusal_ground::silent;
+  constexpr auto kCopies = refusal_ground::not_admitted;
+  CHECK(ground_of(kUnavailable, votes_of(kNone, kCopies, kCopies)) == kCopies);
+  CHECK(ground_of(kUnavailable, votes_of(kSilent, kCopies, kCopies)) == kCopies);
+  CHECK(ground_of(kUnavailable, votes_of(kNone, kCopies, kSilent)) == kSilent);  // as many: the first in order
+  CHECK(ground_of(kUnavailable, votes_of(kNone, kNone, kSilent)) == refusal_ground::not_whole);
+  CHECK(ground_of(kUnavailable, {}) == refusal_ground::other);
+  const Error conflict{ErrorKind::conflict, ""};
+  CHECK(ground_of(conflict, votes_of(kNone, kNone, kSilent)) == refusal_ground::epoch_passed);
+  CHECK(ground_of(conflict, {}) == refusal_ground::epoch_passed);
+  CHECK(ground_of(conflict, votes_of(refusal_ground::given_up_answers, kNone, kNone)) ==
+        refusal_ground::given_up_answers);
+}
+
+TEST_CASE("the answer of a member that does not count is told and is no ground") {
+  decision_votes votes = votes_of(refusal_ground::none, refusal_ground::silent, refusal_ground::silent);
+  votes.needed = 1;
+  votes.members[0].counts = false;
+  votes.members[1].counts = false;
+  votes.members[2].ground = refusal_ground::not_admitted;
+  CHECK(votes.granted() == 0);
+  CHECK(ground_of(kUnavailable, votes) == refusal_ground::not_admitted);
+  CHECK(votes.refused_text() == "b/disk-b silent (does not count), c/disk-c not_admitted");
+}
+
+TEST_CASE("each ground has a name of its own") {
+  std::set<std::string> names;
+  for (const refusal_ground ground : kRefusalGrounds) {
+    names.insert(name_of(ground));
+  }
+  CHECK(names.size() == kRefusalGrounds.size());
+}
+
+TEST_CASE("a proposer is told once who granted a decided epoch and who did not") {
+  const told told = decide({{"a", {}}, {"b", {}}});
+  CHECK(told.calls == 1);
+  CHECK(succeeded(*told.result));
+  CHECK(told.ground() == refusal_ground::none);
+  CHECK(told.votes->granted_text() == "a/disk-a, b/disk-b");
+  CHECK(told.votes->refused_text() == "c/disk-c silent");
+}
+
+TEST_CASE("a proposer is told who refused an epoch and on what ground") {
+  const told copies =
+      decide({{"a", {}}, {"b", {wire::ReplicaStatus::NotReady}}, {"c", {wire::ReplicaStatus::NotReady}}});
+  CHECK(copies.calls == 1);
+  CHECK(copies.ground() == refusal_ground::not_admitted);
+  CHECK(copies.votes->granted_text() == "a/disk-a");
+  CHECK(copies.votes->refused_text() == "b/disk-b not_admitted, c/disk-c not_admitted");
+
+  const told silent = decide({{"a", {}}});
+  CHECK(silent.ground() == refusal_ground::silent);
+  CHECK(silent.votes->refused_text() == "b/disk-b silent, c/disk-c silent");
+
+  const told lacking =
+      decide({{"a", {wire::ReplicaStatus::Granted, false}}, {"b", {wire::ReplicaStatus::Granted, false}}});
+  CHECK(lacking.ground() == refusal_ground::not_whole);
+  CHECK(lacking.votes->granted_text() == "a/disk-a not_whole, b/disk-b not_whole");
+  CHECK(error_of(*lacking.result).detail.find("those that granted may lack confirmed records") != std::string::npos);
+}
+
+TEST_CASE("a proposer is told that the member to be given up has answered") {
+  EpochRule rule;
+  rule.given_up = kC;
+  const told told = decide({{"c", {}}}, rule);
+  CHECK(told.ground() == refusal_ground::given_up_answers);
+  CHECK(told.votes->refused_text() == "a/disk-a silent, b/disk-b silent, c/disk-c given_up_answers");
+}
--- a/tests/object_store/replacement_test.cpp
+++ b/tests/object_store/replacement_test.cpp
@@ -228,3 +228,63 @@
   CHECK(fixture.log.count("group_change_pending") > 0);
   CHECK(fixture.log.lines.back().find("reason=b/disk-b missing") != std::string::npos);
 }
+
+namespace {
+
+/// @return the line of that event, of which there is to be one.
+std::string only_line_of(const kept_lines& log, const std::string& event) {
+  REQUIRE(log.count(event) == 1);
+  return *std::find_if(log.lines.begin(), log.lines.end(),
+                       [&event](const auto& line) { return line.starts_with(event + " "); });
+}
+
+bool has(const std::string& line, const std::string& part) { return line.find(part) != std::string::npos; }
+
+}  // namespace
+
+// Four groups lost their majority for good, and no line told which members an epoch named, who had proposed it and on
+// what view of the members.
+TEST_CASE("a decided epoch tells its members, its proposer, the view that decided it and who granted") {
+  maintainer_fixture fixture;
+  fixture.add(kA);
+  fixture.add(kNewB);
+  fixture.add(kC);
+  REQUIRE(fixture.after_a_while().epoch == kEpoch + 1);
+  const std::string line = only_line_of(fixture.log, "group_changed");
+  CHECK(has(line, "from_epoch=2 epoch=3 outcome=decided ground= proposer=self as_asked=true"));
+  CHECK(has(line, "reason=b/disk-b disk_replaced"));
+  CHECK(has(line, "members=a/disk-a, b/disk-b2, c/disk-c leaving= granted=a/disk-a, c/disk-c refused=b/disk-b silent"));
+  CHECK(has(line, "view=a/disk-a alive "));
+  CHECK(has(line, "ms by others, b/disk-b2 alive "));
+  CHECK_FALSE(has(line, "view_age_ms=-1"));
+  CHECK(fixture.counters["ledger_epochs_decided_total"] == 1);
+}
+
+TEST_CASE("a refused epoch tells who refused it on what ground, and is counted by it") {
+  maintainer_fixture fixture;
+  fixture.add(kA);
+  fixture.add(kNewB);
+  fixture.add(kC);
+  fixture.environment.world.run_for(4800ms);  // nobody answers
+  const std::string line = only_line_of(fixture.log, "group_changed");
+  CHECK(has(line, "from_epoch=2 epoch=2 outcome=unavailable ground=silent proposer=self as_asked=false"));
+  CHECK(has(line, "members=a/disk-a, b/disk-b2, c/disk-c"));
+  CHECK(has(line, "granted= refused=a/disk-a silent, b/disk-b silent, c/disk-c silent"));
+  CHECK(fixture.counters["ledger_epochs_refused_silent_total"] == 1);
+  CHECK(fixture.counters["ledger_epochs_decided_total"] == 0);
+}
+
+TEST_CASE("an epoch that the store did not let one member decide alone is told as refused by the store") {
+  maintainer_fixture fixture({kEpoch, {kA, kC}, {}});
+  fixture.c_number = 1;
+  fixture.add(kA);
+  fixture.environment.world.run_for(70s);
+  REQUIRE(fixture.log.count("group_changed") > 0);
+  const auto line = std::find_if(fixture.log.lines.begin(), fixture.log.lines.end(),
+                                 [](const auto& text) { return text.starts_with("group_changed "); });
+  CHECK(has(*line, "outcome=unavailable ground=store proposer=self"));
+  CHECK(has(*line, "reason=c/disk-c missing"));
+  CHECK(has(*line, "sole_decider=a/disk-a"));
+  CHECK(fixture.counters["ledger_epochs_refused_store_total"] ==
+        static_cast<CounterValue>(fixture.log.count("group_changed")));
+}
