--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -17,7 +17,7 @@
 
 /// @return the disk that takes the place of @p lost in @p group, if there is one.
 std::optional<ReplicaIdentity> substitute(const ReplicaGroup& group, const ReplicaIdentity& lost,
-                                          const std::vector<disk_place>& places) {
+                                          const std::vector<disk_place>& places, const change_guards& guards) {
   std::map<std::string, int> members_in_zone;
   for (const disk_place& place : places) {
     for (const ReplicaIdentity& replica : group.replicas) {
@@ -32,7 +32,7 @@
     const bool member_already = std::any_of(group.replicas.begin(), group.replicas.end(), [&](const auto& replica) {
       return replica.node == place.identity.node && replica.node != lost.node;
     });
-    const bool leaves = std::any_of(group.leaving.begin(), group.leaving.end(),
+    const bool leaves = guards.leavers_stay_out && std::any_of(group.leaving.begin(), group.leaving.end(),
                                     [&](const auto& leaver) { return leaver.node == place.identity.node; });
     if (member_already || leaves) {
       continue;
@@ -56,9 +56,10 @@
 
 /// @return how @p replica stands. A process that was told to stop may only start again: without a spare disk that would
 ///         take its place it is as present as before.
-replica_state standing_of(const ReplicaGroup& group, const ReplicaIdentity& replica, fleet_view& view) {
+replica_state standing_of(const ReplicaGroup& group, const ReplicaIdentity& replica, fleet_view& view,
+                          const change_guards& guards) {
   const replica_state state = view.state_of(replica);
-  const bool stays = state == replica_state::stopping && !substitute(group, replica, spares_for(replica, view));
+  const bool stays = state == replica_state::stopping && !substitute(group, replica, spares_for(replica, view), guards);
   return stays ? replica_state::present : state;
 }
 
@@ -96,10 +97,10 @@
 /// Takes the member with number @p index, whose disk or node is gone, out of @p change.
 /// @return whether there is a way.
 bool replace_gone(epoch_change& change, const ReplicaGroup& group, std::size_t index, replica_state state,
-                  const fleet_view& view) {
+                  const fleet_view& view, const change_guards& guards) {
   const ReplicaIdentity& replica = group.replicas[index];
   const bool lost = state == replica_state::disk_replaced;
-  auto other = substitute(group, replica, view.places());
+  auto other = substitute(group, replica, view.places(), guards);
   if (!other) {
     other = returned_member(group, view);
   }
@@ -138,10 +139,10 @@
 /// @param present members that are neither gone nor about to go
 /// @return whether there is a way that leaves the group a majority of those that vote already.
 bool let_go(epoch_change& change, const ReplicaGroup& group, std::size_t index, replica_state state,
-            std::size_t present, std::size_t replicas, const fleet_view& view) {
+            std::size_t present, std::size_t replicas, const fleet_view& view, const change_guards& guards) {
   const ReplicaIdentity& replica = group.replicas[index];
   const bool stopping = state == replica_state::stopping;
-  const auto other = substitute(group, replica, stopping ? spares_for(replica, view) : view.places());
+  const auto other = substitute(group, replica, stopping ? spares_for(replica, view) : view.places(), guards);
   const std::size_t members = group.replicas.size() - (other ? 0 : 1);
   if ((!other && group.replicas.size() < replicas) || present < members / 2 + 1) {
     return false;
@@ -182,7 +183,8 @@
   return "unknown";
 }
 
-std::optional<epoch_change> wanted_change(const ReplicaGroup& group, fleet_view& view, std::size_t replicas) {
+std::optional<epoch_change> wanted_change(const ReplicaGroup& group, fleet_view& view, std::size_t replicas,
+                                          const change_guards& guards) {
   epoch_change change;
   change.next = group;
   ++change.next.epoch;
@@ -191,13 +193,13 @@
   });
   std::vector<replica_state> states;
   for (const ReplicaIdentity& replica : group.replicas) {
-    states.push_back(standing_of(group, replica, view));
+    states.push_back(standing_of(group, replica, view, guards));
   }
   // A lost disk first: no more members have to agree on its end than on that of a silent one, which none may be left
   // to.
   for (const replica_state gone : {replica_state::disk_replaced, replica_state::missing}) {
     for (std::size_t index = 0; index < states.size(); ++index) {
-      if (states[index] == gone && replace_gone(change, group, index, gone, view)) {
+      if (states[index] == gone && replace_gone(change, group, index, gone, view, guards)) {
         change.reason = reason_of(group.replicas[index], gone);
         return change;
       }
@@ -207,13 +209,13 @@
   const auto present = static_cast<std::size_t>(std::count(states.begin(), states.end(), replica_state::present));
   for (std::size_t index = 0; index < states.size(); ++index) {
     const bool goes = states[index] == replica_state::retiring || states[index] == replica_state::stopping;
-    if (goes && let_go(change, group, index, states[index], present, replicas, view)) {
+    if (goes && let_go(change, group, index, states[index], present, replicas, view, guards)) {
       change.reason = reason_of(group.replicas[index], states[index]);
       return change;
     }
   }
   if (group.replicas.size() < replicas) {
-    auto other = substitute(group, ReplicaIdentity{}, view.places());
+    auto other = substitute(group, ReplicaIdentity{}, view.places(), guards);
     // A member that is to be emptied cannot be let go before somebody else has joined.
     const bool keeps_retiring = std::find(states.begin(), states.end(), replica_state::retiring) != states.end();
     if (!other && keeps_retiring) {
--- a/src/ledger/epoch_change.hpp
+++ b/src/ledger/epoch_change.hpp
@@ -53,9 +53,16 @@
   std::string reason;  ///< For operators: the member and how it stands, or what else the group needs.
 };
 
+/// Which disks no group takes in, as rules that the simulation can leave out.
+struct change_guards {
+  bool leavers_stay_out = true;         ///< Whoever stands among a group's leaving members is no substitute.
+  bool retiring_disks_stay_out = true;  ///< Nor is a disk that is to be emptied.
+};
+
 /// @param replicas how many a group ought to have.
 /// @return the next description of @p group, if there is a reason for one: one replacement a step, the next waits for a
 ///         new look at the group.
-std::optional<epoch_change> wanted_change(const ReplicaGroup& group, fleet_view& view, std::size_t replicas);
+std::optional<epoch_change> wanted_change(const ReplicaGroup& group, fleet_view& view, std::size_t replicas,
+                                          const change_guards& guards = {});
 
 }  // namespace madderdeck::ledger
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -127,9 +127,11 @@
                                                             dependencies.platform, handover_copies_);
   }
   if (has_role(options.self, Role::controller)) {
+    object_store::ControllerOptions controller_options = options.controller;
+    controller_options.changes = options.guards.changes;
     controller = std::make_unique<object_store::Controller>(environment, counters, members, objects, machines, groups,
                                                             evacuations, catalog, ledger, dependencies.platform,
-                                                            declarations, log, options.controller);
+                                                            declarations, log, controller_options);
   }
 }
 
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -54,6 +54,7 @@
   batch::DispatchGuards dispatch;
   object_store::DeclarationGuards declarations;
   quarantine::quarantine_guards quarantine;
+  ledger::change_guards changes;
   bool cancel_is_durable = true;  ///< A cancel is written before it is confirmed.
   bool reject_older_config = true;
   bool copies_arrive = true;             ///< A new disk is sent what the others hold.
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -313,7 +313,8 @@
   auto nodes = members_.available(membership::Role::ledger);
   std::erase_if(nodes, [this](const wire::MemberT* member) {
     const bool obsolete = ledger_.is_obsolete({NodeId(member->id), DiskId(member->disk_id)});
-    return member->disk_id.empty() || member->retiring || obsolete;
+    const bool retiring = member->retiring && options_.changes.retiring_disks_stay_out;
+    return member->disk_id.empty() || retiring || obsolete;
   });
   return nodes;
 }
@@ -484,7 +485,7 @@
     return false;
   }
   group_beliefs beliefs(*this);
-  const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas);
+  const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas, options_.changes);
   return change && change->rule.let_go == member;
 }
 
@@ -553,7 +554,7 @@
     if (deciding_.contains(group)) {
       continue;
     }
-    if (const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas)) {
+    if (const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas, options_.changes)) {
       pending_.note_wanted(group, *change);
       if (maintains || takes_turn(group, *change)) {
         begin_change(group, *change);
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -45,6 +45,7 @@
   Duration machine_poll = 500ms;
   std::size_t group_count = 16;  ///< Replica groups of a newly founded fleet, per three disks or more.
   std::size_t replicas = 3;      ///< Of each group: 2 n + 1 bear the loss of n disks at once.
+  ledger::change_guards changes;
 
   /// Chooses waits so that every node of a large fleet has a new configuration within @p bound, also where all readers
   /// are away: word is at most one wait old, then the nodes look themselves, the last one after three quarters.
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -5,6 +5,8 @@
 #include <ostream>
 
 #include "simulation/callers.hpp"
+#include "simulation/departure_series.hpp"
+#include "simulation/epoch_watch.hpp"
 #include "simulation/group_watch.hpp"
 #include "simulation/isolation_series.hpp"
 
@@ -35,7 +37,12 @@
         fleet_(world_, oracle_, profile, guards, decisions),
         profile_(profile),
         callers_(world_, fleet_, oracle_, profile),
-        watch_(world_, fleet_, oracle_) {}
+        watch_(world_, fleet_, oracle_),
+        epochs_(world_, fleet_, oracle_) {
+    if (profile_.departures) {
+      fleet_.on_sent = [this](unsigned from, const wire::MessageUnion& message) { epochs_.sent(from, message); };
+    }
+  }
 
   RunResult run(std::uint64_t seed, const std::vector<Action>& actions) {
     if (profile_.loss_series) {
@@ -89,7 +96,9 @@
   void check_regularly() {
     world_.schedule(kDrainCheck, [this] {
       fleet_.check_drains();
-      fleet_.replace_emptied();
+      if (!profile_.departures) {
+        fleet_.replace_emptied();
+      }
       fleet_.observe_disturbances();
       for (const unsigned node : fleet_.disk_nodes()) {
         fleet_.observe_disk(node);
@@ -292,6 +301,9 @@
       case ActionKind::isolation_series:
         play_isolation_series(action.choice);
         break;
+      case ActionKind::departure_series:
+        play_departure_series(action.choice);
+        break;
       case ActionKind::lose_disk_beside_stale_replica:
         lose_disk_beside_stale_replica(action.choice);
         break;
@@ -566,6 +578,12 @@
     IsolationSeries(world_, fleet_, watch_, parts, traffic).play();
   }
 
+  void play_departure_series(std::uint32_t choice) {
+    const auto note = [this](const std::string& line) { note_series(line); };
+    LossSeries parts(world_, fleet_, oracle_, watch_, choice ^ world_.random.next(), note);
+    departure_series(world_, fleet_, watch_, parts).play();
+  }
+
   void note_series(const std::string& line) {
     world_.trace(line);
     if (decisions_ != nullptr) {
@@ -705,6 +723,7 @@
   const Profile profile_;
   Callers callers_;
   GroupWatch watch_;
+  epoch_watch epochs_;
   bool listed_route_declared_ = false;
 };
 
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -63,8 +63,9 @@
   wait,
   loss_series,       ///< A machine away, another one's disk lost, back for a short time, away again, power of all lost.
   isolation_series,  ///< Disks lost beside gateways that are cut off, seeds where nobody lives, a store that is silent.
+  departure_series,  ///< A machine is emptied and taken away, while others believe what was before.
 };
-inline constexpr unsigned kActionKinds = 51;
+inline constexpr unsigned kActionKinds = 52;
 const char* action_name(ActionKind kind);
 
 struct Action {
@@ -94,6 +95,7 @@
   listing,  ///< Besides the standard ones, jobs whose results have positions; nodes that all end at once.
   series,   ///< Jobs with and without positions under losses in series, the store away at times.
   isolation,  ///< As series, with losses beside nodes that find nobody or reach only some.
+  departures,  ///< Machines with a disk that are emptied and taken away while views of it differ.
 };
 
 /// @return @p profile with what the schedules of @p mix need.
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -67,6 +67,12 @@
   fleet_.nodes[node_]->process.schedule(delay, std::move(task));
 }
 void SimEnvironment::send(const PeerAddress& to, wire::MessageUnion message) {
+  if (fleet_.on_sent) {
+    fleet_.on_sent(node_, message);
+  }
+  if (fleet_.keeps_from(number_of(to.str()), message.type)) {
+    return;
+  }
   const bool reduced = fleet_.speak_earlier_version(node_, number_of(to.str()));
   if (reduced && !reduce_to_earlier_version(message)) {
     return;
@@ -207,6 +213,10 @@
   if (!guards.disks_keep_identity && node.has_disk) {
     node.disk_id = "disk-" + hex64(world.random.next());
   }
+  if (!node.ran_with.empty() && node.ran_with != node.disk_id) {
+    gone.replaced.try_emplace({NodeId("node-" + std::to_string(number)), DiskId(node.ran_with)}, world.now());
+  }
+  node.ran_with = node.disk_id;
   node.draining = false;
   node.quiet_checks = 0;
   node.open_requests.clear();
@@ -337,6 +347,35 @@
   }
 }
 
+void SimFleet::take_away(unsigned number) {
+  SimNode& node = *nodes[number];
+  node.retiring = false;
+  retirements->store({{"retirement", "node-" + std::to_string(number)}, "", 0, true}, "", Duration::zero());
+  wake_node(number);
+  if (node.process.up()) {
+    crash_node(number);
+  }
+  remove_machine(number);
+  for (unsigned other = 0; other < nodes.size(); ++other) {
+    if (!nodes[other]->removed && std::find(seeds_.begin(), seeds_.end(), other) == seeds_.end()) {
+      std::replace(seeds_.begin(), seeds_.end(), number, other);
+      return;
+    }
+  }
+}
+
+void SimFleet::note_emptied(unsigned number) {
+  SimNode& node = *nodes[number];
+  node.emptied = node.retiring;
+  if (node.emptied) {
+    gone.emptied.try_emplace(identity_of(number), world.now());
+  }
+}
+
+ledger::ReplicaIdentity SimFleet::identity_of(unsigned number) const {
+  return {NodeId("node-" + std::to_string(number)), DiskId(nodes[number]->disk_id)};
+}
+
 void SimFleet::suspend_node(unsigned number) {
   if (nodes[number]->process.up() && !nodes[number]->suspended_at) {
     nodes[number]->process.freeze();
@@ -365,7 +404,7 @@
     return;
   }
   const auto& groups = node.life.core->ledger.group_map().groups;
-  const ledger::ReplicaIdentity self{NodeId("node-" + std::to_string(number)), DiskId(node.disk_id)};
+  const ledger::ReplicaIdentity self = identity_of(number);
   bool whole = !groups.empty();
   for (std::uint32_t number_of_group = 0; number_of_group < groups.size(); ++number_of_group) {
     const ledger::ReplicaGroup& group = groups[number_of_group];
@@ -519,7 +558,17 @@
   return cut_between(from, to) || conditions.one_way_cuts.contains({from, to});
 }
 
+bool SimFleet::keeps_from(unsigned number, wire::Message type) const {
+  const bool membership = type == wire::Message::Ping || type == wire::Message::PingRequest ||
+                          type == wire::Message::Ack || type == wire::Message::MemberSync ||
+                          type == wire::Message::MemberDigests;
+  return (membership ? conditions.datagrams_lost_to : conditions.streams_lost_to).contains(number);
+}
+
 bool SimFleet::is_cut_off(unsigned number) const {
+  if (conditions.datagrams_lost_to.contains(number) || conditions.streams_lost_to.contains(number)) {
+    return true;
+  }
   const auto touches = [this, number](const auto& pair) {
     const bool part = !nodes[pair.first]->removed && !nodes[pair.second]->removed;
     return part && (pair.first == number || pair.second == number);
@@ -538,6 +587,9 @@
 }
 
 bool SimFleet::is_apart(unsigned number) const {
+  if (conditions.datagrams_lost_to.contains(number) || conditions.streams_lost_to.contains(number)) {
+    return true;
+  }
   const auto touches = [this, number](const auto& pair) {
     if (pair.first != number && pair.second != number) {
       return false;
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -43,6 +43,7 @@
   bool successors_judged = false;  ///< Groups have to take new disks in within the time to catch up.
   bool seeds_go_stale = true;      ///< Otherwise what would make them so is drawn and left out, to tell causes apart.
   bool gateways_are_cut = true;    ///< The same of gateways that reach no disk.
+  bool departures = false;         ///< Machines that are emptied go for good; what epochs name is judged.
   bool seeds_drawn = false;        ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
 };
 /// @return the profile of that name, if there is one.
@@ -88,6 +89,12 @@
 
 class SimFleet;
 
+/// Disks of which their own machines have said that they hold nothing any more, and since when.
+struct gone_disks {
+  std::map<ledger::ReplicaIdentity, Timestamp> emptied;
+  std::map<ledger::ReplicaIdentity, Timestamp> replaced;  ///< The machine runs with another disk.
+};
+
 /// Environment of one life of one node.
 class SimEnvironment : public Environment {
  public:
@@ -238,6 +245,7 @@
   bool removed = false;     ///< Its machine was taken away for good.
   bool retiring = false;    ///< Its disk is to be emptied.
   bool emptied = false;     ///< It has said that its disk holds nothing that is needed.
+  std::string ran_with;     ///< Its disk at its last start.
   bool disk_whole = false;  ///< Seen as admitted and copied since the disk was new.
   std::string zone;
   Counters counters;
@@ -279,6 +287,8 @@
   std::set<std::pair<unsigned, unsigned>> cuts;          ///< Pairs of nodes that cannot reach each other.
   std::set<std::pair<unsigned, unsigned>> one_way_cuts;  ///< The first one's messages do not reach the second one.
   std::set<unsigned> platform_cuts;                      ///< Nodes that the platform's store does not answer.
+  std::set<unsigned> datagrams_lost_to;                  ///< Nodes that word of membership does not reach.
+  std::set<unsigned> streams_lost_to;                    ///< Nodes that all other messages do not reach.
   unsigned loss_percent = 1;
   unsigned duplicate_percent = 2;
   unsigned late_percent = 1;  ///< Messages that take up to seconds.
@@ -330,6 +340,12 @@
   void retire_disk(unsigned number);
   /// Takes machines away that say that they are empty; each comes back with another disk.
   void replace_emptied();
+  /// Takes a machine that says that it is empty away for good, and no setting names it any more.
+  void take_away(unsigned number);
+  /// The node says that its disk is empty.
+  void note_emptied(unsigned number);
+  /// @return the node and the disk that it has.
+  ledger::ReplicaIdentity identity_of(unsigned number) const;
   /// Notes whether the node says that its disk holds all it should.
   void observe_disk(unsigned number);
   void drain_node(unsigned number);
@@ -355,6 +371,8 @@
   bool cut_between(unsigned one, unsigned other) const;
   /// @return whether messages from @p from do not reach @p to.
   bool cut_from_to(unsigned from, unsigned to) const;
+  /// @return whether messages of that type are kept from the node.
+  bool keeps_from(unsigned number, wire::Message type) const;
   /// @return whether the node is cut off from another one that is part of the fleet, or from the platform's store.
   bool is_cut_off(unsigned number) const;
   /// @return whether a machine with a disk is cut off from another one, the store, or one without a disk that reaches
@@ -395,6 +413,9 @@
   Conditions conditions;
   Duration copy_page_time{};  ///< What a page of a copy takes besides the network's delay.
   fatal_sends sent_fatal;
+  gone_disks gone;
+  /// Sees each message that a node sends; may be empty.
+  std::function<void(unsigned from, const wire::MessageUnion& message)> on_sent;
   std::vector<std::unique_ptr<SimNode>> nodes;
   std::vector<std::unique_ptr<SimEngine>> engines;
   std::vector<std::unique_ptr<SimService>> services;
--- a/src/simulation/group_watch.cpp
+++ b/src/simulation/group_watch.cpp
@@ -307,12 +307,27 @@
   }
 }
 
+void GroupWatch::judge_disks() {
+  for (const auto& [group, description] : groups_) {
+    const auto& members = description.replicas;
+    const auto existing = std::count_if(members.begin(), members.end(),
+                                        [this](const auto& member) { return holder_of(member).has_value(); });
+    if (static_cast<std::size_t>(existing) < description.majority()) {
+      oracle_.epoch_names_gone_disk(group, "has no majority of disks that exist: " + sight_of(group, description).members,
+                                    world_.now());
+    }
+  }
+}
+
 void GroupWatch::judge(const std::optional<Timestamp>& since) {
   if (!since || *since == judged_ || world_.now() - *since < kRecover) {
     return;
   }
   judged_ = *since;
   oracle_.recovery_is_due(world_.now());
+  if (fleet_.profile.departures) {
+    judge_disks();
+  }
   for (const auto& [group, round] : after_all_back_) {
     for (const std::string& job : round->unread) {
       oracle_.job_unread(job, group, world_.now());
--- a/src/simulation/group_watch.hpp
+++ b/src/simulation/group_watch.hpp
@@ -21,6 +21,8 @@
   /// A machine with a disk is taken away for good.
   void machine_removed(unsigned node);
   void disk_lost(unsigned node);
+  /// A machine is taken away that has said that its disk is emptied.
+  void machine_departed(unsigned node) { rule_.machine_departed(node); }
   /// Some machines lose power; their disks stay.
   void power_lost();
   /// @return whether the disk of @p node may be lost now, by the users' rule.
@@ -58,6 +60,8 @@
   RoundPointer new_round(std::uint32_t group, bool after_majority) const;
   void read_on(RoundPointer& round);
   void judge(const std::optional<Timestamp>& since);
+  /// Once all have been back for as long as the service may rest, a majority of each group's disks has to exist.
+  void judge_disks();
   /// Once all machines with a disk have had their time to catch up, the groups have to bear the next loss.
   void judge_successors();
 
--- a/src/simulation/loss_rule.hpp
+++ b/src/simulation/loss_rule.hpp
@@ -23,6 +23,8 @@
   /// A machine was taken away; its disk counts as lost until its successor has caught up.
   void machine_removed(unsigned node);
   void disk_lost(unsigned node, Timestamp now);
+  /// A machine was taken away that had said that its disk was emptied: no loss.
+  void machine_departed(unsigned node) { machines_.erase(node); }
   /// Forgets disks that have had their time.
   void expire(Timestamp now);
 
--- a/src/simulation/loss_series.cpp
+++ b/src/simulation/loss_series.cpp
@@ -71,6 +71,8 @@
   conditions.cuts.clear();
   conditions.one_way_cuts.clear();
   conditions.platform_cuts.clear();
+  conditions.datagrams_lost_to.clear();
+  conditions.streams_lost_to.clear();
   for (unsigned node = 0; node < fleet_.nodes.size(); ++node) {
     fleet_.wake_node(node);
     fleet_.start_node(node);
@@ -248,6 +250,8 @@
   fleet_.conditions.cuts.clear();
   fleet_.conditions.one_way_cuts.clear();
   fleet_.conditions.platform_cuts.clear();
+  fleet_.conditions.datagrams_lost_to.clear();
+  fleet_.conditions.streams_lost_to.clear();
   away_.reset();
   for (unsigned node = 0; node < fleet_.nodes.size(); ++node) {
     start_later(node, 1s);
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -15,7 +15,8 @@
 DEFINE_string(
     mix, "standard",
     "Actions to draw from: standard, hardening (requests that end engines, too), listing (jobs with positions), "
-    "leaving, losses, series (losses of disks in series) or isolation (the same beside nodes that find or reach few).");
+    "leaving, losses, series (losses of disks in series), isolation (the same beside nodes that find or reach few) or "
+    "departures (machines that are emptied and taken away while others believe them to be there).");
 DEFINE_string(repeats, "",
               "Instead of a mix: 'request' or 'generation', one that ends its engines, sent 30 times at other nodes.");
 DEFINE_uint64(pause_ms, 400, "With --repeats: between two of them.");
@@ -166,6 +167,9 @@
   if (text == "isolation") {
     return ScheduleMix::isolation;
   }
+  if (text == "departures") {
+    return ScheduleMix::departures;
+  }
   return text == "hardening" ? std::optional(ScheduleMix::hardening) : std::nullopt;
 }
 
@@ -291,7 +295,7 @@
 int main(int argument_count, char** arguments) {
   gflags::SetUsageMessage(
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
-      "[--mix=standard|hardening|listing|leaving|losses|series|isolation] "
+      "[--mix=standard|hardening|listing|leaving|losses|series|isolation|departures] "
       "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
       "[--over_three] [--all_violations] [--replaced_percent=N] [--without=stale_seeds,cut_gateways] "
       "[--json]");
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -25,7 +25,7 @@
       "whole_own_answer",        "not_run_is_true",           "at_most_once",
       "leaving_gets_no_work",    "planned_stop_cuts_nothing", "configuration_never_reverts",
       "fatal_request_contained", "results_keep_positions",    "group_stays_readable",
-      "job_readable_in_time",    "successor_taken_in"};
+      "job_readable_in_time",    "successor_taken_in",        "epoch_names_disks_that_exist"};
   return kNames.at(static_cast<std::size_t>(promise));
 }
 
@@ -180,6 +180,10 @@
            at);
 }
 
+void Oracle::epoch_names_gone_disk(std::uint32_t group, const std::string& detail, Timestamp at) {
+  violated(Promise::epoch_names_disks_that_exist, "group " + std::to_string(group) + " " + detail, at);
+}
+
 void Oracle::job_unread(const std::string& job, std::uint32_t group, Timestamp at) {
   violated(Promise::job_readable_in_time,
            job + " of group " + std::to_string(group) + " cannot be read, " + groups_[group].sight.members, at);
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -28,8 +28,9 @@
   group_stays_readable,
   job_readable_in_time,
   successor_taken_in,
+  epoch_names_disks_that_exist,
 };
-inline constexpr std::size_t kPromises = 14;
+inline constexpr std::size_t kPromises = 15;
 const char* promise_name(Promise promise);
 
 /// How much of each kind of load and fault there was; a kind that never ran shows nothing.
@@ -126,6 +127,10 @@
   /// A job can not be read although recovery is due.
   void job_unread(const std::string& job, std::uint32_t group, Timestamp at);
 
+  /// An epoch has been decided that names a disk of which its machine had said that it holds nothing any more, or all
+  /// machines have long been back and no majority of a group's disks exists.
+  void epoch_names_gone_disk(std::uint32_t group, const std::string& detail, Timestamp at);
+
   /// A group would not bear another loss although all machines with a disk have been back since @p since, for as long
   /// as one is given to catch up.
   void successor_not_taken_in(std::uint32_t group, Timestamp since, Timestamp at);
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <array>
+#include <map>
 
 #include "simulation/driver.hpp"
 
@@ -7,11 +8,12 @@
 namespace {
 /// Several gateways besides the nodes with a disk, so that some can be cut off and others not.
 constexpr unsigned kIsolationNodes = 8;
+constexpr unsigned kDepartureNodes = 6;
 using Weights = std::array<unsigned, kActionKinds>;
 
 /// How often each kind comes up, against the others.
 constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1, 3,
-                              3,  3,  2,  2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0};
+                              3,  3,  2,  2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0};
 
 Weights weights_of(ScheduleMix mix) {
   Weights weights = kWeights;
@@ -44,7 +46,7 @@
     weights.at(static_cast<std::size_t>(ActionKind::platform_down)) = 4;
     weights.at(static_cast<std::size_t>(ActionKind::platform_well)) = 4;
   }
-  if (mix == ScheduleMix::series || mix == ScheduleMix::isolation) {
+  if (mix == ScheduleMix::series || mix == ScheduleMix::isolation || mix == ScheduleMix::departures) {
     // Other faults of nodes and links would hide which losses the series allows; they have their own mixes.
     for (const ActionKind kind :
          {ActionKind::crash_node, ActionKind::freeze_node, ActionKind::lose_disk, ActionKind::cut_link,
@@ -57,7 +59,10 @@
     weights.at(static_cast<std::size_t>(ActionKind::read_positions)) = 12;
     weights.at(static_cast<std::size_t>(ActionKind::platform_down)) = 1;
     weights.at(static_cast<std::size_t>(ActionKind::platform_well)) = 6;
-    weights.at(static_cast<std::size_t>(ActionKind::loss_series)) = mix == ScheduleMix::series ? 5 : 1;
+    const std::map<ScheduleMix, unsigned> loss_series = {
+        {ScheduleMix::series, 5}, {ScheduleMix::isolation, 1}, {ScheduleMix::departures, 0}};
+    weights.at(static_cast<std::size_t>(ActionKind::loss_series)) = loss_series.at(mix);
+    weights.at(static_cast<std::size_t>(ActionKind::departure_series)) = mix == ScheduleMix::departures ? 5 : 0;
     weights.at(static_cast<std::size_t>(ActionKind::isolation_series)) = mix == ScheduleMix::isolation ? 5 : 0;
   }
   if (mix == ScheduleMix::leaving) {
@@ -70,7 +75,13 @@
 }  // namespace
 
 Profile profile_for(ScheduleMix mix, Profile profile) {
-  profile.loss_series = mix == ScheduleMix::series || mix == ScheduleMix::isolation;
+  profile.loss_series =
+      mix == ScheduleMix::series || mix == ScheduleMix::isolation || mix == ScheduleMix::departures;
+  if (mix == ScheduleMix::departures) {
+    profile.departures = true;
+    profile.seeds_drawn = true;
+    profile.nodes = std::max(profile.nodes, kDepartureNodes);
+  }
   if (mix == ScheduleMix::isolation) {
     profile.seeds_drawn = true;
     profile.successors_judged = true;
@@ -133,7 +144,8 @@
                                                                    "losses_in_a_row",
                                                                    "wait",
                                                                    "loss_series",
-                                                                   "isolation_series"};
+                                                                   "isolation_series",
+                                                                   "departure_series"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/simulation/world.cpp
+++ b/src/simulation/world.cpp
@@ -31,8 +31,16 @@
   backlog_.clear();
 }
 
+void SimProcess::freeze() {
+  if (up_ && !frozen_) {
+    froze_at_ = world_.now();
+  }
+  frozen_ = up_;
+}
+
 void SimProcess::thaw() {
   frozen_ = false;
+  thawed_at_ = world_.now();
   std::vector<std::function<void()>> missed;
   missed.swap(backlog_);
   const std::uint64_t life = life_;
@@ -41,6 +49,11 @@
   }
 }
 
+Timestamp SimProcess::begun_since(Duration longest) const {
+  const Timestamp awake = world_.now() - longest;
+  return thawed_at_ < awake ? awake : std::min(awake, froze_at_ - longest);
+}
+
 void SimProcess::deliver(std::uint64_t life, std::function<void()> event) {
   if (!up_ || life != life_) {
     return;
--- a/src/simulation/world.hpp
+++ b/src/simulation/world.hpp
@@ -63,8 +63,11 @@
   std::uint64_t life() const { return life_; }
   void start() { up_ = true; }
   void crash();
-  void freeze() { frozen_ = up_; }
+  void freeze();
   void thaw();
+  /// @return a moment at which what the process does now had surely not begun, if it takes at most @p longest while the
+  ///         process is not frozen.
+  Timestamp begun_since(Duration longest) const;
   /// Runs @p event now, at the thaw, or never.
   void deliver(std::uint64_t life, std::function<void()> event);
   /// Schedules @p event for this process's present life.
@@ -75,6 +78,8 @@
   bool up_ = false;
   bool frozen_ = false;
   std::uint64_t life_ = 1;
+  Timestamp froze_at_{};
+  Timestamp thawed_at_{};
   std::vector<std::function<void()>> backlog_;
 };
 
