--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -32,8 +32,9 @@
     const bool member_already = std::any_of(group.replicas.begin(), group.replicas.end(), [&](const auto& replica) {
       return replica.node == place.identity.node && replica.node != lost.node;
     });
-    const bool leaves = guards.leavers_stay_out && std::any_of(group.leaving.begin(), group.leaving.end(),
-                                    [&](const auto& leaver) { return leaver.node == place.identity.node; });
+    const bool leaves =
+        guards.leavers_stay_out && std::any_of(group.leaving.begin(), group.leaving.end(),
+                                               [&](const auto& leaver) { return leaver.node == place.identity.node; });
     if (member_already || leaves) {
       continue;
     }
--- a/src/simulation/departure_series.cpp
+++ b/src/simulation/departure_series.cpp
@@ -10,10 +10,12 @@
 
 constexpr std::size_t kDisks = 3;
 constexpr unsigned kMostViews = 3;
-constexpr unsigned kMaintainerPercent = 65;   ///< Views of nodes that look after the groups; otherwise of any.
-constexpr unsigned kBackSoonPercent = 35;     ///< Views that end around the end of the emptying.
-constexpr unsigned kBackLaterPercent = 30;    ///< ... soon after the machine is gone.
-constexpr unsigned kBackLatePercent = 90;     ///< All others but these end with the loss of another disk.
+constexpr unsigned kMaintainerPercent = 65;  ///< Views of nodes that look after the groups; otherwise of any.
+/// How often each kind comes up; most often those that leave the members well known and the leaver as it was.
+constexpr std::array<unsigned, kStaleViews> kViewPercents = {32, 12, 8, 5, 25, 5, 13};
+constexpr unsigned kBackSoonPercent = 35;   ///< Views that end around the end of the emptying.
+constexpr unsigned kBackLaterPercent = 30;  ///< ... soon after the machine is gone.
+constexpr unsigned kBackLatePercent = 90;   ///< All others but these end with the loss of another disk.
 constexpr unsigned kLossAfterViewsPercent = 60;
 constexpr unsigned kLossPercent = 85;
 constexpr unsigned kReplacedPercent = 30;
@@ -21,9 +23,17 @@
 constexpr unsigned kSuccessorFirstPercent = 35;
 constexpr unsigned kSuccessorAfterPercent = 30;
 constexpr unsigned kClosingPercent = 70;
+constexpr unsigned kDatagramsLostPercent = 60;  ///< Freezes during which datagrams are lost.
+constexpr unsigned kAskedPercent = 75;          ///< Views of nodes at which callers ask.
+constexpr unsigned kKeysAsked = 6;              ///< So many that most groups are asked.
 constexpr Duration kTick = 10ms;
+constexpr Duration kLongestDeafness = 800ms;  ///< From a thaw until datagrams arrive again.
+constexpr Duration kAskEvery = 100ms;
+constexpr Duration kAskAfter = 1s;  ///< After a view's end.
 constexpr Duration kUntilAsked = 2s;
 constexpr Duration kEarliestView = 1500ms;  ///< Before the emptying is asked for.
+constexpr Duration kEarliestBlindView = 300ms;
+constexpr Duration kLatestBlindView = 20ms;
 constexpr Duration kLatestView = 300ms;     ///< After that.
 constexpr Duration kLeaverForgotten = 6s;   ///< Then no epoch lists a machine that is gone, if others decide at once.
 constexpr Duration kEmptyingPatience = 6s;  ///< Then views end that the emptying may wait for.
@@ -88,16 +98,31 @@
     if (!node) {
       continue;
     }
-    views_.push_back({static_cast<stale_view>(parts_.random().below(kStaleViews)), *node, *node});
+    views_.push_back({draw_kind(), *node, *node});
     if (views_.back().kind == stale_view::started_from_behind) {
       views_.back().peer = draw_viewer().value_or(*node);
     }
+    views_.back().datagrams_lost = parts_.random().chance(kDatagramsLostPercent);
+    views_.back().asked_meanwhile = parts_.random().chance(kAskedPercent);
     plan_view(views_.size() - 1);
   }
 }
 
+stale_view departure_series::draw_kind() {
+  std::uint64_t draw = parts_.random().below(100);
+  unsigned kind = 0;
+  while (draw >= kViewPercents.at(kind)) {
+    draw -= kViewPercents.at(kind++);
+  }
+  return static_cast<stale_view>(kind);
+}
+
 void departure_series::plan_view(std::size_t number) {
-  const Duration begins = parts_.draw(Duration::zero(), kEarliestView + kLatestView) - kEarliestView;
+  // Who hears nothing of the members takes them for dead within some periods.
+  const bool soon_blind = views_[number].kind == stale_view::membership_unheard;
+  const Duration earliest = soon_blind ? kEarliestBlindView : kEarliestView;
+  const Duration latest = soon_blind ? kLatestBlindView : kLatestView;
+  const Duration begins = parts_.draw(Duration::zero(), earliest + latest) - earliest;
   plan(moment::begun, kUntilAsked + begins, [this, number] { begin_view(number); });
   const auto end = [this, number] { end_view(number); };
   const std::uint64_t when = parts_.random().below(100);
@@ -147,6 +172,7 @@
   while (!plan_.empty() && world_.now() < until) {
     take_due_steps();
     note_emptied();
+    ask_at_viewers();
     end_views_that_hold_up();
     apply_cuts();
     world_.run_for(kTick);
@@ -175,6 +201,26 @@
   }
 }
 
+void departure_series::ask_at_viewers() {
+  if (world_.now() - asked_at_ < kAskEvery) {
+    return;
+  }
+  asked_at_ = world_.now();
+  for (const view& one : views_) {
+    const bool reaches =
+        one.ended || (one.kind == stale_view::membership_unheard && moments_.contains(moment::completed));
+    const bool lasts = one.begun && (!one.ended || world_.now() - one.ended_at < kAskAfter);
+    if (!lasts || !reaches || !one.asked_meanwhile || !fleet_.usable(one.node) ||
+        fleet_.nodes[one.node]->process.frozen()) {
+      continue;
+    }
+    for (unsigned key = 0; key < kKeysAsked; ++key) {
+      fleet_.core(one.node).ledger.read("probe/" + std::to_string(key) + "/value",
+                                        [](const Result<ledger::OptionalValue>&) {});
+    }
+  }
+}
+
 void departure_series::end_views_that_hold_up() {
   const auto asked = moments_.find(moment::asked);
   const bool waits = asked != moments_.end() && !moments_.contains(moment::completed);
@@ -199,10 +245,16 @@
   switch (one.kind) {
     case stale_view::frozen:
       fleet_.nodes[one.node]->process.freeze();
+      if (one.datagrams_lost) {
+        conditions.datagrams_lost_to.insert(one.node);
+      }
       break;
     case stale_view::started_from_behind:
       if (one.peer != one.node) {
         fleet_.nodes[one.peer]->process.freeze();
+        if (one.datagrams_lost) {
+          conditions.datagrams_lost_to.insert(one.peer);
+        }
       }
       break;
     case stale_view::turned_away:
@@ -244,6 +296,7 @@
     return;
   }
   one.ended = true;
+  one.ended_at = world_.now();
   if (one.begun) {
     parts_.happens("view_back", one.node);
     fleet_.observe_disturbances();
@@ -251,9 +304,9 @@
     std::erase_if(conditions.cuts,
                   [&one](const auto& pair) { return pair.first == one.node || pair.second == one.node; });
     conditions.platform_cuts.erase(one.node);
-    conditions.datagrams_lost_to.erase(one.node);
     conditions.streams_lost_to.erase(one.node);
     apply_cuts();
+    hear_again(one);
     fleet_.wake_node(one.node);
     fleet_.wake_node(one.peer);
     if (one.kind == stale_view::started_from_behind) {
@@ -265,6 +318,16 @@
   }
 }
 
+void departure_series::hear_again(const view& one) {
+  const bool deaf = one.kind != stale_view::membership_unheard && one.datagrams_lost;
+  world_.schedule(deaf ? parts_.draw(0ms, kLongestDeafness) : Duration::zero(),
+                  [this_fleet = &fleet_, node = one.node, peer = one.peer] {
+                    this_fleet->observe_disturbances();
+                    this_fleet->conditions.datagrams_lost_to.erase(node);
+                    this_fleet->conditions.datagrams_lost_to.erase(peer);
+                  });
+}
+
 void departure_series::restart_from(unsigned node, unsigned peer) {
   if (fleet_.nodes[node]->removed) {
     return;
--- a/src/simulation/departure_series.hpp
+++ b/src/simulation/departure_series.hpp
@@ -44,14 +44,18 @@
   struct view {
     stale_view kind = stale_view::frozen;
     unsigned node = 0;
-    unsigned peer = 0;  ///< Who tells a node of the fleet that starts anew.
+    unsigned peer = 0;             ///< Who tells a node of the fleet that starts anew.
+    bool datagrams_lost = false;   ///< Those that come while it is frozen; what comes by streams is sent again.
+    bool asked_meanwhile = false;  ///< Callers ask there: answers of members tell it of epochs.
     bool begun = false;
     bool ended = false;
+    Timestamp ended_at{};
   };
 
   /// @return the machine that is to be emptied.
   unsigned draw_leaver();
   void draw_views();
+  stale_view draw_kind();
   /// @return a node that looks after the groups or could by turns, of which none has been drawn yet.
   std::optional<unsigned> draw_viewer();
   void plan_view(std::size_t number);
@@ -65,6 +69,8 @@
   void run_plan();
   void take_due_steps();
   void note_emptied();
+  /// Callers ask at nodes that hold an old view and reach others, or did so shortly before.
+  void ask_at_viewers();
   /// Ends views that may be what the emptying waits for.
   void end_views_that_hold_up();
 
@@ -72,6 +78,8 @@
   void end_view(std::size_t number);
   /// Sets the cuts of all views that last; again where a machine has been added.
   void apply_cuts();
+  /// Datagrams reach the nodes of @p one again, some time after the process goes on.
+  void hear_again(const view& one);
   void restart_from(unsigned node, unsigned peer);
   void ask();
   void take_away();
@@ -89,6 +97,7 @@
   std::vector<view> views_;
   std::vector<step> plan_;
   std::map<moment, Timestamp> moments_;
+  Timestamp asked_at_{};  ///< When callers last asked.
 };
 
 }  // namespace madderdeck::simulation
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -94,7 +94,7 @@
   losses,   ///< As listing, and disks that are lost, silent and emptied one beside the other, the store away at times.
   listing,  ///< Besides the standard ones, jobs whose results have positions; nodes that all end at once.
   series,   ///< Jobs with and without positions under losses in series, the store away at times.
-  isolation,  ///< As series, with losses beside nodes that find nobody or reach only some.
+  isolation,   ///< As series, with losses beside nodes that find nobody or reach only some.
   departures,  ///< Machines with a disk that are emptied and taken away while views of it differ.
 };
 
--- a/src/simulation/group_watch.cpp
+++ b/src/simulation/group_watch.cpp
@@ -313,8 +313,8 @@
     const auto existing = std::count_if(members.begin(), members.end(),
                                         [this](const auto& member) { return holder_of(member).has_value(); });
     if (static_cast<std::size_t>(existing) < description.majority()) {
-      oracle_.epoch_names_gone_disk(group, "has no majority of disks that exist: " + sight_of(group, description).members,
-                                    world_.now());
+      oracle_.epoch_names_gone_disk(
+          group, "has no majority of disks that exist: " + sight_of(group, description).members, world_.now());
     }
   }
 }
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -75,10 +75,13 @@
        ScheduleMix::isolation},
       {"groups_looked_at_rarely", Promise::successor_taken_in, 5,
        [](Guards& guards) { guards.groups_checked_soon = false; }, ScheduleMix::isolation},
-      {"former_member_taken_up_again", Promise::epoch_names_disks_that_exist, 5,
+      {"former_member_taken_up_again", Promise::epoch_names_disks_that_exist, 10,
        [](Guards& guards) { guards.changes.leavers_stay_out = false; }, ScheduleMix::departures},
       {"emptied_disk_takes_places", Promise::epoch_names_disks_that_exist, 5,
-       [](Guards& guards) { guards.changes = {false, false}; }, ScheduleMix::departures},
+       [](Guards& guards) {
+         guards.changes = {false, false};
+       },
+       ScheduleMix::departures},
   };
   return all;
 }
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -75,8 +75,7 @@
 }  // namespace
 
 Profile profile_for(ScheduleMix mix, Profile profile) {
-  profile.loss_series =
-      mix == ScheduleMix::series || mix == ScheduleMix::isolation || mix == ScheduleMix::departures;
+  profile.loss_series = mix == ScheduleMix::series || mix == ScheduleMix::isolation || mix == ScheduleMix::departures;
   if (mix == ScheduleMix::departures) {
     profile.departures = true;
     profile.seeds_drawn = true;
