--- a/tests/support/departure_site.cpp
+++ b/tests/support/departure_site.cpp
@@ -167,11 +167,11 @@
 }
 
 void departure_site::release(unsigned node, const std::function<bool(const wire::MessageUnion&)>& which) {
-  for (held_message& message : std::exchange(held_[node], {})) {
-    if (!which(message.incoming.body)) {
+  for (wire::Incoming& message : std::exchange(held_[node], {})) {
+    if (!which(message.body)) {
       held_[node].push_back(std::move(message));
     } else if (fleet.nodes[node]->life.core) {
-      fleet.core(node).handle(message.incoming);
+      fleet.core(node).handle(message);
     }
   }
 }
@@ -203,7 +203,7 @@
   }
   const auto holding = holdings_.find(to);
   if (holding != holdings_.end() && from != to && holding->second(from, incoming.body)) {
-    held_[to].push_back({from, std::move(incoming)});
+    held_[to].push_back(std::move(incoming));
     return false;
   }
   return true;
--- a/tests/support/departure_site.hpp
+++ b/tests/support/departure_site.hpp
@@ -1,7 +1,6 @@
 #pragma once
 /// @file A simulated fleet from which a disk departs for good, while the test orders what each node hears of it.
 
-#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -108,10 +107,6 @@
     std::string members;
     std::string leaving;
   };
-  struct held_message {
-    unsigned from = 0;
-    wire::Incoming incoming;
-  };
   using holding = std::function<bool(unsigned from, const wire::MessageUnion&)>;
 
   static simulation::Profile profile_of(const shape& shape);
@@ -126,7 +121,7 @@
   std::set<std::pair<unsigned, unsigned>> withheld_words_;  ///< Who does not hear, and of whom.
   std::set<unsigned> withheld_epochs_;
   std::map<unsigned, holding> holdings_;
-  std::map<unsigned, std::vector<held_message>> held_;
+  std::map<unsigned, std::vector<wire::Incoming>> held_;
   std::map<std::uint32_t, decided_epoch> latest_;  ///< By group.
   std::set<std::string> completed_;                ///< Disks whose nodes have said that they are emptied.
   std::map<departure_fault, unsigned> faults_;
