A disk becomes a member of a replica group only by its own consent to that epoch

Callers: after a disk was emptied and taken away and another one was lost, all jobs of a group were unreadable for good. Cause: a decision on members rested on what its proposer believed of a disk. A maintainer that had heard of an epoch before it heard who leaves, that had thawed, was cut off or had started with an old list named the departed disk, and every voter grants any description. Change: the proposer asks the disk; it writes its consent to the very epoch down, refuses once it is to be emptied, was emptied or stops, and is not emptied while a consent is undecided. A disk that refuses or is silent is passed over. Why it works: whatever any node believes, an epoch that names the disk was agreed to by it, and it stays until it knows that epoch.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -105,6 +105,27 @@
   start_attempt(submit(std::move(operation)));
 }
 
+void Client::settle_next(std::uint32_t group, std::function<void(Result<ReplicaGroup>)> done) {
+  if (group >= map_.groups.size()) {
+    done(Error{ErrorKind::unavailable, "the group is not known"});
+    return;
+  }
+  ReplicaGroup next = map_.groups[group];
+  ++next.epoch;
+  decide_next(group, next, EpochRule{}, std::move(done));
+}
+
+void Client::tell_group(std::uint32_t group, const NodeId& node) {
+  const auto address = addresses_(node);
+  if (group >= map_.groups.size() || !address) {
+    return;
+  }
+  wire::AdoptGroupT notice;
+  notice.group = group;
+  notice.description = std::make_unique<wire::GroupDescriptionT>(to_wire(map_.groups[group]));
+  send_message(environment_, *address, std::move(notice));
+}
+
 void Client::announce_group(std::uint32_t group) {
   const ReplicaGroup& description = map_.groups.at(group);
   wire::AdoptGroupT notice;
--- a/src/ledger/client.hpp
+++ b/src/ledger/client.hpp
@@ -97,8 +97,13 @@
   /// @p done gets the description that stands, or why none was decided.
   void decide_next(std::uint32_t group, const ReplicaGroup& next, const EpochRule& rule,
                    std::function<void(Result<ReplicaGroup>)> done);
+  /// Lets the members of the present epoch decide the next one with the same members, unless another one is decided:
+  /// afterwards it is known whom that epoch names.
+  void settle_next(std::uint32_t group, std::function<void(Result<ReplicaGroup>)> done);
   /// Tells everybody named in the present description of @p group about it.
   void announce_group(std::uint32_t group);
+  /// Tells @p node the present description of @p group.
+  void tell_group(std::uint32_t group, const NodeId& node);
   /// Lists records of one partition that start with @p prefix, after @p after. Values come from the
   /// nearest replica; the others tell their ballots, which show whether its values stand.
   void scan(const std::string& prefix, const std::string& after, std::uint32_t limit, ScanDone done,
--- a/src/ledger/decision_votes.cpp
+++ b/src/ledger/decision_votes.cpp
@@ -36,6 +36,8 @@
       return "epoch_passed";
     case refusal_ground::store:
       return "store";
+    case refusal_ground::candidate:
+      return "candidate";
     case refusal_ground::other:
       break;
   }
--- a/src/ledger/decision_votes.hpp
+++ b/src/ledger/decision_votes.hpp
@@ -26,6 +26,7 @@
   given_up_answers,  ///< The member that was to be given up has answered.
   epoch_passed,      ///< The group had another epoch before the decision ended.
   store,             ///< The store did not let one member decide alone.
+  candidate,         ///< The disk that was to become a member did not consent.
   other,
 };
 
@@ -36,7 +37,7 @@
                                                refusal_ground::outbid,        refusal_ground::corrupted,
                                                refusal_ground::not_whole,     refusal_ground::given_up_answers,
                                                refusal_ground::epoch_passed,  refusal_ground::store,
-                                               refusal_ground::other};
+                                               refusal_ground::candidate,     refusal_ground::other};
 
 /// @return the name that logs and counters show.
 const char* name_of(refusal_ground ground);
--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -9,7 +9,8 @@
 namespace madderdeck::ledger {
 namespace {
 
-constexpr std::size_t kPair = 2;  ///< Members of the smallest group that has no majority without all.
+constexpr std::size_t kPair = 2;          ///< Members of the smallest group that has no majority without all.
+constexpr int kDeclinedRank = 1'000'000;  ///< More than a zone can hold members.
 
 bool contains(const std::vector<ReplicaIdentity>& list, const ReplicaIdentity& identity) {
   return std::find(list.begin(), list.end(), identity) != list.end();
@@ -39,7 +40,8 @@
       continue;
     }
     // The same node with its new disk first, then the zone that the others use least.
-    const int rank = place.identity.node == lost.node ? 1 : -members_in_zone[place.zone];
+    const int preference = place.identity.node == lost.node ? 1 : -members_in_zone[place.zone];
+    const int rank = place.declined ? preference - kDeclinedRank : preference;
     if (rank > best_rank) {
       best = place.identity;
       best_rank = rank;
--- a/src/ledger/epoch_change.hpp
+++ b/src/ledger/epoch_change.hpp
@@ -25,6 +25,7 @@
 struct disk_place {
   ReplicaIdentity identity;
   std::string zone;
+  bool declined = false;  ///< It has refused a place, or not answered, a short time ago: others come first.
 };
 
 /// What is believed of the fleet. It may be out of date.
@@ -55,6 +56,7 @@
 
 /// Which disks no group takes in, as rules that the simulation can leave out.
 struct change_guards {
+  bool new_members_consent = true;      ///< No disk becomes a member without its own word.
   bool leavers_stay_out = true;         ///< Whoever stands among a group's leaving members is no substitute.
   bool retiring_disks_stay_out = true;  ///< Nor is a disk that is to be emptied.
 };
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -112,7 +112,8 @@
       self_(std::move(self)),
       disk_(std::move(disk)),
       addresses_(std::move(addresses)),
-      guards_(guards) {}
+      guards_(guards),
+      consents_(storage) {}
 
 void Replica::on_group_map(const GroupMap& map) {
   for (std::uint32_t group = 0; group < map.groups.size(); ++group) {
@@ -129,11 +130,12 @@
     groups.push_back(static_cast<std::uint32_t>(std::strtoul(std::string(key.substr(2)).c_str(), nullptr, 10)));
     return true;
   });
-  groups_unread_ = !succeeded(read);
+  const Status consents = consents_.restore();
+  groups_unread_ = !succeeded(read) || !succeeded(consents);
   if (groups_unread_) {
     counters_["ledger_group_states_unreadable_total"]++;
     if (on_unreadable) {
-      on_unreadable(std::nullopt, error_of(read));
+      on_unreadable(std::nullopt, error_of(succeeded(read) ? consents : read));
     }
     schedule_reading_again();
     return;
@@ -207,6 +209,7 @@
   progress_.clear();
   unreadable_.clear();
   groups_unread_ = false;
+  consents_.forget();
 }
 
 void Replica::resume() {
@@ -1406,11 +1409,29 @@
 }
 
 void Replica::handle(const PeerAddress& sender, const wire::CopyStatusRequestT& message) {
-  reply_when_durable(sender, describe_copy(message.group, message.epoch));
+  wire::CopyStatusT status = describe_copy(message.group, message.epoch);
+  if (message.offered) {
+    const ReplicaIdentity offered{NodeId(message.offered->node), DiskId(message.offered->disk)};
+    status.place_epoch = message.place_epoch;
+    status.consent = answer_offer({message.group, message.place_epoch, offered, message.although_retiring});
+  }
+  reply_when_durable(sender, std::move(status));
+}
+
+wire::PlaceConsent Replica::answer_offer(const place_offer& offer) {
+  const bool readable = !suspended_ && !groups_unread_ && unreadable_.empty();
+  const wire::PlaceConsent answer =
+      readable ? consents_.answer(offer, {self_, disk_}, known_epoch(offer.group)) : wire::PlaceConsent::NotReady;
+  counters_[std::string("ledger_place_offers_") + name_of(answer) + "_total"]++;
+  if (on_place_answered) {
+    on_place_answered(offer, answer);
+  }
+  return answer;
 }
 
 wire::CopyStatusT Replica::describe_copy(std::uint32_t group, std::uint64_t epoch) const {
   wire::CopyStatusT status;
+  status.consent = wire::PlaceConsent::NotAsked;
   status.group = group;
   status.standing = standing(group, epoch);
   if (const auto entry = progress_.find(group); entry != progress_.end()) {
@@ -1462,7 +1483,35 @@
 bool Replica::left_all_groups(std::size_t least_copies) const {
   const bool knows_groups = !words_.empty() || !progress_.empty();
   const bool all_read = !suspended_ && !groups_unread_ && unreadable_.empty();
-  return all_read && knows_groups && pending_handovers(least_copies).empty();
+  const bool named_nowhere = open_places().empty() || !guards_.open_places_hold;
+  return all_read && knows_groups && named_nowhere && pending_handovers(least_copies).empty();
+}
+
+std::uint64_t Replica::known_epoch(std::uint32_t group) const {
+  const auto word = words_.find(group);
+  const auto progress = progress_.find(group);
+  return std::max(word == words_.end() ? 0 : word->second.epoch,
+                  progress == progress_.end() ? 0 : progress->second.epoch);
+}
+
+std::vector<open_place> Replica::open_places() const {
+  std::vector<open_place> open;
+  for (const auto& [group, epoch] : consents_.given()) {
+    if (epoch > known_epoch(group)) {
+      open.push_back({group, epoch});
+    }
+  }
+  return open;
+}
+
+void Replica::note_emptied(std::function<void(Status)> done) {
+  consents_.note_emptied();
+  storage_.flush(std::move(done));
+}
+
+void Replica::keep_disk() {
+  consents_.keep_disk();
+  storage_.flush([](const Status&) {});
 }
 
 }  // namespace madderdeck::ledger
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -13,6 +13,7 @@
 #include "ledger/copy_progress.hpp"
 #include "ledger/groups.hpp"
 #include "ledger/handover.hpp"
+#include "ledger/place_consents.hpp"
 #include "ledger/storage.hpp"
 
 namespace madderdeck::ledger {
@@ -24,6 +25,7 @@
   bool flush_before_reply = true;       ///< A reply leaves only after its write is durable.
   bool reject_lower_ballots = true;
   bool fence_old_epochs = true;
+  bool open_places_hold = true;  ///< A disk is not emptied while a consent of its is undecided.
 };
 
 /// Single-record consensus acceptor over Storage. Owned by one node, single threaded.
@@ -67,6 +69,21 @@
   ///         any group nobody can say.
   bool left_all_groups(std::size_t least_copies) const;
 
+  /// @return the places that this disk has consented to take in epochs that it does not know to be decided: it may be a
+  ///         member there.
+  std::vector<open_place> open_places() const;
+  /// @return the latest epoch of @p group that is known here to be decided; zero: none.
+  std::uint64_t known_epoch(std::uint32_t group) const;
+  /// The disk is to be emptied: it takes a place only where a group has no other disk.
+  void begin_emptying() { consents_.begin_emptying(); }
+  /// The disk may be taken away: it takes no place any more.
+  /// @param done runs once a restart would know it, too; fails where the disk does.
+  void note_emptied(std::function<void(Status)> done);
+  /// The disk stays after all.
+  void keep_disk();
+  /// The process was told to stop: the disk takes no place any more.
+  void begin_stopping() { consents_.begin_stopping(); }
+
   /// @return the descriptions that this disk knows, of the groups that name it.
   std::map<std::uint32_t, ReplicaGroup> descriptions() const;
 
@@ -106,6 +123,8 @@
   /// Told when what this disk knows of its groups cannot be read, or of one of them; it is read again after a while.
   /// May be empty.
   std::function<void(std::optional<std::uint32_t> group, const Error&)> on_unreadable;
+  /// Told of each answer to the offer of a place; may be empty.
+  std::function<void(const place_offer&, wire::PlaceConsent)> on_place_answered;
   /// Told when this disk has copied a group and votes from now on; may be empty.
   std::function<void(std::uint32_t group, std::uint64_t epoch)> on_admitted;
 
@@ -254,6 +273,8 @@
                                                    const Ballot& ballot);
   void finish_copy_if_complete(std::uint32_t group);
   wire::CopyStatusT describe_copy(std::uint32_t group, std::uint64_t epoch) const;
+  /// @return whether this disk takes the place; a consent is durable with the next flush.
+  wire::PlaceConsent answer_offer(const place_offer& offer);
   /// Tells the other members that this disk votes from now on.
   void tell_admission(std::uint32_t group);
   /// @return whether all sources that are members, or all that are leaving, have been copied from.
@@ -322,6 +343,7 @@
   std::map<std::uint32_t, Timestamp>
       asked_at_;  ///< Groups whose records somebody has asked for, whatever was answered.
   std::map<std::uint32_t, GroupWord> words_;
+  place_consents consents_;
   bool suspended_ = false;
   std::map<std::uint32_t, ReplicaGroup> unreadable_;  ///< Groups left out, and what was heard of them last.
   bool groups_unread_ = false;                        ///< Nobody knows which groups the disk has.
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -123,7 +123,7 @@
     dispatcher->use_repeat_guard(quarantine);
   }
   if (replica && dependencies.platform.has_retirements()) {
-    retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica,
+    retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica, ledger,
                                                             dependencies.platform, handover_copies_);
   }
   if (has_role(options.self, Role::controller)) {
@@ -547,6 +547,9 @@
         replica->handle(*body.AsCopyStatus());
       }
       group_health->handle(sender, *body.AsCopyStatus());
+      if (controller) {
+        controller->handle(sender, *body.AsCopyStatus());
+      }
       break;
     case wire::Message::JobNotice:
       if (jobs) {
@@ -660,6 +663,9 @@
 void NodeCore::drain() {
   draining_ = true;
   members.leave();
+  if (replica) {
+    replica->begin_stopping();
+  }
   if (replica && controller && !handover) {
     const ledger::ReplicaIdentity self{NodeId(members.self().id), DiskId(members.self().disk_id)};
     handover = std::make_unique<object_store::stopping_handover>(environment, counters, log, *replica, *controller,
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -67,7 +67,8 @@
       feeds_(members, {options.readers, options.relays, options.all_read_up_to}),
       pending_(environment, counters, log),
       proposals_(environment, counters, log, members),
-      deciders_(environment, declarations, platform) {}
+      deciders_(environment, declarations, platform),
+      offers_(environment, counters, log, [this](const NodeId& node) { return members_.address_of(node); }) {}
 
 void Controller::start() {
   started_ = environment_.now();
@@ -468,7 +469,8 @@
     if (!places_) {
       places_.emplace();
       for (const wire::MemberT* node : controller_.ledger_nodes()) {
-        places_->push_back({{NodeId(node->id), DiskId(node->disk_id)}, node->zone});
+        const ledger::ReplicaIdentity identity{NodeId(node->id), DiskId(node->disk_id)};
+        places_->push_back({identity, node->zone, controller_.offers_.is_declined(identity)});
       }
     }
     return *places_;
@@ -479,6 +481,19 @@
   mutable std::optional<std::vector<ledger::disk_place>> places_;  ///< Once a look: every node looks.
 };
 
+namespace {
+/// @return the disk that @p change makes a member, which it is not in @p present; there is one at most.
+std::optional<ledger::ReplicaIdentity> newcomer_of(const ledger::epoch_change& change,
+                                                   const ledger::ReplicaGroup& present) {
+  for (const ledger::ReplicaIdentity& replica : change.next.replicas) {
+    if (!present.index_of(replica)) {
+      return replica;
+    }
+  }
+  return std::nullopt;
+}
+}  // namespace
+
 bool Controller::wants_place_of(std::uint32_t group, const ledger::ReplicaIdentity& member) {
   const auto& groups = ledger_.group_map().groups;
   if (group >= groups.size() || !groups[group].index_of(member)) {
@@ -573,6 +588,29 @@
   deciding_.insert(group);
   pending_.note_attempt(group);
   proposals_.note_proposed(group, change);
+  const auto newcomer = newcomer_of(change, ledger_.group_map().groups[group]);
+  if (!newcomer || !options_.changes.new_members_consent) {
+    ask_store(group, change);
+    return;
+  }
+  const wire::MemberT* node = member(newcomer->node);
+  const ledger::place_offer offer{group, change.next.epoch, *newcomer, node != nullptr && node->retiring};
+  offers_.ask(offer, lifetime_.guard([this, group, change](const Status& status) {
+    if (succeeded(status)) {
+      ask_store(group, change);
+    } else {
+      end_change(group, change, error_of(status));
+    }
+  }));
+}
+
+void Controller::end_change(std::uint32_t group, const ledger::epoch_change& change, const Error& why) {
+  proposals_.tell_declined(group, change, why);
+  pending_.note_outcome(group, why);
+  deciding_.erase(group);
+}
+
+void Controller::ask_store(std::uint32_t group, const ledger::epoch_change& change) {
   if (!change.rule.sole) {
     decide(group, change);
     return;
@@ -596,10 +634,15 @@
 
 void Controller::decide(std::uint32_t group, const ledger::epoch_change& change) {
   counters_["replica_replacements_total"]++;
-  const auto decided = [this, group, change](const Result<ledger::ReplicaGroup>& result) {
+  const auto newcomer = newcomer_of(change, ledger_.group_map().groups[group]);
+  const auto decided = [this, group, change, newcomer](const Result<ledger::ReplicaGroup>& result) {
     deciding_.erase(group);
     announce_until_[group] = environment_.now() + kAnnounceTime;
     proposals_.tell(group, change, result);
+    // It waits to hear whether that epoch names it.
+    if (newcomer) {
+      ledger_.tell_group(group, newcomer->node);
+    }
     if (!succeeded(result)) {
       pending_.note_outcome(group, error_of(result));
     }
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -15,6 +15,7 @@
 #include "object_store/declarations.hpp"
 #include "object_store/feed_tree.hpp"
 #include "object_store/pending_changes.hpp"
+#include "object_store/place_offers.hpp"
 #include "object_store/platform_client.hpp"
 #include "object_store/proposal_journal.hpp"
 #include "object_store/sole_deciders.hpp"
@@ -69,6 +70,8 @@
   void start();
   /// @return whether this node is one of the few that read the store.
   bool is_reader() const;
+  /// Takes the answer of a disk that was offered a place.
+  void handle(const PeerAddress& sender, const wire::CopyStatusT& message) { offers_.handle(sender, message); }
   /// @return whether the place of @p member, which is about to go, is to be given to another disk by this node's view.
   bool wants_place_of(std::uint32_t group, const ledger::ReplicaIdentity& member);
 
@@ -129,8 +132,12 @@
   bool is_to_found() const;
   /// Tells operators of changes that are wanted and not made.
   void tell_pending_changes();
-  /// Has @p change decided, after the store's grant where one member is to decide alone.
+  /// Has @p change decided, after the consent of the disk that is to become a member.
   void begin_change(std::uint32_t group, const ledger::epoch_change& change);
+  /// The same, after the store's grant where one member is to decide alone.
+  void ask_store(std::uint32_t group, const ledger::epoch_change& change);
+  /// The disk that was to become a member does not: nobody else is asked.
+  void end_change(std::uint32_t group, const ledger::epoch_change& change, const Error& why);
   void decide(std::uint32_t group, const ledger::epoch_change& change);
   void publish_groups();
   /// Publishes what the maintainers ought to have: they may not know of it.
@@ -161,6 +168,7 @@
   pending_changes pending_;
   proposal_journal proposals_;
   sole_deciders deciders_;
+  place_offers offers_;
   std::map<std::uint32_t, Timestamp> announce_until_;  ///< Groups whose latest epoch is repeated for a while.
   std::map<ledger::ReplicaIdentity, Timestamp> leaver_gone_since_;  ///< Former members that seem to be gone.
   bool declaring_ = false;
--- /dev/null
+++ b/src/object_store/place_offers.cpp
@@ -0,0 +1,112 @@
+#include "object_store/place_offers.hpp"
+
+#include <string>
+#include <utility>
+
+namespace madderdeck::object_store {
+namespace {
+
+constexpr Duration kAskAgain = 200ms;
+/// A disk writes its consent before it answers: a slow one takes some syncs.
+constexpr Duration kPatience = 1s;
+/// For so long after a refusal other disks are asked first.
+constexpr Duration kDeclinedFor = 3s;
+
+}  // namespace
+
+place_offers::place_offers(Environment& environment, Counters& counters, DecisionLog& log,
+                           ledger::AddressLookup addresses)
+    : environment_(environment), counters_(counters), log_(log), addresses_(std::move(addresses)) {}
+
+void place_offers::ask(const ledger::place_offer& offer, answered done) {
+  counters_["replica_places_offered_total"]++;
+  const std::uint64_t number = ++next_number_;
+  open_offer& open = open_[offer.group];
+  open = {offer, std::move(done), PeerAddress(""), environment_.now(), number};
+  send(open);
+  environment_.after(kAskAgain, lifetime_.guard([this, group = offer.group, number] { look_at(group, number); }));
+}
+
+void place_offers::send(open_offer& open) const {
+  const auto address = addresses_(open.offer.disk.node);
+  if (!address) {
+    return;
+  }
+  open.asked = *address;
+  wire::CopyStatusRequestT request;
+  request.group = open.offer.group;
+  request.epoch = open.offer.epoch;
+  request.place_epoch = open.offer.epoch;
+  request.offered = std::make_unique<wire::ReplicaIdT>();
+  request.offered->node = open.offer.disk.node.str();
+  request.offered->disk = open.offer.disk.disk.str();
+  request.although_retiring = open.offer.although_retiring;
+  send_message_within(kAskAgain, environment_, *address, std::move(request));
+}
+
+void place_offers::look_at(std::uint32_t group, std::uint64_t number) {
+  const auto entry = open_.find(group);
+  if (entry == open_.end() || entry->second.number != number) {
+    return;
+  }
+  if (environment_.now() - entry->second.began_at >= kPatience) {
+    const open_offer open = std::move(open_.extract(entry).mapped());
+    decline(open, "silent");
+    open.done(
+        Error{ErrorKind::unavailable, ledger::text_of(open.offer.disk) + " does not answer the offer of a place"});
+    return;
+  }
+  send(entry->second);
+  environment_.after(kAskAgain, lifetime_.guard([this, group, number] { look_at(group, number); }));
+}
+
+void place_offers::handle(const PeerAddress& sender, const wire::CopyStatusT& answer) {
+  const auto entry = open_.find(answer.group);
+  if (entry == open_.end() || entry->second.asked != sender || answer.consent == wire::PlaceConsent::NotAsked) {
+    return;
+  }
+  // A node of an earlier version answers the question without a word on the place: that it is there has to do.
+  const bool says_nothing = answer.consent == wire::PlaceConsent::NotSaid;
+  if (says_nothing || answer.place_epoch == entry->second.offer.epoch) {
+    end(answer.group, answer.consent);
+  }
+}
+
+void place_offers::end(std::uint32_t group, wire::PlaceConsent answer) {
+  const open_offer open = std::move(open_.extract(group).mapped());
+  switch (answer) {
+    case wire::PlaceConsent::NotSaid:
+      counters_["replica_places_taken_unsaid_total"]++;
+      open.done(Ok{});
+      return;
+    case wire::PlaceConsent::Given:
+    // That epoch has been decided: its members tell how.
+    case wire::PlaceConsent::EpochOver:
+      open.done(Ok{});
+      return;
+    default:
+      decline(open, ledger::name_of(answer));
+      open.done(Error{ErrorKind::conflict,
+                      ledger::text_of(open.offer.disk) + " does not take a place: " + ledger::name_of(answer)});
+      return;
+  }
+}
+
+void place_offers::decline(const open_offer& open, const char* ground) {
+  const Timestamp now = environment_.now();
+  std::erase_if(declined_at_, [now](const auto& one) { return now - one.second > kDeclinedFor; });
+  declined_at_[open.offer.disk] = now;
+  counters_[std::string("replica_places_declined_") + ground + "_total"]++;
+  log_.record("replica_place_declined", {{"group", open.offer.group},
+                                         {"epoch", open.offer.epoch},
+                                         {"disk", ledger::text_of(open.offer.disk)},
+                                         {"ground", ground},
+                                         {"waited_ms", (now - open.began_at) / 1ms}});
+}
+
+bool place_offers::is_declined(const ledger::ReplicaIdentity& disk) const {
+  const auto entry = declined_at_.find(disk);
+  return entry != declined_at_.end() && environment_.now() - entry->second <= kDeclinedFor;
+}
+
+}  // namespace madderdeck::object_store
--- a/src/object_store/proposal_journal.cpp
+++ b/src/object_store/proposal_journal.cpp
@@ -36,6 +36,10 @@
   record(group, asked, result, ground, how);
 }
 
+void proposal_journal::tell_declined(std::uint32_t group, const ledger::epoch_change& asked, const Error& why) {
+  record(group, asked, why, ledger::refusal_ground::candidate, take(group));
+}
+
 void proposal_journal::tell_not_let(std::uint32_t group, const ledger::epoch_change& asked, const Error& why) {
   record(group, asked, why, ledger::refusal_ground::store, take(group));
 }
--- a/src/object_store/proposal_journal.hpp
+++ b/src/object_store/proposal_journal.hpp
@@ -25,6 +25,8 @@
   void note_votes(std::uint32_t group, const ledger::decision_votes& votes);
   /// The proposal has ended: with the description that stands, or why none was decided.
   void tell(std::uint32_t group, const ledger::epoch_change& asked, const Result<ledger::ReplicaGroup>& result);
+  /// The disk that was to become a member has refused, or not answered: the members were not asked.
+  void tell_declined(std::uint32_t group, const ledger::epoch_change& asked, const Error& why);
   /// The store did not let one member decide alone: the members were not asked.
   void tell_not_let(std::uint32_t group, const ledger::epoch_change& asked, const Error& why);
 
--- a/src/object_store/retirement.cpp
+++ b/src/object_store/retirement.cpp
@@ -1,5 +1,8 @@
 #include "object_store/retirement.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace madderdeck::object_store {
 namespace {
 /// The store is asked by every ledger node, and each call has its price: as long as the store lets a watch wait,
@@ -8,15 +11,19 @@
 constexpr Duration kStoreRetry = 300ms;
 constexpr Duration kCheckInterval = 200ms;
 constexpr Duration kTellPending = 2s;  ///< Between two lines on what is waited for.
+/// Whoever has offered this disk a place has it decided, and tells it, within that time, or is away.
+constexpr Duration kOpenPlacePatience = 1s;
 }  // namespace
 
 Retirement::Retirement(Environment& environment, Counters& counters, DecisionLog& log, membership::Membership& members,
-                       ledger::Replica& replica, PlatformClient& platform, std::size_t least_copies)
+                       ledger::Replica& replica, ledger::Client& ledger, PlatformClient& platform,
+                       std::size_t least_copies)
     : environment_(environment),
       counters_(counters),
       log_(log),
       members_(members),
       replica_(replica),
+      ledger_(ledger),
       platform_(platform),
       least_copies_(least_copies) {}
 
@@ -35,6 +42,9 @@
         begin();
       }
     }
+    if (!std::exchange(asked_store_, true) && !begun_) {
+      replica_.keep_disk();
+    }
     watch();
   };
   platform_.watch_retirements(revision_, kWatchWait, lifetime_.guard(take));
@@ -48,6 +58,7 @@
   counters_["retirements_total"]++;
   log_.record("retirement_begun", {{"node", members_.self().id}, {"revision", revision_}});
   members_.retire();
+  replica_.begin_emptying();
   report(RetirementState::running);
   check();
 }
@@ -59,26 +70,68 @@
   const std::vector<ledger::pending_handover> pending = replica_.pending_handovers(least_copies_);
   counters_["retirement_groups_pending"] = static_cast<CounterValue>(pending.size());
   if (replica_.left_all_groups(least_copies_)) {
-    completed_ = true;
-    log_.record("retirement_completed", {{"node", members_.self().id}});
-    report(RetirementState::completed);
+    complete();
     return;
   }
-  tell_pending(pending);
+  const std::vector<ledger::open_place> open = replica_.open_places();
+  settle_open_places(open);
+  tell_pending(pending, open.size());
   replica_.ask_copy_status();
   environment_.after(kCheckInterval, lifetime_.guard([this] { check(); }));
 }
 
-void Retirement::tell_pending(const std::vector<ledger::pending_handover>& pending) {
+void Retirement::complete() {
+  replica_.note_emptied(lifetime_.guard([this](const Status& status) {
+    if (!succeeded(status)) {
+      counters_["retirement_notes_failed_total"]++;
+      environment_.after(kCheckInterval, lifetime_.guard([this] { check(); }));
+      return;
+    }
+    completed_ = true;
+    log_.record("retirement_completed", {{"node", members_.self().id}});
+    report(RetirementState::completed);
+  }));
+}
+
+void Retirement::settle_open_places(const std::vector<ledger::open_place>& open) {
+  const Timestamp now = environment_.now();
+  std::erase_if(open_since_,
+                [&open](const auto& entry) { return std::find(open.begin(), open.end(), entry.first) == open.end(); });
+  for (const ledger::open_place& place : open) {
+    const Timestamp since = open_since_.try_emplace(place, now).first->second;
+    if (now - since >= kOpenPlacePatience && settling_.insert(place.group).second) {
+      settle(place);
+    }
+  }
+}
+
+void Retirement::settle(const ledger::open_place& place) {
+  counters_["retirement_places_settled_total"]++;
+  const auto take = [this, place](const Result<ledger::ReplicaGroup>& result) {
+    settling_.erase(place.group);
+    if (place.group < ledger_.group_map().groups.size()) {
+      replica_.adopt_group(place.group, ledger_.group_map().groups[place.group]);
+    }
+    log_.record("open_place_settled",
+                {{"group", place.group},
+                 {"consented_epoch", place.epoch},
+                 {"known_epoch", replica_.known_epoch(place.group)},
+                 {"outcome", succeeded(result) ? "decided" : error_kind_name(error_of(result).kind)}});
+  };
+  ledger_.settle_next(place.group, lifetime_.guard(take));
+}
+
+void Retirement::tell_pending(const std::vector<ledger::pending_handover>& pending, std::size_t open_places) {
   const Timestamp now = environment_.now();
   const bool told_lately = told_pending_at_.count() != 0 && now - told_pending_at_ < kTellPending;
-  if (pending.empty() || told_lately) {
+  if ((pending.empty() && open_places == 0) || told_lately) {
     return;
   }
   told_pending_at_ = now;
-  const ledger::pending_handover& first = pending.front();
+  const ledger::pending_handover first = pending.empty() ? ledger::pending_handover{} : pending.front();
   log_.record("retirement_pending", {{"node", members_.self().id},
                                      {"groups", pending.size()},
+                                     {"open_places", open_places},
                                      {"group", first.group},
                                      {"epoch", first.epoch},
                                      {"member", first.is_member},
--- a/src/object_store/stopping_handover.cpp
+++ b/src/object_store/stopping_handover.cpp
@@ -5,6 +5,8 @@
 namespace madderdeck::object_store {
 namespace {
 constexpr Duration kCheckInterval = 100ms;
+/// Whoever has offered the disk a place before it was told to stop has it decided by then.
+constexpr Duration kOpenPlacePatience = 1s;
 }  // namespace
 
 stopping_handover::stopping_handover(Environment& environment, Counters& counters, DecisionLog& log,
@@ -29,8 +31,10 @@
 
 std::size_t stopping_handover::pending_groups() const {
   const auto pending = replica_.pending_handovers(least_copies_);
-  return static_cast<std::size_t>(
+  const auto handovers = static_cast<std::size_t>(
       std::count_if(pending.begin(), pending.end(), [this](const auto& one) { return is_pending(one); }));
+  const bool awaits_decisions = environment_.now() - began_at_ < kOpenPlacePatience;
+  return handovers + (awaits_decisions ? replica_.open_places().size() : 0);
 }
 
 void stopping_handover::check() {
--- a/src/simulation/earlier_version.cpp
+++ b/src/simulation/earlier_version.cpp
@@ -8,6 +8,14 @@
     case wire::Message::RevisionAnswer:
     case wire::Message::SuspicionTaken:
       return false;
+    case wire::Message::CopyStatusRequest:
+      message.AsCopyStatusRequest()->place_epoch = 0;
+      message.AsCopyStatusRequest()->offered.reset();
+      return true;
+    case wire::Message::CopyStatus:
+      message.AsCopyStatus()->place_epoch = 0;
+      message.AsCopyStatus()->consent = wire::PlaceConsent::NotSaid;
+      return true;
     case wire::Message::TablePull:
       message.AsTablePull()->number = 0;
       return true;
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -432,6 +432,54 @@
   return EnumNamesReplicaStanding()[index];
 }
 
+enum class PlaceConsent : uint8_t {
+  NotSaid = 0,
+  NotAsked = 1,
+  Given = 2,
+  OtherDisk = 3,
+  Retiring = 4,
+  Stopping = 5,
+  NotReady = 6,
+  EpochOver = 7,
+  MIN = NotSaid,
+  MAX = EpochOver
+};
+
+inline const PlaceConsent (&EnumValuesPlaceConsent())[8] {
+  static const PlaceConsent values[] = {
+    PlaceConsent::NotSaid,
+    PlaceConsent::NotAsked,
+    PlaceConsent::Given,
+    PlaceConsent::OtherDisk,
+    PlaceConsent::Retiring,
+    PlaceConsent::Stopping,
+    PlaceConsent::NotReady,
+    PlaceConsent::EpochOver
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesPlaceConsent() {
+  static const char * const names[9] = {
+    "NotSaid",
+    "NotAsked",
+    "Given",
+    "OtherDisk",
+    "Retiring",
+    "Stopping",
+    "NotReady",
+    "EpochOver",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNamePlaceConsent(PlaceConsent e) {
+  if (flatbuffers::IsOutRange(e, PlaceConsent::NotSaid, PlaceConsent::EpochOver)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesPlaceConsent()[index];
+}
+
 enum class QueueVerdict : uint8_t {
   Granted = 0,
   Full = 1,
@@ -3142,6 +3190,13 @@
   typedef CopyStatusRequest TableType;
   uint32_t group = 0;
   uint64_t epoch = 0;
+  uint64_t place_epoch = 0;
+  std::unique_ptr<madderdeck::wire::ReplicaIdT> offered{};
+  bool although_retiring = false;
+  CopyStatusRequestT() = default;
+  CopyStatusRequestT(const CopyStatusRequestT &o);
+  CopyStatusRequestT(CopyStatusRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  CopyStatusRequestT &operator=(CopyStatusRequestT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct CopyStatusRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3150,7 +3205,10 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
-    VT_EPOCH = 6
+    VT_EPOCH = 6,
+    VT_PLACE_EPOCH = 8,
+    VT_OFFERED = 10,
+    VT_ALTHOUGH_RETIRING = 12
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -3158,10 +3216,23 @@
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
   }
+  uint64_t place_epoch() const {
+    return GetField<uint64_t>(VT_PLACE_EPOCH, 0);
+  }
+  const madderdeck::wire::ReplicaId *offered() const {
+    return GetPointer<const madderdeck::wire::ReplicaId *>(VT_OFFERED);
+  }
+  bool although_retiring() const {
+    return GetField<uint8_t>(VT_ALTHOUGH_RETIRING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PLACE_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_OFFERED) &&
+           verifier.VerifyTable(offered()) &&
+           VerifyField<uint8_t>(verifier, VT_ALTHOUGH_RETIRING, 1) &&
            verifier.EndTable();
   }
   CopyStatusRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3179,6 +3250,15 @@
   void add_epoch(uint64_t epoch) {
     fbb_.AddElement<uint64_t>(CopyStatusRequest::VT_EPOCH, epoch, 0);
   }
+  void add_place_epoch(uint64_t place_epoch) {
+    fbb_.AddElement<uint64_t>(CopyStatusRequest::VT_PLACE_EPOCH, place_epoch, 0);
+  }
+  void add_offered(flatbuffers::Offset<madderdeck::wire::ReplicaId> offered) {
+    fbb_.AddOffset(CopyStatusRequest::VT_OFFERED, offered);
+  }
+  void add_although_retiring(bool although_retiring) {
+    fbb_.AddElement<uint8_t>(CopyStatusRequest::VT_ALTHOUGH_RETIRING, static_cast<uint8_t>(although_retiring), 0);
+  }
   explicit CopyStatusRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3193,10 +3273,16 @@
 inline flatbuffers::Offset<CopyStatusRequest> CreateCopyStatusRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint32_t group = 0,
-    uint64_t epoch = 0) {
+    uint64_t epoch = 0,
+    uint64_t place_epoch = 0,
+    flatbuffers::Offset<madderdeck::wire::ReplicaId> offered = 0,
+    bool although_retiring = false) {
   CopyStatusRequestBuilder builder_(_fbb);
+  builder_.add_place_epoch(place_epoch);
   builder_.add_epoch(epoch);
+  builder_.add_offered(offered);
   builder_.add_group(group);
+  builder_.add_although_retiring(although_retiring);
   return builder_.Finish();
 }
 
@@ -3215,6 +3301,8 @@
   bool complete = false;
   madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid;
   bool whole = false;
+  uint64_t place_epoch = 0;
+  madderdeck::wire::PlaceConsent consent = madderdeck::wire::PlaceConsent::NotSaid;
 };
 
 struct CopyStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3227,7 +3315,9 @@
     VT_REPLICA = 8,
     VT_COMPLETE = 10,
     VT_STANDING = 12,
-    VT_WHOLE = 14
+    VT_WHOLE = 14,
+    VT_PLACE_EPOCH = 16,
+    VT_CONSENT = 18
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -3247,6 +3337,12 @@
   bool whole() const {
     return GetField<uint8_t>(VT_WHOLE, 0) != 0;
   }
+  uint64_t place_epoch() const {
+    return GetField<uint64_t>(VT_PLACE_EPOCH, 0);
+  }
+  madderdeck::wire::PlaceConsent consent() const {
+    return static_cast<madderdeck::wire::PlaceConsent>(GetField<uint8_t>(VT_CONSENT, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -3255,6 +3351,8 @@
            VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            VerifyField<uint8_t>(verifier, VT_STANDING, 1) &&
            VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_PLACE_EPOCH, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CONSENT, 1) &&
            verifier.EndTable();
   }
   CopyStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3284,6 +3382,12 @@
   void add_whole(bool whole) {
     fbb_.AddElement<uint8_t>(CopyStatus::VT_WHOLE, static_cast<uint8_t>(whole), 0);
   }
+  void add_place_epoch(uint64_t place_epoch) {
+    fbb_.AddElement<uint64_t>(CopyStatus::VT_PLACE_EPOCH, place_epoch, 0);
+  }
+  void add_consent(madderdeck::wire::PlaceConsent consent) {
+    fbb_.AddElement<uint8_t>(CopyStatus::VT_CONSENT, static_cast<uint8_t>(consent), 0);
+  }
   explicit CopyStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3302,11 +3406,15 @@
     uint32_t replica = 0,
     bool complete = false,
     madderdeck::wire::ReplicaStanding standing = madderdeck::wire::ReplicaStanding::NotSaid,
-    bool whole = false) {
+    bool whole = false,
+    uint64_t place_epoch = 0,
+    madderdeck::wire::PlaceConsent consent = madderdeck::wire::PlaceConsent::NotSaid) {
   CopyStatusBuilder builder_(_fbb);
+  builder_.add_place_epoch(place_epoch);
   builder_.add_epoch(epoch);
   builder_.add_replica(replica);
   builder_.add_group(group);
+  builder_.add_consent(consent);
   builder_.add_whole(whole);
   builder_.add_standing(standing);
   builder_.add_complete(complete);
@@ -10093,6 +10201,23 @@
       _description);
 }
 
+inline CopyStatusRequestT::CopyStatusRequestT(const CopyStatusRequestT &o)
+      : group(o.group),
+        epoch(o.epoch),
+        place_epoch(o.place_epoch),
+        offered((o.offered) ? new madderdeck::wire::ReplicaIdT(*o.offered) : nullptr),
+        although_retiring(o.although_retiring) {
+}
+
+inline CopyStatusRequestT &CopyStatusRequestT::operator=(CopyStatusRequestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(group, o.group);
+  std::swap(epoch, o.epoch);
+  std::swap(place_epoch, o.place_epoch);
+  std::swap(offered, o.offered);
+  std::swap(although_retiring, o.although_retiring);
+  return *this;
+}
+
 inline CopyStatusRequestT *CopyStatusRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<CopyStatusRequestT>();
   UnPackTo(_o.get(), _resolver);
@@ -10104,6 +10229,9 @@
   (void)_resolver;
   { auto _e = group(); _o->group = _e; }
   { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = place_epoch(); _o->place_epoch = _e; }
+  { auto _e = offered(); if (_e) _o->offered = std::unique_ptr<madderdeck::wire::ReplicaIdT>(_e->UnPack(_resolver)); }
+  { auto _e = although_retiring(); _o->although_retiring = _e; }
 }
 
 inline flatbuffers::Offset<CopyStatusRequest> CopyStatusRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10116,10 +10244,16 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const CopyStatusRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group;
   auto _epoch = _o->epoch;
+  auto _place_epoch = _o->place_epoch;
+  auto _offered = _o->offered ? CreateReplicaId(_fbb, _o->offered.get(), _rehasher) : 0;
+  auto _although_retiring = _o->although_retiring;
   return madderdeck::wire::CreateCopyStatusRequest(
       _fbb,
       _group,
-      _epoch);
+      _epoch,
+      _place_epoch,
+      _offered,
+      _although_retiring);
 }
 
 inline CopyStatusT *CopyStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -10137,6 +10271,8 @@
   { auto _e = complete(); _o->complete = _e; }
   { auto _e = standing(); _o->standing = _e; }
   { auto _e = whole(); _o->whole = _e; }
+  { auto _e = place_epoch(); _o->place_epoch = _e; }
+  { auto _e = consent(); _o->consent = _e; }
 }
 
 inline flatbuffers::Offset<CopyStatus> CopyStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10153,6 +10289,8 @@
   auto _complete = _o->complete;
   auto _standing = _o->standing;
   auto _whole = _o->whole;
+  auto _place_epoch = _o->place_epoch;
+  auto _consent = _o->consent;
   return madderdeck::wire::CreateCopyStatus(
       _fbb,
       _group,
@@ -10160,7 +10298,9 @@
       _replica,
       _complete,
       _standing,
-      _whole);
+      _whole,
+      _place_epoch,
+      _consent);
 }
 
 inline PrepareT::PrepareT(const PrepareT &o)
--- /dev/null
+++ b/tests/ledger/place_consents_test.cpp
@@ -0,0 +1,156 @@
+/// A disk becomes a member of a replica group only by its own word, which it does not forget.
+#include "ledger/place_consents.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "ledger/replica.hpp"
+#include "simulation/fleet.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::ledger;
+using madderdeck::tests::TestEnvironment;
+using wire::PlaceConsent;
+
+namespace {
+
+constexpr std::size_t kLeastCopies = least_copies(3);
+const PeerAddress kProposer("10.0.0.9:1");
+const ReplicaIdentity kA{NodeId("a"), DiskId("disk-a")};
+const ReplicaIdentity kB{NodeId("b"), DiskId("disk-b")};
+const ReplicaIdentity kC{NodeId("c"), DiskId("disk-c")};
+const ReplicaIdentity kNewC{NodeId("c"), DiskId("disk-c2")};
+constexpr std::uint64_t kDecided = 4;
+
+/// The disk of node c, whose group others hold.
+struct spare_disk {
+  spare_disk() {
+    process.start();
+    start();
+  }
+  void start() {
+    replica = std::make_unique<Replica>(environment, storage, counters, kC.node, kC.disk,
+                                        [](const NodeId& node) { return std::optional(PeerAddress(node.str())); });
+    replica->restore();
+  }
+  void hear_of(std::uint64_t epoch) { replica->on_group_map({{{epoch, {kA, kB}, {}}}}); }
+  PlaceConsent offer(std::uint64_t epoch, bool although_retiring = false, const ReplicaIdentity& disk = kC) {
+    wire::CopyStatusRequestT request;
+    request.epoch = epoch;
+    request.place_epoch = epoch;
+    request.offered = std::make_unique<wire::ReplicaIdT>();
+    request.offered->node = disk.node.str();
+    request.offered->disk = disk.disk.str();
+    request.although_retiring = although_retiring;
+    environment.sent.clear();
+    replica->handle(kProposer, request);
+    environment.world.run_for(20ms);
+    REQUIRE(environment.sent_of(wire::Message::CopyStatus) == 1);
+    return environment.sent.back().body.AsCopyStatus()->consent;
+  }
+  bool may_go() const { return replica->left_all_groups(kLeastCopies); }
+  bool note_emptied() {
+    bool noted = false;
+    replica->note_emptied([&noted](const Status& status) { noted = succeeded(status); });
+    environment.world.run_for(20ms);
+    return noted;
+  }
+
+  TestEnvironment environment;
+  Counters counters;
+  simulation::SimProcess process{environment.world};
+  simulation::SimStorage storage{environment.world, process};
+  std::unique_ptr<Replica> replica;
+};
+
+}  // namespace
+
+// A maintainer that had not heard that a disk is to be emptied named it again; the disk was taken away, and the loss of
+// another one left one member of three.
+TEST_CASE("a disk that is to be emptied takes no place, but where a group has no other disk") {
+  spare_disk disk;
+  disk.hear_of(kDecided);
+  disk.replica->begin_emptying();
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::Retiring);
+  CHECK(disk.may_go());
+  CHECK(disk.offer(kDecided + 1, true) == PlaceConsent::Given);
+}
+
+// The epoch may name it: decided by others with what its proposer had sent before it went away.
+TEST_CASE("a disk that has consented to a place is not emptied before it knows whether that epoch names it") {
+  spare_disk disk;
+  disk.hear_of(kDecided);
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::Given);
+  disk.replica->begin_emptying();
+  CHECK_FALSE(disk.may_go());
+  CHECK(disk.replica->open_places() == std::vector<open_place>{{0, kDecided + 1}});
+  SECTION("it does not") {
+    disk.hear_of(kDecided + 1);
+    CHECK(disk.may_go());
+  }
+  SECTION("it does") {
+    disk.replica->on_group_map({{{kDecided + 1, {kA, kB, kC}, {}}}});
+    CHECK(disk.replica->open_places().empty());
+    CHECK_FALSE(disk.may_go());
+  }
+}
+
+TEST_CASE("a consent lasts through a loss of power") {
+  spare_disk disk;
+  disk.hear_of(kDecided);
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::Given);
+  disk.storage.crash();
+  disk.start();
+  disk.hear_of(kDecided);
+  disk.replica->begin_emptying();
+  CHECK_FALSE(disk.may_go());
+}
+
+TEST_CASE("a disk that was emptied takes no place after a restart, whatever it hears") {
+  spare_disk disk;
+  disk.hear_of(kDecided);
+  REQUIRE(disk.note_emptied());
+  CHECK(disk.offer(kDecided + 1, true) == PlaceConsent::Retiring);
+  disk.storage.crash();
+  disk.start();
+  disk.hear_of(kDecided);
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::Retiring);
+  disk.replica->keep_disk();
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::Given);
+}
+
+TEST_CASE("a node does not take a place for a disk that it had before") {
+  spare_disk disk;
+  disk.hear_of(kDecided);
+  CHECK(disk.offer(kDecided + 1, false, kNewC) == PlaceConsent::OtherDisk);
+}
+
+TEST_CASE("a disk takes no place in an epoch that is over, nor while it stops or refuses writes") {
+  spare_disk disk;
+  disk.hear_of(kDecided);
+  CHECK(disk.offer(kDecided) == PlaceConsent::EpochOver);
+  disk.replica->suspend();
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::NotReady);
+  disk.replica->resume();
+  disk.replica->begin_stopping();
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::Stopping);
+  CHECK(disk.replica->open_places().empty());
+}
+
+TEST_CASE("a status that was asked for without a place says that none was offered") {
+  spare_disk disk;
+  wire::CopyStatusRequestT request;
+  disk.replica->handle(kProposer, request);
+  disk.environment.world.run_for(20ms);
+  REQUIRE(disk.environment.sent_of(wire::Message::CopyStatus) == 1);
+  CHECK(disk.environment.sent.back().body.AsCopyStatus()->consent == PlaceConsent::NotAsked);
+}
+
+TEST_CASE("a consent that cannot be read has the disk take no place and not be emptied") {
+  spare_disk disk;
+  disk.storage.put("c/0000", wire::Bytes{1, 2});
+  disk.start();
+  disk.hear_of(kDecided);
+  CHECK(disk.offer(kDecided + 1) == PlaceConsent::NotReady);
+  CHECK_FALSE(disk.may_go());
+}
--- a/tests/object_store/replacement_test.cpp
+++ b/tests/object_store/replacement_test.cpp
@@ -88,10 +88,24 @@
     incoming.body.Set(std::move(*sync));
     core.handle(incoming);
   }
-  /// Speaks for the members with a disk that stayed, which hold no decision yet.
+  /// Speaks for a disk that is offered a place: those that are to leave do not take one.
+  void answer_offer(const PeerAddress& to, const wire::CopyStatusRequestT& request) {
+    if (!request.offered) {
+      return;
+    }
+    wire::CopyStatusT status;
+    status.group = request.group;
+    status.place_epoch = request.place_epoch;
+    status.consent = leaves.contains(request.offered->node) ? wire::PlaceConsent::Retiring : wire::PlaceConsent::Given;
+    core.controller->handle(to, status);
+  }
+  /// Speaks for the members with a disk that stayed, which hold no decision yet, and for disks that are offered places.
   void answer() {
     const std::map<std::string, std::uint32_t> numbers = {{"a:1", 0}, {"c:1", c_number}};
     for (const auto& message : std::exchange(environment.sent, {})) {
+      if (message.body.type == wire::Message::CopyStatusRequest) {
+        answer_offer(message.to, *message.body.AsCopyStatusRequest());
+      }
       const auto number = numbers.find(message.to.str());
       if (number == numbers.end()) {
         continue;
@@ -128,7 +142,8 @@
     }
   }
 
-  std::uint32_t c_number = 2;  ///< Of member c in its group.
+  std::uint32_t c_number = 2;    ///< Of member c in its group.
+  std::set<std::string> leaves;  ///< Nodes that are to be emptied, as they alone know.
   TestEnvironment environment;
   Counters counters;
   FakeBackends backends;
@@ -179,6 +194,30 @@
   CHECK(fixture.after_a_while().epoch == kEpoch);
 }
 
+// A maintainer that thaws, or starts with an old list of members, knows neither that a disk is to be emptied nor that
+// an earlier epoch has let it go.
+TEST_CASE("a disk that is to be emptied is not named by a maintainer that nobody has told") {
+  maintainer_fixture fixture({kEpoch, {kA, kC}, {}});
+  fixture.c_number = 1;
+  fixture.leaves = {kNewB.node.str()};
+  fixture.add(kA);
+  fixture.add(kNewB);
+  fixture.add(kC);
+  CHECK(fixture.after_a_while().epoch == kEpoch);
+}
+
+TEST_CASE("another node is asked where one does not take the place of a lost disk") {
+  const ReplicaIdentity d{NodeId("d"), DiskId("disk-d")};
+  maintainer_fixture fixture({kEpoch, {kA, kC}, {}});
+  fixture.c_number = 1;
+  fixture.leaves = {kNewB.node.str()};
+  fixture.add(kA);
+  fixture.add(kNewB);
+  fixture.add(kC);
+  fixture.add(d);
+  CHECK(fixture.after_a_while().replicas == std::vector<ReplicaIdentity>{kA, kC, d});
+}
+
 TEST_CASE("another node takes the place of a member that has left its group") {
   const ReplicaIdentity d{NodeId("d"), DiskId("disk-d")};
   maintainer_fixture fixture({kEpoch, {kA, kC}, {kNewB}});
