A member is not given up as silent by the vote of one that knows it to be there

Cause: that gateway held the other one of a pair for dead and had the store let one decide alone; its disk was lost next. Change: Prepare says who is given up; a voter that knows it to live refuses (MemberThere); who is to decide alone is asked before the store is.

--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -264,6 +264,11 @@
   request.ballot = to_wire(operation.ballot);
   request.key = operation.key;
   request.reads_standing = operation.only_epoch.has_value();
+  if (operation.rule.given_up && operation.rule.given_up_is_silent) {
+    request.gives_up = std::make_unique<wire::ReplicaIdT>();
+    request.gives_up->node = operation.rule.given_up->node.str();
+    request.gives_up->disk = operation.rule.given_up->disk.str();
+  }
   // Answers to an attempt that is over do not count.
   broadcast(operation.group, request, attempt_time(operation));
   arm_attempt_timer(id, operation.request);
@@ -409,6 +414,11 @@
     finish(id->second, Error{ErrorKind::conflict, "a member that was to be given up answers"});
     return;
   }
+  if (operation.phase == Phase::preparing && message.status == wire::ReplicaStatus::MemberThere) {
+    operation.refusals[sender] = message.status;
+    finish(id->second, Error{ErrorKind::conflict, "another member knows the one that was to be given up to be there"});
+    return;
+  }
   if (operation.phase != Phase::preparing || !operation.counts(message.replica)) {
     return;
   }
--- a/src/ledger/decision_votes.cpp
+++ b/src/ledger/decision_votes.cpp
@@ -32,6 +32,8 @@
       return "not_whole";
     case refusal_ground::given_up_answers:
       return "given_up_answers";
+    case refusal_ground::member_there:
+      return "member_there";
     case refusal_ground::epoch_passed:
       return "epoch_passed";
     case refusal_ground::store:
@@ -58,6 +60,8 @@
       return refusal_ground::not_admitted;
     case wire::ReplicaStatus::Corrupted:
       return refusal_ground::corrupted;
+    case wire::ReplicaStatus::MemberThere:
+      return refusal_ground::member_there;
   }
   return refusal_ground::other;
 }
--- a/src/ledger/decision_votes.hpp
+++ b/src/ledger/decision_votes.hpp
@@ -24,6 +24,7 @@
   corrupted,         ///< The member cannot read its record.
   not_whole,         ///< Enough granted, but those may lack confirmed records.
   given_up_answers,  ///< The member that was to be given up has answered.
+  member_there,      ///< The member knows the one that was to be given up to be there.
   epoch_passed,      ///< The group had another epoch before the decision ended.
   store,             ///< The store did not let one member decide alone.
   candidate,         ///< The disk that was to become a member did not consent.
@@ -36,8 +37,9 @@
                                                refusal_ground::unknown_epoch, refusal_ground::stale_epoch,
                                                refusal_ground::outbid,        refusal_ground::corrupted,
                                                refusal_ground::not_whole,     refusal_ground::given_up_answers,
-                                               refusal_ground::epoch_passed,  refusal_ground::store,
-                                               refusal_ground::candidate,     refusal_ground::other};
+                                               refusal_ground::member_there,  refusal_ground::epoch_passed,
+                                               refusal_ground::store,         refusal_ground::candidate,
+                                               refusal_ground::other};
 
 /// @return the name that logs and counters show.
 const char* name_of(refusal_ground ground);
--- a/src/ledger/group_health.cpp
+++ b/src/ledger/group_health.cpp
@@ -448,6 +448,7 @@
     case wire::ReplicaStatus::Granted:
     case wire::ReplicaStatus::BallotTooLow:
     case wire::ReplicaStatus::Corrupted:
+    case wire::ReplicaStatus::MemberThere:
       on_granted(sender, group, epoch);  // it votes, though not for this
       return;
     case wire::ReplicaStatus::StaleEpoch:
--- a/src/ledger/place_consents.cpp
+++ b/src/ledger/place_consents.cpp
@@ -2,7 +2,6 @@
 
 #include <charconv>
 #include <cstdio>
-#include <optional>
 
 namespace madderdeck::ledger {
 namespace {
@@ -66,6 +65,8 @@
       return "not_ready";
     case wire::PlaceConsent::EpochOver:
       return "epoch_over";
+    case wire::PlaceConsent::MemberThere:
+      return "member_there";
   }
   return "unknown";
 }
--- a/src/ledger/place_consents.hpp
+++ b/src/ledger/place_consents.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
   std::uint64_t epoch = 0;  ///< The one that would name the disk.
   ReplicaIdentity disk;
   bool although_retiring = false;  ///< Also where the disk is to be emptied: the group has no other one to go to.
+  /// The disk is a member, which is to decide alone: this other one is taken for silent.
+  std::optional<ReplicaIdentity> gives_up;
 };
 
 /// A consent whose epoch is not known to be decided.
--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -439,7 +439,13 @@
   // A proposer of an earlier version takes whoever grants it for a member that votes on records.
   const bool decides = status == wire::ReplicaStatus::NotReady && message.reads_standing &&
                        is_decision_of_member(message.group, message.epoch, message.key);
-  return decides ? wire::ReplicaStatus::Granted : status;
+  const wire::ReplicaStatus admitted = decides ? wire::ReplicaStatus::Granted : status;
+  const bool refuses = admitted == wire::ReplicaStatus::Granted && gives_up_present_member(message);
+  return refuses ? wire::ReplicaStatus::MemberThere : admitted;
+}
+
+bool Replica::gives_up_present_member(const wire::PrepareT& message) const {
+  return message.gives_up && is_there && is_there({NodeId(message.gives_up->node), DiskId(message.gives_up->disk)});
 }
 
 wire::ReplicaStatus Replica::admit_to(const wire::AcceptT& message) const {
@@ -1413,15 +1419,17 @@
   if (message.offered) {
     const ReplicaIdentity offered{NodeId(message.offered->node), DiskId(message.offered->disk)};
     status.place_epoch = message.place_epoch;
-    status.consent = answer_offer({message.group, message.place_epoch, offered, message.although_retiring});
+    place_offer offer{message.group, message.place_epoch, offered, message.although_retiring, std::nullopt};
+    if (message.gives_up) {
+      offer.gives_up = ReplicaIdentity{NodeId(message.gives_up->node), DiskId(message.gives_up->disk)};
+    }
+    status.consent = answer_offer(offer);
   }
   reply_when_durable(sender, std::move(status));
 }
 
 wire::PlaceConsent Replica::answer_offer(const place_offer& offer) {
-  const bool readable = !suspended_ && !groups_unread_ && unreadable_.empty();
-  const wire::PlaceConsent answer =
-      readable ? consents_.answer(offer, {self_, disk_}, known_epoch(offer.group)) : wire::PlaceConsent::NotReady;
+  const wire::PlaceConsent answer = offer.gives_up ? answer_alone(offer) : answer_place(offer);
   counters_[std::string("ledger_place_offers_") + name_of(answer) + "_total"]++;
   if (on_place_answered) {
     on_place_answered(offer, answer);
@@ -1429,6 +1437,19 @@
   return answer;
 }
 
+wire::PlaceConsent Replica::answer_place(const place_offer& offer) {
+  const bool readable = !suspended_ && !groups_unread_ && unreadable_.empty();
+  return readable ? consents_.answer(offer, {self_, disk_}, known_epoch(offer.group)) : wire::PlaceConsent::NotReady;
+}
+
+wire::PlaceConsent Replica::answer_alone(const place_offer& offer) const {
+  if (!is(offer.disk)) {
+    return wire::PlaceConsent::OtherDisk;
+  }
+  const bool other_is_there = is_there && is_there(*offer.gives_up);
+  return other_is_there ? wire::PlaceConsent::MemberThere : wire::PlaceConsent::Given;
+}
+
 wire::CopyStatusT Replica::describe_copy(std::uint32_t group, std::uint64_t epoch) const {
   wire::CopyStatusT status;
   status.consent = wire::PlaceConsent::NotAsked;
--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -123,6 +123,9 @@
   /// Told when what this disk knows of its groups cannot be read, or of one of them; it is read again after a while.
   /// May be empty.
   std::function<void(std::optional<std::uint32_t> group, const Error&)> on_unreadable;
+  /// Asked whether this node knows a member to be there, with that disk: it is not given up as silent then. May be
+  /// empty.
+  std::function<bool(const ReplicaIdentity&)> is_there;
   /// Told of each answer to the offer of a place; may be empty.
   std::function<void(const place_offer&, wire::PlaceConsent)> on_place_answered;
   /// Told when this disk has copied a group and votes from now on; may be empty.
@@ -196,6 +199,8 @@
   /// The same for a record. On the next description of its group a member votes at once, whatever it holds: that record
   /// begins with the epoch that names the member.
   wire::ReplicaStatus admit_to(const wire::PrepareT& message) const;
+  /// @return whether the decision that @p message asks for gives a member up that this node knows to be there.
+  bool gives_up_present_member(const wire::PrepareT& message) const;
   void note_asked(std::uint32_t group);
   wire::ReplicaStatus admit_to(const wire::AcceptT& message) const;
   bool is_decision_of_member(std::uint32_t group, std::uint64_t epoch, const std::string& key) const;
@@ -273,8 +278,12 @@
                                                    const Ballot& ballot);
   void finish_copy_if_complete(std::uint32_t group);
   wire::CopyStatusT describe_copy(std::uint32_t group, std::uint64_t epoch) const;
-  /// @return whether this disk takes the place; a consent is durable with the next flush.
+  /// Answers an offer and tells of it.
   wire::PlaceConsent answer_offer(const place_offer& offer);
+  /// @return whether this disk takes the place; a consent is durable with the next flush.
+  wire::PlaceConsent answer_place(const place_offer& offer);
+  /// @return whether this disk is to decide alone without the other member, which this node would have to miss, too.
+  wire::PlaceConsent answer_alone(const place_offer& offer) const;
   /// Tells the other members that this disk votes from now on.
   void tell_admission(std::uint32_t group);
   /// @return whether all sources that are members, or all that are leaving, have been copied from.
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -109,6 +109,9 @@
         environment, *dependencies.storage, counters, NodeId(options.self.id), DiskId(options.self.disk_id),
         [this](const NodeId& node) { return members.address_of(node); }, options.guards.replica);
     replica_journal = std::make_unique<ledger::replica_journal>(environment, log, *replica);
+    if (options.guards.changes.members_miss_silent_ones) {
+      replica->is_there = [this](const ledger::ReplicaIdentity& member) { return is_there(member); };
+    }
   }
   group_health = std::make_unique<ledger::group_health>(environment, counters, log, ledger, replica.get(),
                                                         [this](const NodeId& node) { return members.find(node); });
@@ -678,6 +681,11 @@
   }
 }
 
+bool NodeCore::is_there(const ledger::ReplicaIdentity& member) const {
+  const wire::MemberT* known = members.find(member.node);
+  return known != nullptr && known->state == wire::MemberState::Alive && known->disk_id == member.disk.str();
+}
+
 bool NodeCore::drained() const { return has_finished_calls() && !hands_over_records(); }
 
 bool NodeCore::hands_over_records() const { return handover && handover->is_pending(); }
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -153,6 +153,9 @@
   DecisionLog& log;
 
  private:
+  /// @return whether this node knows the node of @p member to live, with that disk.
+  bool is_there(const ledger::ReplicaIdentity& member) const;
+
   Guards guards_;
   ledger::Storage* const storage_;  ///< Null on nodes without a disk.
   routing::BackendClient& backends_;
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -590,18 +590,34 @@
   proposals_.note_proposed(group, change);
   const auto newcomer = newcomer_of(change, ledger_.group_map().groups[group]);
   if (!newcomer || !options_.changes.new_members_consent) {
-    ask_store(group, change);
+    ask_sole_decider(group, change);
     return;
   }
   const wire::MemberT* node = member(newcomer->node);
-  const ledger::place_offer offer{group, change.next.epoch, *newcomer, node != nullptr && node->retiring};
-  offers_.ask(offer, lifetime_.guard([this, group, change](const Status& status) {
-    if (succeeded(status)) {
-      ask_store(group, change);
-    } else {
-      end_change(group, change, error_of(status));
-    }
-  }));
+  const bool retiring = node != nullptr && node->retiring;
+  offers_.ask({group, change.next.epoch, *newcomer, retiring, std::nullopt},
+              lifetime_.guard([this, group, change](const Status& status) {
+                if (succeeded(status)) {
+                  ask_sole_decider(group, change);
+                } else {
+                  end_change(group, change, error_of(status));
+                }
+              }));
+}
+
+void Controller::ask_sole_decider(std::uint32_t group, const ledger::epoch_change& change) {
+  if (!change.rule.sole || !options_.changes.members_miss_silent_ones) {
+    ask_store(group, change);
+    return;
+  }
+  offers_.ask({group, change.next.epoch, *change.rule.sole, false, change.rule.given_up},
+              lifetime_.guard([this, group, change](const Status& status) {
+                if (succeeded(status)) {
+                  ask_store(group, change);
+                } else {
+                  end_change(group, change, error_of(status));
+                }
+              }));
 }
 
 void Controller::end_change(std::uint32_t group, const ledger::epoch_change& change, const Error& why) {
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -134,9 +134,11 @@
   void tell_pending_changes();
   /// Has @p change decided, after the consent of the disk that is to become a member.
   void begin_change(std::uint32_t group, const ledger::epoch_change& change);
+  /// The same, where one member is to decide alone after its word that it misses the other one, too.
+  void ask_sole_decider(std::uint32_t group, const ledger::epoch_change& change);
   /// The same, after the store's grant where one member is to decide alone.
   void ask_store(std::uint32_t group, const ledger::epoch_change& change);
-  /// The disk that was to become a member does not: nobody else is asked.
+  /// The disk that was to become a member, or to decide alone, does not: nobody else is asked.
   void end_change(std::uint32_t group, const ledger::epoch_change& change, const Error& why);
   void decide(std::uint32_t group, const ledger::epoch_change& change);
   void publish_groups();
--- a/src/object_store/place_offers.cpp
+++ b/src/object_store/place_offers.cpp
@@ -41,6 +41,11 @@
   request.offered->node = open.offer.disk.node.str();
   request.offered->disk = open.offer.disk.disk.str();
   request.although_retiring = open.offer.although_retiring;
+  if (open.offer.gives_up) {
+    request.gives_up = std::make_unique<wire::ReplicaIdT>();
+    request.gives_up->node = open.offer.gives_up->node.str();
+    request.gives_up->disk = open.offer.gives_up->disk.str();
+  }
   send_message_within(kAskAgain, environment_, *address, std::move(request));
 }
 
--- a/src/simulation/earlier_version.cpp
+++ b/src/simulation/earlier_version.cpp
@@ -11,6 +11,10 @@
     case wire::Message::CopyStatusRequest:
       message.AsCopyStatusRequest()->place_epoch = 0;
       message.AsCopyStatusRequest()->offered.reset();
+      message.AsCopyStatusRequest()->gives_up.reset();
+      return true;
+    case wire::Message::Prepare:
+      message.AsPrepare()->gives_up.reset();
       return true;
     case wire::Message::CopyStatus:
       message.AsCopyStatus()->place_epoch = 0;
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -75,11 +75,19 @@
        ScheduleMix::isolation},
       {"groups_looked_at_rarely", Promise::successor_taken_in, 5,
        [](Guards& guards) { guards.groups_checked_soon = false; }, ScheduleMix::isolation},
+      {"members_named_unasked", Promise::epoch_names_disks_that_exist, 10,
+       [](Guards& guards) { guards.changes.new_members_consent = false; }, ScheduleMix::departures},
       {"former_member_taken_up_again", Promise::epoch_names_disks_that_exist, 10,
-       [](Guards& guards) { guards.changes.leavers_stay_out = false; }, ScheduleMix::departures},
+       [](Guards& guards) {
+         guards.changes.new_members_consent = false;
+         guards.changes.leavers_stay_out = false;
+       },
+       ScheduleMix::departures},
+      {"emptied_beside_open_places", Promise::epoch_names_disks_that_exist, 60,
+       [](Guards& guards) { guards.replica.open_places_hold = false; }, ScheduleMix::departures},
       {"emptied_disk_takes_places", Promise::epoch_names_disks_that_exist, 5,
        [](Guards& guards) {
-         guards.changes = {false, false};
+         guards.changes = {false, false, false, false};
        },
        ScheduleMix::departures},
   };
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -361,37 +361,40 @@
   UnknownEpoch = 3,
   NotReady = 4,
   Corrupted = 5,
+  MemberThere = 6,
   MIN = Granted,
-  MAX = Corrupted
+  MAX = MemberThere
 };
 
-inline const ReplicaStatus (&EnumValuesReplicaStatus())[6] {
+inline const ReplicaStatus (&EnumValuesReplicaStatus())[7] {
   static const ReplicaStatus values[] = {
     ReplicaStatus::Granted,
     ReplicaStatus::BallotTooLow,
     ReplicaStatus::StaleEpoch,
     ReplicaStatus::UnknownEpoch,
     ReplicaStatus::NotReady,
-    ReplicaStatus::Corrupted
+    ReplicaStatus::Corrupted,
+    ReplicaStatus::MemberThere
   };
   return values;
 }
 
 inline const char * const *EnumNamesReplicaStatus() {
-  static const char * const names[7] = {
+  static const char * const names[8] = {
     "Granted",
     "BallotTooLow",
     "StaleEpoch",
     "UnknownEpoch",
     "NotReady",
     "Corrupted",
+    "MemberThere",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameReplicaStatus(ReplicaStatus e) {
-  if (flatbuffers::IsOutRange(e, ReplicaStatus::Granted, ReplicaStatus::Corrupted)) return "";
+  if (flatbuffers::IsOutRange(e, ReplicaStatus::Granted, ReplicaStatus::MemberThere)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesReplicaStatus()[index];
 }
@@ -441,11 +444,12 @@
   Stopping = 5,
   NotReady = 6,
   EpochOver = 7,
+  MemberThere = 8,
   MIN = NotSaid,
-  MAX = EpochOver
+  MAX = MemberThere
 };
 
-inline const PlaceConsent (&EnumValuesPlaceConsent())[8] {
+inline const PlaceConsent (&EnumValuesPlaceConsent())[9] {
   static const PlaceConsent values[] = {
     PlaceConsent::NotSaid,
     PlaceConsent::NotAsked,
@@ -454,13 +458,14 @@
     PlaceConsent::Retiring,
     PlaceConsent::Stopping,
     PlaceConsent::NotReady,
-    PlaceConsent::EpochOver
+    PlaceConsent::EpochOver,
+    PlaceConsent::MemberThere
   };
   return values;
 }
 
 inline const char * const *EnumNamesPlaceConsent() {
-  static const char * const names[9] = {
+  static const char * const names[10] = {
     "NotSaid",
     "NotAsked",
     "Given",
@@ -469,13 +474,14 @@
     "Stopping",
     "NotReady",
     "EpochOver",
+    "MemberThere",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNamePlaceConsent(PlaceConsent e) {
-  if (flatbuffers::IsOutRange(e, PlaceConsent::NotSaid, PlaceConsent::EpochOver)) return "";
+  if (flatbuffers::IsOutRange(e, PlaceConsent::NotSaid, PlaceConsent::MemberThere)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesPlaceConsent()[index];
 }
@@ -3193,6 +3199,7 @@
   uint64_t place_epoch = 0;
   std::unique_ptr<madderdeck::wire::ReplicaIdT> offered{};
   bool although_retiring = false;
+  std::unique_ptr<madderdeck::wire::ReplicaIdT> gives_up{};
   CopyStatusRequestT() = default;
   CopyStatusRequestT(const CopyStatusRequestT &o);
   CopyStatusRequestT(CopyStatusRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3208,7 +3215,8 @@
     VT_EPOCH = 6,
     VT_PLACE_EPOCH = 8,
     VT_OFFERED = 10,
-    VT_ALTHOUGH_RETIRING = 12
+    VT_ALTHOUGH_RETIRING = 12,
+    VT_GIVES_UP = 14
   };
   uint32_t group() const {
     return GetField<uint32_t>(VT_GROUP, 0);
@@ -3225,6 +3233,9 @@
   bool although_retiring() const {
     return GetField<uint8_t>(VT_ALTHOUGH_RETIRING, 0) != 0;
   }
+  const madderdeck::wire::ReplicaId *gives_up() const {
+    return GetPointer<const madderdeck::wire::ReplicaId *>(VT_GIVES_UP);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_GROUP, 4) &&
@@ -3233,6 +3244,8 @@
            VerifyOffset(verifier, VT_OFFERED) &&
            verifier.VerifyTable(offered()) &&
            VerifyField<uint8_t>(verifier, VT_ALTHOUGH_RETIRING, 1) &&
+           VerifyOffset(verifier, VT_GIVES_UP) &&
+           verifier.VerifyTable(gives_up()) &&
            verifier.EndTable();
   }
   CopyStatusRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3259,6 +3272,9 @@
   void add_although_retiring(bool although_retiring) {
     fbb_.AddElement<uint8_t>(CopyStatusRequest::VT_ALTHOUGH_RETIRING, static_cast<uint8_t>(although_retiring), 0);
   }
+  void add_gives_up(flatbuffers::Offset<madderdeck::wire::ReplicaId> gives_up) {
+    fbb_.AddOffset(CopyStatusRequest::VT_GIVES_UP, gives_up);
+  }
   explicit CopyStatusRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3276,10 +3292,12 @@
     uint64_t epoch = 0,
     uint64_t place_epoch = 0,
     flatbuffers::Offset<madderdeck::wire::ReplicaId> offered = 0,
-    bool although_retiring = false) {
+    bool although_retiring = false,
+    flatbuffers::Offset<madderdeck::wire::ReplicaId> gives_up = 0) {
   CopyStatusRequestBuilder builder_(_fbb);
   builder_.add_place_epoch(place_epoch);
   builder_.add_epoch(epoch);
+  builder_.add_gives_up(gives_up);
   builder_.add_offered(offered);
   builder_.add_group(group);
   builder_.add_although_retiring(although_retiring);
@@ -3436,6 +3454,7 @@
   std::unique_ptr<madderdeck::wire::Ballot> ballot{};
   std::string key{};
   bool reads_standing = false;
+  std::unique_ptr<madderdeck::wire::ReplicaIdT> gives_up{};
   PrepareT() = default;
   PrepareT(const PrepareT &o);
   PrepareT(PrepareT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3452,7 +3471,8 @@
     VT_EPOCH = 8,
     VT_BALLOT = 10,
     VT_KEY = 12,
-    VT_READS_STANDING = 14
+    VT_READS_STANDING = 14,
+    VT_GIVES_UP = 16
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -3472,6 +3492,9 @@
   bool reads_standing() const {
     return GetField<uint8_t>(VT_READS_STANDING, 0) != 0;
   }
+  const madderdeck::wire::ReplicaId *gives_up() const {
+    return GetPointer<const madderdeck::wire::ReplicaId *>(VT_GIVES_UP);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -3481,6 +3504,8 @@
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
            VerifyField<uint8_t>(verifier, VT_READS_STANDING, 1) &&
+           VerifyOffset(verifier, VT_GIVES_UP) &&
+           verifier.VerifyTable(gives_up()) &&
            verifier.EndTable();
   }
   PrepareT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3510,6 +3535,9 @@
   void add_reads_standing(bool reads_standing) {
     fbb_.AddElement<uint8_t>(Prepare::VT_READS_STANDING, static_cast<uint8_t>(reads_standing), 0);
   }
+  void add_gives_up(flatbuffers::Offset<madderdeck::wire::ReplicaId> gives_up) {
+    fbb_.AddOffset(Prepare::VT_GIVES_UP, gives_up);
+  }
   explicit PrepareBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3528,10 +3556,12 @@
     uint64_t epoch = 0,
     const madderdeck::wire::Ballot *ballot = nullptr,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    bool reads_standing = false) {
+    bool reads_standing = false,
+    flatbuffers::Offset<madderdeck::wire::ReplicaId> gives_up = 0) {
   PrepareBuilder builder_(_fbb);
   builder_.add_epoch(epoch);
   builder_.add_request(request);
+  builder_.add_gives_up(gives_up);
   builder_.add_key(key);
   builder_.add_ballot(ballot);
   builder_.add_group(group);
@@ -3551,7 +3581,8 @@
     uint64_t epoch = 0,
     const madderdeck::wire::Ballot *ballot = nullptr,
     const char *key = nullptr,
-    bool reads_standing = false) {
+    bool reads_standing = false,
+    flatbuffers::Offset<madderdeck::wire::ReplicaId> gives_up = 0) {
   auto key__ = key ? _fbb.CreateString(key) : 0;
   return madderdeck::wire::CreatePrepare(
       _fbb,
@@ -3560,7 +3591,8 @@
       epoch,
       ballot,
       key__,
-      reads_standing);
+      reads_standing,
+      gives_up);
 }
 
 flatbuffers::Offset<Prepare> CreatePrepare(flatbuffers::FlatBufferBuilder &_fbb, const PrepareT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -10206,7 +10238,8 @@
         epoch(o.epoch),
         place_epoch(o.place_epoch),
         offered((o.offered) ? new madderdeck::wire::ReplicaIdT(*o.offered) : nullptr),
-        although_retiring(o.although_retiring) {
+        although_retiring(o.although_retiring),
+        gives_up((o.gives_up) ? new madderdeck::wire::ReplicaIdT(*o.gives_up) : nullptr) {
 }
 
 inline CopyStatusRequestT &CopyStatusRequestT::operator=(CopyStatusRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -10215,6 +10248,7 @@
   std::swap(place_epoch, o.place_epoch);
   std::swap(offered, o.offered);
   std::swap(although_retiring, o.although_retiring);
+  std::swap(gives_up, o.gives_up);
   return *this;
 }
 
@@ -10232,6 +10266,7 @@
   { auto _e = place_epoch(); _o->place_epoch = _e; }
   { auto _e = offered(); if (_e) _o->offered = std::unique_ptr<madderdeck::wire::ReplicaIdT>(_e->UnPack(_resolver)); }
   { auto _e = although_retiring(); _o->although_retiring = _e; }
+  { auto _e = gives_up(); if (_e) _o->gives_up = std::unique_ptr<madderdeck::wire::ReplicaIdT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<CopyStatusRequest> CopyStatusRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CopyStatusRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10247,13 +10282,15 @@
   auto _place_epoch = _o->place_epoch;
   auto _offered = _o->offered ? CreateReplicaId(_fbb, _o->offered.get(), _rehasher) : 0;
   auto _although_retiring = _o->although_retiring;
+  auto _gives_up = _o->gives_up ? CreateReplicaId(_fbb, _o->gives_up.get(), _rehasher) : 0;
   return madderdeck::wire::CreateCopyStatusRequest(
       _fbb,
       _group,
       _epoch,
       _place_epoch,
       _offered,
-      _although_retiring);
+      _although_retiring,
+      _gives_up);
 }
 
 inline CopyStatusT *CopyStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -10309,7 +10346,8 @@
         epoch(o.epoch),
         ballot((o.ballot) ? new madderdeck::wire::Ballot(*o.ballot) : nullptr),
         key(o.key),
-        reads_standing(o.reads_standing) {
+        reads_standing(o.reads_standing),
+        gives_up((o.gives_up) ? new madderdeck::wire::ReplicaIdT(*o.gives_up) : nullptr) {
 }
 
 inline PrepareT &PrepareT::operator=(PrepareT o) FLATBUFFERS_NOEXCEPT {
@@ -10319,6 +10357,7 @@
   std::swap(ballot, o.ballot);
   std::swap(key, o.key);
   std::swap(reads_standing, o.reads_standing);
+  std::swap(gives_up, o.gives_up);
   return *this;
 }
 
@@ -10337,6 +10376,7 @@
   { auto _e = ballot(); if (_e) _o->ballot = std::unique_ptr<madderdeck::wire::Ballot>(new madderdeck::wire::Ballot(*_e)); }
   { auto _e = key(); if (_e) _o->key = _e->str(); }
   { auto _e = reads_standing(); _o->reads_standing = _e; }
+  { auto _e = gives_up(); if (_e) _o->gives_up = std::unique_ptr<madderdeck::wire::ReplicaIdT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Prepare> Prepare::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PrepareT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -10353,6 +10393,7 @@
   auto _ballot = _o->ballot ? _o->ballot.get() : nullptr;
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   auto _reads_standing = _o->reads_standing;
+  auto _gives_up = _o->gives_up ? CreateReplicaId(_fbb, _o->gives_up.get(), _rehasher) : 0;
   return madderdeck::wire::CreatePrepare(
       _fbb,
       _request,
@@ -10360,7 +10401,8 @@
       _epoch,
       _ballot,
       _key,
-      _reads_standing);
+      _reads_standing,
+      _gives_up);
 }
 
 inline PromiseT::PromiseT(const PromiseT &o)
--- a/tests/ledger/place_consents_test.cpp
+++ b/tests/ledger/place_consents_test.cpp
@@ -146,6 +146,55 @@
   CHECK(disk.environment.sent.back().body.AsCopyStatus()->consent == PlaceConsent::NotAsked);
 }
 
+// A gateway that had been cut off had one of a pair decide alone without the other one, which was there; that disk was
+// lost next.
+TEST_CASE("one of a pair does not decide alone while it knows the other one to be there") {
+  spare_disk disk;
+  disk.hear_of(kDecided);
+  wire::CopyStatusRequestT request;
+  request.place_epoch = kDecided + 1;
+  request.offered = std::make_unique<wire::ReplicaIdT>();
+  request.offered->node = kC.node.str();
+  request.offered->disk = kC.disk.str();
+  request.gives_up = std::make_unique<wire::ReplicaIdT>();
+  request.gives_up->node = kA.node.str();
+  request.gives_up->disk = kA.disk.str();
+  bool there = true;
+  disk.replica->is_there = [&there](const ReplicaIdentity& member) { return there && member == kA; };
+  disk.replica->handle(kProposer, request);
+  disk.environment.world.run_for(20ms);
+  REQUIRE(disk.environment.sent_of(wire::Message::CopyStatus) == 1);
+  CHECK(disk.environment.sent.back().body.AsCopyStatus()->consent == PlaceConsent::MemberThere);
+  there = false;
+  disk.replica->handle(kProposer, request);
+  disk.environment.world.run_for(20ms);
+  CHECK(disk.environment.sent.back().body.AsCopyStatus()->consent == PlaceConsent::Given);
+  CHECK(disk.replica->open_places().empty());
+}
+
+TEST_CASE("a member is not given up as silent by the vote of one that knows it to be there") {
+  spare_disk disk;
+  disk.replica->on_group_map({{{1, {kA, kB, kC}, {}}}});
+  bool there = true;
+  disk.replica->is_there = [&there](const ReplicaIdentity& member) { return there && member == kA; };
+  const auto vote = [&disk](std::uint64_t counter) {
+    wire::PrepareT request;
+    request.epoch = 1;
+    request.ballot = ledger::to_wire(Ballot{counter, 1});
+    request.key = group_config_key(0, 2);
+    request.gives_up = std::make_unique<wire::ReplicaIdT>();
+    request.gives_up->node = kA.node.str();
+    request.gives_up->disk = kA.disk.str();
+    disk.environment.sent.clear();
+    disk.replica->handle(kProposer, request);
+    disk.environment.world.run_for(20ms);
+    return disk.environment.sent.back().body.AsPromise()->status;
+  };
+  CHECK(vote(1) == wire::ReplicaStatus::MemberThere);
+  there = false;
+  CHECK(vote(2) == wire::ReplicaStatus::Granted);
+}
+
 TEST_CASE("a consent that cannot be read has the disk take no place and not be emptied") {
   spare_disk disk;
   disk.storage.put("c/0000", wire::Bytes{1, 2});
--- a/tests/object_store/place_offers_test.cpp
+++ b/tests/object_store/place_offers_test.cpp
@@ -19,7 +19,7 @@
 
 struct proposer {
   void ask() {
-    offers.ask({0, kEpoch, kDisk, false}, [this](const Status& status) {
+    offers.ask({0, kEpoch, kDisk, false, std::nullopt}, [this](const Status& status) {
       ++answers;
       outcome = status;
     });
