--- a/src/ledger/replica.hpp
+++ b/src/ledger/replica.hpp
@@ -123,8 +123,8 @@
   /// Told when what this disk knows of its groups cannot be read, or of one of them; it is read again after a while.
   /// May be empty.
   std::function<void(std::optional<std::uint32_t> group, const Error&)> on_unreadable;
-  /// Asked whether this node knows a member to be there, with that disk: it is not given up as silent then. May be
-  /// empty.
+  /// Asked whether this node knows a member to be there, with that disk, or cannot tell: it is not given up as silent
+  /// then. May be empty.
   std::function<bool(const ReplicaIdentity&)> is_there;
   /// Told of each answer to the offer of a place; may be empty.
   std::function<void(const place_offer&, wire::PlaceConsent)> on_place_answered;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kFewNodes = 200;
 /// A node that was declared dead by mistake has refuted it by then, also where 30 in 100 messages are lost.
 constexpr Duration kDeadStillTold = 10s;
+/// A node that lost sight of most others within this time takes itself for cut off; later they are gone.
+constexpr Duration kCutOffTime = 60s;
 constexpr Duration kUnknownKindLines = 10s;  ///< From one line about messages of unknown kinds to the next.
 }  // namespace
 
@@ -110,7 +112,10 @@
         [this](const NodeId& node) { return members.address_of(node); }, options.guards.replica);
     replica_journal = std::make_unique<ledger::replica_journal>(environment, log, *replica);
     if (options.guards.changes.members_miss_silent_ones) {
-      replica->is_there = [this](const ledger::ReplicaIdentity& member) { return is_there(member); };
+      // Of a node that misses most of the others the silence is likely its own.
+      replica->is_there = [this](const ledger::ReplicaIdentity& member) {
+        return is_there(member) || misses_most_of_fleet();
+      };
     }
   }
   group_health = std::make_unique<ledger::group_health>(environment, counters, log, ledger, replica.get(),
@@ -686,6 +691,11 @@
   return known != nullptr && known->state == wire::MemberState::Alive && known->disk_id == member.disk.str();
 }
 
+bool NodeCore::misses_most_of_fleet() const {
+  const std::size_t lately_known = members.others_not_long_dead(kCutOffTime).size() + 1;
+  return 2 * members.live_count() < lately_known;
+}
+
 bool NodeCore::drained() const { return has_finished_calls() && !hands_over_records(); }
 
 bool NodeCore::hands_over_records() const { return handover && handover->is_pending(); }
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -155,6 +155,8 @@
  private:
   /// @return whether this node knows the node of @p member to live, with that disk.
   bool is_there(const ledger::ReplicaIdentity& member) const;
+  /// @return whether this node holds most of those for dead that it has known to live a short time ago.
+  bool misses_most_of_fleet() const;
 
   Guards guards_;
   ledger::Storage* const storage_;  ///< Null on nodes without a disk.
--- a/tests/object_store/replacement_test.cpp
+++ b/tests/object_store/replacement_test.cpp
@@ -99,6 +99,17 @@
     status.consent = leaves.contains(request.offered->node) ? wire::PlaceConsent::Retiring : wire::PlaceConsent::Given;
     core.controller->handle(to, status);
   }
+  /// Disks take the places that they are offered; no member votes.
+  void run_with_places_taken(Duration time) {
+    for (Duration passed{}; passed < time; passed += 50ms) {
+      environment.world.run_for(50ms);
+      for (const auto& message : std::exchange(environment.sent, {})) {
+        if (message.body.type == wire::Message::CopyStatusRequest) {
+          answer_offer(message.to, *message.body.AsCopyStatusRequest());
+        }
+      }
+    }
+  }
   /// Speaks for the members with a disk that stayed, which hold no decision yet, and for disks that are offered places.
   void answer() {
     const std::map<std::string, std::uint32_t> numbers = {{"a:1", 0}, {"c:1", c_number}};
@@ -304,7 +315,7 @@
   fixture.add(kA);
   fixture.add(kNewB);
   fixture.add(kC);
-  fixture.environment.world.run_for(4800ms);  // nobody answers
+  fixture.run_with_places_taken(4800ms);
   const std::string line = only_line_of(fixture.log, "group_changed");
   CHECK(has(line, "from_epoch=2 epoch=2 outcome=unavailable ground=silent proposer=self as_asked=false"));
   CHECK(has(line, "members=a/disk-a, b/disk-b2, c/disk-c"));
@@ -313,11 +324,26 @@
   CHECK(fixture.counters["ledger_epochs_decided_total"] == 0);
 }
 
+TEST_CASE("an epoch whose new member does not consent is told as refused by that disk") {
+  maintainer_fixture fixture;
+  fixture.leaves = {kNewB.node.str()};
+  fixture.add(kA);
+  fixture.add(kNewB);
+  fixture.add(kC);
+  REQUIRE(fixture.after_a_while().epoch == kEpoch);
+  const auto line = std::find_if(fixture.log.lines.begin(), fixture.log.lines.end(),
+                                 [](const auto& text) { return text.starts_with("group_changed "); });
+  REQUIRE(line != fixture.log.lines.end());
+  CHECK(has(*line, "outcome=conflict ground=candidate proposer=self"));
+  CHECK(has(*line, "b/disk-b2 does not take a place: retiring"));
+  CHECK(fixture.counters["ledger_epochs_refused_candidate_total"] > 0);
+}
+
 TEST_CASE("an epoch that the store did not let one member decide alone is told as refused by the store") {
   maintainer_fixture fixture({kEpoch, {kA, kC}, {}});
   fixture.c_number = 1;
   fixture.add(kA);
-  fixture.environment.world.run_for(70s);
+  fixture.run_with_places_taken(70s);
   REQUIRE(fixture.log.count("group_changed") > 0);
   const auto line = std::find_if(fixture.log.lines.begin(), fixture.log.lines.end(),
                                  [](const auto& text) { return text.starts_with("group_changed "); });
