Sight: madderdeck status names the disks of a group without a majority that are gone for good

With the reason of each: disk replaced, emptied, dead while it was emptied, dead or unknown for longer than the policy's time. The same as the line group_disks_gone and the gauge ledger_groups_without_majority_with_gone_disks. Nodes with a disk learn from the platform's store which retirements are completed.

--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include "cli/commands.hpp"
+#include "cli/group_rows.hpp"
 #include "cli/table.hpp"
 
 namespace madderdeck::cli {
@@ -43,51 +44,20 @@
   return members;
 }
 
-/// @return the part of a row that tells of one member; nodes of earlier versions tell less.
-json::object describe_member(const json::value& member) {
-  constexpr std::int64_t kMillisecondsPerSecond = 1000;
-  const json::object& told = member.as_object();
-  json::object row{{"member", plain(told.at("node")) + "/" + plain(told.at("disk"))}, {"state", told.at("state")}};
-  if (const json::value* held = told.if_contains("state_for_ms")) {
-    row["for_s"] = held->to_number<std::int64_t>() / kMillisecondsPerSecond;
-  }
-  if (const json::value* why = told.if_contains("why")) {
-    row["why"] = *why;
-  }
-  if (const json::value* heard = told.if_contains("heard_ms_ago")) {
-    row["heard_s_ago"] = heard->to_number<std::int64_t>() / kMillisecondsPerSecond;
-  }
-  if (const json::value* address = told.if_contains("address")) {
-    row["address"] = *address;
-  }
-  return row;
-}
-
 /// Prints the replica groups as the node that was asked sees them; a fleet of an earlier version tells none.
 void print_groups(const json::value& status) {
-  const json::value* groups = status.as_object().if_contains("groups");
-  if (groups == nullptr) {
+  if (!status.as_object().contains("groups")) {
     return;
   }
-  json::array rows;
-  for (const json::value& group : groups->as_array()) {
-    const bool tells_count = group.as_object().contains("counting");
-    const std::string votes = tells_count ? plain(group.at("counting")) + "/" + plain(group.at("needed")) : "";
-    bool first = true;
-    for (const json::value& member : group.at("members").as_array()) {
-      json::object row = describe_member(member);
-      // A group's own figures stand in its first row.
-      row["group"] = first ? plain(group.at("group")) : "";
-      row["epoch"] = first ? plain(group.at("epoch")) : "";
-      row["votes"] = first ? votes : "";
-      row["majority"] = first ? plain(group.at("majority")) : "";
-      rows.push_back(std::move(row));
-      first = false;
-    }
-  }
-  print_table(rows,
-              {"group", "epoch", "votes", "majority", "member", "state", "for_s", "heard_s_ago", "address", "why"});
+  const table_rows members = member_rows(status);
+  print_table(members.rows, members.columns);
   std::cout << "\n";
+  const table_rows gone = gone_disk_rows(status);
+  if (!gone.rows.empty()) {
+    std::cout << "Disks gone for good of groups without a majority:\n";
+    print_table(gone.rows, gone.columns);
+    std::cout << "\n";
+  }
 }
 
 void print_backends(const json::value& status) {
--- a/src/gateway/operators.cpp
+++ b/src/gateway/operators.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "gateway/api.hpp"
+#include "gateway/group_status.hpp"
 #include "gateway/problem.hpp"
 
 namespace madderdeck::gateway {
@@ -106,32 +107,6 @@
   return backends;
 }
 
-json::array describe_groups(const node::NodeCore& core) {
-  json::array groups;
-  for (const ledger::group_view& seen : core.group_health->views()) {
-    json::array members;
-    for (const ledger::member_view& member : seen.members) {
-      json::object shown{{"node", member.identity.node.str()},
-                         {"disk", member.identity.disk.str()},
-                         {"state", ledger::name_of(member.state)},
-                         {"state_for_ms", member.held_for / 1ms},
-                         {"why", core.group_health->explain(seen.group, member)},
-                         {"address", member.address ? member.address->str() : ""}};
-      if (member.heard_ago) {
-        shown["heard_ms_ago"] = *member.heard_ago / 1ms;
-      }
-      members.push_back(std::move(shown));
-    }
-    groups.push_back(json::object{{"group", seen.group},
-                                  {"epoch", seen.epoch},
-                                  {"counting", seen.counting()},
-                                  {"needed", seen.needed()},
-                                  {"majority", seen.has_majority()},
-                                  {"members", std::move(members)}});
-  }
-  return groups;
-}
-
 }  // namespace
 
 void handle_objects(ApiContext& context, const ExchangePointer& exchange) {
@@ -183,7 +158,7 @@
                             {"disk", disk_state(core)},
                             {"live_active", core.live.active()},
                             {"members", describe_members(core)},
-                            {"groups", describe_groups(core)},
+                            {"groups", describe_groups(*core.group_health)},
                             {"backends", describe_backends(core)},
                             {"jobs", std::move(jobs)}};
   exchange->respond({200, "application/json", {}, json::serialize(answer)});
--- a/src/ledger/group_health.cpp
+++ b/src/ledger/group_health.cpp
@@ -139,7 +139,15 @@
       log_(log),
       client_(client),
       replica_(replica),
-      member_(std::move(member)) {}
+      member_(std::move(member)),
+      gone_(environment,
+            {member_, [&client](const ReplicaIdentity& disk) { return client.is_obsolete(disk); }, {}, {}}) {}
+
+void group_health::judge_losses(std::function<Duration()> patience,
+                                std::function<std::optional<bool>(const NodeId&)> is_emptied) {
+  gone_.known().patience = std::move(patience);
+  gone_.known().is_emptied = std::move(is_emptied);
+}
 
 void group_health::start() {
   started_ = environment_.now();
@@ -149,13 +157,17 @@
 void group_health::check() {
   environment_.after(kCheck, lifetime_.guard([this] { check(); }));
   take_epochs();
+  gone_.look(client_.group_map().groups);
   CounterValue lost = 0;
+  CounterValue lost_with_gone_disks = 0;
   for (std::uint32_t group = 0; group < groups_.size(); ++group) {
     note_seen(group, groups_[group]);
     review(group, groups_[group]);
     lost += groups_[group].told_lost ? 1 : 0;
+    lost_with_gone_disks += review_gone(group, groups_[group]) ? 1 : 0;
   }
   counters_["ledger_groups_without_majority"] = lost;
+  counters_["ledger_groups_without_majority_with_gone_disks"] = lost_with_gone_disks;
   if (replica_ != nullptr) {
     review_admissions();
   }
@@ -243,6 +255,22 @@
                {"uncounted", seen.uncounted_text()}});
 }
 
+bool group_health::review_gone(std::uint32_t group, group_state& state) {
+  if (!state.told_lost) {
+    state.told_gone.clear();
+    return false;
+  }
+  const std::vector<gone_disk> gone = gone_.named_by(description(group));
+  std::size_t news = 0;
+  for (const gone_disk& disk : gone) {
+    news += state.told_gone.insert(disk.identity).second ? 1 : 0;
+  }
+  if (news > 0) {
+    log_.record("group_disks_gone", {{"group", group}, {"epoch", state.epoch}, {"gone", text_of(gone)}});
+  }
+  return !gone.empty();
+}
+
 std::vector<group_view> group_health::views() const {
   std::vector<group_view> seen;
   for (std::uint32_t group = 0; group < client_.group_map().groups.size(); ++group) {
@@ -272,6 +300,9 @@
     }
     seen.members.push_back(std::move(member));
   }
+  if (!seen.has_majority()) {
+    seen.gone = gone_.named_by(present);
+  }
   return seen;
 }
 
--- a/src/ledger/group_health.hpp
+++ b/src/ledger/group_health.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "common/decision_log.hpp"
 #include "common/environment.hpp"
 #include "ledger/client.hpp"
+#include "ledger/gone_disks.hpp"
 #include "ledger/replica.hpp"
 
 namespace madderdeck::ledger {
@@ -60,6 +62,7 @@
   std::uint32_t group = 0;
   std::uint64_t epoch = 0;
   std::vector<member_view> members;
+  std::vector<gone_disk> gone;  ///< Disks that it names and that are gone for good; only without a majority.
 
   std::size_t counting() const;
   std::size_t not_heard() const;
@@ -89,6 +92,8 @@
   group_health(Environment& environment, Counters& counters, DecisionLog& log, const Client& client,
                const Replica* replica, member_lookup member);
 
+  /// Takes what tells disks that are gone for good: for how long a node is waited for, and whether it was emptied.
+  void judge_losses(std::function<Duration()> patience, std::function<std::optional<bool>(const NodeId&)> is_emptied);
   void start();
 
   /// This node has sent a request of the ledger that @p node will answer.
@@ -135,7 +140,8 @@
     bool told_lost = false;
     std::optional<Timestamp> differs_since;  ///< Since when what was told is not so any more.
     Timestamp lost_since{};
-    Timestamp told_lost_at{};  ///< Zero: never.
+    Timestamp told_lost_at{};             ///< Zero: never.
+    std::set<ReplicaIdentity> told_gone;  ///< Since the majority was told as lost.
   };
   /// A replica of this node's disk that may not vote.
   struct waiting_replica {
@@ -157,6 +163,9 @@
   void note_seen(std::uint32_t group, group_state& state) const;
   void review(std::uint32_t group, group_state& state);
   void tell(const group_view& seen, group_state& state);
+  /// Tells of disks that the group, which was told as lost, names and that are gone for good; of each once.
+  /// @return whether there is any.
+  bool review_gone(std::uint32_t group, group_state& state);
   void review_admissions();
   void tell_waiting(const Replica::unadmitted& replica, const waiting_replica& waiting);
   /// Asks the member whose question is due for longest, if one may go out now.
@@ -192,6 +201,7 @@
   std::vector<group_state> groups_;
   std::map<std::uint32_t, waiting_replica> waiting_;
   std::map<NodeId, silence> silent_;
+  gone_disks gone_;
   Lifetime lifetime_;
 };
 
--- a/src/object_store/platform_client.hpp
+++ b/src/object_store/platform_client.hpp
@@ -49,6 +49,9 @@
 /// no answer came back; ErrorKind::unavailable when nothing was sent.
 using PutDone = std::function<void(Result<std::uint64_t>)>;
 
+/// Body of the entry of a retirement that is completed.
+inline constexpr char kCompletedRetirement[] = R"({"state":"completed"})";
+
 /// How far the emptying of a node is.
 enum class RetirementState { running, completed };
 using ReportDone = std::function<void(Status)>;
@@ -66,7 +69,8 @@
   virtual void watch_groups(std::uint64_t /*since*/, Duration /*wait*/, ChangesDone /*done*/) {}
   /// @return whether operators ask through the platform for ledger nodes to be emptied.
   virtual bool has_retirements() const { return false; }
-  /// Waits up to @p wait for requests after @p since; the entries' names are nodes.
+  /// Waits up to @p wait for requests after @p since; the entries' names are nodes, and the body of one that is
+  /// completed is kCompletedRetirement.
   virtual void watch_retirements(std::uint64_t /*since*/, Duration /*wait*/, ChangesDone /*done*/) {}
   /// @return whether operators ask through the platform for zones to be evacuated.
   virtual bool has_evacuations() const { return false; }
--- a/src/object_store/retirement.cpp
+++ b/src/object_store/retirement.cpp
@@ -31,6 +31,7 @@
 
 void Retirement::watch() {
   const auto take = [this](Result<ChangeList> result) {
+    told_lately_ = succeeded(result);
     if (!succeeded(result)) {
       environment_.after(kStoreRetry, lifetime_.guard([this] { watch(); }));
       return;
@@ -38,6 +39,7 @@
     const ChangeList& changes = value_of(result);
     revision_ = changes.up_to;
     for (const config::Entry& entry : changes.entries) {
+      note_emptied(entry);
       if (entry.key.name == members_.self().id && !entry.deleted) {
         begin();
       }
@@ -50,6 +52,22 @@
   platform_.watch_retirements(revision_, kWatchWait, lifetime_.guard(take));
 }
 
+void Retirement::note_emptied(const config::Entry& entry) {
+  const NodeId node(entry.key.name);
+  if (!entry.deleted && entry.body == kCompletedRetirement) {
+    emptied_.insert(node);
+  } else {
+    emptied_.erase(node);
+  }
+}
+
+std::optional<bool> Retirement::is_emptied(const NodeId& node) const {
+  if (emptied_.contains(node) || (completed_ && node.str() == members_.self().id)) {
+    return true;
+  }
+  return told_lately_ ? std::optional(false) : std::nullopt;
+}
+
 void Retirement::begin() {
   if (begun_) {
     return;
--- a/src/object_store/retirement.hpp
+++ b/src/object_store/retirement.hpp
@@ -2,6 +2,9 @@
 /// @file Empties this node's disk when an operator asks for it: the node leaves its replica groups,
 /// waits until all that it held stands elsewhere, and says so.
 
+#include <optional>
+#include <set>
+
 #include "common/counters.hpp"
 #include "common/decision_log.hpp"
 #include "ledger/client.hpp"
@@ -20,9 +23,14 @@
              ledger::Replica& replica, ledger::Client& ledger, PlatformClient& platform, std::size_t least_copies);
 
   void start();
+  /// @return whether the emptying of @p node is completed, as the platform tells or as this node itself is; nothing
+  ///         where that is not known while the platform does not answer.
+  std::optional<bool> is_emptied(const NodeId& node) const;
 
  private:
   void watch();
+  /// Takes which nodes were emptied.
+  void note_emptied(const config::Entry& entry);
   void begin();
   void check();
   /// Nobody waits for the disk any more: says so once a restart would know it, too.
@@ -49,6 +57,8 @@
   bool asked_store_ = false;  ///< It has told whether this node is to be emptied.
   std::map<ledger::open_place, Timestamp> open_since_;
   std::set<std::uint32_t> settling_;  ///< Groups.
+  std::set<NodeId> emptied_;  ///< As the platform told.
+  bool told_lately_ = false;  ///< The platform answered the latest watch that has ended.
   Lifetime lifetime_;
 };
 
--- a/tests/ledger/group_health_test.cpp
+++ b/tests/ledger/group_health_test.cpp
@@ -441,3 +441,31 @@
   CHECK(node.state_of(1) == member_state::counts);
   CHECK(node.state_of(2) != member_state::counts);
 }
+
+// Four groups counted on disks that were gone for good; on-call read their states and could not tell these from disks
+// that would be back.
+TEST_CASE("a group without a majority tells which disks it names are gone for good, of each once") {
+  fixture node(false, {1, {kA, kB, kC}, {ReplicaIdentity{NodeId("d"), DiskId("disk-d")}}});
+  node.health->judge_losses([] { return Duration(60s); },
+                            [](const NodeId& id) { return std::optional(id == NodeId("d")); });
+  node.members[kC.node].disk_id = "disk-c2";
+  node.run_for(10s);
+  CHECK(node.health->view(0).gone.empty());  // it has a majority
+  CHECK(node.counters["ledger_groups_without_majority_with_gone_disks"] == 0);
+  node.set(kB, wire::MemberState::Dead);
+  node.run_for(10s);
+  CHECK(text_of(node.health->view(0).gone) == "c/disk-c disk_replaced, d/disk-d emptied");
+  REQUIRE(node.log.count("group_disks_gone") == 1);
+  CHECK(node.log.lines.back() == "group_disks_gone group=0 epoch=1 gone=c/disk-c disk_replaced, d/disk-d emptied");
+  CHECK(node.counters["ledger_groups_without_majority_with_gone_disks"] == 1);
+  node.run_for(60s);
+  REQUIRE(node.log.count("group_disks_gone") == 2);
+  CHECK(node.log.lines.back().find("gone=b/disk-b dead_for_long, c/disk-c disk_replaced, d/disk-d emptied") !=
+        std::string::npos);
+  node.run_for(300s);
+  CHECK(node.log.count("group_disks_gone") == 2);
+  node.set(kB, wire::MemberState::Alive);
+  node.run_for(2s);
+  CHECK(node.health->view(0).gone.empty());
+  CHECK(node.counters["ledger_groups_without_majority_with_gone_disks"] == 0);
+}
--- /dev/null
+++ b/tests/object_store/retirement_test.cpp
@@ -0,0 +1,93 @@
+/// What a node with a disk knows of the emptying of machines.
+#include <catch2/catch.hpp>
+
+#include "object_store/retirement.hpp"
+#include "simulation/fleet.hpp"
+#include "support/test_environment.hpp"
+
+using namespace madderdeck;
+using madderdeck::tests::TestEnvironment;
+
+namespace {
+
+/// A store of which the test answers each watch of retirements.
+class answered_store : public object_store::PlatformClient {
+ public:
+  void watch_objects(std::uint64_t, Duration, object_store::ChangesDone) override {}
+  void watch_machines(std::uint64_t, Duration, object_store::ChangesDone) override {}
+  void watch_retirements(std::uint64_t, Duration, object_store::ChangesDone done) override {
+    waiting = std::move(done);
+  }
+  void get(const config::EntryKey&, object_store::GetDone) override {}
+  void put(const object_store::PutRequest&, object_store::PutDone) override {}
+
+  void answer(const Result<object_store::ChangeList>& result) { std::exchange(waiting, nullptr)(result); }
+  void tell(const std::string& node, const std::string& body, bool deleted = false) {
+    object_store::ChangeList changes;
+    changes.entries.push_back(config::Entry{{"retirements", node}, body, ++revision, deleted});
+    changes.up_to = revision;
+    answer(changes);
+  }
+
+  object_store::ChangesDone waiting;
+  std::uint64_t revision = 0;
+};
+
+struct fixture {
+  fixture() {
+    process.start();
+    membership::Hooks hooks;
+    hooks.local_revisions = [] { return membership::TableRevisions{}; };
+    wire::MemberT self;
+    self.id = "a";
+    members = std::make_unique<membership::Membership>(environment, counters, self, std::vector<PeerAddress>{}, hooks);
+    replica = std::make_unique<ledger::Replica>(environment, storage, counters, NodeId("a"), DiskId("disk-a"),
+                                                [](const NodeId&) { return std::optional<PeerAddress>(); });
+    retirement = std::make_unique<object_store::Retirement>(environment, counters, log, *members, *replica, store, 2);
+    retirement->start();
+  }
+
+  TestEnvironment environment;
+  Counters counters;
+  NoDecisionLog log;
+  answered_store store;
+  simulation::SimProcess process{environment.world};
+  simulation::SimStorage storage{environment.world, process};
+  std::unique_ptr<membership::Membership> members;
+  std::unique_ptr<ledger::Replica> replica;
+  std::unique_ptr<object_store::Retirement> retirement;
+};
+
+}  // namespace
+
+TEST_CASE("a node with a disk knows which machines were emptied as long as the store tells it") {
+  const NodeId other("b");
+  fixture node;
+  CHECK_FALSE(node.retirement->is_emptied(other).has_value());
+  node.store.tell("b", "{}");
+  CHECK(node.retirement->is_emptied(other) == std::optional(false));
+  node.store.answer(Error{ErrorKind::unavailable, "away"});
+  CHECK_FALSE(node.retirement->is_emptied(other).has_value());
+  node.environment.world.run_for(1s);
+  node.store.tell("b", object_store::kCompletedRetirement);
+  CHECK(node.retirement->is_emptied(other) == std::optional(true));
+  node.store.answer(Error{ErrorKind::unavailable, "away"});
+  CHECK(node.retirement->is_emptied(other) == std::optional(true));
+  node.environment.world.run_for(1s);
+  node.store.tell("b", "", true);
+  CHECK(node.retirement->is_emptied(other) == std::optional(false));
+}
+
+TEST_CASE("a node with a disk knows of its own emptying without the store") {
+  const ledger::ReplicaIdentity own{NodeId("a"), DiskId("disk-a")};
+  const ledger::ReplicaIdentity other{NodeId("b"), DiskId("disk-b")};
+  fixture node;
+  node.replica->restore();
+  node.replica->adopt_group(0, {1, {own, other}, {}});
+  node.store.tell("a", "{}");
+  CHECK(node.retirement->is_emptied(own.node) == std::optional(false));
+  node.replica->adopt_group(0, {2, {other}, {}});
+  node.store.answer(Error{ErrorKind::unavailable, "away"});
+  node.environment.world.run_for(1s);
+  CHECK(node.retirement->is_emptied(own.node) == std::optional(true));
+}
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -188,6 +188,30 @@
   CHECK(json::parse(fixture.bodies.back()).at("status").at("state").as_string() == "completed");
 }
 
+TEST_CASE("a watch of retirements tells which nodes were emptied") {
+  Fixture fixture;
+  const auto retirement = [](const char* name, const json::object& status) {
+    return json::object{{"metadata", {{"name", name}, {"revision", 9}}}, {"spec", json::object()}, {"status", status}};
+  };
+  fixture.respond = [&](const net::HttpRequest&) {
+    return ok({{"items", json::array{retirement("storage-1", {{"state", "completed"}}),
+                                     retirement("storage-2", {{"state", "running"}}), retirement("storage-3", {})}},
+               {"more", false},
+               {"at", 9}});
+  };
+  std::optional<Result<object_store::ChangeList>> told;
+  fixture.client.watch_retirements(0, Duration::zero(),
+                                   [&told](const Result<object_store::ChangeList>& changes) { told = changes; });
+  fixture.http.run_until([&told] { return told.has_value(); }, std::chrono::seconds(5));
+  REQUIRE(told);
+  REQUIRE(succeeded(*told));
+  const auto& entries = value_of(*told).entries;
+  REQUIRE(entries.size() == 3);
+  CHECK(entries[0].body == object_store::kCompletedRetirement);
+  CHECK(entries[1].body == "{}");
+  CHECK(entries[2].body == "{}");
+}
+
 TEST_CASE("a configuration with malformed tenants is rejected by name and reason, and shows no key") {
   Fixture fixture;
   fixture.respond = [](const net::HttpRequest&) {
