--- a/src/ledger/gone_disks.hpp
+++ b/src/ledger/gone_disks.hpp
@@ -41,7 +41,7 @@
   std::function<const wire::MemberT*(const NodeId&)> member;
   /// Whether a later epoch has named the node with another disk; may be empty.
   std::function<bool(const ReplicaIdentity&)> is_obsolete;
-  /// For how long a node is waited for before its disk is replaced; empty: it is not known.
+  /// Without word of a node for so long its disk is taken to be gone; empty: that is not known.
   std::function<Duration()> patience;
   /// Whether the emptying of a node is completed; nothing, or empty: this node does not hear of that.
   std::function<std::optional<bool>(const NodeId&)> is_emptied;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -121,9 +121,8 @@
   group_health = std::make_unique<ledger::group_health>(environment, counters, log, ledger, replica.get(),
                                                         [this](const NodeId& node) { return members.find(node); });
   group_health->judge_losses(
-      [this, fixed = options.controller.replace_after]() -> Duration {
-        return fixed.count() > 0 ? fixed : std::chrono::seconds(catalog.policy().replace_ledger_node_after_s);
-      },
+      // Not a deployment's own, shorter time: members are replaced after it, and most of their machines come back.
+      [this]() -> Duration { return std::chrono::seconds(catalog.policy().replace_ledger_node_after_s); },
       [this](const NodeId& node) { return retirement ? retirement->is_emptied(node) : std::nullopt; });
   if (has_role(options.self, Role::scheduler)) {
     jobs = std::make_unique<batch::JobManager>(environment, counters, ledger, members, duties, log,
