Model of epochs: proposals by one that missed changes, emptied machines, a joining disk's own word

The model of a group's epochs gets a maintainer that knows the group's epoch and believes the fleet to be as it was, with wanted_change() as its rule. Promises in addition: no epoch names a disk that was emptied and taken away, before or after; no machine waits for good for an epoch that it agreed to. Rules that can be turned off: leaving members are no substitutes, departed identities kept with the group, the candidate's consent and its parts.

--- a/tests/ledger/epoch_model.cpp
+++ b/tests/ledger/epoch_model.cpp
@@ -10,6 +10,7 @@
 
 #include "ledger/epoch_change.hpp"
 #include "ledger/handover.hpp"
+#include "ledger/model_fleet.hpp"
 
 namespace madderdeck::tests {
 namespace {
@@ -17,7 +18,6 @@
 using ledger::ReplicaGroup;
 using ledger::ReplicaIdentity;
 
-constexpr unsigned kMostNodes = 6;
 constexpr unsigned kMostEpochs = 12;
 constexpr unsigned kMostWrites = 2;
 constexpr std::uint8_t kNobody = 0xFF;
@@ -27,21 +27,13 @@
 constexpr node_set only(unsigned node) { return static_cast<node_set>(1U << node); }
 unsigned size_of(node_set set) { return static_cast<unsigned>(std::popcount(set)); }
 
-/// A disk: the machine and how many disks this machine has lost before.
-struct disk {
-  std::uint8_t node = 0;
-  std::uint8_t number = 0;
-  auto operator<=>(const disk&) const = default;
-};
-
 struct description {
   std::vector<disk> replicas;
   std::vector<disk> leaving;
+  std::vector<disk> departed;  ///< Former members that never come back, where they are kept.
   auto operator<=>(const description&) const = default;
 };
 
-enum class presence : std::uint8_t { up, silent, gone, spare };
-
 /// A machine with its process and its present disk.
 struct machine {
   presence state = presence::spare;
@@ -60,9 +52,18 @@
   bool whole_before = false;   ///< It was whole in an earlier epoch of the same members.
   bool whole_last = false;     ///< It was whole in the epoch before this one.
   bool followed = false;       ///< Its disk has seen the epoch before this one.
+  /// Its disk keeps that it agreed to be a member of this epoch; 0: of none, or of one that it knows to be over.
+  std::uint8_t agreed = 0;
   auto operator<=>(const machine&) const = default;
 };
 
+/// A disk's word that it would be a member of an epoch, as those know who have asked for it.
+struct consent {
+  std::uint8_t disk_number = 0;
+  std::uint8_t epoch = 0;  ///< 0: none.
+  auto operator<=>(const consent&) const = default;
+};
+
 struct model_state {
   std::array<machine, kMostNodes> machines;
   std::vector<description> epochs;               ///< Decided, the first one is epoch 1.
@@ -74,13 +75,14 @@
   bool store_up = true;
   std::uint8_t lost = 0;  ///< Disks lost since everything was copied last.
   std::uint8_t faults = 0;
+  std::optional<fleet_belief> earlier;  ///< What a maintainer believes that has not heard of some changes.
+  std::array<consent, kMostNodes> consents{};
+  node_set emptied = 0;  ///< Machines that were emptied and taken away.
 
   unsigned latest() const { return static_cast<unsigned>(epochs.size()); }
   const description& of(unsigned epoch) const { return epochs.at(epoch - 1); }
 };
 
-std::string name_of(unsigned node) { return std::string(1, static_cast<char>('a' + node)); }
-std::string name_of(const disk& one) { return name_of(one.node) + std::to_string(one.number); }
 std::string text_of(const description& group) {
   std::string text = "{";
   for (const disk& one : group.replicas) {
@@ -89,6 +91,9 @@
   for (const disk& one : group.leaving) {
     text += " (" + name_of(one) + " leaves)";
   }
+  for (const disk& one : group.departed) {
+    text += " (without " + name_of(one) + ")";
+  }
   return text + " }";
 }
 std::string text_of(node_set set) {
@@ -112,9 +117,16 @@
     put(one.copied);
     put(one.copied_votes);
     put(one.copied_whole);
+    put(one.agreed);
+  }
+  for (const consent& one : state.consents) {
+    put(one.epoch == 0 ? 0U : one.disk_number * 16U + one.epoch);
   }
+  put(state.emptied);
+  key += state.earlier ? key_of(*state.earlier) : "";
+  put(state.earlier ? 1 : 0);
   for (unsigned epoch = 1; epoch <= state.latest(); ++epoch) {
-    for (const auto* list : {&state.of(epoch).replicas, &state.of(epoch).leaving}) {
+    for (const auto* list : {&state.of(epoch).replicas, &state.of(epoch).leaving, &state.of(epoch).departed}) {
       for (const disk& one : *list) {
         put(one.node * 16U + one.number);
       }
@@ -136,61 +148,15 @@
   return key;
 }
 
-ReplicaIdentity identity_of(const disk& one) { return {NodeId(name_of(one.node)), DiskId(std::to_string(one.number))}; }
-disk disk_of(const ReplicaIdentity& identity) {
-  return {static_cast<std::uint8_t>(identity.node.str().front() - 'a'),
-          static_cast<std::uint8_t>(std::stoi(identity.disk.str()))};
-}
-
-/// Truth as one who looks after the group sees it; silent machines are still believed in, or not any more.
-class true_view : public ledger::fleet_view {
- public:
-  true_view(const model_state& state, bool silent_are_missing) : state_(state), missing_(silent_are_missing) {}
-
-  ledger::replica_state state_of(const ReplicaIdentity& replica) override {
-    const disk wanted = disk_of(replica);
-    const machine& one = state_.machines[wanted.node];
-    if (!believed(one)) {
-      return ledger::replica_state::missing;
-    }
-    if (one.disk_number != wanted.number) {
-      return ledger::replica_state::disk_replaced;
-    }
-    return one.retiring ? ledger::replica_state::retiring : ledger::replica_state::present;
-  }
-  bool is_there(const ReplicaIdentity& replica) const override {
-    const disk wanted = disk_of(replica);
-    const machine& one = state_.machines[wanted.node];
-    return believed(one) && one.disk_number == wanted.number;
-  }
-  bool has_gone(const ReplicaIdentity& leaver) override {
-    const ledger::replica_state state = state_of(leaver);
-    return state == ledger::replica_state::disk_replaced || state == ledger::replica_state::missing;
-  }
-  bool is_retiring(const NodeId& node) const override {
-    return state_.machines[static_cast<std::size_t>(node.str().front() - 'a')].retiring;
-  }
-  /// There is one group.
-  bool is_spare_for(const ReplicaIdentity&, const ReplicaIdentity&) const override { return true; }
-  std::vector<ledger::disk_place> places() const override {
-    std::vector<ledger::disk_place> result;
-    for (unsigned node = 0; node < kMostNodes; ++node) {
-      const machine& one = state_.machines[node];
-      if (believed(one) && !one.retiring) {
-        result.push_back({identity_of({static_cast<std::uint8_t>(node), one.disk_number}), "zone-" + name_of(node)});
-      }
-    }
-    return result;
-  }
-
- private:
-  bool believed(const machine& one) const {
-    return one.state == presence::up || (one.state == presence::silent && !missing_);
+/// @return the fleet as it is.
+fleet_belief fleet_of(const model_state& state) {
+  fleet_belief fleet;
+  for (unsigned node = 0; node < kMostNodes; ++node) {
+    const machine& one = state.machines[node];
+    fleet[node] = {one.state, one.disk_number, one.retiring};
   }
-
-  const model_state& state_;
-  const bool missing_;
-};
+  return fleet;
+}
 
 /// All moves of the model.
 class group_model {
@@ -220,6 +186,11 @@
     steps_of_maintainers(state, result);
     writes(state, result);
     faults(state, result);
+    fork_consents(state, result);
+    fork_views(state, result);
+    for (auto& [move, then] : result) {
+      forget_what_may_come_again(then);
+    }
     return result;
   }
 
@@ -292,6 +263,8 @@
     state.store_up = true;
     state.lost = 0;
     state.faults = 0;
+    state.earlier.reset();
+    state.consents = {};
     const auto [known, unknown] = judged_.try_emplace(key_of(state));
     if (unknown) {
       known->second = judge_return(std::move(state));
@@ -338,6 +311,13 @@
         return "all are back, and the place of " + name_of(place) + " in " + group + " is empty for good";
       }
     }
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      if (one.state == presence::up && one.retiring && waits_for_agreed(one)) {
+        return "all are back, and " + name_of(node) + " is never emptied: it agreed to epoch " +
+               std::to_string(one.agreed) + ", which does not come";
+      }
+    }
     return "";
   }
 
@@ -367,8 +347,9 @@
     return result;
   }
 
-  static void start_anew(machine& one) {
+  void start_anew(machine& one) const {
     one.state = presence::up;
+    one.agreed = rules_.consents_are_durable ? one.agreed : 0;
     one.dropped = false;
     one.copied = 0;
     one.copied_votes = 0;
@@ -381,6 +362,7 @@
     if (one.state != presence::up || epoch <= one.epoch) {
       return;
     }
+    one.agreed = one.agreed <= epoch ? 0 : one.agreed;
     if (!is_member(state, epoch, node) && !leaves(state, epoch, node)) {
       one.dropped = true;
       return;
@@ -582,7 +564,8 @@
       if (one.state == presence::up) {
         const unsigned first = scope_.coarse ? std::max(state.latest(), one.epoch + 1U) : one.epoch + 1U;
         for (unsigned epoch = first; epoch <= state.latest(); ++epoch) {
-          if (one.dropped && !is_member(state, epoch, node) && !leaves(state, epoch, node)) {
+          const bool agreed_to_it = one.agreed > 0 && one.agreed <= epoch;
+          if (one.dropped && !agreed_to_it && !is_member(state, epoch, node) && !leaves(state, epoch, node)) {
             continue;
           }
           model_state then = state;
@@ -654,11 +637,14 @@
   }
 
   /// Has the members that vote in @p epoch decide the next one, by each set of them that may.
-  /// @param view what is believed of the fleet
-  /// @param label what the move is called
-  void decide(const model_state& state, unsigned epoch, bool silent_are_missing, moves& result) {
-    const auto change = change_of(state, epoch, silent_are_missing);
-    if (!change || epoch + 1 >= kMostEpochs) {
+  /// @param view what its proposer believes of the fleet
+  void decide(const model_state& state, unsigned epoch, const fleet_belief& view, bool silent_are_missing,
+              moves& result) {
+    auto change = change_of(state, epoch, view, silent_are_missing);
+    if (!change && uses_up_number(state, epoch)) {
+      change = no_change(state, epoch);
+    }
+    if (!change || epoch + 1 >= kMostEpochs || given_up_answers(state, *change)) {
       return;
     }
     const node_set voting = deciding_in(state, epoch);
@@ -670,17 +656,15 @@
       ask_store(state, epoch, disk_of(*change->rule.sole), result);
       return;
     }
-    description wanted;
-    for (const ReplicaIdentity& one : change->next.replicas) {
-      wanted.replicas.push_back(disk_of(one));
-    }
-    for (const ReplicaIdentity& one : change->next.leaving) {
-      wanted.leaving.push_back(disk_of(one));
-    }
+    const description wanted = described(state, epoch, *change, view);
+    const std::vector<disk> joining = not_in(state.of(epoch).replicas, wanted.replicas);
     const bool decided = epoch < state.latest();
     if (!decided && !may_decide(state, epoch, *change, allowed, quorum)) {
       return;
     }
+    if (!decided && !(may_join(state, epoch, joining) && all_agree(state, epoch, joining, view))) {
+      return;
+    }
     for (unsigned set = 1; set < 1U << kMostNodes; ++set) {
       const auto chosen = static_cast<node_set>(set);
       if ((chosen & ~allowed) != 0 || size_of(chosen) != quorum) {
@@ -698,10 +682,12 @@
       model_state then = state;
       then.epochs.push_back(wanted);
       then.voters[epoch] = scope_.coarse ? voting : chosen;
+      note_joining(then, joining);
       for (unsigned node = 0; scope_.coarse && node < kMostNodes; ++node) {
         adopt(then, node, epoch + 1);
       }
-      result.emplace_back(text_of(chosen) + " decide epoch " + std::to_string(epoch + 1) + " " + text_of(wanted),
+      result.emplace_back(text_of(chosen) + " decide epoch " + std::to_string(epoch + 1) + " " + text_of(wanted) +
+                              proposer_text(state, view),
                           std::move(then));
       if (scope_.coarse) {
         return;
@@ -723,37 +709,236 @@
   }
 
   /// @return the product's own choice; remembered, since few questions come often.
-  std::optional<ledger::epoch_change> change_of(const model_state& state, unsigned epoch, bool silent_are_missing) {
-    std::string key;
-    for (const machine& one : state.machines) {
-      key.push_back(
-          static_cast<char>(static_cast<unsigned>(one.state) + one.disk_number * 8U + (one.retiring ? 4U : 0U)));
-    }
+  std::optional<ledger::epoch_change> change_of(const model_state& state, unsigned epoch, const fleet_belief& view,
+                                                bool silent_are_missing) {
+    const description& present = state.of(epoch);
+    std::string key = key_of(view);
     key.push_back(silent_are_missing ? 1 : 0);
     key.push_back(static_cast<char>(epoch));
-    key += text_of(state.of(epoch));
+    key += text_of(present);
     const auto [known, unknown] = changes_.try_emplace(key);
     if (unknown) {
-      ReplicaGroup group;
-      group.epoch = epoch;
-      for (const disk& one : state.of(epoch).replicas) {
-        group.replicas.push_back(identity_of(one));
-      }
-      for (const disk& one : state.of(epoch).leaving) {
-        group.leaving.push_back(identity_of(one));
+      const ReplicaGroup group = group_of(present, epoch);
+      std::vector<disk> named = rules_.obsolete_disks_known ? present.replicas : std::vector<disk>{};
+      if (rules_.obsolete_disks_known) {
+        named.insert(named.end(), present.leaving.begin(), present.leaving.end());
       }
-      true_view view(state, silent_are_missing);
-      known->second = ledger::wanted_change(group, view, scope_.disks);
+      believed_fleet fleet(view, silent_are_missing, std::move(named));
+      known->second = ledger::wanted_change(group, fleet, scope_.disks);
     }
     return known->second;
   }
+  /// @return @p present as the product knows it; without the rule for former members they are told under other names.
+  ReplicaGroup group_of(const description& present, unsigned epoch) const {
+    ReplicaGroup group;
+    group.epoch = epoch;
+    for (const disk& one : present.replicas) {
+      group.replicas.push_back(identity_of(one));
+    }
+    for (const disk& one : present.leaving) {
+      group.leaving.push_back(rules_.leaving_are_no_substitutes ? identity_of(one) : former_identity_of(one));
+    }
+    return group;
+  }
+  /// @return the next description as the group keeps it.
+  /// @param view what the proposer believes
+  description described(const model_state& state, unsigned epoch, const ledger::epoch_change& change,
+                        const fleet_belief& view) const {
+    description wanted;
+    for (const ReplicaIdentity& one : change.next.replicas) {
+      wanted.replicas.push_back(disk_of(one));
+    }
+    for (const ReplicaIdentity& one : change.next.leaving) {
+      wanted.leaving.push_back(disk_of(one));
+    }
+    std::erase_if(wanted.leaving, [&wanted](const disk& one) { return contains(wanted.replicas, one); });
+    if (rules_.departed == departed_rule::forgotten) {
+      return wanted;
+    }
+    const description& before = state.of(epoch);
+    wanted.departed = before.departed;
+    for (const auto* list : {&before.replicas, &before.leaving}) {
+      for (const disk& one : *list) {
+        const machine_belief& believed = view[one.node];
+        const bool emptied = believed.state == presence::gone && has(state.emptied, one.node);
+        const bool for_good = emptied || believed.retiring || believed.disk_number != one.number;
+        const bool named = contains(wanted.replicas, one) || contains(wanted.leaving, one);
+        if (!named && (for_good || rules_.departed == departed_rule::all_kept)) {
+          wanted.departed.push_back(one);
+        }
+      }
+    }
+    return wanted;
+  }
+  static bool contains(const std::vector<disk>& list, const disk& one) {
+    return std::find(list.begin(), list.end(), one) != list.end();
+  }
+  /// @return those of @p next that are not in @p before.
+  static std::vector<disk> not_in(const std::vector<disk>& before, const std::vector<disk>& next) {
+    std::vector<disk> result = next;
+    std::erase_if(result, [&before](const disk& one) { return contains(before, one); });
+    return result;
+  }
+  std::string proposer_text(const model_state& state, const fleet_belief& view) const {
+    if (view == fleet_of(state)) {
+      return "";
+    }
+    std::string text = ", proposed by one that believes in";
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine_belief& one = view[node];
+      if (one.state == presence::up || one.state == presence::silent) {
+        text += " " + name_of({static_cast<std::uint8_t>(node), one.disk_number});
+        text += one.state == presence::silent ? " silent" : "";
+        text += one.retiring ? " to be emptied" : "";
+      }
+    }
+    return text;
+  }
+
+  /// @return whether a member that would be given up answers, which ends the decision.
+  bool given_up_answers(const model_state& state, const ledger::epoch_change& change) const {
+    if (!rules_.given_up_may_answer || !change.rule.given_up) {
+      return false;
+    }
+    const disk lost = disk_of(*change.rule.given_up);
+    const machine& one = state.machines[lost.node];
+    return takes_part(one) && one.disk_number == lost.number;
+  }
+  /// @return whether no voter of @p epoch knows one of @p joining for a disk that left for good.
+  bool may_join(const model_state& state, unsigned epoch, const std::vector<disk>& joining) const {
+    return std::none_of(joining.begin(), joining.end(),
+                        [&](const disk& one) { return contains(state.of(epoch).departed, one); });
+  }
+
+  /// @return whether @p one would agree now to be a member of the epoch after @p epoch.
+  /// @param last_resort whether it is asked to come back though it is to be emptied
+  bool would_agree(const model_state& state, unsigned epoch, const disk& one, bool last_resort) const {
+    const machine& candidate = state.machines[one.node];
+    if (candidate.state != presence::up || candidate.disk_number != one.number || candidate.epoch > epoch) {
+      return false;
+    }
+    const bool leaves_a_pair = contains(state.of(epoch).leaving, one) && state.of(epoch).replicas.size() == 2;
+    return !candidate.retiring || (last_resort && leaves_a_pair);
+  }
+  bool has_agreed(const model_state& state, unsigned epoch, const disk& one) const {
+    const consent& given = state.consents[one.node];
+    const bool for_this = given.epoch == epoch + 1 || (!rules_.consent_for_one_epoch && given.epoch > 0);
+    return given.disk_number == one.number && for_this;
+  }
+  /// @param view what the proposer believes
+  bool all_agree(const model_state& state, unsigned epoch, const std::vector<disk>& joining,
+                 const fleet_belief& view) const {
+    return !rules_.candidates_consent || std::all_of(joining.begin(), joining.end(), [&](const disk& one) {
+      const bool last_resort = view[one.node].retiring;
+      return has_agreed(state, epoch, one) || would_agree(state, epoch, one, last_resort);
+    });
+  }
+  /// The latest epoch names @p joining, which were no members before.
+  void note_joining(model_state& state, const std::vector<disk>& joining) {
+    for (const disk& one : joining) {
+      machine& joins = state.machines[one.node];
+      if (has(state.emptied, one.node) && joins.disk_number == one.number) {
+        violation = "epoch " + std::to_string(state.latest()) + " " + text_of(state.of(state.latest())) + " names " +
+                    name_of(one) + ", which was emptied and taken away";
+      }
+      if (rules_.candidates_consent && joins.disk_number == one.number && joins.state != presence::gone) {
+        joins.agreed = static_cast<std::uint8_t>(state.latest());
+      }
+    }
+  }
+  bool waits_for_agreed(const machine& one) const { return rules_.consent_holds_up_emptying && one.agreed > 0; }
+  /// @return whether a machine that is to be emptied waits for the epoch after @p epoch, which nobody else wants.
+  bool uses_up_number(const model_state& state, unsigned epoch) const {
+    return rules_.unused_consents_end &&
+           std::any_of(state.machines.begin(), state.machines.end(), [&](const machine& one) {
+             return one.state == presence::up && one.retiring && waits_for_agreed(one) && one.agreed == epoch + 1;
+           });
+  }
+  ledger::epoch_change no_change(const model_state& state, unsigned epoch) const {
+    ledger::epoch_change change;
+    change.next = group_of(state.of(epoch), epoch + 1);
+    return change;
+  }
+
+  bool may_be_asked(const model_state& state, unsigned node) const {
+    const unsigned epoch = state.latest();
+    const disk one{static_cast<std::uint8_t>(node), state.machines[node].disk_number};
+    const bool asked = state.consents[node] == consent{one.number, static_cast<std::uint8_t>(epoch + 1)};
+    return !asked && epoch + 1 < kMostEpochs && !is_member(state, epoch, node) && would_agree(state, epoch, one, true);
+  }
+  /// A disk may have agreed at any earlier moment of this epoch. It matters once it would not agree any more, so that
+  /// this is when it is told.
+  void fork_consents(const model_state& state, moves& result) const {
+    if (!rules_.candidates_consent) {
+      return;
+    }
+    const fleet_belief before = fleet_of(state);
+    for (std::size_t at = 0, moves_before = result.size(); at < moves_before; ++at) {
+      const fleet_belief after = fleet_of(result[at].second);
+      for (unsigned node = 0; node < kMostNodes; ++node) {
+        if (before[node] == after[node] || !may_be_asked(state, node)) {
+          continue;
+        }
+        const bool leaves_now = after[node].state == presence::gone && has(result[at].second.emptied, node);
+        if (leaves_now && rules_.consent_holds_up_emptying) {
+          continue;
+        }
+        auto [move, then] = result[at];
+        const auto epoch = static_cast<std::uint8_t>(state.latest() + 1);
+        then.consents[node] = {before[node].disk_number, epoch};
+        const bool keeps_disk =
+            after[node].state != presence::gone && after[node].disk_number == before[node].disk_number;
+        then.machines[node].agreed = keeps_disk ? epoch : then.machines[node].agreed;
+        result.emplace_back(name_of(node) + " agrees to epoch " + std::to_string(epoch) + "; " + move, std::move(then));
+      }
+    }
+  }
+  /// One maintainer may not hear of a change of the fleet.
+  void fork_views(const model_state& state, moves& result) const {
+    if (scope_.earlier_views == earlier_view::none) {
+      return;
+    }
+    const fleet_belief before = fleet_of(state);
+    for (std::size_t at = 0, moves_before = result.size(); at < moves_before; ++at) {
+      auto& [move, then] = result[at];
+      const fleet_belief after = fleet_of(then);
+      if (before == after || (state.earlier && scope_.earlier_views == earlier_view::of_one_moment)) {
+        continue;
+      }
+      model_state unheard = then;
+      unheard.earlier = state.earlier.value_or(before);
+      for (unsigned node = 0; then.earlier && node < kMostNodes; ++node) {
+        (*then.earlier)[node] = before[node] == after[node] ? (*then.earlier)[node] : after[node];
+      }
+      result.emplace_back(move + ", unheard by a maintainer", std::move(unheard));
+    }
+  }
+  /// Takes out what may be told at any later moment as well: fewer states have to be looked at.
+  void forget_what_may_come_again(model_state& state) const {
+    if (state.earlier && *state.earlier == fleet_of(state)) {
+      state.earlier.reset();
+    }
+    for (unsigned node = 0; rules_.consent_for_one_epoch && node < kMostNodes; ++node) {
+      consent& given = state.consents[node];
+      machine& one = state.machines[node];
+      if (given.epoch > 0 && given.epoch <= state.latest()) {
+        given = {};
+      }
+      const disk present{static_cast<std::uint8_t>(node), one.disk_number};
+      const bool undecided = given.epoch > state.latest() && given.disk_number == one.disk_number;
+      if (undecided && !one.retiring && would_agree(state, state.latest(), present, false)) {
+        given = {};
+        one.agreed = one.agreed > state.latest() ? 0 : one.agreed;
+      }
+    }
+  }
 
   /// With all back: the first move that decides something.
   /// @return whether the epoch after @p epoch is decided now, or the store has named who may do so.
   bool decide_once(model_state& state, unsigned epoch) {
     moves possible;
     found_decided_ = false;
-    decide(state, epoch, true, possible);
+    decide(state, epoch, fleet_of(state), true, possible);
     if (possible.empty()) {
       return found_decided_;
     }
@@ -761,15 +946,21 @@
     return true;
   }
 
-  void steps_of_maintainers(const model_state& state, moves& result) {
-    bool silent = false;
-    for (const machine& one : state.machines) {
-      silent = silent || one.state == presence::silent;
+  /// One that believes the fleet to be as in @p view proposes what follows @p epoch.
+  void propose(const model_state& state, unsigned epoch, const fleet_belief& view, moves& result) {
+    decide(state, epoch, view, false, result);
+    const bool silent =
+        std::any_of(view.begin(), view.end(), [](const machine_belief& one) { return one.state == presence::silent; });
+    if (silent && scope_.silent_replaced) {
+      decide(state, epoch, view, true, result);
     }
+  }
+
+  void steps_of_maintainers(const model_state& state, moves& result) {
     for (unsigned epoch = 1; epoch <= state.latest(); ++epoch) {
-      decide(state, epoch, false, result);
-      if (silent && scope_.silent_replaced) {
-        decide(state, epoch, true, result);
+      propose(state, epoch, fleet_of(state), result);
+      if (state.earlier) {
+        propose(state, epoch, *state.earlier, result);
       }
     }
     if (state.store_up && state.published < state.latest()) {
@@ -829,7 +1020,9 @@
       if (one.state == presence::up && one.retiring && has_left(state, node)) {
         model_state then = state;
         remove(then, node);
+        then.emptied |= only(node);
         check_copies_left(state, then, node);
+        check_not_named(state, node);
         result.emplace_back(name_of(node) + " has left and is taken away", std::move(then));
       }
       if (one.state == presence::spare && node < scope_.disks + scope_.further + scope_.spares &&
@@ -886,9 +1079,24 @@
     }
   }
 
+  /// Notes where @p node goes though it is a member of an epoch that it has not heard of.
+  void check_not_named(const model_state& before, unsigned node) {
+    const unsigned latest = before.latest();
+    if (is_member(before, latest, node)) {
+      violation = name_of(node) + " was emptied and taken away, and epoch " + std::to_string(latest) + " " +
+                  text_of(before.of(latest)) + " names it";
+    }
+  }
+
   /// @return whether a retiring machine is in no group any more, and all members hold what it held.
   bool has_left(const model_state& state, unsigned node) const {
     const machine& one = state.machines[node];
+    if (waits_for_agreed(one)) {
+      return false;
+    }
+    if (scope_.others_emptied && (one.dropped || one.epoch == 0)) {
+      return true;
+    }
     if (one.dropped || one.epoch == 0 || !leaves(state, one.epoch, node)) {
       return false;
     }
@@ -920,8 +1128,9 @@
       if (here && may_lose) {
         lose(struck, state, node, result);
       }
-      const bool may_retire = scope_.retirements && one.state == presence::up && !one.retiring &&
-                              (one.epoch > 0 && is_member(state, one.epoch, node));
+      const bool holds_group = one.epoch > 0 && is_member(state, one.epoch, node);
+      const bool may_retire =
+          scope_.retirements && one.state == presence::up && !one.retiring && (holds_group || scope_.others_emptied);
       if (may_retire && std::none_of(state.machines.begin(), state.machines.end(), [](const machine& other) {
             return other.retiring || other.state == presence::gone;
           })) {
--- a/tests/ledger/epoch_model_test.cpp
+++ b/tests/ledger/epoch_model_test.cpp
@@ -3,7 +3,9 @@
 /// deciding, adopting and copying, within what the group is made for (as many disks at once as it tolerates, until
 /// everything has been copied again). In none of them a confirmed record is out of sight of a majority that answers,
 /// two descriptions of one epoch stand, or, once all are back, the group is left without a majority of admitted members
-/// or with a place that stays empty. A model without one of its rules breaks a promise, so the search would see it.
+/// or with a place that stays empty; no epoch names a disk that was emptied and taken away, also where a maintainer
+/// proposes it that believes the fleet to be as it was. A model without one of its rules breaks a promise, so the
+/// search would see it.
 #include "ledger/epoch_model.hpp"
 
 #include <catch2/catch.hpp>
@@ -12,8 +14,8 @@
 
 namespace {
 
-void check_holds(const model_scope& scope) {
-  const model_result result = search(scope, {});
+void check_holds(const model_scope& scope, const model_rules& rules = {}) {
+  const model_result result = search(scope, rules);
   std::string story = "after " + std::to_string(result.states) + " states:";
   for (const std::string& move : result.path) {
     story += "\n  " + move;
@@ -45,6 +47,17 @@
   return scope;
 }
 
+/// Disks of members and of others are emptied while a maintainer that has not heard of it proposes epochs.
+model_scope unheard_scope() {
+  model_scope scope = emptied_scope();
+  scope.others_emptied = true;
+  scope.earlier_views = earlier_view::of_single_changes;
+  scope.faults = 2;
+  scope.writes = 0;
+  scope.coarse = true;
+  return scope;
+}
+
 }  // namespace
 
 TEST_CASE("epochs of three disks, three faults") {
@@ -154,6 +167,60 @@
   check_holds(scope);
 }
 
+// A maintainer that was frozen or cut off names a disk that was emptied meanwhile, and another one is lost.
+TEST_CASE("epochs of three disks that one proposes who missed changes, two faults and a record") {
+  model_scope scope = unheard_scope();
+  scope.silent_replaced = true;
+  scope.writes = 1;
+  model_rules rules;
+  SECTION("as it is") {}
+  SECTION("leaving members are free disks to whom proposes") { rules.leaving_are_no_substitutes = false; }
+  check_holds(scope, rules);
+}
+
+TEST_CASE("epochs of three disks that one proposes who missed changes, decisions heard one by one, two faults") {
+  model_scope scope = unheard_scope();
+  scope.earlier_views = earlier_view::of_one_moment;
+  scope.coarse = false;
+  check_holds(scope);
+}
+
+TEST_CASE("epochs of three disks that one proposes who missed changes, three faults") {
+  model_scope scope = unheard_scope();
+  scope.earlier_views = earlier_view::of_one_moment;
+  scope.faults = 3;
+  check_holds(scope);
+}
+
+TEST_CASE("epochs of three disks with a fourth at hand that one proposes who missed changes, two faults") {
+  model_scope scope = unheard_scope();
+  scope.further = 1;
+  check_holds(scope);
+}
+
+TEST_CASE("epochs of three disks and a new machine that one proposes who missed changes, two faults") {
+  model_scope scope = unheard_scope();
+  scope.earlier_views = earlier_view::of_one_moment;
+  scope.silent_replaced = true;
+  scope.spares = 1;
+  check_holds(scope);
+}
+
+TEST_CASE("epochs that one proposes who missed changes, more states", "[.][long]") {
+  model_scope scope = unheard_scope();
+  SECTION("a fourth disk at hand, silent ones taken for gone, a record") {
+    scope.further = 1;
+    scope.silent_replaced = true;
+    scope.writes = 1;
+  }
+  SECTION("decisions heard one by one, a record") {
+    scope.earlier_views = earlier_view::of_one_moment;
+    scope.coarse = false;
+    scope.writes = 1;
+  }
+  check_holds(scope);
+}
+
 TEST_CASE("a model of epochs without one of its rules breaks a promise") {
   model_scope scope;
   model_rules rules;
@@ -209,5 +276,43 @@
     scope.writes = 0;
     rules.one_sole_decider = false;
   }
+  SECTION("a former member is taken up again by a maintainer that has not heard why") {
+    scope = unheard_scope();
+    scope.others_emptied = false;
+    rules.leaving_are_no_substitutes = false;
+    rules.candidates_consent = false;
+  }
+  SECTION("a disk joins without its word, and only leaving members are no substitutes") {
+    scope = unheard_scope();
+    scope.others_emptied = false;
+    rules.candidates_consent = false;
+  }
+  SECTION("a disk joins without its word, and those that left for good are kept with the group") {
+    scope = unheard_scope();
+    rules.departed = departed_rule::all_kept;
+    rules.candidates_consent = false;
+    SECTION("one that was never a member") {}
+    SECTION("one that still leaves, for a pair") {
+      scope.others_emptied = false;
+      scope.silent_replaced = true;
+    }
+  }
+  SECTION("a disk's word holds for any later epoch") {
+    scope = unheard_scope();
+    rules.consent_for_one_epoch = false;
+  }
+  SECTION("a machine forgets with a start what it agreed to") {
+    scope = unheard_scope();
+    scope.faults = 3;
+    rules.consents_are_durable = false;
+  }
+  SECTION("a machine that agreed to an epoch is emptied before it comes") {
+    scope = unheard_scope();
+    rules.consent_holds_up_emptying = false;
+  }
+  SECTION("a machine that agreed waits for an epoch that nobody wants") {
+    scope = unheard_scope();
+    rules.unused_consents_end = false;
+  }
   check_noticed(scope, rules);
 }
