--- a/tests/ledger/epoch_model.cpp
+++ b/tests/ledger/epoch_model.cpp
@@ -60,7 +60,8 @@
 /// A disk's word that it would be a member of an epoch, as those know who have asked for it.
 struct consent {
   std::uint8_t disk_number = 0;
-  std::uint8_t epoch = 0;  ///< 0: none.
+  std::uint8_t epoch = 0;    ///< 0: none.
+  bool last_resort = false;  ///< It is to be emptied, and would come back beside the one that is left of a pair.
   auto operator<=>(const consent&) const = default;
 };
 
@@ -121,6 +122,7 @@
   }
   for (const consent& one : state.consents) {
     put(one.epoch == 0 ? 0U : one.disk_number * 16U + one.epoch);
+    put(one.last_resort ? 1 : 0);
   }
   put(state.emptied);
   key += state.earlier ? key_of(*state.earlier) : "";
@@ -228,12 +230,8 @@
     if (rules_.members_tell_epoch && published_is_known) {
       state.published = 0;
     }
-    for (unsigned epoch = 1; scope_.coarse && epoch < state.latest(); ++epoch) {
-      const bool decides = std::any_of(state.machines.begin(), state.machines.end(), [epoch](const machine& one) {
-        return (one.state == presence::up || one.state == presence::silent) && one.epoch == epoch && !one.dropped;
-      });
-      state.voters[epoch] = decides ? state.voters[epoch] : 0;
-      state.sole[epoch] = decides ? state.sole[epoch] : kNobody;
+    for (unsigned epoch = 1; epoch < state.latest(); ++epoch) {
+      forget_past(state, epoch);
     }
     return state;
   }
@@ -276,6 +274,29 @@
   std::string violation;
 
  private:
+  /// Takes out of @p state what is kept of @p epoch, where no machine is or may come to be in it.
+  void forget_past(model_state& state, unsigned epoch) const {
+    bool decides = false;
+    bool known = epoch == state.published || !rules_.fence_old_epochs || !rules_.members_tell_epoch;
+    for (unsigned node = 0; node < kMostNodes; ++node) {
+      const machine& one = state.machines[node];
+      if (one.state != presence::up && one.state != presence::silent) {
+        continue;
+      }
+      const bool member = is_member(state, epoch, node);
+      const bool in_coarse = one.epoch == epoch && !one.dropped;
+      const bool may_decide = scope_.coarse ? in_coarse : one.epoch <= epoch && member;
+      const bool may_adopt = one.epoch < epoch && (member || leaves(state, epoch, node));
+      decides = decides || may_decide;
+      known = known || may_adopt || one.epoch == epoch || one.epoch == epoch + 1U;
+    }
+    state.voters[epoch] = decides ? state.voters[epoch] : 0;
+    state.sole[epoch] = decides ? state.sole[epoch] : kNobody;
+    if (!known && !decides) {
+      state.epochs[epoch - 1] = {};
+    }
+  }
+
   std::string judge_return(model_state state) {
     for (unsigned round = 0; round < 4 * kMostEpochs; ++round) {
       const std::string before = key_of(state);
@@ -820,17 +841,19 @@
     const bool leaves_a_pair = contains(state.of(epoch).leaving, one) && state.of(epoch).replicas.size() == 2;
     return !candidate.retiring || (last_resort && leaves_a_pair);
   }
-  bool has_agreed(const model_state& state, unsigned epoch, const disk& one) const {
+  /// @param last_resort whether it was asked to come back though it is to be emptied
+  bool has_agreed(const model_state& state, unsigned epoch, const disk& one, bool last_resort) const {
     const consent& given = state.consents[one.node];
     const bool for_this = given.epoch == epoch + 1 || (!rules_.consent_for_one_epoch && given.epoch > 0);
-    return given.disk_number == one.number && for_this;
+    const bool for_that = !given.last_resort || last_resort || !rules_.consent_for_what_was_asked;
+    return given.disk_number == one.number && for_this && for_that;
   }
   /// @param view what the proposer believes
   bool all_agree(const model_state& state, unsigned epoch, const std::vector<disk>& joining,
                  const fleet_belief& view) const {
     return !rules_.candidates_consent || std::all_of(joining.begin(), joining.end(), [&](const disk& one) {
       const bool last_resort = view[one.node].retiring;
-      return has_agreed(state, epoch, one) || would_agree(state, epoch, one, last_resort);
+      return has_agreed(state, epoch, one, last_resort) || would_agree(state, epoch, one, last_resort);
     });
   }
   /// The latest epoch names @p joining, which were no members before.
@@ -863,7 +886,8 @@
   bool may_be_asked(const model_state& state, unsigned node) const {
     const unsigned epoch = state.latest();
     const disk one{static_cast<std::uint8_t>(node), state.machines[node].disk_number};
-    const bool asked = state.consents[node] == consent{one.number, static_cast<std::uint8_t>(epoch + 1)};
+    const consent& given = state.consents[node];
+    const bool asked = given.epoch == epoch + 1 && given.disk_number == one.number;
     return !asked && epoch + 1 < kMostEpochs && !is_member(state, epoch, node) && would_agree(state, epoch, one, true);
   }
   /// A disk may have agreed at any earlier moment of this epoch. It matters once it would not agree any more, so that
@@ -885,7 +909,7 @@
         }
         auto [move, then] = result[at];
         const auto epoch = static_cast<std::uint8_t>(state.latest() + 1);
-        then.consents[node] = {before[node].disk_number, epoch};
+        then.consents[node] = {before[node].disk_number, epoch, before[node].retiring};
         const bool keeps_disk =
             after[node].state != presence::gone && after[node].disk_number == before[node].disk_number;
         then.machines[node].agreed = keeps_disk ? epoch : then.machines[node].agreed;
--- a/tests/ledger/epoch_model.hpp
+++ b/tests/ledger/epoch_model.hpp
@@ -50,7 +50,9 @@
   /// last that can come back.
   bool candidates_consent = true;
   bool consent_for_one_epoch = true;  ///< It holds for one number.
-  bool consents_are_durable = true;   ///< A machine knows after a start what it agreed to.
+  /// The word of one that is to be emptied holds for coming back beside the one that is left of a pair, and no more.
+  bool consent_for_what_was_asked = true;
+  bool consents_are_durable = true;  ///< A machine knows after a start what it agreed to.
   /// A machine that agreed is not emptied before it knows an epoch of that number or a later one.
   bool consent_holds_up_emptying = true;
   /// Where nobody wants that epoch, the same members decide it once more.
--- a/tests/ledger/epoch_model_test.cpp
+++ b/tests/ledger/epoch_model_test.cpp
@@ -189,7 +189,10 @@
   model_scope scope = unheard_scope();
   scope.earlier_views = earlier_view::of_one_moment;
   scope.faults = 3;
-  check_holds(scope);
+  model_rules rules;
+  SECTION("as it is") {}
+  SECTION("leaving members are free disks to whom proposes") { rules.leaving_are_no_substitutes = false; }
+  check_holds(scope, rules);
 }
 
 TEST_CASE("epochs of three disks with a fourth at hand that one proposes who missed changes, two faults") {
@@ -301,6 +304,12 @@
     scope = unheard_scope();
     rules.consent_for_one_epoch = false;
   }
+  SECTION("the word of a machine that would come back as the last one holds for any place") {
+    scope = unheard_scope();
+    scope.faults = 3;
+    rules.consent_for_what_was_asked = false;
+    rules.leaving_are_no_substitutes = false;
+  }
   SECTION("a machine forgets with a start what it agreed to") {
     scope = unheard_scope();
     scope.faults = 3;
