--- a/src/ledger/decision_votes.cpp
+++ b/src/ledger/decision_votes.cpp
@@ -95,6 +95,9 @@
 refusal_ground ground_of(const Error& error, const decision_votes& votes) {
   std::map<refusal_ground, std::size_t> counted;
   for (const member_vote& vote : votes.members) {
+    if (vote.ground == refusal_ground::member_there) {
+      return refusal_ground::member_there;
+    }
     if (vote.counts && vote.ground != refusal_ground::none) {
       ++counted[vote.ground];
     }
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -38,6 +38,8 @@
 constexpr Duration kUntoldPatience = 2s;
 /// From one controller that may found the groups to the next.
 constexpr Duration kFoundingTurn = 2s;
+/// The same change is not proposed again for so long after a refusal.
+constexpr Duration kRefusedRest = 1s;
 /// Decisions under way at a node that does not look after the groups.
 constexpr std::size_t kMostDecisionsInTurn = 16;
 /// How often the process notes that it runs. An answer may be read after the first note that follows a standstill, so
@@ -562,6 +564,12 @@
   return true;
 }
 
+bool Controller::was_just_refused(std::uint32_t group, const ledger::epoch_change& change) const {
+  const auto entry = refused_.find(group);
+  return entry != refused_.end() && entry->second.next == change.next &&
+         environment_.now() - entry->second.at < kRefusedRest;
+}
+
 void Controller::change_groups(bool maintains) {
   const auto& groups = ledger_.group_map().groups;
   group_beliefs beliefs(*this);
@@ -571,7 +579,7 @@
     }
     if (const auto change = ledger::wanted_change(groups[group], beliefs, options_.replicas, options_.changes)) {
       pending_.note_wanted(group, *change);
-      if (maintains || takes_turn(group, *change)) {
+      if (!was_just_refused(group, *change) && (maintains || takes_turn(group, *change))) {
         begin_change(group, *change);
       }
       continue;
@@ -621,6 +629,7 @@
 }
 
 void Controller::end_change(std::uint32_t group, const ledger::epoch_change& change, const Error& why) {
+  refused_[group] = {change.next, environment_.now()};
   proposals_.tell_declined(group, change, why);
   pending_.note_outcome(group, why);
   deciding_.erase(group);
@@ -660,6 +669,9 @@
       ledger_.tell_group(group, newcomer->node);
     }
     if (!succeeded(result)) {
+      if (error_of(result).kind == ErrorKind::conflict) {
+        refused_[group] = {change.next, environment_.now()};
+      }
       pending_.note_outcome(group, error_of(result));
     }
   };
--- a/src/object_store/controller.hpp
+++ b/src/object_store/controller.hpp
@@ -132,6 +132,8 @@
   bool is_to_found() const;
   /// Tells operators of changes that are wanted and not made.
   void tell_pending_changes();
+  /// @return whether others have refused the same change of @p group a moment ago: asking at each look brings nothing.
+  bool was_just_refused(std::uint32_t group, const ledger::epoch_change& change) const;
   /// Has @p change decided, after the consent of the disk that is to become a member.
   void begin_change(std::uint32_t group, const ledger::epoch_change& change);
   /// The same, where one member is to decide alone after its word that it misses the other one, too.
@@ -167,6 +169,12 @@
   const feed_tree feeds_;
   std::map<NodeId, Timestamp> missing_since_;
   std::set<std::uint32_t> deciding_;
+  /// The latest proposal for a group that others refused.
+  struct refused_change {
+    ledger::ReplicaGroup next;
+    Timestamp at{};
+  };
+  std::map<std::uint32_t, refused_change> refused_;
   pending_changes pending_;
   proposal_journal proposals_;
   sole_deciders deciders_;
--- a/src/object_store/retirement.hpp
+++ b/src/object_store/retirement.hpp
@@ -57,8 +57,8 @@
   bool asked_store_ = false;  ///< It has told whether this node is to be emptied.
   std::map<ledger::open_place, Timestamp> open_since_;
   std::set<std::uint32_t> settling_;  ///< Groups.
-  std::set<NodeId> emptied_;  ///< As the platform told.
-  bool told_lately_ = false;  ///< The platform answered the latest watch that has ended.
+  std::set<NodeId> emptied_;          ///< As the platform told.
+  bool told_lately_ = false;          ///< The platform answered the latest watch that has ended.
   Lifetime lifetime_;
 };
 
