--- a/src/ledger/epoch_change.hpp
+++ b/src/ledger/epoch_change.hpp
@@ -59,7 +59,6 @@
   bool new_members_consent = true;       ///< No disk becomes a member without its own word.
   bool leavers_stay_out = true;          ///< Whoever stands among a group's leaving members is no substitute.
   bool members_miss_silent_ones = true;  ///< No member is given up as silent that another one knows to be there.
-  bool retiring_disks_stay_out = true;   ///< Nor is a disk that is to be emptied.
 };
 
 /// @param replicas how many a group ought to have.
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -57,6 +57,7 @@
   ledger::change_guards changes;
   bool cancel_is_durable = true;  ///< A cancel is written before it is confirmed.
   bool reject_older_config = true;
+  bool emptied_after_handover = true;    ///< A disk is called empty only once others hold what it held.
   bool copies_arrive = true;             ///< A new disk is sent what the others hold.
   bool copies_arrive_soon = true;        ///< ... within the time that a machine has to catch up.
   bool groups_checked_soon = true;       ///< Maintainers look at the groups often within that time.
--- a/src/object_store/controller.cpp
+++ b/src/object_store/controller.cpp
@@ -316,8 +316,7 @@
   auto nodes = members_.available(membership::Role::ledger);
   std::erase_if(nodes, [this](const wire::MemberT* member) {
     const bool obsolete = ledger_.is_obsolete({NodeId(member->id), DiskId(member->disk_id)});
-    const bool retiring = member->retiring && options_.changes.retiring_disks_stay_out;
-    return member->disk_id.empty() || retiring || obsolete;
+    return member->disk_id.empty() || member->retiring || obsolete;
   });
   return nodes;
 }
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -85,11 +85,8 @@
        ScheduleMix::departures},
       {"emptied_beside_open_places", Promise::epoch_names_disks_that_exist, 60,
        [](Guards& guards) { guards.replica.open_places_hold = false; }, ScheduleMix::departures},
-      {"emptied_disk_takes_places", Promise::epoch_names_disks_that_exist, 5,
-       [](Guards& guards) {
-         guards.changes = {false, false, false, false};
-       },
-       ScheduleMix::departures},
+      {"emptied_before_handover", Promise::epoch_names_disks_that_exist, 10,
+       [](Guards& guards) { guards.emptied_after_handover = false; }, ScheduleMix::departures},
   };
   return all;
 }
--- a/src/simulation/sim_platform.cpp
+++ b/src/simulation/sim_platform.cpp
@@ -23,7 +23,8 @@
   const std::uint64_t life = process.life();
   fleet_.world.schedule(fleet_.conditions.platform_delay, [this, node, state, done, &process, life] {
     const bool down = !fleet_.platform_answers(node_);
-    if (!down && state == object_store::RetirementState::completed && process.life() == life) {
+    const bool empty = state == object_store::RetirementState::completed || !fleet_.guards.emptied_after_handover;
+    if (!down && empty && process.life() == life) {
       fleet_.note_emptied(node_);
     }
     process.deliver(life, [done, down] { done(down ? Status(Error{ErrorKind::unavailable, "down"}) : Status(Ok{})); });
--- a/tests/ledger/epoch_change_test.cpp
+++ b/tests/ledger/epoch_change_test.cpp
@@ -263,3 +263,15 @@
   CHECK(change->next == ReplicaGroup{5, {kA, new_b, kC, kD}, {}});
   CHECK(change->rule.quorum == 2);
 }
+
+TEST_CASE("who stands among the leaving members takes no place, unless that rule is left out") {
+  told_view view;
+  view.free = {{kA, "1"}, {kB, "2"}, {kC, "3"}};
+  const ReplicaGroup group{5, {kB, kC}, {kA}};
+  CHECK_FALSE(wanted_change(group, view, kReplicas));
+  change_guards guards;
+  guards.leavers_stay_out = false;
+  const auto change = wanted_change(group, view, kReplicas, guards);
+  REQUIRE(change);
+  CHECK(change->next == ReplicaGroup{6, {kB, kC, kA}, {}});
+}
--- a/tests/object_store/retirement_test.cpp
+++ b/tests/object_store/retirement_test.cpp
@@ -43,7 +43,8 @@
     members = std::make_unique<membership::Membership>(environment, counters, self, std::vector<PeerAddress>{}, hooks);
     replica = std::make_unique<ledger::Replica>(environment, storage, counters, NodeId("a"), DiskId("disk-a"),
                                                 [](const NodeId&) { return std::optional<PeerAddress>(); });
-    retirement = std::make_unique<object_store::Retirement>(environment, counters, log, *members, *replica, store, 2);
+    retirement =
+        std::make_unique<object_store::Retirement>(environment, counters, log, *members, *replica, ledger, store, 2);
     retirement->start();
   }
 
@@ -55,6 +56,7 @@
   simulation::SimStorage storage{environment.world, process};
   std::unique_ptr<membership::Membership> members;
   std::unique_ptr<ledger::Replica> replica;
+  ledger::Client ledger{environment, counters, [](const NodeId&) { return std::optional<PeerAddress>(); }};
   std::unique_ptr<object_store::Retirement> retirement;
 };
 
