--- a/src/simulation/epoch_watch.cpp
+++ b/src/simulation/epoch_watch.cpp
@@ -28,7 +28,8 @@
     return;
   }
   const Timestamp not_before = fleet_.nodes[from]->process.begun_since(kLongestProposal);
-  proposals_[{accept.group, next.epoch}].push_back({std::move(next), from, not_before});
+  std::vector<proposal>& known = proposals_[{accept.group, next.epoch}];
+  known.push_back({std::move(next), from, not_before});
 }
 
 void epoch_watch::decided(std::uint32_t group, const ledger::ReplicaGroup& description) {
