--- a/src/ledger/replica_journal.cpp
+++ b/src/ledger/replica_journal.cpp
@@ -29,9 +29,25 @@
                                            {"detail", error.detail}});
   };
   replica_.on_admitted = [this](std::uint32_t group, std::uint64_t epoch) { tell_admitted(group, epoch); };
+  replica_.on_place_answered = [this](const place_offer& offer, wire::PlaceConsent answer) {
+    tell_place_answered(offer, answer);
+  };
   look_at_unasked();
 }
 
+void replica_journal::tell_place_answered(const place_offer& offer, wire::PlaceConsent answer) {
+  const auto told = std::pair(offer.epoch, answer);
+  if (std::exchange(told_places_[offer.group], told) == told) {
+    return;
+  }
+  log_.record("place_answered", {{"group", offer.group},
+                                 {"epoch", offer.epoch},
+                                 {"answer", name_of(answer)},
+                                 {"known_epoch", replica_.known_epoch(offer.group)},
+                                 {"although_retiring", offer.although_retiring},
+                                 {"gives_up", offer.gives_up ? text_of(*offer.gives_up) : ""}});
+}
+
 void replica_journal::tell_epoch(const epoch_step& step) {
   const bool at_start = step.from_epoch == step.description.epoch;
   log_.record(at_start ? "epoch_restored" : "epoch_adopted", {{"group", step.group},
--- a/src/ledger/replica_journal.hpp
+++ b/src/ledger/replica_journal.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 #include "common/decision_log.hpp"
 #include "common/environment.hpp"
@@ -31,6 +32,8 @@
   void tell_epoch(const epoch_step& step);
   void tell_begun(std::uint32_t group, std::uint64_t epoch);
   void tell_admitted(std::uint32_t group, std::uint64_t epoch);
+  /// Tells of an answer that differs from the one before for the same group: offers are repeated.
+  void tell_place_answered(const place_offer& offer, wire::PlaceConsent answer);
   void tell_progress(std::uint32_t group, const copy_progress& copy);
   /// Tells of the copies whose lines are due, as long as there are any.
   void look_at_copies();
@@ -44,6 +47,8 @@
   DecisionLog& log_;
   Replica& replica_;
   std::map<std::uint32_t, told_copy> copies_;
+  /// The latest answer to the offer of a place in each group, and of which epoch.
+  std::map<std::uint32_t, std::pair<std::uint64_t, wire::PlaceConsent>> told_places_;
   bool look_scheduled_ = false;
   Timestamp tell_unasked_at_{};  ///< Not before; zero: nothing was told since a group was asked for last.
   Duration unasked_pause_{};
--- a/tests/object_store/retirement_test.cpp
+++ b/tests/object_store/retirement_test.cpp
@@ -62,6 +62,32 @@
 
 }  // namespace
 
+// Whoever offered the place has gone before it had the epoch decided, and nobody else wants that epoch.
+TEST_CASE("a disk that has consented to a place finds out whether an epoch names it before it is emptied") {
+  const ledger::ReplicaIdentity kOther{NodeId("b"), DiskId("disk-b")};
+  fixture node;
+  const ledger::GroupMap map{{{3, {kOther}, {}}}};
+  node.ledger.on_group_map(map);
+  node.replica->restore();
+  node.replica->on_group_map(map);
+  wire::CopyStatusRequestT offer;
+  offer.place_epoch = 4;
+  offer.offered = std::make_unique<wire::ReplicaIdT>();
+  offer.offered->node = "a";
+  offer.offered->disk = "disk-a";
+  node.replica->handle(PeerAddress("proposer:1"), offer);
+  node.environment.world.run_for(20ms);
+  node.store.tell("a", "");
+  node.environment.world.run_for(800ms);
+  CHECK_FALSE(node.retirement->is_emptied(NodeId("a")).value_or(false));
+  CHECK(node.counters["retirement_places_settled_total"] == 0);
+  node.environment.world.run_for(1s);
+  CHECK(node.counters["retirement_places_settled_total"] > 0);
+  node.ledger.learn(0, {4, {kOther}, {}});
+  node.environment.world.run_for(10s);
+  CHECK(node.retirement->is_emptied(NodeId("a")) == std::optional(true));
+}
+
 TEST_CASE("a node with a disk knows which machines were emptied as long as the store tells it") {
   const NodeId other("b");
   fixture node;
