--- a/src/ledger/client.cpp
+++ b/src/ledger/client.cpp
@@ -264,7 +264,7 @@
   request.ballot = to_wire(operation.ballot);
   request.key = operation.key;
   request.reads_standing = operation.only_epoch.has_value();
-  if (operation.rule.given_up && operation.rule.given_up_is_silent) {
+  if (operation.rule.given_up) {
     request.gives_up = std::make_unique<wire::ReplicaIdT>();
     request.gives_up->node = operation.rule.given_up->node.str();
     request.gives_up->disk = operation.rule.given_up->disk.str();
--- a/src/ledger/epoch_change.cpp
+++ b/src/ledger/epoch_change.cpp
@@ -127,7 +127,6 @@
     change.rule.quorum = decision_quorum(group.replicas.size(), true);
     return true;
   }
-  change.rule.given_up_is_silent = true;
   if (other) {
     // It may only be silent, and what it holds may stand with it and the next one that is lost.
     change.next.leaving.push_back(replica);
--- a/src/ledger/groups.hpp
+++ b/src/ledger/groups.hpp
@@ -65,8 +65,6 @@
   std::size_t least_whole = 0;              ///< With whole_majority: not fewer, however small the group is.
   std::optional<ReplicaIdentity> let_go;    ///< Is to be emptied: does not count among the whole ones.
   std::optional<ReplicaIdentity> given_up;  ///< Taken for silent or lost: an answer of it ends the decision.
-  /// It is taken for silent, by the proposer alone: so is the word of a member that knows it to be there.
-  bool given_up_is_silent = false;
 };
 
 /// @return the key under which the members of epoch - 1 decide who holds @p group at @p epoch.
--- a/src/ledger/place_consents.hpp
+++ b/src/ledger/place_consents.hpp
@@ -72,6 +72,7 @@
   bool restored_ = false;
   bool emptying_ = false;
   bool emptied_ = false;
+  bool stays_ = false;  ///< It has been told that the disk is not to be emptied: a mark that says so is taken back.
   bool stopping_ = false;
 };
 
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t kFewNodes = 200;
 /// A node that was declared dead by mistake has refuted it by then, also where 30 in 100 messages are lost.
 constexpr Duration kDeadStillTold = 10s;
+/// A node that was heard within this time is there, whatever is said of it.
+constexpr Duration kHeardLately = 1s;
 /// A node that lost sight of most others within this time takes itself for cut off; later they are gone.
 constexpr Duration kCutOffTime = 60s;
 constexpr Duration kUnknownKindLines = 10s;  ///< From one line about messages of unknown kinds to the next.
@@ -692,7 +694,13 @@
 
 bool NodeCore::is_there(const ledger::ReplicaIdentity& member) const {
   const wire::MemberT* known = members.find(member.node);
-  return known != nullptr && known->state == wire::MemberState::Alive && known->disk_id == member.disk.str();
+  if (known == nullptr || known->disk_id != member.disk.str()) {
+    return false;
+  }
+  // Others may hold a node for dead that this one has just heard.
+  const auto word = members.last_word_of(member.node);
+  const bool heard_lately = word && word->first_hand && word->age < kHeardLately;
+  return known->state == wire::MemberState::Alive || heard_lately;
 }
 
 bool NodeCore::misses_most_of_fleet() const {
