--- a/src/bench/load.cpp
+++ b/src/bench/load.cpp
@@ -137,7 +137,7 @@
   auto reader = std::make_shared<net::SseReader>(
       [this, call](std::string_view data) { take_live_event(*call, data, target_.now_s()); });
   net::ClientCallEvents events;
-  events.header = [call](unsigned status, const net::Headers&) { call->status = status; };
+  events.header = [call](const net::ResponseHead& head) { call->status = head.status; };
   events.body = [call, reader](std::string_view piece) {
     if (call->status == 200) {
       reader->feed(piece);
--- a/src/forwarding/event_splitter.hpp
+++ b/src/forwarding/event_splitter.hpp
@@ -24,6 +24,8 @@
   void feed(std::string_view piece, const OnEvent& on_event);
   /// @return whether the stream stands between two events.
   bool at_boundary() const { return buffer_.empty(); }
+  /// @return bytes of the event that the stream stands in.
+  std::size_t unfinished_bytes() const { return buffer_.size(); }
   void reset() { buffer_.clear(); }
 
  private:
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -319,7 +319,7 @@
   active.head_seen = false;
   active.heard = false;
   active.body.clear();
-  active.splitter.reset();
+  active.answer.begin(net::body_framing::length, false);
   ++active.sends;
   ++backend.online_in_flight;
   active.life = registry_.on_sent(active.backend);
@@ -335,7 +335,7 @@
   events.head = lifetime_.guard([this, id, attempt](AnswerHead head) { on_head(id, attempt, std::move(head)); });
   events.piece = lifetime_.guard([this, id, attempt](std::string_view piece) { on_piece(id, attempt, piece); });
   events.finished = lifetime_.guard([this, id, attempt] { on_finished(id, attempt); });
-  events.failed = lifetime_.guard([this, id, attempt](CallFailure failure) { on_failed(id, attempt, failure); });
+  events.failed = lifetime_.guard([this, id, attempt](send_failure failure) { on_failed(id, attempt, failure); });
   active.call = upstream_.start(std::move(call), std::move(events));
   watch_first_byte(id);
 }
@@ -369,7 +369,7 @@
     if (dark && !choices(waiting).empty()) {
       counters_["forward_first_byte_timeouts_total"]++;
       upstream_.cancel(waiting.call);
-      on_failed(id, attempt, CallFailure::timed_out);
+      on_failed(id, attempt, {CallFailure::timed_out, answer_end::silent});
     }
   }));
 }
@@ -431,12 +431,15 @@
   Active& active = requests_.at(id);
   heard(active);
   active.head_seen = true;
+  active.answer.begin(head.framing, head.event_stream);
   // A stream that goes on elsewhere keeps its first head.
   if (!active.head_passed) {
     active.head = std::move(head);
   } else if (!head.event_stream || head.status >= 300) {
     upstream_.cancel(active.call);
-    on_failed(id, attempt, head.status >= kFirstServerError ? CallFailure::failed_run : CallFailure::broken);
+    on_failed(
+        id, attempt,
+        {head.status >= kFirstServerError ? CallFailure::failed_run : CallFailure::broken, answer_end::malformed});
   }
 }
 
@@ -456,20 +459,27 @@
   Active& active = requests_.at(id);
   heard(active);
   if (!active.head.event_stream) {
+    active.answer.read(piece, {});
     active.body.append(piece);
   } else if (active.route->resumable && guards_.whole_events_only) {
     pass_events(id, attempt, piece);
   } else {
-    pass_head(active);
-    active.events.piece(piece);
+    active.answer.read(piece, [&active](const StreamEvent&) { ++active.passed_events; });
+    pass_piece(active, piece);
   }
 }
 
+void Forwarder::pass_piece(Active& active, std::string_view piece) {
+  pass_head(active);
+  active.passed_bytes += piece.size();
+  active.events.piece(piece);
+}
+
 void Forwarder::pass_events(ForwardId id, std::uint64_t attempt, std::string_view piece) {
   Active& active = requests_.at(id);
   std::string passed;
   bool gap = false;
-  active.splitter.feed(piece, [&](const StreamEvent& event) {
+  active.answer.read(piece, [&](const StreamEvent& event) {
     const bool numbered = event.number != 0;
     if (numbered && guards_.keep_event_order) {
       if (gap || event.number <= active.last_event) {
@@ -483,15 +493,15 @@
     }
     active.last_event = numbered ? event.number : active.last_event;
     passed.append(event.bytes);
+    ++active.passed_events;
   });
   if (!passed.empty()) {
-    pass_head(active);
-    active.events.piece(passed);
+    pass_piece(active, passed);
   }
   if (gap && is_current(id, attempt)) {
     counters_["forward_event_gaps_total"]++;
     upstream_.cancel(active.call);
-    on_failed(id, attempt, CallFailure::broken);
+    on_failed(id, attempt, {CallFailure::broken, answer_end::out_of_order});
   }
 }
 
@@ -502,8 +512,8 @@
   }
   Active& active = requests_.at(id);
   const bool events = active.head.event_stream && active.route->resumable && guards_.whole_events_only;
-  if (events && !active.splitter.at_boundary()) {
-    on_failed(id, attempt, CallFailure::broken);
+  if (events && active.answer.end() != answer_end::whole) {
+    on_failed(id, attempt, {CallFailure::broken, active.answer.end()});
     return;
   }
   const bool failed = active.head.status >= kFirstServerError;
@@ -511,7 +521,7 @@
     registry_.on_failure_answer(active.backend);
   }
   if (failed && !active.head_passed && may_send_again(active)) {
-    on_failed(id, attempt, CallFailure::failed_run);
+    on_failed(id, attempt, {CallFailure::failed_run, answer_end::whole});
     return;
   }
   complete(id);
@@ -527,12 +537,21 @@
     repeats_->call_answered(fingerprint_of(active));
   }
   counters_["forward_answered_total"]++;
+  const answer_end end = active.answer.end();
+  count_end(end);
+  if (!active.head.event_stream) {
+    active.passed_bytes = active.body.size();
+  }
   const Timestamp first_at = active.head_passed ? active.first_at : environment_.now();
   log_.record("request_answered", {{"request", active.request->id},
                                    {"backend", active.backend.str()},
                                    {"status", active.head.status},
                                    {"sends", active.sends},
-                                   {"events", active.last_event},
+                                   {"framing", net::body_framing_name(active.answer.framing())},
+                                   {"end", answer_end_name(end)},
+                                   {"events", active.passed_events},
+                                   {"bytes", active.passed_bytes},
+                                   {"unfinished_bytes", active.answer.unfinished_bytes()},
                                    {"first_ms", (first_at - active.started) / 1ms},
                                    {"took_ms", (environment_.now() - active.started) / 1ms}});
   if (!active.head_passed && !active.head.event_stream) {
@@ -543,23 +562,46 @@
   active.events.finished();
 }
 
+void Forwarder::count_end(answer_end end) {
+  counters_["answers_ended_" + std::string(answer_end_name(end)) + "_total"]++;
+}
+
+void Forwarder::note_broken_off(const Active& active, answer_end end) {
+  if (!active.head_seen) {
+    return;
+  }
+  count_end(end);
+  log_.record("answer_broken_off", {{"request", active.request->id},
+                                    {"backend", active.backend.str()},
+                                    {"status", active.head.status},
+                                    {"framing", net::body_framing_name(active.answer.framing())},
+                                    {"end", answer_end_name(end)},
+                                    {"events", active.passed_events},
+                                    {"bytes", active.passed_bytes},
+                                    {"unfinished_bytes", active.answer.unfinished_bytes()},
+                                    {"begun", active.head_passed},
+                                    {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
+}
+
 bool Forwarder::may_send_again(const Active& active) const {
   const bool harmless = active.route->may_repeat() || !guards_.once_unless_repeatable;
   return harmless && active.runs + 1 < active.route->max_attempts && active.sends < kMaxSends &&
          environment_.now() + kLeastTimeLeft < active.give_up_at;
 }
 
-void Forwarder::on_failed(ForwardId id, std::uint64_t attempt, CallFailure failure) {
+void Forwarder::on_failed(ForwardId id, std::uint64_t attempt, send_failure failed) {
   if (!is_current(id, attempt)) {
     counters_["forward_stale_events_total"]++;
     return;
   }
+  const CallFailure failure = failed.reason;
   Active& active = requests_.at(id);
   leave_backend(active);
   if (registry_.lives_on(active.backend, active.life)) {
     registry_.on_failure(active.backend, failure);
   }
   active.attempt = 0;
+  note_broken_off(active, failed.end);
   log_.record("send_failed", {{"request", active.request->id},
                               {"backend", active.backend.str()},
                               {"failure", routing::failure_name(failure)},
@@ -645,6 +687,7 @@
   }
   upstream_.cancel(active.call);
   leave_backend(active);
+  note_broken_off(active, answer_end::given_up);
   if (!active.heard && registry_.lives_on(active.backend, active.life)) {
     registry_.on_failure(active.backend, CallFailure::timed_out);
   }
@@ -664,6 +707,7 @@
   }
   upstream_.cancel(active.call);
   leave_backend(active);
+  note_broken_off(active, answer_end::caller_gone);
   counters_["forward_cancelled_total"]++;
   log_.record("request_cancelled", {{"request", active.request->id},
                                     {"backend", active.backend.str()},
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -12,7 +12,7 @@
 #include "common/decision_log.hpp"
 #include "common/environment.hpp"
 #include "forwarding/engine_placer.hpp"
-#include "forwarding/event_splitter.hpp"
+#include "forwarding/answer_reader.hpp"
 #include "forwarding/route_table.hpp"
 #include "forwarding/upstream.hpp"
 #include "routing/limits.hpp"
@@ -104,9 +104,11 @@
     Timestamp heard_at{};       ///< The first of them.
     bool awaits_yield = false;  ///< Of the current send: the engine had no free slot, but batch work in some.
     AnswerHead head;
-    std::string body;  ///< Of an answer that is passed on as a whole.
-    EventSplitter splitter;
+    std::string body;      ///< Of an answer that is passed on as a whole.
+    answer_reader answer;  ///< Of the current send.
     std::uint64_t last_event = 0;
+    std::uint64_t passed_events = 0;
+    std::uint64_t passed_bytes = 0;  ///< Of bodies.
   };
 
   void attempt(ForwardId id);
@@ -128,10 +130,14 @@
   void on_piece(ForwardId id, std::uint64_t attempt, std::string_view piece);
   void pass_events(ForwardId id, std::uint64_t attempt, std::string_view piece);
   void on_finished(ForwardId id, std::uint64_t attempt);
-  void on_failed(ForwardId id, std::uint64_t attempt, routing::CallFailure failure);
+  void on_failed(ForwardId id, std::uint64_t attempt, send_failure failure);
   void on_give_up(ForwardId id);
   void retry_or_end(ForwardId id, routing::CallFailure failure);
   void complete(ForwardId id);
+  void pass_piece(Active& active, std::string_view piece);
+  void count_end(answer_end end);
+  /// The answer of the current send will not be whole.
+  void note_broken_off(const Active& active, answer_end end);
   void end_unanswered(ForwardId id, ErrorKind kind, const std::string& detail);
   Duration comeback_time(const Active& active) const;
   void heard(Active& active);
--- a/src/forwarding/upstream.hpp
+++ b/src/forwarding/upstream.hpp
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "forwarding/answer_end.hpp"
 #include "forwarding/request.hpp"
 #include "routing/backend.hpp"
 
@@ -22,6 +23,7 @@
   unsigned status = 0;
   net::Headers headers;
   bool event_stream = false;
+  net::body_framing framing = net::body_framing::length;  ///< The back end's, not that towards the caller.
 };
 
 /// What becomes of a send. Exactly one of finished and failed comes last, unless it is cancelled.
@@ -30,7 +32,7 @@
   std::function<void(AnswerHead)> head;
   std::function<void(std::string_view piece)> piece;
   std::function<void()> finished;
-  std::function<void(routing::CallFailure)> failed;
+  std::function<void(send_failure)> failed;
 };
 
 /// Connections to back ends. Events never run inside start(). Single threaded.
--- a/src/net/http_backend_client.cpp
+++ b/src/net/http_backend_client.cpp
@@ -22,7 +22,9 @@
       return CallFailure::refused;  // the back end is not at fault
     case CallBreak::timed_out:
       return CallFailure::timed_out;
-    case CallBreak::broken:
+    case CallBreak::closed:
+    case CallBreak::reset:
+    case CallBreak::malformed:
       break;
   }
   return CallFailure::broken;
@@ -116,7 +118,7 @@
   });
   auto stream = std::make_shared<EngineStream>(std::move(events));
   ClientCallEvents call_events;
-  call_events.header = [stream](unsigned status, const Headers&) { stream->status = status; };
+  call_events.header = [stream](const ResponseHead& head) { stream->status = head.status; };
   call_events.body = [stream](std::string_view piece) {
     if (stream->status == kOk) {
       stream->reader.feed(piece);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -208,7 +208,21 @@
   }
 
   static CallBreak reason_of(beast::error_code failure) {
-    return failure == beast::error::timeout ? CallBreak::timed_out : CallBreak::broken;
+    if (failure == beast::error::timeout) {
+      return CallBreak::timed_out;
+    }
+    if (failure == http::error::end_of_stream || failure == http::error::partial_message) {
+      return CallBreak::closed;
+    }
+    return failure.category() == http::make_error_code(http::error::bad_version).category() ? CallBreak::malformed
+                                                                                            : CallBreak::reset;
+  }
+
+  static body_framing framing_of(const http::response_parser<http::buffer_body>& parser) {
+    if (parser.chunked()) {
+      return body_framing::chunks;
+    }
+    return parser.need_eof() ? body_framing::until_close : body_framing::length;
   }
 
   asio::awaitable<void> run(CallNumber number, std::shared_ptr<Call> call) {
@@ -241,7 +255,7 @@
     } else {
       co_await write_request(call);
       if (call->write_failed || call->cancelled) {
-        fail(number, *call, CallBreak::broken);
+        fail(number, *call, CallBreak::reset);
         co_return;
       }
     }
@@ -249,7 +263,7 @@
     std::size_t strays = 0;
     while (co_await read_response(number, call, buffer) == ReadOutcome::stray) {
       if (++strays > kMaxStrayResponses) {
-        fail(number, *call, CallBreak::broken);
+        fail(number, *call, CallBreak::malformed);
         co_return;
       }
     }
@@ -275,13 +289,15 @@
       fail(number, *call, reason_of(failure));
       co_return ReadOutcome::ended;
     }
-    Headers headers;
+    ResponseHead head;
+    head.status = parser.get().result_int();
+    head.framing = framing_of(parser);
     for (const auto& field : parser.get()) {
-      headers.push_back({std::string(field.name_string()), std::string(field.value())});
+      head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    const bool belongs = !call->options.belongs || call->options.belongs(parser.get().result_int(), headers);
+    const bool belongs = !call->options.belongs || call->options.belongs(head.status, head.headers);
     if (belongs && call->events.header) {
-      call->events.header(parser.get().result_int(), headers);
+      call->events.header(head);
     }
     std::string piece(kPieceBytes, '\0');
     while (!parser.is_done() && !call->cancelled) {
@@ -310,14 +326,14 @@
       co_return ReadOutcome::stray;
     }
     if (!belongs) {
-      fail(number, *call, CallBreak::broken);
+      fail(number, *call, CallBreak::malformed);
       co_return ReadOutcome::ended;
     }
     calls.erase(number);
     release_connection(*call);
     // Bytes after a whole response belong to no request.
     if (parser.get().keep_alive() && buffer.size() == 0 && call->written) {
-      give_back(*call, keep_alive_of(headers));
+      give_back(*call, keep_alive_of(head.headers));
     } else {
       call->stream->close();
     }
@@ -340,8 +356,12 @@
       return "connect_failed";
     case CallBreak::limit_reached:
       return "limit_reached";
-    case CallBreak::broken:
-      return "broken";
+    case CallBreak::closed:
+      return "closed";
+    case CallBreak::reset:
+      return "reset";
+    case CallBreak::malformed:
+      return "malformed";
     case CallBreak::timed_out:
       break;
   }
@@ -384,9 +404,10 @@
                                          ClientCallOptions options) {
   auto response = std::make_shared<SimpleResponse>();
   ClientCallEvents events;
-  events.header = [response](unsigned status, const Headers& headers) {
-    response->status = status;
-    response->headers = headers;
+  events.header = [response](const ResponseHead& head) {
+    response->status = head.status;
+    response->headers = head.headers;
+    response->framing = head.framing;
   };
   events.body = [response](std::string_view piece) { response->body.append(piece); };
   events.done = [response, done] { done(std::move(*response)); };
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -18,7 +18,9 @@
 enum class CallBreak {
   connect_failed,  ///< Not a byte was sent.
   limit_reached,   ///< Not sent, since this client has as many connections to the endpoint as it may.
-  broken,          ///< Closed or reset after sending had begun.
+  closed,          ///< The peer closed the connection, after sending had begun and before its answer was whole.
+  reset,           ///< The connection broke otherwise after sending had begun.
+  malformed,       ///< The peer's bytes are no answer to this call.
   timed_out,       ///< No progress in time after sending had begun.
 };
 
@@ -26,7 +28,7 @@
 const char* call_break_name(CallBreak reason);
 
 struct ClientCallEvents {
-  std::function<void(unsigned status, const Headers& headers)> header;
+  std::function<void(const ResponseHead&)> header;
   std::function<void(std::string_view piece)> body;
   std::function<void()> done;
   std::function<void(CallBreak)> failed;
@@ -53,6 +55,7 @@
   unsigned status = 0;
   Headers headers;
   std::string body;
+  body_framing framing = body_framing::length;
 };
 using SimpleDone = std::function<void(std::variant<SimpleResponse, CallBreak>)>;
 
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -27,6 +27,33 @@
   std::string query(std::string_view name) const;
 };
 
+/// How a message says where its body ends.
+enum class body_framing {
+  length,       ///< It states its length, or it can have no body.
+  chunks,       ///< Up to the last chunk.
+  until_close,  ///< It does not: the body ends with the connection, a whole one like one that was broken off.
+};
+
+/// @return a word for log lines.
+inline std::string_view body_framing_name(body_framing framing) {
+  switch (framing) {
+    case body_framing::length:
+      return "length";
+    case body_framing::chunks:
+      return "chunks";
+    case body_framing::until_close:
+      break;
+  }
+  return "until_close";
+}
+
+/// Head of a response while its body is still to come.
+struct ResponseHead {
+  unsigned status = 0;
+  Headers headers;
+  body_framing framing = body_framing::length;
+};
+
 struct HttpResponse {
   unsigned status = 200;
   std::string content_type = "application/json";
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -115,7 +115,7 @@
     events.head = [outcome](forwarding::AnswerHead head) { outcome->head = std::move(head); };
     events.piece = [outcome](std::string_view piece) { outcome->body.append(piece); };
     events.finished = [outcome] { outcome->finished = true; };
-    events.failed = [outcome](routing::CallFailure failure) { outcome->failure = failure; };
+    events.failed = [outcome](const forwarding::send_failure& failure) { outcome->failure = failure.reason; };
     client.start(std::move(call), std::move(events));
     http.run_until([outcome] { return outcome->ended(); }, std::chrono::seconds(5));
     return *outcome;
