--- /dev/null
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -0,0 +1,469 @@
+/// Answers of engines in every framing, cut at each byte and ended in every way, from the engine's socket to the
+/// caller's.
+#include <catch2/catch.hpp>
+
+#include "emulator/server_support.hpp"
+#include "engine_client.hpp"
+#include "forwarding/route_table.hpp"
+#include "ingress.hpp"
+#include "names.hpp"
+#include "net/http_server.hpp"
+#include "node/node_core.hpp"
+#include "support/answer_bytes.hpp"
+#include "support/raw_caller.hpp"
+#include "support/raw_engine.hpp"
+
+using namespace madderdeck;
+using namespace madderdeck::users_platform;
+using madderdeck::net::body_framing;
+using madderdeck::tests::caller_answer;
+using madderdeck::tests::connection_ending;
+using madderdeck::tests::framed_answer;
+
+namespace {
+
+constexpr char kIp[] = "127.91.3.1";
+constexpr char kEntry[] = "127.91.3.1:9320";
+constexpr unsigned short kFirstEnginePort = 9321;
+constexpr unsigned kEngines = 2;
+constexpr unsigned kOk = 200;
+constexpr unsigned kFirstServerError = 500;
+/// Longest that a caller waits in a test; no promise of the product.
+constexpr std::chrono::seconds kTestPatience{10};
+
+/// The routes of the table test.
+enum class answer_kind { stream, resumable_stream, repeatable, unrepeatable };
+constexpr answer_kind kKinds[] = {answer_kind::stream, answer_kind::resumable_stream, answer_kind::repeatable,
+                                  answer_kind::unrepeatable};
+constexpr body_framing kFramings[] = {body_framing::length, body_framing::chunks, body_framing::until_close};
+
+const std::vector<std::string> kEvents = {"id: 1\ndata: one\n\n", "id: 2\r\ndata: two\r\ndata: lines\r\n\r\n",
+                                          "id: 3\ndata: three\n\n"};
+const std::vector<std::string> kPlain = {"{\"slots\":[1,2,", "3],\"more\":false}"};
+
+bool is_stream(answer_kind kind) { return kind == answer_kind::stream || kind == answer_kind::resumable_stream; }
+bool may_go_on(answer_kind kind) { return kind == answer_kind::resumable_stream || kind == answer_kind::repeatable; }
+const char* name_of(answer_kind kind) {
+  switch (kind) {
+    case answer_kind::stream:
+      return "stream";
+    case answer_kind::resumable_stream:
+      return "resumable_stream";
+    case answer_kind::repeatable:
+      return "repeatable";
+    case answer_kind::unrepeatable:
+      break;
+  }
+  return "unrepeatable";
+}
+
+std::string joined(const std::vector<std::string>& pieces, std::size_t from = 0) {
+  std::string text;
+  for (std::size_t piece = from; piece < pieces.size(); ++piece) {
+    text += pieces[piece];
+  }
+  return text;
+}
+
+/// @return the whole events among the first @p bytes of the stream.
+std::string whole_events(std::size_t bytes) {
+  std::string text;
+  for (const std::string& event : kEvents) {
+    if (text.size() + event.size() > bytes) {
+      break;
+    }
+    text += event;
+  }
+  return text;
+}
+
+/// The store is never asked: what it would say is given to the node.
+class silent_store : public object_store::PlatformClient {
+ public:
+  void watch_objects(std::uint64_t, Duration, object_store::ChangesDone) override {}
+  void watch_machines(std::uint64_t, Duration, object_store::ChangesDone) override {}
+  void get(const config::EntryKey&, object_store::GetDone) override {}
+  void put(const object_store::PutRequest&, object_store::PutDone) override {}
+};
+
+std::string value_after(const std::string& head, const std::string& name) {
+  const std::size_t start = head.find("\r\n" + name + ": ");
+  if (start == std::string::npos) {
+    return "";
+  }
+  const std::size_t value = start + name.size() + 4;
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
+/// Answers the first request as the cell of the table says, all later ones whole.
+struct scripted_pool {
+  answer_kind kind = answer_kind::stream;
+  body_framing framing = body_framing::length;
+  connection_ending ending = connection_ending::closed;
+  std::size_t cut = 0;
+  std::size_t requests = 0;
+
+  framed_answer whole(const std::string& head, body_framing in) const {
+    const std::string last = value_after(head, header::kLastEvent);
+    const std::size_t from = last.empty() ? 0 : std::stoul(last);
+    std::vector<std::string> pieces = is_stream(kind) ? kEvents : kPlain;
+    pieces.erase(pieces.begin(), pieces.begin() + static_cast<std::ptrdiff_t>(from));
+    const std::string type = is_stream(kind) ? "text/event-stream" : "application/json";
+    return {in, pieces,
+            "Content-Type: " + type + "\r\n" + header::kRequestId + ": " + value_after(head, header::kRequestId) +
+                "\r\n" + header::kStamp + ": s\r\n"};
+  }
+  tests::raw_answer answer(const std::string& head) {
+    if (head.starts_with(std::string("GET ") + path::kReport)) {
+      return {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", connection_ending::kept};
+    }
+    if (requests++ > 0) {
+      return {whole(head, body_framing::chunks).bytes(), connection_ending::kept};
+    }
+    return {whole(head, framing).bytes().substr(0, cut), ending};
+  }
+};
+
+/// A node with its entry for callers and two engines, all on real sockets.
+struct whole_path {
+  explicit whole_path(scripted_pool& pool) : script(pool) {
+    for (unsigned number = 0; number < kEngines; ++number) {
+      engines.push_back(std::make_unique<tests::raw_engine>(
+          context, kIp, kFirstEnginePort + number, [this](const std::string& head) { return script.answer(head); }));
+    }
+    engine_client.attach(core);
+    core.start();
+    configure();
+    net::ServerOptions options;
+    options.refusal = [this](const Error& error) { return ingress.refusal(error); };
+    server = std::make_unique<net::HttpServer>(
+        context, counters, [this](const std::shared_ptr<net::Exchange>& exchange) { ingress.handle(exchange); },
+        options);
+    REQUIRE(succeeded(server->listen(kEntry)));
+  }
+
+  static node::NodeOptions node_options() {
+    node::NodeOptions options;
+    options.self.id = "n1";
+    options.self.peer_address = "127.91.3.1:1";
+    options.self.zone = "z";
+    options.self.roles = static_cast<std::uint32_t>(membership::Role::gateway);
+    options.guards.registry.need_fresh_reports = false;
+    return options;
+  }
+
+  void configure() {
+    forwarding::RouteTable table;
+    table.version = 1;
+    for (const answer_kind kind : kKinds) {
+      forwarding::Route route;
+      route.name = name_of(kind);
+      route.host = "h";
+      route.path_prefix = std::string("/") + name_of(kind) + "/";
+      route.pools.push_back({"p", 1});
+      route.kind = is_stream(kind)
+                       ? forwarding::RouteKind::stream
+                       : (may_go_on(kind) ? forwarding::RouteKind::repeatable : forwarding::RouteKind::unrepeatable);
+      route.resumable = kind == answer_kind::resumable_stream;
+      route.max_attempts = 3;
+      route.timeout_ms = 250;
+      table.routes.push_back(route);
+    }
+    core.objects.apply_from_source(core.objects.table().revision(), core.objects.table().revision() + 1,
+                                   {{{forwarding::kRouteTableKind, "main"},
+                                     forwarding::format_route_table(table),
+                                     core.objects.table().revision() + 1}});
+    std::vector<config::Entry> machines;
+    for (unsigned number = 0; number < kEngines; ++number) {
+      config::Machine machine;
+      machine.id = BackendId("e" + std::to_string(number));
+      machine.address = std::string(kIp) + ":" + std::to_string(kFirstEnginePort + number);
+      machine.pools = {"p"};
+      machine.zone = "z";
+      machine.slots = 64;
+      machines.push_back({{config::kMachineKind, machine.id.str()}, config::format_machine(machine), 1});
+    }
+    core.machines.apply_from_source(0, 1, machines);
+  }
+
+  std::string request(const std::string& protocol = "HTTP/1.1", const std::string& headers = "") const {
+    return std::string("POST /") + name_of(script.kind) + "/1 " + protocol +
+           "\r\nHost: h\r\nX-Madderdeck-Request-Id: r1\r\n" + headers + "Content-Length: 4\r\n\r\nbody";
+  }
+
+  caller_answer call(const std::string& bytes) {
+    const auto answer = tests::call_raw(context, kEntry, bytes);
+    const auto until = std::chrono::steady_clock::now() + kTestPatience;
+    while (!answer->ended && std::chrono::steady_clock::now() < until) {
+      context.run_one_for(std::chrono::milliseconds(100));
+    }
+    return *answer;
+  }
+
+  boost::asio::io_context context{1};
+  scripted_pool& script;
+  emulator::ServerEnvironment environment{context};
+  Counters counters;
+  NoDecisionLog log;
+  silent_store store;
+  net::HttpClient client{context, ""};
+  EngineClient engine_client{client};
+  node::NodeCore core{{environment, counters, nullptr, engine_client, store, log, &engine_client}, node_options()};
+  gateway::ApiContext api{core, "", [] {}};
+  Ingress ingress{api};
+  std::vector<std::unique_ptr<tests::raw_engine>> engines;
+  std::unique_ptr<net::HttpServer> server;
+};
+
+/// What the pages ask for in one cell of the table.
+struct expected_answer {
+  bool complete = false;
+  std::string body;        ///< Of a complete one, and of one that is broken off and ended by an orderly close.
+  bool body_known = true;  ///< Otherwise any beginning of it, since a reset may overtake bytes.
+};
+
+/// @return whether the engine's bytes up to the cut are a whole answer, as far as anybody can tell.
+bool is_whole(const scripted_pool& cell, const framed_answer& answer) {
+  if (cell.framing != body_framing::until_close) {
+    return cell.cut == answer.bytes().size();
+  }
+  const std::size_t body = answer.body_bytes(cell.cut);
+  const bool ends_well = cell.ending == connection_ending::closed && cell.cut >= answer.head_bytes() && body > 0;
+  return ends_well && (!is_stream(cell.kind) || whole_events(body).size() == body);
+}
+
+expected_answer expected(const scripted_pool& cell, const framed_answer& answer) {
+  const std::size_t body = answer.body_bytes(cell.cut);
+  const std::string all = joined(is_stream(cell.kind) ? kEvents : kPlain);
+  if (is_whole(cell, answer)) {
+    return {true, all.substr(0, body)};
+  }
+  // Who says nothing takes the request's time with it.
+  if (may_go_on(cell.kind) && cell.ending != connection_ending::silent) {
+    return {true, all};
+  }
+  return {false, is_stream(cell.kind) ? whole_events(body) : "", cell.ending != connection_ending::reset};
+}
+
+/// @return what is wrong with @p got; empty where nothing is.
+std::string fault_of(const caller_answer& got, const expected_answer& wanted) {
+  if (!got.ended) {
+    return "the caller still waits";
+  }
+  if (got.malformed) {
+    return "bytes that belong to no answer";
+  }
+  if (wanted.complete) {
+    const bool whole = got.status == kOk && got.looks_complete;
+    return whole && got.body == wanted.body ? "" : "not the whole answer";
+  }
+  if (got.status >= kFirstServerError && got.looks_complete) {
+    return wanted.body.empty() || !wanted.body_known ? "" : "a failure instead of whole events";
+  }
+  if (got.looks_complete) {
+    return "looks complete";
+  }
+  if (wanted.body_known ? got.body != wanted.body : !wanted.body.starts_with(got.body)) {
+    return "other bytes than the whole events";
+  }
+  return got.body.empty() ? "begun without an event" : "";
+}
+
+/// Plays the cells of @p kind and @p framing that end by @p ending, cut at every @p step-th byte.
+/// @return a line for each cell that went wrong.
+std::vector<std::string> play_cells(answer_kind kind, body_framing framing, connection_ending ending,
+                                    std::size_t step = 1) {
+  scripted_pool pool;
+  pool.kind = kind;
+  pool.framing = framing;
+  pool.ending = ending;
+  const framed_answer answer = pool.whole("\r\nX-Madderdeck-Request-Id: r1\r\n", framing);
+  std::vector<std::string> faults;
+  for (pool.cut = 0; pool.cut <= answer.bytes().size(); pool.cut += step) {
+    pool.requests = 0;
+    whole_path path(pool);
+    const caller_answer got = path.call(path.request());
+    const std::string fault = fault_of(got, expected(pool, answer));
+    if (!fault.empty()) {
+      faults.push_back(std::string(name_of(kind)) + " " + std::string(net::body_framing_name(framing)) + " cut at " +
+                       std::to_string(pool.cut) + " of " + std::to_string(answer.bytes().size()) + ": " + fault +
+                       ", status " + std::to_string(got.status) + ", body of " + std::to_string(got.body.size()));
+    }
+  }
+  return faults;
+}
+
+std::string first_lines(const std::vector<std::string>& lines) {
+  constexpr std::size_t kShown = 6;
+  std::string text = std::to_string(lines.size()) + " cells";
+  for (std::size_t line = 0; line < std::min(kShown, lines.size()); ++line) {
+    text += "\n" + lines[line];
+  }
+  return text;
+}
+
+/// Plays all kinds of route in all framings.
+std::vector<std::string> play_all(connection_ending ending, std::size_t step = 1) {
+  std::vector<std::string> faults;
+  for (const answer_kind kind : kKinds) {
+    for (const body_framing framing : kFramings) {
+      const auto more = play_cells(kind, framing, ending, step);
+      faults.insert(faults.end(), more.begin(), more.end());
+    }
+  }
+  return faults;
+}
+
+}  // namespace
+
+// An engine ended while it sent an answer without a length, and half an event was the last that the caller got.
+TEST_CASE("a stream that ends inside an event with its connection is not framed as complete") {
+  const auto faults = play_cells(answer_kind::stream, body_framing::until_close, connection_ending::closed);
+  INFO(first_lines(faults));
+  CHECK(faults.empty());
+}
+
+TEST_CASE("answers cut at each byte by an orderly close") {
+  const auto faults = play_all(connection_ending::closed);
+  INFO(first_lines(faults));
+  CHECK(faults.empty());
+}
+
+TEST_CASE("answers cut at each byte by a reset") {
+  const auto faults = play_all(connection_ending::reset);
+  INFO(first_lines(faults));
+  CHECK(faults.empty());
+}
+
+TEST_CASE("answers that fall silent") {
+  constexpr std::size_t kStep = 61;
+  const auto faults = play_all(connection_ending::silent, kStep);
+  INFO(first_lines(faults));
+  CHECK(faults.empty());
+}
+
+namespace {
+
+/// A stream that may not be resumed, cut inside its second event.
+scripted_pool cut_stream() {
+  scripted_pool pool;
+  pool.framing = body_framing::until_close;
+  const framed_answer answer = pool.whole("\r\nX-Madderdeck-Request-Id: r1\r\n", pool.framing);
+  pool.cut = answer.head_bytes() + kEvents[0].size() + kEvents[1].size() / 2;
+  return pool;
+}
+
+scripted_pool whole_stream() {
+  scripted_pool pool = cut_stream();
+  pool.cut = std::string::npos;
+  return pool;
+}
+
+}  // namespace
+
+TEST_CASE("a caller that speaks HTTP 1.0 gets a stream without chunks up to the end of its connection") {
+  scripted_pool pool = whole_stream();
+  whole_path path(pool);
+  const caller_answer got = path.call(path.request("HTTP/1.0"));
+  CHECK(got.status == kOk);
+  CHECK(got.framing == body_framing::until_close);
+  CHECK(got.looks_complete);
+  CHECK(got.body == joined(kEvents));
+}
+
+TEST_CASE("a caller that speaks HTTP 1.0 sees a reset where a stream was broken off") {
+  scripted_pool pool = cut_stream();
+  whole_path path(pool);
+  const caller_answer got = path.call(path.request("HTTP/1.0"));
+  CHECK(got.ended);
+  CHECK(got.status == kOk);
+  CHECK_FALSE(got.looks_complete);
+}
+
+TEST_CASE("a caller that asks to close its connection sees that a stream was broken off") {
+  scripted_pool pool = cut_stream();
+  whole_path path(pool);
+  const caller_answer got = path.call(path.request("HTTP/1.1", "Connection: close\r\n"));
+  CHECK(got.ended);
+  CHECK(got.body == kEvents[0]);
+  CHECK_FALSE(got.looks_complete);
+}
+
+TEST_CASE("a caller that keeps its connection finds nothing of the next answer after one that was broken off") {
+  scripted_pool pool = cut_stream();
+  whole_path path(pool);
+  const caller_answer got = path.call(path.request() + path.request());
+  CHECK(got.ended);
+  CHECK(got.body == kEvents[0]);
+  CHECK_FALSE(got.looks_complete);
+  CHECK_FALSE(got.malformed);
+  CHECK(pool.requests == 1);
+}
+
+namespace {
+
+/// What became of one run of a batch item.
+struct item_outcome {
+  std::vector<std::string> events;
+  std::optional<std::uint32_t> finished_at;
+  std::optional<routing::CallFailure> failure;
+  bool ended() const { return finished_at || failure; }
+};
+
+std::shared_ptr<const item_outcome> run_item(whole_path& path, std::uint32_t resume_from = 0) {
+  auto outcome = std::make_shared<item_outcome>();
+  auto request = std::make_shared<routing::HttpItemCall>();
+  request->id = "i1";
+  request->method = "POST";
+  request->target = "/a/1";
+  request->host = "h";
+  request->body = "body";
+  routing::EngineCall call;
+  call.http = request;
+  call.resume_from = resume_from;
+  routing::EngineEvents events;
+  events.token = [outcome](std::uint32_t, std::string_view text) { outcome->events.emplace_back(text); };
+  events.finished = [outcome](std::uint32_t total) { outcome->finished_at = total; };
+  events.failed = [outcome](routing::CallFailure failure) { outcome->failure = failure; };
+  path.engine_client.start(BackendId("e0"), call, std::move(events));
+  const auto until = std::chrono::steady_clock::now() + kTestPatience;
+  while (!outcome->ended() && std::chrono::steady_clock::now() < until) {
+    path.context.run_one_for(std::chrono::milliseconds(100));
+  }
+  return outcome;
+}
+
+/// @return a line for each cut at which the run of an item does not end as it has to.
+std::vector<std::string> play_item_cells(body_framing framing, connection_ending ending) {
+  scripted_pool pool;
+  pool.framing = framing;
+  pool.ending = ending;
+  const framed_answer answer = pool.whole("\r\nX-Madderdeck-Request-Id: i1\r\n", framing);
+  std::vector<std::string> faults;
+  for (pool.cut = 0; pool.cut <= answer.bytes().size(); ++pool.cut) {
+    pool.requests = 0;
+    whole_path path(pool);
+    const auto outcome = run_item(path);
+    const bool whole = is_whole(pool, answer);
+    const bool as_wanted = whole ? outcome->finished_at == outcome->events.size() : outcome->failure.has_value();
+    if (!as_wanted) {
+      faults.push_back(std::string(net::body_framing_name(framing)) + " cut at " + std::to_string(pool.cut) +
+                       (whole ? ": not finished" : ": finished"));
+    }
+  }
+  return faults;
+}
+
+}  // namespace
+
+TEST_CASE("runs of batch items cut at each byte") {
+  std::vector<std::string> faults;
+  for (const connection_ending ending : {connection_ending::closed, connection_ending::reset}) {
+    for (const body_framing framing : kFramings) {
+      const auto more = play_item_cells(framing, ending);
+      faults.insert(faults.end(), more.begin(), more.end());
+    }
+  }
+  INFO(first_lines(faults));
+  CHECK(faults.empty());
+}
--- /dev/null
+++ b/tests/support/raw_engine.cpp
@@ -0,0 +1,105 @@
+#include "support/raw_engine.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+namespace madderdeck::tests {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+constexpr char kHeadEnd[] = "\r\n\r\n";
+/// So that the peer has read the bytes before they are taken back by the reset.
+constexpr std::chrono::milliseconds kBeforeReset{2};
+
+std::size_t stated_length(const std::string& head) {
+  constexpr char kLength[] = "\r\nContent-Length: ";
+  const std::size_t start = head.find(kLength);
+  return start == std::string::npos ? 0 : std::stoul(head.substr(start + sizeof kLength - 1));
+}
+
+}  // namespace
+
+struct raw_engine::connection {
+  explicit connection(tcp::socket accepted) : socket(std::move(accepted)), timer(socket.get_executor()) {}
+  tcp::socket socket;
+  asio::steady_timer timer;
+  std::string unread;
+  std::string answer;
+};
+
+raw_engine::raw_engine(asio::io_context& context, const std::string& ip, unsigned short port, answers answer)
+    : context_(context),
+      acceptor_(context, tcp::endpoint(asio::ip::make_address(ip), port)),
+      answer_(std::move(answer)) {
+  accept();
+}
+
+void raw_engine::accept() {
+  acceptor_.async_accept([this](error_code failure, tcp::socket socket) {
+    if (!failure) {
+      socket.set_option(tcp::no_delay(true));
+      read_request(std::make_shared<connection>(std::move(socket)));
+      accept();
+    }
+  });
+}
+
+void raw_engine::read_request(const connection_pointer& peer) {
+  const std::size_t head_end = peer->unread.find(kHeadEnd);
+  if (head_end != std::string::npos) {
+    const std::string head = peer->unread.substr(0, head_end + sizeof kHeadEnd - 1);
+    const std::size_t whole = head.size() + stated_length(head);
+    if (peer->unread.size() >= whole) {
+      peer->unread.erase(0, whole);
+      answer_request(peer, head);
+      return;
+    }
+  }
+  auto room = std::make_shared<std::array<char, 4096>>();
+  peer->socket.async_read_some(asio::buffer(*room), [this, peer, room](error_code failure, std::size_t bytes) {
+    if (!failure) {
+      peer->unread.append(room->data(), bytes);
+      read_request(peer);
+    }
+  });
+}
+
+void raw_engine::answer_request(const connection_pointer& peer, const std::string& head) {
+  raw_answer answer = answer_(head);
+  peer->answer = std::move(answer.bytes);
+  asio::async_write(peer->socket, asio::buffer(peer->answer),
+                    [this, peer, ending = answer.ending](error_code failure, std::size_t) {
+                      if (!failure) {
+                        end(peer, ending);
+                      }
+                    });
+}
+
+void raw_engine::end(const connection_pointer& peer, connection_ending ending) {
+  error_code ignored;
+  switch (ending) {
+    case connection_ending::kept:
+      read_request(peer);
+      return;
+    case connection_ending::closed:
+      peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
+      read_request(peer);  // until the peer closes, too
+      return;
+    case connection_ending::reset:
+      peer->timer.expires_after(kBeforeReset);
+      peer->timer.async_wait([peer](error_code) {
+        error_code none;
+        peer->socket.set_option(asio::socket_base::linger(true, 0), none);
+        peer->socket.close(none);
+      });
+      return;
+    case connection_ending::silent:
+      peer->socket.async_wait(tcp::socket::wait_error, [peer](error_code) {});
+      return;
+  }
+}
+
+}  // namespace madderdeck::tests
--- /dev/null
+++ b/tests/support/raw_engine.hpp
@@ -0,0 +1,47 @@
+#pragma once
+/// @file A back end that answers with exactly the bytes that a test says, and ends its connection as the test says.
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace madderdeck::tests {
+
+/// What becomes of a connection after the bytes of an answer.
+enum class connection_ending {
+  kept,    ///< The next request may come.
+  closed,  ///< In order (FIN), as the kernel does for a process that has ended.
+  reset,   ///< RST.
+  silent,  ///< Open, and nothing more comes.
+};
+
+/// One answer of a raw_engine.
+struct raw_answer {
+  std::string bytes;
+  connection_ending ending = connection_ending::kept;
+};
+
+/// Answers each request by a function of its head. Single threaded.
+class raw_engine {
+ public:
+  using answers = std::function<raw_answer(const std::string& request_head)>;
+
+  raw_engine(boost::asio::io_context& context, const std::string& ip, unsigned short port, answers answer);
+
+ private:
+  struct connection;
+  using connection_pointer = std::shared_ptr<connection>;
+
+  void accept();
+  void read_request(const connection_pointer& peer);
+  void answer_request(const connection_pointer& peer, const std::string& head);
+  void end(const connection_pointer& peer, connection_ending ending);
+
+  boost::asio::io_context& context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  answers answer_;
+};
+
+}  // namespace madderdeck::tests
