--- a/src/gateway/completions.cpp
+++ b/src/gateway/completions.cpp
@@ -177,7 +177,7 @@
     }
     // The stream has begun: say why it ends and break it off, so that no part passes for the whole.
     exchange_->write("event: error\ndata: " + problem_body(refusal) + "\n\n");
-    exchange_->finish();
+    exchange_->abort();
   }
 
   ApiContext& context_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -23,6 +23,7 @@
 using tcp = asio::ip::tcp;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr unsigned kFirstVersionWithChunks = 11;  ///< HTTP/1.1, as the parser counts.
 
 HttpRequest to_request(const http::request_header<>& header) {
   HttpRequest request;
@@ -106,6 +107,7 @@
   }
 
   Wakeup wakeup;
+  bool takes_chunks = true;  ///< The caller's version of HTTP has them.
   std::optional<HttpResponse> whole;
   std::optional<HttpResponse> stream_header;
   std::string pending;
@@ -158,7 +160,11 @@
     while (co_await serve_one()) {
     }
     beast::error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    if (ends_with_reset_) {
+      stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    } else {
+      stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
     stream_.close();
     (void)self;
   }
@@ -186,7 +192,8 @@
       co_return co_await refuse_unreadable(failure);
     }
     auto exchange = std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()), caller_ip());
-    const bool keep_alive = parser.get().keep_alive();
+    exchange->takes_chunks = parser.get().version() >= kFirstVersionWithChunks;
+    const bool keep_alive = parser.get().keep_alive() && exchange->takes_chunks;
     const bool streamed = options.streams_body && options.streams_body(exchange->request());
     server_->counters["http_requests_total"]++;
     bool body_read = false;
@@ -324,7 +331,7 @@
     while (!exchange.whole && !exchange.stream_header && !exchange.gone && !exchange.aborted) {
       co_await exchange.wakeup.wait();
     }
-    if (exchange.gone || exchange.aborted) {
+    if (exchange.gone || (exchange.aborted && !exchange.stream_header)) {
       co_return;
     }
     if (exchange.whole) {
@@ -364,16 +371,16 @@
     keep_alive = keep_alive && !server_->closing;
     http::response<http::empty_body> message;
     fill_header(message, *exchange.stream_header, keep_alive);
-    message.chunked(true);
+    message.chunked(exchange.takes_chunks);
     http::response_serializer<http::empty_body> serializer(message);
     stream_.expires_after(server_->options.write_timeout);
     auto [failure, bytes] = co_await http::async_write_header(stream_, serializer, kAwait);
     if (failure) {
       exchange.report_gone();
     }
-    while (!exchange.gone && !exchange.aborted) {
+    while (!exchange.gone) {
       if (exchange.pending.empty()) {
-        if (exchange.finished) {
+        if (exchange.finished || exchange.aborted) {
           break;
         }
         co_await exchange.wakeup.wait();
@@ -385,11 +392,7 @@
       stream_.expires_after(server_->options.write_timeout);
       // The end goes out with the last piece where both are known.
       const bool last = exchange.finished && !exchange.aborted;
-      auto [write_failure, written] =
-          last
-              ? co_await asio::async_write(
-                    stream_, beast::buffers_cat(http::make_chunk(asio::buffer(piece)), http::make_chunk_last()), kAwait)
-              : co_await asio::async_write(stream_, http::make_chunk(asio::buffer(piece)), kAwait);
+      const beast::error_code write_failure = co_await write_piece(piece, last, exchange.takes_chunks);
       exchange.writing = 0;
       if (last && !write_failure) {
         co_return;
@@ -397,16 +400,34 @@
       if (write_failure) {
         server_->counters["http_slow_readers_total"] += write_failure == beast::error::timeout ? 1 : 0;
         exchange.report_gone();
-        co_return;
+        break;
       }
       if (exchange.backlog_gone && exchange.pending.empty()) {
         exchange.backlog_gone();
       }
     }
-    if (!exchange.gone && !exchange.aborted) {
+    const bool whole = !exchange.gone && !exchange.aborted;
+    if (whole && exchange.takes_chunks) {
       auto [end_failure, end_bytes] = co_await asio::async_write(stream_, http::make_chunk_last(), kAwait);
       exchange.gone = exchange.gone || static_cast<bool>(end_failure);
     }
+    // Without a last chunk that is missing, an orderly close would say that the response is whole.
+    ends_with_reset_ = !whole && !exchange.takes_chunks;
+  }
+
+  /// @param last whether the end of the response goes out with it.
+  asio::awaitable<beast::error_code> write_piece(const std::string& piece, bool last, bool in_chunks) {
+    if (!in_chunks) {
+      auto [failure, written] = co_await asio::async_write(stream_, asio::buffer(piece), kAwait);
+      co_return failure;
+    }
+    if (!last) {
+      auto [failure, written] = co_await asio::async_write(stream_, http::make_chunk(asio::buffer(piece)), kAwait);
+      co_return failure;
+    }
+    auto [failure, written] = co_await asio::async_write(
+        stream_, beast::buffers_cat(http::make_chunk(asio::buffer(piece)), http::make_chunk_last()), kAwait);
+    co_return failure;
   }
 
   std::string caller_ip() const {
@@ -419,6 +440,7 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   std::weak_ptr<HttpExchange> current_;
+  bool ends_with_reset_ = false;
 };
 
 asio::awaitable<void> accept_loop(std::shared_ptr<HttpServer::Implementation> server) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -28,11 +28,12 @@
   virtual void respond(HttpResponse response) = 0;
   /// @return the body, moved out of the request.
   virtual std::string take_body() = 0;
-  /// Starts a chunked response. An empty content type leaves it to the headers.
+  /// Starts a response in chunks; to a caller that knows none (HTTP/1.0), one that ends with its connection. An empty
+  /// content type leaves it to the headers.
   virtual void start_stream(unsigned status, const std::string& content_type, const Headers& headers) = 0;
   virtual void write(std::string_view piece) = 0;
   virtual void finish() = 0;
-  /// Breaks the connection off, so that the caller cannot take a part for the whole.
+  /// Breaks the connection off, so that the caller cannot take a part for the whole. What was written goes out before.
   virtual void abort() = 0;
   /// @return response bytes that the caller has not taken yet.
   virtual std::size_t backlog() const = 0;
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -3,6 +3,7 @@
 #include "bench/http_session.hpp"
 #include "net/http_server.hpp"
 #include "net/sse_reader.hpp"
+#include "support/raw_caller.hpp"
 
 using namespace madderdeck;
 using namespace madderdeck::net;
@@ -152,3 +153,36 @@
   CHECK(probe(fixture.http, "127.91.0.1:9399") == routing::reachability::refused);
   CHECK(probe(fixture.http, "no address") == routing::reachability::silent);
 }
+
+namespace {
+
+/// @return what the caller of a response gets whose stream has one piece and is then ended by @p end.
+tests::caller_answer stream_to(const std::string& protocol, const std::function<void(Exchange&)>& end) {
+  ServerFixture fixture([&end](const std::shared_ptr<Exchange>& exchange) {
+    exchange->start_stream(200, "text/plain", {});
+    exchange->write("piece");
+    end(*exchange);
+  });
+  const auto answer = tests::call_raw(fixture.http.context, kAddress, "GET / " + protocol + "\r\nHost: h\r\n\r\n");
+  fixture.http.run_until([&answer] { return answer->ended; }, std::chrono::seconds(5));
+  return *answer;
+}
+
+}  // namespace
+
+TEST_CASE("what was written before a response is broken off goes out") {
+  const auto got = stream_to("HTTP/1.1", [](Exchange& exchange) { exchange.abort(); });
+  CHECK(got.status == 200);
+  CHECK(got.body == "piece");
+  CHECK_FALSE(got.looks_complete);
+}
+
+TEST_CASE("a stream to a caller without chunks ends with its connection, and with a reset when it is broken off") {
+  const auto whole = stream_to("HTTP/1.0", [](Exchange& exchange) { exchange.finish(); });
+  CHECK(whole.framing == body_framing::until_close);
+  CHECK(whole.looks_complete);
+  CHECK(whole.body == "piece");
+  const auto broken = stream_to("HTTP/1.0", [](Exchange& exchange) { exchange.abort(); });
+  CHECK(broken.ended);
+  CHECK_FALSE(broken.looks_complete);
+}
