--- a/src/forwarding/answer_end.cpp
+++ b/src/forwarding/answer_end.cpp
@@ -8,6 +8,8 @@
       return "whole";
     case answer_end::inside_event:
       return "inside_event";
+    case answer_end::empty:
+      return "empty";
     case answer_end::closed:
       return "closed";
     case answer_end::reset:
--- a/src/forwarding/answer_end.hpp
+++ b/src/forwarding/answer_end.hpp
@@ -11,6 +11,7 @@
 enum class answer_end {
   whole,         ///< Where its framing says, and a stream between two events.
   inside_event,  ///< A stream ended as its framing says, but inside an event.
+  empty,         ///< A success ended with its connection before any of its body came.
   closed,        ///< The connection was closed before the end that the framing states.
   reset,         ///< The connection broke otherwise.
   malformed,     ///< Its bytes are none of HTTP, or not the answer to this request.
--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -1,10 +1,14 @@
 #include "forwarding/answer_reader.hpp"
 
 namespace madderdeck::forwarding {
+namespace {
+constexpr unsigned kFirstRedirect = 300;
+}  // namespace
 
-void answer_reader::begin(net::body_framing framing, bool event_stream) {
-  framing_ = framing;
-  event_stream_ = event_stream;
+void answer_reader::begin(const AnswerHead& head) {
+  framing_ = head.framing;
+  event_stream_ = head.event_stream;
+  succeeded_ = head.status < kFirstRedirect;
   events_ = 0;
   bytes_ = 0;
   splitter_.reset();
@@ -22,7 +26,13 @@
 }
 
 answer_end answer_reader::end() const {
-  return event_stream_ && !splitter_.at_boundary() ? answer_end::inside_event : answer_end::whole;
+  if (event_stream_ && !splitter_.at_boundary()) {
+    return answer_end::inside_event;
+  }
+  // A back end that ends right after its head closes its connection like one that has nothing more to say.
+  const bool nothing_came = event_stream_ ? events_ == 0 : bytes_ == 0;
+  const bool end_is_stated = framing_ != net::body_framing::until_close;
+  return succeeded_ && nothing_came && !end_is_stated ? answer_end::empty : answer_end::whole;
 }
 
 }  // namespace madderdeck::forwarding
--- a/src/forwarding/answer_reader.hpp
+++ b/src/forwarding/answer_reader.hpp
@@ -6,7 +6,7 @@
 
 #include "forwarding/answer_end.hpp"
 #include "forwarding/event_splitter.hpp"
-#include "net/http_types.hpp"
+#include "forwarding/upstream.hpp"
 
 namespace madderdeck::forwarding {
 
@@ -14,7 +14,7 @@
 class answer_reader {
  public:
   /// The head of an answer has come.
-  void begin(net::body_framing framing, bool event_stream);
+  void begin(const AnswerHead& head);
   /// Reads bytes of the body; of a stream, calls @p on_event for each event that they complete.
   void read(std::string_view piece, const EventSplitter::OnEvent& on_event);
   /// @return how the answer ended, once its bytes have ended as its framing says.
@@ -25,12 +25,13 @@
   std::uint64_t events() const { return events_; }
   /// @return bytes read.
   std::uint64_t bytes() const { return bytes_; }
-  /// @return bytes of a stream after its last whole event.
-  std::size_t unfinished_bytes() const { return splitter_.unfinished_bytes(); }
+  /// @return what has come of a stream after its last whole event.
+  std::string_view unfinished() const { return splitter_.unfinished(); }
 
  private:
   net::body_framing framing_ = net::body_framing::length;
   bool event_stream_ = false;
+  bool succeeded_ = false;
   std::uint64_t events_ = 0;
   std::uint64_t bytes_ = 0;
   EventSplitter splitter_;
--- a/src/forwarding/event_splitter.hpp
+++ b/src/forwarding/event_splitter.hpp
@@ -22,10 +22,10 @@
 
   /// Calls @p on_event for each event that @p piece completes.
   void feed(std::string_view piece, const OnEvent& on_event);
-  /// @return whether the stream stands between two events.
-  bool at_boundary() const { return buffer_.empty(); }
-  /// @return bytes of the event that the stream stands in.
-  std::size_t unfinished_bytes() const { return buffer_.size(); }
+  /// @return whether the stream stands between two events; empty lines there belong to none.
+  bool at_boundary() const { return buffer_.find_first_not_of("\r\n") == std::string::npos; }
+  /// @return what has come after the last whole event.
+  std::string_view unfinished() const { return buffer_; }
   void reset() { buffer_.clear(); }
 
  private:
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -24,6 +24,7 @@
 constexpr int kReadingSmoothing = 8;
 constexpr int kYieldSmoothing = 8;
 constexpr std::size_t kLeastSamples = 4;
+constexpr std::size_t kMostEventBytes = 1024 * 1024;  ///< Of an event that has not ended; a longer one is none.
 /// Told so late, the calls of others are as good as exact: all engines are compared.
 constexpr Duration kExactDelay = 25ms;
 
@@ -319,7 +320,7 @@
   active.head_seen = false;
   active.heard = false;
   active.body.clear();
-  active.answer.begin(net::body_framing::length, false);
+  active.answer.begin({});
   ++active.sends;
   ++backend.online_in_flight;
   active.life = registry_.on_sent(active.backend);
@@ -431,7 +432,7 @@
   Active& active = requests_.at(id);
   heard(active);
   active.head_seen = true;
-  active.answer.begin(head.framing, head.event_stream);
+  active.answer.begin(head);
   // A stream that goes on elsewhere keeps its first head.
   if (!active.head_passed) {
     active.head = std::move(head);
@@ -461,7 +462,7 @@
   if (!active.head.event_stream) {
     active.answer.read(piece, {});
     active.body.append(piece);
-  } else if (active.route->resumable && guards_.whole_events_only) {
+  } else if (guards_.whole_events_only) {
     pass_events(id, attempt, piece);
   } else {
     active.answer.read(piece, [&active](const StreamEvent&) { ++active.passed_events; });
@@ -475,45 +476,63 @@
   active.events.piece(piece);
 }
 
+Forwarder::event_place Forwarder::place_of(const Active& active, const StreamEvent& event) const {
+  if (!active.route->resumable || event.number == 0 || !guards_.keep_event_order) {
+    return event_place::next;
+  }
+  if (event.number <= active.last_event) {
+    return event_place::repeated;
+  }
+  return event.number == active.last_event + 1 ? event_place::next : event_place::too_early;
+}
+
 void Forwarder::pass_events(ForwardId id, std::uint64_t attempt, std::string_view piece) {
   Active& active = requests_.at(id);
   std::string passed;
   bool gap = false;
   active.answer.read(piece, [&](const StreamEvent& event) {
-    const bool numbered = event.number != 0;
-    if (numbered && guards_.keep_event_order) {
-      if (gap || event.number <= active.last_event) {
-        counters_["forward_events_repeated_total"]++;
-        return;
-      }
-      if (event.number != active.last_event + 1) {
-        gap = true;
-        return;
-      }
+    const event_place place = place_of(active, event);
+    if (gap || place == event_place::repeated) {
+      counters_["forward_events_repeated_total"]++;
+      return;
+    }
+    if (place == event_place::too_early) {
+      gap = true;
+      return;
     }
-    active.last_event = numbered ? event.number : active.last_event;
+    active.last_event = active.route->resumable && event.number != 0 ? event.number : active.last_event;
     passed.append(event.bytes);
     ++active.passed_events;
   });
   if (!passed.empty()) {
     pass_piece(active, passed);
   }
-  if (gap && is_current(id, attempt)) {
+  if (!is_current(id, attempt)) {
+    return;
+  }
+  if (gap) {
     counters_["forward_event_gaps_total"]++;
-    upstream_.cancel(active.call);
-    on_failed(id, attempt, {CallFailure::broken, answer_end::out_of_order});
+    break_off(id, attempt, answer_end::out_of_order);
+  } else if (active.answer.unfinished().size() > kMostEventBytes) {
+    counters_["forward_events_too_long_total"]++;
+    break_off(id, attempt, answer_end::malformed);
   }
 }
 
+void Forwarder::break_off(ForwardId id, std::uint64_t attempt, answer_end end) {
+  upstream_.cancel(requests_.at(id).call);
+  on_failed(id, attempt, {CallFailure::broken, end});
+}
+
 void Forwarder::on_finished(ForwardId id, std::uint64_t attempt) {
   if (!is_current(id, attempt)) {
     counters_["forward_stale_events_total"]++;
     return;
   }
   Active& active = requests_.at(id);
-  const bool events = active.head.event_stream && active.route->resumable && guards_.whole_events_only;
-  if (events && active.answer.end() != answer_end::whole) {
-    on_failed(id, attempt, {CallFailure::broken, active.answer.end()});
+  const answer_end end = active.answer.end();
+  if (end != answer_end::whole && guards_.whole_events_only) {
+    on_failed(id, attempt, {CallFailure::broken, end});
     return;
   }
   const bool failed = active.head.status >= kFirstServerError;
@@ -551,7 +570,7 @@
                                    {"end", answer_end_name(end)},
                                    {"events", active.passed_events},
                                    {"bytes", active.passed_bytes},
-                                   {"unfinished_bytes", active.answer.unfinished_bytes()},
+                                   {"unfinished_bytes", active.answer.unfinished().size()},
                                    {"first_ms", (first_at - active.started) / 1ms},
                                    {"took_ms", (environment_.now() - active.started) / 1ms}});
   if (!active.head_passed && !active.head.event_stream) {
@@ -559,6 +578,9 @@
     return;
   }
   pass_head(active);
+  if (!active.answer.unfinished().empty() && guards_.whole_events_only) {
+    active.events.piece(active.answer.unfinished());  // empty lines after the last event
+  }
   active.events.finished();
 }
 
@@ -578,7 +600,7 @@
                                     {"end", answer_end_name(end)},
                                     {"events", active.passed_events},
                                     {"bytes", active.passed_bytes},
-                                    {"unfinished_bytes", active.answer.unfinished_bytes()},
+                                    {"unfinished_bytes", active.answer.unfinished().size()},
                                     {"begun", active.head_passed},
                                     {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
 }
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -41,8 +41,8 @@
 /// Rules of forwarding; always on in the daemon.
 struct ForwardGuards {
   bool once_unless_repeatable = true;  ///< What may have run is not sent again unless that does no harm.
-  bool whole_events_only = true;       ///< Of a resumable stream only whole events are passed on.
-  bool keep_event_order = true;        ///< An event that is repeated or comes too early is not passed on.
+  bool whole_events_only = true;       ///< Of a stream only whole events are passed on, and it ends between two.
+  bool keep_event_order = true;        ///< Of a resumable stream none is passed on that is repeated or comes too early.
 };
 
 /// All passed-on requests of one node. Single threaded.
@@ -129,6 +129,11 @@
   void on_head(ForwardId id, std::uint64_t attempt, AnswerHead head);
   void on_piece(ForwardId id, std::uint64_t attempt, std::string_view piece);
   void pass_events(ForwardId id, std::uint64_t attempt, std::string_view piece);
+  /// Gives up the current send, whose back end goes against the protocol of streams.
+  void break_off(ForwardId id, std::uint64_t attempt, answer_end end);
+  /// @return whether @p event is the next one of a stream that may go on elsewhere, or has no number.
+  enum class event_place { next, repeated, too_early };
+  event_place place_of(const Active& active, const StreamEvent& event) const;
   void on_finished(ForwardId id, std::uint64_t attempt);
   void on_failed(ForwardId id, std::uint64_t attempt, send_failure failure);
   void on_give_up(ForwardId id);
--- a/tests/forwarding/event_splitter_test.cpp
+++ b/tests/forwarding/event_splitter_test.cpp
@@ -49,6 +49,14 @@
   CHECK_FALSE(at_boundary);
 }
 
+TEST_CASE("empty lines after an event belong to none") {
+  for (const std::string lines : {"\n", "\r\n", "\n\r"}) {
+    bool at_boundary = false;
+    split("id: 1\ndata: a\n\n" + lines, 3, &at_boundary);
+    CHECK(at_boundary);
+  }
+}
+
 TEST_CASE("whole events are passed on bit by bit, whatever they hold") {
   rc::prop("splitter is lossless", [](const std::vector<std::uint8_t>& lengths) {
     std::string text;
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -246,6 +246,75 @@
   CHECK(fixture.upstream.calls.size() == 1);
 }
 
+// Half an event was the last that the caller got, and its answer was finished.
+TEST_CASE("a stream that may not be resumed and ends inside an event is broken off after its last whole one") {
+  const std::string first = "id: 1\ndata: a\n\n";
+  const std::string second = "id: 2\r\ndata: b\r\n\r\n";
+  for (std::size_t cut = 1; cut < second.size(); ++cut) {
+    Fixture fixture;
+    fixture.route->kind = RouteKind::stream;
+    fixture.start();
+    fixture.answer(0, 200, first + second.substr(0, cut), true);
+    fixture.call(0).events.finished();
+    CHECK(fixture.caller.broken);
+    CHECK_FALSE(fixture.caller.finished);
+    CHECK(fixture.caller.body == first);
+    CHECK(fixture.counters["answers_ended_inside_event_total"] == 1);
+  }
+}
+
+TEST_CASE("a stream that ends inside its first event is refused with a status, as one that may have run") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.start();
+  fixture.answer(0, 200, "id: 1\ndata: a\n", true);
+  fixture.call(0).events.finished();
+  CHECK_FALSE(fixture.caller.head);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::unknown);
+}
+
+TEST_CASE("events of a stream that may not be resumed are passed on as they are, each at once") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.start();
+  const std::string events = ": hello\n\nid: 7\ndata: a\n\nid: 7\ndata: again\n\nid: 3\ndata: b\n\n";
+  fixture.answer(0, 200, events + "\r\n", true);
+  CHECK(fixture.caller.body == events);
+  fixture.call(0).events.finished();
+  CHECK(fixture.caller.finished);
+  CHECK(fixture.caller.body == events + "\r\n");
+}
+
+TEST_CASE("a success without a length that ends before its body is broken, with a length it is whole") {
+  for (const bool stream : {true, false}) {
+    for (const net::body_framing framing : {net::body_framing::until_close, net::body_framing::length}) {
+      Fixture fixture;
+      fixture.route->kind = stream ? RouteKind::stream : RouteKind::unrepeatable;
+      fixture.start();
+      fixture.call(0).events.head(AnswerHead{200, {}, stream, framing});
+      fixture.call(0).events.finished();
+      const bool whole = framing == net::body_framing::length;
+      CHECK(fixture.caller.finished == whole);
+      CHECK(fixture.caller.refusal.has_value() != whole);
+    }
+  }
+}
+
+TEST_CASE("an event that does not end is given up at its limit") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.start();
+  fixture.answer(0, 200, "data: ", true);
+  const std::string piece(64 * 1024, 'x');
+  for (int number = 0; number < 17; ++number) {
+    fixture.call(0).events.piece(piece);
+  }
+  CHECK(fixture.call(0).cancelled);
+  CHECK(fixture.caller.refusal);
+  CHECK(fixture.counters["forward_events_too_long_total"] == 1);
+}
+
 TEST_CASE("a silent back end is left in time, one that answers others is not") {
   Fixture fixture(2);
   fixture.start();
