--- a/src/net/http_backend_client.cpp
+++ b/src/net/http_backend_client.cpp
@@ -180,6 +180,7 @@
   request.target = "/load";
   ClientCallOptions options;
   options.idle_timeout = kReportTimeout;
+  options.may_end_with_connection = true;  // a report that was cut is no JSON
   client_.fetch(
       backend.str(), std::move(request),
       [this, done](std::variant<SimpleResponse, CallBreak> result) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -410,7 +410,13 @@
     response->framing = head.framing;
   };
   events.body = [response](std::string_view piece) { response->body.append(piece); };
-  events.done = [response, done] { done(std::move(*response)); };
+  events.done = [response, done, may_end = options.may_end_with_connection] {
+    if (response->framing == body_framing::until_close && !may_end) {
+      done(CallBreak::closed);
+      return;
+    }
+    done(std::move(*response));
+  };
   events.failed = [done](CallBreak reason) { done(reason); };
   return start(endpoint, std::move(request), std::move(events), options);
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -30,6 +30,7 @@
 struct ClientCallEvents {
   std::function<void(const ResponseHead&)> header;
   std::function<void(std::string_view piece)> body;
+  /// The response has ended as its framing says; whoever gets body_framing::until_close judges the end by itself.
   std::function<void()> done;
   std::function<void(CallBreak)> failed;
 };
@@ -42,6 +43,9 @@
   std::chrono::milliseconds reuse_within{3'600'000};
   /// Open connections to the endpoint, calls and pool together; a call beyond them is not sent.
   std::size_t max_connections = 10'000;
+  /// For fetch(): whether a response may have no framing of its own and end with its connection. One that was cut looks
+  /// the same: only for responses whose reader knows a whole one by itself. Others fail as closed.
+  bool may_end_with_connection = false;
   /// Asked right before the request is sent, when there is a connection: where it says no, the call fails as not sent.
   /// Empty: it is.
   std::function<bool()> still_wanted;
@@ -71,7 +75,7 @@
   /// Sends a request to @p endpoint ("ip:port"). Events never run inside this call.
   CallNumber start(const std::string& endpoint, HttpRequest request, ClientCallEvents events,
                    ClientCallOptions options = {});
-  /// Collects the whole response.
+  /// Collects the whole response; see ClientCallOptions::may_end_with_connection.
   CallNumber fetch(const std::string& endpoint, HttpRequest request, SimpleDone done, ClientCallOptions options = {});
   /// Opens a connection to @p endpoint and closes it at once. @p done never runs inside this call.
   void probe(const std::string& endpoint, std::chrono::milliseconds timeout, routing::ReachabilityDone done);
--- a/src/net/http_platform_client.cpp
+++ b/src/net/http_platform_client.cpp
@@ -19,6 +19,13 @@
 
 Error unusable(const std::string& what) { return Error{ErrorKind::corrupted, "platform answer: " + what}; }
 
+/// @return options of a call whose answer is a JSON document: one that was cut does not parse.
+ClientCallOptions document_options() {
+  ClientCallOptions options;
+  options.may_end_with_connection = true;
+  return options;
+}
+
 /// Parses a 200 answer with @p parse, which may throw on missing fields.
 template <class Value, class Parse>
 Result<Value> parse_answer(const std::string& body, Parse parse) {
@@ -44,7 +51,7 @@
   HttpRequest request;
   request.method = "GET";
   request.target = path + "?since=" + std::to_string(since) + "&wait_ms=" + std::to_string(wait / 1ms);
-  ClientCallOptions options;
+  ClientCallOptions options = document_options();
   options.idle_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(wait) + kAnswerTimeout;
   client_.fetch(
       endpoint_, std::move(request),
@@ -71,7 +78,7 @@
   HttpRequest request;
   request.method = "GET";
   request.target = "/objects/" + key.kind + "/" + key.name;
-  ClientCallOptions options;
+  ClientCallOptions options = document_options();
   options.idle_timeout = kAnswerTimeout;
   client_.fetch(
       endpoint_, std::move(request),
@@ -99,7 +106,7 @@
   request.target = "/objects/" + put.key.kind + "/" + put.key.name +
                    "?expected=" + std::to_string(put.expected_revision) + "&change_id=" + put.change_id;
   request.body = put.body;
-  ClientCallOptions options;
+  ClientCallOptions options = document_options();
   options.idle_timeout = kAnswerTimeout;
   options.fresh_connection = true;
   client_.fetch(
@@ -112,9 +119,12 @@
         }
         const auto& response = std::get<SimpleResponse>(result);
         if (response.status == 200) {
-          done(parse_answer<std::uint64_t>(response.body, [](const json::object& fields) {
+          const auto revision = parse_answer<std::uint64_t>(response.body, [](const json::object& fields) {
             return fields.at("revision").to_number<std::uint64_t>();
-          }));
+          });
+          // It was written, or would have been but for what cannot be read here.
+          done(succeeded(revision) ? revision
+                                   : Result<std::uint64_t>(Error{ErrorKind::ambiguous, error_of(revision).detail}));
         } else if (response.status == 409) {
           done(Error{ErrorKind::conflict, response.body});
         } else if (response.status == 503) {
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -4,6 +4,7 @@
 #include "net/http_server.hpp"
 #include "net/sse_reader.hpp"
 #include "support/raw_caller.hpp"
+#include "support/raw_engine.hpp"
 
 using namespace madderdeck;
 using namespace madderdeck::net;
@@ -186,3 +187,23 @@
   CHECK(broken.ended);
   CHECK_FALSE(broken.looks_complete);
 }
+
+TEST_CASE("a response that ends with its connection is taken only by readers that know a whole one") {
+  for (const bool may_end : {false, true}) {
+    bench::HttpSession http;
+    tests::raw_engine peer(http.context, "127.91.0.1", 9301, [](const std::string&) {
+      return tests::raw_answer{"HTTP/1.1 200 OK\r\n\r\nbody", tests::connection_ending::closed};
+    });
+    std::optional<std::variant<SimpleResponse, CallBreak>> result;
+    ClientCallOptions options;
+    options.may_end_with_connection = may_end;
+    http.client.fetch(
+        "127.91.0.1:9301", {"GET", "/", {}, ""}, [&result](auto outcome) { result = std::move(outcome); }, options);
+    http.run_until([&result] { return result.has_value(); }, std::chrono::seconds(5));
+    REQUIRE(result);
+    CHECK(std::holds_alternative<SimpleResponse>(*result) == may_end);
+    if (!may_end) {
+      CHECK(std::get<CallBreak>(*result) == CallBreak::closed);
+    }
+  }
+}
--- a/tests/platform/store_client_test.cpp
+++ b/tests/platform/store_client_test.cpp
@@ -9,6 +9,7 @@
 #include "bench/http_session.hpp"
 #include "net/http_server.hpp"
 #include "object_store/declarations.hpp"
+#include "support/raw_engine.hpp"
 
 using namespace madderdeck;
 using namespace madderdeck::users_platform;
@@ -286,3 +287,39 @@
   CHECK(entry.key == config::EntryKey{config::kEvacuationKind, "hall-a"});
   CHECK_FALSE(entry.deleted);
 }
+
+// A write that the store had taken was told as refused, with "status 200".
+TEST_CASE("a write whose answer came cut may have been done") {
+  Fixture fixture;
+  const std::string whole = json::serialize(server_object("default", 8));
+  for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+    fixture.respond = [&](const net::HttpRequest&) {
+      return net::HttpResponse{200, "application/json", {}, whole.substr(0, cut)};
+    };
+    const auto result = fixture.put(7);
+    REQUIRE_FALSE(succeeded(result));
+    CHECK(error_of(result).kind == ErrorKind::ambiguous);
+  }
+}
+
+TEST_CASE("a write at which the store failed may have been done") {
+  Fixture fixture;
+  fixture.respond = [](const net::HttpRequest&) { return net::HttpResponse{502, "text/plain", {}, ""}; };
+  CHECK(error_of(fixture.put(7)).kind == ErrorKind::ambiguous);
+}
+
+TEST_CASE("answers of the store without a length are read when they are whole, and are none when they are cut") {
+  const std::string body = json::serialize(json::object{{"events", json::array()}, {"at", 13}});
+  for (std::size_t cut = 0; cut <= body.size(); ++cut) {
+    bench::HttpSession http;
+    tests::raw_engine store(http.context, "127.91.0.3", 9321, [&](const std::string&) {
+      return tests::raw_answer{"HTTP/1.1 200 OK\r\n\r\n" + body.substr(0, cut), tests::connection_ending::closed};
+    });
+    StoreClient client(http.client, "127.91.0.3:9321");
+    std::optional<Result<object_store::ChangeList>> result;
+    client.watch_machines(10, 100ms, [&result](auto changes) { result = std::move(changes); });
+    http.run_until([&result] { return result.has_value(); }, std::chrono::seconds(5));
+    REQUIRE(result);
+    CHECK(succeeded(*result) == (cut == body.size()));
+  }
+}
