--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -531,7 +531,7 @@
   }
   Active& active = requests_.at(id);
   const answer_end end = active.answer.end();
-  if (end != answer_end::whole && guards_.whole_events_only) {
+  if (end != answer_end::whole && guards_.judge_ends) {
     on_failed(id, attempt, {CallFailure::broken, end});
     return;
   }
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -42,6 +42,7 @@
 struct ForwardGuards {
   bool once_unless_repeatable = true;  ///< What may have run is not sent again unless that does no harm.
   bool whole_events_only = true;       ///< Of a stream only whole events are passed on, and it ends between two.
+  bool judge_ends = true;              ///< An answer whose bytes have ended is whole only where its reader says so.
   bool keep_event_order = true;        ///< Of a resumable stream none is passed on that is repeated or comes too early.
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -68,6 +68,7 @@
     stream_header = HttpResponse{status, content_type, headers, ""};
     wakeup.notify();
   }
+  void end_with_connection() override { takes_chunks = false; }
   void write(std::string_view piece) override {
     pending.append(piece);
     wakeup.notify();
@@ -107,7 +108,7 @@
   }
 
   Wakeup wakeup;
-  bool takes_chunks = true;  ///< The caller's version of HTTP has them.
+  bool takes_chunks = true;  ///< Otherwise a streamed response ends with its connection.
   std::optional<HttpResponse> whole;
   std::optional<HttpResponse> stream_header;
   std::string pending;
@@ -215,7 +216,9 @@
       watch_caller(exchange);
       co_await write_response(*exchange, keep_alive && body_read);
     }
-    const bool reusable = keep_alive && body_read && !exchange->gone && !exchange->aborted && !server_->closing;
+    const bool framed = exchange->whole || exchange->takes_chunks;
+    const bool reusable =
+        keep_alive && framed && body_read && !exchange->gone && !exchange->aborted && !server_->closing;
     exchange->drop_hooks();
     current_.reset();
     co_return reusable;
@@ -368,7 +371,7 @@
   }
 
   asio::awaitable<void> write_stream(HttpExchange& exchange, bool keep_alive) {
-    keep_alive = keep_alive && !server_->closing;
+    keep_alive = keep_alive && exchange.takes_chunks && !server_->closing;
     http::response<http::empty_body> message;
     fill_header(message, *exchange.stream_header, keep_alive);
     message.chunked(exchange.takes_chunks);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -31,6 +31,8 @@
   /// Starts a response in chunks; to a caller that knows none (HTTP/1.0), one that ends with its connection. An empty
   /// content type leaves it to the headers.
   virtual void start_stream(unsigned status, const std::string& content_type, const Headers& headers) = 0;
+  /// Before start_stream(): the response has no chunks and ends with its connection. Its headers may state a length.
+  virtual void end_with_connection() {}
   virtual void write(std::string_view piece) = 0;
   virtual void finish() = 0;
   /// Breaks the connection off, so that the caller cannot take a part for the whole. What was written goes out before.
--- a/src/simulation/callers.cpp
+++ b/src/simulation/callers.cpp
@@ -114,6 +114,62 @@
   fleet_.core(node).forwarder->start(std::move(request), std::move(route), std::move(events));
 }
 
+void Callers::send_answered(unsigned node, answered_kind kind) {
+  const bool stream = kind == answered_kind::stream || kind == answered_kind::resumable_stream;
+  auto request = std::make_shared<forwarding::ForwardedRequest>();
+  request->id = "request " + std::to_string(++request_number_);
+  request->method = "POST";
+  request->target = stream ? kStreamPath : kPlainPath;
+  request->body = new_body();
+  auto route = std::make_shared<forwarding::Route>();
+  route->name = request->target;
+  route->kind = stream ? forwarding::RouteKind::stream
+                       : (kind == answered_kind::repeatable ? forwarding::RouteKind::repeatable
+                                                            : forwarding::RouteKind::unrepeatable);
+  route->pools = {{"model", 1}};
+  route->timeout_ms = 5'000;
+  route->target_ms = 300;
+  route->max_attempts = 3;
+  route->resumable = kind == answered_kind::resumable_stream;
+  const std::uint64_t open = open_request(node);
+  auto text = std::make_shared<std::string>();
+  forwarding::ForwardEvents events;
+  events.head = [this, node, open, text, request](const forwarding::AnswerHead&,
+                                                  const std::optional<std::string>& whole) {
+    if (whole) {
+      close_request(node, open);
+      judge_answer(*request, *whole, true);
+    }
+  };
+  events.piece = [text](std::string_view piece) { text->append(piece); };
+  events.finished = [this, node, open, text, request] {
+    close_request(node, open);
+    judge_answer(*request, *text, true);
+  };
+  events.broken = [this, node, open, text, request] {
+    close_request(node, open);
+    judge_answer(*request, *text, false);
+  };
+  events.refused = [this, node, open](const routing::Refusal&) { close_request(node, open); };
+  fleet_.core(node).forwarder->start(std::move(request), std::move(route), std::move(events));
+}
+
+void Callers::judge_answer(const forwarding::ForwardedRequest& request, const std::string& text, bool whole) {
+  const std::string all = joined(whole_answer(request.target));
+  const bool begins = all.starts_with(text);
+  const bool stream = request.target == kStreamPath;
+  const bool whole_pieces = !stream || is_whole_pieces(request.target, text);
+  oracle_.counts.live_answered += whole ? 1 : 0;
+  if (whole && text != all && !(begins && whole_pieces && fleet_.answers_that_look_whole.contains(request.id))) {
+    oracle_.violated(Promise::broken_off_never_whole, "answer to " + request.id + " looks whole: " + text,
+                     world_.now());
+  }
+  if (!whole && !(begins && whole_pieces)) {
+    oracle_.violated(Promise::broken_off_never_whole, "answer to " + request.id + " was broken off as " + text,
+                     world_.now());
+  }
+}
+
 void Callers::send_booking(std::uint32_t choice, std::size_t index) {
   if (const auto node = fleet_.pick_running(choice)) {
     send_booking_at(*node, index);
--- a/src/simulation/callers.hpp
+++ b/src/simulation/callers.hpp
@@ -23,6 +23,8 @@
 
   /// Passes a stream on at @p node. @p body may be that of a fatal request.
   void send_forwarded(unsigned node, const std::string& body);
+  /// Passes a request on at @p node whose answer may be broken off, and judges what comes.
+  void send_answered(unsigned node, answered_kind kind);
   /// @return the body of an ordinary request, never used before.
   std::string new_body() { return "body " + std::to_string(++live_number_); }
   /// @return the body of one of a few ordinary requests that come again and again.
@@ -84,6 +86,7 @@
   std::uint64_t open_request(unsigned node);
   void close_request(unsigned node, std::uint64_t request);
   static std::string item_prompt(const JobPlan& job, std::uint32_t index);
+  void judge_answer(const forwarding::ForwardedRequest& request, const std::string& text, bool whole);
   void read_results(unsigned node, const JobPlan& job);
   bool has_to_complete(const JobPlan& job) const;
   void add_items(batch::Submission& submission, const JobPlan& job) const;
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -161,6 +161,11 @@
           callers_.send_forwarded(*node, recurs ? Callers::recurring_body(action.choice / 64) : callers_.new_body());
         }
         break;
+      case ActionKind::answered_request:
+        if (const auto node = fleet_.pick_running(action.choice)) {
+          callers_.send_answered(*node, static_cast<answered_kind>(action.choice / 64 % kAnsweredKinds));
+        }
+        break;
       case ActionKind::fatal_request:
         if (const auto node = fleet_.pick_running(action.choice)) {
           callers_.send_forwarded(*node, std::string(kFatalRequest) + (action.choice / 64 % 2 == 0 ? " a" : " b"));
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -64,8 +64,9 @@
   loss_series,       ///< A machine away, another one's disk lost, back for a short time, away again, power of all lost.
   isolation_series,  ///< Disks lost beside gateways that are cut off, seeds where nobody lives, a store that is silent.
   departure_series,  ///< A machine is emptied and taken away, while others believe what was before.
+  answered_request,  ///< A passed-on request of any kind whose answer may be broken off.
 };
-inline constexpr unsigned kActionKinds = 52;
+inline constexpr unsigned kActionKinds = 53;
 const char* action_name(ActionKind kind);
 
 struct Action {
@@ -95,6 +96,7 @@
   listing,  ///< Besides the standard ones, jobs whose results have positions; nodes that all end at once.
   series,   ///< Jobs with and without positions under losses in series, the store away at times.
   isolation,   ///< As series, with losses beside nodes that find nobody or reach only some.
+  answers,     ///< Besides the standard ones, passed-on requests whose engines break answers off, in every framing.
   departures,  ///< Machines with a disk that are emptied and taken away while views of it differ.
 };
 
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -14,6 +14,7 @@
 #include "emulator/engine_model.hpp"
 #include "emulator/platform_model.hpp"
 #include "node/node_core.hpp"
+#include "simulation/answer_plan.hpp"
 #include "simulation/fatal_sends.hpp"
 #include "simulation/oracle.hpp"
 #include "simulation/world.hpp"
@@ -44,7 +45,9 @@
   bool seeds_go_stale = true;      ///< Otherwise what would make them so is drawn and left out, to tell causes apart.
   bool gateways_are_cut = true;    ///< The same of gateways that reach no disk.
   bool departures = false;         ///< Machines that are emptied go for good; what epochs name is judged.
-  bool seeds_drawn = false;        ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
+  unsigned answer_fault_percent =
+      0;                     ///< Of passed-on answers, those that are broken off; 0: all are in chunks and whole.
+  bool seeds_drawn = false;  ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
 };
 /// @return the profile of that name, if there is one.
 std::optional<Profile> find_profile(const std::string& name);
@@ -176,6 +179,9 @@
     std::size_t ends_known = 0;  ///< Of this request, to the node as it sent.
     bool in_touch = true;
     std::uint64_t next_event = 1;
+    std::optional<answer_plan> plan;  ///< Where answers are broken off.
+    std::size_t sent_pieces = 0;      ///< Of the plan.
+    std::size_t sent_bytes = 0;
     bool cancelled = false;
     Timestamp last_delivery{};
   };
@@ -184,6 +190,11 @@
   static std::string event_text(std::uint64_t number);
   void arrive(const CallPointer& call);
   void step(const CallPointer& call);
+  void begin_planned(const CallPointer& call);
+  void step_planned(const CallPointer& call);
+  /// Sends the next bytes of the answer, in one or two parts.
+  void send_bytes(const CallPointer& call, std::string bytes);
+  void break_planned(const CallPointer& call, answer_break how);
   void at_node(const CallPointer& call, std::function<void()> event);
 
   SimFleet& fleet_;
@@ -414,6 +425,8 @@
   Duration copy_page_time{};  ///< What a page of a copy takes besides the network's delay.
   fatal_sends sent_fatal;
   gone_disks gone;
+  /// Requests with an answer that was broken off as no caller and no node can tell from a whole one.
+  std::set<std::string> answers_that_look_whole;
   /// Sees each message that a node sends; may be empty.
   std::function<void(unsigned from, const wire::MessageUnion& message)> on_sent;
   std::vector<std::unique_ptr<SimNode>> nodes;
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -15,8 +15,9 @@
 DEFINE_string(
     mix, "standard",
     "Actions to draw from: standard, hardening (requests that end engines, too), listing (jobs with positions), "
-    "leaving, losses, series (losses of disks in series), isolation (the same beside nodes that find or reach few) or "
-    "departures (machines that are emptied and taken away while others believe them to be there).");
+    "leaving, losses, series (losses of disks in series), isolation (the same beside nodes that find or reach few), "
+    "departures (machines that are emptied and taken away while others believe them to be there) or answers (engines "
+    "that break answers off).");
 DEFINE_string(repeats, "",
               "Instead of a mix: 'request' or 'generation', one that ends its engines, sent 30 times at other nodes.");
 DEFINE_uint64(pause_ms, 400, "With --repeats: between two of them.");
@@ -167,6 +168,9 @@
   if (text == "isolation") {
     return ScheduleMix::isolation;
   }
+  if (text == "answers") {
+    return ScheduleMix::answers;
+  }
   if (text == "departures") {
     return ScheduleMix::departures;
   }
@@ -295,7 +299,7 @@
 int main(int argument_count, char** arguments) {
   gflags::SetUsageMessage(
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
-      "[--mix=standard|hardening|listing|leaving|losses|series|isolation|departures] "
+      "[--mix=standard|hardening|listing|leaving|losses|series|isolation|departures|answers] "
       "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
       "[--over_three] [--all_violations] [--replaced_percent=N] [--without=stale_seeds,cut_gateways] "
       "[--json]");
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -83,6 +83,10 @@
          guards.changes.leavers_stay_out = false;
        },
        ScheduleMix::departures},
+      {"parts_of_events_passed", Promise::broken_off_never_whole, 5,
+       [](Guards& guards) { guards.forward.whole_events_only = false; }, ScheduleMix::answers},
+      {"ends_taken_as_they_come", Promise::broken_off_never_whole, 5,
+       [](Guards& guards) { guards.forward.judge_ends = false; }, ScheduleMix::answers},
       {"emptied_before_handover", Promise::epoch_names_disks_that_exist, 10,
        [](Guards& guards) { guards.emptied_after_handover = false; }, ScheduleMix::departures},
   };
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -25,7 +25,8 @@
       "whole_own_answer",        "not_run_is_true",           "at_most_once",
       "leaving_gets_no_work",    "planned_stop_cuts_nothing", "configuration_never_reverts",
       "fatal_request_contained", "results_keep_positions",    "group_stays_readable",
-      "job_readable_in_time",    "successor_taken_in",        "epoch_names_disks_that_exist"};
+      "job_readable_in_time",    "successor_taken_in",        "epoch_names_disks_that_exist",
+      "broken_off_never_whole"};
   return kNames.at(static_cast<std::size_t>(promise));
 }
 
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -29,8 +29,9 @@
   job_readable_in_time,
   successor_taken_in,
   epoch_names_disks_that_exist,
+  broken_off_never_whole,
 };
-inline constexpr std::size_t kPromises = 15;
+inline constexpr std::size_t kPromises = 16;
 const char* promise_name(Promise promise);
 
 /// How much of each kind of load and fault there was; a kind that never ran shows nothing.
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -9,11 +9,12 @@
 /// Several gateways besides the nodes with a disk, so that some can be cut off and others not.
 constexpr unsigned kIsolationNodes = 8;
 constexpr unsigned kDepartureNodes = 6;
+constexpr unsigned kAnswerFaultPercent = 40;
 using Weights = std::array<unsigned, kActionKinds>;
 
 /// How often each kind comes up, against the others.
-constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1, 3,
-                              3,  3,  2,  2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0};
+constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1, 3, 3,
+                              3,  2,  2,  2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0, 0};
 
 Weights weights_of(ScheduleMix mix) {
   Weights weights = kWeights;
@@ -65,6 +66,11 @@
     weights.at(static_cast<std::size_t>(ActionKind::departure_series)) = mix == ScheduleMix::departures ? 5 : 0;
     weights.at(static_cast<std::size_t>(ActionKind::isolation_series)) = mix == ScheduleMix::isolation ? 5 : 0;
   }
+  if (mix == ScheduleMix::answers) {
+    weights.at(static_cast<std::size_t>(ActionKind::answered_request)) = 120;
+    weights.at(static_cast<std::size_t>(ActionKind::crash_engine)) = 8;
+    weights.at(static_cast<std::size_t>(ActionKind::restart_engines)) = 12;
+  }
   if (mix == ScheduleMix::leaving) {
     weights.at(static_cast<std::size_t>(ActionKind::live_request)) = 60;
     weights.at(static_cast<std::size_t>(ActionKind::engines_vanish)) = 6;
@@ -81,6 +87,9 @@
     profile.seeds_drawn = true;
     profile.nodes = std::max(profile.nodes, kDepartureNodes);
   }
+  if (mix == ScheduleMix::answers) {
+    profile.answer_fault_percent = kAnswerFaultPercent;
+  }
   if (mix == ScheduleMix::isolation) {
     profile.seeds_drawn = true;
     profile.successors_judged = true;
@@ -144,7 +153,8 @@
                                                                    "wait",
                                                                    "loss_series",
                                                                    "isolation_series",
-                                                                   "departure_series"};
+                                                                   "departure_series",
+                                                                   "answered_request"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/simulation/sim_upstream.cpp
+++ b/src/simulation/sim_upstream.cpp
@@ -45,6 +45,10 @@
   started->in_touch = fleet_.in_touch(node_);
   started->ends_known = fleet_.ends_known(node_, forwarding::fingerprint_of(*started->call.request));
   started->events = std::move(events);
+  if (fleet_.profile.answer_fault_percent > 0) {
+    started->plan = draw_answer(fleet_.world.random, started->call.request->target, started->call.resume_after,
+                                fleet_.profile.answer_fault_percent);
+  }
   calls_[++next_] = started;
   fleet_.world.schedule(jitter(fleet_.world, 200us, 800us), [this, started] { arrive(started); });
   return next_;
@@ -62,6 +66,10 @@
   const std::string& body = call->call.request->body;
   fleet_.note_sent(node_, body);
   call->engine_life = engine.process.life();
+  if (call->plan) {
+    begin_planned(call);
+    return;
+  }
   at_node(call, [call] { call->events.head(forwarding::AnswerHead{200, {}, true}); });
   fleet_.end_engine_if_fatal({body, node_, call->engine, 0, call->begun, call->ends_known, call->in_touch},
                              forwarding::fingerprint_of(*call->call.request));
@@ -87,6 +95,71 @@
   });
 }
 
+void SimUpstream::begin_planned(const CallPointer& call) {
+  if (call->plan->cut && call->plan->how == answer_break::no_head) {
+    at_node(call, [call] { call->events.failed({routing::CallFailure::broken, forwarding::answer_end::closed}); });
+    return;
+  }
+  const bool stream = call->call.request->target.starts_with(kStreamPath);
+  at_node(call,
+          [call, head = forwarding::AnswerHead{200, {}, stream, call->plan->framing}] { call->events.head(head); });
+  step_planned(call);
+}
+
+void SimUpstream::step_planned(const CallPointer& call) {
+  fleet_.world.schedule(kEventTime, [this, call] {
+    if (call->cancelled || fleet_.nodes[node_]->process.life() != life_) {
+      return;  // the engine sees its caller go
+    }
+    const answer_plan& plan = *call->plan;
+    if (call->sent_pieces == plan.pieces.size()) {
+      at_node(call, [call] { call->events.finished(); });
+      return;
+    }
+    const std::string& piece = plan.pieces[call->sent_pieces++];
+    if (fleet_.engines[call->engine]->process.life() != call->engine_life) {
+      send_bytes(call, piece.substr(0, fleet_.world.random.below(piece.size())));
+      break_planned(call, answer_break::closed);
+      return;
+    }
+    if (plan.cut && call->sent_bytes + piece.size() > *plan.cut) {
+      send_bytes(call, piece.substr(0, *plan.cut - call->sent_bytes));
+      break_planned(call, plan.how);
+      return;
+    }
+    send_bytes(call, piece);
+    step_planned(call);
+  });
+}
+
+void SimUpstream::send_bytes(const CallPointer& call, std::string bytes) {
+  call->sent_bytes += bytes.size();
+  const std::size_t first = fleet_.world.random.below(bytes.size());
+  for (const std::string& part : {bytes.substr(0, first), bytes.substr(first)}) {
+    if (!part.empty()) {
+      at_node(call, [call, part] { call->events.piece(part); });
+    }
+  }
+}
+
+void SimUpstream::break_planned(const CallPointer& call, answer_break how) {
+  using forwarding::answer_end;
+  const bool stream = call->call.request->target.starts_with(kStreamPath);
+  const bool ends_as_framed = call->plan->framing == net::body_framing::until_close;
+  if (how == answer_break::silent) {
+    return;
+  }
+  if (how == answer_break::ended || (how == answer_break::closed && ends_as_framed)) {
+    if (call->plan->looks_whole(call->sent_bytes, stream)) {
+      fleet_.answers_that_look_whole.insert(call->call.request->id);
+    }
+    at_node(call, [call] { call->events.finished(); });
+    return;
+  }
+  const answer_end end = how == answer_break::reset ? answer_end::reset : answer_end::closed;
+  at_node(call, [call, end] { call->events.failed({routing::CallFailure::broken, end}); });
+}
+
 void SimUpstream::cancel(routing::CallId call) {
   if (const auto node = calls_.extract(call); !node.empty()) {
     node.mapped()->cancelled = true;
