--- a/src/forwarding/backend_directory.hpp
+++ b/src/forwarding/backend_directory.hpp
@@ -15,6 +15,8 @@
   virtual std::string address_of(const BackendId& backend) const = 0;
   /// @return whether @p backend may be sent a request now.
   virtual bool takes_work(const BackendId& backend) const = 0;
+  /// @return whether @p backend is known to end soon, or not known any more.
+  virtual bool is_leaving(const BackendId& backend) const = 0;
   /// @return connections that this node may have open to @p backend.
   virtual std::size_t connection_share(const BackendId& backend) const = 0;
   /// @p backend told its load with an answer.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -34,6 +34,11 @@
 constexpr std::chrono::milliseconds kKeepAliveMargin{500};     ///< Closed this long before the peer would.
 constexpr std::size_t kWriteFirstBytes = 16 * 1024;  ///< Longer bodies are written while the answer is awaited.
 constexpr std::size_t kMaxStrayResponses = 4;        ///< Read past on one connection.
+/// Across zones an answer takes a few milliseconds.
+constexpr std::chrono::milliseconds kPeerCheckTimeout{250};
+/// While a process ends, its address takes connections until the kernel comes to it, and resets them then.
+constexpr std::chrono::milliseconds kPeerKeepsOpen{5};
+constexpr unsigned kPeerLooks = 2;
 
 struct Call {
   explicit Call(asio::io_context& context) : wakeup(context) {}
@@ -147,6 +152,33 @@
     done(!failure ? reachability::listening : (refused ? reachability::refused : reachability::silent));
   }
 
+  /// @return whether the peer should go on and refuses connections. One that says nothing may live.
+  asio::awaitable<bool> peer_has_ended(Call& call) {
+    if (!call.options.peer_goes_on || !call.options.peer_goes_on()) {
+      co_return false;
+    }
+    for (unsigned look = 0; look < kPeerLooks; ++look) {
+      beast::tcp_stream stream(context);
+      const beast::error_code failure = co_await open(stream, call.endpoint, kPeerCheckTimeout);
+      if (failure == asio::error::connection_refused) {
+        co_return true;
+      }
+      const bool says_nothing = failure == beast::error::timeout;
+      if (says_nothing || (!failure && co_await stays_open(stream))) {
+        co_return false;
+      }
+    }
+    co_return false;  // it takes connections and closes them, as one that has too many
+  }
+
+  /// @return whether the peer leaves a new connection open for a moment.
+  static asio::awaitable<bool> stays_open(beast::tcp_stream& stream) {
+    char byte = 0;
+    stream.expires_after(kPeerKeepsOpen);
+    auto [failure, bytes] = co_await stream.async_read_some(asio::buffer(&byte, 1), kAwait);
+    co_return !failure || failure == beast::error::timeout;
+  }
+
   bool take_pooled(Call& call) {
     auto& idle = pool[call.endpoint].idle;
     const auto now = boot_clock::now();
@@ -322,6 +354,13 @@
     if (call->cancelled) {
       co_return ReadOutcome::ended;
     }
+    if (belongs && head.framing == body_framing::until_close && co_await peer_has_ended(*call)) {
+      fail(number, *call, CallBreak::closed);
+      co_return ReadOutcome::ended;
+    }
+    if (call->cancelled) {
+      co_return ReadOutcome::ended;
+    }
     if (!belongs && parser.get().keep_alive()) {
       co_return ReadOutcome::stray;
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -374,7 +374,9 @@
     keep_alive = keep_alive && exchange.takes_chunks && !server_->closing;
     http::response<http::empty_body> message;
     fill_header(message, *exchange.stream_header, keep_alive);
-    message.chunked(exchange.takes_chunks);
+    if (exchange.takes_chunks) {
+      message.chunked(true);  // chunked(false) would drop a stated length
+    }
     http::response_serializer<http::empty_body> serializer(message);
     stream_.expires_after(server_->options.write_timeout);
     auto [failure, bytes] = co_await http::async_write_header(stream_, serializer, kAwait);
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -863,6 +863,12 @@
   return entry != registry.backends().end() && registry.open(entry->second);
 }
 
+bool NodeCore::is_leaving(const BackendId& backend) const {
+  const auto entry = registry.backends().find(backend);
+  return entry == registry.backends().end() || entry->second.machine.leaving || entry->second.said_leaving ||
+         entry->second.unlisted;
+}
+
 std::size_t NodeCore::connection_share(const BackendId& backend) const {
   constexpr std::size_t kLeastShare = 4;
   constexpr std::size_t kUnlimited = 10'000;
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -141,6 +141,7 @@
 
   std::string address_of(const BackendId& backend) const override;
   bool takes_work(const BackendId& backend) const override;
+  bool is_leaving(const BackendId& backend) const override;
   std::size_t connection_share(const BackendId& backend) const override;
   void on_load(const BackendId& backend, const routing::LoadReport& report) override;
 
--- a/tests/platform/broken_off_answers_test.cpp
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -173,6 +173,12 @@
                                    {{{forwarding::kRouteTableKind, "main"},
                                      forwarding::format_route_table(table),
                                      core.objects.table().revision() + 1}});
+    list_engines(1, false);
+  }
+
+  void let_engines_leave() { list_engines(2, true); }
+
+  void list_engines(std::uint64_t revision, bool leaving) {
     std::vector<config::Entry> machines;
     for (unsigned number = 0; number < kEngines; ++number) {
       config::Machine machine;
@@ -181,9 +187,10 @@
       machine.pools = {"p"};
       machine.zone = "z";
       machine.slots = 64;
-      machines.push_back({{config::kMachineKind, machine.id.str()}, config::format_machine(machine), 1});
+      machine.leaving = leaving;
+      machines.push_back({{config::kMachineKind, machine.id.str()}, config::format_machine(machine), revision});
     }
-    core.machines.apply_from_source(0, 1, machines);
+    core.machines.apply_from_source(revision - 1, revision, machines);
   }
 
   std::string request(const std::string& protocol = "HTTP/1.1", const std::string& headers = "") const {
@@ -467,3 +474,69 @@
   INFO(first_lines(faults));
   CHECK(faults.empty());
 }
+
+namespace {
+
+/// An answer without a length that ends between two of its pieces, as its engine's process ends.
+scripted_pool ended_with_process(answer_kind kind) {
+  scripted_pool pool;
+  pool.kind = kind;
+  pool.framing = body_framing::until_close;
+  pool.ending = connection_ending::gone;
+  const framed_answer answer = pool.whole("\r\nX-Madderdeck-Request-Id: r1\r\n", pool.framing);
+  pool.cut = answer.head_bytes() + (is_stream(kind) ? kEvents[0].size() : kPlain[0].size());
+  return pool;
+}
+
+}  // namespace
+
+// Each event was whole, and the connection of an engine that had ended was closed in order.
+TEST_CASE("a stream without a length that ends with its engine is not framed as complete") {
+  scripted_pool pool = ended_with_process(answer_kind::stream);
+  whole_path path(pool);
+  const caller_answer got = path.call(path.request());
+  CHECK(got.ended);
+  CHECK(got.body == kEvents[0]);
+  CHECK_FALSE(got.looks_complete);
+}
+
+TEST_CASE("an answer without a length that ends with its engine goes on elsewhere where it may") {
+  for (const answer_kind kind : {answer_kind::resumable_stream, answer_kind::repeatable}) {
+    scripted_pool pool = ended_with_process(kind);
+    whole_path path(pool);
+    const caller_answer got = path.call(path.request());
+    CHECK(got.status == kOk);
+    CHECK(got.looks_complete);
+    CHECK(got.body == joined(is_stream(kind) ? kEvents : kPlain));
+  }
+}
+
+TEST_CASE("a plain answer without a length that ends with its engine is refused where it may not run again") {
+  scripted_pool pool = ended_with_process(answer_kind::unrepeatable);
+  whole_path path(pool);
+  CHECK(path.call(path.request()).status >= kFirstServerError);
+}
+
+TEST_CASE("a run of a batch item without a length that ends with its engine has failed") {
+  scripted_pool pool = ended_with_process(answer_kind::stream);
+  whole_path path(pool);
+  const auto outcome = run_item(path);
+  CHECK(outcome->events.size() == 1);
+  CHECK(outcome->failure == routing::CallFailure::broken);
+}
+
+TEST_CASE("the last answer of an engine that is to end is whole though nobody listens there any more") {
+  scripted_pool pool = whole_stream();
+  pool.ending = connection_ending::gone;
+  whole_path path(pool);
+  const auto answer = tests::call_raw(path.context, kEntry, path.request());
+  while (pool.requests == 0) {
+    path.context.run_one_for(std::chrono::milliseconds(100));
+  }
+  path.let_engines_leave();
+  while (!answer->ended) {
+    path.context.run_one_for(std::chrono::milliseconds(100));
+  }
+  CHECK(answer->looks_complete);
+  CHECK(answer->body == joined(kEvents));
+}
--- a/tests/support/raw_engine.cpp
+++ b/tests/support/raw_engine.cpp
@@ -84,6 +84,9 @@
     case connection_ending::kept:
       read_request(peer);
       return;
+    case connection_ending::gone:
+      acceptor_.close(ignored);
+      [[fallthrough]];
     case connection_ending::closed:
       peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
       read_request(peer);  // until the peer closes, too
--- a/tests/support/raw_engine.hpp
+++ b/tests/support/raw_engine.hpp
@@ -15,6 +15,7 @@
   closed,  ///< In order (FIN), as the kernel does for a process that has ended.
   reset,   ///< RST.
   silent,  ///< Open, and nothing more comes.
+  gone,    ///< Closed in order, and nobody listens at the address any more: the process has ended.
 };
 
 /// One answer of a raw_engine.
