--- a/tests/platform/broken_off_answers_test.cpp
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -525,6 +525,15 @@
   CHECK(outcome->failure == routing::CallFailure::broken);
 }
 
+TEST_CASE("an answer without a length is whole where its engine lives and resets new connections") {
+  scripted_pool pool = whole_stream();
+  pool.ending = connection_ending::full;
+  whole_path path(pool);
+  const caller_answer got = path.call(path.request());
+  CHECK(got.looks_complete);
+  CHECK(got.body == joined(kEvents));
+}
+
 TEST_CASE("the last answer of an engine that is to end is whole though nobody listens there any more") {
   scripted_pool pool = whole_stream();
   pool.ending = connection_ending::gone;
--- a/tests/support/raw_engine.cpp
+++ b/tests/support/raw_engine.cpp
@@ -41,6 +41,12 @@
   acceptor_.async_accept([this](error_code failure, tcp::socket socket) {
     if (!failure) {
       socket.set_option(tcp::no_delay(true));
+      if (full_) {
+        socket.set_option(asio::socket_base::linger(true, 0));
+        socket.close();
+        accept();
+        return;
+      }
       read_request(std::make_shared<connection>(std::move(socket)));
       accept();
     }
@@ -84,6 +90,11 @@
     case connection_ending::kept:
       read_request(peer);
       return;
+    case connection_ending::full:
+      full_ = true;
+      peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
+      read_request(peer);
+      return;
     case connection_ending::gone:
       acceptor_.close(ignored);
       [[fallthrough]];
--- a/tests/support/raw_engine.hpp
+++ b/tests/support/raw_engine.hpp
@@ -15,6 +15,7 @@
   closed,  ///< In order (FIN), as the kernel does for a process that has ended.
   reset,   ///< RST.
   silent,  ///< Open, and nothing more comes.
+  full,    ///< Closed in order, and each new connection is reset: the process lives and has too many.
   gone,    ///< Closed in order, and nobody listens at the address any more: the process has ended.
 };
 
@@ -43,6 +44,7 @@
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   answers answer_;
+  bool full_ = false;
 };
 
 }  // namespace madderdeck::tests
