--- a/src/bench/faults.cpp
+++ b/src/bench/faults.cpp
@@ -207,8 +207,10 @@
     } else if (event.action == "lose_disk") {
       return lose_disk(target);
     } else if (event.action == "break_engine") {
-      send_control(target, R"({"break_after_tokens":5})");
-      later(milliseconds(2000), [this, target] { send_control(target, R"({"break_after_tokens":-1})"); });
+      send_control(target, ++engine_breaks_ % 2 == 0 ? R"({"break_after_tokens":5,"unframed":true})"
+                                                     : R"({"break_after_tokens":5})");
+      later(milliseconds(2000),
+            [this, target] { send_control(target, R"({"break_after_tokens":-1,"unframed":false})"); });
     } else if (event.action == "break_service") {
       send_control(target, R"({"break_after_run":true})");
       later(milliseconds(1500), [this, target] { send_control(target, R"({"break_after_run":false})"); });
@@ -258,7 +260,7 @@
     }
     http_.run_for(seconds(7));  // restarts that are still due
     for (const std::string& engine : fleet_.engine_names()) {
-      fleet_.control(engine, R"({"break_after_tokens":-1,"leaving":false})");
+      fleet_.control(engine, R"({"break_after_tokens":-1,"unframed":false,"leaving":false})");
     }
     for (const std::string& service : fleet_.service_names()) {
       fleet_.control(service, R"({"break_after_run":false})");
@@ -343,6 +345,7 @@
   std::uint64_t fatal_sent_ = 0;
   std::uint64_t fatal_held_back_ = 0;
   unsigned declared_ = 0;
+  unsigned engine_breaks_ = 0;  ///< Every other one in streams without framing.
   HttpSession http_;
   Fleet fleet_;
   std::vector<FaultEvent> struck_;
--- a/src/emulator/engine_server.cpp
+++ b/src/emulator/engine_server.cpp
@@ -104,13 +104,13 @@
     GenerationEvents events;
     auto sent = std::make_shared<std::int64_t>(0);
     events.token = [this, exchange, sent](std::uint32_t offset, const std::string& text) {
-      if (break_after_tokens_ >= 0 && (*sent)++ >= break_after_tokens_) {
-        exchange->abort();
-        return;
-      }
       const json::string escaped(text);
       const std::string event =
           "data: {\"offset\":" + std::to_string(offset) + ",\"text\":" + json::serialize(escaped) + "}\n\n";
+      if (break_after_tokens_ >= 0 && (*sent)++ >= break_after_tokens_) {
+        break_off(exchange, event);
+        return;
+      }
       exchange->write(event);
       if (double_tokens_) {
         exchange->write(event);
@@ -129,10 +129,23 @@
     if (ends) {
       environment_.after(kEndsAfter, [] { std::_Exit(1); });
     }
+    if (unframed_) {
+      exchange->end_with_connection();
+    }
     exchange->start_stream(200, "text/event-stream", {});
     exchange->on_caller_gone([this, id = std::get<GenerationId>(taken)] { model_.cancel(id); });
   }
 
+  /// Without framing, the end of the connection in the middle of @p event is the end of the answer.
+  void break_off(const ExchangePointer& exchange, std::string_view event) const {
+    if (!unframed_) {
+      exchange->abort();
+      return;
+    }
+    exchange->write(event.substr(0, event.size() / 2));
+    exchange->finish();
+  }
+
   void take_order(const ExchangePointer& exchange) {
     const json::object fields = json_body(exchange->request());
     EngineOrder order;
@@ -184,6 +197,7 @@
     const json::object fields = json_body(exchange->request());
     refuse_all_ = bool_field(fields, "refuse", refuse_all_);
     double_tokens_ = bool_field(fields, "double_tokens", double_tokens_);
+    unframed_ = bool_field(fields, "unframed", unframed_);
     if (const json::value* tokens = fields.if_contains("break_after_tokens"); tokens != nullptr && tokens->is_int64()) {
       break_after_tokens_ = tokens->as_int64();
     }
@@ -220,6 +234,7 @@
   bool refuse_all_ = false;
   bool double_tokens_ = false;
   std::int64_t break_after_tokens_ = -1;
+  bool unframed_ = false;  ///< Streams that begin now have neither a length nor chunks.
 };
 
 }  // namespace
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -46,8 +46,8 @@
   /// For fetch(): whether a response may have no framing of its own and end with its connection. One that was cut looks
   /// the same: only for responses whose reader knows a whole one by itself. Others fail as closed.
   bool may_end_with_connection = false;
-  /// Asked when a response has ended with its connection: whether the peer is expected to go on. Where it is, and takes no
-  /// connections any more, its process has ended and the call fails as closed. Empty: it is not asked.
+  /// Asked when a response has ended with its connection: whether the peer is expected to go on. Where it is, and takes
+  /// no connections any more, its process has ended and the call fails as closed. Empty: it is not asked.
   std::function<bool()> peer_goes_on;
   /// Asked right before the request is sent, when there is a connection: where it says no, the call fails as not sent.
   /// Empty: it is.
