--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -35,10 +35,10 @@
 constexpr std::size_t kWriteFirstBytes = 16 * 1024;  ///< Longer bodies are written while the answer is awaited.
 constexpr std::size_t kMaxStrayResponses = 4;        ///< Read past on one connection.
 /// Across zones an answer takes a few milliseconds.
-constexpr std::chrono::milliseconds kPeerCheckTimeout{250};
+constexpr std::chrono::milliseconds kLifeSignTimeout{250};
 /// While a process ends, its address takes connections until the kernel comes to it, and resets them then.
-constexpr std::chrono::milliseconds kPeerKeepsOpen{5};
-constexpr unsigned kPeerLooks = 2;
+constexpr std::chrono::milliseconds kLifeSignPause{5};
+constexpr unsigned kMostLifeSigns = 10;
 
 struct Call {
   explicit Call(asio::io_context& context) : wakeup(context) {}
@@ -83,6 +83,22 @@
   ::setsockopt(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledged_ms, sizeof unacknowledged_ms);
 }
 
+http::request<http::string_body> message_of(HttpRequest request, const std::string& endpoint) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const Header& header : request.headers) {
+    message.insert(header.name, header.value);
+  }
+  if (message.find(http::field::host) == message.end()) {
+    message.set(http::field::host, endpoint);
+  }
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
 /// @return how long the peer keeps the connection at rest, from its Keep-Alive header.
 std::chrono::milliseconds keep_alive_of(const Headers& headers) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -152,31 +168,47 @@
     done(!failure ? reachability::listening : (refused ? reachability::refused : reachability::silent));
   }
 
-  /// @return whether the peer should go on and refuses connections. One that says nothing may live.
+  /// What a peer says to a life sign.
+  enum class Life { answers, refuses, silent, breaks };
+
+  /// @return whether the peer should go on and takes no connections any more. One that says nothing may live, and so
+  /// may
+  ///         one that breaks each connection because it has too many.
   asio::awaitable<bool> peer_has_ended(Call& call) {
-    if (!call.options.peer_goes_on || !call.options.peer_goes_on()) {
+    if (!call.options.life_sign || (call.options.peer_goes_on && !call.options.peer_goes_on())) {
       co_return false;
     }
-    for (unsigned look = 0; look < kPeerLooks; ++look) {
-      beast::tcp_stream stream(context);
-      const beast::error_code failure = co_await open(stream, call.endpoint, kPeerCheckTimeout);
-      if (failure == asio::error::connection_refused) {
-        co_return true;
-      }
-      const bool says_nothing = failure == beast::error::timeout;
-      if (says_nothing || (!failure && co_await stays_open(stream))) {
-        co_return false;
+    for (unsigned asked = 0; asked < kMostLifeSigns; ++asked) {
+      const Life life = co_await ask_for_life(call.endpoint, *call.options.life_sign);
+      if (life != Life::breaks) {
+        co_return life == Life::refuses;
       }
+      asio::steady_timer pause(context, kLifeSignPause);
+      co_await pause.async_wait(kAwait);
+    }
+    co_return false;
+  }
+
+  asio::awaitable<Life> ask_for_life(const std::string& endpoint, const HttpRequest& request) {
+    beast::tcp_stream stream(context);
+    const beast::error_code failure = co_await open(stream, endpoint, kLifeSignTimeout);
+    if (failure) {
+      co_return failure == asio::error::connection_refused ? Life::refuses : life_of(failure);
     }
-    co_return false;  // it takes connections and closes them, as one that has too many
+    http::request<http::string_body> message = message_of(request, endpoint);
+    stream.expires_after(kLifeSignTimeout);
+    auto [write_failure, written] = co_await http::async_write(stream, message, kAwait);
+    if (write_failure) {
+      co_return life_of(write_failure);
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::buffer_body> parser;
+    auto [read_failure, count] = co_await http::async_read_header(stream, buffer, parser, kAwait);
+    co_return read_failure ? life_of(read_failure) : Life::answers;
   }
 
-  /// @return whether the peer leaves a new connection open for a moment.
-  static asio::awaitable<bool> stays_open(beast::tcp_stream& stream) {
-    char byte = 0;
-    stream.expires_after(kPeerKeepsOpen);
-    auto [failure, bytes] = co_await stream.async_read_some(asio::buffer(&byte, 1), kAwait);
-    co_return !failure || failure == beast::error::timeout;
+  static Life life_of(beast::error_code failure) {
+    return failure == beast::error::timeout ? Life::silent : Life::breaks;
   }
 
   bool take_pooled(Call& call) {
@@ -417,17 +449,7 @@
   call->endpoint = endpoint;
   call->events = std::move(events);
   call->options = options;
-  call->request.version(11);
-  call->request.method_string(request.method);
-  call->request.target(request.target);
-  for (const Header& header : request.headers) {
-    call->request.insert(header.name, header.value);
-  }
-  if (call->request.find(http::field::host) == call->request.end()) {
-    call->request.set(http::field::host, endpoint);
-  }
-  call->request.body() = std::move(request.body);
-  call->request.prepare_payload();
+  call->request = message_of(std::move(request), endpoint);
   const CallNumber number = ++implementation_->next;
   implementation_->calls.emplace(number, call);
   asio::co_spawn(
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -46,8 +47,10 @@
   /// For fetch(): whether a response may have no framing of its own and end with its connection. One that was cut looks
   /// the same: only for responses whose reader knows a whole one by itself. Others fail as closed.
   bool may_end_with_connection = false;
-  /// Asked when a response has ended with its connection: whether the peer is expected to go on. Where it is, and takes
-  /// no connections any more, its process has ended and the call fails as closed. Empty: it is not asked.
+  /// Sent when a response has ended with its connection: whoever answers it, however, has not ended with that
+  /// connection. Where nobody takes connections any more, the call fails as closed. Empty: nothing is asked.
+  std::optional<HttpRequest> life_sign;
+  /// Asked before that: whether the peer is expected to go on. One that is not may end right after its last response.
   std::function<bool()> peer_goes_on;
   /// Asked right before the request is sent, when there is a connection: where it says no, the call fails as not sent.
   /// Empty: it is.
--- a/tests/platform/broken_off_answers_test.cpp
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -525,6 +525,17 @@
   CHECK(outcome->failure == routing::CallFailure::broken);
 }
 
+// The address of a killed engine took connections for some milliseconds more.
+TEST_CASE("a stream without a length is not framed as complete while its engine is still ending") {
+  scripted_pool pool = ended_with_process(answer_kind::stream);
+  pool.ending = connection_ending::ending;
+  whole_path path(pool);
+  const caller_answer got = path.call(path.request());
+  CHECK(got.ended);
+  CHECK(got.body == kEvents[0]);
+  CHECK_FALSE(got.looks_complete);
+}
+
 TEST_CASE("an answer without a length is whole where its engine lives and resets new connections") {
   scripted_pool pool = whole_stream();
   pool.ending = connection_ending::full;
--- a/tests/support/raw_engine.cpp
+++ b/tests/support/raw_engine.cpp
@@ -13,6 +13,7 @@
 constexpr char kHeadEnd[] = "\r\n\r\n";
 /// So that the peer has read the bytes before they are taken back by the reset.
 constexpr std::chrono::milliseconds kBeforeReset{2};
+constexpr std::chrono::milliseconds kEndsWithin{15};
 
 std::size_t stated_length(const std::string& head) {
   constexpr char kLength[] = "\r\nContent-Length: ";
@@ -84,12 +85,23 @@
                     });
 }
 
+void raw_engine::stop_listening_later() {
+  auto timer = std::make_shared<asio::steady_timer>(context_, kEndsWithin);
+  timer->async_wait([this, timer](error_code) {
+    error_code ignored;
+    acceptor_.close(ignored);
+  });
+}
+
 void raw_engine::end(const connection_pointer& peer, connection_ending ending) {
   error_code ignored;
   switch (ending) {
     case connection_ending::kept:
       read_request(peer);
       return;
+    case connection_ending::ending:
+      stop_listening_later();
+      [[fallthrough]];
     case connection_ending::full:
       full_ = true;
       peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
--- a/tests/support/raw_engine.hpp
+++ b/tests/support/raw_engine.hpp
@@ -16,6 +16,7 @@
   reset,   ///< RST.
   silent,  ///< Open, and nothing more comes.
   full,    ///< Closed in order, and each new connection is reset: the process lives and has too many.
+  ending,  ///< As full, and 15 ms later nobody listens any more: the kernel takes its time over a process that ends.
   gone,    ///< Closed in order, and nobody listens at the address any more: the process has ended.
 };
 
@@ -39,6 +40,7 @@
   void accept();
   void read_request(const connection_pointer& peer);
   void answer_request(const connection_pointer& peer, const std::string& head);
+  void stop_listening_later();
   void end(const connection_pointer& peer, connection_ending ending);
 
   boost::asio::io_context& context_;
