Software versions of engines in the log: what continues a stream, and at which version

On-call could not tell the hypotheses apart: no line had an engine's version. The platform's entries state it; it is read once in the adapter (empty where it is missing, no text or over 256 bytes) and kept in the machine entry. Lists without versions are written byte for byte as before.

- request_sent and item_started: software_version.
- stream_continued, a line for each send of a stream whose caller has events: which version wrote them, whether gateway or caller resumes, the engine and its version, the attempt that the caller names.
- forward_streams_continued_total, forward_streams_continued_at_other_version_total.

No decision changes.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -516,6 +516,7 @@
                                {"live", online_calls_on(backend, engine)},
                                {"report_age_ms", (environment_.now() - backend.reported_at) / 1ms},
                                {"list_age_ms", registry_.list_age_ms()},
+                               {"software_version", backend.machine.software_version},
                                {"unlisted", backend.unlisted.has_value()},
                                {"resume_after", running.work.item.partial_tokens}});
   running_.emplace(id, std::move(running));
--- a/src/config/objects.cpp
+++ b/src/config/objects.cpp
@@ -263,6 +263,7 @@
   reader.number("started_ms", result.started_unix_ms, 0, kLatestStart);
   constexpr double kLongestWarmUp = 3'600'000;
   reader.number("warm_up_left_ms", result.warm_up_left_ms, 0, kLongestWarmUp);
+  reader.text("software_version", result.software_version);
   return finish(reader, std::move(result));
 }
 
@@ -271,14 +272,18 @@
   for (const std::string& pool : machine.pools) {
     pools += (pools.empty() ? "" : ",") + pool;
   }
-  return json::serialize(json::object{{"target", machine.target == Target::service ? "service" : "model"},
-                                      {"pool", pools},
-                                      {"address", machine.address},
-                                      {"zone", machine.zone},
-                                      {"slots", machine.slots},
-                                      {"state", machine.leaving ? "leaving" : "live"},
-                                      {"started_ms", machine.started_unix_ms},
-                                      {"warm_up_left_ms", machine.warm_up_left_ms}});
+  json::object fields{{"target", machine.target == Target::service ? "service" : "model"},
+                      {"pool", pools},
+                      {"address", machine.address},
+                      {"zone", machine.zone},
+                      {"slots", machine.slots},
+                      {"state", machine.leaving ? "leaving" : "live"},
+                      {"started_ms", machine.started_unix_ms},
+                      {"warm_up_left_ms", machine.warm_up_left_ms}};
+  if (!machine.software_version.empty()) {
+    fields["software_version"] = machine.software_version;
+  }
+  return json::serialize(fields);
 }
 
 Status check_object(const std::string& kind, const std::string& name, std::string_view text) {
--- a/src/config/objects.hpp
+++ b/src/config/objects.hpp
@@ -127,6 +127,8 @@
   bool leaving = false;
   std::uint64_t started_unix_ms = 0;  ///< When its current process started; 0: not reported.
   std::uint32_t warm_up_left_ms = 0;  ///< Remaining warm-up, with few requests, when the entry was written.
+  /// Version of the back end's software, not of its weights; compared for equality only. Empty: not stated.
+  std::string software_version;
 };
 /// Body of an entry that exists but cannot be parsed: the machine offers no pools and gets no work.
 inline constexpr char kUnreadableMachine[] = R"({"state":"unreadable"})";
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -291,13 +291,32 @@
                                {"reported", backend.report.running_online + backend.report.waiting},
                                {"report_age_ms", (environment_.now() - backend.reported_at) / 1ms},
                                {"list_age_ms", registry_.list_age_ms()},
+                               {"software_version", backend.machine.software_version},
                                {"unlisted", backend.unlisted.has_value()},
                                {"send", active.sends + 1},
                                {"resume_after", active.last_event},
                                {"left_ms", (active.give_up_at - environment_.now()) / 1ms}});
+  record_continuation(active, backend);
   send(id, backend);
 }
 
+void Forwarder::record_continuation(const Active& active, const Backend& backend) {
+  if (active.last_event == 0) {
+    return;
+  }
+  const std::string& version = backend.machine.software_version;
+  const bool changes = active.stream_version && *active.stream_version != version;
+  counters_["forward_streams_continued_total"]++;
+  counters_["forward_streams_continued_at_other_version_total"] += changes ? 1 : 0;
+  log_.record("stream_continued", {{"request", active.request->id},
+                                   {"first_attempt", active.request->first_attempt},
+                                   {"after_event", active.last_event},
+                                   {"by_caller", active.forwarded_events == 0},
+                                   {"stream_version", active.stream_version.value_or("unknown")},
+                                   {"backend", backend.machine.id.str()},
+                                   {"software_version", version}});
+}
+
 /// Where call reports arrive late, comparing all engines would make all gateways choose the same ones.
 Backend& Forwarder::choose(const Active& active, const std::vector<Backend*>& open, const std::string& key) {
   ChoiceInput input{open, key, environment_.now(), environment_.random(), registry_.gateways_per_engine(active.pool)};
@@ -316,6 +335,7 @@
     active.awaits_yield = shared_ != nullptr && calls_at(backend, *shared_, environment_.now()).needs_yield();
   }
   active.backend = backend.machine.id;
+  active.software_version = backend.machine.software_version;
   active.tried.insert(active.backend);
   active.attempt = ++next_attempt_;
   active.sent_at = environment_.now();
@@ -503,6 +523,9 @@
       return;
     }
     active.last_event = active.route->resumable && event.number != 0 ? event.number : active.last_event;
+    if (!active.stream_version) {
+      active.stream_version = active.software_version;
+    }
     passed.append(event.bytes);
     ++active.forwarded_events;
   });
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -88,6 +88,7 @@
     std::string pool;
     BackendId backend;
     std::uint64_t incarnation = 0;  ///< Incarnation of the back end when the current send went there.
+    std::string software_version;   ///< Of that back end, as listed then; empty: not stated.
     routing::CallId call = 0;
     std::uint64_t placer_query = 0;  ///< Number of the pending query to the placer; 0: none.
     engine_placer::ticket ticket = 0;
@@ -109,6 +110,7 @@
     std::string body;      ///< Of an answer that is forwarded only once it is complete.
     answer_reader answer;  ///< Of the current send.
     std::uint64_t last_event = 0;
+    std::optional<std::string> stream_version;  ///< Software version that wrote the events so far; empty: not known.
     std::uint64_t forwarded_events = 0;
     std::uint64_t forwarded_bytes = 0;  ///< Of the body.
   };
@@ -123,6 +125,8 @@
   /// Sends a request to @p backend, one of @p open.
   void send_to(ForwardId id, routing::Backend& backend, const std::vector<routing::Backend*>& open);
   void send(ForwardId id, routing::Backend& backend);
+  /// Counts and logs that a stream of which the caller already has events goes on at @p backend.
+  void record_continuation(const Active& active, const routing::Backend& backend);
   void announce_prefill(routing::Backend& backend);
   routing::Backend& choose(const Active& active, const std::vector<routing::Backend*>& open, const std::string& key);
   void update_call_time(const Active& active);
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -197,6 +197,32 @@
   }
 }
 
+TEST_CASE("an engine's software version is kept in transfers between nodes; one that cannot be compared is not stated") {
+  const auto stated = [](const json::value& version) {
+    json::object spec = json::parse(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":8,"state":"ready",
+        "stage":"dual"})")
+                            .as_object();
+    spec["version"] = version;
+    const auto machine = translate_server("i-1", spec);
+    REQUIRE(succeeded(machine));
+    const auto copied = config::parse_machine("i-1", config::format_machine(value_of(machine)));
+    REQUIRE(succeeded(copied));
+    return value_of(copied).software_version;
+  };
+  CHECK(stated("v1.1") == "v1.1");
+  CHECK(stated(nullptr).empty());
+  CHECK(stated(11).empty());
+  CHECK(stated(json::string(300, 'v')).empty());
+}
+
+TEST_CASE("a resumed stream states the attempt that brought its first event, and only with a last event") {
+  net::HttpRequest request;
+  request.headers = {{"X-Madderdeck-Request-Id", "r2"}, {"Resumes", "r1"}};
+  CHECK(value_of(forwarded_request(request))->first_attempt.empty());
+  request.headers.push_back({"Last-Event-Id", "3"});
+  CHECK(value_of(forwarded_request(request))->first_attempt == "r1");
+}
+
 TEST_CASE(
     "an engine's warm-up time is kept in transfers between nodes, and a malformed one does not invalidate the entry") {
   const auto server = [](const json::value& left) {
