Stand-ins with engines of several software versions, and tests that fail: streams went on at another version

Until now no stand-in had two versions in a service, and no client ever resumed a stream.

- Simulation, mix versions: engines of three versions in shares of 1:1 to 11:1, each incarnation with an id of its own; they are replaced one by one, all at once or slowly, announced or crashed; events carry the version that wrote them.
Promise stream_keeps_version.
- Calls to an engine's earlier incarnation are refused in the simulation, as the platform's engines do.

--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -9,6 +9,7 @@
 #include "simulation/epoch_watch.hpp"
 #include "simulation/group_watch.hpp"
 #include "simulation/isolation_series.hpp"
+#include "simulation/stream_clients.hpp"
 
 namespace madderdeck::simulation {
 namespace {
@@ -37,6 +38,7 @@
         fleet_(world_, oracle_, profile, guards, decisions),
         profile_(profile),
         callers_(world_, fleet_, oracle_, profile),
+        streams_(world_, fleet_, oracle_),
         watch_(world_, fleet_, oracle_),
         epochs_(world_, fleet_, oracle_) {
     if (profile_.departures) {
@@ -166,6 +168,11 @@
           callers_.send_answered(*node, static_cast<answered_kind>(action.choice / 64 % kAnsweredKinds));
         }
         break;
+      case ActionKind::resumed_stream:
+        if (const auto node = fleet_.pick_running(action.choice)) {
+          streams_.send(*node);
+        }
+        break;
       case ActionKind::fatal_request:
         if (const auto node = fleet_.pick_running(action.choice)) {
           callers_.send_forwarded(*node, std::string(kFatalRequest) + (action.choice / 64 % 2 == 0 ? " a" : " b"));
@@ -441,6 +448,13 @@
           engine->process.start();
         }
         break;
+      case ActionKind::replace_engine:
+        fleet_.replace_engine(action.choice % profile_.engines, fleet_.draw_version(),
+                              std::chrono::milliseconds(action.choice / 64 % 8 * 300), action.choice / 16 % 2 == 0);
+        break;
+      case ActionKind::release_engines:
+        release_engines(action.choice);
+        break;
       case ActionKind::engine_leaves:
         fleet_.set_engine_leaving(action.choice % profile_.engines, true);
         break;
@@ -501,6 +515,18 @@
     }
   }
 
+  /// All engines are replaced by ones of one version, at the same moment or one after the other.
+  void release_engines(std::uint32_t choice) {
+    const std::string version = fleet_.draw_version();
+    const Duration gap = std::chrono::milliseconds(choice / 16 % 4 * 400);
+    const bool announced = choice / 64 % 2 == 0;
+    for (unsigned number = 0; number < profile_.engines; ++number) {
+      world_.schedule(number * gap, [this, number, version, announced] {
+        fleet_.replace_engine(number, version, Duration::zero(), announced);
+      });
+    }
+  }
+
   void cut(unsigned one, unsigned other) {
     if (one != other) {
       fleet_.conditions.cuts.insert({std::min(one, other), std::max(one, other)});
@@ -727,6 +753,7 @@
   SimFleet fleet_;
   const Profile profile_;
   Callers callers_;
+  stream_clients streams_;
   GroupWatch watch_;
   epoch_watch epochs_;
   bool listed_route_declared_ = false;
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -65,8 +65,11 @@
   isolation_series,  ///< Disks lost beside gateways that are cut off, seeds where nobody lives, a store that is silent.
   departure_series,  ///< A machine is emptied and taken away, while others believe what was before.
   answered_request,  ///< A passed-on request of any kind whose answer may be broken off.
+  resumed_stream,    ///< A stream that its client resumes at other nodes.
+  replace_engine,    ///< An engine crashes or leaves; the next one has a new id and perhaps another version.
+  release_engines,   ///< All engines are replaced by ones of one version, slowly or at once.
 };
-inline constexpr unsigned kActionKinds = 53;
+inline constexpr unsigned kActionKinds = 56;
 const char* action_name(ActionKind kind);
 
 struct Action {
@@ -97,6 +100,7 @@
   series,   ///< Jobs with and without positions under losses in series, the store away at times.
   isolation,   ///< As series, with losses beside nodes that find nobody or reach only some.
   answers,     ///< Besides the standard ones, passed-on requests whose engines break answers off, in every framing.
+  versions,    ///< Besides the standard ones, engines of several software versions, and streams that clients resume.
   departures,  ///< Machines with a disk that are emptied and taken away while views of it differ.
 };
 
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -1,6 +1,7 @@
 #include "simulation/fleet.hpp"
 
 #include <algorithm>
+#include <array>
 #include <ostream>
 
 #include "simulation/earlier_version.hpp"
@@ -26,7 +27,11 @@
 constexpr Duration kKnowledgeLook = 500us;
 constexpr Duration kLookForKnowledge = 10s;
 
-std::string engine_name(unsigned number) { return "10.1.0." + std::to_string(number) + ":9000"; }
+/// The port stands for the incarnation, so that an engine that replaces another one has another id.
+constexpr unsigned kFirstEnginePort = 9000;
+constexpr Duration kEntryLapse = 3600ms;  ///< Of an engine that has crashed.
+/// Shares of the first of the versions, from 1:1 to 11:1.
+constexpr std::array<unsigned, 4> kCommonVersionPercents = {50, 75, 86, 92};
 std::string service_name(unsigned number) { return "10.2.0." + std::to_string(number) + ":9000"; }
 
 }  // namespace
@@ -110,9 +115,13 @@
   engine_profile.step = profile.engine_step;
   // The nodes alone have to keep batch out of the way.
   engine_profile.preempts = false;
+  if (profile.engine_versions > 0) {
+    common_version_percent_ = kCommonVersionPercents.at(world.random.below(kCommonVersionPercents.size()));
+  }
   for (unsigned number = 0; number < profile.engines; ++number) {
     engines.push_back(std::make_unique<SimEngine>(world, engine_profile));
     engines.back()->process.start();
+    engines.back()->version = profile.engine_versions > 0 ? draw_version() : "";
     publish_engine(number);
   }
   for (unsigned number = 0; number < profile.services; ++number) {
@@ -511,19 +520,74 @@
 
 void SimFleet::unlist_engine(unsigned number) {
   engines[number]->unlisted_since = world.now() + kMachineListLag;
-  machines->store({{"machine", engine_name(number)}, "", 0, true}, "", kMachineListLag);
+  machines->store({{"machine", engine_id(number)}, "", 0, true}, "", kMachineListLag);
+}
+
+std::string SimFleet::engine_id(unsigned number) const {
+  return "10.1.0." + std::to_string(number) + ":" + std::to_string(kFirstEnginePort + engines[number]->incarnation);
+}
+
+std::string SimFleet::draw_version() {
+  if (world.random.chance(common_version_percent_)) {
+    return "v0";
+  }
+  return "v" + std::to_string(1 + world.random.below(profile.engine_versions - 1));
+}
+
+std::size_t SimFleet::serving_engines(const std::string& version) const {
+  return static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [&version](const auto& engine) {
+    return engine->version == version && engine->process.up() && !engine->model.leaving() && !engine->unlisted_since;
+  }));
+}
+
+void SimFleet::replace_engine(unsigned number, std::string version, Duration away, bool announced) {
+  SimEngine& engine = *engines[number];
+  if (!engine.process.up() || engine.unlisted_since || engine.model.leaving()) {
+    return;
+  }
+  const std::uint64_t life = engine.process.life();
+  if (announced) {
+    set_engine_leaving(number, true);
+  } else {
+    crash_engine(number);
+  }
+  world.schedule(announced ? kLeaveNotice + 500ms : kEntryLapse,
+                 [this, number, life, announced, id = engine_id(number)] {
+                   machines->store({{"machine", id}, "", 0, true}, "", kMachineListLag);
+                   if (announced && engines[number]->process.life() == life) {
+                     crash_engine(number);
+                   }
+                 });
+  world.schedule(kEntryLapse + away,
+                 [this, number, version = std::move(version)] { begin_engine_incarnation(number, version); });
+}
+
+void SimFleet::begin_engine_incarnation(unsigned number, const std::string& version) {
+  SimEngine& engine = *engines[number];
+  if (engine.process.up()) {
+    crash_engine(number);
+  }
+  ++engine.incarnation;
+  ++engine.starts;
+  engine.version = version;
+  engine.model.set_leaving(false);
+  engine.process.start();
+  note_engine(number, "starts with", version);
+  publish_engine(number);
 }
 
 void SimFleet::publish_engine(unsigned number) {
   engines[number]->unlisted_since.reset();
   const bool leaving = engines[number]->model.leaving();
-  machines->store(
-      {{"machine", engine_name(number)},
-       "{\"target\":\"model\",\"pool\":\"model\",\"slots\":" + std::to_string(profile.engine_slots) + ",\"state\":\"" +
-           (leaving ? "leaving" : "live") + "\",\"started_ms\":" + std::to_string(engines[number]->starts) + "}",
-       0,
-       false},
-      "", kMachineListLag);
+  const std::string& version = engines[number]->version;
+  const std::string stated = version.empty() ? "" : ",\"software_version\":\"" + version + "\"";
+  machines->store({{"machine", engine_id(number)},
+                   "{\"target\":\"model\",\"pool\":\"model\",\"slots\":" + std::to_string(profile.engine_slots) +
+                       ",\"state\":\"" + (leaving ? "leaving" : "live") +
+                       "\",\"started_ms\":" + std::to_string(engines[number]->starts) + stated + "}",
+                   0,
+                   false},
+                  "", kMachineListLag);
 }
 
 void SimFleet::publish_service(unsigned number) {
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -46,7 +46,9 @@
   bool gateways_are_cut = true;    ///< The same of gateways that reach no disk.
   bool departures = false;         ///< Machines that are emptied go for good; what epochs name is judged.
   unsigned answer_fault_percent =
-      0;                     ///< Of passed-on answers, those that are broken off; 0: all are in chunks and whole.
+      0;  ///< Of passed-on answers, those that are broken off; 0: all are in chunks and whole.
+  /// Software versions among which those of the engines are drawn; 0: engines state none.
+  unsigned engine_versions = 0;
   bool seeds_drawn = false;  ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
 };
 /// @return the profile of that name, if there is one.
@@ -180,6 +182,7 @@
     bool in_touch = true;
     std::uint64_t next_event = 1;
     std::optional<answer_plan> plan;  ///< Where answers are broken off.
+    std::string version;              ///< Of the engine that runs it; empty where engines state none.
     std::size_t sent_pieces = 0;      ///< Of the plan.
     std::size_t sent_bytes = 0;
     bool cancelled = false;
@@ -187,7 +190,7 @@
   };
   using CallPointer = std::shared_ptr<Call>;
 
-  static std::string event_text(std::uint64_t number);
+  static std::string event_text(std::uint64_t number, const std::string& version);
   void arrive(const CallPointer& call);
   void step(const CallPointer& call);
   void begin_planned(const CallPointer& call);
@@ -283,6 +286,8 @@
   Timestamp leaving_since{};
   std::uint64_t starts = 1;                 ///< As its entry tells them.
   std::optional<Timestamp> unlisted_since;  ///< Its entry has gone without a word; when readers could see that.
+  std::string version;                      ///< Of its software; empty: its entry states none.
+  unsigned incarnation = 0;                 ///< Changes with its id, where it is replaced.
 };
 
 struct SimService {
@@ -377,6 +382,14 @@
   /// @return whether the platform has been well for so long that time limits count.
   bool platform_sound() const;
   void set_engine_leaving(unsigned number, bool leaving);
+  /// Ends an engine; another one with a new id and @p version, perhaps the same, starts in its place after @p away.
+  /// @param announced whether it leaves as planned; otherwise it crashes, and its entry goes after some heartbeats.
+  void replace_engine(unsigned number, std::string version, Duration away, bool announced);
+  /// @return a version of engines, drawn by the shares of this run.
+  std::string draw_version();
+  /// @return the engines of @p version that can run requests now.
+  std::size_t serving_engines(const std::string& version) const;
+  std::string engine_id(unsigned number) const;
   void set_service_leaving(unsigned number, bool leaving);
   void heal();
   bool cut_between(unsigned one, unsigned other) const;
@@ -452,12 +465,14 @@
   static void use_deployed_times(node::NodeOptions& options);
 
   std::ostream* const decisions_;
+  unsigned common_version_percent_ = 0;      ///< Share of the first version among engines.
   std::vector<unsigned> seeds_ = {0, 1, 2};  ///< Nodes at which those that start look for the fleet.
   /// Lives that have ended; events still queued for them refer to their objects.
   std::vector<NodeLife> ended_lives_;
   void count_suspension(SimNode& node) const;
   /// Looks until a node knows three ends of @p request.
   void await_knowledge(const std::string& body, const routing::request_fingerprint& request);
+  void begin_engine_incarnation(unsigned number, const std::string& version);
   void publish_engine(unsigned number);
   void publish_service(unsigned number);
 };
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -16,8 +16,8 @@
     mix, "standard",
     "Actions to draw from: standard, hardening (requests that end engines, too), listing (jobs with positions), "
     "leaving, losses, series (losses of disks in series), isolation (the same beside nodes that find or reach few), "
-    "departures (machines that are emptied and taken away while others believe them to be there) or answers (engines "
-    "that break answers off).");
+    "departures (machines that are emptied and taken away while others believe them to be there), answers (engines "
+    "that break answers off), or versions (engines of several software versions, and streams that clients resume).");
 DEFINE_string(repeats, "",
               "Instead of a mix: 'request' or 'generation', one that ends its engines, sent 30 times at other nodes.");
 DEFINE_uint64(pause_ms, 400, "With --repeats: between two of them.");
@@ -140,6 +140,15 @@
                                           {"schedules_by_engines_ended", std::move(ended)},
                                           {"sends_over_three", std::move(reasons)},
                                           {"violations", std::move(violation_counts)}};
+    if (counts.streams_resumed > 0) {
+      json::object refused;
+      for (const auto& [kind, count] : counts.resumes_refused) {
+        refused[kind] = count;
+      }
+      described["streams_resumed"] = counts.streams_resumed;
+      described["resumed_streams_finished"] = counts.resumed_streams_finished;
+      described["resumes_refused"] = std::move(refused);
+    }
     if (!recovery.job_after_all_back.empty()) {
       described["job_readable_after_majority"] = describe_times(recovery.job_after_majority);
       described["job_readable_after_all_back"] = describe_times(recovery.job_after_all_back);
@@ -171,6 +180,9 @@
   if (text == "answers") {
     return ScheduleMix::answers;
   }
+  if (text == "versions") {
+    return ScheduleMix::versions;
+  }
   if (text == "departures") {
     return ScheduleMix::departures;
   }
@@ -299,7 +311,7 @@
 int main(int argument_count, char** arguments) {
   gflags::SetUsageMessage(
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
-      "[--mix=standard|hardening|listing|leaving|losses|series|isolation|departures|answers] "
+      "[--mix=standard|hardening|listing|leaving|losses|series|isolation|departures|answers|versions] "
       "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
       "[--over_three] [--all_violations] [--replaced_percent=N] [--without=stale_seeds,cut_gateways] "
       "[--json]");
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -26,7 +26,7 @@
       "leaving_gets_no_work",    "planned_stop_cuts_nothing", "configuration_never_reverts",
       "fatal_request_contained", "results_keep_positions",    "group_stays_readable",
       "job_readable_in_time",    "successor_taken_in",        "epoch_names_disks_that_exist",
-      "broken_off_never_whole"};
+      "broken_off_never_whole",  "stream_keeps_version"};
   return kNames.at(static_cast<std::size_t>(promise));
 }
 
@@ -44,6 +44,11 @@
   config_changes += other.config_changes;
   live_answered += other.live_answered;
   planned_stops += other.planned_stops;
+  streams_resumed += other.streams_resumed;
+  resumed_streams_finished += other.resumed_streams_finished;
+  for (const auto& [kind, count] : other.resumes_refused) {
+    resumes_refused[kind] += count;
+  }
   for (const auto& [kind, count] : other.faults) {
     faults[kind] += count;
   }
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -30,8 +30,9 @@
   successor_taken_in,
   epoch_names_disks_that_exist,
   broken_off_never_whole,
+  stream_keeps_version,
 };
-inline constexpr std::size_t kPromises = 16;
+inline constexpr std::size_t kPromises = 17;
 const char* promise_name(Promise promise);
 
 /// How much of each kind of load and fault there was; a kind that never ran shows nothing.
@@ -43,6 +44,9 @@
   std::uint64_t config_changes = 0;
   std::uint64_t live_answered = 0;
   std::uint64_t planned_stops = 0;
+  std::uint64_t streams_resumed = 0;                     ///< Attempts of clients that had events before.
+  std::uint64_t resumed_streams_finished = 0;            ///< Streams that came to their end after that.
+  std::map<std::string, std::uint64_t> resumes_refused;  ///< By kind of error.
   std::map<std::string, std::uint64_t> faults;
 
   void add(const LoadCounts& other);
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -10,11 +10,12 @@
 constexpr unsigned kIsolationNodes = 8;
 constexpr unsigned kDepartureNodes = 6;
 constexpr unsigned kAnswerFaultPercent = 40;
+constexpr unsigned kEngineVersions = 3;
 using Weights = std::array<unsigned, kActionKinds>;
 
 /// How often each kind comes up, against the others.
-constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1, 3, 3,
-                              3,  2,  2,  2, 1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0, 0};
+constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1, 3, 3, 3,
+                              2,  2,  2,  1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0, 0, 0, 0, 0};
 
 Weights weights_of(ScheduleMix mix) {
   Weights weights = kWeights;
@@ -71,6 +72,14 @@
     weights.at(static_cast<std::size_t>(ActionKind::crash_engine)) = 8;
     weights.at(static_cast<std::size_t>(ActionKind::restart_engines)) = 12;
   }
+  if (mix == ScheduleMix::versions) {
+    weights.at(static_cast<std::size_t>(ActionKind::resumed_stream)) = 120;
+    weights.at(static_cast<std::size_t>(ActionKind::crash_engine)) = 8;
+    weights.at(static_cast<std::size_t>(ActionKind::restart_engines)) = 12;
+    weights.at(static_cast<std::size_t>(ActionKind::replace_engine)) = 10;
+    weights.at(static_cast<std::size_t>(ActionKind::release_engines)) = 3;
+    weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 1;
+  }
   if (mix == ScheduleMix::leaving) {
     weights.at(static_cast<std::size_t>(ActionKind::live_request)) = 60;
     weights.at(static_cast<std::size_t>(ActionKind::engines_vanish)) = 6;
@@ -90,6 +99,9 @@
   if (mix == ScheduleMix::answers) {
     profile.answer_fault_percent = kAnswerFaultPercent;
   }
+  if (mix == ScheduleMix::versions) {
+    profile.engine_versions = kEngineVersions;
+  }
   if (mix == ScheduleMix::isolation) {
     profile.seeds_drawn = true;
     profile.successors_judged = true;
@@ -154,7 +166,10 @@
                                                                    "loss_series",
                                                                    "isolation_series",
                                                                    "departure_series",
-                                                                   "answered_request"};
+                                                                   "answered_request",
+                                                                   "resumed_stream",
+                                                                   "replace_engine",
+                                                                   "release_engines"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -9,6 +9,7 @@
 struct SimBackends::EngineStream {
   routing::CallId id = 0;
   unsigned engine = 0;
+  std::string engine_id;  ///< The incarnation that is meant.
   std::uint64_t engine_life = 0;
   Timestamp begun{};
   routing::request_fingerprint request;
@@ -46,6 +47,7 @@
   stream->request = routing::fingerprint_of(call);
   stream->ends_known = fleet_.ends_known(node_, stream->request);
   stream->engine = number_of(engine.str());
+  stream->engine_id = engine.str();
   stream->call = call;
   if (call.http) {
     stream->call.model = "model";
@@ -78,6 +80,10 @@
     fail(routing::CallFailure::not_sent);
     return;
   }
+  if (stream->engine_id != fleet_.engine_id(stream->engine)) {
+    fail(routing::CallFailure::refused);
+    return;
+  }
   if (engine.model.leaving() && fleet_.world.now() - engine.leaving_since > kLeaveNotice) {
     fleet_.oracle.violated(Promise::leaving_gets_no_work, "engine " + std::to_string(stream->engine) + " was sent work",
                            fleet_.world.now());
@@ -239,7 +245,7 @@
     const bool is_service = backend.str().starts_with("10.2.");
     if (is_service && fleet_.services[number]->process.up()) {
       report = routing::LoadReport{0, 0, 0, fleet_.services[number]->leaving};
-    } else if (!is_service && fleet_.engines[number]->process.up()) {
+    } else if (!is_service && fleet_.engines[number]->process.up() && backend.str() == fleet_.engine_id(number)) {
       report = fleet_.engines[number]->model.report();
     }
     at_node([done, report] { done(report); });
--- a/src/simulation/sim_upstream.cpp
+++ b/src/simulation/sim_upstream.cpp
@@ -9,12 +9,14 @@
 
 }  // namespace
 
-std::string SimUpstream::event_text(std::uint64_t number) { return "id: " + std::to_string(number) + "\ndata: x\n\n"; }
+std::string SimUpstream::event_text(std::uint64_t number, const std::string& version) {
+  return "id: " + std::to_string(number) + "\ndata: x" + version + "\n\n";
+}
 
 std::string SimUpstream::whole_stream() {
   std::string text;
   for (std::uint64_t number = 1; number <= kEvents; ++number) {
-    text += event_text(number);
+    text += event_text(number, "");
   }
   return text;
 }
@@ -63,6 +65,11 @@
     at_node(call, [call] { call->events.failed(routing::CallFailure::not_sent); });
     return;
   }
+  if (call->call.backend.str() != fleet_.engine_id(call->engine)) {
+    at_node(call, [call] { call->events.failed(routing::CallFailure::refused); });
+    return;
+  }
+  call->version = engine.version;
   const std::string& body = call->call.request->body;
   fleet_.note_sent(node_, body);
   call->engine_life = engine.process.life();
@@ -89,7 +96,7 @@
       at_node(call, [call] { call->events.finished(); });
       return;
     }
-    at_node(call, [call, text = event_text(call->next_event)] { call->events.piece(text); });
+    at_node(call, [call, text = event_text(call->next_event, call->version)] { call->events.piece(text); });
     ++call->next_event;
     step(call);
   });
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -76,13 +76,15 @@
 };
 
 struct Fixture {
-  explicit Fixture(std::size_t backends = 3) {
+  /// @param versions software versions of the back ends, by number; back ends beyond them state none.
+  explicit Fixture(std::size_t backends = 3, const std::vector<std::string>& versions = {}) {
     std::vector<config::Entry> entries;
     for (std::size_t number = 0; number < backends; ++number) {
       config::Machine machine;
       machine.address = "10.0.0." + std::to_string(number) + ":80";
       machine.pools = {"pool"};
       machine.slots = 8;
+      machine.software_version = number < versions.size() ? versions[number] : "";
       const config::EntryKey key{config::kMachineKind, "engine-" + std::to_string(number)};
       entries.push_back({key, config::format_machine(machine), number + 1, false});
       keys.push_back(key);
@@ -236,6 +238,35 @@
   CHECK(fixture.call(1).call.resume_after == 1);
 }
 
+TEST_CASE("a stream that broke off went on at a back end of another software version") {
+  Fixture fixture(4, {"v1", "v2", "v2", "v1"});
+  fixture.route->kind = RouteKind::stream;
+  fixture.route->resumable = true;
+  fixture.route->max_attempts = 4;
+  fixture.start();
+  fixture.answer(0, 200, "id: 1\ndata: a\n\n", true);
+  const BackendId first = fixture.call(0).call.backend;
+  fixture.call(0).events.failed(CallFailure::broken);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  const std::string version = fixture.registry.find(first)->machine.software_version;
+  CHECK(fixture.registry.find(fixture.call(1).call.backend)->machine.software_version == version);
+  fixture.call(1).events.failed(CallFailure::broken);
+  CHECK(fixture.upstream.calls.size() == 2);  // the other back ends have another version
+  CHECK(fixture.caller.broken);
+}
+
+TEST_CASE("continuations of streams are counted") {
+  Fixture fixture(2, {"v1", "v1"});
+  fixture.route->kind = RouteKind::stream;
+  fixture.route->resumable = true;
+  fixture.start();
+  fixture.answer(0, 200, "id: 1\ndata: a\n\n", true);
+  fixture.call(0).events.failed(CallFailure::broken);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  CHECK(fixture.counters["forward_streams_continued_total"] == 1);
+  CHECK(fixture.counters["forward_streams_continued_at_other_version_total"] == 0);
+}
+
 TEST_CASE("a stream that is not resumable is broken off when its back end fails") {
   Fixture fixture;
   fixture.route->kind = RouteKind::stream;
