--- a/src/common/error.hpp
+++ b/src/common/error.hpp
@@ -27,6 +27,8 @@
   deadline_exceeded,   ///< No complete answer arrived before the deadline.
   upstream_failed,     ///< The back end broke off its answer or sent an invalid one.
   quarantined,         ///< Back ends terminated while they ran equal requests, so this one is not sent.
+  version_gone,        ///< No back end has the software version that began the stream; it can only be begun anew.
+  version_unknown,     ///< Which software version began the stream is not known; it can only be begun anew.
 };
 
 /// A failure with its kind and a human readable detail.
--- a/src/forwarding/engine_placer.hpp
+++ b/src/forwarding/engine_placer.hpp
@@ -16,8 +16,10 @@
 struct placement_query {
   std::string request;  ///< The caller's id, for the log.
   std::string pool;
-  std::string affinity_key;        ///< Shared by requests with the same prompt prefix; empty: no engine is preferred.
-  std::set<BackendId> excluded;    ///< Engines that the request was sent to before.
+  std::string affinity_key;      ///< Shared by requests with the same prompt prefix; empty: no engine is preferred.
+  std::set<BackendId> excluded;  ///< Engines that the request was sent to before.
+  /// Software version that wrote the events which the caller already has; empty: the stream has not begun.
+  std::optional<std::string> software_version;
   std::optional<BackendId> first;  ///< The engine that affinity prefers, regardless of its load.
   Duration reading{};              ///< Prefill time that a cached prefix saves an engine; zero: negligible.
   Duration holding{};              ///< Average time for which a call like this uses its slot; zero: not known.
@@ -67,6 +69,8 @@
   virtual ticket place(const placement_query& query, placed done) = 0;
   /// Cancels a query whose request no longer needs an engine; its callback does not run.
   virtual void withdraw(ticket question) = 0;
+  /// Called when the request cannot use the @p engine that it was assigned.
+  virtual void return_unused(const BackendId& engine) = 0;
 };
 
 }  // namespace madderdeck::forwarding
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -86,7 +86,7 @@
 }
 
 std::vector<Backend*> Forwarder::untried_backends(const Active& active) {
-  std::vector<Backend*> found = registry_.candidates(active.pool);
+  std::vector<Backend*> found = registry_.candidates(active.pool, active.stream_version);
   std::vector<Backend*> untried;
   for (Backend* backend : found) {
     if (!active.tried.contains(backend->machine.id)) {
@@ -98,7 +98,9 @@
 
 std::vector<Backend*> Forwarder::untried_warming_backend(const Active& active) {
   for (Backend* backend : registry_.warming(active.pool)) {
-    if (!active.tried.contains(backend->machine.id) && allow_warming_ && allow_warming_(*backend)) {
+    const bool usable =
+        !active.tried.contains(backend->machine.id) && registry_.may_run_at(*backend, active.stream_version);
+    if (usable && allow_warming_ && allow_warming_(*backend)) {
       return {backend};
     }
   }
@@ -114,6 +116,9 @@
   if (backend == nullptr || active.tried.contains(id) || !registry_.open(*backend)) {
     return nullptr;
   }
+  if (guards_.check_assigned_version && !registry_.may_run_at(*backend, active.stream_version)) {
+    return nullptr;
+  }
   const std::vector<std::string>& pools = backend->machine.pools;
   const bool offers = std::find(pools.begin(), pools.end(), active.pool) != pools.end();
   return offers && environment_.now() >= backend->ejected_until ? backend : nullptr;
@@ -161,7 +166,7 @@
 }
 
 void Forwarder::attempt(ForwardId id) {
-  if (wait_if_undecided(id) || refuse_if_quarantined(id)) {
+  if (wait_if_undecided(id) || refuse_if_quarantined(id) || look_up_origin(id)) {
     return;
   }
   Active& active = requests_.at(id);
@@ -171,11 +176,8 @@
     open = untried_warming_backend(active);
   }
   // While a placer is active, only the placer chooses back ends that warm up.
-  if (open.empty() && (!placed || registry_.warming(active.pool).empty())) {
-    const bool tried = !active.tried.empty();
-    counters_[tried ? "forward_refused_busy_total" : "forward_refused_no_backend_total"]++;
-    end_unanswered(id, ErrorKind::unavailable,
-                   tried ? "every back end of the pool refused" : "the pool has no back end that takes requests");
+  if (open.empty() && (!placed || !warms_up(active))) {
+    refuse_without_backend(id);
     return;
   }
   const std::string key = active.route->prefix_affinity ? affinity_key(active.request->prompt) : std::string();
@@ -193,6 +195,90 @@
   send_to(id, backend, open);
 }
 
+bool Forwarder::warms_up(const Active& active) {
+  const std::vector<Backend*> warming = registry_.warming(active.pool);
+  return std::any_of(warming.begin(), warming.end(),
+                     [&](const Backend* backend) { return registry_.may_run_at(*backend, active.stream_version); });
+}
+
+void Forwarder::refuse_without_backend(ForwardId id) {
+  const Active& active = requests_.at(id);
+  if (active.stream_version && !registry_.serves_version(active.pool, active.stream_version)) {
+    counters_["forward_refused_version_gone_total"]++;
+    end_unanswered(id, ErrorKind::version_gone,
+                   "no back end has software version '" + *active.stream_version + "', which began the stream");
+    return;
+  }
+  const bool tried = !active.tried.empty();
+  counters_[tried ? "forward_refused_busy_total" : "forward_refused_no_backend_total"]++;
+  end_unanswered(id, ErrorKind::unavailable,
+                 tried ? "every back end of the pool refused" : "the pool has no back end that takes requests");
+}
+
+Duration Forwarder::longest_stream(const Route& route) {
+  constexpr Duration kWithoutTimeout = 60s;
+  constexpr int kAttempts = 2;  // a caller that resumes has the route's time again
+  return route.timeout_ms == 0 ? kWithoutTimeout : kAttempts * Duration(std::chrono::milliseconds(route.timeout_ms));
+}
+
+bool Forwarder::look_up_origin(ForwardId id) {
+  Active& active = requests_.at(id);
+  if (active.looks_up_origin) {
+    return true;
+  }
+  const bool resumes = active.route->resumable && active.request->resume_after > 0;
+  if (active.origin_settled || !resumes || directory_ == nullptr || !registry_.versions_stated()) {
+    return false;
+  }
+  active.looks_up_origin = true;
+  stream_query query;
+  query.request = active.request->id;
+  query.longest_stream = longest_stream(*active.route);
+  if (!active.request->first_attempt.empty()) {
+    query.key = stream_key_of(*active.request, active.request->first_attempt);
+  }
+  for (const WeightedPool& pool : active.route->pools) {
+    query.pools.push_back(pool.pool);
+  }
+  const auto ticket = directory_->look_up(
+      std::move(query),
+      lifetime_.guard([this, id](const std::optional<stream_origin>& origin) { on_origin(id, origin); }));
+  const auto entry = requests_.find(id);
+  if (entry != requests_.end() && entry->second.looks_up_origin) {
+    entry->second.lookup = ticket;
+  }
+  return true;
+}
+
+void Forwarder::on_origin(ForwardId id, const std::optional<stream_origin>& origin) {
+  const auto entry = requests_.find(id);
+  if (entry == requests_.end()) {
+    return;
+  }
+  Active& active = entry->second;
+  active.looks_up_origin = false;
+  active.origin_settled = true;
+  if (!origin || origin->software_version.empty()) {
+    counters_["forward_refused_version_unknown_total"]++;
+    end_unanswered(id, ErrorKind::version_unknown, "the software version that began the stream is not known");
+    return;
+  }
+  active.pool = origin->pool;
+  active.stream_version = origin->software_version;
+  attempt(id);
+}
+
+void Forwarder::record_origin(Active& active) {
+  const ForwardedRequest& request = *active.request;
+  const bool resumed = request.resume_after > 0;
+  if (directory_ == nullptr || !registry_.versions_stated() || (resumed && request.first_attempt.empty())) {
+    return;
+  }
+  const Duration valid_for = active.give_up_at - environment_.now() + longest_stream(*active.route);
+  directory_->record(stream_key_of(request, resumed ? request.first_attempt : request.id),
+                     {active.pool, active.stream_version.value_or("")}, valid_for, active.route->pools.size() > 1);
+}
+
 void Forwarder::query_placer(ForwardId id, const std::vector<Backend*>& open, const std::string& key) {
   Active& active = requests_.at(id);
   const std::uint64_t placer_query = ++next_placer_query_;
@@ -214,6 +300,7 @@
   query.request = active.request->id;
   query.pool = active.pool;
   query.excluded = active.tried;
+  query.software_version = active.stream_version;
   if (!key.empty()) {
     query.affinity_key = key;
     query.first = open.empty() ? std::optional<BackendId>() : preferred_backend(open, key).machine.id;
@@ -255,8 +342,11 @@
     send_to(id, *named, open);
     return;
   }
+  if (answer) {
+    placer_->return_unused(answer->engine);
+  }
   if (open.empty()) {
-    end_unanswered(id, ErrorKind::unavailable, "the pool has no back end left that takes requests");
+    refuse_without_backend(id);
     return;
   }
   // The placer sent no reply in time, or named an engine that this node does not know or use: the node chooses itself.
@@ -512,6 +602,7 @@
   Active& active = requests_.at(id);
   std::string passed;
   bool gap = false;
+  bool begins = false;
   active.answer.read(piece, [&](const StreamEvent& event) {
     const event_position place = position_of(active, event);
     if (gap || place == event_position::repeated) {
@@ -523,12 +614,16 @@
       return;
     }
     active.last_event = active.route->resumable && event.number != 0 ? event.number : active.last_event;
+    begins = begins || active.forwarded_events == 0;
     if (!active.stream_version) {
       active.stream_version = active.software_version;
     }
     passed.append(event.bytes);
     ++active.forwarded_events;
   });
+  if (begins && active.route->resumable) {
+    record_origin(active);  // before the caller has the event, and may resume after it
+  }
   if (!passed.empty()) {
     forward_piece(active, passed);
   }
@@ -712,11 +807,12 @@
     active.events.broken();
     return;
   }
-  if (may_have_run && kind == ErrorKind::unavailable) {
+  if (may_have_run && (kind == ErrorKind::unavailable || kind == ErrorKind::version_gone)) {
     kind = ErrorKind::upstream_failed;
   }
   const Ran ran = may_have_run ? Ran::unknown : Ran::no;
-  const bool retry_is_futile = may_have_run || kind == ErrorKind::quarantined;
+  const bool version_lost = kind == ErrorKind::version_gone || kind == ErrorKind::version_unknown;
+  const bool retry_is_futile = may_have_run || version_lost || kind == ErrorKind::quarantined;
   active.events.refused(
       routing::Refusal{Error{kind, detail}, ran, retry_is_futile ? Duration::zero() : retry_delay(active)});
 }
@@ -727,6 +823,12 @@
     return;
   }
   Active& active = entry->second;
+  if (active.looks_up_origin) {
+    counters_["forward_timeouts_total"]++;
+    directory_->withdraw(active.lookup);
+    end_unanswered(id, ErrorKind::deadline_exceeded, "the software version of the stream was not found in time");
+    return;
+  }
   if (active.placer_query != 0) {
     counters_["forward_timeouts_total"]++;
     placer_->withdraw(active.ticket);
@@ -753,6 +855,9 @@
   if (active.placer_query != 0) {
     placer_->withdraw(active.ticket);
   }
+  if (active.looks_up_origin) {
+    directory_->withdraw(active.lookup);
+  }
   upstream_.cancel(active.call);
   release_backend(active);
   record_broken_off(active, answer_end::caller_gone);
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -14,6 +14,7 @@
 #include "forwarding/engine_placer.hpp"
 #include "forwarding/answer_reader.hpp"
 #include "forwarding/route_table.hpp"
+#include "forwarding/stream_directory.hpp"
 #include "forwarding/upstream.hpp"
 #include "routing/limits.hpp"
 #include "routing/outcome.hpp"
@@ -44,6 +45,7 @@
   bool complete_events_only = true;    ///< Only complete events of a stream are forwarded.
   bool check_answer_ends = true;       ///< An answer is complete only if its answer_reader says so.
   bool keep_event_order = true;        ///< Repeated or early events of a resumable stream are not forwarded.
+  bool check_assigned_version = true;  ///< An engine that the placer chose has to have the stream's software version.
 };
 
 /// All forwarded requests of one node. Single threaded.
@@ -70,6 +72,9 @@
   void set_repeat_guard(routing::repeat_guard& guard) { repeats_ = &guard; }
   /// From now on @p placer is asked for engines while it is active. It outlives this forwarder.
   void use_placer(engine_placer& placer) { placer_ = &placer; }
+  /// From now on @p directory knows where streams began that callers resume at another gateway. It outlives this
+  /// forwarder.
+  void use_directory(stream_directory& directory) { directory_ = &directory; }
   /// @param allow returns whether this node may send a request to a back end that warms up now, and if so counts it;
   ///        called only where no other back end is left and there is no placer.
   void allow_warming(std::function<bool(const routing::Backend&)> allow) { allow_warming_ = std::move(allow); }
@@ -92,6 +97,9 @@
     routing::CallId call = 0;
     std::uint64_t placer_query = 0;  ///< Number of the pending query to the placer; 0: none.
     engine_placer::ticket ticket = 0;
+    bool origin_settled = false;          ///< It was looked up where the caller's events come from.
+    bool looks_up_origin = false;         ///< A lookup is pending.
+    stream_directory::ticket lookup = 0;  ///< Of that lookup.
     std::optional<Duration> retry_after;  ///< Given by the placer when it rejected the request.
     bool keeps_start = false;             ///< Of the current send: the engine has likely cached the prompt prefix.
     std::uint64_t attempt = 0;            ///< Number of the current send; callbacks of other sends are ignored.
@@ -110,12 +118,24 @@
     std::string body;      ///< Of an answer that is forwarded only once it is complete.
     answer_reader answer;  ///< Of the current send.
     std::uint64_t last_event = 0;
-    std::optional<std::string> stream_version;  ///< Software version that wrote the events so far; empty: not known.
+    std::optional<std::string> stream_version;  ///< Software version that wrote the caller's events; empty: none yet.
     std::uint64_t forwarded_events = 0;
     std::uint64_t forwarded_bytes = 0;  ///< Of the body.
   };
 
   void attempt(ForwardId id);
+  /// Looks up which software version began a stream that the caller resumes.
+  /// @return whether the attempt waits for that, or was refused since it is not known.
+  bool look_up_origin(ForwardId id);
+  void on_origin(ForwardId id, const std::optional<stream_origin>& origin);
+  /// Records where a stream began, with the first event that this answer brings.
+  void record_origin(Active& active);
+  /// @return the time within which a stream of @p route is over, resumed or not.
+  static Duration longest_stream(const Route& route);
+  /// @return whether a back end warms up that @p active may be sent to.
+  bool warms_up(const Active& active);
+  /// Refuses a request for which no back end is left.
+  void refuse_without_backend(ForwardId id);
   /// Asks the placer for the engine of a request.
   void query_placer(ForwardId id, const std::vector<routing::Backend*>& open, const std::string& key);
   /// @return the placer's input for the choice.
@@ -193,6 +213,7 @@
   const routing::shared_calls* shared_ = nullptr;
   Duration shared_delay_{};
   engine_placer* placer_ = nullptr;
+  stream_directory* directory_ = nullptr;
   std::function<bool(const routing::Backend&)> allow_warming_;
   routing::repeat_guard* repeats_ = nullptr;
   std::uint64_t next_placer_query_ = 0;
--- a/src/gateway/problem.cpp
+++ b/src/gateway/problem.cpp
@@ -28,6 +28,8 @@
       return 502;
     case ErrorKind::unavailable:
     case ErrorKind::ambiguous:
+    case ErrorKind::version_gone:
+    case ErrorKind::version_unknown:
       return 503;
     case ErrorKind::address_in_use:
     case ErrorKind::storage_unwritable:
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -76,6 +76,7 @@
       quarantine(
           environment, counters, log, detector, [this] { return suspicion_peers(); },
           [this](const BackendId& backend) { return is_leaving(backend); }, options.guards.quarantine),
+      streams(environment, counters, log, registry, members, options.guards.streams),
       limiter(environment, counters, log, members, options.rate_window),
       declarations(environment, counters, dependencies.platform, options.guards.declarations) {
   objects.table().reject_older_entries = options.guards.reject_older_config;
@@ -85,12 +86,14 @@
         [this](const BackendId& engine, std::uint32_t in_flight) { on_online_activity(engine, in_flight); },
         options.guards.forward);
     forwarder->set_repeat_guard(quarantine);
+    forwarder->use_directory(streams);
     forwarder->allow_warming([this](const routing::Backend& backend) { return allows_warming(backend); });
     forwarder->on_prefill([this](const BackendId& engine, Duration expected) { announce_prefill(engine, expected); });
   }
   machines.prefer_near(
       [this](const PeerAddress& peer) { return members.live_count() <= kSmallFleetNodes || members.is_near(peer); });
   registry.set_leave_notice(options.leave_notice);
+  registry.set_versions_stated(dependencies.platform.states_software_versions());
   registry.use_list_age([this] { return environment.now() - machines.as_of(); });
   registry.on_lapse = [this](const BackendId& backend, bool kept, const routing::lapse& how) {
     log.record(kept ? "backend_lapse_doubted" : "backend_lapse_believed",
@@ -169,6 +172,8 @@
   hooks.on_change = [this](const wire::MemberT& member) {
     if (member.state == wire::MemberState::Dead) {
       poll_all_until_ = environment.now() + kPollAllAfterDeath;
+    } else if (member.id != members.self().id) {
+      streams.on_member_found();
     }
     if (on_member_change) {
       on_member_change(member);
@@ -415,6 +420,7 @@
 
 void NodeCore::on_machines_changed(const std::vector<config::EntryKey>& keys) {
   registry.update(machines.table(), keys, machines.unchanged_until());
+  streams.on_back_ends_changed();
   tell_configured();
   // A starting node learns of all back ends at once; one line per back end would be most of its log.
   constexpr std::size_t kMaxListedSeparately = 16;
@@ -669,6 +675,15 @@
     case wire::Message::SuspicionSync:
       quarantine.handle(sender, *body.AsSuspicionSync());
       break;
+    case wire::Message::StreamRecord:
+      streams.handle(*body.AsStreamRecord());
+      break;
+    case wire::Message::StreamQuestion:
+      streams.handle(sender, *body.AsStreamQuestion());
+      break;
+    case wire::Message::StreamAnswer:
+      streams.handle(sender, *body.AsStreamAnswer());
+      break;
     case wire::Message::SuspicionTaken:
       quarantine.handle(sender, *body.AsSuspicionTaken());
       break;
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -29,6 +29,7 @@
 #include "placement/coordinator.hpp"
 #include "placement/duties.hpp"
 #include "placement/place_client.hpp"
+#include "placement/stream_records.hpp"
 #include "policy/policies.hpp"
 #include "policy/work_estimate.hpp"
 #include "quarantine/request_quarantine.hpp"
@@ -54,6 +55,7 @@
   batch::DispatchGuards dispatch;
   object_store::DeclarationGuards declarations;
   quarantine::quarantine_guards quarantine;
+  placement::stream_record_guards streams;
   ledger::change_guards changes;
   bool cancel_is_durable = true;  ///< A cancellation is stored before it is confirmed.
   bool reject_older_config = true;
@@ -195,6 +197,7 @@
   routing::ServiceRouter services;
   quarantine::end_detector detector;
   quarantine::request_quarantine quarantine;
+  placement::stream_records streams;
   std::unique_ptr<forwarding::Forwarder> forwarder;  ///< Only with an upstream.
   tenancy::rate_limiter limiter;
   routing::shared_calls shared_calls;                   ///< Calls of the other nodes.
--- a/src/object_store/platform_client.hpp
+++ b/src/object_store/platform_client.hpp
@@ -67,6 +67,10 @@
   ///         among the objects.
   virtual bool has_group_source() const { return false; }
   virtual void watch_groups(std::uint64_t /*since*/, Duration /*wait*/, ChangesDone /*done*/) {}
+  /// @return whether the list of back ends states the versions of their software. A back end that states none is then
+  /// of
+  ///         an unknown version; otherwise versions play no part.
+  virtual bool states_software_versions() const { return false; }
   /// @return whether operators can request through the platform that ledger nodes are drained.
   virtual bool has_retirements() const { return false; }
   /// Waits up to @p wait for requests after @p since; the names of the entries are node ids, and a completed request
--- a/src/placement/coordinator.cpp
+++ b/src/placement/coordinator.cpp
@@ -66,14 +66,14 @@
 }
 
 std::vector<routing::Backend*> coordinator::candidates(const engine_domain& domain,
-                                                       const std::set<BackendId>& excluded) {
+                                                       const forwarding::placement_query& query) {
   std::vector<routing::Backend*> found;
-  for (routing::Backend* backend : registry_.candidates(domain.pool)) {
-    if (domain.contains(*backend) && !excluded.contains(backend->machine.id)) {
+  for (routing::Backend* backend : registry_.candidates(domain.pool, query.software_version)) {
+    if (domain.contains(*backend) && !query.excluded.contains(backend->machine.id)) {
       found.push_back(backend);
     }
   }
-  const std::vector<routing::Backend*> warming = warming_candidates(domain, excluded);
+  const std::vector<routing::Backend*> warming = warming_candidates(domain, query);
   found.insert(found.end(), warming.begin(), warming.end());
   std::vector<routing::Backend*> healthy;
   for (routing::Backend* backend : found) {
@@ -88,23 +88,24 @@
 }
 
 std::vector<routing::Backend*> coordinator::warming_candidates(const engine_domain& domain,
-                                                               const std::set<BackendId>& excluded) {
+                                                               const forwarding::placement_query& query) {
   std::vector<routing::Backend*> found;
   for (routing::Backend* backend : registry_.warming(domain.pool)) {
     const BackendId& id = backend->machine.id;
     const std::optional<double> limit = registry_.warm_up_limit(*backend);
-    if (domain.contains(*backend) && !excluded.contains(id) && limit &&
-        warm_up_pace_.allows(id, *limit, environment_.now())) {
+    const bool usable = !query.excluded.contains(id) && registry_.may_run_at(*backend, query.software_version);
+    if (domain.contains(*backend) && usable && limit && warm_up_pace_.allows(id, *limit, environment_.now())) {
       found.push_back(backend);
     }
   }
   return found;
 }
 
-double coordinator::warm_up_rate(const engine_domain& domain) {
+double coordinator::warm_up_rate(const engine_domain& domain, const forwarding::placement_query& query) {
   double per_second = 0;
   for (const routing::Backend* backend : registry_.warming(domain.pool)) {
-    per_second += domain.contains(*backend) ? registry_.warm_up_limit(*backend).value_or(0) : 0;
+    const bool usable = domain.contains(*backend) && registry_.may_run_at(*backend, query.software_version);
+    per_second += usable ? registry_.warm_up_limit(*backend).value_or(0) : 0;
   }
   return per_second;
 }
@@ -145,14 +146,14 @@
     choice.waiting = true;
     return choice;
   }
-  const std::vector<routing::Backend*> open = candidates(domain, query.excluded);
+  const std::vector<routing::Backend*> open = candidates(domain, query);
   if (!final && all_unhealthy(open)) {
     if (const auto zone = zone_with_free_slots(domain)) {
       counters_["placements_passed_on_total"]++;
       return {std::nullopt, *zone};
     }
   }
-  if (open.empty() && (order_ == nullptr || warm_up_rate(domain) == 0)) {
+  if (open.empty() && (order_ == nullptr || warm_up_rate(domain, query) == 0)) {
     counters_["placements_without_engine_total"]++;
     return {};
   }
@@ -269,13 +270,27 @@
 
 Duration coordinator::expected_wait(const engine_domain& domain, const forwarding::placement_query& query,
                                     const std::vector<routing::Backend*>& open, std::size_t ahead) {
-  const auto calls = static_cast<double>(ahead + 1);
-  double slots = 0;
-  for (const routing::Backend* backend : open) {
-    slots += backend->machine.slots;
+  const auto slots_of = [](const std::vector<routing::Backend*>& engines) {
+    double slots = 0;
+    for (const routing::Backend* backend : engines) {
+      slots += backend->machine.slots;
+    }
+    return slots;
+  };
+  const double slots = slots_of(open);
+  const double holding_s = std::chrono::duration<double>(query.holding).count();
+  double wait_s = 0;
+  if (slots == 0) {
+    wait_s = static_cast<double>(ahead + 1) / warm_up_rate(domain, query);
+  } else if (query.software_version) {
+    // The calls ahead take the slots of all engines, this one only those of its version.
+    forwarding::placement_query any = query;
+    any.software_version.reset();
+    wait_s =
+        holding_s * static_cast<double>(ahead) / std::max(slots, slots_of(candidates(domain, any))) + holding_s / slots;
+  } else {
+    wait_s = holding_s * static_cast<double>(ahead + 1) / slots;
   }
-  const double wait_s =
-      slots > 0 ? std::chrono::duration<double>(query.holding).count() * calls / slots : calls / warm_up_rate(domain);
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait_s));
 }
 
@@ -315,14 +330,27 @@
 bool coordinator::serve_first(const engine_domain& domain) {
   const Timestamp now = environment_.now();
   const std::vector<waiting_call>& calls = waiting_.in_order(domain, now);
-  const std::size_t tried = std::min(calls.size(), kMaxCallsTried);
-  for (std::size_t position = 0; position < tried; ++position) {
+  std::size_t tried = 0;
+  std::size_t continuations_tried = 0;
+  for (std::size_t position = 0; position < calls.size() && tried < kMaxCallsTried; ++position) {
     const forwarding::placement_query& query = calls[position].query;
-    if (routing::Backend* engine = find_slot(candidates(domain, query.excluded), query)) {
+    // Counted apart: streams that wait for one version must not keep the calls behind them from other engines.
+    std::size_t& count = query.software_version ? continuations_tried : tried;
+    if (count == kMaxCallsTried) {
+      continue;
+    }
+    ++count;
+    const std::vector<routing::Backend*> engines = candidates(domain, query);
+    if (routing::Backend* engine = find_slot(engines, query)) {
       const waiting_call call = waiting_.take(domain, position);
       deliver(domain, call, assign(call.origin.node, *engine, call.query));
       return true;
     }
+    if (engines.empty() && query.software_version && warm_up_rate(domain, query) == 0) {
+      counters_["placements_without_engine_total"]++;
+      deliver(domain, waiting_.take(domain, position), {});
+      return true;
+    }
   }
   if (const auto zone = zone_with_free_slots(domain)) {
     counters_["placements_passed_on_total"]++;
@@ -382,6 +410,9 @@
   query.due = Duration(message.due_us);
   query.patience = Duration(message.patience_us);
   query.rank = {message.tenant_priority, message.route_priority};
+  if (message.continues) {
+    query.software_version = message.software_version;
+  }
   const caller origin{message.node, message.request, sender};
   send_reply(sender, message.request, choose(origin, {message.pool, message.zone}, query, message.final));
 }
--- a/src/placement/coordinator.hpp
+++ b/src/placement/coordinator.hpp
@@ -69,11 +69,14 @@
     Timestamp reported_at{};
   };
 
-  std::vector<routing::Backend*> candidates(const engine_domain& domain, const std::set<BackendId>& excluded);
+  /// @return the engines of @p domain that the call of @p query may be sent to, however busy they are.
+  std::vector<routing::Backend*> candidates(const engine_domain& domain, const forwarding::placement_query& query);
   /// @return engines of @p domain that are warming up and whose rate limit admits another request now.
-  std::vector<routing::Backend*> warming_candidates(const engine_domain& domain, const std::set<BackendId>& excluded);
-  /// @return the sum of the rate limits, in calls per second, of the engines of @p domain that are warming up.
-  double warm_up_rate(const engine_domain& domain);
+  std::vector<routing::Backend*> warming_candidates(const engine_domain& domain,
+                                                    const forwarding::placement_query& query);
+  /// @return the sum of the rate limits, in calls per second, of the engines of @p domain that are warming up and that
+  ///         the call of @p query may be sent to.
+  double warm_up_rate(const engine_domain& domain, const forwarding::placement_query& query);
   /// @return the time until a call behind @p ahead others gets an engine, if slots become free at an even rate.
   Duration expected_wait(const engine_domain& domain, const forwarding::placement_query& query,
                          const std::vector<routing::Backend*>& open, std::size_t ahead);
--- a/src/placement/place_client.cpp
+++ b/src/placement/place_client.cpp
@@ -89,6 +89,12 @@
   send_message(environment_, node.mapped().coordinator_address, std::move(message));
 }
 
+void place_client::return_unused(const BackendId& engine) {
+  if (on_unused_assignment) {
+    on_unused_assignment(engine);
+  }
+}
+
 void place_client::ask(ticket request_id) {
   pending& call = pending_.at(request_id);
   ++call.attempt;
@@ -137,6 +143,8 @@
   request.patience_us = call.query.patience.count();
   request.tenant_priority = call.query.rank.tenant;
   request.route_priority = call.query.rank.route;
+  request.continues = call.query.software_version.has_value();
+  request.software_version = call.query.software_version.value_or("");
   send_message(environment_, PeerAddress(member.peer_address), std::move(request));
 }
 
@@ -145,8 +153,8 @@
   // A coordinator that was asked earlier may reply after the call was passed on to another one.
   if (call == pending_.end() || call->second.coordinator_address != sender) {
     counters_["placements_answered_late_total"]++;
-    if (!message.engine.empty() && on_unused_assignment) {
-      on_unused_assignment(BackendId(message.engine));
+    if (!message.engine.empty()) {
+      return_unused(BackendId(message.engine));
     }
     return;
   }
--- a/src/placement/place_client.hpp
+++ b/src/placement/place_client.hpp
@@ -33,8 +33,10 @@
   void note_request(bool long_start) override;
   ticket place(const forwarding::placement_query& query, placed done) override;
   void withdraw(ticket request_id) override;
+  void return_unused(const BackendId& engine) override;
   void handle(const PeerAddress& sender, const wire::PlaceReplyT& message);
-  /// Called with an engine that was assigned too late to be used; its coordinator counts a call that never comes.
+  /// Called with an engine that was assigned too late, or to a request that cannot use it; its coordinator counts a
+  /// call that never comes.
   std::function<void(const BackendId&)> on_unused_assignment;
   /// @return the gateway to ask for engines of @p domain now; null if there is none.
   const wire::MemberT* coordinator_for(const engine_domain& domain) const;
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -79,6 +79,7 @@
 void Registry::join_pools(Backend& backend) {
   for (const std::string& pool : backend.machine.pools) {
     pools_[pool].add(node_hash_, backend);
+    versions_.add(pool, backend.machine.software_version, environment_.now());
   }
 }
 
@@ -86,6 +87,7 @@
   const Backend& backend = backends_.at(id);
   for (const std::string& pool : backend.machine.pools) {
     pools_[pool].remove(node_hash_, backend);
+    versions_.remove(pool, backend.machine.software_version, environment_.now());
   }
   if (forget) {
     with_open_calls_.erase(id);
@@ -309,6 +311,51 @@
   return usable.empty() ? ejected : usable;
 }
 
+std::vector<Backend*> Registry::candidates(const std::string& pool, const std::optional<std::string>& version) {
+  if (!version || !versions_stated_) {
+    return candidates(pool);
+  }
+  const auto known = pools_.find(pool);
+  if (known == pools_.end()) {
+    return {};
+  }
+  std::vector<Backend*> usable;
+  std::vector<Backend*> ejected;
+  for (const ranked_pool::member& member : known->second.in_order()) {
+    Backend* backend = member.backend;
+    if (may_run_at(*backend, version) && open(*backend) && !warm_up_limit(*backend)) {
+      (environment_.now() < backend->ejected_until ? ejected : usable).push_back(backend);
+    }
+  }
+  return usable.empty() ? ejected : usable;
+}
+
+bool Registry::may_run_at(const Backend& backend, const std::optional<std::string>& version) const {
+  if (!version || !versions_stated_ || !guards_.match_software_version) {
+    return true;
+  }
+  return !version->empty() && backend.machine.software_version == *version;
+}
+
+bool Registry::serves_version(const std::string& pool, const std::optional<std::string>& version) const {
+  const auto known = pools_.find(pool);
+  if (known == pools_.end()) {
+    return false;
+  }
+  const std::set<ranked_pool::member>& members = known->second.in_order();
+  return std::any_of(members.begin(), members.end(), [&](const ranked_pool::member& member) {
+    return may_run_at(*member.backend, version) && !member.backend->machine.leaving && !member.backend->unlisted;
+  });
+}
+
+void Registry::set_software_version(Backend& backend, std::string version) {
+  for (const std::string& pool : backend.machine.pools) {
+    versions_.remove(pool, backend.machine.software_version, environment_.now());
+    versions_.add(pool, version, environment_.now());
+  }
+  backend.machine.software_version = std::move(version);
+}
+
 std::optional<double> Registry::warm_up_limit(const Backend& backend) const {
   if (environment_.now() >= backend.warm_up_until) {
     return std::nullopt;
@@ -515,6 +562,8 @@
   }
   if (backend->machine.started_unix_ms != 0 && report.started_unix_ms > backend->machine.started_unix_ms) {
     backend->machine.started_unix_ms = report.started_unix_ms;
+    // The entry is of the earlier incarnation; the next one states the version.
+    set_software_version(*backend, "");
     begin_incarnation(*backend);
   }
   const open_calls others = shared_ == nullptr ? open_calls{} : shared_->at(id);
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -16,6 +16,7 @@
 #include "routing/lapse.hpp"
 #include "routing/ranked_pool.hpp"
 #include "routing/shared_calls.hpp"
+#include "routing/software_versions.hpp"
 #include "routing/warm_up.hpp"
 
 namespace madderdeck::routing {
@@ -29,6 +30,7 @@
   bool honour_leaving_reports = true;  ///< A back end that answers or reports that it is leaving gets no new work.
   bool need_fresh_reports = true;      ///< A back end without a recent load report gets no new work.
   bool bound_grace_period = true;      ///< A back end that is no longer listed is used for a bounded time at most.
+  bool match_software_version = true;  ///< A stream is continued only by the software version that began it.
   bool keep_on_mass_delisting = true;  ///< If most entries of a pool disappear together, their back ends stay in use.
 };
 
@@ -117,6 +119,20 @@
   /// @return the back ends of @p pool in this node's subset that may get new work and are not warming up, without the
   ///         ejected ones. If all of them are ejected, the ejected ones, since a call to one may still succeed.
   std::vector<Backend*> candidates(const std::string& pool);
+  /// @return the same for a request that may only run at @p version (may_run_at()); where one is set, of the whole pool
+  ///         and not only of this node's subset.
+  std::vector<Backend*> candidates(const std::string& pool, const std::optional<std::string>& version);
+  /// The rule by which every choice of a back end goes: a stream of which the caller has events is continued only by
+  /// the software version that wrote them. A version that is not stated equals no other one, unless this platform's
+  /// lists state none at all.
+  /// @param version the version that wrote the events; empty optional: the request has not begun.
+  bool may_run_at(const Backend& backend, const std::optional<std::string>& version) const;
+  /// @return whether a back end of @p pool that may run the request is listed and not leaving, however busy it is.
+  bool serves_version(const std::string& pool, const std::optional<std::string>& version) const;
+  /// @param stated whether this platform's list of back ends states software versions.
+  void set_versions_stated(bool stated) { versions_stated_ = stated; }
+  bool versions_stated() const { return versions_stated_; }
+  const software_versions& versions() const { return versions_; }
   /// @return all back ends that may get new work.
   std::vector<Backend*> all_open();
   bool open(const Backend& backend) const;
@@ -165,6 +181,8 @@
   /// @return the back ends of @p pool to which this node sends live requests, in any state.
   std::vector<Backend*> subset_of(const std::string& pool) const;
   void join_pools(Backend& backend);
+  /// Replaces the software version of a listed back end.
+  void set_software_version(Backend& backend, std::string version);
   /// @return the longest warm-up time of the pools of @p backend.
   Duration warm_up_length(const Backend& backend) const;
   void warm_up_for(Backend& backend, Duration time);
@@ -203,6 +221,8 @@
   std::size_t gateways_ = 1;
   std::map<BackendId, Backend> backends_;
   std::map<std::string, ranked_pool> pools_;
+  software_versions versions_;
+  bool versions_stated_ = false;
   std::map<BackendId, RecentlyDelisted> recently_delisted_;  ///< Those of the last kMassDelistingWindow.
   std::set<std::string> evacuated_;                          ///< Zones whose back ends get no requests.
   std::map<std::string, warm_up> warm_ups_;                  ///< By pool.
--- a/src/simulation/earlier_version.cpp
+++ b/src/simulation/earlier_version.cpp
@@ -7,7 +7,14 @@
     case wire::Message::RevisionQuestion:
     case wire::Message::RevisionAnswer:
     case wire::Message::SuspicionTaken:
+    case wire::Message::StreamRecord:
+    case wire::Message::StreamQuestion:
+    case wire::Message::StreamAnswer:
       return false;
+    case wire::Message::PlaceRequest:
+      message.AsPlaceRequest()->continues = false;
+      message.AsPlaceRequest()->software_version.clear();
+      return true;
     case wire::Message::CopyStatusRequest:
       message.AsCopyStatusRequest()->place_epoch = 0;
       message.AsCopyStatusRequest()->offered.reset();
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -214,6 +214,7 @@
   void watch_objects(std::uint64_t since, Duration wait, object_store::ChangesDone done) override;
   void watch_machines(std::uint64_t since, Duration wait, object_store::ChangesDone done) override;
   bool has_retirements() const override { return true; }
+  bool states_software_versions() const override;
   void watch_retirements(std::uint64_t since, Duration wait, object_store::ChangesDone done) override;
   void report_retirement(const NodeId& node, object_store::RetirementState state,
                          object_store::ReportDone done) override;
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -87,6 +87,12 @@
        [](Guards& guards) { guards.forward.complete_events_only = false; }, ScheduleMix::answers},
       {"ends_taken_as_they_come", Promise::broken_off_never_whole, 5,
        [](Guards& guards) { guards.forward.check_answer_ends = false; }, ScheduleMix::answers},
+      {"versions_not_compared", Promise::stream_keeps_version, 5,
+       [](Guards& guards) { guards.registry.match_software_version = false; }, ScheduleMix::versions},
+      {"unknown_version_guessed", Promise::stream_keeps_version, 20,
+       [](Guards& guards) { guards.streams.refuse_unknown = false; }, ScheduleMix::versions},
+      {"stream_records_not_shared", Promise::stream_keeps_version, 40,
+       [](Guards& guards) { guards.streams.share_records = false; }, ScheduleMix::versions},
       {"emptied_before_handover", Promise::epoch_names_disks_that_exist, 10,
        [](Guards& guards) { guards.drained_after_handover = false; }, ScheduleMix::departures},
   };
--- a/src/simulation/sim_platform.cpp
+++ b/src/simulation/sim_platform.cpp
@@ -6,6 +6,8 @@
 
 namespace madderdeck::simulation {
 
+bool SimPlatformClient::states_software_versions() const { return fleet_.profile.engine_versions > 0; }
+
 void SimPlatformClient::watch_objects(std::uint64_t since, Duration wait, object_store::ChangesDone done) {
   watch(*fleet_.objects, since, wait, std::move(done));
 }
--- a/src/simulation/stream_clients.cpp
+++ b/src/simulation/stream_clients.cpp
@@ -183,7 +183,8 @@
     return;
   }
   if (one->events > 0) {
-    ++oracle_.counts.resumes_refused[std::string(error_kind_name(refusal.error.kind))];
+    const std::string kind(error_kind_name(refusal.error.kind));
+    ++oracle_.counts.resumes_refused[one->claim == resume_claim::right ? kind : kind + "_wrong_claim"];
     if (error_kind_name(refusal.error.kind) == kUnknownVersion && version_must_be_known(*one)) {
       oracle_.violated(
           Promise::stream_keeps_version,
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -234,6 +234,18 @@
 struct SuspicionSyncBuilder;
 struct SuspicionSyncT;
 
+struct StreamRecord;
+struct StreamRecordBuilder;
+struct StreamRecordT;
+
+struct StreamQuestion;
+struct StreamQuestionBuilder;
+struct StreamQuestionT;
+
+struct StreamAnswer;
+struct StreamAnswerBuilder;
+struct StreamAnswerT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -564,11 +576,14 @@
   RevisionAnswer = 41,
   SuspicionTaken = 42,
   MemberDigests = 43,
+  StreamRecord = 44,
+  StreamQuestion = 45,
+  StreamAnswer = 46,
   MIN = NONE,
-  MAX = MemberDigests
+  MAX = StreamAnswer
 };
 
-inline const Message (&EnumValuesMessage())[44] {
+inline const Message (&EnumValuesMessage())[47] {
   static const Message values[] = {
     Message::NONE,
     Message::Ping,
@@ -613,13 +628,16 @@
     Message::RevisionQuestion,
     Message::RevisionAnswer,
     Message::SuspicionTaken,
-    Message::MemberDigests
+    Message::MemberDigests,
+    Message::StreamRecord,
+    Message::StreamQuestion,
+    Message::StreamAnswer
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[45] = {
+  static const char * const names[48] = {
     "NONE",
     "Ping",
     "PingRequest",
@@ -664,13 +682,16 @@
     "RevisionAnswer",
     "SuspicionTaken",
     "MemberDigests",
+    "StreamRecord",
+    "StreamQuestion",
+    "StreamAnswer",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::MemberDigests)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::StreamAnswer)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -851,6 +872,18 @@
   static const Message enum_value = Message::MemberDigests;
 };
 
+template<> struct MessageTraits<madderdeck::wire::StreamRecord> {
+  static const Message enum_value = Message::StreamRecord;
+};
+
+template<> struct MessageTraits<madderdeck::wire::StreamQuestion> {
+  static const Message enum_value = Message::StreamQuestion;
+};
+
+template<> struct MessageTraits<madderdeck::wire::StreamAnswer> {
+  static const Message enum_value = Message::StreamAnswer;
+};
+
 template<typename T> struct MessageUnionTraits {
   static const Message enum_value = Message::NONE;
 };
@@ -1027,6 +1060,18 @@
   static const Message enum_value = Message::MemberDigests;
 };
 
+template<> struct MessageUnionTraits<madderdeck::wire::StreamRecordT> {
+  static const Message enum_value = Message::StreamRecord;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::StreamQuestionT> {
+  static const Message enum_value = Message::StreamQuestion;
+};
+
+template<> struct MessageUnionTraits<madderdeck::wire::StreamAnswerT> {
+  static const Message enum_value = Message::StreamAnswer;
+};
+
 struct MessageUnion {
   Message type;
   void *value;
@@ -1401,6 +1446,30 @@
     return type == Message::MemberDigests ?
       reinterpret_cast<const madderdeck::wire::MemberDigestsT *>(value) : nullptr;
   }
+  madderdeck::wire::StreamRecordT *AsStreamRecord() {
+    return type == Message::StreamRecord ?
+      reinterpret_cast<madderdeck::wire::StreamRecordT *>(value) : nullptr;
+  }
+  const madderdeck::wire::StreamRecordT *AsStreamRecord() const {
+    return type == Message::StreamRecord ?
+      reinterpret_cast<const madderdeck::wire::StreamRecordT *>(value) : nullptr;
+  }
+  madderdeck::wire::StreamQuestionT *AsStreamQuestion() {
+    return type == Message::StreamQuestion ?
+      reinterpret_cast<madderdeck::wire::StreamQuestionT *>(value) : nullptr;
+  }
+  const madderdeck::wire::StreamQuestionT *AsStreamQuestion() const {
+    return type == Message::StreamQuestion ?
+      reinterpret_cast<const madderdeck::wire::StreamQuestionT *>(value) : nullptr;
+  }
+  madderdeck::wire::StreamAnswerT *AsStreamAnswer() {
+    return type == Message::StreamAnswer ?
+      reinterpret_cast<madderdeck::wire::StreamAnswerT *>(value) : nullptr;
+  }
+  const madderdeck::wire::StreamAnswerT *AsStreamAnswer() const {
+    return type == Message::StreamAnswer ?
+      reinterpret_cast<const madderdeck::wire::StreamAnswerT *>(value) : nullptr;
+  }
 };
 
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
@@ -6166,6 +6235,8 @@
   int64_t patience_us = 0;
   uint32_t tenant_priority = 0;
   uint32_t route_priority = 0;
+  bool continues = false;
+  std::string software_version{};
 };
 
 struct PlaceRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -6186,7 +6257,9 @@
     VT_DUE_US = 24,
     VT_PATIENCE_US = 26,
     VT_TENANT_PRIORITY = 28,
-    VT_ROUTE_PRIORITY = 30
+    VT_ROUTE_PRIORITY = 30,
+    VT_CONTINUES = 32,
+    VT_SOFTWARE_VERSION = 34
   };
   uint64_t request() const {
     return GetField<uint64_t>(VT_REQUEST, 0);
@@ -6230,6 +6303,12 @@
   uint32_t route_priority() const {
     return GetField<uint32_t>(VT_ROUTE_PRIORITY, 0);
   }
+  bool continues() const {
+    return GetField<uint8_t>(VT_CONTINUES, 0) != 0;
+  }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
@@ -6253,6 +6332,9 @@
            VerifyField<int64_t>(verifier, VT_PATIENCE_US, 8) &&
            VerifyField<uint32_t>(verifier, VT_TENANT_PRIORITY, 4) &&
            VerifyField<uint32_t>(verifier, VT_ROUTE_PRIORITY, 4) &&
+           VerifyField<uint8_t>(verifier, VT_CONTINUES, 1) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
            verifier.EndTable();
   }
   PlaceRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -6306,6 +6388,12 @@
   void add_route_priority(uint32_t route_priority) {
     fbb_.AddElement<uint32_t>(PlaceRequest::VT_ROUTE_PRIORITY, route_priority, 0);
   }
+  void add_continues(bool continues) {
+    fbb_.AddElement<uint8_t>(PlaceRequest::VT_CONTINUES, static_cast<uint8_t>(continues), 0);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(PlaceRequest::VT_SOFTWARE_VERSION, software_version);
+  }
   explicit PlaceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -6332,11 +6420,14 @@
     int64_t due_us = 0,
     int64_t patience_us = 0,
     uint32_t tenant_priority = 0,
-    uint32_t route_priority = 0) {
+    uint32_t route_priority = 0,
+    bool continues = false,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0) {
   PlaceRequestBuilder builder_(_fbb);
   builder_.add_patience_us(patience_us);
   builder_.add_due_us(due_us);
   builder_.add_request(request);
+  builder_.add_software_version(software_version);
   builder_.add_route_priority(route_priority);
   builder_.add_tenant_priority(tenant_priority);
   builder_.add_holding_us(holding_us);
@@ -6347,6 +6438,7 @@
   builder_.add_zone(zone);
   builder_.add_pool(pool);
   builder_.add_node(node);
+  builder_.add_continues(continues);
   builder_.add_final(final);
   return builder_.Finish();
 }
@@ -6371,13 +6463,16 @@
     int64_t due_us = 0,
     int64_t patience_us = 0,
     uint32_t tenant_priority = 0,
-    uint32_t route_priority = 0) {
+    uint32_t route_priority = 0,
+    bool continues = false,
+    const char *software_version = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto pool__ = pool ? _fbb.CreateString(pool) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto affinity_key__ = affinity_key ? _fbb.CreateString(affinity_key) : 0;
   auto excluded__ = excluded ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*excluded) : 0;
   auto caller_request__ = caller_request ? _fbb.CreateString(caller_request) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
   return madderdeck::wire::CreatePlaceRequest(
       _fbb,
       request,
@@ -6393,7 +6488,9 @@
       due_us,
       patience_us,
       tenant_priority,
-      route_priority);
+      route_priority,
+      continues,
+      software_version__);
 }
 
 flatbuffers::Offset<PlaceRequest> CreatePlaceRequest(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7986,6 +8083,385 @@
 
 flatbuffers::Offset<SuspicionSync> CreateSuspicionSync(flatbuffers::FlatBufferBuilder &_fbb, const SuspicionSyncT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct StreamRecordT : public flatbuffers::NativeTable {
+  typedef StreamRecord TableType;
+  uint64_t high = 0;
+  uint64_t low = 0;
+  std::string pool{};
+  std::string software_version{};
+  uint32_t valid_ms = 0;
+};
+
+struct StreamRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamRecordT NativeTableType;
+  typedef StreamRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HIGH = 4,
+    VT_LOW = 6,
+    VT_POOL = 8,
+    VT_SOFTWARE_VERSION = 10,
+    VT_VALID_MS = 12
+  };
+  uint64_t high() const {
+    return GetField<uint64_t>(VT_HIGH, 0);
+  }
+  uint64_t low() const {
+    return GetField<uint64_t>(VT_LOW, 0);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
+  uint32_t valid_ms() const {
+    return GetField<uint32_t>(VT_VALID_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_HIGH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOW, 8) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
+           VerifyField<uint32_t>(verifier, VT_VALID_MS, 4) &&
+           verifier.EndTable();
+  }
+  StreamRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamRecordBuilder {
+  typedef StreamRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_high(uint64_t high) {
+    fbb_.AddElement<uint64_t>(StreamRecord::VT_HIGH, high, 0);
+  }
+  void add_low(uint64_t low) {
+    fbb_.AddElement<uint64_t>(StreamRecord::VT_LOW, low, 0);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(StreamRecord::VT_POOL, pool);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(StreamRecord::VT_SOFTWARE_VERSION, software_version);
+  }
+  void add_valid_ms(uint32_t valid_ms) {
+    fbb_.AddElement<uint32_t>(StreamRecord::VT_VALID_MS, valid_ms, 0);
+  }
+  explicit StreamRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamRecord> CreateStreamRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0,
+    uint32_t valid_ms = 0) {
+  StreamRecordBuilder builder_(_fbb);
+  builder_.add_low(low);
+  builder_.add_high(high);
+  builder_.add_valid_ms(valid_ms);
+  builder_.add_software_version(software_version);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+struct StreamRecord::Traits {
+  using type = StreamRecord;
+  static auto constexpr Create = CreateStreamRecord;
+};
+
+inline flatbuffers::Offset<StreamRecord> CreateStreamRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    const char *pool = nullptr,
+    const char *software_version = nullptr,
+    uint32_t valid_ms = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
+  return madderdeck::wire::CreateStreamRecord(
+      _fbb,
+      high,
+      low,
+      pool__,
+      software_version__,
+      valid_ms);
+}
+
+flatbuffers::Offset<StreamRecord> CreateStreamRecord(flatbuffers::FlatBufferBuilder &_fbb, const StreamRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamQuestionT : public flatbuffers::NativeTable {
+  typedef StreamQuestion TableType;
+  uint64_t number = 0;
+  uint64_t high = 0;
+  uint64_t low = 0;
+  std::string pool{};
+  uint32_t longest_stream_ms = 0;
+};
+
+struct StreamQuestion FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamQuestionT NativeTableType;
+  typedef StreamQuestionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_HIGH = 6,
+    VT_LOW = 8,
+    VT_POOL = 10,
+    VT_LONGEST_STREAM_MS = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t high() const {
+    return GetField<uint64_t>(VT_HIGH, 0);
+  }
+  uint64_t low() const {
+    return GetField<uint64_t>(VT_LOW, 0);
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  uint32_t longest_stream_ms() const {
+    return GetField<uint32_t>(VT_LONGEST_STREAM_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HIGH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LOW, 8) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyField<uint32_t>(verifier, VT_LONGEST_STREAM_MS, 4) &&
+           verifier.EndTable();
+  }
+  StreamQuestionT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamQuestionT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamQuestion> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamQuestionBuilder {
+  typedef StreamQuestion Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(StreamQuestion::VT_NUMBER, number, 0);
+  }
+  void add_high(uint64_t high) {
+    fbb_.AddElement<uint64_t>(StreamQuestion::VT_HIGH, high, 0);
+  }
+  void add_low(uint64_t low) {
+    fbb_.AddElement<uint64_t>(StreamQuestion::VT_LOW, low, 0);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(StreamQuestion::VT_POOL, pool);
+  }
+  void add_longest_stream_ms(uint32_t longest_stream_ms) {
+    fbb_.AddElement<uint32_t>(StreamQuestion::VT_LONGEST_STREAM_MS, longest_stream_ms, 0);
+  }
+  explicit StreamQuestionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamQuestion> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamQuestion>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamQuestion> CreateStreamQuestion(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    uint32_t longest_stream_ms = 0) {
+  StreamQuestionBuilder builder_(_fbb);
+  builder_.add_low(low);
+  builder_.add_high(high);
+  builder_.add_number(number);
+  builder_.add_longest_stream_ms(longest_stream_ms);
+  builder_.add_pool(pool);
+  return builder_.Finish();
+}
+
+struct StreamQuestion::Traits {
+  using type = StreamQuestion;
+  static auto constexpr Create = CreateStreamQuestion;
+};
+
+inline flatbuffers::Offset<StreamQuestion> CreateStreamQuestionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t high = 0,
+    uint64_t low = 0,
+    const char *pool = nullptr,
+    uint32_t longest_stream_ms = 0) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  return madderdeck::wire::CreateStreamQuestion(
+      _fbb,
+      number,
+      high,
+      low,
+      pool__,
+      longest_stream_ms);
+}
+
+flatbuffers::Offset<StreamQuestion> CreateStreamQuestion(flatbuffers::FlatBufferBuilder &_fbb, const StreamQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct StreamAnswerT : public flatbuffers::NativeTable {
+  typedef StreamAnswer TableType;
+  uint64_t number = 0;
+  bool known = false;
+  std::string pool{};
+  std::string software_version{};
+  bool conflicting = false;
+  std::string sole_version{};
+};
+
+struct StreamAnswer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StreamAnswerT NativeTableType;
+  typedef StreamAnswerBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_KNOWN = 6,
+    VT_POOL = 8,
+    VT_SOFTWARE_VERSION = 10,
+    VT_CONFLICTING = 12,
+    VT_SOLE_VERSION = 14
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool known() const {
+    return GetField<uint8_t>(VT_KNOWN, 0) != 0;
+  }
+  const flatbuffers::String *pool() const {
+    return GetPointer<const flatbuffers::String *>(VT_POOL);
+  }
+  const flatbuffers::String *software_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOFTWARE_VERSION);
+  }
+  bool conflicting() const {
+    return GetField<uint8_t>(VT_CONFLICTING, 0) != 0;
+  }
+  const flatbuffers::String *sole_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_SOLE_VERSION);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_KNOWN, 1) &&
+           VerifyOffset(verifier, VT_POOL) &&
+           verifier.VerifyString(pool()) &&
+           VerifyOffset(verifier, VT_SOFTWARE_VERSION) &&
+           verifier.VerifyString(software_version()) &&
+           VerifyField<uint8_t>(verifier, VT_CONFLICTING, 1) &&
+           VerifyOffset(verifier, VT_SOLE_VERSION) &&
+           verifier.VerifyString(sole_version()) &&
+           verifier.EndTable();
+  }
+  StreamAnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(StreamAnswerT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<StreamAnswer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct StreamAnswerBuilder {
+  typedef StreamAnswer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(StreamAnswer::VT_NUMBER, number, 0);
+  }
+  void add_known(bool known) {
+    fbb_.AddElement<uint8_t>(StreamAnswer::VT_KNOWN, static_cast<uint8_t>(known), 0);
+  }
+  void add_pool(flatbuffers::Offset<flatbuffers::String> pool) {
+    fbb_.AddOffset(StreamAnswer::VT_POOL, pool);
+  }
+  void add_software_version(flatbuffers::Offset<flatbuffers::String> software_version) {
+    fbb_.AddOffset(StreamAnswer::VT_SOFTWARE_VERSION, software_version);
+  }
+  void add_conflicting(bool conflicting) {
+    fbb_.AddElement<uint8_t>(StreamAnswer::VT_CONFLICTING, static_cast<uint8_t>(conflicting), 0);
+  }
+  void add_sole_version(flatbuffers::Offset<flatbuffers::String> sole_version) {
+    fbb_.AddOffset(StreamAnswer::VT_SOLE_VERSION, sole_version);
+  }
+  explicit StreamAnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StreamAnswer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StreamAnswer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool known = false,
+    flatbuffers::Offset<flatbuffers::String> pool = 0,
+    flatbuffers::Offset<flatbuffers::String> software_version = 0,
+    bool conflicting = false,
+    flatbuffers::Offset<flatbuffers::String> sole_version = 0) {
+  StreamAnswerBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_sole_version(sole_version);
+  builder_.add_software_version(software_version);
+  builder_.add_pool(pool);
+  builder_.add_conflicting(conflicting);
+  builder_.add_known(known);
+  return builder_.Finish();
+}
+
+struct StreamAnswer::Traits {
+  using type = StreamAnswer;
+  static auto constexpr Create = CreateStreamAnswer;
+};
+
+inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswerDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool known = false,
+    const char *pool = nullptr,
+    const char *software_version = nullptr,
+    bool conflicting = false,
+    const char *sole_version = nullptr) {
+  auto pool__ = pool ? _fbb.CreateString(pool) : 0;
+  auto software_version__ = software_version ? _fbb.CreateString(software_version) : 0;
+  auto sole_version__ = sole_version ? _fbb.CreateString(sole_version) : 0;
+  return madderdeck::wire::CreateStreamAnswer(
+      _fbb,
+      number,
+      known,
+      pool__,
+      software_version__,
+      conflicting,
+      sole_version__);
+}
+
+flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   std::string sender{};
@@ -8140,6 +8616,15 @@
   const madderdeck::wire::MemberDigests *body_as_MemberDigests() const {
     return body_type() == madderdeck::wire::Message::MemberDigests ? static_cast<const madderdeck::wire::MemberDigests *>(body()) : nullptr;
   }
+  const madderdeck::wire::StreamRecord *body_as_StreamRecord() const {
+    return body_type() == madderdeck::wire::Message::StreamRecord ? static_cast<const madderdeck::wire::StreamRecord *>(body()) : nullptr;
+  }
+  const madderdeck::wire::StreamQuestion *body_as_StreamQuestion() const {
+    return body_type() == madderdeck::wire::Message::StreamQuestion ? static_cast<const madderdeck::wire::StreamQuestion *>(body()) : nullptr;
+  }
+  const madderdeck::wire::StreamAnswer *body_as_StreamAnswer() const {
+    return body_type() == madderdeck::wire::Message::StreamAnswer ? static_cast<const madderdeck::wire::StreamAnswer *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_SENDER) &&
@@ -8326,6 +8811,18 @@
   return body_as_MemberDigests();
 }
 
+template<> inline const madderdeck::wire::StreamRecord *Envelope::body_as<madderdeck::wire::StreamRecord>() const {
+  return body_as_StreamRecord();
+}
+
+template<> inline const madderdeck::wire::StreamQuestion *Envelope::body_as<madderdeck::wire::StreamQuestion>() const {
+  return body_as_StreamQuestion();
+}
+
+template<> inline const madderdeck::wire::StreamAnswer *Envelope::body_as<madderdeck::wire::StreamAnswer>() const {
+  return body_as_StreamAnswer();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -11404,6 +11901,8 @@
   { auto _e = patience_us(); _o->patience_us = _e; }
   { auto _e = tenant_priority(); _o->tenant_priority = _e; }
   { auto _e = route_priority(); _o->route_priority = _e; }
+  { auto _e = continues(); _o->continues = _e; }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<PlaceRequest> PlaceRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11428,6 +11927,8 @@
   auto _patience_us = _o->patience_us;
   auto _tenant_priority = _o->tenant_priority;
   auto _route_priority = _o->route_priority;
+  auto _continues = _o->continues;
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
   return madderdeck::wire::CreatePlaceRequest(
       _fbb,
       _request,
@@ -11443,7 +11944,9 @@
       _due_us,
       _patience_us,
       _tenant_priority,
-      _route_priority);
+      _route_priority,
+      _continues,
+      _software_version);
 }
 
 inline PlaceReplyT *PlaceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -12036,6 +12539,123 @@
       _reply);
 }
 
+inline StreamRecordT *StreamRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamRecord::UnPackTo(StreamRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = high(); _o->high = _e; }
+  { auto _e = low(); _o->low = _e; }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
+  { auto _e = valid_ms(); _o->valid_ms = _e; }
+}
+
+inline flatbuffers::Offset<StreamRecord> StreamRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamRecord> CreateStreamRecord(flatbuffers::FlatBufferBuilder &_fbb, const StreamRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _high = _o->high;
+  auto _low = _o->low;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
+  auto _valid_ms = _o->valid_ms;
+  return madderdeck::wire::CreateStreamRecord(
+      _fbb,
+      _high,
+      _low,
+      _pool,
+      _software_version,
+      _valid_ms);
+}
+
+inline StreamQuestionT *StreamQuestion::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamQuestionT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamQuestion::UnPackTo(StreamQuestionT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = high(); _o->high = _e; }
+  { auto _e = low(); _o->low = _e; }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = longest_stream_ms(); _o->longest_stream_ms = _e; }
+}
+
+inline flatbuffers::Offset<StreamQuestion> StreamQuestion::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamQuestionT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamQuestion(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamQuestion> CreateStreamQuestion(flatbuffers::FlatBufferBuilder &_fbb, const StreamQuestionT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamQuestionT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _high = _o->high;
+  auto _low = _o->low;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _longest_stream_ms = _o->longest_stream_ms;
+  return madderdeck::wire::CreateStreamQuestion(
+      _fbb,
+      _number,
+      _high,
+      _low,
+      _pool,
+      _longest_stream_ms);
+}
+
+inline StreamAnswerT *StreamAnswer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<StreamAnswerT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void StreamAnswer::UnPackTo(StreamAnswerT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = known(); _o->known = _e; }
+  { auto _e = pool(); if (_e) _o->pool = _e->str(); }
+  { auto _e = software_version(); if (_e) _o->software_version = _e->str(); }
+  { auto _e = conflicting(); _o->conflicting = _e; }
+  { auto _e = sole_version(); if (_e) _o->sole_version = _e->str(); }
+}
+
+inline flatbuffers::Offset<StreamAnswer> StreamAnswer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateStreamAnswer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<StreamAnswer> CreateStreamAnswer(flatbuffers::FlatBufferBuilder &_fbb, const StreamAnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const StreamAnswerT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _known = _o->known;
+  auto _pool = _o->pool.empty() ? 0 : _fbb.CreateString(_o->pool);
+  auto _software_version = _o->software_version.empty() ? 0 : _fbb.CreateString(_o->software_version);
+  auto _conflicting = _o->conflicting;
+  auto _sole_version = _o->sole_version.empty() ? 0 : _fbb.CreateString(_o->sole_version);
+  return madderdeck::wire::CreateStreamAnswer(
+      _fbb,
+      _number,
+      _known,
+      _pool,
+      _software_version,
+      _conflicting,
+      _sole_version);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -12692,6 +13312,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::MemberDigests *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::StreamRecord: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamRecord *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StreamQuestion: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamQuestion *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StreamAnswer: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamAnswer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -12883,6 +13515,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::MemberDigests *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Message::StreamRecord: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamRecord *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::StreamQuestion: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamQuestion *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Message::StreamAnswer: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamAnswer *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -13062,6 +13706,18 @@
       auto ptr = reinterpret_cast<const madderdeck::wire::MemberDigestsT *>(value);
       return CreateMemberDigests(_fbb, ptr, _rehasher).Union();
     }
+    case Message::StreamRecord: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamRecordT *>(value);
+      return CreateStreamRecord(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::StreamQuestion: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamQuestionT *>(value);
+      return CreateStreamQuestion(_fbb, ptr, _rehasher).Union();
+    }
+    case Message::StreamAnswer: {
+      auto ptr = reinterpret_cast<const madderdeck::wire::StreamAnswerT *>(value);
+      return CreateStreamAnswer(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -13240,6 +13896,18 @@
       value = new madderdeck::wire::MemberDigestsT(*reinterpret_cast<madderdeck::wire::MemberDigestsT *>(u.value));
       break;
     }
+    case Message::StreamRecord: {
+      value = new madderdeck::wire::StreamRecordT(*reinterpret_cast<madderdeck::wire::StreamRecordT *>(u.value));
+      break;
+    }
+    case Message::StreamQuestion: {
+      value = new madderdeck::wire::StreamQuestionT(*reinterpret_cast<madderdeck::wire::StreamQuestionT *>(u.value));
+      break;
+    }
+    case Message::StreamAnswer: {
+      value = new madderdeck::wire::StreamAnswerT(*reinterpret_cast<madderdeck::wire::StreamAnswerT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -13462,6 +14130,21 @@
       delete ptr;
       break;
     }
+    case Message::StreamRecord: {
+      auto ptr = reinterpret_cast<madderdeck::wire::StreamRecordT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::StreamQuestion: {
+      auto ptr = reinterpret_cast<madderdeck::wire::StreamQuestionT *>(value);
+      delete ptr;
+      break;
+    }
+    case Message::StreamAnswer: {
+      auto ptr = reinterpret_cast<madderdeck::wire::StreamAnswerT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -44,14 +44,36 @@
     return answers.size();
   }
   void withdraw(ticket question) override { withdrawn.push_back(question); }
+  void return_unused(const BackendId& engine) override { unused.push_back(engine); }
 
   bool on = true;
   std::vector<placement_query> queries;
   std::vector<placed> answers;
   std::vector<ticket> withdrawn;
+  std::vector<BackendId> unused;
   int long_starts = 0;
 };
 
+/// Answers lookups when the test calls the stored callbacks.
+class scripted_directory : public stream_directory {
+ public:
+  void record(const stream_key& key, const stream_origin& origin, Duration /*valid_for*/,
+              bool /*several_pools*/) override {
+    recorded.emplace_back(key, origin);
+  }
+  ticket look_up(stream_query query, found done) override {
+    queries.push_back(std::move(query));
+    answers.push_back(std::move(done));
+    return answers.size();
+  }
+  void withdraw(ticket lookup) override { withdrawn.push_back(lookup); }
+
+  std::vector<std::pair<stream_key, stream_origin>> recorded;
+  std::vector<stream_query> queries;
+  std::vector<found> answers;
+  std::vector<ticket> withdrawn;
+};
+
 /// Records what the caller has received.
 struct Caller {
   std::optional<AnswerHead> head;
@@ -91,6 +113,7 @@
     }
     table.apply(0, backends + 1, entries);
     registry.update(table, keys);
+    registry.set_versions_stated(!versions.empty());
     route->name = "route";
     route->kind = RouteKind::repeatable;
     route->pools = {{"pool", 1}};
@@ -396,6 +419,129 @@
 
 }  // namespace
 
+namespace {
+
+/// A resumable stream whose caller has three events of another attempt, r0.
+struct resumed_fixture : Fixture {
+  explicit resumed_fixture(const std::vector<std::string>& versions) : Fixture(versions.size(), versions) {
+    forwarder.use_directory(directory);
+    route->kind = RouteKind::stream;
+    route->resumable = true;
+    resumed->id = "r1";
+    resumed->resume_after = 3;
+    resumed->first_attempt = "r0";
+  }
+  ForwardId resume() { return forwarder.start(resumed, route, caller.events()); }
+  std::string version_of_call(std::size_t number) {
+    return registry.find(call(number).call.backend)->machine.software_version;
+  }
+
+  std::shared_ptr<ForwardedRequest> resumed = std::make_shared<ForwardedRequest>();
+  scripted_directory directory;
+};
+
+}  // namespace
+
+TEST_CASE("a stream that its caller resumes goes on only at the software version that began it") {
+  resumed_fixture fixture({"v1", "v2", "v1", "v1"});
+  fixture.resume();
+  CHECK(fixture.upstream.calls.empty());
+  REQUIRE(fixture.directory.queries.size() == 1);
+  CHECK(fixture.directory.queries[0].key == stream_key_of(*fixture.resumed, "r0"));
+  fixture.directory.answers[0](stream_origin{"pool", "v2"});
+  REQUIRE(fixture.upstream.calls.size() == 1);
+  CHECK(fixture.version_of_call(0) == "v2");
+  fixture.answer(0, 200, "id: 4\ndata: d\n\n", true);
+  REQUIRE(fixture.directory.recorded.size() == 1);
+  CHECK(fixture.directory.recorded[0].first == stream_key_of(*fixture.resumed, "r0"));
+  CHECK(fixture.directory.recorded[0].second == stream_origin{"pool", "v2"});
+}
+
+TEST_CASE("a stream whose software version is gone or unknown is refused at once as not run, without a retry time") {
+  for (const bool known : {true, false}) {
+    resumed_fixture fixture({"v1", "v1"});
+    fixture.resume();
+    fixture.directory.answers[0](known ? std::optional(stream_origin{"pool", "v2"}) : std::nullopt);
+    CHECK(fixture.upstream.calls.empty());
+    REQUIRE(fixture.caller.refusal);
+    CHECK(fixture.caller.refusal->error.kind == (known ? ErrorKind::version_gone : ErrorKind::version_unknown));
+    CHECK(fixture.caller.refusal->ran == routing::Ran::no);
+    CHECK(fixture.caller.refusal->retry_after == Duration::zero());
+  }
+}
+
+TEST_CASE("a stream whose software version is only busy is refused with a retry time") {
+  resumed_fixture fixture({"v1", "v2"});
+  fixture.resume();
+  fixture.directory.answers[0](stream_origin{"pool", "v2"});
+  fixture.call(0).events.failed(CallFailure::refused);
+  CHECK(fixture.upstream.calls.size() == 1);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->error.kind == ErrorKind::unavailable);
+  CHECK(fixture.caller.refusal->retry_after > Duration::zero());
+}
+
+TEST_CASE("a stream is recorded with its first event, before its caller has the event") {
+  resumed_fixture fixture({"v1", "v1"});
+  auto request = std::make_shared<ForwardedRequest>();
+  request->id = "r7";
+  ForwardEvents events = fixture.caller.events();
+  std::size_t recorded_before = 0;
+  events.piece = [&](std::string_view) { recorded_before = fixture.directory.recorded.size(); };
+  fixture.forwarder.start(request, fixture.route, std::move(events));
+  CHECK(fixture.directory.queries.empty());
+  fixture.answer(0, 200, "id: 1\ndata: a\n\n", true);
+  CHECK(recorded_before == 1);
+  fixture.call(0).events.piece("id: 2\ndata: b\n\n");
+  REQUIRE(fixture.directory.recorded.size() == 1);
+  CHECK(fixture.directory.recorded[0].second == stream_origin{"pool", "v1"});
+}
+
+TEST_CASE("a resumed stream goes to the pool in which it began") {
+  resumed_fixture fixture({"v1", "v1"});
+  fixture.route->pools = {{"other", 100}, {"pool", 1}};
+  fixture.resume();
+  fixture.directory.answers[0](stream_origin{"pool", "v1"});
+  CHECK(fixture.upstream.calls.size() == 1);
+}
+
+TEST_CASE("a lookup ends with its request, at the caller's leaving and at the deadline") {
+  resumed_fixture fixture({"v1", "v2"});
+  fixture.forwarder.cancel(fixture.resume());
+  CHECK(fixture.directory.withdrawn.size() == 1);
+  fixture.directory.answers[0](stream_origin{"pool", "v1"});
+  CHECK(fixture.upstream.calls.empty());
+  resumed_fixture late({"v1", "v2"});
+  late.resume();
+  late.environment.world.run_for(2s);
+  REQUIRE(late.caller.refusal);
+  CHECK(late.caller.refusal->error.kind == ErrorKind::deadline_exceeded);
+  CHECK(late.caller.refusal->ran == routing::Ran::no);
+}
+
+TEST_CASE("where back ends state no versions, resumed streams are not looked up") {
+  resumed_fixture fixture({"", "", ""});
+  fixture.registry.set_versions_stated(false);
+  fixture.resume();
+  CHECK(fixture.directory.queries.empty());
+  CHECK(fixture.upstream.calls.size() == 1);
+}
+
+// A coordinator of an earlier build, or one with an older list, does not know the version.
+TEST_CASE("an engine of another software version that the placer chose for a begun stream is returned unused") {
+  resumed_fixture fixture({"v1", "v2", "v2"});
+  scripted_placer placer;
+  fixture.forwarder.use_placer(placer);
+  fixture.resume();
+  fixture.directory.answers[0](stream_origin{"pool", "v2"});
+  REQUIRE(placer.queries.size() == 1);
+  CHECK(placer.queries[0].software_version == "v2");
+  placer.answers[0](engine_assignment{BackendId("engine-0")});
+  CHECK(placer.unused == std::vector<BackendId>{BackendId("engine-0")});
+  REQUIRE(fixture.upstream.calls.size() == 1);
+  CHECK(fixture.version_of_call(0) == "v2");
+}
+
 TEST_CASE("a request is sent to the engine that the placer chose") {
   placed_fixture fixture;
   fixture.start();
--- a/tests/wire/corpus_test.cpp
+++ b/tests/wire/corpus_test.cpp
@@ -156,6 +156,6 @@
   const std::string today = read_whole_file(kTodaysSchema);
   std::string later =
       spoiled(today, "{ sequence:ulong; target:string; }", "{ sequence:ulong; target:string; more:uint; }");
-  later = spoiled(later, "MemberDigests\n}", "MemberDigests, HeldItems\n}");
+  later = spoiled(later, "StreamAnswer\n}", "StreamAnswer, HeldItems\n}");
   CHECK(schema_comparison(wire_schema(today), wire_schema(later)).breaches().empty());
 }
