Batch items are continued only by the software version that began them

A result that is completed held the text of two software versions.

Cause: an item keeps its partial output when its engine breaks off, yields or is given to another dispatcher, and goes on after the last event at any engine of the pool.

Change: the version that wrote the partial output travels with it (work item, settlement, the manager's progress). A dispatcher continues the item at an engine of that version, waits for one of its own until a second of the lease is left, and otherwise discards the output and begins anew (item_begun_anew, batch_items_begun_anew_total); so it does with output of an earlier build, which names no version.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -40,6 +40,8 @@
 constexpr Duration kWithholdTime = 30s;
 /// The next dispatcher must know of the engine's termination before it gets the item; that message takes 1 to 5 ms.
 constexpr Duration kBreakNewsDelay = 10ms;
+/// An item with partial output waits for an engine of the same software version until this much of its lease is left.
+constexpr Duration kLongestWaitLeft = 1s;
 constexpr Duration kRouteMissingLimit = 5s;  ///< Longer than a configuration change takes to reach all nodes.
 
 std::string_view error_name(const Result<ledger::OptionalValue>& result) {
@@ -255,7 +257,8 @@
     }
     std::size_t room = free_slots_on(*backend, engine);
     for (std::size_t position = 0; room > 0 && position < queue_.size();) {
-      if (!can_run_on(queue_[position], *backend) || conflicts_with_suspect(queue_[position], backend->machine.id)) {
+      if (!can_run_on(queue_[position], *backend) || conflicts_with_suspect(queue_[position], backend->machine.id) ||
+          waits_for_version(queue_[position], *backend)) {
         ++position;
         continue;
       }
@@ -310,6 +313,36 @@
   return kind != nullptr && offers(kind->pool);
 }
 
+bool Dispatcher::waits_for_version(const QueuedItem& work, const routing::Backend& backend) {
+  const std::string& version = work.item.partial_version;
+  if (work.item.partial_tokens == 0 || registry_.may_run_at(backend, version)) {
+    return false;
+  }
+  const bool soon_returned = environment_.now() + kLongestWaitLeft >= work.start_before;
+  const std::vector<routing::Backend*> open = open_owned_engines();
+  return !soon_returned && std::any_of(open.begin(), open.end(), [&](const routing::Backend* other) {
+    return can_run_on(work, *other) && registry_.may_run_at(*other, version);
+  });
+}
+
+void Dispatcher::begin_anew_if_necessary(QueuedItem& work, const routing::Backend& backend) {
+  wire::WorkItemT& item = work.item;
+  if (item.partial_tokens == 0 || registry_.may_run_at(backend, item.partial_version)) {
+    return;
+  }
+  counters_["batch_items_begun_anew_total"]++;
+  log_.record("item_begun_anew", {{"job", item.job},
+                                  {"index", item.index},
+                                  {"item", item_id_of(work)},
+                                  {"events", item.partial_tokens},
+                                  {"partial_version", item.partial_version},
+                                  {"backend", backend.machine.id.str()},
+                                  {"software_version", backend.machine.software_version}});
+  item.partial.clear();
+  item.partial_tokens = 0;
+  item.partial_version.clear();
+}
+
 bool Dispatcher::route_missing_too_long(const QueuedItem& work) {
   if (!work.http || !catalog_.routes()) {
     return false;
@@ -485,6 +518,7 @@
 
 void Dispatcher::start_item(QueuedItem work, routing::Backend& backend) {
   const RunId id = ++next_run_;
+  begin_anew_if_necessary(work, backend);
   Result<routing::EngineCall> built = engine_call_for(work);
   if (!succeeded(built)) {
     work.item.partial = error_of(built).detail;
@@ -503,6 +537,7 @@
   RunningItem running;
   running.work = std::move(work);
   running.engine = backend.machine.id;
+  running.software_version = backend.machine.software_version;
   running.start_number = id;
   running.started_at = environment_.now();
   running.resumed_from = running.work.item.partial_tokens;
@@ -558,6 +593,9 @@
   wire::WorkItemT& item = entry->second.work.item;
   if (offset == item.partial_tokens) {
     const bool event_of_stream = entry->second.work.http != nullptr;
+    if (item.partial_tokens == 0) {
+      item.partial_version = entry->second.software_version;
+    }
     item.partial.append(event_of_stream && item.partial_tokens > 0 ? "\n" : "").append(text);
     ++item.partial_tokens;
   } else if (offset > item.partial_tokens) {
@@ -677,6 +715,7 @@
     message.failed_runs = work.item.failed_runs;
     message.partial = work.item.partial;
     message.partial_tokens = work.item.partial_tokens;
+    message.partial_version = work.item.partial_version;
   }
   return message;
 }
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -105,6 +105,7 @@
     routing::CallId call = 0;
     std::uint64_t start_number = 0;  ///< Sequence number of the start; the latest start yields first.
     Timestamp started_at{};
+    std::string software_version;    ///< Of the engine, as listed when the run was sent to it.
     std::uint32_t resumed_from = 0;  ///< Number of events that earlier runs produced.
     std::optional<Timestamp> first_event_at;
   };
@@ -146,6 +147,11 @@
   const forwarding::Route* route_of(const QueuedItem& work) const;
   /// @return whether @p work may run on @p backend.
   bool can_run_on(const QueuedItem& work, const routing::Backend& backend) const;
+  /// @return whether @p work is to wait for an engine of the software version that wrote its partial output rather than
+  ///         begin anew on @p backend.
+  bool waits_for_version(const QueuedItem& work, const routing::Backend& backend);
+  /// Discards the partial output of @p work if @p backend must not continue it.
+  void begin_anew_if_necessary(QueuedItem& work, const routing::Backend& backend);
   /// @return whether the route of @p work has been missing from the configuration for longer than kRouteMissingLimit.
   bool route_missing_too_long(const QueuedItem& work);
   void start_item(QueuedItem work, routing::Backend& backend);
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -355,6 +355,7 @@
     if (const auto progress = job.item_progress.find(index); progress != job.item_progress.end()) {
       item->partial = progress->second.partial;
       item->partial_tokens = progress->second.tokens;
+      item->partial_version = progress->second.software_version;
       item->failed_runs = progress->second.failed_runs;
     }
     reply.items.push_back(std::move(item));
@@ -537,6 +538,7 @@
     if (message.partial_tokens >= progress.tokens) {
       progress.partial = message.partial;
       progress.tokens = message.partial_tokens;
+      progress.software_version = message.partial_version;
     }
   }
   const bool free = job.items[message.index] == ItemState::pending;
@@ -575,6 +577,7 @@
     message.failed_runs = progress.failed_runs;
     message.partial = progress.partial;
     message.partial_tokens = progress.tokens;
+    message.partial_version = progress.software_version;
     send_message(environment_, PeerAddress(owner->peer_address), std::move(message));
   }
   counters_["jobs_handed_over_total"]++;
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -66,6 +66,7 @@
   struct ItemProgress {
     std::string partial;
     std::uint32_t tokens = 0;
+    std::string software_version;  ///< That wrote partial; empty: not stated.
     std::uint32_t failed_runs = 0;
   };
   enum class ItemState : std::uint8_t { pending, leased, settled };
--- a/src/simulation/earlier_version.cpp
+++ b/src/simulation/earlier_version.cpp
@@ -11,6 +11,14 @@
     case wire::Message::StreamQuestion:
     case wire::Message::StreamAnswer:
       return false;
+    case wire::Message::GiveItems:
+      for (auto& item : message.AsGiveItems()->items) {
+        item->partial_version.clear();
+      }
+      return true;
+    case wire::Message::ItemSettled:
+      message.AsItemSettled()->partial_version.clear();
+      return true;
     case wire::Message::PlaceRequest:
       message.AsPlaceRequest()->continues = false;
       message.AsPlaceRequest()->software_version.clear();
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -5008,6 +5008,7 @@
   uint64_t deadline_ms = 0;
   uint32_t tokens = 0;
   uint64_t give_up_at_ms = 0;
+  std::string partial_version{};
 };
 
 struct WorkItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5027,7 +5028,8 @@
     VT_HOST = 22,
     VT_DEADLINE_MS = 24,
     VT_TOKENS = 26,
-    VT_GIVE_UP_AT_MS = 28
+    VT_GIVE_UP_AT_MS = 28,
+    VT_PARTIAL_VERSION = 30
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -5068,6 +5070,9 @@
   uint64_t give_up_at_ms() const {
     return GetField<uint64_t>(VT_GIVE_UP_AT_MS, 0);
   }
+  const flatbuffers::String *partial_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_PARTIAL_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -5089,6 +5094,8 @@
            VerifyField<uint64_t>(verifier, VT_DEADLINE_MS, 8) &&
            VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
            VerifyField<uint64_t>(verifier, VT_GIVE_UP_AT_MS, 8) &&
+           VerifyOffset(verifier, VT_PARTIAL_VERSION) &&
+           verifier.VerifyString(partial_version()) &&
            verifier.EndTable();
   }
   WorkItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5139,6 +5146,9 @@
   void add_give_up_at_ms(uint64_t give_up_at_ms) {
     fbb_.AddElement<uint64_t>(WorkItem::VT_GIVE_UP_AT_MS, give_up_at_ms, 0);
   }
+  void add_partial_version(flatbuffers::Offset<flatbuffers::String> partial_version) {
+    fbb_.AddOffset(WorkItem::VT_PARTIAL_VERSION, partial_version);
+  }
   explicit WorkItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5164,10 +5174,12 @@
     flatbuffers::Offset<flatbuffers::String> host = 0,
     uint64_t deadline_ms = 0,
     uint32_t tokens = 0,
-    uint64_t give_up_at_ms = 0) {
+    uint64_t give_up_at_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> partial_version = 0) {
   WorkItemBuilder builder_(_fbb);
   builder_.add_give_up_at_ms(give_up_at_ms);
   builder_.add_deadline_ms(deadline_ms);
+  builder_.add_partial_version(partial_version);
   builder_.add_tokens(tokens);
   builder_.add_host(host);
   builder_.add_failed_runs(failed_runs);
@@ -5201,13 +5213,15 @@
     const char *host = nullptr,
     uint64_t deadline_ms = 0,
     uint32_t tokens = 0,
-    uint64_t give_up_at_ms = 0) {
+    uint64_t give_up_at_ms = 0,
+    const char *partial_version = nullptr) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto template_name__ = template_name ? _fbb.CreateString(template_name) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto partial__ = partial ? _fbb.CreateString(partial) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
+  auto partial_version__ = partial_version ? _fbb.CreateString(partial_version) : 0;
   return madderdeck::wire::CreateWorkItem(
       _fbb,
       job__,
@@ -5222,7 +5236,8 @@
       host__,
       deadline_ms,
       tokens,
-      give_up_at_ms);
+      give_up_at_ms,
+      partial_version__);
 }
 
 flatbuffers::Offset<WorkItem> CreateWorkItem(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5487,6 +5502,7 @@
   std::string partial{};
   uint32_t partial_tokens = 0;
   bool held = false;
+  std::string partial_version{};
 };
 
 struct ItemSettled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5500,7 +5516,8 @@
     VT_FAILED_RUNS = 10,
     VT_PARTIAL = 12,
     VT_PARTIAL_TOKENS = 14,
-    VT_HELD = 16
+    VT_HELD = 16,
+    VT_PARTIAL_VERSION = 18
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -5523,6 +5540,9 @@
   bool held() const {
     return GetField<uint8_t>(VT_HELD, 0) != 0;
   }
+  const flatbuffers::String *partial_version() const {
+    return GetPointer<const flatbuffers::String *>(VT_PARTIAL_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -5534,6 +5554,8 @@
            verifier.VerifyString(partial()) &&
            VerifyField<uint32_t>(verifier, VT_PARTIAL_TOKENS, 4) &&
            VerifyField<uint8_t>(verifier, VT_HELD, 1) &&
+           VerifyOffset(verifier, VT_PARTIAL_VERSION) &&
+           verifier.VerifyString(partial_version()) &&
            verifier.EndTable();
   }
   ItemSettledT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5566,6 +5588,9 @@
   void add_held(bool held) {
     fbb_.AddElement<uint8_t>(ItemSettled::VT_HELD, static_cast<uint8_t>(held), 0);
   }
+  void add_partial_version(flatbuffers::Offset<flatbuffers::String> partial_version) {
+    fbb_.AddOffset(ItemSettled::VT_PARTIAL_VERSION, partial_version);
+  }
   explicit ItemSettledBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5585,8 +5610,10 @@
     uint32_t failed_runs = 0,
     flatbuffers::Offset<flatbuffers::String> partial = 0,
     uint32_t partial_tokens = 0,
-    bool held = false) {
+    bool held = false,
+    flatbuffers::Offset<flatbuffers::String> partial_version = 0) {
   ItemSettledBuilder builder_(_fbb);
+  builder_.add_partial_version(partial_version);
   builder_.add_partial_tokens(partial_tokens);
   builder_.add_partial(partial);
   builder_.add_failed_runs(failed_runs);
@@ -5610,9 +5637,11 @@
     uint32_t failed_runs = 0,
     const char *partial = nullptr,
     uint32_t partial_tokens = 0,
-    bool held = false) {
+    bool held = false,
+    const char *partial_version = nullptr) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto partial__ = partial ? _fbb.CreateString(partial) : 0;
+  auto partial_version__ = partial_version ? _fbb.CreateString(partial_version) : 0;
   return madderdeck::wire::CreateItemSettled(
       _fbb,
       job__,
@@ -5621,7 +5650,8 @@
       failed_runs,
       partial__,
       partial_tokens,
-      held);
+      held,
+      partial_version__);
 }
 
 flatbuffers::Offset<ItemSettled> CreateItemSettled(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -11469,6 +11499,7 @@
   { auto _e = deadline_ms(); _o->deadline_ms = _e; }
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = give_up_at_ms(); _o->give_up_at_ms = _e; }
+  { auto _e = partial_version(); if (_e) _o->partial_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<WorkItem> WorkItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11492,6 +11523,7 @@
   auto _deadline_ms = _o->deadline_ms;
   auto _tokens = _o->tokens;
   auto _give_up_at_ms = _o->give_up_at_ms;
+  auto _partial_version = _o->partial_version.empty() ? 0 : _fbb.CreateString(_o->partial_version);
   return madderdeck::wire::CreateWorkItem(
       _fbb,
       _job,
@@ -11506,7 +11538,8 @@
       _host,
       _deadline_ms,
       _tokens,
-      _give_up_at_ms);
+      _give_up_at_ms,
+      _partial_version);
 }
 
 inline JobNoticeT *JobNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -11627,6 +11660,7 @@
   { auto _e = partial(); if (_e) _o->partial = _e->str(); }
   { auto _e = partial_tokens(); _o->partial_tokens = _e; }
   { auto _e = held(); _o->held = _e; }
+  { auto _e = partial_version(); if (_e) _o->partial_version = _e->str(); }
 }
 
 inline flatbuffers::Offset<ItemSettled> ItemSettled::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11644,6 +11678,7 @@
   auto _partial = _o->partial.empty() ? 0 : _fbb.CreateString(_o->partial);
   auto _partial_tokens = _o->partial_tokens;
   auto _held = _o->held;
+  auto _partial_version = _o->partial_version.empty() ? 0 : _fbb.CreateString(_o->partial_version);
   return madderdeck::wire::CreateItemSettled(
       _fbb,
       _job,
@@ -11652,7 +11687,8 @@
       _failed_runs,
       _partial,
       _partial_tokens,
-      _held);
+      _held,
+      _partial_version);
 }
 
 inline HeldItemsT *HeldItems::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -43,7 +43,7 @@
       }
     }
   }
-  void give_item() {
+  void give_item(const std::function<void(wire::WorkItemT&)>& change = {}) {
     std::uint64_t request = 0;
     for (const auto& message : fleet.environment.sent) {
       request = message.body.type == wire::Message::TakeItems ? message.body.AsTakeItems()->request : request;
@@ -55,6 +55,10 @@
     item->template_name = "t";
     item->body = R"({"prompt":"p"})";
     item->lease_ms = 30'000;
+    item->index = given++;
+    if (change) {
+      change(*item);
+    }
     items.items.push_back(std::move(item));
     dispatcher.handle(kManager, items);
     last_given = std::move(items);
@@ -68,6 +72,7 @@
   }
 
   wire::GiveItemsT last_given;
+  std::uint32_t given = 0;
   const BackendId engine;
   fleet_members fleet{1};
   NoDecisionLog log;
@@ -90,6 +95,77 @@
 
 }  // namespace
 
+namespace {
+
+/// A dispatcher with an engine of version v1 and another one of version v2.
+struct two_versions_fixture : dispatcher_fixture {
+  two_versions_fixture() {
+    registry.set_versions_stated(true);
+    list(engine, "v1", 3);  // two of them are headroom
+    list(other, "v2", 4);
+    fleet.environment.world.run_for(500ms);
+  }
+  void list(const BackendId& id, const std::string& version, std::uint32_t slots) {
+    config::Machine machine;
+    machine.pools = {kPool};
+    machine.zone = "z0";
+    machine.slots = slots;
+    machine.software_version = version;
+    const config::EntryKey key{config::kMachineKind, id.str()};
+    machines.apply(revision, revision + 1, {{key, config::format_machine(machine), revision + 1}});
+    ++revision;
+    registry.update(machines, {key});
+  }
+  void give_partial(const std::string& version, std::uint32_t lease_ms = 30'000) {
+    give_item([&version, lease_ms](wire::WorkItemT& item) {
+      item.lease_ms = lease_ms;
+      item.partial = "ab";
+      item.partial_tokens = 2;
+      item.partial_version = version;
+    });
+  }
+
+  const BackendId other{"another"};
+  config::VersionedTable machines;
+  std::uint64_t revision = 0;
+};
+
+}  // namespace
+
+TEST_CASE("the result of a batch item was written by two software versions") {
+  for (const char* version : {"v1", "v2"}) {
+    two_versions_fixture fixture;
+    fixture.give_partial(version);
+    REQUIRE(fixture.backends.engine_calls.size() == 1);
+    CHECK(fixture.registry.find(fixture.backends.engine_calls[0].engine)->machine.software_version == version);
+    CHECK(fixture.backends.engine_calls[0].call.resume_from == 2);
+  }
+}
+
+TEST_CASE("a batch item begins anew where no engine has the software version that wrote its partial output") {
+  for (const char* version : {"v3", ""}) {
+    two_versions_fixture fixture;
+    fixture.give_partial(version);
+    REQUIRE(fixture.backends.engine_calls.size() == 1);
+    CHECK(fixture.backends.engine_calls[0].call.resume_from == 0);
+    CHECK(fixture.fleet.counters["batch_items_begun_anew_total"] == 1);
+  }
+}
+
+TEST_CASE("a batch item waits a bounded time for a busy engine of its software version") {
+  two_versions_fixture fixture;
+  fixture.list(fixture.other, "v2", 3);
+  fixture.give_partial("v1");
+  REQUIRE(fixture.backends.engine_calls.size() == 1);  // the only slot of v1
+  fixture.give_partial("v1", 1'500);
+  fixture.fleet.environment.world.run_for(400ms);
+  CHECK(fixture.backends.engine_calls.size() == 1);
+  fixture.fleet.environment.world.run_for(200ms);
+  REQUIRE(fixture.backends.engine_calls.size() == 2);
+  CHECK(fixture.backends.engine_calls[1].engine == fixture.other);
+  CHECK(fixture.backends.engine_calls[1].call.resume_from == 0);
+}
+
 TEST_CASE("a run on an engine that another dispatcher owns by now is requeued with its progress") {
   dispatcher_fixture fixture;
   fixture.give_item();
