The own API's generations are continued only by the software version that began them

Found as the same cause elsewhere: live_router resumed a generation at any engine of the model. No platform of the own API has to state versions, so that an unstated one still equals every other one there; two stated ones that differ do not. Without an engine of the version: version_gone, and whether it ran is said truly.

The two tests failed before: a generation went on at another version, and was sent on once its version had gone.

--- a/src/routing/live_router.cpp
+++ b/src/routing/live_router.cpp
@@ -41,7 +41,7 @@
 }
 
 std::vector<Backend*> LiveRouter::choices(const Active& active) {
-  std::vector<Backend*> found = registry_.candidates(active.request.model);
+  std::vector<Backend*> found = registry_.candidates(active.request.model, active.stream_version);
   std::vector<Backend*> untried;
   for (Backend* backend : found) {
     if (!active.tried.contains(backend->machine.id)) {
@@ -95,6 +95,12 @@
     return;
   }
   std::vector<Backend*> open = choices(active);
+  if (open.empty() && active.stream_version && !registry_.serves_version(active.request.model, active.stream_version)) {
+    counters_["live_refused_version_gone_total"]++;
+    refuse(id, ErrorKind::version_gone,
+           "no engine has software version '" + *active.stream_version + "', which began the stream", Duration::zero());
+    return;
+  }
   if (open.empty()) {
     refuse(id, ErrorKind::unavailable, "no engine accepts requests for " + active.request.model, kRetryAfterOutage);
     return;
@@ -112,6 +118,7 @@
   Backend& backend =
       picker_->pick({open, active.request.prompt, environment_.now(), environment_.random(), gateways_per_engine});
   active.engine = backend.machine.id;
+  active.software_version = backend.machine.software_version;
   active.tried.insert(active.engine);
   active.attempt = environment_.random();
   active.attempt_started = environment_.now();
@@ -153,6 +160,9 @@
     const auto elapsed = std::chrono::duration<double, std::milli>(environment_.now() - active.attempt_started);
     registry_.on_first_token(active.engine, elapsed.count());
   }
+  if (!active.stream_version) {
+    active.stream_version = active.software_version;
+  }
   ++active.delivered;
   active.events.token(text);
 }
--- a/src/routing/live_router.hpp
+++ b/src/routing/live_router.hpp
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -69,6 +70,8 @@
     Timestamp attempt_started{};
     std::optional<Timestamp> first_token_at;  ///< Within the current attempt.
     std::uint32_t delivered = 0;
+    std::string software_version;               ///< Of the engine of the current attempt.
+    std::optional<std::string> stream_version;  ///< Software version that wrote the delivered tokens; empty: none yet.
     BackendId engine;
     CallId call = 0;
     std::uint64_t attempt = 0;
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -312,7 +312,7 @@
 }
 
 std::vector<Backend*> Registry::candidates(const std::string& pool, const std::optional<std::string>& version) {
-  if (!version || !versions_stated_) {
+  if (!version || (version->empty() && !versions_stated_)) {
     return candidates(pool);
   }
   const auto known = pools_.find(pool);
@@ -331,10 +331,12 @@
 }
 
 bool Registry::may_run_at(const Backend& backend, const std::optional<std::string>& version) const {
-  if (!version || !versions_stated_ || !guards_.match_software_version) {
+  if (!version || !guards_.match_software_version) {
     return true;
   }
-  return !version->empty() && backend.machine.software_version == *version;
+  const std::string& own = backend.machine.software_version;
+  const bool unstated = version->empty() || own.empty();
+  return unstated ? !versions_stated_ : own == *version;
 }
 
 bool Registry::serves_version(const std::string& pool, const std::optional<std::string>& version) const {
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -123,8 +123,8 @@
   ///         and not only of this node's subset.
   std::vector<Backend*> candidates(const std::string& pool, const std::optional<std::string>& version);
   /// The rule by which every choice of a back end goes: a stream of which the caller has events is continued only by
-  /// the software version that wrote them. A version that is not stated equals no other one, unless this platform's
-  /// lists state none at all.
+  /// the software version that wrote them. A version that is not stated equals no other one, or, where this platform's
+  /// lists need not state versions, every other one.
   /// @param version the version that wrote the events; empty optional: the request has not begun.
   bool may_run_at(const Backend& backend, const std::optional<std::string>& version) const;
   /// @return whether a back end of @p pool that may run the request is listed and not leaving, however busy it is.
--- a/tests/routing/live_router_test.cpp
+++ b/tests/routing/live_router_test.cpp
@@ -10,11 +10,18 @@
 
 namespace {
 struct RouterFixture {
-  RouterFixture() {
+  /// @param versions software versions of the four engines; empty: they state none.
+  explicit RouterFixture(const std::vector<std::string>& versions = {}) {
     std::vector<config::Entry> entries;
     for (unsigned number = 1; number <= 4; ++number) {
-      entries.push_back(
-          {{"machine", "10.0.0." + std::to_string(number) + ":1"}, R"({"pool":"m","slots":2})", number, false});
+      config::Machine machine;
+      machine.pools = {"m"};
+      machine.slots = 2;
+      machine.software_version = versions.empty() ? "" : versions.at(number - 1);
+      entries.push_back({{"machine", "10.0.0." + std::to_string(number) + ":1"},
+                         versions.empty() ? R"({"pool":"m","slots":2})" : config::format_machine(machine),
+                         number,
+                         false});
     }
     registry.update(table, table.apply(0, 4, entries));
     for (const auto& [id, backend] : registry.backends()) {
@@ -59,6 +66,40 @@
   CHECK(fixture.text == "abc");
 }
 
+TEST_CASE("a generation was resumed on an engine of another software version") {
+  RouterFixture fixture({"v1", "v2", "v3", "v4"});
+  fixture.start();
+  const auto version_of = [&](std::size_t call) {
+    return fixture.registry.find(fixture.backends.engine_calls.at(call).engine)->machine.software_version;
+  };
+  fixture.backends.engine_calls[0].events.token(0, "a");
+  fixture.backends.engine_calls[0].events.failed(CallFailure::broken);
+  REQUIRE(fixture.backends.engine_calls.size() == 2);
+  CHECK(version_of(1) == version_of(0));
+}
+
+TEST_CASE("a generation whose software version is gone is refused, since it can only be begun anew") {
+  RouterFixture fixture({"v1", "v1", "v1", "v1"});
+  fixture.start();
+  const auto first = fixture.backends.engine_calls.at(0);
+  first.events.token(0, "a");
+  std::vector<config::Entry> entries;
+  std::vector<config::EntryKey> keys;
+  for (const auto& [id, backend] : fixture.registry.backends()) {
+    config::Machine machine = backend.machine;
+    machine.software_version = "v2";
+    keys.push_back({"machine", id.str()});
+    entries.push_back({keys.back(), config::format_machine(machine), 10 + entries.size(), false});
+  }
+  fixture.table.apply(4, 20, entries);
+  fixture.registry.update(fixture.table, keys);
+  first.events.failed(CallFailure::broken);
+  CHECK(fixture.backends.engine_calls.size() == 1);
+  REQUIRE(fixture.refusal);
+  CHECK(fixture.refusal->error.kind == ErrorKind::version_gone);
+  CHECK(fixture.refusal->ran == Ran::unknown);
+}
+
 TEST_CASE("a stream that ends before its total is resumed, not reported as finished") {
   RouterFixture fixture;
   fixture.start();
