--- a/src/forwarding/request.hpp
+++ b/src/forwarding/request.hpp
@@ -29,7 +29,7 @@
   std::string body;
   std::optional<Duration> patience;  ///< How long the caller waits, from the request's arrival.
   std::uint64_t resume_after = 0;    ///< Number of the last event that the caller has received.
-  std::string first_attempt;  ///< Id of the caller's attempt that brought its first event; empty: not stated.
+  std::string first_attempt;         ///< Id of the caller's attempt that brought its first event; empty: not stated.
   std::vector<PromptPart> prompt;
   std::string tenant;                 ///< Tenant that sent the request; empty where the caller sent no key.
   std::uint32_t tenant_priority = 0;  ///< 0 is the most urgent.
--- a/tests/platform/translation_test.cpp
+++ b/tests/platform/translation_test.cpp
@@ -197,7 +197,8 @@
   }
 }
 
-TEST_CASE("an engine's software version is kept in transfers between nodes; one that cannot be compared is not stated") {
+TEST_CASE(
+    "an engine's software version is kept in transfers between nodes; one that cannot be compared is not stated") {
   const auto stated = [](const json::value& version) {
     json::object spec = json::parse(R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":8,"state":"ready",
         "stage":"dual"})")
