A client that resumes without naming its first attempt is served where only one version can have begun the stream

Cause: without a key no other gateway was asked, so that a young gateway could not learn that the pool has had one version for long. Change: it asks as well, and one node with a disk beside the gateways, since all of these may have started together. Tests: stream_records_test (the new cases were not run against the code before).

--- a/src/placement/stream_records.cpp
+++ b/src/placement/stream_records.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "common/hash.hpp"
+#include "membership/ranking.hpp"
 
 namespace madderdeck::placement {
 namespace {
@@ -202,10 +203,8 @@
     const bool conflicting = own->second.conflicting;
     finish(number, conflicting ? std::nullopt : std::optional(own->second.origin),
            conflicting ? evidence::conflicting : evidence::own_record);
-  } else if (key) {
-    ask(number);
   } else {
-    conclude_round(number);
+    ask(number);
   }
   return number;
 }
@@ -215,12 +214,20 @@
   const unsigned round = ++pending.round;
   wire::StreamQuestionT question;
   question.number = number;
-  question.high = pending.query.key->high;
-  question.low = pending.query.key->low;
+  // Without a key no record is found, and the gateways tell only which version has been the only one.
+  const forwarding::stream_key key = pending.query.key.value_or(forwarding::stream_key{});
+  question.high = key.high;
+  question.low = key.low;
   question.pool = pending.query.pools.front();
   question.longest_stream_ms = static_cast<std::uint32_t>(pending.query.longest_stream / 1ms);
   pending.awaited.clear();
-  for (const wire::MemberT* holder : holders_of(*pending.query.key, kAsked)) {
+  std::vector<const wire::MemberT*> asked = holders_of(key, kAsked);
+  // Where all gateways have started anew, nodes with a disk may know the pool for longer.
+  const std::vector<const wire::MemberT*> ledgers = members_.available(membership::Role::ledger);
+  if (const wire::MemberT* ledger = membership::first_ranked(ledgers, pending.query.request)) {
+    asked.push_back(ledger);
+  }
+  for (const wire::MemberT* holder : asked) {
     if (holder->id != members_.self().id) {
       pending.awaited.insert(PeerAddress(holder->peer_address));
     }
--- a/tests/placement/stream_records_test.cpp
+++ b/tests/placement/stream_records_test.cpp
@@ -155,6 +155,7 @@
   CHECK(fixture.answers == 1);
   CHECK_FALSE(fixture.found);
   fixture.look_up(std::nullopt);  // the caller names no attempt
+  fixture.wait(30ms);
   CHECK(fixture.answers == 2);
   CHECK_FALSE(fixture.found);
 }
@@ -164,6 +165,7 @@
   fixture.list("e1", "v1");
   fixture.wait(kLongest + 1s);
   fixture.look_up(std::nullopt);
+  fixture.answer_all(false, "");
   CHECK(fixture.found == stream_origin{kPool, "v1"});
   fixture.look_up();
   fixture.answer_all(false, "");
@@ -177,6 +179,10 @@
   fixture.look_up();
   fixture.answer_all(false, "", "v1");
   CHECK(fixture.found == stream_origin{kPool, "v1"});
+  fixture.found.reset();
+  fixture.look_up(std::nullopt);  // nor does the caller name its first attempt
+  fixture.answer_all(false, "", "v1");
+  CHECK(fixture.found == stream_origin{kPool, "v1"});
   records_fixture other;
   other.list("e1", "v1");
   other.look_up();
