Tests: coordinators place begun streams only on engines of their software version

Three cases: a name for another version is never given, streams that wait for one version do not keep new calls from the engines of another, and a version that no engine has is not waited for.

--- a/tests/placement/coordinator_test.cpp
+++ b/tests/placement/coordinator_test.cpp
@@ -464,6 +464,90 @@
   CHECK(fixture.ask(5'000, 50ms, 4s).waiting);
 }
 
+namespace {
+
+/// As above; of the zone's engines e0 has software version v1 and the others have v2.
+struct versions_fixture : queueing_fixture {
+  versions_fixture() {
+    registry.set_versions_stated(true);
+    for (const std::string& engine : engines_of_zone()) {
+      set_version(engine, engine == "e0" ? "v1" : "v2");
+    }
+  }
+  std::vector<std::string> engines_of_zone() const {
+    std::vector<std::string> found;
+    for (const auto& [id, backend] : registry.backends()) {
+      if (backend.machine.zone == kOwnDomain.zone) {
+        found.push_back(id.str());
+      }
+    }
+    return found;
+  }
+  void set_version(const std::string& engine, const std::string& version) {
+    config::Machine machine = registry.find(BackendId(engine))->machine;
+    machine.software_version = version;
+    const config::EntryKey key{config::kMachineKind, engine};
+    const std::uint64_t revision = table.revision();
+    table.apply(revision, revision + 1, {{key, config::format_machine(machine), revision + 1, false}});
+    registry.update(table, {key});
+  }
+  placement_choice ask_for(std::uint64_t request, const std::string& version) {
+    forwarding::placement_query asked = query();
+    asked.due = 50ms;
+    asked.patience = 4s;
+    asked.holding = 700ms;
+    asked.software_version = version;
+    return holder.choose({"asker", request, PeerAddress("asker:1")}, kOwnDomain, asked, true);
+  }
+  /// @return the numbers of the requests that were told that there is no engine.
+  std::vector<std::uint64_t> without_engine() const {
+    std::vector<std::uint64_t> found;
+    for (const SentMessage& message : fleet.environment.sent) {
+      const wire::PlaceReplyT* reply = message.body.AsPlaceReply();
+      if (reply != nullptr && reply->engine.empty() && !reply->waiting && !reply->rejected) {
+        found.push_back(reply->request);
+      }
+    }
+    return found;
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a begun stream is placed only on engines of its software version") {
+  versions_fixture fixture;
+  CHECK(fixture.ask_for(1, "v2").waiting);
+  fixture.free_slots(2);  // of e0
+  fixture.run_for(20ms);
+  CHECK(fixture.granted().empty());
+  const placement_choice choice = fixture.ask_for(2, "v1");
+  REQUIRE(choice.place);
+  CHECK(choice.place->engine == BackendId("e0"));
+}
+
+TEST_CASE("begun streams that wait for one software version do not keep new calls from the engines of another") {
+  versions_fixture fixture;
+  for (std::uint64_t request = 1; request <= 20; ++request) {
+    CHECK(fixture.ask_for(request, "v2").waiting);
+  }
+  CHECK(fixture.ask(21, 200ms).waiting);
+  fixture.free_slots(1);  // of e0
+  fixture.run_for(20ms);
+  CHECK(fixture.granted() == std::vector<std::uint64_t>{21});
+}
+
+TEST_CASE("a begun stream does not wait for a software version that no engine has") {
+  versions_fixture fixture;
+  const placement_choice choice = fixture.ask_for(1, "v3");
+  CHECK_FALSE(choice.place);
+  CHECK_FALSE(choice.waiting);
+  CHECK_FALSE(choice.retry_after);
+  CHECK(fixture.ask_for(2, "v1").waiting);
+  fixture.set_version("e0", "v2");  // the last engine of v1 has gone
+  fixture.run_for(50ms);
+  CHECK(fixture.without_engine() == std::vector<std::uint64_t>{2});
+}
+
 // Guards against gateways and coordinators that ignore the rate limit of engines that are warming up: an engine that
 // had just started got 13 requests in one second, where 12.8 were allowed.
 TEST_CASE("engines that warm up get no more calls a second than they bear, and the others wait") {
