--- a/review/standins/trial.cpp
+++ b/review/standins/trial.cpp
@@ -381,7 +381,9 @@
   for (unsigned number = 3; number < 5; ++number) {
     deployment.start_engine(number, "slots", options);
   }
-  deployment.store.put("config", "main", configuration(::getenv("HEAD") ? 131072 : 16384));
+  json::object settings = configuration(::getenv("HEAD") != nullptr ? 131072 : 16384);
+  settings["routes"].as_array().push_back(route("r-shop", "shop.example", "/items/", "safe", "slots", 4000, 1));
+  deployment.store.put("config", "main", settings);
   deployment.await_ready(20);
   std::cout << deployment.gateway(0) << std::endl;
   sleep_ms(100'000);
