Dispatcher: a line for each item that is held back

Whether an item was set aside after crashes of engines could not be told from the logs: Dispatcher::withhold only counted it. The line names item, fingerprint, reason, the time it waits and the events that it has so far.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -468,6 +468,13 @@
   }
   const Duration undecided = repeat_guard_->undecided_wait(fingerprint_of(work));
   const Duration wait = undecided > Duration::zero() ? undecided : kWithholdTime;
+  log_.record("item_withheld", {{"job", work.item.job},
+                                {"index", work.item.index},
+                                {"item", item_id_of(work)},
+                                {"fingerprint", fingerprint_of(work).str()},
+                                {"reason", undecided > Duration::zero() ? "undecided" : "quarantined"},
+                                {"wait_ms", wait / 1ms},
+                                {"events", work.item.partial_tokens}});
   withheld_.push_back({std::move(work), environment_.now() + wait});
 }
 
