Batch items are no suspects of the quarantine: an item under which engines ended is run again

Cause: the quarantine took items for suspects like live requests. Three early ends, or five of any kind, made one fatal; Dispatcher::withhold kept it for 30 s each time and with five ends until its job's time was over, or wrote it as failed. A long item gets five ends by chance in a burst of crashes. No threshold mends that; the users say that items are never requests that crash servers by themselves, and that an item under which servers crashed is still owed.

Change: dispatchers neither ask nor tell the quarantine; a broken run returns its item at once. max_attempts counts answers of 500 alone. Bursts of crashes become a mix of the simulation and a fault mix of the fleet runner, with a promise of their own.

Checks replaced: "a batch item that ends every engine that begins it fails after few runs" and the job with a fatal item contradict the users' sentence. In their place an item under which 1 to 50 engines crashed has to complete, and 3 s after a burst each item has to be done or in an engine.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -22,7 +22,7 @@
 constexpr Duration kMinAskInterval = 20ms;
 constexpr Duration kMaxAskIntervalBusy = 200ms;  ///< Longest interval while some manager is known to have items.
 constexpr Duration kMaxAskIntervalIdle = 4s;     ///< Longest interval while no manager is known to have items.
-constexpr unsigned kMaxItemFailures = 20;
+constexpr unsigned kMaxFailedRuns = 20;  ///< Of an item whose route sets no limit.
 constexpr Duration kReportMaxAge = 400ms;  ///< An engine's load report counts for this long.
 /// Lower bound of the time to yield, also used before any was observed: message delays and one step of the engine.
 constexpr Duration kMinTimeToYield = 10ms;
@@ -35,11 +35,6 @@
 /// Interval at which held items are confirmed. A manager's item lease lasts three intervals (kItemLease in
 /// job_manager.cpp).
 constexpr Duration kConfirmHeldInterval = 1s;
-/// An item during whose runs engines terminated is not run for this long; then its manager hands it out for one more
-/// attempt.
-constexpr Duration kWithholdTime = 30s;
-/// The next dispatcher must know of the engine's termination before it gets the item; that message takes 1 to 5 ms.
-constexpr Duration kBreakNewsDelay = 10ms;
 /// An item with partial output waits for an engine of the same software version until this much of its lease is left.
 constexpr Duration kLongestWaitLeft = 1s;
 constexpr Duration kRouteMissingLimit = 5s;  ///< Longer than a configuration change takes to reach all nodes.
@@ -91,7 +86,6 @@
   environment_.after(is_idle() ? kIdleTick : kTick, lifetime_.guard([this] { tick(); }));
   if (!draining_) {
     update_managers();
-    return_withheld_items();
     requeue_from_unresponsive_engines();
     requeue_from_lost_engines();
     fill_engines();
@@ -102,7 +96,7 @@
 }
 
 bool Dispatcher::is_idle() const {
-  return owned_engines_.empty() && queue_.empty() && withheld_.empty() && active() == 0;
+  return owned_engines_.empty() && queue_.empty() && active() == 0;
 }
 
 void Dispatcher::refresh_ownership() {
@@ -257,8 +251,7 @@
     }
     std::size_t room = free_slots_on(*backend, engine);
     for (std::size_t position = 0; room > 0 && position < queue_.size();) {
-      if (!can_run_on(queue_[position], *backend) || conflicts_with_suspect(queue_[position], backend->machine.id) ||
-          waits_for_version(queue_[position], *backend)) {
+      if (!can_run_on(queue_[position], *backend) || waits_for_version(queue_[position], *backend)) {
         ++position;
         continue;
       }
@@ -450,79 +443,6 @@
   return call;
 }
 
-bool Dispatcher::must_withhold(QueuedItem& work) {
-  if (repeat_guard_ == nullptr || !repeat_guard_->has_records() ||
-      repeat_guard_->allows_isolated_retry(fingerprint_of(work))) {
-    return false;
-  }
-  const bool undecided = repeat_guard_->undecided_wait(fingerprint_of(work)) > Duration::zero();
-  return undecided || repeat_guard_->is_quarantined(fingerprint_of(work), item_id_of(work));
-}
-
-void Dispatcher::withhold(QueuedItem work) {
-  counters_["batch_items_withheld_total"]++;
-  if (work.item.give_up_at_ms == 0 && repeat_guard_->is_confirmed_fatal(fingerprint_of(work))) {
-    work.item.partial = "engines ended each time they ran this item";
-    write_result(std::move(work), true);
-    return;
-  }
-  const Duration undecided = repeat_guard_->undecided_wait(fingerprint_of(work));
-  const Duration wait = undecided > Duration::zero() ? undecided : kWithholdTime;
-  log_.record("item_withheld", {{"job", work.item.job},
-                                {"index", work.item.index},
-                                {"item", item_id_of(work)},
-                                {"fingerprint", fingerprint_of(work).str()},
-                                {"reason", undecided > Duration::zero() ? "undecided" : "quarantined"},
-                                {"wait_ms", wait / 1ms},
-                                {"events", work.item.partial_tokens}});
-  withheld_.push_back({std::move(work), environment_.now() + wait});
-}
-
-void Dispatcher::return_withheld_items() {
-  std::erase_if(withheld_, [this](const WithheldItem& one) {
-    const bool over = environment_.now() >= one.until;
-    if (over) {
-      report(one.work, false);
-    }
-    return over;
-  });
-}
-
-const routing::request_fingerprint& Dispatcher::fingerprint_of(QueuedItem& work) const {
-  if (!work.fingerprint) {
-    const Result<routing::EngineCall> call = engine_call_for(work);
-    // An item that cannot be parsed is never run, so that its fingerprint does not matter.
-    work.fingerprint = succeeded(call) ? routing::fingerprint_of(value_of(call)) : routing::request_fingerprint();
-  }
-  return *work.fingerprint;
-}
-
-bool Dispatcher::is_suspected(QueuedItem& work) const { return repeat_guard_->suspects(fingerprint_of(work)); }
-
-bool Dispatcher::conflicts_with_suspect(QueuedItem& work, const BackendId& engine) {
-  if (repeat_guard_ == nullptr || !repeat_guard_->has_records() || !is_suspected(work)) {
-    return false;
-  }
-  return std::any_of(running_.begin(), running_.end(), [this, &engine](auto& entry) {
-    return entry.second.engine == engine && is_suspected(entry.second.work);
-  });
-}
-
-void Dispatcher::return_after_break(RunningItem run) {
-  const RunId id = ++next_run_;
-  QueuedItem work = std::move(run.work);
-  settling_[id] = {work.item.job, work.item.index, work.manager};
-  const Timestamp now = environment_.now();
-  const routing::broken_call broken{fingerprint_of(work), item_id_of(work), run.engine,
-                                    now - run.first_event_at.value_or(now)};
-  repeat_guard_->call_broke(broken, lifetime_.guard([this, work, id](bool) {
-    environment_.after(kBreakNewsDelay, lifetime_.guard([this, work, id] {
-      settling_.erase(id);
-      report(work, false);
-    }));
-  }));
-}
-
 void Dispatcher::start_item(QueuedItem work, routing::Backend& backend) {
   const RunId id = ++next_run_;
   begin_anew_if_necessary(work, backend);
@@ -534,10 +454,6 @@
   }
   routing::EngineCall& call = value_of(built);
   call.attempt = environment_.random();
-  if (must_withhold(work)) {
-    withhold(std::move(work));
-    return;
-  }
   if (on_item_started) {
     on_item_started(JobId(work.item.job), work.item.index);
   }
@@ -596,7 +512,6 @@
     return;
   }
   registry_.on_heard(entry->second.engine);
-  entry->second.first_event_at = entry->second.first_event_at.value_or(environment_.now());
   wire::WorkItemT& item = entry->second.work.item;
   if (offset == item.partial_tokens) {
     const bool event_of_stream = entry->second.work.http != nullptr;
@@ -625,9 +540,6 @@
   }
   RunningItem running = take_running(id);
   registry_.on_success(running.engine);
-  if (repeat_guard_ != nullptr && repeat_guard_->has_records()) {
-    repeat_guard_->call_answered(fingerprint_of(running.work));
-  }
   policies_.estimate->learn(
       running.work.item.template_name,
       {running.work.item.tokens, total, total - running.resumed_from, environment_.now() - running.started_at});
@@ -647,7 +559,6 @@
   }
   counters_["batch_item_failures_total"]++;
   QueuedItem& work = running.work;
-  ++work.failures;
   work.item.failed_runs += failure == routing::CallFailure::failed_run ? 1 : 0;
   log_.record("item_run_failed", {{"job", work.item.job},
                                   {"index", work.item.index},
@@ -664,23 +575,32 @@
   if (failure == routing::CallFailure::refused) {
     engines_[running.engine].resume_after = environment_.now() + kPauseAfterYield;
   }
-  if (repeat_guard_ != nullptr && failure == routing::CallFailure::broken) {
-    return_after_break(std::move(running));
+  if (failure == routing::CallFailure::broken && !may_run_after_break(work)) {
+    settling_[++next_run_] = {work.item.job, work.item.index, work.manager};
     return;
   }
   report(work, false);
 }
 
+bool Dispatcher::may_run_after_break(const QueuedItem& work) {
+  if (!guards_.max_broken_runs) {
+    return guards_.return_broken_items;
+  }
+  return ++broken_runs_[{work.item.job, work.item.index}] < *guards_.max_broken_runs;
+}
+
 bool Dispatcher::failed_permanently(const QueuedItem& work, routing::CallFailure failure) const {
   if (failure == routing::CallFailure::invalid) {
     return true;
   }
+  if (failure != routing::CallFailure::failed_run) {
+    return false;  // the engine or the connection ended, which says nothing about the item
+  }
   if (!work.http) {
-    return work.failures >= kMaxItemFailures;
+    return work.item.failed_runs >= kMaxFailedRuns;
   }
   const forwarding::Route* route = route_of(work);
-  return route != nullptr && failure == routing::CallFailure::failed_run &&
-         work.item.failed_runs >= route->max_attempts;
+  return route != nullptr && work.item.failed_runs >= route->max_attempts;
 }
 
 void Dispatcher::write_result(QueuedItem work, bool failed) {
@@ -768,9 +688,6 @@
   for (const auto& [id, one] : settling_) {
     add(one.job, one.index, one.manager);
   }
-  for (const WithheldItem& one : withheld_) {
-    add(one.work.item.job, one.work.item.index, one.work.manager);
-  }
   for (auto& [manager, jobs] : held) {
     wire::ItemsHeldT message;
     for (auto& [job, indexes] : jobs) {
@@ -928,7 +845,6 @@
     return;
   }
   std::erase_if(queue_, [&](const QueuedItem& work) { return work.item.job == message.job; });
-  std::erase_if(withheld_, [&](const WithheldItem& one) { return one.work.item.job == message.job; });
   std::vector<RunId> stopped;
   for (const auto& [id, running] : running_) {
     if (running.work.item.job == message.job) {
@@ -948,10 +864,6 @@
     report(work, false);
   }
   queue_.clear();
-  for (const WithheldItem& one : withheld_) {
-    report(one.work, false);
-  }
-  withheld_.clear();
   while (!running_.empty()) {
     const RunId id = running_.begin()->first;
     client_.cancel(running_.at(id).call);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -23,7 +24,6 @@
 #include "policy/work_estimate.hpp"
 #include "routing/backend.hpp"
 #include "routing/registry.hpp"
-#include "routing/repeat_guard.hpp"
 
 namespace madderdeck::batch {
 
@@ -34,6 +34,10 @@
   bool keep_headroom = true;       ///< Batch leaves slots free for live requests.
   bool yield_to_online = true;     ///< Batch items are stopped when live requests need their slots.
   bool stop_cancelled = true;      ///< Running items of a cancelled job are stopped.
+  /// An item whose run broke off is returned to its manager, which hands it out again.
+  bool return_broken_items = true;
+  /// Broken runs after which an item is not returned any more. The daemon has no such limit: engines end by themselves.
+  std::optional<unsigned> max_broken_runs;
 };
 
 /// Called when an item is started; the simulation checks the starts with it.
@@ -59,9 +63,6 @@
   void handle(const PeerAddress& sender, const wire::GiveItemsT& message);
   void handle(const wire::OnlineActivityT& message);
   void handle(const wire::JobNoticeT& message);
-  /// Sets the guard that keeps an item from being run again after engines terminated while running it.
-  /// @p guard must outlive this object.
-  void set_repeat_guard(routing::repeat_guard& guard) { repeat_guard_ = &guard; }
   /// @return whether this node dispatches the batch items of @p engine.
   bool owns(const BackendId& engine);
   /// @return the engines whose batch items this node dispatches.
@@ -84,9 +85,7 @@
     wire::WorkItemT item;
     PeerAddress manager;
     Timestamp start_before{};
-    unsigned failures = 0;
-    std::shared_ptr<const routing::HttpItemCall> http;        ///< Null unless the item is an HTTP request.
-    std::optional<routing::request_fingerprint> fingerprint;  ///< Computed on first use.
+    std::shared_ptr<const routing::HttpItemCall> http;  ///< Null unless the item is an HTTP request.
   };
   /// Identifies an item that this node holds, for the message that confirms it to its manager.
   struct HeldItem {
@@ -94,10 +93,6 @@
     std::uint32_t index = 0;
     PeerAddress manager;
   };
-  struct WithheldItem {
-    QueuedItem work;
-    Timestamp until{};
-  };
   struct RunningItem {
     QueuedItem work;
     BackendId engine;
@@ -107,7 +102,6 @@
     Timestamp started_at{};
     std::string software_version;    ///< Of the engine, as listed when the run was sent to it.
     std::uint32_t resumed_from = 0;  ///< Number of events that earlier runs produced.
-    std::optional<Timestamp> first_event_at;
   };
   struct GatewayActivity {
     std::uint32_t in_flight = 0;
@@ -157,24 +151,12 @@
   void start_item(QueuedItem work, routing::Backend& backend);
   /// @return the engine call that runs @p work, or the error in the item.
   Result<routing::EngineCall> engine_call_for(const QueuedItem& work) const;
-  /// @return whether an engine is known to have terminated while running @p work.
-  bool is_suspected(QueuedItem& work) const;
-  /// @return whether both @p work and an item that runs on @p engine are suspected of terminating engines. Suspected
-  ///         items run on separate engines, so that a termination can be attributed to one of them.
-  bool conflicts_with_suspect(QueuedItem& work, const BackendId& engine);
-  const routing::request_fingerprint& fingerprint_of(QueuedItem& work) const;
-  /// @return whether the repeat guard forbids running @p work at present.
-  bool must_withhold(QueuedItem& work);
-  /// Holds back an item that must not be run at present and returns it to its manager later, for one more attempt. Once
-  /// that attempt has failed, too, the item fails; if its job has a time at which unfinished items fail, the item stays
-  /// unrun until then.
-  void withhold(QueuedItem work);
-  /// Returns the item of @p run to its manager once it is known whether the engine terminated while running it.
-  void return_after_break(RunningItem run);
   void on_token(RunId id, std::uint32_t offset, std::string_view text);
   void on_finished(RunId id, std::uint32_t total);
   void on_failed(RunId id, routing::CallFailure failure);
   bool failed_permanently(const QueuedItem& work, routing::CallFailure failure) const;
+  /// @return whether the guards let the item of a run that broke off be run again.
+  bool may_run_after_break(const QueuedItem& work);
   RunningItem take_running(RunId id);
   void write_result(QueuedItem work, bool failed);
   void report(const QueuedItem& work, bool completed);
@@ -182,8 +164,6 @@
   void report_held(const QueuedItem& work);
   /// Tells managers which items of their jobs this node holds; they hand out again what is not confirmed for long.
   void confirm_held_items();
-  /// Returns to their managers the items whose withholding time is over.
-  void return_withheld_items();
   /// Reports items whose job has moved to another manager: running ones as held, queued ones as returned.
   void update_managers();
   wire::ItemSettledT settled_message_of(const QueuedItem& work) const;
@@ -204,12 +184,10 @@
   const DispatchGuards guards_;
   std::deque<QueuedItem> queue_;
   std::map<RunId, RunningItem> running_;
-  std::map<RunId, HeldItem> settling_;  ///< Results being written, and broken runs whose cause is being determined.
-  std::vector<WithheldItem> withheld_;
+  std::map<RunId, HeldItem> settling_;  ///< Items whose result is being written.
   Timestamp confirmed_at_{};
   std::map<BackendId, Engine> engines_;
   policy::rate_meter live_call_rate_;  ///< Rate at which live calls start over all engines of this node.
-  routing::repeat_guard* repeat_guard_ = nullptr;
   /// A request for items, and the items that its answers have brought, since the network may duplicate an answer.
   struct Request {
     Timestamp asked_at{};  ///< Leases run from here, since an answer may have been in transit for long.
@@ -228,6 +206,7 @@
   std::uint64_t ownership_members_version_ = 0;
   std::uint64_t ownership_registry_version_ = 0;
   std::map<std::string, Timestamp> route_missing_since_;  ///< Keyed by job.
+  std::map<std::pair<std::string, std::uint32_t>, unsigned> broken_runs_;  ///< Filled only if they are limited.
   RunId next_run_ = 0;
   std::uint64_t managers_members_version_ = 0;  ///< Version of members_ at the last update_managers().
   bool draining_ = false;
--- a/src/emulator/engine_model.cpp
+++ b/src/emulator/engine_model.cpp
@@ -293,6 +293,13 @@
   }));
 }
 
+bool EngineModel::holds(const std::string& prompt) const {
+  const auto has_prompt = [&prompt](const Sequence& sequence) { return sequence.generation.prompt == prompt; };
+  return std::any_of(running_.begin(), running_.end(), has_prompt) ||
+         std::any_of(waiting_batch_.begin(), waiting_batch_.end(), has_prompt) ||
+         std::any_of(waiting_online_.begin(), waiting_online_.end(), has_prompt);
+}
+
 void EngineModel::record_snapshot() {
   routing::LoadReport report;
   report.running_online = static_cast<std::uint32_t>(running(routing::Priority::online));
--- a/src/emulator/engine_model.hpp
+++ b/src/emulator/engine_model.hpp
@@ -105,6 +105,8 @@
   /// Drops everything at once, as a crash does; no events follow.
   void reset();
   std::size_t running(routing::Priority priority) const;
+  /// @return whether a generation with @p prompt runs or waits here.
+  bool holds(const std::string& prompt) const;
 
  private:
   struct Sequence {
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -141,7 +141,6 @@
     dispatcher = std::make_unique<batch::Dispatcher>(environment, counters, ledger, members, catalog, registry,
                                                      dependencies.backends, log, duties, std::move(policies),
                                                      options.guards.dispatch);
-    dispatcher->set_repeat_guard(quarantine);
   }
   if (replica && dependencies.platform.has_retirements()) {
     retirement = std::make_unique<object_store::Retirement>(environment, counters, log, members, *replica, ledger,
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -12,9 +12,6 @@
 /// A run that had produced output for this long is taken as an unlikely cause. Engines that a request crashed
 /// terminated 20 to 110 ms after its run began, and most live replies take some 700 ms.
 constexpr Duration kAdvancedAfter = 250ms;
-/// Age of the last termination at which a quarantined request may be retried. By then the terminated engines have
-/// restarted, and requests that ran beside it have completed or are suspected themselves.
-constexpr UnixMilliseconds kRetrialAfterMs = 15'000;
 /// Entries per list, about 20 KB.
 constexpr std::size_t kMaxRequestsPerList = 128;
 /// Minimum time between lists sent after a comparison. Nodes can differ permanently if one has no room for an entry;
@@ -240,12 +237,6 @@
                       {"learned", learned}});
 }
 
-bool request_quarantine::allows_isolated_retry(const request_fingerprint& request) const {
-  const suspected_request* known = history_.find(request);
-  const bool one_more = known != nullptr && known->ends.size() == end_history::kEndsToHoldBack;
-  return one_more && known->ends.back().at + kRetrialAfterMs < environment_.unix_milliseconds();
-}
-
 void request_quarantine::call_broke(const routing::broken_call& call, decided done) {
   detector_.call_broke(call, lifetime_.guard([this, call, done = std::move(done)](bool ended) {
     if (ended) {
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -52,11 +52,7 @@
   bool has_records() const override { return !history_.empty(); }
   bool suspects(const routing::request_fingerprint& request) const override { return history_.ends(request) > 0; }
   bool is_quarantined(const routing::request_fingerprint& request, const std::string& id) override;
-  bool allows_isolated_retry(const routing::request_fingerprint& request) const override;
   Duration undecided_wait(const routing::request_fingerprint& request) const override;
-  bool is_confirmed_fatal(const routing::request_fingerprint& request) const override {
-    return history_.is_confirmed_fatal(request);
-  }
   void call_broke(const routing::broken_call& call, decided done) override;
   void call_answered(const routing::request_fingerprint& request) override;
 
--- a/src/routing/repeat_guard.hpp
+++ b/src/routing/repeat_guard.hpp
@@ -18,7 +18,8 @@
   Duration answered_for{};  ///< Time since the answer began; zero if none of it had arrived.
 };
 
-/// Decides whether a request may be sent, from the back ends that terminated while they ran it. Single threaded.
+/// Decides whether a live request may be sent, from the back ends that terminated while they ran it. Batch items are
+/// not asked about and not reported: an item under which back ends terminated is still owed. Single threaded.
 class repeat_guard {
  public:
   using decided = std::function<void(bool ended)>;
@@ -33,11 +34,6 @@
   /// @return how long the caller must wait until it is known whether @p request may be sent; zero: it is known now.
   ///         After several back ends have terminated, the nodes need a moment to report which requests ran there.
   virtual Duration undecided_wait(const request_fingerprint&) const { return Duration::zero(); }
-  /// @return whether a quarantined batch item may be retried once, alone on a back end. Otherwise an item that ran next
-  ///         to a fatal request three times would be lost with it.
-  virtual bool allows_isolated_retry(const request_fingerprint& request) const = 0;
-  /// @return whether such a retry of @p request has failed too.
-  virtual bool is_confirmed_fatal(const request_fingerprint& request) const = 0;
   /// Determines whether the back end terminated, and records it. @p done may run before this returns.
   virtual void call_broke(const broken_call& call, decided done) = 0;
   /// Call this when @p request was answered completely: it does not terminate back ends.
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -21,6 +21,11 @@
 /// How long a live request may wait in an engine while batch holds a slot there.
 constexpr Duration kBehindBatchLimit = 150ms;
 constexpr unsigned kLedgerNodes = 3;
+constexpr unsigned kMostItemCrashes = 50;
+constexpr unsigned kSlotsKeptFree = 1;  ///< Of each engine, for live requests.
+/// An item under which engines crashed starts again so soon after an engine has room.
+constexpr Duration kRunsAgainWithin = 3s;
+constexpr Duration kReadingTime = 200ms;
 constexpr std::uint32_t kLongStream = 120;  ///< Tokens.
 /// What a page of a copy may take: with some pages for each group all are copied well within the time to catch up.
 constexpr std::array<Duration, 3> kCopyPageTimes = {0ms, 80ms, 200ms};
@@ -68,6 +73,9 @@
       }
     }
     settle();
+    if (profile_.crashes_judged) {
+      judge_crash_burst();
+    }
     burst();
     complete_jobs();
     read_everything_again();
@@ -88,6 +96,7 @@
     result.steps = steps;
     result.counts = oracle_.counts;
     result.fatal_requests = oracle_.fatal_requests();
+    result.most_item_ends = oracle_.most_item_ends();
     result.over_three = fleet_.sent_fatal.over_three();
     result.recovery = oracle_.recovery;
     return result;
@@ -183,8 +192,8 @@
           callers_.send_fatal_live(*node);
         }
         break;
-      case ActionKind::fatal_job:
-        callers_.submit(action.choice, callers_.new_job(profile_.job_items, true));
+      case ActionKind::unlucky_job:
+        callers_.submit(action.choice, callers_.new_job(profile_.job_items, 1 + action.choice / 8 % kMostItemCrashes));
         break;
       case ActionKind::booking:
         callers_.send_booking(action.choice, callers_.new_booking());
@@ -455,6 +464,9 @@
       case ActionKind::release_engines:
         release_engines(action.choice);
         break;
+      case ActionKind::crash_burst:
+        begin_crash_burst(action.choice);
+        break;
       case ActionKind::engine_leaves:
         fleet_.set_engine_leaving(action.choice % profile_.engines, true);
         break;
@@ -527,6 +539,46 @@
     }
   }
 
+  /// 10 to 50 of 100 engines crash 3 to 30 times, with 0.2 to 2 s between, each for 0.2 to 5 s.
+  /// @return when the last one is back.
+  Timestamp begin_crash_burst(std::uint32_t choice) {
+    constexpr unsigned kLeastPercent = 10;
+    constexpr unsigned kPercentSpread = 41;
+    constexpr unsigned kLeastTimes = 3;
+    constexpr unsigned kTimesSpread = 28;
+    Random random(choice);
+    const auto percent = static_cast<unsigned>(kLeastPercent + random.below(kPercentSpread));
+    const auto times = static_cast<unsigned>(kLeastTimes + random.below(kTimesSpread));
+    const Duration gap = std::chrono::milliseconds(200 + random.below(1'800));
+    const Duration away = std::chrono::milliseconds(200 + random.below(random.chance(50) ? 800 : 4'800));
+    for (unsigned number = 0; number < times; ++number) {
+      world_.schedule(number * gap, [this, percent, away, era = burst_era_] {
+        if (era == burst_era_) {
+          fleet_.crash_engines(percent, away);
+        }
+      });
+    }
+    return world_.now() + (times - 1) * gap + away;
+  }
+
+  /// A burst of crashes under long items while nothing else is disturbed; soon after it all of them have to run.
+  void judge_crash_burst() {
+    const std::size_t first = callers_.jobs();
+    const std::uint32_t room = profile_.engines * (profile_.engine_slots - kSlotsKeptFree);
+    declare_listed_route();
+    callers_.submit(0, callers_.new_job(room / 3));
+    callers_.submit(1, callers_.new_listed_job(room / 3));
+    world_.run_for(1s);
+    const Timestamp back_at = begin_crash_burst(static_cast<std::uint32_t>(world_.random.next()));
+    world_.run_for(back_at - world_.now() + kRunsAgainWithin);
+    const std::vector<Callers::ItemKey> outside = callers_.items_outside_engines(first);
+    const unsigned reader = fleet_.running_nodes().front();
+    callers_.read_all_results(reader);
+    callers_.read_all_positions(reader);
+    world_.run_for(kReadingTime);
+    callers_.judge_interrupted_items(outside);
+  }
+
   void cut(unsigned one, unsigned other) {
     if (one != other) {
       fleet_.conditions.cuts.insert({std::min(one, other), std::max(one, other)});
@@ -635,6 +687,7 @@
 
   // --- the end ---
   void settle() {
+    ++burst_era_;
     fleet_.heal();
     world_.run_for(kSettleTime);
     const std::uint64_t settled_revision = fleet_.objects->revision();
@@ -757,6 +810,7 @@
   GroupWatch watch_;
   epoch_watch epochs_;
   bool listed_route_declared_ = false;
+  unsigned burst_era_ = 0;  ///< Raised when everything is healed; bursts of an earlier one crash nothing more.
 };
 
 }  // namespace
--- a/src/simulation/fleet.cpp
+++ b/src/simulation/fleet.cpp
@@ -485,6 +485,48 @@
   });
 }
 
+void SimFleet::crash_under_item(const std::string& body, unsigned engine) {
+  if (!item_crashes_left.contains(body)) {
+    return;
+  }
+  SimProcess& process = engines[engine]->process;
+  const Duration runs_for = jitter(world, 20ms, world.random.chance(50) ? 60ms : 500ms);
+  world.schedule(runs_for, [this, body, engine, &process, life = process.life()] {
+    const auto left = item_crashes_left.find(body);
+    const bool runs = process.up() && process.life() == life && engines[engine]->model.holds(body);
+    if (!runs || left == item_crashes_left.end() || left->second == 0) {
+      return;
+    }
+    --left->second;
+    note_engine(engine, "crashes under", body);
+    oracle.engine_ended_under_item(body);
+    crash_engine(engine);
+    world.schedule(jitter(world, 200ms, 1s), [&process] { process.start(); });
+  });
+}
+
+void SimFleet::crash_engines(unsigned percent, Duration away) {
+  constexpr unsigned kWhole = 100;
+  const auto total = static_cast<unsigned>(engines.size());
+  const unsigned count = std::max(1U, total * percent / kWhole);
+  const auto first = static_cast<unsigned>(world.random.below(total));
+  for (unsigned number = 0; number < count; ++number) {
+    const unsigned engine = (first + number) % total;
+    SimProcess& process = engines[engine]->process;
+    if (!process.up()) {
+      continue;
+    }
+    note_engine(engine, "crashes in", "a burst");
+    crash_engine(engine);
+    world.schedule(away, [&process] { process.start(); });
+  }
+}
+
+bool SimFleet::in_some_engine(const std::string& prompt) const {
+  return std::any_of(engines.begin(), engines.end(),
+                     [&prompt](const auto& engine) { return engine->model.holds(prompt); });
+}
+
 void SimFleet::await_knowledge(const std::string& body, const routing::request_fingerprint& request) {
   if (!sent_fatal.awaits_knowledge(body)) {
     return;
@@ -720,6 +762,7 @@
 }
 
 void SimFleet::heal() {
+  item_crashes_left.clear();
   conditions = Conditions();
   conditions.loss_percent = 0;
   conditions.duplicate_percent = 0;
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -23,6 +23,8 @@
 
 /// Begins the body of every request that ends the engines that begin to run it.
 inline constexpr std::string_view kFatalRequest = "fatal request";
+/// Begins the body of a batch item under which engines crash by chance, several times.
+inline constexpr std::string_view kUnluckyItem = "unlucky item";
 
 /// Size and shape of a simulated site.
 struct Profile {
@@ -49,6 +51,7 @@
       0;  ///< Of passed-on answers, those that are broken off; 0: all are in chunks and whole.
   /// Software versions among which those of the engines are drawn; 0: engines state none.
   unsigned engine_versions = 0;
+  bool crashes_judged = false;  ///< Batch items have to run again soon after a burst of crashes at the end.
   bool seeds_drawn = false;  ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
 };
 /// @return the profile of that name, if there is one.
@@ -374,6 +377,12 @@
   /// Ends the engine that @p send has reached soon when its body is that of a fatal request; it is back some seconds
   /// later.
   void end_engine_if_fatal(fatal_send send, const routing::request_fingerprint& request);
+  /// @p engine crashes under the item with @p body, early or late, if crashes are left for it; it is back soon.
+  void crash_under_item(const std::string& body, unsigned engine);
+  /// A share of the engines crashes and is back after @p away.
+  void crash_engines(unsigned percent, Duration away);
+  /// @return whether some engine runs a generation with @p prompt or holds it in its queue.
+  bool in_some_engine(const std::string& prompt) const;
   /// @return whether @p node has run and reached all others for as long as nodes need to tell each other news.
   bool in_touch(unsigned node) const;
   /// Notes the nodes that are frozen or cut off.
@@ -438,6 +447,7 @@
   Conditions conditions;
   Duration copy_page_time{};  ///< What a page of a copy takes besides the network's delay.
   fatal_sends sent_fatal;
+  std::map<std::string, unsigned> item_crashes_left;  ///< By the body of an item.
   gone_disks gone;
   /// Requests with an answer that was broken off as no caller and no node can tell from a whole one.
   std::set<std::string> answers_that_look_whole;
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -17,7 +17,8 @@
     "Actions to draw from: standard, hardening (requests that end engines, too), listing (jobs with positions), "
     "leaving, losses, series (losses of disks in series), isolation (the same beside nodes that find or reach few), "
     "departures (machines that are emptied and taken away while others believe them to be there), answers (engines "
-    "that break answers off), or versions (engines of several software versions, and streams that clients resume).");
+    "that break answers off), versions (engines of several software versions, and streams that clients resume), or "
+    "crashes (bursts of crashes of engines under long batch items).");
 DEFINE_string(repeats, "",
               "Instead of a mix: 'request' or 'generation', one that ends its engines, sent 30 times at other nodes.");
 DEFINE_uint64(pause_ms, 400, "With --repeats: between two of them.");
@@ -186,6 +187,9 @@
   if (text == "departures") {
     return ScheduleMix::departures;
   }
+  if (text == "crashes") {
+    return ScheduleMix::crashes;
+  }
   return text == "hardening" ? std::optional(ScheduleMix::hardening) : std::nullopt;
 }
 
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -93,6 +93,12 @@
        [](Guards& guards) { guards.streams.refuse_unknown = false; }, ScheduleMix::versions},
       {"stream_records_not_shared", Promise::stream_keeps_version, 40,
        [](Guards& guards) { guards.streams.share_records = false; }, ScheduleMix::versions},
+      {"items_kept_after_five_ends", Promise::item_exactly_once, 10,
+       [](Guards& guards) { guards.dispatch.max_broken_runs = 5; }, ScheduleMix::crashes},
+      {"items_kept_after_two_ends", Promise::interrupted_item_runs_again, 40,
+       [](Guards& guards) { guards.dispatch.max_broken_runs = 2; }, ScheduleMix::crashes},
+      {"broken_items_not_returned", Promise::interrupted_item_runs_again, 10,
+       [](Guards& guards) { guards.dispatch.return_broken_items = false; }, ScheduleMix::crashes},
       {"emptied_before_handover", Promise::epoch_names_disks_that_exist, 10,
        [](Guards& guards) { guards.drained_after_handover = false; }, ScheduleMix::departures},
   };
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -1,5 +1,6 @@
 #include "simulation/oracle.hpp"
 
+#include <algorithm>
 #include <array>
 
 #include "simulation/support.hpp"
@@ -26,7 +27,7 @@
       "leaving_gets_no_work",    "planned_stop_cuts_nothing", "configuration_never_reverts",
       "fatal_request_contained", "results_keep_positions",    "group_stays_readable",
       "job_readable_in_time",    "successor_taken_in",        "epoch_names_disks_that_exist",
-      "broken_off_never_whole",  "stream_keeps_version"};
+      "broken_off_never_whole",  "stream_keeps_version",      "interrupted_item_runs_again"};
   return kNames.at(static_cast<std::size_t>(promise));
 }
 
@@ -93,6 +94,14 @@
   }
 }
 
+unsigned Oracle::most_item_ends() const {
+  unsigned most = 0;
+  for (const auto& [item, ends] : item_ends_) {
+    most = std::max(most, ends);
+  }
+  return most;
+}
+
 void Oracle::job_accepted(const std::string& job, std::uint32_t items, std::uint64_t number) {
   const auto [entry, inserted] = jobs_.try_emplace(job);
   if (inserted) {
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -146,6 +146,7 @@
   stream->generation = std::get<emulator::GenerationId>(taken);
   stream->engine_life = engine.process.life();
   fleet_.note_sent(node_, stream->call.prompt);
+  fleet_.crash_under_item(stream->call.prompt, stream->engine);
   fleet_.end_engine_if_fatal(
       {stream->call.prompt, node_, stream->engine, 0, stream->begun, stream->ends_known, stream->in_touch},
       stream->request);
