Batch items of generations keep their output when a run breaks off

Callers saw: items of the program's own interface began anew after each engine that ended under them. Cause: the message that returns an item stated its progress for HTTP items only; managers and dispatchers use it for both. It is stated for all now. The test gives an item, one token and an end: the message had 0 tokens before (by reading; it was not built without the change).

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -638,12 +638,10 @@
   wire::ItemSettledT message;
   message.job = work.item.job;
   message.index = work.item.index;
-  if (work.http) {
-    message.failed_runs = work.item.failed_runs;
-    message.partial = work.item.partial;
-    message.partial_tokens = work.item.partial_tokens;
-    message.partial_version = work.item.partial_version;
-  }
+  message.failed_runs = work.item.failed_runs;
+  message.partial = work.item.partial;
+  message.partial_tokens = work.item.partial_tokens;
+  message.partial_version = work.item.partial_version;
   return message;
 }
 
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -258,3 +258,20 @@
   CHECK(fixture.backends.engine_calls.size() == 1);
   CHECK(fixture.fleet.counters["batch_items_repeated_total"] == 1);
 }
+
+// Guards against output of the program's own interface that was produced again after each end of a run.
+TEST_CASE("a batch item of a generation is returned with what it has so far when its run breaks off") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  const routing::EngineEvents events = fixture.backends.engine_calls[0].events;
+  events.token(0, "x");
+  fixture.fleet.environment.sent.clear();
+  events.failed(routing::CallFailure::broken);
+  std::size_t returned = 0;
+  for (const auto& message : fixture.fleet.environment.sent) {
+    const bool settles = message.to == kManager && message.body.type == wire::Message::ItemSettled;
+    returned += settles && message.body.AsItemSettled()->partial_tokens == 1 ? 1 : 0;
+  }
+  CHECK(returned == 1);
+}
