An ejection of an engine keeps batch items away for 2 s at most

Callers saw: an item waits for up to 32 s for the only engine of its pool, or for the only ones with room, after calls there broke off several times. Cause: ejections double from 2 s to 32 s; live requests fall back to ejected engines where there are no others, dispatchers did not. Items are owed whatever happens, so for them an ejection ends after 2 s; live requests are placed as before.

Test: an item under which 1 to 50 engines ended starts again within 3 s of each; before, the fourth start did not come ("engine_calls.size() == end": 3 == 4 at end 4).

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -245,7 +245,7 @@
   }
   for (routing::Backend* backend : open_owned_engines()) {
     Engine& engine = engines_[backend->machine.id];
-    if (environment_.now() < engine.resume_after || environment_.now() < backend->ejected_until ||
+    if (environment_.now() < engine.resume_after || !registry_.accepts_items(*backend) ||
         registry_.warm_up_limit(*backend)) {
       continue;
     }
--- a/src/routing/registry.cpp
+++ b/src/routing/registry.cpp
@@ -545,10 +545,16 @@
     }
   }
   const std::uint32_t doublings = std::min(backend.ejections++, kMaxEjectionDoublings);
+  backend.ejected_at = environment_.now();
   backend.ejected_until = environment_.now() + kBaseEjectionTime * (1U << doublings);
   counters_["backend_ejections_total"]++;
 }
 
+bool Registry::accepts_items(const Backend& backend) const {
+  const Timestamp now = environment_.now();
+  return now >= backend.ejected_until || now - backend.ejected_at >= kMaxEjectionForItems;
+}
+
 std::uint32_t Registry::unattributed(const Backend& backend) const {
   return environment_.now() - backend.reported_at < kUnattributedValidFor ? backend.unattributed : 0;
 }
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -44,6 +44,7 @@
   Timestamp reported_at{};
   std::uint32_t consecutive_failures = 0;
   std::uint32_t ejections = 0;  ///< Ejections since the last success; each lasts longer than the one before.
+  Timestamp ejected_at{};  ///< Start of its latest ejection.
   Timestamp ejected_until{};
   Timestamp added_at{};
   bool reported_leaving = false;                 ///< The back end's last refusal or report said that it is leaving.
@@ -135,6 +136,11 @@
   const software_versions& versions() const { return versions_; }
   /// @return all back ends that may get new work.
   std::vector<Backend*> all_open();
+  /// @return whether batch items may be sent to @p backend as far as ejection goes. They are owed whatever happens, so
+  ///         that for them an ejection ends after kMaxEjectionForItems: engines that are left out may be the only free
+  ///         ones.
+  bool accepts_items(const Backend& backend) const;
+  static constexpr Duration kMaxEjectionForItems = 2s;
   bool open(const Backend& backend) const;
   /// @return whether this node sends live requests to @p id.
   bool in_subset(const BackendId& id) const;
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -1,6 +1,8 @@
 #include "batch/dispatcher.hpp"
 
 #include <catch2/catch.hpp>
+#include <optional>
+#include <utility>
 
 #include "placement/fleet_members.hpp"
 #include "support/fake_backends.hpp"
@@ -275,3 +277,84 @@
   }
   CHECK(returned == 1);
 }
+
+namespace {
+
+/// Stands in for the manager of item 0 of job "j": hands it out again, with its progress, whenever it was returned.
+class item_manager {
+ public:
+  explicit item_manager(dispatcher_fixture& fixture) : fixture_(fixture) { give({}); }
+
+  /// Lets time pass until the item has been started @p times times.
+  /// @return whether that took at most @p limit.
+  bool await_start(std::size_t times, Duration limit) {
+    for (Duration waited{}; waited <= limit && fixture_.backends.engine_calls.size() < times; waited += kStep) {
+      fixture_.dispatcher.handle(notice());
+      fixture_.fleet.environment.world.run_for(kStep);
+      give_if_returned();
+    }
+    return fixture_.backends.engine_calls.size() == times;
+  }
+
+ private:
+  static constexpr Duration kStep = 100ms;
+
+  static wire::JobNoticeT notice() {
+    wire::JobNoticeT message;
+    message.manager = kManager.str();
+    return message;
+  }
+  /// Items are handed out in answer to requests only.
+  void give_if_returned() {
+    bool asked = false;
+    for (const auto& message : fixture_.fleet.environment.sent) {
+      if (message.to == kManager && message.body.type == wire::Message::ItemSettled) {
+        returned_ = *message.body.AsItemSettled();
+        CHECK_FALSE(returned_->completed);
+      }
+      asked = asked || (message.body.type == wire::Message::TakeItems &&
+                        message.body.AsTakeItems()->request > last_answered_);
+    }
+    std::erase_if(fixture_.fleet.environment.sent,
+                  [](const auto& message) { return message.body.type == wire::Message::ItemSettled; });
+    if (returned_ && asked) {
+      give(*std::exchange(returned_, std::nullopt));
+    }
+  }
+  void give(const wire::ItemSettledT& progress) {
+    for (const auto& message : fixture_.fleet.environment.sent) {
+      const bool asks = message.body.type == wire::Message::TakeItems;
+      last_answered_ = asks ? message.body.AsTakeItems()->request : last_answered_;
+    }
+    fixture_.give_item([&progress](wire::WorkItemT& item) {
+      item.index = 0;
+      item.partial = progress.partial;
+      item.partial_tokens = progress.partial_tokens;
+      item.failed_runs = progress.failed_runs;
+    });
+  }
+
+  dispatcher_fixture& fixture_;
+  std::optional<wire::ItemSettledT> returned_;
+  std::uint64_t last_answered_ = 0;  ///< Number of the latest request for items that was answered.
+};
+
+}  // namespace
+
+// Guards against a sound item that is set aside, failed or left waiting since engines ended under it, and against
+// output that is lost then.
+TEST_CASE("a batch item is started again within 3 s after each of 1 to 50 engines that ended under it") {
+  constexpr std::uint32_t kEnds = 50;
+  dispatcher_fixture fixture;
+  item_manager manager(fixture);
+  for (std::uint32_t end = 1; end <= kEnds; ++end) {
+    INFO("end " << end);
+    REQUIRE(manager.await_start(end, 3s));
+    CHECK(fixture.backends.engine_calls.back().call.resume_from == end - 1);
+    const routing::EngineEvents events = fixture.backends.engine_calls.back().events;
+    events.token(end - 1, "x");
+    events.failed(routing::CallFailure::broken);
+  }
+  CHECK(manager.await_start(kEnds + 1, 3s));
+  CHECK(fixture.fleet.counters["batch_results_written_total"] == 0);
+}
