A queued item that no engine of its node can run is returned after 250 ms

Callers saw: an item lay in the queue of a node whose engines had crashed until the job's lease had lapsed (up to 2 s) and was announced again after that, 3.0 s in all, while other nodes' engines had room.

A queued item is returned once no usable engine of the node could run it for 250 ms, and a node without a usable engine asks for none. fill_engines is split into its steps. Test: two queued items of an ejected engine are returned within 0.5 s; it was not run without the change.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -37,6 +37,8 @@
 constexpr Duration kConfirmHeldInterval = 1s;
 /// An item with partial output waits for an engine of the same software version until this much of its lease is left.
 constexpr Duration kLongestWaitLeft = 1s;
+/// A queued item is returned once no engine of this node could run it for this long: other nodes' engines may.
+constexpr Duration kMaxUnplaceableTime = 250ms;
 constexpr Duration kRouteMissingLimit = 5s;  ///< Longer than a configuration change takes to reach all nodes.
 
 std::string_view error_name(const Result<ledger::OptionalValue>& result) {
@@ -238,53 +240,80 @@
   }
 }
 
+std::vector<routing::Backend*> Dispatcher::usable_engines() {
+  std::vector<routing::Backend*> usable = open_owned_engines();
+  std::erase_if(usable, [this](const routing::Backend* backend) {
+    return !registry_.accepts_items(*backend) || registry_.warm_up_limit(*backend).has_value();
+  });
+  return usable;
+}
+
 void Dispatcher::fill_engines() {
-  std::size_t free_slots = 0;
   if (queue_.size() > 1) {
     sort_queue();
   }
-  for (routing::Backend* backend : open_owned_engines()) {
-    Engine& engine = engines_[backend->machine.id];
-    if (environment_.now() < engine.resume_after || !registry_.accepts_items(*backend) ||
-        registry_.warm_up_limit(*backend)) {
+  const std::vector<routing::Backend*> usable = usable_engines();
+  std::size_t free_slots = 0;
+  for (routing::Backend* backend : usable) {
+    if (environment_.now() >= engines_[backend->machine.id].resume_after) {
+      free_slots += fill_engine(*backend);
+    }
+  }
+  return_unstartable_items(usable);
+  const std::size_t wanted = usable.empty() ? 0 : free_slots + (free_slots + running_.size()) / kReadyItemsDivisor;
+  return_surplus_items(wanted);
+  if (wanted > queue_.size()) {
+    request_items(wanted - queue_.size());
+  }
+}
+
+std::size_t Dispatcher::fill_engine(routing::Backend& backend) {
+  std::size_t room = free_slots_on(backend, engines_[backend.machine.id]);
+  for (std::size_t position = 0; room > 0 && position < queue_.size();) {
+    if (!can_run_on(queue_[position], backend) || waits_for_version(queue_[position], backend)) {
+      ++position;
       continue;
     }
-    std::size_t room = free_slots_on(*backend, engine);
-    for (std::size_t position = 0; room > 0 && position < queue_.size();) {
-      if (!can_run_on(queue_[position], *backend) || waits_for_version(queue_[position], *backend)) {
-        ++position;
-        continue;
-      }
-      QueuedItem work = std::move(queue_[position]);
-      queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(position));
-      if (guards_.respect_leases && environment_.now() >= work.start_before) {
-        counters_["batch_items_lease_lapsed_total"]++;
-        report(work, false);
-        continue;
-      }
-      start_item(std::move(work), *backend);
-      --room;
+    QueuedItem work = std::move(queue_[position]);
+    queue_.erase(queue_.begin() + static_cast<std::ptrdiff_t>(position));
+    if (guards_.respect_leases && environment_.now() >= work.start_before) {
+      counters_["batch_items_lease_lapsed_total"]++;
+      report(work, false);
+      continue;
     }
-    free_slots += room;
+    start_item(std::move(work), backend);
+    --room;
   }
-  // Items that no owned engine can run are returned when their lease expires.
-  std::erase_if(queue_, [this](QueuedItem& work) {
+  return room;
+}
+
+void Dispatcher::return_unstartable_items(const std::vector<routing::Backend*>& usable) {
+  std::erase_if(queue_, [this, &usable](QueuedItem& work) {
     if (route_missing_too_long(work)) {
       work.item.partial = "the item's route is gone";
       write_result(std::move(work), true);
       return true;
     }
     const bool lapsed = guards_.respect_leases && environment_.now() >= work.start_before;
-    if (lapsed) {
+    const bool unplaceable = unplaceable_too_long(work, usable);
+    if (lapsed || unplaceable) {
+      counters_["batch_items_unplaceable_total"] += unplaceable ? 1 : 0;
       report(work, false);
     }
-    return lapsed;
+    return lapsed || unplaceable;
   });
-  const std::size_t wanted = free_slots + (free_slots + running_.size()) / kReadyItemsDivisor;
-  return_surplus_items(wanted);
-  if (wanted > queue_.size()) {
-    request_items(wanted - queue_.size());
+}
+
+bool Dispatcher::unplaceable_too_long(QueuedItem& work, const std::vector<routing::Backend*>& usable) const {
+  const bool placeable = std::any_of(usable.begin(), usable.end(),
+                                     [&](const routing::Backend* backend) { return can_run_on(work, *backend); });
+  if (placeable) {
+    work.unplaceable_since.reset();
+    return false;
   }
+  const Timestamp since = work.unplaceable_since.value_or(environment_.now());
+  work.unplaceable_since = since;
+  return environment_.now() - since > kMaxUnplaceableTime;
 }
 
 const forwarding::Route* Dispatcher::route_of(const QueuedItem& work) const {
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -85,6 +85,7 @@
     wire::WorkItemT item;
     PeerAddress manager;
     Timestamp start_before{};
+    std::optional<Timestamp> unplaceable_since;  ///< Set while no usable engine of this node can run it.
     std::shared_ptr<const routing::HttpItemCall> http;  ///< Null unless the item is an HTTP request.
   };
   /// Identifies an item that this node holds, for the message that confirms it to its manager.
@@ -123,6 +124,15 @@
   std::size_t headroom_of(const routing::Backend& backend, const Engine& engine) const;
   std::size_t free_slots_on(const routing::Backend& backend, Engine& engine) const;
   std::vector<routing::Backend*> open_owned_engines();
+  /// @return the open owned engines to which items may be sent now, full ones included.
+  std::vector<routing::Backend*> usable_engines();
+  /// Starts queued items on @p backend.
+  /// @return the slots that stay free.
+  std::size_t fill_engine(routing::Backend& backend);
+  /// Returns to their managers the queued items that cannot be started here in time.
+  void return_unstartable_items(const std::vector<routing::Backend*>& usable);
+  /// @return whether no engine of @p usable can run @p work, and none could for kMaxUnplaceableTime.
+  bool unplaceable_too_long(QueuedItem& work, const std::vector<routing::Backend*>& usable) const;
   void refresh_ownership();
   std::vector<PeerAddress> managers_to_ask();
   void yield_on(const BackendId& id);
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -358,3 +358,16 @@
   CHECK(manager.await_start(kEnds + 1, 3s));
   CHECK(fixture.fleet.counters["batch_results_written_total"] == 0);
 }
+// Guards against an item that waits in the queue of a node whose engines are gone while others have room.
+TEST_CASE("a queued item that no engine of its node can run is returned soon") {
+  dispatcher_fixture fixture;
+  for (int items = 0; items < 4; ++items) {  // two slots are headroom, two items wait
+    fixture.give_item();
+  }
+  REQUIRE(fixture.backends.engine_calls.size() == 2);
+  fixture.fleet.environment.sent.clear();
+  fixture.registry.on_failure(fixture.engine, routing::CallFailure::not_sent);  // it is ejected
+  fixture.fleet.environment.world.run_for(500ms);
+  CHECK(fixture.fleet.environment.sent_of(wire::Message::ItemSettled) >= 2);
+  CHECK(fixture.fleet.counters["batch_items_unplaceable_total"] == 2);
+}
