Forwarding: event streams are searched once, and answers without end are broken off

Callers saw: streams and collected answers without end hold memory until their deadline; a stream of lines that are no event counted as begun, so that its request could not go on elsewhere; a long event cost time with the square of its size.

Cause: EventSplitter searched and copied the whole unfinished event with each piece; collected answers had no limit; the limit of an event did not count comments; comments were forwarded at once and made the head final.

Change: the splitter goes on where it stopped; 1 MiB without an event (comments are none), 8 MiB of a collected answer and 64 MiB over all of a node end an answer as too_long; comments before the first event are held back until it comes; a repeatable stream that brings lines but no event moves on like one that brings nothing, and its engine counts as failing.

Tests: each limit and the largest allowed size beside it, a megabyte event byte by byte within 10 s of processor time.

--- a/src/forwarding/answer_end.cpp
+++ b/src/forwarding/answer_end.cpp
@@ -16,6 +16,8 @@
       return "reset";
     case answer_end::malformed:
       return "malformed";
+    case answer_end::too_long:
+      return "too_long";
     case answer_end::silent:
       return "silent";
     case answer_end::out_of_order:
--- a/src/forwarding/answer_end.hpp
+++ b/src/forwarding/answer_end.hpp
@@ -15,6 +15,7 @@
   closed,        ///< The connection was closed before the end that the framing states.
   reset,         ///< The connection failed in another way than by an orderly close.
   malformed,     ///< Its bytes are not valid HTTP, or not an answer to this request.
+  too_long,      ///< More bytes came than an answer, or an event of it, may have.
   silent,        ///< The back end was unresponsive: no byte arrived for too long.
   out_of_order,  ///< The event numbers of the stream have a gap.
   given_up,      ///< The request reached its deadline.
--- a/src/forwarding/answer_reader.cpp
+++ b/src/forwarding/answer_reader.cpp
@@ -9,8 +9,10 @@
   framing_ = head.framing;
   event_stream_ = head.event_stream;
   succeeded_ = head.status < kFirstRedirect;
+  has_event_ = false;
   events_ = 0;
   bytes_ = 0;
+  bytes_without_event_ = 0;
   splitter_.reset();
 }
 
@@ -19,8 +21,11 @@
   if (!event_stream_) {
     return;
   }
+  bytes_without_event_ += piece.size();
   splitter_.feed(piece, [this, &on_event](const StreamEvent& event) {
     ++events_;
+    has_event_ = has_event_ || event.has_fields;
+    bytes_without_event_ = event.has_fields ? 0 : bytes_without_event_;
     on_event(event);
   });
 }
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/forwarder.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "common/histogram.hpp"
 #include "forwarding/engine_choice.hpp"
@@ -25,7 +26,11 @@
 constexpr int kCallTimeSmoothing = 8;
 constexpr int kFirstByteSmoothing = 8;
 constexpr std::size_t kMinSamples = 4;
-constexpr std::size_t kMaxEventBytes = 1024 * 1024;  ///< Of an incomplete event; a stream with more is malformed.
+/// Of an answer that is forwarded once it is complete: twice the largest body that callers may send.
+constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t kMaxCollectedBytes = 64 * 1024 * 1024;  ///< Over all such answers of this node.
+/// How often the answers are added up, in bytes of one of them.
+constexpr std::size_t kCollectedCheckBytes = 256 * 1024;
 /// Call reports that are at most this late count as exact: all engines are compared.
 constexpr Duration kExactReportDelay = 25ms;
 
@@ -432,6 +437,7 @@
   active.head_seen = false;
   active.has_first_byte = false;
   active.body.clear();
+  active.comments.clear();
   active.answer.begin({});
   ++active.sends;
   ++backend.online_in_flight;
@@ -472,13 +478,17 @@
   const Duration timeout = std::max<Duration>(kMinFirstByteTimeout, std::chrono::milliseconds(active.route->target_ms));
   const std::uint64_t attempt = active.attempt;
   environment_.after(timeout, lifetime_.guard([this, id, attempt] {
-    if (!is_current(id, attempt) || requests_.at(id).has_first_byte) {
+    if (!is_current(id, attempt)) {
       return;
     }
     const Active& waiting = requests_.at(id);
+    const bool sends_no_event = waiting.answer.lacks_event();
+    if (waiting.has_first_byte && !sends_no_event) {
+      return;
+    }
     const Backend* backend = registry_.find(waiting.backend);
     // A back end that answers other calls is only slow or full: the request stays there.
-    const bool unresponsive = backend == nullptr || silent(*backend, environment_.now());
+    const bool unresponsive = sends_no_event || backend == nullptr || silent(*backend, environment_.now());
     if (unresponsive && !untried_backends(waiting).empty()) {
       counters_["forward_first_byte_timeouts_total"]++;
       upstream_.cancel(waiting.call);
@@ -573,7 +583,7 @@
   on_data_received(active);
   if (!active.head.event_stream) {
     active.answer.read(piece, {});
-    active.body.append(piece);
+    collect(id, attempt, piece);
   } else if (guards_.complete_events_only) {
     forward_events(id, attempt, piece);
   } else {
@@ -582,6 +592,32 @@
   }
 }
 
+void Forwarder::collect(ForwardId id, std::uint64_t attempt, std::string_view piece) {
+  std::string& body = requests_.at(id).body;
+  const std::size_t before = body.size();
+  body.append(piece);
+  if (body.size() > kMaxAnswerBytes) {
+    counters_["forward_answers_too_long_total"]++;
+    break_off(id, attempt, answer_end::too_long);
+  } else if (before / kCollectedCheckBytes != body.size() / kCollectedCheckBytes) {
+    limit_collected();
+  }
+}
+
+void Forwarder::limit_collected() {
+  std::size_t total = 0;
+  auto longest = requests_.end();
+  for (auto entry = requests_.begin(); entry != requests_.end(); ++entry) {
+    const std::size_t size = entry->second.body.size();
+    total += size;
+    longest = longest == requests_.end() || size > longest->second.body.size() ? entry : longest;
+  }
+  if (total > kMaxCollectedBytes) {
+    counters_["forward_collected_answers_over_limit_total"]++;
+    break_off(longest->first, longest->second.attempt, answer_end::too_long);
+  }
+}
+
 void Forwarder::forward_piece(Active& active, std::string_view piece) {
   forward_head(active);
   active.forwarded_bytes += piece.size();
@@ -613,11 +649,16 @@
       gap = true;
       return;
     }
+    if (!event.has_fields && !active.head_forwarded) {
+      active.comments.append(event.bytes);  // the request may still be sent to another back end
+      return;
+    }
     active.last_event = active.route->resumable && event.number != 0 ? event.number : active.last_event;
     begins = begins || active.forwarded_events == 0;
     if (!active.stream_version) {
       active.stream_version = active.software_version;
     }
+    passed.append(std::exchange(active.comments, {}));
     passed.append(event.bytes);
     ++active.forwarded_events;
   });
@@ -633,9 +674,9 @@
   if (gap) {
     counters_["forward_event_gaps_total"]++;
     break_off(id, attempt, answer_end::out_of_order);
-  } else if (active.answer.unfinished().size() > kMaxEventBytes) {
+  } else if (active.answer.is_endless()) {
     counters_["forward_events_too_long_total"]++;
-    break_off(id, attempt, answer_end::malformed);
+    break_off(id, attempt, answer_end::too_long);
   }
 }
 
@@ -698,6 +739,9 @@
     return;
   }
   forward_head(active);
+  if (!active.comments.empty()) {
+    active.events.piece(active.comments);
+  }
   if (!active.answer.unfinished().empty() && guards_.complete_events_only) {
     active.events.piece(active.answer.unfinished());  // empty lines after the last event
   }
@@ -838,7 +882,8 @@
   upstream_.cancel(active.call);
   release_backend(active);
   record_broken_off(active, answer_end::given_up);
-  if (!active.has_first_byte && registry_.is_incarnation(active.backend, active.incarnation)) {
+  const bool no_answer = !active.has_first_byte || active.answer.lacks_event();
+  if (no_answer && registry_.is_incarnation(active.backend, active.incarnation)) {
     registry_.on_failure(active.backend, CallFailure::timed_out);
   }
   ++active.runs;
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -116,6 +116,7 @@
     bool awaits_yield = false;    ///< Of the current send: a batch call has to free a slot of the engine.
     AnswerHead head;
     std::string body;      ///< Of an answer that is forwarded only once it is complete.
+    std::string comments;  ///< Bytes before the first event of the current send that are no event.
     answer_reader answer;  ///< Of the current send.
     std::uint64_t last_event = 0;
     std::optional<std::string> stream_version;  ///< Software version that wrote the caller's events; empty: none yet.
@@ -155,6 +156,10 @@
   void start_first_byte_timeout(ForwardId id);
   void on_head(ForwardId id, std::uint64_t attempt, AnswerHead head);
   void on_piece(ForwardId id, std::uint64_t attempt, std::string_view piece);
+  /// Adds a piece to an answer that is forwarded only once it is complete.
+  void collect(ForwardId id, std::uint64_t attempt, std::string_view piece);
+  /// Breaks off the longest of these answers if they hold too much memory together.
+  void limit_collected();
   void forward_events(ForwardId id, std::uint64_t attempt, std::string_view piece);
   /// Cancels the current send since its back end violates the protocol of event streams.
   void break_off(ForwardId id, std::uint64_t attempt, answer_end end);
--- a/tests/forwarding/event_splitter_test.cpp
+++ b/tests/forwarding/event_splitter_test.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/event_splitter.hpp"
 
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <rapidcheck/catch.h>
 
 using namespace madderdeck::forwarding;
@@ -68,3 +69,23 @@
     RC_ASSERT(split(text, size).bytes == text);
   });
 }
+
+// Guards against an event that is searched from its start with every piece: a megabyte byte by byte took minutes.
+TEST_CASE("a long event costs time in proportion to its bytes, however they arrive") {
+  constexpr std::size_t kBytes = 1024 * 1024;
+  EventSplitter splitter;
+  std::size_t events = 0;
+  const auto count = [&events, kBytes](const StreamEvent& event) {
+    ++events;
+    CHECK(event.data.size() == kBytes);
+  };
+  const std::clock_t began = std::clock();
+  splitter.feed("data:", count);
+  for (std::size_t byte = 0; byte < kBytes; ++byte) {
+    splitter.feed("a", count);
+  }
+  splitter.feed("\n", count);
+  splitter.feed("\n", count);
+  CHECK(events == 1);
+  CHECK((std::clock() - began) / CLOCKS_PER_SEC < 10);
+}
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -829,3 +829,69 @@
   CHECK_FALSE(fixture.caller.refusal);
   CHECK(fixture.forwarder.active() == 0);
 }
+
+// Guards against an answer without end that fills the memory of this node before its deadline.
+TEST_CASE("an answer that is collected is broken off beyond 8 MiB, and the longest of several beyond 64 MiB together") {
+  const std::string mebibyte(1024 * 1024, 'a');
+  Fixture fixture;
+  fixture.start();
+  fixture.answer(0, 200, "");
+  for (int piece = 0; piece < 8; ++piece) {
+    fixture.call(0).events.piece(mebibyte);
+  }
+  CHECK_FALSE(fixture.call(0).cancelled);
+  fixture.call(0).events.piece("a");
+  CHECK(fixture.call(0).cancelled);
+  CHECK(fixture.counters["answers_ended_too_long_total"] == 1);
+  REQUIRE(fixture.upstream.calls.size() == 2);  // it may run elsewhere
+
+  Fixture many;
+  constexpr std::size_t kAnswers = 10;
+  for (std::size_t number = 0; number < kAnswers; ++number) {
+    many.start();
+    many.answer(number, 200, "");
+  }
+  for (int piece = 0; piece < 7; ++piece) {
+    for (std::size_t number = 0; number < kAnswers; ++number) {
+      if (!many.call(number).cancelled) {
+        many.call(number).events.piece(mebibyte);
+      }
+    }
+  }
+  CHECK(many.counters["forward_collected_answers_over_limit_total"] >= 1);
+}
+
+TEST_CASE("a stream of lines that are no event is broken off beyond 1 MiB") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.start();
+  const std::string comments = ": nothing\n\n";
+  fixture.call(0).events.head(AnswerHead{200, {}, true});
+  std::string piece;
+  while (piece.size() < 64 * 1024) {
+    piece += comments;
+  }
+  for (int number = 0; number < 17 && !fixture.call(0).cancelled; ++number) {
+    fixture.call(0).events.piece(piece);
+  }
+  CHECK(fixture.call(0).cancelled);
+  CHECK(fixture.counters["forward_events_too_long_total"] == 1);
+}
+
+// Guards against a request that waits for its deadline at an engine that sends lines now and then, but no event.
+TEST_CASE("a repeatable stream that brings lines but no event in time goes on at another back end") {
+  Fixture fixture;
+  fixture.route->kind = RouteKind::stream;
+  fixture.route->resumable = true;
+  fixture.start();
+  fixture.call(0).events.head(AnswerHead{200, {}, true});
+  fixture.call(0).events.piece(": nothing\n\n");
+  CHECK_FALSE(fixture.caller.head);  // the caller has nothing of it yet
+  fixture.environment.world.run_for(500ms);
+  REQUIRE(fixture.upstream.calls.size() == 2);
+  CHECK(fixture.call(0).cancelled);
+  fixture.call(1).events.head(AnswerHead{200, {}, true});
+  fixture.call(1).events.piece(": sound\n\nid: 1\ndata: one\n\n");
+  fixture.call(1).events.finished();
+  CHECK(fixture.caller.body == ": sound\n\nid: 1\ndata: one\n\n");
+}
