A run of a batch item without an event for 5 s is moved to another engine

Callers saw: an item waits at an engine whose bytes are no events. Progress is an event now; after 5 s without one the run is requeued with what it has, and the engine counts as failing. The test was not run without the change.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -18,12 +18,15 @@
 constexpr std::size_t kMaxManagersAskedInLargeFleet = 16;
 /// Runs are moved away from an engine that has sent nothing on any of its calls for this long.
 constexpr Duration kUnresponsiveEngineTimeout = 1s;
+/// A run without an event for this long is moved to another engine. One that waits in the queue of a busy engine gets
+/// its first event earlier.
+constexpr Duration kProgressTimeout = 5s;
 constexpr Duration kOwnershipInterval = 250ms;
 constexpr Duration kMinAskInterval = 20ms;
 constexpr Duration kMaxAskIntervalBusy = 200ms;  ///< Longest interval while some manager is known to have items.
 constexpr Duration kMaxAskIntervalIdle = 4s;     ///< Longest interval while no manager is known to have items.
-constexpr unsigned kMaxFailedRuns = 20;  ///< Of an item whose route sets no limit.
-constexpr Duration kReportMaxAge = 400ms;  ///< An engine's load report counts for this long.
+constexpr unsigned kMaxFailedRuns = 20;          ///< Of an item whose route sets no limit.
+constexpr Duration kReportMaxAge = 400ms;        ///< An engine's load report counts for this long.
 /// Lower bound of the time to yield, also used before any was observed: message delays and one step of the engine.
 constexpr Duration kMinTimeToYield = 10ms;
 /// The same where calls are not reported, so that no gateway can observe why a live call waits.
@@ -89,6 +92,7 @@
   if (!draining_) {
     update_managers();
     requeue_from_unresponsive_engines();
+    requeue_without_progress();
     requeue_from_lost_engines();
     fill_engines();
   }
@@ -97,9 +101,7 @@
   counters_["batch_items_queued"] = static_cast<CounterValue>(queue_.size());
 }
 
-bool Dispatcher::is_idle() const {
-  return owned_engines_.empty() && queue_.empty() && active() == 0;
-}
+bool Dispatcher::is_idle() const { return owned_engines_.empty() && queue_.empty() && active() == 0; }
 
 void Dispatcher::refresh_ownership() {
   const bool unchanged =
@@ -492,6 +494,7 @@
   running.software_version = backend.machine.software_version;
   running.start_number = id;
   running.started_at = environment_.now();
+  running.progress_at = running.started_at;
   running.resumed_from = running.work.item.partial_tokens;
   Engine& engine = engines_[running.engine];
   change_running(running.engine, +1);
@@ -547,6 +550,7 @@
     if (item.partial_tokens == 0) {
       item.partial_version = entry->second.software_version;
     }
+    entry->second.progress_at = environment_.now();
     item.partial.append(event_of_stream && item.partial_tokens > 0 ? "\n" : "").append(text);
     ++item.partial_tokens;
   } else if (offset > item.partial_tokens) {
@@ -825,6 +829,23 @@
   }
 }
 
+void Dispatcher::requeue_without_progress() {
+  const Timestamp now = environment_.now();
+  for (auto entry = running_.begin(); entry != running_.end();) {
+    const auto run = entry++;
+    if (now - run->second.progress_at <= kProgressTimeout) {
+      continue;
+    }
+    const BackendId engine = run->second.engine;
+    if (registry_.is_incarnation(engine, run->second.life)) {
+      registry_.on_failure(engine, routing::CallFailure::timed_out);
+    }
+    engines_[engine].resume_after = now + kUnresponsiveEngineTimeout;
+    counters_["batch_items_without_progress_total"]++;
+    requeue(run, 0);
+  }
+}
+
 /// Live calls are reported only to the current owner of an engine, so runs of another node would never yield to them.
 void Dispatcher::requeue_from_lost_engines() {
   refresh_ownership();
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -85,7 +85,7 @@
     wire::WorkItemT item;
     PeerAddress manager;
     Timestamp start_before{};
-    std::optional<Timestamp> unplaceable_since;  ///< Set while no usable engine of this node can run it.
+    std::optional<Timestamp> unplaceable_since;         ///< Set while no usable engine of this node can run it.
     std::shared_ptr<const routing::HttpItemCall> http;  ///< Null unless the item is an HTTP request.
   };
   /// Identifies an item that this node holds, for the message that confirms it to its manager.
@@ -103,6 +103,7 @@
     Timestamp started_at{};
     std::string software_version;    ///< Of the engine, as listed when the run was sent to it.
     std::uint32_t resumed_from = 0;  ///< Number of events that earlier runs produced.
+    Timestamp progress_at{};         ///< Of its last event; before the first one, when it was sent.
   };
   struct GatewayActivity {
     std::uint32_t in_flight = 0;
@@ -141,6 +142,8 @@
   /// Requeues the runs on engines that have sent nothing for kUnresponsiveEngineTimeout; the items resume on another
   /// engine from their last event.
   void requeue_from_unresponsive_engines();
+  /// Requeues the runs that have produced no event for kProgressTimeout, whatever bytes came.
+  void requeue_without_progress();
   /// Requeues the runs on engines that another dispatcher owns by now.
   void requeue_from_lost_engines();
   /// Stops @p run and requeues its item.
@@ -215,7 +218,7 @@
   Timestamp requeued_for_ownership_at_{};
   std::uint64_t ownership_members_version_ = 0;
   std::uint64_t ownership_registry_version_ = 0;
-  std::map<std::string, Timestamp> route_missing_since_;  ///< Keyed by job.
+  std::map<std::string, Timestamp> route_missing_since_;                   ///< Keyed by job.
   std::map<std::pair<std::string, std::uint32_t>, unsigned> broken_runs_;  ///< Filled only if they are limited.
   RunId next_run_ = 0;
   std::uint64_t managers_members_version_ = 0;  ///< Version of members_ at the last update_managers().
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -312,8 +312,8 @@
         returned_ = *message.body.AsItemSettled();
         CHECK_FALSE(returned_->completed);
       }
-      asked = asked || (message.body.type == wire::Message::TakeItems &&
-                        message.body.AsTakeItems()->request > last_answered_);
+      asked = asked ||
+              (message.body.type == wire::Message::TakeItems && message.body.AsTakeItems()->request > last_answered_);
     }
     std::erase_if(fixture_.fleet.environment.sent,
                   [](const auto& message) { return message.body.type == wire::Message::ItemSettled; });
@@ -371,3 +371,18 @@
   CHECK(fixture.fleet.environment.sent_of(wire::Message::ItemSettled) >= 2);
   CHECK(fixture.fleet.counters["batch_items_unplaceable_total"] == 2);
 }
+
+// Guards against an item that waits for an engine whose bytes are no events.
+TEST_CASE("a run without an event for 5 s is moved, though its engine is heard on other calls") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 2);
+  for (std::uint32_t event = 0; event < 52; ++event) {
+    fixture.backends.engine_calls[1].events.token(event, "x");
+    fixture.fleet.environment.world.run_for(100ms);
+  }
+  CHECK(fixture.backends.engine_calls[0].cancelled);
+  CHECK_FALSE(fixture.backends.engine_calls[1].cancelled);
+  CHECK(fixture.fleet.counters["batch_items_without_progress_total"] == 1);
+}
