HTTP client: every answer has limits of size and time

Cause: collected answers had no limit; the only time limit was from one read to the next, which a byte now and then never reaches; bytes around chunks were kept until they ended; the bodies of refusals and of answers to other requests were read to an end that need not come; 1xx answers counted as answers.

Change: ClientCallOptions has max_body_bytes and total_timeout, fetch() collects 16 MiB at most, bytes around bodies are limited to 128 KiB, skipped answers to 256 KiB and 1 s; a refusal counts with its head. The server's buffer is limited alike.

--- a/src/net/http_backend_client.cpp
+++ b/src/net/http_backend_client.cpp
@@ -13,6 +13,8 @@
 constexpr unsigned kOk = 200;
 constexpr std::chrono::milliseconds kEngineIdleTimeout{15'000};  ///< Longest wait for the next token.
 constexpr std::chrono::milliseconds kReportTimeout{1000};
+constexpr std::size_t kMaxReportBytes = 64 * 1024;
+constexpr std::size_t kMaxRefusalBytes = 64 * 1024;
 
 CallFailure failure_of(CallBreak reason) {
   switch (reason) {
@@ -25,6 +27,7 @@
     case CallBreak::closed:
     case CallBreak::reset:
     case CallBreak::malformed:
+    case CallBreak::too_long:
       break;
   }
   return CallFailure::broken;
@@ -90,7 +93,11 @@
     events.token(static_cast<std::uint32_t>(offset->as_int64()), std::string_view(string.data(), string.size()));
   }
 
+  /// @return whether the response has more bytes than its next event, or a refusal, may have.
+  bool is_endless() const { return reader.is_endless() || refusal.size() > kMaxRefusalBytes; }
+
   routing::EngineEvents events;
+  HttpClient::CallNumber call = 0;
   SseReader reader;
   unsigned status = 0;
   std::string refusal;
@@ -119,12 +126,16 @@
   auto stream = std::make_shared<EngineStream>(std::move(events));
   ClientCallEvents call_events;
   call_events.header = [stream](const ResponseHead& head) { stream->status = head.status; };
-  call_events.body = [stream](std::string_view piece) {
+  call_events.body = [this, stream](std::string_view piece) {
     if (stream->status == kOk) {
       stream->reader.feed(piece);
     } else {
       stream->refusal.append(piece);
     }
+    if (stream->is_endless()) {
+      client_.cancel(stream->call);
+      stream->events.failed(CallFailure::broken);
+    }
   };
   call_events.done = [stream] {
     if (stream->status != kOk) {
@@ -138,7 +149,8 @@
   call_events.failed = [stream](CallBreak reason) { stream->events.failed(failure_of(reason)); };
   ClientCallOptions options;
   options.idle_timeout = kEngineIdleTimeout;
-  return client_.start(engine.str(), std::move(request), std::move(call_events), options);
+  stream->call = client_.start(engine.str(), std::move(request), std::move(call_events), options);
+  return stream->call;
 }
 
 routing::CallId HttpBackendClient::start(const BackendId& service, const routing::ServiceCall& call,
@@ -152,6 +164,7 @@
   request.body = call.body;
   ClientCallOptions options;
   options.idle_timeout = std::chrono::milliseconds(call.timeout_ms);
+  options.total_timeout = std::chrono::milliseconds(call.timeout_ms);
   options.fresh_connection = true;
   return client_.fetch(
       service.str(), std::move(request),
@@ -180,6 +193,8 @@
   request.target = "/load";
   ClientCallOptions options;
   options.idle_timeout = kReportTimeout;
+  options.total_timeout = kReportTimeout;
+  options.max_body_bytes = kMaxReportBytes;
   options.may_end_with_connection = true;  // a truncated report does not parse as JSON
   client_.fetch(
       backend.str(), std::move(request),
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -13,8 +13,10 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <algorithm>
 #include <charconv>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -32,8 +34,13 @@
 constexpr std::size_t kPooledPerEndpoint = 64;
 constexpr std::chrono::milliseconds kDefaultKeepAlive{4'000};  ///< If the peer states none.
 constexpr std::chrono::milliseconds kKeepAliveMargin{500};     ///< Closed this long before the peer's timeout.
-constexpr std::size_t kWriteFirstBytes = 16 * 1024;  ///< Longer bodies are written while reading the response.
-constexpr std::size_t kMaxStrayResponses = 4;        ///< Max number that is skipped on one connection.
+constexpr std::size_t kWriteFirstBytes = 16 * 1024;   ///< Longer bodies are written while reading the response.
+constexpr std::size_t kMaxStrayResponses = 4;         ///< Max number that is skipped on one connection.
+constexpr std::size_t kMaxSkippedBytes = 256 * 1024;  ///< Of the body of a response that nobody reads.
+constexpr std::chrono::milliseconds kMaxSkipTime{1'000};
+/// Bytes that were read and do not belong to a body yet: a head, the sizes and extensions of chunks, trailers.
+constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
+constexpr unsigned kFirstFinalStatus = 200;  ///< Lower ones announce a later response.
 /// A reply from another zone takes a few milliseconds.
 constexpr std::chrono::milliseconds kLivenessTimeout{250};
 /// While a process terminates, its address accepts connections until the kernel closes the listening socket, and then
@@ -52,8 +59,11 @@
   asio::steady_timer wakeup;
   bool cancelled = false;
   bool paused = false;
-  bool counted = false;  ///< Included in the endpoint's number of open connections.
-  bool written = false;  ///< The complete request has been written.
+  bool skipped = false;  ///< Its events have ended, and its response is read to the end.
+  std::optional<boot_clock::time_point> deadline;
+  std::size_t body_bytes = 0;  ///< Of the response that is being read.
+  bool counted = false;        ///< Included in the endpoint's number of open connections.
+  bool written = false;        ///< The complete request has been written.
   bool write_failed = false;
 };
 
@@ -203,7 +213,7 @@
     if (write_failure) {
       co_return liveness_of(write_failure);
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxBufferedBytes);
     http::response_parser<http::buffer_body> parser;
     auto [read_failure, count] = co_await http::async_read_header(stream, buffer, parser, kAwait);
     co_return read_failure ? liveness_of(read_failure) : PeerLiveness::answers;
@@ -268,7 +278,7 @@
     if (call.stream) {
       call.stream->close();
     }
-    if (!call.cancelled && call.events.failed) {
+    if (!call.cancelled && !call.skipped && call.events.failed) {
       call.events.failed(reason);
     }
   }
@@ -280,10 +290,29 @@
     if (failure == http::error::end_of_stream || failure == http::error::partial_message) {
       return CallBreak::closed;
     }
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow ||
+        failure == http::error::body_limit) {
+      return CallBreak::too_long;
+    }
     return failure.category() == http::make_error_code(http::error::bad_version).category() ? CallBreak::malformed
                                                                                             : CallBreak::reset;
   }
 
+  /// Lets the next operation on the call's connection fail after its idle time, or at its deadline if that is earlier.
+  static void set_expiry(Call& call) {
+    std::chrono::milliseconds timeout = call.options.idle_timeout;
+    if (call.deadline) {
+      const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(*call.deadline - boot_clock::now());
+      timeout = std::clamp(left, std::chrono::milliseconds(0), timeout);
+    }
+    call.stream->expires_after(timeout);
+  }
+
+  /// @return how long the body of a response may be.
+  static std::size_t max_body_of(const Call& call, bool belongs) {
+    return belongs && !call.skipped ? call.options.max_body_bytes : kMaxSkippedBytes;
+  }
+
   static body_framing framing_of(const http::response_parser<http::buffer_body>& parser) {
     if (parser.chunked()) {
       return body_framing::chunks;
@@ -313,7 +342,7 @@
       fail(number, *call, CallBreak::connect_failed);
       co_return;
     }
-    call->stream->expires_after(call->options.idle_timeout);
+    set_expiry(*call);
     if (call->request.body().size() > kWriteFirstBytes) {
       // The peer may respond before it has read the whole request.
       asio::co_spawn(
@@ -325,7 +354,7 @@
         co_return;
       }
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(kMaxBufferedBytes);
     std::size_t strays = 0;
     while (co_await read_response(number, call, buffer) == ReadOutcome::stray) {
       if (++strays > kMaxStrayResponses) {
@@ -349,7 +378,8 @@
                                              beast::flat_buffer& buffer) {
     http::response_parser<http::buffer_body> parser;
     parser.body_limit(boost::none);
-    call->stream->expires_after(call->options.idle_timeout);
+    call->body_bytes = 0;
+    set_expiry(*call);
     auto [failure, bytes] = co_await http::async_read_header(*call->stream, buffer, parser, kAwait);
     if (failure || call->cancelled) {
       fail(number, *call, reason_of(failure));
@@ -361,7 +391,12 @@
     for (const auto& field : parser.get()) {
       head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    const bool belongs = !call->options.belongs || call->options.belongs(head.status, head.headers);
+    const bool interim = head.status < kFirstFinalStatus;
+    const bool belongs = !interim && (!call->options.belongs || call->options.belongs(head.status, head.headers));
+    if (parser.content_length().value_or(0) > max_body_of(*call, belongs)) {
+      fail(number, *call, CallBreak::too_long);
+      co_return ReadOutcome::ended;
+    }
     if (belongs && call->events.header) {
       call->events.header(head);
     }
@@ -369,14 +404,19 @@
     while (!parser.is_done() && !call->cancelled) {
       parser.get().body().data = piece.data();
       parser.get().body().size = piece.size();
-      call->stream->expires_after(call->options.idle_timeout);
+      set_expiry(*call);
       auto [read_failure, count] = co_await http::async_read_some(*call->stream, buffer, parser, kAwait);
       if ((read_failure && read_failure != http::error::need_buffer) || call->cancelled) {
         fail(number, *call, reason_of(read_failure));
         co_return ReadOutcome::ended;
       }
       const std::size_t length = piece.size() - parser.get().body().size;
-      if (belongs && length > 0 && call->events.body) {
+      call->body_bytes += length;
+      if (call->body_bytes > max_body_of(*call, belongs)) {
+        fail(number, *call, CallBreak::too_long);
+        co_return ReadOutcome::ended;
+      }
+      if (belongs && length > 0 && !call->skipped && call->events.body) {
         call->events.body(std::string_view(piece.data(), length));
       }
       while (call->paused && !call->cancelled) {
@@ -388,7 +428,7 @@
     if (call->cancelled) {
       co_return ReadOutcome::ended;
     }
-    if (belongs && head.framing == body_framing::until_close && co_await peer_has_terminated(*call)) {
+    if (belongs && !call->skipped && head.framing == body_framing::until_close && co_await peer_has_terminated(*call)) {
       fail(number, *call, CallBreak::closed);
       co_return ReadOutcome::ended;
     }
@@ -410,7 +450,7 @@
     } else {
       call->stream->close();
     }
-    if (call->events.done) {
+    if (!call->skipped && call->events.done) {
       call->events.done();
     }
     co_return ReadOutcome::ended;
@@ -435,6 +475,8 @@
       return "reset";
     case CallBreak::malformed:
       return "malformed";
+    case CallBreak::too_long:
+      return "too_long";
     case CallBreak::timed_out:
       break;
   }
@@ -451,6 +493,9 @@
   call->endpoint = endpoint;
   call->events = std::move(events);
   call->options = options;
+  if (options.total_timeout.count() > 0) {
+    call->deadline = boot_clock::now() + options.total_timeout;
+  }
   call->request = message_of(std::move(request), endpoint);
   const CallNumber number = ++implementation_->next;
   implementation_->calls.emplace(number, call);
@@ -481,6 +526,7 @@
     done(std::move(*response));
   };
   events.failed = [done](CallBreak reason) { done(reason); };
+  options.max_body_bytes = std::min(options.max_body_bytes, kMaxFetchedBytes);
   return start(endpoint, std::move(request), std::move(events), options);
 }
 
@@ -493,6 +539,15 @@
       asio::detached);
 }
 
+void HttpClient::skip_rest(CallNumber number) {
+  if (const auto entry = implementation_->calls.find(number); entry != implementation_->calls.end()) {
+    Call& call = *entry->second;
+    call.skipped = true;
+    call.deadline = boot_clock::now() + kMaxSkipTime;
+    resume(number);
+  }
+}
+
 void HttpClient::cancel(CallNumber number) {
   const auto entry = implementation_->calls.find(number);
   if (entry == implementation_->calls.end()) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
   closed,          ///< The peer closed the connection after sending had begun and before its response was complete.
   reset,           ///< The connection broke in another way after sending had begun.
   malformed,       ///< The peer's bytes are not a valid response to this call.
+  too_long,        ///< A head, a body or the bytes around chunks are longer than allowed.
   timed_out,       ///< No progress within the timeout after sending had begun.
 };
 
@@ -40,7 +42,11 @@
 struct ClientCallOptions {
   std::chrono::milliseconds connect_timeout{1000};
   std::chrono::milliseconds idle_timeout{60'000};  ///< Max time between two reads of bytes.
-  bool fresh_connection = false;                   ///< Never reuse a connection, since it may be half closed.
+  /// Max time from the start to the end of the response; zero: none. A peer that sends a byte now and then never idles.
+  std::chrono::milliseconds total_timeout{0};
+  /// Max size of the body; a longer response fails as too_long. fetch() allows kMaxFetchedBytes at most.
+  std::size_t max_body_bytes = std::numeric_limits<std::size_t>::max();
+  bool fresh_connection = false;  ///< Never reuse a connection, since it may be half closed.
   /// Max idle time of a pooled connection that is reused.
   std::chrono::milliseconds max_reuse_idle{3'600'000};
   /// Max open connections to the endpoint, in use and pooled; a call that would need one more is not sent.
@@ -75,6 +81,8 @@
 class HttpClient {
  public:
   using CallNumber = std::uint64_t;
+  /// Largest body that fetch() collects: some times the largest page of the platform's store.
+  static constexpr std::size_t kMaxFetchedBytes = 16 * 1024 * 1024;
 
   /// @param local_ip address to connect from; empty for any.
   HttpClient(boost::asio::io_context& context, std::string local_ip);
@@ -87,6 +95,9 @@
   CallNumber fetch(const std::string& endpoint, HttpRequest request, SimpleDone done, ClientCallOptions options = {});
   /// Opens a connection to @p endpoint and closes it at once. @p done never runs inside this call.
   void probe(const std::string& endpoint, std::chrono::milliseconds timeout, routing::ReachabilityDone done);
+  /// Ends the events of a call whose head has arrived. The rest of its response is read for a bounded time and up to a
+  /// bounded size, so that its connection can be used again.
+  void skip_rest(CallNumber call);
   /// Ends a call; its connection closes and no further event arrives.
   void cancel(CallNumber call);
   void pause(CallNumber call);
--- a/src/net/http_platform_client.cpp
+++ b/src/net/http_platform_client.cpp
@@ -6,7 +6,8 @@
 namespace {
 
 namespace json = boost::json;
-constexpr std::chrono::milliseconds kAnswerTimeout{2000};
+constexpr std::chrono::milliseconds kAnswerTimeout{2000};  ///< Between two reads of bytes.
+constexpr std::chrono::milliseconds kWholeAnswerTimeout{10'000};
 
 config::Entry parse_entry(const json::object& fields) {
   config::Entry entry;
@@ -23,6 +24,7 @@
 ClientCallOptions document_options() {
   ClientCallOptions options;
   options.may_end_with_connection = true;
+  options.total_timeout = kWholeAnswerTimeout;
   return options;
 }
 
@@ -53,6 +55,7 @@
   request.target = path + "?since=" + std::to_string(since) + "&wait_ms=" + std::to_string(wait / 1ms);
   ClientCallOptions options = document_options();
   options.idle_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(wait) + kAnswerTimeout;
+  options.total_timeout = std::chrono::duration_cast<std::chrono::milliseconds>(wait) + kWholeAnswerTimeout;
   client_.fetch(
       endpoint_, std::move(request),
       [done](std::variant<SimpleResponse, CallBreak> result) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -23,6 +23,8 @@
 using tcp = asio::ip::tcp;
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kPieceBytes = 64 * 1024;
+/// Bytes read beyond a request's head, with the sizes and extensions of chunks and trailers.
+constexpr std::size_t kMaxReadAheadBytes = 128 * 1024;
 constexpr unsigned kFirstVersionWithChunks = 11;  ///< HTTP/1.1 in the parser's numbering.
 
 HttpRequest to_request(const http::request_header<>& header) {
@@ -152,7 +154,9 @@
 class Session : public std::enable_shared_from_this<Session> {
  public:
   Session(std::shared_ptr<HttpServer::Implementation> server, tcp::socket socket)
-      : server_(std::move(server)), stream_(std::move(socket)) {
+      : server_(std::move(server)),
+        stream_(std::move(socket)),
+        buffer_(server_->options.max_header_bytes + kMaxReadAheadBytes) {
     ++server_->connections;
   }
   ~Session() { --server_->connections; }
--- a/src/node/asio_environment.cpp
+++ b/src/node/asio_environment.cpp
@@ -12,7 +12,8 @@
 constexpr std::chrono::seconds kFrameTimeout{5};  ///< Timeout for a frame's response, plus the time to send its bytes.
 /// Lowest rate at which a peer can receive a long frame before it times out.
 constexpr std::size_t kMinBytesPerSecond = 256 << 10;
-constexpr Duration kLossLogInterval = 1s;  ///< Minimum time between two log lines about lost frames.
+constexpr std::size_t kMaxFrameAnswerBytes = 4 * 1024;  ///< An answer to a frame is empty or names an error.
+constexpr Duration kLossLogInterval = 1s;               ///< Minimum time between two log lines about lost frames.
 constexpr unsigned kNoContentStatus = 204;
 
 bool is_datagram(wire::Message type) {
@@ -163,7 +164,9 @@
   request.target = kPeerMessagesPath;
   request.body.assign(reinterpret_cast<const char*>(frame.data()), frame.size());
   net::ClientCallOptions options;
+  options.max_body_bytes = kMaxFrameAnswerBytes;
   options.idle_timeout = kFrameTimeout + std::chrono::milliseconds(frame.size() * 1000 / kMinBytesPerSecond);
+  options.total_timeout = options.idle_timeout;
   client_.fetch(
       to.str(), std::move(request),
       [this, to, sent](const std::variant<net::SimpleResponse, net::CallBreak>& result) {
--- a/src/routing/registry.hpp
+++ b/src/routing/registry.hpp
@@ -44,7 +44,7 @@
   Timestamp reported_at{};
   std::uint32_t consecutive_failures = 0;
   std::uint32_t ejections = 0;  ///< Ejections since the last success; each lasts longer than the one before.
-  Timestamp ejected_at{};  ///< Start of its latest ejection.
+  Timestamp ejected_at{};       ///< Start of its latest ejection.
   Timestamp ejected_until{};
   Timestamp added_at{};
   bool reported_leaving = false;                 ///< The back end's last refusal or report said that it is leaving.
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -87,7 +87,7 @@
   std::uint64_t steps = 0;
   LoadCounts counts;
   std::map<std::string, Oracle::FatalRequest> fatal_requests;
-  unsigned most_item_ends = 0;  ///< Engines that crashed under one batch item.
+  unsigned most_item_ends = 0;                   ///< Engines that crashed under one batch item.
   std::vector<fatal_sends::finding> over_three;  ///< Sends that ended a fourth engine or a later one.
   RecoveryTimes recovery;                        ///< Only where losses come in series.
 };
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -52,7 +52,7 @@
   /// Software versions among which those of the engines are drawn; 0: engines state none.
   unsigned engine_versions = 0;
   bool crashes_judged = false;  ///< Batch items have to run again soon after a burst of crashes at the end.
-  bool seeds_drawn = false;  ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
+  bool seeds_drawn = false;     ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
 };
 /// @return the profile of that name, if there is one.
 std::optional<Profile> find_profile(const std::string& name);
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -17,8 +17,8 @@
 using Weights = std::array<unsigned, kActionKinds>;
 
 /// How often each kind comes up, against the others.
-constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1, 3, 3, 3,
-                              2,  2,  2,  1, 1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0, 0, 0, 0, 0, 0};
+constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1, 1, 2, 2, 2, 1, 3, 3, 3, 2,
+                              2,  2,  1,  1, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 6, 0, 0, 0, 0, 0, 0, 0, 0};
 
 Weights weights_of(ScheduleMix mix) {
   Weights weights = kWeights;
