Test: a held item is confirmed to both managers while it runs on an engine that this node keeps

The test let a run go on at an engine that another node owns after a join. It runs on an engine of this node instead, and both managers are checked now, the one that handed it out, too.

--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -19,15 +19,8 @@
 
 /// A dispatcher on node-0, at first the only member, with one engine of four slots.
 struct dispatcher_fixture {
-  dispatcher_fixture() : engine(engine_of_other()) {
-    config::VersionedTable machines;
-    config::Machine machine;
-    machine.id = engine;
-    machine.pools = {kPool};
-    machine.zone = "z0";
-    machine.slots = 4;
-    machines.apply(0, 1, {{{config::kMachineKind, engine.str()}, config::format_machine(machine), 1}});
-    registry.update(machines, {{config::kMachineKind, engine.str()}});
+  dispatcher_fixture() : engine(engine_owned_by("node-1")) {
+    list_engine(engine);
     config::VersionedTable objects;
     objects.apply(0, 1, {{{config::kTemplateKind, "t"}, R"({"pool":"m"})", 1}});
     catalog.update(objects, {{config::kTemplateKind, "t"}});
@@ -35,16 +28,27 @@
     fleet.environment.world.run_for(500ms);
   }
 
-  /// @return an engine that node-1 owns once it has joined.
-  static BackendId engine_of_other() {
+  /// @return an engine that @p node owns once node-1 has joined.
+  static BackendId engine_owned_by(const std::string& node) {
     fleet_members both(2);
     for (int number = 0;; ++number) {
       BackendId id("e" + std::to_string(number));
-      if (both.who.dispatcher_of(id.str(), "z0")->id == "node-1") {
+      if (both.who.dispatcher_of(id.str(), "z0")->id == node) {
         return id;
       }
     }
   }
+  void list_engine(const BackendId& id) {
+    config::VersionedTable machines;
+    config::Machine machine;
+    machine.id = id;
+    machine.pools = {kPool};
+    machine.zone = "z0";
+    machine.slots = 4;
+    machines.apply(0, 1, {{{config::kMachineKind, id.str()}, config::format_machine(machine), 1}});
+    registry.update(machines, {{config::kMachineKind, id.str()}});
+    fleet.environment.world.run_for(300ms);
+  }
   void give_item(const std::function<void(wire::WorkItemT&)>& change = {}) {
     std::uint64_t request = 0;
     for (const auto& message : fleet.environment.sent) {
@@ -216,12 +220,20 @@
 
 TEST_CASE("a held item is confirmed to the manager that handed it out and to the job's current manager") {
   dispatcher_fixture fixture;
+  fixture.list_engine(dispatcher_fixture::engine_owned_by("node-0"));
+  fixture.registry.on_failure(fixture.engine, routing::CallFailure::not_sent);  // its owner will be another node
   fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  REQUIRE(fixture.backends.engine_calls[0].engine != fixture.engine);
   fixture.add_other();
   // Checks the job's current manager, which may be another node than the one that handed out the item.
   fixture.fleet.environment.sent.clear();
-  fixture.fleet.environment.world.run_for(1100ms);
+  for (std::uint32_t event = 0; event < 11; ++event) {
+    fixture.backends.engine_calls[0].events.token(event, "x");
+    fixture.fleet.environment.world.run_for(100ms);
+  }
   const std::string present = fixture.fleet.who.manager_of("j")->peer_address;
+  CHECK(confirmations(fixture, kManager) >= 1);
   CHECK(confirmations(fixture, PeerAddress(present)) >= 1);
 }
 
