Server: connections at rest are closed after their idle time

Operators saw: a connection at rest was still open after 30 s where idle_timeout_ms allows 15 s; with as many as a node may have it would close every new one. Cause: the wait for the next request used the raw socket, which the stream's timer does not cover. It has a timer of its own now, counter http_idle_connections_closed_total.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -191,15 +191,31 @@
  private:
   using Parser = limited_parser;
 
+  /// @return why no request came; no error when its first bytes are there. The stream's own expiry does not cover waits
+  ///         for its socket.
+  asio::awaitable<beast::error_code> wait_for_request() {
+    asio::steady_timer idle(stream_.get_executor(), server_->options.idle_timeout);
+    const auto waiting = std::make_shared<bool>(true);
+    idle.async_wait([this, waiting](beast::error_code cancelled) {
+      if (!cancelled && *waiting) {
+        server_->counters["http_idle_connections_closed_total"]++;
+        beast::error_code ignored;
+        stream_.socket().cancel(ignored);
+      }
+    });
+    auto [failure] = co_await stream_.socket().async_wait(tcp::socket::wait_read, kAwait);
+    *waiting = false;
+    co_return failure;
+  }
+
   asio::awaitable<bool> serve_one() {
     const ServerOptions& options = server_->options;
     Parser parser;
     parser.header_limit(static_cast<std::uint32_t>(options.max_header_bytes));
     parser.body_limit(boost::none);
     if (buffer_.size() == 0) {
-      stream_.expires_after(options.idle_timeout);
       server_->idle_sockets.insert(&stream_.socket());
-      auto [wait_failure] = co_await stream_.socket().async_wait(tcp::socket::wait_read, kAwait);
+      const beast::error_code wait_failure = co_await wait_for_request();
       server_->idle_sockets.erase(&stream_.socket());
       if (wait_failure) {
         co_return false;
--- a/tests/net/http_fields_test.cpp
+++ b/tests/net/http_fields_test.cpp
@@ -92,3 +92,17 @@
               RC_ASSERT(find_unsendable({"P" + text, "/", {}, ""}));
             });
 }
+
+// Guards against connections at rest that take all that a node may have.
+TEST_CASE("a connection at rest is closed after the idle time, and one in use is not") {
+  fixture one;
+  boost::asio::ip::tcp::socket peer(one.session.context);
+  peer.connect({boost::asio::ip::make_address("127.91.5.3"), 9342});
+  bool closed = false;
+  char byte = 0;
+  peer.async_read_some(boost::asio::buffer(&byte, 1), [&closed](auto failure, std::size_t) { closed = !!failure; });
+  one.session.run_until([&closed] { return closed; }, kTestTimeout);
+  CHECK(closed);
+  CHECK(one.counters["http_idle_connections_closed_total"] == 1);
+  CHECK_FALSE(one.call({"GET", "/", {}, ""}));
+}
