--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -806,7 +806,7 @@
     if (youngest == running_.end()) {
       return;
     }
-    requeue(youngest, online);
+    requeue(youngest, stop_reason::yields, static_cast<std::uint32_t>(online));
     counters_["batch_items_yielded_total"]++;
     engine.resume_after = environment_.now() + kPauseAfterYield;
   }
@@ -825,7 +825,7 @@
     }
     engines_[run->second.engine].resume_after = now + kUnresponsiveEngineTimeout;
     counters_["batch_items_left_silent_engines_total"]++;
-    requeue(run, 0);
+    requeue(run, stop_reason::engine_unresponsive, 0);
   }
 }
 
@@ -842,7 +842,7 @@
     }
     engines_[engine].resume_after = now + kUnresponsiveEngineTimeout;
     counters_["batch_items_without_progress_total"]++;
-    requeue(run, 0);
+    requeue(run, stop_reason::no_progress, 0);
   }
 }
 
@@ -858,18 +858,34 @@
     const bool listed = registry_.find(run->second.engine) != nullptr;
     if (listed && !owned_engines_.contains(run->second.engine)) {
       counters_["batch_items_left_lost_engines_total"]++;
-      requeue(run, 0);
+      requeue(run, stop_reason::engine_lost, 0);
     }
   }
 }
 
-void Dispatcher::requeue(std::map<RunId, RunningItem>::iterator run, std::uint32_t live) {
+std::string_view Dispatcher::stop_reason_name(stop_reason reason) {
+  switch (reason) {
+    case stop_reason::yields:
+      return "yields";
+    case stop_reason::engine_unresponsive:
+      return "engine_unresponsive";
+    case stop_reason::no_progress:
+      return "no_progress";
+    case stop_reason::engine_lost:
+      break;
+  }
+  return "engine_lost";
+}
+
+void Dispatcher::requeue(std::map<RunId, RunningItem>::iterator run, stop_reason reason, std::uint32_t live) {
   client_.cancel(run->second.call);
   RunningItem running = take_running(run->first);
   log_.record("item_yielded", {{"job", running.work.item.job},
                                {"index", running.work.item.index},
                                {"item", item_id_of(running.work)},
                                {"backend", running.engine.str()},
+                               {"reason", stop_reason_name(reason)},
+                               {"ran_ms", (environment_.now() - running.started_at) / 1ms},
                                {"live", live},
                                {"batch_running", engines_[running.engine].running},
                                {"events", running.work.item.partial_tokens}});
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -146,9 +146,13 @@
   void requeue_without_progress();
   /// Requeues the runs on engines that another dispatcher owns by now.
   void requeue_from_lost_engines();
+  /// Why a run is stopped and its item requeued.
+  enum class stop_reason { yields, engine_unresponsive, no_progress, engine_lost };
+  /// @return the name of @p reason in log lines and counters.
+  static std::string_view stop_reason_name(stop_reason reason);
   /// Stops @p run and requeues its item.
   /// @param live number of live calls that need the engine's slots; 0 where the run is stopped for another reason.
-  void requeue(std::map<RunId, RunningItem>::iterator run, std::uint32_t live);
+  void requeue(std::map<RunId, RunningItem>::iterator run, stop_reason reason, std::uint32_t live);
   void change_running(const BackendId& id, std::ptrdiff_t change);
   /// @return the route of an HTTP item under the current configuration, or null.
   const forwarding::Route* route_of(const QueuedItem& work) const;
--- a/src/forwarding/answer_end.cpp
+++ b/src/forwarding/answer_end.cpp
@@ -14,6 +14,8 @@
       return "closed";
     case answer_end::reset:
       return "reset";
+    case answer_end::unforwardable:
+      return "unforwardable";
     case answer_end::malformed:
       return "malformed";
     case answer_end::too_long:
--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -477,6 +477,7 @@
   events.piece = lifetime_.guard([this, id, attempt](std::string_view piece) { on_piece(id, attempt, piece); });
   events.finished = lifetime_.guard([this, id, attempt] { on_finished(id, attempt); });
   events.failed = lifetime_.guard([this, id, attempt](send_failure failure) { on_failed(id, attempt, failure); });
+  events.skipped = lifetime_.guard([this, id, attempt](unsigned status) { on_skipped(id, attempt, status); });
   active.call = upstream_.start(std::move(call), std::move(events));
   start_first_byte_timeout(id);
 }
@@ -514,7 +515,7 @@
     if (unresponsive && !untried_backends(waiting).empty()) {
       counters_["forward_first_byte_timeouts_total"]++;
       upstream_.cancel(waiting.call);
-      on_failed(id, attempt, {CallFailure::timed_out, answer_end::silent});
+      on_failed(id, attempt, {CallFailure::timed_out, answer_end::silent, send_ender::gateway});
     }
   }));
 }
@@ -582,9 +583,9 @@
     active.head = std::move(head);
   } else if (!head.event_stream || head.status >= 300) {
     upstream_.cancel(active.call);
-    on_failed(
-        id, attempt,
-        {head.status >= kFirstServerError ? CallFailure::failed_run : CallFailure::broken, answer_end::malformed});
+    on_failed(id, attempt,
+              {head.status >= kFirstServerError ? CallFailure::failed_run : CallFailure::broken, answer_end::malformed,
+               send_ender::gateway});
   }
 }
 
@@ -614,6 +615,18 @@
   }
 }
 
+void Forwarder::on_skipped(ForwardId id, std::uint64_t attempt, unsigned status) {
+  counters_["forward_answers_skipped_total"]++;
+  if (!is_current(id, attempt)) {
+    return;
+  }
+  const Active& active = requests_.at(id);
+  log_.record("answer_skipped", {{"request", active.request->id},
+                                 {"backend", active.backend.str()},
+                                 {"status", status},
+                                 {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
+}
+
 void Forwarder::collect(ForwardId id, std::uint64_t attempt, std::string_view piece) {
   std::string& body = requests_.at(id).body;
   const std::size_t before = body.size();
@@ -704,7 +717,7 @@
 
 void Forwarder::break_off(ForwardId id, std::uint64_t attempt, answer_end end) {
   upstream_.cancel(requests_.at(id).call);
-  on_failed(id, attempt, {CallFailure::broken, end});
+  on_failed(id, attempt, {CallFailure::broken, end, send_ender::gateway});
 }
 
 void Forwarder::on_finished(ForwardId id, std::uint64_t attempt) {
@@ -821,9 +834,12 @@
   }
   active.attempt = 0;
   record_broken_off(active, failed.end);
+  counters_["sends_ended_" + std::string(answer_end_name(failed.end)) + "_total"]++;
   log_.record("send_failed", {{"request", active.request->id},
                               {"backend", active.backend.str()},
                               {"failure", routing::failure_name(failure)},
+                              {"end", answer_end_name(failed.end)},
+                              {"by", failed.by == send_ender::gateway ? "gateway" : "back_end"},
                               {"sends", active.sends},
                               {"events", active.last_event},
                               {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
@@ -942,6 +958,8 @@
   counters_["forward_cancelled_total"]++;
   log_.record("request_cancelled", {{"request", active.request->id},
                                     {"backend", active.backend.str()},
+                                    {"sends", active.sends},
+                                    {"events", active.forwarded_events},
                                     {"begun", active.head_forwarded},
                                     {"took_ms", (environment_.now() - active.started) / 1ms}});
   requests_.erase(entry);
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -158,6 +158,7 @@
   void start_first_byte_timeout(ForwardId id);
   void on_head(ForwardId id, std::uint64_t attempt, AnswerHead head);
   void on_piece(ForwardId id, std::uint64_t attempt, std::string_view piece);
+  void on_skipped(ForwardId id, std::uint64_t attempt, unsigned status);
   /// Adds a piece to an answer that is forwarded only once it is complete.
   void collect(ForwardId id, std::uint64_t attempt, std::string_view piece);
   /// Breaks off the longest of these answers if they hold too much memory together.
--- a/src/forwarding/upstream.hpp
+++ b/src/forwarding/upstream.hpp
@@ -33,6 +33,8 @@
   std::function<void(std::string_view piece)> piece;
   std::function<void()> finished;
   std::function<void(send_failure)> failed;
+  /// An answer with this status came on the send's connection and belongs to another request or to none. May be empty.
+  std::function<void(unsigned status)> skipped;
 };
 
 /// Connections to back ends. Callbacks never run inside start(). Single threaded.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -405,6 +405,8 @@
     }
     if (belongs && call->events.header) {
       call->events.header(head);
+    } else if (!belongs && !interim && !call->skipped && call->events.skipped) {
+      call->events.skipped(head);
     }
     std::string piece(kPieceBytes, '\0');
     while (!parser.is_done() && !call->cancelled) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -38,6 +38,8 @@
   /// it is complete.
   std::function<void()> done;
   std::function<void(CallBreak)> failed;
+  /// A final response came that does not belong to the call. Its body is read and discarded. May be empty.
+  std::function<void(const ResponseHead&)> skipped;
 };
 
 struct ClientCallOptions {
