--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -73,6 +73,11 @@
     wakeup.notify();
   }
   void end_with_connection() override { takes_chunks = false; }
+  void send_stray(std::string_view bytes) override {
+    if (stray_writer) {
+      stray_writer(bytes);
+    }
+  }
   void write(std::string_view piece) override {
     pending.append(piece);
     wakeup.notify();
@@ -81,6 +86,7 @@
     finished = true;
     wakeup.notify();
   }
+  void reset() override { resets = true; }
   void abort() override {
     aborted = true;
     wakeup.notify();
@@ -119,10 +125,12 @@
   std::size_t writing = 0;
   bool finished = false;
   bool aborted = false;
+  bool resets = false;  ///< The connection ends with a reset.
   bool gone = false;
   std::function<void()> backlog_gone;
   std::function<void()> caller_gone;
   BodyHandler body_handler;
+  std::function<void(std::string_view)> stray_writer;  ///< Owns nothing: the connection may end before the exchange.
 
  private:
   HttpRequest request_;
@@ -228,6 +236,11 @@
     }
     auto exchange = std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()), caller_ip());
     exchange->takes_chunks = parser.get().version() >= kFirstVersionWithChunks;
+    exchange->stray_writer = [weak = weak_from_this()](std::string_view bytes) {
+      if (const auto session = weak.lock()) {
+        session->send_stray(bytes);
+      }
+    };
     const bool keep_alive = parser.get().keep_alive() && exchange->takes_chunks;
     const bool streamed = options.streams_body && options.streams_body(exchange->request());
     server_->counters["http_requests_total"]++;
@@ -253,6 +266,7 @@
     const bool framed = exchange->whole || exchange->takes_chunks;
     const bool reusable =
         keep_alive && framed && body_read && !exchange->gone && !exchange->aborted && !server_->closing;
+    ends_with_reset_ = ends_with_reset_ || exchange->resets;
     exchange->drop_hooks();
     current_.reset();
     co_return reusable;
@@ -348,6 +362,14 @@
     co_return parser.is_done();
   }
 
+  void send_stray(std::string_view bytes) {
+    const auto present = current_.lock();
+    const bool responds = present && (present->whole || present->stream_header);
+    if (!responds && stream_.socket().is_open()) {
+      ::send(stream_.socket().native_handle(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+  }
+
   void watch_caller(const std::shared_ptr<HttpExchange>& exchange) {
     current_ = exchange;
     std::weak_ptr<HttpExchange> weak = exchange;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -35,6 +35,11 @@
   /// Called before start_stream(): the response is not chunked and ends with its connection. Its headers may state a
   /// length.
   virtual void end_with_connection() {}
+  /// Writes bytes that belong to no response, now or after this response has ended, unless the connection has ended or
+  /// is in the middle of a response. For stand-ins of faulty servers.
+  virtual void send_stray(std::string_view /*bytes*/) {}
+  /// The connection ends with a reset when it ends. For stand-ins of faulty servers.
+  virtual void reset() {}
   virtual void write(std::string_view piece) = 0;
   virtual void finish() = 0;
   /// Aborts the response and its connection, so that the caller cannot mistake a part for the complete response. Bytes
--- a/tests/platform/ingress_test.cpp
+++ b/tests/platform/ingress_test.cpp
@@ -2,9 +2,12 @@
 /// configuration.
 #include "ingress.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "forwarding/route_table.hpp"
+#include "net/http_server.hpp"
 #include "node/node_core.hpp"
 #include "support/fake_backends.hpp"
 #include "support/table_word.hpp"
@@ -267,3 +270,27 @@
   headers[1].value = "1000";
   CHECK_FALSE(early("/jobs/1"));
 }
+
+// A node that had stood still began a run for a caller that had closed its connection and come back at another node.
+TEST_CASE("no run begins for a caller that left while its request was unread") {
+  constexpr char kEntry[] = "127.91.5.2:9341";
+  constexpr std::chrono::milliseconds kReadWithin{200};
+  using boost::asio::ip::tcp;
+  ingress_fixture fixture;
+  fixture.configure();
+  boost::asio::io_context io;
+  net::HttpServer server(
+      io, fixture.counters,
+      [&fixture](const std::shared_ptr<net::Exchange>& exchange) { fixture.ingress.handle(exchange); }, {});
+  REQUIRE(succeeded(server.listen(kEntry)));
+  tcp::socket caller(io);
+  caller.connect(tcp::endpoint(boost::asio::ip::make_address("127.91.5.2"), 9341));
+  boost::asio::write(caller, boost::asio::buffer(std::string("POST /open/1 HTTP/1.1\r\nHost: h\r\n"
+                                                             "X-Madderdeck-Request-Id: r1\r\n"
+                                                             "Content-Length: 4\r\n\r\nbody")));
+  SECTION("by an orderly close") {}
+  SECTION("by a reset") { caller.set_option(boost::asio::socket_base::linger(true, 0)); }
+  caller.close();
+  io.run_for(kReadWithin);
+  CHECK(fixture.upstream.calls.empty());
+}
--- a/tests/support/raw_engine.cpp
+++ b/tests/support/raw_engine.cpp
@@ -67,10 +67,12 @@
   }
   auto room = std::make_shared<std::array<char, 4096>>();
   peer->socket.async_read_some(asio::buffer(*room), [this, peer, room](error_code failure, std::size_t bytes) {
-    if (!failure) {
-      peer->unread.append(room->data(), bytes);
-      read_request(peer);
+    if (failure) {
+      ++closed_by_peer_;
+      return;
     }
+    peer->unread.append(room->data(), bytes);
+    read_request(peer);
   });
 }
 
