Engine client: an answer without an id on a kept connection is not taken for the present request's

What callers saw: a request that may run once ran twice (form A), others were at work at two engines (form B); behind a 503 without the marker, a caller was told "not run" about a request that ran.

Cause: an answer without an id counted as the present request's if its status was an error. An engine may write one answer too many on a kept connection; it arrives where the next request's answer is due, says "not run", and the request is sent to another engine without asking whether its route allows that.

Engines echo the id in their answers; without one only the first answer on a new connection is certain to be this request's.

Replaced check: "an engine's statement that it did not run the request is used" had a 421 without an id on a kept connection; the statement has an id now, as the protocol says, and one on a new connection still has none.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -67,6 +67,7 @@
   bool counted = false;        ///< Included in the endpoint's number of open connections.
   bool written = false;        ///< The complete request has been written.
   bool write_failed = false;
+  bool connection_is_new = false;  ///< Neither a request before this one nor a response came on it.
 };
 
 /// An idle connection in the pool.
@@ -341,6 +342,7 @@
       fail(number, *call, CallBreak::connect_failed);
       co_return;
     }
+    call->connection_is_new = !pooled;
     if (call->cancelled) {
       co_return;
     }
@@ -398,7 +400,9 @@
       head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     const bool interim = head.status < kFirstFinalStatus;
-    const bool belongs = !interim && (!call->options.belongs || call->options.belongs(head.status, head.headers));
+    const bool belongs = !interim && (!call->options.belongs ||
+                                      call->options.belongs(head.status, head.headers, call->connection_is_new));
+    call->connection_is_new = call->connection_is_new && interim;
     if (parser.content_length().value_or(0) > max_body_of(*call, belongs)) {
       fail(number, *call, CallBreak::too_long);
       co_return ReadOutcome::ended;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -67,8 +67,9 @@
   /// sent. Empty: the request is always sent.
   std::function<bool()> may_still_send;
   /// Returns whether a response belongs to this call. Others, which a faulty peer left on a
-  /// kept-alive connection, are skipped. Empty: every response belongs to it.
-  std::function<bool(unsigned status, const Headers& headers)> belongs;
+  /// kept-alive connection, are skipped. @c first: no request or response came before on the connection. Empty: every
+  /// response belongs to the call.
+  std::function<bool(unsigned status, const Headers& headers, bool first)> belongs;
 };
 
 /// Complete response of a simple call.
--- a/tests/net/endless_answers_test.cpp
+++ b/tests/net/endless_answers_test.cpp
@@ -91,7 +91,7 @@
   bench::HttpSession session;
   endless_engine engine(session.context, kIp, kPort, {kChunked, "5\r\nabcde\r\n"});
   net::ClientCallOptions options;
-  options.belongs = [](unsigned, const net::Headers&) { return false; };
+  options.belongs = [](unsigned, const net::Headers&, bool) { return false; };
   const std::optional<fetched> result = fetch(session, options);
   REQUIRE(result);
   CHECK(std::get<net::CallBreak>(*result) == net::CallBreak::too_long);
--- a/tests/platform/engine_client_test.cpp
+++ b/tests/platform/engine_client_test.cpp
@@ -202,7 +202,8 @@
 TEST_CASE("an engine's statement that it did not run the request is used") {
   Fixture fixture(
       {{"HTTP/1.1 503 Service Unavailable\r\nX-Madderdeck-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"},
-       {"HTTP/1.1 421 Misdirected Request\r\nX-Madderdeck-Instance-Id: i-2\r\nContent-Length: 0\r\n\r\n"},
+       {"HTTP/1.1 421 Misdirected Request\r\nX-Madderdeck-Request-Id: r2\r\nX-Madderdeck-Instance-Id: i-2\r\n"
+        "Content-Length: 0\r\n\r\n"},
        {"HTTP/1.1 500 Internal Server Error\r\nX-Madderdeck-Request-Id: r3\r\nContent-Length: 4\r\n\r\noops"}});
   CHECK(fixture.call("r1").failure == routing::CallFailure::refused);
   CHECK(fixture.call("r2").failure == routing::CallFailure::leaving);
