--- a/src/bench/process.cpp
+++ b/src/bench/process.cpp
@@ -47,6 +47,8 @@
     const int log = ::open(log_file.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0644);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // Connections of the bench that the child held would stay open when the bench closes them.
+    ::close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
     for (const auto& [name, value] : variables) {
       ::setenv(name.c_str(), value.c_str(), 1);
     }
