Forwarding: nothing begins for a caller that has left

What callers saw: a client without a head after 1 s left a gateway that stood still and came back at another one; when the first gateway went on, it began a run for the closed connection beside the other gateway's.

Cause: a request that lies unread is handed to its handler, and sent, before anybody looks at the connection; the wait for its close begins after that. The same for a request that waited for an engine while the node stood still.

An exchange now tells from the kernel whether its caller has closed. One system call for each send.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -362,6 +362,12 @@
     return;
   }
   const std::optional<engine_assignment>& answer = outcome.place;
+  if (end_if_caller_left(id)) {
+    if (answer) {
+      placer_->return_unused(answer->engine);
+    }
+    return;
+  }
   const std::vector<Backend*> open = untried_backends(active);
   if (Backend* named = answer ? named_backend(active, open, answer->engine) : nullptr) {
     active.awaits_yield = answer->needs_yield;
@@ -382,7 +388,20 @@
   send_to(id, choose(active, open, key), open);
 }
 
+bool Forwarder::end_if_caller_left(ForwardId id) {
+  const Active& active = requests_.at(id);
+  if (!guards_.send_only_for_present_callers || !active.events.caller_has_left || !active.events.caller_has_left()) {
+    return false;
+  }
+  counters_["forward_callers_left_before_send_total"]++;
+  cancel(id);
+  return true;
+}
+
 void Forwarder::send_to(ForwardId id, Backend& backend, const std::vector<Backend*>& open) {
+  if (end_if_caller_left(id)) {
+    return;
+  }
   // While the request waited for its engine, it or a concurrent request may have been found to terminate back ends.
   if (wait_if_undecided(id) || refuse_if_quarantined(id)) {
     return;
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -32,6 +32,8 @@
   std::function<void()> finished;
   std::function<void()> broken;  ///< The answer has begun and will not be completed.
   std::function<void(routing::Refusal)> refused;
+  /// Returns whether the caller has closed its connection; checked before each send. Empty: it has not.
+  std::function<bool()> caller_has_left;
 };
 
 using ForwardId = std::uint64_t;
@@ -46,6 +48,7 @@
   bool check_answer_ends = true;       ///< An answer is complete only if its answer_reader says so.
   bool keep_event_order = true;        ///< Repeated or early events of a resumable stream are not forwarded.
   bool check_assigned_version = true;  ///< An engine that the placer chose has to have the stream's software version.
+  bool send_only_for_present_callers = true;  ///< A request whose caller has left is not sent.
 };
 
 /// All forwarded requests of one node. Single threaded.
@@ -200,6 +203,9 @@
   /// Refuses a quarantined request, which must not be sent to any back end.
   /// @return whether the request was refused.
   bool refuse_if_quarantined(ForwardId id);
+  /// Ends a request whose caller has closed its connection, which this node may not have noticed yet.
+  /// @return whether the request was ended.
+  bool end_if_caller_left(ForwardId id);
   static const routing::crash_suspects& suspects_of(Active& active);
 
   Environment& environment_;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -39,6 +39,14 @@
   return request;
 }
 
+/// @return whether the peer has closed or reset the connection, as far as the kernel knows; bytes that it sent before
+///         and that were not read hide an orderly close.
+bool closed_by_peer(tcp::socket& socket) {
+  char byte = 0;
+  const auto received = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 /// A notification that one coroutine waits for.
 class Wakeup {
  public:
@@ -60,6 +68,7 @@
 
   const HttpRequest& request() const override { return request_; }
   std::string caller_ip() const override { return caller_ip_; }
+  bool caller_has_left() const override { return gone || (is_closed && is_closed()); }
   std::string take_body() override { return std::move(request_.body); }
   HttpRequest& mutable_request() { return request_; }
 
@@ -130,6 +139,7 @@
   std::function<void()> backlog_gone;
   std::function<void()> caller_gone;
   BodyHandler body_handler;
+  std::function<bool()> is_closed;                     ///< As stray_writer.
   std::function<void(std::string_view)> stray_writer;  ///< Owns nothing: the connection may end before the exchange.
 
  private:
@@ -236,6 +246,10 @@
     }
     auto exchange = std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()), caller_ip());
     exchange->takes_chunks = parser.get().version() >= kFirstVersionWithChunks;
+    exchange->is_closed = [weak = weak_from_this()] {
+      const auto session = weak.lock();
+      return !session || closed_by_peer(session->stream_.socket());
+    };
     exchange->stray_writer = [weak = weak_from_this()](std::string_view bytes) {
       if (const auto session = weak.lock()) {
         session->send_stray(bytes);
@@ -378,10 +392,7 @@
       if (!watched || self->current_.lock() != watched) {
         return;
       }
-      char byte = 0;
-      const auto received = ::recv(self->stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-      const bool closed = failure || received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-      if (closed) {
+      if (failure || closed_by_peer(self->stream_.socket())) {
         watched->notify_disconnected();
       }
     });
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -48,6 +48,8 @@
   /// @return number of response bytes that have not been sent to the caller yet.
   virtual std::size_t backlog() const = 0;
   virtual void on_backlog_gone(std::function<void()> hook) = 0;
+  /// @return whether the caller has closed its connection by now, also where its hook has not been called yet.
+  virtual bool caller_has_left() const { return false; }
   /// Sets @p hook, which is called if the caller closes its connection before the response has ended.
   virtual void on_caller_gone(std::function<void()> hook) = 0;
   /// Starts reading a streamed body; only if ServerOptions::streams_body returned true for the request.
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -387,6 +387,28 @@
   CHECK(unresponsive.upstream.calls.size() == 2);
 }
 
+TEST_CASE("a request whose caller has left is not sent") {
+  Fixture fixture;
+  bool left = true;
+  auto request = std::make_shared<ForwardedRequest>();
+  request->id = "r1";
+  ForwardEvents events = fixture.caller.events();
+  events.caller_has_left = [&left] { return left; };
+  SECTION("for the first time") {
+    fixture.forwarder.start(request, fixture.route, std::move(events));
+    CHECK(fixture.upstream.calls.empty());
+  }
+  SECTION("again") {
+    left = false;
+    fixture.forwarder.start(request, fixture.route, std::move(events));
+    left = true;
+    fixture.call(0).events.failed(CallFailure::broken);
+    CHECK(fixture.upstream.calls.size() == 1);
+  }
+  CHECK(fixture.forwarder.active() == 0);
+  CHECK_FALSE(fixture.caller.refusal);
+}
+
 TEST_CASE("pools get requests in proportion to their weights") {
   Fixture fixture;
   fixture.route->pools = {{"pool", 3}, {"other", 1}};
@@ -638,6 +660,19 @@
   CHECK(fixture.upstream.calls.empty());
 }
 
+TEST_CASE("an engine that the placer chose for a caller that has left meanwhile is returned unused") {
+  placed_fixture fixture;
+  auto request = std::make_shared<ForwardedRequest>();
+  request->id = "r1";
+  ForwardEvents events = fixture.caller.events();
+  events.caller_has_left = [] { return true; };
+  fixture.forwarder.start(request, fixture.route, std::move(events));
+  fixture.placer.answers.at(0)(engine_assignment{BackendId("engine-2"), false});
+  CHECK(fixture.upstream.calls.empty());
+  CHECK(fixture.placer.unused == std::vector<BackendId>{BackendId("engine-2")});
+  CHECK(fixture.forwarder.active() == 0);
+}
+
 TEST_CASE("a request that reaches its deadline during a placer query has not run") {
   placed_fixture fixture;
   fixture.start();
--- a/tests/platform/ingress_test.cpp
+++ b/tests/platform/ingress_test.cpp
@@ -54,11 +54,13 @@
   void abort() override {}
   std::size_t backlog() const override { return 0; }
   void on_backlog_gone(std::function<void()>) override {}
+  bool caller_has_left() const override { return has_left; }
   void on_caller_gone(std::function<void()> hook) override { leave = std::move(hook); }
   void read_body(net::BodyHandler) override {}
 
   std::optional<net::HttpResponse> answer;
   std::function<void()> leave;
+  bool has_left = false;
 
  private:
   net::HttpRequest request_;
@@ -294,3 +296,16 @@
   io.run_for(kReadWithin);
   CHECK(fixture.upstream.calls.empty());
 }
+
+TEST_CASE("a batch job is not taken from a caller that left while it was unread") {
+  ingress_fixture fixture;
+  fixture.configure();
+  net::Headers headers = kKnown;
+  headers.push_back({"Host", "h"});
+  headers.push_back({"X-Madderdeck-Request-Id", "job"});
+  auto exchange = std::make_shared<kept_exchange>(net::HttpRequest{"POST", "/jobs/1", headers, R"({"items":[]})"});
+  exchange->has_left = true;
+  fixture.ingress.handle(exchange);
+  CHECK_FALSE(exchange->answer);
+  CHECK(fixture.counters["jobs_of_left_callers_total"] == 1);
+}
