Test: answers whose head stops midway, after interim heads and on used connections

Reported elsewhere: an engine stopped within its answer's head and closed, and callers got a 200 framed as whole. Every fourth position of the head and right after it, four types of routes, three framings, closed in order, reset, with an engine that ends or lives on and resets new connections, behind a 103 and as a later answer of kept connections: 3,176 checks, each answer a failure, or whole from another engine where the route allows that. The table for first answers, cut at each byte, and the one for items stood before.

--- a/tests/platform/broken_off_answers_test.cpp
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -97,12 +97,14 @@
   return head.substr(value, head.find("\r\n", value) - value);
 }
 
-/// Answers the first request as the table cell specifies, and all later ones completely.
+/// Answers one request as the table cell specifies, and all others completely.
 struct scripted_pool {
   answer_kind kind = answer_kind::stream;
   body_framing framing = body_framing::length;
   connection_ending ending = connection_ending::closed;
   std::size_t cut = 0;
+  std::string interim;           ///< Sent before the truncated answer.
+  std::size_t whole_before = 0;  ///< Requests that are answered completely before the truncated answer.
   std::size_t requests = 0;
 
   framed_answer whole(const std::string& head, body_framing in) const {
@@ -119,10 +121,10 @@
     if (head.starts_with(std::string("GET ") + path::kReport)) {
       return {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", connection_ending::kept};
     }
-    if (requests++ > 0) {
+    if (requests++ != whole_before) {
       return {whole(head, body_framing::chunks).bytes(), connection_ending::kept};
     }
-    return {whole(head, framing).bytes().substr(0, cut), ending};
+    return {interim + whole(head, framing).bytes().substr(0, cut), ending};
   }
 };
 
@@ -302,6 +304,37 @@
   return faults;
 }
 
+/// Runs all kinds of routes in all framings with answers that are truncated within their head or right after it.
+/// @param script the interim bytes and the number of complete answers before.
+std::vector<std::string> play_heads(const scripted_pool& script, connection_ending ending) {
+  constexpr std::size_t kStep = 4;
+  std::vector<std::string> faults;
+  for (const answer_kind kind : kKinds) {
+    for (const body_framing framing : kFramings) {
+      scripted_pool pool = script;
+      pool.kind = kind;
+      pool.framing = framing;
+      pool.ending = ending;
+      const framed_answer answer = pool.whole("\r\nX-Madderdeck-Request-Id: r1\r\n", framing);
+      for (std::size_t before_end = 0; before_end <= answer.head_bytes(); before_end += kStep) {
+        pool.cut = answer.head_bytes() - before_end;
+        pool.requests = 0;
+        whole_path path(pool);
+        for (std::size_t earlier = 0; earlier < pool.whole_before; ++earlier) {
+          path.call(path.request());
+        }
+        const std::string fault = fault_of(path.call(path.request()), expected(pool, answer));
+        if (!fault.empty()) {
+          faults.push_back(std::string(name_of(kind)) + " " + std::string(net::body_framing_name(framing)) +
+                           " cut at " + std::to_string(pool.cut) + " of the head's " +
+                           std::to_string(answer.head_bytes()) + ": " + fault);
+        }
+      }
+    }
+  }
+  return faults;
+}
+
 std::string first_lines(const std::vector<std::string>& lines) {
   constexpr std::size_t kShown = 6;
   std::string text = std::to_string(lines.size()) + " cells";
@@ -344,6 +377,17 @@
   CHECK(faults.empty());
 }
 
+TEST_CASE("an answer whose head stops midway is never framed as complete") {
+  const auto ending =
+      GENERATE(connection_ending::closed, connection_ending::reset, connection_ending::gone, connection_ending::full);
+  scripted_pool script;
+  SECTION("after an interim head") { script.interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"; }
+  SECTION("on connections that were used before") { script.whole_before = 4; }
+  const auto faults = play_heads(script, ending);
+  INFO(first_lines(faults));
+  CHECK(faults.empty());
+}
+
 TEST_CASE("answers whose engine becomes unresponsive") {
   constexpr std::size_t kStep = 61;
   const auto faults = play_all(connection_ending::silent, kStep);
