HTTP client: a request is not sent again over the connection of its last run

Cause, by reading: items keep their id from run to run. An engine that answers an item's failed run once more does so with the same id, where the answer to the item's next run is due if that uses the same connection. The stray would count as a second failure, the run would go on without a reader, and the item would be at work at two engines, or be given up before its attempts are used. The test sends a request twice to an engine that answers 500 and keeps the connection: one connection before, two now.

A pooled connection remembers the id of its last request, and is passed over for a request with that id.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -75,6 +75,7 @@
   std::unique_ptr<beast::tcp_stream> stream;
   boot_clock::time_point since;
   std::chrono::milliseconds keep_alive;
+  std::string last_request;  ///< Its id; empty: it had none.
 };
 
 /// All connections to one endpoint.
@@ -229,9 +230,14 @@
   bool take_pooled(Call& call) {
     auto& idle = pool[call.endpoint].idle;
     const auto now = boot_clock::now();
-    while (!idle.empty()) {
-      Pooled candidate = std::move(idle.back());
-      idle.pop_back();
+    const std::string& id = call.options.request_id;
+    for (std::size_t left = idle.size(); left > 0; --left) {
+      const auto place = idle.begin() + static_cast<std::ptrdiff_t>(left - 1);
+      if (!id.empty() && place->last_request == id) {
+        continue;
+      }
+      Pooled candidate = std::move(*place);
+      idle.erase(place);
       const auto rested = now - candidate.since;
       const bool young = rested < candidate.keep_alive - kKeepAliveMargin && rested < call.options.max_reuse_idle;
       if (young && still_open(*candidate.stream)) {
@@ -247,7 +253,7 @@
     const bool useful = keep_alive > kKeepAliveMargin;
     if (useful && idle.size() < kPooledPerEndpoint) {
       call.stream->expires_never();
-      idle.push_back({std::move(call.stream), boot_clock::now(), keep_alive});
+      idle.push_back({std::move(call.stream), boot_clock::now(), keep_alive, call.options.request_id});
     }
   }
 
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -63,6 +63,9 @@
   /// Called before the liveness request: whether the peer is expected to keep running. A peer that is shutting down may
   /// terminate right after its last response, so it is not checked.
   std::function<bool()> peer_keeps_running;
+  /// Identifies the request towards the peer. A connection whose last request had the same id is not reused: one more
+  /// response to that request would be taken for the response to this one. Empty: none.
+  std::string request_id;
   /// Called once there is a connection, right before the request is sent: if it returns false, the call fails as not
   /// sent. Empty: the request is always sent.
   std::function<bool()> may_still_send;
--- a/tests/platform/runs_at_two_engines_test.cpp
+++ b/tests/platform/runs_at_two_engines_test.cpp
@@ -145,3 +145,15 @@
   CHECK(second.status == 200);
   CHECK(second.body == "two");
 }
+
+// One more answer to an item's failed run was taken for the answer to its next run.
+TEST_CASE("a request is not sent again over the connection of its last run") {
+  engine_site site([](const std::string&) {
+    return raw_answer{
+        head_of("500 Internal Server Error", "r1", std::string(header::kStamp) + ": s\r\nContent-Length: 0\r\n\r\n"),
+        connection_ending::kept};
+  });
+  CHECK(site.send("r1", true).status == 500);
+  CHECK(site.send("r1", true).status == 500);
+  CHECK(site.engine.connections() == 2);
+}
--- a/tests/support/raw_engine.cpp
+++ b/tests/support/raw_engine.cpp
@@ -41,6 +41,7 @@
 void raw_engine::accept() {
   acceptor_.async_accept([this](error_code failure, tcp::socket socket) {
     if (!failure) {
+      ++connections_;
       socket.set_option(tcp::no_delay(true));
       if (full_) {
         socket.set_option(asio::socket_base::linger(true, 0));
--- a/tests/support/raw_engine.hpp
+++ b/tests/support/raw_engine.hpp
@@ -32,6 +32,8 @@
   using answers = std::function<raw_answer(const std::string& request_head)>;
 
   raw_engine(boost::asio::io_context& context, const std::string& ip, unsigned short port, answers answer);
+  /// @return how many connections the peer has made.
+  std::size_t connections() const { return connections_; }
   /// @return how many connections the peer closed while this engine waited for its next request.
   std::size_t closed_by_peer() const { return closed_by_peer_; }
 
@@ -49,6 +51,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   answers answer_;
   bool full_ = false;
+  std::size_t connections_ = 0;
   std::size_t closed_by_peer_ = 0;
 };
 
