Forwarding: a request stays at a silent engine as long as that has it

What callers saw: a resumable stream that had waited for its first event went on at another engine while the first one still worked on it, up to seconds.

Cause: an engine that sends nothing on any connection of this node for 500 ms is left after the request's first-byte time. Closing the connection was taken for the end of the run; an engine that is silent notices no close either, and both work on.

Evidence: the unit test (calls go out at once before).

Before the request leaves, the engine's load report is read: it names the runs. As long as it names this one, or requests wait there, the request stays, and it is asked again each 500 ms until the request's time is over. Line run_looked_up, counters forward_runs_found_*.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -22,6 +22,7 @@
 constexpr unsigned kFirstServerError = 500;
 constexpr unsigned kRetryPercent = 20;
 constexpr Duration kMinFirstByteTimeout = 400ms;
+constexpr Duration kRunLookupInterval = 500ms;  ///< While a back end has a request and sends nothing.
 constexpr Duration kMinPrefillTime = 30ms;
 constexpr Duration kMaxPrefillTime = 1s;
 constexpr int kCallTimeSmoothing = 8;
@@ -518,25 +519,67 @@
     return;
   }
   const Duration timeout = std::max<Duration>(kMinFirstByteTimeout, std::chrono::milliseconds(active.route->target_ms));
-  const std::uint64_t attempt = active.attempt;
-  environment_.after(timeout, lifetime_.guard([this, id, attempt] {
-    if (!is_current(id, attempt)) {
-      return;
-    }
-    const Active& waiting = requests_.at(id);
-    const bool sends_no_event = waiting.answer.lacks_event();
-    if (waiting.has_first_byte && !sends_no_event) {
-      return;
-    }
-    const Backend* backend = registry_.find(waiting.backend);
-    // A back end that answers other calls is only slow or full: the request stays there.
-    const bool unresponsive = sends_no_event || backend == nullptr || silent(*backend, environment_.now());
-    if (unresponsive && !untried_backends(waiting).empty()) {
-      counters_["forward_first_byte_timeouts_total"]++;
-      upstream_.cancel(waiting.call);
-      on_failed(id, attempt, {CallFailure::timed_out, answer_end::silent, send_ender::gateway});
-    }
-  }));
+  check_first_byte_after(id, active.attempt, timeout);
+}
+
+void Forwarder::check_first_byte_after(ForwardId id, std::uint64_t attempt, Duration delay) {
+  environment_.after(delay, lifetime_.guard([this, id, attempt] { check_first_byte(id, attempt); }));
+}
+
+void Forwarder::check_first_byte(ForwardId id, std::uint64_t attempt) {
+  if (!is_current(id, attempt)) {
+    return;
+  }
+  const Active& active = requests_.at(id);
+  if (!may_leave_unresponsive(active)) {
+    return;
+  }
+  if (active.answer.lacks_event() || !guards_.stay_where_run_is) {
+    leave_unresponsive(id, attempt);
+    return;
+  }
+  // It may be silent on this connection alone, and notice no closed connection while it is: both runs would go on.
+  upstream_.find_run(
+      active.backend, active.request->id,
+      lifetime_.guard([this, id, attempt](routing::run_presence found) { on_run_found(id, attempt, found); }));
+}
+
+bool Forwarder::may_leave_unresponsive(const Active& active) {
+  const bool sends_no_event = active.answer.lacks_event();
+  if (active.has_first_byte && !sends_no_event) {
+    return false;
+  }
+  const Backend* backend = registry_.find(active.backend);
+  // A back end that answers other calls is only slow or full: the request stays there.
+  const bool unresponsive = sends_no_event || backend == nullptr || silent(*backend, environment_.now());
+  return unresponsive && !untried_backends(active).empty();
+}
+
+void Forwarder::on_run_found(ForwardId id, std::uint64_t attempt, routing::run_presence found) {
+  if (!is_current(id, attempt)) {
+    return;
+  }
+  const Active& active = requests_.at(id);
+  counters_["forward_runs_found_" + std::string(run_presence_name(found)) + "_total"]++;
+  log_.record("run_looked_up", {{"request", active.request->id},
+                                {"backend", active.backend.str()},
+                                {"found", run_presence_name(found)},
+                                {"after_ms", (environment_.now() - active.sent_at) / 1ms}});
+  if (!may_leave_unresponsive(active)) {
+    return;
+  }
+  const bool has_run = found == routing::run_presence::running || found == routing::run_presence::may_wait;
+  if (has_run) {
+    check_first_byte_after(id, attempt, kRunLookupInterval);
+  } else {
+    leave_unresponsive(id, attempt);
+  }
+}
+
+void Forwarder::leave_unresponsive(ForwardId id, std::uint64_t attempt) {
+  counters_["forward_first_byte_timeouts_total"]++;
+  upstream_.cancel(requests_.at(id).call);
+  on_failed(id, attempt, {CallFailure::timed_out, answer_end::silent, send_ender::gateway});
 }
 
 bool Forwarder::is_current(ForwardId id, std::uint64_t attempt) const {
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -48,6 +48,7 @@
   bool check_answer_ends = true;       ///< An answer is complete only if its answer_reader says so.
   bool keep_event_order = true;        ///< Repeated or early events of a resumable stream are not forwarded.
   bool check_assigned_version = true;  ///< An engine that the placer chose has to have the stream's software version.
+  bool stay_where_run_is = true;       ///< A request leaves an unresponsive back end only if that does not have it.
   bool send_only_for_present_callers = true;  ///< A request whose caller has left is not sent.
 };
 
@@ -159,6 +160,15 @@
   void update_prefill_time(const Active& active, Duration elapsed);
   void update_first_byte_time(const Active& active, Duration elapsed);
   void start_first_byte_timeout(ForwardId id);
+  void check_first_byte_after(ForwardId id, std::uint64_t attempt, Duration delay);
+  /// Asks an unresponsive back end whether it has the request.
+  void check_first_byte(ForwardId id, std::uint64_t attempt);
+  /// Closes the current send and goes on at another back end.
+  void leave_unresponsive(ForwardId id, std::uint64_t attempt);
+  /// @return whether the back end of the current send is unresponsive and there is another one.
+  bool may_leave_unresponsive(const Active& active);
+  /// The back end of an overdue send has told whether it has the request.
+  void on_run_found(ForwardId id, std::uint64_t attempt, routing::run_presence found);
   void on_head(ForwardId id, std::uint64_t attempt, AnswerHead head);
   void on_piece(ForwardId id, std::uint64_t attempt, std::string_view piece);
   void on_skipped(ForwardId id, std::uint64_t attempt, unsigned status);
--- a/src/forwarding/upstream.hpp
+++ b/src/forwarding/upstream.hpp
@@ -45,6 +45,11 @@
   virtual void cancel(routing::CallId call) = 0;
   virtual void pause(routing::CallId call) = 0;
   virtual void resume(routing::CallId call) = 0;
+  /// Asks @p backend whether it has the request with @p id. May call @p done inside this call. By default no back end
+  /// can be asked.
+  virtual void find_run(const BackendId& /*backend*/, const std::string& /*id*/, routing::RunFound done) {
+    done(routing::run_presence::unreachable);
+  }
 };
 
 }  // namespace madderdeck::forwarding
--- a/src/routing/backend.hpp
+++ b/src/routing/backend.hpp
@@ -143,6 +143,31 @@
 
 using ReachabilityDone = std::function<void(reachability)>;
 
+/// What a back end tells about one request, some hundred milliseconds late.
+enum class run_presence {
+  running,      ///< It works on the request.
+  may_wait,     ///< It does not name the request, but requests wait there or it names none.
+  absent,       ///< It does not have the request.
+  unreachable,  ///< It did not answer in time.
+};
+
+/// @return the name of @p found, for logs and counters.
+inline std::string_view run_presence_name(run_presence found) {
+  switch (found) {
+    case run_presence::running:
+      return "running";
+    case run_presence::may_wait:
+      return "may_wait";
+    case run_presence::absent:
+      return "absent";
+    case run_presence::unreachable:
+      break;
+  }
+  return "unreachable";
+}
+
+using RunFound = std::function<void(run_presence)>;
+
 /// Client for engines and services. Callbacks never run inside the call of start().
 class BackendClient {
  public:
@@ -158,6 +183,11 @@
   virtual void fetch_load(const BackendId& backend, ReportDone done) = 0;
   /// Opens a connection to @p backend and closes it. @p done never runs inside this call.
   virtual void check_reachable(const BackendId& backend, ReachabilityDone done) = 0;
+  /// Asks @p backend whether it has the request with @p id. May call @p done inside this call. By default no back end
+  /// can be asked.
+  virtual void find_run(const BackendId& /*backend*/, const std::string& /*id*/, RunFound done) {
+    done(run_presence::unreachable);
+  }
 };
 
 }  // namespace madderdeck::routing
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -29,8 +29,14 @@
   }
   void pause(routing::CallId) override {}
   void resume(routing::CallId) override {}
+  void find_run(const BackendId&, const std::string& id, routing::RunFound done) override {
+    lookups.push_back(id);
+    done(presence);
+  }
 
   std::vector<Call> calls;
+  std::vector<std::string> lookups;
+  routing::run_presence presence = routing::run_presence::unreachable;  ///< What each back end tells of any request.
 };
 
 /// Replies with the engines that the test chooses, when the test calls the stored callbacks.
@@ -387,6 +393,24 @@
   CHECK(unresponsive.upstream.calls.size() == 2);
 }
 
+// A request went on at another back end while the first one, silent on its connection alone, still ran it.
+TEST_CASE("a request stays at a silent back end as long as that has it") {
+  const auto stays = GENERATE(routing::run_presence::running, routing::run_presence::may_wait);
+  Fixture fixture(2);
+  fixture.route->timeout_ms = 5000;
+  fixture.route->target_ms = 600;
+  fixture.upstream.presence = stays;
+  fixture.start();
+  fixture.environment.world.run_for(3s);
+  CHECK(fixture.upstream.calls.size() == 1);
+  CHECK(fixture.upstream.lookups.size() > 2);
+  CHECK(fixture.upstream.lookups.front() == "r1");
+  fixture.upstream.presence = routing::run_presence::absent;
+  fixture.environment.world.run_for(600ms);
+  CHECK(fixture.call(0).cancelled);
+  CHECK(fixture.upstream.calls.size() == 2);
+}
+
 TEST_CASE("a request whose caller has left is not sent") {
   Fixture fixture;
   bool left = true;
--- a/tests/platform/runs_at_two_engines_test.cpp
+++ b/tests/platform/runs_at_two_engines_test.cpp
@@ -157,3 +157,33 @@
   CHECK(site.send("r1", true).status == 500);
   CHECK(site.engine.connections() == 2);
 }
+
+TEST_CASE("an engine's report tells whether it has a request") {
+  using routing::run_presence;
+  const auto [report, expected] = GENERATE(table<std::string, run_presence>({
+      {R"({"running":2,"waiting":0,"runs":[["r0",1,2,0],["r1",3,4,0]]})", run_presence::running},
+      {R"({"running":1,"waiting":0,"runs":[["r0",1,2,0]]})", run_presence::absent},
+      {R"({"running":1,"waiting":1,"runs":[["r0",1,2,0]]})", run_presence::may_wait},
+      {R"({"running":1,"waiting":0})", run_presence::may_wait},
+      {R"({"running":0,"waiting":0})", run_presence::absent},
+      {R"({"running":0,"waiting":0,"runs":[[],7,["x"]]})", run_presence::absent},
+      {R"({"runs":[]})", run_presence::may_wait},
+      {R"({"running":)", run_presence::unreachable},
+  }));
+  engine_site site([&report](const std::string&) {
+    return raw_answer{"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(report.size()) + "\r\n\r\n" + report,
+                      connection_ending::kept};
+  });
+  std::optional<run_presence> found;
+  site.client.find_run(BackendId("i-1"), "r1", [&found](run_presence told) { found = told; });
+  site.http.run_until([&found] { return found.has_value(); }, kTestTimeout);
+  CHECK(found == expected);
+}
+
+TEST_CASE("an engine that does not answer cannot tell whether it has a request") {
+  engine_site site([](const std::string&) { return raw_answer{"", connection_ending::silent}; });
+  std::optional<routing::run_presence> found;
+  site.client.find_run(BackendId("i-1"), "r1", [&found](routing::run_presence told) { found = told; });
+  site.http.run_until([&found] { return found.has_value(); }, kTestTimeout);
+  CHECK(found == routing::run_presence::unreachable);
+}
