Dispatcher: an item stays at a silent engine that works on it, and leaves a stopped run behind first

What callers saw: nothing; their items were at work at two engines.

An item whose engine was silent for 1 s, whose run had no event for 5 s, that yielded to live requests or whose engine another node took over was queued in the same step in which its connection was closed.

Now the engine's report is read first: as long as it names the run, the item stays, up to 10 s without an event. An item that has to go (live requests, another owner) after 250 ms without an event is queued when the engine does not name it any more, cannot be reached, or after 5 s; it is confirmed to its manager meanwhile. Lines run_looked_up and run_left, counters batch_runs_found_* and batch_runs_left_*. Evidence: unit tests.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -21,6 +21,13 @@
 /// A run without an event for this long is moved to another engine. One that waits in the queue of a busy engine gets
 /// its first event earlier.
 constexpr Duration kProgressTimeout = 5s;
+/// A run whose engine works on it and sends no event is moved after this time all the same.
+constexpr Duration kMaxSilentRun = 10s;
+constexpr Duration kRunLookupInterval = 500ms;  ///< While an engine works on an item and sends nothing.
+/// An engine that sent an event of a run this recently notices at once that the run's connection closes.
+constexpr Duration kRecentProgress = 250ms;
+/// An item whose run was stopped and goes on at its engine is handed to another one after this time all the same.
+constexpr Duration kMaxLeaving = 5s;
 constexpr Duration kOwnershipInterval = 250ms;
 constexpr Duration kMinAskInterval = 20ms;
 constexpr Duration kMaxAskIntervalBusy = 200ms;  ///< Longest interval while some manager is known to have items.
@@ -496,6 +503,7 @@
   running.started_at = environment_.now();
   running.progress_at = running.started_at;
   running.resumed_from = running.work.item.partial_tokens;
+  running.request_id = running.work.http ? running.work.http->id : std::to_string(call.attempt);
   Engine& engine = engines_[running.engine];
   change_running(running.engine, +1);
   log_.record("item_started", {{"job", running.work.item.job},
@@ -716,6 +724,9 @@
   for (const auto& [id, run] : running_) {
     add(run.work.item.job, run.work.item.index, run.work.manager);
   }
+  for (const auto& [id, left] : leaving_) {
+    add(left.work.item.job, left.work.item.index, left.work.manager);
+  }
   for (const auto& [id, one] : settling_) {
     add(one.job, one.index, one.manager);
   }
@@ -750,6 +761,13 @@
       report_held(running.work);
     }
   }
+  for (auto& [id, left] : leaving_) {
+    PeerAddress manager = manager_of(left.work);
+    if (manager != left.work.manager) {
+      left.work.manager = std::move(manager);
+      report_held(left.work);
+    }
+  }
   std::erase_if(queue_, [this](const QueuedItem& work) {
     const bool moved = manager_of(work) != work.manager;
     if (moved) {
@@ -814,36 +832,82 @@
 
 void Dispatcher::requeue_from_unresponsive_engines() {
   const Timestamp now = environment_.now();
-  for (auto entry = running_.begin(); entry != running_.end();) {
-    const auto run = entry++;
-    const routing::Backend* backend = registry_.find(run->second.engine);
-    const bool silent =
-        backend != nullptr && backend->open_calls > 0 && now - backend->last_data_at > kUnresponsiveEngineTimeout;
-    // A run that has just started may still be waiting for its first event.
-    if (!silent || now - run->second.started_at < kUnresponsiveEngineTimeout) {
-      continue;
-    }
-    engines_[run->second.engine].resume_after = now + kUnresponsiveEngineTimeout;
-    counters_["batch_items_left_silent_engines_total"]++;
-    requeue(run, stop_reason::engine_unresponsive, 0);
+  for (const RunId id : runs_that([&](const RunningItem& run) {
+         const routing::Backend* backend = registry_.find(run.engine);
+         const bool silent =
+             backend != nullptr && backend->open_calls > 0 && now - backend->last_data_at > kUnresponsiveEngineTimeout;
+         // A run that has just started may still be waiting for its first event.
+         return silent && now - run.started_at >= kUnresponsiveEngineTimeout;
+       })) {
+    look_up_run(id, stop_reason::engine_unresponsive);
   }
 }
 
 void Dispatcher::requeue_without_progress() {
   const Timestamp now = environment_.now();
-  for (auto entry = running_.begin(); entry != running_.end();) {
-    const auto run = entry++;
-    if (now - run->second.progress_at <= kProgressTimeout) {
-      continue;
-    }
-    const BackendId engine = run->second.engine;
-    if (registry_.is_incarnation(engine, run->second.life)) {
-      registry_.on_failure(engine, routing::CallFailure::timed_out);
+  for (const RunId id : runs_that([&](const RunningItem& run) { return now - run.progress_at > kProgressTimeout; })) {
+    look_up_run(id, stop_reason::no_progress);
+  }
+}
+
+std::vector<Dispatcher::RunId> Dispatcher::runs_that(const std::function<bool(const RunningItem&)>& holds) const {
+  std::vector<RunId> found;
+  for (const auto& [id, run] : running_) {
+    if (holds(run)) {
+      found.push_back(id);
     }
-    engines_[engine].resume_after = now + kUnresponsiveEngineTimeout;
-    counters_["batch_items_without_progress_total"]++;
-    requeue(run, stop_reason::no_progress, 0);
   }
+  return found;
+}
+
+/// The engine may be silent on this connection alone, and notice no closed connection while it is: the item would run
+/// at two engines.
+void Dispatcher::look_up_run(RunId id, stop_reason reason) {
+  RunningItem& run = running_.at(id);
+  if (!guards_.stay_where_run_is) {
+    leave_unresponsive(id, reason);
+    return;
+  }
+  if (run.looks_up || environment_.now() < run.next_lookup_at) {
+    return;
+  }
+  run.looks_up = true;
+  client_.find_run(run.engine, run.request_id, lifetime_.guard([this, id, reason](routing::run_presence found) {
+    on_run_found(id, reason, found);
+  }));
+}
+
+void Dispatcher::on_run_found(RunId id, stop_reason reason, routing::run_presence found) {
+  const auto entry = running_.find(id);
+  if (entry == running_.end()) {
+    return;
+  }
+  RunningItem& run = entry->second;
+  run.looks_up = false;
+  run.next_lookup_at = environment_.now() + kRunLookupInterval;
+  counters_["batch_runs_found_" + std::string(routing::run_presence_name(found)) + "_total"]++;
+  log_.record("run_looked_up", {{"request", run.request_id},
+                                {"backend", run.engine.str()},
+                                {"found", routing::run_presence_name(found)},
+                                {"after_ms", (environment_.now() - run.started_at) / 1ms}});
+  // A run that only waits among others is moved as one that is lost: its engine drops it unrun as the connection
+  // closes.
+  const bool stays = found == routing::run_presence::running && environment_.now() - run.progress_at < kMaxSilentRun;
+  if (!stays) {
+    leave_unresponsive(id, reason);
+  }
+}
+
+void Dispatcher::leave_unresponsive(RunId id, stop_reason reason) {
+  const auto run = running_.find(id);
+  const BackendId engine = run->second.engine;
+  const bool no_progress = reason == stop_reason::no_progress;
+  if (no_progress && registry_.is_incarnation(engine, run->second.life)) {
+    registry_.on_failure(engine, routing::CallFailure::timed_out);
+  }
+  engines_[engine].resume_after = environment_.now() + kUnresponsiveEngineTimeout;
+  counters_[no_progress ? "batch_items_without_progress_total" : "batch_items_left_silent_engines_total"]++;
+  requeue(run, reason, 0);
 }
 
 /// Live calls are reported only to the current owner of an engine, so runs of another node would never yield to them.
@@ -889,11 +953,52 @@
                                {"live", live},
                                {"batch_running", engines_[running.engine].running},
                                {"events", running.work.item.partial_tokens}});
-  const policy::unfinished_item_state outlook = outlook_of(running.work);
+  const bool responds = environment_.now() - running.progress_at < kRecentProgress;
+  if (responds || !guards_.stay_where_run_is) {
+    queue_again(std::move(running.work));
+    return;
+  }
+  const RunId id = ++next_run_;
+  leaving_[id] = {std::move(running.work), running.engine, running.request_id, environment_.now()};
+  await_leaving(id);
+}
+
+void Dispatcher::queue_again(QueuedItem work) {
+  const policy::unfinished_item_state outlook = outlook_of(work);
   const auto later = std::find_if(queue_.begin(), queue_.end(), [&](const QueuedItem& waiting) {
     return !policies_.set.order->before(outlook_of(waiting), outlook);
   });
-  queue_.insert(later, std::move(running.work));
+  queue_.insert(later, std::move(work));
+}
+
+void Dispatcher::await_leaving(RunId id) {
+  const LeavingItem& left = leaving_.at(id);
+  client_.find_run(left.engine, left.request_id,
+                   lifetime_.guard([this, id](routing::run_presence found) { on_leaving_found(id, found); }));
+}
+
+void Dispatcher::on_leaving_found(RunId id, routing::run_presence found) {
+  const auto entry = leaving_.find(id);
+  if (entry == leaving_.end()) {
+    return;
+  }
+  const Duration waited = environment_.now() - entry->second.since;
+  if (found == routing::run_presence::running && waited < kMaxLeaving) {
+    environment_.after(kRunLookupInterval, lifetime_.guard([this, id] {
+      if (leaving_.contains(id)) {
+        await_leaving(id);
+      }
+    }));
+    return;
+  }
+  LeavingItem left = std::move(entry->second);
+  leaving_.erase(entry);
+  counters_["batch_runs_left_" + std::string(routing::run_presence_name(found)) + "_total"]++;
+  log_.record("run_left", {{"request", left.request_id},
+                           {"backend", left.engine.str()},
+                           {"found", routing::run_presence_name(found)},
+                           {"waited_ms", waited / 1ms}});
+  queue_again(std::move(left.work));
 }
 
 void Dispatcher::handle(const wire::JobNoticeT& message) {
@@ -909,6 +1014,7 @@
     return;
   }
   std::erase_if(queue_, [&](const QueuedItem& work) { return work.item.job == message.job; });
+  std::erase_if(leaving_, [&](const auto& entry) { return entry.second.work.item.job == message.job; });
   std::vector<RunId> stopped;
   for (const auto& [id, running] : running_) {
     if (running.work.item.job == message.job) {
@@ -928,6 +1034,10 @@
     report(work, false);
   }
   queue_.clear();
+  for (const auto& [id, left] : leaving_) {
+    report(left.work, false);
+  }
+  leaving_.clear();
   while (!running_.empty()) {
     const RunId id = running_.begin()->first;
     client_.cancel(running_.at(id).call);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -32,6 +32,7 @@
   bool respect_leases = true;      ///< An item whose lease has expired is not started.
   bool write_results_once = true;  ///< A later result does not replace the first one of an item.
   bool keep_headroom = true;       ///< Batch leaves slots free for live requests.
+  bool stay_where_run_is = true;   ///< An item leaves an unresponsive engine only if that does not work on it.
   bool yield_to_online = true;     ///< Batch items are stopped when live requests need their slots.
   bool stop_cancelled = true;      ///< Running items of a cancelled job are stopped.
   /// An item whose run broke off is returned to its manager, which hands it out again.
@@ -74,7 +75,7 @@
   static constexpr std::uint64_t kIdlePollRounds = 10;
   /// Called when this node is leaving: takes no new items and returns the running ones to their managers.
   void drain();
-  std::size_t active() const { return running_.size() + settling_.size(); }
+  std::size_t active() const { return running_.size() + leaving_.size() + settling_.size(); }
 
   StartHook on_item_started;
   BatchActivityHook on_batch_activity;
@@ -104,6 +105,16 @@
     std::string software_version;    ///< Of the engine, as listed when the run was sent to it.
     std::uint32_t resumed_from = 0;  ///< Number of events that earlier runs produced.
     Timestamp progress_at{};         ///< Of its last event; before the first one, when it was sent.
+    std::string request_id;          ///< By which the engine knows the run.
+    bool looks_up = false;           ///< The engine is being asked whether it works on the item.
+    Timestamp next_lookup_at{};
+  };
+  /// An item whose run was stopped and may go on at its engine, which has sent nothing for a while.
+  struct LeavingItem {
+    QueuedItem work;
+    BackendId engine;
+    std::string request_id;  ///< By which the engine knows the run.
+    Timestamp since{};
   };
   struct GatewayActivity {
     std::uint32_t in_flight = 0;
@@ -150,6 +161,19 @@
   enum class stop_reason { yields, engine_unresponsive, no_progress, engine_lost };
   /// @return the name of @p reason in log lines and counters.
   static std::string_view stop_reason_name(stop_reason reason);
+  /// @return the runs for which @p holds returns true.
+  std::vector<RunId> runs_that(const std::function<bool(const RunningItem&)>& holds) const;
+  /// Asks the engine of a run that is to be stopped for @p reason whether it works on it.
+  void look_up_run(RunId id, stop_reason reason);
+  void on_run_found(RunId id, stop_reason reason, routing::run_presence found);
+  /// Stops a run whose engine does not respond, and requeues its item.
+  void leave_unresponsive(RunId id, stop_reason reason);
+  /// Queues an item whose run was stopped, in its place by the order of the queue.
+  void queue_again(QueuedItem work);
+  /// Asks the engine of a stopped run until it has that no more, cannot be reached, or kMaxLeaving is over; then queues
+  /// the item.
+  void await_leaving(RunId id);
+  void on_leaving_found(RunId id, routing::run_presence found);
   /// Stops @p run and requeues its item.
   /// @param live number of live calls that need the engine's slots; 0 where the run is stopped for another reason.
   void requeue(std::map<RunId, RunningItem>::iterator run, stop_reason reason, std::uint32_t live);
@@ -201,6 +225,7 @@
   const DispatchGuards guards_;
   std::deque<QueuedItem> queue_;
   std::map<RunId, RunningItem> running_;
+  std::map<RunId, LeavingItem> leaving_;
   std::map<RunId, HeldItem> settling_;  ///< Items whose result is being written.
   Timestamp confirmed_at_{};
   std::map<BackendId, Engine> engines_;
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -398,3 +398,41 @@
   CHECK_FALSE(fixture.backends.engine_calls[1].cancelled);
   CHECK(fixture.fleet.counters["batch_items_without_progress_total"] == 1);
 }
+
+// An item was handed to the next engine while the one before, silent on its connection alone, still ran it.
+TEST_CASE("an item stays at a silent engine that works on it, up to 10 s") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  fixture.backends.presence = routing::run_presence::running;
+  fixture.fleet.environment.world.run_for(9500ms);
+  CHECK(fixture.backends.engine_calls.size() == 1);
+  CHECK_FALSE(fixture.backends.engine_calls[0].cancelled);
+  CHECK(fixture.backends.lookups.front() == std::to_string(fixture.backends.engine_calls[0].call.attempt));
+  SECTION("and is moved when the engine does not have it any more") {
+    fixture.backends.presence = routing::run_presence::absent;
+    fixture.fleet.environment.world.run_for(600ms);
+    CHECK(fixture.backends.engine_calls[0].cancelled);
+  }
+  SECTION("and is moved after that time") {
+    fixture.fleet.environment.world.run_for(1s);
+    CHECK(fixture.backends.engine_calls[0].cancelled);
+  }
+}
+
+// An engine that was silent on an item's connection went on with it beside the engine to which the item was moved.
+TEST_CASE("an item that left a silent engine runs again when that does not have it any more, or after 5 s") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  fixture.fleet.environment.world.run_for(1s);
+  fixture.backends.presence = routing::run_presence::running;
+  fixture.add_other();
+  fixture.fleet.environment.world.run_for(1s);
+  REQUIRE(fixture.backends.engine_calls[0].cancelled);  // another dispatcher owns the engine
+  CHECK(fixture.dispatcher.active() == 1);
+  SECTION("the former") { fixture.backends.presence = routing::run_presence::absent; }
+  SECTION("the latter") { fixture.fleet.environment.world.run_for(4s); }
+  fixture.fleet.environment.world.run_for(1s);
+  CHECK(fixture.dispatcher.active() == 0);
+}
--- a/tests/support/fake_backends.hpp
+++ b/tests/support/fake_backends.hpp
@@ -43,11 +43,18 @@
     checks.push_back({backend, std::move(done)});
   }
 
+  void find_run(const BackendId&, const std::string& id, routing::RunFound done) override {
+    lookups.push_back(id);
+    done(presence);
+  }
+
   struct StartedCheck {
     BackendId backend;
     routing::ReachabilityDone done;
   };
 
+  std::vector<std::string> lookups;
+  routing::run_presence presence = routing::run_presence::unreachable;  ///< What each back end tells of any request.
   std::vector<StartedEngineCall> engine_calls;
   std::vector<StartedCheck> checks;  ///< The test says what was found.
   std::vector<StartedServiceCall> service_calls;
