Dispatcher: an item that a node holds and is handed out again is not run twice

What callers saw: nothing; an item ran twice on one engine, from one node.

Cause: a machine that stood still woke with its manager and its dispatcher. The lease had lapsed meanwhile, the manager handed the item out again, and the dispatcher, which still ran it, took it as new: repeated items were looked for within one hand-out only.

The unit test fails before.

A node that queues, runs, leaves or settles the item takes over its manager and its lease, and claims it as after a change of managers. Counter batch_items_already_held_total.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -439,6 +439,9 @@
     work.start_before = (known ? requested->second.asked_at : Timestamp{}) + std::chrono::milliseconds(item->lease_ms);
     if (draining_ || (!known && guards_.respect_leases)) {
       report(work, false);
+    } else if (guards_.hold_items_once && holds_already(work)) {
+      counters_["batch_items_already_held_total"]++;
+      report_held(work);
     } else {
       usable = usable || environment_.now() < work.start_before;
       queue_.push_back(std::move(work));
@@ -460,6 +463,35 @@
   }
 }
 
+/// A manager whose lease has lapsed while this node or its own stood still hands the item out again.
+bool Dispatcher::holds_already(const QueuedItem& given) {
+  const auto is_same = [&given](const std::string& job, std::uint32_t index) {
+    return index == given.item.index && job == given.item.job;
+  };
+  for (QueuedItem& work : queue_) {
+    if (is_same(work.item.job, work.item.index)) {
+      work.manager = given.manager;
+      work.start_before = given.start_before;
+      return true;
+    }
+  }
+  for (auto& [id, run] : running_) {
+    if (is_same(run.work.item.job, run.work.item.index)) {
+      run.work.manager = given.manager;
+      return true;
+    }
+  }
+  for (auto& [id, left] : leaving_) {
+    if (is_same(left.work.item.job, left.work.item.index)) {
+      left.work.manager = given.manager;
+      left.work.start_before = given.start_before;
+      return true;
+    }
+  }
+  return std::any_of(settling_.begin(), settling_.end(),
+                     [&](const auto& entry) { return is_same(entry.second.job, entry.second.index); });
+}
+
 Result<routing::EngineCall> Dispatcher::engine_call_for(const QueuedItem& work) const {
   routing::EngineCall call;
   call.http = work.http;
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -32,6 +32,7 @@
   bool respect_leases = true;      ///< An item whose lease has expired is not started.
   bool write_results_once = true;  ///< A later result does not replace the first one of an item.
   bool keep_headroom = true;       ///< Batch leaves slots free for live requests.
+  bool hold_items_once = true;     ///< An item that this node holds and is handed out again is not run twice.
   bool stay_where_run_is = true;   ///< An item leaves an unresponsive engine only if that does not work on it.
   bool yield_to_online = true;     ///< Batch items are stopped when live requests need their slots.
   bool stop_cancelled = true;      ///< Running items of a cancelled job are stopped.
@@ -161,6 +162,8 @@
   enum class stop_reason { yields, engine_unresponsive, no_progress, engine_lost };
   /// @return the name of @p reason in log lines and counters.
   static std::string_view stop_reason_name(stop_reason reason);
+  /// @return whether this node holds the item of @p given, whose manager and lease it then takes over.
+  bool holds_already(const QueuedItem& given);
   /// @return the runs for which @p holds returns true.
   std::vector<RunId> runs_that(const std::function<bool(const RunningItem&)>& holds) const;
   /// Asks the engine of a run that is to be stopped for @p reason whether it works on it.
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -420,6 +420,19 @@
   }
 }
 
+// After a machine had stood still, its manager handed out anew what its dispatcher still ran: the item ran twice there.
+TEST_CASE("an item that this node holds and is handed out again is not run twice") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  fixture.backends.presence = routing::run_presence::running;
+  fixture.fleet.environment.world.run_for(4500ms);  // it asks for items again
+  fixture.give_item([](wire::WorkItemT& item) { item.index = 0; });
+  CHECK(fixture.backends.engine_calls.size() == 1);
+  CHECK(fixture.fleet.counters["batch_items_already_held_total"] == 1);
+  CHECK(fixture.fleet.environment.sent_of(wire::Message::ItemSettled) == 1);  // claims the item
+}
+
 // An engine that was silent on an item's connection went on with it beside the engine to which the item was moved.
 TEST_CASE("an item that left a silent engine runs again when that does not have it any more, or after 5 s") {
   dispatcher_fixture fixture;
