Engine client: an answer that the engine does not mark as not run is no promise to the caller

Cause, by reading: a 408, 429 or 503 without the engine's statement that it did not run the request, and without its stamp, was forwarded as it came. To a caller these are promises; one whose request may run once comes back, and it runs twice.

With the engine's stamp the status stays the engine's own.

--- a/tests/platform/runs_at_two_engines_test.cpp
+++ b/tests/platform/runs_at_two_engines_test.cpp
@@ -146,6 +146,26 @@
   CHECK(second.body == "two");
 }
 
+// A caller that is told so comes back with a request that may run once.
+TEST_CASE("an answer that the engine does not mark as not run is no promise to the caller") {
+  const std::string status = GENERATE("408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable");
+  const std::string stamp = std::string(header::kStamp) + ": s\r\n";
+  SECTION("without the engine's stamp") {
+    engine_site site([&status](const std::string&) {
+      return raw_answer{head_of(status, "r1", "Content-Length: 0\r\n\r\n"), connection_ending::kept};
+    });
+    const send_outcome outcome = site.send("r1", false);
+    CHECK_FALSE(outcome.status);
+    CHECK(outcome.failure == routing::CallFailure::broken);
+  }
+  SECTION("with it, the status is the engine's own and stays") {
+    engine_site site([&](const std::string&) {
+      return raw_answer{head_of(status, "r1", stamp + "Content-Length: 0\r\n\r\n"), connection_ending::kept};
+    });
+    CHECK(site.send("r1", false).status == static_cast<unsigned>(std::stoul(status)));
+  }
+}
+
 // One more answer to an item's failed run was taken for the answer to its next run.
 TEST_CASE("a request is not sent again over the connection of its last run") {
   engine_site site([](const std::string&) {
