Mutants: results are overwritten only where an item may also be run twice

Since a node holds an item once, its second results, which showed the missing guard, do not come about any more.

--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -7,7 +7,10 @@
 const std::vector<Mutant>& mutants() {
   static const std::vector<Mutant> all = {
       {"results_overwritten", Promise::item_exactly_once, 200,
-       [](Guards& guards) { guards.dispatch.write_results_once = false; }},
+       [](Guards& guards) {
+         guards.dispatch.write_results_once = false;
+         guards.dispatch.hold_items_once = false;  // an item that is run once has one result
+       }},
       {"new_disk_votes_at_once", Promise::at_most_once, 60,
        [](Guards& guards) { guards.replica.admission_before_voting = false; }},
       {"reply_before_flush", Promise::item_exactly_once, 60,
