--- /dev/null
+++ b/review/standins-2/json.cpp
@@ -0,0 +1,2 @@
+// Boost.JSON, compiled from its headers.
+#include <boost/json/src.hpp>
