--- a/review/standins-2/fleet.hpp
+++ b/review/standins-2/fleet.hpp
@@ -413,6 +413,13 @@
       changed(kind, name, stored, false);
     }
   }
+  /// @return the field "state" of an object's status; empty where there is none.
+  std::string status_of(const std::string& kind, const std::string& name) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    const json::value& status = objects_[kind][name].status;
+    const json::value* state = status.is_object() ? status.as_object().if_contains("state") : nullptr;
+    return state != nullptr && state->is_string() ? std::string(state->as_string()) : "";
+  }
   void remove(const std::string& kind, const std::string& name) {
     const std::lock_guard<std::mutex> lock(mutex_);
     const auto entry = objects_[kind].find(name);
@@ -801,6 +808,12 @@
       node.pid = 0;
     }
   }
+  /// Takes the disk of a node that is not running.
+  void wipe(const Node& node) const {
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_ / (node.name + ".data"), ignored);
+    std::filesystem::create_directories(folder_ / (node.name + ".data"));
+  }
   static void signal(const Node& node, int number) { ::kill(node.pid, number); }
   /// @return whether all gateways are ready within @p patience_ms.
   bool await_ready(int patience_ms) {
--- a/review/standins-2/identical_requests.cpp
+++ b/review/standins-2/identical_requests.cpp
@@ -1,4 +1,4 @@
-/// @file Case 5. All engines of a small service crash once while clients send the same lookup. They come back after
+/// @file Case 6. All engines of a small service crash once while clients send the same lookup. They come back after
 /// three seconds.
 
 #include "fleet.hpp"
--- a/review/standins-2/rejected_items.cpp
+++ b/review/standins-2/rejected_items.cpp
@@ -1,4 +1,4 @@
-/// @file Case 4. One engine fails a part of its requests for some seconds. Meanwhile the machines that keep the records
+/// @file Case 5. One engine fails a part of its requests for some seconds. Meanwhile the machines that keep the records
 /// are killed and come back, so that giving up an item that failed as often as the route allows cannot be written.
 
 #include "fleet.hpp"
--- a/review/standins-2/removed_route.cpp
+++ b/review/standins-2/removed_route.cpp
@@ -1,4 +1,4 @@
-/// @file Case 6. A batch job holds requests with the path of a live route. The operator removes that route, and keeps the
+/// @file Case 7. A batch job holds requests with the path of a live route. The operator removes that route, and keeps the
 /// route of the batch job.
 
 #include "fleet.hpp"
