--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "batch/item.hpp"
+#include "batch/item_failure.hpp"
 #include "common/hash.hpp"
 
 namespace madderdeck::batch {
@@ -50,6 +51,8 @@
 /// A queued item is returned once no engine of this node could run it for this long: other nodes' engines may.
 constexpr Duration kMaxUnplaceableTime = 250ms;
 constexpr Duration kRouteMissingLimit = 5s;  ///< Longer than a configuration change takes to reach all nodes.
+/// Until the failure of an item is written again after the ledger has not taken it.
+constexpr Duration kFailureRetryInterval = 250ms;
 
 std::string_view error_name(const Result<ledger::OptionalValue>& result) {
   return error_kind_name(error_of(result).kind);
@@ -290,6 +293,10 @@
       report(work, false);
       continue;
     }
+    if (guards_.keep_failures && has_no_attempts_left(work)) {
+      fail_item(std::move(work), wire::ItemFailure::RunsFailed);
+      continue;
+    }
     start_item(std::move(work), backend);
     --room;
   }
@@ -299,8 +306,7 @@
 void Dispatcher::return_unstartable_items(const std::vector<routing::Backend*>& usable) {
   std::erase_if(queue_, [this, &usable](QueuedItem& work) {
     if (route_missing_too_long(work)) {
-      work.item.partial = "the item's route is gone";
-      write_result(std::move(work), true);
+      fail_item(std::move(work), wire::ItemFailure::RouteGone);
       return true;
     }
     const bool lapsed = guards_.respect_leases && environment_.now() >= work.start_before;
@@ -357,18 +363,20 @@
 }
 
 void Dispatcher::begin_anew_if_necessary(QueuedItem& work, const routing::Backend& backend) {
-  wire::WorkItemT& item = work.item;
-  if (item.partial_tokens == 0 || registry_.may_run_at(backend, item.partial_version)) {
-    return;
+  if (work.item.partial_tokens > 0 && !registry_.may_run_at(backend, work.item.partial_version)) {
+    discard_output(work, "software_version " + backend.machine.software_version);
   }
+}
+
+void Dispatcher::discard_output(QueuedItem& work, const std::string& reason) {
+  wire::WorkItemT& item = work.item;
   counters_["batch_items_begun_anew_total"]++;
   log_.record("item_begun_anew", {{"job", item.job},
                                   {"index", item.index},
                                   {"item", item_id_of(work)},
                                   {"events", item.partial_tokens},
                                   {"partial_version", item.partial_version},
-                                  {"backend", backend.machine.id.str()},
-                                  {"software_version", backend.machine.software_version}});
+                                  {"reason", reason}});
   item.partial.clear();
   item.partial_tokens = 0;
   item.partial_version.clear();
@@ -437,6 +445,9 @@
       work.http = decode_http_item(*item);
     }
     work.start_before = (known ? requested->second.asked_at : Timestamp{}) + std::chrono::milliseconds(item->lease_ms);
+    if (begins_with_reason_of_earlier_version(work.item.partial)) {
+      discard_output(work, "reason_as_output");
+    }
     if (draining_ || (!known && guards_.respect_leases)) {
       report(work, false);
     } else if (guards_.hold_items_once && holds_already(work)) {
@@ -488,6 +499,12 @@
       return true;
     }
   }
+  for (auto& [id, work] : unwritten_failures_) {
+    if (is_same(work.item.job, work.item.index)) {
+      work.manager = given.manager;
+      return true;
+    }
+  }
   return std::any_of(settling_.begin(), settling_.end(),
                      [&](const auto& entry) { return is_same(entry.second.job, entry.second.index); });
 }
@@ -518,8 +535,9 @@
   begin_anew_if_necessary(work, backend);
   Result<routing::EngineCall> built = engine_call_for(work);
   if (!succeeded(built)) {
-    work.item.partial = error_of(built).detail;
-    write_result(std::move(work), true);
+    log_.record("item_invalid",
+                {{"job", work.item.job}, {"index", work.item.index}, {"error", error_of(built).detail}});
+    fail_item(std::move(work), wire::ItemFailure::Invalid);
     return;
   }
   routing::EngineCall& call = value_of(built);
@@ -616,7 +634,7 @@
   policies_.estimate->learn(
       running.work.item.template_name,
       {running.work.item.tokens, total, total - running.resumed_from, environment_.now() - running.started_at});
-  write_result(std::move(running.work), false);
+  write_result(std::move(running.work));
   if (!draining_) {
     fill_engines();
   }
@@ -640,9 +658,12 @@
                                   {"failure", routing::failure_name(failure)},
                                   {"failed_runs", work.item.failed_runs},
                                   {"events", work.item.partial_tokens}});
-  if (failed_permanently(work, failure)) {
-    work.item.partial = "the engine rejects the item";
-    write_result(std::move(work), true);
+  if (failure == routing::CallFailure::invalid) {
+    fail_item(std::move(work), wire::ItemFailure::Rejected);
+    return;
+  }
+  if (has_no_attempts_left(work)) {
+    fail_item(std::move(work), wire::ItemFailure::RunsFailed);
     return;
   }
   if (failure == routing::CallFailure::refused) {
@@ -662,12 +683,9 @@
   return ++broken_runs_[{work.item.job, work.item.index}] < *guards_.max_broken_runs;
 }
 
-bool Dispatcher::failed_permanently(const QueuedItem& work, routing::CallFailure failure) const {
-  if (failure == routing::CallFailure::invalid) {
-    return true;
-  }
-  if (failure != routing::CallFailure::failed_run) {
-    return false;  // the engine or the connection ended, which says nothing about the item
+bool Dispatcher::has_no_attempts_left(const QueuedItem& work) const {
+  if (work.item.failed_runs == 0) {
+    return false;
   }
   if (!work.http) {
     return work.item.failed_runs >= kMaxFailedRuns;
@@ -676,11 +694,18 @@
   return route != nullptr && work.item.failed_runs >= route->max_attempts;
 }
 
-void Dispatcher::write_result(QueuedItem work, bool failed) {
+void Dispatcher::fail_item(QueuedItem work, wire::ItemFailure failure) {
+  counters_["batch_items_failed_total"]++;
+  work.item.failure = failure;
+  write_result(std::move(work));
+}
+
+void Dispatcher::write_result(QueuedItem work) {
   wire::ResultRecordT record;
   record.index = work.item.index;
-  record.failed = failed;
-  record.body = work.item.partial;
+  record.failure = work.item.failure;
+  record.failed = record.failure != wire::ItemFailure::None;
+  record.body = record.failed ? failure_description(record.failure) : work.item.partial;
   record.item_id = work.http ? work.http->id : "";
   record.attempt = environment_.random();  // distinguishes results of two dispatchers
   const wire::Bytes encoded = wire::encode_record(record);
@@ -692,16 +717,50 @@
   settling_[id] = {work.item.job, work.item.index, work.manager};
   ledger_.change(result_key(JobId(work.item.job), work.item.index), first_stands,
                  lifetime_.guard([this, work, id](const Result<ledger::OptionalValue>& result) {
-                   settling_.erase(id);
-                   log_.record("item_result", {{"job", work.item.job},
-                                               {"index", work.item.index},
-                                               {"item", item_id_of(work)},
-                                               {"outcome", succeeded(result) ? "written" : error_name(result)}});
-                   counters_[succeeded(result) ? "batch_results_written_total" : "batch_results_not_written_total"]++;
-                   report(work, succeeded(result));
+                   on_result_written(work, id, result);
                  }));
 }
 
+void Dispatcher::on_result_written(const QueuedItem& work, RunId id, const Result<ledger::OptionalValue>& result) {
+  const bool written = succeeded(result);
+  settling_.erase(id);
+  log_.record("item_result", {{"job", work.item.job},
+                              {"index", work.item.index},
+                              {"item", item_id_of(work)},
+                              {"failure", item_failure_name(work.item.failure)},
+                              {"failed_runs", work.item.failed_runs},
+                              {"events", work.item.partial_tokens},
+                              {"outcome", written ? "written" : error_name(result)}});
+  counters_[written ? "batch_results_written_total" : "batch_results_not_written_total"]++;
+  if (written || work.item.failure == wire::ItemFailure::None || draining_) {
+    report(work, written);
+  } else if (guards_.keep_failures) {
+    keep_failure(work);
+  } else {
+    report_failure_as_output(work);
+  }
+}
+
+/// What the guard prevents.
+void Dispatcher::report_failure_as_output(QueuedItem work) {
+  work.item.partial = failure_description(work.item.failure);
+  work.item.failure = wire::ItemFailure::None;
+  report(work, false);
+}
+
+/// The manager learns of the failure now, in case this node ends before the ledger takes it.
+void Dispatcher::keep_failure(QueuedItem work) {
+  const RunId id = ++next_run_;
+  work.manager = manager_of(work);
+  report_held(work);
+  unwritten_failures_.emplace(id, std::move(work));
+  environment_.after(kFailureRetryInterval, lifetime_.guard([this, id] {
+    if (auto entry = unwritten_failures_.extract(id)) {
+      write_result(std::move(entry.mapped()));
+    }
+  }));
+}
+
 const std::string& Dispatcher::item_id_of(const QueuedItem& work) {
   static const std::string none;
   return work.http ? work.http->id : none;
@@ -715,6 +774,7 @@
   message.partial = work.item.partial;
   message.partial_tokens = work.item.partial_tokens;
   message.partial_version = work.item.partial_version;
+  message.failure = work.item.failure;
   return message;
 }
 
@@ -759,6 +819,9 @@
   for (const auto& [id, left] : leaving_) {
     add(left.work.item.job, left.work.item.index, left.work.manager);
   }
+  for (const auto& [id, work] : unwritten_failures_) {
+    add(work.item.job, work.item.index, work.manager);
+  }
   for (const auto& [id, one] : settling_) {
     add(one.job, one.index, one.manager);
   }
@@ -1047,6 +1110,7 @@
   }
   std::erase_if(queue_, [&](const QueuedItem& work) { return work.item.job == message.job; });
   std::erase_if(leaving_, [&](const auto& entry) { return entry.second.work.item.job == message.job; });
+  std::erase_if(unwritten_failures_, [&](const auto& entry) { return entry.second.item.job == message.job; });
   std::vector<RunId> stopped;
   for (const auto& [id, running] : running_) {
     if (running.work.item.job == message.job) {
@@ -1070,6 +1134,10 @@
     report(left.work, false);
   }
   leaving_.clear();
+  for (const auto& [id, work] : unwritten_failures_) {
+    report(work, false);
+  }
+  unwritten_failures_.clear();
   while (!running_.empty()) {
     const RunId id = running_.begin()->first;
     client_.cancel(running_.at(id).call);
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -34,6 +34,7 @@
   bool keep_headroom = true;       ///< Batch leaves slots free for live requests.
   bool hold_items_once = true;     ///< An item that this node holds and is handed out again is not run twice.
   bool stay_where_run_is = true;   ///< An item leaves an unresponsive engine only if that does not work on it.
+  bool keep_failures = true;       ///< A failure that the ledger has not taken stays one and is no output.
   bool yield_to_online = true;     ///< Batch items are stopped when live requests need their slots.
   bool stop_cancelled = true;      ///< Running items of a cancelled job are stopped.
   /// An item whose run broke off is returned to its manager, which hands it out again.
@@ -76,7 +77,9 @@
   static constexpr std::uint64_t kIdlePollRounds = 10;
   /// Called when this node is leaving: takes no new items and returns the running ones to their managers.
   void drain();
-  std::size_t active() const { return running_.size() + leaving_.size() + settling_.size(); }
+  std::size_t active() const {
+    return running_.size() + leaving_.size() + settling_.size() + unwritten_failures_.size();
+  }
 
   StartHook on_item_started;
   BatchActivityHook on_batch_activity;
@@ -188,6 +191,8 @@
   /// @return whether @p work is to wait for an engine of the software version that wrote its partial output rather than
   ///         begin anew on @p backend.
   bool waits_for_version(const QueuedItem& work, const routing::Backend& backend);
+  /// Discards the output that @p work has so far; its next run begins with the first event.
+  void discard_output(QueuedItem& work, const std::string& reason);
   /// Discards the partial output of @p work if @p backend must not continue it.
   void begin_anew_if_necessary(QueuedItem& work, const routing::Backend& backend);
   /// @return whether the route of @p work has been missing from the configuration for longer than kRouteMissingLimit.
@@ -198,11 +203,19 @@
   void on_token(RunId id, std::uint32_t offset, std::string_view text);
   void on_finished(RunId id, std::uint32_t total);
   void on_failed(RunId id, routing::CallFailure failure);
-  bool failed_permanently(const QueuedItem& work, routing::CallFailure failure) const;
+  /// @return whether @p work failed as often as its route allows.
+  bool has_no_attempts_left(const QueuedItem& work) const;
+  /// Records that @p work has failed for good.
+  void fail_item(QueuedItem work, wire::ItemFailure failure);
   /// @return whether the guards let the item of a run that broke off be run again.
   bool may_run_after_break(const QueuedItem& work);
   RunningItem take_running(RunId id);
-  void write_result(QueuedItem work, bool failed);
+  /// Writes the output of @p work, or its failure if it has one.
+  void write_result(QueuedItem work);
+  void on_result_written(const QueuedItem& work, RunId id, const Result<ledger::OptionalValue>& result);
+  void report_failure_as_output(QueuedItem work);
+  /// Keeps an item whose failure the ledger has not taken, and writes that again.
+  void keep_failure(QueuedItem work);
   void report(const QueuedItem& work, bool completed);
   /// Tells the manager of a running item that this node still holds it.
   void report_held(const QueuedItem& work);
@@ -229,7 +242,8 @@
   std::deque<QueuedItem> queue_;
   std::map<RunId, RunningItem> running_;
   std::map<RunId, LeavingItem> leaving_;
-  std::map<RunId, HeldItem> settling_;  ///< Items whose result is being written.
+  std::map<RunId, HeldItem> settling_;              ///< Items whose result is being written.
+  std::map<RunId, QueuedItem> unwritten_failures_;  ///< Failed items whose failure is to be written again.
   Timestamp confirmed_at_{};
   std::map<BackendId, Engine> engines_;
   policy::rate_meter live_call_rate_;  ///< Rate at which live calls start over all engines of this node.
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <numeric>
 
+#include "batch/item_failure.hpp"
+
 namespace madderdeck::batch {
 namespace {
 constexpr Duration kTick = 250ms;
@@ -83,6 +85,7 @@
       confirm_job(id);
     }
     fail_overdue_items(id);
+    write_reported_failures(id);
     append_order(id);
   }
   std::vector<JobId> open;
@@ -326,6 +329,9 @@
       continue;
     }
     only_settled_before = false;
+    if (job.failure_of(index) != wire::ItemFailure::None || job.failing_items.contains(index)) {
+      continue;
+    }
     if (!in_pass(pass, job, index)) {
       continue;
     }
@@ -532,10 +538,15 @@
     settle(job, message.index);
     return;
   }
-  if (job.items[message.index] != ItemState::settled && message.partial_tokens + message.failed_runs > 0) {
+  const bool has_failure = message.failure != wire::ItemFailure::None;
+  if (job.items[message.index] != ItemState::settled &&
+      (has_failure || message.partial_tokens + message.failed_runs > 0)) {
     ItemProgress& progress = job.item_progress[message.index];
     progress.failed_runs = std::max(progress.failed_runs, message.failed_runs);
-    if (message.partial_tokens >= progress.tokens) {
+    progress.failure = has_failure ? message.failure : progress.failure;
+    if (begins_with_reason_of_earlier_version(message.partial)) {
+      counters_["batch_reasons_as_output_total"]++;
+    } else if (message.partial_tokens >= progress.tokens) {
       progress.partial = message.partial;
       progress.tokens = message.partial_tokens;
       progress.software_version = message.partial_version;
@@ -578,6 +589,7 @@
     message.partial = progress.partial;
     message.partial_tokens = progress.tokens;
     message.partial_version = progress.software_version;
+    message.failure = progress.failure;
     send_message(environment_, PeerAddress(owner->peer_address), std::move(message));
   }
   counters_["jobs_handed_over_total"]++;
@@ -714,39 +726,77 @@
     return;
   }
   for (std::uint32_t index = 0; index < job.items.size(); ++index) {
-    if (job.items[index] == ItemState::settled || !job.giving_up_items.insert(index).second) {
+    if (job.items[index] == ItemState::settled || job.failing_items.contains(index)) {
       continue;
     }
-    wire::ResultRecordT record;
-    record.index = index;
-    record.failed = true;
-    record.body = "not done in time";
-    record.attempt = environment_.random();
-    std::string body;
-    if (item_body(job, index, body)) {
-      const auto item = wire::decode_record<wire::HttpItemT>(body);
-      record.item_id = item ? item->id : "";
-    } else {
-      job.giving_up_items.erase(index);
-      break;  // the chunk is being read
+    if (!write_failure(id, index, wire::ItemFailure::TimeOver)) {
+      break;
     }
-    const wire::Bytes encoded = wire::encode_record(record);
-    const auto first_stands = [encoded](const ledger::OptionalValue& current) {
-      return current ? ledger::OptionalValue{} : ledger::OptionalValue(encoded);
-    };
     counters_["batch_items_given_up_total"]++;
-    ledger_.change(result_key(id, index), first_stands,
-                   lifetime_.guard([this, id, index](const Result<ledger::OptionalValue>& result) {
-                     const auto entry = jobs_.find(id);
-                     if (entry == jobs_.end()) {
-                       return;
-                     }
-                     entry->second.giving_up_items.erase(index);
-                     if (succeeded(result)) {
-                       settle(entry->second, index);
-                       append_order(id);
-                     }
-                   }));
+  }
+}
+
+wire::ItemFailure JobManager::Job::failure_of(std::uint32_t index) const {
+  const auto progress = item_progress.find(index);
+  return progress == item_progress.end() ? wire::ItemFailure::None : progress->second.failure;
+}
+
+void JobManager::write_reported_failures(const JobId& id) {
+  Job& job = jobs_.at(id);
+  if (!job.loaded) {
+    return;
+  }
+  for (const auto& [index, progress] : job.item_progress) {
+    const bool held = job.items[index] != ItemState::pending;
+    if (progress.failure == wire::ItemFailure::None || held || job.failing_items.contains(index)) {
+      continue;
+    }
+    if (!write_failure(id, index, progress.failure)) {
+      break;
+    }
+    counters_["batch_reported_failures_written_total"]++;
+  }
+}
+
+bool JobManager::write_failure(const JobId& id, std::uint32_t index, wire::ItemFailure failure) {
+  Job& job = jobs_.at(id);
+  std::string body;
+  if (!item_body(job, index, body)) {
+    return false;
+  }
+  const auto item = wire::decode_record<wire::HttpItemT>(body);
+  wire::ResultRecordT record;
+  record.index = index;
+  record.failed = true;
+  record.failure = failure;
+  record.body = failure_description(failure);
+  record.attempt = environment_.random();
+  record.item_id = item ? item->id : "";
+  const wire::Bytes encoded = wire::encode_record(record);
+  const auto first_stands = [encoded](const ledger::OptionalValue& current) {
+    return current ? ledger::OptionalValue{} : ledger::OptionalValue(encoded);
+  };
+  job.failing_items.insert(index);
+  ledger_.change(result_key(id, index), first_stands,
+                 lifetime_.guard([this, id, index, failure](const Result<ledger::OptionalValue>& result) {
+                   on_failure_written(id, index, failure, succeeded(result));
+                 }));
+  return true;
+}
+
+void JobManager::on_failure_written(const JobId& id, std::uint32_t index, wire::ItemFailure failure, bool written) {
+  log_.record("item_failure_written", {{"job", id.str()},
+                                       {"index", index},
+                                       {"failure", item_failure_name(failure)},
+                                       {"outcome", written ? "written" : "not_written"}});
+  const auto entry = jobs_.find(id);
+  if (entry == jobs_.end()) {
+    return;
+  }
+  entry->second.failing_items.erase(index);
+  if (written) {
+    settle(entry->second, index);
+    append_order(id);
   }
 }
 
--- a/src/batch/job_manager.hpp
+++ b/src/batch/job_manager.hpp
@@ -68,6 +68,8 @@
     std::uint32_t tokens = 0;
     std::string software_version;  ///< That wrote partial; empty: not stated.
     std::uint32_t failed_runs = 0;
+    /// The item's end, which the ledger has not taken yet; None: it is to be run.
+    wire::ItemFailure failure = wire::ItemFailure::None;
   };
   enum class ItemState : std::uint8_t { pending, leased, settled };
   struct Job {
@@ -90,7 +92,9 @@
     std::vector<std::uint32_t> unlisted_results;  ///< Settled items that are not in the order records yet.
     std::uint32_t order_segment = 0;
     bool writing_order = false;
-    std::set<std::uint32_t> giving_up_items;  ///< Items whose failure is being written, since their time is over.
+    std::set<std::uint32_t> failing_items;  ///< Items whose failure is being written.
+    /// @return the failure of an item that has one and is not written yet, or None.
+    wire::ItemFailure failure_of(std::uint32_t index) const;
     /// @return whether results are listed in order records, so that their positions never change.
     bool ordered() const { return !record.host.empty(); }
   };
@@ -136,6 +140,12 @@
   void on_order_written(const JobId& id, const Result<ledger::OptionalValue>& result);
   /// Writes failed results for unfinished items once the job's give-up time has passed.
   void fail_overdue_items(const JobId& id);
+  /// Writes the failures that dispatchers reported and do not hold any more.
+  void write_reported_failures(const JobId& id);
+  /// Writes that an item failed for good, unless it has a result.
+  /// @return false if the item has to be read before.
+  bool write_failure(const JobId& id, std::uint32_t index, wire::ItemFailure failure);
+  void on_failure_written(const JobId& id, std::uint32_t index, wire::ItemFailure failure, bool written);
 
   Environment& environment_;
   Counters& counters_;
--- a/src/gateway/batches.cpp
+++ b/src/gateway/batches.cpp
@@ -4,6 +4,7 @@
 #include <charconv>
 
 #include "batch/item.hpp"
+#include "batch/item_failure.hpp"
 #include "gateway/api.hpp"
 #include "gateway/problem.hpp"
 
@@ -251,8 +252,9 @@
         exchange->respond(problem(Error{ErrorKind::corrupted, "result " + entry.key}));
         return;
       }
+      const std::string_view output = item->failed ? batch::failure_text(*item) : std::string_view(item->body);
       response.body +=
-          json::serialize(json::object{{"index", item->index}, {"failed", item->failed}, {"output", item->body}});
+          json::serialize(json::object{{"index", item->index}, {"failed", item->failed}, {"output", output}});
       response.body += '\n';
     }
     if (!page.next_after.empty()) {
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -111,6 +111,7 @@
   versions,    ///< Besides the standard ones, engines of several software versions, and streams that clients resume.
   departures,  ///< Machines with a disk that are emptied and taken away while views of it differ.
   crashes,     ///< Besides the standard ones, bursts of crashes of engines under long batch items.
+  rejections,  ///< As listing, with engines that fail a share of the items' runs.
   parts,       ///< Besides the standard ones, prompts that share parts, two of which end engines; suspended machines.
 };
 
--- a/src/simulation/earlier_version.cpp
+++ b/src/simulation/earlier_version.cpp
@@ -14,10 +14,12 @@
     case wire::Message::GiveItems:
       for (auto& item : message.AsGiveItems()->items) {
         item->partial_version.clear();
+        item->failure = wire::ItemFailure::None;
       }
       return true;
     case wire::Message::ItemSettled:
       message.AsItemSettled()->partial_version.clear();
+      message.AsItemSettled()->failure = wire::ItemFailure::None;
       return true;
     case wire::Message::PlaceRequest:
       message.AsPlaceRequest()->continues = false;
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -53,8 +53,9 @@
       0;  ///< Of passed-on answers, those that are broken off; 0: all are in chunks and whole.
   /// Software versions among which those of the engines are drawn; 0: engines state none.
   unsigned engine_versions = 0;
-  bool crashes_judged = false;  ///< Batch items have to run again soon after a burst of crashes at the end.
-  bool seeds_drawn = false;     ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
+  unsigned failed_run_percent = 0;  ///< Of the runs of listed items, those that engines fail.
+  bool crashes_judged = false;      ///< Batch items have to run again soon after a burst of crashes at the end.
+  bool seeds_drawn = false;         ///< The three seeds of a schedule are any nodes; otherwise those with a disk.
 };
 /// @return the profile of that name, if there is one.
 std::optional<Profile> find_profile(const std::string& name);
@@ -153,6 +154,9 @@
   struct EngineStream;
   void begin_stream(const std::shared_ptr<EngineStream>& stream);
   void break_stream(const std::shared_ptr<EngineStream>& stream);
+  bool call_may_fail(const EngineStream& stream) const;
+  /// The engine fails the run, as with a 500 or a last event that says so.
+  void fail_run(const std::shared_ptr<EngineStream>& stream);
   void watch_stream(const std::shared_ptr<EngineStream>& stream);
   bool node_gone() const;
   /// Runs @p event at this node, a network delay from now.
--- a/src/simulation/main.cpp
+++ b/src/simulation/main.cpp
@@ -19,7 +19,8 @@
     "departures (machines that are emptied and taken away while others believe them to be there), answers (engines "
     "that break answers off), versions (engines of several software versions, and streams that clients resume), "
     "crashes "
-    "(bursts of crashes of engines under long batch items), or parts (prompts that share parts, two of which end "
+    "(bursts of crashes of engines under long batch items), rejections (engines that fail runs of items), or parts "
+    "(prompts that share parts, two of which end "
     "engines).");
 DEFINE_string(repeats, "",
               "Instead of a mix: 'request' or 'generation', one that ends its engines, sent 30 times at other nodes.");
@@ -218,6 +219,9 @@
   if (text == "crashes") {
     return ScheduleMix::crashes;
   }
+  if (text == "rejections") {
+    return ScheduleMix::rejections;
+  }
   if (text == "parts") {
     return ScheduleMix::parts;
   }
@@ -346,7 +350,8 @@
 int main(int argument_count, char** arguments) {
   gflags::SetUsageMessage(
       "madderdeck-sim --seeds=FROM-TO [--steps=N] [--profile=qasr|ravelin|large] "
-      "[--mix=standard|hardening|listing|leaving|losses|series|isolation|departures|answers|versions|crashes|parts] "
+      "[--mix=standard|hardening|listing|leaving|losses|series|isolation|departures|answers|versions|crashes|"
+      "rejections|parts] "
       "[--repeats=request|generation --pause_ms=N] [--loss_percent=N] [--mixed_versions] [--log] "
       "[--over_three] [--all_violations] [--replaced_percent=N] [--without=stale_seeds,cut_gateways] "
       "[--json]");
--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -102,6 +102,8 @@
        [](Guards& guards) { guards.dispatch.max_broken_runs = 2; }, ScheduleMix::crashes},
       {"broken_items_not_returned", Promise::interrupted_item_runs_again, 10,
        [](Guards& guards) { guards.dispatch.return_broken_items = false; }, ScheduleMix::crashes},
+      {"failures_reported_as_output", Promise::item_exactly_once, 60,
+       [](Guards& guards) { guards.dispatch.keep_failures = false; }, ScheduleMix::rejections},
       {"fatal_parts_sent_again", Promise::fatal_part_contained, 10,
        [](Guards& guards) { guards.quarantine.hold_back_parts = false; }, ScheduleMix::parts},
       {"parts_never_acquitted", Promise::fatal_part_contained, 20,
--- a/src/simulation/oracle.cpp
+++ b/src/simulation/oracle.cpp
@@ -15,6 +15,8 @@
 /// The same for all requests that share a part of their prompts.
 constexpr unsigned kPartEndsThatTell = 5;
 constexpr Duration kContact = 3s;
+/// Engines that end take the count of failed runs with them; items may be run for so many times their attempts.
+constexpr unsigned kRunsBorne = 3;
 
 template <class Element>
 void append(std::vector<Element>& to, const std::vector<Element>& from) {
@@ -40,6 +42,19 @@
   append(group_after_all_back, other.group_after_all_back);
 }
 
+void Oracle::item_run_began(const std::string& prompt, Timestamp at) {
+  const auto failed = failed_runs_.find(prompt);
+  if (failed != failed_runs_.end() && failed->second >= kRunsBorne * kListedAttempts) {
+    violated(Promise::item_exactly_once, prompt + " was run after " + std::to_string(failed->second) + " failed runs",
+             at);
+  }
+}
+
+bool Oracle::may_have_failed(const std::string& prompt) const {
+  const auto failed = failed_runs_.find(prompt);
+  return failed != failed_runs_.end() && failed->second >= kListedAttempts;
+}
+
 void LoadCounts::add(const LoadCounts& other) {
   accepted_items += other.accepted_items;
   completed_items += other.completed_items;
--- a/src/simulation/oracle.hpp
+++ b/src/simulation/oracle.hpp
@@ -12,6 +12,9 @@
 
 namespace madderdeck::simulation {
 
+/// Runs of a listed item that engines have to fail before it may be listed as failed.
+inline constexpr unsigned kListedAttempts = 3;
+
 /// The promises, as they are named in results and in docs/INVARIANTS.md.
 enum class Promise {
   item_exactly_once,
@@ -90,6 +93,11 @@
 
   // Live requests: prompts are unique.
   void engine_took(const std::string& prompt) { taken_prompts_.insert(prompt); }
+  /// An engine failed a run of the item with that prompt.
+  void item_run_failed(const std::string& prompt) { ++failed_runs_[prompt]; }
+  void item_run_began(const std::string& prompt, Timestamp at);
+  /// @return whether an item with that prompt may be listed as failed.
+  bool may_have_failed(const std::string& prompt) const;
   bool engine_has_taken(const std::string& prompt) const { return taken_prompts_.contains(prompt); }
 
   // Requests that end every engine that begins to run them.
@@ -189,6 +197,7 @@
   std::vector<Violation> violations_;
   std::map<std::string, std::uint64_t> runs_;
   std::set<std::string> taken_prompts_;
+  std::map<std::string, unsigned> failed_runs_;  ///< Of listed items, by prompt.
   std::map<std::string, FatalRequest> fatal_;
   std::map<std::string, FatalPart> fatal_parts_;
   std::optional<Timestamp> first_part_crash_;
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -11,6 +11,7 @@
 constexpr unsigned kDepartureNodes = 6;
 constexpr unsigned kAnswerFaultPercent = 40;
 constexpr unsigned kEngineVersions = 3;
+constexpr unsigned kFailedRunPercent = 40;
 /// Long enough for an item to be interrupted several times by one burst.
 constexpr std::uint32_t kLongItemFactor = 5;
 constexpr std::uint32_t kFewItemsDivisor = 4;
@@ -92,6 +93,12 @@
     weights.at(static_cast<std::size_t>(ActionKind::crash_burst)) = 6;
     weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 1;
   }
+  if (mix == ScheduleMix::rejections) {
+    weights.at(static_cast<std::size_t>(ActionKind::submit_listed_job)) = 10;
+    weights.at(static_cast<std::size_t>(ActionKind::read_positions)) = 15;
+    weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 3;
+    weights.at(static_cast<std::size_t>(ActionKind::lose_disk_and_power)) = 2;
+  }
   if (mix == ScheduleMix::parts) {
     weights.at(static_cast<std::size_t>(ActionKind::prompt_request)) = 90;
     weights.at(static_cast<std::size_t>(ActionKind::fatal_part)) = 30;
@@ -121,6 +128,9 @@
   if (mix == ScheduleMix::versions) {
     profile.engine_versions = kEngineVersions;
   }
+  if (mix == ScheduleMix::rejections) {
+    profile.failed_run_percent = kFailedRunPercent;
+  }
   if (mix == ScheduleMix::crashes) {
     profile.batch_tokens *= kLongItemFactor;
     profile.job_items /= kFewItemsDivisor;
--- a/src/simulation/sim_backends.cpp
+++ b/src/simulation/sim_backends.cpp
@@ -23,6 +23,7 @@
   bool talks_after_break = false;
   bool ended = false;
   int breaks_after = -1;      ///< Tokens; -1 for never.
+  int fails_after = -1;       ///< Tokens before the engine fails the run; -1: it does not.
   Timestamp last_delivery{};  ///< Keeps one stream's events in order.
 };
 
@@ -112,7 +113,13 @@
       process.deliver(life, std::move(event));
     });
   };
+  if (call_may_fail(*stream) && fleet_.world.random.chance(fleet_.profile.failed_run_percent)) {
+    stream->fails_after = static_cast<int>(fleet_.world.random.below(stream->call.max_tokens));
+  }
   events.token = [this, stream, in_order](std::uint32_t offset, const std::string& text) {
+    if (stream->fails_after >= 0 && stream->fails_after-- == 0 && !stream->broken) {
+      fail_run(stream);
+    }
     if (stream->breaks_after >= 0 && stream->breaks_after-- == 0 && !stream->broken) {
       break_stream(stream);
     }
@@ -143,6 +150,9 @@
     return;
   }
   fleet_.oracle.engine_took(stream->call.prompt);
+  if (call_may_fail(*stream)) {
+    fleet_.oracle.item_run_began(stream->call.prompt, fleet_.world.now());
+  }
   stream->generation = std::get<emulator::GenerationId>(taken);
   stream->engine_life = engine.process.life();
   fleet_.note_sent(node_, stream->call.prompt);
@@ -183,6 +193,23 @@
   });
 }
 
+/// Draws of other schedules stay as they are.
+bool SimBackends::call_may_fail(const EngineStream& stream) const {
+  return fleet_.profile.failed_run_percent > 0 && stream.call.http != nullptr;
+}
+
+void SimBackends::fail_run(const std::shared_ptr<EngineStream>& stream) {
+  stream->broken = true;
+  stream->talks_after_break = false;
+  fleet_.engines[stream->engine]->model.cancel(stream->generation);
+  fleet_.oracle.item_run_failed(stream->call.prompt);
+  at_node([stream] {
+    if (!stream->cancelled) {
+      stream->events.failed(routing::CallFailure::failed_run);
+    }
+  });
+}
+
 void SimBackends::cancel(routing::CallId call) {
   const auto node = streams_.extract(call);
   if (node.empty()) {
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -498,6 +498,48 @@
   return EnumNamesPlaceConsent()[index];
 }
 
+enum class ItemFailure : uint8_t {
+  None = 0,
+  Rejected = 1,
+  RunsFailed = 2,
+  RouteGone = 3,
+  TimeOver = 4,
+  Invalid = 5,
+  MIN = None,
+  MAX = Invalid
+};
+
+inline const ItemFailure (&EnumValuesItemFailure())[6] {
+  static const ItemFailure values[] = {
+    ItemFailure::None,
+    ItemFailure::Rejected,
+    ItemFailure::RunsFailed,
+    ItemFailure::RouteGone,
+    ItemFailure::TimeOver,
+    ItemFailure::Invalid
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesItemFailure() {
+  static const char * const names[7] = {
+    "None",
+    "Rejected",
+    "RunsFailed",
+    "RouteGone",
+    "TimeOver",
+    "Invalid",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameItemFailure(ItemFailure e) {
+  if (flatbuffers::IsOutRange(e, ItemFailure::None, ItemFailure::Invalid)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesItemFailure()[index];
+}
+
 enum class QueueVerdict : uint8_t {
   Granted = 0,
   Full = 1,
@@ -5009,6 +5051,7 @@
   uint32_t tokens = 0;
   uint64_t give_up_at_ms = 0;
   std::string partial_version{};
+  madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None;
 };
 
 struct WorkItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5029,7 +5072,8 @@
     VT_DEADLINE_MS = 24,
     VT_TOKENS = 26,
     VT_GIVE_UP_AT_MS = 28,
-    VT_PARTIAL_VERSION = 30
+    VT_PARTIAL_VERSION = 30,
+    VT_FAILURE = 32
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -5073,6 +5117,9 @@
   const flatbuffers::String *partial_version() const {
     return GetPointer<const flatbuffers::String *>(VT_PARTIAL_VERSION);
   }
+  madderdeck::wire::ItemFailure failure() const {
+    return static_cast<madderdeck::wire::ItemFailure>(GetField<uint8_t>(VT_FAILURE, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -5096,6 +5143,7 @@
            VerifyField<uint64_t>(verifier, VT_GIVE_UP_AT_MS, 8) &&
            VerifyOffset(verifier, VT_PARTIAL_VERSION) &&
            verifier.VerifyString(partial_version()) &&
+           VerifyField<uint8_t>(verifier, VT_FAILURE, 1) &&
            verifier.EndTable();
   }
   WorkItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5149,6 +5197,9 @@
   void add_partial_version(flatbuffers::Offset<flatbuffers::String> partial_version) {
     fbb_.AddOffset(WorkItem::VT_PARTIAL_VERSION, partial_version);
   }
+  void add_failure(madderdeck::wire::ItemFailure failure) {
+    fbb_.AddElement<uint8_t>(WorkItem::VT_FAILURE, static_cast<uint8_t>(failure), 0);
+  }
   explicit WorkItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5175,7 +5226,8 @@
     uint64_t deadline_ms = 0,
     uint32_t tokens = 0,
     uint64_t give_up_at_ms = 0,
-    flatbuffers::Offset<flatbuffers::String> partial_version = 0) {
+    flatbuffers::Offset<flatbuffers::String> partial_version = 0,
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
   WorkItemBuilder builder_(_fbb);
   builder_.add_give_up_at_ms(give_up_at_ms);
   builder_.add_deadline_ms(deadline_ms);
@@ -5191,6 +5243,7 @@
   builder_.add_tenant(tenant);
   builder_.add_index(index);
   builder_.add_job(job);
+  builder_.add_failure(failure);
   return builder_.Finish();
 }
 
@@ -5214,7 +5267,8 @@
     uint64_t deadline_ms = 0,
     uint32_t tokens = 0,
     uint64_t give_up_at_ms = 0,
-    const char *partial_version = nullptr) {
+    const char *partial_version = nullptr,
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto template_name__ = template_name ? _fbb.CreateString(template_name) : 0;
@@ -5237,7 +5291,8 @@
       deadline_ms,
       tokens,
       give_up_at_ms,
-      partial_version__);
+      partial_version__,
+      failure);
 }
 
 flatbuffers::Offset<WorkItem> CreateWorkItem(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -5503,6 +5558,7 @@
   uint32_t partial_tokens = 0;
   bool held = false;
   std::string partial_version{};
+  madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None;
 };
 
 struct ItemSettled FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5517,7 +5573,8 @@
     VT_PARTIAL = 12,
     VT_PARTIAL_TOKENS = 14,
     VT_HELD = 16,
-    VT_PARTIAL_VERSION = 18
+    VT_PARTIAL_VERSION = 18,
+    VT_FAILURE = 20
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -5543,6 +5600,9 @@
   const flatbuffers::String *partial_version() const {
     return GetPointer<const flatbuffers::String *>(VT_PARTIAL_VERSION);
   }
+  madderdeck::wire::ItemFailure failure() const {
+    return static_cast<madderdeck::wire::ItemFailure>(GetField<uint8_t>(VT_FAILURE, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -5556,6 +5616,7 @@
            VerifyField<uint8_t>(verifier, VT_HELD, 1) &&
            VerifyOffset(verifier, VT_PARTIAL_VERSION) &&
            verifier.VerifyString(partial_version()) &&
+           VerifyField<uint8_t>(verifier, VT_FAILURE, 1) &&
            verifier.EndTable();
   }
   ItemSettledT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5591,6 +5652,9 @@
   void add_partial_version(flatbuffers::Offset<flatbuffers::String> partial_version) {
     fbb_.AddOffset(ItemSettled::VT_PARTIAL_VERSION, partial_version);
   }
+  void add_failure(madderdeck::wire::ItemFailure failure) {
+    fbb_.AddElement<uint8_t>(ItemSettled::VT_FAILURE, static_cast<uint8_t>(failure), 0);
+  }
   explicit ItemSettledBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5611,7 +5675,8 @@
     flatbuffers::Offset<flatbuffers::String> partial = 0,
     uint32_t partial_tokens = 0,
     bool held = false,
-    flatbuffers::Offset<flatbuffers::String> partial_version = 0) {
+    flatbuffers::Offset<flatbuffers::String> partial_version = 0,
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
   ItemSettledBuilder builder_(_fbb);
   builder_.add_partial_version(partial_version);
   builder_.add_partial_tokens(partial_tokens);
@@ -5619,6 +5684,7 @@
   builder_.add_failed_runs(failed_runs);
   builder_.add_index(index);
   builder_.add_job(job);
+  builder_.add_failure(failure);
   builder_.add_held(held);
   builder_.add_completed(completed);
   return builder_.Finish();
@@ -5638,7 +5704,8 @@
     const char *partial = nullptr,
     uint32_t partial_tokens = 0,
     bool held = false,
-    const char *partial_version = nullptr) {
+    const char *partial_version = nullptr,
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto partial__ = partial ? _fbb.CreateString(partial) : 0;
   auto partial_version__ = partial_version ? _fbb.CreateString(partial_version) : 0;
@@ -5651,7 +5718,8 @@
       partial__,
       partial_tokens,
       held,
-      partial_version__);
+      partial_version__,
+      failure);
 }
 
 flatbuffers::Offset<ItemSettled> CreateItemSettled(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9562,6 +9630,7 @@
   std::string body{};
   uint64_t attempt = 0;
   std::string item_id{};
+  madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None;
 };
 
 struct ResultRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -9573,7 +9642,8 @@
     VT_FAILED = 6,
     VT_BODY = 8,
     VT_ATTEMPT = 10,
-    VT_ITEM_ID = 12
+    VT_ITEM_ID = 12,
+    VT_FAILURE = 14
   };
   uint32_t index() const {
     return GetField<uint32_t>(VT_INDEX, 0);
@@ -9590,6 +9660,9 @@
   const flatbuffers::String *item_id() const {
     return GetPointer<const flatbuffers::String *>(VT_ITEM_ID);
   }
+  madderdeck::wire::ItemFailure failure() const {
+    return static_cast<madderdeck::wire::ItemFailure>(GetField<uint8_t>(VT_FAILURE, 0));
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_INDEX, 4) &&
@@ -9599,6 +9672,7 @@
            VerifyField<uint64_t>(verifier, VT_ATTEMPT, 8) &&
            VerifyOffset(verifier, VT_ITEM_ID) &&
            verifier.VerifyString(item_id()) &&
+           VerifyField<uint8_t>(verifier, VT_FAILURE, 1) &&
            verifier.EndTable();
   }
   ResultRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -9625,6 +9699,9 @@
   void add_item_id(flatbuffers::Offset<flatbuffers::String> item_id) {
     fbb_.AddOffset(ResultRecord::VT_ITEM_ID, item_id);
   }
+  void add_failure(madderdeck::wire::ItemFailure failure) {
+    fbb_.AddElement<uint8_t>(ResultRecord::VT_FAILURE, static_cast<uint8_t>(failure), 0);
+  }
   explicit ResultRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -9642,12 +9719,14 @@
     bool failed = false,
     flatbuffers::Offset<flatbuffers::String> body = 0,
     uint64_t attempt = 0,
-    flatbuffers::Offset<flatbuffers::String> item_id = 0) {
+    flatbuffers::Offset<flatbuffers::String> item_id = 0,
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
   ResultRecordBuilder builder_(_fbb);
   builder_.add_attempt(attempt);
   builder_.add_item_id(item_id);
   builder_.add_body(body);
   builder_.add_index(index);
+  builder_.add_failure(failure);
   builder_.add_failed(failed);
   return builder_.Finish();
 }
@@ -9663,7 +9742,8 @@
     bool failed = false,
     const char *body = nullptr,
     uint64_t attempt = 0,
-    const char *item_id = nullptr) {
+    const char *item_id = nullptr,
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto item_id__ = item_id ? _fbb.CreateString(item_id) : 0;
   return madderdeck::wire::CreateResultRecord(
@@ -9672,7 +9752,8 @@
       failed,
       body__,
       attempt,
-      item_id__);
+      item_id__,
+      failure);
 }
 
 flatbuffers::Offset<ResultRecord> CreateResultRecord(flatbuffers::FlatBufferBuilder &_fbb, const ResultRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -11624,6 +11705,7 @@
   { auto _e = tokens(); _o->tokens = _e; }
   { auto _e = give_up_at_ms(); _o->give_up_at_ms = _e; }
   { auto _e = partial_version(); if (_e) _o->partial_version = _e->str(); }
+  { auto _e = failure(); _o->failure = _e; }
 }
 
 inline flatbuffers::Offset<WorkItem> WorkItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11648,6 +11730,7 @@
   auto _tokens = _o->tokens;
   auto _give_up_at_ms = _o->give_up_at_ms;
   auto _partial_version = _o->partial_version.empty() ? 0 : _fbb.CreateString(_o->partial_version);
+  auto _failure = _o->failure;
   return madderdeck::wire::CreateWorkItem(
       _fbb,
       _job,
@@ -11663,7 +11746,8 @@
       _deadline_ms,
       _tokens,
       _give_up_at_ms,
-      _partial_version);
+      _partial_version,
+      _failure);
 }
 
 inline JobNoticeT *JobNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -11785,6 +11869,7 @@
   { auto _e = partial_tokens(); _o->partial_tokens = _e; }
   { auto _e = held(); _o->held = _e; }
   { auto _e = partial_version(); if (_e) _o->partial_version = _e->str(); }
+  { auto _e = failure(); _o->failure = _e; }
 }
 
 inline flatbuffers::Offset<ItemSettled> ItemSettled::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ItemSettledT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11803,6 +11888,7 @@
   auto _partial_tokens = _o->partial_tokens;
   auto _held = _o->held;
   auto _partial_version = _o->partial_version.empty() ? 0 : _fbb.CreateString(_o->partial_version);
+  auto _failure = _o->failure;
   return madderdeck::wire::CreateItemSettled(
       _fbb,
       _job,
@@ -11812,7 +11898,8 @@
       _partial,
       _partial_tokens,
       _held,
-      _partial_version);
+      _partial_version,
+      _failure);
 }
 
 inline HeldItemsT *HeldItems::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -13069,6 +13156,7 @@
   { auto _e = body(); if (_e) _o->body = _e->str(); }
   { auto _e = attempt(); _o->attempt = _e; }
   { auto _e = item_id(); if (_e) _o->item_id = _e->str(); }
+  { auto _e = failure(); _o->failure = _e; }
 }
 
 inline flatbuffers::Offset<ResultRecord> ResultRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ResultRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -13084,13 +13172,15 @@
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
   auto _attempt = _o->attempt;
   auto _item_id = _o->item_id.empty() ? 0 : _fbb.CreateString(_o->item_id);
+  auto _failure = _o->failure;
   return madderdeck::wire::CreateResultRecord(
       _fbb,
       _index,
       _failed,
       _body,
       _attempt,
-      _item_id);
+      _item_id,
+      _failure);
 }
 
 inline OrderRecordT *OrderRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -449,3 +449,87 @@
   fixture.fleet.environment.world.run_for(1s);
   CHECK(fixture.dispatcher.active() == 0);
 }
+
+namespace {
+
+/// @return what the dispatcher has told its manager of item 0.
+std::vector<wire::ItemSettledT> reports_of(const dispatcher_fixture& fixture) {
+  std::vector<wire::ItemSettledT> reports;
+  for (const auto& message : fixture.fleet.environment.sent) {
+    if (message.to == kManager && message.body.type == wire::Message::ItemSettled) {
+      reports.push_back(*message.body.AsItemSettled());
+    }
+  }
+  return reports;
+}
+
+}  // namespace
+
+// Guards against the reason of a failure that is listed before the output of an item.
+TEST_CASE("an item that is rejected while the ledger is away keeps its output apart from the reason") {
+  for (const std::uint32_t events : {0U, 1U, 3U}) {
+    dispatcher_fixture fixture;  // its ledger has no members, so that nothing can be written
+    fixture.give_item();
+    REQUIRE(fixture.backends.engine_calls.size() == 1);
+    const routing::EngineEvents run = fixture.backends.engine_calls[0].events;
+    for (std::uint32_t event = 0; event < events; ++event) {
+      run.token(event, "x");
+    }
+    run.failed(routing::CallFailure::invalid);
+    fixture.fleet.environment.world.run_for(12s);
+    const std::vector<wire::ItemSettledT> reports = reports_of(fixture);
+    CAPTURE(events);
+    REQUIRE_FALSE(reports.empty());
+    for (const wire::ItemSettledT& report : reports) {
+      CHECK_FALSE(report.completed);
+      CHECK(report.partial == std::string(events, 'x'));
+      CHECK(report.partial_tokens == events);
+    }
+  }
+}
+
+// Guards against a failure that is forgotten, or an item that is run once more, where the ledger is away for long.
+TEST_CASE(
+    "an item that failed for good while the ledger is away stays with its dispatcher until the failure is written") {
+  dispatcher_fixture fixture;
+  fixture.give_item();
+  fixture.backends.engine_calls.at(0).events.failed(routing::CallFailure::invalid);
+  fixture.fleet.environment.world.run_for(12s);
+  CHECK(fixture.dispatcher.active() == 1);
+  CHECK(fixture.backends.engine_calls.size() == 1);
+  for (const wire::ItemSettledT& report : reports_of(fixture)) {
+    CHECK(report.held);
+    CHECK(report.failure == wire::ItemFailure::Rejected);
+  }
+  fixture.repeat_item();
+  fixture.fleet.environment.world.run_for(1s);
+  CHECK(fixture.backends.engine_calls.size() == 1);
+  fixture.fleet.environment.sent.clear();
+  fixture.dispatcher.drain();
+  fixture.fleet.environment.world.run_for(5s);  // a write that had begun fails first
+  bool returned = false;
+  for (const wire::ItemSettledT& report : reports_of(fixture)) {
+    returned = returned || (!report.held && report.failure == wire::ItemFailure::Rejected);
+  }
+  CHECK(returned);
+  CHECK(fixture.dispatcher.active() == 0);
+}
+
+// Guards against attempts that are forgotten where the manager is of an earlier version and hands the item out again.
+TEST_CASE("an item that failed as often as it may is not run again") {
+  dispatcher_fixture fixture;
+  fixture.give_item([](wire::WorkItemT& item) { item.failed_runs = 20; });
+  fixture.fleet.environment.world.run_for(1s);
+  CHECK(fixture.backends.engine_calls.empty());
+}
+
+// Guards against a reason that an earlier version left in an item's output, and that a run continues.
+TEST_CASE("an item that is given with a reason in place of output begins anew") {
+  dispatcher_fixture fixture;
+  fixture.give_item([](wire::WorkItemT& item) {
+    item.partial = "the engine rejects the item\nx";
+    item.partial_tokens = 2;
+  });
+  REQUIRE(fixture.backends.engine_calls.size() == 1);
+  CHECK(fixture.backends.engine_calls[0].call.resume_from == 0);
+}
--- a/tests/batch/job_manager_test.cpp
+++ b/tests/batch/job_manager_test.cpp
@@ -272,3 +272,108 @@
   CHECK(fixture.take_all() == std::vector<std::uint32_t>{0, 2});
   CHECK(fixture.manager.progress().front().settled == 1);
 }
+
+namespace {
+
+/// @return the record of the item's result that the ledger holds, or nothing.
+std::optional<wire::ResultRecordT> result_of(const ManagerFixture& fixture, std::uint32_t index) {
+  const auto value = fixture.values.find(result_key(JobId(kJob), index));
+  return value == fixture.values.end() ? std::nullopt : wire::decode_record<wire::ResultRecordT>(value->second);
+}
+
+void take_over_job(ManagerFixture& fixture) {
+  fixture.make_other_leave();
+  wire::JobNoticeT notice;
+  notice.job = kJob;
+  fixture.manager.handle(notice);
+  fixture.run(700ms);
+}
+
+}  // namespace
+
+// Guards against items that failed for good being run once more where the ledger did not take their failure.
+TEST_CASE("an item whose failure was reported is not handed out again, and its failure is written by the manager") {
+  ManagerFixture fixture;
+  take_over_job(fixture);
+  REQUIRE(fixture.take_all() == std::vector<std::uint32_t>{0, 1, 2});
+  wire::ItemSettledT message = fixture.settled(1, false);
+  message.failure = wire::ItemFailure::RunsFailed;
+  message.failed_runs = 3;
+  fixture.manager.handle(kOther, message);
+  CHECK(fixture.take_all().empty());
+  fixture.run(2s);
+  const auto record = result_of(fixture, 1);
+  REQUIRE(record);
+  CHECK(record->failed);
+  CHECK(record->failure == wire::ItemFailure::RunsFailed);
+  CHECK(record->body == "the item failed at every attempt");
+  CHECK_FALSE(result_of(fixture, 0));
+}
+
+// Guards against a dispatcher and a manager that both write the failure while the dispatcher still lives.
+TEST_CASE("a failure whose dispatcher holds the item is left to that, until it confirms the item no more") {
+  ManagerFixture fixture;
+  take_over_job(fixture);
+  REQUIRE(fixture.take_all().size() == 3);
+  wire::ItemSettledT message = fixture.settled(1, true);
+  message.failure = wire::ItemFailure::Rejected;
+  fixture.manager.handle(kOther, message);
+  fixture.run(1s);
+  CHECK_FALSE(result_of(fixture, 1));
+  fixture.run(6s);
+  REQUIRE(result_of(fixture, 1));
+  CHECK(result_of(fixture, 1)->failure == wire::ItemFailure::Rejected);
+}
+
+// Guards against a new manager that runs an item whose failure the manager before it could not write.
+TEST_CASE("a manager that leaves hands over failures that the ledger has not taken") {
+  ManagerFixture fixture;
+  take_over_job(fixture);
+  REQUIRE(fixture.take_all().size() == 3);
+  wire::ItemSettledT failed = fixture.settled(2, false);
+  failed.failure = wire::ItemFailure::RouteGone;
+  fixture.manager.handle(kOther, failed);
+  wire::MemberSyncT list;
+  wire::MemberT other = scheduler("other", kOther);
+  other.incarnation = 2;
+  list.members.push_back(std::make_unique<wire::MemberT>(other));
+  fixture.members.handle(kOther, list);
+  fixture.environment.sent.clear();
+  fixture.members.leave();
+  fixture.manager.drain();
+  std::size_t handed_over = 0;
+  for (const auto& message : fixture.environment.sent) {
+    const bool settles = message.to == kOther && message.body.type == wire::Message::ItemSettled;
+    handed_over += settles && message.body.AsItemSettled()->failure == wire::ItemFailure::RouteGone ? 1 : 0;
+  }
+  CHECK(handed_over == 1);
+}
+
+// Guards against "the engine rejects the item" before an item's output, as dispatchers of earlier versions report it.
+TEST_CASE("a reason that an earlier version reports as output is not continued") {
+  for (const std::string text : {"the engine rejects the item", "the item's route is gone",
+                                 "the engine rejects the item\nevent 7", "the item's route is goneevent 0"}) {
+    ManagerFixture fixture;
+    take_over_job(fixture);
+    REQUIRE(fixture.take_all().size() == 3);
+    wire::ItemSettledT message = fixture.settled(1, false);
+    message.partial = text;
+    message.failed_runs = 2;
+    fixture.environment.sent.clear();
+    fixture.answered = 0;
+    fixture.manager.handle(kOther, message);
+    fixture.take_all();
+    const wire::WorkItemT* given = nullptr;
+    for (const auto& sent : fixture.environment.sent) {
+      if (sent.body.type == wire::Message::GiveItems) {
+        given = sent.body.AsGiveItems()->items.front().get();
+      }
+    }
+    CAPTURE(text);
+    REQUIRE(given != nullptr);
+    CHECK(given->index == 1);
+    CHECK(given->partial.empty());
+    CHECK(given->partial_tokens == 0);
+    CHECK(given->failed_runs == 2);
+  }
+}
