Batch items: an item belongs to the route of its job, not to the one that its path picks

Cause: Dispatcher::route_of looked for the route by the item's own host and path; engines, attempts and whether the route is gone came from there. Beside it: a dispatcher that had older routes than those that accepted the job gave its items up.

Change: RouteTable::find_batch_route finds the job's batch route by host and name, else by the path prefix under which the job was handed in. Prefix and version of the routes are new in the job's record and go out with each item; a dispatcher with older routes gives nothing up. job_route_missing tells of the first look that fails.

Why it works: live routes are not asked any more, and the record names what accepted the job.

--- a/src/batch/dispatcher.cpp
+++ b/src/batch/dispatcher.cpp
@@ -333,7 +333,8 @@
 
 const forwarding::Route* Dispatcher::route_of(const QueuedItem& work) const {
   const forwarding::RouteTablePointer& routes = catalog_.routes();
-  return routes == nullptr ? nullptr : routes->match(work.http->host, work.http->target);
+  const wire::WorkItemT& item = work.item;
+  return routes == nullptr ? nullptr : routes->find_batch_route(item.host, item.template_name, item.route_prefix);
 }
 
 bool Dispatcher::can_run_on(const QueuedItem& work, const routing::Backend& backend) const {
@@ -383,7 +384,9 @@
 }
 
 bool Dispatcher::route_missing_too_long(const QueuedItem& work) {
-  if (!work.http || !catalog_.routes()) {
+  const forwarding::RouteTablePointer& routes = catalog_.routes();
+  // An older table than the one that accepted the job does not tell whether its route is gone.
+  if (!work.http || !routes || routes->version < work.item.routes_version) {
     return false;
   }
   if (route_of(work) != nullptr) {
@@ -391,6 +394,15 @@
     return false;
   }
   const auto [since, first] = route_missing_since_.try_emplace(work.item.job, environment_.now());
+  if (first) {
+    counters_["batch_routes_missing_total"]++;
+    log_.record("job_route_missing", {{"job", work.item.job},
+                                      {"route", work.item.template_name},
+                                      {"host", work.item.host},
+                                      {"path_prefix", work.item.route_prefix},
+                                      {"accepted_at_version", work.item.routes_version},
+                                      {"routes_version", routes->version}});
+  }
   return environment_.now() - since->second > kRouteMissingLimit;
 }
 
--- a/src/batch/dispatcher.hpp
+++ b/src/batch/dispatcher.hpp
@@ -184,7 +184,7 @@
   /// @param live number of live calls that need the engine's slots; 0 where the run is stopped for another reason.
   void requeue(std::map<RunId, RunningItem>::iterator run, stop_reason reason, std::uint32_t live);
   void change_running(const BackendId& id, std::ptrdiff_t change);
-  /// @return the route of an HTTP item under the current configuration, or null.
+  /// @return the route of the job of an HTTP item under the current configuration, or null.
   const forwarding::Route* route_of(const QueuedItem& work) const;
   /// @return whether @p work may run on @p backend.
   bool can_run_on(const QueuedItem& work, const routing::Backend& backend) const;
--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -343,6 +343,8 @@
     item->index = index;
     item->tenant = job.record.tenant;
     item->template_name = job.record.template_name;
+    item->route_prefix = job.record.route_prefix;
+    item->routes_version = job.record.routes_version;
     item->deadline_ms = job.record.deadline_ms;
     item->give_up_at_ms = job.record.give_up_at_ms;
     item->tokens = index < job.record.item_tokens.size() ? job.record.item_tokens[index] : 0;
--- a/src/batch/submission.cpp
+++ b/src/batch/submission.cpp
@@ -115,6 +115,8 @@
   record.accepted_at_ms = environment_.unix_milliseconds();
   record.deadline_ms = request_.deadline_ms;
   record.host = request_.host;
+  record.route_prefix = request_.route_prefix;
+  record.routes_version = request_.routes_version;
   record.give_up_at_ms = request_.give_up_at_ms;
   record.item_tokens = tokens_;
   record.state = wire::JobState::Accepted;
--- a/src/batch/submission.hpp
+++ b/src/batch/submission.hpp
@@ -17,11 +17,13 @@
 struct JobRequest {
   std::string tenant;
   std::string idempotency_key;
-  std::string template_name;
-  std::uint32_t priority = 0;       ///< Jobs with a greater value go first.
-  std::uint64_t deadline_ms = 0;    ///< Unix milliseconds; 0 is none.
-  std::string host;                 ///< Host of items that are HTTP requests; otherwise empty.
-  std::uint64_t give_up_at_ms = 0;  ///< Unix milliseconds after which unfinished items fail; 0 is never.
+  std::string template_name;         ///< Of items that are HTTP requests, the name of the job's route.
+  std::uint32_t priority = 0;        ///< Jobs with a greater value go first.
+  std::uint64_t deadline_ms = 0;     ///< Unix milliseconds; 0 is none.
+  std::string host;                  ///< Host of items that are HTTP requests; otherwise empty.
+  std::string route_prefix;          ///< Path prefix of that route.
+  std::uint64_t routes_version = 0;  ///< Version of the routes that have it.
+  std::uint64_t give_up_at_ms = 0;   ///< Unix milliseconds after which unfinished items fail; 0 is never.
   std::size_t max_item_bytes = kMaxItemBytes;
 };
 
--- a/src/forwarding/route_table.cpp
+++ b/src/forwarding/route_table.cpp
@@ -110,6 +110,23 @@
   return best;
 }
 
+const Route* RouteTable::find_batch_route(std::string_view host, std::string_view name,
+                                          std::string_view path_prefix) const {
+  const Route* same_prefix = nullptr;
+  for (const Route& route : routes) {
+    if (route.kind != RouteKind::batch || route.host != host) {
+      continue;
+    }
+    if (route.name == name) {
+      return &route;
+    }
+    if (!path_prefix.empty() && route.path_prefix == path_prefix) {
+      same_prefix = &route;
+    }
+  }
+  return same_prefix;
+}
+
 const Pool* RouteTable::find_pool(std::string_view name) const {
   for (const Pool& pool : pools) {
     if (pool.name == name) {
--- a/src/forwarding/route_table.hpp
+++ b/src/forwarding/route_table.hpp
@@ -76,6 +76,9 @@
 
   /// @return the route of @p host with the longest prefix that begins @p path, or null.
   const Route* match(std::string_view host, std::string_view path) const;
+  /// @return the batch route of @p host that is named @p name; if there is none, its batch route with @p path_prefix
+  ///         unless that is empty; or null. All items of a job belong to the route that accepted the job.
+  const Route* find_batch_route(std::string_view host, std::string_view name, std::string_view path_prefix) const;
   const Pool* find_pool(std::string_view name) const;
 };
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
--- a/src/simulation/driver.cpp
+++ b/src/simulation/driver.cpp
@@ -146,6 +146,35 @@
       return;
     }
     listed_route_declared_ = true;
+    put_routes({});
+  }
+
+  /// Live routes that have the path of listed items as theirs, other limits, and often no engine that could run an
+  /// item.
+  void change_live_routes(std::uint32_t choice) {
+    if (!listed_route_declared_) {
+      return;
+    }
+    std::vector<forwarding::Route> live;
+    for (const std::string& prefix :
+         {std::string(kListedPath) + "1", std::string(kListedPath) + "2", std::string("/")}) {
+      forwarding::Route route;
+      route.name = "live " + prefix;
+      route.host = kListedHost;
+      route.path_prefix = prefix;
+      route.kind = forwarding::RouteKind::stream;
+      route.pools.push_back({choice % 3 == 0 ? "service" : "absent", 1});
+      route.max_attempts = 1;
+      if (choice / 4 % 2 == 0) {
+        live.push_back(std::move(route));
+      }
+      choice /= 8;
+    }
+    put_routes(std::move(live));
+  }
+
+  /// Declares the route of listed jobs and those in @p others.
+  void put_routes(std::vector<forwarding::Route> others) {
     forwarding::Route listed;
     listed.name = "bulk";
     listed.host = kListedHost;
@@ -154,12 +183,15 @@
     listed.pools.push_back({"model", 1});
     listed.max_attempts = kListedAttempts;
     forwarding::RouteTable routes;
-    routes.version = 1;
+    routes.version = ++routes_version_;
+    routes.routes = std::move(others);
     routes.routes.push_back(std::move(listed));
     object_store::PutRequest request;
     request.key = {forwarding::kRouteTableKind, "main"};
+    request.expected_revision = routes_revision_;
     request.body = forwarding::format_route_table(routes);
-    emulator::compare_and_set(*fleet_.objects, request);
+    const auto revision = emulator::compare_and_set(*fleet_.objects, request);
+    routes_revision_ = succeeded(revision) ? value_of(revision) : routes_revision_;
   }
 
   // --- actions ---
@@ -191,6 +223,9 @@
           prompts_.send_sound(*node, action.choice / 32);
         }
         break;
+      case ActionKind::change_routes:
+        change_live_routes(action.choice);
+        break;
       case ActionKind::fatal_part:
         send_fatal_part(action.choice);
         break;
@@ -835,6 +870,8 @@
   GroupWatch watch_;
   epoch_watch epochs_;
   bool listed_route_declared_ = false;
+  std::uint64_t routes_version_ = 0;
+  std::uint64_t routes_revision_ = 0;  ///< Of their entry; 0: there is none yet.
   unsigned burst_era_ = 0;  ///< Raised when everything is healed; bursts of an earlier one crash nothing more.
 };
 
--- a/src/simulation/driver.hpp
+++ b/src/simulation/driver.hpp
@@ -72,8 +72,9 @@
   crash_burst,       ///< A share of the engines crashes, again and again.
   prompt_request,    ///< A sound passed-on request whose prompt shares parts with others.
   fatal_part,        ///< A request with one of two parts that end every engine which begins to answer on them.
+  change_routes,     ///< Live routes with the paths of listed items come, go and name other pools.
 };
-inline constexpr unsigned kActionKinds = 59;
+inline constexpr unsigned kActionKinds = 60;
 const char* action_name(ActionKind kind);
 
 struct Action {
--- a/src/simulation/earlier_version.cpp
+++ b/src/simulation/earlier_version.cpp
@@ -15,6 +15,8 @@
       for (auto& item : message.AsGiveItems()->items) {
         item->partial_version.clear();
         item->failure = wire::ItemFailure::None;
+        item->route_prefix.clear();
+        item->routes_version = 0;
       }
       return true;
     case wire::Message::ItemSettled:
--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -20,7 +20,7 @@
 /// How often each kind comes up, against the others.
 constexpr Weights kWeights = {14, 12, 10, 5, 4, 3, 5, 9, 5, 3, 4, 3, 4, 2, 3, 2, 4, 2, 2, 1,
                               1,  2,  2,  2, 1, 3, 3, 3, 2, 2, 2, 1, 1, 1, 0, 0, 0, 0, 0, 0,
-                              0,  0,  0,  0, 0, 0, 0, 0, 6, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0};
+                              0,  0,  0,  0, 0, 0, 0, 0, 6, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0};
 
 Weights weights_of(ScheduleMix mix) {
   Weights weights = kWeights;
@@ -95,6 +95,7 @@
   }
   if (mix == ScheduleMix::rejections) {
     weights.at(static_cast<std::size_t>(ActionKind::submit_listed_job)) = 10;
+    weights.at(static_cast<std::size_t>(ActionKind::change_routes)) = 10;
     weights.at(static_cast<std::size_t>(ActionKind::read_positions)) = 15;
     weights.at(static_cast<std::size_t>(ActionKind::restart_everything)) = 3;
     weights.at(static_cast<std::size_t>(ActionKind::lose_disk_and_power)) = 2;
@@ -206,7 +207,8 @@
                                                                    "release_engines",
                                                                    "crash_burst",
                                                                    "prompt_request",
-                                                                   "fatal_part"};
+                                                                   "fatal_part",
+                                                                   "change_routes"};
   return kNames.at(static_cast<std::size_t>(kind));
 }
 
--- a/src/wire/messages_generated.h
+++ b/src/wire/messages_generated.h
@@ -5052,6 +5052,8 @@
   uint64_t give_up_at_ms = 0;
   std::string partial_version{};
   madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None;
+  std::string route_prefix{};
+  uint64_t routes_version = 0;
 };
 
 struct WorkItem FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -5073,7 +5075,9 @@
     VT_TOKENS = 26,
     VT_GIVE_UP_AT_MS = 28,
     VT_PARTIAL_VERSION = 30,
-    VT_FAILURE = 32
+    VT_FAILURE = 32,
+    VT_ROUTE_PREFIX = 34,
+    VT_ROUTES_VERSION = 36
   };
   const flatbuffers::String *job() const {
     return GetPointer<const flatbuffers::String *>(VT_JOB);
@@ -5120,6 +5124,12 @@
   madderdeck::wire::ItemFailure failure() const {
     return static_cast<madderdeck::wire::ItemFailure>(GetField<uint8_t>(VT_FAILURE, 0));
   }
+  const flatbuffers::String *route_prefix() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE_PREFIX);
+  }
+  uint64_t routes_version() const {
+    return GetField<uint64_t>(VT_ROUTES_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_JOB) &&
@@ -5144,6 +5154,9 @@
            VerifyOffset(verifier, VT_PARTIAL_VERSION) &&
            verifier.VerifyString(partial_version()) &&
            VerifyField<uint8_t>(verifier, VT_FAILURE, 1) &&
+           VerifyOffset(verifier, VT_ROUTE_PREFIX) &&
+           verifier.VerifyString(route_prefix()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
            verifier.EndTable();
   }
   WorkItemT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -5200,6 +5213,12 @@
   void add_failure(madderdeck::wire::ItemFailure failure) {
     fbb_.AddElement<uint8_t>(WorkItem::VT_FAILURE, static_cast<uint8_t>(failure), 0);
   }
+  void add_route_prefix(flatbuffers::Offset<flatbuffers::String> route_prefix) {
+    fbb_.AddOffset(WorkItem::VT_ROUTE_PREFIX, route_prefix);
+  }
+  void add_routes_version(uint64_t routes_version) {
+    fbb_.AddElement<uint64_t>(WorkItem::VT_ROUTES_VERSION, routes_version, 0);
+  }
   explicit WorkItemBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -5227,10 +5246,14 @@
     uint32_t tokens = 0,
     uint64_t give_up_at_ms = 0,
     flatbuffers::Offset<flatbuffers::String> partial_version = 0,
-    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None,
+    flatbuffers::Offset<flatbuffers::String> route_prefix = 0,
+    uint64_t routes_version = 0) {
   WorkItemBuilder builder_(_fbb);
+  builder_.add_routes_version(routes_version);
   builder_.add_give_up_at_ms(give_up_at_ms);
   builder_.add_deadline_ms(deadline_ms);
+  builder_.add_route_prefix(route_prefix);
   builder_.add_partial_version(partial_version);
   builder_.add_tokens(tokens);
   builder_.add_host(host);
@@ -5268,7 +5291,9 @@
     uint32_t tokens = 0,
     uint64_t give_up_at_ms = 0,
     const char *partial_version = nullptr,
-    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None) {
+    madderdeck::wire::ItemFailure failure = madderdeck::wire::ItemFailure::None,
+    const char *route_prefix = nullptr,
+    uint64_t routes_version = 0) {
   auto job__ = job ? _fbb.CreateString(job) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto template_name__ = template_name ? _fbb.CreateString(template_name) : 0;
@@ -5276,6 +5301,7 @@
   auto partial__ = partial ? _fbb.CreateString(partial) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto partial_version__ = partial_version ? _fbb.CreateString(partial_version) : 0;
+  auto route_prefix__ = route_prefix ? _fbb.CreateString(route_prefix) : 0;
   return madderdeck::wire::CreateWorkItem(
       _fbb,
       job__,
@@ -5292,7 +5318,9 @@
       tokens,
       give_up_at_ms,
       partial_version__,
-      failure);
+      failure,
+      route_prefix__,
+      routes_version);
 }
 
 flatbuffers::Offset<WorkItem> CreateWorkItem(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -9310,6 +9338,8 @@
   uint64_t give_up_at_ms = 0;
   std::string host{};
   std::vector<uint32_t> item_tokens{};
+  std::string route_prefix{};
+  uint64_t routes_version = 0;
 };
 
 struct JobRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -9330,7 +9360,9 @@
     VT_STATE = 24,
     VT_GIVE_UP_AT_MS = 26,
     VT_HOST = 28,
-    VT_ITEM_TOKENS = 30
+    VT_ITEM_TOKENS = 30,
+    VT_ROUTE_PREFIX = 32,
+    VT_ROUTES_VERSION = 34
   };
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
@@ -9374,6 +9406,12 @@
   const flatbuffers::Vector<uint32_t> *item_tokens() const {
     return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_ITEM_TOKENS);
   }
+  const flatbuffers::String *route_prefix() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE_PREFIX);
+  }
+  uint64_t routes_version() const {
+    return GetField<uint64_t>(VT_ROUTES_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ID) &&
@@ -9396,6 +9434,9 @@
            verifier.VerifyString(host()) &&
            VerifyOffset(verifier, VT_ITEM_TOKENS) &&
            verifier.VerifyVector(item_tokens()) &&
+           VerifyOffset(verifier, VT_ROUTE_PREFIX) &&
+           verifier.VerifyString(route_prefix()) &&
+           VerifyField<uint64_t>(verifier, VT_ROUTES_VERSION, 8) &&
            verifier.EndTable();
   }
   JobRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -9449,6 +9490,12 @@
   void add_item_tokens(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> item_tokens) {
     fbb_.AddOffset(JobRecord::VT_ITEM_TOKENS, item_tokens);
   }
+  void add_route_prefix(flatbuffers::Offset<flatbuffers::String> route_prefix) {
+    fbb_.AddOffset(JobRecord::VT_ROUTE_PREFIX, route_prefix);
+  }
+  void add_routes_version(uint64_t routes_version) {
+    fbb_.AddElement<uint64_t>(JobRecord::VT_ROUTES_VERSION, routes_version, 0);
+  }
   explicit JobRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -9475,12 +9522,16 @@
     madderdeck::wire::JobState state = madderdeck::wire::JobState::Accepted,
     uint64_t give_up_at_ms = 0,
     flatbuffers::Offset<flatbuffers::String> host = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> item_tokens = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> item_tokens = 0,
+    flatbuffers::Offset<flatbuffers::String> route_prefix = 0,
+    uint64_t routes_version = 0) {
   JobRecordBuilder builder_(_fbb);
+  builder_.add_routes_version(routes_version);
   builder_.add_give_up_at_ms(give_up_at_ms);
   builder_.add_deadline_ms(deadline_ms);
   builder_.add_accepted_at_ms(accepted_at_ms);
   builder_.add_digest(digest);
+  builder_.add_route_prefix(route_prefix);
   builder_.add_item_tokens(item_tokens);
   builder_.add_host(host);
   builder_.add_priority(priority);
@@ -9514,13 +9565,16 @@
     madderdeck::wire::JobState state = madderdeck::wire::JobState::Accepted,
     uint64_t give_up_at_ms = 0,
     const char *host = nullptr,
-    const std::vector<uint32_t> *item_tokens = nullptr) {
+    const std::vector<uint32_t> *item_tokens = nullptr,
+    const char *route_prefix = nullptr,
+    uint64_t routes_version = 0) {
   auto id__ = id ? _fbb.CreateString(id) : 0;
   auto tenant__ = tenant ? _fbb.CreateString(tenant) : 0;
   auto template_name__ = template_name ? _fbb.CreateString(template_name) : 0;
   auto submission__ = submission ? _fbb.CreateString(submission) : 0;
   auto host__ = host ? _fbb.CreateString(host) : 0;
   auto item_tokens__ = item_tokens ? _fbb.CreateVector<uint32_t>(*item_tokens) : 0;
+  auto route_prefix__ = route_prefix ? _fbb.CreateString(route_prefix) : 0;
   return madderdeck::wire::CreateJobRecord(
       _fbb,
       id__,
@@ -9536,7 +9590,9 @@
       state,
       give_up_at_ms,
       host__,
-      item_tokens__);
+      item_tokens__,
+      route_prefix__,
+      routes_version);
 }
 
 flatbuffers::Offset<JobRecord> CreateJobRecord(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -11706,6 +11762,8 @@
   { auto _e = give_up_at_ms(); _o->give_up_at_ms = _e; }
   { auto _e = partial_version(); if (_e) _o->partial_version = _e->str(); }
   { auto _e = failure(); _o->failure = _e; }
+  { auto _e = route_prefix(); if (_e) _o->route_prefix = _e->str(); }
+  { auto _e = routes_version(); _o->routes_version = _e; }
 }
 
 inline flatbuffers::Offset<WorkItem> WorkItem::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WorkItemT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -11731,6 +11789,8 @@
   auto _give_up_at_ms = _o->give_up_at_ms;
   auto _partial_version = _o->partial_version.empty() ? 0 : _fbb.CreateString(_o->partial_version);
   auto _failure = _o->failure;
+  auto _route_prefix = _o->route_prefix.empty() ? 0 : _fbb.CreateString(_o->route_prefix);
+  auto _routes_version = _o->routes_version;
   return madderdeck::wire::CreateWorkItem(
       _fbb,
       _job,
@@ -11747,7 +11807,9 @@
       _tokens,
       _give_up_at_ms,
       _partial_version,
-      _failure);
+      _failure,
+      _route_prefix,
+      _routes_version);
 }
 
 inline JobNoticeT *JobNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -13071,6 +13133,8 @@
   { auto _e = give_up_at_ms(); _o->give_up_at_ms = _e; }
   { auto _e = host(); if (_e) _o->host = _e->str(); }
   { auto _e = item_tokens(); if (_e) { _o->item_tokens.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->item_tokens[_i] = _e->Get(_i); } } }
+  { auto _e = route_prefix(); if (_e) _o->route_prefix = _e->str(); }
+  { auto _e = routes_version(); _o->routes_version = _e; }
 }
 
 inline flatbuffers::Offset<JobRecord> JobRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const JobRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -13095,6 +13159,8 @@
   auto _give_up_at_ms = _o->give_up_at_ms;
   auto _host = _o->host.empty() ? 0 : _fbb.CreateString(_o->host);
   auto _item_tokens = _o->item_tokens.size() ? _fbb.CreateVector(_o->item_tokens) : 0;
+  auto _route_prefix = _o->route_prefix.empty() ? 0 : _fbb.CreateString(_o->route_prefix);
+  auto _routes_version = _o->routes_version;
   return madderdeck::wire::CreateJobRecord(
       _fbb,
       _id,
@@ -13110,7 +13176,9 @@
       _state,
       _give_up_at_ms,
       _host,
-      _item_tokens);
+      _item_tokens,
+      _route_prefix,
+      _routes_version);
 }
 
 inline ChunkRecordT *ChunkRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tests/batch/dispatcher_test.cpp
+++ b/tests/batch/dispatcher_test.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "placement/fleet_members.hpp"
+#include "forwarding/route_table.hpp"
 #include "support/fake_backends.hpp"
 
 using namespace madderdeck;
@@ -533,3 +534,162 @@
   REQUIRE(fixture.backends.engine_calls.size() == 1);
   CHECK(fixture.backends.engine_calls[0].call.resume_from == 0);
 }
+
+namespace {
+
+/// A dispatcher whose items are HTTP requests with the path /live/1, of a job on the route "bulk" below /jobs/.
+struct routes_fixture : dispatcher_fixture {
+  static constexpr char kHost[] = "h";
+  static constexpr std::uint64_t kAcceptedAt = 5;
+
+  routes_fixture() { take(kAcceptedAt, {bulk()}); }
+
+  static forwarding::Route route(const std::string& name, const std::string& prefix, const std::string& pool) {
+    forwarding::Route made;
+    made.name = name;
+    made.host = kHost;
+    made.path_prefix = prefix;
+    made.kind = forwarding::RouteKind::stream;
+    made.pools = {{pool, 1}};
+    return made;
+  }
+  static forwarding::Route bulk() {
+    forwarding::Route made = route("bulk", "/jobs/", kPool);
+    made.kind = forwarding::RouteKind::batch;
+    made.max_attempts = 3;
+    return made;
+  }
+  void take(std::uint64_t version, std::vector<forwarding::Route> routes) {
+    forwarding::RouteTable table;
+    table.version = version;
+    table.routes = std::move(routes);
+    const config::EntryKey key{forwarding::kRouteTableKind, "main"};
+    objects.apply(revision, revision + 1, {{key, forwarding::format_route_table(table), revision + 1}});
+    ++revision;
+    catalog.update(objects, {key});
+    fleet.environment.world.run_for(100ms);
+  }
+  void give_http(const std::function<void(wire::WorkItemT&)>& change = {}) {
+    give_item([&change](wire::WorkItemT& item) {
+      wire::HttpItemT request;
+      request.id = "item";
+      request.method = "POST";
+      request.target = "/live/1";
+      const wire::Bytes encoded = wire::encode_record(request);
+      item.body.assign(encoded.begin(), encoded.end());
+      item.host = kHost;
+      item.template_name = "bulk";
+      item.route_prefix = "/jobs/";
+      item.routes_version = kAcceptedAt;
+      if (change) {
+        change(item);
+      }
+    });
+  }
+  /// @return whether the item that was given last has been started; otherwise it is taken back.
+  bool runs() {
+    fleet.environment.world.run_for(200ms);
+    return backends.engine_calls.size() == given;
+  }
+  bool given_up() { return fleet.counters["batch_items_failed_total"] > 0; }
+  /// Hands the item out again and again, as its manager does with one that is returned.
+  void keep_giving(Duration length) {
+    for (Duration passed{}; passed < length; passed += 500ms) {
+      give_http();
+      fleet.environment.world.run_for(500ms);
+    }
+  }
+
+  config::VersionedTable objects;
+  std::uint64_t revision = 0;
+};
+
+}  // namespace
+
+// Guards against items that are given up, or run elsewhere, because of a live route that has their path.
+TEST_CASE("a live route with the path of a batch item decides about the item") {
+  forwarding::Route few = routes_fixture::route("live", "/live/", "other");
+  few.max_attempts = 1;
+  const forwarding::Route all = routes_fixture::route("all", "/", "other");
+  const forwarding::Route longer = routes_fixture::route("longer", "/live/1", "other");
+  forwarding::Route below = routes_fixture::route("below", "/jobs/live/", "other");
+  forwarding::Route other_job = routes_fixture::bulk();
+  other_job.name = "other bulk";
+  other_job.path_prefix = "/live/";
+  other_job.pools = {{"other", 1}};
+  forwarding::Route other_host = routes_fixture::bulk();
+  other_host.host = "other";
+  other_host.pools = {{"other", 1}};
+  const forwarding::Route bulk = routes_fixture::bulk();
+  const std::vector<std::vector<forwarding::Route>> tables = {
+      {bulk},
+      {few, bulk},
+      {bulk, few},
+      {all, bulk, longer},
+      {below, few, bulk},
+      {other_job, bulk},
+      {other_host, bulk, few},
+  };
+  for (std::size_t before = 0; before < tables.size(); ++before) {
+    for (std::size_t after = 0; after < tables.size(); ++after) {
+      routes_fixture fixture;
+      CAPTURE(before, after);
+      fixture.take(6, tables[before]);
+      fixture.give_http();
+      REQUIRE(fixture.runs());
+      fixture.take(7, tables[after]);
+      for (std::uint32_t failed = 1; failed < 3; ++failed) {
+        fixture.backends.engine_calls.back().events.failed(routing::CallFailure::failed_run);
+        CHECK_FALSE(fixture.given_up());
+        fixture.give_http([failed](wire::WorkItemT& item) { item.failed_runs = failed; });
+        REQUIRE(fixture.runs());
+      }
+      fixture.backends.engine_calls.back().events.failed(routing::CallFailure::failed_run);
+      CHECK(fixture.given_up());
+    }
+  }
+}
+
+// Guards against items that outlive the route of their job, or that end with it while it is only put back.
+TEST_CASE("the items of a job whose own route is removed end 5 s later unless it is put back") {
+  for (const auto& [away, ends] : {std::pair{1s, false}, {4s, false}, {6s, true}}) {
+    routes_fixture fixture;
+    CAPTURE(away.count());
+    fixture.take(6, {routes_fixture::route("live", "/live/", kPool)});
+    fixture.keep_giving(away);
+    CHECK(fixture.given_up() == ends);
+    CHECK(fixture.backends.engine_calls.empty());
+    fixture.take(7, {routes_fixture::bulk()});
+    fixture.backends.engine_calls.clear();
+    fixture.give_http();
+    fixture.fleet.environment.world.run_for(200ms);
+    CHECK_FALSE(fixture.backends.engine_calls.empty());
+  }
+}
+
+// Guards against items that a node gives up because it has not heard yet of the route that accepted their job.
+TEST_CASE("the items of a job are given up by a dispatcher whose routes are older than the job") {
+  routes_fixture fixture;
+  fixture.take(6, {});
+  for (int second = 0; second < 16; ++second) {
+    fixture.give_http([](wire::WorkItemT& item) { item.routes_version = 7; });
+    fixture.fleet.environment.world.run_for(1s);
+  }
+  CHECK_FALSE(fixture.given_up());
+  CHECK(fixture.backends.engine_calls.empty());
+}
+
+// Guards against jobs whose items find no route: accepted by an earlier version, or whose route has another name now.
+TEST_CASE("the items of a job find its route by name, or by its prefix where no route has the name") {
+  routes_fixture fixture;
+  fixture.give_http([](wire::WorkItemT& item) {
+    item.route_prefix.clear();
+    item.routes_version = 0;
+  });
+  CHECK(fixture.runs());
+  forwarding::Route renamed = routes_fixture::bulk();
+  renamed.name = "renamed";
+  fixture.take(6, {routes_fixture::route("jobs", "/jobs/", "other"), renamed});
+  fixture.give_http();
+  CHECK(fixture.runs());
+}
