Quarantine: a held-back request is tried again, by one request in the fleet

Cause: a request that runs on all engines has an end for each crash, three hold it back, and nothing could acquit it since it was never sent again; refusals kept its entry alive. Parts of prompts had trials, requests had none.

Change: nodes remember good ends of requests. One request in the fleet is let through once an engine is there, 2 s after the last end if it had ended well in the 10 minutes before, otherwise after 10 minutes; a trial under which an engine ends makes the next pause eight times longer, one without an outcome is repeated. Senders ask twice, before a back end is chosen and before the send, so that a trial is not used up while there is none. With the same ends, what ended well before gives way to what did not.

Why it works: the trial is the only evidence that tells the two apart, and its good end is told to all within milliseconds.

A wrongly held request has to be released, and only a trial can: it wants exactly one sent now.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -138,12 +138,12 @@
   return *active.suspects;
 }
 
-bool Forwarder::refuse_if_quarantined(ForwardId id) {
+bool Forwarder::refuse_if_quarantined(ForwardId id, routing::send_stage stage) {
   if (repeats_ == nullptr || !repeats_->has_records()) {
     return false;
   }
   Active& active = requests_.at(id);
-  if (!repeats_->is_quarantined(suspects_of(active), active.request->id)) {
+  if (!repeats_->is_quarantined(suspects_of(active), active.request->id, stage)) {
     return false;
   }
   counters_["forward_refused_quarantined_total"]++;
@@ -165,7 +165,7 @@
       continue;
     }
     const engine_placer::ticket ticket = entry->second.ticket;
-    if (refuse_if_quarantined(id)) {
+    if (refuse_if_quarantined(id, routing::send_stage::before_choice)) {
       placer_->withdraw(ticket);
       counters_["forward_waiting_ended_quarantined_total"]++;
     }
@@ -194,7 +194,7 @@
 }
 
 void Forwarder::attempt(ForwardId id) {
-  if (wait_if_undecided(id) || refuse_if_quarantined(id) || look_up_origin(id)) {
+  if (wait_if_undecided(id) || refuse_if_quarantined(id, routing::send_stage::before_choice) || look_up_origin(id)) {
     return;
   }
   Active& active = requests_.at(id);
@@ -404,7 +404,7 @@
     return;
   }
   // While the request waited for its engine, it or a concurrent request may have been found to terminate back ends.
-  if (wait_if_undecided(id) || refuse_if_quarantined(id)) {
+  if (wait_if_undecided(id) || refuse_if_quarantined(id, routing::send_stage::before_send)) {
     return;
   }
   Active& active = requests_.at(id);
@@ -806,8 +806,7 @@
 
 /// Only a run that wrote an answer shows that the parts of its prompt crash no back end.
 void Forwarder::report_answered(Active& active) {
-  const bool has_parts = active.request->prompt.size() > 1;
-  if (repeats_ == nullptr || active.head.status >= kFirstServerError || (!repeats_->has_records() && !has_parts)) {
+  if (repeats_ == nullptr || active.head.status >= kFirstServerError) {
     return;
   }
   if (active.head.status < kFirstRedirect) {
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -212,7 +212,7 @@
   bool wait_if_undecided(ForwardId id);
   /// Refuses a quarantined request, which must not be sent to any back end.
   /// @return whether the request was refused.
-  bool refuse_if_quarantined(ForwardId id);
+  bool refuse_if_quarantined(ForwardId id, routing::send_stage stage);
   /// Ends a request whose caller has closed its connection, which this node may not have noticed yet.
   /// @return whether the request was ended.
   bool end_if_caller_left(ForwardId id);
--- a/src/quarantine/end_history.cpp
+++ b/src/quarantine/end_history.cpp
@@ -262,9 +262,11 @@
   for (const candidate& one : round) {
     found.ambiguous.insert(one.suspect->fingerprint);
   }
+  std::vector<candidate> contenders = round;
+  std::erase_if(contenders, [&round](const candidate& one) { return is_explained_by_unproven(one, round); });
   std::vector<candidate> needed;
-  std::copy_if(round.begin(), round.end(), std::back_inserter(needed),
-               [&round](const candidate& one) { return !unshared_ends(one, round).empty(); });
+  std::copy_if(contenders.begin(), contenders.end(), std::back_inserter(needed),
+               [&contenders](const candidate& one) { return !unshared_ends(one, contenders).empty(); });
   for (const candidate& one : needed) {
     if (unshared_ends(one, needed).size() >= kEndsToHoldBack) {
       found.fatal.insert(one.suspect->fingerprint);
@@ -273,6 +275,14 @@
   }
 }
 
+bool end_history::is_explained_by_unproven(const candidate& one, const std::vector<candidate>& round) {
+  return is_proven(*one.suspect) && std::any_of(round.begin(), round.end(), [&one](const candidate& other) {
+           std::vector<backend_termination> left = one.left;
+           erase_shared(left, other.left);
+           return !is_proven(*other.suspect) && left.empty();
+         });
+}
+
 std::vector<backend_termination> end_history::unshared_ends(const candidate& one,
                                                             const std::vector<candidate>& others) {
   std::vector<backend_termination> own = one.left;
@@ -409,6 +419,12 @@
   }
 }
 
+void end_history::note_trial_begun(const request_fingerprint& suspect, UnixMilliseconds now) {
+  if (const auto entry = suspects_.find(suspect); entry != suspects_.end()) {
+    entry->second.tried_at = now;
+  }
+}
+
 void end_history::note_trial(const request_fingerprint& suspect, UnixMilliseconds now) {
   if (const auto entry = suspects_.find(suspect); entry != suspects_.end()) {
     ++entry->second.trials;
--- a/src/quarantine/end_history.hpp
+++ b/src/quarantine/end_history.hpp
@@ -46,8 +46,9 @@
   UnixMilliseconds held_back_at = 0;
   suspect_kind kind = suspect_kind::request;
   std::uint32_t rank = 0;
-  std::uint32_t trials = 0;       ///< Requests with this part that were let through to try it again.
-  UnixMilliseconds tried_at = 0;  ///< The last of these; 0 if there was none.
+  /// Requests that were let through to try it again; of a request only those under which a back end terminated.
+  std::uint32_t trials = 0;
+  UnixMilliseconds tried_at = 0;  ///< The last trial of any outcome; 0 if there was none.
 
   /// @return the time of the latest known event: a termination, a successful run or a refusal.
   UnixMilliseconds last_event_at() const;
@@ -73,7 +74,7 @@
   static constexpr std::size_t kMinCarriers = 3;
   /// Terminations of a part that no single request may explain.
   static constexpr std::size_t kMinBeyondOneRequest = 2;
-  /// A part counts as proven if a request with it ended well within this time before the terminations.
+  /// A suspect counts as proven if it ended well within this time before the terminations.
   static constexpr UnixMilliseconds kProvenForMs = 10 * 60 * 1000;
   static constexpr std::size_t kSeveralEnds = 2;
   /// Terminations of a part that no other one with fewer, but several may explain.
@@ -109,7 +110,9 @@
   bool merge(const crash_suspect& other, UnixMilliseconds now);
   /// Records that @p suspect was refused at @p now.
   void note_held_back(const routing::request_fingerprint& suspect, UnixMilliseconds now);
-  /// Records that a request with the part @p suspect is let through at @p now.
+  /// Records that @p suspect is tried again at @p now, with an outcome that is not known yet.
+  void note_trial_begun(const routing::request_fingerprint& suspect, UnixMilliseconds now);
+  /// Records a trial of @p suspect at @p now, which makes the pause until the next one longer.
   void note_trial(const routing::request_fingerprint& suspect, UnixMilliseconds now);
   void forget_old(UnixMilliseconds now);
 
@@ -131,7 +134,7 @@
   ///         those that completed successfully. Entries with a single termination are left out, since each crash
   ///         creates one for every request that ran there; they are sent only once, when they are recorded.
   std::vector<crash_suspect> shared(std::size_t most) const;
-  /// @return whether a request with the part @p suspect ended well soon before the terminations recorded for it.
+  /// @return whether @p suspect ended well soon before the terminations recorded for it.
   static bool is_proven(const crash_suspect& suspect);
   /// @return whether a narrower unproven part may have caused some of the terminations of @p part.
   bool is_contested(const crash_suspect& part) const;
@@ -192,6 +195,8 @@
   /// Classifies the requests of @p round, which all have the same number of terminations left, and adds them to
   /// @p found: those that have three which they do not share are fatal.
   static void classify_round(const std::vector<candidate>& round, classification& found);
+  /// @return whether @p one is proven and an unproven request of @p round has all its terminations.
+  static bool is_explained_by_unproven(const candidate& one, const std::vector<candidate>& round);
   /// @return the remaining terminations of @p one that none of @p others shares.
   static std::vector<backend_termination> unshared_ends(const candidate& one, const std::vector<candidate>& others);
   static void erase_shared(std::vector<backend_termination>& ends, const std::vector<backend_termination>& others);
--- a/src/quarantine/request_quarantine.cpp
+++ b/src/quarantine/request_quarantine.cpp
@@ -191,8 +191,9 @@
   }));
 }
 
-bool request_quarantine::is_quarantined(const routing::crash_suspects& call, const std::string& id) {
-  if (holds_back(call.request)) {
+bool request_quarantine::is_quarantined(const routing::crash_suspects& call, const std::string& id,
+                                        routing::send_stage stage) {
+  if (holds_back(call.request) && !may_try_request(call.request, id, stage)) {
     note_held_back(call.request, id);
     return true;
   }
@@ -248,44 +249,99 @@
   return std::max(Duration::zero(), wait);
 }
 
+bool request_quarantine::is_running_trial(const request_fingerprint& suspect, const std::string& id) const {
+  const auto running = trials_.find(suspect);
+  return running != trials_.end() && running->second.request == id && environment_.now() < running->second.ends_at;
+}
+
 bool request_quarantine::may_try(const request_fingerprint& part, const std::string& id) {
-  const auto running = trials_.find(part);
-  if (running != trials_.end() && running->second.request == id && environment_.now() < running->second.ends_at) {
+  if (is_running_trial(part, id)) {
+    return true;
+  }
+  if (environment_.unix_milliseconds() < trial_due_at(*history_.find(part))) {
+    return false;
+  }
+  begin_trial(part, id);
+  return true;
+}
+
+/// A request that is sent often is on all back ends, so that they may all have ended under it by chance. Its trial
+/// waits for a back end; since many nodes may find one at the same moment, each waits for a random time from then on.
+bool request_quarantine::may_try_request(const request_fingerprint& request, const std::string& id,
+                                         routing::send_stage stage) {
+  if (!guards_.try_requests) {
+    return false;
+  }
+  if (is_running_trial(request, id)) {
     return true;
   }
+  const crash_suspect& known = *history_.find(request);
   const UnixMilliseconds now = environment_.unix_milliseconds();
-  if (now < trial_due_at(*history_.find(part))) {
+  const UnixMilliseconds due = std::max(known.tried_at, known.ends.back().at) + trial_pause(known) / 1ms;
+  if (now < due) {
     return false;
   }
-  history_.note_trial(part, now);
-  trials_[part] = {id, environment_.now() + kTrialTime};
-  const crash_suspect& known = *history_.find(part);
-  log_.record("prompt_part_tried", {{"request", id},
-                                    {"fingerprint", part.str()},
-                                    {"trials", known.trials},
-                                    {"age_ms", now - std::min(now, known.ends.back().at)}});
-  counters_["quarantine_prompt_part_trials_total"]++;
-  queue_report(part);
+  if (stage == routing::send_stage::before_choice) {
+    return true;
+  }
+  trial_offset& offset = trial_offsets_[request];
+  if (offset.due != due) {
+    offset = {due, now - due + draw_trial_offset()};
+  }
+  if (now < due + offset.milliseconds) {
+    return false;
+  }
+  begin_trial(request, id);
   return true;
 }
 
+void request_quarantine::begin_trial(const request_fingerprint& suspect, const std::string& id) {
+  const UnixMilliseconds now = environment_.unix_milliseconds();
+  if (history_.find(suspect)->kind == suspect_kind::request) {
+    history_.note_trial_begun(suspect, now);
+  } else {
+    history_.note_trial(suspect, now);
+  }
+  trials_[suspect] = {id, environment_.now() + kTrialTime};
+  const crash_suspect& known = *history_.find(suspect);
+  log_.record("suspect_tried", {{"request", id},
+                                {"fingerprint", suspect.str()},
+                                {"kind", suspect_kind_name(known.kind)},
+                                {"trials", known.trials},
+                                {"proven", end_history::is_proven(known)},
+                                {"age_ms", now - std::min(now, known.ends.back().at)}});
+  counters_[known.kind == suspect_kind::request ? "quarantine_request_trials_total"
+                                                : "quarantine_prompt_part_trials_total"]++;
+  queue_report(suspect);
+}
+
 /// The first part of prompts is in most requests of a route: to hold it back by mistake costs most.
-Duration request_quarantine::trial_pause(const crash_suspect& part) const {
-  const bool uncertain = part.rank == 0 || end_history::is_proven(part) || history_.is_contested(part);
-  Duration pause = uncertain ? kFirstTrialIfUncertain : kFirstTrial;
-  for (std::uint32_t trial = 0; trial < part.trials && pause < kMaxTrialPause; ++trial) {
+bool request_quarantine::is_uncertain(const crash_suspect& suspect) const {
+  if (end_history::is_proven(suspect)) {
+    return true;
+  }
+  return suspect.kind == suspect_kind::prompt_part && (suspect.rank == 0 || history_.is_contested(suspect));
+}
+
+Duration request_quarantine::trial_pause(const crash_suspect& suspect) const {
+  Duration pause = is_uncertain(suspect) ? kFirstTrialIfUncertain : kFirstTrial;
+  for (std::uint32_t trial = 0; trial < suspect.trials && pause < kMaxTrialPause; ++trial) {
     pause *= kTrialPauseGrowth;
   }
   return std::min(pause, kMaxTrialPause);
 }
 
+UnixMilliseconds request_quarantine::draw_trial_offset() {
+  const Duration spread = std::max(kMinTrialSpread, kTrialSpreadPerPeer * static_cast<int>(senders_().size()));
+  return environment_.random() % static_cast<std::uint64_t>(spread / 1ms);
+}
+
 UnixMilliseconds request_quarantine::trial_due_at(const crash_suspect& part) {
   const UnixMilliseconds since = std::max(part.tried_at, part.ends.back().at);
   const UnixMilliseconds due = since + trial_pause(part) / 1ms;
   trial_offset& offset = trial_offsets_[part.fingerprint];
   if (offset.due != due) {
-    const Duration spread = std::max(kMinTrialSpread, kTrialSpreadPerPeer * static_cast<int>(senders_().size()));
-    offset = {due, environment_.random() % static_cast<std::uint64_t>(spread / 1ms)};
+    offset = {due, draw_trial_offset()};
   }
   return due + offset.milliseconds;
 }
@@ -359,14 +415,32 @@
   }
   counters_["quarantine_ends_with_prompt_parts_total"] += call.suspects.prompt_parts.empty() ? 0 : 1;
   backend_termination end{call.backend, environment_.unix_milliseconds(), call.answered_for >= kAdvancedAfter};
+  history_.note_answered({call.suspects.request}, request_good_ends_.last_answer(call.suspects.request));
   record_end({call.suspects.request}, end);
+  end_trial(call);
   end.carrier = call.suspects.request.low();
   for (const routing::prompt_part_suspect& part : call.suspects.prompt_parts) {
-    history_.note_answered(part_id(part), proven_parts_.last_answer(part.fingerprint));
+    history_.note_answered(part_id(part), part_good_ends_.last_answer(part.fingerprint));
     record_end(part_id(part), end);
   }
 }
 
+/// A trial that was not sent, or that came to no end of its back end, does not put off the next one.
+void request_quarantine::end_trial(const routing::broken_call& call) {
+  const request_fingerprint& request = call.suspects.request;
+  if (!is_running_trial(request, call.id)) {
+    return;
+  }
+  trials_.erase(request);
+  history_.note_trial(request, environment_.unix_milliseconds());
+  counters_["quarantine_request_trials_failed_total"]++;
+  log_.record("request_trial_failed", {{"request", call.id},
+                                       {"fingerprint", request.str()},
+                                       {"backend", call.backend.str()},
+                                       {"trials", history_.find(request)->trials}});
+  queue_report(request);
+}
+
 void request_quarantine::record_end(const suspect_id& suspect, const backend_termination& end) {
   const request_fingerprint& fingerprint = suspect.fingerprint;
   const bool before = history_.is_quarantined(fingerprint);
@@ -374,7 +448,9 @@
     return;
   }
   counters_["quarantine_ends_recorded_total"] += suspect.kind == suspect_kind::request ? 1 : 0;
-  trials_.erase(fingerprint);
+  if (suspect.kind == suspect_kind::prompt_part) {
+    trials_.erase(fingerprint);
+  }
   ends_seen_here_.insert(fingerprint);
   on_entry_changed(fingerprint);
   hold_back_when_decided(fingerprint, before, "saw");
@@ -383,10 +459,11 @@
 
 void request_quarantine::call_answered(const routing::crash_suspects& call) {
   const UnixMilliseconds now = environment_.unix_milliseconds();
+  request_good_ends_.note_answer(call.request, now);
   acquit(call.request, now);
   for (const routing::prompt_part_suspect& part : call.prompt_parts) {
     if (guards_.acquit_parts) {
-      proven_parts_.note_answer(part.fingerprint, now);
+      part_good_ends_.note_answer(part.fingerprint, now);
       acquit(part.fingerprint, now);
     }
   }
@@ -483,15 +560,19 @@
 }
 
 /// Not each node that knows a good end tells the others: only one that makes a difference.
-void request_quarantine::tell_good_end(const request_fingerprint& part) {
-  const UnixMilliseconds at = proven_parts_.last_answer(part);
-  const crash_suspect* known = history_.find(part);
-  if (known == nullptr || at <= known->answered_at) {
+void request_quarantine::tell_good_end(const request_fingerprint& suspect) {
+  const crash_suspect* known = history_.find(suspect);
+  if (known == nullptr) {
+    return;
+  }
+  const good_ends& of_kind = known->kind == suspect_kind::request ? request_good_ends_ : part_good_ends_;
+  const UnixMilliseconds at = of_kind.last_answer(suspect);
+  if (at <= known->answered_at) {
     return;
   }
   const bool was_unproven = known->answered_at == 0;
-  if (history_.clear_ends_until(part, at) || was_unproven) {
-    queue_report(part);
+  if (history_.clear_ends_until(suspect, at) || was_unproven) {
+    queue_report(suspect);
   }
 }
 
@@ -502,9 +583,7 @@
     on_entry_changed(reported.fingerprint);
     hold_back_when_decided(reported.fingerprint, before, learned);
   }
-  if (reported.kind == suspect_kind::prompt_part) {
-    tell_good_end(reported.fingerprint);
-  }
+  tell_good_end(reported.fingerprint);
   remove_mark_if_released(reported.fingerprint);
 }
 
--- a/src/quarantine/request_quarantine.hpp
+++ b/src/quarantine/request_quarantine.hpp
@@ -12,7 +12,7 @@
 #include "quarantine/end_history.hpp"
 #include "quarantine/held_back_marks.hpp"
 #include "quarantine/news_delivery.hpp"
-#include "quarantine/proven_parts.hpp"
+#include "quarantine/good_ends.hpp"
 
 namespace madderdeck::quarantine {
 
@@ -22,6 +22,7 @@
   bool report_terminations = true;    ///< Each termination is sent to the other nodes.
   bool await_reports = true;          ///< No decision is made while other nodes may still report related terminations.
   bool list_in_store_enabled = true;  ///< Requests that are quarantined are listed in the platform's store.
+  bool try_requests = true;           ///< A quarantined request is tried again from time to time.
   bool hold_back_parts = true;        ///< A part of prompts under which back ends have terminated is not sent again.
   bool acquit_parts = true;           ///< A request that ends well acquits the parts of its prompt.
   /// Unacknowledged updates are abandoned and do not delay quarantining a request: earlier versions never acknowledge.
@@ -54,7 +55,7 @@
 
   bool has_records() const override { return !history_.empty(); }
   bool suspects(const routing::crash_suspects& call) const override;
-  bool is_quarantined(const routing::crash_suspects& call, const std::string& id) override;
+  bool is_quarantined(const routing::crash_suspects& call, const std::string& id, routing::send_stage stage) override;
   Duration undecided_wait(const routing::crash_suspects& call) const override;
   void call_broke(const routing::broken_call& call, decided done) override;
   void call_answered(const routing::crash_suspects& call) override;
@@ -85,8 +86,8 @@
   static constexpr Duration kUndecidedTimeIfAmbiguous = 500ms;
   /// How long a proven part stays undecided after its first termination, or the last good end before it.
   static constexpr Duration kUndecidedTimeIfProven = 1s;
-  /// Time from the last termination until one request with a quarantined part is let through to try it again; it grows
-  /// with each trial. It is short where the evidence may be by chance, since nothing could acquit the part while all
+  /// Time from the last termination until one request is let through to try a quarantined suspect again; it grows
+  /// with each trial. It is short where the evidence may be by chance, since nothing could acquit the suspect while all
   /// its requests are refused.
   static constexpr Duration kFirstTrial = 10min;
   static constexpr Duration kFirstTrialIfUncertain = 2s;
@@ -112,8 +113,19 @@
   Duration part_undecided_wait(const crash_suspect& part) const;
   /// @return whether the request @p id may be sent to try the quarantined @p part again.
   bool may_try(const routing::request_fingerprint& part, const std::string& id);
-  /// @return the time between the last termination or trial of @p part and its next trial.
-  Duration trial_pause(const crash_suspect& part) const;
+  /// @return whether the quarantined @p request may be sent under @p id to try it again. Before a back end is chosen
+  ///         this only tells whether a trial is due.
+  bool may_try_request(const routing::request_fingerprint& request, const std::string& id, routing::send_stage stage);
+  bool is_running_trial(const routing::request_fingerprint& suspect, const std::string& id) const;
+  void begin_trial(const routing::request_fingerprint& suspect, const std::string& id);
+  /// Called when a back end terminated under @p call. If that was the trial of its request, the trial has failed.
+  void end_trial(const routing::broken_call& call);
+  /// @return the random time by which this node delays a trial.
+  UnixMilliseconds draw_trial_offset();
+  /// @return whether the terminations of @p suspect may be by chance.
+  bool is_uncertain(const crash_suspect& suspect) const;
+  /// @return the time between the last termination or trial of @p suspect and its next trial.
+  Duration trial_pause(const crash_suspect& suspect) const;
   /// @return when this node may let a request through to try @p part again.
   UnixMilliseconds trial_due_at(const crash_suspect& part);
   /// Must be called after each change to the entry of @p request: starts its undecided time and has it stored.
@@ -133,8 +145,8 @@
   void send_missing_ends(const PeerAddress& sender, const wire::SuspicionNewsT& message);
   template <class Message>
   void merge_reports(const Message& message);
-  /// Tells the other nodes of a good end of @p part that they do not know and that this node has seen.
-  void tell_good_end(const routing::request_fingerprint& part);
+  /// Tells the other nodes of a good end of @p suspect that they do not know and that this node has seen.
+  void tell_good_end(const routing::request_fingerprint& suspect);
   void merge_report(const crash_suspect& reported, std::string_view learned);
   wire::SuspicionSyncT shared_list() const;
   void send_shared(const PeerAddress& to, bool reply);
@@ -170,13 +182,14 @@
     std::string request;
     Timestamp ends_at{};
   };
-  std::map<routing::request_fingerprint, trial> trials_;  ///< Requests of this node that try a part again.
+  std::map<routing::request_fingerprint, trial> trials_;  ///< Requests of this node that try a suspect again.
   struct trial_offset {
     UnixMilliseconds due = 0;
     UnixMilliseconds milliseconds = 0;
   };
   std::map<routing::request_fingerprint, trial_offset> trial_offsets_;
-  proven_parts proven_parts_;
+  good_ends part_good_ends_;
+  good_ends request_good_ends_;
   std::set<routing::request_fingerprint> quarantined_;     ///< Logged as quarantined.
   std::set<routing::request_fingerprint> ends_seen_here_;  ///< This node saw a back end terminate under these.
   Lifetime lifetime_;
--- a/src/routing/live_router.cpp
+++ b/src/routing/live_router.cpp
@@ -62,9 +62,14 @@
   return call;
 }
 
-bool LiveRouter::held_back(LiveId id) {
-  return repeats_ != nullptr && repeats_->has_records() &&
-         repeats_->is_quarantined(fingerprint_of(engine_call_for(requests_.at(id))), std::to_string(id));
+bool LiveRouter::refuse_if_quarantined(LiveId id, send_stage stage) {
+  if (repeats_ == nullptr || !repeats_->has_records() ||
+      !repeats_->is_quarantined(fingerprint_of(engine_call_for(requests_.at(id))), std::to_string(id), stage)) {
+    return false;
+  }
+  counters_["live_refused_quarantined_total"]++;
+  refuse(id, ErrorKind::quarantined, "engines terminated each time they ran this request", Duration::zero());
+  return true;
 }
 
 bool LiveRouter::wait_if_undecided(LiveId id) {
@@ -85,15 +90,10 @@
 }
 
 void LiveRouter::attempt(LiveId id) {
-  if (wait_if_undecided(id)) {
+  if (wait_if_undecided(id) || refuse_if_quarantined(id, send_stage::before_choice)) {
     return;
   }
   Active& active = requests_.at(id);
-  if (held_back(id)) {
-    counters_["live_refused_quarantined_total"]++;
-    refuse(id, ErrorKind::quarantined, "engines terminated each time they ran this request", Duration::zero());
-    return;
-  }
   std::vector<Backend*> open = choices(active);
   if (open.empty() && active.stream_version && !registry_.serves_version(active.request.model, active.stream_version)) {
     counters_["live_refused_version_gone_total"]++;
@@ -115,6 +115,9 @@
     refuse(id, ErrorKind::limit_exceeded, "all engines for " + active.request.model + " are full", kRetryAfterBusy);
     return;
   }
+  if (refuse_if_quarantined(id, send_stage::before_send)) {
+    return;
+  }
   Backend& backend =
       picker_->pick({open, active.request.prompt, environment_.now(), environment_.random(), gateways_per_engine});
   active.engine = backend.machine.id;
@@ -180,7 +183,7 @@
   auto node = requests_.extract(id);
   release_engine(node.mapped());
   registry_.on_success(node.mapped().engine);
-  if (repeats_ != nullptr && repeats_->has_records()) {
+  if (repeats_ != nullptr) {
     repeats_->call_answered(fingerprint_of(engine_call_for(node.mapped())));
   }
   counters_["live_answered_total"]++;
--- a/src/routing/live_router.hpp
+++ b/src/routing/live_router.hpp
@@ -95,7 +95,8 @@
   /// Postpones the attempt while the repeat guard cannot say yet whether the request may be sent.
   /// @return whether the attempt was postponed.
   bool wait_if_undecided(LiveId id);
-  bool held_back(LiveId id);
+  /// @return whether the request was refused.
+  bool refuse_if_quarantined(LiveId id, send_stage stage);
   std::vector<Backend*> choices(const Active& active);
 
   Environment& environment_;
--- a/src/routing/repeat_guard.hpp
+++ b/src/routing/repeat_guard.hpp
@@ -18,6 +18,12 @@
   Duration answered_for{};  ///< Time since the answer began; zero if none of it had arrived.
 };
 
+/// When a sender asks whether a request may be sent.
+enum class send_stage : std::uint8_t {
+  before_choice,  ///< No back end is chosen yet, and there may be none.
+  before_send,    ///< It is sent at once if it may be.
+};
+
 /// Decides whether a live request may be sent, from the back ends that terminated while they ran it. Batch items are
 /// not asked about and not reported: an item under which back ends terminated is still owed. Single threaded.
 class repeat_guard {
@@ -29,8 +35,9 @@
   virtual bool has_records() const = 0;
   /// @return whether a back end is known to have terminated while it ran the request of @p call.
   virtual bool suspects(const crash_suspects& call) const = 0;
-  /// @return whether @p call is quarantined and may not be sent. If so, it is counted and logged under @p id.
-  virtual bool is_quarantined(const crash_suspects& call, const std::string& id) = 0;
+  /// @return whether @p call is quarantined and may not be sent. If so, it is counted and logged under @p id. From time
+  ///         to time one quarantined call is let through before_send, to try it again.
+  virtual bool is_quarantined(const crash_suspects& call, const std::string& id, send_stage stage) = 0;
   /// @return how long the caller must wait until it is known whether @p call may be sent; zero: it is known now.
   ///         After several back ends have terminated, the nodes need a moment to report which requests ran there.
   virtual Duration undecided_wait(const crash_suspects&) const { return Duration::zero(); }
--- a/src/routing/service_router.cpp
+++ b/src/routing/service_router.cpp
@@ -151,23 +151,31 @@
   return true;
 }
 
+bool ServiceRouter::refuse_if_quarantined(RequestId id, send_stage stage) {
+  const Active& active = requests_.at(id);
+  if (repeats_ == nullptr || !repeats_->has_records() ||
+      !repeats_->is_quarantined(fingerprint_of(active.request), std::to_string(active.attempt), stage)) {
+    return false;
+  }
+  counters_["service_refused_quarantined_total"]++;
+  end_without_answer(id, ErrorKind::quarantined, "back ends terminated each time they ran this request");
+  return true;
+}
+
 void ServiceRouter::send(RequestId id) {
-  if (wait_if_undecided(id)) {
+  if (wait_if_undecided(id) || refuse_if_quarantined(id, send_stage::before_choice)) {
     return;
   }
   Active& active = requests_.at(id);
-  if (repeats_ != nullptr && repeats_->has_records() &&
-      repeats_->is_quarantined(fingerprint_of(active.request), std::to_string(active.attempt))) {
-    counters_["service_refused_quarantined_total"]++;
-    end_without_answer(id, ErrorKind::quarantined, "back ends terminated each time they ran this request");
-    return;
-  }
   std::vector<Backend*> open = registry_.candidates(active.request.service);
   std::erase_if(open, [&](const Backend* backend) { return active.tried.contains(backend->machine.id); });
   if (open.empty()) {
     end_without_answer(id, ErrorKind::unavailable, "no back end accepts calls for " + active.request.service);
     return;
   }
+  if (refuse_if_quarantined(id, send_stage::before_send)) {
+    return;
+  }
   Backend* chosen = open.front();
   for (Backend* candidate : open) {
     if (load_of(*candidate, environment_.now(), 1) < load_of(*chosen, environment_.now(), 1)) {
@@ -205,7 +213,7 @@
   release_backend(active);
   registry_.on_success(active.backend);
   counters_["service_answered_total"]++;
-  if (repeats_ != nullptr && repeats_->has_records()) {
+  if (repeats_ != nullptr) {
     repeats_->call_answered(fingerprint_of(active.request));
   }
   if (!active.claimed) {
--- a/src/routing/service_router.hpp
+++ b/src/routing/service_router.hpp
@@ -67,6 +67,8 @@
   /// Postpones the request while the repeat guard cannot say yet whether it may be sent.
   /// @return whether the request was postponed; it is sent later if its caller still waits then.
   bool wait_if_undecided(RequestId id);
+  /// @return whether the request was refused.
+  bool refuse_if_quarantined(RequestId id, send_stage stage);
   void send(RequestId id);
   void on_answer(RequestId id, const ServiceAnswer& answer);
   void on_failure(RequestId id, CallFailure failure);
--- a/src/simulation/fleet.hpp
+++ b/src/simulation/fleet.hpp
@@ -455,6 +455,7 @@
   Conditions conditions;
   Duration copy_page_time{};  ///< What a page of a copy takes besides the network's delay.
   fatal_sends sent_fatal;
+  bool fatal_requests_are_sound = false;  ///< For now no request ends engines; they do from when this is false.
   std::map<std::string, unsigned> item_crashes_left;  ///< By the body of an item.
   gone_disks gone;
   /// Requests with an answer that was broken off as no caller and no node can tell from a whole one.
--- a/tests/quarantine/end_history_test.cpp
+++ b/tests/quarantine/end_history_test.cpp
@@ -382,3 +382,20 @@
     }
   });
 }
+
+// Guards against a fatal request that hides behind a sound one which is on all back ends.
+TEST_CASE("a fatal request with the same ends as one that ended well before is held back, the other is not") {
+  const request_fingerprint sound{1, 1};
+  const request_fingerprint fatal{2, 2};
+  end_history history;
+  constexpr UnixMilliseconds kNow = 1'000'000;
+  history.note_answered({sound}, kNow - 1);
+  for (UnixMilliseconds end = 0; end < 3; ++end) {
+    const backend_termination at{BackendId("e" + std::to_string(end)), kNow + end};
+    history.record(sound, at, kNow);
+    history.record(fatal, at, kNow);
+  }
+  CHECK(history.is_quarantined(fatal));
+  CHECK_FALSE(history.is_quarantined(sound));
+  CHECK_FALSE(history.is_ambiguous(sound));
+}
