HTTP client: an answer without a length is complete only once its request has arrived

What callers saw: an engine answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The part reached callers as a complete answer.

Cause: bodies of more than 16 KB are written beside the reading. A reset is one error, and the write, which the event loop lets go first, takes it away; the read then finds an orderly end, and without a length that is where an answer is complete. The engine lives, so asking it for a sign of life shows nothing.

Change: such an answer counts as complete only if its request was written without an error, the peer's kernel has acknowledged all of it and the socket holds no error; otherwise the call fails as closed. Refusals (400 and more) may come before the request is in.

Why it works: all answers are read by this client, and what a broken connection leaves behind is asked for in place of the error that another call may have taken.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,7 +1,9 @@
 #include "net/http_client.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/as_tuple.hpp>
@@ -42,6 +44,7 @@
 /// Bytes that were read and do not belong to a body yet: a head, the sizes and extensions of chunks, trailers.
 constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
 constexpr unsigned kFirstFinalStatus = 200;  ///< Lower ones announce a later response.
+constexpr unsigned kFirstErrorStatus = 400;
 /// A reply from another zone takes a few milliseconds.
 constexpr std::chrono::milliseconds kLivenessTimeout{250};
 /// While a process terminates, its address accepts connections until the kernel closes the listening socket, and then
@@ -322,6 +325,26 @@
     return belongs && !call.skipped ? call.options.max_body_bytes : kMaxSkippedBytes;
   }
 
+  /// @return whether the peer's kernel has the whole request. What is written without an error may still wait here.
+  static bool is_request_received(Call& call) {
+    int unacknowledged_bytes = 0;
+    const bool known = ::ioctl(call.stream->socket().native_handle(), SIOCOUTQ, &unacknowledged_bytes) == 0;
+    return call.written && (!known || unacknowledged_bytes == 0);
+  }
+
+  /// A response without a length is complete where its connection ends in order. The end of one that broke looks the
+  /// same here if the write of the request met the error first, so it counts only once the request has arrived. A
+  /// refusal may come without that.
+  static bool is_ended_in_order(Call& call, const ResponseHead& head) {
+    if (head.framing != body_framing::until_close || head.status >= kFirstErrorStatus) {
+      return true;
+    }
+    int socket_error = 0;
+    socklen_t length = sizeof socket_error;
+    ::getsockopt(call.stream->socket().native_handle(), SOL_SOCKET, SO_ERROR, &socket_error, &length);
+    return socket_error == 0 && is_request_received(call);
+  }
+
   static body_framing framing_of(const http::response_parser<http::buffer_body>& parser) {
     if (parser.chunked()) {
       return body_framing::chunks;
@@ -446,13 +469,23 @@
     if (call->cancelled) {
       co_return ReadOutcome::ended;
     }
-    if (belongs && !call->skipped && head.framing == body_framing::until_close && co_await peer_has_terminated(*call)) {
+    const bool judged = belongs && !call->skipped;
+    if (judged && !is_ended_in_order(*call, head)) {
+      fail(number, *call, CallBreak::closed);
+      co_return ReadOutcome::ended;
+    }
+    if (judged && head.framing == body_framing::until_close && co_await peer_has_terminated(*call)) {
       fail(number, *call, CallBreak::closed);
       co_return ReadOutcome::ended;
     }
     if (call->cancelled) {
       co_return ReadOutcome::ended;
     }
+    // While the peer was asked, it may have reset the connection of its response.
+    if (judged && !is_ended_in_order(*call, head)) {
+      fail(number, *call, CallBreak::closed);
+      co_return ReadOutcome::ended;
+    }
     if (!belongs && parser.get().keep_alive()) {
       co_return ReadOutcome::stray;
     }
--- a/tests/platform/broken_off_answers_test.cpp
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -106,6 +106,8 @@
   std::string interim;           ///< Sent before the truncated answer.
   std::size_t whole_before = 0;  ///< Requests that are answered completely before the truncated answer.
   std::size_t requests = 0;
+  bool before_body = false;                 ///< The truncated answer leaves the body of its request unread.
+  std::chrono::milliseconds ends_after{0};  ///< With before_body: from the answer to the end of its connection.
 
   framed_answer whole(const std::string& head, body_framing in) const {
     const std::string last = value_after(head, header::kLastEvent);
@@ -124,7 +126,7 @@
     if (requests++ != whole_before) {
       return {whole(head, body_framing::chunks).bytes(), connection_ending::kept};
     }
-    return {interim + whole(head, framing).bytes().substr(0, cut), ending};
+    return {interim + whole(head, framing).bytes().substr(0, cut), ending, before_body, ends_after};
   }
 };
 
@@ -607,3 +609,39 @@
   CHECK(answer->looks_complete);
   CHECK(answer->body == joined(kEvents));
 }
+
+// Guards against a part of an answer that is passed on as a whole one, since the write of a long request met the reset.
+TEST_CASE("an answer without a length that breaks off while its request is still being sent is not complete") {
+  constexpr std::size_t kBodyBytes = 3'800'000;
+  for (const answer_kind kind : kKinds) {
+    for (const connection_ending ending : {connection_ending::reset, connection_ending::closed}) {
+      for (const int ends_after_ms : {0, 20, 100}) {
+        scripted_pool pool;
+        pool.kind = kind;
+        pool.framing = body_framing::until_close;
+        pool.ending = ending;
+        pool.before_body = true;
+        pool.ends_after = std::chrono::milliseconds(ends_after_ms);
+        const framed_answer answer = pool.whole("\r\nX-Madderdeck-Request-Id: r1\r\n", pool.framing);
+        const std::string first = is_stream(kind) ? kEvents.front() : kPlain.front();
+        pool.cut = answer.head_bytes() + first.size();
+        whole_path path(pool);
+        const std::string body(kBodyBytes, 'b');
+        const caller_answer got = path.call(std::string("POST /") + name_of(kind) +
+                                            "/1 HTTP/1.1\r\nHost: h\r\nX-Madderdeck-Request-Id: r1\r\n" +
+                                            "Content-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n" + body);
+        INFO(name_of(kind) << ", ended as " << static_cast<int>(ending) << " after " << ends_after_ms << " ms");
+        REQUIRE(got.ended);
+        const std::string all = joined(is_stream(kind) ? kEvents : kPlain);
+        const bool partly_passed_on = got.status == kOk && got.looks_complete && got.body != all;
+        CHECK_FALSE(partly_passed_on);
+        CHECK(got.status != 503);
+        CHECK(got.status != 429);
+        if (may_retry_elsewhere(kind)) {
+          CHECK(got.status == kOk);
+          CHECK(got.body == all);
+        }
+      }
+    }
+  }
+}
--- a/tests/support/raw_engine.cpp
+++ b/tests/support/raw_engine.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <optional>
 
 namespace madderdeck::tests {
 namespace {
@@ -28,7 +29,7 @@
   tcp::socket socket;
   asio::steady_timer timer;
   std::string unread;
-  std::string answer;
+  std::optional<raw_answer> answer;  ///< To the request whose head has been read.
 };
 
 raw_engine::raw_engine(asio::io_context& context, const std::string& ip, unsigned short port, answers answer)
@@ -60,9 +61,12 @@
   if (head_end != std::string::npos) {
     const std::string head = peer->unread.substr(0, head_end + sizeof kHeadEnd - 1);
     const std::size_t whole = head.size() + stated_length(head);
-    if (peer->unread.size() >= whole) {
+    if (!peer->answer) {
+      peer->answer = answer_(head);
+    }
+    if (peer->answer->before_body || peer->unread.size() >= whole) {
       peer->unread.erase(0, whole);
-      answer_request(peer, head);
+      answer_request(peer);
       return;
     }
   }
@@ -77,15 +81,33 @@
   });
 }
 
-void raw_engine::answer_request(const connection_pointer& peer, const std::string& head) {
-  raw_answer answer = answer_(head);
-  peer->answer = std::move(answer.bytes);
-  asio::async_write(peer->socket, asio::buffer(peer->answer),
-                    [this, peer, ending = answer.ending](error_code failure, std::size_t) {
-                      if (!failure) {
-                        end(peer, ending);
-                      }
-                    });
+void raw_engine::answer_request(const connection_pointer& peer) {
+  const auto answer = std::make_shared<raw_answer>(std::move(*peer->answer));
+  peer->answer.reset();
+  asio::async_write(peer->socket, asio::buffer(answer->bytes), [this, peer, answer](error_code failure, std::size_t) {
+    if (failure) {
+      return;
+    }
+    if (answer->before_body) {
+      end_unread(peer, *answer);
+    } else {
+      end(peer, answer->ending);
+    }
+  });
+}
+
+void raw_engine::end_unread(const connection_pointer& peer, const raw_answer& answer) {
+  peer->timer.expires_after(answer.ends_after);
+  peer->timer.async_wait([peer, ending = answer.ending](error_code) {
+    error_code ignored;
+    if (ending == connection_ending::reset) {
+      peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+      peer->socket.close(ignored);
+      return;
+    }
+    peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    peer->socket.async_wait(tcp::socket::wait_error, [peer](error_code) {});
+  });
 }
 
 void raw_engine::stop_listening_later() {
--- a/tests/support/raw_engine.hpp
+++ b/tests/support/raw_engine.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -24,9 +25,11 @@
 struct raw_answer {
   std::string bytes;
   connection_ending ending = connection_ending::kept;
+  bool before_body = false;                 ///< Sent once the head is read; the body of the request is left unread.
+  std::chrono::milliseconds ends_after{0};  ///< With before_body: from the answer to the end of its connection.
 };
 
-/// Answers each request by a function of its head. Single threaded.
+/// Answers each request by a function of its head, which is called once it is read. Single threaded.
 class raw_engine {
  public:
   using answers = std::function<raw_answer(const std::string& request_head)>;
@@ -43,7 +46,8 @@
 
   void accept();
   void read_request(const connection_pointer& peer);
-  void answer_request(const connection_pointer& peer, const std::string& head);
+  void answer_request(const connection_pointer& peer);
+  void end_unread(const connection_pointer& peer, const raw_answer& answer);
   void stop_listening_later();
   void end(const connection_pointer& peer, connection_ending ending);
 
