HTTP client: a status below 100 or above 599 is a malformed answer

What callers saw: an answer with the status 000 was waited out to the deadline, one with 600 reached them as an answer.

Cause: every status below 200 was taken for an interim answer that announces a later one, and none above 599 was refused.

Change: such a status fails the call as malformed at once, for all readers of answers. Interim answers without end stay limited.

Evidence: the test over statuses of 000 to 999, with and without a length, first and after a 100, fails on the code before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -43,8 +43,10 @@
 constexpr std::chrono::milliseconds kMaxSkipTime{1'000};
 /// Bytes that were read and do not belong to a body yet: a head, the sizes and extensions of chunks, trailers.
 constexpr std::size_t kMaxBufferedBytes = 128 * 1024;
+constexpr unsigned kFirstStatus = 100;
 constexpr unsigned kFirstFinalStatus = 200;  ///< Lower ones announce a later response.
 constexpr unsigned kFirstErrorStatus = 400;
+constexpr unsigned kLastStatus = 599;
 /// A reply from another zone takes a few milliseconds.
 constexpr std::chrono::milliseconds kLivenessTimeout{250};
 /// While a process terminates, its address accepts connections until the kernel closes the listening socket, and then
@@ -428,6 +430,10 @@
     for (const auto& field : parser.get()) {
       head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
+    if (head.status < kFirstStatus || head.status > kLastStatus) {
+      fail(number, *call, CallBreak::malformed);
+      co_return ReadOutcome::ended;
+    }
     const bool interim = head.status < kFirstFinalStatus;
     const bool belongs = !interim && (!call->options.belongs ||
                                       call->options.belongs(head.status, head.headers, call->connection_is_new));
--- a/tests/net/early_answers_test.cpp
+++ b/tests/net/early_answers_test.cpp
@@ -66,6 +66,11 @@
   return response == nullptr ? std::nullopt : std::optional(*response);
 }
 
+std::string three_digits(unsigned status) {
+  std::string text = std::to_string(status);
+  return std::string(3 - text.size(), '0') + text;
+}
+
 }  // namespace
 
 // Guards against a part of an answer that is taken for a whole one, since the write of the request met the reset.
@@ -122,6 +127,23 @@
   }
 }
 
+// Guards against a status that is none: waited out, or passed on to callers.
+TEST_CASE("a status below 100 or above 599 is a malformed answer at once") {
+  for (const std::string& before : {std::string(), std::string("HTTP/1.1 100 Continue\r\n\r\n")}) {
+    for (const std::string& length : {std::string("Content-Length: 2\r\n"), std::string()}) {
+      for (unsigned status = 0; status < 1'000; status += status < 110 || status > 580 ? 7 : 50) {
+        INFO(before << status << " " << length);
+        milliseconds took{};
+        const auto response =
+            response_to(before + "HTTP/1.1 " + three_digits(status) + " Some\r\n" + length + "\r\nok", &took);
+        const bool final = status >= 200 && status <= 599;
+        CHECK(response.has_value() == final);
+        CHECK(took < milliseconds(1'000));
+      }
+    }
+  }
+}
+
 // Guards against heads whose fields cannot be told apart, passed on or with a body that is not the peer's.
 TEST_CASE("a field whose name holds a blank or a control byte makes an answer malformed") {
   const std::vector<std::string> lines = {
