Drain: a stopping node passes on nothing that it reads late, and nothing shortly before its end

Here uploads that end late on connections accepted before, and requests that wait for an engine, were passed on until the end.

Cause: a draining node stopped accepting connections, but nothing looked at when a request was read or first sent.

Change: once no connections are accepted, requests and batch jobs read to their end get 503 with Retry-After, "not run". A request that was never sent is not sent in the last 2 s; those that wait then are refused at once.

Why it works: what is passed on has at least 2 s, and whoever is refused learns it while another node can still serve.

Evidence: with the two checks left out both tests fail (passed on; not refused). Not run: a fleet of real processes with slow uploads.

--- a/src/forwarding/forwarder.cpp
+++ b/src/forwarding/forwarder.cpp
@@ -152,14 +152,18 @@
   return true;
 }
 
-void Forwarder::end_quarantined() {
+std::vector<ForwardId> Forwarder::requests_waiting_for_placer() const {
   std::vector<ForwardId> waiting;
   for (const auto& [id, active] : requests_) {
     if (active.placer_query != 0) {
       waiting.push_back(id);
     }
   }
-  for (const ForwardId id : waiting) {
+  return waiting;
+}
+
+void Forwarder::end_quarantined() {
+  for (const ForwardId id : requests_waiting_for_placer()) {
     const auto entry = requests_.find(id);
     if (entry == requests_.end()) {
       continue;
@@ -172,6 +176,35 @@
   }
 }
 
+void Forwarder::stop_first_sends_at(Timestamp at) {
+  first_sends_end_at_ = at;
+  const Duration left = std::max(Duration::zero(), at - environment_.now());
+  environment_.after(left, lifetime_.guard([this] { end_waiting_unsent(); }));
+}
+
+void Forwarder::end_waiting_unsent() {
+  for (const ForwardId id : requests_waiting_for_placer()) {
+    const auto entry = requests_.find(id);
+    if (entry == requests_.end()) {
+      continue;
+    }
+    const engine_placer::ticket ticket = entry->second.ticket;
+    if (refuse_if_stopping(id)) {
+      placer_->withdraw(ticket);
+    }
+  }
+}
+
+bool Forwarder::refuse_if_stopping(ForwardId id) {
+  const bool stopped = first_sends_end_at_ && environment_.now() >= *first_sends_end_at_;
+  if (!stopped || requests_.at(id).sends > 0) {
+    return false;
+  }
+  counters_["forward_refused_stopping_total"]++;
+  end_unanswered(id, ErrorKind::unavailable, "this node is stopping");
+  return true;
+}
+
 /// Waiting avoids two faults: refusing a request because of a concurrent request that terminated the back end, and
 /// sending it while the report of a third termination is in transit.
 bool Forwarder::wait_if_undecided(ForwardId id) {
@@ -194,7 +227,8 @@
 }
 
 void Forwarder::attempt(ForwardId id) {
-  if (wait_if_undecided(id) || refuse_if_quarantined(id, routing::send_stage::before_choice) || look_up_origin(id)) {
+  if (refuse_if_stopping(id) || wait_if_undecided(id) ||
+      refuse_if_quarantined(id, routing::send_stage::before_choice) || look_up_origin(id)) {
     return;
   }
   Active& active = requests_.at(id);
@@ -404,7 +438,7 @@
     return;
   }
   // While the request waited for its engine, it or a concurrent request may have been found to terminate back ends.
-  if (wait_if_undecided(id) || refuse_if_quarantined(id, routing::send_stage::before_send)) {
+  if (refuse_if_stopping(id) || wait_if_undecided(id) || refuse_if_quarantined(id, routing::send_stage::before_send)) {
     return;
   }
   Active& active = requests_.at(id);
--- a/src/forwarding/forwarder.hpp
+++ b/src/forwarding/forwarder.hpp
@@ -67,6 +67,8 @@
   std::size_t active() const { return requests_.size(); }
   /// Refuses the requests that wait for an engine and have been quarantined meanwhile.
   void end_quarantined();
+  /// From @p at on no request is sent that was not sent before; those that wait for an engine then are refused.
+  void stop_first_sends_at(Timestamp at);
   void on_prefill(PrefillHook hook) { on_prefill_ = std::move(hook); }
   /// From now on engines are chosen by the open calls that the other gateways report.
   /// @param delay time by which these reports are late.
@@ -213,6 +215,10 @@
   /// Refuses a quarantined request, which must not be sent to any back end.
   /// @return whether the request was refused.
   bool refuse_if_quarantined(ForwardId id, routing::send_stage stage);
+  /// @return whether the request was refused, since it would be sent for the first time by a node that stops soon.
+  bool refuse_if_stopping(ForwardId id);
+  void end_waiting_unsent();
+  std::vector<ForwardId> requests_waiting_for_placer() const;
   /// Ends a request whose caller has closed its connection, which this node may not have noticed yet.
   /// @return whether the request was ended.
   bool end_if_caller_left(ForwardId id);
@@ -246,6 +252,7 @@
   PrefillHook on_prefill_;
   ForwardId next_id_ = 0;
   std::uint64_t next_attempt_ = 0;
+  std::optional<Timestamp> first_sends_end_at_;  ///< Set once the node stops.
   Lifetime lifetime_;
 };
 
--- a/src/gateway/api.cpp
+++ b/src/gateway/api.cpp
@@ -12,6 +12,7 @@
 constexpr char kBatchPrefix[] = "/v1/batches";
 constexpr char kObjectPrefix[] = "/admin/objects";
 constexpr std::string_view kBearer = "Bearer ";
+constexpr Duration kStoppingComeback = 500ms;  ///< After which a caller of a stopping node is to come back elsewhere.
 
 std::string bearer_key(const net::HttpRequest& request) {
   const std::string_view value = net::find_header(request.headers, "Authorization");
@@ -90,6 +91,12 @@
 void Api::handle_work(const ExchangePointer& exchange, const std::shared_ptr<const config::Tenant>& tenant) {
   const net::HttpRequest& request = exchange->request();
   const std::string path(request.path());
+  if (request.method == "POST" && !context_.core.takes_work()) {
+    context_.core.counters["requests_refused_stopping_total"]++;
+    exchange->respond(problem(
+        routing::Refusal{{ErrorKind::unavailable, "this node is stopping"}, routing::Ran::no, kStoppingComeback}));
+    return;
+  }
   if (request.method == "POST" && path == "/v1/chat/completions") {
     handle_completion(context_, exchange, tenant, true);
   } else if (request.method == "POST" && path == "/v1/completions") {
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -388,6 +388,7 @@
     environment_.after(std::chrono::milliseconds(settings_.drain_grace_ms), [this] {
       api_server_->stop_accepting();
       drain_deadline_ = environment_.now() + std::chrono::milliseconds(settings_.drain_timeout_ms);
+      core_->stop_taking_work(drain_deadline_);
       finish_drain(0);
     });
   }
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -4,6 +4,8 @@
 
 namespace madderdeck::node {
 namespace {
+/// A request that a stopping node sends later than this before its end would likely be cut off.
+constexpr Duration kTimeToRunBeforeEnd = 2s;
 constexpr Duration kActivityIncreaseDelay = 2ms;   ///< Changes within this time share a message.
 constexpr Duration kActivityDecreaseDelay = 20ms;  ///< Delay for reports of a lower count.
 constexpr Duration kActivityRefreshInterval = 1s;
@@ -731,6 +733,13 @@
   return 2 * members.live_count() < lately_known;
 }
 
+void NodeCore::stop_taking_work(Timestamp ends_at) {
+  takes_work_ = false;
+  if (forwarder) {
+    forwarder->stop_first_sends_at(ends_at - kTimeToRunBeforeEnd);
+  }
+}
+
 bool NodeCore::drained() const { return has_finished_calls() && !hands_over_records(); }
 
 bool NodeCore::hands_over_records() const { return handover && handover->is_pending(); }
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -112,6 +112,11 @@
   /// Starts to drain the node: announces to the members that it leaves, returns batch work and accepts no new work.
   void drain();
   bool draining() const { return draining_; }
+  /// Called once a draining node accepts no connections any more and ends at @p ends_at. Requests that are read from
+  /// now on are refused, and so are those that wait for a back end until too little time is left.
+  void stop_taking_work(Timestamp ends_at);
+  /// @return whether requests that are read now are passed on.
+  bool takes_work() const { return takes_work_; }
   /// @return whether all accepted requests have ended and no record has to be handed over.
   bool drained() const;
   /// @return whether all requests that this node accepted have ended.
@@ -175,6 +180,7 @@
   const std::size_t
       handover_copies_;  ///< Number of disks that have to hold a record before this node's disk may be removed.
   bool draining_ = false;
+  bool takes_work_ = true;
 
  public:
   config::Catalog catalog;
--- a/tests/forwarding/forwarder_test.cpp
+++ b/tests/forwarding/forwarder_test.cpp
@@ -954,3 +954,28 @@
   fixture.call(1).events.finished();
   CHECK(fixture.caller.body == ": sound\n\nid: 1\ndata: one\n\n");
 }
+
+// Guards against requests that wait for an engine in a planned stop, are sent late, and are cut off at its end.
+TEST_CASE("a request that waits for an engine while its node stops is sent although it would be cut off") {
+  placed_fixture fixture;
+  fixture.start();
+  REQUIRE(fixture.placer.answers.size() == 1);
+  fixture.forwarder.stop_first_sends_at(fixture.environment.now() + 300ms);
+  fixture.environment.world.run_for(250ms);
+  CHECK_FALSE(fixture.caller.refusal);
+  fixture.environment.world.run_for(100ms);
+  REQUIRE(fixture.caller.refusal);
+  CHECK(fixture.caller.refusal->error.kind == ErrorKind::unavailable);
+  CHECK(fixture.caller.refusal->ran == routing::Ran::no);
+  CHECK(fixture.upstream.calls.empty());
+  CHECK(fixture.forwarder.active() == 0);
+}
+
+TEST_CASE("a request that was sent before its node stops is sent again where it may be") {
+  Fixture fixture;
+  fixture.start();
+  fixture.forwarder.stop_first_sends_at(fixture.environment.now());
+  fixture.environment.world.run_for(10ms);
+  fixture.call(0).events.failed(CallFailure::not_sent);
+  CHECK(fixture.upstream.calls.size() == 2);
+}
--- a/tests/platform/ingress_test.cpp
+++ b/tests/platform/ingress_test.cpp
@@ -309,3 +309,26 @@
   CHECK_FALSE(exchange->answer);
   CHECK(fixture.counters["jobs_of_left_callers_total"] == 1);
 }
+
+// Guards against requests that are taken late in a planned stop, passed on, and cut off at its end.
+TEST_CASE("a request whose body ends late in a planned stop is passed on and cut off") {
+  ingress_fixture fixture;
+  fixture.configure();
+  const std::vector<std::string> targets = {"/a/1", "/jobs/"};
+  for (const std::string& target : targets) {
+    const std::size_t sent = fixture.upstream.calls.size();
+    fixture.core.drain();
+    fixture.core.stop_taking_work(fixture.environment.now() + 4400ms);
+    net::Headers headers = kKnown;
+    headers.push_back({"Host", "h"});
+    headers.push_back({"X-Madderdeck-Request-Id", "late"});
+    const auto exchange = std::make_shared<kept_exchange>(net::HttpRequest{"POST", target, headers, "{}"});
+    fixture.ingress.handle(exchange);
+    fixture.environment.world.run_for(10ms);
+    INFO(target);
+    REQUIRE(exchange->answer);
+    CHECK(exchange->answer->status == 503);
+    CHECK_FALSE(net::find_header(exchange->answer->headers, "Retry-After").empty());
+    CHECK(fixture.upstream.calls.size() == sent);
+  }
+}
