Job manager: reported failures are gathered before they are written

A write that ended at once would have removed the entry that the loop stands on. No such end is known; the loop does not rest on it any more. A loop variable of a test is the copy that it always was.

--- a/src/batch/job_manager.cpp
+++ b/src/batch/job_manager.cpp
@@ -748,12 +748,15 @@
   if (!job.loaded) {
     return;
   }
+  std::vector<std::pair<std::uint32_t, wire::ItemFailure>> unwritten;
   for (const auto& [index, progress] : job.item_progress) {
     const bool held = job.items[index] != ItemState::pending;
-    if (progress.failure == wire::ItemFailure::None || held || job.failing_items.contains(index)) {
-      continue;
+    if (progress.failure != wire::ItemFailure::None && !held && !job.failing_items.contains(index)) {
+      unwritten.emplace_back(index, progress.failure);
     }
-    if (!write_failure(id, index, progress.failure)) {
+  }
+  for (const auto& [index, failure] : unwritten) {
+    if (!write_failure(id, index, failure)) {
       break;
     }
     counters_["batch_reported_failures_written_total"]++;
--- a/tests/net/early_answers_test.cpp
+++ b/tests/net/early_answers_test.cpp
@@ -109,7 +109,7 @@
 // Guards against early answers that are lost: refusals, and sound ones that state their length.
 TEST_CASE("an early refusal, and an early answer that states its length, are read whole") {
   const std::string text = "too much";
-  for (const std::string& head :
+  for (const std::string head :
        {"HTTP/1.1 413 Large\r\nContent-Length: 8\r\n", "HTTP/1.1 429 Busy\r\nContent-Length: 8\r\n",
         "HTTP/1.1 503 Full\r\nContent-Length: 8\r\n", "HTTP/1.1 413 Large\r\n", "HTTP/1.1 503 Full\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n"}) {
