--- a/src/simulation/schedule.cpp
+++ b/src/simulation/schedule.cpp
@@ -11,7 +11,7 @@
 constexpr unsigned kDepartureNodes = 6;
 constexpr unsigned kAnswerFaultPercent = 40;
 constexpr unsigned kEngineVersions = 3;
-constexpr unsigned kFailedRunPercent = 40;
+constexpr unsigned kFailedRunPercent = 75;
 /// Long enough for an item to be interrupted several times by one burst.
 constexpr std::uint32_t kLongItemFactor = 5;
 constexpr std::uint32_t kFewItemsDivisor = 4;
