A node with a disk starts within its machine's address space

What callers saw: nodes with a disk that terminate at each start where the memory of their machine is enforced as a limit of addresses ("terminate called without an active exception", SIGABRT).

Cause: the database opens its tables on 16 threads of its own and ends the process when it cannot create one of them. Each thread took a stack of 8 MiB and reserved an arena of malloc of 64 MiB, twice as much for a moment.

Evidence: peak of addresses after a start 584,024 KiB with an empty disk and 182,548 KiB without a disk; under 250 MiB the database's thread could not be created.

Why the fix works: the process sets the default stack size to 1 MiB and one arena for all threads before its first thread; tables are opened on the calling thread, and the statistics of the database, which nobody reads, need no timer.

--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -18,6 +18,7 @@
 namespace {
 constexpr std::size_t kCacheBytes = 8 << 20;
 constexpr int kBloomBitsPerKey = 10;
+constexpr int kBackgroundJobs = 2;  ///< One flush and one compaction.
 constexpr std::size_t kMaxManifestBytes =
     1;  ///< Manifest size in bytes after which the next change starts a new manifest.
 
@@ -79,7 +80,11 @@
   // appended to and truncated by a power loss before its sync could not be opened.
   options.max_manifest_file_size = kMaxManifestBytes;
   options.write_buffer_size = implementation.write_buffer_bytes;
-  options.max_background_jobs = 2;
+  options.max_background_jobs = kBackgroundJobs;
+  // Tables are opened on this thread: the library ends the process when it cannot create a thread for them.
+  options.max_file_opening_threads = 1;
+  options.stats_dump_period_sec = 0;
+  options.stats_persist_period_sec = 0;
   options.compression = rocksdb::kNoCompression;
   options.info_log = std::make_shared<MessageLog>();
   rocksdb::BlockBasedTableOptions table_options;
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -4,6 +4,7 @@
 
 #include "config/settings.hpp"
 #include "node/daemon.hpp"
+#include "process/memory_bounds.hpp"
 
 DEFINE_string(settings, "", "Settings file (TOML).");
 DEFINE_bool(check_settings, false, "Check the settings, print the result and exit.");
@@ -48,6 +49,7 @@
 namespace madderdeck::node {
 
 int run_program(int argument_count, char** arguments, Integration& integration, const std::string& settings_path) {
+  process::bound_thread_memory();
   gflags::SetUsageMessage("runs one madderdeck node; see docs/operators/settings.md");
   gflags::SetVersionString(MADDERDECK_VERSION);
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
