A refused thread or memory delays a start instead of ending it

What callers saw: processes that end by SIGABRT at their start ("Resource temporarily unavailable", "std::bad_alloc"), are started again with the same cause in place and end again.

Cause: the log, the disk's tasks, the disk watch and the database created their threads with std::thread or Asio's pool, which throw when the system refuses a thread; nobody caught it.

Why the fix works: all threads of a node are created in one place before the node, by a function that returns an error. The start tries again every 100 ms for up to 30 s, also for the threads and the memory that the database takes later: as many threads are created and ended as it needs, whose stacks the C library keeps. SIGTERM ends such a start as before, since no handler is installed yet. The database repeats the check at each opening; a refusal is an error that is retried. An exception out of an opening leaves a half-opened database behind, so it ends the node with a typed error. A node without a disk has two threads less.

The disk watch runs on a thread that its owner has started: its test starts one, nothing else in it changed.

--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -12,6 +12,8 @@
 #include <mutex>
 #include <thread>
 
+#include "process/thread.hpp"
+
 namespace madderdeck {
 namespace {
 
@@ -95,7 +97,17 @@
 /// Queue of log lines and the thread that writes them. Thread safe.
 class LogQueue {
  public:
-  LogQueue(LogLevel least, LogLimits limits) : least_(least), limits_(limits), writer_([this] { write_lines(); }) {}
+  LogQueue(LogLevel least, LogLimits limits) : least_(least), limits_(limits) {}
+
+  /// @return ErrorKind::unavailable if the thread cannot be created.
+  Status start() {
+    auto created = process::start_thread("log", [this] { write_lines(); });
+    if (!succeeded(created)) {
+      return error_of(created);
+    }
+    writer_ = std::move(value_of(created));
+    return Ok{};
+  }
 
   bool wanted(LogLevel level) const { return level >= least_; }
 
@@ -186,7 +198,7 @@
 
 }  // namespace
 
-void configure_logging(LogLevel level, const std::string& file, const LogLimits& limits) {
+Status configure_logging(LogLevel level, const std::string& file, const LogLimits& limits) {
   const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
   log4cxx::AppenderPtr appender;
   if (file.empty()) {
@@ -198,7 +210,12 @@
   log4cxx::Logger::getRootLogger()->addAppender(appender);
   log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getInfo());
   stop_logging();
-  process_queue = new LogQueue(level, limits);  // never deleted, as it has to outlive all callers
+  auto queue = std::make_unique<LogQueue>(level, limits);
+  if (const Status started = queue->start(); !succeeded(started)) {
+    return started;
+  }
+  process_queue = queue.release();  // never deleted, as it has to outlive all callers
+  return Ok{};
 }
 
 void log_event(LogLevel level, std::string_view event, std::initializer_list<DecisionField> fields) {
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "common/decision_log.hpp"
+#include "common/error.hpp"
 
 namespace madderdeck {
 
@@ -22,7 +23,9 @@
 /// Sets up the process-wide log.
 /// @param level lowest level that is written.
 /// @param file path of the log file; empty for standard output.
-void configure_logging(LogLevel level, const std::string& file, const LogLimits& limits = {});
+/// @return ErrorKind::unavailable if the log's thread cannot be created; there is no log then, and a later call may
+///         succeed.
+Status configure_logging(LogLevel level, const std::string& file, const LogLimits& limits = {});
 
 /// Writes one line. These lines are rare (start, stop, state changes), so they are exempt from the limits per second.
 void log_event(LogLevel level, std::string_view event, std::initializer_list<DecisionField> fields = {});
--- a/src/ledger/rocksdb_storage.cpp
+++ b/src/ledger/rocksdb_storage.cpp
@@ -10,13 +10,14 @@
 #include <atomic>
 #include <cstdarg>
 #include <cstdio>
+#include <exception>
 #include <vector>
 
 #include "common/log.hpp"
+#include "process/thread.hpp"
 
 namespace madderdeck::ledger {
 namespace {
-constexpr std::size_t kCacheBytes = 8 << 20;
 constexpr int kBloomBitsPerKey = 10;
 constexpr int kBackgroundJobs = 2;  ///< One flush and one compaction.
 constexpr std::size_t kMaxManifestBytes =
@@ -44,6 +45,16 @@
 
 Error write_error(const rocksdb::Status& status) { return Error{ErrorKind::storage_unwritable, status.ToString()}; }
 
+/// @return ErrorKind::ambiguous if @p open throws: what it has begun is not released and may still use the folder, so
+///         that another attempt in this process cannot succeed.
+Result<rocksdb::Status> open_without_exceptions(const std::function<rocksdb::Status()>& open) {
+  try {
+    return open();
+  } catch (const std::exception& thrown) {
+    return Error{ErrorKind::ambiguous, std::string("opening the database was broken off: ") + thrown.what()};
+  }
+}
+
 Error read_error(const rocksdb::Status& status) {
   return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::unavailable, status.ToString()};
 }
@@ -88,12 +99,25 @@
   options.compression = rocksdb::kNoCompression;
   options.info_log = std::make_shared<MessageLog>();
   rocksdb::BlockBasedTableOptions table_options;
-  table_options.block_cache = rocksdb::NewLRUCache(kCacheBytes);
+  table_options.block_cache = rocksdb::NewLRUCache(kBlockCacheBytes);
   table_options.filter_policy.reset(rocksdb::NewBloomFilterPolicy(kBloomBitsPerKey));
   options.table_factory.reset(rocksdb::NewBlockBasedTableFactory(table_options));
   rocksdb::DB* database = nullptr;
   const observed_operation observed(implementation.executors.observer, disk_operation::open);
-  const rocksdb::Status status = rocksdb::DB::Open(options, implementation.folder + "/" + kRecordsFolder, &database);
+  // The database ends the process when a thread is refused to it later.
+  if (const Status threads = process::check_threads(kDatabaseThreads); !succeeded(threads)) {
+    return threads;
+  }
+  const std::size_t needed_bytes = kBlockCacheBytes + 2 * implementation.write_buffer_bytes;
+  if (const Status memory = process::check_memory(needed_bytes); !succeeded(memory)) {
+    return memory;
+  }
+  const Result<rocksdb::Status> opened = open_without_exceptions(
+      [&] { return rocksdb::DB::Open(options, implementation.folder + "/" + kRecordsFolder, &database); });
+  if (!succeeded(opened)) {
+    return error_of(opened);
+  }
+  const rocksdb::Status& status = value_of(opened);
   if (!status.ok()) {
     return Error{status.IsCorruption() ? ErrorKind::corrupted : ErrorKind::storage_unwritable, status.ToString()};
   }
--- a/src/ledger/rocksdb_storage.hpp
+++ b/src/ledger/rocksdb_storage.hpp
@@ -38,6 +38,11 @@
 
 /// Size of the table in memory; a full table is written to the disk.
 inline constexpr std::size_t kWriteBufferBytes = 16 << 20;
+inline constexpr std::size_t kBlockCacheBytes = 8 << 20;
+/// Threads that the database creates: a flush, a compaction, and its timer.
+inline constexpr std::size_t kDatabaseThreads = 3;
+/// Memory in bytes that the database may take: its cache, the buffer that is written to and the one that is flushed.
+inline constexpr std::size_t kOpeningBytes = kBlockCacheBytes + 2 * kWriteBufferBytes;
 
 /// The database's folder within the disk folder.
 inline constexpr char kRecordsFolder[] = "records";
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/thread_pool.hpp>
 #include <csignal>
 #include <optional>
 #include <random>
@@ -36,17 +35,18 @@
 /// Owns all parts of a node. The order of the members sets the order of their destruction.
 class Daemon {
  public:
-  Daemon(const config::Settings& settings, Integration& integration)
+  Daemon(const config::Settings& settings, Integration& integration, node_threads& threads)
       : settings_(settings),
         integration_(integration),
         client_(context_, local_ip(settings.peer_address)),
         environment_(context_, counters_, client_, PeerAddress(settings.peer_address)),
         backends_(integration.make_backends(client_, counters_)),
         platform_(integration.make_platform(client_, settings)),
-        background_(1),
+        threads_(threads),
         signals_(context_, SIGTERM, SIGINT),
         reload_signal_(context_, kReloadSignal) {
     environment_.set_log(log_);
+    counters_["start_retries_total"] = threads.waited.retries;
   }
 
   Status run() {
@@ -56,7 +56,7 @@
       log_event(LogLevel::error, "node_not_started",
                 {{"node", settings_.id}, {"kind", error_kind_name(error.kind)}, {"error", error.detail}});
       stop_logging();
-      background_.join();  // the disk may still be opening
+      threads_.disk_tasks.join();  // the disk may still be opening
       return prepared;
     }
     if (disk_open_pending_) {
@@ -77,7 +77,7 @@
     await_reload();
     release_reload_signal();
     context_.run();
-    background_.join();
+    threads_.disk_tasks.join();
     log_event(LogLevel::info, "node_stopped",
               {{"node", settings_.id}, {"error", succeeded(failure_) ? "" : error_of(failure_).detail}});
     stop_logging();
@@ -128,12 +128,14 @@
 
   Status open_disk(NodeOptions& options) {
     ledger::Executors executors;
-    executors.background = [this](std::function<void()> task) { asio::post(background_, std::move(task)); };
+    executors.background = [this](std::function<void()> task) { threads_.disk_tasks.post(std::move(task)); };
     executors.owner = [this](std::function<void()> task) { asio::post(context_, std::move(task)); };
     executors.after = [this](Duration delay, std::function<void()> task) {
       environment_.after(delay, std::move(task));
     };
-    executors.observer = &disk_watch_;
+    disk_watch_ = std::make_unique<disk_watch>([this](const slow_disk_operation& slow) { note_disk_slow(slow); },
+                                               threads_.disk_watch);
+    executors.observer = disk_watch_.get();
     const std::uint64_t random = environment_.random();
     log_event(LogLevel::info, "disk_opening", {{"folder", settings_.data_folder}});
     disk_opening_since_ = environment_.now();
@@ -176,7 +178,8 @@
   }
 
   void note_disk_damaged(const Error& error) const {
-    log_event(LogLevel::error, "disk_damaged", {{"error", error.detail}, {"took_ms", disk_opening_ms()}});
+    log_event(LogLevel::error, error.kind == ErrorKind::ambiguous ? "disk_opening_broken_off" : "disk_damaged",
+              {{"error", error.detail}, {"took_ms", disk_opening_ms()}});
   }
 
   /// Called on any thread, as the node's thread may be waiting for the disk.
@@ -229,7 +232,10 @@
       note_disk_refused(error);
       core_->on_disk_refused();
     };
-    hooks.reopen_failed = [this](const Error& error) { note_disk_not_opened(error); };
+    hooks.reopen_failed = [this](const Error& error) {
+      // What the attempt left of the database holds the folder for as long as this process lives.
+      error.kind == ErrorKind::ambiguous ? give_up_disk(error) : note_disk_not_opened(error);
+    };
     hooks.regained = [this] {
       note_disk_regained();
       core_->on_disk_regained();
@@ -246,14 +252,16 @@
       note_disk_regained();
       core_->on_disk_opened(DiskId(disk.identity));
     };
-    hooks.given_up = [this](const Error& error) {
-      note_disk_damaged(error);
-      failure_ = error;
-      context_.stop();
-    };
+    hooks.given_up = [this](const Error& error) { give_up_disk(error); };
     return hooks;
   }
 
+  void give_up_disk(const Error& error) {
+    note_disk_damaged(error);
+    failure_ = error;
+    context_.stop();
+  }
+
   NodeOptions describe_self() {
     NodeOptions options;
     options.self.id = settings_.id;
@@ -419,8 +427,8 @@
   ProcessDecisionLog log_;
   std::unique_ptr<BackendConnections> backends_;
   std::unique_ptr<object_store::PlatformClient> platform_;
-  disk_watch disk_watch_{[this](const slow_disk_operation& slow) { note_disk_slow(slow); }};
-  asio::thread_pool background_;
+  std::unique_ptr<disk_watch> disk_watch_;  ///< Null without a disk.
+  node_threads& threads_;
   std::unique_ptr<ledger::RocksDbStorage> storage_;
   std::unique_ptr<ledger::disk_opener> disk_opener_;
   bool disk_open_pending_ = false;  ///< The disk was not open yet when the node joined.
@@ -441,8 +449,8 @@
 
 }  // namespace
 
-Status run_daemon(const config::Settings& settings, Integration& integration) {
-  Daemon daemon(settings, integration);
+Status run_daemon(const config::Settings& settings, Integration& integration, node_threads& threads) {
+  Daemon daemon(settings, integration, threads);
   return daemon.run();
 }
 
--- a/src/node/disk_watch.cpp
+++ b/src/node/disk_watch.cpp
@@ -15,15 +15,15 @@
 
 }  // namespace
 
-disk_watch::disk_watch(ReportHandler report) : report_(std::move(report)), thread_([this] { watch(); }) {}
+disk_watch::disk_watch(ReportHandler report, process::worker& thread) : report_(std::move(report)) {
+  thread.post([this] { watch(); });
+}
 
 disk_watch::~disk_watch() {
-  {
-    const std::lock_guard lock(mutex_);
-    ends_ = true;
-  }
+  std::unique_lock lock(mutex_);
+  ends_ = true;
   changed_.notify_all();
-  thread_.join();
+  changed_.wait(lock, [this] { return has_ended_; });
 }
 
 void disk_watch::began(ledger::disk_operation operation) {
@@ -61,6 +61,8 @@
     changed_.wait_for(lock, kCheckInterval, [this] { return ends_; });
     check_operations(lock);
   }
+  has_ended_ = true;
+  changed_.notify_all();  // under the lock: the watch may be destroyed once it is released
 }
 
 void disk_watch::check_operations(std::unique_lock<std::mutex>& lock) {
--- a/src/node/disk_watch.hpp
+++ b/src/node/disk_watch.hpp
@@ -6,9 +6,9 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
-#include <thread>
 
 #include "ledger/disk_observer.hpp"
+#include "process/worker.hpp"
 
 namespace madderdeck::node {
 
@@ -32,7 +32,8 @@
   static constexpr std::chrono::milliseconds kMaxReportInterval{60'000};
 
   /// @param report called with each slow operation, on any thread.
-  explicit disk_watch(ReportHandler report);
+  /// @param thread started, and used by nobody else as long as this object exists
+  disk_watch(ReportHandler report, process::worker& thread);
   ~disk_watch() override;
   disk_watch(const disk_watch&) = delete;
   disk_watch& operator=(const disk_watch&) = delete;
@@ -57,7 +58,7 @@
   std::array<Kind, ledger::kDiskOperations> kinds_;
   std::size_t callers_waiting_ = 0;
   bool ends_ = false;
-  std::thread thread_;
+  bool has_ended_ = false;
 };
 
 }  // namespace madderdeck::node
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -65,8 +65,21 @@
   const auto& checked = madderdeck::value_of(settings);
   madderdeck::LogLevel level{};
   madderdeck::parse_log_level(checked.log_level, level);
-  madderdeck::configure_logging(level, checked.log_file);
-  const auto status = madderdeck::node::run_daemon(checked, integration);
+  node_threads threads;
+  const Status resources = process::await_start(
+      [&] {
+        const Status created = threads.start(checked.has_role("ledger"));
+        return succeeded(created) ? configure_logging(level, checked.log_file) : created;
+      },
+      threads.waited);
+  if (!succeeded(resources)) {
+    return fail(error_of(resources));
+  }
+  if (threads.waited.retries > 0) {
+    log_event(LogLevel::warning, "start_waited",
+              {{"waited_ms", threads.waited.waited.count()}, {"retries", threads.waited.retries}});
+  }
+  const auto status = madderdeck::node::run_daemon(checked, integration, threads);
   return madderdeck::succeeded(status) ? 0 : fail(madderdeck::error_of(status));
 }
 
--- a/tests/node/address_limit_start_test.cpp
+++ b/tests/node/address_limit_start_test.cpp
@@ -3,8 +3,13 @@
 /// each thread, and the library terminated the process.
 #include <catch2/catch.hpp>
 
+#include <signal.h>
+
 #include <algorithm>
+#include <chrono>
 #include <filesystem>
+#include <thread>
+#include <utility>
 
 #include "ledger/rocksdb_disk.hpp"
 #include "support/limited_program.hpp"
@@ -24,6 +29,24 @@
 /// Addresses that a process may take at its start, in KiB: what it needs later comes on top.
 constexpr std::uint64_t kMostAtStart = 96 * kMiB;
 constexpr int kStarts = 3;
+/// Addresses beyond those of a start that the database's buffers do not fit into, in KiB.
+constexpr std::uint64_t kTooFewForBuffers = 16 * kMiB;
+constexpr std::uint64_t kScanned = 8 * kMiB;
+constexpr std::uint64_t kScanStep = 512;                ///< In KiB.
+constexpr std::chrono::milliseconds kWait{500};         ///< Longer than a few attempts of a start.
+constexpr std::chrono::milliseconds kLatestStart{250};  ///< After the cause of a wait has ended.
+
+std::chrono::milliseconds unix_now() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+}
+
+/// @return when the line of @p event was written.
+std::chrono::milliseconds time_of_line(const std::string& output, const std::string& event) {
+  const std::size_t at = output.find("\"" + event + "\"");
+  REQUIRE(at != std::string::npos);
+  const std::string label = "\"time_ms\":";
+  return std::chrono::milliseconds(std::stoll(output.substr(output.rfind(label, at) + label.size())));
+}
 
 /// Fills the disk folder with tables, and with a log that the next start reads.
 void write_tables_and_log(const std::string& folder) {
@@ -61,7 +84,7 @@
     const bool started = node.writes("\"node_started\"");
     INFO(node.output());
     REQUIRE(started);
-    CHECK(node.output().find("\"disk_opened\"") != std::string::npos);
+    CHECK(node.writes("\"disk_opened\""));
     CHECK(node.status_value("VmPeak") < kMostAtStart);
     node.process().kill();
   }
@@ -78,3 +101,67 @@
     node.process().kill();
   }
 }
+
+// Guards against starts that end since memory or a thread is refused to them for the moment.
+TEST_CASE("a node that gets no memory or threads at its start waits for them and then starts") {
+  limited_program node("madderdeckd-platform", "127.72.1.4", kWithDisk);
+  REQUIRE(succeeded(node.start({})));
+  REQUIRE(node.writes("\"node_started\""));
+  const std::uint64_t needed = node.status_value("VmSize");
+  node.process().kill();
+
+  REQUIRE(succeeded(node.start({.address_kib = needed + kTooFewForBuffers})));
+  REQUIRE(node.writes("\"start_waits\""));
+  std::this_thread::sleep_for(kWait);
+  CHECK_FALSE(node.process().poll_ended());
+  CHECK(node.output().find("node_started") == std::string::npos);
+  SECTION("started") {
+    const auto lifted = unix_now();
+    node.lift_limits();
+    const bool started = node.writes("\"node_started\"");
+    INFO(node.output());
+    REQUIRE(started);
+    CHECK(node.writes("\"disk_opened\""));
+    CHECK(time_of_line(node.output(), "start_waited") - lifted <= kLatestStart);
+  }
+  SECTION("told to stop") {
+    node.process().signal(SIGTERM);
+    CHECK(node.ends());
+    CHECK(node.process().exit_code() == -SIGTERM);
+  }
+}
+
+// Guards against ends by SIGABRT wherever the limit happens to lie.
+TEST_CASE("a start under too low a limit of addresses or data waits or ends with the code of an error") {
+  const auto [address, roles] = GENERATE(std::pair<const char*, const char*>{"127.72.1.5", kWithDisk},
+                                         std::pair<const char*, const char*>{"127.72.1.6", kWithoutDisk});
+  limited_program node("madderdeckd-platform", address, roles);
+  REQUIRE(succeeded(node.start({})));
+  REQUIRE(node.writes("\"node_started\""));
+  const std::uint64_t most_addresses = node.status_value("VmSize") + kScanned / 4;
+  const std::uint64_t most_data = node.status_value("VmData") + kScanned / 4;
+  node.process().kill();
+
+  unsigned waited = 0;
+  for (std::uint64_t less = 0; less < kScanned; less += kScanStep) {
+    for (const bool data : {false, true}) {
+      const std::uint64_t most = data ? most_data : most_addresses;
+      if (less >= most) {
+        continue;
+      }
+      const tests::process_limits limits =
+          data ? tests::process_limits{.data_kib = most - less} : tests::process_limits{.address_kib = most - less};
+      REQUIRE(succeeded(node.start(limits)));
+      const bool goes_on = node.writes_any({"\"node_started\"", "\"start_waits\""});
+      waited += node.output().find("\"start_waits\"") != std::string::npos ? 1 : 0;
+      INFO((data ? "data KiB " : "address KiB ") << most - less << ", exit code " << node.process().exit_code() << "\n"
+                                                 << node.output());
+      if (!goes_on) {
+        REQUIRE_FALSE(node.process().running());
+        CHECK(node.process().exit_code() > 0);
+      }
+      node.process().kill();
+    }
+  }
+  CHECK(waited > 0);
+}
--- a/tests/node/disk_watch_test.cpp
+++ b/tests/node/disk_watch_test.cpp
@@ -55,6 +55,7 @@
 class held_database {
  public:
   held_database() {
+    REQUIRE(succeeded(thread_.start()));
     Executors executors = tests::inline_executors();
     executors.observer = &watch_;
     auto opened = RocksDbStorage::open(disk_.path().string(), executors, &files_);
@@ -82,7 +83,8 @@
   const tests::TemporaryDisk disk_;
   held_files files_;
   slow_operation_reports lines_;
-  disk_watch watch_{lines_.tell()};
+  process::worker thread_{"disk-watch"};
+  disk_watch watch_{lines_.tell(), thread_};
   std::unique_ptr<RocksDbStorage> storage_;
 };
 
--- a/tests/support/limited_program.hpp
+++ b/tests/support/limited_program.hpp
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 #include <sys/types.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
@@ -11,6 +12,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "bench/process.hpp"
 #include "support/temporary_disk.hpp"
@@ -57,11 +59,15 @@
     }
   }
   /// @return whether the process writes @p text within kStuck and before it ends.
-  bool writes(const std::string& text) {
+  bool writes(const std::string& text) { return writes_any({text}); }
+  /// @return the same for one of @p texts.
+  bool writes_any(const std::vector<std::string>& texts) {
     const auto began = std::chrono::steady_clock::now();
     while (std::chrono::steady_clock::now() - began < kStuck) {
       const bool ended = process_.poll_ended();
-      if (output().find(text) != std::string::npos) {
+      const std::string written = output();
+      if (std::any_of(texts.begin(), texts.end(),
+                      [&written](const std::string& text) { return written.find(text) != std::string::npos; })) {
         return true;
       }
       if (ended) {
