A process that ends by an exception or a crash says so in a last line

What callers saw: processes that are gone without a line of theirs; what the C++ library printed named neither thread nor time, a crash printed nothing, and the lines of the last 100 ms were lost.

Cause: no handler of std::terminate and none of the signals of a crash; the log's thread writes in batches.

Why the fix works: both handlers write one line directly to standard error from a buffer of their own, without a lock or an allocation, and then wait up to 250 ms for the log's own thread, since the ending thread may hold the log's lock.

--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -6,6 +6,7 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <atomic>
 #include <charconv>
 #include <chrono>
 #include <condition_variable>
@@ -129,6 +130,7 @@
     bytes_ += line.size();
     const bool was_empty = queued_.empty();
     queued_.append(queued_.empty() ? "" : "\n").append(line);
+    pending_ = true;
     if (was_empty) {
       ready_.notify_one();
     }
@@ -139,6 +141,8 @@
     return dropped_;
   }
 
+  bool pending() const { return pending_; }
+
   void stop(std::chrono::milliseconds patience) {
     std::unique_lock lock(mutex_);
     stopping_ = true;
@@ -173,6 +177,7 @@
         logger()->log(log4cxx::Level::getInfo(), lines, log4cxx::spi::LocationInfo::getLocationUnavailable());
       }
       lock.lock();
+      pending_ = !queued_.empty();
     }
     finished_ = true;
     ended_.notify_all();
@@ -184,6 +189,7 @@
   std::condition_variable ready_;
   std::condition_variable ended_;
   std::string queued_;
+  std::atomic<bool> pending_ = false;  ///< Whether a line is not written yet; read without the lock.
   std::chrono::steady_clock::time_point second_began_{};
   std::size_t lines_ = 0;
   std::size_t bytes_ = 0;
@@ -231,6 +237,8 @@
   }
 }
 
+bool log_lines_pending() { return process_queue != nullptr && process_queue->pending(); }
+
 std::int64_t log_lines_dropped() { return process_queue == nullptr ? 0 : process_queue->dropped(); }
 
 void ProcessDecisionLog::record(std::string_view event, std::initializer_list<DecisionField> fields) {
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -33,6 +33,10 @@
 /// Writes the queued lines and stops the log's thread; waits at most @p patience_ms for a slow reader.
 void stop_logging(unsigned patience_ms = 200);
 
+/// @return whether lines are queued that are not written yet. Takes no lock, so that a process that is about to end may
+///         call it anywhere.
+bool log_lines_pending();
+
 /// @return the number of lines that were dropped so far.
 std::int64_t log_lines_dropped();
 
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -5,6 +5,7 @@
 #include "config/settings.hpp"
 #include "node/daemon.hpp"
 #include "process/memory_bounds.hpp"
+#include "process/terminate_report.hpp"
 
 DEFINE_string(settings, "", "Settings file (TOML).");
 DEFINE_bool(check_settings, false, "Check the settings, print the result and exit.");
@@ -50,6 +51,7 @@
 
 int run_program(int argument_count, char** arguments, Integration& integration, const std::string& settings_path) {
   process::bound_thread_memory();
+  process::install_terminate_report(log_lines_pending);
   gflags::SetUsageMessage("runs one madderdeck node; see docs/operators/settings.md");
   gflags::SetVersionString(MADDERDECK_VERSION);
   gflags::ParseCommandLineFlags(&argument_count, &arguments, true);
