Test of a refused worker: independent of stacks that the C library has kept

The test relied on a new stack not fitting; a stack of a thread that an earlier test of the same run had ended would have been taken instead. The copy of the process asks for a larger stack now, so the thread is refused in any order of the tests.

--- a/tests/process/thread_test.cpp
+++ b/tests/process/thread_test.cpp
@@ -53,6 +53,7 @@
           std::atomic<bool> ran = false;
           process::worker worker("test");
           worker.post([&ran] { ran = true; });
+          tests::need_large_stacks();
           tests::limit_addresses(0);
           const bool refused = is_unavailable(worker.start());
           tests::lift_address_limit();
--- a/tests/support/limited_copy.hpp
+++ b/tests/support/limited_copy.hpp
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <pthread.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
@@ -31,6 +32,16 @@
   ::setrlimit(RLIMIT_AS, &limit);
 }
 
+/// From now on a thread needs a stack larger than any that the C library may have kept.
+inline void need_large_stacks() {
+  constexpr std::size_t kStackBytes = std::size_t{256} << 20;
+  pthread_attr_t attributes;
+  ::pthread_attr_init(&attributes);
+  ::pthread_attr_setstacksize(&attributes, kStackBytes);
+  ::pthread_setattr_default_np(&attributes);
+  ::pthread_attr_destroy(&attributes);
+}
+
 /// @return the exit code of @p body, run in a copy of this process; minus the number of the signal that ended it.
 inline int result_of_copy(const std::function<int()>& body) {
   const pid_t child = ::fork();
