A listening socket that cannot be had reports its own error

Seen: a node with 8 to 12 descriptors ended at its start with "Bad file descriptor" as an invalid argument (exit 10).

Cause: HttpServer::listen and AsioEnvironment::listen went on after open() had failed; the error of the next call on the socket, which was never opened, replaced the first one. Every kind but "address in use" counted as an invalid argument.

Now the first error counts. No descriptor, and no memory of the system for a socket, is "unavailable", which a retry may mend. Taking an address (bind) and accepting connections (start_accepting, start_receiving) are separate steps, so that a node can have its addresses before it can answer: an address that is only bound refuses connections.

Shown: tests/net/listen_error_test.cpp. With the checks between the calls left out, the two tests about descriptors fail (kind 0, invalid_argument, instead of 5, unavailable); with them all four pass.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,6 +15,7 @@
 #include <set>
 
 #include "net/http_fields.hpp"
+#include "net/listen_error.hpp"
 
 namespace madderdeck::net {
 namespace {
@@ -158,11 +159,22 @@
         options(std::move(server_options)),
         acceptor(io_context) {}
 
+  /// Closes the acceptor after a failure.
+  Status outcome_of(const beast::error_code& failure) {
+    if (!failure) {
+      return Ok{};
+    }
+    beast::error_code ignored;  // the acceptor may not even be open
+    acceptor.close(ignored);
+    return listen_error(address, failure);
+  }
+
   asio::io_context& context;
   Counters& counters;
   ExchangeHandler handler;
   ServerOptions options;
   tcp::acceptor acceptor;
+  std::string address;  ///< For error messages.
   std::size_t connections = 0;
   bool closing = false;                 ///< Responses carry Connection: close.
   std::set<tcp::socket*> idle_sockets;  ///< Of connections between two requests.
@@ -546,28 +558,38 @@
 
 HttpServer::~HttpServer() { stop_accepting(); }
 
-Status HttpServer::listen(const std::string& address) {
+Status HttpServer::bind(const std::string& address) {
   Endpoint endpoint;
   if (!parse_endpoint(address, endpoint)) {
     return Error{ErrorKind::invalid_argument, "listening address '" + address + "': allowed is ip:port"};
   }
+  implementation_->address = address;
   beast::error_code failure;
   const tcp::endpoint local(asio::ip::make_address(endpoint.ip), endpoint.port);
   tcp::acceptor& acceptor = implementation_->acceptor;
   acceptor.open(local.protocol(), failure);
-  acceptor.set_option(asio::socket_base::reuse_address(true), failure);
-  acceptor.bind(local, failure);
   if (!failure) {
-    acceptor.listen(asio::socket_base::max_listen_connections, failure);
+    acceptor.set_option(asio::socket_base::reuse_address(true), failure);
+  }
+  if (!failure) {
+    acceptor.bind(local, failure);
   }
-  if (failure) {
-    acceptor.close();
-    const ErrorKind kind =
-        failure == asio::error::address_in_use ? ErrorKind::address_in_use : ErrorKind::invalid_argument;
-    return Error{kind, address + ": " + failure.message()};
+  return implementation_->outcome_of(failure);
+}
+
+Status HttpServer::start_accepting() {
+  beast::error_code failure;
+  implementation_->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  const Status listening = implementation_->outcome_of(failure);
+  if (succeeded(listening)) {
+    asio::co_spawn(implementation_->context, accept_loop(implementation_), asio::detached);
   }
-  asio::co_spawn(implementation_->context, accept_loop(implementation_), asio::detached);
-  return Ok{};
+  return listening;
+}
+
+Status HttpServer::listen(const std::string& address) {
+  const Status bound = bind(address);
+  return succeeded(bound) ? start_accepting() : bound;
 }
 
 void HttpServer::set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes,
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -81,8 +81,13 @@
   HttpServer(boost::asio::io_context& context, Counters& counters, ExchangeHandler handler, ServerOptions options);
   ~HttpServer();
 
-  /// @return ErrorKind::address_in_use when the address is taken, ErrorKind::invalid_argument
-  ///         if this machine does not have the address.
+  /// Takes an address. Connections to it are refused until start_accepting().
+  /// @return the errors of listen_error(); ErrorKind::invalid_argument if @p address is not ip:port.
+  Status bind(const std::string& address);
+  /// Accepts connections on the address that bind() took.
+  /// @return the errors of listen_error(): another process may listen on an address that is only bound.
+  Status start_accepting();
+  /// bind() and start_accepting().
   Status listen(const std::string& address);
   /// Changes the limits and timeouts of requests, from the next request on.
   void set_limits(std::size_t max_header_bytes, std::size_t max_body_bytes, std::chrono::milliseconds header_timeout,
--- a/src/node/asio_environment.cpp
+++ b/src/node/asio_environment.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "net/listen_error.hpp"
+
 namespace madderdeck::node {
 namespace {
 
@@ -54,8 +56,7 @@
       socket_(context),
       generator_(seeded_generator()) {}
 
-Status AsioEnvironment::listen(OnMessage on_message) {
-  on_message_ = std::move(on_message);
+Status AsioEnvironment::bind() {
   net::ServerOptions options;
   options.max_body_bytes = kMaxFrameBytes;
   options.refusal = [](const Error& error) { return net::HttpResponse{400, "text/plain", {}, error.detail}; };
@@ -69,25 +70,38 @@
     take_frame(exchange->request().body);
   };
   server_ = std::make_unique<net::HttpServer>(context_, counters_, handler, options);
-  const Status listening = server_->listen(self_.str());
-  if (!succeeded(listening)) {
-    return listening;
+  const Status bound = server_->bind(self_.str());
+  if (!succeeded(bound)) {
+    return bound;
   }
   net::Endpoint endpoint;
   net::parse_endpoint(self_.str(), endpoint);
   boost::system::error_code failure;
   const udp::endpoint local(asio::ip::make_address(endpoint.ip), endpoint.port);
   socket_.open(local.protocol(), failure);
-  socket_.bind(local, failure);
+  if (!failure) {
+    socket_.bind(local, failure);
+  }
   if (failure) {
-    const ErrorKind kind =
-        failure == asio::error::address_in_use ? ErrorKind::address_in_use : ErrorKind::invalid_argument;
-    return Error{kind, self_.str() + " (UDP): " + failure.message()};
+    return net::listen_error(self_.str() + " (UDP)", failure);
   }
-  receive_datagrams();
   return Ok{};
 }
 
+Status AsioEnvironment::start_receiving(OnMessage on_message) {
+  on_message_ = std::move(on_message);
+  const Status accepting = server_->start_accepting();
+  if (succeeded(accepting)) {
+    receive_datagrams();
+  }
+  return accepting;
+}
+
+Status AsioEnvironment::listen(OnMessage on_message) {
+  const Status bound = bind();
+  return succeeded(bound) ? start_receiving(std::move(on_message)) : bound;
+}
+
 Timestamp AsioEnvironment::now() const {
   return std::chrono::duration_cast<Timestamp>(clock::now().time_since_epoch());
 }
--- a/src/node/asio_environment.hpp
+++ b/src/node/asio_environment.hpp
@@ -33,7 +33,13 @@
   /// Sets the log for lost frames. @p log has to outlive this object.
   void set_log(DecisionLog& log) { log_ = &log; }
 
-  /// Opens the UDP socket and the peer HTTP server at this node's peer address.
+  /// Takes this node's peer address for TCP and UDP. The UDP socket excludes any other process of this node.
+  /// @return the errors of net::listen_error().
+  Status bind();
+  /// Receives messages at the address that bind() took.
+  /// @return the errors of net::listen_error().
+  Status start_receiving(OnMessage on_message);
+  /// bind() and start_receiving().
   Status listen(OnMessage on_message);
 
   Timestamp now() const override;
