A start waits for addresses, settings and descriptors that cannot be had yet

Seen: a node whose address was still taken (by the process before it, or bound by another socket) ended at once with exit 18; with settings that were missing, empty or cut off, or no descriptor, with exit 10; without an epoll descriptor or a pipe by an uncaught exception. Whoever starts it again at once gets the same end again, until the cause is gone. The next process beside one that still stopped opened the data folder first and met the taken address afterwards; only the database's lock kept the two apart.

Now one loop starts the node: each attempt reads the settings, takes all addresses (the UDP socket of the peer address is exclusive), opens the disk, and then accepts connections. Only a damaged disk and wrong flags end a start at once: settings, and with them everything that is wrong in them, may change. TERM and INT are held blocked from the flags on; between attempts they end the start with code 0, and during one they stay pending until the node can drain. Before the node is complete its addresses refuse connections, so nothing answers.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -344,4 +344,19 @@
   return settings;
 }
 
+Status check_settings(const std::string& path, const std::vector<SettingOverride>& overrides) {
+  const auto settings = load_settings(path, overrides);
+  return succeeded(settings) ? Status(Ok{}) : error_of(settings);
+}
+
+Status check_overrides(const std::vector<SettingOverride>& overrides) {
+  Settings settings;
+  for (const SettingOverride& change : overrides) {
+    if (const auto problem = take_override(settings, change)) {
+      return *problem;
+    }
+  }
+  return Ok{};
+}
+
 }  // namespace madderdeck::config
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -103,4 +103,12 @@
 /// @return ErrorKind::invalid_argument with file, line, key, what was found and what is allowed.
 Result<Settings> load_settings(const std::string& path, const std::vector<SettingOverride>& overrides);
 
+/// @return the error of load_settings(), if there is one.
+Status check_settings(const std::string& path, const std::vector<SettingOverride>& overrides);
+
+/// @return ErrorKind::invalid_argument with the key, what was found and what is allowed, if an override names an
+/// unknown
+///         key or its value does not have the key's type.
+Status check_overrides(const std::vector<SettingOverride>& overrides);
+
 }  // namespace madderdeck::config
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -34,7 +34,7 @@
 constexpr std::size_t kMaxReplicas = 7;
 
 /// Owns all parts of a node. The order of the members sets the order of their destruction.
-class Daemon {
+class Daemon : public prepared_node {
  public:
   Daemon(const config::Settings& settings, Integration& integration)
       : settings_(settings),
@@ -49,16 +49,28 @@
     environment_.set_log(log_);
   }
 
-  Status run() {
-    const Status prepared = prepare();
-    if (!succeeded(prepared)) {
-      const Error& error = error_of(prepared);
-      log_event(LogLevel::error, "node_not_started",
-                {{"node", settings_.id}, {"kind", error_kind_name(error.kind)}, {"error", error.detail}});
-      stop_logging();
-      background_.join();  // the disk may still be opening
-      return prepared;
+  Status prepare() {
+    const Status taken = take_addresses();
+    if (!succeeded(taken)) {
+      return taken;
     }
+    NodeOptions options = describe_self();
+    if (settings_.has_role("ledger")) {
+      const Status opened = open_disk(options);
+      if (!succeeded(opened)) {
+        return opened;
+      }
+    }
+    make_core(options);
+    return accept_connections();
+  }
+
+  /// Ends the work of prepare() in the background, so that the node can be destroyed without run().
+  void abandon() { background_.join(); }
+
+  Status run(const start_effort& effort) override {
+    counters_["node_start_retries_total"] = effort.retries;
+    counters_["node_start_waited_ms"] = effort.waited.count();
     if (disk_open_pending_) {
       core_->on_disk_refused();
     }
@@ -75,7 +87,7 @@
       }
     });
     await_reload();
-    release_reload_signal();
+    release_held_signals();
     context_.run();
     background_.join();
     log_event(LogLevel::info, "node_stopped",
@@ -94,14 +106,37 @@
   }
   static std::string local_ip(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
-  Status prepare() {
-    NodeOptions options = describe_self();
-    if (settings_.has_role("ledger")) {
-      const Status opened = open_disk(options);
-      if (!succeeded(opened)) {
-        return opened;
+  /// Takes all addresses. Connections are refused until accept_connections().
+  Status take_addresses() {
+    Status taken = environment_.bind();
+    if (succeeded(taken)) {
+      make_api_server();
+      taken = api_server_->bind(settings_.api_address);
+    }
+    for (const std::string& address : {settings_.probe_address, settings_.metrics_address}) {
+      if (succeeded(taken) && !address.empty()) {
+        make_probe_server();
+        taken = probe_servers_.back()->bind(address);
       }
     }
+    return taken;
+  }
+
+  Status accept_connections() {
+    Status accepting =
+        environment_.start_receiving([this](const wire::Incoming& incoming) { core_->handle(incoming); });
+    if (succeeded(accepting)) {
+      accepting = api_server_->start_accepting();
+    }
+    for (const auto& server : probe_servers_) {
+      if (succeeded(accepting)) {
+        accepting = server->start_accepting();
+      }
+    }
+    return accepting;
+  }
+
+  void make_core(const NodeOptions& options) {
     core_ = std::make_unique<NodeCore>(NodeDependencies{environment_, counters_, storage_.get(), backends_->client(),
                                                         *platform_, log_, backends_->upstream()},
                                        options);
@@ -122,8 +157,9 @@
                  {"incarnation", member.incarnation},
                  {"address", member.peer_address}});
     };
-    const Status peers = environment_.listen([this](const wire::Incoming& incoming) { core_->handle(incoming); });
-    return succeeded(peers) ? listen_api() : peers;
+    api_context_ = std::make_unique<gateway::ApiContext>(
+        gateway::ApiContext{*core_, settings_.operator_key, [this] { begin_drain(); }});
+    api_ = integration_.make_api(*api_context_);
   }
 
   Status open_disk(NodeOptions& options) {
@@ -299,10 +335,7 @@
     return options;
   }
 
-  Status listen_api() {
-    api_context_ = std::make_unique<gateway::ApiContext>(
-        gateway::ApiContext{*core_, settings_.operator_key, [this] { begin_drain(); }});
-    api_ = integration_.make_api(*api_context_);
+  void make_api_server() {
     net::ServerOptions options;
     options.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
     options.max_header_bytes = static_cast<std::size_t>(settings_.max_header_bytes);
@@ -315,29 +348,17 @@
     api_server_ = std::make_unique<net::HttpServer>(
         context_, counters_, [this](const std::shared_ptr<net::Exchange>& exchange) { api_->handle(exchange); },
         options);
-    const Status listening = api_server_->listen(settings_.api_address);
-    return succeeded(listening) ? listen_probes() : listening;
   }
 
-  /// Serves readiness probes and metrics at separate addresses, if the settings name them.
-  Status listen_probes() {
-    for (const std::string& address : {settings_.probe_address, settings_.metrics_address}) {
-      if (address.empty()) {
-        continue;
-      }
-      net::ServerOptions options;
-      options.max_body_bytes = kMaxProbeBodyBytes;
-      options.refusal = [](const Error& error) { return gateway::problem(error); };
-      probe_servers_.push_back(std::make_unique<net::HttpServer>(
-          context_, counters_,
-          [this](const std::shared_ptr<net::Exchange>& exchange) { gateway::handle_probe(*api_context_, exchange); },
-          options));
-      const Status listening = probe_servers_.back()->listen(address);
-      if (!succeeded(listening)) {
-        return listening;
-      }
-    }
-    return Ok{};
+  /// Makes a server for readiness probes and metrics at a separate address.
+  void make_probe_server() {
+    net::ServerOptions options;
+    options.max_body_bytes = kMaxProbeBodyBytes;
+    options.refusal = [](const Error& error) { return gateway::problem(error); };
+    probe_servers_.push_back(std::make_unique<net::HttpServer>(
+        context_, counters_,
+        [this](const std::shared_ptr<net::Exchange>& exchange) { gateway::handle_probe(*api_context_, exchange); },
+        options));
   }
 
   /// Applies the settings that can change at run time (the seeds) on each reload signal; other settings take effect at
@@ -441,9 +462,22 @@
 
 }  // namespace
 
-Status run_daemon(const config::Settings& settings, Integration& integration) {
-  Daemon daemon(settings, integration);
-  return daemon.run();
+Result<std::unique_ptr<prepared_node>> prepare_node(const config::Settings& settings, Integration& integration) {
+  std::unique_ptr<Daemon> daemon;
+  Status prepared = Ok{};
+  try {
+    daemon = std::make_unique<Daemon>(settings, integration);
+    prepared = daemon->prepare();
+  } catch (const std::exception& failure) {
+    prepared = Error{ErrorKind::unavailable, std::string("node: ") + failure.what()};
+  }
+  if (succeeded(prepared)) {
+    return daemon;
+  }
+  if (daemon != nullptr) {
+    daemon->abandon();
+  }
+  return error_of(prepared);
 }
 
 }  // namespace madderdeck::node
--- a/src/node/held_signals.cpp
+++ b/src/node/held_signals.cpp
@@ -22,7 +22,7 @@
 /// Blocks the reload signal and ignores all other signals that would terminate the process by default. The C library
 /// reserves two real-time signals, for which sigaction() fails here.
 void block_reload_and_ignore_signals(int, char**, char**) {
-  // Later threads inherit the blocked signal, so it stays pending until a thread calls release_reload_signal().
+  // Later threads inherit the blocked signal, so it stays pending until a thread calls release_held_signals().
   sigset_t reload;
   ::sigemptyset(&reload);
   ::sigaddset(&reload, madderdeck::node::kReloadSignal);
