A planned stop ends with code 0 also if further signals arrive at its very end

Seen: a node that was told to stop ended by signal 15, 2 or 1 instead of with code 0 when the signal came again, or a reload signal came, in its last milliseconds: 9 of 9 stops with a signal each 50 microseconds, three each for TERM, INT, HUP.

Cause: the handlers go with the node's objects, before its database is closed and the process has ended; from then on the default action of these signals terminates the process.

Now they are blocked once the node has stopped; every other thread was created while they were blocked.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -89,6 +89,7 @@
     await_reload();
     release_held_signals();
     context_.run();
+    hold_all_signals();  // their handlers are removed before the process has ended
     background_.join();
     log_event(LogLevel::info, "node_stopped",
               {{"node", settings_.id}, {"error", succeeded(failure_) ? "" : error_of(failure_).detail}});
--- a/src/node/held_signals.hpp
+++ b/src/node/held_signals.hpp
@@ -25,6 +25,13 @@
   ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
 }
 
+/// Blocks the reload signal as well. A node that has stopped calls it before it removes its handlers.
+inline void hold_all_signals() {
+  sigset_t signals = end_signals();
+  ::sigaddset(&signals, kReloadSignal);
+  ::pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 /// Unblocks the reload signal and the signals that request a planned end on the calling thread; pending ones are
 /// delivered immediately. Their handlers must have been installed before.
 inline void release_held_signals() {
