--- a/tests/node/start_wait_test.cpp
+++ b/tests/node/start_wait_test.cpp
@@ -37,6 +37,8 @@
 constexpr int kAddressInUseCode = 18;
 constexpr int kInvalidArgumentCode = 10;
 constexpr int kUnavailableCode = 15;
+constexpr int kCorruptedCode = 20;
+constexpr int kUnknownFlagCode = 1;  ///< Of the library that reads flags.
 constexpr std::uint16_t kPeerPort = 7000;
 constexpr std::uint16_t kApiPort = 8000;
 constexpr std::uint16_t kProbePort = 8001;
@@ -142,6 +144,7 @@
     std::vector<std::string> arguments{"--settings=" + path("settings.toml")};
     arguments.insert(arguments.end(), flags.begin(), flags.end());
     log_ = log;
+    ended_ = false;
     REQUIRE(succeeded(process_.start(binaries() + "/madderdeckd-platform", arguments, path(log_))));
   }
   /// Starts the program with at most @p descriptors open files.
@@ -312,16 +315,28 @@
 }
 
 TEST_CASE("what cannot change while a program runs ends its start at once") {
-  started_node node("127.71.1.4");
+  started_node node("127.71.1.4", R"("ledger", "controller")");
+  node.write_settings(node.settings_text());
+  int code = kInvalidArgumentCode;
   SECTION("a check of the settings") {
     node.write_settings("[node]\nid = \"n");
     node.start({"--check_settings"});
   }
-  SECTION("a level of logs that does not exist") {
-    node.write_settings(node.settings_text());
-    node.start({"--settings=", "--log_level=loud"});
+  SECTION("a level of logs that does not exist, and no settings") { node.start({"--settings=", "--log_level=loud"}); }
+  SECTION("an unknown flag") {
+    code = kUnknownFlagCode;
+    node.start({"--unknown"});
+  }
+  SECTION("a damaged disk") {
+    code = kCorruptedCode;
+    node.start();
+    REQUIRE(node.logs("node_started"));
+    node.signal(SIGTERM);
+    REQUIRE(node.exit_code() == 0);
+    std::ofstream(node.path("data/records/CURRENT"), std::ios::trunc) << "\n";
+    node.start({}, "next_log");
   }
-  CHECK(node.exit_code() == kInvalidArgumentCode);
+  CHECK(node.exit_code() == code);
   INFO(node.log());
   CHECK(node.log().find("start_waiting") == std::string::npos);
 }
