--- a/src/common/log.cpp
+++ b/src/common/log.cpp
@@ -237,6 +237,8 @@
   }
 }
 
+bool is_logging() { return process_queue != nullptr; }
+
 bool log_lines_pending() { return process_queue != nullptr && process_queue->pending(); }
 
 std::int64_t log_lines_dropped() { return process_queue == nullptr ? 0 : process_queue->dropped(); }
--- a/src/common/log.hpp
+++ b/src/common/log.hpp
@@ -33,6 +33,9 @@
 /// Writes the queued lines and stops the log's thread; waits at most @p patience_ms for a slow reader.
 void stop_logging(unsigned patience_ms = 200);
 
+/// @return whether the log is set up; lines are dropped otherwise.
+bool is_logging();
+
 /// @return whether lines are queued that are not written yet. Takes no lock, so that a process that is about to end may
 ///         call it anywhere.
 bool log_lines_pending();
--- a/src/node/node_threads.cpp
+++ b/src/node/node_threads.cpp
@@ -6,7 +6,7 @@
 namespace madderdeck::node {
 namespace {
 
-constexpr std::size_t kOwnThreads = 3;  ///< Log, disk tasks and disk watch.
+constexpr std::size_t kOwnThreads = 2;  ///< Disk tasks and disk watch.
 /// Memory in bytes that any node takes from the end of its settings' reading to its start.
 constexpr std::size_t kStartBytes = std::size_t{8} << 20;
 
@@ -17,8 +17,10 @@
   if (!succeeded(memory)) {
     return memory;
   }
-  const Status threads = process::check_threads(with_disk ? kOwnThreads + ledger::kDatabaseThreads : 1);
-  if (!succeeded(threads) || !with_disk) {
+  if (!with_disk) {
+    return Ok{};
+  }
+  if (const Status threads = process::check_threads(kOwnThreads + ledger::kDatabaseThreads); !succeeded(threads)) {
     return threads;
   }
   const Status tasks = disk_tasks.start();
--- a/src/process/terminate_report.cpp
+++ b/src/process/terminate_report.cpp
@@ -23,7 +23,7 @@
 constexpr int kPendingChecks = 25;
 constexpr timespec kPendingPause{0, 10'000'000};
 constexpr std::size_t kSignalStackBytes = std::size_t{64} << 10;
-constexpr std::array kCrashSignals{SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT, SIGSYS, SIGTRAP};
+constexpr std::array kCrashSignals{SIGSEGV, SIGBUS, SIGILL, SIGFPE, SIGABRT};
 
 std::atomic<bool> reported = false;
 bool (*pending_lines)() = nullptr;
