--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -38,6 +38,7 @@
   std::int64_t Settings::*number = nullptr;
   std::int64_t low = 0;
   std::int64_t high = 0;
+  bool takes_fraction = false;  ///< A value with a fraction is rounded down.
 };
 
 Field text_field(std::string Settings::*member) { return Field{member}; }
@@ -45,6 +46,8 @@
 Field number_field(std::int64_t Settings::*member, std::int64_t low, std::int64_t high) {
   return Field{nullptr, nullptr, member, low, high};
 }
+/// A limit of the machine: whoever states it may write it with a fraction.
+Field limit_field(std::int64_t Settings::*member) { return Field{nullptr, nullptr, member, 0, 1'000 * kMillion, true}; }
 
 const std::map<std::string, Field>& known_fields() {
   static const std::map<std::string, Field> fields = {
@@ -88,6 +91,9 @@
       {"limits.max_header_bytes", number_field(&Settings::max_header_bytes, 512, kMillion)},
       {"limits.max_connections", number_field(&Settings::max_connections, 1, kMillion)},
       {"limits.sender_timeout_ms", number_field(&Settings::sender_timeout_ms, 10, kMillion)},
+      {"limits.memory_mb", limit_field(&Settings::memory_mb)},
+      {"limits.max_descriptors", limit_field(&Settings::max_descriptors)},
+      {"limits.disk_mb", limit_field(&Settings::disk_mb)},
       {"drain.grace_ms", number_field(&Settings::drain_grace_ms, 0, kMillion)},
       {"drain.timeout_ms", number_field(&Settings::drain_timeout_ms, 0, 3600 * 1000)},
       {"operators.key", text_field(&Settings::operator_key)},
@@ -104,6 +110,21 @@
   return stream.str();
 }
 
+/// @return @p number rounded down; nothing if it is not from @p field's range.
+std::optional<std::int64_t> whole_number(const Field& field, double number) {
+  if (!(number >= static_cast<double>(field.low) && number <= static_cast<double>(field.high))) {
+    return std::nullopt;
+  }
+  return static_cast<std::int64_t>(number);
+}
+
+std::optional<std::int64_t> number_of(const Field& field, const toml::node& node) {
+  if (const auto fraction = node.value_exact<double>(); fraction && field.takes_fraction) {
+    return whole_number(field, *fraction);
+  }
+  return node.value_exact<std::int64_t>();
+}
+
 std::optional<Error> take_value(Settings& settings, const std::string& key, const Field& field, const toml::node& node,
                                 const Origin& origin) {
   if (field.text != nullptr) {
@@ -113,7 +134,7 @@
     }
     settings.*field.text = *value;
   } else if (field.number != nullptr) {
-    const auto value = node.value_exact<std::int64_t>();
+    const auto value = number_of(field, node);
     if (!value || *value < field.low || *value > field.high) {
       const std::string found = value ? std::to_string(*value) : "a value of type " + describe(node);
       return fault(origin, key, found,
@@ -184,7 +205,11 @@
   }
   std::int64_t number = 0;
   const char* end = change.value.data() + change.value.size();
-  const auto parsed = std::from_chars(change.value.data(), end, number);
+  auto parsed = std::from_chars(change.value.data(), end, number);
+  if (double fraction = 0; field->second.takes_fraction && parsed.ptr != end) {
+    parsed = std::from_chars(change.value.data(), end, fraction);
+    number = whole_number(field->second, fraction).value_or(field->second.low - 1);
+  }
   if (parsed.ec != std::errc() || parsed.ptr != end || number < field->second.low || number > field->second.high) {
     return fault(Origin{}, change.key, change.value,
                  "an integer from " + std::to_string(field->second.low) + " to " + std::to_string(field->second.high));
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -49,6 +49,9 @@
   std::int64_t max_header_bytes = 16 << 10;
   std::int64_t max_connections = 10'000;
   std::int64_t sender_timeout_ms = 30'000;
+  std::int64_t memory_mb = 0;        ///< Memory that the process may use, in units of 10^6 bytes; 0: unknown.
+  std::int64_t max_descriptors = 0;  ///< Descriptors that the process may have open; 0: unknown.
+  std::int64_t disk_mb = 0;          ///< Bytes that the data folder may hold, in units of 10^6; 0: unknown.
   // [drain]
   std::int64_t drain_grace_ms = 2'000;
   std::int64_t drain_timeout_ms = 60'000;
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -60,3 +60,34 @@
   CHECK(problem_of(kGood, {{"drain.grace_ms", "soon"}}).find("command line: drain.grace_ms: found soon") !=
         std::string::npos);
 }
+
+// Guards against a node that doesn't start because its limit is written as a number with a fraction.
+TEST_CASE("limits of the machine may have a fraction, and none of them is unknown") {
+  const TemporaryFile file(kGood + "[limits]\nmemory_mb = 260.0\nmax_descriptors = 4100\ndisk_mb = 0\n");
+  const auto result = load_settings(file.path(), {});
+  REQUIRE(succeeded(result));
+  CHECK(value_of(result).memory_mb == 260);
+  CHECK(value_of(result).max_descriptors == 4100);
+  CHECK(value_of(result).disk_mb == 0);
+  const TemporaryFile without(kGood);
+  const auto unknown = load_settings(without.path(), {{"limits.memory_mb", "219.9"}});
+  REQUIRE(succeeded(unknown));
+  CHECK(value_of(unknown).memory_mb == 219);
+  CHECK(value_of(unknown).max_descriptors == 0);
+}
+
+TEST_CASE("limits of the machine that are no amount are refused") {
+  for (const std::string value : {"-1", "-0.5", "nan", "inf", "1e30", "\"much\"", "true"}) {
+    INFO(value);
+    CHECK(problem_of(kGood + "[limits]\nmemory_mb = " + value + "\n").find("limits.memory_mb: found") !=
+          std::string::npos);
+  }
+  CHECK(
+      problem_of(kGood + "[limits]\nmax_connections = 10.0\n").find("limits.max_connections: found a value of type") !=
+      std::string::npos);
+  for (const std::string value : {"-1", "-0.5", "nan", "1e30", "much", "", "260mb"}) {
+    INFO(value);
+    CHECK(problem_of(kGood, {{"limits.memory_mb", value}}).find("limits.memory_mb: found " + value) !=
+          std::string::npos);
+  }
+}
--- a/tests/platform/deploy_settings_test.cpp
+++ b/tests/platform/deploy_settings_test.cpp
@@ -37,6 +37,9 @@
        {"{{#bounds.quota_window_s}}rate_window_s = \"{{.}}\"{{/bounds.quota_window_s}}", "rate_window_s = \"2.5\""},
        {"{{#bounds.revoke_ms}}keys_useful_ms = {{.}}{{/bounds.revoke_ms}}", "keys_useful_ms = 5000"},
        {"{{#bounds.revoke_fail_closed}}keys_fail_closed = 1{{/bounds.revoke_fail_closed}}", "keys_fail_closed = 1"},
+       {"{{#limits.memory_mb}}memory_mb = {{.}}{{/limits.memory_mb}}", "memory_mb = 260"},
+       {"{{#limits.max_fds}}max_descriptors = {{.}}{{/limits.max_fds}}", "max_descriptors = 4100.0"},
+       {"{{#limits.disk_mb}}disk_mb = {{.}}{{/limits.disk_mb}}", ""},
        {"{{limits.cpu_share}}", "0.12"},
        {"{{node_name}}", "frontend-1"},
        {"{{zone}}", "abdali-hall"},
@@ -72,11 +75,16 @@
   CHECK(value_of(gateway).tenant_rate_window() == 2500ms);
   CHECK(value_of(gateway).tenant_keys_useful_ms == 5000);
   CHECK(value_of(gateway).tenant_keys_fail_closed == 1);
+  CHECK(value_of(gateway).memory_mb == 260);
+  CHECK(value_of(gateway).max_descriptors == 4100);
+  CHECK(value_of(gateway).disk_mb == 0);
   const auto ledger = load("deploy/ledger.toml", "10.200.1.7:8142");
   REQUIRE(succeeded(ledger));
   CHECK(value_of(ledger).has_role("ledger"));
   CHECK(value_of(ledger).data_folder == "/data/ledger");
   CHECK(value_of(ledger).ledger_tolerated_losses == 2);
+  CHECK(value_of(ledger).memory_mb == 260);
+  CHECK(value_of(ledger).max_descriptors == 4100);
 }
 
 TEST_CASE("a malformed value in the deploy files' settings is a typed error") {
