Gauges: what a process uses of memory, descriptors, threads and disk, each beside its limit

Cause: nothing showed how near a process was to a limit, so one that ended there left no trace of why.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -15,6 +15,7 @@
 #include "node/disk_watch.hpp"
 #include "node/held_signals.hpp"
 #include "node/node_core.hpp"
+#include "node/process_gauges.hpp"
 
 namespace madderdeck::node {
 namespace {
@@ -63,6 +64,7 @@
       core_->on_disk_refused();
     }
     core_->start();
+    gauges_.start();
     watch_readiness();
     log_event(LogLevel::info, "node_started",
               {{"node", settings_.id},
@@ -417,6 +419,7 @@
   net::HttpClient client_;
   AsioEnvironment environment_;
   ProcessDecisionLog log_;
+  process_gauges gauges_{environment_, counters_, log_, settings_};
   std::unique_ptr<BackendConnections> backends_;
   std::unique_ptr<object_store::PlatformClient> platform_;
   disk_watch disk_watch_{[this](const slow_disk_operation& slow) { note_disk_slow(slow); }};
