Memory budget: bodies, frames and backlogs that do not fit are refused before they are read whole

Seen by callers: nothing refused a body for memory, so many or long bodies made a process hold more than its machine allows; it would be ended, and all its callers' requests with it.

Cause: no process accounted what callers and peers made it hold. Bodies that were refused by their heads were kept whole, too, until they had been read.

A budget per process (limits.memory_mb less 64 MB for the program) counts the bodies of jobs and live requests and frames of peers, each with the copies that its handling makes, what waits for peers, and what callers have not read. A body is reserved by its stated length before it is read, else piece by piece; what does not fit is answered at once (503 with Retry-After, not run) and the rest read and discarded, as a close with unread bytes would lose the answer. Jobs are refused first, then live requests, last frames of peers; short frames never. Senders repeat operations whose frames were lost, as after a broken connection. Work in hand is counted, never refused. Without memory_mb there is no budget.

Not counted yet: answers of engines and of the store, items that a node runs, RocksDB's own memory.

--- /dev/null
+++ b/src/common/memory_budget.cpp
@@ -0,0 +1,121 @@
+#include "common/memory_budget.hpp"
+
+#include <algorithm>
+
+namespace madderdeck {
+namespace {
+
+constexpr std::int64_t kHundred = 100;
+
+std::int64_t capacity_of(std::int64_t memory_bytes) {
+  return memory_bytes == 0 ? 0 : std::max(memory_bytes - memory_budget::kProgramBytes, memory_budget::kLeastBytes);
+}
+
+std::int64_t percent_for(memory_holder holder) {
+  switch (holder) {
+    case memory_holder::job_bodies:
+      return memory_budget::kJobPercent;
+    case memory_holder::live_bodies:
+      return memory_budget::kLivePercent;
+    case memory_holder::peer_frames:
+    case memory_holder::peer_outboxes:
+    case memory_holder::backlogs:
+      break;
+  }
+  return kHundred;
+}
+
+}  // namespace
+
+const char* name_of(memory_holder holder) {
+  switch (holder) {
+    case memory_holder::job_bodies:
+      return "job_bodies";
+    case memory_holder::live_bodies:
+      return "live_bodies";
+    case memory_holder::peer_frames:
+      return "peer_frames";
+    case memory_holder::peer_outboxes:
+      return "peer_outboxes";
+    case memory_holder::backlogs:
+      break;
+  }
+  return "backlogs";
+}
+
+memory_budget::memory_budget(std::int64_t memory_bytes, Counters& counters, DecisionLog& log)
+    : capacity_(capacity_of(memory_bytes)), counters_(counters), log_(log) {}
+
+bool memory_budget::reserve(memory_holder holder, std::int64_t bytes) {
+  if (!fits(holder, bytes)) {
+    note_refused(holder, bytes);
+    return false;
+  }
+  add(holder, bytes);
+  return true;
+}
+
+bool memory_budget::fits(memory_holder holder, std::int64_t bytes) const {
+  if (capacity_ == 0 || bytes <= 0 || (holder == memory_holder::peer_frames && bytes <= kSmallFrameBytes)) {
+    return true;
+  }
+  const bool is_first = held_by(holder) == 0;
+  const std::int64_t percent = is_first ? kHundred : percent_for(holder);
+  return bytes <= capacity_ / kHundred * percent - held_;
+}
+
+void memory_budget::add(memory_holder holder, std::int64_t bytes) {
+  by_holder_.at(static_cast<std::size_t>(holder)) += bytes;
+  held_ += bytes;
+}
+
+void memory_budget::note_refused(memory_holder holder, std::int64_t bytes) {
+  counters_[std::string("memory_refused_") + name_of(holder) + "_total"]++;
+  log_.record("memory_refused", {{"holder", name_of(holder)},
+                                 {"bytes", bytes},
+                                 {"held_bytes", held_},
+                                 {"budget_bytes", capacity_},
+                                 {"held_by", describe()}});
+}
+
+std::string memory_budget::describe() const {
+  std::array<memory_holder, kMemoryHolders> holders{};
+  for (std::size_t number = 0; number < kMemoryHolders; ++number) {
+    holders.at(number) = static_cast<memory_holder>(number);
+  }
+  std::stable_sort(holders.begin(), holders.end(),
+                   [this](memory_holder one, memory_holder other) { return held_by(one) > held_by(other); });
+  std::string text;
+  for (const memory_holder holder : holders) {
+    if (held_by(holder) > 0) {
+      text += (text.empty() ? "" : ", ") + std::string(name_of(holder)) + " " + std::to_string(held_by(holder));
+    }
+  }
+  return text;
+}
+
+void memory_budget::publish() {
+  counters_["memory_budget_bytes"] = capacity_;
+  counters_["memory_held_bytes"] = held_;
+  for (std::size_t number = 0; number < kMemoryHolders; ++number) {
+    const auto holder = static_cast<memory_holder>(number);
+    counters_[std::string("memory_held_") + name_of(holder) + "_bytes"] = held_by(holder);
+  }
+}
+
+bool memory_hold::grow_to(std::int64_t bytes) {
+  if (bytes > bytes_ && budget_ && !budget_->reserve(holder_, bytes - bytes_)) {
+    return false;
+  }
+  bytes_ = std::max(bytes, bytes_);
+  return true;
+}
+
+void memory_hold::set(std::int64_t bytes) {
+  if (budget_) {
+    budget_->add(holder_, bytes - bytes_);
+  }
+  bytes_ = bytes;
+}
+
+}  // namespace madderdeck
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -29,6 +29,25 @@
 constexpr std::size_t kMaxReadAheadBytes = 128 * 1024;
 constexpr unsigned kFirstVersionWithChunks = 11;  ///< HTTP/1.1 in the parser's numbering.
 
+/// What one byte of a body takes in memory at most while its request is handled.
+constexpr std::int64_t kCopiesOfJob = 4;    ///< The body, its values as JSON, the decoded items and their records.
+constexpr std::int64_t kCopiesOfLive = 2;   ///< The body, and the request to the back end.
+constexpr std::int64_t kCopiesOfFrame = 3;  ///< The frame, its messages, and what is written of them.
+
+std::int64_t copies_of(memory_holder holder) {
+  switch (holder) {
+    case memory_holder::job_bodies:
+      return kCopiesOfJob;
+    case memory_holder::peer_frames:
+      return kCopiesOfFrame;
+    case memory_holder::live_bodies:
+    case memory_holder::peer_outboxes:
+    case memory_holder::backlogs:
+      break;
+  }
+  return kCopiesOfLive;
+}
+
 HttpRequest to_request(const http::request_header<>& header) {
   HttpRequest request;
   request.method = std::string(header.method_string());
@@ -63,18 +82,39 @@
 
 class HttpExchange : public Exchange, public std::enable_shared_from_this<HttpExchange> {
  public:
-  HttpExchange(const asio::any_io_executor& executor, HttpRequest request, std::string caller_ip)
-      : wakeup(executor), request_(std::move(request)), caller_ip_(std::move(caller_ip)) {}
+  HttpExchange(const asio::any_io_executor& executor, HttpRequest request, std::string caller_ip,
+               const ServerOptions& options)
+      : wakeup(executor),
+        request_(std::move(request)),
+        caller_ip_(std::move(caller_ip)),
+        holder_(options.holder_of ? options.holder_of(request_) : memory_holder::live_bodies),
+        body_hold_(options.budget, holder_),
+        backlog_hold_(options.budget, memory_holder::backlogs) {}
 
   const HttpRequest& request() const override { return request_; }
   std::string caller_ip() const override { return caller_ip_; }
   bool caller_has_left() const override { return gone || (is_closed && is_closed()); }
   std::string take_body() override { return std::move(request_.body); }
   HttpRequest& mutable_request() { return request_; }
+  /// @return whether the memory budget has room for a body of @p bytes.
+  bool reserve_body(std::size_t bytes) {
+    return body_hold_.grow_to(static_cast<std::int64_t>(bytes) * copies_of(holder_));
+  }
+  /// Drops a body that was refused.
+  void drop_body() {
+    request_.body = std::string();
+    body_hold_.set(0);
+  }
+  /// Counts what the caller has not read of the response.
+  void count_backlog() {
+    const std::size_t waiting = pending.size() + writing + (whole ? whole->body.size() : 0);
+    backlog_hold_.set(static_cast<std::int64_t>(waiting));
+  }
 
   void respond(HttpResponse response) override {
     whole = std::move(response);
     finished = true;
+    count_backlog();
     wakeup.notify();
   }
   void start_stream(unsigned status, const std::string& content_type, const Headers& headers) override {
@@ -89,6 +129,7 @@
   }
   void write(std::string_view piece) override {
     pending.append(piece);
+    count_backlog();
     wakeup.notify();
   }
   void finish() override {
@@ -145,6 +186,9 @@
  private:
   HttpRequest request_;
   const std::string caller_ip_;
+  const memory_holder holder_;
+  memory_hold body_hold_;
+  memory_hold backlog_hold_;
 };
 
 }  // namespace
@@ -244,7 +288,8 @@
     if (failure) {
       co_return co_await refuse_unreadable(failure);
     }
-    auto exchange = std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()), caller_ip());
+    auto exchange =
+        std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()), caller_ip(), options);
     exchange->takes_chunks = parser.get().version() >= kFirstVersionWithChunks;
     exchange->is_closed = [weak = weak_from_this()] {
       const auto session = weak.lock();
@@ -264,11 +309,21 @@
       co_await write_response(*exchange, keep_alive);
       co_return co_await drop_body(parser, *exchange) && keep_alive && !server_->closing;
     }
+    if (!streamed && !exchange->reserve_body(stated_length(parser))) {
+      refuse_for_memory(*exchange);
+      co_await write_response(*exchange, keep_alive);
+      co_return co_await drop_body(parser, *exchange) && keep_alive && !server_->closing;
+    }
     if (streamed) {
       server_->handler(exchange);
       body_read = co_await feed_body(parser, *exchange);
     } else {
       body_read = co_await collect_body(parser, *exchange);
+      if (!body_read && exchange->finished) {
+        co_await write_response(*exchange, false);
+        co_await drop_body(parser, *exchange);
+        co_return false;
+      }
       if (body_read && !exchange->finished) {
         server_->handler(exchange);
       }
@@ -298,15 +353,28 @@
     server_->counters[too_large ? "http_headers_too_large_total" : "http_malformed_requests_total"]++;
     const Error error{too_large ? ErrorKind::header_too_large : ErrorKind::invalid_argument,
                       too_large ? "request header is too large" : "malformed HTTP: " + failure.message()};
-    HttpExchange exchange(stream_.get_executor(), HttpRequest(), caller_ip());
+    HttpExchange exchange(stream_.get_executor(), HttpRequest(), caller_ip(), server_->options);
     exchange.respond(server_->options.refusal(error));
     co_await write_response(exchange, false);
     co_return false;
   }
 
+  /// @return the length of the body that the head states, up to the longest that is allowed; 0 if it states none.
+  std::size_t stated_length(const Parser& parser) const {
+    const std::uint64_t length = parser.content_length().value_or(0);
+    return static_cast<std::size_t>(std::min<std::uint64_t>(length, server_->options.max_body_bytes));
+  }
+
+  void refuse_for_memory(HttpExchange& exchange) {
+    server_->counters["http_bodies_refused_for_memory_total"]++;
+    exchange.respond(
+        server_->options.refusal({ErrorKind::unavailable, "the memory of this node is in use; nothing was run"}));
+  }
+
   /// Reads a complete body into the request.
   asio::awaitable<bool> collect_body(Parser& parser, HttpExchange& exchange) {
     std::string piece(std::min<std::size_t>(kPieceBytes, server_->options.max_body_bytes), '\0');
+    exchange.mutable_request().body.reserve(stated_length(parser));
     while (!parser.is_done()) {
       parser.get().body().data = piece.data();
       parser.get().body().size = piece.size();
@@ -317,9 +385,16 @@
         exchange.gone = true;
         co_return false;
       }
-      exchange.mutable_request().body.append(piece.data(), piece.size() - parser.get().body().size);
+      const std::size_t length = piece.size() - parser.get().body().size;
+      if (!exchange.reserve_body(std::min(exchange.request().body.size() + length, server_->options.max_body_bytes))) {
+        exchange.drop_body();
+        refuse_for_memory(exchange);
+        co_return false;
+      }
+      exchange.mutable_request().body.append(piece.data(), length);
       if (exchange.request().body.size() > server_->options.max_body_bytes) {
         server_->counters["http_bodies_too_large_total"]++;
+        exchange.drop_body();
         exchange.respond(server_->options.refusal(
             {ErrorKind::body_too_large,
              "request body is larger than " + std::to_string(server_->options.max_body_bytes) + " bytes"}));
@@ -332,8 +407,20 @@
   /// Reads a body to its end and discards it: closing a socket with unread bytes resets the connection, and the
   /// response could be lost.
   asio::awaitable<bool> drop_body(Parser& parser, HttpExchange& exchange) {
-    const bool whole = co_await collect_body(parser, exchange);
-    co_return whole && !exchange.gone;
+    std::string piece(kPieceBytes, '\0');
+    std::size_t dropped = 0;
+    while (!parser.is_done() && !exchange.gone && dropped <= server_->options.max_body_bytes) {
+      parser.get().body().data = piece.data();
+      parser.get().body().size = piece.size();
+      stream_.expires_after(server_->options.body_timeout);
+      auto [failure, bytes] = co_await http::async_read_some(stream_, buffer_, parser, kAwait);
+      if (failure && failure != http::error::need_buffer) {
+        server_->counters["http_bodies_broken_total"]++;
+        exchange.gone = true;
+      }
+      dropped += piece.size() - parser.get().body().size;
+    }
+    co_return parser.is_done() && !exchange.gone;
   }
 
   /// Passes the body to the handler piece by piece, whenever the handler asks for the next piece.
@@ -467,6 +554,7 @@
       const bool last = exchange.finished && !exchange.aborted;
       const beast::error_code write_failure = co_await write_piece(piece, last, exchange.takes_chunks);
       exchange.writing = 0;
+      exchange.count_backlog();
       if (last && !write_failure) {
         co_return;
       }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -10,6 +10,7 @@
 
 #include "common/counters.hpp"
 #include "common/error.hpp"
+#include "common/memory_budget.hpp"
 #include "net/http_types.hpp"
 
 namespace madderdeck::net {
@@ -73,6 +74,11 @@
   std::function<std::optional<HttpResponse>(const HttpRequest&)> answer_head;
   /// Builds the response to a request that the server itself refuses (limits, malformed HTTP).
   std::function<HttpResponse(const Error&)> refusal;
+  /// Budget for bodies of requests and for responses that their callers do not read. A body that does not fit is
+  /// refused (ErrorKind::unavailable) before it is kept; the rest of it is read and discarded. Null: no limit.
+  std::shared_ptr<memory_budget> budget;
+  /// Returns what the body of a request counts as: live_bodies where this is empty.
+  std::function<memory_holder(const HttpRequest&)> holder_of;
 };
 
 /// Accepts connections on one address. Runs on one io_context thread.
--- a/src/node/asio_environment.cpp
+++ b/src/node/asio_environment.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t kMaxFrameAnswerBytes = 4 * 1024;  ///< An answer to a frame is empty or names an error.
 constexpr Duration kLossLogInterval = 1s;               ///< Minimum time between two log lines about lost frames.
 constexpr unsigned kNoContentStatus = 204;
+constexpr unsigned kBadRequestStatus = 400;
+constexpr unsigned kUnavailableStatus = 503;
 
 bool is_datagram(wire::Message type) {
   return type == wire::Message::Ping || type == wire::Message::PingRequest || type == wire::Message::Ack ||
@@ -58,7 +60,12 @@
   on_message_ = std::move(on_message);
   net::ServerOptions options;
   options.max_body_bytes = kMaxFrameBytes;
-  options.refusal = [](const Error& error) { return net::HttpResponse{400, "text/plain", {}, error.detail}; };
+  options.refusal = [](const Error& error) {
+    const unsigned status = error.kind == ErrorKind::unavailable ? kUnavailableStatus : kBadRequestStatus;
+    return net::HttpResponse{status, "text/plain", {}, error.detail};
+  };
+  options.budget = budget_;
+  options.holder_of = [](const net::HttpRequest&) { return memory_holder::peer_frames; };
   const auto handler = [this](const std::shared_ptr<net::Exchange>& exchange) {
     if (exchange->request().path() != kPeerMessagesPath) {
       exchange->respond({404, "text/plain", {}, ""});
@@ -123,9 +130,10 @@
       return;
     }
   }
-  Outbox& outbox = outboxes_[to];
+  Outbox& outbox = outbox_for(to);
   const Timestamp time = now();
   const peer_lane lane = outbox.waiting.add(std::move(message), time, time + useful_for);
+  outbox.count();
   counters_["peer_messages_dropped_total"] += static_cast<CounterValue>(outbox.waiting.take_dropped());
   bool& sending = outbox.sending.at(static_cast<std::size_t>(lane));
   if (!sending) {
@@ -146,8 +154,9 @@
 }
 
 void AsioEnvironment::flush(const PeerAddress& to, peer_lane lane) {
-  Outbox& outbox = outboxes_[to];
+  Outbox& outbox = outbox_for(to);
   const std::vector<wire::MessageUnion> messages = outbox.waiting.next_frame(lane, now());
+  outbox.count();
   counters_["peer_messages_dropped_total"] += static_cast<CounterValue>(outbox.waiting.take_dropped());
   if (messages.empty()) {
     outbox.sending.at(static_cast<std::size_t>(lane)) = false;
@@ -167,9 +176,11 @@
   options.max_body_bytes = kMaxFrameAnswerBytes;
   options.idle_timeout = kFrameTimeout + std::chrono::milliseconds(frame.size() * 1000 / kMinBytesPerSecond);
   options.total_timeout = options.idle_timeout;
+  const auto hold = std::make_shared<memory_hold>(budget_, memory_holder::peer_outboxes);
+  hold->set(static_cast<std::int64_t>(frame.size()));
   client_.fetch(
       to.str(), std::move(request),
-      [this, to, sent](const std::variant<net::SimpleResponse, net::CallBreak>& result) {
+      [this, to, sent, hold](const std::variant<net::SimpleResponse, net::CallBreak>& result) {
         const auto* response = std::get_if<net::SimpleResponse>(&result);
         if (response == nullptr) {
           note_lost(to, sent, net::call_break_name(std::get<net::CallBreak>(result)));
--- a/src/node/asio_environment.hpp
+++ b/src/node/asio_environment.hpp
@@ -11,6 +11,7 @@
 #include "common/counters.hpp"
 #include "common/decision_log.hpp"
 #include "common/environment.hpp"
+#include "common/memory_budget.hpp"
 #include "net/boot_clock.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
@@ -33,6 +34,9 @@
   /// Sets the log for lost frames. @p log has to outlive this object.
   void set_log(DecisionLog& log) { log_ = &log; }
 
+  /// Sets the budget for frames and outboxes; before listen(). Without it there is no limit.
+  void set_budget(std::shared_ptr<memory_budget> budget) { budget_ = std::move(budget); }
+
   /// Opens the UDP socket and the peer HTTP server at this node's peer address.
   Status listen(OnMessage on_message);
 
@@ -45,7 +49,12 @@
 
  private:
   struct Outbox {
+    explicit Outbox(std::shared_ptr<memory_budget> budget) : hold(std::move(budget), memory_holder::peer_outboxes) {}
+    /// Counts what waits.
+    void count() { hold.set(static_cast<std::int64_t>(waiting.waiting_bytes())); }
+
     peer_outbox waiting;
+    memory_hold hold;
     std::array<bool, kPeerLanes> sending{};
   };
   struct SentFrame {
@@ -55,6 +64,7 @@
     Timestamp sent_at{};
   };
 
+  Outbox& outbox_for(const PeerAddress& to) { return outboxes_.try_emplace(to, budget_).first->second; }
   void send_datagram(const PeerAddress& to, const wire::Bytes& frame);
   void flush(const PeerAddress& to, peer_lane lane);
   void post(const PeerAddress& to, const wire::Bytes& frame, SentFrame sent);
@@ -71,6 +81,7 @@
   std::array<char, 65'536> datagram_{};
   std::unique_ptr<net::HttpServer> server_;
   OnMessage on_message_;
+  std::shared_ptr<memory_budget> budget_;
   std::map<PeerAddress, Outbox> outboxes_;
   DecisionLog* log_ = nullptr;
   Timestamp loss_logged_at_{};
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -48,6 +48,7 @@
         signals_(context_, SIGTERM, SIGINT),
         reload_signal_(context_, kReloadSignal) {
     environment_.set_log(log_);
+    environment_.set_budget(gauges_.budget());
   }
 
   Status run() {
@@ -314,6 +315,8 @@
     options.streams_body = [this](const net::HttpRequest& request) { return api_->streams_body(request); };
     options.refusal = [this](const Error& error) { return api_->refusal(error); };
     options.answer_head = [this](const net::HttpRequest& request) { return api_->answer_head(request); };
+    options.budget = gauges_.budget();
+    options.holder_of = [this](const net::HttpRequest& request) { return api_->holder_of(request); };
     api_server_ = std::make_unique<net::HttpServer>(
         context_, counters_, [this](const std::shared_ptr<net::Exchange>& exchange) { api_->handle(exchange); },
         options);
--- a/src/node/integration.hpp
+++ b/src/node/integration.hpp
@@ -32,13 +32,16 @@
  public:
   virtual ~CallerInterface() = default;
   virtual void handle(const gateway::ExchangePointer& exchange) = 0;
-  /// @return the response to a request that the HTTP server itself rejects.
+  /// @return the response to a request that the HTTP server itself rejects; with a retry delay for
+  ///         ErrorKind::unavailable, which means that nothing was run.
   virtual net::HttpResponse refusal(const Error& error) const = 0;
   /// @return the response to a request that is rejected because of its head, before its body is read; nullopt for all
   ///         other requests.
   virtual std::optional<net::HttpResponse> answer_head(const net::HttpRequest& /*request*/) const {
     return std::nullopt;
   }
+  /// @return what the body of @p request counts as in the memory budget.
+  virtual memory_holder holder_of(const net::HttpRequest& /*request*/) const { return memory_holder::live_bodies; }
   /// @return whether the body of @p request is processed in chunks as it arrives.
   virtual bool streams_body(const net::HttpRequest& request) const = 0;
 };
--- a/src/node/own_integration.cpp
+++ b/src/node/own_integration.cpp
@@ -6,6 +6,8 @@
 namespace madderdeck::node {
 namespace {
 
+constexpr Duration kRoomComeback = 500ms;  ///< After which a caller is to come back for whom there was no memory.
+
 class OwnBackends : public BackendConnections {
  public:
   OwnBackends(net::HttpClient& client, Counters& counters) : client_(client, counters) {}
@@ -21,7 +23,10 @@
  public:
   explicit OwnApi(gateway::ApiContext& context) : api_(context) {}
   void handle(const gateway::ExchangePointer& exchange) override { api_.handle(exchange); }
-  net::HttpResponse refusal(const Error& error) const override { return gateway::problem(error); }
+  net::HttpResponse refusal(const Error& error) const override {
+    const bool is_temporary = error.kind == ErrorKind::unavailable;
+    return gateway::problem(routing::Refusal{error, routing::Ran::no, is_temporary ? kRoomComeback : Duration::zero()});
+  }
   bool streams_body(const net::HttpRequest& request) const override { return gateway::Api::streams_body(request); }
 
  private:
--- a/src/node/peer_outbox.cpp
+++ b/src/node/peer_outbox.cpp
@@ -42,6 +42,14 @@
   return frame;
 }
 
+std::size_t peer_outbox::waiting_bytes() const {
+  std::size_t bytes = 0;
+  for (const queue& lane : queues_) {
+    bytes += lane.bytes;
+  }
+  return bytes;
+}
+
 std::size_t peer_outbox::take_dropped() {
   const std::size_t dropped = dropped_;
   dropped_ = 0;
--- a/src/node/peer_outbox.hpp
+++ b/src/node/peer_outbox.hpp
@@ -38,6 +38,8 @@
   peer_lane add(wire::MessageUnion message, Timestamp now, Timestamp useful_until);
   /// @return the oldest messages of @p lane that fit into one frame; at least one if any message is still useful.
   std::vector<wire::MessageUnion> next_frame(peer_lane lane, Timestamp now);
+  /// @return the payload of all messages that wait, in bytes.
+  std::size_t waiting_bytes() const;
   /// @return the number of messages dropped since the last call because of the limits or because they waited too long.
   std::size_t take_dropped();
 
--- a/src/node/process_gauges.cpp
+++ b/src/node/process_gauges.cpp
@@ -16,6 +16,7 @@
     : environment_(environment),
       counters_(counters),
       watch_(counters, log),
+      budget_(std::make_shared<memory_budget>(settings.memory_mb * kBytesPerMb, counters, log)),
       proc_folder_(std::move(proc_folder)),
       data_folder_(settings.has_role("ledger") ? settings.data_folder : std::string()),
       stated_memory_bytes_(stated(settings.memory_mb, kBytesPerMb)),
@@ -28,6 +29,7 @@
 }
 
 void process_gauges::measure() {
+  budget_->publish();
   const system_limits limits = read_system_limits();
   const process_usage usage = read_process_usage(proc_folder_);
   const bool is_estimate = !usage.resident_bytes;
--- a/src/node/process_gauges.hpp
+++ b/src/node/process_gauges.hpp
@@ -2,6 +2,7 @@
 /// @file Measures at intervals what this process uses of its limits.
 
 #include "common/environment.hpp"
+#include "common/memory_budget.hpp"
 #include "config/settings.hpp"
 #include "node/process_usage.hpp"
 #include "node/usage_watch.hpp"
@@ -20,6 +21,10 @@
   process_gauges(Environment& environment, Counters& counters, DecisionLog& log, const config::Settings& settings,
                  std::string proc_folder = "/proc/self");
 
+  /// @return the budget for what others make this process hold, from the memory that the settings state. Its gauges are
+  ///         set with the others.
+  const std::shared_ptr<memory_budget>& budget() const { return budget_; }
+
   /// Measures now and then at intervals.
   void start();
 
@@ -29,6 +34,7 @@
   Environment& environment_;
   Counters& counters_;
   usage_watch watch_;
+  const std::shared_ptr<memory_budget> budget_;
   const std::string proc_folder_;
   const std::string data_folder_;
   const std::optional<std::int64_t> stated_memory_bytes_;
