Memory: large blocks go back to the system when they are freed; a job counts with all its copies

Seen (trials of real processes, 7 gateways, 3 nodes with disks, jobs of 19 MB on average, one a second, memory_mb 220): with the budget alone peaks were 263 and 307 MiB. The bodies had long been answered: the allocator raises its threshold for single blocks as they are freed, takes the next ones from its heap, and keeps what lies before a block in use. Nodes with disks grew in the same way by frames.

Cause: that threshold, and a job counted with 4 copies of its body, while its record is in a message and a frame for each of three replicas besides. The first job could also take the share of peers.

--- a/src/common/memory_budget.cpp
+++ b/src/common/memory_budget.cpp
@@ -59,8 +59,8 @@
   if (capacity_ == 0 || bytes <= 0 || (holder == memory_holder::peer_frames && bytes <= kSmallFrameBytes)) {
     return true;
   }
-  const bool is_first = held_by(holder) == 0;
-  const std::int64_t percent = is_first ? kHundred : percent_for(holder);
+  const bool is_first_job = holder == memory_holder::job_bodies && held_by(holder) == 0;
+  const std::int64_t percent = is_first_job ? kLivePercent : percent_for(holder);
   return bytes <= capacity_ / kHundred * percent - held_;
 }
 
--- a/src/common/memory_budget.hpp
+++ b/src/common/memory_budget.hpp
@@ -46,7 +46,7 @@
   memory_budget(std::int64_t memory_bytes, Counters& counters, DecisionLog& log);
 
   /// @return whether @p bytes more are granted to @p holder. If not, this is counted and logged with what holds the
-  ///         memory. The first of a holder is granted whenever it fits into the budget at all.
+  ///         memory. While there is no other, a job may take as much as live requests.
   bool reserve(memory_holder holder, std::int64_t bytes);
   /// Counts @p bytes (negative: fewer) that @p holder has in any case.
   void add(memory_holder holder, std::int64_t bytes);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -30,9 +30,11 @@
 constexpr unsigned kFirstVersionWithChunks = 11;  ///< HTTP/1.1 in the parser's numbering.
 
 /// What one byte of a body takes in memory at most while its request is handled.
-constexpr std::int64_t kCopiesOfJob = 4;    ///< The body, its values as JSON, the decoded items and their records.
+/// Of a job: the body, its record twice (the submission, the write), and for each of three replicas a message and a
+/// frame of three quarters of its length.
+constexpr std::int64_t kCopiesOfJob = 6;
 constexpr std::int64_t kCopiesOfLive = 2;   ///< The body, and the request to the back end.
-constexpr std::int64_t kCopiesOfFrame = 3;  ///< The frame, its messages, and what is written of them.
+constexpr std::int64_t kCopiesOfFrame = 2;  ///< The frame and its messages.
 
 std::int64_t copies_of(memory_holder holder) {
   switch (holder) {
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -11,6 +11,7 @@
 #include "gateway/api.hpp"
 #include "gateway/problem.hpp"
 #include "ledger/rocksdb_disk_opener.hpp"
+#include "node/allocator.hpp"
 #include "node/asio_environment.hpp"
 #include "node/disk_watch.hpp"
 #include "node/held_signals.hpp"
@@ -448,6 +449,7 @@
 }  // namespace
 
 Status run_daemon(const config::Settings& settings, Integration& integration) {
+  return_large_blocks();
   Daemon daemon(settings, integration);
   return daemon.run();
 }
