Descriptors: callers leave some for engines, peers, the store and files

Callers could open as many connections as the settings allow, whatever the process may have open in all; the last descriptor went to them, and no engine or peer could be reached. With max_descriptors stated they get at most four fifths of what is above the 200 that libraries may need; 3,000 of 4,100 stay as they are.

Connections to engines and peers are not counted against the limit yet.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -13,6 +13,7 @@
 #include "ledger/rocksdb_disk_opener.hpp"
 #include "node/allocator.hpp"
 #include "node/asio_environment.hpp"
+#include "node/caller_connections.hpp"
 #include "node/disk_watch.hpp"
 #include "node/held_signals.hpp"
 #include "node/node_core.hpp"
@@ -310,7 +311,8 @@
     net::ServerOptions options;
     options.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
     options.max_header_bytes = static_cast<std::size_t>(settings_.max_header_bytes);
-    options.max_connections = static_cast<std::size_t>(settings_.max_connections);
+    options.max_connections =
+        static_cast<std::size_t>(caller_connections(settings_.max_connections, settings_.max_descriptors));
     options.header_timeout = std::chrono::milliseconds(settings_.sender_timeout_ms);
     options.body_timeout = std::chrono::milliseconds(settings_.sender_timeout_ms);
     options.streams_body = [this](const net::HttpRequest& request) { return api_->streams_body(request); };
