--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -11,10 +11,12 @@
 #include "gateway/problem.hpp"
 #include "ledger/rocksdb_disk_opener.hpp"
 #include "node/asio_environment.hpp"
+#include "node/caller_connections.hpp"
 #include "node/disk_watch.hpp"
 #include "node/held_signals.hpp"
 #include "node/node_core.hpp"
 #include "node/node_threads.hpp"
+#include "node/process_gauges.hpp"
 
 namespace madderdeck::node {
 namespace {
@@ -46,6 +48,7 @@
         signals_(context_, SIGTERM, SIGINT),
         reload_signal_(context_, kReloadSignal) {
     environment_.set_log(log_);
+    environment_.set_budget(gauges_.budget());
   }
 
   Status prepare() {
@@ -79,6 +82,7 @@
       core_->on_disk_refused();
     }
     core_->start();
+    gauges_.start();
     watch_readiness();
     log_event(LogLevel::info, "node_started",
               {{"node", settings_.id},
@@ -352,12 +356,15 @@
     net::ServerOptions options;
     options.max_body_bytes = static_cast<std::size_t>(settings_.max_body_bytes);
     options.max_header_bytes = static_cast<std::size_t>(settings_.max_header_bytes);
-    options.max_connections = static_cast<std::size_t>(settings_.max_connections);
+    options.max_connections =
+        static_cast<std::size_t>(caller_connections(settings_.max_connections, settings_.max_descriptors));
     options.header_timeout = std::chrono::milliseconds(settings_.sender_timeout_ms);
     options.body_timeout = std::chrono::milliseconds(settings_.sender_timeout_ms);
     options.streams_body = [this](const net::HttpRequest& request) { return api_->streams_body(request); };
     options.refusal = [this](const Error& error) { return api_->refusal(error); };
     options.answer_head = [this](const net::HttpRequest& request) { return api_->answer_head(request); };
+    options.budget = gauges_.budget();
+    options.holder_of = [this](const net::HttpRequest& request) { return api_->holder_of(request); };
     api_server_ = std::make_unique<net::HttpServer>(
         context_, counters_, [this](const std::shared_ptr<net::Exchange>& exchange) { api_->handle(exchange); },
         options);
@@ -451,6 +458,7 @@
   net::HttpClient client_;
   AsioEnvironment environment_;
   ProcessDecisionLog log_;
+  process_gauges gauges_{environment_, counters_, log_, settings_};
   std::unique_ptr<BackendConnections> backends_;
   std::unique_ptr<object_store::PlatformClient> platform_;
   node_threads threads_;
--- a/src/node/program.cpp
+++ b/src/node/program.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "config/settings.hpp"
+#include "node/allocator.hpp"
 #include "node/daemon.hpp"
 #include "node/held_signals.hpp"
 #include "process/memory_bounds.hpp"
@@ -172,6 +173,7 @@
 
 int run_program(int argument_count, char** arguments, Integration& integration, const std::string& settings_path) {
   process::bound_thread_memory();
+  return_large_blocks();
   process::install_terminate_report(log_lines_pending);
   gflags::SetUsageMessage("runs one madderdeck node; see docs/operators/settings.md");
   gflags::SetVersionString(MADDERDECK_VERSION);
--- a/tests/node/address_limit_start_test.cpp
+++ b/tests/node/address_limit_start_test.cpp
@@ -147,11 +147,14 @@
   for (std::uint64_t less = 0; less < kScanned; less += kScanStep) {
     for (const bool data : {false, true}) {
       const std::uint64_t most = data ? most_data : most_addresses;
-      if (less + kLoader >= most) {
+      if (less >= most) {
         continue;
       }
       const tests::process_limits limits =
           data ? tests::process_limits{.data_kib = most - less} : tests::process_limits{.address_kib = most - less};
+      if (!node.loads(limits)) {
+        continue;  // the loader, or a library while it is loaded, fails before the program's first line
+      }
       REQUIRE(succeeded(node.start(limits)));
       const bool goes_on = node.writes_any({"\"node_started\"", "\"start_waiting\""});
       waited += node.output().find("\"start_waiting\"") != std::string::npos ? 1 : 0;
--- a/tests/support/limited_program.hpp
+++ b/tests/support/limited_program.hpp
@@ -39,15 +39,10 @@
                                          << "\"\n\n[platform]\nendpoint = \"" << address << ":9000\"\n";
   }
 
-  Status start(const process_limits& limits) {
-    std::filesystem::remove(path("log"));
-    const std::string binaries = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
-    std::string script;
-    script += limits.address_kib != 0 ? "ulimit -S -v " + std::to_string(limits.address_kib) + "; " : "";
-    script += limits.data_kib != 0 ? "ulimit -S -d " + std::to_string(limits.data_kib) + "; " : "";
-    script += "ulimit -c 0; exec \"$0\" \"$@\"";
-    return process_.start("/bin/sh", {"-c", script, binaries + "/" + program_, "--settings=" + path("settings.toml")},
-                          path("log"));
+  Status start(const process_limits& limits) { return start_with(limits, "--settings=" + path("settings.toml")); }
+  /// @return whether the program can be loaded under @p limits and gets as far as its command line.
+  bool loads(const process_limits& limits) {
+    return succeeded(start_with(limits, "--version")) && ends() && process_.exit_code() == 0;
   }
   /// Lifts the limits of the running process.
   void lift_limits() const {
@@ -104,6 +99,16 @@
   std::string path(const std::string& name) const { return (place_.path() / name).string(); }
 
  private:
+  Status start_with(const process_limits& limits, const std::string& argument) {
+    std::filesystem::remove(path("log"));
+    const std::string binaries = std::filesystem::read_symlink("/proc/self/exe").parent_path().string();
+    std::string script;
+    script += limits.address_kib != 0 ? "ulimit -S -v " + std::to_string(limits.address_kib) + "; " : "";
+    script += limits.data_kib != 0 ? "ulimit -S -d " + std::to_string(limits.data_kib) + "; " : "";
+    script += "ulimit -c 0; exec \"$0\" \"$@\"";
+    return process_.start("/bin/sh", {"-c", script, binaries + "/" + program_, argument}, path("log"));
+  }
+
   const std::string program_;
   const TemporaryDisk place_;
   bench::Process process_;
