--- a/src/bench/process.cpp
+++ b/src/bench/process.cpp
@@ -10,6 +10,7 @@
 #include <cerrno>
 #include <fstream>
 #include <sstream>
+#include <string_view>
 #include <utility>
 
 namespace madderdeck::bench {
@@ -25,7 +26,8 @@
 Process::~Process() { kill(); }
 
 Status Process::start(const std::string& program, const std::vector<std::string>& arguments,
-                      const std::string& log_file, const std::map<std::string, std::string>& variables) {
+                      const std::string& log_file, const std::map<std::string, std::string>& variables,
+                      const ProcessLimits& limits) {
   std::vector<char*> pointers{const_cast<char*>(program.c_str())};
   for (const std::string& argument : arguments) {
     pointers.push_back(const_cast<char*>(argument.c_str()));
@@ -52,8 +54,11 @@
     for (const auto& [name, value] : variables) {
       ::setenv(name.c_str(), value.c_str(), 1);
     }
-    ::execv(program.c_str(), pointers.data());
-    const int failure = errno;
+    int failure = apply_limits(limits);
+    if (failure == 0) {
+      ::execv(program.c_str(), pointers.data());
+      failure = errno;
+    }
     [[maybe_unused]] const auto written = ::write(outcome[1], &failure, sizeof failure);
     ::_exit(127);
   }
@@ -123,4 +128,15 @@
   return usage;
 }
 
+std::uint64_t Process::peak_resident_kib() const {
+  constexpr std::string_view kPeak = "VmHWM:";
+  std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kPeak)) {
+      return std::stoull(line.substr(kPeak.size()));
+    }
+  }
+  return 0;
+}
+
 }  // namespace madderdeck::bench
