--- a/tests/platform/bench/start_times_test.cpp
+++ b/tests/platform/bench/start_times_test.cpp
@@ -7,9 +7,9 @@
 using namespace madderdeck::users_platform::bench;
 
 TEST_CASE("start times: a start is counted from the end of its cause, at its own node only") {
-  const std::vector<cause_end> causes = {{"a", 1'000, 2'000}, {"b", 1'000, 2'000}, {"c", 1'000, 2'000}};
+  const std::vector<cause_end> causes = {{"a", 1'000, 2'000, ""}, {"b", 1'000, 2'000, ""}, {"c", 1'000, 2'000, ""}};
   const std::vector<started_line> lines = {{"a", 500}, {"a", 2'240}, {"a", 9'000}, {"b", 1'500}, {"d", 2'001}};
-  const start_histogram counts = start_times_of(causes, lines);
+  const start_histogram counts = start_times_of(outcomes_of(causes, lines));
   CHECK(counts.started[1] == 1);  // 240 ms
   CHECK(std::accumulate(counts.started.begin(), counts.started.end(), std::uint64_t{0}) == 1);
   CHECK(counts.during == 1);
@@ -18,7 +18,7 @@
 }
 
 TEST_CASE("start times: one later than all classes has a place of its own") {
-  const start_histogram counts = start_times_of({{"a", 0, 0}}, {{"a", 8'001}});
+  const start_histogram counts = start_times_of(outcomes_of({{"a", 0, 0, ""}}, {{"a", 8'001}}));
   CHECK(counts.started.back() == 1);
   CHECK(counts.longest_ms == 8'001);
 }
