Wire: encoded bytes are read from aligned addresses only

What was seen: the sanitizer for undefined behaviour reports loads of misaligned addresses (flatbuffers/buffer.h, Ballot in messages_generated.h) wherever a record is read in place: promises and accepted values in the database's own pages, whose values start at any address. Frames were copied to aligned memory, records were not.

Cause: FlatBuffers reads each field in place, so the first byte has to be aligned as the widest field is. decode_record() and view_accept() took the bytes wherever they were. Common processors read them all the same, others fault, and the compiler may assume that it never happens.

Mend: the only way to a table is verified_root(), which takes aligned_bytes; these refer to bytes that are aligned and copy others. The view of an accepted value is of the given bytes, not of the copy. What is written does not change, so nodes of the version before read it, and the other way round.

Evidence: decode at offsets 0 to 15 with -fsanitize=undefined: three places reported with the code before, none now. In a build without sanitizers "fields of encoded bytes are read from aligned addresses, wherever the bytes start" fails where the copy is left out (the table and its ballot are at unaligned addresses); "frames and records are decoded wherever their bytes start" fails in a build with the sanitizer only.

--- a/src/ledger/replica.cpp
+++ b/src/ledger/replica.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cstdio>
 
-#include "common/hash.hpp"
+#include "ledger/accepted_value.hpp"
 
 namespace madderdeck::ledger {
 namespace {
@@ -70,39 +70,6 @@
   });
 }
 
-std::uint64_t checksum_of(const Ballot& ballot, std::string_view value) {
-  return stable_hash(value, ballot.counter ^ ballot.proposer);
-}
-
-std::string_view view_of(const wire::Bytes& bytes) {
-  return {reinterpret_cast<const char*>(bytes.data()), bytes.size()};
-}
-
-/// A view of a stored accepted value.
-struct accepted_view {
-  Ballot ballot;
-  std::string_view value;
-};
-
-/// Checks an accepted value in place: values may be megabytes large, and most callers need only the ballot.
-/// @return nothing if the bytes are damaged.
-std::optional<accepted_view> view_accept(std::string_view bytes) {
-  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  if (!verifier.VerifyBuffer<wire::AcceptState>(nullptr)) {
-    return std::nullopt;
-  }
-  const auto* state = flatbuffers::GetRoot<wire::AcceptState>(data);
-  accepted_view view;
-  if (state->ballot() != nullptr) {
-    view.ballot = Ballot{state->ballot()->counter(), state->ballot()->proposer()};
-  }
-  if (const auto* value = state->value()) {
-    view.value = {reinterpret_cast<const char*>(value->data()), value->size()};
-  }
-  return state->checksum() == checksum_of(view.ballot, view.value) ? std::optional(view) : std::nullopt;
-}
-
 }  // namespace
 
 Replica::Replica(Environment& environment, Storage& storage, Counters& counters, NodeId self, DiskId disk,
@@ -504,11 +471,7 @@
 
 void Replica::store_accept(std::uint32_t group, const std::string& key, const Ballot& ballot,
                            const wire::Bytes& value) {
-  wire::AcceptStateT state;
-  state.ballot = to_wire(ballot);
-  state.value = value;
-  state.checksum = checksum_of(ballot, view_of(value));
-  storage_.put(accept_key(group, key), wire::encode_record(state));
+  storage_.put(accept_key(group, key), encode_accept(ballot, value));
 }
 
 void Replica::store_group_state(std::uint32_t group, const GroupProgress& progress) {
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -2,13 +2,6 @@
 
 namespace madderdeck::wire {
 namespace {
-/// Copies to aligned memory: FlatBuffers requires aligned input, and received bytes may start at any address.
-std::vector<std::uint64_t> aligned_copy(std::string_view bytes) {
-  std::vector<std::uint64_t> words((bytes.size() + sizeof(std::uint64_t) - 1) / sizeof(std::uint64_t));
-  std::copy(bytes.begin(), bytes.end(), reinterpret_cast<char*>(words.data()));
-  return words;
-}
-
 std::size_t value_bytes(const std::vector<std::unique_ptr<LedgerRecordT>>& records) {
   std::size_t bytes = 0;
   for (const auto& record : records) {
@@ -69,14 +62,13 @@
 }
 
 Result<std::vector<Incoming>> decode_frame(std::string_view bytes) {
-  const std::vector<std::uint64_t> copy = aligned_copy(bytes);
-  const auto* data = reinterpret_cast<const std::uint8_t*>(copy.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  if (bytes.size() < sizeof(flatbuffers::uoffset_t) || !VerifyFrameBuffer(verifier)) {
+  const aligned_bytes aligned(bytes);
+  const auto* frame = verified_root<Frame>(aligned);
+  if (frame == nullptr) {
     return Error{ErrorKind::corrupted, "not a valid frame"};
   }
   std::vector<Incoming> messages;
-  const auto* envelopes = GetFrame(data)->envelopes();
+  const auto* envelopes = frame->envelopes();
   if (envelopes == nullptr) {
     return messages;
   }
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -9,6 +9,7 @@
 
 #include "common/error.hpp"
 #include "common/strong_id.hpp"
+#include "wire/aligned_bytes.hpp"
 #include "wire/messages_generated.h"
 
 namespace madderdeck::wire {
@@ -27,7 +28,7 @@
 /// @return total bytes of the values, bodies and texts in @p message that may be long; all other fields are small.
 std::size_t payload_bytes(const MessageUnion& message);
 
-/// Verifies and decodes a frame.
+/// Verifies and decodes a frame, which may start at any address.
 /// @return the messages, or ErrorKind::corrupted if the bytes are not a valid frame.
 Result<std::vector<Incoming>> decode_frame(std::string_view bytes);
 
@@ -39,17 +40,17 @@
   return Bytes(builder.GetBufferPointer(), builder.GetBufferPointer() + builder.GetSize());
 }
 
-/// Verifies and decodes one table.
+/// Verifies and decodes one table, whose bytes may start at any address.
 /// @return nothing if the bytes are not a valid table of that type.
 template <class NativeTable, class Container>
 std::optional<NativeTable> decode_record(const Container& bytes) {
-  const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
-  flatbuffers::Verifier verifier(data, bytes.size());
-  if (!verifier.VerifyBuffer<typename NativeTable::TableType>(nullptr)) {
+  const aligned_bytes aligned({reinterpret_cast<const char*>(bytes.data()), bytes.size()});
+  const auto* table = verified_root<typename NativeTable::TableType>(aligned);
+  if (table == nullptr) {
     return std::nullopt;
   }
   NativeTable record;
-  flatbuffers::GetRoot<typename NativeTable::TableType>(data)->UnPackTo(&record);
+  table->UnPackTo(&record);
   return record;
 }
 
