Bodies that never fit into the memory are refused for good; short live requests are always taken

Callers saw: a job of 37 MB on a machine of 220 MB was answered 503 with Retry-After, 42 times for 7 jobs, and came back for good. Beside a full budget, live requests of a few bytes were refused too. Cause: the budget knew only 'not now'. What exceeds the share of its holder with nothing else in memory can never be granted. Change: memory_budget::could_hold tells the two apart; the server answers 413 (body_too_large) where it never fits, with a length, and in chunks once it is known, 503 where it may fit later. http_bodies_beyond_memory_total.

--- a/src/common/memory_budget.cpp
+++ b/src/common/memory_budget.cpp
@@ -11,6 +11,22 @@
   return memory_bytes == 0 ? 0 : std::max(memory_bytes - memory_budget::kProgramBytes, memory_budget::kLeastBytes);
 }
 
+/// @return up to which size a reservation for @p holder is always granted.
+std::int64_t always_granted(memory_holder holder) {
+  switch (holder) {
+    case memory_holder::live_bodies:
+      return memory_budget::kSmallLiveBytes;
+    case memory_holder::peer_frames:
+      return memory_budget::kSmallFrameBytes;
+    case memory_holder::job_bodies:
+    case memory_holder::peer_outboxes:
+    case memory_holder::backlogs:
+      break;
+  }
+  return 0;
+}
+
+/// @return how much of the budget may be in use after a reservation for @p holder beside others.
 std::int64_t percent_for(memory_holder holder) {
   switch (holder) {
     case memory_holder::job_bodies:
@@ -25,6 +41,11 @@
   return kHundred;
 }
 
+/// @return the same for @p holder alone.
+std::int64_t percent_alone_for(memory_holder holder) {
+  return holder == memory_holder::job_bodies ? memory_budget::kLivePercent : percent_for(holder);
+}
+
 }  // namespace
 
 const char* name_of(memory_holder holder) {
@@ -46,22 +67,26 @@
 memory_budget::memory_budget(std::int64_t memory_bytes, Counters& counters, DecisionLog& log)
     : capacity_(capacity_of(memory_bytes)), counters_(counters), log_(log) {}
 
-bool memory_budget::reserve(memory_holder holder, std::int64_t bytes) {
-  if (!fits(holder, bytes)) {
-    note_refused(holder, bytes);
+bool memory_budget::grow(memory_holder holder, std::int64_t had, std::int64_t wanted) {
+  if (!fits(holder, had, wanted)) {
+    note_refused(holder, wanted);
     return false;
   }
-  add(holder, bytes);
+  add(holder, wanted - had);
   return true;
 }
 
-bool memory_budget::fits(memory_holder holder, std::int64_t bytes) const {
-  if (capacity_ == 0 || bytes <= 0 || (holder == memory_holder::peer_frames && bytes <= kSmallFrameBytes)) {
+bool memory_budget::fits(memory_holder holder, std::int64_t had, std::int64_t wanted) const {
+  if (capacity_ == 0 || wanted <= always_granted(holder)) {
     return true;
   }
-  const bool is_first_job = holder == memory_holder::job_bodies && held_by(holder) == 0;
-  const std::int64_t percent = is_first_job ? kLivePercent : percent_for(holder);
-  return bytes <= capacity_ / kHundred * percent - held_;
+  const bool is_first_job = holder == memory_holder::job_bodies && held_by(holder) == had;
+  const std::int64_t percent = is_first_job ? percent_alone_for(holder) : percent_for(holder);
+  return wanted - had <= capacity_ / kHundred * percent - held_;
+}
+
+bool memory_budget::could_hold(memory_holder holder, std::int64_t bytes) const {
+  return capacity_ == 0 || bytes <= always_granted(holder) || bytes <= capacity_ / kHundred * percent_alone_for(holder);
 }
 
 void memory_budget::add(memory_holder holder, std::int64_t bytes) {
@@ -104,7 +129,7 @@
 }
 
 bool memory_hold::grow_to(std::int64_t bytes) {
-  if (bytes > bytes_ && budget_ && !budget_->reserve(holder_, bytes - bytes_)) {
+  if (bytes > bytes_ && budget_ && !budget_->grow(holder_, bytes_, bytes)) {
     return false;
   }
   bytes_ = std::max(bytes, bytes_);
--- a/src/common/memory_budget.hpp
+++ b/src/common/memory_budget.hpp
@@ -37,6 +37,8 @@
   /// A reservation for a frame of a peer up to this size is always granted: votes, notices and answers keep records
   /// moving.
   static constexpr std::int64_t kSmallFrameBytes = 256 * 1024;
+  /// The same for other requests: few callers send more, and who sends so little gains nothing by being refused.
+  static constexpr std::int64_t kSmallLiveBytes = 16 * 1024;
   /// Of the whole budget: what may be in use, by all holders, after a reservation for one of these.
   static constexpr std::int64_t kJobPercent = 60;
   static constexpr std::int64_t kLivePercent = 85;
@@ -47,7 +49,11 @@
 
   /// @return whether @p bytes more are granted to @p holder. If not, this is counted and logged with what holds the
   ///         memory. While there is no other, a job may take as much as live requests.
-  bool reserve(memory_holder holder, std::int64_t bytes);
+  bool reserve(memory_holder holder, std::int64_t bytes) { return grow(holder, 0, bytes); }
+  /// As reserve(), for an object that grows from @p had to @p wanted bytes; its whole size tells whether it is small.
+  bool grow(memory_holder holder, std::int64_t had, std::int64_t wanted);
+  /// @return whether an object of @p bytes could be granted while nothing else is held. If not, it never can be.
+  bool could_hold(memory_holder holder, std::int64_t bytes) const;
   /// Counts @p bytes (negative: fewer) that @p holder has in any case.
   void add(memory_holder holder, std::int64_t bytes);
 
@@ -59,7 +65,7 @@
   void publish();
 
  private:
-  bool fits(memory_holder holder, std::int64_t bytes) const;
+  bool fits(memory_holder holder, std::int64_t had, std::int64_t wanted) const;
   void note_refused(memory_holder holder, std::int64_t bytes);
   /// @return the holders that hold any, the largest first, as "job_bodies 81000000, backlogs 300".
   std::string describe() const;
@@ -83,6 +89,8 @@
 
   /// @return whether the object may have @p bytes in all; if not, it keeps what it has.
   bool grow_to(std::int64_t bytes);
+  /// @return whether grow_to(@p bytes) could succeed while the budget holds nothing else.
+  bool could_grow_to(std::int64_t bytes) const { return !budget_ || budget_->could_hold(holder_, bytes); }
   /// The object has @p bytes in all, whether or not they fit.
   void set(std::int64_t bytes);
   std::int64_t bytes() const { return bytes_; }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -103,6 +103,10 @@
   bool reserve_body(std::size_t bytes) {
     return body_hold_.grow_to(static_cast<std::int64_t>(bytes) * copies_of(holder_));
   }
+  /// @return whether the budget would have room for such a body if it were the only one.
+  bool could_reserve_body(std::size_t bytes) const {
+    return body_hold_.could_grow_to(static_cast<std::int64_t>(bytes) * copies_of(holder_));
+  }
   /// Drops a body that was refused.
   void drop_body() {
     request_.body = std::string();
@@ -324,7 +328,7 @@
       co_return co_await drop_body(parser, *exchange) && keep_alive && !server_->closing;
     }
     if (!streamed && !exchange->reserve_body(stated_length(parser))) {
-      refuse_for_memory(*exchange);
+      refuse_for_memory(*exchange, stated_length(parser));
       co_await write_response(*exchange, keep_alive);
       co_return co_await drop_body(parser, *exchange) && keep_alive && !server_->closing;
     }
@@ -379,10 +383,17 @@
     return static_cast<std::size_t>(std::min<std::uint64_t>(length, server_->options.max_body_bytes));
   }
 
-  void refuse_for_memory(HttpExchange& exchange) {
+  /// @param bytes of the body, as far as they are known.
+  void refuse_for_memory(HttpExchange& exchange, std::size_t bytes) {
     server_->counters["http_bodies_refused_for_memory_total"]++;
-    exchange.respond(
-        server_->options.refusal({ErrorKind::unavailable, "the memory of this node is in use; nothing was run"}));
+    if (exchange.could_reserve_body(bytes)) {
+      exchange.respond(
+          server_->options.refusal({ErrorKind::unavailable, "the memory of this node is in use; nothing was run"}));
+      return;
+    }
+    server_->counters["http_bodies_beyond_memory_total"]++;
+    exchange.respond(server_->options.refusal(
+        {ErrorKind::body_too_large, "request body is larger than the memory of this node allows; nothing was run"}));
   }
 
   /// Reads a complete body into the request.
@@ -400,9 +411,10 @@
         co_return false;
       }
       const std::size_t length = piece.size() - parser.get().body().size;
-      if (!exchange.reserve_body(std::min(exchange.request().body.size() + length, server_->options.max_body_bytes))) {
+      const std::size_t known = std::min(exchange.request().body.size() + length, server_->options.max_body_bytes);
+      if (!exchange.reserve_body(known)) {
         exchange.drop_body();
-        refuse_for_memory(exchange);
+        refuse_for_memory(exchange, known);
         co_return false;
       }
       exchange.mutable_request().body.append(piece.data(), length);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -75,7 +75,8 @@
   /// Builds the response to a request that the server itself refuses (limits, malformed HTTP).
   std::function<HttpResponse(const Error&)> refusal;
   /// Budget for bodies of requests and for responses that their callers do not read. A body that does not fit is
-  /// refused (ErrorKind::unavailable) before it is kept; the rest of it is read and discarded. Null: no limit.
+  /// refused before it is kept (ErrorKind::unavailable, or body_too_large if it never can fit); the rest of it is read
+  /// and discarded. Null: no limit.
   std::shared_ptr<memory_budget> budget;
   /// Returns what the body of a request counts as: live_bodies where this is empty.
   std::function<memory_holder(const HttpRequest&)> holder_of;
