A node takes up a settings file that changes without a signal

Callers would see: a node that returns with seeds at which nobody lives stays alone though its file is corrected, and one that holds no disk is found by others only if they remember it. Cause: the file was read again on SIGHUP alone; the platform says that it may change without one. Change: config::settings_watch compares the file's text twice a second; a change is read as after SIGHUP. A file that cannot be read changes nothing and is read when it is whole. settings_reloaded has its cause; madderdeck_settings_reloads_total, ..._reload_failures_total.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <random>
 
+#include "config/settings_watch.hpp"
 #include "gateway/api.hpp"
 #include "gateway/problem.hpp"
 #include "ledger/rocksdb_disk_opener.hpp"
@@ -24,6 +25,8 @@
 namespace asio = boost::asio;
 constexpr Duration kDrainCheckInterval = 50ms;
 constexpr Duration kReadinessCheckInterval = 250ms;  ///< Only for the log: readiness probes get the current state.
+/// A node whose seeds were outdated at its start searches with the corrected ones soon.
+constexpr Duration kSettingsCheckInterval = 500ms;
 /// Added to the idle timeout, since callers start to measure a connection's idle time a little later than this node.
 constexpr std::chrono::milliseconds kIdleMargin{500};
 constexpr std::size_t kMaxSeedsLogged = 8;  ///< Maximum number of seeds in a log line.
@@ -35,11 +38,15 @@
 constexpr std::size_t kMinReplicas = 3;
 constexpr std::size_t kMaxReplicas = 7;
 
+/// Why the settings are read again.
+enum class reload_cause { signal, file };
+
 /// Owns all parts of a node. The order of the members sets the order of their destruction.
 class Daemon : public prepared_node {
  public:
   Daemon(const config::Settings& settings, Integration& integration)
       : settings_(settings),
+        settings_watch_(settings.source_path),
         integration_(integration),
         client_(context_, local_ip(settings.peer_address)),
         environment_(context_, counters_, client_, PeerAddress(settings.peer_address)),
@@ -95,6 +102,7 @@
       }
     });
     await_reload();
+    watch_settings();
     release_held_signals();
     context_.run();
     hold_all_signals();  // their handlers are removed before the process has ended
@@ -381,27 +389,46 @@
         options));
   }
 
-  /// Applies the settings that can change at run time (the seeds) on each reload signal; other settings take effect at
-  /// the next start.
   void await_reload() {
     reload_signal_.async_wait([this](boost::system::error_code failure, int) {
       if (failure) {
         return;
       }
-      const auto fresh = settings_.reread();
-      if (succeeded(fresh)) {
-        std::vector<PeerAddress> seeds;
-        for (const std::string& seed : value_of(fresh).seeds) {
-          seeds.emplace_back(seed);
-        }
-        core_->members.set_seeds(std::move(seeds));
+      reload_settings(reload_cause::signal);
+      await_reload();
+    });
+  }
+
+  /// The file may change without a signal.
+  void watch_settings() {
+    environment_.after(kSettingsCheckInterval, [this] { watch_settings(); });
+    if (settings_watch_.has_changed()) {
+      reload_settings(reload_cause::file);
+    }
+  }
+
+  /// Applies the settings that can change at run time (the seeds); other settings take effect at the next start.
+  void reload_settings(reload_cause cause) {
+    const auto fresh = settings_.reread();
+    counters_["settings_reloads_total"]++;
+    bool seeds_changed = false;
+    if (succeeded(fresh)) {
+      std::vector<PeerAddress> seeds;
+      for (const std::string& seed : value_of(fresh).seeds) {
+        seeds.emplace_back(seed);
       }
+      seeds_changed = seeds != core_->members.seeds();
+      core_->members.set_seeds(std::move(seeds));
+    } else {
+      counters_["settings_reload_failures_total"]++;
+    }
+    if (cause == reload_cause::signal || seeds_changed || !succeeded(fresh)) {
       log_event(LogLevel::info, "settings_reloaded",
                 {{"node", settings_.id},
+                 {"cause", cause == reload_cause::signal ? "signal" : "file"},
                  {"outcome", succeeded(fresh) ? "taken" : error_of(fresh).detail},
                  {"seeds", succeeded(fresh) ? text_of_seeds(value_of(fresh).seeds) : ""}});
-      await_reload();
-    });
+    }
   }
 
   void watch_readiness() {
@@ -452,6 +479,7 @@
   }
 
   const config::Settings settings_;
+  config::settings_watch settings_watch_;
   Integration& integration_;
   asio::io_context context_{1};
   Counters counters_;
