An exception ends the HTTP connection or call that met it, not the process

Callers would see: one request or answer that makes a library throw ends every node that it reaches, with all calls in hand. Cause: the coroutines of the HTTP server and client were spawned detached; what one throws leaves the event loop. Change: a session that throws is reset, its handler is told that the caller has gone, its caller gets no answer or a part that does not look complete; a call that throws fails as malformed, never as 'not run'. http_sessions_broken_off_total; lines http_session_threw, http_call_threw. Handlers of the event loop itself and pool threads still end the process with their line.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -22,6 +22,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "common/log.hpp"
 #include "net/boot_clock.hpp"
 #include "net/http_fields.hpp"
 
@@ -354,6 +355,18 @@
     return parser.need_eof() ? body_framing::until_close : body_framing::length;
   }
 
+  /// Runs a call. An exception fails this call alone: the process has others in hand.
+  asio::awaitable<void> run_contained(CallNumber number, std::shared_ptr<Call> call) {
+    try {
+      co_await run(number, call);
+    } catch (const std::exception& thrown) {
+      log_event(LogLevel::error, "http_call_threw", {{"peer", call->endpoint}, {"error", thrown.what()}});
+      if (calls.contains(number)) {
+        fail(number, *call, CallBreak::malformed);
+      }
+    }
+  }
+
   asio::awaitable<void> run(CallNumber number, std::shared_ptr<Call> call) {
     // Nothing below may run inside start(), since events must not be delivered there.
     co_await asio::post(context, asio::use_awaitable);
@@ -564,7 +577,7 @@
   asio::co_spawn(
       implementation_->context,
       [implementation = implementation_, number, call]() -> asio::awaitable<void> {
-        co_await implementation->run(number, call);
+        co_await implementation->run_contained(number, call);
       },
       asio::detached);
   return number;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 
+#include "common/log.hpp"
 #include "net/http_fields.hpp"
 #include "net/listen_error.hpp"
 
@@ -256,7 +257,11 @@
   ~Session() { --server_->connections; }
 
   asio::awaitable<void> run(std::shared_ptr<Session> self) {
-    while (co_await serve_one()) {
+    try {
+      while (co_await serve_one()) {
+      }
+    } catch (const std::exception& thrown) {
+      break_off(thrown.what());
     }
     beast::error_code ignored;
     if (ends_with_reset_) {
@@ -308,6 +313,7 @@
     }
     auto exchange =
         std::make_shared<HttpExchange>(stream_.get_executor(), to_request(parser.get()), caller_ip(), options);
+    current_ = exchange;
     exchange->takes_chunks = parser.get().version() >= kFirstVersionWithChunks;
     exchange->is_closed = [weak = weak_from_this()] {
       const auto session = weak.lock();
@@ -359,6 +365,18 @@
     co_return reusable;
   }
 
+  /// Ends this connection alone after an exception: the process has others in hand. Its caller gets no answer, or a
+  /// part that does not look complete.
+  void break_off(const char* error) {
+    server_->counters["http_sessions_broken_off_total"]++;
+    log_event(LogLevel::error, "http_session_threw", {{"caller", caller_ip()}, {"error", error}});
+    ends_with_reset_ = true;
+    if (const auto exchange = current_.lock()) {
+      exchange->notify_disconnected();
+      exchange->drop_hooks();
+    }
+  }
+
   asio::awaitable<bool> refuse_unreadable(beast::error_code failure) {
     if (failure == http::error::end_of_stream || failure == asio::error::eof || failure == beast::error::timeout ||
         failure == asio::error::connection_reset || failure == asio::error::operation_aborted) {
