A start tells what it waits for until the first request is answered

On-call could not tell why a node that had started served late: between node_started and node_ready there was no line. start_waits_for names the first need that is missing (configuration, machines, groups, own_records, drain) after 1, 2, 4 s and so on; start_ready and first_request_answered say how long each took; gauges start_waited_NEED_ms, start_ready_ms, start_served_ms.

--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -18,12 +18,14 @@
 #include "node/node_core.hpp"
 #include "node/node_threads.hpp"
 #include "node/process_gauges.hpp"
+#include "node/start_progress.hpp"
 
 namespace madderdeck::node {
 namespace {
 
 namespace asio = boost::asio;
 constexpr Duration kDrainCheckInterval = 50ms;
+constexpr Duration kStartCheckInterval = 50ms;       ///< As below, until the node is ready for the first time.
 constexpr Duration kReadinessCheckInterval = 250ms;  ///< Only for the log: readiness probes get the current state.
 /// A node whose seeds were outdated at its start searches with the corrected ones soon.
 constexpr Duration kSettingsCheckInterval = 500ms;
@@ -90,6 +92,7 @@
     }
     core_->start();
     gauges_.start();
+    start_progress_.emplace(settings_.id, environment_.now(), counters_, log_);
     watch_readiness();
     log_event(LogLevel::info, "node_started",
               {{"node", settings_.id},
@@ -432,7 +435,9 @@
   }
 
   void watch_readiness() {
-    environment_.after(kReadinessCheckInterval, [this] { watch_readiness(); });
+    start_progress_->look(environment_.now(), core_->missing_for_start(), counters_["forward_answered_total"]);
+    const bool starts = !was_ready_ && !start_progress_->is_over();
+    environment_.after(starts ? kStartCheckInterval : kReadinessCheckInterval, [this] { watch_readiness(); });
     if (!fleet_known_ && core_->members.knows_fleet()) {
       fleet_known_ = true;
       log_event(LogLevel::info, "fleet_known", {{"node", settings_.id}, {"live", core_->members.live_count()}});
@@ -486,6 +491,7 @@
   net::HttpClient client_;
   AsioEnvironment environment_;
   ProcessDecisionLog log_;
+  std::optional<start_progress> start_progress_;
   process_gauges gauges_{environment_, counters_, log_, settings_};
   std::unique_ptr<BackendConnections> backends_;
   std::unique_ptr<object_store::PlatformClient> platform_;
--- a/src/node/node_core.cpp
+++ b/src/node/node_core.cpp
@@ -751,11 +751,20 @@
   return live_done && services_done && forwards_done && (!dispatcher || dispatcher->active() == 0);
 }
 
-bool NodeCore::ready() const {
-  const bool has_routes = forwarder && catalog.routes() && machines.table().revision() > 0;
-  const bool has_groups = objects.table().revision() > 0 && !catalog.groups().groups.empty();
-  const bool configured = forwarder ? has_routes : has_groups;
-  return configured && !draining_ && (!replica || replica_is_current());
+std::optional<start_need> NodeCore::missing_for_start() const {
+  if (draining_) {
+    return start_need::drain;
+  }
+  if (forwarder && !catalog.routes()) {
+    return start_need::configuration;
+  }
+  if (forwarder && machines.table().revision() == 0) {
+    return start_need::machines;
+  }
+  if (!forwarder && (objects.table().revision() == 0 || catalog.groups().groups.empty())) {
+    return start_need::groups;
+  }
+  return replica && !replica_is_current() ? std::optional(start_need::own_records) : std::nullopt;
 }
 
 bool NodeCore::replica_is_current() const {
--- a/src/node/node_core.hpp
+++ b/src/node/node_core.hpp
@@ -22,6 +22,7 @@
 #include "ledger/replica.hpp"
 #include "membership/membership.hpp"
 #include "node/peer_memory.hpp"
+#include "node/start_progress.hpp"
 #include "object_store/controller.hpp"
 #include "object_store/retirement.hpp"
 #include "object_store/stopping_handover.hpp"
@@ -125,7 +126,9 @@
   bool hands_over_records() const;
   /// @return whether callers can be served: the configuration is known, the node does not drain and, if it has a
   ///         replica, replica_is_current() is true.
-  bool ready() const;
+  bool ready() const { return !missing_for_start(); }
+  /// @return the first need that keeps the node from being ready; nothing if it is.
+  std::optional<start_need> missing_for_start() const;
   /// @return whether this node's disk holds the records that the replica groups have placed on it. A disk that replaces
   ///         a lost one holds them only once it has been admitted and has copied them; no other disk may be given up
   ///         before that.
