--- a/tests/platform/broken_off_answers_test.cpp
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -610,6 +610,65 @@
   CHECK(answer->body == joined(kEvents));
 }
 
+/// How a caller sends a long body.
+enum class upload_form { with_length, in_chunks, expecting_continue };
+constexpr upload_form kUploadForms[] = {upload_form::with_length, upload_form::in_chunks,
+                                        upload_form::expecting_continue};
+
+std::string upload(answer_kind kind, upload_form form, std::size_t bytes) {
+  const std::string head =
+      std::string("POST /") + name_of(kind) + "/1 HTTP/1.1\r\nHost: h\r\nX-Madderdeck-Request-Id: r1\r\n";
+  if (form != upload_form::in_chunks) {
+    const std::string expects = form == upload_form::expecting_continue ? "Expect: 100-continue\r\n" : "";
+    return head + expects + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'b');
+  }
+  constexpr std::size_t kChunkBytes = 0x8000;
+  std::string text = head + "Transfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t sent = 0; sent < bytes; sent += kChunkBytes) {
+    text += "8000\r\n" + std::string(kChunkBytes, 'b') + "\r\n";
+  }
+  return text + "0\r\n\r\n";
+}
+
+// Guards against a part of an early answer that counts as whole in other forms of an upload than the one first seen, or
+// on a connection to the engine that served before.
+TEST_CASE("a part of an early answer is not complete however a long request is framed, on used connections too") {
+  constexpr std::size_t kBodyBytes = 3'801'088;  // whole chunks
+  for (const answer_kind kind : kKinds) {
+    for (const upload_form form : kUploadForms) {
+      for (const connection_ending ending : {connection_ending::reset, connection_ending::closed}) {
+        for (const std::size_t whole_before : {0UL, 2UL}) {
+          scripted_pool pool;
+          pool.kind = kind;
+          pool.framing = body_framing::until_close;
+          pool.ending = ending;
+          pool.before_body = true;
+          pool.whole_before = whole_before;
+          pool.ends_after = std::chrono::milliseconds(20);
+          const framed_answer answer = pool.whole("\r\nX-Madderdeck-Request-Id: r1\r\n", pool.framing);
+          pool.cut = answer.head_bytes() + (is_stream(kind) ? kEvents.front() : kPlain.front()).size();
+          whole_path path(pool);
+          for (std::size_t earlier = 0; earlier < whole_before; ++earlier) {
+            REQUIRE(path.call(path.request()).looks_complete);
+          }
+          const caller_answer got = path.call(upload(kind, form, kBodyBytes));
+          INFO(name_of(kind) << ", form " << static_cast<int>(form) << ", ended as " << static_cast<int>(ending) << ", "
+                             << whole_before << " requests before, status " << got.status);
+          REQUIRE(got.ended);
+          const std::string all = joined(is_stream(kind) ? kEvents : kPlain);
+          CHECK_FALSE((got.status == kOk && got.looks_complete && got.body != all));
+          CHECK(got.status != 503);
+          CHECK(got.status != 429);
+          if (may_retry_elsewhere(kind)) {
+            CHECK(got.status == kOk);
+            CHECK(got.body == all);
+          }
+        }
+      }
+    }
+  }
+}
+
 // Guards against a part of an answer that is passed on as a whole one, since the write of a long request met the reset.
 TEST_CASE("an answer without a length that breaks off while its request is still being sent is not complete") {
   constexpr std::size_t kBodyBytes = 3'800'000;
