--- a/tests/process/terminate_report_test.cpp
+++ b/tests/process/terminate_report_test.cpp
@@ -10,6 +10,8 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <functional>
 #include <new>
 #include <stdexcept>
@@ -19,6 +21,7 @@
 #include "common/error.hpp"
 #include "common/log.hpp"
 #include "process/thread.hpp"
+#include "process/worker.hpp"
 #include "support/limited_program.hpp"
 
 using namespace madderdeck;
@@ -94,6 +97,27 @@
   CHECK(holds(thread, "\"exception\":\"St12system_error\""));
 }
 
+// What a task or a handler was doing is not known, so the process ends; the line has to say where.
+TEST_CASE("an exception of a worker's task or of the event loop ends the process with its code and names the thread") {
+  const process_end task = end_of([] {
+    process::worker worker("disk-tasks");
+    worker.post([] { throw std::bad_alloc(); });
+    static_cast<void>(worker.start());
+    worker.join();
+  });
+  INFO(task.output);
+  CHECK(task.exit_code == exit_code_for(ErrorKind::limit_exceeded));
+  CHECK(holds(task, "\"thread\":\"disk-tasks\""));
+  const process_end handler = end_of([] {
+    boost::asio::io_context context;
+    boost::asio::post(context, [] { throw std::out_of_range("no such member"); });
+    context.run();
+  });
+  INFO(handler.output);
+  CHECK(handler.signal == SIGABRT);
+  CHECK(holds(handler, "no such member"));
+}
+
 TEST_CASE("an end without an exception has its line, and the log's lines before it are written") {
   const process_end seen = end_of([] {
     static_cast<void>(configure_logging(LogLevel::info, ""));
