--- a/src/process/last_line.cpp
+++ b/src/process/last_line.cpp
@@ -68,14 +68,14 @@
   std::size_t count = 0;
   auto rest = value < 0 ? 0 - static_cast<std::uint64_t>(value) : static_cast<std::uint64_t>(value);
   do {
-    digits[count++] = static_cast<char>('0' + rest % 10);
+    digits.at(count++) = static_cast<char>('0' + rest % 10);
     rest /= 10;
   } while (rest != 0);
   if (value < 0) {
     append('-');
   }
   while (count > 0) {
-    append(digits[--count]);
+    append(digits.at(--count));
   }
 }
 
