Test: the whole path of an answer is a support class; its engines use segments of an Ethernet's size

Cause: the node between two scripted engines and a caller's socket stood inside one test file of 706 lines, and a second file needs it. On the loopback a segment holds 64 KB, so the sender's kernel takes in 2.6 to 4 MB at once: on this machine an upload of 3.8 MB was written before the answer to it ended, and the tests of answers beside an unfinished upload did not meet what they are named after.

Change: tests/support/answer_path (moved, no check changed); raw_engine announces segments of 1,400 bytes, and knows one more ending: closed in order, then reset.

--- a/tests/platform/broken_off_answers_test.cpp
+++ b/tests/platform/broken_off_answers_test.cpp
@@ -2,63 +2,35 @@
 /// the caller's socket.
 #include <catch2/catch.hpp>
 
-#include "emulator/server_support.hpp"
-#include "engine_client.hpp"
-#include "forwarding/route_table.hpp"
-#include "ingress.hpp"
 #include "names.hpp"
-#include "net/http_server.hpp"
-#include "node/node_core.hpp"
 #include "support/answer_bytes.hpp"
-#include "support/raw_caller.hpp"
-#include "support/raw_engine.hpp"
+#include "support/answer_path.hpp"
 
 using namespace madderdeck;
 using namespace madderdeck::users_platform;
 using madderdeck::net::body_framing;
+using madderdeck::tests::answer_kind;
+using madderdeck::tests::answer_path;
 using madderdeck::tests::caller_answer;
 using madderdeck::tests::connection_ending;
 using madderdeck::tests::framed_answer;
+using madderdeck::tests::is_stream;
+using madderdeck::tests::kKinds;
+using madderdeck::tests::may_retry_elsewhere;
+using madderdeck::tests::name_of;
+using madderdeck::tests::value_after;
 
 namespace {
 
-constexpr char kIp[] = "127.91.3.1";
-constexpr char kEntry[] = "127.91.3.1:9320";
-constexpr unsigned short kFirstEnginePort = 9321;
-constexpr unsigned kEngines = 2;
 constexpr unsigned kOk = 200;
 constexpr unsigned kFirstServerError = 500;
-/// Max time that a caller waits in a test; not a limit that the product guarantees.
-constexpr std::chrono::seconds kTestTimeout{10};
 
-/// Kinds of routes that the table test covers.
-enum class answer_kind { stream, resumable_stream, repeatable, unrepeatable };
-constexpr answer_kind kKinds[] = {answer_kind::stream, answer_kind::resumable_stream, answer_kind::repeatable,
-                                  answer_kind::unrepeatable};
 constexpr body_framing kFramings[] = {body_framing::length, body_framing::chunks, body_framing::until_close};
 
 const std::vector<std::string> kEvents = {"id: 1\ndata: one\n\n", "id: 2\r\ndata: two\r\ndata: lines\r\n\r\n",
                                           "id: 3\ndata: three\n\n"};
 const std::vector<std::string> kPlain = {"{\"slots\":[1,2,", "3],\"more\":false}"};
 
-bool is_stream(answer_kind kind) { return kind == answer_kind::stream || kind == answer_kind::resumable_stream; }
-bool may_retry_elsewhere(answer_kind kind) {
-  return kind == answer_kind::resumable_stream || kind == answer_kind::repeatable;
-}
-const char* name_of(answer_kind kind) {
-  switch (kind) {
-    case answer_kind::stream:
-      return "stream";
-    case answer_kind::resumable_stream:
-      return "resumable_stream";
-    case answer_kind::repeatable:
-      return "repeatable";
-    case answer_kind::unrepeatable:
-      break;
-  }
-  return "unrepeatable";
-}
-
 std::string joined(const std::vector<std::string>& pieces, std::size_t from = 0) {
   std::string text;
   for (std::size_t piece = from; piece < pieces.size(); ++piece) {
@@ -79,24 +51,6 @@
   return text;
 }
 
-/// A platform client that never responds: the tests pass the configuration directly to the node.
-class silent_store : public object_store::PlatformClient {
- public:
-  void watch_objects(std::uint64_t, Duration, object_store::ChangesDone) override {}
-  void watch_machines(std::uint64_t, Duration, object_store::ChangesDone) override {}
-  void get(const config::EntryKey&, object_store::GetDone) override {}
-  void put(const object_store::PutRequest&, object_store::PutDone) override {}
-};
-
-std::string value_after(const std::string& head, const std::string& name) {
-  const std::size_t start = head.find("\r\n" + name + ": ");
-  if (start == std::string::npos) {
-    return "";
-  }
-  const std::size_t value = start + name.size() + 4;
-  return head.substr(value, head.find("\r\n", value) - value);
-}
-
 /// Answers one request as the table cell specifies, and all others completely.
 struct scripted_pool {
   answer_kind kind = answer_kind::stream;
@@ -120,9 +74,6 @@
                 "\r\n" + header::kStamp + ": s\r\n"};
   }
   tests::raw_answer answer(const std::string& head) {
-    if (head.starts_with(std::string("GET ") + path::kReport)) {
-      return {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", connection_ending::kept};
-    }
     if (requests++ != whole_before) {
       return {whole(head, body_framing::chunks).bytes(), connection_ending::kept};
     }
@@ -130,102 +81,17 @@
   }
 };
 
-/// A node with its listener for callers and two engines, all on real sockets.
-struct whole_path {
-  explicit whole_path(scripted_pool& pool) : script(pool) {
-    for (unsigned number = 0; number < kEngines; ++number) {
-      engines.push_back(std::make_unique<tests::raw_engine>(
-          context, kIp, kFirstEnginePort + number, [this](const std::string& head) { return script.answer(head); }));
-    }
-    engine_client.attach(core);
-    core.start();
-    configure();
-    net::ServerOptions options;
-    options.refusal = [this](const Error& error) { return ingress.refusal(error); };
-    server = std::make_unique<net::HttpServer>(
-        context, counters, [this](const std::shared_ptr<net::Exchange>& exchange) { ingress.handle(exchange); },
-        options);
-    REQUIRE(succeeded(server->listen(kEntry)));
-  }
-
-  static node::NodeOptions node_options() {
-    node::NodeOptions options;
-    options.self.id = "n1";
-    options.self.peer_address = "127.91.3.1:1";
-    options.self.zone = "z";
-    options.self.roles = static_cast<std::uint32_t>(membership::Role::gateway);
-    options.guards.registry.need_fresh_reports = false;
-    return options;
-  }
-
-  void configure() {
-    forwarding::RouteTable table;
-    table.version = 1;
-    for (const answer_kind kind : kKinds) {
-      forwarding::Route route;
-      route.name = name_of(kind);
-      route.host = "h";
-      route.path_prefix = std::string("/") + name_of(kind) + "/";
-      route.pools.push_back({"p", 1});
-      route.kind = is_stream(kind) ? forwarding::RouteKind::stream
-                                   : (may_retry_elsewhere(kind) ? forwarding::RouteKind::repeatable
-                                                                : forwarding::RouteKind::unrepeatable);
-      route.resumable = kind == answer_kind::resumable_stream;
-      route.max_attempts = 3;
-      route.timeout_ms = 250;
-      table.routes.push_back(route);
-    }
-    core.objects.apply_from_source(core.objects.table().revision(), core.objects.table().revision() + 1,
-                                   {{{forwarding::kRouteTableKind, "main"},
-                                     forwarding::format_route_table(table),
-                                     core.objects.table().revision() + 1}});
-    list_engines(1, false);
-  }
-
-  void let_engines_leave() { list_engines(2, true); }
-
-  void list_engines(std::uint64_t revision, bool leaving) {
-    std::vector<config::Entry> machines;
-    for (unsigned number = 0; number < kEngines; ++number) {
-      config::Machine machine;
-      machine.id = BackendId("e" + std::to_string(number));
-      machine.address = std::string(kIp) + ":" + std::to_string(kFirstEnginePort + number);
-      machine.pools = {"p"};
-      machine.zone = "z";
-      machine.slots = 64;
-      machine.leaving = leaving;
-      machines.push_back({{config::kMachineKind, machine.id.str()}, config::format_machine(machine), revision});
-    }
-    core.machines.apply_from_source(revision - 1, revision, machines);
-  }
+/// The path of the answers of a scripted pool.
+struct whole_path : answer_path {
+  explicit whole_path(scripted_pool& pool)
+      : answer_path([&pool](const std::string& head) { return pool.answer(head); }), script(pool) {}
 
   std::string request(const std::string& protocol = "HTTP/1.1", const std::string& headers = "") const {
     return std::string("POST /") + name_of(script.kind) + "/1 " + protocol +
            "\r\nHost: h\r\nX-Madderdeck-Request-Id: r1\r\n" + headers + "Content-Length: 4\r\n\r\nbody";
   }
 
-  caller_answer call(const std::string& bytes) {
-    const auto answer = tests::call_raw(context, kEntry, bytes);
-    const auto until = std::chrono::steady_clock::now() + kTestTimeout;
-    while (!answer->ended && std::chrono::steady_clock::now() < until) {
-      context.run_one_for(std::chrono::milliseconds(100));
-    }
-    return *answer;
-  }
-
-  boost::asio::io_context context{1};
   scripted_pool& script;
-  emulator::ServerEnvironment environment{context};
-  Counters counters;
-  NoDecisionLog log;
-  silent_store store;
-  net::HttpClient client{context, ""};
-  EngineClient engine_client{client};
-  node::NodeCore core{{environment, counters, nullptr, engine_client, store, log, &engine_client}, node_options()};
-  gateway::ApiContext api{core, "", [] {}};
-  Ingress ingress{api};
-  std::vector<std::unique_ptr<tests::raw_engine>> engines;
-  std::unique_ptr<net::HttpServer> server;
 };
 
 /// The answer that the protocol pages require in one cell of the table.
@@ -457,37 +323,6 @@
 
 namespace {
 
-/// Outcome of one run of a batch item.
-struct item_outcome {
-  std::vector<std::string> events;
-  std::optional<std::uint32_t> finished_at;
-  std::optional<routing::CallFailure> failure;
-  bool ended() const { return finished_at || failure; }
-};
-
-std::shared_ptr<const item_outcome> run_item(whole_path& path, std::uint32_t resume_from = 0) {
-  auto outcome = std::make_shared<item_outcome>();
-  auto request = std::make_shared<routing::HttpItemCall>();
-  request->id = "i1";
-  request->method = "POST";
-  request->target = "/a/1";
-  request->host = "h";
-  request->body = "body";
-  routing::EngineCall call;
-  call.http = request;
-  call.resume_from = resume_from;
-  routing::EngineEvents events;
-  events.token = [outcome](std::uint32_t, std::string_view text) { outcome->events.emplace_back(text); };
-  events.finished = [outcome](std::uint32_t total) { outcome->finished_at = total; };
-  events.failed = [outcome](routing::CallFailure failure) { outcome->failure = failure; };
-  path.engine_client.start(BackendId("e0"), call, std::move(events));
-  const auto until = std::chrono::steady_clock::now() + kTestTimeout;
-  while (!outcome->ended() && std::chrono::steady_clock::now() < until) {
-    path.context.run_one_for(std::chrono::milliseconds(100));
-  }
-  return outcome;
-}
-
 /// @return a line for each cut at which the run of an item has a wrong outcome.
 std::vector<std::string> play_item_cells(body_framing framing, connection_ending ending) {
   scripted_pool pool;
@@ -498,7 +333,7 @@
   for (pool.cut = 0; pool.cut <= answer.bytes().size(); ++pool.cut) {
     pool.requests = 0;
     whole_path path(pool);
-    const auto outcome = run_item(path);
+    const auto outcome = path.run_item();
     const bool whole = is_whole(pool, answer);
     const bool as_wanted = whole ? outcome->finished_at == outcome->events.size() : outcome->failure.has_value();
     if (!as_wanted) {
@@ -569,7 +404,7 @@
 TEST_CASE("a batch item's run fails if its answer has no length and ends as the engine terminates") {
   scripted_pool pool = ended_with_process(answer_kind::stream);
   whole_path path(pool);
-  const auto outcome = run_item(path);
+  const auto outcome = path.run_item();
   CHECK(outcome->events.size() == 1);
   CHECK(outcome->failure == routing::CallFailure::broken);
 }
@@ -598,7 +433,7 @@
   scripted_pool pool = whole_stream();
   pool.ending = connection_ending::gone;
   whole_path path(pool);
-  const auto answer = tests::call_raw(path.context, kEntry, path.request());
+  const auto answer = tests::call_raw(path.context, answer_path::kEntry, path.request());
   while (pool.requests == 0) {
     path.context.run_one_for(std::chrono::milliseconds(100));
   }
--- a/tests/support/raw_engine.cpp
+++ b/tests/support/raw_engine.cpp
@@ -1,5 +1,7 @@
 #include "support/raw_engine.hpp"
 
+#include <netinet/tcp.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
@@ -15,6 +17,9 @@
 /// So that the peer has read the bytes before they are taken back by the reset.
 constexpr std::chrono::milliseconds kBeforeReset{2};
 constexpr std::chrono::milliseconds kEndsWithin{15};
+/// Bytes of a segment, as on an Ethernet. With those of the loopback the sender's kernel takes in megabytes, so that no
+/// write waits beside a response.
+constexpr int kSegmentBytes = 1'400;
 
 std::size_t stated_length(const std::string& head) {
   constexpr char kLength[] = "\r\nContent-Length: ";
@@ -36,6 +41,7 @@
     : context_(context),
       acceptor_(context, tcp::endpoint(asio::ip::make_address(ip), port)),
       answer_(std::move(answer)) {
+  ::setsockopt(acceptor_.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof kSegmentBytes);
   accept();
 }
 
@@ -99,17 +105,27 @@
 void raw_engine::end_unread(const connection_pointer& peer, const raw_answer& answer) {
   peer->timer.expires_after(answer.ends_after);
   peer->timer.async_wait([peer, ending = answer.ending](error_code) {
-    error_code ignored;
     if (ending == connection_ending::reset) {
-      peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
-      peer->socket.close(ignored);
+      reset(peer);
       return;
     }
+    error_code ignored;
     peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    if (ending == connection_ending::closed_then_reset) {
+      peer->timer.expires_after(kBeforeReset);
+      peer->timer.async_wait([peer](error_code) { reset(peer); });
+      return;
+    }
     peer->socket.async_wait(tcp::socket::wait_error, [peer](error_code) {});
   });
 }
 
+void raw_engine::reset(const connection_pointer& peer) {
+  error_code ignored;
+  peer->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  peer->socket.close(ignored);
+}
+
 void raw_engine::stop_listening_later() {
   auto timer = std::make_shared<asio::steady_timer>(context_, kEndsWithin);
   timer->async_wait([this, timer](error_code) {
@@ -136,16 +152,13 @@
       acceptor_.close(ignored);
       [[fallthrough]];
     case connection_ending::closed:
+    case connection_ending::closed_then_reset:
       peer->socket.shutdown(tcp::socket::shutdown_send, ignored);
       read_request(peer);  // until the peer closes, too
       return;
     case connection_ending::reset:
       peer->timer.expires_after(kBeforeReset);
-      peer->timer.async_wait([peer](error_code) {
-        error_code none;
-        peer->socket.set_option(asio::socket_base::linger(true, 0), none);
-        peer->socket.close(none);
-      });
+      peer->timer.async_wait([peer](error_code) { reset(peer); });
       return;
     case connection_ending::silent:
       peer->socket.async_wait(tcp::socket::wait_error, [peer](error_code) {});
--- a/tests/support/raw_engine.hpp
+++ b/tests/support/raw_engine.hpp
@@ -19,6 +19,7 @@
   full,    ///< Closed in order, and each new connection is reset: the process lives and has too many.
   ending,  ///< As full, and 15 ms later nobody listens any more: the kernel takes its time over a process that ends.
   gone,    ///< Closed in order, and nobody listens at the address any more: the process has ended.
+  closed_then_reset,  ///< With before_body: closed in order, and reset 2 ms later, as by a close with bytes unread.
 };
 
 /// One answer of a raw_engine.
@@ -48,6 +49,7 @@
   void read_request(const connection_pointer& peer);
   void answer_request(const connection_pointer& peer);
   void end_unread(const connection_pointer& peer, const raw_answer& answer);
+  static void reset(const connection_pointer& peer);
   void stop_listening_later();
   void end(const connection_pointer& peer, connection_ending ending);
 
