--- a/tests/net/early_answers_test.cpp
+++ b/tests/net/early_answers_test.cpp
@@ -106,6 +106,29 @@
   }
 }
 
+// A peer that closes in order and leaves the request unread resets the connection with the next bytes that arrive.
+TEST_CASE("a connection that is reset after it was closed in order leaves a failure whole, and no success") {
+  for (const std::size_t body_bytes : {1UL, 16'385UL, 200'000UL, 3'800'000UL, 4'194'304UL}) {
+    for (const int ends_after_ms : {0, 20, 300}) {
+      INFO(body_bytes << " bytes, closed after " << ends_after_ms << " ms");
+      for (const std::string head : {"HTTP/1.1 413 Large\r\n", "HTTP/1.1 500 Failed\r\n"}) {
+        bench::HttpSession session;
+        early_peer peer(
+            session, {head + "\r\n" + kPart, connection_ending::closed_then_reset, true, milliseconds(ends_after_ms)});
+        const std::optional<fetched> result = fetch(session, body_bytes);
+        REQUIRE(result);
+        REQUIRE(std::holds_alternative<net::SimpleResponse>(*result));
+        CHECK(std::get<net::SimpleResponse>(*result).body == kPart);
+      }
+    }
+  }
+  bench::HttpSession session;
+  early_peer peer(session, {kOk + "\r\n" + kPart, connection_ending::closed_then_reset, true, milliseconds(20)});
+  const std::optional<fetched> result = fetch(session, 3'800'000UL);
+  REQUIRE(result);
+  CHECK(std::holds_alternative<net::CallBreak>(*result));
+}
+
 // Guards against early answers that are lost: refusals, and sound ones that state their length.
 TEST_CASE("an early refusal, and an early answer that states its length, are read whole") {
   const std::string text = "too much";
