A failure without a length that is reset beside its upload is not whole

What callers saw: an engine answers an upload with 413 or 500 without a length, sends 700 bytes of its body and resets. The caller gets the part with the engine's stamp, framed as complete, where the upload is long; 502 where it is short.

Cause: a reset is one error on the socket, and the call that meets it first takes it. Beside a long upload that is the write, and the read then sees an orderly end. is_ended_in_order asked about that for successes alone; every status of 400 and more was let through, since an engine may refuse before it has read the body.

Why it works: what the write met is kept. A reset that comes before the peer has closed its side is a reset connection to the writer, one that comes after it a broken pipe. So what the peer did first decides, not which call met the reset: a part that is reset fails as closed, as it does beside a short upload (another engine where that is allowed, otherwise 502 without a stamp), and a refusal that ended in order stays whole, also if the rest of its upload is reset.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -72,7 +72,7 @@
   std::size_t body_bytes = 0;  ///< Of the response that is being read.
   bool counted = false;        ///< Included in the endpoint's number of open connections.
   bool written = false;        ///< The complete request has been written.
-  bool write_failed = false;
+  beast::error_code write_failure;
   bool connection_is_new = false;  ///< Neither a request before this one nor a response came on it.
 };
 
@@ -335,13 +335,22 @@
     return call.written && (!known || unacknowledged_bytes == 0);
   }
 
+  /// @return whether the write of the request met the error by which the connection broke before the peer had closed it
+  ///         in order. A reset after such a close is a broken pipe to the writer, and takes nothing from the response.
+  static bool has_write_met_break(const Call& call) {
+    return call.write_failure.failed() && call.write_failure != asio::error::broken_pipe;
+  }
+
   /// A response without a length is complete where its connection ends in order. The end of one that broke looks the
-  /// same here if the write of the request met the error first, so it counts only once the request has arrived. A
-  /// refusal may come without that.
+  /// same here if the write of the request met the error first; that write has then completed before the read. A
+  /// success counts only once the request has arrived. A failure may come before that.
   static bool is_ended_in_order(Call& call, const ResponseHead& head) {
-    if (head.framing != body_framing::until_close || head.status >= kFirstErrorStatus) {
+    if (head.framing != body_framing::until_close) {
       return true;
     }
+    if (head.status >= kFirstErrorStatus) {
+      return !has_write_met_break(call);
+    }
     int socket_error = 0;
     socklen_t length = sizeof socket_error;
     ::getsockopt(call.stream->socket().native_handle(), SOL_SOCKET, SO_ERROR, &socket_error, &length);
@@ -401,7 +410,7 @@
           context, [self = shared_from_this(), call]() { return self->write_request(call); }, asio::detached);
     } else {
       co_await write_request(call);
-      if (call->write_failed || call->cancelled) {
+      if (call->write_failure || call->cancelled) {
         fail(number, *call, CallBreak::reset);
         co_return;
       }
@@ -420,7 +429,7 @@
     // If the call is cancelled during the write, its stream is closed and the write ends with an error.
     auto [failure, written] = co_await http::async_write(*call->stream, call->request, kAwait);
     call->written = !failure;
-    call->write_failed = static_cast<bool>(failure);
+    call->write_failure = failure;
   }
 
   enum class ReadOutcome { ended, stray };
--- a/tests/net/early_answers_test.cpp
+++ b/tests/net/early_answers_test.cpp
@@ -106,6 +106,30 @@
   }
 }
 
+// Guards against a part of a failure that is taken for a whole one, since the write of the request met the reset.
+TEST_CASE("a failure without a length that is reset before its request was read is not whole") {
+  for (const std::string head : {"HTTP/1.1 413 Large\r\n", "HTTP/1.1 500 Failed\r\n"}) {
+    for (const std::size_t body_bytes : {1UL, 1'000UL, 16'384UL, 16'385UL, 200'000UL, 3'800'000UL, 4'194'304UL}) {
+      for (const int ends_after_ms : {0, 20, 300}) {
+        for (const std::size_t whole_before : {0UL, 1UL}) {
+          INFO(head << body_bytes << " bytes, reset after " << ends_after_ms << " ms, " << whole_before
+                    << " requests before");
+          bench::HttpSession session;
+          early_peer peer(session,
+                          {head + "\r\n" + kPart, connection_ending::reset, true, milliseconds(ends_after_ms)});
+          peer.whole_before = whole_before;
+          for (std::size_t earlier = 0; earlier < whole_before; ++earlier) {
+            REQUIRE(std::holds_alternative<net::SimpleResponse>(*fetch(session, 1)));
+          }
+          const std::optional<fetched> result = fetch(session, body_bytes);
+          REQUIRE(result);
+          CHECK(std::holds_alternative<net::CallBreak>(*result));
+        }
+      }
+    }
+  }
+}
+
 // A peer that closes in order and leaves the request unread resets the connection with the next bytes that arrive.
 TEST_CASE("a connection that is reset after it was closed in order leaves a failure whole, and no success") {
   for (const std::size_t body_bytes : {1UL, 16'385UL, 200'000UL, 3'800'000UL, 4'194'304UL}) {
--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -174,6 +174,37 @@
   }
 }
 
+// Guards against a failure that counts as whole since the write of the request met the reset, and not the read.
+TEST_CASE("a part of a failure without a length that is reset beside its request is not passed on as whole") {
+  for (const std::string status : {"413 Large", "500 Failed"}) {
+    for (const answer_kind kind : kKinds) {
+      for (const std::size_t body_bytes : kUploads) {
+        for (const int ends_after_ms : {0, 20, 100}) {
+          const std::string& part = kind == answer_kind::stream ? kFirstEvent : kPart;
+          const raw_answer script{"HTTP/1.1 " + status + "\r\n" + kOwnLines + "\r\n" + part, connection_ending::reset,
+                                  true, milliseconds(ends_after_ms)};
+          const caller_answer got = call(kind, script, body_bytes);
+          INFO(status << " beside " << body_bytes << " bytes, reset after " << ends_after_ms
+                      << " ms: " << described(kind, got));
+          CHECK(fault_of(kind, got).empty());
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("a part of a failure that is reset beside a long request is not whole, whatever its status") {
+  for (const unsigned status : {400, 403, 404, 408, 409, 422, 429, 499, 501, 502, 503, 504, 599}) {
+    const raw_answer script{"HTTP/1.1 " + std::to_string(status) + " Some\r\n" + kOwnLines + "\r\n" + kPart,
+                            connection_ending::reset, true, milliseconds(20)};
+    for (const answer_kind kind : {answer_kind::repeatable, answer_kind::unrepeatable}) {
+      const caller_answer got = call(kind, script, kLongBytes);
+      INFO(status << ": " << described(kind, got));
+      CHECK(fault_of(kind, got).empty());
+    }
+  }
+}
+
 TEST_CASE("an early failure without a length that ends in order arrives whole beside a request of any size") {
   const std::string text(4'000, 't');
   for (const std::string status : {"413 Large", "429 Busy", "422 Odd", "404 Missing"}) {
