--- a/tests/platform/broken_answers_test.cpp
+++ b/tests/platform/broken_answers_test.cpp
@@ -88,9 +88,8 @@
   return path.call(request_to(kind, body_bytes));
 }
 
-/// @return what is wrong with @p got if the first engine's answer was broken; empty if nothing is. A stream that
-/// another
-///         engine resumes keeps the head of its first engine.
+/// A stream that another engine resumes keeps the head of its first engine.
+/// @return what is wrong with @p got if the first engine's answer was broken; empty if nothing is.
 std::string fault_of(answer_kind kind, const caller_answer& got) {
   if (!got.ended || got.malformed) {
     return got.ended ? "bytes that belong to no answer" : "the caller still waits";
