--- a/tests/platform/bench/return_judge_test.cpp
+++ b/tests/platform/bench/return_judge_test.cpp
@@ -74,6 +74,8 @@
 TEST_CASE("a return is drawn alike from the same seed, and every form and cause comes up") {
   std::set<end_form> forms;
   std::set<return_cause> causes;
+  std::set<store_absence> absences;
+  std::set<std::optional<std::chrono::milliseconds>> store_away_times;
   unsigned second_ends = 0;
   unsigned pairs = 0;
   for (std::uint64_t seed = 0; seed < 200; ++seed) {
@@ -87,11 +89,15 @@
     CHECK((!plan.stays_away || *plan.stays_away < 7));
     forms.insert(plan.form);
     causes.insert(plan.causes.begin(), plan.causes.end());
+    absences.insert(plan.absence);
+    store_away_times.insert(plan.store_away);
     second_ends += plan.second_end ? 1 : 0;
     pairs += plan.causes.size() == 2 ? 1 : 0;
   }
   CHECK(forms.size() == 3);
   CHECK(causes.size() == 9);
+  CHECK(absences.size() == 3);
+  CHECK(store_away_times.size() == kStoreAwayTimes.size() + 1);
   CHECK(second_ends > 20);
   CHECK(pairs > 20);
   const return_plan only = draw_return(1, 7, 3, return_cause::store_busy);
