A node whose disk is damaged goes on without it instead of ending at each start

Callers: a node with a damaged disk ended at each start (exit 20) and was started again at once. Cause: damage counted as an error that cannot pass, so it ended the process. Class: a thing that one part of a node lacks ends all of it. What may damage a disk is not known here; losses of power do not in ledger/rocksdb_power_schedules_test. Change: the node joins without the disk, as with one that refuses writes, tells disk_damaged (gauge ledger_disk_damaged), leaves the folder as it is and looks again every 5 s. Emptied by an operator, it is opened as a new disk, also while the node runs.

--- a/src/ledger/rocksdb_disk_opener.cpp
+++ b/src/ledger/rocksdb_disk_opener.cpp
@@ -11,6 +11,8 @@
   return error.kind == ErrorKind::storage_unwritable || error.kind == ErrorKind::unavailable;
 }
 
+bool is_damage(const Error& error) { return error.kind == ErrorKind::corrupted; }
+
 /// State of the first attempt, shared by both threads.
 struct disk_opener::FirstAttempt {
   enum class State { under_way, ended, left_to_hooks };
@@ -50,7 +52,13 @@
   return std::exchange(first.outcome, std::nullopt);
 }
 
-void disk_opener::try_again() { schedule_retry(); }
+void disk_opener::try_again(const Error& error) {
+  if (is_damage(error)) {
+    executors_.after(kDamagedRetryInterval, [this] { attempt(); });
+  } else {
+    schedule_retry();
+  }
+}
 
 void disk_opener::schedule_retry() {
   executors_.after(pause_, [this] { attempt(); });
@@ -70,12 +78,16 @@
     hooks_.opened(std::move(value_of(opened)));
     return;
   }
-  if (!is_retryable(error_of(opened))) {
-    hooks_.given_up(error_of(opened));
+  const Error& error = error_of(opened);
+  if (is_damage(error)) {
+    hooks_.damaged(error);
+  } else if (is_retryable(error)) {
+    hooks_.refused(error);
+  } else {
+    hooks_.given_up(error);
     return;
   }
-  hooks_.refused(error_of(opened));
-  schedule_retry();
+  try_again(error);
 }
 
 }  // namespace madderdeck::ledger
--- a/src/ledger/rocksdb_disk_opener.hpp
+++ b/src/ledger/rocksdb_disk_opener.hpp
@@ -15,12 +15,19 @@
 struct disk_opener_hooks {
   std::function<void(const Error&)> refused;  ///< An attempt failed; another one follows.
   std::function<void(OpenedDisk)> opened;     ///< The folder was opened; called once.
-  std::function<void(const Error&)>
-      given_up;  ///< The folder is damaged; there is no further attempt, since it could not succeed.
+  /// The folder is damaged; another attempt follows after kDamagedRetryInterval, since an operator may have emptied it
+  /// by then.
+  std::function<void(const Error&)> damaged;
+  /// What the attempt left holds the folder for as long as the process lives; there is no further one.
+  std::function<void(const Error&)> given_up;
 };
 
-/// @return whether a retry is useful after an attempt to open a folder failed with @p error.
+inline constexpr Duration kDamagedRetryInterval = 5s;
+
+/// @return whether the disk that an attempt failed to open with @p error refuses or hangs, which may pass by itself.
 bool is_retryable(const Error& error);
+/// @return whether it is damaged, which lasts until an operator has emptied the folder.
+bool is_damage(const Error& error);
 
 /// Retries in the background until the folder is open. Has to outlive the tasks of its executors.
 class disk_opener {
@@ -34,8 +41,8 @@
   /// @return the result of the first attempt, which is then not reported to the hooks; nothing if the attempt is still
   ///         running: its result is reported to the hooks.
   std::optional<Result<OpenedDisk>> wait(Duration patience);
-  /// Schedules a retry after the first attempt failed.
-  void try_again();
+  /// Schedules a retry after the first attempt failed with @p error.
+  void try_again(const Error& error);
 
  private:
   struct FirstAttempt;
--- a/src/node/daemon.cpp
+++ b/src/node/daemon.cpp
@@ -204,7 +204,7 @@
       log_disk_opened(disk);
       options.self.disk_id = disk.identity;
       storage_ = std::move(disk.storage);
-    } else if (!outcome || ledger::is_retryable(error_of(*outcome))) {
+    } else if (!outcome || ledger::is_retryable(error_of(*outcome)) || ledger::is_damage(error_of(*outcome))) {
       storage_ = ledger::RocksDbStorage::make_unopened();
       await_disk(outcome);
     } else {
@@ -215,11 +215,16 @@
     return Ok{};
   }
 
-  /// Reports the disk as refused when the node joins without it: the disk refuses writes or has not responded yet.
+  /// Reports the disk as refused when the node joins without it: the disk refuses writes, is damaged, or has not
+  /// responded yet.
   void await_disk(const std::optional<Result<ledger::OpenedDisk>>& outcome) {
     if (outcome) {
-      note_disk_refused(error_of(*outcome));
-      disk_opener_->try_again();
+      const Error& error = error_of(*outcome);
+      if (ledger::is_damage(error)) {
+        note_disk_damaged(error);
+      }
+      note_disk_refused(error);
+      disk_opener_->try_again(error);
     } else {
       note_disk_refused(Error{ErrorKind::unavailable, "opening it is still under way"});
     }
@@ -233,7 +238,8 @@
               {{"disk", disk.identity}, {"took_ms", disk_opening_ms()}, {"log_bytes", disk.log_bytes}});
   }
 
-  void note_disk_damaged(const Error& error) const {
+  void note_disk_damaged(const Error& error) {
+    counters_["ledger_disk_damaged"] = ledger::is_damage(error) ? 1 : 0;
     log_event(LogLevel::error, error.kind == ErrorKind::ambiguous ? "disk_opening_broken_off" : "disk_damaged",
               {{"error", error.detail}, {"took_ms", disk_opening_ms()}});
   }
@@ -278,6 +284,7 @@
 
   void note_disk_regained() {
     counters_["ledger_disk_refuses"] = 0;
+    counters_["ledger_disk_damaged"] = 0;
     log_event(LogLevel::warning, "disk_writes_regained",
               {{"refused_for_ms", (environment_.now() - disk_refused_at_) / 1ms}});
   }
@@ -308,6 +315,7 @@
       note_disk_regained();
       core_->on_disk_opened(DiskId(disk.identity));
     };
+    hooks.damaged = [this](const Error& error) { note_disk_damaged(error); };
     hooks.given_up = [this](const Error& error) { give_up_disk(error); };
     return hooks;
   }
