A table that the disk refused is written again after 5 s, not as soon as the disk is back

A refusal stops all use of the disk until it is open again; a write that is repeated at once after that could stop it again and again on a disk that has no room. Seen by reading. The test of refused writes wants no write for 1 s after the disk is back, and one then.

--- a/src/node/stored_tables.cpp
+++ b/src/node/stored_tables.cpp
@@ -268,8 +268,9 @@
   }
   write_scheduled_ = true;
   const Timestamp now = environment_.now();
+  const Duration interval = failure_logged_ ? kRetryInterval : kMinWriteInterval;
   const Duration rest =
-      written_at_ ? std::max<Duration>(*written_at_ + kMinWriteInterval - now, kWriteDelay) : Duration(kWriteDelay);
+      written_at_ ? std::max<Duration>(*written_at_ + interval - now, kWriteDelay) : Duration(kWriteDelay);
   environment_.after(rest, lifetime_.guard([this] { write(); }));
 }
 
--- a/src/node/stored_tables.hpp
+++ b/src/node/stored_tables.hpp
@@ -50,6 +50,8 @@
   /// An answer that is older says nothing: its node may have ended since.
   static constexpr Duration kAnswerValid = 1s;
   static constexpr Duration kMinWriteInterval = 250ms;
+  /// A disk that has just refused a write would often refuse the same one, and a refusal stops all use of the disk.
+  static constexpr Duration kRetryInterval = 5s;
   static constexpr Duration kWriteDelay = 20ms;  ///< Changes within this time share a write.
 
  private:
--- a/tests/node/stored_tables_test.cpp
+++ b/tests/node/stored_tables_test.cpp
@@ -306,8 +306,12 @@
     node.run(1s);
     CHECK(disk.records.empty());
     disk.refuses = false;
+    const unsigned refused = disk.writes;
     node.start();
     node.run(1s);
+    CHECK(disk.writes == refused);
+    node.run(stored_tables::kRetryInterval);
+    CHECK(disk.writes == refused + 1);
   }
   disk_node next(1, disk);
   next.start();
