--- a/src/simulation/mutants.cpp
+++ b/src/simulation/mutants.cpp
@@ -78,7 +78,7 @@
        ScheduleMix::isolation},
       {"groups_looked_at_rarely", Promise::successor_taken_in, 5,
        [](Guards& guards) { guards.groups_checked_in_time = false; }, ScheduleMix::isolation},
-      {"members_named_unasked", Promise::epoch_names_disks_that_exist, 40,
+      {"members_named_unasked", Promise::epoch_names_disks_that_exist, 10,
        [](Guards& guards) { guards.changes.new_members_consent = false; }, ScheduleMix::departures},
       {"former_member_taken_up_again", Promise::epoch_names_disks_that_exist, 10,
        [](Guards& guards) {
